--- /dev/null
+++ b/cmake/RuntimePch.h
@@ -0,0 +1,9 @@
+// Precompiled for the runtime only: the headers that cost seconds each.
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
--- /dev/null
+++ b/hawthornroad/config/JsonText.h
@@ -0,0 +1,81 @@
+// JSON with comments, parsed into nodes that remember their line.
+//
+//   JsonNode Root = parseJsonText(Text, "entry.jsonc");
+//
+// Comments (// and /* */) and one trailing comma are allowed. Boost.JSON does
+// the parsing; it is fed a line at a time so that each node knows where it
+// stood. Duplicate keys in an object are a fault: Boost.JSON's own value type
+// would keep the last one silently.
+// Limits: MaxJsonText bytes, MaxJsonDepth levels.
+
+#ifndef HAWTHORNROAD_CONFIG_JSONTEXT_H
+#define HAWTHORNROAD_CONFIG_JSONTEXT_H
+
+#include "hawthornroad/base/Error.h"
+
+#include <boost/json/value.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace hawthornroad {
+
+constexpr std::size_t MaxJsonText = 4 * 1024 * 1024;
+constexpr std::size_t MaxJsonDepth = 32;
+
+struct JsonNode {
+  enum class Kind { Null, Bool, Integer, Double, String, Array, Object };
+  using Member = std::pair<std::string, JsonNode>;
+
+  Kind Kind_ = Kind::Null;
+  int Line_ = 0;
+  bool Bool_ = false;
+  std::int64_t Integer_ = 0;
+  double Double_ = 0;
+  std::string String_;
+  std::vector<JsonNode> Items_;
+  std::vector<Member> Members_;
+
+  const JsonNode *find(std::string_view Key) const;
+  bool isObject() const { return Kind_ == Kind::Object; }
+};
+
+std::string_view toString(JsonNode::Kind K);
+
+// One thing wrong with a text. Path is "services.copywriter-lm.replicas".
+struct Fault {
+  int Line_ = 0;
+  std::string Path_;
+  std::string Message_;
+  auto operator<=>(const Fault &) const = default;
+};
+
+// "FILE:LINE: PATH: MESSAGE", one line a fault.
+std::string describeFaults(const std::string &File,
+                           const std::vector<Fault> &Faults);
+
+// A text that is not JSON, or whose content is refused: all faults at once.
+class TextError : public Error {
+public:
+  TextError(Step Where, const std::string &File, std::vector<Fault> Faults);
+  const std::vector<Fault> &faults() const { return Faults_; }
+
+private:
+  std::vector<Fault> Faults_;
+};
+
+// Throws TextError(Where) on syntax errors, duplicate keys and limits.
+JsonNode parseJsonText(std::string_view Text, const std::string &File,
+                       Step Where = Step::Settings);
+
+// The same tree without lines and comments.
+boost::json::value toJson(const JsonNode &Node);
+
+// Reads a whole file; throws Error(Where, File, ...).
+std::string readTextFile(const std::string &File, Step Where);
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_CONFIG_JSONTEXT_H
--- /dev/null
+++ b/hawthornroad/config/Settings.h
@@ -0,0 +1,108 @@
+// The settings of the daemons: JSON with comments, every key checked at start.
+//
+//   EntrySettings S = EntrySettings::load("entry.jsonc");  // throws TextError
+//
+// An "IP:port" may have port 0: the kernel chooses, and the ready line tells.
+
+#ifndef HAWTHORNROAD_CONFIG_SETTINGS_H
+#define HAWTHORNROAD_CONFIG_SETTINGS_H
+
+#include "hawthornroad/base/Types.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hawthornroad {
+
+// The platform's services. An empty address means "not there".
+struct PlatformSettings {
+  std::string Table_;   // "IP:port"
+  std::string Objects_; // "IP:port"
+  std::string Members_; // "IP:port"
+  // Longest wait for one answer of the platform.
+  Duration Timeout_ = Seconds(2);
+  // Period of reads of the table by the elected readers of a zone.
+  Duration PollPeriod_ = Milliseconds(250);
+  bool operator==(const PlatformSettings &) const = default;
+};
+
+// What both daemons share.
+struct ProcessSettings {
+  ProcessName Process_;
+  AvailabilityZone Zone_;
+  std::string PeerListen_ = "127.0.0.1:0";
+  std::string AdminListen_ = "127.0.0.1:0";
+  // Peers to join through, beside the platform's membership list.
+  std::vector<PeerAddress> Seeds_;
+  PlatformSettings Platform_;
+  // Folder of the state charts.
+  std::string Charts_ = "charts";
+  std::string LogLevel_ = "info";
+  // Seed of all random choices; 0 takes one from the system.
+  std::uint64_t RandomSeed_ = 0;
+  // Membership: period of probes, wait for a direct answer, and how long a
+  // suspected process has to refute.
+  Duration ProbePeriod_ = Milliseconds(300);
+  Duration ProbeTimeout_ = Milliseconds(150);
+  Duration SuspicionTimeout_ = Milliseconds(1500);
+  bool operator==(const ProcessSettings &) const = default;
+};
+
+struct EntrySettings {
+  ProcessSettings Common_;
+  std::string CallerListen_ = "127.0.0.1:0";
+  std::size_t MaxBody_ = 8 * 1024 * 1024;
+  std::size_t MaxConnections_ = 4096;
+  // Deadline of a request that names none, and the longest one allowed.
+  Duration DefaultDeadline_ = Seconds(30);
+  Duration MaxDeadline_ = Seconds(600);
+  // An attempt silent for this long is asked after over a fresh connection.
+  Duration AttemptIdle_ = Milliseconds(1000);
+  // How long after SIGTERM the listener stays open for the balancer's sake.
+  Duration DrainGrace_ = Milliseconds(2000);
+  // How long a finished claim's answer is kept for repeats of its key.
+  Duration ClaimKeep_ = Seconds(86400);
+
+  static EntrySettings parse(std::string_view Text, const std::string &File);
+  static EntrySettings load(const std::string &File);
+  bool operator==(const EntrySettings &) const = default;
+};
+
+struct AgentSettings {
+  ProcessSettings Common_;
+  Vm Vm_;
+  // The engine or plain service on this VM, "IP:port".
+  std::string EndpointAddress_;
+  // Held for the process's lifetime: one agent a VM (port 0 only in tests).
+  std::string LockListen_ = "127.0.0.1:0";
+  std::string WeightsListen_ = "127.0.0.1:0";
+  // Memory-backed folder for weights.
+  std::string WeightsFolder_;
+  // Origin of weights, "IP:port".
+  std::string Origin_;
+  // Bytes of old versions kept for a rollback.
+  std::int64_t KeepBytes_ = std::int64_t{64} << 30;
+  // Shares of the VM's link that weights may use, bytes a second; 0 = no limit.
+  std::int64_t UploadRate_ = 0;
+  std::int64_t DownloadRate_ = 0;
+  // Attempts run at once when the engine names no capacity.
+  std::size_t Capacity_ = 16;
+  // Bytes of one attempt's answer held until the entry acknowledges them.
+  std::size_t AttemptBuffer_ = 4 * 1024 * 1024;
+  // How long a finished attempt can be asked after.
+  Duration AttemptKeep_ = Seconds(60);
+  // Longest wait for running attempts at a planned stop.
+  Duration DrainLimit_ = Seconds(600);
+  Duration ReportPeriod_ = Milliseconds(500);
+  // Longest silence of the endpoint within one attempt.
+  Duration EndpointIdle_ = Seconds(30);
+
+  static AgentSettings parse(std::string_view Text, const std::string &File);
+  static AgentSettings load(const std::string &File);
+  bool operator==(const AgentSettings &) const = default;
+};
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_CONFIG_SETTINGS_H
--- /dev/null
+++ b/hawthornroad/runtime/PeerNet.h
@@ -0,0 +1,121 @@
+// Framed connections between the system's own processes.
+//
+//   PeerNet Net(Io, Self, {.OnFrame_ = [](const PeerContext &From,
+//                                         const wire::Frame &F) {...}});
+//   std::uint16_t Port = Net.listen("127.0.0.1", 0);
+//   Net.send(PeerAddress("127.0.0.1:7001"), Lane::Requests, makeFrame(Msg));
+//   Net.reply(From.Connection_, makeFrame(Answer));
+//
+// A frame is a 4-byte little-endian length and a verified FlatBuffers
+// wire::Frame. Frames to one (address, lane) share a connection, dialled on
+// demand; lanes keep bulk weights from delaying requests and heartbeats.
+//
+// Silent connections: each side pings a connection it has heard nothing on for
+// PingAfter and closes it after DeadAfter, so a path that a middlebox has
+// forgotten is noticed in DeadAfter and not when TCP gives up. sendFresh()
+// does not wait for that: it abandons the old connection and dials again.
+//
+// Bounds: a frame above MaxFrame closes the connection; a connection whose
+// unsent bytes exceed MaxBacklog refuses further sends (false).
+
+#ifndef HAWTHORNROAD_RUNTIME_PEERNET_H
+#define HAWTHORNROAD_RUNTIME_PEERNET_H
+
+#include "hawthornroad/base/Error.h"
+#include "hawthornroad/base/Types.h"
+#include "hawthornroad/runtime/Io.h"
+#include "schema/wire_generated.h"
+
+#include <flatbuffers/flatbuffers.h>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace hawthornroad {
+
+// An encoded frame, shared so that one buffer can go to many peers.
+using FrameBuffer = std::shared_ptr<const flatbuffers::DetachedBuffer>;
+
+// Encodes a message of the object API (wire::PingT and so on) as a frame.
+template <class MessageT> FrameBuffer makeFrame(MessageT Message) {
+  wire::FrameT Frame;
+  Frame.body.Set(std::move(Message));
+  flatbuffers::FlatBufferBuilder Builder(1024);
+  Builder.Finish(wire::Frame::Pack(Builder, &Frame));
+  return std::make_shared<flatbuffers::DetachedBuffer>(Builder.Release());
+}
+
+enum class Lane : std::uint8_t { Control, Requests, Weights };
+
+using ConnectionId = std::uint64_t;
+
+// What a receiver knows of a frame's sender.
+struct PeerContext {
+  ConnectionId Connection_ = 0;
+  // From the peer's Hello; empty until it came.
+  ProcessName Process_;
+  Incarnation Incarnation_ = 0;
+  // The peer's own listener from its Hello, or the dialled address.
+  PeerAddress Address_;
+  Lane Lane_ = Lane::Control;
+};
+
+class PeerNet {
+public:
+  struct Self {
+    ProcessName Process_;
+    Incarnation Incarnation_ = 0;
+    AvailabilityZone Zone_;
+    std::string Role_;
+  };
+  struct Limits {
+    std::size_t MaxFrame_ = 16 * 1024 * 1024;
+    std::size_t MaxBacklog_ = 32 * 1024 * 1024;
+    Duration ConnectTimeout_ = Milliseconds(500);
+    Duration PingAfter_ = Milliseconds(500);
+    Duration DeadAfter_ = Milliseconds(2000);
+    // A connection that carried no frame but pings for this long is closed.
+    Duration IdleAfter_ = Seconds(60);
+  };
+  // All run on the IoThread and must not block.
+  struct Callbacks {
+    std::function<void(const PeerContext &, const wire::Frame &)> OnFrame_;
+    // A dialled connection could not be made or was lost; frames not yet
+    // written to it are gone. May be empty.
+    std::function<void(const PeerContext &, const Error &)> OnLost_;
+  };
+
+  PeerNet(IoThread &Io, Self S, Limits L, Callbacks C);
+  ~PeerNet();
+  PeerNet(const PeerNet &) = delete;
+  PeerNet &operator=(const PeerNet &) = delete;
+
+  // Throws Error(Step::Listen). Call before any send.
+  std::uint16_t listen(const std::string &Ip, std::uint16_t Port);
+  void closeListener();
+
+  // Thread-safe. False when the IoThread's ring is full: nothing was sent.
+  // True promises only that the frame was queued; loss shows as OnLost_.
+  bool send(const PeerAddress &To, Lane L, FrameBuffer Frame);
+  // As send, over a connection dialled anew.
+  bool sendFresh(const PeerAddress &To, Lane L, FrameBuffer Frame);
+  // Sends on the connection a frame came in on; lost if that is closed.
+  bool reply(ConnectionId To, FrameBuffer Frame);
+  // Unsent bytes of a connection; call on the IoThread. 0 when unknown.
+  std::size_t backlog(ConnectionId Id) const;
+  // The revision told in later Hellos.
+  void setRevision(Revision R);
+
+  // Control bytes sent and received so far, frames and pings alike.
+  std::uint64_t bytesSent() const;
+  std::uint64_t bytesReceived() const;
+
+  struct State;
+
+private:
+  std::shared_ptr<State> State_;
+};
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_RUNTIME_PEERNET_H
--- /dev/null
+++ b/hawthornroad/runtime/WireCodec.h
@@ -0,0 +1,29 @@
+// Between value types of the decision modules and messages of the wire.
+
+#ifndef HAWTHORNROAD_RUNTIME_WIRECODEC_H
+#define HAWTHORNROAD_RUNTIME_WIRECODEC_H
+
+#include "hawthornroad/base/Types.h"
+#include "hawthornroad/membership/EndpointStatus.h"
+#include "schema/wire_generated.h"
+
+#include <memory>
+
+namespace hawthornroad {
+
+wire::EndpointReportT toWire(const EndpointStatus &Status);
+// Unknown phases read as Starting, which routes nothing there.
+EndpointStatus fromWire(const wire::EndpointReportT &Report);
+
+template <class Tag> std::unique_ptr<wire::WireId> toWire(const Id<Tag> &I) {
+  return std::make_unique<wire::WireId>(I.Hi_, I.Lo_);
+}
+
+// An unset id when the field is absent.
+template <class IdT> IdT idFromWire(const wire::WireId *I) {
+  return I == nullptr ? IdT{} : IdT{I->hi(), I->lo()};
+}
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_RUNTIME_WIRECODEC_H
--- /dev/null
+++ b/tests/unit/RuntimeTest.cpp
@@ -0,0 +1,224 @@
+#include "hawthornroad/base/Ring.h"
+#include "hawthornroad/runtime/Actor.h"
+#include "hawthornroad/runtime/DecisionLoop.h"
+#include "hawthornroad/runtime/Http.h"
+#include "hawthornroad/runtime/Metrics.h"
+#include "hawthornroad/runtime/PeerNet.h"
+
+#include <catch2/catch.hpp>
+#include <future>
+
+using namespace hawthornroad;
+
+namespace {
+constexpr auto Patience = Seconds(10);
+
+template <class T> T await(std::future<T> &Future) {
+  REQUIRE(Future.wait_for(Patience) == std::future_status::ready);
+  return Future.get();
+}
+
+// A server and a client on one loopback thread.
+struct HttpFixture {
+  IoThread Io_{"http-test", 1024};
+  HttpClient Client_{Io_};
+
+  HttpResult call(std::uint16_t Port, HttpRequest R) {
+    std::promise<HttpResult> Promise;
+    auto Future = Promise.get_future();
+    auto Call = Client_.call(
+        "127.0.0.1:" + std::to_string(Port), std::move(R), {},
+        {.OnDone_ = [&](HttpResult Result) { Promise.set_value(Result); }});
+    return await(Future);
+  }
+};
+} // namespace
+
+TEST_CASE("ring, when full, refuses and leaves the item", "[ring]") {
+  Ring<std::string> R(2);
+  REQUIRE(R.tryPush("a"));
+  REQUIRE(R.tryPush("b"));
+  std::string Third = "c";
+  REQUIRE_FALSE(R.tryPush(std::move(Third)));
+  REQUIRE(Third == "c");
+  REQUIRE(R.tryPop() == "a");
+  REQUIRE(R.tryPush(std::move(Third)));
+  REQUIRE(R.tryPop() == "b");
+  REQUIRE(R.tryPop() == "c");
+  REQUIRE_FALSE(R.tryPop().has_value());
+}
+
+TEST_CASE("actor, under the manual clock, ticks only when time is advanced",
+          "[actor]") {
+  ActorSystem System(ActorSystem::Mode::Manual);
+  std::vector<TimePoint> Ticks;
+  Actor A(System, {.Name_ = "test",
+                   .TickPeriod_ = Milliseconds(100),
+                   .OnTick_ = [&](TimePoint Now) { Ticks.push_back(Now); }});
+  System.advance(Milliseconds(99));
+  REQUIRE(Ticks.empty());
+  System.advance(Milliseconds(1));
+  REQUIRE(Ticks.size() == 1);
+  System.advance(Milliseconds(100));
+  REQUIRE(Ticks.size() == 2);
+  REQUIRE(Ticks[1] - Ticks[0] == Milliseconds(100));
+}
+
+TEST_CASE("decision loop runs posted work in order on its own thread",
+          "[loop]") {
+  ActorSystem System;
+  DecisionLoop Loop(System, "loop", Milliseconds(5), 1024);
+  std::vector<int> Seen;
+  std::promise<void> Done;
+  for (int I = 0; I < 100; ++I)
+    REQUIRE(Loop.post([&, I](TimePoint) {
+      Seen.push_back(I);
+      if (I == 99)
+        Done.set_value();
+    }));
+  auto Future = Done.get_future();
+  await(Future);
+  for (int I = 0; I < 100; ++I)
+    REQUIRE(Seen[I] == I);
+}
+
+TEST_CASE_METHOD(HttpFixture, "http server answers whole and streamed bodies",
+                 "[http]") {
+  HttpServer Server(Io_, {},
+                    [](HttpRequest R, std::shared_ptr<HttpExchange> X) {
+                      if (R.Target_ == "/whole") {
+                        X->respond(jsonResponse(200, R.Body_));
+                        return;
+                      }
+                      X->head(200, {{"Content-Type", "text/plain"}});
+                      X->write("one ");
+                      X->write("two");
+                      X->finish();
+                    });
+  std::uint16_t Port = Server.listen("127.0.0.1", 0);
+  HttpResult Whole =
+      call(Port, {.Method_ = "POST", .Target_ = "/whole", .Body_ = "{}"});
+  REQUIRE(Whole.Response_);
+  REQUIRE(Whole.Response_->Body_ == "{}");
+  HttpResult Streamed = call(Port, {.Target_ = "/stream"});
+  REQUIRE(Streamed.Response_);
+  REQUIRE(Streamed.Response_->Body_ == "one two");
+}
+
+TEST_CASE_METHOD(HttpFixture,
+                 "http body that the server aborts is an error, never short",
+                 "[http]") {
+  HttpServer Server(Io_, {}, [](HttpRequest, std::shared_ptr<HttpExchange> X) {
+    X->head(200, {});
+    X->write("half");
+    X->abort();
+  });
+  std::uint16_t Port = Server.listen("127.0.0.1", 0);
+  HttpResult Result = call(Port, {});
+  REQUIRE_FALSE(Result.Response_);
+  REQUIRE(Result.Error_);
+  REQUIRE(Result.Sent_);
+}
+
+TEST_CASE_METHOD(HttpFixture,
+                 "http client, when nothing listens, says nothing was sent",
+                 "[http]") {
+  std::uint16_t Port = 0;
+  {
+    HttpServer Gone(Io_, {}, [](HttpRequest, std::shared_ptr<HttpExchange>) {});
+    Port = Gone.listen("127.0.0.1", 0);
+    std::promise<void> Closed;
+    auto Future = Closed.get_future();
+    Gone.closeListener();
+    Io_.submit([&] { Closed.set_value(); });
+    await(Future);
+  }
+  HttpResult Result = call(Port, {});
+  REQUIRE(Result.Error_);
+  REQUIRE(Result.Error_->step() == Step::Connect);
+  REQUIRE_FALSE(Result.Sent_);
+}
+
+TEST_CASE_METHOD(HttpFixture, "http request above a limit gets a clear problem",
+                 "[http]") {
+  HttpServer Server(
+      Io_, {.MaxBody_ = 16},
+      [](HttpRequest, std::shared_ptr<HttpExchange> X) { X->respond({}); });
+  std::uint16_t Port = Server.listen("127.0.0.1", 0);
+  HttpResult Result = call(
+      Port, {.Method_ = "POST", .Target_ = "/", .Body_ = std::string(64, 'x')});
+  REQUIRE(Result.Response_);
+  REQUIRE(Result.Response_->Status_ == 413);
+  REQUIRE(findHeader(Result.Response_->Headers_, "hawthornroad-outcome") ==
+          "not-run");
+}
+
+TEST_CASE("peer net carries a frame and its reply between two processes",
+          "[peernet]") {
+  IoThread Io("peers", 1024);
+  std::promise<std::string> Got;
+  PeerNet *ServerNet = nullptr;
+  PeerNet Server(
+      Io, {.Process_ = ProcessName("b"), .Incarnation_ = 2}, {},
+      {.OnFrame_ = [&](const PeerContext &From, const wire::Frame &F) {
+        REQUIRE(F.body_type() == wire::Body::ConfigPull);
+        REQUIRE(From.Process_ == ProcessName("a"));
+        REQUIRE(From.Lane_ == Lane::Requests);
+        wire::ConfigPushT Push;
+        Push.snapshot_revision = F.body_as_ConfigPull()->after() + 1;
+        ServerNet->reply(From.Connection_, makeFrame(std::move(Push)));
+      }});
+  ServerNet = &Server;
+  std::uint16_t Port = Server.listen("127.0.0.1", 0);
+  PeerNet Client(
+      Io, {.Process_ = ProcessName("a"), .Incarnation_ = 1}, {},
+      {.OnFrame_ = [&](const PeerContext &From, const wire::Frame &F) {
+        Got.set_value(
+            From.Process_.str() + " " +
+            std::to_string(F.body_as_ConfigPush()->snapshot_revision()));
+      }});
+  wire::ConfigPullT Pull;
+  Pull.after = 41;
+  REQUIRE(Client.send(PeerAddress("127.0.0.1:" + std::to_string(Port)),
+                      Lane::Requests, makeFrame(std::move(Pull))));
+  auto Future = Got.get_future();
+  REQUIRE(await(Future) == "b 42");
+  Io.stop();
+}
+
+TEST_CASE("peer net reports a peer that cannot be reached", "[peernet]") {
+  IoThread Io("peers", 1024);
+  std::promise<Step> Lost;
+  PeerNet Client(
+      Io, {.Process_ = ProcessName("a")}, {},
+      {.OnFrame_ = [](const PeerContext &, const wire::Frame &) {},
+       .OnLost_ = [&](const PeerContext &,
+                      const Error &E) { Lost.set_value(E.step()); }});
+  REQUIRE(Client.send(PeerAddress("127.0.0.1:1"), Lane::Control,
+                      makeFrame(wire::PingT())));
+  auto Future = Lost.get_future();
+  REQUIRE(await(Future) == Step::Connect);
+  Io.stop();
+}
+
+TEST_CASE("metrics render counters, gauges and histograms by label",
+          "[metrics]") {
+  Metrics M;
+  M.count("requests_total", {{"outcome", "answered"}}, 2);
+  M.set("revision", 7);
+  M.observe("latency_seconds", 0.5, {{"customer", "a"}});
+  std::string Page = M.render();
+  REQUIRE_THAT(Page,
+               Catch::Contains("requests_total{outcome=\"answered\"} 2\n"));
+  REQUIRE_THAT(Page, Catch::Contains("revision 7\n"));
+  REQUIRE_THAT(Page,
+               Catch::Contains("latency_seconds_count{customer=\"a\"} 1"));
+  REQUIRE_THAT(Page, Catch::Contains("le=\"+Inf\"} 1"));
+}
+
+TEST_CASE("metrics, past the series limit, count under other", "[metrics]") {
+  Metrics M;
+  for (std::size_t I = 0; I < Metrics::MaxSeries + 50; ++I)
+    M.count("requests_total", {{"customer", std::to_string(I)}});
+  REQUIRE(M.value("requests_total", {{"customer", "other"}}) == 50);
+}
