--- a/hawthornroad/config/JsonText.cpp
+++ b/hawthornroad/config/JsonText.cpp
@@ -12,9 +12,9 @@
 namespace json = boost::json;
 
 const JsonNode *JsonNode::find(std::string_view Key) const {
-  for (const Member &Each : Members_)
-    if (Each.first == Key)
-      return &Each.second;
+  for (const JsonMember &Each : Members_)
+    if (Each.Key_ == Key)
+      return &Each.Value_;
   return nullptr;
 }
 
@@ -50,6 +50,8 @@
 // feeding loop.
 class TreeBuilder {
 public:
+  // Boost.JSON prescribes the names of its handler's members.
+  // NOLINTBEGIN(readability-identifier-naming)
   static constexpr std::size_t max_object_size = SIZE_MAX;
   static constexpr std::size_t max_array_size = SIZE_MAX;
   static constexpr std::size_t max_key_size = 4096;
@@ -114,6 +116,8 @@
   bool on_comment_part(json::string_view, json::error_code &) { return true; }
   bool on_comment(json::string_view, json::error_code &) { return true; }
 
+  // NOLINTEND(readability-identifier-naming)
+
 private:
   JsonNode make(JsonNode::Kind K) const {
     JsonNode Node;
@@ -129,10 +133,10 @@
   }
 
   bool close() {
-    JsonNode::Member Done = std::move(Stack_.back());
+    JsonMember Done = std::move(Stack_.back());
     Stack_.pop_back();
-    Key_ = std::move(Done.first);
-    return add(std::move(Done.second));
+    Key_ = std::move(Done.Key_);
+    return add(std::move(Done.Value_));
   }
 
   bool add(JsonNode Node) {
@@ -140,7 +144,7 @@
       Root_ = std::move(Node);
       return true;
     }
-    JsonNode &Parent = Stack_.back().second;
+    JsonNode &Parent = Stack_.back().Value_;
     if (Parent.Kind_ == JsonNode::Kind::Array) {
       Parent.Items_.push_back(std::move(Node));
       return true;
@@ -152,7 +156,7 @@
     return true;
   }
 
-  std::vector<JsonNode::Member> Stack_;
+  std::vector<JsonMember> Stack_;
   std::string Key_;
   std::string Text_;
   json::error_code Ignored_;
@@ -218,8 +222,8 @@
   }
   case JsonNode::Kind::Object: {
     json::object Out;
-    for (const JsonNode::Member &Each : Node.Members_)
-      Out[Each.first] = toJson(Each.second);
+    for (const JsonMember &Each : Node.Members_)
+      Out[Each.Key_] = toJson(Each.Value_);
     return Out;
   }
   }
--- a/hawthornroad/config/JsonText.h
+++ b/hawthornroad/config/JsonText.h
@@ -17,7 +17,6 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace hawthornroad {
@@ -25,9 +24,10 @@
 constexpr std::size_t MaxJsonText = 4 * 1024 * 1024;
 constexpr std::size_t MaxJsonDepth = 32;
 
+struct JsonMember;
+
 struct JsonNode {
   enum class Kind { Null, Bool, Integer, Double, String, Array, Object };
-  using Member = std::pair<std::string, JsonNode>;
 
   Kind Kind_ = Kind::Null;
   int Line_ = 0;
@@ -36,12 +36,17 @@
   double Double_ = 0;
   std::string String_;
   std::vector<JsonNode> Items_;
-  std::vector<Member> Members_;
+  std::vector<JsonMember> Members_;
 
   const JsonNode *find(std::string_view Key) const;
   bool isObject() const { return Kind_ == Kind::Object; }
 };
 
+struct JsonMember {
+  std::string Key_;
+  JsonNode Value_;
+};
+
 std::string_view toString(JsonNode::Kind K);
 
 // One thing wrong with a text. Path is "services.copywriter-lm.replicas".
--- a/hawthornroad/config/ObjectReader.cpp
+++ b/hawthornroad/config/ObjectReader.cpp
@@ -165,9 +165,9 @@
     wrongKind(Key, *Found, "an object");
     return;
   }
-  for (const JsonNode::Member &Each : Found->Members_) {
-    ObjectReader Inner(Each.second, pathOf(Key) + "." + Each.first, *Faults_);
-    Read(Each.first, Inner);
+  for (const JsonMember &Each : Found->Members_) {
+    ObjectReader Inner(Each.Value_, pathOf(Key) + "." + Each.Key_, *Faults_);
+    Read(Each.Key_, Inner);
     Inner.finish();
   }
 }
@@ -200,10 +200,9 @@
 }
 
 void ObjectReader::finish() {
-  for (const JsonNode::Member &Each : Node_->Members_)
-    if (Asked_.find(Each.first) == Asked_.end())
-      Faults_->push_back(
-          {Each.second.Line_, pathOf(Each.first), "unknown key"});
+  for (const JsonMember &Each : Node_->Members_)
+    if (Asked_.find(Each.Key_) == Asked_.end())
+      Faults_->push_back({Each.Value_.Line_, pathOf(Each.Key_), "unknown key"});
 }
 
 } // namespace hawthornroad
