--- /dev/null
+++ b/hawthornroad/config/ConfigFollower.cpp
@@ -0,0 +1,177 @@
+#include "hawthornroad/config/ConfigFollower.h"
+
+#include "hawthornroad/base/Error.h"
+
+#include <algorithm>
+
+namespace hawthornroad {
+
+using Outcome = RevisionLog::Outcome;
+using ReadKind = TableRead::Kind;
+
+namespace {
+bool isWrong(Outcome O) {
+  return O == Outcome::BadDigest || O == Outcome::Malformed;
+}
+} // namespace
+
+ConfigFollower::ConfigFollower(Random Rng, Limits L)
+    : Limits_(L), Polls_(Rng, L.Polls_), Log_(L.Log_), PageSize_(L.FirstPage_) {
+}
+
+void ConfigFollower::tick(bool IsReader, TimePoint Now, Output &Out) {
+  if (Pulling_ && Now >= PulledAt_ + Limits_.PullTimeout_)
+    Pulling_ = false;
+  if (!Limits_.HasTable_ || !Polls_.isDue(Now))
+    return;
+  if (ReadTable_ && !IsReader && !Rebuild_)
+    return;
+  beginRead(Now, Out);
+}
+
+void ConfigFollower::beginRead(TimePoint Now, Output &Out) {
+  Revision Held = target().revision();
+  Current_ = {Current_.Id_ + 1, Next_, std::string(SnapshotKey), 1};
+  if (Next_ == ReadKind::Next)
+    Current_.Key_ = revisionKey(Held + 1);
+  if (Next_ == ReadKind::Page) {
+    Current_.Key_ = revisionKey(Held);
+    Current_.Limit_ = PageSize_;
+  }
+  ++Health_.Reads_;
+  Polls_.began(Now);
+  Out.Read_ = Current_;
+}
+
+void ConfigFollower::tableAnswered(const TableAnswer &Answer, TimePoint Now,
+                                   Output &Out) {
+  // Late answers of reads given up on are dropped; the next read asks again.
+  if (Answer.Id_ != Current_.Id_)
+    return;
+  ++Current_.Id_;
+  Polls_.ended(Answer.Answered_, Now);
+  if (!Answer.Answered_) {
+    ++Health_.Failures_;
+    ++Health_.FailuresInRow_;
+    return;
+  }
+  Health_.LastAnswer_ = Now;
+  Health_.FailuresInRow_ = 0;
+  Revision Before = Log_.revision();
+  if (Current_.Kind_ == ReadKind::Snapshot)
+    takeSnapshot(Answer);
+  else
+    takeChanges(Answer);
+  if (Next_ != ReadKind::Next)
+    Polls_.hurry(Now);
+  noteAdvance(Before, Out);
+}
+
+void ConfigFollower::takeSnapshot(const TableAnswer &Answer) {
+  Next_ = ReadKind::Page;
+  if (Answer.Values_.empty())
+    return;
+  if (isWrong(target().applySnapshot(Answer.Values_.front())))
+    ++Refused_;
+}
+
+void ConfigFollower::takeChanges(const TableAnswer &Answer) {
+  RevisionLog &Log = target();
+  Revision Before = Log.revision();
+  for (const std::string &Each : Answer.Values_) {
+    Outcome Result = Outcome::Malformed;
+    try {
+      Result = Log.apply(parseConfigChange(Each, Current_.Key_));
+    } catch (const Error &) {
+    }
+    if (!isWrong(Result))
+      continue;
+    ++Refused_;
+    // Once: a rebuilt text that meets the same fault means that the record
+    // itself is at fault, and reading it again does not help.
+    if (!Rebuild_) {
+      Rebuild_.emplace(Limits_.Log_);
+      Next_ = ReadKind::Snapshot;
+      return;
+    }
+    break;
+  }
+  // A page that moved nothing is not followed by another at once.
+  bool Full = Current_.Kind_ == ReadKind::Page &&
+              Answer.Values_.size() >= Current_.Limit_ &&
+              Log.revision() > Before;
+  bool Found = Current_.Kind_ == ReadKind::Next && !Answer.Values_.empty();
+  if (Full || Found) {
+    Next_ = ReadKind::Page;
+    PageSize_ =
+        Full ? std::min(2 * PageSize_, Limits_.MaxPage_) : Limits_.FirstPage_;
+    return;
+  }
+  finishRebuild();
+  Next_ = ReadKind::Next;
+  PageSize_ = Limits_.FirstPage_;
+  ReadTable_ = true;
+}
+
+void ConfigFollower::finishRebuild() {
+  if (!Rebuild_)
+    return;
+  if (Rebuild_->revision() > Log_.revision())
+    Log_ = std::move(*Rebuild_);
+  Rebuild_.reset();
+}
+
+void ConfigFollower::hear(const PeerAddress &Peer, Revision Held, TimePoint Now,
+                          Output &Out) {
+  Highest_ = std::max(Highest_, Held);
+  if (Held > Log_.revision() && !Pulling_)
+    pull(Peer, Log_.revision(), Now, Out);
+}
+
+void ConfigFollower::pull(const PeerAddress &Peer, Revision After,
+                          TimePoint Now, Output &Out) {
+  Pulling_ = true;
+  PulledAt_ = Now;
+  Out.Sends_.push_back({Peer, PullMessage{After}});
+}
+
+void ConfigFollower::handle(const PeerAddress &Peer, const PullMessage &M,
+                            Output &Out) {
+  Out.Sends_.push_back({Peer, Log_.since(M.After_)});
+}
+
+void ConfigFollower::handle(const PeerAddress &Peer, const PushMessage &M,
+                            TimePoint Now, Output &Out) {
+  Pulling_ = false;
+  Revision Before = Log_.revision();
+  bool Wrong = false;
+  bool Gap = false;
+  if (!M.Snapshot_.empty())
+    Wrong = isWrong(Log_.applySnapshot(M.Snapshot_));
+  for (const ConfigChange &Each : M.Changes_) {
+    Outcome Result = Log_.apply(Each);
+    Gap = Gap || Result == Outcome::Gap;
+    Wrong = Wrong || isWrong(Result);
+    if (Gap || Wrong)
+      break;
+  }
+  if (Wrong)
+    ++Refused_;
+  // A wrong snapshot is not asked for again at once: the next who is heard to
+  // hold more will be.
+  if (Gap)
+    pull(Peer, Log_.revision(), Now, Out);
+  else if (Wrong && M.Snapshot_.empty())
+    pull(Peer, 0, Now, Out);
+  noteAdvance(Before, Out);
+}
+
+void ConfigFollower::noteAdvance(Revision Before, Output &Out) {
+  if (Log_.revision() == Before)
+    return;
+  Highest_ = std::max(Highest_, Log_.revision());
+  Out.Advanced_ = true;
+  Out.News_ = Log_.since(Before);
+}
+
+} // namespace hawthornroad
--- /dev/null
+++ b/hawthornroad/membership/JoinProgress.cpp
@@ -0,0 +1,48 @@
+#include "hawthornroad/membership/JoinProgress.h"
+
+#include <algorithm>
+
+namespace hawthornroad {
+
+std::vector<PeerAddress> JoinProgress::ask(const std::vector<PeerAddress> &Live,
+                                           TimePoint Now) {
+  if (Complete_ || Now < NextAsk_ || Answered_.size() >= Limits_.Peers_)
+    return {};
+  std::vector<PeerAddress> Out;
+  std::size_t Wanted = Limits_.Peers_ - Answered_.size();
+  for (const PeerAddress &Each : Live) {
+    if (Out.size() == Wanted)
+      break;
+    if (Asked_.insert(Each).second)
+      Out.push_back(Each);
+  }
+  if (!Out.empty())
+    NextAsk_ = Now + Limits_.AskAgain_;
+  else if (Now >= NextAsk_ + Limits_.AskAgain_)
+    Asked_ = Answered_; // all were asked; begin again with the silent ones
+  return Out;
+}
+
+void JoinProgress::answered(const PeerAddress &Peer) {
+  if (Asked_.count(Peer) != 0)
+    Answered_.insert(Peer);
+}
+
+bool JoinProgress::peersAsked(const View &V, TimePoint Now) const {
+  if (!V.MayHavePeers_ || Now >= Start_ + Limits_.GiveUp_)
+    return true;
+  return V.LivePeers_ > 0 &&
+         Answered_.size() >= std::min(Limits_.Peers_, V.LivePeers_);
+}
+
+bool JoinProgress::isComplete(const View &V, TimePoint Now) {
+  if (Complete_)
+    return true;
+  bool TableAsked = V.TableRead_ || V.TableFailed_ || !V.HasTable_;
+  bool HeardAnybody = V.TableRead_ || !Answered_.empty();
+  Complete_ = TableAsked && HeardAnybody && peersAsked(V, Now) &&
+              V.Held_ >= V.HighestHeard_;
+  return Complete_;
+}
+
+} // namespace hawthornroad
--- /dev/null
+++ b/hawthornroad/membership/ReportPlan.cpp
@@ -0,0 +1,66 @@
+#include "hawthornroad/membership/ReportPlan.h"
+
+#include "hawthornroad/base/Hash.h"
+
+#include <algorithm>
+
+namespace hawthornroad {
+
+bool ReportPlan::isNews(const EndpointStatus &Status) const {
+  EndpointStatus Same = Status;
+  Same.Sequence_ = Last_.Sequence_;
+  Same.Running_ = Last_.Running_;
+  Same.Waiting_ = Last_.Waiting_;
+  Same.StepMs_ = Last_.StepMs_;
+  Same.Detail_ = Last_.Detail_;
+  return !(Same == Last_);
+}
+
+std::vector<PeerAddress> ReportPlan::publish(const EndpointStatus &Status,
+                                             const MemberTable &Table,
+                                             TimePoint Now) {
+  if (Version_ != Table.version())
+    refresh(Status, Table);
+  bool News = isNews(Status);
+  if (!News && Now < NextLoad_)
+    return {};
+  Last_ = Status;
+  NextLoad_ = Now + Period_;
+  return News ? Entries_ : Chosen_;
+}
+
+void ReportPlan::refresh(const EndpointStatus &Status,
+                         const MemberTable &Table) {
+  Version_ = Table.version();
+  std::size_t Agents = 1;
+  std::vector<std::string> Names;
+  for (const ProcessName &Each : Table.live()) {
+    const Member &M = *Table.find(Each);
+    if (M.Zone_ != Status.Zone_)
+      continue;
+    if (M.isEntry())
+      Names.push_back(Each.str());
+    else
+      ++Agents;
+  }
+  auto AddressOf = [&](std::size_t I) {
+    return Table.find(ProcessName(Names[I]))->Address_;
+  };
+  Chosen_.clear();
+  Entries_.clear();
+  for (std::size_t I : rendezvousTop(Status.Vm_.str(), Names, Limits_.Direct_))
+    Chosen_.push_back(AddressOf(I));
+  for (std::size_t I :
+       rendezvousTop(Status.Vm_.str(), Names, Limits_.MaxUrgent_))
+    Entries_.push_back(AddressOf(I));
+  Period_ = Limits_.Period_;
+  if (Names.empty())
+    return;
+  double Heard = static_cast<double>(Agents * Chosen_.size()) /
+                 static_cast<double>(Names.size());
+  auto Least = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Heard / Limits_.PerEntry_));
+  Period_ = std::max(Period_, Least);
+}
+
+} // namespace hawthornroad
