--- a/hawthornroad/config/ObjectReader.h
+++ b/hawthornroad/config/ObjectReader.h
@@ -58,6 +58,8 @@
   // A nested object; an absent one reads as empty.
   ObjectReader object(std::string_view Key);
   bool has(std::string_view Key) const;
+  // Takes Key as known; its value is not looked at.
+  void ignore(std::string_view Key) { take(Key, false); }
 
   // Makes each key that no getter asked for a fault.
   void finish();
--- /dev/null
+++ b/hawthornroad/config/Settings.cpp
@@ -0,0 +1,183 @@
+#include "hawthornroad/config/Settings.h"
+#include "hawthornroad/config/JsonText.h"
+#include "hawthornroad/config/Names.h"
+#include "hawthornroad/config/ObjectReader.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace hawthornroad {
+
+namespace {
+constexpr std::int64_t MaxInteger = std::numeric_limits<std::int64_t>::max();
+constexpr std::int64_t Hour = 3600 * 1000;
+constexpr std::int64_t Day = 24 * Hour;
+constexpr std::int64_t MaxBodyLimit = std::int64_t{1} << 30;
+constexpr std::int64_t MaxCount = 1000000;
+
+std::int64_t millisecondsOf(Duration D) {
+  return std::chrono::duration_cast<Milliseconds>(D).count();
+}
+
+// Replaces Value by the member at Key, within Min and Max milliseconds.
+void readDuration(ObjectReader &R, std::string_view Key, std::int64_t Min,
+                  std::int64_t Max, Duration &Value) {
+  Value = R.milliseconds(Key, Min, Max, millisecondsOf(Value));
+}
+
+void readSize(ObjectReader &R, std::string_view Key, std::int64_t Min,
+              std::int64_t Max, std::size_t &Value) {
+  Value = static_cast<std::size_t>(
+      R.integer(Key, Min, Max, static_cast<std::int64_t>(Value)));
+}
+
+void readBytes(ObjectReader &R, std::string_view Key, std::int64_t &Value) {
+  Value = R.integer(Key, 0, MaxInteger, Value);
+}
+
+std::string readName(ObjectReader &R, std::string_view Key) {
+  std::string Name = R.text(Key);
+  if (!Name.empty() && !isName(Name))
+    R.fault(Key, "expected letters, digits and \"._-\", at most " +
+                     std::to_string(MaxName) + " characters");
+  return Name;
+}
+
+void checkAddress(ObjectReader &R, std::string_view Key,
+                  const std::string &Address, PortRule Rule) {
+  if (Address.empty() || isAddress(Address, Rule))
+    return;
+  std::string Ports = Rule == PortRule::AnyPort ? "0 to 65535" : "1 to 65535";
+  R.fault(Key, "\"" + Address +
+                   "\": expected \"IP:port\" with an IP number and a port "
+                   "from " +
+                   Ports);
+}
+
+// The process's own listener; port 0 lets the kernel choose.
+void readListen(ObjectReader &R, std::string_view Key, std::string &Value) {
+  Value = R.text(Key, Value);
+  checkAddress(R, Key, Value, PortRule::AnyPort);
+}
+
+// A listener of someone else, which must have a port.
+void readTarget(ObjectReader &R, std::string_view Key, std::string &Value) {
+  Value = R.text(Key, Value);
+  checkAddress(R, Key, Value, PortRule::NotZero);
+}
+
+PlatformSettings readPlatform(ObjectReader &Top) {
+  PlatformSettings P;
+  ObjectReader R = Top.object("platform");
+  readTarget(R, "table", P.Table_);
+  readTarget(R, "objects", P.Objects_);
+  readTarget(R, "members", P.Members_);
+  readDuration(R, "timeout_ms", 10, Hour, P.Timeout_);
+  readDuration(R, "poll_period_ms", 10, Hour, P.PollPeriod_);
+  R.finish();
+  return P;
+}
+
+ProcessSettings readCommon(ObjectReader &R) {
+  ProcessSettings S;
+  S.Process_ = ProcessName(readName(R, "process"));
+  S.Zone_ = AvailabilityZone(readName(R, "zone"));
+  readListen(R, "peer_listen", S.PeerListen_);
+  readListen(R, "admin_listen", S.AdminListen_);
+  for (std::string &Each : R.texts("seeds")) {
+    checkAddress(R, "seeds", Each, PortRule::NotZero);
+    S.Seeds_.emplace_back(std::move(Each));
+  }
+  S.Platform_ = readPlatform(R);
+  S.Charts_ = R.text("charts", S.Charts_);
+  const std::vector<std::string> Levels = {"debug", "info", "warning", "error"};
+  constexpr std::size_t Info = 1;
+  S.LogLevel_ = Levels[R.choice("log_level", Levels, Info)];
+  S.RandomSeed_ =
+      static_cast<std::uint64_t>(R.integer("random_seed", 0, MaxInteger, 0));
+  readDuration(R, "probe_period_ms", 10, Hour, S.ProbePeriod_);
+  readDuration(R, "probe_timeout_ms", 5, Hour, S.ProbeTimeout_);
+  readDuration(R, "suspicion_timeout_ms", 10, Hour, S.SuspicionTimeout_);
+  if (S.ProbeTimeout_ >= S.ProbePeriod_)
+    R.fault("probe_timeout_ms",
+            "expected less than probe_period_ms, " +
+                std::to_string(millisecondsOf(S.ProbePeriod_)));
+  return S;
+}
+
+EntrySettings readEntry(ObjectReader &R) {
+  EntrySettings S;
+  S.Common_ = readCommon(R);
+  readListen(R, "caller_listen", S.CallerListen_);
+  readSize(R, "max_body", 1, MaxBodyLimit, S.MaxBody_);
+  readSize(R, "max_connections", 1, MaxCount, S.MaxConnections_);
+  readDuration(R, "default_deadline_ms", 1, Day, S.DefaultDeadline_);
+  readDuration(R, "max_deadline_ms", 1, Day, S.MaxDeadline_);
+  readDuration(R, "attempt_idle_ms", 10, Hour, S.AttemptIdle_);
+  readDuration(R, "drain_grace_ms", 0, Hour, S.DrainGrace_);
+  readDuration(R, "claim_keep_ms", 1000, 365 * Day, S.ClaimKeep_);
+  if (S.DefaultDeadline_ > S.MaxDeadline_)
+    R.fault("default_deadline_ms",
+            "expected at most max_deadline_ms, " +
+                std::to_string(millisecondsOf(S.MaxDeadline_)));
+  return S;
+}
+
+AgentSettings readAgent(ObjectReader &R) {
+  AgentSettings S;
+  S.Common_ = readCommon(R);
+  S.Vm_ = Vm(readName(R, "vm"));
+  S.EndpointAddress_ = R.text("endpoint_address");
+  checkAddress(R, "endpoint_address", S.EndpointAddress_, PortRule::NotZero);
+  readListen(R, "lock_listen", S.LockListen_);
+  readListen(R, "weights_listen", S.WeightsListen_);
+  S.WeightsFolder_ = R.text("weights_folder", S.WeightsFolder_);
+  readTarget(R, "origin", S.Origin_);
+  readBytes(R, "keep_bytes", S.KeepBytes_);
+  readBytes(R, "upload_rate", S.UploadRate_);
+  readBytes(R, "download_rate", S.DownloadRate_);
+  readSize(R, "capacity", 1, MaxCount, S.Capacity_);
+  readSize(R, "attempt_buffer", 1024, MaxBodyLimit, S.AttemptBuffer_);
+  readDuration(R, "attempt_keep_ms", 100, Hour, S.AttemptKeep_);
+  readDuration(R, "drain_limit_ms", 0, Day, S.DrainLimit_);
+  readDuration(R, "report_period_ms", 10, Hour, S.ReportPeriod_);
+  readDuration(R, "endpoint_idle_ms", 10, Day, S.EndpointIdle_);
+  return S;
+}
+
+template <class Settings>
+Settings parseSettings(std::string_view Text, const std::string &File,
+                       Settings (*Read)(ObjectReader &)) {
+  JsonNode Root = parseJsonText(Text, File, Step::Settings);
+  std::vector<Fault> Faults;
+  ObjectReader R(Root, "", Faults);
+  Settings Made = Read(R);
+  R.finish();
+  if (Faults.empty())
+    return Made;
+  std::stable_sort(
+      Faults.begin(), Faults.end(),
+      [](const Fault &A, const Fault &B) { return A.Line_ < B.Line_; });
+  throw TextError(Step::Settings, File, std::move(Faults));
+}
+} // namespace
+
+EntrySettings EntrySettings::parse(std::string_view Text,
+                                   const std::string &File) {
+  return parseSettings(Text, File, readEntry);
+}
+
+EntrySettings EntrySettings::load(const std::string &File) {
+  return parse(readTextFile(File, Step::Settings), File);
+}
+
+AgentSettings AgentSettings::parse(std::string_view Text,
+                                   const std::string &File) {
+  return parseSettings(Text, File, readAgent);
+}
+
+AgentSettings AgentSettings::load(const std::string &File) {
+  return parse(readTextFile(File, Step::Settings), File);
+}
+
+} // namespace hawthornroad
