Tests of declaration, settings and JSON text; text after the document is refused where it stands

Cause found by JsonTextTest: the line feeder did not look at how much the parser took, so '{..}\n{..}' was refused only at the end of the text, as incomplete and with the wrong line. Now a line not taken whole is extra data at that line. Failing before ("a.jsonc:3: not JSON: incomplete"), passing after.

unit-tests [declaration],[settings],[json]: 18 cases pass.

--- a/hawthornroad/config/JsonText.cpp
+++ b/hawthornroad/config/JsonText.cpp
@@ -187,7 +187,9 @@
   while (At < Text.size() && !Code) {
     std::size_t End = std::min(Text.find('\n', At), Text.size() - 1);
     std::string_view Line = Text.substr(At, End - At + 1);
-    Parser.write_some(true, Line.data(), Line.size(), Code);
+    std::size_t Taken = Parser.write_some(true, Line.data(), Line.size(), Code);
+    if (!Code && Taken < Line.size())
+      Code = json::error::extra_data;
     At = End + 1;
     if (!Code)
       ++Builder.Line_;
