--- a/hawthornroad/config/ConfigFollower.cpp
+++ b/hawthornroad/config/ConfigFollower.cpp
@@ -31,7 +31,7 @@
 
 void ConfigFollower::beginRead(TimePoint Now, Output &Out) {
   Revision Held = target().revision();
-  Current_ = {Current_.Id_ + 1, Next_, std::string(SnapshotKey), 1};
+  Current_ = {Current_.Id_ + 1, Next_, SnapshotKey, 1};
   if (Next_ == ReadKind::Next)
     Current_.Key_ = revisionKey(Held + 1);
   if (Next_ == ReadKind::Page) {
@@ -81,7 +81,7 @@
   for (const std::string &Each : Answer.Values_) {
     Outcome Result = Outcome::Malformed;
     try {
-      Result = Log.apply(parseConfigChange(Each, Current_.Key_));
+      Result = Log.apply(toConfigChange(parseRevisionRecord(Each)));
     } catch (const Error &) {
     }
     if (!isWrong(Result))
--- a/hawthornroad/config/RevisionLog.h
+++ b/hawthornroad/config/RevisionLog.h
@@ -4,7 +4,7 @@
 //   RevisionLog Log({});
 //   switch (Log.apply(Change)) ...
 //   Log.applySnapshot(TextOfKey);
-//   RevisionLog::Since S = Log.since(PeerRevision);
+//   PushMessage M = Log.since(PeerRevision);
 //
 // Invariant: revision() never falls, and text() is what its digest says. A
 // change is applied only on top of its predecessor and only when the text then
@@ -16,6 +16,7 @@
 #ifndef HAWTHORNROAD_CONFIG_REVISIONLOG_H
 #define HAWTHORNROAD_CONFIG_REVISIONLOG_H
 
+#include "hawthornroad/config/RevisionRecord.h"
 #include "hawthornroad/membership/ControlMessages.h"
 
 #include <boost/json/object.hpp>
@@ -26,15 +27,8 @@
 
 namespace hawthornroad {
 
-// The value of a config/revision key, and back. Throws Error(Step::Apply,
-// Peer, ...) when Text is not such a value; Peer says where it came from.
-ConfigChange parseConfigChange(std::string_view Text, const std::string &Peer);
-std::string formatConfigChange(const ConfigChange &Change);
-
-// "config/revision/000000000017".
-std::string revisionKey(Revision R);
-constexpr std::string_view RevisionPrefix = "config/revision/";
-constexpr std::string_view SnapshotKey = "config/snapshot";
+// The change of a record of the platform's table, as processes pass it on.
+ConfigChange toConfigChange(const RevisionRecord &R);
 
 class RevisionLog {
 public:
--- a/hawthornroad/membership/JoinProgress.cpp
+++ b/hawthornroad/membership/JoinProgress.cpp
@@ -6,20 +6,25 @@
 
 std::vector<PeerAddress> JoinProgress::ask(const std::vector<PeerAddress> &Live,
                                            TimePoint Now) {
-  if (Complete_ || Now < NextAsk_ || Answered_.size() >= Limits_.Peers_)
+  if (Complete_ || Answered_.size() >= Limits_.Peers_)
     return {};
+  if (Now >= NextRound_) {
+    // When all known were asked, begin again with those that were silent.
+    if (AskedInRound_ == 0)
+      Asked_ = Answered_;
+    AskedInRound_ = 0;
+    NextRound_ = Now + Limits_.AskAgain_;
+  }
   std::vector<PeerAddress> Out;
   std::size_t Wanted = Limits_.Peers_ - Answered_.size();
   for (const PeerAddress &Each : Live) {
-    if (Out.size() == Wanted)
+    if (AskedInRound_ >= Wanted)
       break;
-    if (Asked_.insert(Each).second)
-      Out.push_back(Each);
+    if (!Asked_.insert(Each).second)
+      continue;
+    Out.push_back(Each);
+    ++AskedInRound_;
   }
-  if (!Out.empty())
-    NextAsk_ = Now + Limits_.AskAgain_;
-  else if (Now >= NextAsk_ + Limits_.AskAgain_)
-    Asked_ = Answered_; // all were asked; begin again with the silent ones
   return Out;
 }
 
--- a/hawthornroad/membership/JoinProgress.h
+++ b/hawthornroad/membership/JoinProgress.h
@@ -56,7 +56,8 @@
 
   Limits Limits_;
   TimePoint Start_;
-  TimePoint NextAsk_{};
+  TimePoint NextRound_{};
+  std::size_t AskedInRound_ = 0;
   std::set<PeerAddress> Asked_;
   std::set<PeerAddress> Answered_;
   bool Complete_ = false;
--- a/hawthornroad/runtime/PlatformTable.cpp
+++ b/hawthornroad/runtime/PlatformTable.cpp
@@ -15,8 +15,8 @@
 std::string targetOf(const TableRead &Read) {
   if (Read.Kind_ != TableRead::Kind::Page)
     return "/table/" + Read.Key_;
-  return "/table?prefix=" + std::string(RevisionPrefix) +
-         "&after=" + Read.Key_ + "&limit=" + std::to_string(Read.Limit_);
+  return "/table?prefix=" + RevisionKeyPrefix + "&after=" + Read.Key_ +
+         "&limit=" + std::to_string(Read.Limit_);
 }
 
 // The values of a page; nullopt when Body is not one.
