--- /dev/null
+++ b/fakes/ServiceFake.cpp
@@ -0,0 +1,42 @@
+#include "fakes/ServiceFake.h"
+
+namespace hawthornroad {
+
+void ServiceFake::handle(const HttpRequest &R, const ExchangePtr &X) {
+  if (FailRequests_)
+    return respondError(X, 500, "failed by a fault before it ran");
+  std::uint64_t Run = countRun(R);
+  if (DieDuring_)
+    return Io_.after(Work_ / 2, [X] { X->abort(); });
+  boost::json::object Body = {{"service", Options_.Name_},
+                              {"method", R.Method_},
+                              {"path", std::string(targetPath(R.Target_))},
+                              {"run", Run},
+                              {"echo", R.Body_}};
+  Io_.after(Work_, [X, Body = std::move(Body)] { respondJson(X, 200, Body); });
+}
+
+std::uint64_t ServiceFake::countRun(const HttpRequest &R) {
+  ++Total_;
+  auto Key = findHeader(R.Headers_, "Idempotency-Key");
+  if (!Key)
+    Key = findHeader(R.Headers_, "Test-Run");
+  return Key ? ++Runs_[*Key] : Total_;
+}
+
+void ServiceFake::setFaults(const Faults &Set) {
+  Work_ = Milliseconds(Set.integer(
+      "work_ms",
+      std::chrono::duration_cast<Milliseconds>(Options_.Work_).count()));
+  FailRequests_ = Set.flag("fail_requests");
+  DieDuring_ = Set.flag("die_during");
+}
+
+boost::json::object ServiceFake::counters() const {
+  boost::json::object Runs;
+  for (const auto &[Key, Count] : Runs_)
+    Runs[Key] = Count;
+  return {{"runs", std::move(Runs)}, {"total", Total_}};
+}
+
+} // namespace hawthornroad
