Add the fault-injecting proxy

Each direction of a connection is a bounded queue between two sockets, with the delay, the rate and the frame faults applied on the way in. Frames are followed from the first byte, so a fault set later still finds their bounds.

--- a/fakes/EngineTokens.cpp
+++ b/fakes/EngineTokens.cpp
@@ -102,8 +102,8 @@
 
 std::string tokenText(const VersionDigest &Version, std::string_view Prompt,
                       std::uint64_t Index) {
-  std::uint64_t Mixed = rendezvousScore(hex(answerHash(Version, Prompt)),
-                                        std::to_string(Index));
+  std::uint64_t Mixed =
+      rendezvousScore(hex(answerHash(Version, Prompt)), std::to_string(Index));
   return " " + hex(Mixed).substr(8);
 }
 
--- a/fakes/Main.cpp
+++ b/fakes/Main.cpp
@@ -5,6 +5,7 @@
 #include "fakes/EngineFake.h"
 #include "fakes/MembersFake.h"
 #include "fakes/OriginFake.h"
+#include "fakes/ProxyFake.h"
 #include "fakes/ServiceFake.h"
 #include "fakes/StoreFake.h"
 #include "hawthornroad/base/Error.h"
@@ -70,6 +71,16 @@
   return Options;
 }
 
+po::options_description proxyOptions() {
+  po::options_description Options("proxy");
+  auto Add = Options.add_options();
+  Add("control", po::value<std::string>()->default_value("127.0.0.1:0"),
+      "IP:PORT of faults, counters and target");
+  Add("to", po::value<std::string>()->default_value(""),
+      "IP:PORT to pass connections to; may be set later by PUT /target");
+  return Options;
+}
+
 Duration milliseconds(double Value) {
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(Value));
@@ -115,6 +126,18 @@
   Io.stop();
 }
 
+void serveProxy(IoThread &Io, const po::variables_map &Args,
+                const sigset_t &Signals) {
+  ProxyFake Proxy(Io, Args["to"].as<std::string>());
+  FakeServer Control(Io, Proxy);
+  std::string ControlBound = Control.listen(Args["control"].as<std::string>());
+  std::string Bound = Proxy.listen(Args["listen"].as<std::string>());
+  printReady(
+      {{"ready", "proxy"}, {"listen", Bound}, {"control", ControlBound}});
+  waitForStop(Signals);
+  Io.stop();
+}
+
 int run(const po::variables_map &Args, const sigset_t &Signals) {
   IoThread Io("fake", RingSize);
   std::string Kind = Args["kind"].as<std::string>();
@@ -136,6 +159,8 @@
     ServiceFake Service(Io, {.Name_ = Args["name"].as<std::string>(),
                              .Work_ = Milliseconds(Args["work-ms"].as<int>())});
     serve(Io, Service, Args, Signals);
+  } else if (Kind == "proxy") {
+    serveProxy(Io, Args, Signals);
   } else {
     std::cerr << "unknown kind \"" << Kind << "\"\n";
     return ExitUsage;
@@ -160,7 +185,7 @@
 
 int main(int Count, char **Texts) {
   po::options_description Options = commonOptions();
-  Options.add(platformOptions()).add(endpointOptions());
+  Options.add(platformOptions()).add(endpointOptions()).add(proxyOptions());
   sigset_t Signals;
   blockStopSignals(Signals);
   try {
