--- /dev/null
+++ b/hawthornroad/routing/Chooser.cpp
@@ -0,0 +1,378 @@
+#include "hawthornroad/routing/Chooser.h"
+
+#include "hawthornroad/base/Hash.h"
+#include "hawthornroad/routing/EndpointPool.h"
+
+#include <algorithm>
+#include <deque>
+#include <unordered_map>
+
+namespace hawthornroad {
+
+namespace {
+// How long an endpoint that refused an attempt counts as full.
+constexpr Duration BusyFor = Milliseconds(250);
+// Endpoints that are gone are remembered, to tell late word from new; beyond
+// this many the oldest are forgotten.
+constexpr std::size_t GoneKept = 4096;
+
+// The endpoints of one service.
+struct Group {
+  std::vector<std::unique_ptr<EndpointPool>> Pools_;
+  OutlierEjection Outliers_;
+  std::size_t Limit_ = 16;
+  std::size_t Ready_ = 0;
+};
+} // namespace
+
+struct Chooser::State {
+  State(Random R, AvailabilityZone Own)
+      : Rng_(std::move(R)), Own_(std::move(Own)) {}
+
+  enum class Where { OwnZone, OtherZones };
+
+  PooledEndpoint *lookUp(const Vm &V) const;
+  Group *groupOf(const ServiceName &S);
+  PooledEndpoint &known(const Vm &V);
+  EndpointPool &poolFor(Group &G, const EndpointStatus &S);
+  void enter(PooledEndpoint &E, TimePoint Now);
+  void leave(PooledEndpoint &E);
+  void releaseSpareEjections(Group &G, TimePoint Now);
+  void refresh(PooledEndpoint &E, TimePoint Now);
+  void setLimit(Group &G, std::size_t Limit, TimePoint Now);
+  void markGone(PooledEndpoint &E, TimePoint Now);
+  void forgetOldest();
+
+  std::vector<EndpointPool *> matching(Group &G, const Query &Q, Where W,
+                                       TimePoint Now) const;
+  PooledEndpoint *drawFrom(const std::vector<EndpointPool *> &Pools,
+                           const std::set<Vm> &Excluded);
+  PooledEndpoint *chooseFrom(const std::vector<EndpointPool *> &Pools,
+                             const Query &Q);
+
+  Random Rng_;
+  AvailabilityZone Own_;
+  // The time of the last update, for calls that are told none.
+  TimePoint Latest_;
+  EndpointSlots Slots_;
+  std::vector<std::size_t> FreeSlots_;
+  std::unordered_map<Vm, std::size_t> ByVm_;
+  std::unordered_map<ServiceName, Group> Groups_;
+  // Gone endpoints without own attempts, oldest first.
+  std::deque<Vm> Gone_;
+};
+
+Chooser::Chooser(Random Rng, AvailabilityZone Own)
+    : State_(std::make_unique<State>(std::move(Rng), std::move(Own))) {}
+
+Chooser::~Chooser() = default;
+
+PooledEndpoint *Chooser::State::lookUp(const Vm &V) const {
+  auto Found = ByVm_.find(V);
+  return Found == ByVm_.end() ? nullptr : Slots_[Found->second].get();
+}
+
+Group *Chooser::State::groupOf(const ServiceName &S) {
+  auto Found = Groups_.find(S);
+  return Found == Groups_.end() ? nullptr : &Found->second;
+}
+
+PooledEndpoint &Chooser::State::known(const Vm &V) {
+  if (PooledEndpoint *E = lookUp(V))
+    return *E;
+  std::size_t Slot = Slots_.size();
+  if (FreeSlots_.empty()) {
+    Slots_.push_back(nullptr);
+  } else {
+    Slot = FreeSlots_.back();
+    FreeSlots_.pop_back();
+  }
+  Slots_[Slot] = std::make_unique<PooledEndpoint>();
+  ByVm_[V] = Slot;
+  PooledEndpoint &E = *Slots_[Slot];
+  E.Slot_ = Slot;
+  E.NameHash_ = rendezvousScore(V.str(), "");
+  return E;
+}
+
+EndpointPool &Chooser::State::poolFor(Group &G, const EndpointStatus &S) {
+  for (auto &P : G.Pools_)
+    if (P->zone() == S.Zone_ && P->version() == S.Version_)
+      return *P;
+  G.Pools_.push_back(
+      std::make_unique<EndpointPool>(Slots_, S.Zone_, S.Version_));
+  return *G.Pools_.back();
+}
+
+void Chooser::State::enter(PooledEndpoint &E, TimePoint Now) {
+  Group &G = Groups_[E.Status_.Service_];
+  poolFor(G, E.Status_).add(E, G.Limit_, Now);
+  ++G.Ready_;
+}
+
+// Takes E out of its pool; the pool goes with its last member.
+void Chooser::State::leave(PooledEndpoint &E) {
+  if (!E.Pool_)
+    return;
+  Group &G = Groups_[E.Status_.Service_];
+  G.Outliers_.release(E.Health_);
+  EndpointPool *Pool = E.Pool_;
+  Pool->remove(E);
+  --G.Ready_;
+  if (Pool->size() == 0)
+    std::erase_if(G.Pools_, [&](const auto &P) { return P.get() == Pool; });
+}
+
+// Ejections are bounded by a share of the ready endpoints; when those become
+// fewer, the ones due first come back, lest the few left take all the load.
+void Chooser::State::releaseSpareEjections(Group &G, TimePoint Now) {
+  while (G.Outliers_.ejected() > OutlierEjection::mostEjected(G.Ready_)) {
+    PooledEndpoint *First = nullptr;
+    for (auto &P : G.Pools_) {
+      PooledEndpoint *E = P->firstEjected();
+      if (E && (!First || E->Health_.Until_ < First->Health_.Until_))
+        First = E;
+    }
+    if (!First)
+      return;
+    G.Outliers_.release(First->Health_);
+    refresh(*First, Now);
+  }
+}
+
+void Chooser::State::refresh(PooledEndpoint &E, TimePoint Now) {
+  if (E.Pool_)
+    E.Pool_->refresh(E, Groups_[E.Status_.Service_].Limit_, Now);
+}
+
+void Chooser::State::setLimit(Group &G, std::size_t Limit, TimePoint Now) {
+  if (G.Limit_ == Limit)
+    return;
+  G.Limit_ = Limit;
+  for (auto &P : G.Pools_)
+    P->refreshAll(Limit, Now);
+}
+
+void Chooser::State::markGone(PooledEndpoint &E, TimePoint Now) {
+  leave(E);
+  releaseSpareEjections(Groups_[E.Status_.Service_], Now);
+  if (!E.Gone_ && E.Load_.own() == 0)
+    Gone_.push_back(E.Status_.Vm_);
+  E.Gone_ = true;
+  forgetOldest();
+}
+
+void Chooser::State::forgetOldest() {
+  while (Gone_.size() > GoneKept) {
+    Vm V = std::move(Gone_.front());
+    Gone_.pop_front();
+    PooledEndpoint *E = lookUp(V);
+    // It may have come back, or gone again with attempts of ours.
+    if (!E || !E->Gone_ || E->Load_.own() > 0)
+      continue;
+    std::size_t Slot = E->Slot_;
+    Slots_[Slot].reset();
+    FreeSlots_.push_back(Slot);
+    ByVm_.erase(V);
+  }
+}
+
+void Chooser::update(const EndpointStatus &Status, TimePoint Now) {
+  State_->Latest_ = std::max(State_->Latest_, Now);
+  PooledEndpoint *Old = State_->lookUp(Status.Vm_);
+  if (Old && !Status.supersedes(Old->Status_))
+    return;
+  PooledEndpoint &E = State_->known(Status.Vm_);
+  const bool Restarted = Old && Status.Incarnation_ != E.Status_.Incarnation_;
+  // What has left does not come back before it restarts.
+  if (Old && !Restarted && E.Status_.Phase_ == EndpointPhase::Left)
+    return;
+  const bool Moves = !E.Pool_ || Status.Phase_ != EndpointPhase::Ready ||
+                     Restarted || Status.Zone_ != E.Status_.Zone_ ||
+                     Status.Service_ != E.Status_.Service_ ||
+                     Status.Version_ != E.Status_.Version_;
+  const ServiceName OldService = E.Status_.Service_;
+  if (Moves)
+    State_->leave(E);
+  if (Restarted) {
+    E.Health_ = {};
+    E.Load_.forgetReports();
+    E.BusyUntil_ = {};
+  }
+  E.Status_ = Status;
+  E.Gone_ = false;
+  E.Load_.report(double(Status.Running_) + double(Status.Waiting_), Now);
+  if (!Moves)
+    State_->refresh(E, Now);
+  else if (Status.Phase_ == EndpointPhase::Ready)
+    State_->enter(E, Now);
+  if (Status.Phase_ == EndpointPhase::Left)
+    State_->markGone(E, Now);
+  if (Moves)
+    if (Group *G = State_->groupOf(OldService))
+      State_->releaseSpareEjections(*G, Now);
+}
+
+void Chooser::remove(const Vm &V, Incarnation I) {
+  PooledEndpoint *E = State_->lookUp(V);
+  if (!E || E->Status_.Incarnation_ > I)
+    return;
+  State_->markGone(*E, State_->Latest_);
+}
+
+std::vector<EndpointPool *> Chooser::State::matching(Group &G, const Query &Q,
+                                                     Where W,
+                                                     TimePoint Now) const {
+  std::vector<EndpointPool *> Out;
+  for (auto &P : G.Pools_) {
+    const bool IsOwn = P->zone() == Own_;
+    if (IsOwn != (W == Where::OwnZone) || !P->serves(Q.Version_))
+      continue;
+    P->refreshSome(G.Limit_, Now);
+    Out.push_back(P.get());
+  }
+  return Out;
+}
+
+PooledEndpoint *
+Chooser::State::drawFrom(const std::vector<EndpointPool *> &Pools,
+                         const std::set<Vm> &Excluded) {
+  std::size_t Open = 0;
+  for (const EndpointPool *P : Pools)
+    Open += P->open();
+  std::size_t At = Rng_.below(Open);
+  for (const EndpointPool *P : Pools) {
+    if (At < P->open())
+      return P->draw(Rng_, Excluded);
+    At -= P->open();
+  }
+  return nullptr;
+}
+
+PooledEndpoint *
+Chooser::State::chooseFrom(const std::vector<EndpointPool *> &Pools,
+                           const Query &Q) {
+  if (Q.PrefixHash_ != 0)
+    for (const EndpointPool *P : Pools)
+      if (PooledEndpoint *E = P->holder(Q.PrefixHash_, Q.Excluded_))
+        return E;
+  PooledEndpoint *A = drawFrom(Pools, Q.Excluded_);
+  PooledEndpoint *B = drawFrom(Pools, Q.Excluded_);
+  if (!A || !B)
+    return A ? A : B;
+  return B->Pool_->cost(*B) < A->Pool_->cost(*A) ? B : A;
+}
+
+std::optional<Vm> Chooser::choose(const Query &Q, TimePoint Now) {
+  Group *G = State_->groupOf(Q.Service_);
+  if (!G)
+    return std::nullopt;
+  State_->setLimit(*G, Q.InFlightLimit_, Now);
+  for (State::Where W : {State::Where::OwnZone, State::Where::OtherZones}) {
+    auto Pools = State_->matching(*G, Q, W, Now);
+    // A request that has failed once already is not risked on a probe.
+    if (Q.Excluded_.empty())
+      for (const EndpointPool *P : Pools)
+        if (PooledEndpoint *E = P->dueProbe(Now))
+          return E->Status_.Vm_;
+    if (PooledEndpoint *E = State_->chooseFrom(Pools, Q))
+      return E->Status_.Vm_;
+  }
+  return std::nullopt;
+}
+
+bool Chooser::hasRoom(const Query &Q, TimePoint Now) const {
+  Group *G = State_->groupOf(Q.Service_);
+  if (!G)
+    return false;
+  State_->setLimit(*G, Q.InFlightLimit_, Now);
+  for (State::Where W : {State::Where::OwnZone, State::Where::OtherZones})
+    for (const EndpointPool *P : State_->matching(*G, Q, W, Now))
+      if (P->draw(State_->Rng_, Q.Excluded_))
+        return true;
+  return false;
+}
+
+std::size_t Chooser::readyCount(const ServiceName &Service) const {
+  Group *G = State_->groupOf(Service);
+  return G ? G->Ready_ : 0;
+}
+
+Chooser::Room Chooser::room(const ServiceName &Service,
+                            std::size_t InFlightLimit) const {
+  Group *G = State_->groupOf(Service);
+  if (!G)
+    return {};
+  State_->setLimit(*G, InFlightLimit, State_->Latest_);
+  double Places = 0;
+  double Taken = 0;
+  for (const auto &P : G->Pools_) {
+    Places += P->places();
+    Taken += P->taken();
+  }
+  return {.Places_ = static_cast<std::size_t>(Places + 0.5),
+          .Taken_ = static_cast<std::size_t>(std::max(0.0, Taken) + 0.5)};
+}
+
+void Chooser::dispatched(const Vm &V, TimePoint Now) {
+  PooledEndpoint *E = State_->lookUp(V);
+  if (!E)
+    return;
+  E->Load_.dispatched(Now);
+  if (E->Health_.mayProbe(Now))
+    E->Health_.Probing_ = true;
+  State_->refresh(*E, Now);
+}
+
+void Chooser::firstByte(const Vm &, Duration, TimePoint) {}
+
+void Chooser::finished(const Vm &V, Result R, TimePoint Now) {
+  PooledEndpoint *E = State_->lookUp(V);
+  if (!E || E->Load_.own() == 0)
+    return;
+  E->Load_.finished(Now);
+  if (E->Gone_ && E->Load_.own() == 0) {
+    State_->Gone_.push_back(V);
+    State_->forgetOldest();
+    return;
+  }
+  if (!E->Pool_)
+    return;
+  Group &G = State_->Groups_[E->Status_.Service_];
+  switch (R) {
+  case Result::Answered:
+    G.Outliers_.answered(E->Health_, Now);
+    break;
+  case Result::Failed:
+    G.Outliers_.failed(E->Health_, G.Ready_, Now);
+    break;
+  case Result::Refused:
+    E->BusyUntil_ = Now + BusyFor;
+    G.Outliers_.inconclusive(E->Health_);
+    break;
+  case Result::Cancelled:
+    G.Outliers_.inconclusive(E->Health_);
+    break;
+  }
+  State_->refresh(*E, Now);
+}
+
+const EndpointStatus *Chooser::find(const Vm &V) const {
+  const PooledEndpoint *E = State_->lookUp(V);
+  return E && !E->Gone_ ? &E->Status_ : nullptr;
+}
+
+std::vector<EndpointStatus> Chooser::all() const {
+  std::vector<EndpointStatus> Out;
+  for (const auto &E : State_->Slots_)
+    if (E && !E->Gone_)
+      Out.push_back(E->Status_);
+  return Out;
+}
+
+bool Chooser::isEjected(const Vm &V, TimePoint) const {
+  const PooledEndpoint *E = State_->lookUp(V);
+  return E && E->Health_.Ejected_;
+}
+
+} // namespace hawthornroad
--- /dev/null
+++ b/hawthornroad/routing/FairQueue.cpp
@@ -0,0 +1,160 @@
+#include "hawthornroad/routing/FairQueue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hawthornroad {
+
+namespace {
+// The share of places a waiting class gets though higher ones wait too.
+constexpr std::array<double, 3> GuaranteedShare = {0.0, 0.1, 0.05};
+// Idle flows are swept when there are more than this many.
+constexpr std::size_t FlowsKept = 64;
+
+std::size_t indexOf(Priority P) { return static_cast<std::size_t>(P); }
+} // namespace
+
+void FairQueue::push(Item I, double Weight) {
+  Class &C = Classes_[indexOf(I.Priority_)];
+  if (C.Flows_.size() > FlowsKept)
+    forgetIdle(C);
+  Flow &F = C.Flows_[I.Customer_];
+  F.Weight_ = Weight;
+  if (F.Waiting_.empty())
+    F.Start_ = std::max(F.Start_, C.VirtualTime_);
+  F.Waiting_.push_back(std::move(I));
+  ++C.Size_;
+  ++Size_;
+}
+
+void FairQueue::forgetIdle(Class &C) {
+  std::erase_if(C.Flows_, [&](const auto &Entry) {
+    const Flow &F = Entry.second;
+    return F.Waiting_.empty() && F.Start_ <= C.VirtualTime_;
+  });
+}
+
+// The highest class that waits, unless a lower one has earned a whole place.
+std::size_t FairQueue::nextClass() {
+  std::size_t Highest = ClassCount;
+  std::size_t Chosen = ClassCount;
+  for (std::size_t K = ClassCount; K-- > 0;)
+    if (Classes_[K].Size_ > 0)
+      Highest = K;
+  for (std::size_t K = Highest + 1; K < ClassCount; ++K) {
+    Class &C = Classes_[K];
+    if (C.Size_ == 0)
+      continue;
+    C.Earned_ += GuaranteedShare[K];
+    if (C.Earned_ >= 1.0 && Chosen == ClassCount)
+      Chosen = K;
+  }
+  if (Chosen == ClassCount)
+    return Highest;
+  Classes_[Chosen].Earned_ -= 1.0;
+  return Chosen;
+}
+
+std::optional<FairQueue::Item> FairQueue::pop() {
+  if (Size_ == 0)
+    return std::nullopt;
+  Class &C = Classes_[nextClass()];
+  Flow *First = nullptr;
+  for (auto &[Name, F] : C.Flows_)
+    if (!F.Waiting_.empty() && (!First || F.Start_ < First->Start_))
+      First = &F;
+  Item Out = std::move(First->Waiting_.front());
+  First->Waiting_.pop_front();
+  C.VirtualTime_ = std::max(C.VirtualTime_, First->Start_);
+  First->Start_ += 1.0 / First->Weight_;
+  --C.Size_;
+  --Size_;
+  if (C.Size_ == 0)
+    C.Earned_ = 0;
+  return Out;
+}
+
+bool FairQueue::remove(const Item &I) {
+  Class &C = Classes_[indexOf(I.Priority_)];
+  auto Found = C.Flows_.find(I.Customer_);
+  if (Found == C.Flows_.end())
+    return false;
+  std::deque<Item> &Waiting = Found->second.Waiting_;
+  auto At = std::find_if(Waiting.begin(), Waiting.end(),
+                         [&](const Item &W) { return W.Id_ == I.Id_; });
+  if (At == Waiting.end())
+    return false;
+  Waiting.erase(At);
+  --C.Size_;
+  --Size_;
+  return true;
+}
+
+// In its own class: of each flow, the requests that start before this one
+// would. Every waiting request of a higher class goes first too, but for the
+// guaranteed share, which bounds the wait.
+double FairQueue::aheadOf(const Customer &Name, Priority P,
+                          double Weight) const {
+  const std::size_t K = indexOf(P);
+  const Class &C = Classes_[K];
+  double Start = C.VirtualTime_;
+  double Own = 0;
+  if (auto Found = C.Flows_.find(Name); Found != C.Flows_.end()) {
+    const Flow &F = Found->second;
+    Own = static_cast<double>(F.Waiting_.size());
+    Start = std::max(Start, F.Start_) + Own / Weight;
+  }
+  double Ahead = Own;
+  for (const auto &[Other, F] : C.Flows_) {
+    if (Other == Name || F.Waiting_.empty())
+      continue;
+    double Earlier = std::ceil((Start - F.Start_) * F.Weight_);
+    double Most = static_cast<double>(F.Waiting_.size());
+    Ahead += std::clamp(Earlier, 0.0, Most);
+  }
+  double Higher = 0;
+  for (std::size_t Above = 0; Above < K; ++Above)
+    Higher += static_cast<double>(Classes_[Above].Size_);
+  if (Higher == 0)
+    return Ahead;
+  return std::min(Ahead + Higher, (Ahead + 1) / GuaranteedShare[K]);
+}
+
+std::optional<FairQueue::Item> FairQueue::victimFor(const Item &Newcomer,
+                                                    double Weight) const {
+  struct Backlog {
+    double Weighted_ = 0;
+    const Item *Latest_ = nullptr;
+  };
+  std::map<Customer, Backlog> Backlogs;
+  Backlogs[Newcomer.Customer_] = {1.0 / Weight, &Newcomer};
+  for (const Class &C : Classes_)
+    for (const auto &[Name, F] : C.Flows_) {
+      if (F.Waiting_.empty())
+        continue;
+      Backlog &B = Backlogs[Name];
+      B.Weighted_ += static_cast<double>(F.Waiting_.size()) / F.Weight_;
+      bool Lower =
+          !B.Latest_ || F.Waiting_.back().Priority_ > B.Latest_->Priority_;
+      if (Lower)
+        B.Latest_ = &F.Waiting_.back();
+    }
+  const Backlog *Largest = &Backlogs[Newcomer.Customer_];
+  for (const auto &[Name, B] : Backlogs)
+    if (B.Weighted_ > Largest->Weighted_)
+      Largest = &B;
+  if (Largest->Latest_ == &Newcomer)
+    return std::nullopt;
+  return *Largest->Latest_;
+}
+
+std::vector<FairQueue::Item> FairQueue::items() const {
+  std::vector<Item> Out;
+  Out.reserve(Size_);
+  for (const Class &C : Classes_)
+    for (const auto &[Name, F] : C.Flows_)
+      Out.insert(Out.end(), F.Waiting_.begin(), F.Waiting_.end());
+  return Out;
+}
+
+} // namespace hawthornroad
--- /dev/null
+++ b/hawthornroad/routing/LoadEstimate.cpp
@@ -0,0 +1,64 @@
+#include "hawthornroad/routing/LoadEstimate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hawthornroad {
+
+namespace {
+// About what reports lag by.
+constexpr double OwnWindowSeconds = 2.0;
+// Older reports than this begin to fade, and fade with this time constant.
+constexpr Duration FreshFor = Seconds(6);
+constexpr double FadeSeconds = 5.0;
+
+double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
+} // namespace
+
+void LoadEstimate::advance(TimePoint Now) {
+  if (Now <= Updated_)
+    return;
+  double Kept = std::exp(-seconds(Now - Updated_) / OwnWindowSeconds);
+  auto Own = static_cast<double>(Own_);
+  MeanOwn_ = Own + (MeanOwn_ - Own) * Kept;
+  Updated_ = Now;
+}
+
+void LoadEstimate::dispatched(TimePoint Now) {
+  advance(Now);
+  ++Own_;
+}
+
+void LoadEstimate::finished(TimePoint Now) {
+  advance(Now);
+  if (Own_ > 0)
+    --Own_;
+}
+
+void LoadEstimate::report(double InProgress, TimePoint Now) {
+  advance(Now);
+  Others_ = std::max(0.0, InProgress - MeanOwn_);
+  Reported_ = Now;
+  HasReport_ = true;
+}
+
+void LoadEstimate::forgetReports() {
+  Others_ = 0;
+  HasReport_ = false;
+}
+
+double LoadEstimate::others(TimePoint Now, double Typical) const {
+  if (!HasReport_)
+    return Typical;
+  Duration Age = Now - Reported_;
+  if (Age <= FreshFor)
+    return Others_;
+  double Kept = std::exp(-seconds(Age - FreshFor) / FadeSeconds);
+  return Typical + (Others_ - Typical) * Kept;
+}
+
+double LoadEstimate::total(TimePoint Now, double Typical) const {
+  return static_cast<double>(Own_) + others(Now, Typical);
+}
+
+} // namespace hawthornroad
--- a/hawthornroad/routing/RetryBudget.h
+++ b/hawthornroad/routing/RetryBudget.h
@@ -36,6 +36,9 @@
 private:
   struct Account {
     double Tokens_ = 0;
+    // Tokens given by the floor that requests have not earned since; what they
+    // earn repays it first, so a busy service gets its share and no more.
+    double Advanced_ = 0;
     TimePoint Updated_;
     bool Started_ = false;
   };
