Rollout turns, orders and engine control, first working version

An endpoint leaves service only in its turn, agreed by rendezvous rank and an announced wish; orders are absolute, carry a fencing number and are followed by reading the engine back.

--- /dev/null
+++ b/hawthornroad/rollout/VersionChoice.cpp
@@ -0,0 +1,68 @@
+#include "hawthornroad/rollout/VersionChoice.h"
+
+#include <algorithm>
+
+namespace hawthornroad {
+
+void VersionChoice::setWanted(const VersionDigest &V) {
+  if (Wanted_ == V)
+    return;
+  Wanted_ = V;
+  Failed_.clear();
+}
+
+void VersionChoice::stage(const VersionDigest &V, const std::string &Path) {
+  if (Path.empty())
+    Staged_.erase(V);
+  else
+    Staged_[V] = Path;
+}
+
+void VersionChoice::noteServed(const VersionDigest &V) {
+  Failed_.erase(V);
+  if (Last_ == V)
+    return;
+  Before_ = Last_;
+  Last_ = V;
+}
+
+void VersionChoice::noteFailed(const VersionDigest &V, TimePoint Now) {
+  constexpr unsigned MaxDoublings = 16;
+  Tries &T = Failed_[V];
+  Duration Wait = Limits_.RetryDelay_ * (1 << std::min(T.Count_, MaxDoublings));
+  Wait = std::min<Duration>(Wait, Limits_.RetryCap_);
+  T.RetryAt_ = Now + Random_.jitter(Wait, Limits_.RetrySpread_);
+  ++T.Count_;
+}
+
+std::optional<EngineWish> VersionChoice::offer(const VersionDigest &V,
+                                               TimePoint Now) const {
+  auto Found = Staged_.find(V);
+  if (V.empty() || Found == Staged_.end())
+    return std::nullopt;
+  auto Tried = Failed_.find(V);
+  if (Tried != Failed_.end() && Now < Tried->second.RetryAt_)
+    return std::nullopt;
+  return EngineWish{V, Found->second};
+}
+
+std::optional<EngineWish> VersionChoice::wanted(TimePoint Now) const {
+  return offer(Wanted_, Now);
+}
+
+std::optional<EngineWish> VersionChoice::wantedByTurn(TimePoint Now) const {
+  auto Tried = Failed_.find(Wanted_);
+  if (Tried != Failed_.end() && Tried->second.Count_ >= Limits_.MaxTries_)
+    return std::nullopt;
+  return wanted(Now);
+}
+
+std::optional<EngineWish> VersionChoice::fallback(TimePoint Now) const {
+  return offer(Last_ == Wanted_ ? Before_ : Last_, Now);
+}
+
+VersionDigest VersionChoice::failedVersion() const {
+  return Failed_.contains(Wanted_) ? Wanted_ : VersionDigest();
+}
+
+} // namespace hawthornroad
--- a/hawthornroad/runtime/EngineControl.h
+++ b/hawthornroad/runtime/EngineControl.h
@@ -26,6 +26,7 @@
 #include <boost/json/object.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,6 +52,10 @@
     std::function<void(TimePoint)> OnChange_;
     // Attempts now running at the engine; a turn waits for zero.
     std::function<std::size_t()> RunningAttempts_;
+    // When the question was asked (platform or peer) that the configuration in
+    // hand answers. After a pause no order goes out until this is later than
+    // the pause; without it, until some seconds have passed undisturbed.
+    std::function<std::optional<TimePoint>()> ConfigurationAskedAt_;
   };
 
   EngineControl(Setup S, DecisionLoop &Loop, HttpClient &Client, Metrics &M,
@@ -62,7 +67,8 @@
   void start(TimePoint Now);
   // The declared service of this VM at revision R; null when there is none.
   void setWish(const Service *S, Revision R, TimePoint Now);
-  // The wanted version lies whole and verified at Path.
+  // A version lies whole and verified at Path: the wanted one, or an older one
+  // kept for a rollback. An empty Path: it no longer does.
   void noteStaged(const VersionDigest &Version, const std::string &Path,
                   TimePoint Now);
   // All known endpoints of the same service, own VM excluded.
