--- a/hawthornroad/rollout/OrderState.cpp
+++ b/hawthornroad/rollout/OrderState.cpp
@@ -132,7 +132,7 @@
     ReplyOpen_ = false;
 }
 
-std::optional<LoadOrder> OrderState::next(TimePoint Now) {
+std::optional<EngineOrder> OrderState::next(TimePoint Now) {
   dropLostReply(Now);
   bool MaySend = HasRead_ && !ReplyOpen_ && (!SentCurrent_ || ReadSinceSent_) &&
                  Now >= ResendAt_;
@@ -146,7 +146,7 @@
   LoadingSince_.reset();
   ResendAt_ = Now + backoff();
   ++Sendings_;
-  return LoadOrder{*Wish_, Sent_};
+  return EngineOrder{*Wish_, Sent_};
 }
 
 Duration OrderState::backoff() {
--- a/hawthornroad/rollout/OrderState.h
+++ b/hawthornroad/rollout/OrderState.h
@@ -43,10 +43,10 @@
   bool operator==(const EngineWish &) const = default;
 };
 
-struct LoadOrder {
+struct EngineOrder {
   EngineWish Wish_;
   FencingNumber Fencing_;
-  bool operator==(const LoadOrder &) const = default;
+  bool operator==(const EngineOrder &) const = default;
 };
 
 enum class OrderReply : std::uint8_t {
@@ -94,7 +94,7 @@
   // order is ignored.
   void onReply(FencingNumber Fencing, OrderReply Reply, TimePoint Now);
   // The order to send now; it counts as sent.
-  std::optional<LoadOrder> next(TimePoint Now);
+  std::optional<EngineOrder> next(TimePoint Now);
 
   // Whether a number the engine has seen, F, is beyond any that this agent can
   // give at revision R.
--- a/hawthornroad/rollout/RolloutTurn.cpp
+++ b/hawthornroad/rollout/RolloutTurn.cpp
@@ -101,7 +101,7 @@
   Orders_.onReply(Fencing, Reply, Now);
 }
 
-std::optional<LoadOrder>
+std::optional<EngineOrder>
 RolloutTurn::tick(TimePoint Now, std::size_t RunningAttempts,
                   std::optional<TimePoint> ConfigurationAskedAt) {
   Turns_.start(Now);
@@ -219,8 +219,9 @@
 }
 
 bool RolloutTurn::adoptsLoading(TimePoint Now) const {
-  return LoadingSince_ && State_ != State::Failed &&
-         Now - *LoadingSince_ < Setup_.Limits_.AdoptLoading_;
+  std::optional<EngineWish> Target = target(Now);
+  return LoadingSince_ && Target && Reading_->Version_ == Target->Version_ &&
+         Now - *LoadingSince_ < Setup_.Limits_.Orders_.LoadTimeout_;
 }
 
 std::optional<EngineWish> RolloutTurn::target(TimePoint Now) const {
--- a/hawthornroad/rollout/RolloutTurn.h
+++ b/hawthornroad/rollout/RolloutTurn.h
@@ -61,9 +61,6 @@
     Duration Silence_ = Seconds(3);
     // Readings in a row that must show the ordered version.
     unsigned VerifyReadings_ = 2;
-    // How long an engine that is loading on somebody else's order (a
-    // predecessor's) is left to finish.
-    Duration AdoptLoading_ = Seconds(60);
   };
   struct Setup {
     Vm Vm_;
@@ -101,8 +98,9 @@
   // RunningAttempts: attempts now at the engine. ConfigurationAskedAt: when
   // the question was asked that the configuration in hand answers, if known.
   // Returns the order to send now.
-  std::optional<LoadOrder> tick(TimePoint Now, std::size_t RunningAttempts,
-                                std::optional<TimePoint> ConfigurationAskedAt);
+  std::optional<EngineOrder>
+  tick(TimePoint Now, std::size_t RunningAttempts,
+       std::optional<TimePoint> ConfigurationAskedAt);
 
   State state() const { return State_; }
   // The state's name in charts/rollout.json.
@@ -134,6 +132,8 @@
   bool halted() const;
   // Whether a newer version could be had by leaving service.
   bool pending(TimePoint Now) const;
+  // Whether the engine is loading the right version already, on the order of
+  // this agent's predecessor.
   bool adoptsLoading(TimePoint Now) const;
   // What to load when out of service.
   std::optional<EngineWish> target(TimePoint Now) const;
--- a/hawthornroad/runtime/EngineAnswers.cpp
+++ b/hawthornroad/runtime/EngineAnswers.cpp
@@ -78,7 +78,7 @@
                     .StepMs_ = numberAt(*O, "step_ms")};
 }
 
-std::string formatLoadOrder(const LoadOrder &Order) {
+std::string formatOrder(const EngineOrder &Order) {
   return json::serialize(json::object{{"version", Order.Wish_.Version_.str()},
                                       {"path", Order.Wish_.Path_},
                                       {"fencing", Order.Fencing_.value()}});
--- a/hawthornroad/runtime/EngineAnswers.h
+++ b/hawthornroad/runtime/EngineAnswers.h
@@ -18,7 +18,7 @@
 // The answer to GET /load; nullopt when the text is anything else.
 std::optional<EngineLoad> parseEngineLoad(const std::string &Body);
 // The body of POST /admin/load.
-std::string formatLoadOrder(const LoadOrder &Order);
+std::string formatOrder(const EngineOrder &Order);
 
 } // namespace hawthornroad
 
--- a/hawthornroad/runtime/EngineControl.cpp
+++ b/hawthornroad/runtime/EngineControl.cpp
@@ -134,7 +134,7 @@
   void readHealth(TimePoint Now);
   void readModel(TimePoint Now);
   void readLoad(TimePoint Now);
-  void send(const LoadOrder &Order, TimePoint Now);
+  void send(const EngineOrder &Order, TimePoint Now);
   void onModel(const HttpResult &R, TimePoint Now);
   // Tells what has changed since the last telling.
   void publish(TimePoint Now);
@@ -191,7 +191,7 @@
     poll(Now);
   }
   // Also without a service, so that a pause is noticed.
-  std::optional<LoadOrder> Order =
+  std::optional<EngineOrder> Order =
       Turn_.tick(Now, running(), configurationAskedAt());
   if (Order && !isPlain())
     send(*Order, Now);
@@ -277,7 +277,7 @@
   });
 }
 
-void EngineControl::State::send(const LoadOrder &Order, TimePoint Now) {
+void EngineControl::State::send(const EngineOrder &Order, TimePoint Now) {
   // What was asked before the order may be answered after it.
   ModelCall_.abandon();
   std::uint64_t Number = OrderCall_.start(Now);
@@ -289,7 +289,7 @@
   HttpRequest R{.Method_ = "POST",
                 .Target_ = "/admin/load",
                 .Headers_ = {{"Content-Type", "application/json"}},
-                .Body_ = formatLoadOrder(Order)};
+                .Body_ = formatOrder(Order)};
   call(std::move(R), [this, Number, Fencing = Order.Fencing_](HttpResult Result,
                                                               TimePoint Now) {
     OrderCall_.end(Number);
