Attempts at the agent: decisions, answer buffer, drain, endpoint client

AttemptTable decides what an agent does with each frame and each event of its endpoint; its life cycle is charts/attempt.json, a planned stop's charts/drain.json. Refused and denied attempts are remembered, so that a Begin which arrives later by the old path cannot make 'not run' a lie.

HttpCall gains pause() and resume(): a full answer buffer must hold the endpoint back, and HttpClient had no way to stop reading.

--- /dev/null
+++ b/hawthornroad/routing/AttemptTable.cpp
@@ -0,0 +1,446 @@
+#include "hawthornroad/routing/AttemptTable.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hawthornroad {
+
+// Positions match the names in attemptChart().
+enum class AttemptTable::Event : std::size_t {
+  Query,
+  Cancel,
+  Head,
+  Data,
+  Acknowledged,
+  Whole,
+  Broken,
+  GiveUp,
+  Expired
+};
+
+namespace {
+
+enum class State : std::size_t { Running, Paused, Whole, Failed, Forgotten };
+enum class Guard : std::size_t {
+  Acceptable,
+  BufferFull,
+  BufferRoomy,
+  AnswerHeld
+};
+enum class Action : std::size_t {
+  SendState,
+  SendHead,
+  SendData,
+  SendHeld,
+  SendEnd,
+  SendFailed,
+  PauseRun,
+  ResumeRun,
+  StopRun
+};
+
+constexpr Duration MinRetryAfter = Milliseconds(20);
+constexpr Duration MaxRetryAfter = Seconds(5);
+// The version changes in seconds, a drained endpoint does not come back soon:
+// the entry tries another endpoint meanwhile.
+constexpr Duration NotHereRetryAfter = Seconds(1);
+constexpr int MeanRunWeight = 8;
+constexpr unsigned ServiceUnavailable = 503;
+constexpr unsigned FirstErrorStatus = 300;
+
+AttemptFailure answerDropped() {
+  return {false, Step::Answer, "", "the answer is no longer held"};
+}
+
+bool isRunning(State S) { return S == State::Running || S == State::Paused; }
+
+} // namespace
+
+Chart attemptChart(const std::string &Directory) {
+  return Chart::load(
+      Directory, "attempt",
+      {.States_ = {"running", "paused", "whole", "failed", "forgotten"},
+       .Events_ = {"query", "cancel", "head", "data", "acknowledged", "whole",
+                   "broken", "give_up", "expired"},
+       .Guards_ = {"acceptable", "buffer_full", "buffer_roomy", "answer_held"},
+       .Actions_ = {"send_state", "send_head", "send_data", "send_held",
+                    "send_end", "send_failed", "pause_run", "resume_run",
+                    "stop_run"}});
+}
+
+struct AttemptTable::Attempt {
+  Attempt(AttemptSpec Spec, RequesterId From, TimePoint Now)
+      : Spec_(std::move(Spec)), Requester_(From), Begun_(Now) {}
+
+  AttemptSpec Spec_;
+  State State_ = State::Running;
+  RequesterId Requester_;
+  AnswerBuffer Buffer_;
+  std::optional<AnswerHead> Head_;
+  std::optional<AttemptFailure> Failure_;
+  TimePoint Begun_;
+  std::optional<TimePoint> FirstByte_;
+  // Since when nobody listens.
+  std::optional<TimePoint> OrphanedSince_;
+  // What the event at hand is about.
+  std::uint64_t QueryOffset_ = 0;
+  std::uint64_t DataOffset_ = 0;
+};
+
+AttemptTable::AttemptTable(Chart C, AttemptLimits L)
+    : Chart_(std::move(C)), Limits_(L), Refused_(L.Keep_, L.MaxRefused_) {}
+
+AttemptTable::~AttemptTable() = default;
+
+std::optional<AttemptRefusal>
+AttemptTable::refusal(const AttemptSpec &Spec) const {
+  if (Facts_.Phase_ == EndpointPhase::Draining ||
+      Facts_.Phase_ == EndpointPhase::Left)
+    return AttemptRefusal::Draining;
+  if (Spec.Service_ != Facts_.Service_)
+    return AttemptRefusal::WrongService;
+  if (Facts_.Phase_ != EndpointPhase::Ready)
+    return AttemptRefusal::NotReady;
+  if (!Spec.Version_.empty() && Spec.Version_ != Facts_.Version_)
+    return AttemptRefusal::WrongVersion;
+  if (Spec.Deadline_ < std::max(Limits_.MinDeadline_, Facts_.Step_))
+    return AttemptRefusal::DeadlineTooShort;
+  auto Queue = static_cast<std::size_t>(
+      std::ceil(Limits_.QueueShare_ * static_cast<double>(Facts_.Capacity_)));
+  if (Running_.size() >= Facts_.Capacity_ + Queue)
+    return AttemptRefusal::Overloaded;
+  if (BodyBytes_ + Spec.BodyBytes_ > Limits_.MaxBodyBytes_)
+    return AttemptRefusal::Overloaded;
+  return std::nullopt;
+}
+
+Duration AttemptTable::retryAfter(AttemptRefusal Reason) const {
+  if (Reason == AttemptRefusal::DeadlineTooShort)
+    return Duration::zero();
+  if (Reason != AttemptRefusal::Overloaded)
+    return NotHereRetryAfter;
+  // One place comes free this often.
+  Duration Wait =
+      MeanRun_ / static_cast<int>(std::max<std::size_t>(Facts_.Capacity_, 1));
+  return std::clamp<Duration>(Wait, MinRetryAfter, MaxRetryAfter);
+}
+
+// Guards against mixed weights: an engine that was reloaded behind the agent's
+// back, or between acceptance and run, names another version in its answer.
+std::optional<AttemptFailure>
+AttemptTable::faultOf(const Attempt &A, const AnswerHead &Head) const {
+  if (!Facts_.IsModel_)
+    return std::nullopt;
+  if (Head.Status_ == ServiceUnavailable)
+    return AttemptFailure{true, Step::Run, "", "engine is not serving (503)"};
+  if (Head.Version_.empty() && Head.Status_ >= FirstErrorStatus)
+    return std::nullopt;
+  if (Head.Version_ == A.Spec_.Version_)
+    return std::nullopt;
+  return AttemptFailure{false, Step::Run, "",
+                        "engine answered with version \"" +
+                            Head.Version_.str() + "\", pinned to \"" +
+                            A.Spec_.Version_.str() + "\""};
+}
+
+AttemptActions AttemptTable::refuse(const AttemptId &Attempt,
+                                    AttemptRefusal Reason, RequesterId From,
+                                    TimePoint Now) {
+  Refused_.add(Attempt, Reason, Now);
+  return {SendRefused{From, Attempt, Reason, retryAfter(Reason)}};
+}
+
+AttemptActions AttemptTable::handle(const BeginReceived &E, TimePoint Now) {
+  const AttemptId &Id = E.Spec_.Attempt_;
+  if (auto Reason = Refused_.find(Id))
+    return refuse(Id, *Reason, E.From_, Now);
+  // A doubled Begin: the first one runs, and its requester stays.
+  if (Attempts_.contains(Id))
+    return {};
+  if (auto Reason = refusal(E.Spec_))
+    return refuse(Id, *Reason, E.From_, Now);
+  auto [At, New] = Attempts_.emplace(Id, Attempt(E.Spec_, E.From_, Now));
+  Attempt &A = At->second;
+  if (A.Spec_.Version_.empty())
+    A.Spec_.Version_ = Facts_.Version_;
+  Running_.insert(Id);
+  BodyBytes_ += A.Spec_.BodyBytes_;
+  return {SendAccepted{E.From_, Id}, StartRun{Id}};
+}
+
+AttemptActions AttemptTable::handle(const BeginDropped &E, TimePoint Now) {
+  if (Attempts_.contains(E.Attempt_))
+    return {};
+  return refuse(E.Attempt_, AttemptRefusal::Overloaded, E.From_, Now);
+}
+
+AttemptActions AttemptTable::handle(const QueryReceived &E, TimePoint Now) {
+  auto Found = Attempts_.find(E.Attempt_);
+  if (Found == Attempts_.end()) {
+    Refused_.add(E.Attempt_, AttemptRefusal::Overloaded, Now);
+    return {SendState{E.From_, E.Attempt_, AttemptPhase::NeverSeen, 0}};
+  }
+  Attempt &A = Found->second;
+  A.Requester_ = E.From_;
+  A.OrphanedSince_.reset();
+  A.QueryOffset_ = E.Offset_;
+  return fire(A, Event::Query, Now);
+}
+
+AttemptActions AttemptTable::handle(const AckReceived &E, TimePoint Now) {
+  auto Found = Attempts_.find(E.Attempt_);
+  if (Found == Attempts_.end())
+    return {};
+  acknowledge(Found->second, E.Offset_);
+  return fire(Found->second, Event::Acknowledged, Now);
+}
+
+AttemptActions AttemptTable::handle(const CancelReceived &E, TimePoint Now) {
+  auto Found = Attempts_.find(E.Attempt_);
+  if (Found == Attempts_.end()) {
+    Refused_.add(E.Attempt_, AttemptRefusal::Overloaded, Now);
+    return {};
+  }
+  Attempt &A = Found->second;
+  if (isRunning(A.State_))
+    A.Failure_ = AttemptFailure{false, Step::Run, "", "cancelled by the entry"};
+  return fire(A, Event::Cancel, Now);
+}
+
+AttemptActions AttemptTable::handle(const RequesterLost &E, TimePoint Now) {
+  for (const AttemptId &Id : Running_) {
+    Attempt &A = Attempts_.at(Id);
+    if (A.Requester_ != E.From_)
+      continue;
+    A.Requester_ = NoRequester;
+    A.OrphanedSince_ = Now;
+  }
+  return {};
+}
+
+AttemptActions AttemptTable::handle(const HeadReceived &E, TimePoint Now) {
+  auto Found = Attempts_.find(E.Attempt_);
+  if (Found == Attempts_.end() || !isRunning(Found->second.State_))
+    return {};
+  Attempt &A = Found->second;
+  A.Head_ = E.Head_;
+  A.Failure_ = faultOf(A, E.Head_);
+  return fire(A, Event::Head, Now);
+}
+
+AttemptActions AttemptTable::handle(const DataReceived &E, TimePoint Now) {
+  auto Found = Attempts_.find(E.Attempt_);
+  if (Found == Attempts_.end() || !isRunning(Found->second.State_))
+    return {};
+  Attempt &A = Found->second;
+  if (!A.FirstByte_)
+    A.FirstByte_ = Now;
+  A.DataOffset_ = A.Buffer_.append(E.Bytes_);
+  return fire(A, Event::Data, Now);
+}
+
+AttemptActions AttemptTable::handle(const RunEnded &E, TimePoint Now) {
+  auto Found = Attempts_.find(E.Attempt_);
+  if (Found == Attempts_.end() || !isRunning(Found->second.State_))
+    return {};
+  Attempt &A = Found->second;
+  if (!E.Error_)
+    return fire(A, Event::Whole, Now);
+  A.Failure_ = AttemptFailure{!E.Sent_, E.Error_->step(), E.Error_->peer(),
+                              E.Error_->message()};
+  return fire(A, Event::Broken, Now);
+}
+
+AttemptActions AttemptTable::fire(Attempt &A, Event E, TimePoint Now) {
+  auto Holds = [&](std::size_t G) {
+    switch (static_cast<Guard>(G)) {
+    case Guard::Acceptable:
+      return !A.Failure_;
+    case Guard::BufferFull:
+      return A.Buffer_.held() >= Limits_.Buffer_;
+    case Guard::BufferRoomy:
+      return A.Buffer_.held() <= Limits_.Buffer_ / 2;
+    case Guard::AnswerHeld:
+      return A.Buffer_.holds(A.QueryOffset_);
+    }
+    return false;
+  };
+  bool WasRunning = isRunning(A.State_);
+  Chart::Step Taken = Chart_.fire(static_cast<std::size_t>(A.State_),
+                                  static_cast<std::size_t>(E), Holds);
+  A.State_ = static_cast<State>(Taken.Next_);
+  AttemptActions Out;
+  for (std::size_t Each : Taken.Actions_)
+    perform(A, Each, Out);
+  if (WasRunning && !isRunning(A.State_))
+    settle(A, Now, Out);
+  return Out;
+}
+
+void AttemptTable::perform(const Attempt &A, std::size_t Which,
+                           AttemptActions &Out) const {
+  const AttemptId &Id = A.Spec_.Attempt_;
+  switch (static_cast<Action>(Which)) {
+  case Action::PauseRun:
+    Out.push_back(PauseRun{Id});
+    return;
+  case Action::ResumeRun:
+    Out.push_back(ResumeRun{Id});
+    return;
+  case Action::StopRun:
+    Out.push_back(StopRun{Id});
+    return;
+  default:
+    // Nobody listens: what is to be said waits for a query.
+    if (A.Requester_ != NoRequester)
+      say(A, Which, Out);
+  }
+}
+
+void AttemptTable::say(const Attempt &A, std::size_t Which,
+                       AttemptActions &Out) const {
+  const AttemptId &Id = A.Spec_.Attempt_;
+  RequesterId To = A.Requester_;
+  switch (static_cast<Action>(Which)) {
+  case Action::SendState:
+    Out.push_back(SendState{To, Id,
+                            isRunning(A.State_) ? AttemptPhase::Running
+                                                : AttemptPhase::Finished,
+                            A.Buffer_.length()});
+    return;
+  case Action::SendHead:
+    if (A.Head_)
+      Out.push_back(SendHead{To, Id, *A.Head_});
+    return;
+  case Action::SendData:
+    for (AnswerPiece &Each : A.Buffer_.from(A.DataOffset_))
+      Out.push_back(SendData{To, Id, Each.Offset_, std::move(Each.Bytes_)});
+    return;
+  case Action::SendHeld:
+    for (AnswerPiece &Each : A.Buffer_.from(A.QueryOffset_))
+      Out.push_back(SendData{To, Id, Each.Offset_, std::move(Each.Bytes_)});
+    return;
+  case Action::SendEnd:
+    Out.push_back(SendEnd{To, Id, A.Buffer_.length(), A.Buffer_.hash()});
+    return;
+  case Action::SendFailed:
+    Out.push_back(SendFailed{To, Id, A.Failure_.value_or(answerDropped())});
+    return;
+  default:
+    return;
+  }
+}
+
+// The run is over: its room is free, its answer is kept for a while.
+void AttemptTable::settle(Attempt &A, TimePoint Now, AttemptActions &Out) {
+  const AttemptId &Id = A.Spec_.Attempt_;
+  Running_.erase(Id);
+  BodyBytes_ -= A.Spec_.BodyBytes_;
+  Duration RunTime = Now - A.Begun_;
+  MeanRun_ += (RunTime - MeanRun_) / MeanRunWeight;
+  AttemptEnded Ended{
+      A.Spec_, A.Failure_,  A.Head_ ? A.Head_->Status_ : 0, A.Buffer_.length(),
+      RunTime, std::nullopt};
+  if (A.FirstByte_)
+    Ended.FirstByte_ = *A.FirstByte_ - A.Begun_;
+  Out.push_back(std::move(Ended));
+  if (A.State_ == State::Failed)
+    A.Buffer_.drop();
+  FinishedOrder_.push_back({Id, Now + Limits_.Keep_});
+  FinishedBytes_ += A.Buffer_.held();
+  if (A.Buffer_.held() > 0)
+    ++Unacknowledged_;
+  boundFinished();
+}
+
+void AttemptTable::acknowledge(Attempt &A, std::uint64_t Offset) {
+  std::uint64_t Before = A.Buffer_.held();
+  A.Buffer_.acknowledge(Offset);
+  std::uint64_t Freed = Before - A.Buffer_.held();
+  if (isRunning(A.State_) || Freed == 0)
+    return;
+  FinishedBytes_ -= Freed;
+  if (A.Buffer_.held() == 0)
+    --Unacknowledged_;
+}
+
+// Entries that died never acknowledge: the oldest answers give way first, and
+// whoever still asks is told that the answer is gone.
+void AttemptTable::boundFinished() {
+  while (FinishedOrder_.size() > Limits_.MaxFinished_)
+    forgetOldest();
+  while (FinishedBytes_ > Limits_.MaxFinishedBytes_) {
+    Attempt &A = Attempts_.at(FinishedOrder_[Dropped_].Attempt_);
+    acknowledge(A, A.Buffer_.length());
+    ++Dropped_;
+  }
+}
+
+void AttemptTable::forgetOldest() {
+  auto Found = Attempts_.find(FinishedOrder_.front().Attempt_);
+  Attempt &A = Found->second;
+  acknowledge(A, A.Buffer_.length());
+  fire(A, Event::Expired, TimePoint());
+  if (Chart_.isFinal(static_cast<std::size_t>(A.State_)))
+    Attempts_.erase(Found);
+  FinishedOrder_.pop_front();
+  if (Dropped_ > 0)
+    --Dropped_;
+}
+
+AttemptActions AttemptTable::giveUp(Attempt &A, const std::string &Why,
+                                    TimePoint Now) {
+  A.Failure_ = AttemptFailure{false, Step::Run, "", Why};
+  return fire(A, Event::GiveUp, Now);
+}
+
+// Why a running attempt has no use any more. An attempt that may not be
+// repeated is let run: nobody can try it elsewhere, and its outcome can still
+// be asked for. Only when its answer fills the buffer and the one who asked
+// can no longer be waiting is it given up, or it would hold its place for
+// good.
+std::optional<std::string> AttemptTable::overdue(const Attempt &A,
+                                                 TimePoint Now) const {
+  bool Late = Now >= A.Begun_ + A.Spec_.Deadline_ + Limits_.DeadlineGrace_;
+  if (!A.Spec_.Repeatable_) {
+    if (Late && A.State_ == State::Paused)
+      return "deadline passed with the answer not fetched";
+    return std::nullopt;
+  }
+  if (Late)
+    return "deadline passed";
+  if (A.OrphanedSince_ && Now >= *A.OrphanedSince_ + Limits_.OrphanGrace_)
+    return "entry lost";
+  return std::nullopt;
+}
+
+AttemptActions AttemptTable::tick(TimePoint Now) {
+  AttemptActions Out;
+  for (const AttemptId &Id : runningIds()) {
+    Attempt &A = Attempts_.at(Id);
+    std::optional<std::string> Why = overdue(A, Now);
+    if (!Why)
+      continue;
+    AttemptActions More = giveUp(A, *Why, Now);
+    std::move(More.begin(), More.end(), std::back_inserter(Out));
+  }
+  while (!FinishedOrder_.empty() && FinishedOrder_.front().Until_ <= Now)
+    forgetOldest();
+  Refused_.expire(Now);
+  return Out;
+}
+
+AttemptActions AttemptTable::giveUpAll(const std::string &Why, TimePoint Now) {
+  AttemptActions Out;
+  for (const AttemptId &Id : runningIds()) {
+    AttemptActions More = giveUp(Attempts_.at(Id), Why, Now);
+    std::move(More.begin(), More.end(), std::back_inserter(Out));
+  }
+  return Out;
+}
+
+std::vector<AttemptId> AttemptTable::runningIds() const {
+  return {Running_.begin(), Running_.end()};
+}
+
+} // namespace hawthornroad
--- /dev/null
+++ b/hawthornroad/routing/AttemptTable.h
@@ -0,0 +1,143 @@
+// The agent's side of every request: which attempts run at this VM's endpoint,
+// what each has answered, and who is listening.
+//
+//   AttemptTable Table(attemptChart("charts"), {.Buffer_ = 4 << 20});
+//   Table.setEndpoint(Facts);                       // phase, version, capacity
+//   AttemptActions Actions = Table.handle(BeginReceived{Spec, From}, Now);
+//   for (const AttemptAction &Each : Actions) ...   // StartRun, SendAccepted
+//   Actions = Table.handle(DataReceived{Attempt, Bytes}, Now);
+//   Actions = Table.tick(Now);
+//
+// The life of one attempt is charts/attempt.json. What holds:
+// - A Begin runs at most once, however often it arrives.
+// - An attempt once refused, cancelled or denied (a query answered NeverSeen)
+//   does not run when its Begin arrives later (RefusedAttempts).
+// - AttemptFailure::NotRun_ is true only when no byte of the request reached
+//   the endpoint, or a model engine answered 503, which its interface gives
+//   only before anything runs.
+// - An attempt is pinned to the version loaded when it was accepted; an answer
+//   of another version fails before a byte of it is passed on.
+// - The answer is kept until acknowledged, in a bounded buffer: a full buffer
+//   pauses the run. A query moves all later frames to its connection.
+// - A lost connection stops no attempt that may not be repeated, for it cannot
+//   be tried elsewhere; a repeatable one is given up after OrphanGrace_.
+//
+// Bounds: running attempts by capacity and its queue share, request bodies by
+// MaxBodyBytes_, finished attempts by Keep_, MaxFinished_ and
+// MaxFinishedBytes_ (oldest first; its bytes go before its outcome), refused
+// ones by RefusedAttempts. Cost: O(1) an event, O(running) a tick.
+
+#ifndef HAWTHORNROAD_ROUTING_ATTEMPTTABLE_H
+#define HAWTHORNROAD_ROUTING_ATTEMPTTABLE_H
+
+#include "hawthornroad/base/Chart.h"
+#include "hawthornroad/routing/AnswerBuffer.h"
+#include "hawthornroad/routing/AttemptMessages.h"
+#include "hawthornroad/routing/RefusedAttempts.h"
+
+#include <deque>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace hawthornroad {
+
+struct AttemptLimits {
+  // Bytes of one answer held until acknowledged.
+  std::size_t Buffer_ = 4 * 1024 * 1024;
+  // How long a finished or refused attempt is remembered.
+  Duration Keep_ = Seconds(60);
+  // How long a repeatable attempt runs on with nobody listening.
+  Duration OrphanGrace_ = Seconds(10);
+  // How long past its deadline an attempt may run: its entry has answered.
+  Duration DeadlineGrace_ = Seconds(1);
+  // Shortest deadline worth starting for.
+  Duration MinDeadline_ = Milliseconds(10);
+  // Attempts beyond capacity that may wait inside the engine, as a share of
+  // it: enough for the engine to order them by priority.
+  double QueueShare_ = 0.25;
+  // Request bodies of all running attempts.
+  std::size_t MaxBodyBytes_ = 64 * 1024 * 1024;
+  std::size_t MaxFinished_ = 8192;
+  std::size_t MaxFinishedBytes_ = 64 * 1024 * 1024;
+  std::size_t MaxRefused_ = 131072;
+};
+
+// Loads charts/attempt.json. Throws Error(Step::Chart).
+Chart attemptChart(const std::string &Directory);
+
+class AttemptTable {
+public:
+  AttemptTable(Chart C, AttemptLimits L);
+  ~AttemptTable();
+  AttemptTable(const AttemptTable &) = delete;
+  AttemptTable &operator=(const AttemptTable &) = delete;
+
+  void setEndpoint(EndpointFacts Facts) { Facts_ = std::move(Facts); }
+
+  AttemptActions handle(const BeginReceived &E, TimePoint Now);
+  AttemptActions handle(const BeginDropped &E, TimePoint Now);
+  AttemptActions handle(const QueryReceived &E, TimePoint Now);
+  AttemptActions handle(const AckReceived &E, TimePoint Now);
+  AttemptActions handle(const CancelReceived &E, TimePoint Now);
+  AttemptActions handle(const RequesterLost &E, TimePoint Now);
+  AttemptActions handle(const HeadReceived &E, TimePoint Now);
+  AttemptActions handle(const DataReceived &E, TimePoint Now);
+  AttemptActions handle(const RunEnded &E, TimePoint Now);
+  // Gives up and forgets what is due.
+  AttemptActions tick(TimePoint Now);
+  // Ends every running attempt with Why; the limit of a planned stop.
+  AttemptActions giveUpAll(const std::string &Why, TimePoint Now);
+
+  std::size_t running() const { return Running_.size(); }
+  // Finished attempts with bytes not yet acknowledged.
+  std::size_t unacknowledged() const { return Unacknowledged_; }
+  std::size_t finished() const { return FinishedOrder_.size(); }
+  std::uint64_t finishedBytes() const { return FinishedBytes_; }
+  std::uint64_t forgottenEarly() const { return Refused_.forgottenEarly(); }
+
+private:
+  struct Attempt;
+  using AttemptMap = std::unordered_map<AttemptId, Attempt>;
+  enum class Event : std::size_t;
+
+  std::optional<AttemptRefusal> refusal(const AttemptSpec &Spec) const;
+  Duration retryAfter(AttemptRefusal Reason) const;
+  std::optional<AttemptFailure> faultOf(const Attempt &A,
+                                        const AnswerHead &Head) const;
+  AttemptActions refuse(const AttemptId &Attempt, AttemptRefusal Reason,
+                        RequesterId From, TimePoint Now);
+  AttemptActions fire(Attempt &A, Event E, TimePoint Now);
+  void perform(const Attempt &A, std::size_t Which, AttemptActions &Out) const;
+  void say(const Attempt &A, std::size_t Which, AttemptActions &Out) const;
+  void settle(Attempt &A, TimePoint Now, AttemptActions &Out);
+  void acknowledge(Attempt &A, std::uint64_t Offset);
+  void boundFinished();
+  void forgetOldest();
+  AttemptActions giveUp(Attempt &A, const std::string &Why, TimePoint Now);
+  std::optional<std::string> overdue(const Attempt &A, TimePoint Now) const;
+  std::vector<AttemptId> runningIds() const;
+
+  Chart Chart_;
+  AttemptLimits Limits_;
+  EndpointFacts Facts_;
+  // Accepted attempts, running or finished.
+  AttemptMap Attempts_;
+  std::unordered_set<AttemptId> Running_;
+  RefusedAttempts Refused_;
+  struct Finished {
+    AttemptId Attempt_;
+    TimePoint Until_;
+  };
+  // Oldest first; the first Dropped_ of them hold no bytes any more.
+  std::deque<Finished> FinishedOrder_;
+  std::size_t Dropped_ = 0;
+  std::uint64_t FinishedBytes_ = 0;
+  std::size_t Unacknowledged_ = 0;
+  std::size_t BodyBytes_ = 0;
+  // Mean run time of late, for the time to come back after a refusal.
+  Duration MeanRun_ = Milliseconds(100);
+};
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_ROUTING_ATTEMPTTABLE_H
--- a/hawthornroad/runtime/Http.h
+++ b/hawthornroad/runtime/Http.h
@@ -130,6 +130,11 @@
   // Closes the connection; OnDone_ is not called after cancel() returns when
   // called on the client's IoThread.
   virtual void cancel() = 0;
+  // Thread-safe. Reads no more of the response's body until resume(), so that
+  // a slow reader holds the sender back through TCP. At most what is already
+  // read (64 KiB) still comes. The idle timeout does not run meanwhile.
+  virtual void pause() = 0;
+  virtual void resume() = 0;
 };
 
 class HttpClient {
--- a/hawthornroad/runtime/HttpClient.cpp
+++ b/hawthornroad/runtime/HttpClient.cpp
@@ -44,7 +44,7 @@
        HttpClient::Callbacks C)
       : Io_(Io), Address_(std::move(Address)), Request_(std::move(R)),
         Options_(O), Callbacks_(std::move(C)), Stream_(Io.context()),
-        Overall_(Io.context()) {}
+        Overall_(Io.context()), Resumed_(Io.context(), TimePoint::max()) {}
 
   void start() {
     asio::co_spawn(
@@ -53,17 +53,32 @@
   }
 
   void cancel() override {
-    auto Close = [Self = shared_from_this()] { Self->close(); };
+    onIoThread([Self = shared_from_this()] { Self->close(); });
+  }
+
+  void pause() override {
+    onIoThread([Self = shared_from_this()] { Self->Paused_ = true; });
+  }
+
+  void resume() override {
+    onIoThread([Self = shared_from_this()] {
+      Self->Paused_ = false;
+      Self->Resumed_.cancel();
+    });
+  }
+
+private:
+  template <class F> void onIoThread(F Work) {
     if (Io_.onThisThread())
-      Close();
+      Work();
     else
-      asio::post(Io_.context(), Close);
+      asio::post(Io_.context(), std::move(Work));
   }
 
-private:
   void close() {
     Cancelled_ = true;
     Overall_.cancel();
+    Resumed_.cancel();
     boost::system::error_code Ignored;
     Stream_.socket().close(Ignored);
   }
@@ -77,6 +92,7 @@
           if (Code)
             return;
           Self->TimedOut_ = true;
+          Self->Resumed_.cancel();
           boost::system::error_code Ignored;
           Self->Stream_.socket().close(Ignored);
         });
@@ -163,6 +179,7 @@
       Callbacks_.OnHead_(Response);
     std::vector<char> Chunk(ReadBuffer);
     while (!Parser.is_done() && !Cancelled_) {
+      co_await whilePaused();
       Parser.get().body().data = Chunk.data();
       Parser.get().body().size = Chunk.size();
       Stream_.expires_after(Options_.IdleTimeout_);
@@ -185,6 +202,15 @@
     done(std::move(Result));
   }
 
+  asio::awaitable<void> whilePaused() {
+    while (Paused_ && !Cancelled_ && !TimedOut_) {
+      boost::system::error_code Ignored;
+      Resumed_.expires_at(TimePoint::max());
+      co_await Resumed_.async_wait(
+          asio::redirect_error(asio::use_awaitable, Ignored));
+    }
+  }
+
   void deliver(HttpResponse &Response, std::string_view Bytes) {
     if (Callbacks_.OnData_)
       Callbacks_.OnData_(Bytes);
@@ -199,6 +225,8 @@
   HttpClient::Callbacks Callbacks_;
   beast::tcp_stream Stream_;
   asio::steady_timer Overall_;
+  asio::steady_timer Resumed_;
+  bool Paused_ = false;
   bool Sent_ = false;
   bool Cancelled_ = false;
   bool TimedOut_ = false;
