--- /dev/null
+++ b/hawthornroad/runtime/FrameFeed.cpp
@@ -0,0 +1,74 @@
+#include "hawthornroad/runtime/FrameFeed.h"
+
+#include "hawthornroad/runtime/WireCodec.h"
+
+namespace hawthornroad {
+
+namespace {
+
+constexpr Duration RetryPost = Milliseconds(2);
+
+bool isRequestFrame(wire::Body Type) {
+  return Type == wire::Body::AttemptQuery ||
+         Type == wire::Body::AttemptCancel || Type == wire::Body::AttemptAck;
+}
+
+} // namespace
+
+FrameFeed::FrameFeed(IoThread &Io, DecisionLoop &Loop, Metrics &M, Callbacks C)
+    : Io_(Io), Loop_(Loop), Metrics_(M), Callbacks_(std::move(C)) {}
+
+void FrameFeed::frame(const PeerContext &From, const wire::Frame &Frame) {
+  auto Unpacked = std::shared_ptr<wire::FrameT>(Frame.UnPack());
+  auto Work = [this, From, Unpacked](TimePoint Now) {
+    Callbacks_.OnFrame_(From, *Unpacked, Now);
+  };
+  if (post(Work))
+    return;
+  if (const wire::AttemptBeginT *Begin = Unpacked->body.AsAttemptBegin()) {
+    BeginDropped E{idFromWire<AttemptId>(Begin->attempt.get()),
+                   From.Connection_};
+    wait([this, E](TimePoint Now) { Callbacks_.OnBeginDropped_(E, Now); });
+    return;
+  }
+  if (isRequestFrame(Unpacked->body.type))
+    wait(Work);
+  else
+    drop();
+}
+
+void FrameFeed::lost(const PeerContext &Peer) {
+  auto Work = [this, Peer](TimePoint Now) { Callbacks_.OnLost_(Peer, Now); };
+  if (!post(Work))
+    wait(Work);
+}
+
+bool FrameFeed::post(DecisionLoop::Work Work) {
+  // What waits goes first, so that frames keep their order.
+  return Waiting_.empty() && Loop_.post(std::move(Work));
+}
+
+void FrameFeed::wait(DecisionLoop::Work Work) {
+  if (Waiting_.size() >= MaxWaiting) {
+    drop();
+    return;
+  }
+  Waiting_.push_back(std::move(Work));
+  flush();
+}
+
+void FrameFeed::drop() { Metrics_.count("hawthornroad_frames_dropped_total"); }
+
+void FrameFeed::flush() {
+  while (!Waiting_.empty() && Loop_.post(Waiting_.front()))
+    Waiting_.pop_front();
+  if (Waiting_.empty() || FlushDue_)
+    return;
+  FlushDue_ = true;
+  Io_.after(RetryPost, [this] {
+    FlushDue_ = false;
+    flush();
+  });
+}
+
+} // namespace hawthornroad
