Request path of the entry: requests, attempts, claims as decision modules, and the process around them

A request lives in charts/request.json, a claim in charts/claim.json. Word of any attempt but the current one is dropped; 'not run' is said only when every attempt was stated not run.

--- /dev/null
+++ b/hawthornroad/runtime/AttemptCodec.h
@@ -0,0 +1,24 @@
+// Between the request path's types and the Attempt* messages of the wire.
+
+#ifndef HAWTHORNROAD_RUNTIME_ATTEMPTCODEC_H
+#define HAWTHORNROAD_RUNTIME_ATTEMPTCODEC_H
+
+#include "hawthornroad/routing/RequestTypes.h"
+#include "hawthornroad/runtime/PeerNet.h"
+
+#include <optional>
+
+namespace hawthornroad {
+
+FrameBuffer toFrame(const BeginAttempt &B);
+FrameBuffer toFrame(const CancelAttempt &C);
+FrameBuffer toFrame(const AskAttempt &A);
+FrameBuffer toFrame(const AckAttempt &A);
+
+// Nullopt when the frame is no word of an attempt.
+std::optional<AttemptWord> toAttemptWord(const wire::FrameT &Frame,
+                                         Incarnation From);
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_RUNTIME_ATTEMPTCODEC_H
--- /dev/null
+++ b/hawthornroad/runtime/EntryProcess.cpp
@@ -0,0 +1,582 @@
+#include "hawthornroad/runtime/EntryProcess.h"
+
+#include "hawthornroad/routing/ClaimCore.h"
+#include "hawthornroad/routing/RequestCore.h"
+#include "hawthornroad/runtime/Address.h"
+#include "hawthornroad/runtime/Admin.h"
+#include "hawthornroad/runtime/AttemptCodec.h"
+#include "hawthornroad/runtime/CallerApi.h"
+#include "hawthornroad/runtime/ClaimTable.h"
+#include "hawthornroad/runtime/ControlPlane.h"
+#include "hawthornroad/runtime/Log.h"
+#include "hawthornroad/runtime/RequestReport.h"
+
+#include <atomic>
+#include <boost/json/serialize.hpp>
+#include <chrono>
+#include <random>
+#include <thread>
+#include <unordered_map>
+
+namespace hawthornroad {
+
+namespace {
+constexpr std::size_t LoopRing = 32768;
+constexpr std::size_t IoRing = 32768;
+constexpr Duration TickPeriod = Milliseconds(20);
+// Longest wait for claims to be settled and bytes to be read at a planned stop.
+constexpr Duration SettleAtStop = Seconds(10);
+constexpr Duration StopPoll = Milliseconds(20);
+constexpr Duration BusyRetryAfter = Milliseconds(500);
+// A claim that takes longer is refused: the caller is not kept waiting for a
+// table that is out.
+constexpr Duration ClaimTimeout = Milliseconds(1000);
+
+Incarnation startTime() {
+  auto Since = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<Incarnation>(
+      std::chrono::duration_cast<std::chrono::nanoseconds>(Since).count());
+}
+
+std::int64_t wallMilliseconds() {
+  auto Since = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<Milliseconds>(Since).count();
+}
+
+std::uint64_t seedFrom(const ProcessSettings &S) {
+  if (S.RandomSeed_ != 0)
+    return S.RandomSeed_;
+  std::random_device Device;
+  return (std::uint64_t{Device()} << 32) ^ Device();
+}
+
+// Ids must differ between processes, and between lives of one process, even
+// when a test fixes the seed.
+std::uint64_t idSeed() {
+  std::random_device Device;
+  return (std::uint64_t{Device()} << 32) ^ Device() ^ startTime();
+}
+
+Problem processBusy() {
+  Problem P;
+  P.Cause_ = std::string(toString(RefusalCause::ProcessBusy));
+  P.Detail_ = "this entry has too much to do";
+  P.RetryAfter_ = BusyRetryAfter;
+  return P;
+}
+} // namespace
+
+struct EntryProcess::State {
+  explicit State(EntrySettings Settings);
+  ~State();
+
+  void listen();
+  PeerNet::Callbacks netCallbacks();
+  ControlPlane::Callbacks controlCallbacks();
+  AdminServer::Hooks adminHooks();
+
+  // On the callers' thread.
+  void onCall(HttpRequest R, std::shared_ptr<HttpExchange> X);
+  // On the peers' thread.
+  void onFrame(const PeerContext &From, const wire::Frame &Frame);
+  void onLost(const PeerContext &From, const Error &E);
+
+  // Inside the loop.
+  void arrive(CallerRequest R, std::shared_ptr<HttpExchange> X, TimePoint Now);
+  void takeFrame(const PeerContext &From, const wire::FrameT &Frame,
+                 TimePoint Now);
+  void tick(TimePoint Now);
+  void run(const RequestCore::Actions &Actions, TimePoint Now);
+  void run(const ClaimCore::Actions &Actions, TimePoint Now);
+  void perform(const BeginAttempt &A, TimePoint Now);
+  void perform(const CancelAttempt &A, TimePoint Now);
+  void perform(const AskAttempt &A, TimePoint Now);
+  void perform(const AckAttempt &A, TimePoint Now);
+  void perform(const RespondWhole &A, TimePoint Now);
+  void perform(const RespondProblem &A, TimePoint Now);
+  void perform(const StreamBegin &A, TimePoint Now);
+  void perform(const StreamBytes &A, TimePoint Now);
+  void perform(const StreamFinish &A, TimePoint Now);
+  void perform(const StreamAbort &A, TimePoint Now);
+  void perform(const StartClaim &A, TimePoint Now);
+  void perform(const SettleClaim &A, TimePoint Now);
+  void perform(const RequestDone &A, TimePoint Now);
+  HttpExchange *exchange(RequestId Id) const;
+  ResponseMark mark(RequestId Id, const VersionDigest &Version) const;
+  std::string statusText(TimePoint Now) const;
+  // Requests, claims and unread bytes that a planned stop waits for.
+  bool isIdle() const;
+
+  EntrySettings Settings_;
+  Incarnation Incarnation_ = startTime();
+  Metrics Metrics_;
+  ActorSystem System_;
+  IoThread CallersIo_{"callers", IoRing};
+  IoThread PeersIo_{"peers", IoRing};
+  IoThread PlatformIo_{"platform", IoRing};
+  IoThread AdminIo_{"admin", 1024};
+  HttpClient Platform_{PlatformIo_};
+
+  Admission Admission_;
+  Chooser Chooser_;
+  RetryBudget Budget_;
+  RequestCore Core_;
+  ClaimCore Claims_;
+  RequestReport Report_{Metrics_};
+
+  std::unique_ptr<DecisionLoop> Loop_;
+  std::unique_ptr<PeerNet> Net_;
+  std::unique_ptr<ControlPlane> Control_;
+  std::unique_ptr<ClaimTable> Table_;
+  std::unique_ptr<HttpServer> Callers_;
+  std::unique_ptr<AdminServer> Admin_;
+  std::string CallersAddress_;
+  std::string PeersAddress_;
+  std::string AdminAddress_;
+
+  // Inside the loop.
+  std::unordered_map<RequestId, std::shared_ptr<HttpExchange>> Exchanges_;
+  // Answered, but with bytes the caller has not read.
+  std::vector<std::shared_ptr<HttpExchange>> Unread_;
+  // Connection of the frame now handled: where a late frame's cancel goes.
+  ConnectionId CurrentConnection_ = 0;
+  Random Ids_{idSeed()};
+
+  std::atomic<bool> Ready_{false};
+  // A planned stop has begun; the listener is closed.
+  std::atomic<bool> Stopping_{false};
+  std::atomic<bool> Draining_{false};
+  std::atomic<bool> Idle_{false};
+  // On the peers' thread: number of the last begin put on a connection.
+  std::uint64_t BegunUpTo_ = 0;
+};
+
+namespace {
+RequestCore::Options coreOptions(const EntrySettings &S) {
+  RequestCore::Options O;
+  O.AttemptIdle_ = S.AttemptIdle_;
+  return O;
+}
+
+ClaimCore::Options claimOptions(const EntrySettings &S, Incarnation I) {
+  ClaimCore::Options O;
+  O.Holder_ = S.Common_.Process_.str();
+  O.Incarnation_ = I;
+  O.Keep_ = std::max(S.ClaimKeep_, 2 * S.MaxDeadline_);
+  O.Timeout_ = std::min(S.Common_.Platform_.Timeout_, ClaimTimeout);
+  return O;
+}
+
+std::string ipOf(const std::string &Address) {
+  return parseAddress(Address, Step::Settings).address().to_string();
+}
+
+std::uint16_t portOf(const std::string &Address) {
+  return parseAddress(Address, Step::Settings).port();
+}
+} // namespace
+
+EntryProcess::State::State(EntrySettings Settings)
+    : Settings_(std::move(Settings)),
+      Admission_(Random(seedFrom(Settings_.Common_))),
+      Chooser_(Random(seedFrom(Settings_.Common_)), Settings_.Common_.Zone_),
+      Core_(coreOptions(Settings_), loadRequestChart(Settings_.Common_.Charts_),
+            Random(idSeed()), Admission_, Chooser_, Budget_),
+      Claims_(claimOptions(Settings_, Incarnation_),
+              loadClaimChart(Settings_.Common_.Charts_),
+              Random(seedFrom(Settings_.Common_))) {
+  listen();
+}
+
+void EntryProcess::State::listen() {
+  const ProcessSettings &Common = Settings_.Common_;
+  Loop_ = std::make_unique<DecisionLoop>(System_, "decisions", TickPeriod,
+                                         LoopRing);
+  Net_ = std::make_unique<PeerNet>(
+      PeersIo_,
+      PeerNet::Self{Common.Process_, Incarnation_, Common.Zone_, "entry"},
+      PeerNet::Limits{}, netCallbacks());
+  std::string PeerIp = ipOf(Common.PeerListen_);
+  PeersAddress_ =
+      PeerIp + ":" +
+      std::to_string(Net_->listen(PeerIp, portOf(Common.PeerListen_)));
+  Table_ = std::make_unique<ClaimTable>(
+      Platform_, Common.Platform_.Table_, Common.Platform_.Timeout_,
+      [this](TableAnswer A) {
+        Loop_->post([this, A = std::move(A)](TimePoint Now) {
+          run(Claims_.tableAnswer(A, Now), Now);
+        });
+      });
+  ControlPlane::Setup Setup{Common, Incarnation_, "entry",
+                            PeerAddress(PeersAddress_)};
+  Control_ = std::make_unique<ControlPlane>(Setup, *Loop_, *Net_, Platform_,
+                                            Metrics_, controlCallbacks());
+  Admin_ = std::make_unique<AdminServer>(AdminIo_, Metrics_, adminHooks());
+  std::string AdminIp = ipOf(Common.AdminListen_);
+  AdminAddress_ =
+      AdminIp + ":" +
+      std::to_string(Admin_->listen(AdminIp, portOf(Common.AdminListen_)));
+  HttpServer::Limits Limits;
+  Limits.MaxBody_ = Settings_.MaxBody_;
+  Limits.MaxConnections_ = Settings_.MaxConnections_;
+  Callers_ = std::make_unique<HttpServer>(
+      CallersIo_, Limits,
+      [this](HttpRequest R, std::shared_ptr<HttpExchange> X) {
+        onCall(std::move(R), std::move(X));
+      });
+  std::string CallerIp = ipOf(Settings_.CallerListen_);
+  CallersAddress_ = CallerIp + ":" +
+                    std::to_string(Callers_->listen(
+                        CallerIp, portOf(Settings_.CallerListen_)));
+  Loop_->post([this](TimePoint Now) {
+    Claims_.setWallClock(wallMilliseconds(), Now);
+    Control_->start(Now);
+  });
+  Loop_->onTick([this](TimePoint Now) { tick(Now); });
+}
+
+// The loop goes before what its closures use, the threads before the loop.
+EntryProcess::State::~State() {
+  CallersIo_.stop();
+  PeersIo_.stop();
+  PlatformIo_.stop();
+  AdminIo_.stop();
+  Loop_.reset();
+}
+
+// ---- From the threads into the loop -----------------------------------------
+
+PeerNet::Callbacks EntryProcess::State::netCallbacks() {
+  PeerNet::Callbacks C;
+  C.OnFrame_ = [this](const PeerContext &From, const wire::Frame &Frame) {
+    onFrame(From, Frame);
+  };
+  C.OnLost_ = [this](const PeerContext &From, const Error &E) {
+    onLost(From, E);
+  };
+  return C;
+}
+
+void EntryProcess::State::onCall(HttpRequest R,
+                                 std::shared_ptr<HttpExchange> X) {
+  CallerLimits Limits;
+  Limits.DefaultDeadline_ = Settings_.DefaultDeadline_;
+  Limits.MaxDeadline_ = Settings_.MaxDeadline_;
+  RequestId Id = Ids_.id<RequestTag>();
+  ParsedCall Parsed = parseCall(std::move(R), Id, Limits, System_.now());
+  if (const auto *Bad = std::get_if<Problem>(&Parsed)) {
+    Metrics_.count("hawthornroad_requests_total",
+                   {{"outcome", "not-run"}, {"cause", Bad->Cause_}});
+    return X->respond(problemResponse(*Bad, {Id, 0, {}}));
+  }
+  auto &Call = std::get<CallerRequest>(Parsed);
+  X->onGone([this, Id] {
+    Loop_->post(
+        [this, Id](TimePoint Now) { run(Core_.callerGone(Id, Now), Now); });
+  });
+  bool Taken = Loop_->post([this, Call = std::move(Call), X](TimePoint Now) {
+    arrive(Call, X, Now);
+  });
+  if (!Taken) {
+    Metrics_.count("hawthornroad_requests_total",
+                   {{"outcome", "not-run"}, {"cause", "process_busy"}});
+    X->respond(problemResponse(processBusy(), {Id, 0, {}}));
+  }
+}
+
+void EntryProcess::State::onFrame(const PeerContext &From,
+                                  const wire::Frame &Frame) {
+  auto Unpacked = std::make_shared<wire::FrameT>();
+  Frame.UnPackTo(Unpacked.get());
+  bool Taken = Loop_->post([this, From, Unpacked](TimePoint Now) {
+    takeFrame(From, *Unpacked, Now);
+  });
+  if (!Taken)
+    Metrics_.count("hawthornroad_frames_dropped_total");
+}
+
+void EntryProcess::State::onLost(const PeerContext &From, const Error &E) {
+  if (From.Lane_ != Lane::Requests)
+    return;
+  ConnectionLost Lost;
+  Lost.Address_ = From.Address_;
+  Lost.NeverConnected_ = E.step() == Step::Connect;
+  Lost.BegunUpTo_ = BegunUpTo_;
+  Lost.Message_ = E.message();
+  Loop_->post([this, Lost = std::move(Lost)](TimePoint Now) {
+    run(Core_.connectionLost(Lost, Now), Now);
+  });
+}
+
+ControlPlane::Callbacks EntryProcess::State::controlCallbacks() {
+  ControlPlane::Callbacks C;
+  C.OnDeclaration_ = [this](std::shared_ptr<const Declaration> D, Revision R) {
+    Net_->setRevision(R);
+    Admission_.configure(D, 1);
+    Core_.configure(std::move(D));
+    Metrics_.set("hawthornroad_revision", static_cast<double>(R));
+  };
+  C.OnEndpoint_ = [this](const EndpointStatus &S, TimePoint Now) {
+    Chooser_.update(S, Now);
+    run(Core_.endpointChanged(S.Service_, Now), Now);
+  };
+  C.OnEndpointGone_ = [this](const Vm &V, Incarnation I, TimePoint Now) {
+    Chooser_.remove(V, I);
+    run(Core_.endpointGone(V, I, Now), Now);
+  };
+  return C;
+}
+
+AdminServer::Hooks EntryProcess::State::adminHooks() {
+  AdminServer::Hooks H;
+  H.Ready_ = [this] { return Ready_.load() && !Stopping_.load(); };
+  H.StatusJson_ = [this](AdminServer::Reply Done) {
+    bool Taken =
+        Loop_->post([this, Done](TimePoint Now) { Done(statusText(Now)); });
+    if (!Taken)
+      Done("{\"error\":\"the decision loop is full\"}");
+  };
+  H.BeforeMetrics_ = [this] {
+    Metrics_.set("hawthornroad_decision_backlog",
+                 static_cast<double>(Loop_->backlog()));
+  };
+  return H;
+}
+
+// ---- Inside the loop --------------------------------------------------------
+
+void EntryProcess::State::arrive(CallerRequest R,
+                                 std::shared_ptr<HttpExchange> X,
+                                 TimePoint Now) {
+  RequestId Id = R.Id_;
+  R.Repeatable_ =
+      R.Repeatable_ && Core_.isRepeatable(R.Service_, R.Method_, R.Target_);
+  Exchanges_[Id] = std::move(X);
+  run(Core_.arrived(std::make_shared<const CallerRequest>(std::move(R)), Now),
+      Now);
+}
+
+void EntryProcess::State::takeFrame(const PeerContext &From,
+                                    const wire::FrameT &Frame, TimePoint Now) {
+  if (Control_->onFrame(From, Frame, Now))
+    return;
+  std::optional<AttemptWord> Word = toAttemptWord(Frame, From.Incarnation_);
+  if (!Word)
+    return;
+  AttemptId Id =
+      std::visit([](const auto &W) { return W.From_.Attempt_; }, *Word);
+  RequestId Request = Core_.requestOf(Id);
+  if (const HttpExchange *X = exchange(Request))
+    run(Core_.callerBacklog(Request, X->backlog(), Now), Now);
+  CurrentConnection_ = From.Connection_;
+  run(Core_.attemptWord(*Word, Now), Now);
+  CurrentConnection_ = 0;
+}
+
+void EntryProcess::State::tick(TimePoint Now) {
+  Claims_.setWallClock(wallMilliseconds(), Now);
+  Ready_.store(Control_->ready());
+  for (RequestId Id : Core_.heldBack())
+    if (const HttpExchange *X = exchange(Id))
+      run(Core_.callerBacklog(Id, X->backlog(), Now), Now);
+  run(Core_.tick(Now), Now);
+  run(Claims_.tick(Now), Now);
+  std::erase_if(Unread_, [](const auto &X) { return X->backlog() == 0; });
+  Metrics_.set("hawthornroad_requests_open", static_cast<double>(Core_.open()));
+  Metrics_.set("hawthornroad_claims_open", static_cast<double>(Claims_.open()));
+  Metrics_.set("hawthornroad_claims_dropped",
+               static_cast<double>(Claims_.dropped()));
+  if (Draining_.load()) {
+    Core_.drain();
+    Idle_.store(isIdle());
+  }
+}
+
+void EntryProcess::State::run(const RequestCore::Actions &Actions,
+                              TimePoint Now) {
+  for (const RequestAction &Each : Actions)
+    std::visit([&](const auto &A) { perform(A, Now); }, Each);
+}
+
+void EntryProcess::State::run(const ClaimCore::Actions &Actions,
+                              TimePoint Now) {
+  for (const ClaimAction &Each : Actions) {
+    if (const auto *W = std::get_if<TableWrite>(&Each))
+      Table_->run(*W);
+    else if (const auto *R = std::get_if<TableRead>(&Each))
+      Table_->run(*R);
+    else
+      run(Core_.claimWord(std::get<ClaimWord>(Each), Now), Now);
+  }
+}
+
+// The marker behind the frame tells the peers' thread which begins it has put
+// on a connection; see RequestCore.h, "Truth of not run".
+void EntryProcess::State::perform(const BeginAttempt &A, TimePoint Now) {
+  if (!Net_->send(A.Address_, Lane::Requests, toFrame(A))) {
+    run(Core_.notSent(A.Attempt_, Now), Now);
+    return;
+  }
+  PeersIo_.submit([this, Number = A.Number_] { BegunUpTo_ = Number; });
+  log(LogLevel::Debug, Step::Dispatch, "attempt begun",
+      {{"request", A.Request_->Id_.str()},
+       {"attempt", A.Attempt_.str()},
+       {"peer", A.Address_.str()}});
+}
+
+void EntryProcess::State::perform(const CancelAttempt &A, TimePoint) {
+  if (A.Address_.empty())
+    Net_->reply(CurrentConnection_, toFrame(A));
+  else
+    Net_->send(A.Address_, Lane::Requests, toFrame(A));
+}
+
+void EntryProcess::State::perform(const AskAttempt &A, TimePoint) {
+  if (A.Fresh_)
+    Net_->sendFresh(A.Address_, Lane::Requests, toFrame(A));
+  else
+    Net_->send(A.Address_, Lane::Requests, toFrame(A));
+  Metrics_.count("hawthornroad_attempt_questions_total",
+                 {{"fresh", A.Fresh_ ? "yes" : "no"}});
+}
+
+void EntryProcess::State::perform(const AckAttempt &A, TimePoint) {
+  Net_->send(A.Address_, Lane::Requests, toFrame(A));
+}
+
+HttpExchange *EntryProcess::State::exchange(RequestId Id) const {
+  auto Found = Exchanges_.find(Id);
+  return Found == Exchanges_.end() ? nullptr : Found->second.get();
+}
+
+ResponseMark EntryProcess::State::mark(RequestId Id,
+                                       const VersionDigest &Version) const {
+  return {Id, Control_->revision(), Version};
+}
+
+void EntryProcess::State::perform(const RespondWhole &A, TimePoint) {
+  HttpResponse R{A.Status_, toHttp(A.Headers_), A.Body_};
+  addMark(R.Headers_, mark(A.Request_, A.Version_), Outcome::Answered);
+  if (HttpExchange *X = exchange(A.Request_))
+    X->respond(std::move(R));
+}
+
+void EntryProcess::State::perform(const RespondProblem &A, TimePoint) {
+  if (HttpExchange *X = exchange(A.Request_))
+    X->respond(problemResponse(A.Problem_, mark(A.Request_, A.Version_)));
+}
+
+void EntryProcess::State::perform(const StreamBegin &A, TimePoint) {
+  HttpHeaders Headers = toHttp(A.Headers_);
+  addMark(Headers, mark(A.Request_, A.Version_), Outcome::Answered);
+  if (HttpExchange *X = exchange(A.Request_))
+    X->head(A.Status_, std::move(Headers));
+}
+
+void EntryProcess::State::perform(const StreamBytes &A, TimePoint) {
+  if (HttpExchange *X = exchange(A.Request_))
+    X->write(A.Bytes_);
+}
+
+void EntryProcess::State::perform(const StreamFinish &A, TimePoint) {
+  if (HttpExchange *X = exchange(A.Request_))
+    X->finish();
+}
+
+void EntryProcess::State::perform(const StreamAbort &A, TimePoint) {
+  HttpExchange *X = exchange(A.Request_);
+  if (X == nullptr)
+    return;
+  if (A.IsEvents_)
+    X->write("event: error\ndata: " + problemText(A.Problem_, A.Request_) +
+             "\n\n");
+  X->abort();
+}
+
+void EntryProcess::State::perform(const StartClaim &A, TimePoint Now) {
+  run(Claims_.start(A.Request_, Now), Now);
+}
+
+void EntryProcess::State::perform(const SettleClaim &A, TimePoint Now) {
+  run(Claims_.settle(A, Now), Now);
+}
+
+void EntryProcess::State::perform(const RequestDone &A, TimePoint) {
+  Report_.done(A);
+  auto Found = Exchanges_.find(A.Request_->Id_);
+  if (Found == Exchanges_.end())
+    return;
+  if (Found->second->backlog() > 0)
+    Unread_.push_back(std::move(Found->second));
+  Exchanges_.erase(Found);
+}
+
+bool EntryProcess::State::isIdle() const {
+  return Core_.open() == 0 && Claims_.open() == 0 && Unread_.empty();
+}
+
+std::string EntryProcess::State::statusText(TimePoint Now) const {
+  boost::json::object Out;
+  Out["process"] = Settings_.Common_.Process_.str();
+  Out["role"] = "entry";
+  Out["zone"] = Settings_.Common_.Zone_.str();
+  Out["ready"] = Ready_.load();
+  Out["draining"] = Stopping_.load();
+  Out["revision"] = Control_->revision();
+  Out["requests_in_progress"] = Core_.inProgress();
+  Out["claims_open"] = Claims_.open();
+  boost::json::array Endpoints;
+  for (const EndpointStatus &Each : Chooser_.all()) {
+    boost::json::object E;
+    E["vm"] = Each.Vm_.str();
+    E["service"] = Each.Service_.str();
+    E["phase"] = std::string(toString(Each.Phase_));
+    E["version"] = Each.Version_.str();
+    E["ejected"] = Chooser_.isEjected(Each.Vm_, Now);
+    Endpoints.push_back(std::move(E));
+  }
+  Out["endpoints"] = std::move(Endpoints);
+  Out["control"] = Control_->status(Now);
+  return boost::json::serialize(Out);
+}
+
+// ---- Public -----------------------------------------------------------------
+
+void EntryProcess::check(const std::string &SettingsFile) {
+  EntrySettings S = EntrySettings::load(SettingsFile);
+  loadRequestChart(S.Common_.Charts_);
+  loadClaimChart(S.Common_.Charts_);
+}
+
+EntryProcess::EntryProcess(EntrySettings Settings)
+    : State_(std::make_unique<State>(std::move(Settings))) {}
+
+EntryProcess::~EntryProcess() = default;
+
+boost::json::object EntryProcess::readyLine() const {
+  boost::json::object Line;
+  Line["ready"] = "entry";
+  Line["process"] = State_->Settings_.Common_.Process_.str();
+  Line["callers"] = State_->CallersAddress_;
+  Line["peers"] = State_->PeersAddress_;
+  Line["admin"] = State_->AdminAddress_;
+  return Line;
+}
+
+void EntryProcess::drain() {
+  State &S = *State_;
+  // The balancer needs a while to see /readyz fail; until then its callers
+  // are served as before.
+  S.Stopping_.store(true);
+  std::this_thread::sleep_for(S.Settings_.DrainGrace_);
+  S.Callers_->closeListener();
+  S.Draining_.store(true);
+  TimePoint Limit = std::chrono::steady_clock::now() +
+                    S.Settings_.MaxDeadline_ + SettleAtStop;
+  while (!S.Idle_.load() && std::chrono::steady_clock::now() < Limit)
+    std::this_thread::sleep_for(StopPoll);
+  S.Loop_->post([&S](TimePoint Now) { S.Control_->leave(Now); });
+  std::this_thread::sleep_for(5 * StopPoll);
+}
+
+} // namespace hawthornroad
--- /dev/null
+++ b/hawthornroad/runtime/RequestReport.cpp
@@ -0,0 +1,52 @@
+#include "hawthornroad/runtime/RequestReport.h"
+
+#include "hawthornroad/runtime/Log.h"
+
+namespace hawthornroad {
+
+namespace {
+double inSeconds(Duration D) {
+  return std::chrono::duration<double>(D).count();
+}
+
+std::string millisecondsText(Duration D) {
+  return std::to_string(std::chrono::duration_cast<Milliseconds>(D).count());
+}
+} // namespace
+
+void RequestReport::done(const RequestDone &Done) {
+  const CallerRequest &R = *Done.Request_;
+  std::string Said(toString(Done.Outcome_));
+  Metrics_.count("hawthornroad_requests_total",
+                 {{"outcome", Said}, {"cause", Done.Cause_}});
+  if (Done.Attempts_ > 1)
+    Metrics_.count("hawthornroad_retries_total",
+                   {{"service", R.Service_.str()}}, Done.Attempts_ - 1);
+  Metrics::Labels Who = {{"customer", R.Customer_.str()},
+                         {"priority", std::string(toString(R.Priority_))}};
+  Metrics_.observe("hawthornroad_queue_seconds", inSeconds(Done.Queued_), Who);
+  if (Done.FirstByte_)
+    Metrics_.observe("hawthornroad_first_byte_seconds",
+                     inSeconds(*Done.FirstByte_), Who);
+  if (Done.Outcome_ == Outcome::Answered)
+    Metrics_.observe("hawthornroad_request_seconds", inSeconds(Done.Whole_),
+                     Who);
+  std::string First = Done.FirstByte_ ? millisecondsText(*Done.FirstByte_) : "";
+  log(LogLevel::Info, Step::Answer, "request done",
+      {{"request", R.Id_.str()},
+       {"customer", R.Customer_.str()},
+       {"service", R.Service_.str()},
+       {"outcome", Said},
+       {"cause", Done.Cause_},
+       {"status", std::to_string(Done.Status_)},
+       {"attempts", std::to_string(Done.Attempts_)},
+       {"vm", Done.LastVm_.str()},
+       {"version", Done.Version_.str()},
+       {"bytes", std::to_string(Done.Bytes_)},
+       {"caller_gone", Done.CallerGone_ ? "true" : ""},
+       {"queued_ms", millisecondsText(Done.Queued_)},
+       {"first_byte_ms", First},
+       {"whole_ms", millisecondsText(Done.Whole_)}});
+}
+
+} // namespace hawthornroad
