--- a/hawthornroad/routing/AnswerBuffer.cpp
+++ b/hawthornroad/routing/CallerAnswer.cpp
@@ -1,4 +1,4 @@
-#include "hawthornroad/routing/AnswerBuffer.h"
+#include "hawthornroad/routing/CallerAnswer.h"
 
 #include <algorithm>
 #include <cctype>
@@ -17,7 +17,7 @@
   });
 }
 
-bool isEventStream(const AnswerBuffer::Head &H) {
+bool isEventStream(const CallerAnswer::Head &H) {
   if (H.Status_ != StatusOk)
     return false;
   for (const HeaderField &Each : H.Headers_)
@@ -29,7 +29,7 @@
 }
 } // namespace
 
-bool AnswerBuffer::head(Head H) {
+bool CallerAnswer::head(Head H) {
   bool Events = isEventStream(H);
   if (Begun_)
     return IsEvents_ && Events && H.Version_ == Head_.Version_;
@@ -39,7 +39,7 @@
   return true;
 }
 
-AnswerBuffer::Out AnswerBuffer::release(std::string Bytes) {
+CallerAnswer::Out CallerAnswer::release(std::string Bytes) {
   Out O;
   O.Begins_ = !Begun_;
   Begun_ = true;
@@ -50,7 +50,7 @@
   return O;
 }
 
-AnswerBuffer::Out AnswerBuffer::data(std::string_view Bytes) {
+CallerAnswer::Out CallerAnswer::data(std::string_view Bytes) {
   if (IsEvents_) {
     std::string Whole = Events_.feed(Bytes);
     return Whole.empty() ? Out{} : release(std::move(Whole));
@@ -63,13 +63,13 @@
   return release(std::exchange(Held_, {}));
 }
 
-AnswerBuffer::Out AnswerBuffer::end() {
+CallerAnswer::Out CallerAnswer::end() {
   if (IsEvents_)
     return release(Events_.rest());
   return release(std::exchange(Held_, {}));
 }
 
-KeptAnswer AnswerBuffer::kept(std::size_t MaxBody) const {
+KeptAnswer CallerAnswer::kept(std::size_t MaxBody) const {
   KeptAnswer K;
   K.Status_ = Head_.Status_;
   K.Headers_ = Head_.Headers_;
@@ -81,7 +81,7 @@
   return K;
 }
 
-void AnswerBuffer::restart() {
+void CallerAnswer::restart() {
   Held_.clear();
   Events_.dropRest();
   if (Begun_)
--- a/hawthornroad/routing/AnswerBuffer.h
+++ b/hawthornroad/routing/CallerAnswer.h
@@ -1,9 +1,9 @@
 // Decides which part of an answer may go to the caller already.
 //
-//   AnswerBuffer B;
-//   B.head(200, Headers, Version);
-//   AnswerBuffer::Out O = B.data("...");   // empty while it is held back
-//   O = B.end();                           // the rest
+//   CallerAnswer A;
+//   A.head(200, Headers, Version);
+//   CallerAnswer::Out O = A.data("...");   // empty while it is held back
+//   O = A.end();                           // the rest
 //
 // The idea. What has gone out cannot be taken back, so as little as possible
 // goes out before it is safe:
@@ -13,15 +13,15 @@
 //    failed attempt can be repeated without the caller noticing;
 //  - a larger body is streamed from there on and cannot be repeated.
 
-#ifndef HAWTHORNROAD_ROUTING_ANSWERBUFFER_H
-#define HAWTHORNROAD_ROUTING_ANSWERBUFFER_H
+#ifndef HAWTHORNROAD_ROUTING_CALLERANSWER_H
+#define HAWTHORNROAD_ROUTING_CALLERANSWER_H
 
 #include "hawthornroad/routing/EventSplitter.h"
 #include "hawthornroad/routing/RequestTypes.h"
 
 namespace hawthornroad {
 
-class AnswerBuffer {
+class CallerAnswer {
 public:
   static constexpr std::size_t MaxHeld = 1024 * 1024;
 
@@ -78,4 +78,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_ROUTING_ANSWERBUFFER_H
+#endif // HAWTHORNROAD_ROUTING_CALLERANSWER_H
--- a/hawthornroad/routing/RequestCore.cpp
+++ b/hawthornroad/routing/RequestCore.cpp
@@ -64,7 +64,7 @@
   void fail(Record &R, Problem P, bool MayHaveRun, TimePoint Now);
   Record *current(const AttemptSource &From, TimePoint Now);
   void hear(Record &R, const AttemptSource &From, TimePoint Now);
-  void passOn(Record &R, AnswerBuffer::Out Out, TimePoint Now);
+  void passOn(Record &R, CallerAnswer::Out Out, TimePoint Now);
   void checkEnd(Record &R, TimePoint Now);
   void ack(Record &R, bool Whole);
   void onWord(const AttemptAccepted &W, TimePoint Now);
@@ -294,8 +294,8 @@
 }
 
 void RequestCore::State::finish(Record &R) {
-  AnswerBuffer::Out Out = R.Answer_.end();
-  const AnswerBuffer::Head &Head = R.Answer_.head();
+  CallerAnswer::Out Out = R.Answer_.end();
+  const CallerAnswer::Head &Head = R.Answer_.head();
   RequestId Id = R.Call_->Id_;
   R.Status_ = Head.Status_;
   R.Answered_ = true;
@@ -507,12 +507,12 @@
        !NotRun, Now);
 }
 
-void RequestCore::State::passOn(Record &R, AnswerBuffer::Out Out,
+void RequestCore::State::passOn(Record &R, CallerAnswer::Out Out,
                                 TimePoint Now) {
   if (R.Answered_ || R.CallerGone_)
     return;
   RequestId Id = R.Call_->Id_;
-  const AnswerBuffer::Head &Head = R.Answer_.head();
+  const CallerAnswer::Head &Head = R.Answer_.head();
   if (Out.Begins_) {
     R.FirstByteAt_ = Now;
     R.Status_ = Head.Status_;
--- a/hawthornroad/routing/RequestCore.h
+++ b/hawthornroad/routing/RequestCore.h
@@ -34,10 +34,10 @@
 // attempts at that address, which then ask too.
 //
 // Whole answers. AttemptStream orders bytes and checks length and hash,
-// AnswerBuffer holds back what may still be replaced. An event stream goes on
+// CallerAnswer holds back what may still be replaced. An event stream goes on
 // at another endpoint of the same version from the first event not passed on.
 //
-// Bounds: MaxRequests at once; per request AttemptStream's and AnswerBuffer's.
+// Bounds: MaxRequests at once; per request AttemptStream's and CallerAnswer's.
 // Cost: a tick looks at every request; an event looks up one.
 // No I/O, no clock, no threads.
 
--- a/hawthornroad/routing/RequestRecord.h
+++ b/hawthornroad/routing/RequestRecord.h
@@ -3,8 +3,8 @@
 #ifndef HAWTHORNROAD_ROUTING_REQUESTRECORD_H
 #define HAWTHORNROAD_ROUTING_REQUESTRECORD_H
 
-#include "hawthornroad/routing/AnswerBuffer.h"
 #include "hawthornroad/routing/AttemptStream.h"
+#include "hawthornroad/routing/CallerAnswer.h"
 #include "hawthornroad/routing/RequestChart.h"
 #include "hawthornroad/routing/RequestTypes.h"
 
@@ -39,7 +39,7 @@
   std::optional<AttemptRecord> Attempt_;
   std::set<Vm> Tried_;
   VersionDigest Version_;
-  AnswerBuffer Answer_;
+  CallerAnswer Answer_;
   // Why the last attempt, or the request, came to nothing.
   Problem Problem_;
   // The endpoint found by a guard for the next attempt.
