--- /dev/null
+++ b/hawthornroad/runtime/AgentProcess.cpp
@@ -0,0 +1,238 @@
+#include "hawthornroad/runtime/AgentProcess.h"
+
+#include "hawthornroad/runtime/Address.h"
+#include "hawthornroad/runtime/Admin.h"
+#include "hawthornroad/runtime/AgentCore.h"
+#include "hawthornroad/runtime/FrameFeed.h"
+
+#include <atomic>
+#include <boost/json/serialize.hpp>
+#include <chrono>
+#include <future>
+#include <thread>
+
+namespace hawthornroad {
+
+namespace {
+
+constexpr std::size_t IoRing = 16384;
+constexpr std::size_t LoopRing = 16384;
+constexpr Duration LoopTick = Milliseconds(20);
+
+Incarnation startNumber() {
+  auto Since = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<Incarnation>(
+      std::chrono::duration_cast<std::chrono::nanoseconds>(Since).count());
+}
+
+// Returns the "IP:port" it got.
+template <class ListenerT>
+std::string listenAt(ListenerT &Listener, const std::string &Address) {
+  auto Endpoint = parseAddress(Address, Step::Listen);
+  std::uint16_t Port =
+      Listener.listen(Endpoint.address().to_string(), Endpoint.port());
+  return formatAddress({Endpoint.address(), Port});
+}
+
+PeerNet::Self selfOf(const AgentSettings &S, Incarnation I) {
+  return {S.Common_.Process_, I, S.Common_.Zone_, "agent"};
+}
+
+} // namespace
+
+struct AgentProcess::State {
+  explicit State(const AgentSettings &S);
+  ~State();
+
+  FrameFeed::Callbacks peersFeed();
+  FrameFeed::Callbacks weightsFeed();
+  PeerNet::Callbacks feedTo(FrameFeed &Feed);
+  AdminServer::Hooks adminHooks();
+  void start(TimePoint Now);
+  void tick(TimePoint Now);
+  bool postStop();
+
+  AgentSettings Settings_;
+  Incarnation Incarnation_ = startNumber();
+  Metrics Metrics_;
+  IoThread PeersIo_{"peers", IoRing};
+  IoThread WeightsIo_{"weights", IoRing};
+  IoThread EngineIo_{"engine", IoRing};
+  IoThread PlatformIo_{"platform", IoRing};
+  IoThread AdminIo_{"admin", IoRing};
+  ActorSystem System_;
+  std::unique_ptr<DecisionLoop> Loop_;
+  HttpClient EngineHttp_{EngineIo_};
+  HttpClient PlatformHttp_{PlatformIo_};
+  HttpClient OriginHttp_{WeightsIo_};
+  FrameFeed PeersFeed_;
+  FrameFeed WeightsFeed_;
+  PeerNet Peers_;
+  PeerNet WeightsNet_;
+  AdminServer Admin_;
+  std::string PeersAddress_;
+  std::string WeightsAddress_;
+  std::string AdminAddress_;
+  // Made after the listeners, whose addresses it tells; used only inside the
+  // loop and only once IsStarted_.
+  std::unique_ptr<AgentCore> Core_;
+  bool IsStarted_ = false;
+  bool IsStopAsked_ = false;
+  bool IsLeftTold_ = false;
+  std::atomic<bool> IsReady_{false};
+  std::promise<void> Left_;
+};
+
+AgentProcess::State::State(const AgentSettings &S)
+    : Settings_(S), Loop_(std::make_unique<DecisionLoop>(System_, "decisions",
+                                                         LoopTick, LoopRing)),
+      PeersFeed_(PeersIo_, *Loop_, Metrics_, peersFeed()),
+      WeightsFeed_(WeightsIo_, *Loop_, Metrics_, weightsFeed()),
+      Peers_(PeersIo_, selfOf(S, Incarnation_), {}, feedTo(PeersFeed_)),
+      WeightsNet_(WeightsIo_, selfOf(S, Incarnation_), {},
+                  feedTo(WeightsFeed_)),
+      Admin_(AdminIo_, Metrics_, adminHooks()),
+      PeersAddress_(listenAt(Peers_, S.Common_.PeerListen_)),
+      WeightsAddress_(listenAt(WeightsNet_, S.WeightsListen_)),
+      AdminAddress_(listenAt(Admin_, S.Common_.AdminListen_)) {
+  Core_ = std::make_unique<AgentCore>(
+      AgentCore::Setup{S, Incarnation_, PeerAddress(PeersAddress_),
+                       PeerAddress(WeightsAddress_)},
+      AgentCore::Wiring{System_, *Loop_, Peers_, WeightsNet_, WeightsIo_,
+                        EngineIo_, EngineHttp_, PlatformHttp_, OriginHttp_,
+                        Metrics_});
+  Loop_->post([this](TimePoint Now) { start(Now); });
+}
+
+// Threads that feed the loop stop first, then the loop; what its closures
+// touch is destroyed after it.
+AgentProcess::State::~State() {
+  for (IoThread *Each :
+       {&AdminIo_, &PeersIo_, &WeightsIo_, &EngineIo_, &PlatformIo_})
+    Each->stop();
+  Loop_.reset();
+}
+
+void AgentProcess::State::start(TimePoint Now) {
+  IsStarted_ = true;
+  Core_->start(Now);
+  if (IsStopAsked_)
+    Core_->stop(Now);
+  Loop_->onTick([this](TimePoint At) { tick(At); });
+}
+
+void AgentProcess::State::tick(TimePoint Now) {
+  Core_->tick(Now);
+  IsReady_.store(Core_->isReady());
+  if (IsLeftTold_ || !Core_->hasLeft(Now))
+    return;
+  IsLeftTold_ = true;
+  Left_.set_value();
+}
+
+FrameFeed::Callbacks AgentProcess::State::peersFeed() {
+  FrameFeed::Callbacks C;
+  C.OnFrame_ = [this](const PeerContext &From, wire::FrameT &F, TimePoint Now) {
+    if (IsStarted_)
+      Core_->onPeerFrame(From, F, Now);
+  };
+  C.OnBeginDropped_ = [this](const BeginDropped &E, TimePoint Now) {
+    if (IsStarted_)
+      Core_->onBeginDropped(E, Now);
+  };
+  C.OnLost_ = [this](const PeerContext &Peer, TimePoint Now) {
+    if (IsStarted_)
+      Core_->onPeerLost(Peer, Now);
+  };
+  return C;
+}
+
+FrameFeed::Callbacks AgentProcess::State::weightsFeed() {
+  FrameFeed::Callbacks C;
+  C.OnFrame_ = [this](const PeerContext &From, wire::FrameT &F, TimePoint Now) {
+    if (IsStarted_)
+      Core_->onWeightsFrame(From, F, Now);
+  };
+  // No request belongs on this listener: it is neither run nor answered.
+  C.OnBeginDropped_ = [](const BeginDropped &, TimePoint) {};
+  C.OnLost_ = [this](const PeerContext &Peer, TimePoint Now) {
+    if (IsStarted_)
+      Core_->onWeightsLost(Peer, Now);
+  };
+  return C;
+}
+
+PeerNet::Callbacks AgentProcess::State::feedTo(FrameFeed &Feed) {
+  PeerNet::Callbacks C;
+  C.OnFrame_ = [&Feed](const PeerContext &From, const wire::Frame &Frame) {
+    Feed.frame(From, Frame);
+  };
+  C.OnLost_ = [&Feed](const PeerContext &Peer, const Error &) {
+    Feed.lost(Peer);
+  };
+  return C;
+}
+
+AdminServer::Hooks AgentProcess::State::adminHooks() {
+  AdminServer::Hooks Hooks;
+  Hooks.Ready_ = [this] { return IsReady_.load(); };
+  Hooks.StatusJson_ = [this](AdminServer::Reply Done) {
+    bool Asked = Loop_->post([this, Done](TimePoint Now) {
+      Done(IsStarted_ ? boost::json::serialize(Core_->status(Now))
+                      : R"({"phase":"starting"})");
+    });
+    if (!Asked)
+      Done(R"({"error":"busy"})");
+  };
+  Hooks.BeforeMetrics_ = [this] {
+    Metrics_.set("hawthornroad_peer_bytes_sent",
+                 static_cast<double>(Peers_.bytesSent()));
+    Metrics_.set("hawthornroad_peer_bytes_received",
+                 static_cast<double>(Peers_.bytesReceived()));
+  };
+  Hooks.Routes_.push_back(
+      {"POST", "/drain", [this](HttpRequest, auto Exchange) {
+         Exchange->respond(postStop()
+                               ? jsonResponse(202, R"({"drain":"begun"})")
+                               : jsonResponse(503, R"({"error":"busy"})"));
+       }});
+  return Hooks;
+}
+
+bool AgentProcess::State::postStop() {
+  return Loop_->post([this](TimePoint Now) {
+    IsStopAsked_ = true;
+    if (IsStarted_)
+      Core_->stop(Now);
+  });
+}
+
+AgentProcess::AgentProcess(const AgentSettings &S)
+    : State_(std::make_unique<State>(S)) {}
+
+AgentProcess::~AgentProcess() = default;
+
+boost::json::object AgentProcess::readyLine() const {
+  return {{"ready", "agent"},
+          {"process", State_->Settings_.Common_.Process_.str()},
+          {"vm", State_->Settings_.Vm_.str()},
+          {"peers", State_->PeersAddress_},
+          {"weights", State_->WeightsAddress_},
+          {"admin", State_->AdminAddress_}};
+}
+
+void AgentProcess::stop() {
+  // A full ring empties within milliseconds; a stop must not be lost.
+  while (!State_->postStop())
+    std::this_thread::sleep_for(LoopTick);
+}
+
+void AgentProcess::waitUntilLeft() { State_->Left_.get_future().wait(); }
+
+void checkAgentSettings(const std::string &File) {
+  AgentSettings S = AgentSettings::load(File);
+  attemptChart(S.Common_.Charts_);
+  drainChart(S.Common_.Charts_);
+}
+
+} // namespace hawthornroad
