hawthornroadctl: validate, diff, apply, rollback, history, status, explain, drain, manifest

Thin over the decision modules: the tool performs the table calls that ApplyProtocol decides on. Only 200 and 412 count as the table's word on a write; any other status may come from something in front of it. Texts are validated before the table is asked at all.

--- /dev/null
+++ b/hawthornroad/runtime/CtlCommands.h
@@ -0,0 +1,47 @@
+// The commands of hawthornroadctl. Each prints through a CtlPrinter and
+// returns the exit code; errors are thrown and told by runCtl().
+
+#ifndef HAWTHORNROAD_RUNTIME_CTLCOMMANDS_H
+#define HAWTHORNROAD_RUNTIME_CTLCOMMANDS_H
+
+#include "hawthornroad/runtime/Ctl.h"
+#include "hawthornroad/runtime/CtlOptions.h"
+
+#include <boost/json/object.hpp>
+#include <cstdint>
+#include <ostream>
+#include <string>
+
+namespace hawthornroad {
+
+// Gathers a command's result in both forms and prints the one asked for.
+class CtlPrinter {
+public:
+  CtlPrinter(std::ostream &Out, bool AsJson) : Out_(Out), AsJson_(AsJson) {}
+
+  // One line for a reader; nothing with --json.
+  void line(const std::string &Text);
+  // The whole result for a program; nothing without --json.
+  void result(const boost::json::object &Result);
+
+private:
+  std::ostream &Out_;
+  bool AsJson_;
+};
+
+// "2026-12-02 18:01:18Z" for milliseconds since the epoch.
+std::string formatWallClock(std::int64_t Milliseconds);
+
+CtlExit ctlValidate(const CtlOptions &O, CtlPrinter &P);
+CtlExit ctlDiff(const CtlOptions &O, CtlPrinter &P);
+CtlExit ctlApply(const CtlOptions &O, CtlPrinter &P);
+CtlExit ctlRollback(const CtlOptions &O, CtlPrinter &P);
+CtlExit ctlHistory(const CtlOptions &O, CtlPrinter &P);
+CtlExit ctlStatus(const CtlOptions &O, CtlPrinter &P);
+CtlExit ctlExplain(const CtlOptions &O, CtlPrinter &P);
+CtlExit ctlDrain(const CtlOptions &O, CtlPrinter &P);
+CtlExit ctlManifest(const CtlOptions &O, CtlPrinter &P);
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_RUNTIME_CTLCOMMANDS_H
--- /dev/null
+++ b/hawthornroad/runtime/FleetStatus.h
@@ -0,0 +1,74 @@
+// What the processes of the system report about themselves and each other, as
+// an operator's tool reads it: GET /status of each admin address given.
+//
+//   FleetStatus S = readFleetStatus({"10.0.0.5:9000"}, Seconds(2));
+//   std::vector<std::string> Late = behind(S, 7);
+//
+// A process that does not answer is part of the result, not an error: the tool
+// is used exactly when some do not.
+
+#ifndef HAWTHORNROAD_RUNTIME_FLEETSTATUS_H
+#define HAWTHORNROAD_RUNTIME_FLEETSTATUS_H
+
+#include "hawthornroad/base/Types.h"
+
+#include <boost/json/object.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hawthornroad {
+
+// One process as the others see it.
+struct MemberReport {
+  std::string Process_;
+  std::string Role_;
+  std::string Zone_;
+  // "alive", "suspect", "left", "dead", in the words of /status.
+  std::string State_;
+  std::string Address_;
+  Revision Revision_ = 0;
+  std::string Vm_;
+  // The endpoint's report, empty when there is none.
+  boost::json::object Endpoint_;
+
+  // Whether it has left or died, and so cannot be behind.
+  bool isGone() const { return State_ == "left" || State_ == "dead"; }
+};
+
+// The answer of one admin address.
+struct ProcessReport {
+  std::string Admin_;
+  // Empty, or why there is no answer.
+  std::string Failure_;
+  std::string Process_;
+  std::string Vm_;
+  Revision Revision_ = 0;
+  std::vector<std::string> Behind_;
+  std::vector<MemberReport> Members_;
+  // The whole /status as it came.
+  boost::json::object Raw_;
+};
+
+struct FleetStatus {
+  std::vector<ProcessReport> Reports_;
+
+  // Each process once, in the word of the report with the highest revision of
+  // it; by name.
+  std::map<std::string, MemberReport> members() const;
+  Revision highestRevision() const;
+};
+
+ProcessReport parseProcessReport(const std::string &Admin,
+                                 std::string_view Body);
+// Asks every address in turn; Timeout bounds each answer.
+FleetStatus readFleetStatus(const std::vector<std::string> &Admins,
+                            Duration Timeout);
+
+// The processes that have not applied revision N, and the admin addresses that
+// do not answer (which cannot be known to have applied it).
+std::vector<std::string> behind(const FleetStatus &S, Revision N);
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_RUNTIME_FLEETSTATUS_H
