--- a/hawthornroad/membership/Membership.cpp
+++ b/hawthornroad/membership/Membership.cpp
@@ -165,8 +165,13 @@
 void Membership::learn(const PeerAddress &From,
                        const std::vector<Member> &Members, Revision Held,
                        TimePoint Now, Output &Out) {
+  Incarnation Before = Table_.self().Incarnation_;
   for (const Member &Each : Members)
     note(Table_.hear(Each, Now), Now, Out);
+  // Who said so hears the refutation first hand: it may be about to call this
+  // process dead, and gossip could take longer than its suspicion lasts.
+  if (Table_.self().Incarnation_ != Before)
+    tellOfSelf(From, Out);
   if (Held > 0)
     Out.Revisions_.push_back({From, Held});
 }
@@ -214,6 +219,12 @@
   Out.Sends_.push_back({To, GossipMessage{{Self, Copy}, Held_}});
 }
 
+void Membership::tellOfSelf(const PeerAddress &To, Output &Out) {
+  Member Self = Table_.self();
+  Self.Report_ = nullptr;
+  Out.Sends_.push_back({To, GossipMessage{{Self}, Held_}});
+}
+
 void Membership::answer(const PeerAddress &To, std::uint64_t Sequence,
                         const ProcessName &Process, const ProcessName &Reader,
                         Output &Out) {
--- a/hawthornroad/membership/Membership.h
+++ b/hawthornroad/membership/Membership.h
@@ -130,6 +130,7 @@
               Output &Out);
   std::vector<Member> news(const ProcessName &Reader);
   void tellOf(const ProcessName &About, const PeerAddress &To, Output &Out);
+  void tellOfSelf(const PeerAddress &To, Output &Out);
   void spreadEagerly(TimePoint Now, Output &Out);
   void seekContacts(TimePoint Now, Output &Out);
   void sendReport(TimePoint Now, Output &Out);
