--- a/hawthornroad/membership/MemberTable.h
+++ b/hawthornroad/membership/MemberTable.h
@@ -9,9 +9,11 @@
 //   Table.tick(Now);                       // suspicions and keeping run out
 //
 // Rules beside the order of words (Member.h):
-// - Hearsay of a death makes an Alive member only Suspect here. After a cut
-//   heals, each side holds the other dead; taken at its word, that would empty
-//   the choice of endpoints on both sides until each member has refuted.
+// - Hearsay of a death makes a live member only Suspect here; a member is dead
+//   when the suspicion has run out here. After a cut heals, each side holds the
+//   other dead; taken at its word, that would empty the choice of endpoints on
+//   both sides until each member has refuted. Word of the suspicion travels
+//   with the first accusation, so that waiting for it costs little.
 // - The dead and the left are kept for DeadKeep_, so that late word of an old
 //   incarnation revives nothing. A member back after that is probed like any.
 // - Revision and report have orders of their own: the highest revision within
--- a/hawthornroad/membership/Membership.cpp
+++ b/hawthornroad/membership/Membership.cpp
@@ -99,9 +99,10 @@
     return relay(From, M, Now, Out);
   ProcessName Reader =
       M.Members_.empty() ? ProcessName() : M.Members_.front().Process_;
+  // One that cannot be served now gets no answer and asks elsewhere.
+  if (M.Sequence_ == JoinSequence && !beginSync(From))
+    return;
   answer(From, M.Sequence_, Table_.self().Process_, Reader, Out);
-  if (M.Sequence_ == JoinSequence)
-    beginSync(From);
 }
 
 void Membership::relay(const PeerAddress &From, const ProbeMessage &M,
@@ -119,13 +120,16 @@
 
 void Membership::handle(const PeerAddress &From, const AckMessage &M,
                         TimePoint Now, Output &Out) {
-  learn(From, M.Members_, M.Revision_, Now, Out);
+  if (learn(From, M.Members_, M.Revision_, Now, Out))
+    tellOfSelf(From, Out);
   auto Relayed = Relays_.find(M.Sequence_);
   if (Relayed != Relays_.end()) {
     Relay R = std::move(Relayed->second);
     Relays_.erase(Relayed);
     return answer(R.Asker_, R.Sequence_, R.Target_, {}, Out);
   }
+  if (M.Sequence_ == JoinSequence)
+    Joined_ = true;
   Prober_.answered(M.Sequence_);
   // One that answers while held suspect or dead has to refute; it may have
   // missed the word about it.
@@ -136,7 +140,8 @@
 
 void Membership::handle(const PeerAddress &From, const GossipMessage &M,
                         TimePoint Now, Output &Out) {
-  learn(From, M.Members_, M.Revision_, Now, Out);
+  if (learn(From, M.Members_, M.Revision_, Now, Out))
+    tellOfSelf(From, Out);
 }
 
 void Membership::handle(const PeerAddress &From, const ReportMessage &M,
@@ -162,18 +167,18 @@
     tellOf(Status.Process_, Known->Address_, Out);
 }
 
-void Membership::learn(const PeerAddress &From,
+bool Membership::learn(const PeerAddress &From,
                        const std::vector<Member> &Members, Revision Held,
                        TimePoint Now, Output &Out) {
-  Incarnation Before = Table_.self().Incarnation_;
-  for (const Member &Each : Members)
+  bool Accused = false;
+  for (const Member &Each : Members) {
     note(Table_.hear(Each, Now), Now, Out);
-  // Who said so hears the refutation first hand: it may be about to call this
-  // process dead, and gossip could take longer than its suspicion lasts.
-  if (Table_.self().Incarnation_ != Before)
-    tellOfSelf(From, Out);
+    Accused = Accused || (Each.Process_ == Table_.self().Process_ &&
+                          Each.State_ != MemberState::Alive);
+  }
   if (Held > 0)
     Out.Revisions_.push_back({From, Held});
+  return Accused;
 }
 
 void Membership::note(const MemberTable::Changes &Changes, TimePoint Now,
@@ -200,8 +205,7 @@
     Queue_.add(C.Process_, NewsRank::State, false);
     if (Now >= NextContact_ && Who->Zone_ != Table_.self().Zone_) {
       NextContact_ = Now + Setup_.ContactPeriod_;
-      Out.Sends_.push_back(
-          {Who->Address_, ProbeMessage{JoinSequence, {}, news({}), Held_}});
+      askToJoin(Who->Address_, Out);
     }
     return;
   }
@@ -219,6 +223,9 @@
   Out.Sends_.push_back({To, GossipMessage{{Self, Copy}, Held_}});
 }
 
+// Who holds this process suspect or dead hears first hand that it lives, be it
+// already refuted or not: gossip alone may take longer than the suspicion
+// lasts, and word of the refutation may have passed that one by.
 void Membership::tellOfSelf(const PeerAddress &To, Output &Out) {
   Member Self = Table_.self();
   Self.Report_ = nullptr;
@@ -280,33 +287,41 @@
 void Membership::seekContacts(TimePoint Now, Output &Out) {
   if (Now < NextContact_)
     return;
-  bool Alone = Table_.live().empty();
-  NextContact_ =
-      Now +
-      Rng_.jitter(Alone ? Setup_.JoinPeriod_ : Setup_.ContactPeriod_, 0.2);
+  Duration Wait = Joined_ ? Setup_.ContactPeriod_ : Setup_.JoinPeriod_;
+  NextContact_ = Now + Rng_.jitter(Wait, 0.2);
   std::set<PeerAddress> Unknown;
   for (const std::set<PeerAddress> &Each : Contacts_)
     Unknown.insert(Each.begin(), Each.end());
   for (const ProcessName &Each : Table_.live())
     Unknown.erase(Table_.find(Each)->Address_);
   std::vector<PeerAddress> Left(Unknown.begin(), Unknown.end());
-  std::size_t Count = Alone ? Setup_.JoinFanout_ : 1;
+  std::size_t Count = Table_.live().empty() ? Setup_.JoinFanout_ : 1;
   for (; Count > 0 && !Left.empty(); --Count) {
     std::size_t Drawn = Rng_.below(Left.size());
-    Out.Sends_.push_back(
-        {Left[Drawn], ProbeMessage{JoinSequence, {}, news({}), Held_}});
+    askToJoin(Left[Drawn], Out);
     Left.erase(Left.begin() + static_cast<std::ptrdiff_t>(Drawn));
   }
+  // Nobody had room to send its table yet: any live member will do.
+  const Member *Live = Table_.randomLive(Rng_);
+  if (!Joined_ && Live != nullptr)
+    askToJoin(Live->Address_, Out);
 }
 
-void Membership::beginSync(const PeerAddress &To) {
+void Membership::askToJoin(const PeerAddress &To, Output &Out) {
+  Out.Sends_.push_back({To, ProbeMessage{JoinSequence, {}, news({}), Held_}});
+}
+
+// False when too many wait for the table already.
+bool Membership::beginSync(const PeerAddress &To) {
   auto Same = [&](const Sync &Each) { return Each.To_ == To; };
-  if (Syncs_.size() >= Setup_.MaxSyncs_ ||
-      std::any_of(Syncs_.begin(), Syncs_.end(), Same))
-    return;
+  if (std::any_of(Syncs_.begin(), Syncs_.end(), Same))
+    return true;
+  if (Syncs_.size() >= Setup_.MaxSyncs_)
+    return false;
   Sync S{To, {Table_.live().begin(), Table_.live().end()}};
   S.Left_.insert(S.Left_.end(), Table_.gone().begin(), Table_.gone().end());
   Syncs_.push_back(std::move(S));
+  return true;
 }
 
 void Membership::pumpSyncs(TimePoint Now, Output &Out) {
--- a/hawthornroad/membership/Membership.h
+++ b/hawthornroad/membership/Membership.h
@@ -9,10 +9,10 @@
 //   for (const MemberChange &Each : Out.Changes_) ...
 //   for (const HeardRevision &Each : Out.Revisions_) ...
 //
-// Joining. A process that knows no live member sends a join probe to a few
-// contacts (seeds, and the platform's membership list, which lags and is only a
-// hint where somebody may be) every second until it knows one. It gets the
-// whole table back, in paced messages.
+// Joining. A new process sends a join probe to a few contacts (seeds, and the
+// platform's membership list, which lags and is only a hint where somebody may
+// be) and then to members it has heard of, every second until one answers. That
+// one sends its whole table, in paced messages.
 //
 // Spreading. News rides on probes and answers within MessageBudget_ bytes, and
 // each message also carries one record drawn from the table, so that a lost
@@ -62,7 +62,7 @@
     std::size_t EagerFanout_ = 3;
     double EagerRate_ = 2;
     double EagerBurst_ = 6;
-    std::size_t JoinFanout_ = 3;
+    std::size_t JoinFanout_ = 2;
     Duration JoinPeriod_ = Seconds(1);
     Duration ContactPeriod_ = Seconds(10);
     // Relayed probes that await an answer.
@@ -118,7 +118,8 @@
     std::deque<ProcessName> Left_;
   };
 
-  void learn(const PeerAddress &From, const std::vector<Member> &Members,
+  // Whether a member said that this process is not alive.
+  bool learn(const PeerAddress &From, const std::vector<Member> &Members,
              Revision Held, TimePoint Now, Output &Out);
   void note(const MemberTable::Changes &Changes, TimePoint Now, Output &Out);
   void noteOne(const MemberChange &C, TimePoint Now, Output &Out);
@@ -134,7 +135,8 @@
   void spreadEagerly(TimePoint Now, Output &Out);
   void seekContacts(TimePoint Now, Output &Out);
   void sendReport(TimePoint Now, Output &Out);
-  void beginSync(const PeerAddress &To);
+  void askToJoin(const PeerAddress &To, Output &Out);
+  bool beginSync(const PeerAddress &To);
   void pumpSyncs(TimePoint Now, Output &Out);
   std::size_t transmits() const;
 
@@ -150,6 +152,8 @@
   std::uint64_t LastRelay_;
   std::deque<Sync> Syncs_;
   TimePoint NextSync_{};
+  // Whether a member has begun to send its table here.
+  bool Joined_ = false;
   TimePoint NextContact_{};
   TimePoint LastTick_{};
   double EagerTokens_ = 0;
