--- a/hawthornroad/membership/ControlMessages.h
+++ b/hawthornroad/membership/ControlMessages.h
@@ -23,6 +23,8 @@
   ProcessName Target_;
   std::vector<Member> Members_;
   Revision Revision_ = 0;
+  // Marks of processes in which Revision_ is in force (InForceSet.h).
+  std::vector<std::uint32_t> InForce_;
 };
 
 struct AckMessage {
@@ -31,11 +33,15 @@
   ProcessName Process_;
   std::vector<Member> Members_;
   Revision Revision_ = 0;
+  // Marks of processes in which Revision_ is in force (InForceSet.h).
+  std::vector<std::uint32_t> InForce_;
 };
 
 struct GossipMessage {
   std::vector<Member> Members_;
   Revision Revision_ = 0;
+  // Marks of processes in which Revision_ is in force (InForceSet.h).
+  std::vector<std::uint32_t> InForce_;
 };
 
 // Asks for what follows After_; always answered, if only with nothing. After_
--- a/hawthornroad/membership/GossipQueue.h
+++ b/hawthornroad/membership/GossipQueue.h
@@ -7,8 +7,7 @@
 //
 // The queue holds names; the record is read when it is sent, so that what goes
 // out is the latest and one member never stands in it twice. News of higher
-// rank goes first: deaths and leaves before changed endpoints, those before
-// revisions in force, which are many and matter to people only.
+// rank goes first: deaths and leaves before changed endpoints.
 //
 // Invariant: an item is sent at most Transmits times for each add(). Bound:
 // Capacity_ items; beyond that the most transmitted of the lowest rank goes.
@@ -27,7 +26,7 @@
 
 namespace hawthornroad {
 
-enum class NewsRank : std::uint8_t { State, Endpoint, InForce };
+enum class NewsRank : std::uint8_t { State, Endpoint };
 
 class GossipQueue {
 public:
--- a/hawthornroad/membership/Member.cpp
+++ b/hawthornroad/membership/Member.cpp
@@ -30,6 +30,16 @@
   return Names[static_cast<std::size_t>(S)];
 }
 
+bool differBeyondLoad(const EndpointStatus &A, const EndpointStatus &B) {
+  EndpointStatus Same = A;
+  Same.Sequence_ = B.Sequence_;
+  Same.Running_ = B.Running_;
+  Same.Waiting_ = B.Waiting_;
+  Same.StepMs_ = B.StepMs_;
+  Same.Detail_ = B.Detail_;
+  return !(Same == B);
+}
+
 std::size_t wireSize(const Member &M, bool WithReport) {
   std::size_t Size = MemberBytes + 4 * StringBytes;
   Size += M.Process_.str().size() + M.Role_.size();
--- a/hawthornroad/membership/Member.h
+++ b/hawthornroad/membership/Member.h
@@ -37,6 +37,9 @@
   bool isEntry() const { return Role_ == "entry"; }
 };
 
+// Whether A and B differ in more than load, which changes all the time.
+bool differBeyondLoad(const EndpointStatus &A, const EndpointStatus &B);
+
 // Bytes of M on the wire, for budgets; within a fifth of the encoded size.
 std::size_t wireSize(const Member &M, bool WithReport);
 
--- a/hawthornroad/membership/MemberTable.cpp
+++ b/hawthornroad/membership/MemberTable.cpp
@@ -1,5 +1,7 @@
 #include "hawthornroad/membership/MemberTable.h"
 
+#include "hawthornroad/config/InForceSet.h"
+
 #include <array>
 #include <cmath>
 
@@ -103,6 +105,7 @@
     return;
   }
   Record &R = Records_[News.Process_];
+  ByMark_[InForceSet::mark(News.Process_)] = News.Process_;
   R.Member_ = News;
   R.Member_.State_ = MemberState::Alive;
   bool Gone = !News.isLive();
@@ -144,8 +147,10 @@
     return;
   if (Known.Report_ && !News.Report_->supersedes(*Known.Report_))
     return;
+  bool LoadOnly =
+      Known.Report_ && !differBeyondLoad(*Known.Report_, *News.Report_);
   Known.Report_ = News.Report_;
-  Out.push_back({Kind::Reported, Known.Process_, Known.Report_});
+  Out.push_back({Kind::Reported, Known.Process_, Known.Report_, LoadOnly});
 }
 
 MemberTable::Changes MemberTable::accuse(const ProcessName &Process,
@@ -159,6 +164,14 @@
   return Out;
 }
 
+void MemberTable::noteInForce(std::uint32_t Mark, Revision R) {
+  auto Found = ByMark_.find(Mark);
+  if (Found == ByMark_.end())
+    return;
+  Member &Known = Records_.at(Found->second).Member_;
+  Known.Revision_ = std::max(Known.Revision_, R);
+}
+
 MemberTable::Changes MemberTable::tick(TimePoint Now) {
   Changes Out;
   while (!Deadlines_.empty() && Deadlines_.begin()->first <= Now) {
@@ -214,6 +227,7 @@
   case Forget:
     setDeadline(R, TimePoint::max());
     unplace(R, Gone_);
+    ByMark_.erase(InForceSet::mark(Process));
     Records_.erase(Process);
     return;
   case TellSuspected:
--- a/hawthornroad/membership/MemberTable.h
+++ b/hawthornroad/membership/MemberTable.h
@@ -60,6 +60,8 @@
   ProcessName Process_;
   // The endpoint concerned, of agents; may be null.
   std::shared_ptr<const EndpointStatus> Report_;
+  // Of Reported: only the load is another.
+  bool LoadOnly_ = false;
 };
 std::string_view toString(MemberChange::Kind K);
 
@@ -79,6 +81,8 @@
   Changes hear(const Member &News, TimePoint Now);
   // A probe of Process stayed unanswered.
   Changes accuse(const ProcessName &Process, TimePoint Now);
+  // R is in force in the process with this mark (config/InForceSet.h).
+  void noteInForce(std::uint32_t Mark, Revision R);
   Changes tick(TimePoint Now);
   // Moves every deadline by Gap. A process that was paused has heard nothing
   // for that long, which says nothing about the others.
@@ -129,6 +133,7 @@
   Member Self_;
   Limits Limits_;
   std::unordered_map<ProcessName, Record> Records_;
+  std::unordered_map<std::uint32_t, ProcessName> ByMark_;
   std::set<std::pair<TimePoint, ProcessName>> Deadlines_;
   std::vector<ProcessName> Live_;
   std::vector<ProcessName> Gone_;
--- a/hawthornroad/membership/Membership.cpp
+++ b/hawthornroad/membership/Membership.cpp
@@ -12,9 +12,22 @@
 constexpr std::uint64_t FirstRelay = std::uint64_t{1} << 62;
 // Word is passed on this often per decade of the fleet's size.
 constexpr double TransmitsPerDecade = 4;
+// Marks are small, and those that reach a process before the revision does are
+// lost on it.
+constexpr std::size_t MarkFactor = 4;
 
 using Kind = MemberChange::Kind;
 
+// Where the sender of a message is reached later: the address it gives of
+// itself, as the one a frame came from may be that of a proxy or a listener
+// behind one.
+PeerAddress lastingAddress(const PeerAddress &From,
+                           const std::vector<Member> &Members) {
+  if (Members.empty() || Members.front().Address_.empty())
+    return From;
+  return Members.front().Address_;
+}
+
 } // namespace
 
 Membership::Membership(Chart C, Member Self, const Setup &S, Random Rng)
@@ -30,10 +43,14 @@
 
 void Membership::setRevisions(Revision Held, Revision InForce) {
   Held_ = Held;
-  if (InForce == Table_.self().Revision_)
-    return;
   Table_.setRevision(InForce);
-  Queue_.add(Table_.self().Process_, NewsRank::InForce, false);
+  InForce_.begin(Held);
+  if (InForce == Held)
+    InForce_.add(InForceSet::mark(Table_.self().Process_));
+}
+
+std::vector<std::uint32_t> Membership::marks() {
+  return InForce_.pick(Setup_.Marks_, MarkFactor * transmits());
 }
 
 std::size_t Membership::transmits() const {
@@ -78,6 +95,7 @@
   sendReport(Now, Out);
   std::erase_if(Relays_,
                 [&](const auto &Each) { return Each.second.Until_ <= Now; });
+  remindSuspects(Now, Out);
   spreadEagerly(Now, Out);
   seekContacts(Now, Out);
   pumpSyncs(Now, Out);
@@ -88,19 +106,21 @@
   if (To == nullptr)
     return;
   Out.Sends_.push_back(
-      {To->Address_, ProbeMessage{O.Sequence_, O.Target_, news(O.To_), Held_},
+      {To->Address_,
+       ProbeMessage{O.Sequence_, O.Target_, news(O.To_), Held_, marks()},
        O.Fresh_});
 }
 
 void Membership::handle(const PeerAddress &From, const ProbeMessage &M,
                         TimePoint Now, Output &Out) {
-  learn(From, M.Members_, M.Revision_, Now, Out);
+  learn(From, M.Members_, M.Revision_, M.InForce_, Now, Out);
   if (!M.Target_.empty())
     return relay(From, M, Now, Out);
   ProcessName Reader =
       M.Members_.empty() ? ProcessName() : M.Members_.front().Process_;
   // One that cannot be served now gets no answer and asks elsewhere.
-  if (M.Sequence_ == JoinSequence && !beginSync(From))
+  if (M.Sequence_ == JoinSequence &&
+      !beginSync(lastingAddress(From, M.Members_)))
     return;
   answer(From, M.Sequence_, Table_.self().Process_, Reader, Out);
 }
@@ -111,16 +131,17 @@
   if (Target == nullptr || Relays_.size() >= Setup_.MaxRelays_)
     return;
   std::uint64_t Sequence = ++LastRelay_;
-  Relays_[Sequence] = {From, M.Sequence_, M.Target_,
+  Relays_[Sequence] = {lastingAddress(From, M.Members_), M.Sequence_, M.Target_,
                        Now + Setup_.Prober_.Period_ + Setup_.Prober_.Timeout_};
   Out.Sends_.push_back(
       {Target->Address_,
-       ProbeMessage{Sequence, {}, news(Target->Process_), Held_}, false});
+       ProbeMessage{Sequence, {}, news(Target->Process_), Held_, marks()},
+       false});
 }
 
 void Membership::handle(const PeerAddress &From, const AckMessage &M,
                         TimePoint Now, Output &Out) {
-  if (learn(From, M.Members_, M.Revision_, Now, Out))
+  if (learn(From, M.Members_, M.Revision_, M.InForce_, Now, Out))
     tellOfSelf(From, Out);
   auto Relayed = Relays_.find(M.Sequence_);
   if (Relayed != Relays_.end()) {
@@ -140,7 +161,7 @@
 
 void Membership::handle(const PeerAddress &From, const GossipMessage &M,
                         TimePoint Now, Output &Out) {
-  if (learn(From, M.Members_, M.Revision_, Now, Out))
+  if (learn(From, M.Members_, M.Revision_, M.InForce_, Now, Out))
     tellOfSelf(From, Out);
 }
 
@@ -169,13 +190,18 @@
 
 bool Membership::learn(const PeerAddress &From,
                        const std::vector<Member> &Members, Revision Held,
-                       TimePoint Now, Output &Out) {
+                       const std::vector<std::uint32_t> &Marks, TimePoint Now,
+                       Output &Out) {
   bool Accused = false;
   for (const Member &Each : Members) {
     note(Table_.hear(Each, Now), Now, Out);
     Accused = Accused || (Each.Process_ == Table_.self().Process_ &&
                           Each.State_ != MemberState::Alive);
   }
+  if (Held == Held_)
+    for (std::uint32_t Each : Marks)
+      if (InForce_.add(Each))
+        Table_.noteInForce(Each, Held);
   if (Held > 0)
     Out.Revisions_.push_back({From, Held});
   return Accused;
@@ -192,11 +218,17 @@
 void Membership::noteOne(const MemberChange &C, TimePoint Now, Output &Out) {
   switch (C.Kind_) {
   case Kind::Revised:
-    return Queue_.add(C.Process_, NewsRank::InForce, false);
+    // Marks tell the others.
+    return;
   case Kind::Reported:
+    // Load heard by chance is not passed on, or each would pass on each.
+    if (C.LoadOnly_)
+      return;
     return Queue_.add(C.Process_, NewsRank::Endpoint, true);
   case Kind::Suspected:
     Queue_.add(C.Process_, NewsRank::State, false);
+    Reminders_.emplace(Now + Table_.suspicion() / 3, C.Process_);
+    Reminders_.emplace(Now + Table_.suspicion() * 2 / 3, C.Process_);
     // The accused must hear of it first of all, to refute in time.
     return tellOf(C.Process_, Table_.find(C.Process_)->Address_, Out);
   case Kind::Returned: {
@@ -214,6 +246,20 @@
   }
 }
 
+// The first word to a suspect or its answer may be lost; without another try
+// each process would bury a live member every so often when words get lost.
+void Membership::remindSuspects(TimePoint Now, Output &Out) {
+  std::size_t Left = Setup_.MaxReminders_;
+  while (Left > 0 && !Reminders_.empty() && Reminders_.begin()->first <= Now) {
+    const Member *Who = Table_.find(Reminders_.begin()->second);
+    if (Who != nullptr && Who->State_ == MemberState::Suspect) {
+      tellOf(Who->Process_, Who->Address_, Out);
+      --Left;
+    }
+    Reminders_.erase(Reminders_.begin());
+  }
+}
+
 void Membership::tellOf(const ProcessName &About, const PeerAddress &To,
                         Output &Out) {
   Member Copy = *Table_.find(About);
@@ -236,7 +282,7 @@
                         const ProcessName &Process, const ProcessName &Reader,
                         Output &Out) {
   Out.Sends_.push_back(
-      {To, AckMessage{Sequence, Process, news(Reader), Held_}});
+      {To, AckMessage{Sequence, Process, news(Reader), Held_, marks()}});
 }
 
 // The sender's own record, what is held against the reader, the queue's news,
@@ -281,7 +327,7 @@
   EagerTokens_ -= 1;
   for (const Member *Each : randomPeers(Setup_.EagerFanout_))
     Out.Sends_.push_back(
-        {Each->Address_, GossipMessage{news(Each->Process_), Held_}});
+        {Each->Address_, GossipMessage{news(Each->Process_), Held_, marks()}});
 }
 
 void Membership::seekContacts(TimePoint Now, Output &Out) {
@@ -308,7 +354,8 @@
 }
 
 void Membership::askToJoin(const PeerAddress &To, Output &Out) {
-  Out.Sends_.push_back({To, ProbeMessage{JoinSequence, {}, news({}), Held_}});
+  Out.Sends_.push_back(
+      {To, ProbeMessage{JoinSequence, {}, news({}), Held_, marks()}});
 }
 
 // False when too many wait for the table already.
--- a/hawthornroad/membership/Membership.h
+++ b/hawthornroad/membership/Membership.h
@@ -30,6 +30,7 @@
 #ifndef HAWTHORNROAD_MEMBERSHIP_MEMBERSHIP_H
 #define HAWTHORNROAD_MEMBERSHIP_MEMBERSHIP_H
 
+#include "hawthornroad/config/InForceSet.h"
 #include "hawthornroad/membership/ControlMessages.h"
 #include "hawthornroad/membership/GossipQueue.h"
 #include "hawthornroad/membership/MemberTable.h"
@@ -55,10 +56,14 @@
     Prober::Limits Prober_;
     ReportPlan::Limits Report_;
     std::size_t MessageBudget_ = 512;
+    // Marks of processes with the revision in force, on one message.
+    std::size_t Marks_ = 64;
     // Bytes of one message of a whole table, and how many wait at most.
     std::size_t SyncBudget_ = 16 * 1024;
     Duration SyncPeriod_ = Milliseconds(20);
     std::size_t MaxSyncs_ = 16;
+    // Suspects reminded in one tick.
+    std::size_t MaxReminders_ = 8;
     std::size_t EagerFanout_ = 3;
     double EagerRate_ = 2;
     double EagerBurst_ = 6;
@@ -120,7 +125,8 @@
 
   // Whether a member said that this process is not alive.
   bool learn(const PeerAddress &From, const std::vector<Member> &Members,
-             Revision Held, TimePoint Now, Output &Out);
+             Revision Held, const std::vector<std::uint32_t> &Marks,
+             TimePoint Now, Output &Out);
   void note(const MemberTable::Changes &Changes, TimePoint Now, Output &Out);
   void noteOne(const MemberChange &C, TimePoint Now, Output &Out);
   void sendProbe(const Prober::Order &O, Output &Out);
@@ -131,6 +137,8 @@
               Output &Out);
   std::vector<Member> news(const ProcessName &Reader);
   void tellOf(const ProcessName &About, const PeerAddress &To, Output &Out);
+  void remindSuspects(TimePoint Now, Output &Out);
+  std::vector<std::uint32_t> marks();
   void tellOfSelf(const PeerAddress &To, Output &Out);
   void spreadEagerly(TimePoint Now, Output &Out);
   void seekContacts(TimePoint Now, Output &Out);
@@ -147,6 +155,9 @@
   GossipQueue Queue_;
   ReportPlan Plan_;
   Revision Held_ = 0;
+  InForceSet InForce_;
+  // Suspects to be told again, and when.
+  std::set<std::pair<TimePoint, ProcessName>> Reminders_;
   std::set<PeerAddress> Contacts_[2];
   std::map<std::uint64_t, Relay> Relays_;
   std::uint64_t LastRelay_;
--- a/hawthornroad/membership/ReportPlan.cpp
+++ b/hawthornroad/membership/ReportPlan.cpp
@@ -7,13 +7,7 @@
 namespace hawthornroad {
 
 bool ReportPlan::isNews(const EndpointStatus &Status) const {
-  EndpointStatus Same = Status;
-  Same.Sequence_ = Last_.Sequence_;
-  Same.Running_ = Last_.Running_;
-  Same.Waiting_ = Last_.Waiting_;
-  Same.StepMs_ = Last_.StepMs_;
-  Same.Detail_ = Last_.Detail_;
-  return !(Same == Last_);
+  return differBeyondLoad(Status, Last_);
 }
 
 std::vector<PeerAddress> ReportPlan::publish(const EndpointStatus &Status,
--- a/hawthornroad/runtime/ControlCodec.cpp
+++ b/hawthornroad/runtime/ControlCodec.cpp
@@ -59,6 +59,12 @@
   return Out;
 }
 
+std::vector<std::uint32_t> marks(std::vector<std::uint32_t> Marks) {
+  if (Marks.size() > MaxMembersInMessage)
+    Marks.resize(MaxMembersInMessage);
+  return Marks;
+}
+
 struct Encoder {
   FrameBuffer operator()(const ProbeMessage &M) const {
     wire::ProbeT Out;
@@ -66,6 +72,7 @@
     Out.target = M.Target_.str();
     Out.members = toWire(M.Members_);
     Out.revision = M.Revision_;
+    Out.in_force = M.InForce_;
     return makeFrame(std::move(Out));
   }
   FrameBuffer operator()(const AckMessage &M) const {
@@ -74,12 +81,14 @@
     Out.process = M.Process_.str();
     Out.members = toWire(M.Members_);
     Out.revision = M.Revision_;
+    Out.in_force = M.InForce_;
     return makeFrame(std::move(Out));
   }
   FrameBuffer operator()(const GossipMessage &M) const {
     wire::GossipT Out;
     Out.members = toWire(M.Members_);
     Out.revision = M.Revision_;
+    Out.in_force = M.InForce_;
     return makeFrame(std::move(Out));
   }
   FrameBuffer operator()(const PullMessage &M) const {
@@ -138,16 +147,16 @@
   case wire::Body::Probe: {
     const wire::ProbeT &M = *Frame.body.AsProbe();
     return ProbeMessage{M.sequence, ProcessName(M.target), fromWire(M.members),
-                        M.revision};
+                        M.revision, marks(M.in_force)};
   }
   case wire::Body::ProbeAck: {
     const wire::ProbeAckT &M = *Frame.body.AsProbeAck();
     return AckMessage{M.sequence, ProcessName(M.process), fromWire(M.members),
-                      M.revision};
+                      M.revision, marks(M.in_force)};
   }
   case wire::Body::Gossip: {
     const wire::GossipT &M = *Frame.body.AsGossip();
-    return GossipMessage{fromWire(M.members), M.revision};
+    return GossipMessage{fromWire(M.members), M.revision, marks(M.in_force)};
   }
   case wire::Body::ConfigPull:
     return PullMessage{Frame.body.AsConfigPull()->after};
--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -2889,6 +2889,7 @@
   std::string target{};
   std::vector<std::unique_ptr<hawthornroad::wire::MemberT>> members{};
   uint64_t revision = 0;
+  std::vector<uint32_t> in_force{};
   ProbeT() = default;
   ProbeT(const ProbeT &o);
   ProbeT(ProbeT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2902,7 +2903,8 @@
     VT_SEQUENCE = 4,
     VT_TARGET = 6,
     VT_MEMBERS = 8,
-    VT_REVISION = 10
+    VT_REVISION = 10,
+    VT_IN_FORCE = 12
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -2916,6 +2918,9 @@
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
   }
+  const flatbuffers::Vector<uint32_t> *in_force() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_IN_FORCE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -2925,6 +2930,8 @@
            verifier.VerifyVector(members()) &&
            verifier.VerifyVectorOfTables(members()) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyOffset(verifier, VT_IN_FORCE) &&
+           verifier.VerifyVector(in_force()) &&
            verifier.EndTable();
   }
   ProbeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2948,6 +2955,9 @@
   void add_revision(uint64_t revision) {
     fbb_.AddElement<uint64_t>(Probe::VT_REVISION, revision, 0);
   }
+  void add_in_force(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> in_force) {
+    fbb_.AddOffset(Probe::VT_IN_FORCE, in_force);
+  }
   explicit ProbeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2964,10 +2974,12 @@
     uint64_t sequence = 0,
     flatbuffers::Offset<flatbuffers::String> target = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::Member>>> members = 0,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> in_force = 0) {
   ProbeBuilder builder_(_fbb);
   builder_.add_revision(revision);
   builder_.add_sequence(sequence);
+  builder_.add_in_force(in_force);
   builder_.add_members(members);
   builder_.add_target(target);
   return builder_.Finish();
@@ -2978,15 +2990,18 @@
     uint64_t sequence = 0,
     const char *target = nullptr,
     const std::vector<flatbuffers::Offset<hawthornroad::wire::Member>> *members = nullptr,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    const std::vector<uint32_t> *in_force = nullptr) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<hawthornroad::wire::Member>>(*members) : 0;
+  auto in_force__ = in_force ? _fbb.CreateVector<uint32_t>(*in_force) : 0;
   return hawthornroad::wire::CreateProbe(
       _fbb,
       sequence,
       target__,
       members__,
-      revision);
+      revision,
+      in_force__);
 }
 
 flatbuffers::Offset<Probe> CreateProbe(flatbuffers::FlatBufferBuilder &_fbb, const ProbeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2997,6 +3012,7 @@
   std::string process{};
   std::vector<std::unique_ptr<hawthornroad::wire::MemberT>> members{};
   uint64_t revision = 0;
+  std::vector<uint32_t> in_force{};
   ProbeAckT() = default;
   ProbeAckT(const ProbeAckT &o);
   ProbeAckT(ProbeAckT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3010,7 +3026,8 @@
     VT_SEQUENCE = 4,
     VT_PROCESS = 6,
     VT_MEMBERS = 8,
-    VT_REVISION = 10
+    VT_REVISION = 10,
+    VT_IN_FORCE = 12
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -3024,6 +3041,9 @@
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
   }
+  const flatbuffers::Vector<uint32_t> *in_force() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_IN_FORCE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -3033,6 +3053,8 @@
            verifier.VerifyVector(members()) &&
            verifier.VerifyVectorOfTables(members()) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyOffset(verifier, VT_IN_FORCE) &&
+           verifier.VerifyVector(in_force()) &&
            verifier.EndTable();
   }
   ProbeAckT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3056,6 +3078,9 @@
   void add_revision(uint64_t revision) {
     fbb_.AddElement<uint64_t>(ProbeAck::VT_REVISION, revision, 0);
   }
+  void add_in_force(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> in_force) {
+    fbb_.AddOffset(ProbeAck::VT_IN_FORCE, in_force);
+  }
   explicit ProbeAckBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3072,10 +3097,12 @@
     uint64_t sequence = 0,
     flatbuffers::Offset<flatbuffers::String> process = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::Member>>> members = 0,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> in_force = 0) {
   ProbeAckBuilder builder_(_fbb);
   builder_.add_revision(revision);
   builder_.add_sequence(sequence);
+  builder_.add_in_force(in_force);
   builder_.add_members(members);
   builder_.add_process(process);
   return builder_.Finish();
@@ -3086,15 +3113,18 @@
     uint64_t sequence = 0,
     const char *process = nullptr,
     const std::vector<flatbuffers::Offset<hawthornroad::wire::Member>> *members = nullptr,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    const std::vector<uint32_t> *in_force = nullptr) {
   auto process__ = process ? _fbb.CreateString(process) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<hawthornroad::wire::Member>>(*members) : 0;
+  auto in_force__ = in_force ? _fbb.CreateVector<uint32_t>(*in_force) : 0;
   return hawthornroad::wire::CreateProbeAck(
       _fbb,
       sequence,
       process__,
       members__,
-      revision);
+      revision,
+      in_force__);
 }
 
 flatbuffers::Offset<ProbeAck> CreateProbeAck(flatbuffers::FlatBufferBuilder &_fbb, const ProbeAckT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3103,6 +3133,7 @@
   typedef Gossip TableType;
   std::vector<std::unique_ptr<hawthornroad::wire::MemberT>> members{};
   uint64_t revision = 0;
+  std::vector<uint32_t> in_force{};
   GossipT() = default;
   GossipT(const GossipT &o);
   GossipT(GossipT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3114,7 +3145,8 @@
   typedef GossipBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_MEMBERS = 4,
-    VT_REVISION = 6
+    VT_REVISION = 6,
+    VT_IN_FORCE = 8
   };
   const flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::Member>> *members() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::Member>> *>(VT_MEMBERS);
@@ -3122,12 +3154,17 @@
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
   }
+  const flatbuffers::Vector<uint32_t> *in_force() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_IN_FORCE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_MEMBERS) &&
            verifier.VerifyVector(members()) &&
            verifier.VerifyVectorOfTables(members()) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyOffset(verifier, VT_IN_FORCE) &&
+           verifier.VerifyVector(in_force()) &&
            verifier.EndTable();
   }
   GossipT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3145,6 +3182,9 @@
   void add_revision(uint64_t revision) {
     fbb_.AddElement<uint64_t>(Gossip::VT_REVISION, revision, 0);
   }
+  void add_in_force(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> in_force) {
+    fbb_.AddOffset(Gossip::VT_IN_FORCE, in_force);
+  }
   explicit GossipBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3159,9 +3199,11 @@
 inline flatbuffers::Offset<Gossip> CreateGossip(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::Member>>> members = 0,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> in_force = 0) {
   GossipBuilder builder_(_fbb);
   builder_.add_revision(revision);
+  builder_.add_in_force(in_force);
   builder_.add_members(members);
   return builder_.Finish();
 }
@@ -3169,12 +3211,15 @@
 inline flatbuffers::Offset<Gossip> CreateGossipDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<hawthornroad::wire::Member>> *members = nullptr,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    const std::vector<uint32_t> *in_force = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<hawthornroad::wire::Member>>(*members) : 0;
+  auto in_force__ = in_force ? _fbb.CreateVector<uint32_t>(*in_force) : 0;
   return hawthornroad::wire::CreateGossip(
       _fbb,
       members__,
-      revision);
+      revision,
+      in_force__);
 }
 
 flatbuffers::Offset<Gossip> CreateGossip(flatbuffers::FlatBufferBuilder &_fbb, const GossipT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5141,7 +5186,8 @@
       (lhs.sequence == rhs.sequence) &&
       (lhs.target == rhs.target) &&
       (lhs.members.size() == rhs.members.size() && std::equal(lhs.members.cbegin(), lhs.members.cend(), rhs.members.cbegin(), [](std::unique_ptr<hawthornroad::wire::MemberT> const &a, std::unique_ptr<hawthornroad::wire::MemberT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
-      (lhs.revision == rhs.revision);
+      (lhs.revision == rhs.revision) &&
+      (lhs.in_force == rhs.in_force);
 }
 
 inline bool operator!=(const ProbeT &lhs, const ProbeT &rhs) {
@@ -5152,7 +5198,8 @@
 inline ProbeT::ProbeT(const ProbeT &o)
       : sequence(o.sequence),
         target(o.target),
-        revision(o.revision) {
+        revision(o.revision),
+        in_force(o.in_force) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new hawthornroad::wire::MemberT(*members_) : nullptr); }
 }
@@ -5162,6 +5209,7 @@
   std::swap(target, o.target);
   std::swap(members, o.members);
   std::swap(revision, o.revision);
+  std::swap(in_force, o.in_force);
   return *this;
 }
 
@@ -5178,6 +5226,7 @@
   { auto _e = target(); if (_e) _o->target = _e->str(); }
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<hawthornroad::wire::MemberT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = revision(); _o->revision = _e; }
+  { auto _e = in_force(); if (_e) { _o->in_force.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->in_force[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<Probe> Probe::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProbeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5192,12 +5241,14 @@
   auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
   auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornroad::wire::Member>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateMember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _revision = _o->revision;
+  auto _in_force = _o->in_force.size() ? _fbb.CreateVector(_o->in_force) : 0;
   return hawthornroad::wire::CreateProbe(
       _fbb,
       _sequence,
       _target,
       _members,
-      _revision);
+      _revision,
+      _in_force);
 }
 
 
@@ -5206,7 +5257,8 @@
       (lhs.sequence == rhs.sequence) &&
       (lhs.process == rhs.process) &&
       (lhs.members.size() == rhs.members.size() && std::equal(lhs.members.cbegin(), lhs.members.cend(), rhs.members.cbegin(), [](std::unique_ptr<hawthornroad::wire::MemberT> const &a, std::unique_ptr<hawthornroad::wire::MemberT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
-      (lhs.revision == rhs.revision);
+      (lhs.revision == rhs.revision) &&
+      (lhs.in_force == rhs.in_force);
 }
 
 inline bool operator!=(const ProbeAckT &lhs, const ProbeAckT &rhs) {
@@ -5217,7 +5269,8 @@
 inline ProbeAckT::ProbeAckT(const ProbeAckT &o)
       : sequence(o.sequence),
         process(o.process),
-        revision(o.revision) {
+        revision(o.revision),
+        in_force(o.in_force) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new hawthornroad::wire::MemberT(*members_) : nullptr); }
 }
@@ -5227,6 +5280,7 @@
   std::swap(process, o.process);
   std::swap(members, o.members);
   std::swap(revision, o.revision);
+  std::swap(in_force, o.in_force);
   return *this;
 }
 
@@ -5243,6 +5297,7 @@
   { auto _e = process(); if (_e) _o->process = _e->str(); }
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<hawthornroad::wire::MemberT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = revision(); _o->revision = _e; }
+  { auto _e = in_force(); if (_e) { _o->in_force.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->in_force[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<ProbeAck> ProbeAck::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProbeAckT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5257,19 +5312,22 @@
   auto _process = _o->process.empty() ? 0 : _fbb.CreateString(_o->process);
   auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornroad::wire::Member>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateMember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _revision = _o->revision;
+  auto _in_force = _o->in_force.size() ? _fbb.CreateVector(_o->in_force) : 0;
   return hawthornroad::wire::CreateProbeAck(
       _fbb,
       _sequence,
       _process,
       _members,
-      _revision);
+      _revision,
+      _in_force);
 }
 
 
 inline bool operator==(const GossipT &lhs, const GossipT &rhs) {
   return
       (lhs.members.size() == rhs.members.size() && std::equal(lhs.members.cbegin(), lhs.members.cend(), rhs.members.cbegin(), [](std::unique_ptr<hawthornroad::wire::MemberT> const &a, std::unique_ptr<hawthornroad::wire::MemberT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
-      (lhs.revision == rhs.revision);
+      (lhs.revision == rhs.revision) &&
+      (lhs.in_force == rhs.in_force);
 }
 
 inline bool operator!=(const GossipT &lhs, const GossipT &rhs) {
@@ -5278,7 +5336,8 @@
 
 
 inline GossipT::GossipT(const GossipT &o)
-      : revision(o.revision) {
+      : revision(o.revision),
+        in_force(o.in_force) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new hawthornroad::wire::MemberT(*members_) : nullptr); }
 }
@@ -5286,6 +5345,7 @@
 inline GossipT &GossipT::operator=(GossipT o) FLATBUFFERS_NOEXCEPT {
   std::swap(members, o.members);
   std::swap(revision, o.revision);
+  std::swap(in_force, o.in_force);
   return *this;
 }
 
@@ -5300,6 +5360,7 @@
   (void)_resolver;
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<hawthornroad::wire::MemberT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = revision(); _o->revision = _e; }
+  { auto _e = in_force(); if (_e) { _o->in_force.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->in_force[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<Gossip> Gossip::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GossipT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5312,10 +5373,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GossipT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornroad::wire::Member>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateMember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _revision = _o->revision;
+  auto _in_force = _o->in_force.size() ? _fbb.CreateVector(_o->in_force) : 0;
   return hawthornroad::wire::CreateGossip(
       _fbb,
       _members,
-      _revision);
+      _revision,
+      _in_force);
 }
 
 
