--- a/tests/integration/FakesTest.cpp
+++ b/tests/integration/FakesTest.cpp
@@ -1,6 +1,5 @@
 #include "hawthornroad/base/Hash.h"
-#include "hawthornroad/base/Random.h"
-#include "tests/integration/Fixture.h"
+#include "tests/integration/Fleet.h"
 
 #include <boost/json/parse.hpp>
 #include <catch2/catch.hpp>
@@ -20,14 +19,6 @@
   return findHeader(R.Headers_, "ETag").value_or("");
 }
 
-std::string seededBytes(std::size_t Size, std::uint64_t Seed) {
-  Random Source(Seed);
-  std::string Bytes(Size, '\0');
-  for (char &Each : Bytes)
-    Each = static_cast<char>(Source.next());
-  return Bytes;
-}
-
 // An engine that serves version "v1".
 struct EngineFixture : FakesFixture {
   Fake &engine(std::vector<std::string> Options = {}) {
--- /dev/null
+++ b/tests/integration/Fleet.h
@@ -0,0 +1,174 @@
+// A whole fleet on loopback: the platform's stand-ins, entries, agents with
+// their engines and services, and the operators' text.
+//
+//   auto F = FleetBuilder().zones({"a", "b"}).modelVms(3).plainVms(1).build();
+//   WeightVersion V1 = F->publishWeights("v1", 1);
+//   REQUIRE(F->apply(F->declaration(V1)).ExitCode_ == 0);
+//   F->awaitServing(V1);
+//   F->complete(F->entry(0), "hello", 8);
+//
+// VM names are copywriter-lm-N (model engines) and billing-desk-N (plain
+// services), spread over the zones in turn. Every process's peer listener, and
+// every zone's way to the platform, can stand behind a proxy of its own:
+// withProxies().
+
+#ifndef HAWTHORNROAD_TESTS_INTEGRATION_FLEET_H
+#define HAWTHORNROAD_TESTS_INTEGRATION_FLEET_H
+
+#include "hawthornroad/base/Types.h"
+#include "tests/integration/Fixture.h"
+
+#include <boost/json/object.hpp>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hawthornroad {
+
+// A version of weights at the origin.
+struct WeightVersion {
+  std::string ManifestPath_;
+  VersionDigest Digest_;
+  // Of the blob: what an engine must have read.
+  std::string BlobDigest_;
+  std::size_t Size_ = 0;
+  bool operator==(const WeightVersion &) const = default;
+};
+
+struct FleetShape {
+  std::vector<std::string> Zones_ = {"zone-a"};
+  std::size_t EntriesPerZone_ = 1;
+  std::size_t ModelVms_ = 2;
+  std::size_t PlainVms_ = 0;
+  bool Proxies_ = false;
+  std::vector<std::string> EngineOptions_ = {"--token-ms", "2"};
+  std::vector<std::string> ServiceOptions_;
+  std::vector<std::string> OriginOptions_;
+  // Keys that replace the settings the fleet would write.
+  boost::json::object EntrySettings_;
+  boost::json::object AgentSettings_;
+};
+
+// One process of the system and what stands around it.
+struct FleetProcess {
+  std::string Name_;
+  std::string Zone_;
+  std::string Role_;
+  std::string Program_;
+  std::string SettingsFile_;
+  // Empty for an entry.
+  Vm Vm_;
+  Fake *Endpoint_ = nullptr;
+  // Before the peer listener; null without proxies.
+  Proxy *PeerProxy_ = nullptr;
+  // None while it is not running.
+  std::optional<Process> Process_;
+
+  std::string admin() { return Process_->readyText("admin"); }
+  // Of an entry: where callers go.
+  std::string callers() { return Process_->readyText("callers"); }
+  // Where other processes reach it.
+  std::string peers();
+};
+
+// The platform as one zone reaches it.
+struct PlatformPath {
+  std::string Table_;
+  std::string Objects_;
+  std::string Members_;
+  std::string Origin_;
+  // In the same order; empty without proxies.
+  std::vector<Proxy *> Proxies_;
+};
+
+class Fleet {
+public:
+  explicit Fleet(FleetShape Shape);
+  ~Fleet();
+  Fleet(const Fleet &) = delete;
+  Fleet &operator=(const Fleet &) = delete;
+
+  FleetProcess &entry(std::size_t Index) { return Entries_.at(Index); }
+  FleetProcess &agent(std::size_t Index) { return Agents_.at(Index); }
+  std::deque<FleetProcess> &entries() { return Entries_; }
+  std::deque<FleetProcess> &agents() { return Agents_; }
+  // The agents of the model service.
+  std::vector<FleetProcess *> modelAgents();
+  PlatformPath &platformOf(const std::string &Zone);
+  Fake &table() { return *Table_; }
+  Fake &objects() { return *Objects_; }
+  Fake &origin() { return *Origin_; }
+  Fake &members() { return *Members_; }
+  TemporaryFolder &folder() { return Stands_.folder(); }
+
+  // Starts a process that is not running, with its settings as before.
+  void start(FleetProcess &P);
+  // Kills it and forgets it; the next start() is a replacement.
+  void kill(FleetProcess &P);
+  // Writes what runs now into the platform's membership list.
+  void publishMembers();
+
+  // Puts a version of Size random bytes at the origin.
+  WeightVersion publishWeights(const std::string &Name, std::uint64_t Seed,
+                               std::size_t Size = 300'000);
+  // The operators' text for this fleet; tests change it before apply().
+  boost::json::object declaration(const WeightVersion &Version) const;
+  // hawthornroadctl with --table and --charts added.
+  ToolResult ctl(std::vector<std::string> Arguments);
+  ToolResult apply(const boost::json::object &Text,
+                   const std::string &Reason = "test");
+
+  // Wait until each process is ready; until each model engine serves Version
+  // and each agent says so.
+  void awaitReady();
+  void awaitServing(const WeightVersion &Version);
+
+private:
+  void startPlatform();
+  void addProcesses();
+  FleetProcess &addProcess(std::deque<FleetProcess> &To, FleetProcess P,
+                           boost::json::object Settings);
+  boost::json::object commonSettings(const FleetProcess &P);
+  boost::json::object agentSettings(const FleetProcess &P);
+  std::vector<std::string> seeds();
+
+  FleetShape Shape_;
+  FakesFixture Stands_;
+  Fake *Table_ = nullptr;
+  Fake *Objects_ = nullptr;
+  Fake *Origin_ = nullptr;
+  Fake *Members_ = nullptr;
+  std::deque<PlatformPath> Paths_;
+  std::deque<FleetProcess> Entries_;
+  std::deque<FleetProcess> Agents_;
+};
+
+class FleetBuilder {
+public:
+  FleetBuilder &zones(std::vector<std::string> Names);
+  FleetBuilder &entriesPerZone(std::size_t Count);
+  FleetBuilder &modelVms(std::size_t Count);
+  FleetBuilder &plainVms(std::size_t Count);
+  FleetBuilder &withProxies();
+  FleetBuilder &engineOptions(std::vector<std::string> Options);
+  FleetBuilder &serviceOptions(std::vector<std::string> Options);
+  FleetBuilder &originOptions(std::vector<std::string> Options);
+  FleetBuilder &entrySettings(boost::json::object Settings);
+  FleetBuilder &agentSettings(boost::json::object Settings);
+  std::unique_ptr<Fleet> build() const;
+
+private:
+  FleetShape Shape_;
+};
+
+// Bytes that depend on the seed alone.
+std::string seededBytes(std::size_t Size, std::uint64_t Seed);
+// The manifest of a blob that stands at BlobPath of the origin.
+std::string manifestText(const std::string &Model, const std::string &Blob,
+                         const std::string &BlobPath, std::size_t ChunkSize);
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_TESTS_INTEGRATION_FLEET_H
