--- a/hawthornroad/runtime/CtlChange.cpp
+++ b/hawthornroad/runtime/CtlChange.cpp
@@ -161,19 +161,38 @@
   return Outcome;
 }
 
-// Asks the processes until none is behind N or the wait ends; returns those
-// that still are.
-std::vector<std::string> waitFor(Revision N, const CtlOptions &O) {
+// Asks the processes until none is behind N or the wait ends; returns the last
+// answer.
+FleetStatus waitFor(Revision N, const CtlOptions &O) {
   auto End = std::chrono::steady_clock::now() + *O.Wait_;
   while (true) {
-    std::vector<std::string> Late =
-        behind(readFleetStatus(O.Admins_, O.Timeout_), N);
-    if (Late.empty() || std::chrono::steady_clock::now() >= End)
-      return Late;
+    FleetStatus S = readFleetStatus(O.Admins_, O.Timeout_);
+    bool IsOver = std::chrono::steady_clock::now() >= End;
+    if (IsOver || behind(S, N).empty())
+      return S;
     std::this_thread::sleep_for(WaitPoll);
   }
 }
 
+// Waits for revision N and tells who has not applied it.
+CtlExit waitAndTell(Revision N, const CtlOptions &O, CtlPrinter &P,
+                    json::object &Result) {
+  FleetStatus S = waitFor(N, O);
+  std::vector<std::string> Late = behind(S, N);
+  std::vector<std::string> Dead = unreachable(S, N);
+  Result["behind"] = linesOf(Late);
+  Result["unreachable"] = linesOf(Dead);
+  for (const std::string &Each : Late)
+    P.line("behind: " + Each);
+  for (const std::string &Each : Dead)
+    P.line("unreachable, last known below revision " + std::to_string(N) +
+           ": " + Each);
+  if (!Late.empty())
+    return CtlExit::Behind;
+  P.line("in force on every reachable process");
+  return CtlExit::Done;
+}
+
 // Waits when asked to, and prints the whole result.
 CtlExit conclude(const ApplyOutcome &Outcome, const CtlOptions &O,
                  CtlPrinter &P) {
@@ -182,16 +201,8 @@
   P.line(wordFor(Outcome.Kind_) + ": " + Outcome.Message_);
   if (Outcome.Kind_ == ApplyOutcome::Kind::Conflict)
     printConflict(Outcome, P);
-  if (Code == CtlExit::Done && O.Wait_) {
-    std::vector<std::string> Late = waitFor(Outcome.Revision_, O);
-    Result["behind"] = linesOf(Late);
-    for (const std::string &Each : Late)
-      P.line("behind: " + Each);
-    if (Late.empty())
-      P.line("in force on every process");
-    else
-      Code = CtlExit::Behind;
-  }
+  if (Code == CtlExit::Done && O.Wait_)
+    Code = waitAndTell(Outcome.Revision_, O, P, Result);
   Result["exit"] = static_cast<int>(Code);
   P.result(Result);
   return Code;
--- a/hawthornroad/runtime/CtlFleet.cpp
+++ b/hawthornroad/runtime/CtlFleet.cpp
@@ -69,6 +69,16 @@
   return Out;
 }
 
+json::array printNames(const std::string &Title,
+                       const std::vector<std::string> &Names, CtlPrinter &P) {
+  json::array Out;
+  for (const std::string &Each : Names) {
+    P.line(Title + ": " + Each);
+    Out.emplace_back(Each);
+  }
+  return Out;
+}
+
 json::value declaredText(const CtlOptions &O, Revision &At) {
   TableClient Table(O.Table_, O.Timeout_);
   RevisionFold Now = Table.latest();
@@ -135,16 +145,14 @@
     printMember(Member, P);
     Members.push_back(memberJson(Member));
   }
-  json::array Late;
-  for (const std::string &Each : behind(S, Highest)) {
-    P.line("behind: " + Each);
-    Late.emplace_back(Each);
-  }
+  json::array Late = printNames("behind", behind(S, Highest), P);
+  json::array Dead = printNames("unreachable", unreachable(S, Highest), P);
   json::object Silent = printSilent(S, P);
   bool IsSilent = Silent.size() == S.Reports_.size();
   P.result({{"revision", Highest},
             {"members", std::move(Members)},
             {"behind", std::move(Late)},
+            {"unreachable", std::move(Dead)},
             {"silent", std::move(Silent)}});
   return IsSilent ? CtlExit::Unavailable : CtlExit::Done;
 }
--- a/hawthornroad/runtime/FleetStatus.cpp
+++ b/hawthornroad/runtime/FleetStatus.cpp
@@ -109,8 +109,17 @@
 
 std::map<std::string, MemberReport> FleetStatus::members() const {
   std::map<std::string, MemberReport> All;
+  for (const ProcessReport &Report : Reports_)
+    for (const MemberReport &Each : Report.Members_)
+      if (Each.Process_ == Report.Process_)
+        All.insert_or_assign(Each.Process_, Each);
+  std::set<std::string> OwnWord;
+  for (const auto &[Process, Member] : All)
+    OwnWord.insert(Process);
   for (const ProcessReport &Report : Reports_)
     for (const MemberReport &Each : Report.Members_) {
+      if (OwnWord.contains(Each.Process_))
+        continue;
       auto [At, IsNew] = All.emplace(Each.Process_, Each);
       if (!IsNew && Each.Revision_ > At->second.Revision_)
         At->second = Each;
@@ -141,4 +150,12 @@
   return {Late.begin(), Late.end()};
 }
 
+std::vector<std::string> unreachable(const FleetStatus &S, Revision N) {
+  std::vector<std::string> Out;
+  for (const auto &[Process, Member] : S.members())
+    if (Member.State_ == "dead" && Member.Revision_ < N)
+      Out.push_back(Process);
+  return Out;
+}
+
 } // namespace hawthornroad
--- a/hawthornroad/runtime/FleetStatus.h
+++ b/hawthornroad/runtime/FleetStatus.h
@@ -32,7 +32,7 @@
   // The endpoint's report, empty when there is none.
   boost::json::object Endpoint_;
 
-  // Whether it has left or died, and so cannot be behind.
+  // Whether it has left or counts as dead.
   bool isGone() const { return State_ == "left" || State_ == "dead"; }
 };
 
@@ -53,8 +53,8 @@
 struct FleetStatus {
   std::vector<ProcessReport> Reports_;
 
-  // Each process once, in the word of the report with the highest revision of
-  // it; by name.
+  // Each process once, by name: in its own word where it was asked, else in
+  // the word of the report that knows the highest revision of it.
   std::map<std::string, MemberReport> members() const;
   Revision highestRevision() const;
 };
@@ -68,6 +68,11 @@
 // The processes that have not applied revision N, and the admin addresses that
 // do not answer (which cannot be known to have applied it).
 std::vector<std::string> behind(const FleetStatus &S, Revision N);
+// The processes that count as dead and were last heard of below revision N. A
+// dead VM must not hold up an operator for ever, yet a zone that is cut off
+// looks the same from outside and may go on serving with an old revision: so
+// these are named, apart from those that are behind.
+std::vector<std::string> unreachable(const FleetStatus &S, Revision N);
 
 } // namespace hawthornroad
 
--- a/tests/unit/CtlTest.cpp
+++ b/tests/unit/CtlTest.cpp
@@ -173,6 +173,7 @@
       "{\"control\":" + statusOf("a5", 7, memberOf("a5", "alive", 7)) + "}"));
   REQUIRE(S.highestRevision() == 7);
   REQUIRE(behind(S, 7) == std::vector<std::string>{"a1", "a2"});
+  REQUIRE(unreachable(S, 7) == std::vector<std::string>{"a3"});
   REQUIRE(S.Reports_[1].Vm_ == "vm-a5");
   S.Reports_.push_back({.Admin_ = "127.0.0.1:3", .Failure_ = "no answer"});
   REQUIRE(behind(S, 7) == std::vector<std::string>{"127.0.0.1:3", "a1", "a2"});
