--- a/hawthornroad/routing/Chooser.cpp
+++ b/hawthornroad/routing/Chooser.cpp
@@ -10,6 +10,8 @@
 namespace hawthornroad {
 
 namespace {
+// Endpoints drawn for a choice.
+constexpr std::size_t Draws = 8;
 // How long an endpoint that refused an attempt counts as full.
 constexpr Duration BusyFor = Milliseconds(250);
 // Endpoints that are gone are remembered, to tell late word from new; beyond
@@ -256,11 +258,13 @@
     for (const EndpointPool *P : Pools)
       if (PooledEndpoint *E = P->holder(Q.PrefixHash_, Q.Excluded_))
         return E;
-  PooledEndpoint *A = drawFrom(Pools, Q.Excluded_);
-  PooledEndpoint *B = drawFrom(Pools, Q.Excluded_);
-  if (!A || !B)
-    return A ? A : B;
-  return B->Pool_->cost(*B) < A->Pool_->cost(*A) ? B : A;
+  PooledEndpoint *Best = nullptr;
+  for (std::size_t I = 0; I < Draws; ++I) {
+    PooledEndpoint *E = drawFrom(Pools, Q.Excluded_);
+    if (E && (!Best || E->Pool_->cost(*E) < Best->Pool_->cost(*Best)))
+      Best = E;
+  }
+  return Best;
 }
 
 std::optional<Vm> Chooser::choose(const Query &Q, TimePoint Now) {
--- a/hawthornroad/routing/LoadEstimate.cpp
+++ b/hawthornroad/routing/LoadEstimate.cpp
@@ -6,6 +6,8 @@
 namespace hawthornroad {
 
 namespace {
+// Reports are averaged over this time.
+constexpr double OthersWindowSeconds = 5.0;
 // About what reports lag by.
 constexpr double OwnWindowSeconds = 2.0;
 // Older reports than this begin to fade, and fade with this time constant.
@@ -37,7 +39,11 @@
 
 void LoadEstimate::report(double InProgress, TimePoint Now) {
   advance(Now);
-  Others_ = std::max(0.0, InProgress - MeanOwn_);
+  double Others = std::max(0.0, InProgress - MeanOwn_);
+  double Kept = 0;
+  if (HasReport_)
+    Kept = std::exp(-seconds(Now - Reported_) / OthersWindowSeconds);
+  Others_ = Others + (Others_ - Others) * Kept;
   Reported_ = Now;
   HasReport_ = true;
 }
