--- a/bench/RoutingModel.cpp
+++ b/bench/RoutingModel.cpp
@@ -46,6 +46,7 @@
   TimePoint Arrival_;
   TimePoint Deadline_;
   std::size_t Attempts_ = 0;
+  std::size_t Failures_ = 0;
   std::set<Vm> Excluded_;
   bool Counted_ = false; // arrived after the warm-up
   // The attempt in progress: its number, endpoint and start.
@@ -85,6 +86,7 @@
   EngineWork drawWork();
   std::size_t drawEntry(std::size_t Customer);
   void tick(std::size_t Entry);
+  void redispatch(std::uint64_t Number);
   void pump(std::size_t Entry);
   Chooser::Query query(const ModelRequest &R) const;
   Admission::Load loadAt(ModelEntry &E, const ModelRequest &R);
@@ -96,6 +98,7 @@
   Duration delay(const ModelEntry &E, std::size_t Engine) const;
   void onFirstToken(std::uint64_t Number, std::uint64_t Attempt);
   void onEnd(std::uint64_t Number, std::uint64_t Attempt, EngineEnd End);
+  void dispatchAgain(std::uint64_t Number);
   void onDeadline(std::uint64_t Number);
   void leaveEndpoint(ModelRequest &R, Chooser::Result Result);
   bool mayRetry(ModelEntry &E, const ModelRequest &R);
@@ -335,11 +338,26 @@
   std::list<std::uint64_t> Parked = std::move(E.Parked_);
   E.Parked_.clear();
   for (std::uint64_t Number : Parked)
-    dispatch(Number);
+    redispatch(Number);
   pump(I);
   Events_.after(Tick, [this, I] { tick(I); });
 }
 
+// An attempt that an endpoint refused did not run: its request waits until the
+// chooser sees room and the budget allows another attempt.
+void Model::redispatch(std::uint64_t Number) {
+  auto Found = Requests_.find(Number);
+  if (Found == Requests_.end())
+    return;
+  ModelRequest &R = Found->second;
+  ModelEntry &E = *Entries_[R.Entry_];
+  bool MayGo = R.Attempts_ == 0 || (loadAt(E, R).HasRoom_ && mayRetry(E, R));
+  if (MayGo)
+    dispatch(Number);
+  else
+    E.Parked_.push_back(Number);
+}
+
 void Model::pump(std::size_t I) {
   ModelEntry &E = *Entries_[I];
   ModelRequest Any;
@@ -449,7 +467,7 @@
 bool Model::mayRetry(ModelEntry &E, const ModelRequest &R) {
   if (!Policy_.HasRetryBudget_)
     return R.Attempts_ < NaiveAttempts;
-  return R.Attempts_ < BudgetedAttempts &&
+  return R.Failures_ < BudgetedAttempts &&
          E.Budget_.take(Service, Events_.now());
 }
 
@@ -466,20 +484,31 @@
     end(Number, true);
     break;
   case EngineEnd::Refused:
+    leaveEndpoint(R, Chooser::Result::Refused);
+    if (!Policy_.HasRetryBudget_)
+      dispatchAgain(Number);
+    else
+      Entries_[Entry]->Parked_.push_back(Number);
+    break;
   case EngineEnd::Failed:
-    leaveEndpoint(R, End == EngineEnd::Refused ? Chooser::Result::Refused
-                                               : Chooser::Result::Failed);
+    leaveEndpoint(R, Chooser::Result::Failed);
+    ++R.Failures_;
     if (Policy_.HasRetryBudget_)
       R.Excluded_.insert(Where);
-    if (mayRetry(*Entries_[Entry], R))
-      dispatch(Number);
-    else
-      end(Number, false);
+    dispatchAgain(Number);
     break;
   }
   pump(Entry);
 }
 
+void Model::dispatchAgain(std::uint64_t Number) {
+  ModelRequest &R = Requests_.at(Number);
+  if (mayRetry(*Entries_[R.Entry_], R))
+    dispatch(Number);
+  else
+    end(Number, false);
+}
+
 void Model::onDeadline(std::uint64_t Number) {
   auto Found = Requests_.find(Number);
   if (Found == Requests_.end())
@@ -507,6 +536,9 @@
     Result_.End_.push_back(toSeconds(Events_.now() - R.Arrival_));
   } else if (R.Counted_) {
     ++Result_.Failed_;
+    // Left out, they would make a policy that loses them look quick.
+    Result_.FirstToken_.push_back(Scenario_.DeadlineSeconds_);
+    Result_.End_.push_back(Scenario_.DeadlineSeconds_);
   }
   Requests_.erase(Number);
 }
--- a/bench/RoutingModel.h
+++ b/bench/RoutingModel.h
@@ -76,7 +76,8 @@
   std::size_t Failed_ = 0;
   std::size_t Attempts_ = 0;
   std::size_t FirstAttempts_ = 0;
-  // Seconds from arrival, of answered requests.
+  // Seconds from arrival, of all that were not refused; the whole deadline for
+  // those that failed.
   std::vector<double> FirstToken_;
   std::vector<double> End_;
   // Answers in time a second, over the capacity.
--- a/hawthornroad/routing/LoadEstimate.cpp
+++ b/hawthornroad/routing/LoadEstimate.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 // Reports are averaged over this time.
-constexpr double OthersWindowSeconds = 5.0;
+constexpr double OthersWindowSeconds = 60.0;
 // About what reports lag by.
 constexpr double OwnWindowSeconds = 2.0;
 // Older reports than this begin to fade, and fade with this time constant.
