--- a/hawthornroad/rollout/RolloutTurn.cpp
+++ b/hawthornroad/rollout/RolloutTurn.cpp
@@ -52,6 +52,11 @@
 void RolloutTurn::declare(const Service *S, Revision R, TimePoint Now) {
   if (R < Revision_)
     return;
+  if (Revision_ == 0) {
+    // A process that knew nothing has asked since it started.
+    Pause_.tick(Now);
+    Pause_.confirmed(Now);
+  }
   Revision_ = R;
   if (!S || !S->Model_) {
     Choice_.setWanted({});
--- a/hawthornroad/runtime/EngineControl.cpp
+++ b/hawthornroad/runtime/EngineControl.cpp
@@ -119,6 +119,7 @@
 
   bool isPlain() const { return Kind_ == ServiceKind::Plain; }
   EndpointPhase phase() const;
+  std::string detail() const;
   Report report() const;
   std::size_t running() const {
     return Callbacks_.RunningAttempts_ ? Callbacks_.RunningAttempts_() : 0;
@@ -167,6 +168,14 @@
   return Plain_.isReady(Now_) ? EndpointPhase::Ready : EndpointPhase::Starting;
 }
 
+std::string EngineControl::State::detail() const {
+  if (!Kind_)
+    return "no service declared for this VM";
+  if (!isPlain())
+    return Turn_.detail();
+  return phase() == EndpointPhase::Ready ? "" : "service does not answer";
+}
+
 Report EngineControl::State::report() const {
   Report Made;
   Made.Phase_ = phase();
@@ -323,7 +332,7 @@
       {{"vm", Setup_.Settings_.Vm_.str()},
        {"version", After.Version_.str()},
        {"detail", std::string(toString(After.Phase_)) + " " + After.Rollout_ +
-                      " " + Turn_.detail()}});
+                      " " + detail()}});
 }
 
 EngineControl::EngineControl(Setup S, DecisionLoop &Loop, HttpClient &Client,
@@ -370,13 +379,7 @@
   return State_->report().Failed_;
 }
 
-std::string EngineControl::detail() const {
-  if (!State_->Kind_)
-    return "no service declared for this VM";
-  if (!State_->isPlain())
-    return State_->Turn_.detail();
-  return phase() == EndpointPhase::Ready ? "" : "service does not answer";
-}
+std::string EngineControl::detail() const { return State_->detail(); }
 
 json::object EngineControl::status(TimePoint Now) const {
   Report Current = State_->report();
