--- /dev/null
+++ b/bench/WeightsModel.cpp
@@ -0,0 +1,435 @@
+#include "bench/WeightsModel.h"
+
+#include "hawthornroad/base/Hash.h"
+#include "hawthornroad/weights/UploadScheduler.h"
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <queue>
+
+namespace hawthornroad {
+
+namespace {
+constexpr std::uint64_t ModelChunkSize = 1000;
+constexpr Duration TickPeriod = Milliseconds(50);
+// A transfer that takes this many windows is given up as stuck.
+constexpr int MaxWindows = 6;
+// Bytes of one message beside its list of chunks: headers and the version.
+constexpr double MessageOverhead = 120;
+constexpr double ChunkIndexBytes = 4;
+
+Duration seconds(double S) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(S));
+}
+double inSeconds(Duration D) {
+  return std::chrono::duration<double>(D).count();
+}
+
+// A manifest of the model's chunks; its digests are never checked.
+Manifest modelManifest(ChunkIndex Chunks) {
+  std::string Digest = sha256("model");
+  std::string Text = R"({"format":1,"model":"model","size":)" +
+                     std::to_string(Chunks * ModelChunkSize) +
+                     R"(,"chunk_size":)" + std::to_string(ModelChunkSize) +
+                     R"(,"digest":")" + Digest + R"(","blob":"/b","chunks":[)";
+  for (ChunkIndex I = 0; I < Chunks; ++I)
+    Text += (I == 0 ? "\"" : ",\"") + Digest + "\"";
+  Text += "]}";
+  return Manifest::parse(Text, VersionDigest(sha256(Text)), "model");
+}
+
+// A link that carries one chunk after another.
+struct Link {
+  Duration PerChunk_{};
+  TimePoint FreeAt_{};
+};
+
+struct ModelVm {
+  SwarmPeer Name_;
+  std::unique_ptr<Swarm> Swarm_;
+  UploadScheduler Uploads_{{}, 0};
+  Link Up_;
+  Link Down_;
+  bool Dead_ = false;
+  std::optional<TimePoint> DoneAt_;
+  std::size_t Sent_ = 0;
+};
+
+struct Event {
+  TimePoint At_;
+  std::uint64_t Order_;
+  std::function<void()> Do_;
+  bool operator>(const Event &Other) const {
+    return At_ != Other.At_ ? At_ > Other.At_ : Order_ > Other.Order_;
+  }
+};
+
+class Fleet {
+public:
+  explicit Fleet(const ModelSetup &S)
+      : Setup_(S), Manifest_(modelManifest(S.Chunks_)), Random_(S.Seed_) {
+    double PerChunk = inSeconds(S.Window_) / S.Chunks_;
+    Origin_.PerChunk_ = seconds(PerChunk / S.OriginCopies_);
+    for (std::size_t I = 0; I < S.Vms_; ++I)
+      addVm(I, seconds(PerChunk / S.LinkCopies_));
+    std::vector<SwarmPeer> All = livePeers();
+    for (std::size_t I = 0; I < S.Vms_; ++I) {
+      decide(I, [&](Swarm &Each) { Each.setPeers(All, Now_); });
+      // VMs hear of a new version within one tick of each other.
+      after(seconds(Random_.unit() * inSeconds(TickPeriod)),
+            [this, I] { tick(I); });
+    }
+    planDeaths();
+  }
+
+  ModelResult run() {
+    TimePoint End = Now_ + Setup_.Window_ * MaxWindows;
+    while (!Events_.empty() && Left_ > 0) {
+      Event Next = Events_.top();
+      if (Next.At_ > End)
+        break;
+      Events_.pop();
+      Now_ = Next.At_;
+      Next.Do_();
+    }
+    return result();
+  }
+
+private:
+  void addVm(std::size_t I, Duration PerChunk) {
+    auto V = std::make_unique<ModelVm>();
+    V->Name_ = {Vm("vm-" + std::to_string(I)),
+                AvailabilityZone("zone-" + std::to_string(I % Setup_.Zones_))};
+    V->Up_.PerChunk_ = V->Down_.PerChunk_ = PerChunk;
+    V->Swarm_ =
+        std::make_unique<Swarm>(Swarm::Setup{.Self_ = V->Name_,
+                                             .Preference_ = Setup_.Preference_,
+                                             .OriginCopies_ = Setup_.Budget_,
+                                             .Seed_ = Random_.next()},
+                                Manifest_, ChunkSet(Setup_.Chunks_), Now_);
+    ByName_[V->Name_.Vm_] = I;
+    Vms_.push_back(std::move(V));
+    ++Left_;
+  }
+
+  std::vector<SwarmPeer> livePeers() const {
+    std::vector<SwarmPeer> Out;
+    for (const auto &V : Vms_)
+      if (!V->Dead_)
+        Out.push_back(V->Name_);
+    return Out;
+  }
+
+  void planDeaths() {
+    auto Count = static_cast<std::size_t>(
+        Setup_.DeadShare_ * static_cast<double>(Setup_.Vms_) + 0.5);
+    std::set<std::size_t> Chosen;
+    while (Chosen.size() < Count)
+      Chosen.insert(Random_.below(Setup_.Vms_));
+    for (std::size_t I : Chosen)
+      after(seconds(Random_.unit() * lowerBoundSeconds(Setup_)),
+            [this, I] { die(I); });
+  }
+
+  void die(std::size_t I) {
+    if (!Vms_[I]->DoneAt_)
+      --Left_;
+    Vms_[I]->Dead_ = true;
+    after(Setup_.DetectAfter_, [this] {
+      std::vector<SwarmPeer> Live = livePeers();
+      for (std::size_t J = 0; J < Vms_.size(); ++J)
+        if (!Vms_[J]->Dead_)
+          decide(J, [&](Swarm &S) { S.setPeers(Live, Now_); });
+    });
+  }
+
+  void after(Duration Delay, std::function<void()> Do) {
+    at(Now_ + Delay, std::move(Do));
+  }
+  void at(TimePoint When, std::function<void()> Do) {
+    Events_.push({When, ++Order_, std::move(Do)});
+  }
+
+  // Runs a call into VM I's decision modules, and counts its time.
+  template <class Fn> void decide(std::size_t I, Fn Do) {
+    auto Start = std::chrono::steady_clock::now();
+    Do(*Vms_[I]->Swarm_);
+    Cpu_ += std::chrono::steady_clock::now() - Start;
+  }
+
+  // Delivers a message to VM I; it is lost when the VM is dead by then.
+  void message(std::size_t I, double Bytes, std::function<void()> Do) {
+    ++Messages_;
+    Bytes_ += MessageOverhead + Bytes;
+    after(Setup_.Latency_, [this, I, Do = std::move(Do)] {
+      if (!Vms_[I]->Dead_)
+        Do();
+    });
+  }
+
+  void tick(std::size_t I) {
+    if (Vms_[I]->Dead_)
+      return;
+    std::vector<SwarmAction> Actions;
+    decide(I, [&](Swarm &S) { Actions = S.tick(Now_); });
+    act(I, Actions);
+    after(TickPeriod, [this, I] { tick(I); });
+  }
+
+  void pump(std::size_t I) {
+    std::vector<SwarmAction> Actions;
+    decide(I, [&](Swarm &S) { Actions = S.pump(Now_); });
+    act(I, Actions);
+  }
+
+  void act(std::size_t I, const std::vector<SwarmAction> &Actions) {
+    for (const SwarmAction &A : Actions)
+      std::visit([&](const auto &Each) { act(I, Each); }, A);
+  }
+
+  void act(std::size_t I, const RequestChunk &A) {
+    std::size_t To = ByName_.at(A.Fetch_.From_);
+    message(To, 0, [this, I, To, C = A.Fetch_.Chunk_] {
+      Upload U{Vms_[I]->Name_.Vm_, Manifest_.version(), C};
+      if (!Vms_[To]->Swarm_->held().has(C))
+        return refuse(I, To, C, FetchEnd::Missing);
+      if (!Vms_[To]->Uploads_.request(U))
+        return refuse(I, To, C, FetchEnd::Busy);
+      startUploads(To);
+    });
+  }
+
+  void refuse(std::size_t I, std::size_t From, ChunkIndex C, FetchEnd End) {
+    message(I, 0, [this, I, From, C, End] {
+      decide(I, [&](Swarm &S) {
+        S.onRefused(C, Vms_[From]->Name_.Vm_, End, Now_);
+      });
+      pump(I);
+    });
+  }
+
+  void startUploads(std::size_t From) {
+    ModelVm &V = *Vms_[From];
+    while (auto U = V.Uploads_.next(ModelChunkSize, Now_)) {
+      std::size_t To = ByName_.at(U->Peer_);
+      TimePoint Arrival = occupy(V.Up_, &Vms_[To]->Down_);
+      at(Arrival + Setup_.Latency_,
+         [this, From, To, U = *U] { arrive(From, To, U); });
+    }
+  }
+
+  // Sends a chunk over both ends as soon as they are free.
+  TimePoint occupy(Link &Sender, Link *Receiver) {
+    TimePoint Start = std::max(Now_, Sender.FreeAt_);
+    Sender.FreeAt_ = Start + Sender.PerChunk_;
+    TimePoint Begin = std::max(Start, Receiver->FreeAt_);
+    Receiver->FreeAt_ = std::max(Sender.FreeAt_, Begin + Receiver->PerChunk_);
+    return Receiver->FreeAt_;
+  }
+
+  void arrive(std::size_t From, std::size_t To, const Upload &U) {
+    if (Vms_[From]->Dead_)
+      return;
+    ++Vms_[From]->Sent_;
+    if (!Vms_[To]->Dead_) {
+      decide(To, [&](Swarm &S) {
+        S.onChunk(U.Chunk_, Vms_[From]->Name_.Vm_, Now_);
+      });
+      noteDone(To);
+      pump(To);
+    }
+    // The acknowledgement.
+    message(From, 0, [this, From, U] {
+      Vms_[From]->Uploads_.finish(U);
+      startUploads(From);
+    });
+  }
+
+  void noteDone(std::size_t I) {
+    ModelVm &V = *Vms_[I];
+    if (V.DoneAt_ || !V.Swarm_->isDone())
+      return;
+    V.DoneAt_ = Now_;
+    --Left_;
+  }
+
+  void act(std::size_t I, const ReadOrigin &A) {
+    ++OriginReads_;
+    TimePoint Arrival = occupy(Origin_, &Vms_[I]->Down_);
+    at(Arrival + Setup_.Latency_, [this, I, C = A.Chunk_] {
+      if (Vms_[I]->Dead_)
+        return;
+      decide(I, [&](Swarm &S) { S.onOrigin(C, OriginEnd::Good, Now_); });
+      noteDone(I);
+      pump(I);
+    });
+  }
+
+  void act(std::size_t I, const ClaimGrant &A) {
+    bool Won = Ledger_.insert(A.Grant_).second;
+    ++Messages_;
+    after(Setup_.Latency_ * 2, [this, I, G = A.Grant_, Won] {
+      if (Vms_[I]->Dead_)
+        return;
+      decide(I, [&](Swarm &S) {
+        S.onClaim(G, Won ? ClaimResult::Won : ClaimResult::Lost, Now_);
+      });
+      pump(I);
+    });
+  }
+
+  void act(std::size_t I, const CheckOrigin &) {
+    ++Messages_;
+    after(Setup_.Latency_ * 2, [this, I] {
+      if (!Vms_[I]->Dead_)
+        decide(I, [&](Swarm &S) { S.onOriginChecked(true, Now_); });
+    });
+  }
+
+  void act(std::size_t I, const AskHave &A) {
+    std::size_t To = ByName_.at(A.To_);
+    message(To, 0, [this, I, To] {
+      decide(To, [&](Swarm &S) { S.onAsk(Vms_[I]->Name_.Vm_, Now_); });
+    });
+  }
+
+  void act(std::size_t I, const TellHave &A) {
+    std::size_t To = ByName_.at(A.News_.To_);
+    std::size_t Load = Vms_[I]->Uploads_.load();
+    if (A.News_.Whole_) {
+      message(To, Setup_.Chunks_ / 8.0,
+              [this, I, To, Load, Have = Vms_[I]->Swarm_->held()] {
+                decide(To, [&](Swarm &S) {
+                  S.onHave(Vms_[I]->Name_.Vm_, Have, Load, Now_);
+                });
+                pump(To);
+              });
+      return;
+    }
+    message(To, ChunkIndexBytes * static_cast<double>(A.News_.Added_.size()),
+            [this, I, To, Load, Added = A.News_.Added_] {
+              decide(To, [&](Swarm &S) {
+                S.onAdded(Vms_[I]->Name_.Vm_, Added, Load, Now_);
+              });
+              pump(To);
+            });
+  }
+
+  ModelResult result() const {
+    ModelResult R;
+    std::vector<double> Done;
+    std::size_t Most = 0;
+    std::size_t Sum = 0;
+    for (const auto &V : Vms_) {
+      if (V->Dead_)
+        continue;
+      ++R.Survivors_;
+      Most = std::max(Most, V->Sent_);
+      Sum += V->Sent_;
+      if (V->DoneAt_)
+        Done.push_back(inSeconds(*V->DoneAt_ - TimePoint{}));
+    }
+    std::sort(Done.begin(), Done.end());
+    R.Staged_ = Done.size();
+    auto Nth = [&](std::size_t N) {
+      return N >= 1 && N <= Done.size() ? Done[N - 1] : -1;
+    };
+    R.HalfSeconds_ = Nth(R.Survivors_ / 2);
+    R.AllButOneSeconds_ = Nth(R.Survivors_ - 1);
+    R.AllSeconds_ = Nth(R.Survivors_);
+    R.BoundSeconds_ = lowerBoundSeconds(Setup_);
+    auto Vms = static_cast<double>(Vms_.size());
+    R.OriginCopies_ =
+        static_cast<double>(OriginReads_) / static_cast<double>(Setup_.Chunks_);
+    double Mean = static_cast<double>(Sum) / static_cast<double>(R.Survivors_);
+    R.UploadMaxOverMean_ = static_cast<double>(Most) / std::max(1.0, Mean);
+    R.Messages_ = static_cast<double>(Messages_) / Vms;
+    R.MessageBytes_ = Bytes_ / Vms;
+    R.CpuMilliseconds_ = inSeconds(Cpu_) * 1000 / Vms;
+    return R;
+  }
+
+  ModelSetup Setup_;
+  Manifest Manifest_;
+  Random Random_;
+  TimePoint Now_{};
+  std::uint64_t Order_ = 0;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> Events_;
+  std::vector<std::unique_ptr<ModelVm>> Vms_;
+  std::map<Vm, std::size_t> ByName_;
+  std::set<Grant> Ledger_;
+  Link Origin_;
+  std::size_t Left_ = 0;
+  std::size_t OriginReads_ = 0;
+  std::size_t Messages_ = 0;
+  double Bytes_ = 0;
+  Duration Cpu_{};
+};
+
+// Parent of VM I in a baseline's tree; Vms_ stands for the origin.
+std::size_t parentOf(const ModelSetup &S, Baseline B, std::size_t I) {
+  switch (B) {
+  case Baseline::AllFromOrigin:
+    return S.Vms_;
+  case Baseline::Chain:
+    return I == 0 ? S.Vms_ : I - 1;
+  case Baseline::SeedPerZone:
+    return I < S.Zones_ ? S.Vms_ : I % S.Zones_;
+  }
+  return S.Vms_;
+}
+} // namespace
+
+double lowerBoundSeconds(const ModelSetup &S) {
+  auto N = static_cast<double>(S.Vms_);
+  double Copies = std::max({1 / S.OriginCopies_, 1 / S.LinkCopies_,
+                            N / (S.OriginCopies_ + N * S.LinkCopies_)});
+  return Copies * inSeconds(S.Window_);
+}
+
+ModelResult runSwarm(const ModelSetup &S) { return Fleet(S).run(); }
+
+ModelResult runBaseline(const ModelSetup &S, Baseline B) {
+  double PerChunk = inSeconds(S.Window_) / S.Chunks_;
+  double OriginTime = PerChunk / S.OriginCopies_;
+  double LinkTime = PerChunk / S.LinkCopies_;
+  std::vector<std::size_t> Sent(S.Vms_ + 1, 0);
+  std::vector<double> UpFree(S.Vms_ + 1, 0);
+  std::vector<double> DownFree(S.Vms_, 0);
+  std::vector<double> Arrival(S.Vms_ + 1, 0);
+  for (ChunkIndex C = 0; C < S.Chunks_; ++C) {
+    for (std::size_t I = 0; I < S.Vms_; ++I) {
+      std::size_t From = parentOf(S, B, I);
+      double SendTime = From == S.Vms_ ? OriginTime : LinkTime;
+      double Ready = From == S.Vms_ ? 0 : Arrival[From];
+      double Start = std::max(Ready, UpFree[From]);
+      UpFree[From] = Start + SendTime;
+      double Begin = std::max(Start, DownFree[I]);
+      DownFree[I] = std::max(UpFree[From], Begin + LinkTime);
+      Arrival[I] = DownFree[I] + inSeconds(S.Latency_);
+      ++Sent[From];
+    }
+  }
+  std::vector<double> Done(Arrival.begin(), Arrival.end() - 1);
+  std::sort(Done.begin(), Done.end());
+  ModelResult R;
+  R.Survivors_ = R.Staged_ = S.Vms_;
+  R.HalfSeconds_ = Done[S.Vms_ / 2 - 1];
+  R.AllButOneSeconds_ = Done[S.Vms_ - 2];
+  R.AllSeconds_ = Done.back();
+  R.BoundSeconds_ = lowerBoundSeconds(S);
+  R.OriginCopies_ =
+      static_cast<double>(Sent.back()) / static_cast<double>(S.Chunks_);
+  Sent.pop_back();
+  std::size_t Sum = 0;
+  for (std::size_t Each : Sent)
+    Sum += Each;
+  R.UploadMaxOverMean_ =
+      static_cast<double>(*std::max_element(Sent.begin(), Sent.end())) *
+      static_cast<double>(S.Vms_) / std::max(1.0, static_cast<double>(Sum));
+  return R;
+}
+
+} // namespace hawthornroad
--- /dev/null
+++ b/hawthornroad/weights/ChunkPlan.cpp
@@ -0,0 +1,185 @@
+#include "hawthornroad/weights/ChunkPlan.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace hawthornroad {
+
+namespace {
+// An answer is late after this many times the usual time, and worth a second
+// request at the end of a transfer after half as many.
+constexpr int LateFactor = 8;
+constexpr int AskTwiceFactor = 4;
+constexpr unsigned MaxDoublings = 6;
+// Weight of the newest sample in the usual time: one in eight.
+constexpr int AverageOver = 8;
+// Sources of one chunk at the end of a transfer.
+constexpr std::ptrdiff_t MaxSources = 2;
+} // namespace
+
+ChunkPlan::ChunkPlan(std::size_t Chunks, Limits L, std::uint64_t Seed)
+    : Limits_(L), Random_(Seed), Busy_(Chunks) {}
+
+Duration ChunkPlan::patience() const {
+  return std::max(Limits_.Timeout_, Usual_ * LateFactor);
+}
+
+std::vector<const ChunkSource *> ChunkPlan::usable(const HaveExchange &E,
+                                                   bool InZone, TimePoint Now) {
+  struct Ranked {
+    std::size_t Waiting_;
+    std::uint64_t Tie_;
+    const ChunkSource *Source_;
+  };
+  std::vector<Ranked> Found;
+  for (const ChunkSource &S : E.sources()) {
+    if (S.InZone_ != InZone || S.Have_.count() == 0)
+      continue;
+    std::size_t Ours = 0;
+    if (auto P = Peers_.find(S.Vm_); P != Peers_.end()) {
+      if (P->second.AvoidUntil_ > Now)
+        continue;
+      Ours = P->second.InFlight_;
+    }
+    if (Ours < Limits_.PerPeer_)
+      Found.push_back({Ours * Limits_.PerPeer_ + S.Load_, Random_.next(), &S});
+  }
+  std::sort(Found.begin(), Found.end(), [](const Ranked &A, const Ranked &B) {
+    return A.Waiting_ != B.Waiting_ ? A.Waiting_ < B.Waiting_ : A.Tie_ < B.Tie_;
+  });
+  std::vector<const ChunkSource *> Out;
+  for (const Ranked &R : Found)
+    Out.push_back(R.Source_);
+  return Out;
+}
+
+std::optional<ChunkIndex> ChunkPlan::rarest(const HaveExchange &E,
+                                            const ChunkSource &S,
+                                            const ChunkSet *Mask) {
+  const ChunkSet &Held = E.held();
+  std::size_t Words = Held.wordCount();
+  std::size_t Start = Random_.below(Words);
+  std::size_t Seen = 0;
+  std::size_t Best = 0;
+  std::optional<ChunkIndex> Found;
+  for (std::size_t Step = 0; Step < Words && Seen < Limits_.Sample_; ++Step) {
+    std::size_t At = (Start + Step) % Words;
+    std::uint64_t W = S.Have_.word(At) & ~Held.word(At) & ~Busy_.word(At);
+    if (Mask != nullptr)
+      W &= Mask->word(At);
+    // A random turn within the word, so that ties do not favour low indices.
+    int Turn = static_cast<int>(Random_.below(ChunkSet::WordBits));
+    for (W = std::rotr(W, Turn); W != 0; W &= W - 1) {
+      auto Bit = (static_cast<unsigned>(std::countr_zero(W)) +
+                  static_cast<unsigned>(Turn)) %
+                 ChunkSet::WordBits;
+      auto Index = static_cast<ChunkIndex>(At * ChunkSet::WordBits + Bit);
+      std::size_t Holders = E.inZone(Index);
+      ++Seen;
+      if (Found && Holders >= Best)
+        continue;
+      Found = Index;
+      Best = Holders;
+    }
+  }
+  return Found;
+}
+
+ChunkFetch ChunkPlan::begin(ChunkIndex Chunk, const Vm &From, TimePoint Now) {
+  Busy_.add(Chunk);
+  ChunkFetch F{Chunk, From};
+  Requests_[F] = Now;
+  ++Peers_[From].InFlight_;
+  return F;
+}
+
+std::optional<ChunkFetch> ChunkPlan::next(const HaveExchange &E,
+                                          const ChunkSet &MayCross,
+                                          TimePoint Now) {
+  if (Requests_.size() >= Limits_.InFlight_ || E.held().isFull())
+    return std::nullopt;
+  for (bool InZone : {false, true})
+    for (const ChunkSource *S : usable(E, InZone, Now))
+      if (auto Chunk = rarest(E, *S, InZone ? nullptr : &MayCross))
+        return begin(*Chunk, S->Vm_, Now);
+  return askTwice(E, Now);
+}
+
+std::optional<ChunkFetch> ChunkPlan::askTwice(const HaveExchange &E,
+                                              TimePoint Now) {
+  if (E.held().count() + Busy_.count() < E.held().size())
+    return std::nullopt;
+  Duration Long =
+      std::max(Limits_.Timeout_ / LateFactor, Usual_ * AskTwiceFactor);
+  for (const auto &[F, Since] : Requests_) {
+    if (Now - Since < Long)
+      continue;
+    auto SameChunk = [&](const auto &R) { return R.first.Chunk_ == F.Chunk_; };
+    if (std::count_if(Requests_.begin(), Requests_.end(), SameChunk) >=
+        MaxSources)
+      continue;
+    for (const ChunkSource *S : usable(E, true, Now))
+      if (S->Vm_ != F.From_ && S->Have_.has(F.Chunk_))
+        return begin(F.Chunk_, S->Vm_, Now);
+  }
+  return std::nullopt;
+}
+
+void ChunkPlan::release(ChunkIndex Chunk) {
+  auto First = Requests_.lower_bound(ChunkFetch{Chunk, Vm()});
+  if (First == Requests_.end() || First->first.Chunk_ != Chunk)
+    Busy_.remove(Chunk);
+}
+
+void ChunkPlan::finish(ChunkIndex Chunk, const Vm &From, FetchEnd End,
+                       TimePoint Now) {
+  auto Found = Requests_.find({Chunk, From});
+  if (Found == Requests_.end())
+    return;
+  Duration Took = Now - Found->second;
+  Requests_.erase(Found);
+  release(Chunk);
+  PeerState &P = Peers_[From];
+  --P.InFlight_;
+  switch (End) {
+  case FetchEnd::Good:
+    P.Misses_ = 0;
+    Usual_ += (Took - Usual_) / AverageOver;
+    return;
+  case FetchEnd::Bad:
+    P.AvoidUntil_ = Now + Limits_.AvoidBad_;
+    return;
+  case FetchEnd::Busy:
+    P.AvoidUntil_ =
+        std::max(P.AvoidUntil_, Now + Random_.jitter(Limits_.AvoidBusy_, 0.5));
+    return;
+  case FetchEnd::Missing:
+    return;
+  case FetchEnd::Lost:
+    P.AvoidUntil_ =
+        std::max(P.AvoidUntil_, Now + Limits_.AvoidLost_ * (1 << P.Misses_));
+    P.Misses_ = std::min(P.Misses_ + 1, MaxDoublings);
+    return;
+  }
+}
+
+std::vector<ChunkFetch> ChunkPlan::expire(TimePoint Now) {
+  std::vector<ChunkFetch> Out;
+  for (const auto &[F, Since] : Requests_)
+    if (Now - Since >= patience())
+      Out.push_back(F);
+  for (const ChunkFetch &F : Out)
+    finish(F.Chunk_, F.From_, FetchEnd::Lost, Now);
+  return Out;
+}
+
+void ChunkPlan::onLost(const Vm &Peer, TimePoint Now) {
+  std::vector<ChunkIndex> Chunks;
+  for (const auto &[F, Since] : Requests_)
+    if (F.From_ == Peer)
+      Chunks.push_back(F.Chunk_);
+  for (ChunkIndex I : Chunks)
+    finish(I, Peer, FetchEnd::Lost, Now);
+}
+
+} // namespace hawthornroad
--- /dev/null
+++ b/hawthornroad/weights/Owners.cpp
@@ -0,0 +1,126 @@
+#include "hawthornroad/weights/Owners.h"
+
+#include "hawthornroad/base/Hash.h"
+
+#include <algorithm>
+#include <map>
+
+namespace hawthornroad {
+
+namespace {
+// The finalizer of SplitMix64: spreads the combined hashes of slice and VM.
+std::uint64_t mix(std::uint64_t X) {
+  X += 0x9e3779b97f4a7c15ULL;
+  X = (X ^ (X >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  X = (X ^ (X >> 27)) * 0x94d049bb133111ebULL;
+  return X ^ (X >> 31);
+}
+} // namespace
+
+Owners::Owners(const VersionDigest &Version, SliceIndex Slices, SwarmPeer Self)
+    : Version_(Version), Self_(std::move(Self)), Rank_(Slices, 0),
+      ZoneRank_(Slices, 0), Owner_(Slices, 0) {
+  for (SliceIndex S = 0; S < Slices; ++S)
+    SliceHash_.push_back(rendezvousScore(Version.str(), std::to_string(S)));
+  setPeers({});
+}
+
+void Owners::setPeers(std::vector<SwarmPeer> Peers) {
+  Peers.push_back(Self_);
+  std::sort(Peers.begin(), Peers.end());
+  auto SameVm = [](const SwarmPeer &A, const SwarmPeer &B) {
+    return A.Vm_ == B.Vm_;
+  };
+  Peers.erase(std::unique(Peers.begin(), Peers.end(), SameVm), Peers.end());
+  if (Peers == Peers_)
+    return;
+  Peers_ = std::move(Peers);
+  PeerHash_.clear();
+  InZone_.clear();
+  OtherZones_ = false;
+  for (const SwarmPeer &P : Peers_) {
+    PeerHash_.push_back(rendezvousScore(Version_.str(), P.Vm_.str()));
+    if (P.Zone_ == Self_.Zone_)
+      InZone_.insert(P.Vm_);
+    else
+      OtherZones_ = true;
+  }
+  for (SliceIndex S = 0; S < Rank_.size(); ++S)
+    rankSlice(S);
+}
+
+std::uint64_t Owners::score(SliceIndex S, std::size_t Peer) const {
+  return mix(SliceHash_[S] ^ PeerHash_[Peer]);
+}
+
+void Owners::rankSlice(SliceIndex S) {
+  std::size_t Self = 0;
+  while (Peers_[Self].Vm_ != Self_.Vm_)
+    ++Self;
+  std::uint64_t Own = score(S, Self);
+  std::uint64_t Best = Own;
+  Owner_[S] = Self;
+  Rank_[S] = ZoneRank_[S] = 0;
+  for (std::size_t I = 0; I < Peers_.size(); ++I) {
+    std::uint64_t Score = score(S, I);
+    if (Score > Best) {
+      Best = Score;
+      Owner_[S] = I;
+    }
+    if (Score <= Own)
+      continue;
+    ++Rank_[S];
+    if (Peers_[I].Zone_ == Self_.Zone_)
+      ++ZoneRank_[S];
+  }
+}
+
+bool Owners::isKnown(const Vm &V) const {
+  auto At = std::lower_bound(
+      Peers_.begin(), Peers_.end(), V,
+      [](const SwarmPeer &P, const Vm &Wanted) { return P.Vm_ < Wanted; });
+  return At != Peers_.end() && At->Vm_ == V;
+}
+
+std::vector<Vm> Owners::zoneNeighbours() const {
+  std::vector<std::string> Others;
+  for (const Vm &V : InZone_)
+    if (V != Self_.Vm_)
+      Others.push_back(V.str());
+  if (Others.empty())
+    return {};
+  std::set<Vm> Chosen;
+  // The ring: the next VM by name.
+  auto Next = std::upper_bound(Others.begin(), Others.end(), Self_.Vm_.str());
+  Chosen.insert(Vm(Next == Others.end() ? Others.front() : *Next));
+  for (std::size_t I : rendezvousTop(Self_.Vm_.str(), Others, ZoneNeighbours))
+    if (Chosen.size() < ZoneNeighbours)
+      Chosen.insert(Vm(Others[I]));
+  return {Chosen.begin(), Chosen.end()};
+}
+
+std::vector<Vm> Owners::sourcesOutside(SliceIndex S) const {
+  std::map<AvailabilityZone, std::size_t> ZoneOwner;
+  for (std::size_t I = 0; I < Peers_.size(); ++I) {
+    if (Peers_[I].Zone_ == Self_.Zone_)
+      continue;
+    auto [At, New] = ZoneOwner.try_emplace(Peers_[I].Zone_, I);
+    if (!New && score(S, I) > score(S, At->second))
+      At->second = I;
+  }
+  std::vector<Vm> Out;
+  if (Peers_[Owner_[S]].Zone_ != Self_.Zone_)
+    Out.push_back(Peers_[Owner_[S]].Vm_);
+  auto At = ZoneOwner.upper_bound(Self_.Zone_);
+  for (std::size_t I = 0; I < std::min(ZonesWatched, ZoneOwner.size()); ++I) {
+    if (At == ZoneOwner.end())
+      At = ZoneOwner.begin();
+    const Vm &V = Peers_[At->second].Vm_;
+    if (std::find(Out.begin(), Out.end(), V) == Out.end())
+      Out.push_back(V);
+    ++At;
+  }
+  return Out;
+}
+
+} // namespace hawthornroad
--- /dev/null
+++ b/hawthornroad/weights/Owners.h
@@ -0,0 +1,85 @@
+// Who brings which chunks into the fleet, and into each availability zone.
+//
+//   Owners O(Version, SliceCount, {SelfVm, SelfZone});
+//   O.setPeers(Peers);
+//   O.rank(S)       // 0: this VM reads slice S from the origin
+//   O.zoneRank(S)   // 0: this VM takes slice S into its zone
+//
+// Chunks are dealt into slices (chunk i into slice i modulo their number). For
+// each slice a rendezvous hash orders all live VMs; the first is the owner. The
+// same order restricted to a zone gives the zone's owner, so the owner is also
+// its own zone's. Every VM works this out alone; when views differ, two VMs may
+// hold themselves for the owner, and OriginBudget decides between them.
+//
+// There are at most MaxSlices slices whatever the fleet's size: few VMs read
+// the origin at once, so the first chunks are whole early instead of all being
+// half-way, and the ledger of grants stays small.
+// Cost of setPeers: slices * peers hashes of two words.
+
+#ifndef HAWTHORNROAD_WEIGHTS_OWNERS_H
+#define HAWTHORNROAD_WEIGHTS_OWNERS_H
+
+#include "hawthornroad/base/Types.h"
+
+#include <set>
+#include <vector>
+
+namespace hawthornroad {
+
+using SliceIndex = std::uint32_t;
+
+constexpr SliceIndex MaxSlices = 64;
+
+// A VM that needs the version.
+struct SwarmPeer {
+  Vm Vm_;
+  AvailabilityZone Zone_;
+  auto operator<=>(const SwarmPeer &) const = default;
+};
+
+class Owners {
+public:
+  // Peers of the own zone that a VM watches, of its own choice.
+  static constexpr std::size_t ZoneNeighbours = 6;
+  // Owners of other zones watched for each slice, beside the slice's owner.
+  static constexpr std::size_t ZonesWatched = 2;
+
+  Owners(const VersionDigest &Version, SliceIndex Slices, SwarmPeer Self);
+
+  // All live VMs that need the version; Self may be left out.
+  void setPeers(std::vector<SwarmPeer> Peers);
+
+  std::size_t rank(SliceIndex S) const { return Rank_[S]; }
+  std::size_t zoneRank(SliceIndex S) const { return ZoneRank_[S]; }
+  const Vm &owner(SliceIndex S) const { return Peers_[Owner_[S]].Vm_; }
+  // Whether any peer lives in another zone.
+  bool hasOtherZones() const { return OtherZones_; }
+  bool isInZone(const Vm &V) const { return InZone_.contains(V); }
+  bool isKnown(const Vm &V) const;
+  // Random but steady neighbours in the zone; the ring among them makes the
+  // zone connected.
+  std::vector<Vm> zoneNeighbours() const;
+  // Where to look for slice S outside the zone: its owner, then the owners of
+  // the next zones.
+  std::vector<Vm> sourcesOutside(SliceIndex S) const;
+  const std::vector<SwarmPeer> &peers() const { return Peers_; }
+
+private:
+  std::uint64_t score(SliceIndex S, std::size_t Peer) const;
+  void rankSlice(SliceIndex S);
+
+  VersionDigest Version_;
+  SwarmPeer Self_;
+  std::vector<SwarmPeer> Peers_;
+  std::vector<std::uint64_t> PeerHash_;
+  std::vector<std::uint64_t> SliceHash_;
+  std::vector<std::size_t> Rank_;
+  std::vector<std::size_t> ZoneRank_;
+  std::vector<std::size_t> Owner_;
+  std::set<Vm> InZone_;
+  bool OtherZones_ = false;
+};
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_WEIGHTS_OWNERS_H
--- /dev/null
+++ b/hawthornroad/weights/Swarm.cpp
@@ -0,0 +1,276 @@
+#include "hawthornroad/weights/Swarm.h"
+
+#include <algorithm>
+
+namespace hawthornroad {
+
+namespace {
+// Neighbours watched in return, beside those of the own choice.
+constexpr std::size_t MaxGuests = 10;
+// Later ranks wait no longer than this many patiences.
+constexpr std::size_t MaxRank = 64;
+// With no news of any slice for this many patiences, all count as late.
+constexpr int SilentPatiences = 3;
+} // namespace
+
+Swarm::Swarm(Setup S, const Manifest &M, ChunkSet Held, TimePoint Now)
+    : Setup_(std::move(S)), Random_(Setup_.Seed_),
+      Budget_(M.chunkCount(), M.size(), M.chunkSize(), Setup_.OriginCopies_),
+      Owners_(M.version(), Budget_.sliceCount(), Setup_.Self_),
+      Exchange_(std::move(Held), Setup_.Exchange_),
+      Plan_(M.chunkCount(), Setup_.Plan_, Random_.next()),
+      ZoneNews_(Budget_.sliceCount(), Now), News_(Budget_.sliceCount(), Now),
+      SeenAt_(Budget_.sliceCount(), 0), AnyNews_(Now),
+      Crosses_(Budget_.sliceCount(), false), MayCross_(M.chunkCount()) {
+  refreshCrossing(Now);
+  rewatch();
+}
+
+void Swarm::setRollout(RolloutPreference Preference, double Copies) {
+  Budget_.setCopies(Copies);
+  Setup_.OriginCopies_ = Copies;
+  Setup_.Preference_ = Preference;
+}
+
+void Swarm::setPeers(std::vector<SwarmPeer> Peers, TimePoint Now) {
+  std::vector<Vm> Before;
+  for (const SwarmPeer &P : Owners_.peers())
+    Before.push_back(P.Vm_);
+  Owners_.setPeers(std::move(Peers));
+  for (const Vm &V : Before)
+    if (!Owners_.isKnown(V))
+      onLost(V, Now);
+  std::erase_if(Guests_, [&](const Vm &V) { return !Owners_.isInZone(V); });
+  refreshCrossing(Now);
+  rewatch();
+}
+
+void Swarm::refreshCrossing(TimePoint Now) {
+  std::vector<bool> Before = Crosses_;
+  for (SliceIndex S = 0; S < Crosses_.size(); ++S)
+    Crosses_[S] = Owners_.hasOtherZones() && isLateInZone(S, Now);
+  if (Crosses_ == Before)
+    return;
+  for (ChunkIndex I = 0; I < MayCross_.size(); ++I) {
+    if (Crosses_[Budget_.sliceOf(I)])
+      MayCross_.add(I);
+    else
+      MayCross_.remove(I);
+  }
+  rewatch();
+}
+
+void Swarm::rewatch() {
+  std::map<Vm, bool> Watched;
+  for (const Vm &V : Owners_.zoneNeighbours())
+    Watched[V] = true;
+  for (const Vm &V : Guests_)
+    Watched[V] = true;
+  for (SliceIndex S = 0; S < Crosses_.size(); ++S) {
+    if (!Crosses_[S])
+      continue;
+    for (const Vm &V : Owners_.sourcesOutside(S))
+      Watched[V] = false;
+  }
+  Exchange_.watch(Watched);
+}
+
+void Swarm::noteNews(const std::vector<ChunkIndex> &Fresh, bool InZone,
+                     TimePoint Now) {
+  for (ChunkIndex I : Fresh) {
+    if (held().has(I))
+      continue;
+    SliceIndex S = Budget_.sliceOf(I);
+    AnyNews_ = News_[S] = Now;
+    SeenAt_[S] = ++Seen_;
+    if (InZone)
+      ZoneNews_[S] = Now;
+  }
+}
+
+void Swarm::noteOwn(ChunkIndex Index, TimePoint Now) {
+  if (Exchange_.anywhere(Index) == 0)
+    noteNews({Index}, true, Now);
+  ZoneNews_[Budget_.sliceOf(Index)] = Now;
+  Exchange_.noteHeld(Index);
+}
+
+void Swarm::onAsk(const Vm &From, TimePoint Now) {
+  if (!Exchange_.onAsk(From, Now) || isDone())
+    return;
+  if (!Owners_.isInZone(From) || Exchange_.find(From) != nullptr ||
+      Guests_.size() >= MaxGuests)
+    return;
+  Guests_.insert(From);
+  rewatch();
+}
+
+void Swarm::onHave(const Vm &From, const ChunkSet &Have, std::size_t Load,
+                   TimePoint Now) {
+  if (Have.size() == held().size())
+    noteNews(Exchange_.onHave(From, Have, Load), Owners_.isInZone(From), Now);
+}
+
+void Swarm::onAdded(const Vm &From, const std::vector<ChunkIndex> &Added,
+                    std::size_t Load, TimePoint Now) {
+  noteNews(Exchange_.onAdded(From, Added, Load), Owners_.isInZone(From), Now);
+}
+
+void Swarm::onChunk(ChunkIndex Index, const Vm &From, TimePoint Now) {
+  Plan_.finish(Index, From, FetchEnd::Good, Now);
+  noteOwn(Index, Now);
+}
+
+void Swarm::onRefused(ChunkIndex Index, const Vm &From, FetchEnd End,
+                      TimePoint Now) {
+  Plan_.finish(Index, From, End, Now);
+  if (End == FetchEnd::Missing)
+    Exchange_.onMissing(From, Index);
+}
+
+void Swarm::onOrigin(ChunkIndex Index, OriginEnd End, TimePoint Now) {
+  if (Reading_ > 0)
+    --Reading_;
+  OriginDue_ = true;
+  Plan_.release(Index);
+  switch (End) {
+  case OriginEnd::Good:
+    OriginSeen_ = Now;
+    noteOwn(Index, Now);
+    return;
+  case OriginEnd::Nothing:
+    Budget_.refund(Index);
+    OriginSeen_.reset();
+    [[fallthrough]];
+  case OriginEnd::Wasted:
+    OriginPause_ = Now + Random_.jitter(Setup_.OriginRetry_, 0.5);
+    return;
+  }
+}
+
+void Swarm::onClaim(const Grant &G, ClaimResult Result, TimePoint Now) {
+  Budget_.onClaim(G, Result);
+  OriginDue_ = true;
+  if (Result == ClaimResult::Unknown)
+    OriginPause_ = Now + Random_.jitter(Setup_.OriginRetry_, 0.5);
+}
+
+void Swarm::onOriginChecked(bool Answers, TimePoint Now) {
+  Checking_ = false;
+  if (Answers)
+    OriginSeen_ = Now;
+  else
+    OriginPause_ = Now + Random_.jitter(Setup_.OriginRetry_, 0.5);
+}
+
+void Swarm::onLost(const Vm &Peer, TimePoint Now) {
+  Plan_.onLost(Peer, Now);
+  Exchange_.onLost(Peer);
+}
+
+Duration Swarm::patience(std::size_t Rank) const {
+  Duration One = Setup_.Preference_ == RolloutPreference::Time
+                     ? Setup_.TimePatience_
+                     : Setup_.OriginBytesPatience_;
+  return One * static_cast<Duration::rep>(std::min(Rank, MaxRank));
+}
+
+bool Swarm::isLateInZone(SliceIndex S, TimePoint Now) const {
+  return Now - ZoneNews_[S] >= patience(Owners_.zoneRank(S));
+}
+
+bool Swarm::isLate(SliceIndex S, std::size_t Rank, TimePoint Now) const {
+  if (Now - News_[S] < patience(Rank))
+    return false;
+  if (Now - AnyNews_ >= patience(Rank) * SilentPatiences)
+    return true;
+  return Seen_ - SeenAt_[S] >=
+         Rank * Setup_.LagNews_ * static_cast<std::size_t>(SeenAt_.size());
+}
+
+bool Swarm::stepIn(ChunkIndex Index, std::vector<SwarmAction> &Out,
+                   TimePoint Now) {
+  SliceIndex S = Budget_.sliceOf(Index);
+  std::size_t Rank = Owners_.rank(S);
+  if (!isLate(S, Rank, Now))
+    return false;
+  if (Budget_.mayRead(Index)) {
+    Budget_.spend(Index);
+    Plan_.reserve(Index);
+    ++Reading_;
+    Out.push_back(ReadOrigin{Index});
+    return true;
+  }
+  // Beyond the slice's own grant, even its owner waits a turn: the grant's
+  // holder may be another VM that is reading.
+  bool MaySpare = isLate(S, Rank + 1, Now);
+  if (MaySpare && !originIsFresh(Now)) {
+    if (!Checking_)
+      Out.push_back(CheckOrigin{});
+    Checking_ = true;
+    return true;
+  }
+  auto G = Budget_.nextClaim(Index, MaySpare, Random_);
+  if (G)
+    Out.push_back(ClaimGrant{*G});
+  return G.has_value();
+}
+
+void Swarm::readOrigin(std::vector<SwarmAction> &Out, TimePoint Now) {
+  if (Now < OriginPause_)
+    return;
+  const ChunkSet &Held = held();
+  for (ChunkIndex I = 0; I < Held.size(); ++I) {
+    if (Reading_ >= Setup_.OriginReads_)
+      return;
+    if (Held.has(I) || Exchange_.anywhere(I) > 0 || Plan_.isInFlight(I))
+      continue;
+    stepIn(I, Out, Now);
+  }
+}
+
+std::vector<SwarmAction> Swarm::pump(TimePoint Now) {
+  std::vector<SwarmAction> Out;
+  if (isDone())
+    return Out;
+  while (auto F = Plan_.next(Exchange_, MayCross_, Now))
+    Out.push_back(RequestChunk{*F});
+  if (OriginDue_)
+    readOrigin(Out, Now);
+  OriginDue_ = false;
+  return Out;
+}
+
+std::vector<SwarmAction> Swarm::tick(TimePoint Now) {
+  std::vector<SwarmAction> Out;
+  for (HaveNews &News : Exchange_.dueNews(Now))
+    Out.push_back(TellHave{std::move(News)});
+  if (isDone())
+    return Out;
+  for (const Vm &V : Exchange_.dueAsks(Now))
+    Out.push_back(AskHave{V});
+  Plan_.expire(Now);
+  refreshCrossing(Now);
+  OriginDue_ = true;
+  for (SwarmAction &A : pump(Now))
+    Out.push_back(std::move(A));
+  return Out;
+}
+
+std::string Swarm::stalled(TimePoint Now) const {
+  if (isDone() || !Budget_.isSpent())
+    return {};
+  for (ChunkIndex I = 0; I < held().size(); ++I) {
+    if (held().has(I) || Exchange_.anywhere(I) > 0 || Plan_.isInFlight(I) ||
+        Budget_.mayRead(I))
+      continue;
+    SliceIndex S = Budget_.sliceOf(I);
+    if (isLate(S, Owners_.rank(S) + 1, Now))
+      return "chunk " + std::to_string(I) +
+             " is held by no peer in reach and the origin budget is spent; "
+             "declare a larger origin_copies";
+  }
+  return {};
+}
+
+} // namespace hawthornroad
--- /dev/null
+++ b/hawthornroad/weights/Swarm.h
@@ -0,0 +1,171 @@
+// One VM's part in bringing one version to the fleet: takes events, returns
+// actions; the driver (runtime/WeightTransfer, bench/WeightsModel) does them.
+//
+//   Swarm S({.Self_ = {Vm, Zone}, ...}, Manifest, Held);
+//   S.setPeers(Peers, Now);
+//   S.onChunk(7, From, Now);             // verified and kept
+//   for (const SwarmAction &A : S.tick(Now)) ...
+//
+// How a chunk travels:
+// 1. Its owner reads it from the origin, under a grant of OriginBudget.
+// 2. The owner of each other zone takes it into its zone, from the owner or
+//    from the owner of another zone, whichever it watches that has it.
+// 3. Inside the zone every VM asks its neighbours, rarest chunks first, and
+//    passes on what it has as soon as it is verified.
+//
+// Owners die, stall and are cut off. Nobody can tell this apart from a slow
+// link, so what counts is news: a slice of which nothing new has been seen for
+// a patience is late. When a slice is late in the zone, the next in the zone's
+// order takes it across zones; when it is late everywhere, the next in the
+// fleet's order reads what is missing, under spare grants. The patience grows
+// with the rank, so that one VM steps in and not all. For the fleet, time alone
+// is no evidence: with a slow origin every slice is silent for long. So a slice
+// must also have fallen behind the others, by LagNews_ chunks each.
+//
+// Reading for a late slice needs the origin to have answered a check lately:
+// while the origin is down, VMs that take turns to try would otherwise use up
+// the spare grants.
+
+#ifndef HAWTHORNROAD_WEIGHTS_SWARM_H
+#define HAWTHORNROAD_WEIGHTS_SWARM_H
+
+#include "hawthornroad/config/Declaration.h"
+#include "hawthornroad/weights/ChunkPlan.h"
+#include "hawthornroad/weights/OriginBudget.h"
+
+#include <variant>
+#include <vector>
+
+namespace hawthornroad {
+
+struct RequestChunk {
+  ChunkFetch Fetch_;
+  bool operator==(const RequestChunk &) const = default;
+};
+struct ReadOrigin {
+  ChunkIndex Chunk_ = 0;
+  bool operator==(const ReadOrigin &) const = default;
+};
+// Create the grant's key in the ledger, or find out who holds it.
+struct ClaimGrant {
+  Grant Grant_;
+  bool operator==(const ClaimGrant &) const = default;
+};
+// Find out whether the origin answers, without reading chunks.
+struct CheckOrigin {
+  bool operator==(const CheckOrigin &) const = default;
+};
+struct AskHave {
+  Vm To_;
+  bool operator==(const AskHave &) const = default;
+};
+struct TellHave {
+  HaveNews News_;
+  bool operator==(const TellHave &) const = default;
+};
+using SwarmAction = std::variant<RequestChunk, ReadOrigin, ClaimGrant,
+                                 CheckOrigin, AskHave, TellHave>;
+
+// How a read from the origin ended.
+enum class OriginEnd {
+  Good,   // the chunk came and was right
+  Wasted, // bytes came, or may have been sent, but not a right chunk
+  Nothing // the origin sent no byte of the chunk
+};
+
+class Swarm {
+public:
+  struct Setup {
+    SwarmPeer Self_;
+    RolloutPreference Preference_ = RolloutPreference::Time;
+    double OriginCopies_ = 3.3;
+    std::uint64_t Seed_ = 1;
+    // Reads from the origin at once.
+    std::size_t OriginReads_ = 2;
+    ChunkPlan::Limits Plan_ = {};
+    HaveExchange::Limits Exchange_ = {};
+    // Time without news after which a slice is late: short when time matters,
+    // long when the origin's bytes do.
+    Duration TimePatience_ = Seconds(1);
+    Duration OriginBytesPatience_ = Seconds(4);
+    // Chunks seen of the average other slice since a silent slice's last.
+    std::size_t LagNews_ = 3;
+    Duration OriginRetry_ = Seconds(1);
+    // How long a successful answer of the origin counts.
+    Duration OriginFresh_ = Seconds(5);
+  };
+
+  Swarm(Setup S, const Manifest &M, ChunkSet Held, TimePoint Now);
+
+  void setPeers(std::vector<SwarmPeer> Peers, TimePoint Now);
+  // A larger or smaller declared budget; grants already won stay.
+  void setRollout(RolloutPreference Preference, double Copies);
+
+  void onAsk(const Vm &From, TimePoint Now);
+  void onHave(const Vm &From, const ChunkSet &Have, std::size_t Load,
+              TimePoint Now);
+  void onAdded(const Vm &From, const std::vector<ChunkIndex> &Added,
+               std::size_t Load, TimePoint Now);
+  // A chunk that was asked of From came and is kept.
+  void onChunk(ChunkIndex Index, const Vm &From, TimePoint Now);
+  void onRefused(ChunkIndex Index, const Vm &From, FetchEnd End, TimePoint Now);
+  void onOrigin(ChunkIndex Index, OriginEnd End, TimePoint Now);
+  void onClaim(const Grant &G, ClaimResult Result, TimePoint Now);
+  void onOriginChecked(bool Answers, TimePoint Now);
+  void onLost(const Vm &Peer, TimePoint Now);
+
+  // What an event just made possible: cheap, call after each event.
+  std::vector<SwarmAction> pump(TimePoint Now);
+  // Everything that time makes due: call every 20 to 100 ms.
+  std::vector<SwarmAction> tick(TimePoint Now);
+
+  const ChunkSet &held() const { return Exchange_.held(); }
+  bool isDone() const { return held().isFull(); }
+  // Why the transfer cannot go on by itself; empty while it can.
+  std::string stalled(TimePoint Now) const;
+  OriginBudget &budget() { return Budget_; }
+
+private:
+  void noteNews(const std::vector<ChunkIndex> &Fresh, bool InZone,
+                TimePoint Now);
+  void rewatch();
+  void refreshCrossing(TimePoint Now);
+  void noteOwn(ChunkIndex Index, TimePoint Now);
+  bool isLateInZone(SliceIndex S, TimePoint Now) const;
+  bool isLate(SliceIndex S, std::size_t Rank, TimePoint Now) const;
+  Duration patience(std::size_t Rank) const;
+  void readOrigin(std::vector<SwarmAction> &Out, TimePoint Now);
+  bool stepIn(ChunkIndex Index, std::vector<SwarmAction> &Out, TimePoint Now);
+  bool originIsFresh(TimePoint Now) const {
+    return OriginSeen_ && Now - *OriginSeen_ <= Setup_.OriginFresh_;
+  }
+
+  Setup Setup_;
+  Random Random_;
+  OriginBudget Budget_;
+  Owners Owners_;
+  HaveExchange Exchange_;
+  ChunkPlan Plan_;
+  // When something new of each slice was last seen: in the zone, anywhere.
+  std::vector<TimePoint> ZoneNews_;
+  std::vector<TimePoint> News_;
+  // Chunks first seen so far, in all and when each slice had its last.
+  std::size_t Seen_ = 0;
+  std::vector<std::size_t> SeenAt_;
+  TimePoint AnyNews_;
+  // Slices this VM takes across zones, and their chunks.
+  std::vector<bool> Crosses_;
+  ChunkSet MayCross_;
+  // Neighbours that watch this VM and are watched in return.
+  std::set<Vm> Guests_;
+  std::size_t Reading_ = 0;
+  // A read or claim ended, so the next may begin before the next tick.
+  bool OriginDue_ = false;
+  TimePoint OriginPause_{};
+  std::optional<TimePoint> OriginSeen_;
+  bool Checking_ = false;
+};
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_WEIGHTS_SWARM_H
