--- /dev/null
+++ b/fakes/ProxyPath.h
@@ -0,0 +1,61 @@
+// The path through a proxy that all its connections share: the faults now set,
+// the totals, and the link whose rate they divide.
+
+#ifndef HAWTHORNROAD_FAKES_PROXYPATH_H
+#define HAWTHORNROAD_FAKES_PROXYPATH_H
+
+#include "fakes/FrameFilter.h"
+#include "hawthornroad/runtime/Io.h"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace hawthornroad {
+
+class ProxySession;
+
+// "Up" is from the connecting side to the target.
+enum Direction : std::size_t { Up, Down, Directions };
+constexpr std::array<const char *, Directions> DirectionNames = {"up", "down"};
+
+struct PathFaults {
+  bool Refuse_ = false;
+  bool Blackhole_ = false;
+  // Zones whose processes reach nothing through here.
+  std::set<std::string> BlackholeFrom_;
+  Duration Delay_{};
+  Duration Jitter_{};
+  std::uint64_t JitterSeed_ = 1;
+  // Bytes a second of each direction; 0 means no limit.
+  double Rate_ = 0;
+  std::array<FrameFaults, Directions> Frames_;
+};
+
+struct PathTotals {
+  std::uint64_t Accepted_ = 0;
+  std::uint64_t Refused_ = 0;
+  std::uint64_t Resets_ = 0;
+  std::array<std::uint64_t, Directions> Bytes_{};
+  std::array<std::uint64_t, Directions> Frames_{};
+};
+
+struct ProxyPath {
+  explicit ProxyPath(IoThread &Io) : Io_(Io) {}
+
+  IoThread &Io_;
+  std::optional<boost::asio::ip::tcp::endpoint> Target_;
+  PathFaults Faults_;
+  PathTotals Totals_;
+  std::set<std::shared_ptr<ProxySession>> Sessions_;
+  // When the link of a direction has sent what was given to it so far.
+  std::array<TimePoint, Directions> LinkFree_{};
+  Random Jitter_{1};
+};
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_FAKES_PROXYPATH_H
--- a/tests/integration/ProxyTest.cpp
+++ b/tests/integration/ProxyTest.cpp
@@ -68,7 +68,7 @@
                                         const wire::Frame &F) { note(F); }}};
   PeerNet Sender_{
       Io_,
-      {.Process_ = ProcessName("sender")},
+      {.Process_ = ProcessName("sender"), .Zone_ = AvailabilityZone("a")},
       limits(),
       {.OnFrame_ = [](const PeerContext &, const wire::Frame &) {},
        .OnLost_ = [this](const PeerContext &, const Error &) { noteLost(); }}};
@@ -95,13 +95,15 @@
 TEST_CASE_METHOD(FramesFixture,
                  "proxy, told to cut after frames, passes exactly so many",
                  "[fakes]") {
-  // The sender's Hello is the first frame.
-  Proxy_->setFaults(R"({"cut_after_frames":{"direction":"up","frames":3}})");
-  for (Revision Number : {1, 2, 3, 4})
+  send(1);
+  eventually([&] { return got() == Numbers{1}; }, "the connection stands");
+  // The sender's Hello was the first frame.
+  Proxy_->setFaults(R"({"cut_after_frames":{"direction":"up","frames":4}})");
+  for (Revision Number : {2, 3, 4, 5})
     send(Number);
   eventually([&] { return lost() == 1; }, "the connection is reset");
-  eventually([&] { return got().size() >= 2; }, "what passed is there");
-  REQUIRE(got() == Numbers{1, 2});
+  eventually([&] { return got().size() >= 3; }, "what passed is there");
+  REQUIRE(got() == Numbers{1, 2, 3});
 }
 
 TEST_CASE_METHOD(FramesFixture,
@@ -153,6 +155,22 @@
   eventually([&] { return got() == Numbers{1, 2}; }, "the frame is there");
 }
 
+TEST_CASE_METHOD(FramesFixture,
+                 "proxy, told to cut off a zone, stops frames from that zone "
+                 "only",
+                 "[fakes]") {
+  Proxy_->setFaults(R"({"blackhole_from":{"zones":["b"]}})");
+  send(1);
+  eventually([&] { return got() == Numbers{1}; },
+             "another zone's frame passes");
+  Proxy_->setFaults(R"({"blackhole_from":{"zones":["a"]}})");
+  send(2);
+  eventually([&] { return passedUp() == 3; }, "the proxy has read the frame");
+  REQUIRE(got() == Numbers{1});
+  Proxy_->setFaults("{}");
+  eventually([&] { return got() == Numbers{1, 2}; }, "the frame is there");
+}
+
 TEST_CASE_METHOD(FakesFixture,
                  "proxy, told to reset or refuse, ends connections and follows "
                  "a new target",
