--- /dev/null
+++ b/tests/integration/OperatorsTest.cpp
@@ -0,0 +1,318 @@
+// Operators and the platform's table: races, lost answers, outages, bad texts.
+
+#include "hawthornroad/config/RevisionRecord.h"
+#include "tests/integration/Fleet.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <catch2/catch.hpp>
+#include <future>
+
+using namespace hawthornroad;
+using Catch::Matchers::Contains;
+
+namespace json = boost::json;
+
+namespace {
+// A table and operators; no process of the system is needed.
+class OperatorsFixture : public FakesFixture {
+protected:
+  Fake &Table_ = fake("table");
+
+  // A text whose one service has Replicas.
+  std::string text(int Replicas) {
+    std::string Name = "fleet-" + std::to_string(Replicas) + ".jsonc";
+    return folder().write(
+        Name, "{\"format\": 1, \"services\": {\"desk\": {\"kind\": \"plain\", "
+              "\"vms\": [\"desk-*\"], \"replicas\": " +
+                  std::to_string(Replicas) + "}}}");
+  }
+
+  ToolResult ctl(std::vector<std::string> Arguments) {
+    Arguments.insert(Arguments.end(),
+                     {"--table", Table_.address(), "--charts",
+                      std::string(SOURCE_DIR) + "/charts", "--timeout", "1"});
+    return runTool("hawthornroadctl", Arguments, folder());
+  }
+  ToolResult apply(int Replicas, std::vector<std::string> More = {}) {
+    std::vector<std::string> All = {"apply", text(Replicas)};
+    All.insert(All.end(), More.begin(), More.end());
+    return ctl(All);
+  }
+
+  // The accepted records, in order.
+  std::vector<RevisionRecord> records() {
+    std::vector<RevisionRecord> Out;
+    json::object List =
+        getJson(Table_.address(), "/table?prefix=" + RevisionKeyPrefix);
+    for (const json::value &Each : List.at("items").as_array())
+      Out.push_back(parseRevisionRecord(Each.at("value").as_string().c_str()));
+    return Out;
+  }
+  std::int64_t writes() { return numberAt(Table_.counters(), "writes"); }
+};
+
+json::value replicasPatch(int Replicas) {
+  return json::parse("{\"services\":{\"desk\":{\"replicas\":" +
+                     std::to_string(Replicas) + "}}}");
+}
+} // namespace
+
+// Two operators open revision 1, both edit it and both apply. Without a
+// condition on the successor the later write would silently undo the earlier
+// one; and whoever loses has to see what they ran into.
+TEST_CASE_METHOD(OperatorsFixture,
+                 "two applies on one base, one after the other, the second "
+                 "gets a conflict that shows both changes",
+                 "[operators]") {
+  REQUIRE(apply(1).ExitCode_ == 0);
+  REQUIRE(apply(2, {"--base", "1", "--author", "ana", "--reason", "more"})
+              .ExitCode_ == 0);
+  ToolResult Loser = apply(3, {"--base", "1"});
+  CHECK(Loser.ExitCode_ == 3);
+  CHECK_THAT(Loser.Output_, Contains("revision 2 by ana") && Contains("more") &&
+                                Contains("services.desk.replicas = 2") &&
+                                Contains("services.desk.replicas = 3"));
+  CHECK(records().size() == 2);
+
+  json::value Told = json::parse(apply(3, {"--base", "1", "--json"}).Output_);
+  CHECK(Told.at("outcome") == "conflict");
+  CHECK(Told.at("ours") == replicasPatch(3));
+  CHECK(Told.at("theirs").at(0).at("patch") == replicasPatch(2));
+}
+
+// As above, but at the same moment: all of them have read revision 1 as the
+// latest before any of them writes.
+TEST_CASE_METHOD(OperatorsFixture,
+                 "many applies on one base, at once, exactly one wins",
+                 "[operators]") {
+  REQUIRE(apply(1).ExitCode_ == 0);
+  constexpr int Operators = 6;
+  std::vector<std::string> Texts;
+  for (int I = 0; I < Operators; ++I)
+    Texts.push_back(text(10 + I));
+  std::vector<std::future<ToolResult>> Running;
+  for (const std::string &Each : Texts)
+    Running.push_back(std::async(std::launch::async, [this, Each] {
+      return ctl({"apply", Each, "--base", "1"});
+    }));
+  int Won = 0;
+  int Conflicts = 0;
+  for (std::future<ToolResult> &Each : Running) {
+    int Code = Each.get().ExitCode_;
+    Won += Code == 0 ? 1 : 0;
+    Conflicts += Code == 3 ? 1 : 0;
+  }
+  CHECK(Won == 1);
+  CHECK(Conflicts == Operators - 1);
+  CHECK(records().size() == 2);
+}
+
+// The table creates the record and the connection is cut before the answer.
+// The operator sees an error and applies again: a second record of the change
+// would undo whatever a colleague has changed in between.
+TEST_CASE_METHOD(OperatorsFixture,
+                 "apply, answer lost after the write took effect, is accepted "
+                 "once",
+                 "[operators]") {
+  REQUIRE(apply(1).ExitCode_ == 0);
+  Table_.setFaults(R"({"lose_answers": 1})");
+  ToolResult First = apply(2, {"--base", "1", "--change", "c2"});
+  CHECK(First.ExitCode_ == 0);
+  CHECK(records().size() == 2);
+
+  REQUIRE(apply(7).ExitCode_ == 0);
+  ToolResult Again = apply(2, {"--base", "1", "--change", "c2"});
+  CHECK(Again.ExitCode_ == 0);
+  CHECK_THAT(Again.Output_, Contains("already accepted as revision 2"));
+  CHECK(records().size() == 3);
+  CHECK(records().back().Patch_ == replicasPatch(7));
+}
+
+// The answer is lost and the table's reads come from an old copy, so the tool
+// cannot find out whose record stands there. Saying "accepted" or "failed"
+// would be a guess; the operator tries again later, by the id.
+TEST_CASE_METHOD(
+    OperatorsFixture,
+    "apply, answer lost and reads from an old copy, claims nothing "
+    "and can be tried again",
+    "[operators]") {
+  REQUIRE(apply(1).ExitCode_ == 0);
+  Table_.setFaults(R"({"lose_answers": 1, "stale_reads": true})");
+  ToolResult First = apply(2, {"--base", "1", "--change", "c2"});
+  CHECK(First.ExitCode_ == 6);
+  CHECK_THAT(First.Output_, Contains("not known whether change c2"));
+
+  Table_.setFaults("{}");
+  ToolResult Again = apply(2, {"--base", "1", "--change", "c2"});
+  CHECK(Again.ExitCode_ == 0);
+  CHECK(records().size() == 2);
+}
+
+// An operator applies while the platform is away. The tool must say so, with
+// nothing half-done that comes to light when the platform returns.
+TEST_CASE_METHOD(OperatorsFixture,
+                 "apply, during an outage, says that nothing was written",
+                 "[operators]") {
+  REQUIRE(apply(1).ExitCode_ == 0);
+  std::string Fault = GENERATE(R"({"down": true})", R"({"silent": true})");
+  std::int64_t Before = writes();
+  Table_.setFaults(Fault);
+  ToolResult Result = apply(2);
+  CHECK(Result.ExitCode_ == 4);
+  CHECK_THAT(Result.Output_,
+             Contains("wrote nothing") && Contains(Table_.address()));
+  CHECK(ctl({"history"}).ExitCode_ == 4);
+  Table_.setFaults("{}");
+  CHECK(writes() == Before);
+  CHECK(records().size() == 1);
+  CHECK(apply(2).ExitCode_ == 0);
+}
+
+// A text with a typing error must not reach any process, nor the table.
+TEST_CASE_METHOD(OperatorsFixture, "bad texts, applied, write nothing",
+                 "[operators]") {
+  const std::vector<std::string> Bad = {
+      "",
+      "{",
+      "[]",
+      "{\"format\": 2}",
+      "{\"format\": 1, \"servces\": {}}",
+      "{\"format\": 1, \"services\": {\"a\": {\"kind\": \"plain\", \"vms\": "
+      "[\"a\"], \"depends_on\": [\"a\"]}}}",
+      std::string(5 * 1024 * 1024, ' ')};
+  for (const std::string &Each : Bad) {
+    std::string File = folder().write("bad.jsonc", Each);
+    ToolResult Result = ctl({"apply", File});
+    CAPTURE(Each.substr(0, 60), Result.Errors_);
+    CHECK(Result.ExitCode_ == 2);
+    CHECK_THAT(Result.Errors_, Contains("bad.jsonc:1: "));
+  }
+  CHECK(numberAt(Table_.counters(), "reads") == 0);
+  CHECK(writes() == 0);
+}
+
+// A bad change is taken back. Were the number taken back too, a process that
+// had seen the higher one could not tell which of the two is in force.
+TEST_CASE_METHOD(OperatorsFixture,
+                 "rollback, to an older revision, is a new higher revision",
+                 "[operators]") {
+  REQUIRE(apply(1).ExitCode_ == 0);
+  REQUIRE(apply(2).ExitCode_ == 0);
+  REQUIRE(apply(3).ExitCode_ == 0);
+  CHECK(ctl({"rollback", "1", "--author", "ivo"}).ExitCode_ == 0);
+  std::vector<RevisionRecord> All = records();
+  REQUIRE(All.size() == 4);
+  CHECK(All[3].Digest_ == All[0].Digest_);
+  CHECK(All[3].Reason_ == "rollback to revision 1");
+  CHECK(ctl({"rollback", "9"}).ExitCode_ == 1);
+  CHECK(records().size() == 4);
+}
+
+TEST_CASE_METHOD(OperatorsFixture,
+                 "history, after changes, tells who changed what and why",
+                 "[operators]") {
+  REQUIRE(apply(1, {"--author", "ana", "--reason", "first"}).ExitCode_ == 0);
+  REQUIRE(apply(2, {"--author", "ivo", "--reason", "more"}).ExitCode_ == 0);
+  REQUIRE(apply(3, {"--author", "eva", "--reason", "still"}).ExitCode_ == 0);
+  json::value Told =
+      json::parse(ctl({"history", "--limit", "2", "--json"}).Output_);
+  REQUIRE(Told.at("history").as_array().size() == 2);
+  const json::value &Second = Told.at("history").at(0);
+  CHECK(Second.at("revision").to_number<int>() == 2);
+  CHECK(Second.at("author") == "ivo");
+  CHECK(Second.at("reason") == "more");
+  CHECK(Second.at("patch") == replicasPatch(2));
+  CHECK_THAT(ctl({"history"}).Output_,
+             Contains("by ana") && Contains("by eva") && Contains(": more"));
+}
+
+namespace {
+// A small fleet of plain services under one accepted text.
+class WaitFixture {
+protected:
+  std::unique_ptr<Fleet> fleet(json::object Settings) {
+    auto F = FleetBuilder()
+                 .modelVms(0)
+                 .plainVms(2)
+                 .entrySettings(Settings)
+                 .agentSettings(Settings)
+                 .build();
+    Text_ = F->declaration({});
+    Text_["services"].as_object().erase("copywriter-lm");
+    REQUIRE(F->apply(Text_).ExitCode_ == 0);
+    F->awaitReady();
+    return F;
+  }
+
+  // Changes the text, applies it and waits as an operator does.
+  ToolResult applyAndWait(Fleet &F, const std::string &SecondsToWait) {
+    Text_["customers"].as_object()["new-customer"] = {{"weight", 2}};
+    std::string File = F.folder().write("next.jsonc", json::serialize(Text_));
+    return F.ctl({"apply", File, "--wait", SecondsToWait, "--admin",
+                  F.entry(0).admin(), "--json"});
+  }
+
+  json::object Text_;
+};
+
+json::array namesAt(const ToolResult &R, const char *Key) {
+  return json::parse(R.Output_).at(Key).as_array();
+}
+} // namespace
+
+TEST_CASE_METHOD(WaitFixture,
+                 "apply --wait, all processes well, ends when all have it",
+                 "[operators]") {
+  auto F = fleet({});
+  ToolResult Result = applyAndWait(*F, "20");
+  CAPTURE(Result.Output_, Result.Errors_);
+  CHECK(Result.ExitCode_ == 0);
+  CHECK(namesAt(Result, "behind").empty());
+  for (FleetProcess &Each : F->agents())
+    CHECK(numberAt(getJson(Each.admin(), "/status")["control"].as_object(),
+                   "revision") == 2);
+}
+
+// One agent hangs (its VM is paused). The operator's change is accepted, the
+// rest has it; the operator has to learn which one does not, and that one must
+// have it soon after it goes on.
+TEST_CASE_METHOD(WaitFixture,
+                 "apply --wait, one process frozen, names exactly that one",
+                 "[operators]") {
+  auto F = fleet({{"suspicion_timeout_ms", 600000}});
+  FleetProcess &Frozen = F->agent(1);
+  Frozen.Process_->freeze();
+  ToolResult Result = applyAndWait(*F, "3");
+  CAPTURE(Result.Output_, Result.Errors_);
+  CHECK(Result.ExitCode_ == 5);
+  CHECK(namesAt(Result, "behind") == json::array{Frozen.Name_});
+  ToolResult Status =
+      F->ctl({"status", "--admin", F->entry(0).admin(), "--json"});
+  CHECK(namesAt(Status, "behind") == json::array{Frozen.Name_});
+
+  Frozen.Process_->resume();
+  eventually(
+      [&] {
+        ToolResult Later =
+            F->ctl({"status", "--admin", F->entry(0).admin(), "--json"});
+        return namesAt(Later, "behind").empty();
+      },
+      "nobody is behind");
+}
+
+// As above, but the paused VM counts as dead by the time the wait ends. It must
+// not hold the operator up, and must not go unmentioned either.
+TEST_CASE_METHOD(WaitFixture,
+                 "apply --wait, one process counted dead, names it apart",
+                 "[operators]") {
+  auto F = fleet({{"suspicion_timeout_ms", 300}});
+  FleetProcess &Frozen = F->agent(1);
+  Frozen.Process_->freeze();
+  ToolResult Result = applyAndWait(*F, "20");
+  CAPTURE(Result.Output_, Result.Errors_);
+  CHECK(Result.ExitCode_ == 0);
+  CHECK(namesAt(Result, "unreachable") == json::array{Frozen.Name_});
+  Frozen.Process_->resume();
+}
