--- a/hawthornroad/routing/Claims.cpp
+++ b/hawthornroad/routing/Claims.cpp
@@ -6,6 +6,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
+#include <boost/json/value_to.hpp>
 
 namespace hawthornroad {
 
--- a/tests/unit/RequestCoreTest.cpp
+++ b/tests/unit/RequestCoreTest.cpp
@@ -1,5 +1,7 @@
 #include "hawthornroad/routing/RequestCore.h"
 
+#include "hawthornroad/base/Hash.h"
+
 #include <catch2/catch.hpp>
 #include <map>
 
