--- a/bench/RoutingModel.cpp
+++ b/bench/RoutingModel.cpp
@@ -86,7 +86,6 @@
   EngineWork drawWork();
   std::size_t drawEntry(std::size_t Customer);
   void tick(std::size_t Entry);
-  void redispatch(std::uint64_t Number);
   void pump(std::size_t Entry);
   Chooser::Query query(const ModelRequest &R) const;
   Admission::Load loadAt(ModelEntry &E, const ModelRequest &R);
@@ -338,26 +337,11 @@
   std::list<std::uint64_t> Parked = std::move(E.Parked_);
   E.Parked_.clear();
   for (std::uint64_t Number : Parked)
-    redispatch(Number);
+    dispatch(Number);
   pump(I);
   Events_.after(Tick, [this, I] { tick(I); });
 }
 
-// An attempt that an endpoint refused did not run: its request waits until the
-// chooser sees room and the budget allows another attempt.
-void Model::redispatch(std::uint64_t Number) {
-  auto Found = Requests_.find(Number);
-  if (Found == Requests_.end())
-    return;
-  ModelRequest &R = Found->second;
-  ModelEntry &E = *Entries_[R.Entry_];
-  bool MayGo = R.Attempts_ == 0 || (loadAt(E, R).HasRoom_ && mayRetry(E, R));
-  if (MayGo)
-    dispatch(Number);
-  else
-    E.Parked_.push_back(Number);
-}
-
 void Model::pump(std::size_t I) {
   ModelEntry &E = *Entries_[I];
   ModelRequest Any;
@@ -365,7 +349,12 @@
     auto Id = E.Admission_.next(Service, Events_.now());
     if (!Id)
       return;
-    dispatch(Id->Lo_);
+    // One whose last attempt an endpoint refused is a retry.
+    if (Requests_.at(Id->Lo_).Attempts_ > 0 &&
+        !mayRetry(E, Requests_.at(Id->Lo_)))
+      end(Id->Lo_, false);
+    else
+      dispatch(Id->Lo_);
   }
 }
 
@@ -488,7 +477,7 @@
     if (!Policy_.HasRetryBudget_)
       dispatchAgain(Number);
     else
-      Entries_[Entry]->Parked_.push_back(Number);
+      Entries_[Entry]->Admission_.requeue(idOf(Number));
     break;
   case EngineEnd::Failed:
     leaveEndpoint(R, Chooser::Result::Failed);
--- a/hawthornroad/routing/Admission.cpp
+++ b/hawthornroad/routing/Admission.cpp
@@ -71,7 +71,7 @@
 };
 
 bool isLate(const FairQueue::Item &I, const ServiceRate &Rate, TimePoint Now) {
-  return I.Deadline_ <= Now + Rate.quickest();
+  return I.Deadline_ <= Now + Rate.longest();
 }
 } // namespace
 
@@ -251,7 +251,7 @@
   }
 
   double Ahead = S->Queue_.aheadOf(Name, R.Priority_, A->Weight_);
-  Duration Needed = S->Rate_.timeFor(Ahead + 1) + S->Rate_.quickest();
+  Duration Needed = S->Rate_.timeFor(Ahead + 1) + S->Rate_.longest();
   if (R.Deadline_ < Now + Needed)
     return {.Kind_ = Verdict::Refuse,
             .Refusal_ = State_->refuse(R.Id_, RefusalCause::DeadlineTooShort, S,
@@ -295,6 +295,19 @@
   return std::nullopt;
 }
 
+bool Admission::requeue(RequestId Id) {
+  auto Found = State_->Records_.find(Id);
+  if (Found == State_->Records_.end() || !Found->second.Admitted_)
+    return false;
+  Record &R = Found->second;
+  ServiceState &S = State_->Services_[R.Service_];
+  auto A = State_->Accounts_.find(R.Item_.Customer_);
+  S.Queue_.unpop(R.Item_, A == State_->Accounts_.end() ? 1 : A->second.Weight_);
+  S.Rate_.abandoned();
+  R.Admitted_ = false;
+  return true;
+}
+
 void Admission::finished(RequestId Id, Duration Took, TimePoint) {
   auto Found = State_->Records_.find(Id);
   if (Found == State_->Records_.end())
--- a/hawthornroad/routing/Admission.h
+++ b/hawthornroad/routing/Admission.h
@@ -99,6 +99,9 @@
   // The next waiting request of the service in fair order; it counts as
   // admitted. Call only when there is room.
   std::optional<RequestId> next(const ServiceName &Service, TimePoint Now);
+  // An endpoint refused the admitted request's attempt, which did not run: the
+  // request waits again, as its customer's next. False when it is not admitted.
+  bool requeue(RequestId Id);
   // An admitted request ended after Took (dispatch to end); waiting ones are
   // taken out. Unknown ids are ignored.
   void finished(RequestId Id, Duration Took, TimePoint Now);
--- a/hawthornroad/routing/EndpointPool.cpp
+++ b/hawthornroad/routing/EndpointPool.cpp
@@ -47,6 +47,7 @@
 void EndpointPool::addSums(const PooledEndpoint &E, double Sign) {
   Places_ += Sign * E.Places_;
   Taken_ += Sign * std::min(E.Taken_, E.Places_);
+  Own_ += Sign * E.PooledOwn_;
   Others_ += Sign * E.PooledOthers_;
   StepMs_ += Sign * E.PooledStepMs_;
   if (E.PooledStepMs_ > 0)
@@ -56,7 +57,8 @@
 void EndpointPool::add(PooledEndpoint &E, std::size_t Limit, TimePoint Now) {
   E.Pool_ = this;
   E.Position_ = Members_.size();
-  E.Places_ = E.Taken_ = E.PooledOthers_ = E.PooledStepMs_ = 0;
+  E.Places_ = E.Taken_ = E.PooledStepMs_ = 0;
+  E.PooledOwn_ = E.PooledOthers_ = 0;
   Members_.push_back(&E);
   Affinity_.add({E.NameHash_, E.Slot_});
   refresh(E, Limit, Now);
@@ -94,6 +96,7 @@
   if (E.Status_.Capacity_ > 0)
     Places = std::min<std::size_t>(Places, E.Status_.Capacity_);
   E.Places_ = static_cast<double>(Places);
+  E.PooledOwn_ = static_cast<double>(E.Load_.own());
   E.PooledOthers_ = E.Load_.reportedOthers();
   E.PooledStepMs_ = std::max(0.0F, E.Status_.StepMs_);
   E.Taken_ = E.Load_.total(Now, typicalOthers());
@@ -120,6 +123,8 @@
 
 PooledEndpoint *EndpointPool::draw(Random &Rng,
                                    const std::set<Vm> &Excluded) const {
+  if (open() == 0)
+    return nullptr;
   std::size_t At = Rng.below(Open_);
   for (std::size_t I = 0; I < std::min(Open_, MostLooks); ++I) {
     PooledEndpoint *E = Members_[(At + I) % Open_];
@@ -131,6 +136,8 @@
 
 PooledEndpoint *EndpointPool::holder(std::uint64_t PrefixHash,
                                      const std::set<Vm> &Excluded) const {
+  if (open() == 0)
+    return nullptr;
   const double MeanUse = Places_ > 0 ? Taken_ / Places_ : 0;
   PrefixAffinity::Candidates C = Affinity_.candidates(PrefixHash);
   for (std::size_t I = 0; I < C.Count_; ++I) {
--- a/hawthornroad/routing/EndpointPool.h
+++ b/hawthornroad/routing/EndpointPool.h
@@ -21,6 +21,7 @@
 #include "hawthornroad/base/Random.h"
 #include "hawthornroad/base/Types.h"
 #include "hawthornroad/membership/EndpointStatus.h"
+#include "hawthornroad/routing/ConcurrencyWindow.h"
 #include "hawthornroad/routing/LoadEstimate.h"
 #include "hawthornroad/routing/OutlierEjection.h"
 #include "hawthornroad/routing/PrefixAffinity.h"
@@ -55,6 +56,7 @@
   std::size_t Position_ = 0;
   double Places_ = 0;
   double Taken_ = 0;
+  double PooledOwn_ = 0;
   double PooledOthers_ = 0;
   double PooledStepMs_ = 0;
   // When it is due for a probe, if it stands among the ejected.
@@ -95,11 +97,16 @@
   // The ejected endpoint that is due first; null when none is ejected.
   PooledEndpoint *firstEjected() const;
 
+  // An attempt ended at a member: whole, or refused for want of a place.
+  void noteAnswered() { Window_.answered(Own_); }
+  void noteRefused() { Window_.refused(Own_); }
+
   // Expected relative time of an attempt there; lower is better.
   double cost(const PooledEndpoint &E) const;
 
   std::size_t size() const { return Members_.size(); }
-  std::size_t open() const { return Open_; }
+  // Members with a free place; none while the window is full.
+  std::size_t open() const { return Window_.allows(Own_) ? Open_ : 0; }
   double places() const { return Places_; }
   double taken() const { return Taken_; }
 
@@ -127,10 +134,12 @@
   std::set<Due> Ejected_;
   double Places_ = 0;
   double Taken_ = 0;
+  double Own_ = 0;
   double Others_ = 0;
   double StepMs_ = 0;
   std::size_t Steps_ = 0;
   std::size_t Cursor_ = 0;
+  ConcurrencyWindow Window_;
 };
 
 } // namespace hawthornroad
--- a/hawthornroad/routing/FairQueue.cpp
+++ b/hawthornroad/routing/FairQueue.cpp
@@ -27,6 +27,16 @@
   ++Size_;
 }
 
+void FairQueue::unpop(Item I, double Weight) {
+  Class &C = Classes_[indexOf(I.Priority_)];
+  Flow &F = C.Flows_[I.Customer_];
+  F.Weight_ = Weight;
+  F.Start_ = std::max(0.0, F.Start_ - 1.0 / Weight);
+  F.Waiting_.push_front(std::move(I));
+  ++C.Size_;
+  ++Size_;
+}
+
 void FairQueue::forgetIdle(Class &C) {
   std::erase_if(C.Flows_, [&](const auto &Entry) {
     const Flow &F = Entry.second;
--- a/hawthornroad/routing/FairQueue.h
+++ b/hawthornroad/routing/FairQueue.h
@@ -46,6 +46,8 @@
   // Weight is the customer's, above 0.
   void push(Item I, double Weight);
   std::optional<Item> pop();
+  // Gives back the place that pop() gave: I is its customer's next again.
+  void unpop(Item I, double Weight);
   // Takes a request out; false when it is not here.
   bool remove(const Item &I);
 
--- a/hawthornroad/routing/ServiceRate.cpp
+++ b/hawthornroad/routing/ServiceRate.cpp
@@ -7,7 +7,7 @@
 namespace {
 // Weight of a new sample once there are this many.
 constexpr std::size_t SamplesKept = 64;
-constexpr double QuickQuantile = 0.1;
+constexpr double LongQuantile = 0.9;
 // Step of the quantile's search, as a share of the mean.
 constexpr double QuantileStep = 0.05;
 // Guards the division: nothing real takes less.
@@ -30,15 +30,15 @@
   double Seconds = std::chrono::duration<double>(Took).count();
   Seconds = std::max(Seconds, LeastSeconds);
   if (Samples_ == 0)
-    QuickSeconds_ = Seconds;
+    LongSeconds_ = Seconds;
   Samples_ = std::min(Samples_ + 1, SamplesKept);
   MeanSeconds_ += (Seconds - MeanSeconds_) / static_cast<double>(Samples_);
-  // Steps up a little for each sample above and down a lot for each below,
-  // in the ratio at which one in ten lies below.
+  // Steps up a lot for each sample above and down a little for each below, in
+  // the ratio at which one in ten lies above.
   double Step = QuantileStep * MeanSeconds_;
-  QuickSeconds_ +=
-      Step * (Seconds < QuickSeconds_ ? QuickQuantile - 1 : QuickQuantile);
-  QuickSeconds_ = std::clamp(QuickSeconds_, LeastSeconds, MeanSeconds_);
+  LongSeconds_ +=
+      Step * (Seconds < LongSeconds_ ? LongQuantile - 1 : LongQuantile);
+  LongSeconds_ = std::max(LongSeconds_, MeanSeconds_);
 }
 
 double ServiceRate::perSecond() const {
@@ -54,6 +54,6 @@
   return toDuration(Places / perSecond());
 }
 
-Duration ServiceRate::quickest() const { return toDuration(QuickSeconds_); }
+Duration ServiceRate::longest() const { return toDuration(LongSeconds_); }
 
 } // namespace hawthornroad
--- a/hawthornroad/routing/ServiceRate.h
+++ b/hawthornroad/routing/ServiceRate.h
@@ -10,8 +10,8 @@
 // count of completions a second would need a window to notice, and would take
 // a quiet minute for a slow one.
 //
-// Also kept: the time that only one request in ten undercuts, which is the
-// least a request must be given to be worth starting.
+// Also kept: the time that only one request in ten exceeds. A request that has
+// less left is likely to spend a place and miss its deadline all the same.
 
 #ifndef HAWTHORNROAD_ROUTING_SERVICERATE_H
 #define HAWTHORNROAD_ROUTING_SERVICERATE_H
@@ -34,15 +34,15 @@
   double perSecond() const;
   // Time until Places have come free; zero while unknown.
   Duration timeFor(double Places) const;
-  // The shortest time that a request is likely to take; zero while unknown.
-  Duration quickest() const;
+  // The longest time that a request is likely to take; zero while unknown.
+  Duration longest() const;
   std::size_t inProgress() const { return InProgress_; }
 
 private:
   std::size_t InProgress_ = 0;
   std::size_t Samples_ = 0;
   double MeanSeconds_ = 0;
-  double QuickSeconds_ = 0;
+  double LongSeconds_ = 0;
 };
 
 } // namespace hawthornroad
