--- a/hawthornroad/routing/Chooser.cpp
+++ b/hawthornroad/routing/Chooser.cpp
@@ -49,6 +49,7 @@
                                        TimePoint Now) const;
   PooledEndpoint *drawFrom(const std::vector<EndpointPool *> &Pools,
                            const std::set<Vm> &Excluded);
+  PooledEndpoint *chooseWaiting(Group &G, const Query &Q, TimePoint Now);
   PooledEndpoint *chooseFrom(const std::vector<EndpointPool *> &Pools,
                              const Query &Q);
 
@@ -267,6 +268,22 @@
   return Best;
 }
 
+// With every place taken: an endpoint at which an attempt may wait.
+PooledEndpoint *Chooser::State::chooseWaiting(Group &G, const Query &Q,
+                                              TimePoint Now) {
+  PooledEndpoint *Best = nullptr;
+  for (auto &P : G.Pools_) {
+    if (P->zone() != Own_ || !P->serves(Q.Version_) || !P->hasSlack())
+      continue;
+    for (std::size_t I = 0; I < Draws; ++I) {
+      PooledEndpoint *E = P->drawFull(Rng_, Q.Excluded_, Now);
+      if (E && (!Best || P->cost(*E) < Best->Pool_->cost(*Best)))
+        Best = E;
+    }
+  }
+  return Best;
+}
+
 std::optional<Vm> Chooser::choose(const Query &Q, TimePoint Now) {
   Group *G = State_->groupOf(Q.Service_);
   if (!G)
@@ -282,6 +299,8 @@
     if (PooledEndpoint *E = State_->chooseFrom(Pools, Q))
       return E->Status_.Vm_;
   }
+  if (PooledEndpoint *E = State_->chooseWaiting(*G, Q, Now))
+    return E->Status_.Vm_;
   return std::nullopt;
 }
 
@@ -294,7 +313,7 @@
     for (const EndpointPool *P : State_->matching(*G, Q, W, Now))
       if (P->draw(State_->Rng_, Q.Excluded_))
         return true;
-  return false;
+  return State_->chooseWaiting(*G, Q, Now) != nullptr;
 }
 
 std::size_t Chooser::readyCount(const ServiceName &Service) const {
--- a/hawthornroad/routing/EndpointPool.cpp
+++ b/hawthornroad/routing/EndpointPool.cpp
@@ -13,6 +13,9 @@
 // A place counts as free when the estimate, which is fractional, leaves most
 // of one.
 constexpr double LeastFreePlace = 0.5;
+// The share of places beyond them that may be used by entries with little in
+// progress; agents let a quarter wait.
+constexpr double WaitingPlaces = 0.2;
 // A prefix's endpoint is passed over beyond this multiple of the mean load.
 constexpr double AffinityBound = 1.25;
 // Bounds the trust in a reported token time.
@@ -49,6 +52,7 @@
   Taken_ += Sign * std::min(E.Taken_, E.Places_);
   Own_ += Sign * E.PooledOwn_;
   Others_ += Sign * E.PooledOthers_;
+  Latest_ += Sign * E.PooledLatest_;
   StepMs_ += Sign * E.PooledStepMs_;
   if (E.PooledStepMs_ > 0)
     Steps_ += Sign > 0 ? 1 : -1;
@@ -58,7 +62,7 @@
   E.Pool_ = this;
   E.Position_ = Members_.size();
   E.Places_ = E.Taken_ = E.PooledStepMs_ = 0;
-  E.PooledOwn_ = E.PooledOthers_ = 0;
+  E.PooledOwn_ = E.PooledOthers_ = E.PooledLatest_ = 0;
   Members_.push_back(&E);
   Affinity_.add({E.NameHash_, E.Slot_});
   refresh(E, Limit, Now);
@@ -98,6 +102,7 @@
   E.Places_ = static_cast<double>(Places);
   E.PooledOwn_ = static_cast<double>(E.Load_.own());
   E.PooledOthers_ = E.Load_.reportedOthers();
+  E.PooledLatest_ = E.Load_.latestOthers();
   E.PooledStepMs_ = std::max(0.0F, E.Status_.StepMs_);
   E.Taken_ = E.Load_.total(Now, typicalOthers());
   addSums(E, 1);
@@ -121,6 +126,41 @@
   }
 }
 
+double EndpointPool::inProgress() const {
+  return Own_ + std::max(0.0, Latest_);
+}
+
+bool EndpointPool::isFull() const {
+  return !Window_.allows(Own_) || inProgress() + LeastFreePlace > Places_;
+}
+
+// Entries that fill each place they see come free keep what they have, and one
+// that has little sees no place free for as long as the overload lasts: its
+// callers are refused while those of its neighbours are served. So the less of
+// the load is its own, the further an entry may go beyond the places; the
+// others then see the pool as full and give way until shares are even.
+bool EndpointPool::hasSlack() const {
+  if (!Window_.allows(Own_))
+    return false;
+  double Load = inProgress();
+  double OwnShare = Load > 0 ? Own_ / Load : 1;
+  return Load + 1 <= Places_ * (1 + WaitingPlaces * (1 - OwnShare));
+}
+
+PooledEndpoint *EndpointPool::drawFull(Random &Rng,
+                                       const std::set<Vm> &Excluded,
+                                       TimePoint Now) const {
+  std::size_t At = Rng.below(Members_.size());
+  for (std::size_t I = 0; I < std::min(Members_.size(), MostLooks); ++I) {
+    PooledEndpoint *E = Members_[(At + I) % Members_.size()];
+    if (E->Health_.Ejected_ || Now < E->BusyUntil_)
+      continue;
+    if (!Excluded.contains(E->Status_.Vm_))
+      return E;
+  }
+  return nullptr;
+}
+
 PooledEndpoint *EndpointPool::draw(Random &Rng,
                                    const std::set<Vm> &Excluded) const {
   if (open() == 0)
--- a/hawthornroad/routing/EndpointPool.h
+++ b/hawthornroad/routing/EndpointPool.h
@@ -58,6 +58,7 @@
   double Taken_ = 0;
   double PooledOwn_ = 0;
   double PooledOthers_ = 0;
+  double PooledLatest_ = 0;
   double PooledStepMs_ = 0;
   // When it is due for a probe, if it stands among the ejected.
   std::optional<TimePoint> Due_;
@@ -88,6 +89,9 @@
   // One open endpoint, each alike; null when none but excluded ones was found
   // in a bounded look.
   PooledEndpoint *draw(Random &Rng, const std::set<Vm> &Excluded) const;
+  // One endpoint of all but the ejected and those that just refused.
+  PooledEndpoint *drawFull(Random &Rng, const std::set<Vm> &Excluded,
+                           TimePoint Now) const;
   // The endpoint that should hold the prefix in its cache, while its load is
   // within a bound of the mean; else null.
   PooledEndpoint *holder(std::uint64_t PrefixHash,
@@ -105,8 +109,11 @@
   double cost(const PooledEndpoint &E) const;
 
   std::size_t size() const { return Members_.size(); }
-  // Members with a free place; none while the window is full.
-  std::size_t open() const { return Window_.allows(Own_) ? Open_ : 0; }
+  // Members with a free place; none while the window or the pool is full.
+  std::size_t open() const { return isFull() ? 0 : Open_; }
+  // Whether an entry with as little in progress as this one may use places in
+  // which attempts wait, though the pool is full.
+  bool hasSlack() const;
   double places() const { return Places_; }
   double taken() const { return Taken_; }
 
@@ -118,6 +125,9 @@
     auto operator<=>(const Due &) const = default;
   };
 
+  bool isFull() const;
+  // Everybody's attempts, by the latest reports.
+  double inProgress() const;
   double typicalOthers() const;
   void swapMembers(std::size_t A, std::size_t B);
   void setOpen(PooledEndpoint &E, bool IsOpen);
@@ -136,6 +146,7 @@
   double Taken_ = 0;
   double Own_ = 0;
   double Others_ = 0;
+  double Latest_ = 0;
   double StepMs_ = 0;
   std::size_t Steps_ = 0;
   std::size_t Cursor_ = 0;
--- a/hawthornroad/routing/LoadEstimate.cpp
+++ b/hawthornroad/routing/LoadEstimate.cpp
@@ -39,7 +39,8 @@
 
 void LoadEstimate::report(double InProgress, TimePoint Now) {
   advance(Now);
-  double Others = std::max(0.0, InProgress - MeanOwn_);
+  Latest_ = InProgress - MeanOwn_;
+  double Others = std::max(0.0, Latest_);
   double Kept = 0;
   if (HasReport_)
     Kept = std::exp(-seconds(Now - Reported_) / OthersWindowSeconds);
@@ -50,6 +51,7 @@
 
 void LoadEstimate::forgetReports() {
   Others_ = 0;
+  Latest_ = 0;
   HasReport_ = false;
 }
 
--- a/hawthornroad/routing/LoadEstimate.h
+++ b/hawthornroad/routing/LoadEstimate.h
@@ -43,7 +43,10 @@
   // The others' attempts; Typical is the mean over the endpoint's peers.
   double others(TimePoint Now, double Typical) const;
   double total(TimePoint Now, double Typical) const;
-  // What the last report left to the others, however old.
+  // The last report alone, not averaged; may be below zero. Summed over many
+  // endpoints, its noise cancels out and it tells of a change at once.
+  double latestOthers() const { return Latest_; }
+  // The average of the reports, however old.
   double reportedOthers() const { return Others_; }
 
 private:
@@ -54,6 +57,7 @@
   double MeanOwn_ = 0;
   TimePoint Updated_;
   double Others_ = 0;
+  double Latest_ = 0;
   TimePoint Reported_;
   bool HasReport_ = false;
 };
