Model: a chunk takes the receiver's link only when its sending begins

Cause: the first model reserved the receiver's link when a chunk was queued at the sender. With the origin's queue several seconds long, an owner's link stood reserved, hence closed to peers, for all that time; a trace showed 70% of the uplinks idle for the first 28 s with every VM's 8 requests outstanding. Conclusion: the fault was the model's, not the plan's.

--- a/bench/WeightsBench.cpp
+++ b/bench/WeightsBench.cpp
@@ -1,12 +1,11 @@
 // Time to N staged replicas, origin copies, upload balance and cost of weight
 // transfer, in model time, against baselines and the lower bound.
 //
-//   WeightsBench [--max-vms 128] [--chunks 2048] [--zones 3] [--dead 0.05]
-//                [--json FILE]
+//   WeightsBench [--max-vms 128] [--zones 3] [--dead 0.05] [--json FILE]
 //
 // Prints a table; --json writes the same figures.
 
-#include "bench/WeightsModel.cpp" // NOLINT: the model belongs to this program
+#include "bench/WeightsModel.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
@@ -14,6 +13,7 @@
 #include <cstdio>
 #include <fstream>
 #include <iostream>
+#include <set>
 
 using namespace hawthornroad;
 namespace po = boost::program_options;
@@ -52,7 +52,7 @@
           {"vms", R.Setup_.Vms_},
           {"zones", R.Setup_.Zones_},
           {"chunks", R.Setup_.Chunks_},
-          {"window_s", inSeconds(R.Setup_.Window_)},
+          {"window_s", std::chrono::duration<double>(R.Setup_.Window_).count()},
           {"survivors", M.Survivors_},
           {"staged", M.Staged_},
           {"half_s", M.HalfSeconds_},
@@ -81,12 +81,15 @@
   boost::json::array Rows_;
 };
 
-void measureSize(Report &Out, ModelSetup S, double Dead) {
+void measureBaselines(Report &Out, const ModelSetup &S) {
   Out.add({"all-from-origin", S, runBaseline(S, Baseline::AllFromOrigin)});
   Out.add({"chain", S, runBaseline(S, Baseline::Chain)});
   if (S.Zones_ < S.Vms_)
     Out.add({"seed-per-zone", S, runBaseline(S, Baseline::SeedPerZone)});
-  for (double Share : {0.0, Dead}) {
+}
+
+void measureSwarm(Report &Out, ModelSetup S, double Dead) {
+  for (double Share : std::set<double>{0.0, Dead}) {
     S.DeadShare_ = Share;
     S.Preference_ = RolloutPreference::Time;
     S.Budget_ = 3.3;
@@ -116,6 +119,14 @@
   Add("dead", po::value(&Dead)->default_value(0.05), "share of VMs that die");
   Add("seed", po::value(&Base.Seed_)->default_value(1), "seed");
   Add("json", po::value(&Json), "file for the figures");
+  std::size_t TellMs = 100;
+  Add("in-flight", po::value(&Base.Plan_.InFlight_)->default_value(8),
+      "requests of a VM at once");
+  Add("per-peer", po::value(&Base.Plan_.PerPeer_)->default_value(2),
+      "of these, to one peer");
+  Add("tell-ms", po::value(&TellMs)->default_value(100),
+      "period of news to one watcher");
+  Add("swarm-only", "leave out the baselines");
   po::variables_map Given;
   po::store(po::parse_command_line(Count, Words, Options), Given);
   po::notify(Given);
@@ -123,6 +134,7 @@
     std::cout << Options;
     return 0;
   }
+  Base.Exchange_.TellPeriod_ = Milliseconds(TellMs);
   Report Out;
   printHeader();
   for (std::size_t Z : Zones)
@@ -131,7 +143,9 @@
         continue;
       Base.Vms_ = Vms;
       Base.Zones_ = Z;
-      measureSize(Out, Base, Dead);
+      if (!Given.contains("swarm-only"))
+        measureBaselines(Out, Base);
+      measureSwarm(Out, Base, Dead);
     }
   if (!Json.empty())
     Out.write(Json);
--- a/bench/WeightsModel.cpp
+++ b/bench/WeightsModel.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <queue>
@@ -40,10 +41,17 @@
   return Manifest::parse(Text, VersionDigest(sha256(Text)), "model");
 }
 
-// A link that carries one chunk after another.
+// One direction of a link: carries one chunk after another.
 struct Link {
+  struct Sending {
+    Link *To_;
+    std::function<void()> Arrived_;
+  };
   Duration PerChunk_{};
+  // When all that others have begun to send here has come in.
   TimePoint FreeAt_{};
+  // Chunks to send, the first of them on its way.
+  std::deque<Sending> Waiting_;
 };
 
 struct ModelVm {
@@ -107,7 +115,9 @@
         std::make_unique<Swarm>(Swarm::Setup{.Self_ = V->Name_,
                                              .Preference_ = Setup_.Preference_,
                                              .OriginCopies_ = Setup_.Budget_,
-                                             .Seed_ = Random_.next()},
+                                             .Seed_ = Random_.next(),
+                                             .Plan_ = Setup_.Plan_,
+                                             .Exchange_ = Setup_.Exchange_},
                                 Manifest_, ChunkSet(Setup_.Chunks_), Now_);
     ByName_[V->Name_.Vm_] = I;
     Vms_.push_back(std::move(V));
@@ -214,19 +224,32 @@
     ModelVm &V = *Vms_[From];
     while (auto U = V.Uploads_.next(ModelChunkSize, Now_)) {
       std::size_t To = ByName_.at(U->Peer_);
-      TimePoint Arrival = occupy(V.Up_, &Vms_[To]->Down_);
-      at(Arrival + Setup_.Latency_,
-         [this, From, To, U = *U] { arrive(From, To, U); });
+      send(V.Up_, Vms_[To]->Down_,
+           [this, From, To, U = *U] { arrive(From, To, U); });
     }
   }
 
-  // Sends a chunk over both ends as soon as they are free.
-  TimePoint occupy(Link &Sender, Link *Receiver) {
-    TimePoint Start = std::max(Now_, Sender.FreeAt_);
-    Sender.FreeAt_ = Start + Sender.PerChunk_;
-    TimePoint Begin = std::max(Start, Receiver->FreeAt_);
-    Receiver->FreeAt_ = std::max(Sender.FreeAt_, Begin + Receiver->PerChunk_);
-    return Receiver->FreeAt_;
+  // Puts a chunk on the sender's link after those before it. The receiver's
+  // link is taken only when the sending begins: a chunk still waiting at the
+  // sender must not hold up what comes from others.
+  void send(Link &Sender, Link &Receiver, std::function<void()> Arrived) {
+    Sender.Waiting_.push_back({&Receiver, std::move(Arrived)});
+    if (Sender.Waiting_.size() == 1)
+      beginSending(Sender);
+  }
+
+  void beginSending(Link &Sender) {
+    Link &Receiver = *Sender.Waiting_.front().To_;
+    TimePoint Sent = Now_ + Sender.PerChunk_;
+    TimePoint Begin = std::max(Now_, Receiver.FreeAt_);
+    Receiver.FreeAt_ = std::max(Sent, Begin + Receiver.PerChunk_);
+    at(Receiver.FreeAt_ + Setup_.Latency_,
+       std::move(Sender.Waiting_.front().Arrived_));
+    at(Sent, [this, &Sender] {
+      Sender.Waiting_.pop_front();
+      if (!Sender.Waiting_.empty())
+        beginSending(Sender);
+    });
   }
 
   void arrive(std::size_t From, std::size_t To, const Upload &U) {
@@ -257,8 +280,7 @@
 
   void act(std::size_t I, const ReadOrigin &A) {
     ++OriginReads_;
-    TimePoint Arrival = occupy(Origin_, &Vms_[I]->Down_);
-    at(Arrival + Setup_.Latency_, [this, I, C = A.Chunk_] {
+    send(Origin_, Vms_[I]->Down_, [this, I, C = A.Chunk_] {
       if (Vms_[I]->Dead_)
         return;
       decide(I, [&](Swarm &S) { S.onOrigin(C, OriginEnd::Good, Now_); });
--- a/bench/WeightsModel.h
+++ b/bench/WeightsModel.h
@@ -34,6 +34,8 @@
   Duration Latency_ = Milliseconds(1);
   Duration DetectAfter_ = Seconds(2);
   std::uint64_t Seed_ = 1;
+  ChunkPlan::Limits Plan_ = {};
+  HaveExchange::Limits Exchange_ = {};
 };
 
 struct ModelResult {
--- a/hawthornroad/weights/UploadScheduler.h
+++ b/hawthornroad/weights/UploadScheduler.h
@@ -37,7 +37,7 @@
     // Chunks read from the store and not yet taken by their peers.
     std::size_t Active_ = 4;
     std::size_t PerPeer_ = 4;
-    std::size_t Total_ = 64;
+    std::size_t Total_ = 16;
     // A peer that has not taken a chunk for this long frees its place: its
     // acknowledgement may have been lost with a connection.
     Duration GiveUp_ = Seconds(30);
