Attempts that ran are remembered past their answer; agent proofs begun

An attempt's record was forgotten after attempt_keep. An entry frozen for longer then asked, was told 'never seen', and could call 'not run' what had run; a late copy of the Begin would even have run again. PastAttempts keeps the ids of refused and of run attempts for 20 minutes, longer than any deadline. Admission is now its own module (AttemptAdmission).

--- a/hawthornroad/routing/AttemptTable.cpp
+++ b/hawthornroad/routing/AttemptTable.cpp
@@ -1,7 +1,6 @@
 #include "hawthornroad/routing/AttemptTable.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace hawthornroad {
 
@@ -39,14 +38,7 @@
   StopRun
 };
 
-constexpr Duration MinRetryAfter = Milliseconds(20);
-constexpr Duration MaxRetryAfter = Seconds(5);
-// The version changes in seconds, a drained endpoint does not come back soon:
-// the entry tries another endpoint meanwhile.
-constexpr Duration NotHereRetryAfter = Seconds(1);
 constexpr int MeanRunWeight = 8;
-constexpr unsigned ServiceUnavailable = 503;
-constexpr unsigned FirstErrorStatus = 300;
 
 AttemptFailure answerDropped() {
   return {false, Step::Answer, "", "the answer is no longer held"};
@@ -88,76 +80,35 @@
 };
 
 AttemptTable::AttemptTable(Chart C, AttemptLimits L)
-    : Chart_(std::move(C)), Limits_(L), Refused_(L.Keep_, L.MaxRefused_) {}
+    : Chart_(std::move(C)), Limits_(L), Past_(L.Remember_, L.MaxPast_) {}
 
 AttemptTable::~AttemptTable() = default;
 
-std::optional<AttemptRefusal>
-AttemptTable::refusal(const AttemptSpec &Spec) const {
-  if (Facts_.Phase_ == EndpointPhase::Draining ||
-      Facts_.Phase_ == EndpointPhase::Left)
-    return AttemptRefusal::Draining;
-  if (Spec.Service_ != Facts_.Service_)
-    return AttemptRefusal::WrongService;
-  if (Facts_.Phase_ != EndpointPhase::Ready)
-    return AttemptRefusal::NotReady;
-  if (!Spec.Version_.empty() && Spec.Version_ != Facts_.Version_)
-    return AttemptRefusal::WrongVersion;
-  if (Spec.Deadline_ < std::max(Limits_.MinDeadline_, Facts_.Step_))
-    return AttemptRefusal::DeadlineTooShort;
-  auto Queue = static_cast<std::size_t>(
-      std::ceil(Limits_.QueueShare_ * static_cast<double>(Facts_.Capacity_)));
-  if (Running_.size() >= Facts_.Capacity_ + Queue)
-    return AttemptRefusal::Overloaded;
-  if (BodyBytes_ + Spec.BodyBytes_ > Limits_.MaxBodyBytes_)
-    return AttemptRefusal::Overloaded;
-  return std::nullopt;
-}
-
-Duration AttemptTable::retryAfter(AttemptRefusal Reason) const {
-  if (Reason == AttemptRefusal::DeadlineTooShort)
-    return Duration::zero();
-  if (Reason != AttemptRefusal::Overloaded)
-    return NotHereRetryAfter;
-  // One place comes free this often.
-  Duration Wait =
-      MeanRun_ / static_cast<int>(std::max<std::size_t>(Facts_.Capacity_, 1));
-  return std::clamp<Duration>(Wait, MinRetryAfter, MaxRetryAfter);
-}
-
-// Guards against mixed weights: an engine that was reloaded behind the agent's
-// back, or between acceptance and run, names another version in its answer.
-std::optional<AttemptFailure>
-AttemptTable::faultOf(const Attempt &A, const AnswerHead &Head) const {
-  if (!Facts_.IsModel_)
-    return std::nullopt;
-  if (Head.Status_ == ServiceUnavailable)
-    return AttemptFailure{true, Step::Run, "", "engine is not serving (503)"};
-  if (Head.Version_.empty() && Head.Status_ >= FirstErrorStatus)
-    return std::nullopt;
-  if (Head.Version_ == A.Spec_.Version_)
-    return std::nullopt;
-  return AttemptFailure{false, Step::Run, "",
-                        "engine answered with version \"" +
-                            Head.Version_.str() + "\", pinned to \"" +
-                            A.Spec_.Version_.str() + "\""};
-}
-
 AttemptActions AttemptTable::refuse(const AttemptId &Attempt,
                                     AttemptRefusal Reason, RequesterId From,
                                     TimePoint Now) {
-  Refused_.add(Attempt, Reason, Now);
-  return {SendRefused{From, Attempt, Reason, retryAfter(Reason)}};
+  Past_.addRefused(Attempt, Reason, Now);
+  return {
+      SendRefused{From, Attempt, Reason, retryAfter(Reason, Facts_, MeanRun_)}};
+}
+
+AttemptActions AttemptTable::repeatFate(const AttemptId &Attempt,
+                                        const PastAttempts::Fate &Fate,
+                                        RequesterId From, TimePoint Now) {
+  if (Fate.Refusal_)
+    return refuse(Attempt, *Fate.Refusal_, From, Now);
+  return {SendFailed{From, Attempt, answerDropped()}};
 }
 
 AttemptActions AttemptTable::handle(const BeginReceived &E, TimePoint Now) {
   const AttemptId &Id = E.Spec_.Attempt_;
-  if (auto Reason = Refused_.find(Id))
-    return refuse(Id, *Reason, E.From_, Now);
   // A doubled Begin: the first one runs, and its requester stays.
   if (Attempts_.contains(Id))
     return {};
-  if (auto Reason = refusal(E.Spec_))
+  if (auto Fate = Past_.find(Id))
+    return repeatFate(Id, *Fate, E.From_, Now);
+  if (auto Reason =
+          refusalOf(E.Spec_, Facts_, Limits_, {Running_.size(), BodyBytes_}))
     return refuse(Id, *Reason, E.From_, Now);
   auto [At, New] = Attempts_.emplace(Id, Attempt(E.Spec_, E.From_, Now));
   Attempt &A = At->second;
@@ -171,15 +122,15 @@
 AttemptActions AttemptTable::handle(const BeginDropped &E, TimePoint Now) {
   if (Attempts_.contains(E.Attempt_))
     return {};
+  if (auto Fate = Past_.find(E.Attempt_))
+    return repeatFate(E.Attempt_, *Fate, E.From_, Now);
   return refuse(E.Attempt_, AttemptRefusal::Overloaded, E.From_, Now);
 }
 
 AttemptActions AttemptTable::handle(const QueryReceived &E, TimePoint Now) {
   auto Found = Attempts_.find(E.Attempt_);
-  if (Found == Attempts_.end()) {
-    Refused_.add(E.Attempt_, AttemptRefusal::Overloaded, Now);
-    return {SendState{E.From_, E.Attempt_, AttemptPhase::NeverSeen, 0}};
-  }
+  if (Found == Attempts_.end())
+    return deny(E, Now);
   Attempt &A = Found->second;
   A.Requester_ = E.From_;
   A.OrphanedSince_.reset();
@@ -187,6 +138,15 @@
   return fire(A, Event::Query, Now);
 }
 
+AttemptActions AttemptTable::deny(const QueryReceived &E, TimePoint Now) {
+  auto Fate = Past_.find(E.Attempt_);
+  if (Fate && !Fate->Refusal_)
+    return {SendState{E.From_, E.Attempt_, AttemptPhase::Finished, 0},
+            SendFailed{E.From_, E.Attempt_, answerDropped()}};
+  Past_.addRefused(E.Attempt_, AttemptRefusal::Overloaded, Now);
+  return {SendState{E.From_, E.Attempt_, AttemptPhase::NeverSeen, 0}};
+}
+
 AttemptActions AttemptTable::handle(const AckReceived &E, TimePoint Now) {
   auto Found = Attempts_.find(E.Attempt_);
   if (Found == Attempts_.end())
@@ -198,7 +158,7 @@
 AttemptActions AttemptTable::handle(const CancelReceived &E, TimePoint Now) {
   auto Found = Attempts_.find(E.Attempt_);
   if (Found == Attempts_.end()) {
-    Refused_.add(E.Attempt_, AttemptRefusal::Overloaded, Now);
+    Past_.addRefused(E.Attempt_, AttemptRefusal::Overloaded, Now);
     return {};
   }
   Attempt &A = Found->second;
@@ -224,7 +184,7 @@
     return {};
   Attempt &A = Found->second;
   A.Head_ = E.Head_;
-  A.Failure_ = faultOf(A, E.Head_);
+  A.Failure_ = faultOf(E.Head_, A.Spec_.Version_, Facts_.IsModel_);
   return fire(A, Event::Head, Now);
 }
 
@@ -350,7 +310,7 @@
   FinishedBytes_ += A.Buffer_.held();
   if (A.Buffer_.held() > 0)
     ++Unacknowledged_;
-  boundFinished();
+  boundFinished(Now);
 }
 
 void AttemptTable::acknowledge(Attempt &A, std::uint64_t Offset) {
@@ -366,9 +326,9 @@
 
 // Entries that died never acknowledge: the oldest answers give way first, and
 // whoever still asks is told that the answer is gone.
-void AttemptTable::boundFinished() {
+void AttemptTable::boundFinished(TimePoint Now) {
   while (FinishedOrder_.size() > Limits_.MaxFinished_)
-    forgetOldest();
+    forgetOldest(Now);
   while (FinishedBytes_ > Limits_.MaxFinishedBytes_) {
     Attempt &A = Attempts_.at(FinishedOrder_[Dropped_].Attempt_);
     acknowledge(A, A.Buffer_.length());
@@ -376,13 +336,14 @@
   }
 }
 
-void AttemptTable::forgetOldest() {
+void AttemptTable::forgetOldest(TimePoint Now) {
   auto Found = Attempts_.find(FinishedOrder_.front().Attempt_);
   Attempt &A = Found->second;
   acknowledge(A, A.Buffer_.length());
-  fire(A, Event::Expired, TimePoint());
+  fire(A, Event::Expired, Now);
   if (Chart_.isFinal(static_cast<std::size_t>(A.State_)))
     Attempts_.erase(Found);
+  Past_.addRan(FinishedOrder_.front().Attempt_, Now);
   FinishedOrder_.pop_front();
   if (Dropped_ > 0)
     --Dropped_;
@@ -425,8 +386,8 @@
     std::move(More.begin(), More.end(), std::back_inserter(Out));
   }
   while (!FinishedOrder_.empty() && FinishedOrder_.front().Until_ <= Now)
-    forgetOldest();
-  Refused_.expire(Now);
+    forgetOldest(Now);
+  Past_.expire(Now);
   return Out;
 }
 
--- a/hawthornroad/routing/AttemptTable.h
+++ b/hawthornroad/routing/AttemptTable.h
@@ -11,7 +11,8 @@
 // The life of one attempt is charts/attempt.json. What holds:
 // - A Begin runs at most once, however often it arrives.
 // - An attempt once refused, cancelled or denied (a query answered NeverSeen)
-//   does not run when its Begin arrives later (RefusedAttempts).
+//   does not run when its Begin arrives later, and one that ran is never
+//   called unseen (PastAttempts).
 // - AttemptFailure::NotRun_ is true only when no byte of the request reached
 //   the endpoint, or a model engine answered 503, which its interface gives
 //   only before anything runs.
@@ -24,16 +25,17 @@
 //
 // Bounds: running attempts by capacity and its queue share, request bodies by
 // MaxBodyBytes_, finished attempts by Keep_, MaxFinished_ and
-// MaxFinishedBytes_ (oldest first; its bytes go before its outcome), refused
-// ones by RefusedAttempts. Cost: O(1) an event, O(running) a tick.
+// MaxFinishedBytes_ (oldest first; its bytes go before its outcome), the ids of
+// past ones by PastAttempts. Cost: O(1) an event, O(running) a tick.
 
 #ifndef HAWTHORNROAD_ROUTING_ATTEMPTTABLE_H
 #define HAWTHORNROAD_ROUTING_ATTEMPTTABLE_H
 
 #include "hawthornroad/base/Chart.h"
 #include "hawthornroad/routing/AnswerBuffer.h"
+#include "hawthornroad/routing/AttemptAdmission.h"
 #include "hawthornroad/routing/AttemptMessages.h"
-#include "hawthornroad/routing/RefusedAttempts.h"
+#include "hawthornroad/routing/PastAttempts.h"
 
 #include <deque>
 #include <unordered_map>
@@ -41,27 +43,6 @@
 
 namespace hawthornroad {
 
-struct AttemptLimits {
-  // Bytes of one answer held until acknowledged.
-  std::size_t Buffer_ = 4 * 1024 * 1024;
-  // How long a finished or refused attempt is remembered.
-  Duration Keep_ = Seconds(60);
-  // How long a repeatable attempt runs on with nobody listening.
-  Duration OrphanGrace_ = Seconds(10);
-  // How long past its deadline an attempt may run: its entry has answered.
-  Duration DeadlineGrace_ = Seconds(1);
-  // Shortest deadline worth starting for.
-  Duration MinDeadline_ = Milliseconds(10);
-  // Attempts beyond capacity that may wait inside the engine, as a share of
-  // it: enough for the engine to order them by priority.
-  double QueueShare_ = 0.25;
-  // Request bodies of all running attempts.
-  std::size_t MaxBodyBytes_ = 64 * 1024 * 1024;
-  std::size_t MaxFinished_ = 8192;
-  std::size_t MaxFinishedBytes_ = 64 * 1024 * 1024;
-  std::size_t MaxRefused_ = 131072;
-};
-
 // Loads charts/attempt.json. Throws Error(Step::Chart).
 Chart attemptChart(const std::string &Directory);
 
@@ -93,26 +74,26 @@
   std::size_t unacknowledged() const { return Unacknowledged_; }
   std::size_t finished() const { return FinishedOrder_.size(); }
   std::uint64_t finishedBytes() const { return FinishedBytes_; }
-  std::uint64_t forgottenEarly() const { return Refused_.forgottenEarly(); }
+  std::uint64_t forgottenEarly() const { return Past_.forgottenEarly(); }
 
 private:
   struct Attempt;
   using AttemptMap = std::unordered_map<AttemptId, Attempt>;
   enum class Event : std::size_t;
 
-  std::optional<AttemptRefusal> refusal(const AttemptSpec &Spec) const;
-  Duration retryAfter(AttemptRefusal Reason) const;
-  std::optional<AttemptFailure> faultOf(const Attempt &A,
-                                        const AnswerHead &Head) const;
   AttemptActions refuse(const AttemptId &Attempt, AttemptRefusal Reason,
                         RequesterId From, TimePoint Now);
+  AttemptActions repeatFate(const AttemptId &Attempt,
+                            const PastAttempts::Fate &Fate, RequesterId From,
+                            TimePoint Now);
+  AttemptActions deny(const QueryReceived &E, TimePoint Now);
   AttemptActions fire(Attempt &A, Event E, TimePoint Now);
   void perform(const Attempt &A, std::size_t Which, AttemptActions &Out) const;
   void say(const Attempt &A, std::size_t Which, AttemptActions &Out) const;
   void settle(Attempt &A, TimePoint Now, AttemptActions &Out);
   void acknowledge(Attempt &A, std::uint64_t Offset);
-  void boundFinished();
-  void forgetOldest();
+  void boundFinished(TimePoint Now);
+  void forgetOldest(TimePoint Now);
   AttemptActions giveUp(Attempt &A, const std::string &Why, TimePoint Now);
   std::optional<std::string> overdue(const Attempt &A, TimePoint Now) const;
   std::vector<AttemptId> runningIds() const;
@@ -123,7 +104,7 @@
   // Accepted attempts, running or finished.
   AttemptMap Attempts_;
   std::unordered_set<AttemptId> Running_;
-  RefusedAttempts Refused_;
+  PastAttempts Past_;
   struct Finished {
     AttemptId Attempt_;
     TimePoint Until_;
--- a/hawthornroad/routing/RefusedAttempts.cpp
+++ b/hawthornroad/routing/PastAttempts.cpp
@@ -1,4 +1,4 @@
-#include "hawthornroad/routing/RefusedAttempts.h"
+#include "hawthornroad/routing/PastAttempts.h"
 
 namespace hawthornroad {
 
@@ -20,32 +20,40 @@
   return "unknown";
 }
 
-void RefusedAttempts::add(const AttemptId &Attempt, AttemptRefusal Reason,
-                          TimePoint Now) {
-  if (!Reasons_.emplace(Attempt, Reason).second)
+void PastAttempts::addRefused(const AttemptId &Attempt, AttemptRefusal Reason,
+                              TimePoint Now) {
+  add(Attempt, {Reason}, Now);
+}
+
+void PastAttempts::addRan(const AttemptId &Attempt, TimePoint Now) {
+  add(Attempt, {std::nullopt}, Now);
+}
+
+void PastAttempts::add(const AttemptId &Attempt, Fate F, TimePoint Now) {
+  if (!Fates_.emplace(Attempt, F).second)
     return;
   Order_.push_back({Attempt, Now + Keep_});
-  if (Reasons_.size() <= Max_)
+  if (Fates_.size() <= Max_)
     return;
   forgetOldest();
   ++ForgottenEarly_;
 }
 
-std::optional<AttemptRefusal>
-RefusedAttempts::find(const AttemptId &Attempt) const {
-  auto Found = Reasons_.find(Attempt);
-  if (Found == Reasons_.end())
+std::optional<PastAttempts::Fate>
+PastAttempts::find(const AttemptId &Attempt) const {
+  auto Found = Fates_.find(Attempt);
+  if (Found == Fates_.end())
     return std::nullopt;
   return Found->second;
 }
 
-void RefusedAttempts::expire(TimePoint Now) {
+void PastAttempts::expire(TimePoint Now) {
   while (!Order_.empty() && Order_.front().Until_ <= Now)
     forgetOldest();
 }
 
-void RefusedAttempts::forgetOldest() {
-  Reasons_.erase(Order_.front().Attempt_);
+void PastAttempts::forgetOldest() {
+  Fates_.erase(Order_.front().Attempt_);
   Order_.pop_front();
 }
 
--- /dev/null
+++ b/tests/integration/AgentAttemptsTest.cpp
@@ -0,0 +1,233 @@
+#include "hawthornroad/config/JsonText.h"
+#include "hawthornroad/runtime/Address.h"
+#include "tests/integration/AgentFixture.h"
+
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace hawthornroad;
+
+namespace {
+
+using Answer = RawEntry::Answer;
+
+// A plain service behind one agent.
+struct DeskFixture : AgentFixture {
+  DeskFixture() { declare(R"({"desk":{"kind":"plain","vms":["desk-*"]}})"); }
+
+  Process &readyAgent(const boost::json::object &More = {}) {
+    Process &Made = agent("desk-1", Service_.address(), More);
+    awaitReady(Made);
+    return Made;
+  }
+  wire::AttemptBeginT begin(const AttemptId &Attempt,
+                            const std::string &Body = "crew") {
+    return RawEntry::begin(Attempt, "desk", "/entries", Body);
+  }
+  // An address on which nobody listens now.
+  static std::string freeAddress() {
+    boost::asio::io_context Context;
+    return formatAddress(
+        openAcceptor(Context, "127.0.0.1", 0).local_endpoint());
+  }
+  // Processes of this test whose log holds Text.
+  int logsThatSay(const std::string &Text) {
+    int Found = 0;
+    for (const auto &Each :
+         std::filesystem::directory_iterator(folder().path()))
+      if (Each.path().extension() == ".log")
+        Found += readTextFile(Each.path(), Step::Receive).find(Text) !=
+                 std::string::npos;
+    return Found;
+  }
+  std::int64_t runs() { return numberAt(Service_.counters(), "total"); }
+
+  Fake &Service_ = fake("service");
+};
+
+} // namespace
+
+TEST_CASE_METHOD(DeskFixture,
+                 "attempt, begun at a ready agent, brings the whole answer",
+                 "[agent]") {
+  std::string To = readyAgent().readyText("peers");
+  AttemptId Attempt = newAttempt();
+  Entry_.send(To, begin(Attempt));
+  Answer A = Entry_.awaitOver(Attempt);
+  REQUIRE(A.isWhole());
+  REQUIRE(A.Head_->status == 200);
+  REQUIRE(A.Body_.find("\"echo\":\"crew\"") != std::string::npos);
+}
+
+// A crew is entered twice: the network delivers the frame that begins an
+// attempt a second time, here every frame of the entry, and the agent takes
+// the copy for new work.
+TEST_CASE_METHOD(DeskFixture, "begin, delivered twice, runs once", "[agent]") {
+  Process &Agent = readyAgent();
+  Proxy &Path = proxy(Agent.readyText("peers"));
+  Path.setFaults(R"({"duplicate_frames":{"share":1.0,"seed":7}})");
+  for (int I = 0; I < 20; ++I) {
+    AttemptId Attempt = newAttempt();
+    Entry_.send(Path.address(), begin(Attempt));
+    // Another copy once the first has run.
+    Entry_.awaitOver(Attempt);
+    Entry_.send(Agent.readyText("peers"), begin(Attempt));
+  }
+  AttemptId Last = newAttempt();
+  Entry_.send(Agent.readyText("peers"), begin(Last));
+  REQUIRE(Entry_.awaitOver(Last).isWhole());
+  REQUIRE(runs() == 21);
+}
+
+// The entry finds its connection silent, asks over a fresh one, is told that
+// the agent never saw the attempt, and tells its caller "not run". Then the
+// silent path wakes up and delivers the Begin after all.
+TEST_CASE_METHOD(DeskFixture,
+                 "begin, late after its attempt was denied, does not run",
+                 "[agent]") {
+  Process &Agent = readyAgent();
+  std::string To = Agent.readyText("peers");
+  AttemptId Attempt = newAttempt();
+  auto Query = RawEntry::about<wire::AttemptQueryT>(Attempt);
+  Entry_.send(To, Query);
+  Answer Asked =
+      Entry_.await(Attempt, [](const Answer &A) { return A.State_; });
+  REQUIRE(Asked.State_ == wire::AttemptPhase::NeverSeen);
+  Entry_.sendFresh(To, begin(Attempt));
+  REQUIRE(Entry_.awaitOver(Attempt).Refused_.has_value());
+  REQUIRE(runs() == 0);
+}
+
+// A connection dies with the answer half on its way. The entry asks over a
+// fresh one and gets the rest; the call has run once.
+TEST_CASE_METHOD(DeskFixture,
+                 "attempt that may not be repeated, its connection lost, is "
+                 "found again over a fresh one",
+                 "[agent]") {
+  Process &Agent = readyAgent();
+  Service_.setFaults(R"({"work_ms":1000})");
+  Proxy &Path = proxy(Agent.readyText("peers"));
+  AttemptId Attempt = newAttempt();
+  Entry_.send(Path.address(), begin(Attempt));
+  Entry_.await(Attempt, [](const Answer &A) { return A.Accepted_ == 1; });
+  Path.setFaults(R"({"silent_existing":true})");
+  Entry_.sendFresh(Path.address(),
+                   RawEntry::about<wire::AttemptQueryT>(Attempt));
+  Answer A = Entry_.awaitOver(Attempt);
+  REQUIRE(A.isWhole());
+  REQUIRE(A.State_ == wire::AttemptPhase::Running);
+  REQUIRE(runs() == 1);
+}
+
+// The endpoint accepts a call and says nothing more. The attempt must end, and
+// must not be called "not run": the service may have done the work.
+TEST_CASE_METHOD(DeskFixture,
+                 "attempt, at a silent endpoint, fails and is not called not "
+                 "run",
+                 "[agent]") {
+  Process &Agent = readyAgent({{"endpoint_idle_ms", 300}});
+  Service_.setFaults(R"({"silent":true})");
+  AttemptId Attempt = newAttempt();
+  Entry_.send(Agent.readyText("peers"), begin(Attempt));
+  Answer A = Entry_.awaitOver(Attempt);
+  REQUIRE(A.Failed_);
+  REQUIRE_FALSE(A.Failed_->not_run);
+  REQUIRE(A.Failed_->peer == Service_.address());
+}
+
+// The service dies after the work is done and before it can answer: the bytes
+// that came, if any, are no answer.
+TEST_CASE_METHOD(DeskFixture,
+                 "attempt, cut off by its endpoint, fails without an end",
+                 "[agent]") {
+  Process &Agent = readyAgent();
+  Service_.setFaults(R"({"die_during":true})");
+  AttemptId Attempt = newAttempt();
+  Entry_.send(Agent.readyText("peers"), begin(Attempt));
+  Answer A = Entry_.awaitOver(Attempt);
+  REQUIRE(A.Failed_);
+  REQUIRE_FALSE(A.Failed_->not_run);
+  REQUIRE_FALSE(A.End_);
+  REQUIRE(runs() == 1);
+}
+
+// A caller reads slowly and its entry acknowledges nothing: the agent would
+// keep the whole of a large answer in its 256 MB.
+TEST_CASE_METHOD(DeskFixture,
+                 "answer, not acknowledged, stops at the buffer and goes on "
+                 "whole afterwards",
+                 "[agent]") {
+  constexpr std::size_t Buffer = 64 * 1024;
+  constexpr std::size_t Large = 4 * 1024 * 1024;
+  Process &Agent = readyAgent({{"attempt_buffer", Buffer}});
+  std::string To = Agent.readyText("peers");
+  AttemptId Attempt = newAttempt();
+  Entry_.send(To, begin(Attempt, std::string(Large, 'x')));
+  Answer Part = Entry_.await(
+      Attempt, [](const Answer &A) { return A.Body_.size() >= Buffer; });
+  // The body's end cannot come while most of it is held back.
+  Entry_.send(To, RawEntry::about<wire::AttemptQueryT>(Attempt));
+  Entry_.await(Attempt, [](const Answer &A) { return A.State_; });
+  Answer Held = Entry_.now(Attempt);
+  REQUIRE_FALSE(Held.End_);
+  REQUIRE(Held.Body_.size() < Large / 2);
+  auto Acknowledge = [&] {
+    auto Ack = RawEntry::about<wire::AttemptAckT>(Attempt);
+    Ack.offset = Entry_.now(Attempt).Body_.size();
+    Entry_.send(To, Ack);
+    return Entry_.now(Attempt).End_.has_value();
+  };
+  eventually(Acknowledge, "the rest of the answer comes");
+  REQUIRE(Entry_.now(Attempt).End_->length > Large);
+}
+
+// The agent's process is killed with a call in progress, and a replacement
+// starts on the VM. The old call's fate is unknown; the replacement must take
+// new work, and must not run the old call when its Begin is sent again after
+// the entry was told that it is not known here.
+TEST_CASE_METHOD(DeskFixture,
+                 "agent, killed with an attempt running, is replaced and runs "
+                 "it no second time",
+                 "[agent]") {
+  Process &Agent = readyAgent();
+  Service_.setFaults(R"({"work_ms":60000})");
+  AttemptId Attempt = newAttempt();
+  Entry_.send(Agent.readyText("peers"), begin(Attempt));
+  eventually([&] { return runs() == 1; }, "the call runs");
+  Agent.kill();
+  Service_.setFaults("{}");
+  Process &Next = readyAgent();
+  std::string To = Next.readyText("peers");
+  Entry_.send(To, RawEntry::about<wire::AttemptQueryT>(Attempt));
+  Entry_.await(Attempt, [](const Answer &A) { return A.State_; });
+  Entry_.send(To, begin(Attempt));
+  REQUIRE(Entry_.awaitOver(Attempt).Refused_);
+  AttemptId New = newAttempt();
+  Entry_.send(To, begin(New));
+  REQUIRE(Entry_.awaitOver(New).isWhole());
+  REQUIRE(runs() == 2);
+}
+
+// A replacement agent starts while its predecessor is alive, frozen, or being
+// debugged: two agents would give one engine contradictory orders.
+TEST_CASE_METHOD(DeskFixture,
+                 "second agent on a VM, with the first alive or frozen, waits "
+                 "and takes over at its death",
+                 "[agent]") {
+  std::string Lock = freeAddress();
+  Process &First = readyAgent({{"lock_listen", Lock}});
+  Process &Second =
+      agent("desk-1", Service_.address(), {{"lock_listen", Lock}});
+  Process &Third = agent("desk-1", Service_.address(), {{"lock_listen", Lock}});
+  eventually([&] { return logsThatSay("waiting for its lock") == 2; },
+             "both replacements wait");
+  Third.terminate();
+  REQUIRE(Third.waitExit() == 3);
+  First.freeze();
+  // Several tries of the second agent fall into the pause.
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  REQUIRE(Second.running());
+  REQUIRE(logsThatSay("endpoint changed") == 1);
+  First.kill();
+  awaitReady(Second);
+}
--- a/tests/unit/AttemptTableTest.cpp
+++ b/tests/unit/AttemptTableTest.cpp
@@ -135,10 +135,33 @@
   Facts_.Phase_ = EndpointPhase::Ready;
   Table_.setEndpoint(Facts_);
   REQUIRE(only<SendRefused>(begin(2)).Reason_ == AttemptRefusal::NotReady);
-  pass(Seconds(60));
+  pass(Seconds(1199));
+  REQUIRE(all<StartRun>(begin(2)).empty());
+  pass(Seconds(1));
   REQUIRE(all<StartRun>(begin(2)).size() == 1);
 }
 
+// An entry is frozen for minutes while its attempt runs and ends. Thawed, it
+// asks: "never seen" would let it say "not run" of a crew that is entered. A
+// late copy of the Begin would enter the crew twice.
+TEST_CASE_METHOD(TableFixture,
+                 "attempt, forgotten after it ran, is not called unseen and "
+                 "does not run again",
+                 "[attempt]") {
+  begin(1);
+  whole(1);
+  pass(Seconds(300));
+  REQUIRE(Table_.finished() == 0);
+  AttemptActions Asked = query(1, 0);
+  REQUIRE(only<SendState>(Asked).Phase_ == AttemptPhase::Finished);
+  REQUIRE_FALSE(only<SendFailed>(Asked).Failure_.NotRun_);
+  AttemptActions Late = begin(1);
+  REQUIRE(all<StartRun>(Late).empty());
+  REQUIRE_FALSE(only<SendFailed>(Late).Failure_.NotRun_);
+  AttemptActions Dropped = Table_.handle(BeginDropped{id(1), EntryA}, Now_);
+  REQUIRE(all<SendRefused>(Dropped).empty());
+}
+
 // The process had no room for a Begin's second copy while the first one runs:
 // a refusal would call "not run" what is running.
 TEST_CASE_METHOD(TableFixture,
@@ -388,17 +411,17 @@
   REQUIRE(Small.finished() == 0);
 }
 
-TEST_CASE("refused attempts, beyond the bound, forget the oldest and count it",
+TEST_CASE("past attempts, beyond the bound, forget the oldest and count it",
           "[attempt]") {
-  RefusedAttempts Refused(Seconds(60), 2);
+  PastAttempts Past(Seconds(60), 2);
   TimePoint Now;
   for (std::uint64_t N = 1; N <= 3; ++N)
-    Refused.add(id(N), AttemptRefusal::Draining, Now);
-  Refused.add(id(3), AttemptRefusal::NotReady, Now);
-  REQUIRE(Refused.size() == 2);
-  REQUIRE(Refused.forgottenEarly() == 1);
-  REQUIRE_FALSE(Refused.find(id(1)).has_value());
-  REQUIRE(Refused.find(id(3)) == AttemptRefusal::Draining);
-  Refused.expire(Now + Seconds(60));
-  REQUIRE(Refused.size() == 0);
+    Past.addRefused(id(N), AttemptRefusal::Draining, Now);
+  Past.addRan(id(3), Now);
+  REQUIRE(Past.size() == 2);
+  REQUIRE(Past.forgottenEarly() == 1);
+  REQUIRE_FALSE(Past.find(id(1)).has_value());
+  REQUIRE(Past.find(id(3))->Refusal_ == AttemptRefusal::Draining);
+  Past.expire(Now + Seconds(60));
+  REQUIRE(Past.size() == 0);
 }
