--- a/hawthornroad/routing/EndpointPool.cpp
+++ b/hawthornroad/routing/EndpointPool.cpp
@@ -155,6 +155,9 @@
     PooledEndpoint *E = Members_[(At + I) % Members_.size()];
     if (E->Health_.Ejected_ || Now < E->BusyUntil_)
       continue;
+    // Never more than the declared places for one entry alone.
+    if (E->PooledOwn_ + 1 > E->Places_)
+      continue;
     if (!Excluded.contains(E->Status_.Vm_))
       return E;
   }
