--- a/hawthornroad/routing/Chooser.cpp
+++ b/hawthornroad/routing/Chooser.cpp
@@ -45,11 +45,13 @@
   void markGone(PooledEndpoint &E, TimePoint Now);
   void forgetOldest();
 
-  std::vector<EndpointPool *> matching(Group &G, const Query &Q, Where W,
-                                       TimePoint Now) const;
+  std::vector<EndpointPool *> matching(Group &G, const Query &Q, Where W) const;
   PooledEndpoint *drawFrom(const std::vector<EndpointPool *> &Pools,
                            const std::set<Vm> &Excluded);
-  PooledEndpoint *chooseWaiting(Group &G, const Query &Q, TimePoint Now);
+  PooledEndpoint *chooseWaiting(const std::vector<EndpointPool *> &Pools,
+                                const Query &Q, TimePoint Now);
+  PooledEndpoint *pick(Group &G, const Query &Q, TimePoint Now);
+  PooledEndpoint *dueProbe(Group &G, const Query &Q, TimePoint Now) const;
   PooledEndpoint *chooseFrom(const std::vector<EndpointPool *> &Pools,
                              const Query &Q);
 
@@ -224,15 +226,12 @@
 }
 
 std::vector<EndpointPool *> Chooser::State::matching(Group &G, const Query &Q,
-                                                     Where W,
-                                                     TimePoint Now) const {
+                                                     Where W) const {
   std::vector<EndpointPool *> Out;
   for (auto &P : G.Pools_) {
     const bool IsOwn = P->zone() == Own_;
-    if (IsOwn != (W == Where::OwnZone) || !P->serves(Q.Version_))
-      continue;
-    P->refreshSome(G.Limit_, Now);
-    Out.push_back(P.get());
+    if (IsOwn == (W == Where::OwnZone) && P->serves(Q.Version_))
+      Out.push_back(P.get());
   }
   return Out;
 }
@@ -269,11 +268,12 @@
 }
 
 // With every place taken: an endpoint at which an attempt may wait.
-PooledEndpoint *Chooser::State::chooseWaiting(Group &G, const Query &Q,
-                                              TimePoint Now) {
+PooledEndpoint *
+Chooser::State::chooseWaiting(const std::vector<EndpointPool *> &Pools,
+                              const Query &Q, TimePoint Now) {
   PooledEndpoint *Best = nullptr;
-  for (auto &P : G.Pools_) {
-    if (P->zone() != Own_ || !P->serves(Q.Version_) || !P->hasSlack())
+  for (EndpointPool *P : Pools) {
+    if (!P->hasSlack())
       continue;
     for (std::size_t I = 0; I < Draws; ++I) {
       PooledEndpoint *E = P->drawFull(Rng_, Q.Excluded_, Now);
@@ -284,24 +284,47 @@
   return Best;
 }
 
+// The own zone's pools, then the others', first those with places to spare by
+// an estimate that is a little off, then those with any; then a place to wait.
+PooledEndpoint *Chooser::State::pick(Group &G, const Query &Q, TimePoint Now) {
+  auto Own = matching(G, Q, Where::OwnZone);
+  auto Others = matching(G, Q, Where::OtherZones);
+  for (auto *Pools : {&Own, &Others})
+    for (EndpointPool *P : *Pools)
+      P->refreshSome(G.Limit_, Now);
+  for (auto *Pools : {&Own, &Others}) {
+    auto Roomy = *Pools;
+    std::erase_if(Roomy, [](const EndpointPool *P) { return !P->isRoomy(); });
+    if (PooledEndpoint *E = chooseFrom(Roomy, Q))
+      return E;
+  }
+  for (auto *Pools : {&Own, &Others})
+    if (PooledEndpoint *E = chooseFrom(*Pools, Q))
+      return E;
+  return chooseWaiting(Own, Q, Now);
+}
+
+PooledEndpoint *Chooser::State::dueProbe(Group &G, const Query &Q,
+                                         TimePoint Now) const {
+  for (Where W : {Where::OwnZone, Where::OtherZones})
+    for (const EndpointPool *P : matching(G, Q, W))
+      if (PooledEndpoint *E = P->dueProbe(Now))
+        return E;
+  return nullptr;
+}
+
 std::optional<Vm> Chooser::choose(const Query &Q, TimePoint Now) {
   Group *G = State_->groupOf(Q.Service_);
   if (!G)
     return std::nullopt;
   State_->setLimit(*G, Q.InFlightLimit_, Now);
-  for (State::Where W : {State::Where::OwnZone, State::Where::OtherZones}) {
-    auto Pools = State_->matching(*G, Q, W, Now);
-    // A request that has failed once already is not risked on a probe.
-    if (Q.Excluded_.empty())
-      for (const EndpointPool *P : Pools)
-        if (PooledEndpoint *E = P->dueProbe(Now))
-          return E->Status_.Vm_;
-    if (PooledEndpoint *E = State_->chooseFrom(Pools, Q))
-      return E->Status_.Vm_;
-  }
-  if (PooledEndpoint *E = State_->chooseWaiting(*G, Q, Now))
-    return E->Status_.Vm_;
-  return std::nullopt;
+  PooledEndpoint *E = nullptr;
+  // A request that has failed once already is not risked on a probe.
+  if (Q.Excluded_.empty())
+    E = State_->dueProbe(*G, Q, Now);
+  if (!E)
+    E = State_->pick(*G, Q, Now);
+  return E ? std::optional(E->Status_.Vm_) : std::nullopt;
 }
 
 bool Chooser::hasRoom(const Query &Q, TimePoint Now) const {
@@ -309,11 +332,7 @@
   if (!G)
     return false;
   State_->setLimit(*G, Q.InFlightLimit_, Now);
-  for (State::Where W : {State::Where::OwnZone, State::Where::OtherZones})
-    for (const EndpointPool *P : State_->matching(*G, Q, W, Now))
-      if (P->draw(State_->Rng_, Q.Excluded_))
-        return true;
-  return State_->chooseWaiting(*G, Q, Now) != nullptr;
+  return State_->pick(*G, Q, Now) != nullptr;
 }
 
 std::size_t Chooser::readyCount(const ServiceName &Service) const {
--- a/hawthornroad/routing/EndpointPool.cpp
+++ b/hawthornroad/routing/EndpointPool.cpp
@@ -13,6 +13,9 @@
 // A place counts as free when the estimate, which is fractional, leaves most
 // of one.
 constexpr double LeastFreePlace = 0.5;
+// A pool with more than this share of its places taken may in truth be full:
+// reports are seconds old.
+constexpr double RoomyShare = 0.9;
 // The share of places beyond them that may be used by entries with little in
 // progress; agents let a quarter wait.
 constexpr double WaitingPlaces = 0.2;
@@ -134,6 +137,10 @@
   return !Window_.allows(Own_) || inProgress() + LeastFreePlace > Places_;
 }
 
+bool EndpointPool::isRoomy() const {
+  return inProgress() + 1 <= RoomyShare * Places_;
+}
+
 // Entries that fill each place they see come free keep what they have, and one
 // that has little sees no place free for as long as the overload lasts: its
 // callers are refused while those of its neighbours are served. So the less of
--- a/hawthornroad/routing/EndpointPool.h
+++ b/hawthornroad/routing/EndpointPool.h
@@ -111,6 +111,8 @@
   std::size_t size() const { return Members_.size(); }
   // Members with a free place; none while the window or the pool is full.
   std::size_t open() const { return isFull() ? 0 : Open_; }
+  // Whether it has places to spare even if the estimate is a little off.
+  bool isRoomy() const;
   // Whether an entry with as little in progress as this one may use places in
   // which attempts wait, though the pool is full.
   bool hasSlack() const;
