--- a/tests/unit/RolloutTurnTest.cpp
+++ b/tests/unit/RolloutTurnTest.cpp
@@ -360,6 +360,25 @@
   REQUIRE(Turn_.version() == V1);
 }
 
+// As above, but the engine was restarted during the freeze: an empty engine is
+// loaded without a turn, so nothing but the confirmation holds back an order
+// for a version that may no longer be declared.
+TEST_CASE_METHOD(TurnFixture,
+                 "agent that thaws beside an empty engine loads it only after "
+                 "its configuration is confirmed",
+                 "[rollout]") {
+  serveFirst();
+  Confirms_ = false;
+  Now_ += Seconds(60);
+  Engine_.Shown_ = {};
+  run(Seconds(5));
+  REQUIRE(Engine_.Ordered_.empty());
+  SECTION("by an answer") { Confirms_ = true; }
+  SECTION("by a quiet time") { run(Seconds(2)); }
+  run(Seconds(2));
+  REQUIRE(Turn_.version() == V1);
+}
+
 TEST_CASE_METHOD(TurnFixture,
                  "engine that obeys a later revision is left alone until ours "
                  "is as late",
