--- a/hawthornroad/routing/EndpointPool.h
+++ b/hawthornroad/routing/EndpointPool.h
@@ -21,6 +21,7 @@
 #include "hawthornroad/base/Random.h"
 #include "hawthornroad/base/Types.h"
 #include "hawthornroad/membership/EndpointStatus.h"
+#include "hawthornroad/routing/ConcurrencyWindow.h"
 #include "hawthornroad/routing/LoadEstimate.h"
 #include "hawthornroad/routing/OutlierEjection.h"
 #include "hawthornroad/routing/PrefixAffinity.h"
@@ -55,7 +56,9 @@
   std::size_t Position_ = 0;
   double Places_ = 0;
   double Taken_ = 0;
+  double PooledOwn_ = 0;
   double PooledOthers_ = 0;
+  double PooledLatest_ = 0;
   double PooledStepMs_ = 0;
   // When it is due for a probe, if it stands among the ejected.
   std::optional<TimePoint> Due_;
@@ -86,6 +89,9 @@
   // One open endpoint, each alike; null when none but excluded ones was found
   // in a bounded look.
   PooledEndpoint *draw(Random &Rng, const std::set<Vm> &Excluded) const;
+  // One endpoint of all but the ejected and those that just refused.
+  PooledEndpoint *drawFull(Random &Rng, const std::set<Vm> &Excluded,
+                           TimePoint Now) const;
   // The endpoint that should hold the prefix in its cache, while its load is
   // within a bound of the mean; else null.
   PooledEndpoint *holder(std::uint64_t PrefixHash,
@@ -95,11 +101,19 @@
   // The ejected endpoint that is due first; null when none is ejected.
   PooledEndpoint *firstEjected() const;
 
+  // An attempt ended at a member: whole, or refused for want of a place.
+  void noteAnswered() { Window_.answered(Own_); }
+  void noteRefused() { Window_.refused(Own_); }
+
   // Expected relative time of an attempt there; lower is better.
   double cost(const PooledEndpoint &E) const;
 
   std::size_t size() const { return Members_.size(); }
-  std::size_t open() const { return Open_; }
+  // Members with a free place; none while the window or the pool is full.
+  std::size_t open() const { return isFull() ? 0 : Open_; }
+  // Whether an entry with as little in progress as this one may use places in
+  // which attempts wait, though the pool is full.
+  bool hasSlack() const;
   double places() const { return Places_; }
   double taken() const { return Taken_; }
 
@@ -111,6 +125,9 @@
     auto operator<=>(const Due &) const = default;
   };
 
+  bool isFull() const;
+  // Everybody's attempts, by the latest reports.
+  double inProgress() const;
   double typicalOthers() const;
   void swapMembers(std::size_t A, std::size_t B);
   void setOpen(PooledEndpoint &E, bool IsOpen);
@@ -127,10 +144,13 @@
   std::set<Due> Ejected_;
   double Places_ = 0;
   double Taken_ = 0;
+  double Own_ = 0;
   double Others_ = 0;
+  double Latest_ = 0;
   double StepMs_ = 0;
   std::size_t Steps_ = 0;
   std::size_t Cursor_ = 0;
+  ConcurrencyWindow Window_;
 };
 
 } // namespace hawthornroad
