Operators' proofs with real processes; faults at the end of a text have its last line

Cause found by OperatorsTest: a text cut short was reported one line past its end, and a text that is no object at line 0. Both now name a real line; the unit tests of JsonText and Settings hold it.

--- a/hawthornroad/config/JsonText.cpp
+++ b/hawthornroad/config/JsonText.cpp
@@ -194,8 +194,11 @@
     if (!Code)
       ++Builder.Line_;
   }
-  if (!Code)
+  if (!Code) {
+    // What is missing at the end is missing after the last line.
+    Builder.Line_ = std::max(1, Builder.Line_ - 1);
     Parser.write_some(false, "", 0, Code);
+  }
   if (Code)
     throw TextError(Where, File,
                     {{Builder.Line_, "", "not JSON: " + Code.message()}});
--- a/hawthornroad/config/ObjectReader.cpp
+++ b/hawthornroad/config/ObjectReader.cpp
@@ -27,7 +27,8 @@
 
 ObjectReader::ObjectReader(const JsonNode &Node, std::string Path,
                            std::vector<Fault> &Faults)
-    : Node_(&Node), Path_(std::move(Path)), Faults_(&Faults) {
+    : Node_(&Node), Line_(Node.Line_), Path_(std::move(Path)),
+      Faults_(&Faults) {
   if (Node.isObject())
     return;
   Faults.push_back(
@@ -44,7 +45,7 @@
 
 void ObjectReader::fault(std::string_view Key, const std::string &Message) {
   const JsonNode *At = Node_->find(Key);
-  int Line = At != nullptr ? At->Line_ : Node_->Line_;
+  int Line = At != nullptr ? At->Line_ : Line_;
   Faults_->push_back({Line, pathOf(Key), Message});
 }
 
--- a/hawthornroad/config/ObjectReader.h
+++ b/hawthornroad/config/ObjectReader.h
@@ -64,7 +64,7 @@
   // Makes each key that no getter asked for a fault.
   void finish();
   void fault(std::string_view Key, const std::string &Message);
-  int line() const { return Node_->Line_; }
+  int line() const { return Line_; }
   const std::string &path() const { return Path_; }
 
 private:
@@ -74,6 +74,7 @@
   std::string pathOf(std::string_view Key) const;
 
   const JsonNode *Node_;
+  int Line_;
   std::string Path_;
   std::vector<Fault> *Faults_;
   std::set<std::string, std::less<>> Asked_;
--- a/tests/integration/OperatorsTest.cpp
+++ b/tests/integration/OperatorsTest.cpp
@@ -7,7 +7,7 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 #include <catch2/catch.hpp>
-#include <future>
+#include <deque>
 
 using namespace hawthornroad;
 using Catch::Matchers::Contains;
@@ -29,11 +29,14 @@
                   std::to_string(Replicas) + "}}}");
   }
 
-  ToolResult ctl(std::vector<std::string> Arguments) {
-    Arguments.insert(Arguments.end(),
-                     {"--table", Table_.address(), "--charts",
-                      std::string(SOURCE_DIR) + "/charts", "--timeout", "1"});
-    return runTool("hawthornroadctl", Arguments, folder());
+  std::vector<std::string> arguments(std::vector<std::string> Given) {
+    Given.insert(Given.end(),
+                 {"--table", Table_.address(), "--charts",
+                  std::string(SOURCE_DIR) + "/charts", "--timeout", "1"});
+    return Given;
+  }
+  ToolResult ctl(std::vector<std::string> Given) {
+    return runTool("hawthornroadctl", arguments(std::move(Given)), folder());
   }
   ToolResult apply(int Replicas, std::vector<std::string> More = {}) {
     std::vector<std::string> All = {"apply", text(Replicas)};
@@ -89,18 +92,17 @@
                  "[operators]") {
   REQUIRE(apply(1).ExitCode_ == 0);
   constexpr int Operators = 6;
-  std::vector<std::string> Texts;
+  std::deque<Process> Running;
   for (int I = 0; I < Operators; ++I)
-    Texts.push_back(text(10 + I));
-  std::vector<std::future<ToolResult>> Running;
-  for (const std::string &Each : Texts)
-    Running.push_back(std::async(std::launch::async, [this, Each] {
-      return ctl({"apply", Each, "--base", "1"});
-    }));
+    Running.emplace_back(
+        Launch{.Name_ = "operator-" + std::to_string(I),
+               .Program_ = "hawthornroadctl",
+               .Arguments_ = arguments({"apply", text(10 + I), "--base", "1"})},
+        folder());
   int Won = 0;
   int Conflicts = 0;
-  for (std::future<ToolResult> &Each : Running) {
-    int Code = Each.get().ExitCode_;
+  for (Process &Each : Running) {
+    int Code = Each.waitExit();
     Won += Code == 0 ? 1 : 0;
     Conflicts += Code == 3 ? 1 : 0;
   }
--- a/tests/unit/JsonTextTest.cpp
+++ b/tests/unit/JsonTextTest.cpp
@@ -37,7 +37,8 @@
   };
   const std::vector<Case> Cases = {
       {"", "a.jsonc:1: not JSON"},
-      {"{\"a\": 1", "not JSON: incomplete"},
+      {"{\"a\": 1", "a.jsonc:1: not JSON: incomplete"},
+      {"{\"a\":\n1\n", "a.jsonc:2: not JSON: incomplete"},
       {"{\n\"a\": 1\n\"b\": 2}", "a.jsonc:3: not JSON"},
       {"{\"a\": }", "a.jsonc:1: not JSON"},
       {"{\"a\": 1}\n{\"b\": 2}", "a.jsonc:2: not JSON"},
--- a/tests/unit/SettingsTest.cpp
+++ b/tests/unit/SettingsTest.cpp
@@ -172,7 +172,8 @@
       {agentWith("\"capacity\": 0"), "capacity: expected"},
       {agentWith("\"caller_listen\": \"127.0.0.1:0\""),
        "caller_listen: unknown key"},
-      {"[1, 2]", "expected an object"},
+      {"\n[1, 2]", "agent.jsonc:2: expected an object"},
+      {"\n[1, 2]", "agent.jsonc:2: vm: is required"},
       {"", "not JSON"},
   };
   for (const Case &Each : Cases) {
