--- a/hawthornroad/routing/Chooser.cpp
+++ b/hawthornroad/routing/Chooser.cpp
@@ -10,6 +10,8 @@
 namespace hawthornroad {
 
 namespace {
+// Endpoints drawn for a choice.
+constexpr std::size_t Draws = 8;
 // How long an endpoint that refused an attempt counts as full.
 constexpr Duration BusyFor = Milliseconds(250);
 // Endpoints that are gone are remembered, to tell late word from new; beyond
@@ -43,10 +45,13 @@
   void markGone(PooledEndpoint &E, TimePoint Now);
   void forgetOldest();
 
-  std::vector<EndpointPool *> matching(Group &G, const Query &Q, Where W,
-                                       TimePoint Now) const;
+  std::vector<EndpointPool *> matching(Group &G, const Query &Q, Where W) const;
   PooledEndpoint *drawFrom(const std::vector<EndpointPool *> &Pools,
                            const std::set<Vm> &Excluded);
+  PooledEndpoint *chooseWaiting(const std::vector<EndpointPool *> &Pools,
+                                const Query &Q, TimePoint Now);
+  PooledEndpoint *pick(Group &G, const Query &Q, TimePoint Now);
+  PooledEndpoint *dueProbe(Group &G, const Query &Q, TimePoint Now) const;
   PooledEndpoint *chooseFrom(const std::vector<EndpointPool *> &Pools,
                              const Query &Q);
 
@@ -221,15 +226,12 @@
 }
 
 std::vector<EndpointPool *> Chooser::State::matching(Group &G, const Query &Q,
-                                                     Where W,
-                                                     TimePoint Now) const {
+                                                     Where W) const {
   std::vector<EndpointPool *> Out;
   for (auto &P : G.Pools_) {
     const bool IsOwn = P->zone() == Own_;
-    if (IsOwn != (W == Where::OwnZone) || !P->serves(Q.Version_))
-      continue;
-    P->refreshSome(G.Limit_, Now);
-    Out.push_back(P.get());
+    if (IsOwn == (W == Where::OwnZone) && P->serves(Q.Version_))
+      Out.push_back(P.get());
   }
   return Out;
 }
@@ -256,11 +258,59 @@
     for (const EndpointPool *P : Pools)
       if (PooledEndpoint *E = P->holder(Q.PrefixHash_, Q.Excluded_))
         return E;
-  PooledEndpoint *A = drawFrom(Pools, Q.Excluded_);
-  PooledEndpoint *B = drawFrom(Pools, Q.Excluded_);
-  if (!A || !B)
-    return A ? A : B;
-  return B->Pool_->cost(*B) < A->Pool_->cost(*A) ? B : A;
+  PooledEndpoint *Best = nullptr;
+  for (std::size_t I = 0; I < Draws; ++I) {
+    PooledEndpoint *E = drawFrom(Pools, Q.Excluded_);
+    if (E && (!Best || E->Pool_->cost(*E) < Best->Pool_->cost(*Best)))
+      Best = E;
+  }
+  return Best;
+}
+
+// With every place taken: an endpoint at which an attempt may wait.
+PooledEndpoint *
+Chooser::State::chooseWaiting(const std::vector<EndpointPool *> &Pools,
+                              const Query &Q, TimePoint Now) {
+  PooledEndpoint *Best = nullptr;
+  for (EndpointPool *P : Pools) {
+    if (!P->hasSlack())
+      continue;
+    for (std::size_t I = 0; I < Draws; ++I) {
+      PooledEndpoint *E = P->drawFull(Rng_, Q.Excluded_, Now);
+      if (E && (!Best || P->cost(*E) < Best->Pool_->cost(*Best)))
+        Best = E;
+    }
+  }
+  return Best;
+}
+
+// The own zone's pools, then the others', first those with places to spare by
+// an estimate that is a little off, then those with any; then a place to wait.
+PooledEndpoint *Chooser::State::pick(Group &G, const Query &Q, TimePoint Now) {
+  auto Own = matching(G, Q, Where::OwnZone);
+  auto Others = matching(G, Q, Where::OtherZones);
+  for (auto *Pools : {&Own, &Others})
+    for (EndpointPool *P : *Pools)
+      P->refreshSome(G.Limit_, Now);
+  for (auto *Pools : {&Own, &Others}) {
+    auto Roomy = *Pools;
+    std::erase_if(Roomy, [](const EndpointPool *P) { return !P->isRoomy(); });
+    if (PooledEndpoint *E = chooseFrom(Roomy, Q))
+      return E;
+  }
+  for (auto *Pools : {&Own, &Others})
+    if (PooledEndpoint *E = chooseFrom(*Pools, Q))
+      return E;
+  return chooseWaiting(Own, Q, Now);
+}
+
+PooledEndpoint *Chooser::State::dueProbe(Group &G, const Query &Q,
+                                         TimePoint Now) const {
+  for (Where W : {Where::OwnZone, Where::OtherZones})
+    for (const EndpointPool *P : matching(G, Q, W))
+      if (PooledEndpoint *E = P->dueProbe(Now))
+        return E;
+  return nullptr;
 }
 
 std::optional<Vm> Chooser::choose(const Query &Q, TimePoint Now) {
@@ -268,17 +318,13 @@
   if (!G)
     return std::nullopt;
   State_->setLimit(*G, Q.InFlightLimit_, Now);
-  for (State::Where W : {State::Where::OwnZone, State::Where::OtherZones}) {
-    auto Pools = State_->matching(*G, Q, W, Now);
-    // A request that has failed once already is not risked on a probe.
-    if (Q.Excluded_.empty())
-      for (const EndpointPool *P : Pools)
-        if (PooledEndpoint *E = P->dueProbe(Now))
-          return E->Status_.Vm_;
-    if (PooledEndpoint *E = State_->chooseFrom(Pools, Q))
-      return E->Status_.Vm_;
-  }
-  return std::nullopt;
+  PooledEndpoint *E = nullptr;
+  // A request that has failed once already is not risked on a probe.
+  if (Q.Excluded_.empty())
+    E = State_->dueProbe(*G, Q, Now);
+  if (!E)
+    E = State_->pick(*G, Q, Now);
+  return E ? std::optional(E->Status_.Vm_) : std::nullopt;
 }
 
 bool Chooser::hasRoom(const Query &Q, TimePoint Now) const {
@@ -286,11 +332,7 @@
   if (!G)
     return false;
   State_->setLimit(*G, Q.InFlightLimit_, Now);
-  for (State::Where W : {State::Where::OwnZone, State::Where::OtherZones})
-    for (const EndpointPool *P : State_->matching(*G, Q, W, Now))
-      if (P->draw(State_->Rng_, Q.Excluded_))
-        return true;
-  return false;
+  return State_->pick(*G, Q, Now) != nullptr;
 }
 
 std::size_t Chooser::readyCount(const ServiceName &Service) const {
@@ -342,12 +384,14 @@
   switch (R) {
   case Result::Answered:
     G.Outliers_.answered(E->Health_, Now);
+    E->Pool_->noteAnswered();
     break;
   case Result::Failed:
     G.Outliers_.failed(E->Health_, G.Ready_, Now);
     break;
   case Result::Refused:
     E->BusyUntil_ = Now + BusyFor;
+    E->Pool_->noteRefused();
     G.Outliers_.inconclusive(E->Health_);
     break;
   case Result::Cancelled:
