--- a/hawthornroad/membership/GossipQueue.cpp
+++ b/hawthornroad/membership/GossipQueue.cpp
@@ -13,7 +13,7 @@
     Order_.erase(I.Key_);
   }
   I.WithReport_ = I.WithReport_ || WithReport;
-  I.Key_ = {Rank, 0, NextAge_++};
+  I.Key_ = {Rank, 0, NextAge_--};
   Order_.emplace(I.Key_, Process);
   if (Items_.size() <= Limits_.Capacity_)
     return;
--- a/hawthornroad/membership/GossipQueue.h
+++ b/hawthornroad/membership/GossipQueue.h
@@ -53,7 +53,7 @@
   std::size_t size() const { return Items_.size(); }
 
 private:
-  // Rank, times sent, age: the order of sending.
+  // Rank, times sent, age (newest first): the order of sending.
   using Key = std::tuple<NewsRank, std::size_t, std::uint64_t>;
   struct Item {
     Key Key_;
@@ -61,7 +61,8 @@
   };
 
   Limits Limits_;
-  std::uint64_t NextAge_ = 0;
+  // Falls, so that the newest comes first.
+  std::uint64_t NextAge_ = UINT64_MAX;
   std::map<Key, ProcessName> Order_;
   std::unordered_map<ProcessName, Item> Items_;
 };
--- a/hawthornroad/membership/Membership.cpp
+++ b/hawthornroad/membership/Membership.cpp
@@ -86,10 +86,10 @@
   LastTick_ = Now;
   EagerTokens_ =
       std::min(Setup_.EagerBurst_, EagerTokens_ + Elapsed * Setup_.EagerRate_);
-  note(Table_.tick(Now), Now, Out);
+  note(Table_.tick(Now), true, Now, Out);
   Prober::Orders Orders = Prober_.tick(Table_, Now);
   for (const ProcessName &Each : Orders.Unanswered_)
-    note(Table_.accuse(Each, Now), Now, Out);
+    note(Table_.accuse(Each, Now), true, Now, Out);
   for (const Prober::Order &Each : Orders.Probes_)
     sendProbe(Each, Out);
   sendReport(Now, Out);
@@ -149,8 +149,10 @@
     Relays_.erase(Relayed);
     return answer(R.Asker_, R.Sequence_, R.Target_, {}, Out);
   }
-  if (M.Sequence_ == JoinSequence)
+  if (M.Sequence_ == JoinSequence) {
     Joined_ = true;
+    JoinedSince_ = 0;
+  }
   Prober_.answered(M.Sequence_);
   // One that answers while held suspect or dead has to refute; it may have
   // missed the word about it.
@@ -193,8 +195,9 @@
                        const std::vector<std::uint32_t> &Marks, TimePoint Now,
                        Output &Out) {
   bool Accused = false;
+  bool PassOn = Members.size() <= Setup_.MaxNews_;
   for (const Member &Each : Members) {
-    note(Table_.hear(Each, Now), Now, Out);
+    note(Table_.hear(Each, Now), PassOn, Now, Out);
     Accused = Accused || (Each.Process_ == Table_.self().Process_ &&
                           Each.State_ != MemberState::Alive);
   }
@@ -207,22 +210,34 @@
   return Accused;
 }
 
-void Membership::note(const MemberTable::Changes &Changes, TimePoint Now,
-                      Output &Out) {
+void Membership::note(const MemberTable::Changes &Changes, bool PassOn,
+                      TimePoint Now, Output &Out) {
   for (const MemberChange &Each : Changes) {
-    noteOne(Each, Now, Out);
+    noteOne(Each, PassOn, Now, Out);
     Out.Changes_.push_back(Each);
   }
 }
 
-void Membership::noteOne(const MemberChange &C, TimePoint Now, Output &Out) {
+void Membership::noteJoined(const MemberChange &C, bool PassOn, TimePoint Now) {
+  if (PassOn)
+    Queue_.add(C.Process_, NewsRank::State, true);
+  if (++JoinedSince_ < Setup_.MassJoin_ || !Joined_)
+    return;
+  JoinedSince_ = 0;
+  Joined_ = false;
+  NextContact_ = std::min<TimePoint>(
+      NextContact_, Now + Rng_.jitter(Setup_.JoinPeriod_, 0.5));
+}
+
+void Membership::noteOne(const MemberChange &C, bool PassOn, TimePoint Now,
+                         Output &Out) {
   switch (C.Kind_) {
   case Kind::Revised:
     // Marks tell the others.
     return;
   case Kind::Reported:
     // Load heard by chance is not passed on, or each would pass on each.
-    if (C.LoadOnly_)
+    if (C.LoadOnly_ || !PassOn)
       return;
     return Queue_.add(C.Process_, NewsRank::Endpoint, true);
   case Kind::Suspected:
@@ -241,8 +256,10 @@
     }
     return;
   }
+  case Kind::Joined:
+    return noteJoined(C, PassOn, Now);
   default:
-    return Queue_.add(C.Process_, NewsRank::State, C.Kind_ == Kind::Joined);
+    return Queue_.add(C.Process_, NewsRank::State, false);
   }
 }
 
--- a/hawthornroad/membership/Membership.h
+++ b/hawthornroad/membership/Membership.h
@@ -12,7 +12,9 @@
 // Joining. A new process sends a join probe to a few contacts (seeds, and the
 // platform's membership list, which lags and is only a hint where somebody may
 // be) and then to members it has heard of, every second until one answers. That
-// one sends its whole table, in paced messages.
+// one sends its whole table, in paced messages. When many new members show up
+// soon after, it asks once more: a fleet that starts all at once would else
+// learn itself record by record.
 //
 // Spreading. News rides on probes and answers within MessageBudget_ bytes, and
 // each message also carries one record drawn from the table, so that a lost
@@ -67,6 +69,12 @@
     std::size_t EagerFanout_ = 3;
     double EagerRate_ = 2;
     double EagerBurst_ = 6;
+    // Members of one message whose joining is passed on; a message of more is
+    // part of a whole table.
+    std::size_t MaxNews_ = 16;
+    // New members heard of since the last table came that make this process
+    // ask for another: many join at once, and gossip would take long.
+    std::size_t MassJoin_ = 8;
     std::size_t JoinFanout_ = 2;
     Duration JoinPeriod_ = Seconds(1);
     Duration ContactPeriod_ = Seconds(10);
@@ -127,8 +135,11 @@
   bool learn(const PeerAddress &From, const std::vector<Member> &Members,
              Revision Held, const std::vector<std::uint32_t> &Marks,
              TimePoint Now, Output &Out);
-  void note(const MemberTable::Changes &Changes, TimePoint Now, Output &Out);
-  void noteOne(const MemberChange &C, TimePoint Now, Output &Out);
+  // PassOn: whether a new member is news for others.
+  void note(const MemberTable::Changes &Changes, bool PassOn, TimePoint Now,
+            Output &Out);
+  void noteOne(const MemberChange &C, bool PassOn, TimePoint Now, Output &Out);
+  void noteJoined(const MemberChange &C, bool PassOn, TimePoint Now);
   void sendProbe(const Prober::Order &O, Output &Out);
   void relay(const PeerAddress &From, const ProbeMessage &M, TimePoint Now,
              Output &Out);
@@ -165,6 +176,7 @@
   TimePoint NextSync_{};
   // Whether a member has begun to send its table here.
   bool Joined_ = false;
+  std::size_t JoinedSince_ = 0;
   TimePoint NextContact_{};
   TimePoint LastTick_{};
   double EagerTokens_ = 0;
--- a/hawthornroad/membership/ReportPlan.h
+++ b/hawthornroad/membership/ReportPlan.h
@@ -10,8 +10,8 @@
 // second: with A agents and E entries in the zone an entry hears A * D / E
 // agents (D = min(Direct_, E)), so
 //     period = max(Period_, A * D / (E * PerEntry_)).
-// With 6 agents and 3 entries that is 0.6 s at the default rate; with 625 agents
-// and 75 entries 3.3 s.
+// With 6 agents and 3 entries that is 0.6 s at the default rate; with 625
+// agents and 75 entries 3.3 s.
 
 #ifndef HAWTHORNROAD_MEMBERSHIP_REPORTPLAN_H
 #define HAWTHORNROAD_MEMBERSHIP_REPORTPLAN_H
