Addresses told to peers can differ from the listener's; fleets behind proxies

A proxy before a peer listener was never used, since processes tell each other the listener's own address. New settings peer_advertise and weights_advertise (also what address translation between zones needs) are told in the Hello, in gossip and in endpoint reports. The fixture puts a proxy before each peer, weights and endpoint listener and each zone's platform, and parts zones.

--- a/hawthornroad/config/Settings.cpp
+++ b/hawthornroad/config/Settings.cpp
@@ -84,6 +84,7 @@
   S.Zone_ = AvailabilityZone(readName(R, "zone"));
   readListen(R, "peer_listen", S.PeerListen_);
   readListen(R, "admin_listen", S.AdminListen_);
+  readTarget(R, "peer_advertise", S.PeerAdvertise_);
   for (std::string &Each : R.texts("seeds")) {
     checkAddress(R, "seeds", Each, PortRule::NotZero);
     S.Seeds_.emplace_back(std::move(Each));
@@ -131,6 +132,7 @@
   checkAddress(R, "endpoint_address", S.EndpointAddress_, PortRule::NotZero);
   readListen(R, "lock_listen", S.LockListen_);
   readListen(R, "weights_listen", S.WeightsListen_);
+  readTarget(R, "weights_advertise", S.WeightsAdvertise_);
   S.WeightsFolder_ = R.text("weights_folder", S.WeightsFolder_);
   readTarget(R, "origin", S.Origin_);
   readBytes(R, "keep_bytes", S.KeepBytes_);
--- a/hawthornroad/config/Settings.h
+++ b/hawthornroad/config/Settings.h
@@ -33,6 +33,9 @@
   AvailabilityZone Zone_;
   std::string PeerListen_ = "127.0.0.1:0";
   std::string AdminListen_ = "127.0.0.1:0";
+  // Where other processes reach the peer listener when that is not its own
+  // address (address translation, a proxy between); empty otherwise.
+  std::string PeerAdvertise_;
   // Peers to join through, beside the platform's membership list.
   std::vector<PeerAddress> Seeds_;
   PlatformSettings Platform_;
@@ -77,6 +80,8 @@
   // Held for the process's lifetime: one agent a VM (port 0 only in tests).
   std::string LockListen_ = "127.0.0.1:0";
   std::string WeightsListen_ = "127.0.0.1:0";
+  // As PeerAdvertise_, for the weights listener.
+  std::string WeightsAdvertise_;
   // Memory-backed folder for weights.
   std::string WeightsFolder_;
   // Origin of weights, "IP:port".
--- a/hawthornroad/runtime/AgentProcess.cpp
+++ b/hawthornroad/runtime/AgentProcess.cpp
@@ -34,8 +34,15 @@
   return formatAddress({Endpoint.address(), Port});
 }
 
-PeerNet::Self selfOf(const AgentSettings &S, Incarnation I) {
-  return {S.Common_.Process_, I, S.Common_.Zone_, "agent"};
+PeerNet::Self selfOf(const AgentSettings &S, Incarnation I,
+                     const std::string &Advertise) {
+  return {S.Common_.Process_, I, S.Common_.Zone_, "agent", Advertise};
+}
+
+// The address peers reach a listener at.
+PeerAddress reachedAt(const std::string &Listener,
+                      const std::string &Advertise) {
+  return PeerAddress(Advertise.empty() ? Listener : Advertise);
 }
 
 } // namespace
@@ -88,16 +95,18 @@
                                                          LoopTick, LoopRing)),
       PeersFeed_(PeersIo_, *Loop_, Metrics_, peersFeed()),
       WeightsFeed_(WeightsIo_, *Loop_, Metrics_, weightsFeed()),
-      Peers_(PeersIo_, selfOf(S, Incarnation_), {}, feedTo(PeersFeed_)),
-      WeightsNet_(WeightsIo_, selfOf(S, Incarnation_), {},
+      Peers_(PeersIo_, selfOf(S, Incarnation_, S.Common_.PeerAdvertise_), {},
+             feedTo(PeersFeed_)),
+      WeightsNet_(WeightsIo_, selfOf(S, Incarnation_, S.WeightsAdvertise_), {},
                   feedTo(WeightsFeed_)),
       Admin_(AdminIo_, Metrics_, adminHooks()),
       PeersAddress_(listenAt(Peers_, S.Common_.PeerListen_)),
       WeightsAddress_(listenAt(WeightsNet_, S.WeightsListen_)),
       AdminAddress_(listenAt(Admin_, S.Common_.AdminListen_)) {
   Core_ = std::make_unique<AgentCore>(
-      AgentCore::Setup{S, Incarnation_, PeerAddress(PeersAddress_),
-                       PeerAddress(WeightsAddress_)},
+      AgentCore::Setup{S, Incarnation_,
+                       reachedAt(PeersAddress_, S.Common_.PeerAdvertise_),
+                       reachedAt(WeightsAddress_, S.WeightsAdvertise_)},
       AgentCore::Wiring{System_, *Loop_, Peers_, WeightsNet_, WeightsIo_,
                         EngineIo_, EngineHttp_, PlatformHttp_, OriginHttp_,
                         Metrics_});
--- a/hawthornroad/runtime/EntryProcess.cpp
+++ b/hawthornroad/runtime/EntryProcess.cpp
@@ -192,10 +192,11 @@
   const ProcessSettings &Common = Settings_.Common_;
   Loop_ = std::make_unique<DecisionLoop>(System_, "decisions", TickPeriod,
                                          LoopRing);
-  Net_ = std::make_unique<PeerNet>(
-      PeersIo_,
-      PeerNet::Self{Common.Process_, Incarnation_, Common.Zone_, "entry"},
-      PeerNet::Limits{}, netCallbacks());
+  Net_ = std::make_unique<PeerNet>(PeersIo_,
+                                   PeerNet::Self{Common.Process_, Incarnation_,
+                                                 Common.Zone_, "entry",
+                                                 Common.PeerAdvertise_},
+                                   PeerNet::Limits{}, netCallbacks());
   std::string PeerIp = ipOf(Common.PeerListen_);
   PeersAddress_ =
       PeerIp + ":" +
@@ -208,7 +209,9 @@
         });
       });
   ControlPlane::Setup Setup{Common, Incarnation_, "entry",
-                            PeerAddress(PeersAddress_)};
+                            PeerAddress(Common.PeerAdvertise_.empty()
+                                            ? PeersAddress_
+                                            : Common.PeerAdvertise_)};
   Control_ = std::make_unique<ControlPlane>(Setup, *Loop_, *Net_, Platform_,
                                             Metrics_, controlCallbacks());
   Admin_ = std::make_unique<AdminServer>(AdminIo_, Metrics_, adminHooks());
--- a/hawthornroad/runtime/PeerNet.cpp
+++ b/hawthornroad/runtime/PeerNet.cpp
@@ -405,7 +405,8 @@
   auto S = State_;
   S->Acceptor_.emplace(openAcceptor(S->Io_.context(), Ip, Port));
   tcp::endpoint Bound = S->Acceptor_->local_endpoint();
-  S->ListenAddress_ = formatAddress(Bound);
+  S->ListenAddress_ =
+      S->Self_.Advertise_.empty() ? formatAddress(Bound) : S->Self_.Advertise_;
   asio::co_spawn(S->Io_.context(), S->acceptLoop(), asio::detached);
   return Bound.port();
 }
--- a/hawthornroad/runtime/PeerNet.h
+++ b/hawthornroad/runtime/PeerNet.h
@@ -67,6 +67,8 @@
     Incarnation Incarnation_ = 0;
     AvailabilityZone Zone_;
     std::string Role_;
+    // The address told to peers in place of the listener's; may be empty.
+    std::string Advertise_;
   };
   struct Limits {
     std::size_t MaxFrame_ = 16 * 1024 * 1024;
--- a/tests/integration/Fleet.cpp
+++ b/tests/integration/Fleet.cpp
@@ -129,7 +129,7 @@
                                 json::object Changes) {
   FleetProcess &Added = To.emplace_back(std::move(P));
   if (Shape_.Proxies_)
-    Added.PeerProxy_ = &Stands_.proxy("");
+    addProxies(Added);
   json::object Settings = commonSettings(Added);
   if (Added.Endpoint_ != nullptr)
     merge(Settings, agentSettings(Added));
@@ -140,6 +140,14 @@
   return Added;
 }
 
+void Fleet::addProxies(FleetProcess &P) {
+  P.PeerProxy_ = &Stands_.proxy("");
+  if (P.Endpoint_ == nullptr)
+    return;
+  P.WeightsProxy_ = &Stands_.proxy("");
+  P.EndpointProxy_ = &Stands_.proxy(P.Endpoint_->address());
+}
+
 json::object Fleet::commonSettings(const FleetProcess &P) {
   const PlatformPath &Path = platformOf(P.Zone_);
   json::object Settings = {{"process", P.Name_},
@@ -157,11 +165,17 @@
 }
 
 json::object Fleet::agentSettings(const FleetProcess &P) {
-  return {
+  const std::string &Endpoint = P.EndpointProxy_ != nullptr
+                                    ? P.EndpointProxy_->address()
+                                    : P.Endpoint_->address();
+  json::object Settings = {
       {"vm", P.Vm_.str()},
-      {"endpoint_address", P.Endpoint_->address()},
+      {"endpoint_address", Endpoint},
       {"weights_folder", (folder().path() / "weights" / P.Vm_.str()).string()},
       {"origin", platformOf(P.Zone_).Origin_}};
+  if (P.WeightsProxy_ != nullptr)
+    Settings["weights_advertise"] = P.WeightsProxy_->address();
+  return Settings;
 }
 
 std::vector<std::string> Fleet::seeds() {
@@ -196,10 +210,49 @@
   std::string Peers = P.Process_->readyText("peers");
   if (P.PeerProxy_ != nullptr)
     P.PeerProxy_->setTarget(Peers);
+  if (P.WeightsProxy_ != nullptr)
+    P.WeightsProxy_->setTarget(P.Process_->readyText("weights"));
 }
 
 void Fleet::kill(FleetProcess &P) { P.Process_.reset(); }
 
+std::vector<Proxy *> Fleet::proxiesBetweenProcesses(const std::string &Zone) {
+  std::vector<Proxy *> Found;
+  for (auto *Group : {&Entries_, &Agents_})
+    for (FleetProcess &Each : *Group)
+      for (Proxy *Before : {Each.PeerProxy_, Each.WeightsProxy_})
+        if (Each.Zone_ == Zone && Before != nullptr)
+          Found.push_back(Before);
+  return Found;
+}
+
+void Fleet::cutOff(const std::string &Zone, bool Platform) {
+  auto Stop = [&](const std::string &At, json::array From) {
+    json::object Faults = {{"blackhole_from", {{"zones", std::move(From)}}}};
+    for (Proxy *Each : proxiesBetweenProcesses(At))
+      Each->setFaults(json::serialize(Faults));
+  };
+  json::array Others;
+  for (const std::string &Each : Shape_.Zones_)
+    if (Each != Zone) {
+      Others.emplace_back(Each);
+      Stop(Each, json::array{Zone});
+    }
+  Stop(Zone, Others);
+  if (Platform)
+    for (Proxy *Each : platformOf(Zone).Proxies_)
+      Each->setFaults(R"({"blackhole":true})");
+}
+
+void Fleet::heal() {
+  for (const std::string &Zone : Shape_.Zones_) {
+    for (Proxy *Each : proxiesBetweenProcesses(Zone))
+      Each->setFaults("{}");
+    for (Proxy *Each : platformOf(Zone).Proxies_)
+      Each->setFaults("{}");
+  }
+}
+
 void Fleet::publishMembers() {
   json::array Vms;
   for (auto *Group : {&Entries_, &Agents_})
--- a/tests/integration/Fleet.h
+++ b/tests/integration/Fleet.h
@@ -8,9 +8,9 @@
 //   F->complete(F->entry(0), "hello", 8);
 //
 // VM names are copywriter-lm-N (model engines) and billing-desk-N (plain
-// services), spread over the zones in turn. Every process's peer listener, and
-// every zone's way to the platform, can stand behind a proxy of its own:
-// withProxies().
+// services), spread over the zones in turn. With withProxies() each listener
+// between processes, each endpoint and each zone's way to the platform stands
+// behind a proxy of its own; cutOff() parts a zone from the others.
 
 #ifndef HAWTHORNROAD_TESTS_INTEGRATION_FLEET_H
 #define HAWTHORNROAD_TESTS_INTEGRATION_FLEET_H
@@ -61,8 +61,11 @@
   // Empty for an entry.
   Vm Vm_;
   Fake *Endpoint_ = nullptr;
-  // Before the peer listener; null without proxies.
+  // Null without proxies: before the peer listener, and for an agent before
+  // its weights listener and before its engine or service.
   Proxy *PeerProxy_ = nullptr;
+  Proxy *WeightsProxy_ = nullptr;
+  Proxy *EndpointProxy_ = nullptr;
   // None while it is not running.
   std::optional<Process> Process_;
 
@@ -107,6 +110,10 @@
   void start(FleetProcess &P);
   // Kills it and forgets it; the next start() is a replacement.
   void kill(FleetProcess &P);
+  // Parts Zone from all other zones, and from the platform when Platform is
+  // set; heal() clears the faults of all proxies. Needs withProxies().
+  void cutOff(const std::string &Zone, bool Platform);
+  void heal();
   // Writes what runs now into the platform's membership list.
   void publishMembers();
 
@@ -128,11 +135,13 @@
 private:
   void startPlatform();
   void addProcesses();
+  void addProxies(FleetProcess &P);
   FleetProcess &addProcess(std::deque<FleetProcess> &To, FleetProcess P,
                            boost::json::object Settings);
   boost::json::object commonSettings(const FleetProcess &P);
   boost::json::object agentSettings(const FleetProcess &P);
   std::vector<std::string> seeds();
+  std::vector<Proxy *> proxiesBetweenProcesses(const std::string &Zone);
 
   FleetShape Shape_;
   FakesFixture Stands_;
--- a/tests/integration/WholePathTest.cpp
+++ b/tests/integration/WholePathTest.cpp
@@ -3,6 +3,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <catch2/catch.hpp>
+#include <stdexcept>
 
 using namespace hawthornroad;
 
@@ -10,6 +11,19 @@
 constexpr const char *CompletionPath = "/copywriter-lm/v1/completions";
 constexpr int Tokens = 12;
 
+HttpRequest asCustomer(HttpRequest R) {
+  R.Headers_.push_back({"Hawthornroad-Customer", "hp-travel"});
+  return R;
+}
+
+// Whether the call is answered; throws with the refusal otherwise, so that a
+// wait in vain names it.
+bool isAnswered(const HttpResponse &R) {
+  if (R.Status_ == 200)
+    return true;
+  throw std::runtime_error(std::to_string(R.Status_) + " " + R.Body_);
+}
+
 // A small fleet with one version of weights applied and served.
 struct WholePathFixture {
   std::unique_ptr<Fleet> Fleet_ =
@@ -25,11 +39,6 @@
 
   std::string callers() { return Fleet_->entry(0).callers(); }
 
-  static HttpRequest asCustomer(HttpRequest R) {
-    R.Headers_.push_back({"Hawthornroad-Customer", "hp-travel"});
-    return R;
-  }
-
   // What the first engine says when it is asked directly.
   StreamResult expectedStream(const std::string &Prompt) {
     return fetchStream(
@@ -44,10 +53,7 @@
     eventually(
         [&] {
           Answer = fetch(callers(), R);
-          if (Answer.Status_ == 200)
-            return true;
-          throw std::runtime_error(std::to_string(Answer.Status_) + " " +
-                                   Answer.Body_);
+          return isAnswered(Answer);
         },
         "the entry answers");
     return Answer;
@@ -134,3 +140,43 @@
   CHECK(Answer.Status_ == 404);
   CHECK(findHeader(Answer.Headers_, "Hawthornroad-Outcome") == "not-run");
 }
+
+TEST_CASE("fleet in two zones, one cut off with its platform and healed, "
+          "serves in both and ends on one revision",
+          "[path]") {
+  // A user sees: while a zone's uplink is down its shelters go on being served
+  // from the last accepted text, and after the repair the change made meanwhile
+  // is in force there too. Order: both zones serve; zone-b loses the other zone
+  // and the platform; operators change the text; the uplink returns.
+  auto F = FleetBuilder()
+               .zones({"zone-a", "zone-b"})
+               .modelVms(2)
+               .withProxies()
+               .build();
+  WeightVersion Version = F->publishWeights("v1", 1);
+  REQUIRE(F->apply(F->declaration(Version)).ExitCode_ == 0);
+  F->awaitServing(Version);
+  HttpRequest R =
+      asCustomer(completionRequest(CompletionPath, "slogan", Tokens, false));
+  auto Answers = [&](std::size_t Entry) {
+    return isAnswered(fetch(F->entry(Entry).callers(), R));
+  };
+  auto RevisionAt = [&](std::size_t Entry) {
+    HttpResponse Answer = fetch(F->entry(Entry).callers(), R);
+    return findHeader(Answer.Headers_, "Hawthornroad-Revision").value_or("");
+  };
+  for (std::size_t Entry : {0, 1})
+    eventually([&] { return Answers(Entry); }, "each zone's entry answers");
+
+  F->cutOff("zone-b", true);
+  boost::json::object Text = F->declaration(Version);
+  Text["customers"].as_object()["zet"] = {{"weight", 2}};
+  REQUIRE(F->apply(Text).ExitCode_ == 0);
+  eventually([&] { return RevisionAt(0) == "2"; }, "zone-a has the change");
+  eventually([&] { return Answers(1); }, "the cut-off entry answers");
+  CHECK(RevisionAt(1) == "1");
+
+  F->heal();
+  eventually([&] { return RevisionAt(1) == "2"; }, "zone-b caught up");
+  eventually([&] { return Answers(1); }, "zone-b answers");
+}
