--- a/tests/integration/Fleet.cpp
+++ b/tests/integration/Fleet.cpp
@@ -62,6 +62,15 @@
                                       {"blob", BlobPath}});
 }
 
+std::string memberState(FleetProcess &Seen, const std::string &Process) {
+  json::object Status = getJson(Seen.admin(), "/status");
+  const json::object &Control = Status.at("control").as_object();
+  for (const json::value &Each : Control.at("members").as_array())
+    if (textAt(Each.as_object(), "process") == Process)
+      return textAt(Each.as_object(), "state");
+  return {};
+}
+
 std::string FleetProcess::peers() {
   return PeerProxy_ != nullptr ? PeerProxy_->address()
                                : Process_->readyText("peers");
--- a/tests/integration/Fleet.h
+++ b/tests/integration/Fleet.h
@@ -172,6 +172,10 @@
   FleetShape Shape_;
 };
 
+// What Seen's /status says of another process: "alive", "suspect", "dead" or
+// "left"; empty when it does not know it.
+std::string memberState(FleetProcess &Seen, const std::string &Process);
+
 // Bytes that depend on the seed alone.
 std::string seededBytes(std::size_t Size, std::uint64_t Seed);
 // The manifest of a blob that stands at BlobPath of the origin.
--- a/tests/integration/WholePathTest.cpp
+++ b/tests/integration/WholePathTest.cpp
@@ -173,10 +173,21 @@
   Text["customers"].as_object()["zet"] = {{"weight", 2}};
   REQUIRE(F->apply(Text).ExitCode_ == 0);
   eventually([&] { return RevisionAt(0) == "2"; }, "zone-a has the change");
-  eventually([&] { return Answers(1); }, "the cut-off entry answers");
+  // Long enough for gossip to have brought the change, had there been a way.
+  eventually(
+      [&] {
+        return memberState(F->entry(0), "zone-b-entry-0") == "dead" &&
+               memberState(F->entry(1), "zone-a-entry-0") == "dead";
+      },
+      "each side takes the other for dead");
+  CHECK(Answers(0));
+  CHECK(Answers(1));
   CHECK(RevisionAt(1) == "1");
 
   F->heal();
   eventually([&] { return RevisionAt(1) == "2"; }, "zone-b caught up");
-  eventually([&] { return Answers(1); }, "zone-b answers");
+  CHECK(Answers(1));
+  eventually(
+      [&] { return memberState(F->entry(0), "zone-b-entry-0") == "alive"; },
+      "zone-a knows zone-b again");
 }
