--- a/hawthornroad/routing/Chooser.cpp
+++ b/hawthornroad/routing/Chooser.cpp
@@ -13,7 +13,7 @@
 // Endpoints drawn for a choice.
 constexpr std::size_t Draws = 8;
 // How long an endpoint that refused an attempt counts as full.
-constexpr Duration BusyFor = Milliseconds(250);
+constexpr Duration BusyFor = Milliseconds(1000);
 // Endpoints that are gone are remembered, to tell late word from new; beyond
 // this many the oldest are forgotten.
 constexpr std::size_t GoneKept = 4096;
--- a/hawthornroad/routing/EndpointPool.cpp
+++ b/hawthornroad/routing/EndpointPool.cpp
@@ -106,6 +106,10 @@
   E.PooledOwn_ = static_cast<double>(E.Load_.own());
   E.PooledOthers_ = E.Load_.reportedOthers();
   E.PooledLatest_ = E.Load_.latestOthers();
+  // It has just refused: whatever reports say, it is full and more.
+  if (Now < E.BusyUntil_)
+    E.PooledLatest_ = std::max(E.PooledLatest_,
+                               E.Places_ * (1 + WaitingPlaces) - E.PooledOwn_);
   E.PooledStepMs_ = std::max(0.0F, E.Status_.StepMs_);
   E.Taken_ = E.Load_.total(Now, typicalOthers());
   addSums(E, 1);
