--- a/hawthornroad/routing/Chooser.cpp
+++ b/hawthornroad/routing/Chooser.cpp
@@ -295,7 +295,9 @@
   for (auto *Pools : {&Own, &Others}) {
     auto Roomy = *Pools;
     std::erase_if(Roomy, [](const EndpointPool *P) { return !P->isRoomy(); });
-    if (PooledEndpoint *E = chooseFrom(Roomy, Q))
+    PooledEndpoint *E = chooseFrom(Roomy, Q);
+    // A slow endpoint is worse than a healthy one in another zone.
+    if (E && E->Pool_->slowness(*E) == 1)
       return E;
   }
   for (auto *Pools : {&Own, &Others})
--- a/hawthornroad/routing/EndpointPool.cpp
+++ b/hawthornroad/routing/EndpointPool.cpp
@@ -22,8 +22,9 @@
 // A prefix's endpoint is passed over beyond this multiple of the mean load.
 constexpr double AffinityBound = 1.25;
 // Bounds the trust in a reported token time.
-constexpr double LeastSlowness = 0.5;
 constexpr double MostSlowness = 8.0;
+// An endpoint counts as slow beyond what more load than its peers explains.
+constexpr double SlowFrom = 1.6;
 } // namespace
 
 EndpointPool::EndpointPool(const EndpointSlots &Slots, AvailabilityZone Zone,
@@ -198,6 +199,8 @@
     PooledEndpoint *E = Slots_[C.Handles_[I]].get();
     if (E->Position_ >= Open_ || Excluded.contains(E->Status_.Vm_))
       continue;
+    if (slowness(*E) > 1)
+      continue;
     if (E->Taken_ <= AffinityBound * MeanUse * E->Places_ + 1)
       return E;
   }
@@ -222,13 +225,16 @@
   return nullptr;
 }
 
+double EndpointPool::slowness(const PooledEndpoint &E) const {
+  if (E.PooledStepMs_ <= 0 || Steps_ < 2)
+    return 1;
+  double Peers = (StepMs_ - E.PooledStepMs_) / static_cast<double>(Steps_ - 1);
+  double Ratio = E.PooledStepMs_ / Peers;
+  return Ratio > SlowFrom ? std::min(Ratio, MostSlowness) : 1;
+}
+
 double EndpointPool::cost(const PooledEndpoint &E) const {
-  double Slowness = 1;
-  if (E.PooledStepMs_ > 0 && Steps_ > 0) {
-    double Mean = StepMs_ / static_cast<double>(Steps_);
-    Slowness = std::clamp(E.PooledStepMs_ / Mean, LeastSlowness, MostSlowness);
-  }
-  return (E.Taken_ + 1) / E.Places_ * Slowness;
+  return (1 + E.Taken_ / E.Places_) * slowness(E);
 }
 
 } // namespace hawthornroad
--- a/hawthornroad/routing/EndpointPool.h
+++ b/hawthornroad/routing/EndpointPool.h
@@ -105,6 +105,9 @@
   void noteAnswered() { Window_.answered(Own_); }
   void noteRefused() { Window_.refused(Own_); }
 
+  // How much slower than its peers' its tokens are; 1 unless well beyond what
+  // load explains.
+  double slowness(const PooledEndpoint &E) const;
   // Expected relative time of an attempt there; lower is better.
   double cost(const PooledEndpoint &E) const;
 
