--- a/hawthornroad/routing/EndpointPool.cpp
+++ b/hawthornroad/routing/EndpointPool.cpp
@@ -20,7 +20,7 @@
 // progress; agents let a quarter wait.
 constexpr double WaitingPlaces = 0.2;
 // A prefix's endpoint is passed over beyond this multiple of the mean load.
-constexpr double AffinityBound = 1.25;
+constexpr double AffinityBound = 1.0;
 // Bounds the trust in a reported token time.
 constexpr double MostSlowness = 8.0;
 // An endpoint counts as slow beyond what more load than its peers explains.
@@ -113,6 +113,10 @@
                                E.Places_ * (1 + WaitingPlaces) - E.PooledOwn_);
   E.PooledStepMs_ = std::max(0.0F, E.Status_.StepMs_);
   E.Taken_ = E.Load_.total(Now, typicalOthers());
+  // An ejected endpoint has no places to give; counted, they would make a pool
+  // look roomy whose other members are full.
+  if (E.Health_.Ejected_)
+    E.Places_ = E.Taken_ = E.PooledLatest_ = 0;
   addSums(E, 1);
   noteEjection(E);
   bool HasPlace = E.Taken_ + LeastFreePlace <= E.Places_;
