Choice: a pool's margin for late reports follows the spread of the others' load

Cause: a fixed margin of a tenth of the places sent requests to other zones while a small own zone had a free place (test 'zones, while the own one has a place, are not crossed' failed), and at fifty endpoints a zone it spilt too early for what reports miss. What others have in progress changes by about its root within a report's lag, so the margin is that root.

--- a/hawthornroad/routing/EndpointPool.cpp
+++ b/hawthornroad/routing/EndpointPool.cpp
@@ -1,6 +1,7 @@
 #include "hawthornroad/routing/EndpointPool.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hawthornroad {
 
@@ -13,9 +14,6 @@
 // A place counts as free when the estimate, which is fractional, leaves most
 // of one.
 constexpr double LeastFreePlace = 0.5;
-// A pool with more than this share of its places taken may in truth be full:
-// reports are seconds old.
-constexpr double RoomyShare = 0.9;
 // The share of places beyond them that may be used by entries with little in
 // progress; agents let a quarter wait.
 constexpr double WaitingPlaces = 0.2;
@@ -146,8 +144,11 @@
   return !Window_.allows(Own_) || inProgress() + LeastFreePlace > Places_;
 }
 
+// What others have in progress now differs from what they had when the reports
+// were made by about the root of it, as independent arrivals and ends make it.
 bool EndpointPool::isRoomy() const {
-  return inProgress() + 1 <= RoomyShare * Places_;
+  double Margin = std::sqrt(std::max(0.0, Latest_));
+  return inProgress() + Margin + 1 <= Places_;
 }
 
 // Entries that fill each place they see come free keep what they have, and one
--- a/hawthornroad/routing/OutlierEjection.cpp
+++ b/hawthornroad/routing/OutlierEjection.cpp
@@ -8,6 +8,8 @@
 namespace {
 // A sample this large counts even when its failures are not in a row.
 constexpr double FairSample = 6;
+// Recent attempts at its peers that it takes to compare.
+constexpr double PeerSample = 1.5;
 constexpr double HighRate = 0.5;
 // How far above its peers an outlier fails.
 constexpr double AbovePeers = 2.0;
@@ -46,6 +48,9 @@
   Tally Peers;
   Peers.Answered_ = std::max(0.0, All_.Answered_ - R.Tally_.Answered_);
   Peers.Failed_ = std::max(0.0, All_.Failed_ - R.Tally_.Failed_);
+  // Without word of the peers, nobody is known to do better.
+  if (Peers.Answered_ + Peers.Failed_ < PeerSample)
+    return false;
   double Own = InRow ? 1.0 : R.Tally_.rate();
   return Own > AbovePeers * Peers.rate() + PeerAllowance;
 }
