--- a/hawthornroad/routing/Chooser.cpp
+++ b/hawthornroad/routing/Chooser.cpp
@@ -13,7 +13,7 @@
 // Endpoints drawn for a choice.
 constexpr std::size_t Draws = 8;
 // How long an endpoint that refused an attempt counts as full.
-constexpr Duration BusyFor = Milliseconds(250);
+constexpr Duration BusyFor = Milliseconds(1000);
 // Endpoints that are gone are remembered, to tell late word from new; beyond
 // this many the oldest are forgotten.
 constexpr std::size_t GoneKept = 4096;
@@ -273,7 +273,7 @@
                               const Query &Q, TimePoint Now) {
   PooledEndpoint *Best = nullptr;
   for (EndpointPool *P : Pools) {
-    if (!P->hasSlack())
+    if (P->isFull())
       continue;
     for (std::size_t I = 0; I < Draws; ++I) {
       PooledEndpoint *E = P->drawFull(Rng_, Q.Excluded_, Now);
@@ -295,7 +295,9 @@
   for (auto *Pools : {&Own, &Others}) {
     auto Roomy = *Pools;
     std::erase_if(Roomy, [](const EndpointPool *P) { return !P->isRoomy(); });
-    if (PooledEndpoint *E = chooseFrom(Roomy, Q))
+    PooledEndpoint *E = chooseFrom(Roomy, Q);
+    // A slow endpoint is worse than a healthy one in another zone.
+    if (E && E->Pool_->slowness(*E) == 1)
       return E;
   }
   for (auto *Pools : {&Own, &Others})
@@ -366,7 +368,10 @@
   State_->refresh(*E, Now);
 }
 
-void Chooser::firstByte(const Vm &, Duration, TimePoint) {}
+void Chooser::firstByte(const Vm &V, Duration Latency, TimePoint Now) {
+  if (PooledEndpoint *E = State_->lookUp(V))
+    EndpointPool::noteFirstByte(*E, Latency, Now);
+}
 
 void Chooser::finished(const Vm &V, Result R, TimePoint Now) {
   PooledEndpoint *E = State_->lookUp(V);
