--- a/hawthornroad/rollout/VersionChoice.cpp
+++ b/hawthornroad/rollout/VersionChoice.cpp
@@ -29,7 +29,9 @@
 void VersionChoice::noteFailed(const VersionDigest &V, TimePoint Now) {
   constexpr unsigned MaxDoublings = 16;
   Tries &T = Failed_[V];
-  Duration Wait = Limits_.RetryDelay_ * (1 << std::min(T.Count_, MaxDoublings));
+  bool OtherServes = V == Wanted_ && isStaged(fallbackVersion());
+  Duration First = OtherServes ? Limits_.RetryDelay_ : Limits_.EmptyRetryDelay_;
+  Duration Wait = First * (1 << std::min(T.Count_, MaxDoublings));
   Wait = std::min<Duration>(Wait, Limits_.RetryCap_);
   T.RetryAt_ = Now + Random_.jitter(Wait, Limits_.RetrySpread_);
   ++T.Count_;
@@ -58,7 +60,7 @@
 }
 
 std::optional<EngineWish> VersionChoice::fallback(TimePoint Now) const {
-  return offer(Last_ == Wanted_ ? Before_ : Last_, Now);
+  return offer(fallbackVersion(), Now);
 }
 
 VersionDigest VersionChoice::failedVersion() const {
--- a/hawthornroad/rollout/VersionChoice.h
+++ b/hawthornroad/rollout/VersionChoice.h
@@ -10,9 +10,10 @@
 //   staged
 //
 // Only staged versions are ever offered: an order can name no file that was
-// not verified whole. A version that failed to load is offered again after
-// RetryDelay_, doubled each time up to RetryCap_; the wanted one, while the
-// endpoint could go on serving another, at most MaxTries_ times.
+// not verified whole. A version that failed to load is offered again later,
+// with waits that double up to RetryCap_. Where the wanted version failed and
+// another can serve, the waits are long and the tries MaxTries_ (each takes the
+// endpoint out of service); where nothing else can serve, they begin short.
 
 #ifndef HAWTHORNROAD_ROLLOUT_VERSIONCHOICE_H
 #define HAWTHORNROAD_ROLLOUT_VERSIONCHOICE_H
@@ -29,6 +30,7 @@
 public:
   struct Limits {
     Duration RetryDelay_ = Seconds(30);
+    Duration EmptyRetryDelay_ = Seconds(2);
     Duration RetryCap_ = Seconds(300);
     double RetrySpread_ = 0.2;
     unsigned MaxTries_ = 3;
@@ -60,6 +62,9 @@
     unsigned Count_ = 0;
     TimePoint RetryAt_;
   };
+  const VersionDigest &fallbackVersion() const {
+    return Last_ == Wanted_ ? Before_ : Last_;
+  }
   std::optional<EngineWish> offer(const VersionDigest &V, TimePoint Now) const;
 
   Limits Limits_;
