--- a/hawthornroad/runtime/ChunkStore.cpp
+++ b/hawthornroad/runtime/ChunkStore.cpp
@@ -254,6 +254,24 @@
     fs::remove(pathOf(Version, Suffix), Ignored);
 }
 
+void ChunkStore::dropPartials(const VersionDigest &Keep) {
+  std::vector<VersionDigest> Partial;
+  for (const fs::directory_entry &Entry : fs::directory_iterator(Folder_)) {
+    VersionDigest Version("sha256:" + Entry.path().stem().string());
+    if (Entry.path().extension() == PartSuffix &&
+        isSha256Digest(Version.str()) && Version != Keep)
+      Partial.push_back(Version);
+  }
+  for (const VersionDigest &Version : Partial)
+    drop(Version);
+}
+
+std::string ChunkStore::readManifest(const VersionDigest &Version) const {
+  return isSha256Digest(Version.str())
+             ? readWhole(pathOf(Version, ManifestSuffix))
+             : std::string();
+}
+
 std::string ChunkStore::readNote(const VersionDigest &Version) const {
   return readWhole(pathOf(Version, NoteSuffix));
 }
--- a/hawthornroad/runtime/ChunkStore.h
+++ b/hawthornroad/runtime/ChunkStore.h
@@ -58,6 +58,10 @@
   // digest drops the version and throws Error(Step::Verify).
   std::string complete(const VersionDigest &Version);
   void drop(const VersionDigest &Version);
+  // Drops every version that is not whole, but Keep.
+  void dropPartials(const VersionDigest &Keep);
+  // The manifest's bytes of a version in the folder; empty when there is none.
+  std::string readManifest(const VersionDigest &Version) const;
 
   // A note that outlives the process but not the VM; empty when there is none.
   std::string readNote(const VersionDigest &Version) const;
--- /dev/null
+++ b/hawthornroad/runtime/OriginClient.h
@@ -0,0 +1,67 @@
+// Calls of the weight path by HTTP: the origin of weights, and the ledger of
+// origin reads in the platform's table.
+//
+//   OriginClient Origin(Client, Loop, "IP:port", "IP:port");
+//   Origin.readChunk(Blob, Span, Owner, [=](OriginAnswer A, TimePoint Now) {});
+//   Origin.claim("weights/origin/SERVICE/HEX/slice/3", Token, Owner,
+//                [=](ClaimResult R, TimePoint Now) {...});
+//
+// Each callback runs once in the loop, unless its Owner is gone by then.
+
+#ifndef HAWTHORNROAD_RUNTIME_ORIGINCLIENT_H
+#define HAWTHORNROAD_RUNTIME_ORIGINCLIENT_H
+
+#include "hawthornroad/runtime/DecisionLoop.h"
+#include "hawthornroad/runtime/Http.h"
+#include "hawthornroad/weights/Swarm.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace hawthornroad {
+
+struct OriginAnswer {
+  // Good when bytes came; they are not verified yet.
+  OriginEnd End_ = OriginEnd::Nothing;
+  std::string Bytes_;
+  // Why there are none.
+  std::string Why_;
+};
+
+class OriginClient {
+public:
+  using Owner = std::weak_ptr<void>;
+  using OnAnswer = std::function<void(OriginAnswer, TimePoint)>;
+  using OnClaim = std::function<void(ClaimResult, TimePoint)>;
+
+  // Table may be empty: then there is no ledger.
+  OriginClient(HttpClient &Client, DecisionLoop &Loop, std::string Origin,
+               std::string Table)
+      : Client_(Client), Loop_(Loop), Origin_(std::move(Origin)),
+        Table_(std::move(Table)) {}
+
+  bool hasLedger() const { return !Table_.empty(); }
+  const std::string &origin() const { return Origin_; }
+
+  void readFile(const std::string &Path, Owner O, OnAnswer Then);
+  void readChunk(const std::string &Blob, ChunkSpan Span, Owner O,
+                 OnAnswer Then);
+  // Creates Key with Token as its value, unless it exists; then reads whose
+  // token it holds, so that a claim whose answer was lost is found again.
+  void claim(const std::string &Key, const std::string &Token, Owner O,
+             OnClaim Then);
+
+private:
+  using OnResult = std::function<void(HttpResult, TimePoint)>;
+  void call(const std::string &Address, HttpRequest R, Owner O, OnResult Then);
+
+  HttpClient &Client_;
+  DecisionLoop &Loop_;
+  std::string Origin_;
+  std::string Table_;
+};
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_RUNTIME_ORIGINCLIENT_H
--- /dev/null
+++ b/hawthornroad/runtime/WeightSwarm.h
@@ -0,0 +1,96 @@
+// Carries out the actions of one version's Swarm: messages to peers, reads from
+// the origin, claims in the ledger; and feeds what comes back into it.
+//
+//   auto S = std::make_shared<WeightSwarm>(Work, Origin, Setup, Manifest, Held,
+//                                          Note, Now);
+//   S->setPeers(Peers, Now);
+//   S->onHave(Message, Now);                 // and so on, for each frame
+//   S->tick(Now);
+//   if (S->isDone()) ...
+//
+// Runs in the decision loop. A chunk is offered to peers only after the file
+// thread has verified and kept it. Each read from the origin is noted beside
+// the chunks before it begins, so that a killed agent's successor knows what
+// was charged.
+
+#ifndef HAWTHORNROAD_RUNTIME_WEIGHTSWARM_H
+#define HAWTHORNROAD_RUNTIME_WEIGHTSWARM_H
+
+#include "hawthornroad/runtime/OriginClient.h"
+#include "hawthornroad/runtime/WeightTransfer.h"
+#include "hawthornroad/runtime/WeightWork.h"
+#include "hawthornroad/weights/RateLimiter.h"
+
+#include <map>
+#include <memory>
+
+namespace hawthornroad {
+
+class WeightSwarm : public std::enable_shared_from_this<WeightSwarm> {
+public:
+  struct Setup {
+    Swarm::Setup Swarm_;
+    ServiceName Service_;
+    std::int64_t DownloadRate_ = 0;
+    // Uploads that wait now, to tell peers.
+    std::function<std::size_t()> Load_;
+  };
+  // What a predecessor on this VM left: its token and its charges.
+  struct Note {
+    std::string Token_;
+    std::string Charges_;
+    static Note parse(const std::string &Text);
+    std::string str() const { return Token_ + "\n" + Charges_; }
+  };
+
+  WeightSwarm(WeightWork Work, OriginClient &Origin, Setup S, const Manifest &M,
+              const std::vector<bool> &Held, Note N, TimePoint Now);
+
+  void setPeers(const std::vector<WeightPeer> &Peers, TimePoint Now);
+  void setRollout(const RolloutDeclaration &R);
+  void tick(TimePoint Now);
+
+  void onAsk(const Vm &From, TimePoint Now);
+  void onHave(const wire::ChunkHaveT &Have, TimePoint Now);
+  void onReply(const Vm &From, wire::ChunkReplyT &Reply, TimePoint Now);
+  void onLost(const PeerAddress &Address, TimePoint Now);
+
+  const VersionDigest &version() const { return Manifest_.version(); }
+  const Manifest &manifest() const { return Manifest_; }
+  const ChunkSet &held() const { return Swarm_.held(); }
+  bool isDone() const { return Swarm_.isDone(); }
+  // The last fault seen, or why the transfer is stuck; empty when all is well.
+  std::string failure(TimePoint Now) const;
+  std::uint64_t originBytes() const { return OriginBytes_; }
+
+private:
+  void pump(TimePoint Now);
+  void run(const std::vector<SwarmAction> &Actions, TimePoint Now);
+  void run(const RequestChunk &A, TimePoint Now);
+  void run(const ReadOrigin &A, TimePoint Now);
+  void run(const ClaimGrant &A, TimePoint Now);
+  void run(const CheckOrigin &A, TimePoint Now);
+  void run(const AskHave &A, TimePoint Now);
+  void run(const TellHave &A, TimePoint Now);
+  void readNoted(ChunkIndex Index);
+  void onOriginBytes(ChunkIndex Index, OriginAnswer A, TimePoint Now);
+  void keep(ChunkIndex Index, std::string Bytes, const std::string &Sender,
+            std::function<void(std::string, TimePoint)> Then);
+  bool sendTo(const Vm &To, FrameBuffer Frame);
+  Note note();
+
+  WeightWork Work_;
+  OriginClient &Origin_;
+  Setup Setup_;
+  Manifest Manifest_;
+  Swarm Swarm_;
+  RateLimiter Download_;
+  std::string Token_;
+  std::map<Vm, PeerAddress> Addresses_;
+  std::string Failure_;
+  std::uint64_t OriginBytes_ = 0;
+};
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_RUNTIME_WEIGHTSWARM_H
--- a/hawthornroad/runtime/WeightTransfer.cpp
+++ b/hawthornroad/runtime/WeightTransfer.cpp
@@ -1,282 +1,363 @@
 #include "hawthornroad/runtime/WeightTransfer.h"
 
-#include "hawthornroad/runtime/ChunkStore.h"
+#include "hawthornroad/base/Chart.h"
 #include "hawthornroad/runtime/Log.h"
-#include "hawthornroad/weights/Manifest.h"
+#include "hawthornroad/runtime/WeightSwarm.h"
+#include "hawthornroad/runtime/WeightUploads.h"
+#include "hawthornroad/weights/ManifestPlan.h"
 
 #include <algorithm>
+#include <chrono>
 #include <map>
 
 namespace hawthornroad {
 
 namespace {
+// Pause before a failed transfer is tried again.
 constexpr Duration RetryPause = Seconds(1);
-constexpr std::size_t OriginReads = 2;
-constexpr unsigned Ok = 200;
-constexpr unsigned PartialContent = 206;
 
-enum class Phase { Manifest, Opening, Fetching, Verifying, Staged, Failed };
-
-std::string_view toString(Phase P) {
-  static constexpr std::string_view Names[] = {
-      "manifest", "opening", "fetching", "verifying", "staged", "failed"};
-  return Names[static_cast<std::size_t>(P)];
+// Names of charts/transfer.json, by position.
+enum class Phase {
+  Idle,
+  Manifest,
+  Opening,
+  Fetching,
+  Verifying,
+  Staged,
+  Failed
+};
+enum class Word {
+  Wanted,
+  ManifestRead,
+  Opened,
+  AllHeld,
+  WholeRight,
+  Error,
+  Retry
+};
+enum class Act { SeekManifest, Open, JoinSwarm, Verify, Report };
+
+ChartNames chartNames() {
+  return {
+      .States_ = {"idle", "manifest", "opening", "fetching", "verifying",
+                  "staged", "failed"},
+      .Events_ = {"wanted", "manifest_read", "opened", "all_held",
+                  "whole_right", "error", "retry"},
+      .Guards_ = {"is_staged"},
+      .Actions_ = {"seek_manifest", "open", "join_swarm", "verify", "report"}};
 }
 
-std::string rangeHeader(ChunkSpan Span) {
-  return "bytes=" + std::to_string(Span.Offset_) + "-" +
-         std::to_string(Span.Offset_ + Span.Length_ - 1);
+// What the file thread finds when it opens a version.
+struct Opened {
+  std::vector<bool> Held_;
+  std::string Note_;
+};
+
+std::uint64_t seedOf(const ProcessSettings &S) {
+  if (S.RandomSeed_ != 0)
+    return S.RandomSeed_ ^ std::hash<std::string>()(S.Process_.str());
+  return static_cast<std::uint64_t>(
+      std::chrono::system_clock::now().time_since_epoch().count());
 }
 } // namespace
 
 struct WeightTransfer::State : std::enable_shared_from_this<State> {
   State(Setup S, DecisionLoop &Loop, PeerNet &Net, IoThread &FileIo,
         HttpClient &Client, Metrics &M, Callbacks C)
-      : Setup_(std::move(S)), Loop_(Loop), Net_(Net), FileIo_(FileIo),
-        Client_(Client), Metrics_(M), Callbacks_(std::move(C)),
-        Store_(std::make_shared<ChunkStore>(Setup_.Settings_.WeightsFolder_)) {}
-
-  // Runs Work on the file thread, then Then(result, error, now) in the loop.
-  template <class Result>
-  void onFile(
-      std::function<Result(ChunkStore &)> Work,
-      std::function<void(std::optional<Result>, std::string, TimePoint)> Then);
-  void begin(TimePoint Now);
-  void fetchManifest();
-  void onManifest(const VersionDigest &Version, HttpResult R, TimePoint Now);
-  void onOpened(const Manifest &M, std::vector<bool> Held, TimePoint Now);
-  void readMore(TimePoint Now);
-  void readOrigin(ChunkIndex Index);
-  void onOriginChunk(const VersionDigest &Version, ChunkIndex Index,
-                     HttpResult R, TimePoint Now);
-  void keep(ChunkIndex Index, std::string Bytes, std::string Sender);
-  void complete();
-  void onComplete(const VersionDigest &Version, std::string Path,
-                  TimePoint Now);
+      : Setup_(std::move(S)),
+        Callbacks_(std::move(C)), Work_{Loop, Net, FileIo, M,
+                                        std::make_shared<ChunkStore>(
+                                            Setup_.Settings_.WeightsFolder_)},
+        Origin_(Client, Loop, Setup_.Settings_.Origin_,
+                Setup_.Settings_.Common_.Platform_.Table_),
+        Chart_(Chart::load(Setup_.Settings_.Common_.Charts_, "transfer",
+                           chartNames())),
+        Phase_(Chart_.initial()), Random_(seedOf(Setup_.Settings_.Common_)),
+        Uploads_(std::make_shared<WeightUploads>(
+            Work_, Setup_.Settings_.UploadRate_)) {}
+
+  void fire(Word W, TimePoint Now);
+  void act(Act A, TimePoint Now);
+  void seekManifest(TimePoint Now);
+  void askForManifest(TimePoint Now);
+  void onManifestBytes(const VersionDigest &Version, const std::string &Bytes,
+                       const std::string &From, TimePoint Now);
+  void open();
+  void joinSwarm(TimePoint Now);
+  void verify();
   void fail(std::string Why, TimePoint Now);
+  void dropOld();
   void tick(TimePoint Now);
+  void tell(const Vm &To, const VersionDigest &Version);
+  void onReply(const PeerContext &From, wire::ChunkReplyT &Reply,
+               TimePoint Now);
   bool isCurrent(const VersionDigest &V) const {
     return Wish_ && Wish_->Model_.Version_ == V;
   }
+  bool isIn(Phase P) const { return static_cast<Phase>(Phase_) == P; }
+  bool swarms(const VersionDigest &V) const {
+    return Swarm_ && Swarm_->version() == V;
+  }
 
   Setup Setup_;
-  DecisionLoop &Loop_;
-  PeerNet &Net_;
-  IoThread &FileIo_;
-  HttpClient &Client_;
-  Metrics &Metrics_;
   Callbacks Callbacks_;
-  std::shared_ptr<ChunkStore> Store_;
+  WeightWork Work_;
+  OriginClient Origin_;
+  Chart Chart_;
+  std::size_t Phase_;
+  Random Random_;
+  std::shared_ptr<WeightUploads> Uploads_;
   bool Recovered_ = false;
   std::map<VersionDigest, StoredVersion> Staged_;
+  // Oldest first.
+  std::vector<VersionDigest> StagedOrder_;
   std::set<VersionDigest> Protected_;
+  std::vector<WeightPeer> Peers_;
   std::optional<WantedVersion> Wish_;
-  Phase Phase_ = Phase::Staged;
+  std::optional<ManifestPlan> ManifestPlan_;
   std::optional<Manifest> Manifest_;
-  std::vector<bool> Held_;
-  std::set<ChunkIndex> InFlight_;
+  std::string ManifestBytes_;
+  Opened Opened_;
+  std::shared_ptr<WeightSwarm> Swarm_;
   std::string Failure_;
-  TimePoint RetryAt_;
+  TimePoint RetryAt_{};
 };
 
-template <class Result>
-void WeightTransfer::State::onFile(
-    std::function<Result(ChunkStore &)> Work,
-    std::function<void(std::optional<Result>, std::string, TimePoint)> Then) {
-  auto Task = [Self = weak_from_this(), Store = Store_, Work = std::move(Work),
-               Then = std::move(Then)] {
-    std::optional<Result> Got;
-    std::string Why;
-    try {
-      Got = Work(*Store);
-    } catch (const std::exception &E) {
-      Why = E.what();
-    }
-    if (auto S = Self.lock())
-      S->Loop_.post([Self, Then, Got = std::move(Got), Why](TimePoint Now) {
-        if (Self.lock())
-          Then(Got, Why, Now);
+void WeightTransfer::State::fire(Word W, TimePoint Now) {
+  Chart::Step S =
+      Chart_.fire(Phase_, static_cast<std::size_t>(W), [&](std::size_t) {
+        return Wish_ && Staged_.contains(Wish_->Model_.Version_);
       });
-  };
-  FileIo_.submit(std::move(Task));
+  if (!S.Taken_)
+    return;
+  Phase_ = S.Next_;
+  for (std::size_t A : S.Actions_)
+    act(static_cast<Act>(A), Now);
+}
+
+void WeightTransfer::State::act(Act A, TimePoint Now) {
+  switch (A) {
+  case Act::SeekManifest:
+    return seekManifest(Now);
+  case Act::Open:
+    return open();
+  case Act::JoinSwarm:
+    return joinSwarm(Now);
+  case Act::Verify:
+    return verify();
+  case Act::Report:
+    return Callbacks_.OnChange_(Now);
+  }
 }
 
-void WeightTransfer::State::begin(TimePoint Now) {
+void WeightTransfer::State::seekManifest(TimePoint Now) {
+  Swarm_.reset();
   Manifest_.reset();
-  Held_.clear();
-  InFlight_.clear();
   Failure_.clear();
-  if (!Recovered_ || !Wish_)
-    return;
-  if (Staged_.contains(Wish_->Model_.Version_)) {
-    Phase_ = Phase::Staged;
-    return;
-  }
-  Phase_ = Phase::Manifest;
-  fetchManifest();
+  std::vector<Vm> Peers;
+  for (const WeightPeer &P : Peers_)
+    Peers.push_back(P.Vm_);
+  ManifestPlan_.emplace(Wish_->Model_.Version_, Setup_.Settings_.Vm_,
+                        std::move(Peers), Now);
+  askForManifest(Now);
 }
 
-void WeightTransfer::State::fetchManifest() {
+void WeightTransfer::State::askForManifest(TimePoint Now) {
+  std::optional<Vm> From = ManifestPlan_->next(Now, Random_);
+  if (!From)
+    return;
   VersionDigest Version = Wish_->Model_.Version_;
-  Client_.call(Setup_.Settings_.Origin_, {.Target_ = Wish_->Model_.Manifest_},
-               {.Timeout_ = Seconds(30)},
-               {.OnDone_ = [Self = weak_from_this(), Version](HttpResult R) {
-                 auto S = Self.lock();
-                 if (!S)
-                   return;
-                 S->Loop_.post([Self, Version, R = std::move(R)](TimePoint N) {
-                   if (auto S = Self.lock())
-                     S->onManifest(Version, R, N);
-                 });
-               }});
+  if (!From->empty()) {
+    wire::ChunkRequestT Request;
+    Request.manifest = Version.str();
+    Request.index = ManifestIndex;
+    Request.vm = Setup_.Settings_.Vm_.str();
+    for (const WeightPeer &P : Peers_)
+      if (P.Vm_ == *From)
+        Work_.Net_.send(P.WeightsAddress_, Lane::Weights, makeFrame(Request));
+    return;
+  }
+  Origin_.readFile(Wish_->Model_.Manifest_, weak_from_this(),
+                   [this, Version](const OriginAnswer &A, TimePoint Later) {
+                     if (!isCurrent(Version) || !isIn(Phase::Manifest))
+                       return;
+                     if (A.End_ != OriginEnd::Good)
+                       return fail(A.Why_, Later);
+                     onManifestBytes(Version, A.Bytes_, Origin_.origin(),
+                                     Later);
+                   });
 }
 
-void WeightTransfer::State::onManifest(const VersionDigest &Version,
-                                       HttpResult R, TimePoint Now) {
-  if (!isCurrent(Version) || Phase_ != Phase::Manifest)
+void WeightTransfer::State::onManifestBytes(const VersionDigest &Version,
+                                            const std::string &Bytes,
+                                            const std::string &From,
+                                            TimePoint Now) {
+  if (!isCurrent(Version) || !isIn(Phase::Manifest))
     return;
-  if (!R.Response_ || R.Response_->Status_ != Ok)
-    return fail(R.Error_ ? R.Error_->what() : "origin has no manifest", Now);
   try {
-    Manifest_ =
-        Manifest::parse(R.Response_->Body_, Version, Setup_.Settings_.Origin_);
+    Manifest_ = Manifest::parse(Bytes, Version, From);
   } catch (const Error &E) {
     return fail(E.what(), Now);
   }
-  Phase_ = Phase::Opening;
-  onFile<std::vector<bool>>(
-      [M = *Manifest_, Bytes = R.Response_->Body_](ChunkStore &Store) {
-        return Store.open(M, Bytes);
+  ManifestBytes_ = Bytes;
+  fire(Word::ManifestRead, Now);
+}
+
+void WeightTransfer::State::open() {
+  runOnFile<Opened>(
+      Work_, weak_from_this(),
+      [M = *Manifest_, Bytes = ManifestBytes_](ChunkStore &Store) {
+        Store.dropPartials(M.version());
+        return Opened{Store.open(M, Bytes), Store.readNote(M.version())};
       },
-      [this, M = *Manifest_](std::optional<std::vector<bool>> Held,
-                             const std::string &Why, TimePoint Now) {
-        if (!isCurrent(M.version()) || Phase_ != Phase::Opening)
+      [this, Version = Manifest_->version()](const FileOutcome<Opened> &Out,
+                                             TimePoint Now) {
+        if (!isCurrent(Version) || !isIn(Phase::Opening))
           return;
-        if (!Held)
-          return fail(Why, Now);
-        onOpened(M, *Held, Now);
+        if (!Out.Result_)
+          return fail(Out.Why_, Now);
+        Opened_ = *Out.Result_;
+        fire(Word::Opened, Now);
       });
 }
 
-void WeightTransfer::State::onOpened(const Manifest &M, std::vector<bool> Held,
-                                     TimePoint Now) {
-  Phase_ = Phase::Fetching;
-  Held_ = std::move(Held);
+void WeightTransfer::State::joinSwarm(TimePoint Now) {
+  const AgentSettings &S = Setup_.Settings_;
+  WeightSwarm::Setup Own{
+      .Swarm_ = {.Self_ = {S.Vm_, S.Common_.Zone_},
+                 .Preference_ = Wish_->Rollout_.Preference_,
+                 .OriginCopies_ = Wish_->Rollout_.OriginCopies_,
+                 .Seed_ = Random_.next()},
+      .Service_ = Wish_->Service_,
+      .DownloadRate_ = S.DownloadRate_,
+      .Load_ = [Uploads = Uploads_] { return Uploads->load(); }};
+  try {
+    Swarm_ = std::make_shared<WeightSwarm>(
+        Work_, Origin_, std::move(Own), *Manifest_, Opened_.Held_,
+        WeightSwarm::Note::parse(Opened_.Note_), Now);
+  } catch (const Error &E) {
+    Failure_ = E.what();
+    return Callbacks_.OnChange_(Now);
+  }
+  Uploads_->setChunkSize(Manifest_->chunkSize());
+  Swarm_->setPeers(Peers_, Now);
   log(LogLevel::Info, Step::Fetch, "transfer begins",
-      {{"version", M.version().str()},
-       {"detail", std::to_string(std::count(Held_.begin(), Held_.end(), true)) +
-                      " of " + std::to_string(Held_.size()) +
+      {{"version", Manifest_->version().str()},
+       {"detail", std::to_string(Swarm_->held().count()) + " of " +
+                      std::to_string(Swarm_->held().size()) +
                       " chunks are here"}});
-  readMore(Now);
-}
-
-void WeightTransfer::State::readMore(TimePoint Now) {
-  if (Phase_ != Phase::Fetching)
-    return;
-  if (std::count(Held_.begin(), Held_.end(), false) == 0)
-    return complete();
-  for (ChunkIndex I = 0; I < Held_.size(); ++I) {
-    if (InFlight_.size() >= OriginReads)
-      return;
-    if (!Held_[I] && InFlight_.insert(I).second)
-      readOrigin(I);
-  }
-}
-
-void WeightTransfer::State::readOrigin(ChunkIndex Index) {
-  VersionDigest Version = Manifest_->version();
-  Client_.call(
-      Setup_.Settings_.Origin_,
-      {.Target_ = Manifest_->blob(),
-       .Headers_ = {{"Range", rangeHeader(Manifest_->chunkSpan(Index))}}},
-      {.Timeout_ = Seconds(30)},
-      {.OnDone_ = [Self = weak_from_this(), Version, Index](HttpResult R) {
-        auto S = Self.lock();
-        if (!S)
-          return;
-        S->Loop_.post([Self, Version, Index, R = std::move(R)](TimePoint N) {
-          if (auto S = Self.lock())
-            S->onOriginChunk(Version, Index, R, N);
-        });
-      }});
-}
-
-void WeightTransfer::State::onOriginChunk(const VersionDigest &Version,
-                                          ChunkIndex Index, HttpResult R,
-                                          TimePoint Now) {
-  if (!isCurrent(Version) || Phase_ != Phase::Fetching)
-    return;
-  if (R.Response_ && R.Response_->Status_ == PartialContent)
-    return keep(Index, std::move(R.Response_->Body_), Setup_.Settings_.Origin_);
-  Failure_ = R.Error_ ? R.Error_->what() : "origin refuses the range";
-  InFlight_.erase(Index);
-  RetryAt_ = Now + RetryPause;
 }
 
-void WeightTransfer::State::keep(ChunkIndex Index, std::string Bytes,
-                                 std::string Sender) {
-  VersionDigest Version = Manifest_->version();
-  onFile<bool>(
-      [=, Bytes = std::move(Bytes)](ChunkStore &Store) {
-        Store.write(Version, Index, Bytes, Sender);
-        return true;
+void WeightTransfer::State::verify() {
+  runOnFile<std::string>(
+      Work_, weak_from_this(),
+      [Version = Manifest_->version()](ChunkStore &Store) {
+        return Store.complete(Version);
       },
-      [=, this](std::optional<bool> Kept, const std::string &Why,
-                TimePoint Now) {
-        if (!isCurrent(Version) || Phase_ != Phase::Fetching)
+      [this, Version = Manifest_->version()](
+          const FileOutcome<std::string> &Out, TimePoint Now) {
+        if (!isCurrent(Version) || !isIn(Phase::Verifying))
           return;
-        InFlight_.erase(Index);
-        if (Kept) {
-          Held_[Index] = true;
-          Failure_.clear();
-          return readMore(Now);
-        }
-        Failure_ = Why;
-        Metrics_.count("hawthornroad_chunks_refused_total");
-        RetryAt_ = Now + RetryPause;
+        if (!Out.Result_)
+          return fail(Out.Why_, Now);
+        Staged_[Version] = {*Manifest_, *Out.Result_};
+        StagedOrder_.push_back(Version);
+        Failure_.clear();
+        log(LogLevel::Info, Step::Verify, "version is staged",
+            {{"version", Version.str()}});
+        dropOld();
+        fire(Word::WholeRight, Now);
       });
 }
 
-void WeightTransfer::State::complete() {
-  Phase_ = Phase::Verifying;
-  VersionDigest Version = Manifest_->version();
-  onFile<std::string>(
-      [=](ChunkStore &Store) { return Store.complete(Version); },
-      [=, this](std::optional<std::string> Path, const std::string &Why,
-                TimePoint Now) {
-        if (!isCurrent(Version) || Phase_ != Phase::Verifying)
-          return;
-        if (!Path)
-          return fail(Why, Now);
-        onComplete(Version, *Path, Now);
-      });
-}
-
-void WeightTransfer::State::onComplete(const VersionDigest &Version,
-                                       std::string Path, TimePoint Now) {
-  Phase_ = Phase::Staged;
-  Staged_[Version] = {*Manifest_, std::move(Path)};
-  log(LogLevel::Info, Step::Verify, "version is staged",
-      {{"version", Version.str()}});
-  Callbacks_.OnChange_(Now);
-}
-
 void WeightTransfer::State::fail(std::string Why, TimePoint Now) {
-  Phase_ = Phase::Failed;
   Failure_ = std::move(Why);
   RetryAt_ = Now + RetryPause;
   log(LogLevel::Warning, Step::Fetch, "transfer failed, will be retried",
       {{"version", Wish_->Model_.Version_.str()}, {"detail", Failure_}});
-  Callbacks_.OnChange_(Now);
+  fire(Word::Error, Now);
+}
+
+void WeightTransfer::State::dropOld() {
+  std::int64_t Kept = 0;
+  std::vector<VersionDigest> Dropped;
+  for (auto At = StagedOrder_.rbegin(); At != StagedOrder_.rend(); ++At) {
+    auto Size = static_cast<std::int64_t>(Staged_.at(*At).Manifest_.size());
+    if (isCurrent(*At) || Protected_.contains(*At))
+      continue;
+    Kept += Size;
+    if (Kept > Setup_.Settings_.KeepBytes_)
+      Dropped.push_back(*At);
+  }
+  for (const VersionDigest &Version : Dropped) {
+    Staged_.erase(Version);
+    std::erase(StagedOrder_, Version);
+    runOnFile<bool>(
+        Work_, weak_from_this(),
+        [Version](ChunkStore &Store) {
+          Store.drop(Version);
+          return true;
+        },
+        [](const FileOutcome<bool> &, TimePoint) {});
+  }
 }
 
 void WeightTransfer::State::tick(TimePoint Now) {
-  if (!Recovered_ || !Wish_ || Now < RetryAt_)
+  Uploads_->tick(Now);
+  if (!Recovered_ || !Wish_)
+    return;
+  if (isIn(Phase::Manifest))
+    askForManifest(Now);
+  if (isIn(Phase::Failed) && Now >= RetryAt_)
+    fire(Word::Retry, Now);
+  if (!Swarm_)
+    return;
+  Swarm_->tick(Now);
+  if (isIn(Phase::Fetching))
+    Failure_ = Swarm_->failure(Now);
+  if (isIn(Phase::Fetching) && Swarm_->isDone())
+    fire(Word::AllHeld, Now);
+}
+
+void WeightTransfer::State::onReply(const PeerContext &From,
+                                    wire::ChunkReplyT &Reply, TimePoint Now) {
+  VersionDigest Version(Reply.manifest);
+  if (Reply.error.empty()) {
+    wire::ChunkTakenT Taken;
+    Taken.manifest = Reply.manifest;
+    Taken.index = Reply.index;
+    Taken.vm = Setup_.Settings_.Vm_.str();
+    Work_.Net_.reply(From.Connection_, makeFrame(std::move(Taken)));
+  }
+  if (Reply.index == ManifestIndex) {
+    if (Reply.error.empty())
+      onManifestBytes(Version, {Reply.bytes.begin(), Reply.bytes.end()},
+                      From.Address_.str(), Now);
     return;
-  if (Phase_ == Phase::Failed)
-    begin(Now);
-  else
-    readMore(Now);
+  }
+  if (!swarms(Version))
+    return;
+  for (const WeightPeer &P : Peers_)
+    if (P.WeightsAddress_ == From.Address_)
+      Swarm_->onReply(P.Vm_, Reply, Now);
+}
+
+// A version that lies here whole, though it is not the one being fetched.
+void WeightTransfer::State::tell(const Vm &To, const VersionDigest &Version) {
+  auto Found = Staged_.find(Version);
+  if (Found == Staged_.end())
+    return;
+  ChunkSet All(Found->second.Manifest_.chunkCount());
+  for (ChunkIndex I = 0; I < All.size(); ++I)
+    All.add(I);
+  wire::ChunkHaveT Have;
+  Have.manifest = Version.str();
+  Have.vm = Setup_.Settings_.Vm_.str();
+  Have.uploads = static_cast<std::uint32_t>(Uploads_->load());
+  Have.bitmap = All.bytes();
+  for (const WeightPeer &P : Peers_)
+    if (P.Vm_ == To)
+      Work_.Net_.send(P.WeightsAddress_, Lane::Weights, makeFrame(Have));
 }
 
 WeightTransfer::WeightTransfer(Setup S, DecisionLoop &Loop, PeerNet &Net,
@@ -288,31 +369,44 @@
 WeightTransfer::~WeightTransfer() = default;
 
 void WeightTransfer::start(TimePoint Now) {
-  State_->Loop_.onTick([Self = std::weak_ptr(State_)](TimePoint N) {
+  State_->Work_.Loop_.onTick([Self = std::weak_ptr(State_)](TimePoint N) {
     if (auto S = Self.lock())
       S->tick(N);
   });
-  State_->onFile<std::vector<StoredVersion>>(
-      [](ChunkStore &Store) { return Store.recover(); },
-      [S = State_.get()](std::optional<std::vector<StoredVersion>> Found,
-                         const std::string &Why, TimePoint Now) {
+  using Found = std::vector<StoredVersion>;
+  runOnFile<Found>(
+      State_->Work_, State_, [](ChunkStore &Store) { return Store.recover(); },
+      [S = State_.get()](const FileOutcome<Found> &Out, TimePoint Now) {
         S->Recovered_ = true;
-        if (Found)
-          for (StoredVersion &V : *Found)
-            S->Staged_[V.Manifest_.version()] = V;
-        S->begin(Now);
+        for (const StoredVersion &V : Out.Result_.value_or(Found{})) {
+          S->Staged_[V.Manifest_.version()] = V;
+          S->StagedOrder_.push_back(V.Manifest_.version());
+        }
+        if (S->Wish_)
+          S->fire(Word::Wanted, Now);
         S->Callbacks_.OnChange_(Now);
       });
 }
 
 void WeightTransfer::want(WantedVersion W, TimePoint Now) {
-  bool SameVersion = State_->isCurrent(W.Model_.Version_);
-  State_->Wish_ = std::move(W);
-  if (!SameVersion)
-    State_->begin(Now);
+  State &S = *State_;
+  bool SameVersion =
+      S.isCurrent(W.Model_.Version_) && S.Wish_->Service_ == W.Service_;
+  S.Wish_ = std::move(W);
+  if (!SameVersion && S.Recovered_) {
+    S.Swarm_.reset();
+    S.Failure_.clear();
+    S.fire(Word::Wanted, Now);
+  } else if (S.Swarm_) {
+    S.Swarm_->setRollout(S.Wish_->Rollout_);
+  }
 }
 
-void WeightTransfer::setPeers(std::vector<WeightPeer> Peers, TimePoint Now) {}
+void WeightTransfer::setPeers(std::vector<WeightPeer> Peers, TimePoint Now) {
+  State_->Peers_ = std::move(Peers);
+  if (State_->Swarm_)
+    State_->Swarm_->setPeers(State_->Peers_, Now);
+}
 
 void WeightTransfer::protect(std::set<VersionDigest> Versions) {
   State_->Protected_ = std::move(Versions);
@@ -320,18 +414,41 @@
 
 bool WeightTransfer::onFrame(const PeerContext &From, wire::FrameT &Frame,
                              TimePoint Now) {
+  State &S = *State_;
   switch (Frame.body.type) {
-  case wire::Body::ChunkHave:
-  case wire::Body::ChunkAsk:
+  case wire::Body::ChunkHave: {
+    const wire::ChunkHaveT &Have = *Frame.body.AsChunkHave();
+    if (S.swarms(VersionDigest(Have.manifest)))
+      S.Swarm_->onHave(Have, Now);
+    return true;
+  }
+  case wire::Body::ChunkAsk: {
+    const wire::ChunkAskT &Ask = *Frame.body.AsChunkAsk();
+    if (S.swarms(VersionDigest(Ask.manifest)))
+      S.Swarm_->onAsk(Vm(Ask.vm), Now);
+    else
+      S.tell(Vm(Ask.vm), VersionDigest(Ask.manifest));
+    return true;
+  }
   case wire::Body::ChunkRequest:
+    S.Uploads_->onRequest(From, *Frame.body.AsChunkRequest(), Now);
+    return true;
+  case wire::Body::ChunkTaken:
+    S.Uploads_->onTaken(*Frame.body.AsChunkTaken(), Now);
+    return true;
   case wire::Body::ChunkReply:
+    S.onReply(From, *Frame.body.AsChunkReply(), Now);
     return true;
   default:
     return false;
   }
 }
 
-void WeightTransfer::onLost(const PeerContext &Peer, TimePoint Now) {}
+void WeightTransfer::onLost(const PeerContext &Peer, TimePoint Now) {
+  State_->Uploads_->onLost(Peer.Connection_, Now);
+  if (State_->Swarm_)
+    State_->Swarm_->onLost(Peer.Address_, Now);
+}
 
 std::optional<std::string>
 WeightTransfer::pathOf(const VersionDigest &Version) const {
@@ -353,12 +470,13 @@
 boost::json::object WeightTransfer::status(TimePoint Now) const {
   const State &S = *State_;
   boost::json::object Out;
-  Out["phase"] = toString(S.Phase_);
-  Out["failure"] = S.Failure_;
-  Out["chunks"] = S.Held_.size();
-  Out["held"] = std::count(S.Held_.begin(), S.Held_.end(), true);
+  Out["phase"] = S.Chart_.names().States_[S.Phase_];
+  Out["failure"] = failure();
+  Out["chunks"] = S.Swarm_ ? S.Swarm_->held().size() : 0;
+  Out["held"] = S.Swarm_ ? S.Swarm_->held().count() : 0;
+  Out["origin_bytes"] = S.Swarm_ ? S.Swarm_->originBytes() : 0;
   boost::json::array Staged;
-  for (const auto &[Version, Stored] : S.Staged_)
+  for (const VersionDigest &Version : staged())
     Staged.push_back(boost::json::string(Version.str()));
   Out["staged"] = std::move(Staged);
   return Out;
--- /dev/null
+++ b/hawthornroad/runtime/WeightUploads.h
@@ -0,0 +1,54 @@
+// Serves chunks and manifests of this VM's versions to peers.
+//
+//   auto U = std::make_shared<WeightUploads>(Work, Settings.UploadRate_);
+//   U->onRequest(From, Request, Now);     // ChunkRequest
+//   U->onTaken(Taken, Now);               // ChunkTaken
+//   U->tick(Now);
+//
+// Memory: at most UploadScheduler's Active_ chunks, each from the read until
+// its peer says that it has it. A request that finds no place is answered
+// "busy" at once, one for a chunk that is not here "missing".
+
+#ifndef HAWTHORNROAD_RUNTIME_WEIGHTUPLOADS_H
+#define HAWTHORNROAD_RUNTIME_WEIGHTUPLOADS_H
+
+#include "hawthornroad/runtime/WeightWork.h"
+#include "hawthornroad/weights/UploadScheduler.h"
+
+#include <limits>
+#include <map>
+#include <memory>
+
+namespace hawthornroad {
+
+// In place of a chunk's index: the manifest.
+constexpr ChunkIndex ManifestIndex = std::numeric_limits<ChunkIndex>::max();
+
+class WeightUploads : public std::enable_shared_from_this<WeightUploads> {
+public:
+  WeightUploads(WeightWork Work, std::int64_t BytesPerSecond)
+      : Work_(std::move(Work)), Scheduler_({}, BytesPerSecond) {}
+
+  void onRequest(const PeerContext &From, const wire::ChunkRequestT &Request,
+                 TimePoint Now);
+  void onTaken(const wire::ChunkTakenT &Taken, TimePoint Now);
+  void onLost(ConnectionId Connection, TimePoint Now);
+  void tick(TimePoint Now);
+  // Chunk sizes set the pace of a shaped link.
+  void setChunkSize(std::uint64_t Bytes) { ChunkSize_ = Bytes; }
+  std::size_t load() const { return Scheduler_.load(); }
+
+private:
+  void start(const Upload &U);
+  void answer(const Upload &U, const FileOutcome<std::string> &Read);
+
+  WeightWork Work_;
+  UploadScheduler Scheduler_;
+  std::uint64_t ChunkSize_ = 0;
+  // Where each peer's last request came in.
+  std::map<Vm, ConnectionId> Connections_;
+};
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_RUNTIME_WEIGHTUPLOADS_H
--- a/hawthornroad/weights/ChunkPlan.cpp
+++ b/hawthornroad/weights/ChunkPlan.cpp
@@ -11,6 +11,7 @@
 constexpr int LateFactor = 8;
 constexpr int AskTwiceFactor = 4;
 constexpr unsigned MaxDoublings = 6;
+constexpr unsigned MaxQuadruplings = 4;
 // Weight of the newest sample in the usual time: one in eight.
 constexpr int AverageOver = 8;
 // Sources of one chunk at the end of a transfer.
@@ -147,7 +148,8 @@
     Usual_ += (Took - Usual_) / AverageOver;
     return;
   case FetchEnd::Bad:
-    P.AvoidUntil_ = Now + Limits_.AvoidBad_;
+    P.AvoidUntil_ = Now + Limits_.AvoidBad_ * (1 << 2 * P.BadChunks_);
+    P.BadChunks_ = std::min(P.BadChunks_ + 1, MaxQuadruplings);
     return;
   case FetchEnd::Busy:
     P.AvoidUntil_ =
--- a/hawthornroad/weights/ChunkPlan.h
+++ b/hawthornroad/weights/ChunkPlan.h
@@ -55,7 +55,7 @@
     Duration Timeout_ = Seconds(5);
     Duration AvoidBusy_ = Milliseconds(50);
     Duration AvoidLost_ = Seconds(1);
-    Duration AvoidBad_ = Seconds(120);
+    Duration AvoidBad_ = Milliseconds(500);
     // Chunks looked at for the rarest.
     std::size_t Sample_ = 64;
   };
@@ -81,6 +81,7 @@
   struct PeerState {
     std::size_t InFlight_ = 0;
     unsigned Misses_ = 0;
+    unsigned BadChunks_ = 0;
     TimePoint AvoidUntil_{};
   };
   std::vector<const ChunkSource *> usable(const HaveExchange &E, bool InZone,
--- a/hawthornroad/weights/Swarm.cpp
+++ b/hawthornroad/weights/Swarm.cpp
@@ -21,7 +21,8 @@
       Plan_(M.chunkCount(), Setup_.Plan_, Random_.next()),
       ZoneNews_(Budget_.sliceCount(), Now), News_(Budget_.sliceCount(), Now),
       SeenAt_(Budget_.sliceCount(), 0), AnyNews_(Now),
-      Crosses_(Budget_.sliceCount(), false), MayCross_(M.chunkCount()) {
+      Crosses_(Budget_.sliceCount(), false), MayCross_(M.chunkCount()),
+      Wasted_(M.chunkCount()), OriginPause_(Now + Setup_.LoneGrace_) {
   refreshCrossing(Now);
   rewatch();
 }
@@ -36,6 +37,10 @@
   std::vector<Vm> Before;
   for (const SwarmPeer &P : Owners_.peers())
     Before.push_back(P.Vm_);
+  if (Lone_ && !Peers.empty()) {
+    Lone_ = false;
+    OriginPause_ = Now;
+  }
   Owners_.setPeers(std::move(Peers));
   for (const Vm &V : Before)
     if (!Owners_.isKnown(V))
@@ -141,10 +146,13 @@
   case OriginEnd::Nothing:
     Budget_.refund(Index);
     OriginSeen_.reset();
-    [[fallthrough]];
-  case OriginEnd::Wasted:
     OriginPause_ = Now + Random_.jitter(Setup_.OriginRetry_, 0.5);
     return;
+  case OriginEnd::Wasted:
+    OriginSeen_ = Now;
+    Wasted_.add(Index);
+    OriginPause_ = Now + Random_.jitter(Setup_.OriginAgain_, 0.5);
+    return;
   }
 }
 
@@ -202,8 +210,9 @@
     return true;
   }
   // Beyond the slice's own grant, even its owner waits a turn: the grant's
-  // holder may be another VM that is reading.
-  bool MaySpare = isLate(S, Rank + 1, Now);
+  // holder may be another VM that is reading. A VM that read the chunk in vain
+  // knows better.
+  bool MaySpare = Wasted_.has(Index) || isLate(S, Rank + 1, Now);
   if (MaySpare && !originIsFresh(Now)) {
     if (!Checking_)
       Out.push_back(CheckOrigin{});
@@ -257,6 +266,13 @@
   return Out;
 }
 
+bool Swarm::holdsByView(const Grant &G) const {
+  if (G.Kind_ == Grant::Kind::Slice)
+    return Owners_.rank(G.Number_) == 0;
+  const std::vector<SwarmPeer> &Peers = Owners_.peers();
+  return Peers[G.Number_ % Peers.size()].Vm_ == Setup_.Self_.Vm_;
+}
+
 std::string Swarm::stalled(TimePoint Now) const {
   if (isDone() || !Budget_.isSpent())
     return {};
--- a/hawthornroad/weights/Swarm.h
+++ b/hawthornroad/weights/Swarm.h
@@ -90,7 +90,13 @@
     Duration OriginBytesPatience_ = Seconds(4);
     // Chunks seen of the average other slice since a silent slice's last.
     std::size_t LagNews_ = 3;
+    // Pause after the origin could not be reached, and after it sent wrong
+    // bytes.
     Duration OriginRetry_ = Seconds(1);
+    Duration OriginAgain_ = Milliseconds(200);
+    // A VM that knows of no peers may just not have heard of them yet; it waits
+    // this long before it takes itself for the owner of everything.
+    Duration LoneGrace_ = Seconds(1);
     // How long a successful answer of the origin counts.
     Duration OriginFresh_ = Seconds(5);
   };
@@ -123,6 +129,9 @@
   bool isDone() const { return held().isFull(); }
   // Why the transfer cannot go on by itself; empty while it can.
   std::string stalled(TimePoint Now) const;
+  // Who would hold G if every VM had this view: the rule of last resort where
+  // there is no ledger. It bounds the reads only while views agree.
+  bool holdsByView(const Grant &G) const;
   OriginBudget &budget() { return Budget_; }
 
 private:
@@ -159,9 +168,13 @@
   // Neighbours that watch this VM and are watched in return.
   std::set<Vm> Guests_;
   std::size_t Reading_ = 0;
+  // Chunks this VM read from the origin in vain.
+  ChunkSet Wasted_;
   // A read or claim ended, so the next may begin before the next tick.
   bool OriginDue_ = false;
-  TimePoint OriginPause_{};
+  // No origin read or claim before this.
+  TimePoint OriginPause_;
+  bool Lone_ = true;
   std::optional<TimePoint> OriginSeen_;
   bool Checking_ = false;
 };
--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -126,6 +126,10 @@
 struct ChunkReplyBuilder;
 struct ChunkReplyT;
 
+struct ChunkTaken;
+struct ChunkTakenBuilder;
+struct ChunkTakenT;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -186,6 +190,8 @@
 bool operator!=(const ChunkRequestT &lhs, const ChunkRequestT &rhs);
 bool operator==(const ChunkReplyT &lhs, const ChunkReplyT &rhs);
 bool operator!=(const ChunkReplyT &lhs, const ChunkReplyT &rhs);
+bool operator==(const ChunkTakenT &lhs, const ChunkTakenT &rhs);
+bool operator!=(const ChunkTakenT &lhs, const ChunkTakenT &rhs);
 bool operator==(const FrameT &lhs, const FrameT &rhs);
 bool operator!=(const FrameT &lhs, const FrameT &rhs);
 
@@ -362,11 +368,12 @@
   ChunkAsk = 22,
   ChunkRequest = 23,
   ChunkReply = 24,
+  ChunkTaken = 25,
   MIN = NONE,
-  MAX = ChunkReply
+  MAX = ChunkTaken
 };
 
-inline const Body (&EnumValuesBody())[25] {
+inline const Body (&EnumValuesBody())[26] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -392,13 +399,14 @@
     Body::ChunkHave,
     Body::ChunkAsk,
     Body::ChunkRequest,
-    Body::ChunkReply
+    Body::ChunkReply,
+    Body::ChunkTaken
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[26] = {
+  static const char * const names[27] = {
     "NONE",
     "Hello",
     "Ping",
@@ -424,13 +432,14 @@
     "ChunkAsk",
     "ChunkRequest",
     "ChunkReply",
+    "ChunkTaken",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ChunkReply)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ChunkTaken)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -535,6 +544,10 @@
   static const Body enum_value = Body::ChunkReply;
 };
 
+template<> struct BodyTraits<hawthornroad::wire::ChunkTaken> {
+  static const Body enum_value = Body::ChunkTaken;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -635,6 +648,10 @@
   static const Body enum_value = Body::ChunkReply;
 };
 
+template<> struct BodyUnionTraits<hawthornroad::wire::ChunkTakenT> {
+  static const Body enum_value = Body::ChunkTaken;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -857,6 +874,14 @@
     return type == Body::ChunkReply ?
       reinterpret_cast<const hawthornroad::wire::ChunkReplyT *>(value) : nullptr;
   }
+  hawthornroad::wire::ChunkTakenT *AsChunkTaken() {
+    return type == Body::ChunkTaken ?
+      reinterpret_cast<hawthornroad::wire::ChunkTakenT *>(value) : nullptr;
+  }
+  const hawthornroad::wire::ChunkTakenT *AsChunkTaken() const {
+    return type == Body::ChunkTaken ?
+      reinterpret_cast<const hawthornroad::wire::ChunkTakenT *>(value) : nullptr;
+  }
 };
 
 
@@ -962,6 +987,10 @@
       return *(reinterpret_cast<const hawthornroad::wire::ChunkReplyT *>(lhs.value)) ==
              *(reinterpret_cast<const hawthornroad::wire::ChunkReplyT *>(rhs.value));
     }
+    case Body::ChunkTaken: {
+      return *(reinterpret_cast<const hawthornroad::wire::ChunkTakenT *>(lhs.value)) ==
+             *(reinterpret_cast<const hawthornroad::wire::ChunkTakenT *>(rhs.value));
+    }
     default: {
       return false;
     }
@@ -3480,6 +3509,7 @@
   std::vector<uint8_t> bitmap{};
   std::string vm{};
   uint32_t uploads = 0;
+  std::vector<uint32_t> added{};
 };
 
 struct ChunkHave FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3489,7 +3519,8 @@
     VT_MANIFEST = 4,
     VT_BITMAP = 6,
     VT_VM = 8,
-    VT_UPLOADS = 10
+    VT_UPLOADS = 10,
+    VT_ADDED = 12
   };
   const flatbuffers::String *manifest() const {
     return GetPointer<const flatbuffers::String *>(VT_MANIFEST);
@@ -3503,6 +3534,9 @@
   uint32_t uploads() const {
     return GetField<uint32_t>(VT_UPLOADS, 0);
   }
+  const flatbuffers::Vector<uint32_t> *added() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_ADDED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_MANIFEST) &&
@@ -3512,6 +3546,8 @@
            VerifyOffset(verifier, VT_VM) &&
            verifier.VerifyString(vm()) &&
            VerifyField<uint32_t>(verifier, VT_UPLOADS, 4) &&
+           VerifyOffset(verifier, VT_ADDED) &&
+           verifier.VerifyVector(added()) &&
            verifier.EndTable();
   }
   ChunkHaveT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3535,6 +3571,9 @@
   void add_uploads(uint32_t uploads) {
     fbb_.AddElement<uint32_t>(ChunkHave::VT_UPLOADS, uploads, 0);
   }
+  void add_added(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> added) {
+    fbb_.AddOffset(ChunkHave::VT_ADDED, added);
+  }
   explicit ChunkHaveBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3552,8 +3591,10 @@
     flatbuffers::Offset<flatbuffers::String> manifest = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bitmap = 0,
     flatbuffers::Offset<flatbuffers::String> vm = 0,
-    uint32_t uploads = 0) {
+    uint32_t uploads = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> added = 0) {
   ChunkHaveBuilder builder_(_fbb);
+  builder_.add_added(added);
   builder_.add_uploads(uploads);
   builder_.add_vm(vm);
   builder_.add_bitmap(bitmap);
@@ -3566,16 +3607,19 @@
     const char *manifest = nullptr,
     const std::vector<uint8_t> *bitmap = nullptr,
     const char *vm = nullptr,
-    uint32_t uploads = 0) {
+    uint32_t uploads = 0,
+    const std::vector<uint32_t> *added = nullptr) {
   auto manifest__ = manifest ? _fbb.CreateString(manifest) : 0;
   auto bitmap__ = bitmap ? _fbb.CreateVector<uint8_t>(*bitmap) : 0;
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
+  auto added__ = added ? _fbb.CreateVector<uint32_t>(*added) : 0;
   return hawthornroad::wire::CreateChunkHave(
       _fbb,
       manifest__,
       bitmap__,
       vm__,
-      uploads);
+      uploads,
+      added__);
 }
 
 flatbuffers::Offset<ChunkHave> CreateChunkHave(flatbuffers::FlatBufferBuilder &_fbb, const ChunkHaveT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3662,6 +3706,7 @@
   typedef ChunkRequest TableType;
   std::string manifest{};
   uint32_t index = 0;
+  std::string vm{};
 };
 
 struct ChunkRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3669,7 +3714,8 @@
   typedef ChunkRequestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_MANIFEST = 4,
-    VT_INDEX = 6
+    VT_INDEX = 6,
+    VT_VM = 8
   };
   const flatbuffers::String *manifest() const {
     return GetPointer<const flatbuffers::String *>(VT_MANIFEST);
@@ -3677,11 +3723,16 @@
   uint32_t index() const {
     return GetField<uint32_t>(VT_INDEX, 0);
   }
+  const flatbuffers::String *vm() const {
+    return GetPointer<const flatbuffers::String *>(VT_VM);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_MANIFEST) &&
            verifier.VerifyString(manifest()) &&
            VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
+           VerifyOffset(verifier, VT_VM) &&
+           verifier.VerifyString(vm()) &&
            verifier.EndTable();
   }
   ChunkRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3699,6 +3750,9 @@
   void add_index(uint32_t index) {
     fbb_.AddElement<uint32_t>(ChunkRequest::VT_INDEX, index, 0);
   }
+  void add_vm(flatbuffers::Offset<flatbuffers::String> vm) {
+    fbb_.AddOffset(ChunkRequest::VT_VM, vm);
+  }
   explicit ChunkRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3714,8 +3768,10 @@
 inline flatbuffers::Offset<ChunkRequest> CreateChunkRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> manifest = 0,
-    uint32_t index = 0) {
+    uint32_t index = 0,
+    flatbuffers::Offset<flatbuffers::String> vm = 0) {
   ChunkRequestBuilder builder_(_fbb);
+  builder_.add_vm(vm);
   builder_.add_index(index);
   builder_.add_manifest(manifest);
   return builder_.Finish();
@@ -3724,12 +3780,15 @@
 inline flatbuffers::Offset<ChunkRequest> CreateChunkRequestDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *manifest = nullptr,
-    uint32_t index = 0) {
+    uint32_t index = 0,
+    const char *vm = nullptr) {
   auto manifest__ = manifest ? _fbb.CreateString(manifest) : 0;
+  auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   return hawthornroad::wire::CreateChunkRequest(
       _fbb,
       manifest__,
-      index);
+      index,
+      vm__);
 }
 
 flatbuffers::Offset<ChunkRequest> CreateChunkRequest(flatbuffers::FlatBufferBuilder &_fbb, const ChunkRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3840,6 +3899,97 @@
 
 flatbuffers::Offset<ChunkReply> CreateChunkReply(flatbuffers::FlatBufferBuilder &_fbb, const ChunkReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ChunkTakenT : public flatbuffers::NativeTable {
+  typedef ChunkTaken TableType;
+  std::string manifest{};
+  uint32_t index = 0;
+  std::string vm{};
+};
+
+struct ChunkTaken FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ChunkTakenT NativeTableType;
+  typedef ChunkTakenBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_MANIFEST = 4,
+    VT_INDEX = 6,
+    VT_VM = 8
+  };
+  const flatbuffers::String *manifest() const {
+    return GetPointer<const flatbuffers::String *>(VT_MANIFEST);
+  }
+  uint32_t index() const {
+    return GetField<uint32_t>(VT_INDEX, 0);
+  }
+  const flatbuffers::String *vm() const {
+    return GetPointer<const flatbuffers::String *>(VT_VM);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_MANIFEST) &&
+           verifier.VerifyString(manifest()) &&
+           VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
+           VerifyOffset(verifier, VT_VM) &&
+           verifier.VerifyString(vm()) &&
+           verifier.EndTable();
+  }
+  ChunkTakenT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ChunkTakenT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ChunkTaken> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ChunkTakenT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ChunkTakenBuilder {
+  typedef ChunkTaken Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_manifest(flatbuffers::Offset<flatbuffers::String> manifest) {
+    fbb_.AddOffset(ChunkTaken::VT_MANIFEST, manifest);
+  }
+  void add_index(uint32_t index) {
+    fbb_.AddElement<uint32_t>(ChunkTaken::VT_INDEX, index, 0);
+  }
+  void add_vm(flatbuffers::Offset<flatbuffers::String> vm) {
+    fbb_.AddOffset(ChunkTaken::VT_VM, vm);
+  }
+  explicit ChunkTakenBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ChunkTaken> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ChunkTaken>(end);
+    fbb_.Required(o, ChunkTaken::VT_MANIFEST);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ChunkTaken> CreateChunkTaken(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> manifest = 0,
+    uint32_t index = 0,
+    flatbuffers::Offset<flatbuffers::String> vm = 0) {
+  ChunkTakenBuilder builder_(_fbb);
+  builder_.add_vm(vm);
+  builder_.add_index(index);
+  builder_.add_manifest(manifest);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ChunkTaken> CreateChunkTakenDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *manifest = nullptr,
+    uint32_t index = 0,
+    const char *vm = nullptr) {
+  auto manifest__ = manifest ? _fbb.CreateString(manifest) : 0;
+  auto vm__ = vm ? _fbb.CreateString(vm) : 0;
+  return hawthornroad::wire::CreateChunkTaken(
+      _fbb,
+      manifest__,
+      index,
+      vm__);
+}
+
+flatbuffers::Offset<ChunkTaken> CreateChunkTaken(flatbuffers::FlatBufferBuilder &_fbb, const ChunkTakenT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
   hawthornroad::wire::BodyUnion body{};
@@ -3931,6 +4081,9 @@
   const hawthornroad::wire::ChunkReply *body_as_ChunkReply() const {
     return body_type() == hawthornroad::wire::Body::ChunkReply ? static_cast<const hawthornroad::wire::ChunkReply *>(body()) : nullptr;
   }
+  const hawthornroad::wire::ChunkTaken *body_as_ChunkTaken() const {
+    return body_type() == hawthornroad::wire::Body::ChunkTaken ? static_cast<const hawthornroad::wire::ChunkTaken *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -4039,6 +4192,10 @@
   return body_as_ChunkReply();
 }
 
+template<> inline const hawthornroad::wire::ChunkTaken *Frame::body_as<hawthornroad::wire::ChunkTaken>() const {
+  return body_as_ChunkTaken();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5481,7 +5638,8 @@
       (lhs.manifest == rhs.manifest) &&
       (lhs.bitmap == rhs.bitmap) &&
       (lhs.vm == rhs.vm) &&
-      (lhs.uploads == rhs.uploads);
+      (lhs.uploads == rhs.uploads) &&
+      (lhs.added == rhs.added);
 }
 
 inline bool operator!=(const ChunkHaveT &lhs, const ChunkHaveT &rhs) {
@@ -5502,6 +5660,7 @@
   { auto _e = bitmap(); if (_e) { _o->bitmap.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->bitmap.begin()); } }
   { auto _e = vm(); if (_e) _o->vm = _e->str(); }
   { auto _e = uploads(); _o->uploads = _e; }
+  { auto _e = added(); if (_e) { _o->added.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->added[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<ChunkHave> ChunkHave::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ChunkHaveT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5516,12 +5675,14 @@
   auto _bitmap = _o->bitmap.size() ? _fbb.CreateVector(_o->bitmap) : 0;
   auto _vm = _o->vm.empty() ? 0 : _fbb.CreateString(_o->vm);
   auto _uploads = _o->uploads;
+  auto _added = _o->added.size() ? _fbb.CreateVector(_o->added) : 0;
   return hawthornroad::wire::CreateChunkHave(
       _fbb,
       _manifest,
       _bitmap,
       _vm,
-      _uploads);
+      _uploads,
+      _added);
 }
 
 
@@ -5569,7 +5730,8 @@
 inline bool operator==(const ChunkRequestT &lhs, const ChunkRequestT &rhs) {
   return
       (lhs.manifest == rhs.manifest) &&
-      (lhs.index == rhs.index);
+      (lhs.index == rhs.index) &&
+      (lhs.vm == rhs.vm);
 }
 
 inline bool operator!=(const ChunkRequestT &lhs, const ChunkRequestT &rhs) {
@@ -5588,6 +5750,7 @@
   (void)_resolver;
   { auto _e = manifest(); if (_e) _o->manifest = _e->str(); }
   { auto _e = index(); _o->index = _e; }
+  { auto _e = vm(); if (_e) _o->vm = _e->str(); }
 }
 
 inline flatbuffers::Offset<ChunkRequest> ChunkRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ChunkRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5600,10 +5763,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ChunkRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _manifest = _fbb.CreateString(_o->manifest);
   auto _index = _o->index;
+  auto _vm = _o->vm.empty() ? 0 : _fbb.CreateString(_o->vm);
   return hawthornroad::wire::CreateChunkRequest(
       _fbb,
       _manifest,
-      _index);
+      _index,
+      _vm);
 }
 
 
@@ -5656,6 +5821,51 @@
 }
 
 
+inline bool operator==(const ChunkTakenT &lhs, const ChunkTakenT &rhs) {
+  return
+      (lhs.manifest == rhs.manifest) &&
+      (lhs.index == rhs.index) &&
+      (lhs.vm == rhs.vm);
+}
+
+inline bool operator!=(const ChunkTakenT &lhs, const ChunkTakenT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline ChunkTakenT *ChunkTaken::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<ChunkTakenT>(new ChunkTakenT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ChunkTaken::UnPackTo(ChunkTakenT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = manifest(); if (_e) _o->manifest = _e->str(); }
+  { auto _e = index(); _o->index = _e; }
+  { auto _e = vm(); if (_e) _o->vm = _e->str(); }
+}
+
+inline flatbuffers::Offset<ChunkTaken> ChunkTaken::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ChunkTakenT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateChunkTaken(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ChunkTaken> CreateChunkTaken(flatbuffers::FlatBufferBuilder &_fbb, const ChunkTakenT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ChunkTakenT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _manifest = _fbb.CreateString(_o->manifest);
+  auto _index = _o->index;
+  auto _vm = _o->vm.empty() ? 0 : _fbb.CreateString(_o->vm);
+  return hawthornroad::wire::CreateChunkTaken(
+      _fbb,
+      _manifest,
+      _index,
+      _vm);
+}
+
+
 inline bool operator==(const FrameT &lhs, const FrameT &rhs) {
   return
       (lhs.body == rhs.body);
@@ -5796,6 +6006,10 @@
       auto ptr = reinterpret_cast<const hawthornroad::wire::ChunkReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::ChunkTaken: {
+      auto ptr = reinterpret_cast<const hawthornroad::wire::ChunkTaken *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5911,6 +6125,10 @@
       auto ptr = reinterpret_cast<const hawthornroad::wire::ChunkReply *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::ChunkTaken: {
+      auto ptr = reinterpret_cast<const hawthornroad::wire::ChunkTaken *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6014,6 +6232,10 @@
       auto ptr = reinterpret_cast<const hawthornroad::wire::ChunkReplyT *>(value);
       return CreateChunkReply(_fbb, ptr, _rehasher).Union();
     }
+    case Body::ChunkTaken: {
+      auto ptr = reinterpret_cast<const hawthornroad::wire::ChunkTakenT *>(value);
+      return CreateChunkTaken(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6116,6 +6338,10 @@
       value = new hawthornroad::wire::ChunkReplyT(*reinterpret_cast<hawthornroad::wire::ChunkReplyT *>(u.value));
       break;
     }
+    case Body::ChunkTaken: {
+      value = new hawthornroad::wire::ChunkTakenT(*reinterpret_cast<hawthornroad::wire::ChunkTakenT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -6243,6 +6469,11 @@
       delete ptr;
       break;
     }
+    case Body::ChunkTaken: {
+      auto ptr = reinterpret_cast<hawthornroad::wire::ChunkTakenT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/tests/unit/WeightTransferTest.cpp
+++ b/tests/unit/WeightTransferTest.cpp
@@ -8,6 +8,8 @@
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <map>
+#include <mutex>
 #include <sstream>
 #include <thread>
 #include <unistd.h>
@@ -87,6 +89,36 @@
   std::string Address_;
 };
 
+// The platform's table, as far as the ledger of origin reads needs it.
+struct Ledger {
+  explicit Ledger(IoThread &Io)
+      : Server_(Io, {}, [this](HttpRequest R, std::shared_ptr<HttpExchange> X) {
+          X->respond(answer(R));
+        }) {
+    Address_ = "127.0.0.1:" + std::to_string(Server_.listen("127.0.0.1", 0));
+  }
+  HttpResponse answer(const HttpRequest &R) {
+    std::lock_guard Lock(Mutex_);
+    if (Down_)
+      return {.Status_ = 503};
+    if (R.Method_ == "GET")
+      return {.Status_ = 200, .Body_ = Values_[R.Target_]};
+    if (!Values_.try_emplace(R.Target_, R.Body_).second)
+      return {.Status_ = 412};
+    // The write took effect, its answer is lost.
+    if (LoseAnswers_-- > 0)
+      return {.Status_ = 503};
+    return {.Status_ = 200};
+  }
+
+  std::mutex Mutex_;
+  std::map<std::string, std::string> Values_;
+  std::atomic<bool> Down_{false};
+  int LoseAnswers_ = 0;
+  HttpServer Server_;
+  std::string Address_;
+};
+
 struct TransferFixture {
   TransferFixture() {
     Folder_ = "/tmp/hr-weights/unit-" + std::to_string(::getpid());
@@ -101,20 +133,24 @@
   Weights V1_{randomBytes(20500, 1)};
   Weights V2_{randomBytes(20500, 2)};
   Origin Origin_{Io_};
+  Ledger Ledger_{Io_};
   std::string Folder_;
 };
 
 // One agent's weight path: its loop, peer listener and folder.
 class Agent {
 public:
-  Agent(TransferFixture &F, const std::string &Name)
-      : Loop_(System_, Name, Milliseconds(5), 4096),
+  Agent(TransferFixture &F, const std::string &Name,
+        const std::string &Zone = "z")
+      : Name_(Name), Zone_(Zone), Loop_(System_, Name, Milliseconds(5), 4096),
         Net_(F.Io_, {.Process_ = ProcessName(Name)}, {},
              {.OnFrame_ = [this](const PeerContext &From,
                                  const wire::Frame &Frame) {
                auto Copy = std::make_shared<wire::FrameT>();
                Frame.UnPackTo(Copy.get());
                Loop_.post([this, From, Copy](TimePoint Now) {
+                 if (Spoil_)
+                   Spoil_(*Copy);
                  Transfer_->onFrame(From, *Copy, Now);
                });
              }}) {
@@ -123,11 +159,14 @@
     S.Common_.Process_ = ProcessName(Name);
     S.Common_.Charts_ = CHARTS_DIR;
     S.Common_.RandomSeed_ = 7;
+    S.Common_.Zone_ = AvailabilityZone(Zone);
+    S.Common_.Platform_.Table_ = F.Ledger_.Address_;
     S.Origin_ = F.Origin_.Address_;
     S.WeightsFolder_ = F.Folder_ + "/" + Name;
-    PeerAddress Own("127.0.0.1:" + std::to_string(Net_.listen("127.0.0.1", 0)));
+    Own_ =
+        PeerAddress("127.0.0.1:" + std::to_string(Net_.listen("127.0.0.1", 0)));
     Transfer_.emplace(
-        WeightTransfer::Setup{.Settings_ = S, .WeightsAddress_ = Own}, Loop_,
+        WeightTransfer::Setup{.Settings_ = S, .WeightsAddress_ = Own_}, Loop_,
         Net_, F.Files_, F.Client_, Metrics_,
         WeightTransfer::Callbacks{.OnChange_ = [](TimePoint) {}});
     run([this](TimePoint Now) { Transfer_->start(Now); });
@@ -145,14 +184,19 @@
     }));
     Done.get_future().wait();
   }
-  void want(const Weights &W) {
-    run([&](TimePoint Now) {
-      Transfer_->want(
-          {.Service_ = ServiceName("s"),
-           .Model_ = {.Manifest_ = ManifestPath, .Version_ = W.version()}},
-          Now);
-    });
+  void want(const Weights &W, double Copies = 3.3) {
+    WantedVersion Wanted{
+        .Service_ = ServiceName("s"),
+        .Model_ = {.Manifest_ = ManifestPath, .Version_ = W.version()},
+        .Rollout_ = {.OriginCopies_ = Copies}};
+    run([&](TimePoint Now) { Transfer_->want(Wanted, Now); });
+  }
+  WeightPeer peer() const { return {Vm(Name_), AvailabilityZone(Zone_), Own_}; }
+  void setPeers(const std::vector<WeightPeer> &Peers) {
+    run([&](TimePoint Now) { Transfer_->setPeers(Peers, Now); });
   }
+  // Changes frames on their way in; set before any peer is known.
+  std::function<void(wire::FrameT &)> Spoil_;
   std::string bytesOf(const Weights &W) {
     std::optional<std::string> Path;
     run([&](TimePoint) { Path = Transfer_->pathOf(W.version()); });
@@ -163,6 +207,13 @@
     Out << In.rdbuf();
     return Out.str();
   }
+  bool phaseIs(const std::string &Phase) {
+    std::string Found;
+    run([&](TimePoint Now) {
+      Found = Transfer_->status(Now).at("phase").as_string();
+    });
+    return Found == Phase;
+  }
   std::string failure() {
     std::string Out;
     run([&](TimePoint) { Out = Transfer_->failure(); });
@@ -181,12 +232,44 @@
   }
 
 private:
+  std::string Name_;
+  std::string Zone_;
+  PeerAddress Own_;
   ActorSystem System_;
   DecisionLoop Loop_;
   Metrics Metrics_;
   PeerNet Net_;
   std::optional<WeightTransfer> Transfer_;
 };
+
+// Some agents that know each other, over two zones.
+struct FleetFixture : TransferFixture {
+  explicit FleetFixture(std::size_t Count = 5) {
+    for (std::size_t I = 0; I < Count; ++I)
+      Agents_.push_back(std::make_unique<Agent>(
+          *this, "vm-" + std::to_string(I), I % 2 == 0 ? "x" : "y"));
+  }
+  void introduce() {
+    std::vector<WeightPeer> All;
+    for (auto &A : Agents_)
+      All.push_back(A->peer());
+    for (auto &A : Agents_) {
+      std::vector<WeightPeer> Others = All;
+      std::erase(Others, A->peer());
+      A->setPeers(Others);
+    }
+  }
+  void wantAll(const Weights &W, double Copies = 3.3) {
+    for (auto &A : Agents_)
+      A->want(W, Copies);
+  }
+  void awaitAll(const Weights &W) {
+    for (auto &A : Agents_)
+      A->awaitStaged(W);
+  }
+
+  std::vector<std::unique_ptr<Agent>> Agents_;
+};
 } // namespace
 
 TEST_CASE_METHOD(TransferFixture,
@@ -304,3 +387,94 @@
   Second.want(V1_);
   Second.awaitStaged(V1_);
 }
+
+TEST_CASE_METHOD(FleetFixture,
+                 "fleet, with nothing failing, reads one copy from the origin",
+                 "[weights]") {
+  introduce();
+  wantAll(V1_, 1.1);
+  awaitAll(V1_);
+  REQUIRE(Origin_.BlobBytes_ == V1_.Blob_.size());
+}
+
+TEST_CASE_METHOD(
+    FleetFixture,
+    "fleet, when one peer's chunks arrive corrupted or cut, stages "
+    "only right bytes within the budget",
+    "[weights]") {
+  // What vm-0 receives from peers is spoilt on the way, as by a bad cable: the
+  // engine must never be given such a chunk, and what vm-0 must fetch again
+  // counts against the origin's budget.
+  int Replies = 0;
+  Agents_[0]->Spoil_ = [&](wire::FrameT &F) {
+    if (F.body.type != wire::Body::ChunkReply || ++Replies % 4 != 0)
+      return;
+    auto &Bytes = F.body.AsChunkReply()->bytes;
+    if (Replies % 8 == 0 && !Bytes.empty())
+      Bytes.pop_back();
+    else if (!Bytes.empty())
+      Bytes[Bytes.size() / 2] ^= 1;
+  };
+  introduce();
+  wantAll(V1_, 2);
+  awaitAll(V1_);
+  REQUIRE(Replies >= 4);
+  REQUIRE(Origin_.BlobBytes_ <= 2 * V1_.Blob_.size());
+}
+
+TEST_CASE_METHOD(FleetFixture,
+                 "fleet, when VMs do not know of each other, keeps to the "
+                 "origin budget",
+                 "[weights]") {
+  // Right after a mass restart nobody has heard of anybody: each VM takes
+  // itself for the owner of every chunk. Without the ledger five VMs would
+  // read five copies; with it they get 1.3, and the rest once they meet.
+  wantAll(V1_, 1.3);
+  std::this_thread::sleep_for(Seconds(2));
+  REQUIRE(Origin_.BlobBytes_ <= 1.3 * V1_.Blob_.size());
+  introduce();
+  awaitAll(V1_);
+  REQUIRE(Origin_.BlobBytes_ <= 1.3 * V1_.Blob_.size());
+}
+
+TEST_CASE_METHOD(FleetFixture,
+                 "fleet, when the ledger loses answers and goes down for a "
+                 "while, stages within the budget",
+                 "[weights]") {
+  {
+    std::lock_guard Lock(Ledger_.Mutex_);
+    Ledger_.LoseAnswers_ = 4;
+  }
+  Ledger_.Down_ = true;
+  introduce();
+  wantAll(V1_, 1.3);
+  Agents_[0]->await([&] { return !Agents_[0]->phaseIs("manifest"); });
+  REQUIRE(Origin_.BlobBytes_ == 0);
+  Ledger_.Down_ = false;
+  awaitAll(V1_);
+  REQUIRE(Origin_.BlobBytes_ <= 1.3 * V1_.Blob_.size());
+}
+
+TEST_CASE_METHOD(FleetFixture,
+                 "fleet, when an owner dies in mid-transfer, stages without it "
+                 "within the budget",
+                 "[weights]") {
+  // vm-0 has read chunks that nobody else holds when it is killed. The next in
+  // order must read them again, and only it.
+  std::atomic<int> Answers{0};
+  Origin_.Spoil_ = [&](HttpResponse &R) {
+    if (++Answers > 8)
+      R = {.Status_ = 503};
+  };
+  introduce();
+  wantAll(V1_, 2);
+  Agents_[0]->await([&] { return Answers > 8; });
+  Agents_.erase(Agents_.begin());
+  introduce();
+  {
+    std::lock_guard Lock(Origin_.Mutex_);
+    Origin_.Spoil_ = nullptr;
+  }
+  awaitAll(V1_);
+  REQUIRE(Origin_.BlobBytes_ <= 2 * V1_.Blob_.size());
+}
