--- a/hawthornroad/runtime/AgentProcess.cpp
+++ b/hawthornroad/runtime/AgentProcess.cpp
@@ -202,6 +202,7 @@
 bool AgentProcess::State::postStop() {
   return Loop_->post([this](TimePoint Now) {
     IsStopAsked_ = true;
+    IsReady_.store(false);
     if (IsStarted_)
       Core_->stop(Now);
   });
