--- a/tests/integration/RequestFixture.cpp
+++ b/tests/integration/RequestFixture.cpp
@@ -1,9 +1,25 @@
 #include "tests/integration/RequestFixture.h"
 
+#include <boost/json/parse.hpp>
 #include <catch2/catch.hpp>
 
 namespace hawthornroad {
 
+namespace {
+// Throws what the entry knows as long as that is not all.
+bool knowsDesks(FleetProcess &Entry, std::size_t Desks) {
+  HttpResponse Status = get(Entry.admin(), "/status");
+  auto Known = boost::json::parse(Status.Body_);
+  std::size_t Ready = 0;
+  for (const auto &E : Known.at("endpoints").as_array())
+    if (E.at("phase") == "ready" && E.at("service") == "billing-desk")
+      ++Ready;
+  if (Ready != Desks)
+    throw std::runtime_error("status is " + Status.Body_);
+  return true;
+}
+} // namespace
+
 std::unique_ptr<Fleet> desks(const FleetBuilder &Builder) {
   auto F = Builder.build();
   WeightVersion V = F->publishWeights("v1", 1);
@@ -15,18 +31,8 @@
   for (FleetProcess &Each : F->agents())
     Desks += Each.Vm_.str().rfind("billing-desk", 0) == 0 ? 1 : 0;
   for (FleetProcess &Each : F->entries())
-    eventually(
-        [&] {
-          auto Status = getJson(Each.admin(), "/status");
-          std::size_t Ready = 0;
-          for (const auto &E : Status.at("endpoints").as_array())
-            Ready +=
-                E.at("phase") == "ready" && E.at("service") == "billing-desk"
-                    ? 1
-                    : 0;
-          return Ready == Desks;
-        },
-        Each.Name_ + " knows every desk");
+    eventually([&] { return knowsDesks(Each, Desks); },
+               Each.Name_ + " knows every desk");
   return F;
 }
 
