--- a/hawthornroad/routing/RequestCore.cpp
+++ b/hawthornroad/routing/RequestCore.cpp
@@ -355,7 +355,10 @@
     Q.Excluded_.clear();
     R.Next_ = Chooser_.choose(Q, Now);
   }
-  if (R.Next_ && !Budget_.take(R.Call_->Service_, Now))
+  // A stream that goes on moves work, it does not repeat it: its place at the
+  // broken endpoint is gone, and its caller holds half an answer.
+  bool GoesOn = R.Answer_.hasBegun();
+  if (R.Next_ && !GoesOn && !Budget_.take(R.Call_->Service_, Now))
     R.Next_.reset();
   return R.Next_.has_value();
 }
--- /dev/null
+++ b/tests/integration/EntryDrainTest.cpp
@@ -0,0 +1,45 @@
+#include "tests/integration/RequestFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hawthornroad;
+
+namespace {
+std::unique_ptr<Fleet> slowDesk() {
+  return desks(FleetBuilder()
+                   .modelVms(0)
+                   .plainVms(1)
+                   .serviceOptions({"--work-ms", "1500"})
+                   .entrySettings({{"drain_grace_ms", 300}}));
+}
+} // namespace
+
+TEST_CASE(
+    "entry, stopped as planned, answers what is in progress and ends with "
+    "code 0") {
+  // An entry VM is replaced while a client's invoice is being written: cut off
+  // here, the client would not know whether it was billed.
+  auto F = slowDesk();
+  auto Keyed = invoiceLater(F->entry(0), "k");
+  auto Plain = invoiceLater(F->entry(0), "");
+  eventually([&] { return runs(*F, "k") == 1; }, "the call runs");
+  F->entry(0).Process_->terminate();
+  eventually([&] { return get(F->entry(0).admin(), "/readyz").Status_ == 503; },
+             "the balancer is told");
+  REQUIRE(outcome(Keyed.get()) == "answered");
+  REQUIRE(outcome(Plain.get()) == "answered");
+  REQUIRE(F->entry(0).Process_->waitExit() == 0);
+  REQUIRE(runs(*F, "k") == 1);
+}
+
+TEST_CASE("entry, told to stop twice, ends at once") {
+  auto F = slowDesk();
+  auto Lost = invoiceLater(F->entry(0), "k");
+  eventually([&] { return runs(*F, "k") == 1; }, "the call runs");
+  F->entry(0).Process_->terminate();
+  eventually([&] { return get(F->entry(0).admin(), "/readyz").Status_ == 503; },
+             "the first signal is taken");
+  F->entry(0).Process_->terminate();
+  REQUIRE(F->entry(0).Process_->waitExit() == 143);
+  REQUIRE(Lost.get().Status_ == 0);
+}
--- /dev/null
+++ b/tests/integration/SilentConnectionsTest.cpp
@@ -0,0 +1,56 @@
+#include "tests/integration/RequestFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hawthornroad;
+
+TEST_CASE(
+    "invoice, its connection gone silent for good, is found again and runs "
+    "once") {
+  // A middlebox forgets the connection between entry and agent while the call
+  // runs: nothing comes through any more, no reset either, and TCP would go on
+  // for minutes. New connections work.
+  auto F = desks(FleetBuilder()
+                     .modelVms(0)
+                     .plainVms(1)
+                     .serviceOptions({"--work-ms", "1500"})
+                     .withProxies());
+  auto Answer = invoiceLater(F->entry(0), "k", 15000);
+  eventually([&] { return runs(*F, "k") == 1; }, "the call runs");
+  F->agent(0).PeerProxy_->setFaults(R"({"silent_existing":true})");
+  HttpResponse R = Answer.get();
+  INFO(R.Body_);
+  REQUIRE(outcome(R) == "answered");
+  REQUIRE(runs(*F, "k") == 1);
+}
+
+TEST_CASE("invoice, given to a connection that had gone silent, did not run "
+          "twice and is answered") {
+  // The connection has been silent before the call: its begin goes into the
+  // void. The agent, asked over a fresh one, has never seen it.
+  auto F = desks(FleetBuilder()
+                     .modelVms(0)
+                     .plainVms(1)
+                     .serviceOptions({"--work-ms", "1"})
+                     .withProxies());
+  REQUIRE(outcome(invoice(F->entry(0), "warm")) == "answered");
+  F->agent(0).PeerProxy_->setFaults(R"({"silent_existing":true})");
+  HttpResponse R = invoice(F->entry(0), "k", 15000);
+  INFO(R.Body_);
+  REQUIRE(outcome(R) == "answered");
+  REQUIRE(runs(*F, "k") == 1);
+}
+
+TEST_CASE("invoice, its table's connections gone silent, is refused at once or "
+          "answered, and never run twice") {
+  auto F = desks(FleetBuilder().modelVms(0).plainVms(1).withProxies());
+  F->platformOf("zone-a").Proxies_.front()->setFaults(
+      R"({"silent_existing":true})");
+  HttpResponse R = invoice(F->entry(0), "k");
+  INFO(R.Body_);
+  REQUIRE(outcome(R) == "answered");
+  F->platformOf("zone-a").Proxies_.front()->setFaults(R"({"blackhole":true})");
+  HttpResponse Out = invoice(F->entry(0), "other");
+  REQUIRE(outcome(Out) == "not-run");
+  REQUIRE(runs(*F, "other") == 0);
+}
