--- a/hawthornroad/routing/RequestCore.cpp
+++ b/hawthornroad/routing/RequestCore.cpp
@@ -1,24 +1,14 @@
 #include "hawthornroad/routing/RequestCore.h"
 
 #include "hawthornroad/routing/Dependencies.h"
-#include "hawthornroad/routing/RequestRecord.h"
+#include "hawthornroad/routing/RequestCoreState.h"
 
 #include <algorithm>
-#include <unordered_map>
 
 namespace hawthornroad {
 
 namespace {
-constexpr std::size_t MaxKeptBody = 64 * 1024;
-constexpr std::uint64_t AckEvery = 64 * 1024;
 constexpr unsigned MaxAskDoublings = 3;
-// An ordinary question, then one over a fresh connection, before a request
-// that may be repeated goes elsewhere.
-constexpr unsigned AsksBeforeLeaving = 2;
-constexpr unsigned StatusGatewayTimeout = 504;
-constexpr unsigned StatusBadGateway = 502;
-constexpr unsigned StatusUnavailable = 503;
-constexpr unsigned FirstServerError = 500;
 } // namespace
 
 std::string_view toString(Outcome O) {
@@ -33,82 +23,6 @@
   return "unknown";
 }
 
-struct RequestCore::State {
-  using Record = RequestRecord;
-  using Event = RequestEvent;
-
-  State(Options O, Chart C, Random Rng, Admission &A, Chooser &Ch,
-        RetryBudget &B)
-      : Options_(O), Chart_(std::move(C)), Rng_(Rng), Admission_(A),
-        Chooser_(Ch), Budget_(B) {}
-
-  // The chart.
-  void fire(Record &R, Event E, TimePoint Now);
-  bool guard(Record &R, RequestGuard G, TimePoint Now);
-  void perform(Record &R, RequestStep S, TimePoint Now);
-  void retire(Record &R, TimePoint Now);
-
-  // Its actions.
-  void dispatch(Record &R, TimePoint Now);
-  void ask(Record &R, TimePoint Now);
-  void cancelAttempt(Record &R, TimePoint Now);
-  void finish(Record &R);
-  void answer(Record &R);
-  void settleClaim(Record &R);
-
-  // Attempts.
-  Chooser::Query query(const Record &R) const;
-  bool canRetry(Record &R, TimePoint Now);
-  void endAttempt(Record &R, Chooser::Result Result, bool MayHaveRun,
-                  TimePoint Now);
-  void fail(Record &R, Problem P, bool MayHaveRun, TimePoint Now);
-  Record *current(const AttemptSource &From, TimePoint Now);
-  void hear(Record &R, const AttemptSource &From, TimePoint Now);
-  void passOn(Record &R, CallerAnswer::Out Out, TimePoint Now);
-  void checkEnd(Record &R, TimePoint Now);
-  void ack(Record &R, bool Whole);
-  void onWord(const AttemptAccepted &W, TimePoint Now);
-  void onWord(const AttemptRefused &W, TimePoint Now);
-  void onWord(const AttemptHead &W, TimePoint Now);
-  void onWord(const AttemptData &W, TimePoint Now);
-  void onWord(const AttemptEnd &W, TimePoint Now);
-  void onWord(const AttemptFailed &W, TimePoint Now);
-  void onWord(const AttemptState &W, TimePoint Now);
-  void onLost(Record &R, const ConnectionLost &Lost, TimePoint Now);
-
-  // Admission.
-  Admission::Load load(const CallerRequest &R, TimePoint Now) const;
-  void refuse(const Refusal &Out, TimePoint Now);
-  void pump(const ServiceName &Name, TimePoint Now);
-
-  void check(Record &R, TimePoint Now);
-  void checkSilence(Record &R, TimePoint Now);
-  Problem problem(unsigned Status, Step Where, const Record &R,
-                  std::string Cause, std::string Detail) const;
-  template <class Fn> void forEachAttempt(Fn Visit);
-  Record *find(RequestId Id);
-  // Ends a public call: hands out freed places, erases what is over.
-  Actions take(TimePoint Now);
-
-  Options Options_;
-  Chart Chart_;
-  Random Rng_;
-  Admission &Admission_;
-  Chooser &Chooser_;
-  RetryBudget &Budget_;
-  std::shared_ptr<const Declaration> Declaration_;
-  bool Draining_ = false;
-  std::uint64_t NextNumber_ = 1;
-  std::unordered_map<RequestId, Record> Requests_;
-  std::unordered_map<AttemptId, RequestId> ByAttempt_;
-  // When a connection to an address was last replaced.
-  std::unordered_map<PeerAddress, TimePoint> Refreshed_;
-  // Over, to be erased; services in which a place may have come free.
-  std::vector<RequestId> Retired_;
-  std::set<ServiceName> Freed_;
-  Actions Out_;
-};
-
 RequestCore::State::Record *RequestCore::State::find(RequestId Id) {
   auto Found = Requests_.find(Id);
   return Found == Requests_.end() ? nullptr : &Found->second;
@@ -209,384 +123,6 @@
   Freed_.insert(R.Call_->Service_);
 }
 
-// ---- Actions of the chart -------------------------------------------------
-
-Chooser::Query RequestCore::State::query(const Record &R) const {
-  Chooser::Query Q;
-  Q.Service_ = R.Call_->Service_;
-  Q.PrefixHash_ = R.Call_->PrefixHash_;
-  Q.Excluded_ = R.Tried_;
-  // A request stays with the version it may have run under.
-  if (R.EndedAttemptMayHaveRun_ || R.Answer_.hasBegun())
-    Q.Version_ = R.Version_;
-  const Service *S =
-      Declaration_ ? Declaration_->findService(R.Call_->Service_) : nullptr;
-  if (S != nullptr)
-    Q.InFlightLimit_ = S->Limits_.InFlightPerEndpoint_;
-  return Q;
-}
-
-void RequestCore::State::dispatch(Record &R, TimePoint Now) {
-  std::optional<Vm> Target = std::exchange(R.Next_, std::nullopt);
-  if (!Target)
-    Target = Chooser_.choose(query(R), Now);
-  const EndpointStatus *Found = Target ? Chooser_.find(*Target) : nullptr;
-  if (Found == nullptr) {
-    Problem P = problem(StatusUnavailable, Step::Choice, R, "no_endpoint",
-                        "no endpoint has a free place");
-    P.RetryAfter_ = Admission_.retryAfter(R.Call_->Service_, Now);
-    R.Problem_ = std::move(P);
-    return fire(R, Event::Failed, Now);
-  }
-  R.Answer_.restart();
-  R.Version_ = Found->Version_;
-  R.LastVm_ = *Target;
-  R.Tried_.insert(*Target);
-  R.MayTrySameAgain_ = false;
-  if (R.Attempts_++ == 0)
-    Budget_.noteRequest(R.Call_->Service_, Now);
-  if (!R.DispatchedAt_)
-    R.DispatchedAt_ = Now;
-  AttemptRecord A;
-  A.Id_ = Rng_.id<AttemptTag>();
-  A.Number_ = NextNumber_++;
-  A.Vm_ = *Target;
-  A.Address_ = Found->Address_;
-  A.Incarnation_ = Found->Incarnation_;
-  A.BegunAt_ = A.HeardAt_ = Now;
-  ByAttempt_[A.Id_] = R.Call_->Id_;
-  Chooser_.dispatched(*Target, Now);
-  Out_.push_back(BeginAttempt{A.Id_, A.Number_, A.Address_, R.Call_, R.Version_,
-                              R.Call_->Deadline_ - Now,
-                              R.Answer_.eventsPassed()});
-  R.Attempt_ = std::move(A);
-}
-
-// The second question in a row goes over a connection dialled anew: the one in
-// use may be of those that have gone silent for good. Each such dial replaces
-// the connection of every attempt at that address, hence the limit.
-void RequestCore::State::ask(Record &R, TimePoint Now) {
-  AttemptRecord &A = *R.Attempt_;
-  bool Fresh = A.Asks_ > 0;
-  if (Fresh) {
-    auto [Found, New] = Refreshed_.try_emplace(A.Address_, Now);
-    if (!New && Now - Found->second < Options_.AttemptIdle_)
-      Fresh = false;
-    else
-      Found->second = Now;
-  }
-  ++A.Asks_;
-  A.AskedAt_ = Now;
-  Out_.push_back(AskAttempt{A.Id_, A.Address_, A.Stream_.offset(), Fresh});
-}
-
-// A call that is not repeatable is left to run to its end: cutting it half-way
-// would only make its result harder to know.
-void RequestCore::State::cancelAttempt(Record &R, TimePoint Now) {
-  if (!R.Attempt_)
-    return;
-  if (R.Call_->Repeatable_)
-    Out_.push_back(CancelAttempt{R.Attempt_->Id_, R.Attempt_->Address_});
-  auto Result = R.state() == RequestState::Done && R.CallerGone_
-                    ? Chooser::Result::Cancelled
-                    : Chooser::Result::Failed;
-  endAttempt(R, Result, true, Now);
-}
-
-void RequestCore::State::finish(Record &R) {
-  CallerAnswer::Out Out = R.Answer_.end();
-  const CallerAnswer::Head &Head = R.Answer_.head();
-  RequestId Id = R.Call_->Id_;
-  R.Status_ = Head.Status_;
-  R.Answered_ = true;
-  if (Out.Begins_) {
-    Out_.push_back(RespondWhole{Id, Head.Status_, Head.Headers_,
-                                std::move(Out.Bytes_), R.Version_});
-    return;
-  }
-  if (!Out.Bytes_.empty())
-    Out_.push_back(StreamBytes{Id, std::move(Out.Bytes_)});
-  Out_.push_back(StreamFinish{Id});
-}
-
-void RequestCore::State::answer(Record &R) {
-  if (R.Answered_)
-    return;
-  R.Answered_ = true;
-  R.Problem_.Outcome_ = R.outcome();
-  R.Status_ = R.Kept_ ? R.Kept_->Status_ : R.Problem_.Status_;
-  if (R.CallerGone_)
-    return;
-  RequestId Id = R.Call_->Id_;
-  if (R.Answer_.hasBegun())
-    Out_.push_back(StreamAbort{Id, R.Problem_, R.Answer_.isEvents()});
-  else if (R.Kept_)
-    Out_.push_back(RespondWhole{Id, R.Kept_->Status_, R.Kept_->Headers_,
-                                R.Kept_->Body_, R.Kept_->Version_});
-  else
-    Out_.push_back(RespondProblem{Id, R.Problem_, R.Version_});
-}
-
-void RequestCore::State::settleClaim(Record &R) {
-  if (!R.Call_->needsClaim())
-    return;
-  SettleClaim S;
-  S.Request_ = R.Call_->Id_;
-  S.Outcome_ = R.outcome();
-  if (R.IsWhole_)
-    S.Answer_ = R.Kept_;
-  Out_.push_back(std::move(S));
-}
-
-// ---- Attempts ---------------------------------------------------------------
-
-bool RequestCore::State::canRetry(Record &R, TimePoint Now) {
-  if (R.Next_)
-    return true;
-  bool MayRunAgain = R.Call_->Repeatable_ || !R.EndedAttemptMayHaveRun_;
-  bool MayGoOn = !R.Answer_.hasBegun() || R.Answer_.canResume();
-  if (!MayRunAgain || !MayGoOn || R.Answered_ || R.CallerGone_)
-    return false;
-  if (Now >= R.Call_->Deadline_ || R.Attempts_ >= Options_.MaxAttempts_)
-    return false;
-  Chooser::Query Q = query(R);
-  R.Next_ = Chooser_.choose(Q, Now);
-  if (!R.Next_ && R.MayTrySameAgain_) {
-    Q.Excluded_.clear();
-    R.Next_ = Chooser_.choose(Q, Now);
-  }
-  // A stream that goes on moves work, it does not repeat it: its place at the
-  // broken endpoint is gone, and its caller holds half an answer.
-  bool GoesOn = R.Answer_.hasBegun();
-  if (R.Next_ && !GoesOn && !Budget_.take(R.Call_->Service_, Now))
-    R.Next_.reset();
-  return R.Next_.has_value();
-}
-
-void RequestCore::State::endAttempt(Record &R, Chooser::Result Result,
-                                    bool MayHaveRun, TimePoint Now) {
-  if (!R.Attempt_)
-    return;
-  ByAttempt_.erase(R.Attempt_->Id_);
-  Chooser_.finished(R.Attempt_->Vm_, Result, Now);
-  R.Attempt_.reset();
-  if (MayHaveRun)
-    R.EndedAttemptMayHaveRun_ = true;
-}
-
-void RequestCore::State::fail(Record &R, Problem P, bool MayHaveRun,
-                              TimePoint Now) {
-  if (P.RetryAfter_ == Duration::zero())
-    P.RetryAfter_ = Admission_.retryAfter(R.Call_->Service_, Now);
-  R.Problem_ = std::move(P);
-  endAttempt(R, Chooser::Result::Failed, MayHaveRun, Now);
-  fire(R, Event::Failed, Now);
-}
-
-// Null for word of an attempt that was given up; its agent is told to stop.
-RequestCore::State::Record *
-RequestCore::State::current(const AttemptSource &From, TimePoint Now) {
-  auto Found = ByAttempt_.find(From.Attempt_);
-  if (Found == ByAttempt_.end())
-    return nullptr;
-  Record &R = Requests_.at(Found->second);
-  AttemptRecord &A = *R.Attempt_;
-  if (From.Incarnation_ == 0 || From.Incarnation_ == A.Incarnation_)
-    return &R;
-  if (!A.Heard_) {
-    // The agent was replaced before the begin reached it.
-    A.Incarnation_ = From.Incarnation_;
-    return &R;
-  }
-  fail(R,
-       problem(StatusBadGateway, Step::Run, R, "agent_replaced",
-               "the agent that ran the request was replaced"),
-       true, Now);
-  return nullptr;
-}
-
-void RequestCore::State::hear(Record &R, const AttemptSource &From,
-                              TimePoint Now) {
-  AttemptRecord &A = *R.Attempt_;
-  A.Heard_ = true;
-  if (!A.Stream_.hasGap())
-    A.HeardAt_ = Now;
-  A.Asks_ = 0;
-  fire(R, Event::Heard, Now);
-}
-
-void RequestCore::State::onWord(const AttemptAccepted &W, TimePoint Now) {
-  if (Record *R = current(W.From_, Now))
-    hear(*R, W.From_, Now);
-}
-
-void RequestCore::State::onWord(const AttemptRefused &W, TimePoint Now) {
-  Record *R = current(W.From_, Now);
-  if (R == nullptr)
-    return;
-  Problem P = problem(StatusUnavailable, Step::Dispatch, *R, W.Reason_,
-                      "the endpoint refused the request");
-  P.RetryAfter_ =
-      std::max(W.RetryAfter_, Admission_.retryAfter(R->Call_->Service_, Now));
-  R->Problem_ = std::move(P);
-  endAttempt(*R, Chooser::Result::Refused, false, Now);
-  fire(*R, Event::Failed, Now);
-}
-
-void RequestCore::State::onWord(const AttemptHead &W, TimePoint Now) {
-  Record *R = current(W.From_, Now);
-  if (R == nullptr)
-    return;
-  hear(*R, W.From_, Now);
-  if (R->Answer_.hasHead() && R->Attempt_->Stream_.offset() > 0)
-    return; // sent again after a question
-  bool IsOther = !W.Version_.empty() && W.Version_ != R->Version_;
-  bool Fits = R->Answer_.head({W.Status_, W.Headers_, R->Version_});
-  if (Fits && !IsOther)
-    return;
-  fail(*R,
-       problem(StatusBadGateway, Step::Run, *R, "wrong_version",
-               "the endpoint answered with another version or kind of body"),
-       true, Now);
-}
-
-void RequestCore::State::onWord(const AttemptData &W, TimePoint Now) {
-  Record *R = current(W.From_, Now);
-  // Bytes before the head cannot be placed; they are asked for again.
-  if (R == nullptr || !R->Answer_.hasHead())
-    return;
-  std::string Bytes = R->Attempt_->Stream_.data(W.Offset_, W.Bytes_);
-  hear(*R, W.From_, Now);
-  if (Bytes.empty())
-    return;
-  if (!R->Attempt_->FirstByteSeen_) {
-    R->Attempt_->FirstByteSeen_ = true;
-    Chooser_.firstByte(R->Attempt_->Vm_, Now - R->Attempt_->BegunAt_, Now);
-  }
-  passOn(*R, R->Answer_.data(Bytes), Now);
-  ack(*R, false);
-  checkEnd(*R, Now);
-}
-
-void RequestCore::State::onWord(const AttemptEnd &W, TimePoint Now) {
-  Record *R = current(W.From_, Now);
-  if (R == nullptr || !R->Answer_.hasHead())
-    return;
-  R->Attempt_->Stream_.end(W.Length_, W.Hash_);
-  hear(*R, W.From_, Now);
-  checkEnd(*R, Now);
-}
-
-void RequestCore::State::onWord(const AttemptFailed &W, TimePoint Now) {
-  Record *R = current(W.From_, Now);
-  if (R == nullptr)
-    return;
-  R->Attempt_->Heard_ = true;
-  Problem P = problem(StatusBadGateway, Step::Run, *R, "attempt_failed",
-                      W.Step_ + ": " + W.Peer_ + ": " + W.Message_);
-  fail(*R, std::move(P), !W.NotRun_, Now);
-}
-
-// "Never seen" by the very process that was meant is a promise: it refuses the
-// attempt from now on. From a process that came after it, it says nothing.
-void RequestCore::State::onWord(const AttemptState &W, TimePoint Now) {
-  auto Found = ByAttempt_.find(W.From_.Attempt_);
-  if (Found == ByAttempt_.end())
-    return;
-  Record &R = Requests_.at(Found->second);
-  AttemptRecord &A = *R.Attempt_;
-  bool SameProcess = W.From_.Incarnation_ == A.Incarnation_;
-  if (W.Phase_ != AttemptState::Phase::NeverSeen) {
-    if (Record *Current = current(W.From_, Now))
-      hear(*Current, W.From_, Now);
-    return;
-  }
-  bool NotRun = SameProcess && !A.Heard_;
-  R.MayTrySameAgain_ = NotRun;
-  fail(R,
-       problem(StatusBadGateway, Step::Dispatch, R, "attempt_lost",
-               NotRun ? "the request did not reach the endpoint"
-                      : "the agent that had the request is gone"),
-       !NotRun, Now);
-}
-
-void RequestCore::State::passOn(Record &R, CallerAnswer::Out Out,
-                                TimePoint Now) {
-  if (R.Answered_ || R.CallerGone_)
-    return;
-  RequestId Id = R.Call_->Id_;
-  const CallerAnswer::Head &Head = R.Answer_.head();
-  if (Out.Begins_) {
-    R.FirstByteAt_ = Now;
-    R.Status_ = Head.Status_;
-    Out_.push_back(StreamBegin{Id, Head.Status_, Head.Headers_, R.Version_});
-  }
-  if (!Out.Bytes_.empty())
-    Out_.push_back(StreamBytes{Id, std::move(Out.Bytes_)});
-}
-
-void RequestCore::State::checkEnd(Record &R, TimePoint Now) {
-  AttemptRecord &A = *R.Attempt_;
-  if (A.Stream_.isCorrupt()) {
-    fail(R,
-         problem(StatusBadGateway, Step::Answer, R, "answer_corrupt",
-                 "length or hash of the answer is wrong"),
-         true, Now);
-    return;
-  }
-  if (!A.Stream_.isWhole())
-    return;
-  ack(R, true);
-  bool IsError = R.Answer_.head().Status_ >= FirstServerError;
-  bool Again = IsError && R.Call_->Repeatable_ && !R.Answer_.hasBegun() &&
-               canRetry(R, Now);
-  if (Again) {
-    fail(R,
-         problem(StatusBadGateway, Step::Run, R, "endpoint_error",
-                 "the endpoint answered with an error"),
-         true, Now);
-    return;
-  }
-  if (!R.FirstByteAt_)
-    R.FirstByteAt_ = Now;
-  R.IsWhole_ = true;
-  if (R.Call_->needsClaim())
-    R.Kept_ = R.Answer_.kept(MaxKeptBody);
-  endAttempt(R, IsError ? Chooser::Result::Failed : Chooser::Result::Answered,
-             true, Now);
-  fire(R, Event::Whole, Now);
-}
-
-// While the caller does not read, nothing more is acknowledged, so the agent
-// stops reading from the engine when its bounded buffer is full.
-void RequestCore::State::ack(Record &R, bool Whole) {
-  AttemptRecord &A = *R.Attempt_;
-  std::uint64_t Open = A.Stream_.offset() - A.Acked_;
-  bool Held = R.CallerBacklog_ > Options_.MaxCallerBacklog_;
-  if (!Whole && (Open < AckEvery || Held))
-    return;
-  A.Acked_ = A.Stream_.offset();
-  Out_.push_back(AckAttempt{A.Id_, A.Address_, A.Acked_});
-}
-
-void RequestCore::State::onLost(Record &R, const ConnectionLost &Lost,
-                                TimePoint Now) {
-  AttemptRecord &A = *R.Attempt_;
-  bool Asking = R.state() != RequestState::Running;
-  if (!Lost.NeverConnected_)
-    return fire(R, Event::Lost, Now);
-  if (Asking) {
-    A.Asks_ = std::max(A.Asks_, AsksBeforeLeaving);
-    return fire(R, Event::Unreachable, Now);
-  }
-  if (A.Heard_)
-    return fire(R, Event::Lost, Now);
-  fail(R,
-       problem(StatusUnavailable, Step::Connect, R, "endpoint_unreachable",
-               Lost.Message_),
-       false, Now);
-}
-
 // ---- Admission ------------------------------------------------------------
 
 Admission::Load RequestCore::State::load(const CallerRequest &R,
@@ -660,7 +196,7 @@
     return fire(R, Event::GivenUp, Now);
   bool Late = Now >= R.Call_->Deadline_ && S != RequestState::Waiting;
   if (Late && !R.Answered_) {
-    R.Problem_ = problem(StatusGatewayTimeout, Step::Answer, R, "deadline",
+    R.Problem_ = problem(status::GatewayTimeout, Step::Answer, R, "deadline",
                          "no whole answer within the deadline");
     fire(R, Event::Deadline, Now);
     return;
@@ -759,7 +295,7 @@
   if (R == nullptr)
     return {};
   if (std::holds_alternative<ClaimWon>(Word)) {
-    R->Problem_ = State_->problem(StatusGatewayTimeout, Step::Claim, *R,
+    R->Problem_ = State_->problem(status::GatewayTimeout, Step::Claim, *R,
                                   "deadline", "the deadline has passed");
     State_->fire(*R, RequestEvent::ClaimWon, Now);
     return State_->take(Now);
@@ -806,7 +342,7 @@
     return {};
   RequestRecord &R = State_->Requests_.at(Found->second);
   State_->fail(R,
-               State_->problem(StatusUnavailable, Step::Dispatch, R,
+               State_->problem(status::Unavailable, Step::Dispatch, R,
                                "process_busy", "this entry is overloaded"),
                false, Now);
   return State_->take(Now);
@@ -818,7 +354,7 @@
     if (R.Attempt_->Vm_ != V || R.Attempt_->Incarnation_ > I)
       return;
     State_->fail(R,
-                 State_->problem(StatusBadGateway, Step::Run, R,
+                 State_->problem(status::BadGateway, Step::Run, R,
                                  "endpoint_gone", "the endpoint's VM is gone"),
                  true, Now);
   });
--- a/hawthornroad/runtime/ControlPlane.cpp
+++ b/hawthornroad/runtime/ControlPlane.cpp
@@ -257,6 +257,14 @@
 
 Revision ControlPlane::revision() const { return State_->InForce_; }
 
+std::size_t ControlPlane::liveEntries() const {
+  const MemberTable &Table = State_->Core_.table();
+  std::size_t Count = Table.self().Role_ == "entry" ? 1 : 0;
+  for (const ProcessName &Each : Table.live())
+    Count += Table.find(Each)->Role_ == "entry" ? 1 : 0;
+  return Count;
+}
+
 boost::json::object ControlPlane::status(TimePoint Now) const {
   const State &S = *State_;
   return controlStatus({.Table_ = S.Core_.table(),
--- a/hawthornroad/runtime/ControlPlane.h
+++ b/hawthornroad/runtime/ControlPlane.h
@@ -72,6 +72,9 @@
 
   bool ready() const;
   Revision revision() const;
+  // Entries believed alive, this process included when it is one: they share
+  // the customers' limits.
+  std::size_t liveEntries() const;
   // Members, revisions applied by each, platform state: for /status.
   boost::json::object status(TimePoint Now) const;
 
--- a/hawthornroad/runtime/EntryProcess.cpp
+++ b/hawthornroad/runtime/EntryProcess.cpp
@@ -1,43 +1,29 @@
 #include "hawthornroad/runtime/EntryProcess.h"
 
-#include "hawthornroad/routing/ClaimCore.h"
-#include "hawthornroad/routing/RequestCore.h"
 #include "hawthornroad/runtime/Address.h"
-#include "hawthornroad/runtime/Admin.h"
 #include "hawthornroad/runtime/AttemptCodec.h"
-#include "hawthornroad/runtime/CallerApi.h"
-#include "hawthornroad/runtime/ClaimTable.h"
-#include "hawthornroad/runtime/ControlPlane.h"
+#include "hawthornroad/runtime/EntryState.h"
 #include "hawthornroad/runtime/Log.h"
-#include "hawthornroad/runtime/RequestReport.h"
 
-#include <atomic>
 #include <boost/json/serialize.hpp>
 #include <chrono>
 #include <random>
 #include <thread>
-#include <unordered_map>
 
 namespace hawthornroad {
 
 namespace {
-constexpr std::size_t LoopRing = 32768;
-constexpr std::size_t IoRing = 32768;
 constexpr Duration TickPeriod = Milliseconds(20);
 // Longest wait for claims to be settled and bytes to be read at a planned stop.
 constexpr Duration SettleAtStop = Seconds(10);
 constexpr Duration StopPoll = Milliseconds(20);
+// How soon limits follow entries that come and go.
+constexpr Duration SharePeriod = Seconds(1);
 constexpr Duration BusyRetryAfter = Milliseconds(500);
 // A claim that takes longer is refused: the caller is not kept waiting for a
 // table that is out.
 constexpr Duration ClaimTimeout = Milliseconds(1000);
 
-Incarnation startTime() {
-  auto Since = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<Incarnation>(
-      std::chrono::duration_cast<std::chrono::nanoseconds>(Since).count());
-}
-
 std::int64_t wallMilliseconds() {
   auto Since = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<Milliseconds>(Since).count();
@@ -50,13 +36,6 @@
   return (std::uint64_t{Device()} << 32) ^ Device();
 }
 
-// Ids must differ between processes, and between lives of one process, even
-// when a test fixes the seed.
-std::uint64_t idSeed() {
-  std::random_device Device;
-  return (std::uint64_t{Device()} << 32) ^ Device() ^ startTime();
-}
-
 Problem processBusy() {
   Problem P;
   P.Cause_ = std::string(toString(RefusalCause::ProcessBusy));
@@ -66,90 +45,16 @@
 }
 } // namespace
 
-struct EntryProcess::State {
-  explicit State(EntrySettings Settings);
-  ~State();
-
-  void listen();
-  PeerNet::Callbacks netCallbacks();
-  ControlPlane::Callbacks controlCallbacks();
-  AdminServer::Hooks adminHooks();
-
-  // On the callers' thread.
-  void onCall(HttpRequest R, std::shared_ptr<HttpExchange> X);
-  // On the peers' thread.
-  void onFrame(const PeerContext &From, const wire::Frame &Frame);
-  void onLost(const PeerContext &From, const Error &E);
-
-  // Inside the loop.
-  void arrive(CallerRequest R, std::shared_ptr<HttpExchange> X, TimePoint Now);
-  void takeFrame(const PeerContext &From, const wire::FrameT &Frame,
-                 TimePoint Now);
-  void tick(TimePoint Now);
-  void run(const RequestCore::Actions &Actions, TimePoint Now);
-  void run(const ClaimCore::Actions &Actions, TimePoint Now);
-  void perform(const BeginAttempt &A, TimePoint Now);
-  void perform(const CancelAttempt &A, TimePoint Now);
-  void perform(const AskAttempt &A, TimePoint Now);
-  void perform(const AckAttempt &A, TimePoint Now);
-  void perform(const RespondWhole &A, TimePoint Now);
-  void perform(const RespondProblem &A, TimePoint Now);
-  void perform(const StreamBegin &A, TimePoint Now);
-  void perform(const StreamBytes &A, TimePoint Now);
-  void perform(const StreamFinish &A, TimePoint Now);
-  void perform(const StreamAbort &A, TimePoint Now);
-  void perform(const StartClaim &A, TimePoint Now);
-  void perform(const SettleClaim &A, TimePoint Now);
-  void perform(const RequestDone &A, TimePoint Now);
-  HttpExchange *exchange(RequestId Id) const;
-  ResponseMark mark(RequestId Id, const VersionDigest &Version) const;
-  std::string statusText(TimePoint Now) const;
-  // Requests, claims and unread bytes that a planned stop waits for.
-  bool isIdle() const;
-
-  EntrySettings Settings_;
-  Incarnation Incarnation_ = startTime();
-  Metrics Metrics_;
-  ActorSystem System_;
-  IoThread CallersIo_{"callers", IoRing};
-  IoThread PeersIo_{"peers", IoRing};
-  IoThread PlatformIo_{"platform", IoRing};
-  IoThread AdminIo_{"admin", 1024};
-  HttpClient Platform_{PlatformIo_};
-
-  Admission Admission_;
-  Chooser Chooser_;
-  RetryBudget Budget_;
-  RequestCore Core_;
-  ClaimCore Claims_;
-  RequestReport Report_{Metrics_};
-
-  std::unique_ptr<DecisionLoop> Loop_;
-  std::unique_ptr<PeerNet> Net_;
-  std::unique_ptr<ControlPlane> Control_;
-  std::unique_ptr<ClaimTable> Table_;
-  std::unique_ptr<HttpServer> Callers_;
-  std::unique_ptr<AdminServer> Admin_;
-  std::string CallersAddress_;
-  std::string PeersAddress_;
-  std::string AdminAddress_;
-
-  // Inside the loop.
-  std::unordered_map<RequestId, std::shared_ptr<HttpExchange>> Exchanges_;
-  // Answered, but with bytes the caller has not read.
-  std::vector<std::shared_ptr<HttpExchange>> Unread_;
-  // Connection of the frame now handled: where a late frame's cancel goes.
-  ConnectionId CurrentConnection_ = 0;
-  Random Ids_{idSeed()};
-
-  std::atomic<bool> Ready_{false};
-  // A planned stop has begun; the listener is closed.
-  std::atomic<bool> Stopping_{false};
-  std::atomic<bool> Draining_{false};
-  std::atomic<bool> Idle_{false};
-  // On the peers' thread: number of the last begin put on a connection.
-  std::uint64_t BegunUpTo_ = 0;
-};
+Incarnation startTime() {
+  auto Since = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<Incarnation>(
+      std::chrono::duration_cast<std::chrono::nanoseconds>(Since).count());
+}
+
+std::uint64_t idSeed() {
+  std::random_device Device;
+  return (std::uint64_t{Device()} << 32) ^ Device() ^ startTime();
+}
 
 namespace {
 RequestCore::Options coreOptions(const EntrySettings &S) {
@@ -191,7 +96,7 @@
 void EntryProcess::State::listen() {
   const ProcessSettings &Common = Settings_.Common_;
   Loop_ = std::make_unique<DecisionLoop>(System_, "decisions", TickPeriod,
-                                         LoopRing);
+                                         EntryRing);
   Net_ = std::make_unique<PeerNet>(
       PeersIo_,
       PeerNet::Self{Common.Process_, Incarnation_, Common.Zone_, "entry"},
@@ -312,8 +217,9 @@
   ControlPlane::Callbacks C;
   C.OnDeclaration_ = [this](std::shared_ptr<const Declaration> D, Revision R) {
     Net_->setRevision(R);
-    Admission_.configure(D, 1);
+    Declaration_ = D;
     Core_.configure(std::move(D));
+    shareLimits();
     Metrics_.set("hawthornroad_revision", static_cast<double>(R));
   };
   C.OnEndpoint_ = [this](const EndpointStatus &S, TimePoint Now) {
@@ -376,6 +282,11 @@
 void EntryProcess::State::tick(TimePoint Now) {
   Claims_.setWallClock(wallMilliseconds(), Now);
   Ready_.store(Control_->ready());
+  if (Now - SharedAt_ >= SharePeriod) {
+    SharedAt_ = Now;
+    if (Control_->liveEntries() != LiveEntries_)
+      shareLimits();
+  }
   for (RequestId Id : Core_.heldBack())
     if (const HttpExchange *X = exchange(Id))
       run(Core_.callerBacklog(Id, X->backlog(), Now), Now);
@@ -392,123 +303,11 @@
   }
 }
 
-void EntryProcess::State::run(const RequestCore::Actions &Actions,
-                              TimePoint Now) {
-  for (const RequestAction &Each : Actions)
-    std::visit([&](const auto &A) { perform(A, Now); }, Each);
-}
-
-void EntryProcess::State::run(const ClaimCore::Actions &Actions,
-                              TimePoint Now) {
-  for (const ClaimAction &Each : Actions) {
-    if (const auto *W = std::get_if<TableWrite>(&Each))
-      Table_->run(*W);
-    else if (const auto *R = std::get_if<TableRead>(&Each))
-      Table_->run(*R);
-    else
-      run(Core_.claimWord(std::get<ClaimWord>(Each), Now), Now);
-  }
-}
-
-// The marker behind the frame tells the peers' thread which begins it has put
-// on a connection; see RequestCore.h, "Truth of not run".
-void EntryProcess::State::perform(const BeginAttempt &A, TimePoint Now) {
-  if (!Net_->send(A.Address_, Lane::Requests, toFrame(A))) {
-    run(Core_.notSent(A.Attempt_, Now), Now);
-    return;
-  }
-  PeersIo_.submit([this, Number = A.Number_] { BegunUpTo_ = Number; });
-  log(LogLevel::Debug, Step::Dispatch, "attempt begun",
-      {{"request", A.Request_->Id_.str()},
-       {"attempt", A.Attempt_.str()},
-       {"peer", A.Address_.str()}});
-}
-
-void EntryProcess::State::perform(const CancelAttempt &A, TimePoint) {
-  if (A.Address_.empty())
-    Net_->reply(CurrentConnection_, toFrame(A));
-  else
-    Net_->send(A.Address_, Lane::Requests, toFrame(A));
-}
-
-void EntryProcess::State::perform(const AskAttempt &A, TimePoint) {
-  if (A.Fresh_)
-    Net_->sendFresh(A.Address_, Lane::Requests, toFrame(A));
-  else
-    Net_->send(A.Address_, Lane::Requests, toFrame(A));
-  Metrics_.count("hawthornroad_attempt_questions_total",
-                 {{"fresh", A.Fresh_ ? "yes" : "no"}});
-}
-
-void EntryProcess::State::perform(const AckAttempt &A, TimePoint) {
-  Net_->send(A.Address_, Lane::Requests, toFrame(A));
-}
-
-HttpExchange *EntryProcess::State::exchange(RequestId Id) const {
-  auto Found = Exchanges_.find(Id);
-  return Found == Exchanges_.end() ? nullptr : Found->second.get();
-}
-
-ResponseMark EntryProcess::State::mark(RequestId Id,
-                                       const VersionDigest &Version) const {
-  return {Id, Control_->revision(), Version};
-}
-
-void EntryProcess::State::perform(const RespondWhole &A, TimePoint) {
-  HttpResponse R{A.Status_, toHttp(A.Headers_), A.Body_};
-  addMark(R.Headers_, mark(A.Request_, A.Version_), Outcome::Answered);
-  if (HttpExchange *X = exchange(A.Request_))
-    X->respond(std::move(R));
-}
-
-void EntryProcess::State::perform(const RespondProblem &A, TimePoint) {
-  if (HttpExchange *X = exchange(A.Request_))
-    X->respond(problemResponse(A.Problem_, mark(A.Request_, A.Version_)));
-}
-
-void EntryProcess::State::perform(const StreamBegin &A, TimePoint) {
-  HttpHeaders Headers = toHttp(A.Headers_);
-  addMark(Headers, mark(A.Request_, A.Version_), Outcome::Answered);
-  if (HttpExchange *X = exchange(A.Request_))
-    X->head(A.Status_, std::move(Headers));
-}
-
-void EntryProcess::State::perform(const StreamBytes &A, TimePoint) {
-  if (HttpExchange *X = exchange(A.Request_))
-    X->write(A.Bytes_);
-}
-
-void EntryProcess::State::perform(const StreamFinish &A, TimePoint) {
-  if (HttpExchange *X = exchange(A.Request_))
-    X->finish();
-}
-
-void EntryProcess::State::perform(const StreamAbort &A, TimePoint) {
-  HttpExchange *X = exchange(A.Request_);
-  if (X == nullptr)
-    return;
-  if (A.IsEvents_)
-    X->write("event: error\ndata: " + problemText(A.Problem_, A.Request_) +
-             "\n\n");
-  X->abort();
-}
-
-void EntryProcess::State::perform(const StartClaim &A, TimePoint Now) {
-  run(Claims_.start(A.Request_, Now), Now);
-}
-
-void EntryProcess::State::perform(const SettleClaim &A, TimePoint Now) {
-  run(Claims_.settle(A, Now), Now);
-}
-
-void EntryProcess::State::perform(const RequestDone &A, TimePoint) {
-  Report_.done(A);
-  auto Found = Exchanges_.find(A.Request_->Id_);
-  if (Found == Exchanges_.end())
+void EntryProcess::State::shareLimits() {
+  if (!Declaration_)
     return;
-  if (Found->second->backlog() > 0)
-    Unread_.push_back(std::move(Found->second));
-  Exchanges_.erase(Found);
+  LiveEntries_ = Control_->liveEntries();
+  Admission_.configure(Declaration_, std::max<std::size_t>(LiveEntries_, 1));
 }
 
 bool EntryProcess::State::isIdle() const {
