--- a/tests/unit/ControlCoreTest.cpp
+++ b/tests/unit/ControlCoreTest.cpp
@@ -97,22 +97,31 @@
   CHECK(F.Loop_.runUntil([&] { return F.allKnowAll(); }, Seconds(10)));
 }
 
-// A VM is frozen for longer than the suspicion lasts, and thaws. The others
+// A VM is frozen just after it has sent a probe, for longer than a suspicion
+// lasts; its connections are lost meanwhile, the answer with them. The others
 // rightly held it dead; it must come back without anybody's help, and must not
-// itself call the fleet dead for the answers it slept through.
+// itself suspect others for the answers it slept through.
 TEST_CASE("frozen member, once thawed, refutes and accuses nobody",
           "[controlcore]") {
   Fleet F({.Nodes_ = 12, .Zones_ = 2, .Seed_ = 4});
   F.join();
   F.Loop_.run(Seconds(2));
   ControlLoop::Node &Frozen = F.Loop_.node(5);
-  Frozen.Frozen_ = true;
-  F.Loop_.run(Seconds(10));
+  F.Loop_.Observer_ = [&](const ControlLoop::Node &From, const ControlSend &S) {
+    if (&From == &Frozen && std::holds_alternative<ProbeMessage>(S.Message_))
+      Frozen.Frozen_ = true;
+  };
+  F.Loop_.run(Seconds(12));
   CHECK(F.stateAt(0, 5) == MemberState::Dead);
+  F.Loop_.Observer_ = nullptr;
+  Frozen.Held_.clear();
+  Frozen.Changes_.clear();
   F.Loop_.thaw(Frozen);
   CHECK(F.Loop_.runUntil([&] { return F.allKnowAll(); }, Seconds(10)));
-  for (const auto &[Change, At] : Frozen.Changes_)
+  for (const auto &[Change, At] : Frozen.Changes_) {
+    CHECK(Change.Kind_ != Kind::Suspected);
     CHECK(Change.Kind_ != Kind::Died);
+  }
 }
 
 // A zone is cut off from the others and from the platform for a minute. Each
