--- a/scripts/demo_fleet.py
+++ b/scripts/demo_fleet.py
@@ -25,6 +25,8 @@
 WEIGHT_BYTES = 4 * 1024 * 1024
 ORIGIN_BYTES_PER_SECOND = 4 * 1024 * 1024
 CALLERS = 6
+# Share of the customers' declared rates that the callers send.
+LOAD = 0.4
 SECONDS_TO_READY = 60
 SECONDS_TO_ROLL_OUT = 120
 ENTRIES_PER_ZONE = 3
@@ -194,9 +196,18 @@
         return False
 
     def answers_everywhere(self):
-        return all(caller_request(self, random.Random(1), service, entry)[0] == "answered"
+        """Whether each entry answers for each service; a limit's 429 is an answer of its own."""
+        rng = random.Random(1)
+        largest = max(self.customers(), key=self.declared_rate)
+        return all(caller_request(self, rng, largest, service, entry)[:2] in (("answered", 200), ("not-run", 429))
                    for entry in self.entries for service in self.text["services"])
 
+    def customers(self):
+        return sorted(self.text["customers"])
+
+    def declared_rate(self, customer):
+        return self.text["customers"][customer]["requests_per_second"]
+
     def stop(self):
         daemons = self.entries + list(self.agents.values())
         for process in self.entries:
@@ -217,9 +228,8 @@
             self.stopped_badly.append(f"{process.name}: {status}")
 
 
-def caller_request(fleet, rng, service, entry):
-    """One call; returns (outcome, status, version, events whole)."""
-    customer = rng.choice(sorted(fleet.text["customers"]))
+def caller_request(fleet, rng, customer, service, entry):
+    """One call; returns (outcome, status, version)."""
     headers = {"Hawthornroad-Customer": customer, "Hawthornroad-Deadline-Ms": "20000",
                "Content-Type": "application/json"}
     kind = fleet.text["services"][service]["kind"]
@@ -244,12 +254,16 @@
 
 
 def keep_calling(fleet, seed, stop, tally, latencies):
+    """Sends its share of the customers' declared rates until told to stop."""
     rng = random.Random(seed)
-    while not stop.is_set():
+    rates = [fleet.declared_rate(customer) for customer in fleet.customers()]
+    pause = CALLERS / (LOAD * sum(rates))
+    while not stop.wait(rng.expovariate(1 / pause)):
+        customer = rng.choices(fleet.customers(), rates)[0]
         service = rng.choice(sorted(fleet.text["services"]))
         entry = rng.choice(fleet.entries)
         began = time.time()
-        outcome, status, version = caller_request(fleet, rng, service, entry)
+        outcome, status, version = caller_request(fleet, rng, customer, service, entry)
         latencies.append(time.time() - began)
         tally[(outcome, status)] += 1
         if version:
