Window: it grows again from between two whole numbers

Cause: a window of 3.9 allows three attempts, and three was taken for a window that holds nothing back, so it never grew. Ruled out: that the window recovers too slowly.

--- a/hawthornroad/routing/Chooser.cpp
+++ b/hawthornroad/routing/Chooser.cpp
@@ -389,14 +389,14 @@
   switch (R) {
   case Result::Answered:
     G.Outliers_.answered(E->Health_, Now);
-    E->Pool_->noteAnswered(Now);
+    E->Pool_->noteAnswered();
     break;
   case Result::Failed:
     G.Outliers_.failed(E->Health_, G.Ready_, Now);
     break;
   case Result::Refused:
     E->BusyUntil_ = Now + BusyFor;
-    E->Pool_->noteRefused(Now);
+    E->Pool_->noteRefused();
     G.Outliers_.inconclusive(E->Health_);
     break;
   case Result::Cancelled:
--- a/hawthornroad/routing/ConcurrencyWindow.cpp
+++ b/hawthornroad/routing/ConcurrencyWindow.cpp
@@ -13,23 +13,17 @@
 constexpr double AnswerAdds = 0.03;
 constexpr double AnswerEvens = 0.2;
 constexpr double RefusalTakes = 1;
-// The longer no refusal has come, the more an answer adds: the overload that
-// shrank the window is over.
-constexpr double HastePerSecond = 0.3;
 // Only a window that holds requests back may grow.
 constexpr double NearlyFull = 0.8;
 } // namespace
 
-void ConcurrencyWindow::answered(double InProgress, TimePoint Now) {
-  if (InProgress < NearlyFull * Size_)
+void ConcurrencyWindow::answered(double InProgress) {
+  if (InProgress + 1 < NearlyFull * Size_)
     return;
-  double Quiet = std::chrono::duration<double>(Now - Refused_).count();
-  double Haste = 1 + std::max(0.0, Quiet) * HastePerSecond;
-  Size_ += Haste * (AnswerAdds + AnswerEvens / Size_);
+  Size_ += AnswerAdds + AnswerEvens / Size_;
 }
 
-void ConcurrencyWindow::refused(double InProgress, TimePoint Now) {
-  Refused_ = Now;
+void ConcurrencyWindow::refused(double InProgress) {
   double Widest = FirstSize * InProgress + 1;
   Size_ = std::max(1.0, std::min(Size_, Widest) - RefusalTakes);
 }
--- a/hawthornroad/routing/ConcurrencyWindow.h
+++ b/hawthornroad/routing/ConcurrencyWindow.h
@@ -3,8 +3,8 @@
 //
 //   ConcurrencyWindow W;
 //   if (W.allows(OwnInProgress)) dispatch;
-//   W.answered(OwnInProgress, Now);
-//   W.refused(OwnInProgress, Now);
+//   W.answered(OwnInProgress);
+//   W.refused(OwnInProgress);
 //
 // In overload every entry would fill each place it believes free, by reports
 // that are seconds old, and endpoints would refuse a good part of it all. As in
@@ -19,8 +19,6 @@
 #ifndef HAWTHORNROAD_ROUTING_CONCURRENCYWINDOW_H
 #define HAWTHORNROAD_ROUTING_CONCURRENCYWINDOW_H
 
-#include "hawthornroad/base/Types.h"
-
 #include <limits>
 
 namespace hawthornroad {
@@ -28,13 +26,12 @@
 class ConcurrencyWindow {
 public:
   bool allows(double InProgress) const { return InProgress + 1 <= Size_; }
-  void answered(double InProgress, TimePoint Now);
-  void refused(double InProgress, TimePoint Now);
+  void answered(double InProgress);
+  void refused(double InProgress);
   double size() const { return Size_; }
 
 private:
   double Size_ = std::numeric_limits<double>::infinity();
-  TimePoint Refused_;
 };
 
 } // namespace hawthornroad
--- a/hawthornroad/routing/EndpointPool.h
+++ b/hawthornroad/routing/EndpointPool.h
@@ -108,8 +108,8 @@
   // Latency is from dispatch to the first byte of an answer of E.
   static void noteFirstByte(PooledEndpoint &E, Duration Latency, TimePoint Now);
   // An attempt ended at a member: whole, or refused for want of a place.
-  void noteAnswered(TimePoint Now) { Window_.answered(Own_, Now); }
-  void noteRefused(TimePoint Now) { Window_.refused(Own_, Now); }
+  void noteAnswered() { Window_.answered(Own_); }
+  void noteRefused() { Window_.refused(Own_); }
 
   // How much slower than its peers' its tokens are; 1 unless well beyond what
   // load explains.
--- a/tests/unit/LoadEstimateTest.cpp
+++ b/tests/unit/LoadEstimateTest.cpp
@@ -2,6 +2,7 @@
 #include "hawthornroad/routing/ConcurrencyWindow.h"
 
 #include <catch2/catch.hpp>
+#include <cmath>
 
 using namespace hawthornroad;
 
@@ -107,3 +108,21 @@
   REQUIRE(Large.size() + Small.size() == Approx(100).margin(5));
   REQUIRE(Difference() < Before / 2);
 }
+
+TEST_CASE("window, holding requests back at any size, grows", "[load]") {
+  // A burst shrinks an entry's window. Between two whole numbers, what is in
+  // progress can be well below it and yet one more not allowed: taken for a
+  // window that holds nothing back, it never grew again, and that entry kept
+  // its callers waiting for good beside idle endpoints.
+  for (double InProgress = 1; InProgress < 30; ++InProgress) {
+    ConcurrencyWindow W;
+    for (double Step = 0; Step < 50; ++Step) {
+      W.refused(InProgress);
+      double Held = std::floor(W.size());
+      double Before = W.size();
+      REQUIRE_FALSE(W.allows(Held));
+      W.answered(Held);
+      REQUIRE(W.size() > Before);
+    }
+  }
+}
