--- a/bench/RoutingModel.cpp
+++ b/bench/RoutingModel.cpp
@@ -1,5 +1,7 @@
 #include "bench/RoutingModel.h"
 
+#include "bench/ModelCallers.h"
+#include "bench/ModelResult.h"
 #include "hawthornroad/base/Random.h"
 #include "hawthornroad/config/Declaration.h"
 #include "hawthornroad/routing/Admission.h"
@@ -16,19 +18,10 @@
 
 namespace {
 const ServiceName Service("copywriter-lm");
-constexpr std::size_t LargeCustomers = 2;
-constexpr std::size_t SmallCustomers = 8;
-constexpr double SmallShare = 0.025; // of the capacity, each
-constexpr double SlowFactor = 4;
 constexpr Duration Tick = Milliseconds(20);
 constexpr Duration ReportPeriod = Seconds(1);
 constexpr std::size_t BudgetedAttempts = 3;
 constexpr std::size_t NaiveAttempts = 5;
-constexpr double PrefillTokens = 10;
-constexpr double LeastTokens = 20;
-constexpr double MoreTokens = 30; // mean of the exponential part
-constexpr double MostTokens = 250;
-
 Duration toDuration(double InSeconds) {
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(InSeconds));
@@ -83,8 +76,6 @@
   void report(std::size_t Engine);
   void scheduleArrival(std::size_t Customer);
   void arrive(std::size_t Customer);
-  EngineWork drawWork();
-  std::size_t drawEntry(std::size_t Customer);
   void tick(std::size_t Entry);
   void pump(std::size_t Entry);
   Chooser::Query query(const ModelRequest &R) const;
@@ -104,7 +95,6 @@
   void end(std::uint64_t Number, bool InTime);
   void noteRefused(std::uint64_t Number);
   void summarize();
-  double rateOf(std::size_t Customer) const;
   bool isFailing(std::size_t Engine) const {
     return Engine < Scenario_.FailingEndpoints_;
   }
@@ -115,9 +105,8 @@
   TimePoint Start_{Seconds(1000)};
   EventQueue Events_{Start_};
   double Capacity_;
-  std::vector<ModelCustomer> Customers_;
-  std::vector<std::vector<double>> EntryWeights_;
-  std::vector<double> PrefixWeights_;
+  ModelCallers Callers_;
+  const std::vector<ModelCustomer> &Customers_ = Callers_.customers();
   std::vector<EndpointStatus> Statuses_;
   std::vector<std::unique_ptr<EngineModel>> Engines_;
   // Attempts sent to each endpoint and not ended: the true load.
@@ -137,19 +126,10 @@
 RequestId idOf(std::uint64_t Number) { return RequestId{1, Number}; }
 
 Model::Model(const Scenario &S, const ModelPolicy &P, std::uint64_t Seed)
-    : Scenario_(S), Policy_(P), Rng_(Seed), Capacity_(capacityOf(S)) {
-  const double Small = SmallShare * Capacity_;
-  const double Large =
-      (S.Load_ * Capacity_ - SmallCustomers * Small) / LargeCustomers;
-  for (std::size_t I = 0; I < LargeCustomers; ++I)
-    Customers_.push_back({"large-" + std::to_string(I), 4, Large, true});
-  for (std::size_t I = 0; I < SmallCustomers; ++I)
-    Customers_.push_back({"small-" + std::to_string(I), 1, Small, false});
+    : Scenario_(S), Policy_(P), Rng_(Seed), Capacity_(capacityOf(S)),
+      Callers_(S, Capacity_, Rng_) {
   OfferedBy_.resize(Customers_.size());
   InTimeBy_.resize(Customers_.size());
-  for (std::size_t I = 1; I <= S.Prefixes_; ++I)
-    PrefixWeights_.push_back(1.0 / static_cast<double>(I) +
-                             (I > 1 ? PrefixWeights_.back() : 0));
   makeEndpoints();
   makeEntries(Seed);
 }
@@ -202,13 +182,6 @@
       E.Chooser_.update(Status, Start_);
     Events_.after(Tick, [this, I] { tick(I); });
   }
-  // Callers hold connections, so a customer's requests come unevenly.
-  for (std::size_t C = 0; C < Customers_.size(); ++C) {
-    std::vector<double> Sums;
-    for (std::size_t I = 0; I < Count; ++I)
-      Sums.push_back(0.25 + Rng_.unit() + (I > 0 ? Sums.back() : 0));
-    EntryWeights_.push_back(std::move(Sums));
-  }
 }
 
 void Model::report(std::size_t Engine) {
@@ -231,54 +204,24 @@
   Events_.after(ReportPeriod, [this, Engine] { report(Engine); });
 }
 
-double Model::rateOf(std::size_t Customer) const {
-  double Rate = Customers_[Customer].Rate_;
-  if (Customer != 0 || Scenario_.BurstFactor_ == 1)
-    return Rate;
-  double At =
-      std::fmod(toSeconds(Events_.now() - Start_), Scenario_.BurstPeriod_);
-  return At < Scenario_.BurstSeconds_ ? Rate * Scenario_.BurstFactor_ : Rate;
-}
-
 // Poisson arrivals; a rate that varies is thinned from its highest.
 void Model::scheduleArrival(std::size_t Customer) {
-  double Highest = Customers_[Customer].Rate_;
-  if (Customer == 0)
-    Highest *= std::max(1.0, Scenario_.BurstFactor_);
+  double Highest = Callers_.highestRate(Customer);
   double Gap = -std::log(1 - Rng_.unit()) / Highest;
   Events_.after(toDuration(Gap), [this, Customer, Highest] {
-    if (Rng_.unit() < rateOf(Customer) / Highest)
+    if (Rng_.unit() * Highest <
+        Callers_.rateAt(Customer, Events_.now() - Start_))
       arrive(Customer);
     scheduleArrival(Customer);
   });
 }
 
-EngineWork Model::drawWork() {
-  EngineWork W{.PrefillTokens_ = PrefillTokens};
-  double More = -std::log(1 - Rng_.unit()) * MoreTokens;
-  W.Tokens_ = std::min(MostTokens, LeastTokens + More);
-  if (PrefixWeights_.empty())
-    return W;
-  double At = Rng_.unit() * PrefixWeights_.back();
-  auto Found =
-      std::lower_bound(PrefixWeights_.begin(), PrefixWeights_.end(), At);
-  W.Prefix_ = static_cast<std::uint64_t>(Found - PrefixWeights_.begin()) + 1;
-  return W;
-}
-
-std::size_t Model::drawEntry(std::size_t Customer) {
-  const std::vector<double> &Sums = EntryWeights_[Customer];
-  double At = Rng_.unit() * Sums.back();
-  auto Found = std::upper_bound(Sums.begin(), Sums.end(), At);
-  return std::min<std::size_t>(Found - Sums.begin(), Sums.size() - 1);
-}
-
 void Model::arrive(std::size_t C) {
   ModelRequest R;
   R.Number_ = NextRequest_++;
   R.Customer_ = C;
-  R.Entry_ = drawEntry(C);
-  R.Work_ = drawWork();
+  R.Entry_ = Callers_.drawEntry(C, Rng_);
+  R.Work_ = Callers_.drawWork(Rng_);
   R.Arrival_ = Events_.now();
   R.Deadline_ = R.Arrival_ + toDuration(Scenario_.DeadlineSeconds_);
   R.Counted_ = R.Arrival_ >= Start_ + toDuration(Scenario_.WarmUpSeconds_);
@@ -545,29 +488,6 @@
   Requests_.erase(Found);
 }
 
-// Each customer's weighted max-min share of the capacity: fill up in
-// proportion to weights, and give what a satisfied customer leaves to others.
-std::vector<double> maxMinShares(const std::vector<ModelCustomer> &Customers,
-                                 const std::vector<double> &Demand,
-                                 double Capacity) {
-  std::vector<double> Share(Demand.size());
-  std::vector<bool> Satisfied(Demand.size());
-  for (std::size_t Round = 0; Round < Demand.size(); ++Round) {
-    double Left = Capacity;
-    double Weights = 0;
-    for (std::size_t I = 0; I < Demand.size(); ++I) {
-      Left -= Satisfied[I] ? Demand[I] : 0;
-      Weights += Satisfied[I] ? 0 : Customers[I].Weight_;
-    }
-    for (std::size_t I = 0; I < Demand.size(); ++I)
-      if (!Satisfied[I])
-        Share[I] = std::min(Demand[I], Left * Customers[I].Weight_ / Weights);
-    for (std::size_t I = 0; I < Demand.size(); ++I)
-      Satisfied[I] = Share[I] >= Demand[I];
-  }
-  return Share;
-}
-
 void Model::summarize() {
   const double Length = Scenario_.Seconds_ - Scenario_.WarmUpSeconds_;
   Result_.Goodput_ = static_cast<double>(Answered_) / Length / Capacity_;
@@ -579,25 +499,8 @@
   }
   if (Hits + Misses > 0)
     Result_.HitShare_ = static_cast<double>(Hits) / double(Hits + Misses);
-  std::vector<double> Demand;
-  for (std::size_t N : OfferedBy_)
-    Demand.push_back(static_cast<double>(N) / Length);
-  auto Shares = maxMinShares(Customers_, Demand, Capacity_);
-  double Sum = 0, Squares = 0;
-  std::array<std::size_t, 2> Offered{}, InTime{};
-  for (std::size_t I = 0; I < Customers_.size(); ++I) {
-    double Got = double(InTimeBy_[I]) / Length / std::max(Shares[I], 1e-9);
-    Sum += std::min(1.0, Got);
-    Squares += std::min(1.0, Got) * std::min(1.0, Got);
-    Offered[Customers_[I].IsLarge_] += OfferedBy_[I];
-    InTime[Customers_[I].IsLarge_] += InTimeBy_[I];
-    if (!Customers_[I].IsLarge_ && OfferedBy_[I] > 0)
-      Result_.SmallWorst_ = std::min(
-          Result_.SmallWorst_, double(InTimeBy_[I]) / double(OfferedBy_[I]));
-  }
-  Result_.Fairness_ = Sum * Sum / (double(Customers_.size()) * Squares);
-  Result_.Small_ = double(InTime[0]) / double(Offered[0]);
-  Result_.Large_ = double(InTime[1]) / double(Offered[1]);
+  summarizeCustomers(Customers_, OfferedBy_, InTimeBy_, Length, Capacity_,
+                     Result_);
 }
 
 ModelResult Model::run() {
@@ -615,28 +518,9 @@
 }
 } // namespace
 
-double capacityOf(const Scenario &S) {
-  const EngineModel::Setup Healthy;
-  const double Tokens = PrefillTokens + LeastTokens + MoreTokens;
-  const double Full = Healthy.TokenSeconds_ * (1 + Healthy.LoadFactor_);
-  const double Each = static_cast<double>(Healthy.Capacity_) / (Tokens * Full);
-  const auto All = static_cast<double>(S.Zones_ * S.EndpointsPerZone_);
-  const auto Slow = static_cast<double>(S.SlowEndpoints_);
-  const auto Failing = static_cast<double>(S.FailingEndpoints_);
-  return Each * (All - Slow - Failing + Slow / SlowFactor);
-}
-
 ModelResult runModel(const Scenario &S, const ModelPolicy &P,
                      std::uint64_t Seed) {
   return Model(S, P, Seed).run();
 }
 
-double quantile(std::vector<double> Samples, double Share) {
-  if (Samples.empty())
-    return 0;
-  auto At = static_cast<std::size_t>(Share * double(Samples.size() - 1));
-  std::nth_element(Samples.begin(), Samples.begin() + At, Samples.end());
-  return Samples[At];
-}
-
 } // namespace hawthornroad
