Choice: failing endpoints cost more even when none is an outlier

Those endpoints always have free places, drew all requests, and as nearly all attempts failed none stood out among its peers, so none was ejected. Failures now raise an endpoint's cost, and fade, so that it is tried again. The new test 'endpoints, most of them failing fast' was seen failing without it (298 of 300 requests failed; under 60 wanted).

--- a/bench/RoutingBench.cpp
+++ b/bench/RoutingBench.cpp
@@ -60,6 +60,7 @@
   Wide.Seconds_ = 45;
   Add("slow").SlowEndpoints_ = 1;
   Add("fails-fast").FailingEndpoints_ = 1;
+  Add("fails-most").FailingEndpoints_ = 10;
   Scenario &Burst = Add("burst");
   Burst.Load_ = 0.8;
   Burst.BurstFactor_ = 4;
--- a/hawthornroad/routing/Admission.h
+++ b/hawthornroad/routing/Admission.h
@@ -9,18 +9,20 @@
 //   }
 //   while (auto Id = A.next(Service, Now))       // when a place came free
 //     dispatch(*Id);
+//   if (endpointRefused) A.requeue(Id);          // it did not run: wait again
 //   for (const auto &Out : A.expire(Now)) refuse(Out);
 //
 // The idea. Each customer has a token bucket and a bound of requests in
-// progress, divided by the number of live entries. Waiting requests stand in
-// one queue a service, served by start-time fair queueing: within a priority
-// class, customers get places in proportion to their weights; classes are
-// served in order, yet a lower class keeps a small guaranteed share. A request
-// whose deadline cannot be met by the backlog before it is refused on arrival,
-// as is the one that would wait longest when the queue is full (the most
-// backlogged customer's latest, not the newcomer, when those differ).
-// RetryAfter is the time the backlog needs to drain, jittered, so that refused
-// callers do not come back together.
+// progress, divided by the number of live entries; as traffic reaches entries
+// unevenly each may use twice its even share, so that the fleet's bound is
+// twice the declared one. Waiting requests stand in one queue a service, served
+// by start-time fair queueing: within a priority class, customers get places in
+// proportion to their weights; classes are served in order, yet a lower class
+// keeps a small guaranteed share. A request whose deadline cannot be met by the
+// backlog before it is refused on arrival, as is the one that would wait
+// longest when the queue is full (the most backlogged customer's latest, not
+// the newcomer, when those differ). RetryAfter is the time the backlog needs to
+// drain, jittered, so that refused callers do not come back together.
 //
 // No I/O, no clock, no threads. Bounds: the declared queue per service.
 
@@ -109,6 +111,7 @@
   std::vector<Refusal> expire(TimePoint Now);
 
   std::size_t waiting(const ServiceName &Service) const;
+  // Requests of the customer that are admitted or wait.
   std::size_t inProgress(const Customer &C) const;
   // The time to come back for a refusal decided elsewhere (no endpoint, a
   // platform outage): backlog-based and jittered, at least 200 ms.
--- a/hawthornroad/routing/Chooser.cpp
+++ b/hawthornroad/routing/Chooser.cpp
@@ -296,8 +296,8 @@
     auto Roomy = *Pools;
     std::erase_if(Roomy, [](const EndpointPool *P) { return !P->isRoomy(); });
     PooledEndpoint *E = chooseFrom(Roomy, Q);
-    // A slow endpoint is worse than a healthy one in another zone.
-    if (E && E->Pool_->slowness(*E) == 1)
+    // A slow or failing one is worse than a sound one in another zone.
+    if (E && E->Pool_->isSound(*E))
       return E;
   }
   for (auto *Pools : {&Own, &Others})
--- a/hawthornroad/routing/Chooser.h
+++ b/hawthornroad/routing/Chooser.h
@@ -11,9 +11,11 @@
 // every entry to the same idle endpoint. The chooser counts its own attempts in
 // progress on top of the last report, and of those counted before that report
 // none twice. Among ready endpoints of its own zone (others only when that zone
-// has no ready one, or all of its are full) it takes the endpoint that a prefix
-// hashes to while its load is within a bound of the mean, else the less loaded
-// of two drawn at random. An endpoint that fails much more often than its peers
+// has no ready one, or all of its are full as far as late reports can tell) it
+// takes the endpoint that a prefix hashes to while its load is within a bound
+// of the mean, else the least loaded of a few drawn at random. Endpoints that
+// refuse for want of a place shrink the number of attempts this entry keeps in
+// progress there. An endpoint that fails much more often than its peers
 // is ejected for a growing time, never more than a set share at once, and let
 // back by single probes.
 // Cost: one choice looks at a few endpoints, not at all.
--- a/hawthornroad/routing/EndpointPool.cpp
+++ b/hawthornroad/routing/EndpointPool.cpp
@@ -25,6 +25,9 @@
 constexpr Duration FirstByteFor = Seconds(10);
 // Bounds the trust in a reported token time.
 constexpr double MostSlowness = 8.0;
+// An endpoint whose recent failures make up this share costs more to choose.
+constexpr double FailingFrom = 0.3;
+constexpr double FailureCost = 8.0;
 // An endpoint counts as slow beyond what more load than its peers explains.
 constexpr double SlowFrom = 1.6;
 } // namespace
@@ -228,7 +231,7 @@
     PooledEndpoint *E = Slots_[C.Handles_[I]].get();
     if (E->Position_ >= Open_ || Excluded.contains(E->Status_.Vm_))
       continue;
-    if (slowness(*E) > 1)
+    if (!isSound(*E))
       continue;
     if (E->Taken_ <= AffinityBound * MeanUse * E->Places_ + 1)
       return E;
@@ -254,6 +257,15 @@
   return nullptr;
 }
 
+// Endpoints that fail fast always have free places, and when most of them do,
+// none is an outlier: the least loaded would draw every request to its failure.
+// Failures fade, so one that is spared comes to be tried again.
+double EndpointPool::failurePenalty(const PooledEndpoint &E) {
+  const OutlierEjection::Tally &T = E.Health_.Tally_;
+  double Rate = T.Failed_ / (T.Answered_ + T.Failed_ + 1);
+  return Rate > FailingFrom ? 1 + FailureCost * Rate : 1;
+}
+
 double EndpointPool::slowness(const PooledEndpoint &E) const {
   if (E.PooledStepMs_ <= 0 || Steps_ < 2)
     return 1;
@@ -263,7 +275,7 @@
 }
 
 double EndpointPool::cost(const PooledEndpoint &E) const {
-  return (1 + E.Taken_ / E.Places_) * slowness(E);
+  return (1 + E.Taken_ / E.Places_) * slowness(E) * failurePenalty(E);
 }
 
 } // namespace hawthornroad
--- a/hawthornroad/routing/EndpointPool.h
+++ b/hawthornroad/routing/EndpointPool.h
@@ -114,6 +114,10 @@
   // How much slower than its peers' its tokens are; 1 unless well beyond what
   // load explains.
   double slowness(const PooledEndpoint &E) const;
+  // Neither slow nor failing: worth choosing before another zone.
+  bool isSound(const PooledEndpoint &E) const {
+    return slowness(E) == 1 && failurePenalty(E) == 1;
+  }
   // Expected relative time of an attempt there; lower is better.
   double cost(const PooledEndpoint &E) const;
 
@@ -137,6 +141,7 @@
 
   // Everybody's attempts, by the latest reports.
   double inProgress() const;
+  static double failurePenalty(const PooledEndpoint &E);
   static double stepMs(const PooledEndpoint &E, TimePoint Now);
   double typicalOthers() const;
   void swapMembers(std::size_t A, std::size_t B);
--- a/hawthornroad/routing/RetryBudget.h
+++ b/hawthornroad/routing/RetryBudget.h
@@ -22,8 +22,9 @@
 public:
   struct Options {
     double Share_ = 0.1;
-    // Retries a second a service always has.
-    double Floor_ = 1.0;
+    // Retries a second a service always has. An entry sees a few requests a
+    // second of a service; one retry a second would be a third of those.
+    double Floor_ = 0.2;
     Duration Window_ = Seconds(10);
   };
 
--- a/tests/unit/ChooserTest.cpp
+++ b/tests/unit/ChooserTest.cpp
@@ -390,3 +390,31 @@
   REQUIRE(Held(LateHeld) >= 7);
   REQUIRE(Held(Early) >= 7);
 }
+
+TEST_CASE_METHOD(
+    ChooserFixture,
+    "endpoints, most of them failing fast, do not draw the requests",
+    "[chooser]") {
+  // A bad release fails at once on most endpoints. They have free places all
+  // the time and none stands out among its peers, so least load sends them
+  // everything, though the sound ones could serve it.
+  addReady(6);
+  std::size_t Failed = 0;
+  std::vector<Vm> Running;
+  for (std::size_t I = 0; I < 300; ++I) {
+    Now_ += Milliseconds(50);
+    auto V = send(query());
+    REQUIRE(V);
+    if (*V == vm(4) || *V == vm(5)) {
+      Running.push_back(*V);
+    } else {
+      C_.finished(*V, Chooser::Result::Failed, Now_);
+      ++Failed;
+    }
+    if (Running.size() < 6)
+      continue;
+    C_.finished(Running.front(), Chooser::Result::Answered, Now_);
+    Running.erase(Running.begin());
+  }
+  REQUIRE(Failed < 60);
+}
--- a/tests/unit/RetryBudgetTest.cpp
+++ b/tests/unit/RetryBudgetTest.cpp
@@ -10,7 +10,7 @@
 // Retries granted over Length when every request of a steady Rate fails and
 // every failure asks for a retry.
 std::size_t granted(double Rate, Seconds Length) {
-  RetryBudget B;
+  RetryBudget B({.Share_ = 0.1, .Floor_ = 1.0});
   TimePoint Now{Seconds(500)};
   auto Gap = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(1 / Rate));
