The thawed agent's proof thaws it while its replacement's load is under way

Before, it passed with pause detection and the standing down both taken out: the engine's silence and the settle time kept the old agent from acting. An engine that is loading is ordered without a turn, and there it now fails without them: fencing ordered after.

--- a/tests/integration/OrdersTest.cpp
+++ b/tests/integration/OrdersTest.cpp
@@ -11,10 +11,11 @@
 namespace {
 // One VM whose engine checks fencing numbers or ignores them.
 struct OrdersFixture {
-  std::unique_ptr<Fleet> build(bool Checks, json::object AgentSettings) {
+  std::unique_ptr<Fleet> build(bool Checks, json::object AgentSettings,
+                               const std::string &LoadMs) {
     AgentSettings["report_period_ms"] = 100;
     AgentSettings["probe_period_ms"] = 200;
-    std::vector<std::string> Options = {"--token-ms", "2", "--load-ms", "200"};
+    std::vector<std::string> Options = {"--token-ms", "2", "--load-ms", LoadMs};
     if (Checks)
       Options.push_back("--checks-fencing");
     return FleetBuilder()
@@ -90,7 +91,7 @@
   bool Checks = GENERATE(true, false);
   bool Dies = GENERATE(true, false);
   CAPTURE(Checks, Dies);
-  auto F = build(Checks, {{"lock_listen", freeAddress()}});
+  auto F = build(Checks, {{"lock_listen", freeAddress()}}, "200");
   WeightVersion V1 = F->publishWeights("v1", 1);
   WeightVersion V2 = F->publishWeights("v2", 2);
   apply(*F, V1, Checks);
@@ -120,16 +121,17 @@
 }
 
 // The worse case: two agents of one VM without a common lock. The first is
-// frozen with an order for the second version at hand; its replacement brings
-// the third into force; the first thaws. Its own order is older than the one in
-// force, so callers would get the second version after the third.
+// frozen while it wants the second version; its replacement orders the third;
+// the first thaws while the engine loads. An engine that serves nothing is
+// loaded without a turn, so the first would order the second version at once,
+// and callers would get it after the third was ordered.
 TEST_CASE_METHOD(OrdersFixture,
                  "agent that thaws beside its replacement, without a lock, "
                  "gives no older order",
                  "[orders]") {
   bool Checks = GENERATE(true, false);
   CAPTURE(Checks);
-  auto F = build(Checks, {});
+  auto F = build(Checks, {}, "3000");
   WeightVersion V1 = F->publishWeights("v1", 1);
   WeightVersion V2 = F->publishWeights("v2", 2);
   WeightVersion V3 = F->publishWeights("v3", 3);
@@ -150,8 +152,14 @@
                        .Program_ = First.Program_,
                        .Arguments_ = {"--settings", First.SettingsFile_}},
                       F->folder());
-  awaitServes(*F, V3, "the replacement brings the third version into force");
+  eventually(
+      [&] {
+        auto Model = getJson(First.Endpoint_->address(), "/admin/model");
+        return textAt(Model, "version") == V3.Digest_.str();
+      },
+      "the replacement orders the third version", 2 * Patience);
   First.Process_->resume();
+  awaitServes(*F, V3, "the third version is served");
   // It may give orders again, and wants none or waits for its turn: it has had
   // its chance.
   eventually(
