--- a/hawthornroad/membership/MemberTable.h
+++ b/hawthornroad/membership/MemberTable.h
@@ -9,9 +9,11 @@
 //   Table.tick(Now);                       // suspicions and keeping run out
 //
 // Rules beside the order of words (Member.h):
-// - Hearsay of a death makes an Alive member only Suspect here. After a cut
-//   heals, each side holds the other dead; taken at its word, that would empty
-//   the choice of endpoints on both sides until each member has refuted.
+// - Hearsay of a death makes a live member only Suspect here; a member is dead
+//   when the suspicion has run out here. After a cut heals, each side holds the
+//   other dead; taken at its word, that would empty the choice of endpoints on
+//   both sides until each member has refuted. Word of the suspicion travels
+//   with the first accusation, so that waiting for it costs little.
 // - The dead and the left are kept for DeadKeep_, so that late word of an old
 //   incarnation revives nothing. A member back after that is probed like any.
 // - Revision and report have orders of their own: the highest revision within
@@ -58,6 +60,8 @@
   ProcessName Process_;
   // The endpoint concerned, of agents; may be null.
   std::shared_ptr<const EndpointStatus> Report_;
+  // Of Reported: only the load is another.
+  bool LoadOnly_ = false;
 };
 std::string_view toString(MemberChange::Kind K);
 
@@ -77,6 +81,8 @@
   Changes hear(const Member &News, TimePoint Now);
   // A probe of Process stayed unanswered.
   Changes accuse(const ProcessName &Process, TimePoint Now);
+  // R is in force in the process with this mark (config/InForceSet.h).
+  void noteInForce(std::uint32_t Mark, Revision R);
   Changes tick(TimePoint Now);
   // Moves every deadline by Gap. A process that was paused has heard nothing
   // for that long, which says nothing about the others.
@@ -127,6 +133,7 @@
   Member Self_;
   Limits Limits_;
   std::unordered_map<ProcessName, Record> Records_;
+  std::unordered_map<std::uint32_t, ProcessName> ByMark_;
   std::set<std::pair<TimePoint, ProcessName>> Deadlines_;
   std::vector<ProcessName> Live_;
   std::vector<ProcessName> Gone_;
--- a/hawthornroad/routing/EndpointPool.cpp
+++ b/hawthornroad/routing/EndpointPool.cpp
@@ -1,6 +1,7 @@
 #include "hawthornroad/routing/EndpointPool.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hawthornroad {
 
@@ -13,14 +14,19 @@
 // A place counts as free when the estimate, which is fractional, leaves most
 // of one.
 constexpr double LeastFreePlace = 0.5;
-// The share of places beyond them that may be used by entries with little in
-// progress; agents let a quarter wait.
+// The share of places beyond them that an entry with little in progress may
+// use; agents let a quarter wait.
 constexpr double WaitingPlaces = 0.2;
 // A prefix's endpoint is passed over beyond this multiple of the mean load.
-constexpr double AffinityBound = 1.25;
+constexpr double AffinityBound = 1.0;
+// First bytes that are enough to judge by, that count, and for how long.
+constexpr std::size_t FairFirstBytes = 4;
+constexpr std::size_t FirstBytesKept = 16;
+constexpr Duration FirstByteFor = Seconds(10);
 // Bounds the trust in a reported token time.
-constexpr double LeastSlowness = 0.5;
 constexpr double MostSlowness = 8.0;
+// An endpoint counts as slow beyond what more load than its peers explains.
+constexpr double SlowFrom = 1.6;
 } // namespace
 
 EndpointPool::EndpointPool(const EndpointSlots &Slots, AvailabilityZone Zone,
@@ -93,6 +99,27 @@
   E.Due_ = Due;
 }
 
+// What the agent reports; an endpoint whose agent reports no time is judged by
+// the first bytes that came from it lately. Old ones do not count: an endpoint
+// shunned for being slow sends none, and would be shunned for ever.
+double EndpointPool::stepMs(const PooledEndpoint &E, TimePoint Now) {
+  if (E.Status_.StepMs_ > 0)
+    return E.Status_.StepMs_;
+  if (E.FirstBytes_ < FairFirstBytes || Now - E.FirstByteAt_ > FirstByteFor)
+    return 0;
+  return E.FirstByteMs_;
+}
+
+void EndpointPool::noteFirstByte(PooledEndpoint &E, Duration Latency,
+                                 TimePoint Now) {
+  if (Now - E.FirstByteAt_ > FirstByteFor)
+    E.FirstBytes_ = 0;
+  E.FirstBytes_ = std::min(E.FirstBytes_ + 1, FirstBytesKept);
+  E.FirstByteAt_ = Now;
+  double Ms = std::chrono::duration<double, std::milli>(Latency).count();
+  E.FirstByteMs_ += (Ms - E.FirstByteMs_) / static_cast<double>(E.FirstBytes_);
+}
+
 void EndpointPool::refresh(PooledEndpoint &E, std::size_t Limit,
                            TimePoint Now) {
   addSums(E, -1);
@@ -103,8 +130,16 @@
   E.PooledOwn_ = static_cast<double>(E.Load_.own());
   E.PooledOthers_ = E.Load_.reportedOthers();
   E.PooledLatest_ = E.Load_.latestOthers();
-  E.PooledStepMs_ = std::max(0.0F, E.Status_.StepMs_);
+  // It has just refused: whatever reports say, it is full and more.
+  if (Now < E.BusyUntil_)
+    E.PooledLatest_ = std::max(E.PooledLatest_,
+                               E.Places_ * (1 + WaitingPlaces) - E.PooledOwn_);
+  E.PooledStepMs_ = stepMs(E, Now);
   E.Taken_ = E.Load_.total(Now, typicalOthers());
+  // An ejected endpoint has no places to give; counted, they would make a pool
+  // look roomy whose other members are full.
+  if (E.Health_.Ejected_)
+    E.Places_ = E.Taken_ = E.PooledLatest_ = 0;
   addSums(E, 1);
   noteEjection(E);
   bool HasPlace = E.Taken_ + LeastFreePlace <= E.Places_;
@@ -130,21 +165,27 @@
   return Own_ + std::max(0.0, Latest_);
 }
 
+// Beyond all its places, for two reasons. By late reports a pool is as often
+// emptier as fuller than it seems, and to wait at the entry for a place that is
+// free costs more than to wait in an engine for one that is not. And entries
+// that fill each place they see come free keep what they have, so that one with
+// little sees none free for as long as the overload lasts: its callers are
+// refused while its neighbours' are served. So the less of the load is its own,
+// the further an entry may go; the others then see the pool as full and give
+// way until shares are about even.
 bool EndpointPool::isFull() const {
-  return !Window_.allows(Own_) || inProgress() + LeastFreePlace > Places_;
-}
-
-// Entries that fill each place they see come free keep what they have, and one
-// that has little sees no place free for as long as the overload lasts: its
-// callers are refused while those of its neighbours are served. So the less of
-// the load is its own, the further an entry may go beyond the places; the
-// others then see the pool as full and give way until shares are even.
-bool EndpointPool::hasSlack() const {
   if (!Window_.allows(Own_))
-    return false;
+    return true;
   double Load = inProgress();
-  double OwnShare = Load > 0 ? Own_ / Load : 1;
-  return Load + 1 <= Places_ * (1 + WaitingPlaces * (1 - OwnShare));
+  double OthersShare = Load > 0 ? 1 - Own_ / Load : 0;
+  return Load + LeastFreePlace > Places_ * (1 + WaitingPlaces * OthersShare);
+}
+
+// What others have in progress now differs from what they had when the reports
+// were made by about the root of it, as independent arrivals and ends make it.
+bool EndpointPool::isRoomy() const {
+  double Margin = std::sqrt(std::max(0.0, Latest_));
+  return inProgress() + Margin + 1 <= Places_;
 }
 
 PooledEndpoint *EndpointPool::drawFull(Random &Rng,
@@ -155,6 +196,9 @@
     PooledEndpoint *E = Members_[(At + I) % Members_.size()];
     if (E->Health_.Ejected_ || Now < E->BusyUntil_)
       continue;
+    // Never more than the declared places for one entry alone.
+    if (E->PooledOwn_ + 1 > E->Places_)
+      continue;
     if (!Excluded.contains(E->Status_.Vm_))
       return E;
   }
@@ -184,6 +228,8 @@
     PooledEndpoint *E = Slots_[C.Handles_[I]].get();
     if (E->Position_ >= Open_ || Excluded.contains(E->Status_.Vm_))
       continue;
+    if (slowness(*E) > 1)
+      continue;
     if (E->Taken_ <= AffinityBound * MeanUse * E->Places_ + 1)
       return E;
   }
@@ -208,13 +254,16 @@
   return nullptr;
 }
 
+double EndpointPool::slowness(const PooledEndpoint &E) const {
+  if (E.PooledStepMs_ <= 0 || Steps_ < 2)
+    return 1;
+  double Peers = (StepMs_ - E.PooledStepMs_) / static_cast<double>(Steps_ - 1);
+  double Ratio = E.PooledStepMs_ / Peers;
+  return Ratio > SlowFrom ? std::min(Ratio, MostSlowness) : 1;
+}
+
 double EndpointPool::cost(const PooledEndpoint &E) const {
-  double Slowness = 1;
-  if (E.PooledStepMs_ > 0 && Steps_ > 0) {
-    double Mean = StepMs_ / static_cast<double>(Steps_);
-    Slowness = std::clamp(E.PooledStepMs_ / Mean, LeastSlowness, MostSlowness);
-  }
-  return (E.Taken_ + 1) / E.Places_ * Slowness;
+  return (1 + E.Taken_ / E.Places_) * slowness(E);
 }
 
 } // namespace hawthornroad
