--- a/hawthornroad/runtime/WeightTransfer.cpp
+++ b/hawthornroad/runtime/WeightTransfer.cpp
@@ -1,14 +1,8 @@
-#include "hawthornroad/runtime/WeightTransfer.h"
-
-#include "hawthornroad/base/Chart.h"
 #include "hawthornroad/runtime/Log.h"
-#include "hawthornroad/runtime/WeightSwarm.h"
-#include "hawthornroad/runtime/WeightUploads.h"
-#include "hawthornroad/weights/ManifestPlan.h"
+#include "hawthornroad/runtime/WeightTransferState.h"
 
 #include <algorithm>
 #include <chrono>
-#include <map>
 
 namespace hawthornroad {
 
@@ -16,27 +10,6 @@
 // Pause before a failed transfer is tried again.
 constexpr Duration RetryPause = Seconds(1);
 
-// Names of charts/transfer.json, by position.
-enum class Phase {
-  Idle,
-  Manifest,
-  Opening,
-  Fetching,
-  Verifying,
-  Staged,
-  Failed
-};
-enum class Word {
-  Wanted,
-  ManifestRead,
-  Opened,
-  AllHeld,
-  WholeRight,
-  Error,
-  Retry
-};
-enum class Act { SeekManifest, Open, JoinSwarm, Verify, Report };
-
 ChartNames chartNames() {
   return {
       .States_ = {"idle", "manifest", "opening", "fetching", "verifying",
@@ -47,12 +20,6 @@
       .Actions_ = {"seek_manifest", "open", "join_swarm", "verify", "report"}};
 }
 
-// What the file thread finds when it opens a version.
-struct Opened {
-  std::vector<bool> Held_;
-  std::string Note_;
-};
-
 std::uint64_t seedOf(const ProcessSettings &S) {
   if (S.RandomSeed_ != 0)
     return S.RandomSeed_ ^ std::hash<std::string>()(S.Process_.str());
@@ -61,91 +28,44 @@
 }
 } // namespace
 
-struct WeightTransfer::State : std::enable_shared_from_this<State> {
-  State(Setup S, DecisionLoop &Loop, PeerNet &Net, IoThread &FileIo,
-        HttpClient &Client, Metrics &M, Callbacks C)
-      : Setup_(std::move(S)),
-        Callbacks_(std::move(C)), Work_{Loop, Net, FileIo, M,
-                                        std::make_shared<ChunkStore>(
-                                            Setup_.Settings_.WeightsFolder_)},
-        Origin_(Client, Loop, Setup_.Settings_.Origin_,
-                Setup_.Settings_.Common_.Platform_.Table_),
-        Chart_(Chart::load(Setup_.Settings_.Common_.Charts_, "transfer",
-                           chartNames())),
-        Phase_(Chart_.initial()), Random_(seedOf(Setup_.Settings_.Common_)),
-        Uploads_(std::make_shared<WeightUploads>(
-            Work_, Setup_.Settings_.UploadRate_)) {}
-
-  void fire(Word W, TimePoint Now);
-  void act(Act A, TimePoint Now);
-  void seekManifest(TimePoint Now);
-  void askForManifest(TimePoint Now);
-  void onManifestBytes(const VersionDigest &Version, const std::string &Bytes,
-                       const std::string &From, TimePoint Now);
-  void open();
-  void joinSwarm(TimePoint Now);
-  void verify();
-  void fail(std::string Why, TimePoint Now);
-  void dropOld();
-  void tick(TimePoint Now);
-  void tell(const Vm &To, const VersionDigest &Version);
-  void onReply(const PeerContext &From, wire::ChunkReplyT &Reply,
-               TimePoint Now);
-  bool isCurrent(const VersionDigest &V) const {
-    return Wish_ && Wish_->Model_.Version_ == V;
-  }
-  bool isIn(Phase P) const { return static_cast<Phase>(Phase_) == P; }
-  bool swarms(const VersionDigest &V) const {
-    return Swarm_ && Swarm_->version() == V;
-  }
-
-  Setup Setup_;
-  Callbacks Callbacks_;
-  WeightWork Work_;
-  OriginClient Origin_;
-  Chart Chart_;
-  std::size_t Phase_;
-  Random Random_;
-  std::shared_ptr<WeightUploads> Uploads_;
-  bool Recovered_ = false;
-  std::map<VersionDigest, StoredVersion> Staged_;
-  // Oldest first.
-  std::vector<VersionDigest> StagedOrder_;
-  std::set<VersionDigest> Protected_;
-  std::vector<WeightPeer> Peers_;
-  std::optional<WantedVersion> Wish_;
-  std::optional<ManifestPlan> ManifestPlan_;
-  std::optional<Manifest> Manifest_;
-  std::string ManifestBytes_;
-  Opened Opened_;
-  std::shared_ptr<WeightSwarm> Swarm_;
-  std::string Failure_;
-  TimePoint RetryAt_{};
-};
-
-void WeightTransfer::State::fire(Word W, TimePoint Now) {
+WeightTransfer::State::State(Setup S, DecisionLoop &Loop, PeerNet &Net,
+                             IoThread &FileIo, HttpClient &Client, Metrics &M,
+                             Callbacks C)
+    : Setup_(std::move(S)),
+      Callbacks_(std::move(C)), Work_{Loop, Net, FileIo, M,
+                                      std::make_shared<ChunkStore>(
+                                          Setup_.Settings_.WeightsFolder_)},
+      Origin_(Client, Loop, Setup_.Settings_.Origin_,
+              Setup_.Settings_.Common_.Platform_.Table_),
+      Chart_(Chart::load(Setup_.Settings_.Common_.Charts_, "transfer",
+                         chartNames())),
+      Phase_(Chart_.initial()), Random_(seedOf(Setup_.Settings_.Common_)),
+      Uploads_(std::make_shared<WeightUploads>(Work_,
+                                               Setup_.Settings_.UploadRate_)) {}
+
+void WeightTransfer::State::fire(TransferEvent E, TimePoint Now) {
   Chart::Step S =
-      Chart_.fire(Phase_, static_cast<std::size_t>(W), [&](std::size_t) {
+      Chart_.fire(Phase_, static_cast<std::size_t>(E), [&](std::size_t) {
         return Wish_ && Staged_.contains(Wish_->Model_.Version_);
       });
   if (!S.Taken_)
     return;
   Phase_ = S.Next_;
   for (std::size_t A : S.Actions_)
-    act(static_cast<Act>(A), Now);
+    act(static_cast<TransferAction>(A), Now);
 }
 
-void WeightTransfer::State::act(Act A, TimePoint Now) {
+void WeightTransfer::State::act(TransferAction A, TimePoint Now) {
   switch (A) {
-  case Act::SeekManifest:
+  case TransferAction::SeekManifest:
     return seekManifest(Now);
-  case Act::Open:
+  case TransferAction::Open:
     return open();
-  case Act::JoinSwarm:
+  case TransferAction::JoinSwarm:
     return joinSwarm(Now);
-  case Act::Verify:
+  case TransferAction::Verify:
     return verify();
-  case Act::Report:
+  case TransferAction::Report:
     return Callbacks_.OnChange_(Now);
   }
 }
@@ -162,62 +82,21 @@
   askForManifest(Now);
 }
 
-void WeightTransfer::State::askForManifest(TimePoint Now) {
-  std::optional<Vm> From = ManifestPlan_->next(Now, Random_);
-  if (!From)
-    return;
-  VersionDigest Version = Wish_->Model_.Version_;
-  if (!From->empty()) {
-    wire::ChunkRequestT Request;
-    Request.manifest = Version.str();
-    Request.index = ManifestIndex;
-    Request.vm = Setup_.Settings_.Vm_.str();
-    for (const WeightPeer &P : Peers_)
-      if (P.Vm_ == *From)
-        Work_.Net_.send(P.WeightsAddress_, Lane::Weights, makeFrame(Request));
-    return;
-  }
-  Origin_.readFile(Wish_->Model_.Manifest_, weak_from_this(),
-                   [this, Version](const OriginAnswer &A, TimePoint Later) {
-                     if (!isCurrent(Version) || !isIn(Phase::Manifest))
-                       return;
-                     if (A.End_ != OriginEnd::Good)
-                       return fail(A.Why_, Later);
-                     onManifestBytes(Version, A.Bytes_, Origin_.origin(),
-                                     Later);
-                   });
-}
-
-void WeightTransfer::State::onManifestBytes(const VersionDigest &Version,
-                                            const std::string &Bytes,
-                                            const std::string &From,
-                                            TimePoint Now) {
-  if (!isCurrent(Version) || !isIn(Phase::Manifest))
-    return;
-  try {
-    Manifest_ = Manifest::parse(Bytes, Version, From);
-  } catch (const Error &E) {
-    return fail(E.what(), Now);
-  }
-  ManifestBytes_ = Bytes;
-  fire(Word::ManifestRead, Now);
-}
-
 void WeightTransfer::State::open() {
-  runOnFile<Opened>(
+  runOnFile<OpenedVersion>(
       Work_, weak_from_this(),
       [M = *Manifest_, Bytes = ManifestBytes_](ChunkStore &Store) {
         Store.dropPartials(M.version());
-        return Opened{Store.open(M, Bytes), Store.readNote(M.version())};
+        return OpenedVersion{Store.open(M, Bytes), Store.readNote(M.version())};
       },
-      [this, Version = Manifest_->version()](const FileOutcome<Opened> &Out,
-                                             TimePoint Now) {
-        if (!isCurrent(Version) || !isIn(Phase::Opening))
+      [this, Version = Manifest_->version()](
+          const FileOutcome<OpenedVersion> &Out, TimePoint Now) {
+        if (!isCurrent(Version) || !isIn(TransferPhase::Opening))
           return;
         if (!Out.Result_)
           return fail(Out.Why_, Now);
         Opened_ = *Out.Result_;
-        fire(Word::Opened, Now);
+        fire(TransferEvent::Opened, Now);
       });
 }
 
@@ -256,7 +135,7 @@
       },
       [this, Version = Manifest_->version()](
           const FileOutcome<std::string> &Out, TimePoint Now) {
-        if (!isCurrent(Version) || !isIn(Phase::Verifying))
+        if (!isCurrent(Version) || !isIn(TransferPhase::Verifying))
           return;
         if (!Out.Result_)
           return fail(Out.Why_, Now);
@@ -266,7 +145,7 @@
         log(LogLevel::Info, Step::Verify, "version is staged",
             {{"version", Version.str()}});
         dropOld();
-        fire(Word::WholeRight, Now);
+        fire(TransferEvent::WholeRight, Now);
       });
 }
 
@@ -275,7 +154,7 @@
   RetryAt_ = Now + RetryPause;
   log(LogLevel::Warning, Step::Fetch, "transfer failed, will be retried",
       {{"version", Wish_->Model_.Version_.str()}, {"detail", Failure_}});
-  fire(Word::Error, Now);
+  fire(TransferEvent::Error, Now);
 }
 
 void WeightTransfer::State::dropOld() {
@@ -306,58 +185,17 @@
   Uploads_->tick(Now);
   if (!Recovered_ || !Wish_)
     return;
-  if (isIn(Phase::Manifest))
+  if (isIn(TransferPhase::Manifest))
     askForManifest(Now);
-  if (isIn(Phase::Failed) && Now >= RetryAt_)
-    fire(Word::Retry, Now);
+  if (isIn(TransferPhase::Failed) && Now >= RetryAt_)
+    fire(TransferEvent::Retry, Now);
   if (!Swarm_)
     return;
   Swarm_->tick(Now);
-  if (isIn(Phase::Fetching))
+  if (isIn(TransferPhase::Fetching))
     Failure_ = Swarm_->failure(Now);
-  if (isIn(Phase::Fetching) && Swarm_->isDone())
-    fire(Word::AllHeld, Now);
-}
-
-void WeightTransfer::State::onReply(const PeerContext &From,
-                                    wire::ChunkReplyT &Reply, TimePoint Now) {
-  VersionDigest Version(Reply.manifest);
-  if (Reply.error.empty()) {
-    wire::ChunkTakenT Taken;
-    Taken.manifest = Reply.manifest;
-    Taken.index = Reply.index;
-    Taken.vm = Setup_.Settings_.Vm_.str();
-    Work_.Net_.reply(From.Connection_, makeFrame(std::move(Taken)));
-  }
-  if (Reply.index == ManifestIndex) {
-    if (Reply.error.empty())
-      onManifestBytes(Version, {Reply.bytes.begin(), Reply.bytes.end()},
-                      From.Address_.str(), Now);
-    return;
-  }
-  if (!swarms(Version))
-    return;
-  for (const WeightPeer &P : Peers_)
-    if (P.WeightsAddress_ == From.Address_)
-      Swarm_->onReply(P.Vm_, Reply, Now);
-}
-
-// A version that lies here whole, though it is not the one being fetched.
-void WeightTransfer::State::tell(const Vm &To, const VersionDigest &Version) {
-  auto Found = Staged_.find(Version);
-  if (Found == Staged_.end())
-    return;
-  ChunkSet All(Found->second.Manifest_.chunkCount());
-  for (ChunkIndex I = 0; I < All.size(); ++I)
-    All.add(I);
-  wire::ChunkHaveT Have;
-  Have.manifest = Version.str();
-  Have.vm = Setup_.Settings_.Vm_.str();
-  Have.uploads = static_cast<std::uint32_t>(Uploads_->load());
-  Have.bitmap = All.bytes();
-  for (const WeightPeer &P : Peers_)
-    if (P.Vm_ == To)
-      Work_.Net_.send(P.WeightsAddress_, Lane::Weights, makeFrame(Have));
+  if (isIn(TransferPhase::Fetching) && Swarm_->isDone())
+    fire(TransferEvent::AllHeld, Now);
 }
 
 WeightTransfer::WeightTransfer(Setup S, DecisionLoop &Loop, PeerNet &Net,
@@ -383,7 +221,7 @@
           S->StagedOrder_.push_back(V.Manifest_.version());
         }
         if (S->Wish_)
-          S->fire(Word::Wanted, Now);
+          S->fire(TransferEvent::Wanted, Now);
         S->Callbacks_.OnChange_(Now);
       });
 }
@@ -396,7 +234,7 @@
   if (!SameVersion && S.Recovered_) {
     S.Swarm_.reset();
     S.Failure_.clear();
-    S.fire(Word::Wanted, Now);
+    S.fire(TransferEvent::Wanted, Now);
   } else if (S.Swarm_) {
     S.Swarm_->setRollout(S.Wish_->Rollout_);
   }
@@ -412,38 +250,6 @@
   State_->Protected_ = std::move(Versions);
 }
 
-bool WeightTransfer::onFrame(const PeerContext &From, wire::FrameT &Frame,
-                             TimePoint Now) {
-  State &S = *State_;
-  switch (Frame.body.type) {
-  case wire::Body::ChunkHave: {
-    const wire::ChunkHaveT &Have = *Frame.body.AsChunkHave();
-    if (S.swarms(VersionDigest(Have.manifest)))
-      S.Swarm_->onHave(Have, Now);
-    return true;
-  }
-  case wire::Body::ChunkAsk: {
-    const wire::ChunkAskT &Ask = *Frame.body.AsChunkAsk();
-    if (S.swarms(VersionDigest(Ask.manifest)))
-      S.Swarm_->onAsk(Vm(Ask.vm), Now);
-    else
-      S.tell(Vm(Ask.vm), VersionDigest(Ask.manifest));
-    return true;
-  }
-  case wire::Body::ChunkRequest:
-    S.Uploads_->onRequest(From, *Frame.body.AsChunkRequest(), Now);
-    return true;
-  case wire::Body::ChunkTaken:
-    S.Uploads_->onTaken(*Frame.body.AsChunkTaken(), Now);
-    return true;
-  case wire::Body::ChunkReply:
-    S.onReply(From, *Frame.body.AsChunkReply(), Now);
-    return true;
-  default:
-    return false;
-  }
-}
-
 void WeightTransfer::onLost(const PeerContext &Peer, TimePoint Now) {
   State_->Uploads_->onLost(Peer.Connection_, Now);
   if (State_->Swarm_)
--- a/hawthornroad/weights/Swarm.cpp
+++ b/hawthornroad/weights/Swarm.cpp
@@ -184,7 +184,8 @@
 }
 
 bool Swarm::isLateInZone(SliceIndex S, TimePoint Now) const {
-  return Now - ZoneNews_[S] >= patience(Owners_.zoneRank(S));
+  auto Rank = static_cast<Duration::rep>(Owners_.zoneRank(S));
+  return Now - ZoneNews_[S] >= Setup_.ZonePatience_ * Rank;
 }
 
 bool Swarm::isLate(SliceIndex S, std::size_t Rank, TimePoint Now) const {
--- a/hawthornroad/weights/Swarm.h
+++ b/hawthornroad/weights/Swarm.h
@@ -88,6 +88,9 @@
     // long when the origin's bytes do.
     Duration TimePatience_ = Seconds(1);
     Duration OriginBytesPatience_ = Seconds(4);
+    // Time without news in the zone after which the next of the zone's order
+    // crosses; needless crossing costs messages, not the origin.
+    Duration ZonePatience_ = Seconds(4);
     // Chunks seen of the average other slice since a silent slice's last.
     std::size_t LagNews_ = 3;
     // Pause after the origin could not be reached, and after it sent wrong
