Entry's stop: wait for claims is bounded; a broken stream's last event goes out before the reset

Cause: a stop with the table out would have waited for revocations up to ten minutes; abort() overtook writes posted just before it, so the error event was sent or not by chance of threads. HttpServer.cpp: what was written before abort() is sent first.

--- a/hawthornroad/runtime/EntryProcess.cpp
+++ b/hawthornroad/runtime/EntryProcess.cpp
@@ -302,7 +302,7 @@
                static_cast<double>(Claims_.dropped()));
   if (Draining_.load()) {
     Core_.drain();
-    Idle_.store(isIdle());
+    noteProgressOfStop();
   }
 }
 
@@ -313,8 +313,9 @@
   Admission_.configure(Declaration_, std::max<std::size_t>(LiveEntries_, 1));
 }
 
-bool EntryProcess::State::isIdle() const {
-  return Core_.open() == 0 && Claims_.open() == 0 && Unread_.empty();
+void EntryProcess::State::noteProgressOfStop() {
+  AllSettled_.store(Core_.open() == 0 && Claims_.open() == 0);
+  AllAnswered_.store(Core_.inProgress() == 0 && Unread_.empty());
 }
 
 std::string EntryProcess::State::statusText(TimePoint Now) const {
@@ -365,6 +366,14 @@
   return Line;
 }
 
+namespace {
+void waitFor(const std::atomic<bool> &Condition, Duration Bound) {
+  TimePoint Limit = std::chrono::steady_clock::now() + Bound;
+  while (!Condition.load() && std::chrono::steady_clock::now() < Limit)
+    std::this_thread::sleep_for(StopPoll);
+}
+} // namespace
+
 void EntryProcess::drain() {
   State &S = *State_;
   // The balancer needs a while to see /readyz fail; until then its callers
@@ -373,10 +382,10 @@
   std::this_thread::sleep_for(S.Settings_.DrainGrace_);
   S.Callers_->closeListener();
   S.Draining_.store(true);
-  TimePoint Limit = std::chrono::steady_clock::now() +
-                    S.Settings_.MaxDeadline_ + SettleAtStop;
-  while (!S.Idle_.load() && std::chrono::steady_clock::now() < Limit)
-    std::this_thread::sleep_for(StopPoll);
+  waitFor(S.AllAnswered_, S.Settings_.MaxDeadline_ + SettleAtStop);
+  // A claim that the table does not take is left as it is: its key will be
+  // told "unknown".
+  waitFor(S.AllSettled_, SettleAtStop);
   S.Loop_->post([&S](TimePoint Now) { S.Control_->leave(Now); });
   std::this_thread::sleep_for(5 * StopPoll);
 }
--- a/hawthornroad/runtime/EntryState.h
+++ b/hawthornroad/runtime/EntryState.h
@@ -67,8 +67,9 @@
   HttpExchange *exchange(RequestId Id) const;
   ResponseMark mark(RequestId Id, const VersionDigest &Version) const;
   std::string statusText(TimePoint Now) const;
-  // Requests, claims and unread bytes that a planned stop waits for.
-  bool isIdle() const;
+  // Whether each caller has its whole answer; whether the claims are settled.
+  void noteProgressOfStop();
+
   // Tells admission how many entries share the limits.
   void shareLimits();
 
@@ -114,7 +115,8 @@
   // A planned stop has begun; the listener is closed.
   std::atomic<bool> Stopping_{false};
   std::atomic<bool> Draining_{false};
-  std::atomic<bool> Idle_{false};
+  std::atomic<bool> AllAnswered_{false};
+  std::atomic<bool> AllSettled_{false};
   // On the peers' thread: number of the last begin put on a connection.
   std::uint64_t BegunUpTo_ = 0;
 };
--- a/hawthornroad/runtime/HttpServer.cpp
+++ b/hawthornroad/runtime/HttpServer.cpp
@@ -285,7 +285,9 @@
                                std::shared_ptr<Exchange> X) {
   OutputQueue &Out = X->output();
   for (;;) {
-    if (Out.Gone_ || Out.Aborted_)
+    // What was written before abort() still goes out: a broken stream's last
+    // event says why it is broken.
+    if (Out.Gone_ || (Out.Aborted_ && Out.Pending_.empty()))
       co_return false;
     if (!Out.Pending_.empty()) {
       std::string Text = std::move(Out.Pending_.front());
