--- a/hawthornroad/routing/ConcurrencyWindow.cpp
+++ b/hawthornroad/routing/ConcurrencyWindow.cpp
@@ -18,7 +18,7 @@
 } // namespace
 
 void ConcurrencyWindow::answered(double InProgress) {
-  if (InProgress < NearlyFull * Size_)
+  if (InProgress + 1 < NearlyFull * Size_)
     return;
   Size_ += AnswerAdds + AnswerEvens / Size_;
 }
