--- a/hawthornroad/routing/Chooser.cpp
+++ b/hawthornroad/routing/Chooser.cpp
@@ -1,10 +1,9 @@
 #include "hawthornroad/routing/Chooser.h"
 
-#include "hawthornroad/base/Hash.h"
+#include "hawthornroad/routing/EndpointDirectory.h"
 #include "hawthornroad/routing/EndpointPool.h"
 
 #include <algorithm>
-#include <deque>
 #include <unordered_map>
 
 namespace hawthornroad {
@@ -14,9 +13,6 @@
 constexpr std::size_t Draws = 8;
 // How long an endpoint that refused an attempt counts as full.
 constexpr Duration BusyFor = Milliseconds(1000);
-// Endpoints that are gone are remembered, to tell late word from new; beyond
-// this many the oldest are forgotten.
-constexpr std::size_t GoneKept = 4096;
 
 // The endpoints of one service.
 struct Group {
@@ -33,9 +29,7 @@
 
   enum class Where { OwnZone, OtherZones };
 
-  PooledEndpoint *lookUp(const Vm &V) const;
   Group *groupOf(const ServiceName &S);
-  PooledEndpoint &known(const Vm &V);
   EndpointPool &poolFor(Group &G, const EndpointStatus &S);
   void enter(PooledEndpoint &E, TimePoint Now);
   void leave(PooledEndpoint &E);
@@ -43,7 +37,6 @@
   void refresh(PooledEndpoint &E, TimePoint Now);
   void setLimit(Group &G, std::size_t Limit, TimePoint Now);
   void markGone(PooledEndpoint &E, TimePoint Now);
-  void forgetOldest();
 
   std::vector<EndpointPool *> matching(Group &G, const Query &Q, Where W) const;
   PooledEndpoint *drawFrom(const std::vector<EndpointPool *> &Pools,
@@ -59,12 +52,8 @@
   AvailabilityZone Own_;
   // The time of the last update, for calls that are told none.
   TimePoint Latest_;
-  EndpointSlots Slots_;
-  std::vector<std::size_t> FreeSlots_;
-  std::unordered_map<Vm, std::size_t> ByVm_;
+  EndpointDirectory Directory_;
   std::unordered_map<ServiceName, Group> Groups_;
-  // Gone endpoints without own attempts, oldest first.
-  std::deque<Vm> Gone_;
 };
 
 Chooser::Chooser(Random Rng, AvailabilityZone Own)
@@ -72,40 +61,17 @@
 
 Chooser::~Chooser() = default;
 
-PooledEndpoint *Chooser::State::lookUp(const Vm &V) const {
-  auto Found = ByVm_.find(V);
-  return Found == ByVm_.end() ? nullptr : Slots_[Found->second].get();
-}
-
 Group *Chooser::State::groupOf(const ServiceName &S) {
   auto Found = Groups_.find(S);
   return Found == Groups_.end() ? nullptr : &Found->second;
 }
 
-PooledEndpoint &Chooser::State::known(const Vm &V) {
-  if (PooledEndpoint *E = lookUp(V))
-    return *E;
-  std::size_t Slot = Slots_.size();
-  if (FreeSlots_.empty()) {
-    Slots_.push_back(nullptr);
-  } else {
-    Slot = FreeSlots_.back();
-    FreeSlots_.pop_back();
-  }
-  Slots_[Slot] = std::make_unique<PooledEndpoint>();
-  ByVm_[V] = Slot;
-  PooledEndpoint &E = *Slots_[Slot];
-  E.Slot_ = Slot;
-  E.NameHash_ = rendezvousScore(V.str(), "");
-  return E;
-}
-
 EndpointPool &Chooser::State::poolFor(Group &G, const EndpointStatus &S) {
   for (auto &P : G.Pools_)
     if (P->zone() == S.Zone_ && P->version() == S.Version_)
       return *P;
   G.Pools_.push_back(
-      std::make_unique<EndpointPool>(Slots_, S.Zone_, S.Version_));
+      std::make_unique<EndpointPool>(Directory_.slots(), S.Zone_, S.Version_));
   return *G.Pools_.back();
 }
 
@@ -161,33 +127,18 @@
 void Chooser::State::markGone(PooledEndpoint &E, TimePoint Now) {
   leave(E);
   releaseSpareEjections(Groups_[E.Status_.Service_], Now);
-  if (!E.Gone_ && E.Load_.own() == 0)
-    Gone_.push_back(E.Status_.Vm_);
+  const bool IsNew = !E.Gone_;
   E.Gone_ = true;
-  forgetOldest();
-}
-
-void Chooser::State::forgetOldest() {
-  while (Gone_.size() > GoneKept) {
-    Vm V = std::move(Gone_.front());
-    Gone_.pop_front();
-    PooledEndpoint *E = lookUp(V);
-    // It may have come back, or gone again with attempts of ours.
-    if (!E || !E->Gone_ || E->Load_.own() > 0)
-      continue;
-    std::size_t Slot = E->Slot_;
-    Slots_[Slot].reset();
-    FreeSlots_.push_back(Slot);
-    ByVm_.erase(V);
-  }
+  if (IsNew && E.Load_.own() == 0)
+    Directory_.noteGone(E);
 }
 
 void Chooser::update(const EndpointStatus &Status, TimePoint Now) {
   State_->Latest_ = std::max(State_->Latest_, Now);
-  PooledEndpoint *Old = State_->lookUp(Status.Vm_);
+  PooledEndpoint *Old = State_->Directory_.find(Status.Vm_);
   if (Old && !Status.supersedes(Old->Status_))
     return;
-  PooledEndpoint &E = State_->known(Status.Vm_);
+  PooledEndpoint &E = State_->Directory_.obtain(Status.Vm_);
   const bool Restarted = Old && Status.Incarnation_ != E.Status_.Incarnation_;
   // What has left does not come back before it restarts.
   if (Old && !Restarted && E.Status_.Phase_ == EndpointPhase::Left)
@@ -219,7 +170,7 @@
 }
 
 void Chooser::remove(const Vm &V, Incarnation I) {
-  PooledEndpoint *E = State_->lookUp(V);
+  PooledEndpoint *E = State_->Directory_.find(V);
   if (!E || E->Status_.Incarnation_ > I)
     return;
   State_->markGone(*E, State_->Latest_);
@@ -359,7 +310,7 @@
 }
 
 void Chooser::dispatched(const Vm &V, TimePoint Now) {
-  PooledEndpoint *E = State_->lookUp(V);
+  PooledEndpoint *E = State_->Directory_.find(V);
   if (!E)
     return;
   E->Load_.dispatched(Now);
@@ -369,18 +320,17 @@
 }
 
 void Chooser::firstByte(const Vm &V, Duration Latency, TimePoint Now) {
-  if (PooledEndpoint *E = State_->lookUp(V))
+  if (PooledEndpoint *E = State_->Directory_.find(V))
     EndpointPool::noteFirstByte(*E, Latency, Now);
 }
 
 void Chooser::finished(const Vm &V, Result R, TimePoint Now) {
-  PooledEndpoint *E = State_->lookUp(V);
+  PooledEndpoint *E = State_->Directory_.find(V);
   if (!E || E->Load_.own() == 0)
     return;
   E->Load_.finished(Now);
   if (E->Gone_ && E->Load_.own() == 0) {
-    State_->Gone_.push_back(V);
-    State_->forgetOldest();
+    State_->Directory_.noteGone(*E);
     return;
   }
   if (!E->Pool_)
@@ -407,20 +357,20 @@
 }
 
 const EndpointStatus *Chooser::find(const Vm &V) const {
-  const PooledEndpoint *E = State_->lookUp(V);
+  const PooledEndpoint *E = State_->Directory_.find(V);
   return E && !E->Gone_ ? &E->Status_ : nullptr;
 }
 
 std::vector<EndpointStatus> Chooser::all() const {
   std::vector<EndpointStatus> Out;
-  for (const auto &E : State_->Slots_)
+  for (const auto &E : State_->Directory_.slots())
     if (E && !E->Gone_)
       Out.push_back(E->Status_);
   return Out;
 }
 
 bool Chooser::isEjected(const Vm &V, TimePoint) const {
-  const PooledEndpoint *E = State_->lookUp(V);
+  const PooledEndpoint *E = State_->Directory_.find(V);
   return E && E->Health_.Ejected_;
 }
 
