--- a/tests/integration/WeightsTest.cpp
+++ b/tests/integration/WeightsTest.cpp
@@ -5,6 +5,7 @@
 #include "tests/integration/Fleet.h"
 
 #include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
 #include <catch2/catch.hpp>
 
 using namespace hawthornroad;
