--- a/bench/RolloutBench.cpp
+++ b/bench/RolloutBench.cpp
@@ -351,7 +351,7 @@
 
 std::vector<Scenario> planScenarios(std::size_t MaxVms) {
   std::vector<Scenario> Made;
-  auto add = [&](std::string Name, Plan P, std::size_t Vms, std::size_t Max,
+  auto Add = [&](std::string Name, Plan P, std::size_t Vms, std::size_t Max,
                  double Already) {
     Made.push_back({.Name_ = std::move(Name),
                     .Plan_ = P,
@@ -360,15 +360,15 @@
                     .AlreadyThere_ = Already});
   };
   for (std::size_t Vms : {std::size_t{9}, std::size_t{16}}) {
-    add("turns", Plan::Turns, Vms, 1, 0);
-    add("turns", Plan::Turns, Vms, 2, 0);
-    add("at once when staged", Plan::AtOnce, Vms, 1, 0);
-    add("stop the world", Plan::StopTheWorld, Vms, 1, 0);
-    add("turns, half already there", Plan::Turns, Vms, 1, 0.5);
-    add("stop the world, half there", Plan::StopTheWorld, Vms, 1, 0.5);
+    Add("turns", Plan::Turns, Vms, 1, 0);
+    Add("turns", Plan::Turns, Vms, 2, 0);
+    Add("at once when staged", Plan::AtOnce, Vms, 1, 0);
+    Add("stop the world", Plan::StopTheWorld, Vms, 1, 0);
+    Add("turns, half already there", Plan::Turns, Vms, 1, 0.5);
+    Add("stop the world, half there", Plan::StopTheWorld, Vms, 1, 0.5);
   }
   for (std::size_t Vms = 32; Vms <= MaxVms; Vms *= 2)
-    add("turns, an eighth of a zone", Plan::Turns, Vms, 1 + Vms / 24, 0);
+    Add("turns, an eighth of a zone", Plan::Turns, Vms, 1 + Vms / 24, 0);
   return Made;
 }
 
@@ -394,12 +394,12 @@
 
 int main(int Argc, char **Argv) {
   po::options_description Options("RolloutBench");
-  auto add = Options.add_options();
-  add("help", "this text");
-  add("seeds", po::value<std::uint64_t>()->default_value(20), "runs each");
-  add("charts", po::value<std::string>()->default_value("charts"),
+  auto Add = Options.add_options();
+  Add("help", "this text");
+  Add("seeds", po::value<std::uint64_t>()->default_value(20), "runs each");
+  Add("charts", po::value<std::string>()->default_value("charts"),
       "folder of the state charts");
-  add("max-vms", po::value<std::size_t>()->default_value(128), "largest fleet");
+  Add("max-vms", po::value<std::size_t>()->default_value(128), "largest fleet");
   po::variables_map Given;
   po::store(po::parse_command_line(Argc, Argv, Options), Given);
   if (Given.contains("help")) {
--- a/tests/unit/TurnOrderTest.cpp
+++ b/tests/unit/TurnOrderTest.cpp
@@ -183,7 +183,7 @@
 TEST_CASE("load failures halt at the declared count of endpoints",
           "[failures]") {
   const VersionDigest Old("sha256:old"), New("sha256:new");
-  auto failing = [&](const std::string &V, const VersionDigest &Version) {
+  auto Failing = [&](const std::string &V, const VersionDigest &Version) {
     EndpointStatus S = endpoint(V, EndpointPhase::Starting);
     S.FailedVersion_ = Version;
     S.Detail_ = "bad layer";
@@ -192,7 +192,7 @@
   LoadFailures F;
   F.setWanted(New);
   F.noteFleet(
-      {failing("a", New), failing("a", New), failing("b", Old), serving("c")});
+      {Failing("a", New), Failing("a", New), Failing("b", Old), serving("c")});
   REQUIRE_FALSE(F.halted(2));
   REQUIRE(F.halted(1));
   REQUIRE_FALSE(F.halted(0));
@@ -211,7 +211,7 @@
   SECTION("another wanted version lifts it, late reports do not restore it") {
     F.setWanted(Old);
     REQUIRE_FALSE(F.halted(1));
-    F.noteFleet({failing("a", New), failing("d", New)});
+    F.noteFleet({Failing("a", New), Failing("d", New)});
     REQUIRE_FALSE(F.halted(1));
   }
   SECTION("an endpoint that serves it after all counts no more") {
@@ -230,7 +230,7 @@
   PauseDetector::Limits Limits;
   PauseDetector P(Limits);
   TimePoint Now(Seconds(1000));
-  auto run = [&](Duration For) {
+  auto Run = [&](Duration For) {
     for (TimePoint End = Now + For; Now < End;) {
       Now += Milliseconds(20);
       P.tick(Now);
@@ -256,16 +256,16 @@
     REQUIRE(P.mayOrder(Now));
   }
   SECTION("or a quiet time, when nobody answers") {
-    run(Limits.Quiet_ - Milliseconds(20));
+    Run(Limits.Quiet_ - Milliseconds(20));
     REQUIRE_FALSE(P.mayOrder(Now));
-    run(Milliseconds(20));
+    Run(Milliseconds(20));
     REQUIRE(P.mayOrder(Now));
   }
   SECTION("which begins again with each pause") {
-    run(Limits.Quiet_ - Milliseconds(20));
+    Run(Limits.Quiet_ - Milliseconds(20));
     Now += Seconds(2);
     P.tick(Now);
-    run(Limits.Quiet_ - Milliseconds(20));
+    Run(Limits.Quiet_ - Milliseconds(20));
     REQUIRE_FALSE(P.mayOrder(Now));
   }
 }
