One name, one type: reads and answers of the table no longer share names across modules

Cause: TableRead and TableAnswer stood in config/ConfigFollower.h, routing/ClaimCore.h and config/ApplyProtocol.h with different members in one namespace; the linker may merge their inline functions. They are ConfigRead/ConfigAnswer and ClaimRead/ClaimWrite/ClaimAnswer now.

--- a/hawthornroad/config/ConfigFollower.cpp
+++ b/hawthornroad/config/ConfigFollower.cpp
@@ -7,7 +7,7 @@
 namespace hawthornroad {
 
 using Outcome = RevisionLog::Outcome;
-using ReadKind = TableRead::Kind;
+using ReadKind = ConfigRead::Kind;
 
 namespace {
 bool isWrong(Outcome O) {
@@ -43,7 +43,7 @@
   Out.Read_ = Current_;
 }
 
-void ConfigFollower::tableAnswered(const TableAnswer &Answer, TimePoint Now,
+void ConfigFollower::tableAnswered(const ConfigAnswer &Answer, TimePoint Now,
                                    Output &Out) {
   // Late answers of reads given up on are dropped; the next read asks again.
   if (Answer.Id_ != Current_.Id_)
@@ -67,7 +67,7 @@
   noteAdvance(Before, Out);
 }
 
-void ConfigFollower::takeSnapshot(const TableAnswer &Answer) {
+void ConfigFollower::takeSnapshot(const ConfigAnswer &Answer) {
   Next_ = ReadKind::Page;
   if (Answer.Values_.empty())
     return;
@@ -75,7 +75,7 @@
     ++Refused_;
 }
 
-void ConfigFollower::takeChanges(const TableAnswer &Answer) {
+void ConfigFollower::takeChanges(const ConfigAnswer &Answer) {
   RevisionLog &Log = target();
   Revision Before = Log.revision();
   for (const std::string &Each : Answer.Values_) {
--- a/hawthornroad/config/ConfigFollower.h
+++ b/hawthornroad/config/ConfigFollower.h
@@ -34,7 +34,7 @@
 namespace hawthornroad {
 
 // One read of the table.
-struct TableRead {
+struct ConfigRead {
   enum class Kind { Snapshot, Next, Page };
   std::uint64_t Id_ = 0;
   Kind Kind_ = Kind::Snapshot;
@@ -43,7 +43,7 @@
   std::size_t Limit_ = 0;
 };
 
-struct TableAnswer {
+struct ConfigAnswer {
   std::uint64_t Id_ = 0;
   // False when the platform did not answer or answered that it cannot.
   bool Answered_ = false;
@@ -65,7 +65,7 @@
   };
   struct Output {
     std::vector<ControlSend> Sends_;
-    std::optional<TableRead> Read_;
+    std::optional<ConfigRead> Read_;
     // The revision rose; News_ is what to push on.
     bool Advanced_ = false;
     PushMessage News_;
@@ -80,7 +80,7 @@
   ConfigFollower(Random Rng, Limits L);
 
   void tick(bool IsReader, TimePoint Now, Output &Out);
-  void tableAnswered(const TableAnswer &Answer, TimePoint Now, Output &Out);
+  void tableAnswered(const ConfigAnswer &Answer, TimePoint Now, Output &Out);
   void hear(const PeerAddress &Peer, Revision Held, TimePoint Now, Output &Out);
   void handle(const PeerAddress &Peer, const PullMessage &M, Output &Out);
   void handle(const PeerAddress &Peer, const PushMessage &M, TimePoint Now,
@@ -97,8 +97,8 @@
 
 private:
   void beginRead(TimePoint Now, Output &Out);
-  void takeSnapshot(const TableAnswer &Answer);
-  void takeChanges(const TableAnswer &Answer);
+  void takeSnapshot(const ConfigAnswer &Answer);
+  void takeChanges(const ConfigAnswer &Answer);
   void finishRebuild();
   void pull(const PeerAddress &Peer, Revision After, TimePoint Now,
             Output &Out);
@@ -111,9 +111,9 @@
   RevisionLog Log_;
   // Set while the text is built anew from the table.
   std::optional<RevisionLog> Rebuild_;
-  TableRead::Kind Next_ = TableRead::Kind::Snapshot;
+  ConfigRead::Kind Next_ = ConfigRead::Kind::Snapshot;
   std::size_t PageSize_;
-  TableRead Current_;
+  ConfigRead Current_;
   bool ReadTable_ = false;
   Revision Highest_ = 0;
   TimePoint PulledAt_{};
--- a/hawthornroad/membership/ControlCore.cpp
+++ b/hawthornroad/membership/ControlCore.cpp
@@ -120,7 +120,7 @@
     Out.Sends_.push_back({Each->Address_, From.News_});
 }
 
-void ControlCore::tableAnswered(const TableAnswer &Answer, TimePoint Now,
+void ControlCore::tableAnswered(const ConfigAnswer &Answer, TimePoint Now,
                                 Output &Out) {
   ConfigFollower::Output Config;
   Config_.tableAnswered(Answer, Now, Config);
--- a/hawthornroad/membership/ControlCore.h
+++ b/hawthornroad/membership/ControlCore.h
@@ -43,7 +43,7 @@
   struct Output {
     std::vector<ControlSend> Sends_;
     std::vector<MemberChange> Changes_;
-    std::optional<TableRead> Read_;
+    std::optional<ConfigRead> Read_;
     bool ReadList_ = false;
     bool Advanced_ = false;
   };
@@ -54,7 +54,7 @@
   void tick(TimePoint Now, Output &Out);
   void handle(const PeerAddress &From, const ControlMessage &Message,
               TimePoint Now, Output &Out);
-  void tableAnswered(const TableAnswer &Answer, TimePoint Now, Output &Out);
+  void tableAnswered(const ConfigAnswer &Answer, TimePoint Now, Output &Out);
   // Nullopt when the platform did not answer.
   void listAnswered(std::optional<std::vector<PeerAddress>> List,
                     TimePoint Now);
--- a/hawthornroad/routing/ClaimCore.cpp
+++ b/hawthornroad/routing/ClaimCore.cpp
@@ -101,10 +101,10 @@
   void read(Claim &C, TimePoint Now);
   void readLater(Claim &C, TimePoint Now);
   void denyOutage(Claim &C, TimePoint Now);
-  Event classify(Claim &C, const TableAnswer &A, TimePoint Now) const;
+  Event classify(Claim &C, const ClaimAnswer &A, TimePoint Now) const;
   ClaimRecord ownRecord(const CallerRequest &R, TimePoint Now) const;
   std::int64_t epochMs(TimePoint At) const;
-  void noteHealth(TableAnswer::Kind Kind);
+  void noteHealth(ClaimAnswer::Kind Kind);
   Actions take();
 
   Options Options_;
@@ -212,7 +212,7 @@
   C.SentAt_ = Now;
   C.RetryAt_ = TimePoint::max();
   ++C.WritesSent_;
-  Out_.push_back(TableWrite{C.Request_->Id_, C.Call_, claimKey(*C.Request_),
+  Out_.push_back(ClaimWrite{C.Request_->Id_, C.Call_, claimKey(*C.Request_),
                             std::move(Text), Etag});
 }
 
@@ -220,7 +220,7 @@
   C.Call_ = NextCall_++;
   C.SentAt_ = Now;
   C.RetryAt_ = TimePoint::max();
-  Out_.push_back(TableRead{C.Request_->Id_, C.Call_, claimKey(*C.Request_)});
+  Out_.push_back(ClaimRead{C.Request_->Id_, C.Call_, claimKey(*C.Request_)});
 }
 
 void ClaimCore::State::readLater(Claim &C, TimePoint Now) {
@@ -255,21 +255,21 @@
   }
 }
 
-Event ClaimCore::State::classify(Claim &C, const TableAnswer &A,
+Event ClaimCore::State::classify(Claim &C, const ClaimAnswer &A,
                                  TimePoint Now) const {
   switch (A.Kind_) {
-  case TableAnswer::Kind::Written:
+  case ClaimAnswer::Kind::Written:
     C.Etag_ = A.Etag_;
     return Event::Written;
-  case TableAnswer::Kind::Conflict:
+  case ClaimAnswer::Kind::Conflict:
     return Event::Conflict;
-  case TableAnswer::Kind::Missing:
+  case ClaimAnswer::Kind::Missing:
     return Event::Missing;
-  case TableAnswer::Kind::Unanswered:
+  case ClaimAnswer::Kind::Unanswered:
     return Event::Unanswered;
-  case TableAnswer::Kind::Unsent:
+  case ClaimAnswer::Kind::Unsent:
     return Event::Unsent;
-  case TableAnswer::Kind::Found:
+  case ClaimAnswer::Kind::Found:
     break;
   }
   C.Etag_ = A.Etag_;
@@ -285,9 +285,9 @@
   return Free ? Event::FoundFree : Event::FoundTaken;
 }
 
-void ClaimCore::State::noteHealth(TableAnswer::Kind Kind) {
-  bool Failed = Kind == TableAnswer::Kind::Unanswered ||
-                Kind == TableAnswer::Kind::Unsent;
+void ClaimCore::State::noteHealth(ClaimAnswer::Kind Kind) {
+  bool Failed = Kind == ClaimAnswer::Kind::Unanswered ||
+                Kind == ClaimAnswer::Kind::Unsent;
   FailuresInARow_ = Failed ? FailuresInARow_ + 1 : 0;
 }
 
@@ -326,7 +326,7 @@
   return S.take();
 }
 
-ClaimCore::Actions ClaimCore::tableAnswer(const TableAnswer &A, TimePoint Now) {
+ClaimCore::Actions ClaimCore::tableAnswer(const ClaimAnswer &A, TimePoint Now) {
   State &S = *State_;
   S.noteHealth(A.Kind_);
   auto Found = S.Claims_.find(A.Request_);
--- a/hawthornroad/routing/ClaimCore.h
+++ b/hawthornroad/routing/ClaimCore.h
@@ -2,9 +2,9 @@
 // at most once runs at most once in the whole fleet.
 //
 //   ClaimCore Core(Options, loadClaimChart("charts"), Random(Seed));
-//   auto Actions = Core.start(Request, Now);      // TableWrite
+//   auto Actions = Core.start(Request, Now);      // ClaimWrite
 //   Actions = Core.tableAnswer(Answer, Now);      // ClaimWon, or read back ...
-//   Actions = Core.settle(SettleClaim{...}, Now); // TableWrite of the outcome
+//   Actions = Core.settle(SettleClaim{...}, Now); // ClaimWrite of the outcome
 //   Actions = Core.tick(Now);
 //
 // The idea: one write before the dispatch. A record that exists means "may have
@@ -52,22 +52,22 @@
 namespace hawthornroad {
 
 // A conditional write. Empty Etag_ means: only if the key is absent.
-struct TableWrite {
+struct ClaimWrite {
   RequestId Request_;
   std::uint64_t Call_ = 0;
   std::string Key_;
   std::string Value_;
   std::string Etag_;
 };
-struct TableRead {
+struct ClaimRead {
   RequestId Request_;
   std::uint64_t Call_ = 0;
   std::string Key_;
 };
-using ClaimAction = std::variant<TableWrite, TableRead, ClaimWord>;
+using ClaimAction = std::variant<ClaimWrite, ClaimRead, ClaimWord>;
 
 // How a call to the table ended.
-struct TableAnswer {
+struct ClaimAnswer {
   enum class Kind {
     Written,
     Conflict,   // the condition did not hold
@@ -116,7 +116,7 @@
   void setWallClock(std::int64_t EpochMs, TimePoint Now);
 
   Actions start(SharedRequest R, TimePoint Now);
-  Actions tableAnswer(const TableAnswer &A, TimePoint Now);
+  Actions tableAnswer(const ClaimAnswer &A, TimePoint Now);
   Actions settle(const SettleClaim &S, TimePoint Now);
   Actions tick(TimePoint Now);
 
--- a/hawthornroad/runtime/ClaimTable.cpp
+++ b/hawthornroad/runtime/ClaimTable.cpp
@@ -28,7 +28,7 @@
   return Out;
 }
 
-using Kind = TableAnswer::Kind;
+using Kind = ClaimAnswer::Kind;
 
 // Any status but the documented ones says nothing of whether a write took
 // effect.
@@ -49,7 +49,7 @@
     : Client_(Client), Address_(std::move(Address)), Timeout_(Timeout),
       Handler_(std::move(Handler)) {}
 
-void ClaimTable::run(const TableWrite &W) {
+void ClaimTable::run(const ClaimWrite &W) {
   HttpRequest R;
   R.Method_ = "PUT";
   R.Target_ = tablePath(W.Key_);
@@ -61,14 +61,14 @@
   call(W.Request_, W.Call_, std::move(R));
 }
 
-void ClaimTable::run(const TableRead &Read) {
+void ClaimTable::run(const ClaimRead &Read) {
   HttpRequest R;
   R.Target_ = tablePath(Read.Key_);
   call(Read.Request_, Read.Call_, std::move(R));
 }
 
 void ClaimTable::call(RequestId Request, std::uint64_t Number, HttpRequest R) {
-  TableAnswer Answer;
+  ClaimAnswer Answer;
   Answer.Request_ = Request;
   Answer.Call_ = Number;
   if (Address_.empty()) {
--- a/hawthornroad/runtime/ClaimTable.h
+++ b/hawthornroad/runtime/ClaimTable.h
@@ -1,8 +1,8 @@
 // Carries out ClaimCore's calls to the platform's table over HTTP.
 //
 //   ClaimTable Table(Client, "127.0.0.1:9000", Seconds(2),
-//                    [&](TableAnswer A) {...});   // on the client's IoThread
-//   Table.run(TableWrite{...});
+//                    [&](ClaimAnswer A) {...});   // on the client's IoThread
+//   Table.run(ClaimWrite{...});
 
 #ifndef HAWTHORNROAD_RUNTIME_CLAIMTABLE_H
 #define HAWTHORNROAD_RUNTIME_CLAIMTABLE_H
@@ -17,14 +17,14 @@
 
 class ClaimTable {
 public:
-  using OnAnswer = std::function<void(TableAnswer)>;
+  using OnAnswer = std::function<void(ClaimAnswer)>;
 
   ClaimTable(HttpClient &Client, std::string Address, Duration Timeout,
              OnAnswer Handler);
 
   // Each call is answered exactly once.
-  void run(const TableWrite &W);
-  void run(const TableRead &R);
+  void run(const ClaimWrite &W);
+  void run(const ClaimRead &R);
 
 private:
   void call(RequestId Request, std::uint64_t Number, HttpRequest R);
--- a/hawthornroad/runtime/ControlPlane.cpp
+++ b/hawthornroad/runtime/ControlPlane.cpp
@@ -64,7 +64,7 @@
 
   void tick(TimePoint Now);
   void finish(ControlCore::Output &Out, TimePoint Now);
-  void read(const TableRead &Read);
+  void read(const ConfigRead &Read);
   void readList();
   void tell(const MemberChange &Change, TimePoint Now);
   void putInForce(TimePoint Now);
@@ -111,10 +111,10 @@
     putInForce(Now);
 }
 
-void ControlPlane::State::read(const TableRead &Read) {
+void ControlPlane::State::read(const ConfigRead &Read) {
   Metrics_.count("hawthornroad_table_reads_total");
   Platform_.read(
-      Read, [Weak = weak_from_this()](TableAnswer Answer, TimePoint Now) {
+      Read, [Weak = weak_from_this()](ConfigAnswer Answer, TimePoint Now) {
         auto Self = Weak.lock();
         if (!Self)
           return;
--- a/hawthornroad/runtime/EntryActions.cpp
+++ b/hawthornroad/runtime/EntryActions.cpp
@@ -13,9 +13,9 @@
 void EntryProcess::State::run(const ClaimCore::Actions &Actions,
                               TimePoint Now) {
   for (const ClaimAction &Each : Actions) {
-    if (const auto *W = std::get_if<TableWrite>(&Each))
+    if (const auto *W = std::get_if<ClaimWrite>(&Each))
       Table_->run(*W);
-    else if (const auto *R = std::get_if<TableRead>(&Each))
+    else if (const auto *R = std::get_if<ClaimRead>(&Each))
       Table_->run(*R);
     else
       run(Core_.claimWord(std::get<ClaimWord>(Each), Now), Now);
--- a/hawthornroad/runtime/EntryProcess.cpp
+++ b/hawthornroad/runtime/EntryProcess.cpp
@@ -108,7 +108,7 @@
       std::to_string(Net_->listen(PeerIp, portOf(Common.PeerListen_)));
   Table_ = std::make_unique<ClaimTable>(
       Platform_, Common.Platform_.Table_, Common.Platform_.Timeout_,
-      [this](TableAnswer A) {
+      [this](ClaimAnswer A) {
         Loop_->post([this, A = std::move(A)](TimePoint Now) {
           run(Claims_.tableAnswer(A, Now), Now);
         });
--- a/hawthornroad/runtime/PlatformTable.cpp
+++ b/hawthornroad/runtime/PlatformTable.cpp
@@ -12,8 +12,8 @@
 constexpr unsigned Found = 200;
 constexpr unsigned Missing = 404;
 
-std::string targetOf(const TableRead &Read) {
-  if (Read.Kind_ != TableRead::Kind::Page)
+std::string targetOf(const ConfigRead &Read) {
+  if (Read.Kind_ != ConfigRead::Kind::Page)
     return "/table/" + Read.Key_;
   return "/table?prefix=" + RevisionKeyPrefix + "&after=" + Read.Key_ +
          "&limit=" + std::to_string(Read.Limit_);
@@ -39,13 +39,13 @@
   return Values;
 }
 
-TableAnswer answerOf(const TableRead &Read, const HttpResult &Result) {
-  TableAnswer Answer;
+ConfigAnswer answerOf(const ConfigRead &Read, const HttpResult &Result) {
+  ConfigAnswer Answer;
   Answer.Id_ = Read.Id_;
   if (!Result.Response_)
     return Answer;
   const HttpResponse &Response = *Result.Response_;
-  if (Read.Kind_ == TableRead::Kind::Page) {
+  if (Read.Kind_ == ConfigRead::Kind::Page) {
     auto Values =
         Response.Status_ == Found ? parsePage(Response.Body_) : std::nullopt;
     Answer.Answered_ = Values.has_value();
@@ -94,7 +94,7 @@
                              PlatformSettings S)
     : Loop_(Loop), Client_(Client), Settings_(std::move(S)) {}
 
-void PlatformTable::read(const TableRead &Read, ReadDone Done) {
+void PlatformTable::read(const ConfigRead &Read, ReadDone Done) {
   fetch(Settings_.Table_, targetOf(Read),
         [Read, Done = std::move(Done)](HttpResult Result, TimePoint Now) {
           Done(answerOf(Read, Result), Now);
--- a/hawthornroad/runtime/PlatformTable.h
+++ b/hawthornroad/runtime/PlatformTable.h
@@ -2,7 +2,7 @@
 // modules: each call ends in one typed answer inside the DecisionLoop.
 //
 //   PlatformTable Table(Loop, Client, Settings);
-//   Table.read(*Out.Read_, [=](TableAnswer A, TimePoint Now) {...});
+//   Table.read(*Out.Read_, [=](ConfigAnswer A, TimePoint Now) {...});
 //   Table.members([=](std::optional<std::vector<ListedVm>> L, TimePoint)
 //   {...});
 //
@@ -33,14 +33,14 @@
 
 class PlatformTable {
 public:
-  using ReadDone = std::function<void(TableAnswer, TimePoint)>;
+  using ReadDone = std::function<void(ConfigAnswer, TimePoint)>;
   // Nullopt when the platform did not answer.
   using MembersDone =
       std::function<void(std::optional<std::vector<ListedVm>>, TimePoint)>;
 
   PlatformTable(DecisionLoop &Loop, HttpClient &Client, PlatformSettings S);
 
-  void read(const TableRead &Read, ReadDone Done);
+  void read(const ConfigRead &Read, ReadDone Done);
   void members(MembersDone Done);
 
 private:
--- a/tests/integration/RolloutTest.cpp
+++ b/tests/integration/RolloutTest.cpp
@@ -180,7 +180,7 @@
 // keeps serving, operators see which endpoints failed and why, and a rollback
 // needs no transfer.
 TEST_CASE_METHOD(RolloutFixture,
-                 "rollout of a version that fails to load halts; a rollback "
+                 "rollout of a version that fails to load halts, and a rollback "
                  "and a later version go through",
                  "[rollout]") {
   auto F = build(4);
--- a/tests/unit/ClaimCoreTest.cpp
+++ b/tests/unit/ClaimCoreTest.cpp
@@ -7,7 +7,7 @@
 using namespace hawthornroad;
 
 namespace {
-using Kind = TableAnswer::Kind;
+using Kind = ClaimAnswer::Kind;
 
 // The platform's table as far as claims see it.
 struct TableModel {
@@ -18,8 +18,8 @@
   std::map<std::string, Row> Rows_;
   std::uint64_t Next_ = 1;
 
-  TableAnswer apply(const TableWrite &W) {
-    TableAnswer A{W.Request_, W.Call_, Kind::Conflict, "", ""};
+  ClaimAnswer apply(const ClaimWrite &W) {
+    ClaimAnswer A{W.Request_, W.Call_, Kind::Conflict, "", ""};
     auto Found = Rows_.find(W.Key_);
     bool Holds = Found == Rows_.end()
                      ? W.Etag_.empty()
@@ -31,8 +31,8 @@
     A.Etag_ = std::to_string(Next_++);
     return A;
   }
-  TableAnswer apply(const TableRead &R) const {
-    TableAnswer A{R.Request_, R.Call_, Kind::Missing, "", ""};
+  ClaimAnswer apply(const ClaimRead &R) const {
+    ClaimAnswer A{R.Request_, R.Call_, Kind::Missing, "", ""};
     auto Found = Rows_.find(R.Key_);
     if (Found == Rows_.end())
       return A;
@@ -73,9 +73,9 @@
   // Carries out the next call; its answer comes, or is lost on the way.
   void serve(TableModel &Table, TimePoint Now, bool Lose = false) {
     ClaimAction Call = nextCall();
-    TableAnswer A = std::holds_alternative<TableWrite>(Call)
-                        ? Table.apply(std::get<TableWrite>(Call))
-                        : Table.apply(std::get<TableRead>(Call));
+    ClaimAnswer A = std::holds_alternative<ClaimWrite>(Call)
+                        ? Table.apply(std::get<ClaimWrite>(Call))
+                        : Table.apply(std::get<ClaimRead>(Call));
     if (Lose)
       A.Kind_ = Kind::Unanswered;
     note(Core_.tableAnswer(A, Now));
@@ -229,7 +229,7 @@
   // record has expired and entry 2 has taken it over; then entry 1 thaws and
   // finds the answer "written" in its socket.
   One_.note(One_.Core_.start(request(), Now_));
-  TableAnswer Old = Table_.apply(std::get<TableWrite>(One_.nextCall()));
+  ClaimAnswer Old = Table_.apply(std::get<ClaimWrite>(One_.nextCall()));
   Now_ += Seconds(2 * 86400);
   Two_.note(Two_.Core_.start(request(), Now_));
   Two_.serveAll(Table_, Now_);
@@ -249,7 +249,7 @@
   ClaimAction Write = One_.nextCall();
   bool LandsBefore = GENERATE(true, false);
   if (LandsBefore)
-    Table_.apply(std::get<TableWrite>(Write));
+    Table_.apply(std::get<ClaimWrite>(Write));
   pass(One_, Seconds(3));
   REQUIRE(One_.problem().Outcome_ == Outcome::NotRun);
   REQUIRE(One_.problem().RetryAfter_ > Duration::zero());
@@ -257,7 +257,7 @@
   One_.serveAll(Table_, Now_);
   // Landing only now, it must find its condition gone.
   if (!LandsBefore)
-    REQUIRE(Table_.apply(std::get<TableWrite>(Write)).Kind_ == Kind::Conflict);
+    REQUIRE(Table_.apply(std::get<ClaimWrite>(Write)).Kind_ == Kind::Conflict);
   REQUIRE(Table_.phase() == ClaimPhase::NotRun);
   REQUIRE(One_.Core_.open() == 0);
   Two_.note(Two_.Core_.start(request(), Now_));
@@ -273,7 +273,7 @@
     if (I >= 3) {
       REQUIRE(One_.Calls_.empty());
     } else {
-      std::uint64_t Call = std::get<TableWrite>(One_.nextCall()).Call_;
+      std::uint64_t Call = std::get<ClaimWrite>(One_.nextCall()).Call_;
       One_.note(
           One_.Core_.tableAnswer({R->Id_, Call, Kind::Unsent, "", ""}, Now_));
     }
@@ -316,28 +316,28 @@
       F.pass(H, Milliseconds(Rng.below(900)));
       if (!Late.empty() && Rng.below(4) == 0) {
         // A write of long ago lands at last; nobody hears of it.
-        if (const auto *W = std::get_if<TableWrite>(&Late.back()))
+        if (const auto *W = std::get_if<ClaimWrite>(&Late.back()))
           F.Table_.apply(*W);
         Late.pop_back();
       }
       if (H.Calls_.empty())
         continue;
       ClaimAction Call = H.nextCall();
-      if (const auto *R = std::get_if<TableRead>(&Call)) {
+      if (const auto *R = std::get_if<ClaimRead>(&Call)) {
         bool Old = Rng.below(4) == 0;
         const TableModel &From =
             Old ? History[Rng.below(History.size())] : F.Table_;
         H.note(H.Core_.tableAnswer(From.apply(*R), F.Now_));
         continue;
       }
-      const auto &W = std::get<TableWrite>(Call);
+      const auto &W = std::get<ClaimWrite>(Call);
       if (Rng.below(4) == 0) {
         Late.push_back(Call);
         H.note(H.Core_.tableAnswer(
             {W.Request_, W.Call_, Kind::Unanswered, "", ""}, F.Now_));
         continue;
       }
-      TableAnswer A = F.Table_.apply(W);
+      ClaimAnswer A = F.Table_.apply(W);
       if (Rng.below(4) == 0)
         A.Kind_ = Kind::Unanswered;
       H.note(H.Core_.tableAnswer(A, F.Now_));
--- a/tests/unit/ControlLoop.h
+++ b/tests/unit/ControlLoop.h
@@ -266,18 +266,18 @@
       send(N, Each);
   }
 
-  void answer(Node &N, const TableRead &Read) {
+  void answer(Node &N, const ConfigRead &Read) {
     ++TableReads_;
-    TableAnswer A;
+    ConfigAnswer A;
     A.Id_ = Read.Id_;
     A.Answered_ = TableUp_ && !(CutTable_ && Cut_.count(N.Zone_) != 0);
     std::size_t Shown = std::min(Records_.size(), TableShows_);
     for (std::size_t I = 0; A.Answered_ && I < Shown; ++I) {
       std::string Key = revisionKey(I + 1);
-      bool Wanted = Read.Kind_ == TableRead::Kind::Next ? Key == Read.Key_
-                                                        : Key > Read.Key_;
-      if (Read.Kind_ != TableRead::Kind::Snapshot && Wanted &&
-          (Read.Kind_ == TableRead::Kind::Next ||
+      bool Wanted = Read.Kind_ == ConfigRead::Kind::Next ? Key == Read.Key_
+                                                         : Key > Read.Key_;
+      if (Read.Kind_ != ConfigRead::Kind::Snapshot && Wanted &&
+          (Read.Kind_ == ConfigRead::Kind::Next ||
            A.Values_.size() < Read.Limit_))
         A.Values_.push_back(Records_[I]);
     }
--- a/tests/unit/RevisionLogTest.cpp
+++ b/tests/unit/RevisionLogTest.cpp
@@ -129,7 +129,7 @@
   ConfigFollower::Output Out_;
   PeerAddress Peer_{"peer"};
 
-  TableRead read(bool IsReader = true) {
+  ConfigRead read(bool IsReader = true) {
     Out_ = {};
     for (int I = 0; I < 2000 && !Out_.Read_; ++I) {
       Follower_.tick(IsReader, Now_, Out_);
@@ -139,11 +139,11 @@
     REQUIRE(Out_.Read_);
     return *Out_.Read_;
   }
-  void answer(const TableRead &Read, std::vector<std::string> Values) {
+  void answer(const ConfigRead &Read, std::vector<std::string> Values) {
     Out_ = {};
     Follower_.tableAnswered({Read.Id_, true, std::move(Values)}, Now_, Out_);
   }
-  void fail(const TableRead &Read) {
+  void fail(const ConfigRead &Read) {
     Out_ = {};
     Follower_.tableAnswered({Read.Id_, false, {}}, Now_, Out_);
   }
@@ -175,11 +175,11 @@
                  "next key each period",
                  "[follower]") {
   History H(60);
-  TableRead First = read();
-  CHECK(First.Kind_ == TableRead::Kind::Snapshot);
+  ConfigRead First = read();
+  CHECK(First.Kind_ == ConfigRead::Kind::Snapshot);
   answer(First, {H.logAt(10).snapshot()});
   CHECK(held() == 10);
-  TableRead Page = read();
+  ConfigRead Page = read();
   CHECK(Page.Key_ == revisionKey(10));
   CHECK(Page.Limit_ == 16);
   answer(Page, H.texts(11, 26));
@@ -187,8 +187,8 @@
   CHECK(Page.Limit_ == 32);
   answer(Page, H.texts(27, 50));
   CHECK(Follower_.hasReadTable());
-  TableRead Next = read();
-  CHECK(Next.Kind_ == TableRead::Kind::Next);
+  ConfigRead Next = read();
+  CHECK(Next.Kind_ == ConfigRead::Kind::Next);
   CHECK(Next.Key_ == revisionKey(51));
   SECTION("an answer comes twice") {
     answer(Next, H.texts(51, 51));
@@ -220,7 +220,7 @@
                  "[follower]") {
   begin();
   std::size_t Reads = 0;
-  TableRead Last;
+  ConfigRead Last;
   for (TimePoint Until = Now_ + Seconds(120); Now_ < Until; ++Reads) {
     Last = read();
     Out_ = {};
