Requests turned away by a full endpoint wait again in their turn

Now such a request goes back by Admission::requeue, and its next dispatch takes from the retry budget, so a fleet of full endpoints is not asked over and over. Ruled out for claimed calls: they would claim their key twice.

--- a/hawthornroad/routing/RequestChart.cpp
+++ b/hawthornroad/routing/RequestChart.cpp
@@ -9,9 +9,9 @@
                    "asking", "lingering", "done"},
        .Events_ = {"admitted", "queued", "refused", "claim_won", "claim_ended",
                    "whole", "failed", "lost", "silent", "heard", "unreachable",
-                   "caller_gone", "deadline", "given_up"},
+                   "caller_gone", "deadline", "given_up", "turned_away"},
        .Guards_ = {"needs_claim", "is_worthwhile", "can_retry", "can_leave",
-                   "must_settle"},
+                   "must_settle", "can_wait"},
        .Actions_ = {"claim", "dispatch", "ask", "cancel_attempt", "finish",
                     "answer", "settle_claim"}});
 }
--- a/hawthornroad/routing/RequestChart.h
+++ b/hawthornroad/routing/RequestChart.h
@@ -39,7 +39,8 @@
   Unreachable, // no connection could be made to ask
   CallerGone,
   Deadline,
-  GivenUp // lingered long enough
+  GivenUp,   // lingered long enough
+  TurnedAway // the agent refused the attempt, which did not run
 };
 
 enum class RequestGuard {
@@ -47,7 +48,8 @@
   IsWorthwhile, // the caller is there and the deadline has not passed
   CanRetry,     // another attempt is allowed and there is an endpoint for it
   CanLeave,     // as CanRetry, though the attempt may still be running
-  MustSettle    // a claim waits to be told the outcome
+  MustSettle,   // a claim waits to be told the outcome
+  CanWait       // turned away for want of a place: waits for one in the queue
 };
 
 enum class RequestStep {
--- a/hawthornroad/routing/RequestCore.cpp
+++ b/hawthornroad/routing/RequestCore.cpp
@@ -73,6 +73,8 @@
            R.Attempt_->Asks_ >= AsksBeforeLeaving && canRetry(R, Now);
   case RequestGuard::MustSettle:
     return R.Call_->needsClaim();
+  case RequestGuard::CanWait:
+    return canWait(R, Now);
   }
   return false;
 }
@@ -169,7 +171,7 @@
     if (!Next)
       return;
     if (Record *R = find(*Next))
-      fire(*R, Event::Admitted, Now);
+      fire(*R, mayTakePlace(*R, Now) ? Event::Admitted : Event::Refused, Now);
   }
 }
 
--- a/hawthornroad/routing/RequestCoreState.h
+++ b/hawthornroad/routing/RequestCoreState.h
@@ -51,6 +51,8 @@
   // Attempts.
   Chooser::Query query(const Record &R) const;
   bool canRetry(Record &R, TimePoint Now);
+  bool canWait(Record &R, TimePoint Now);
+  bool mayTakePlace(Record &R, TimePoint Now);
   void endAttempt(Record &R, Chooser::Result Result, bool MayHaveRun,
                   TimePoint Now);
   void fail(Record &R, Problem P, bool MayHaveRun, TimePoint Now);
--- a/hawthornroad/routing/RequestDispatch.cpp
+++ b/hawthornroad/routing/RequestDispatch.cpp
@@ -155,6 +155,28 @@
   return R.Next_.has_value();
 }
 
+// A request that found its endpoint full goes back to the queue, in its turn:
+// retried outside it, refused requests take the places of those that wait, and
+// in overload the small customers lose theirs (docs/design/routing.md). One
+// that holds a claim does not wait again, since it would claim its key twice.
+bool RequestCore::State::canWait(Record &R, TimePoint Now) {
+  bool IsFresh = !R.EndedAttemptMayHaveRun_ && !R.Answer_.hasBegun();
+  bool IsWanted = !R.Answered_ && !R.CallerGone_ && Now < R.Call_->Deadline_;
+  if (!R.IsOverloaded_ || !IsFresh || !IsWanted || R.Call_->needsClaim())
+    return false;
+  if (R.Attempts_ >= Options_.MaxAttempts_ || !Admission_.requeue(R.Call_->Id_))
+    return false;
+  R.Tried_.clear();
+  Freed_.insert(R.Call_->Service_);
+  return true;
+}
+
+// A first attempt takes the place it was given; a later one only within the
+// retry budget, so that full endpoints are not asked over and over.
+bool RequestCore::State::mayTakePlace(Record &R, TimePoint Now) {
+  return R.Attempts_ == 0 || Budget_.take(R.Call_->Service_, Now);
+}
+
 void RequestCore::State::endAttempt(Record &R, Chooser::Result Result,
                                     bool MayHaveRun, TimePoint Now) {
   if (!R.Attempt_)
--- a/hawthornroad/routing/RequestRecord.h
+++ b/hawthornroad/routing/RequestRecord.h
@@ -48,6 +48,8 @@
   bool EndedAttemptMayHaveRun_ = false;
   // The last attempt's endpoint is healthy: it may be tried once more.
   bool MayTrySameAgain_ = false;
+  // The last attempt was refused for want of a place.
+  bool IsOverloaded_ = false;
   bool CallerGone_ = false;
   // The caller has its final answer.
   bool Answered_ = false;
--- a/hawthornroad/routing/RequestTypes.h
+++ b/hawthornroad/routing/RequestTypes.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -85,6 +86,9 @@
 };
 // The agent's own statement that the attempt did not run and will not.
 struct AttemptRefused {
+  // The reason of an endpoint whose places are all taken.
+  static constexpr std::string_view Overloaded = "overloaded";
+
   AttemptSource From_;
   std::string Reason_;
   Duration RetryAfter_ = Duration::zero();
--- a/hawthornroad/routing/RequestWords.cpp
+++ b/hawthornroad/routing/RequestWords.cpp
@@ -56,8 +56,9 @@
   P.RetryAfter_ =
       std::max(W.RetryAfter_, Admission_.retryAfter(R->Call_->Service_, Now));
   R->Problem_ = std::move(P);
+  R->IsOverloaded_ = W.Reason_ == AttemptRefused::Overloaded;
   endAttempt(*R, Chooser::Result::Refused, false, Now);
-  fire(*R, Event::Failed, Now);
+  fire(*R, Event::TurnedAway, Now);
 }
 
 void RequestCore::State::onWord(const AttemptHead &W, TimePoint Now) {
--- a/tests/unit/RequestCoreTest.cpp
+++ b/tests/unit/RequestCoreTest.cpp
@@ -203,6 +203,43 @@
   REQUIRE(P.Status_ == 503);
 }
 
+// Every endpoint is full for a moment. Sent again outside the queue, the
+// request would take the place of one that has waited longer; refused, it would
+// come back as more load.
+TEST_CASE_METHOD(CoreFixture, "request, its endpoints full, waits and goes out "
+                              "when they take work again") {
+  Chooser_.remove(Vm("desk-2"), AgentLife);
+  BeginAttempt B = begin(request(true));
+  word(AttemptRefused{from(B), "overloaded", {}});
+  REQUIRE(all<BeginAttempt>().size() == 1);
+  REQUIRE(all<RespondProblem>().empty());
+  REQUIRE(Admission_.waiting(ServiceName("billing-desk")) == 1);
+  for (int I = 0; I < 30 && all<BeginAttempt>().size() < 2; ++I)
+    pass(Milliseconds(100));
+  answer(last<BeginAttempt>(), "late but whole");
+  REQUIRE(last<RespondWhole>().Body_ == "late but whole");
+}
+
+// An endpoint refuses again and again: each dispatch after the first takes from
+// the retry budget, and without one the caller is told at once.
+TEST_CASE_METHOD(CoreFixture, "request, turned away with the retry budget "
+                              "spent, is refused and did not run") {
+  Chooser_.remove(Vm("desk-2"), AgentLife);
+  BeginAttempt B = begin(request(true));
+  while (Budget_.take(ServiceName("billing-desk"), Now_))
+    ;
+  word(AttemptRefused{from(B), "overloaded", {}});
+  for (int I = 0; I < 40 && all<RespondProblem>().empty(); ++I) {
+    while (Budget_.take(ServiceName("billing-desk"), Now_))
+      ;
+    pass(Milliseconds(100));
+  }
+  Problem P = last<RespondProblem>().Problem_;
+  REQUIRE(P.Outcome_ == Outcome::NotRun);
+  REQUIRE(P.RetryAfter_ > Duration::zero());
+  REQUIRE(all<BeginAttempt>().size() == 1);
+}
+
 TEST_CASE_METHOD(CoreFixture,
                  "begin, on a connection never made, did not run") {
   BeginAttempt B = begin(request(false));
