Agent: the engine control knows every staged version, so a replaced agent can go back to the old one

Cause: only the wanted version was noted; an agent replaced in the middle of a rollout could not load the version before when the new one failed. Not run as a proof of its own with real processes. unit-tests: 287 cases pass.

--- a/hawthornroad/runtime/AgentCore.cpp
+++ b/hawthornroad/runtime/AgentCore.cpp
@@ -153,8 +153,19 @@
   const Service *S = service();
   if (S == nullptr || !S->Model_)
     return;
-  if (auto Path = Weights_.pathOf(S->Model_->Version_))
-    Engine_.noteStaged(S->Model_->Version_, *Path, Now);
+  // All that is staged, not only the wanted version: an agent replaced in the
+  // middle of a rollout must be able to load the old one again if the new one
+  // fails.
+  std::set<VersionDigest> Staged;
+  for (const VersionDigest &Version : Weights_.staged())
+    if (auto Path = Weights_.pathOf(Version)) {
+      Engine_.noteStaged(Version, *Path, Now);
+      Staged.insert(Version);
+    }
+  for (const VersionDigest &Version : NotedStaged_)
+    if (!Staged.contains(Version))
+      Engine_.noteStaged(Version, "", Now);
+  NotedStaged_ = std::move(Staged);
 }
 
 void AgentCore::updateFleet(TimePoint Now) {
--- a/hawthornroad/runtime/AgentCore.h
+++ b/hawthornroad/runtime/AgentCore.h
@@ -98,6 +98,8 @@
   TimePoint PublishedAt_;
   VersionDigest Loaded_;
   VersionDigest LoadedBefore_;
+  // Staged versions that the engine control was told of.
+  std::set<VersionDigest> NotedStaged_;
   std::map<Vm, EndpointStatus> Fleet_;
   bool FleetChanged_ = false;
   TimePoint FleetAt_;
