An agent that speaks to an entry says how its endpoint is

Symptom: in one of 92 integration tests on a busy machine an entry of another zone held a ready endpoint for 'starting' for 20 s. Cause: across zones the news of a phase rides on gossip, is sent a few times and forgotten; a direct report was not passed on by the entry that got it; if all copies are lost only a random draw of the whole table mends it. Now reports that say more than load are passed on, and the agent's own record carries its report whenever it probes or answers an entry. Ruled out: the agent's own state (sequence 42 was Ready at its peer).

--- a/hawthornroad/membership/Membership.cpp
+++ b/hawthornroad/membership/Membership.cpp
@@ -183,8 +183,7 @@
   }
   News.Report_ = std::make_shared<const EndpointStatus>(Status);
   // Its load is no news for others: they hear of it with the rest, by chance.
-  MemberTable::Changes Changes = Table_.hear(News, Now);
-  Out.Changes_.insert(Out.Changes_.end(), Changes.begin(), Changes.end());
+  note(Table_.hear(News, Now), true, Now, Out);
   // One that reports while held suspect or dead has to refute first.
   if (Known != nullptr && Known->State_ != MemberState::Alive)
     tellOf(Status.Process_, Known->Address_, Out);
@@ -314,9 +313,14 @@
 // and one record of the table.
 std::vector<Member> Membership::news(const ProcessName &Reader) {
   const Member &Self = Table_.self();
-  std::vector<Member> Members = {Self};
-  Members.front().Report_ = nullptr;
   const Member *Held = Table_.find(Reader);
+  std::vector<Member> Members = {Self};
+  // An entry of another zone hears of this endpoint by gossip only, and news is
+  // sent a few times and then forgotten. Should all of these be lost, the entry
+  // would take a ready endpoint for a starting one until chance mends it; so
+  // whenever the agent itself speaks to an entry it says how it is.
+  if (Held == nullptr || !Held->isEntry())
+    Members.front().Report_ = nullptr;
   if (Held != nullptr && Held->State_ != MemberState::Alive) {
     Members.push_back(*Held);
     Members.back().Report_ = nullptr;
--- a/tests/unit/ControlCoreTest.cpp
+++ b/tests/unit/ControlCoreTest.cpp
@@ -241,3 +241,33 @@
   CHECK(F.allHold(1));
   CHECK(F.Loop_.runUntil([&] { return F.allKnowAll(); }, Seconds(30)));
 }
+
+// An endpoint becomes ready while its zone is cut off for a moment. News is
+// sent a few times only, all of them lost, and an entry of another zone would
+// hold the endpoint for starting, and send no request there, until chance mends
+// it.
+TEST_CASE("endpoint's news, lost on its way, reaches an entry of another zone "
+          "soon after",
+          "[control]") {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    CAPTURE(Seed);
+    Fleet F({.Nodes_ = 4,
+             .Zones_ = 2,
+             .EntryEvery_ = 2,
+             .Seed_ = Seed,
+             .LoadPeriod_ = std::chrono::hours(1)});
+    F.join();
+    F.Loop_.cut({0}, false);
+    F.Loop_.EndpointsReport_ = true;
+    F.Loop_.run(Milliseconds(1200));
+    F.Loop_.cut({}, false);
+    ControlLoop::Node &Entry = F.Loop_.node(1);
+    ControlLoop::Node &Agent = F.Loop_.node(2);
+    auto Knows = [&] {
+      const Member *M = Entry.Core_->table().find(Agent.Name_);
+      return M != nullptr && M->Report_ != nullptr;
+    };
+    REQUIRE_FALSE(Knows());
+    CHECK(F.Loop_.runUntil(Knows, Seconds(5)));
+  }
+}
