Endpoint answers: the reader keeps its own window

Cause: the pause at a full attempt buffer is decided on the decision loop and reaches the reading thread late on a busy machine; meanwhile the reader takes in the whole answer. Seen as "answer, not acknowledged, stops at the buffer" with 255924 <= 196608 in a loaded run.

Now each run counts what it read and what was released (ReadWindow) on its own thread and stops at attempt_buffer. AttemptTable's ReleaseRun says what an acknowledgement freed. The decided pause stays: it makes the run resume at half a buffer and not byte by byte. The integration test is not changed.

--- a/hawthornroad/routing/AttemptMessages.h
+++ b/hawthornroad/routing/AttemptMessages.h
@@ -152,6 +152,12 @@
 };
 struct SendAccepted {
   RequesterId To_;
+// The answer's bytes before Offset_ are freed: that much more may be read.
+struct ReleaseRun {
+  AttemptId Attempt_;
+  std::uint64_t Offset_;
+  bool operator==(const ReleaseRun &) const = default;
+};
   AttemptId Attempt_;
   bool operator==(const SendAccepted &) const = default;
 };
@@ -209,9 +215,9 @@
 };
 
 using AttemptAction =
-    std::variant<StartRun, StopRun, PauseRun, ResumeRun, SendAccepted,
-                 SendRefused, SendState, SendHead, SendData, SendEnd,
-                 SendFailed, AttemptEnded>;
+    std::variant<StartRun, StopRun, PauseRun, ResumeRun, ReleaseRun,
+                 SendAccepted, SendRefused, SendState, SendHead, SendData,
+                 SendEnd, SendFailed, AttemptEnded>;
 using AttemptActions = std::vector<AttemptAction>;
 
 } // namespace hawthornroad
--- a/hawthornroad/routing/AttemptTable.cpp
+++ b/hawthornroad/routing/AttemptTable.cpp
@@ -151,8 +151,15 @@
   auto Found = Attempts_.find(E.Attempt_);
   if (Found == Attempts_.end())
     return {};
-  acknowledge(Found->second, E.Offset_);
-  return fire(Found->second, Event::Acknowledged, Now);
+  Attempt &A = Found->second;
+  std::uint64_t Freed = acknowledge(A, E.Offset_);
+  AttemptActions Out;
+  if (Freed > 0 && isRunning(A.State_))
+    Out.push_back(
+        ReleaseRun{E.Attempt_, A.Buffer_.length() - A.Buffer_.held()});
+  AttemptActions More = fire(A, Event::Acknowledged, Now);
+  std::move(More.begin(), More.end(), std::back_inserter(Out));
+  return Out;
 }
 
 AttemptActions AttemptTable::handle(const CancelReceived &E, TimePoint Now) {
@@ -313,15 +320,16 @@
   boundFinished(Now);
 }
 
-void AttemptTable::acknowledge(Attempt &A, std::uint64_t Offset) {
+std::uint64_t AttemptTable::acknowledge(Attempt &A, std::uint64_t Offset) {
   std::uint64_t Before = A.Buffer_.held();
   A.Buffer_.acknowledge(Offset);
   std::uint64_t Freed = Before - A.Buffer_.held();
   if (isRunning(A.State_) || Freed == 0)
-    return;
+    return Freed;
   FinishedBytes_ -= Freed;
   if (A.Buffer_.held() == 0)
     --Unacknowledged_;
+  return Freed;
 }
 
 // Entries that died never acknowledge: the oldest answers give way first, and
--- a/hawthornroad/routing/AttemptTable.h
+++ b/hawthornroad/routing/AttemptTable.h
@@ -19,7 +19,9 @@
 // - An attempt is pinned to the version loaded when it was accepted; an answer
 //   of another version fails before a byte of it is passed on.
 // - The answer is kept until acknowledged, in a bounded buffer: a full buffer
-//   pauses the run. A query moves all later frames to its connection.
+//   pauses the run, and ReleaseRun tells the reader, which keeps to the same
+//   bound on its own thread, what is free again. A query moves all later frames
+//   to its connection.
 // - A lost connection stops no attempt that may not be repeated, for it cannot
 //   be tried elsewhere; a repeatable one is given up after OrphanGrace_.
 //
@@ -91,7 +93,8 @@
   void perform(const Attempt &A, std::size_t Which, AttemptActions &Out) const;
   void say(const Attempt &A, std::size_t Which, AttemptActions &Out) const;
   void settle(Attempt &A, TimePoint Now, AttemptActions &Out);
-  void acknowledge(Attempt &A, std::uint64_t Offset);
+  // Returns the bytes freed.
+  std::uint64_t acknowledge(Attempt &A, std::uint64_t Offset);
   void boundFinished(TimePoint Now);
   void forgetOldest(TimePoint Now);
   AttemptActions giveUp(Attempt &A, const std::string &Why, TimePoint Now);
--- a/hawthornroad/runtime/AgentAttempts.cpp
+++ b/hawthornroad/runtime/AgentAttempts.cpp
@@ -142,7 +142,8 @@
     : Table_(attemptChart(S.Common_.Charts_), limitsOf(S)), Net_(Net),
       Metrics_(M),
       Endpoint_(
-          {S.EndpointAddress_, S.EndpointIdle_}, EngineIo, Client, Loop, M,
+          {S.EndpointAddress_, S.EndpointIdle_, S.AttemptBuffer_}, EngineIo,
+          Client, Loop, M,
           {.OnHead_ = [this](const HeadReceived &E,
                              TimePoint Now) { perform(Table_.handle(E, Now)); },
            .OnData_ = [this](const DataReceived &E,
@@ -221,6 +222,7 @@
       [&](const PauseRun &A) { Endpoint_.pause(A.Attempt_); },
       [&](const ResumeRun &A) { Endpoint_.resume(A.Attempt_); },
       [&](const AttemptEnded &A) { note(A); },
+      [&](const ReleaseRun &A) { Endpoint_.release(A.Attempt_, A.Offset_); },
       [&](const SendRefused &A) {
         noteRefusal(A.Attempt_, A.Reason_);
         Net_.reply(A.To_, frameOf(A));
--- a/hawthornroad/runtime/EndpointClient.cpp
+++ b/hawthornroad/runtime/EndpointClient.cpp
@@ -1,6 +1,7 @@
 #include "hawthornroad/runtime/EndpointClient.h"
 
 #include "hawthornroad/runtime/Log.h"
+#include "hawthornroad/runtime/ReadWindow.h"
 
 #include <algorithm>
 #include <array>
@@ -81,7 +82,7 @@
 public:
   Run(EndpointClient &Owner, EndpointCall Call)
       : Owner_(Owner), Attempt_(Call.Attempt_), IsModel_(Call.IsModel_),
-        Request_(endpointRequest(Call)) {}
+        Request_(endpointRequest(Call)), Window_(Owner.Setup_.Window_) {}
 
   void begin() {
     HttpClient::Options Options;
@@ -113,6 +114,11 @@
     applyPause();
   }
 
+  void release(std::uint64_t Offset) {
+    Window_.release(Offset);
+    applyPause();
+  }
+
 private:
   void onHead(const HttpResponse &R) {
     HeadReceived E{
@@ -125,6 +131,7 @@
   }
 
   void onData(std::string Bytes) {
+    Window_.take(Bytes.size());
     pass([Owner = &Owner_,
           E = DataReceived{Attempt_, std::move(Bytes)}](TimePoint Now) mutable {
       Owner->Callbacks_.OnData_(std::move(E), Now);
@@ -166,7 +173,7 @@
   void applyPause() {
     if (!Call_)
       return;
-    if (Paused_ || !Backlog_.empty())
+    if (Paused_ || !Backlog_.empty() || !Window_.isOpen())
       Call_->pause();
     else
       Call_->resume();
@@ -192,6 +199,7 @@
   AttemptId Attempt_;
   bool IsModel_;
   HttpRequest Request_;
+  ReadWindow Window_;
   std::shared_ptr<HttpCall> Call_;
   // Events the loop had no room for, in order.
   std::deque<DecisionLoop::Work> Backlog_;
@@ -238,6 +246,12 @@
     boost::asio::post(Io_.context(), [Found] { Found->pause(false); });
 }
 
+void EndpointClient::release(const AttemptId &Attempt, std::uint64_t Offset) {
+  if (auto Found = find(Attempt))
+    boost::asio::post(Io_.context(),
+                      [Found, Offset] { Found->release(Offset); });
+}
+
 void EndpointClient::ended(RunEnded E, TimePoint Now) {
   Runs_.erase(E.Attempt_);
   Callbacks_.OnEnded_(std::move(E), Now);
--- a/hawthornroad/runtime/EndpointClient.h
+++ b/hawthornroad/runtime/EndpointClient.h
@@ -6,12 +6,16 @@
 //       .OnEnded_ = [&](RunEnded E, TimePoint Now) {...}});
 //   Endpoint.start({.Attempt_ = Id, .IsModel_ = true, .Request_ = R});
 //   Endpoint.pause(Id); Endpoint.resume(Id);
+//   Endpoint.release(Id, Offset);   // the body's bytes before Offset are freed
 //   Endpoint.stop(Id);      // closes, and tells the engine to cancel
 //
 // All methods and callbacks run inside the DecisionLoop; sockets live on Io.
 // Each run ends in exactly one OnEnded_, unless it is stopped. When the loop's
 // ring is full, the run's events wait here in order and reading pauses, so a
 // busy loop costs time and no byte.
+// Each run stops reading by itself at Setup::Window_ bytes not yet released:
+// pause() is said on the loop and can reach the reading thread late, when a
+// fast endpoint has filled the memory already.
 // An engine goes on generating for a connection that is gone until its next
 // write, or for good when the path is silent; so a run broken off at this side
 // is followed by POST /admin/cancel.
@@ -55,6 +59,9 @@
     std::string Address_;
     // Longest silence within one run.
     Duration Idle_ = Seconds(30);
+    // Most bytes of one answer read and not released; at most one read of
+    // HttpCall comes on top.
+    std::uint64_t Window_ = 4 * 1024 * 1024;
   };
   struct Callbacks {
     std::function<void(HeadReceived, TimePoint)> OnHead_;
@@ -72,6 +79,7 @@
   void stop(const AttemptId &Attempt);
   void pause(const AttemptId &Attempt);
   void resume(const AttemptId &Attempt);
+  void release(const AttemptId &Attempt, std::uint64_t Offset);
 
   class Run;
 
--- a/tests/unit/AttemptTableTest.cpp
+++ b/tests/unit/AttemptTableTest.cpp
@@ -286,9 +286,15 @@
   only<PauseRun>(data(1, "8"));
   // Bytes already read before the pause took hold are kept too.
   REQUIRE(only<SendData>(data(1, "9")).Offset_ == 8);
-  REQUIRE(all<ResumeRun>(ack(1, 4)).empty());
-  only<ResumeRun>(ack(1, 6));
-  REQUIRE(all<ResumeRun>(ack(1, 6)).empty());
+  AttemptActions Early = ack(1, 4);
+  REQUIRE(all<ResumeRun>(Early).empty());
+  REQUIRE(only<ReleaseRun>(Early).Offset_ == 4);
+  AttemptActions Enough = ack(1, 6);
+  only<ResumeRun>(Enough);
+  REQUIRE(only<ReleaseRun>(Enough).Offset_ == 6);
+  // Twice, and out of order: nothing more is free.
+  REQUIRE(ack(1, 6).empty());
+  REQUIRE(ack(1, 4).empty());
 }
 
 // The entry's connection goes silent: it asks on a fresh one and must get what
