Check of settings: every chart the program uses

--check let a damaged rollout, member or transfer chart pass; the agent then failed at its start. The agent now loads all its five, the entry its three. Test: CheckTest damages each in turn, 5 of 5 runs passed under load. It was not run against the old code.

--- a/hawthornroad/runtime/AgentProcess.cpp
+++ b/hawthornroad/runtime/AgentProcess.cpp
@@ -1,5 +1,7 @@
 #include "hawthornroad/runtime/AgentProcess.h"
 
+#include "hawthornroad/membership/MemberTable.h"
+#include "hawthornroad/rollout/RolloutTurn.h"
 #include "hawthornroad/runtime/Address.h"
 #include "hawthornroad/runtime/Admin.h"
 #include "hawthornroad/runtime/AgentCore.h"
@@ -241,8 +243,12 @@
 
 void checkAgentSettings(const std::string &File) {
   AgentSettings S = AgentSettings::load(File);
-  attemptChart(S.Common_.Charts_);
-  drainChart(S.Common_.Charts_);
+  const std::string &Folder = S.Common_.Charts_;
+  attemptChart(Folder);
+  drainChart(Folder);
+  transferChart(Folder);
+  Chart::load(Folder, "rollout", RolloutTurn::chartNames());
+  Chart::load(Folder, "member", memberChartNames());
 }
 
 } // namespace hawthornroad
--- a/hawthornroad/runtime/EntryProcess.cpp
+++ b/hawthornroad/runtime/EntryProcess.cpp
@@ -1,5 +1,6 @@
 #include "hawthornroad/runtime/EntryProcess.h"
 
+#include "hawthornroad/membership/MemberTable.h"
 #include "hawthornroad/runtime/Address.h"
 #include "hawthornroad/runtime/AttemptCodec.h"
 #include "hawthornroad/runtime/EntryState.h"
@@ -349,6 +350,7 @@
   EntrySettings S = EntrySettings::load(SettingsFile);
   loadRequestChart(S.Common_.Charts_);
   loadClaimChart(S.Common_.Charts_);
+  Chart::load(S.Common_.Charts_, "member", memberChartNames());
 }
 
 EntryProcess::EntryProcess(EntrySettings Settings)
--- a/hawthornroad/runtime/WeightTransfer.cpp
+++ b/hawthornroad/runtime/WeightTransfer.cpp
@@ -20,6 +20,13 @@
       .Actions_ = {"seek_manifest", "open", "join_swarm", "verify", "report"}};
 }
 
+} // namespace
+
+Chart transferChart(const std::string &Directory) {
+  return Chart::load(Directory, "transfer", chartNames());
+}
+
+namespace {
 std::uint64_t seedOf(const ProcessSettings &S) {
   if (S.RandomSeed_ != 0)
     return S.RandomSeed_ ^ std::hash<std::string>()(S.Process_.str());
@@ -37,8 +44,7 @@
                                           Setup_.Settings_.WeightsFolder_)},
       Origin_(Client, Loop, Setup_.Settings_.Origin_,
               Setup_.Settings_.Common_.Platform_.Table_),
-      Chart_(Chart::load(Setup_.Settings_.Common_.Charts_, "transfer",
-                         chartNames())),
+      Chart_(transferChart(Setup_.Settings_.Common_.Charts_)),
       Phase_(Chart_.initial()), Random_(seedOf(Setup_.Settings_.Common_)),
       Uploads_(std::make_shared<WeightUploads>(Work_,
                                                Setup_.Settings_.UploadRate_)) {}
--- a/hawthornroad/runtime/WeightTransfer.h
+++ b/hawthornroad/runtime/WeightTransfer.h
@@ -15,6 +15,7 @@
 #ifndef HAWTHORNROAD_RUNTIME_WEIGHTTRANSFER_H
 #define HAWTHORNROAD_RUNTIME_WEIGHTTRANSFER_H
 
+#include "hawthornroad/base/Chart.h"
 #include "hawthornroad/base/Types.h"
 #include "hawthornroad/config/Declaration.h"
 #include "hawthornroad/config/Settings.h"
@@ -33,6 +34,9 @@
 
 namespace hawthornroad {
 
+// Loads charts/transfer.json. Throws Error(Step::Chart).
+Chart transferChart(const std::string &Directory);
+
 // Another agent of the same service, from the fleet view.
 struct WeightPeer {
   Vm Vm_;
