--- a/hawthornroad/routing/AttemptMessages.h
+++ b/hawthornroad/routing/AttemptMessages.h
@@ -98,6 +98,8 @@
 struct BeginDropped {
   AttemptId Attempt_;
   RequesterId From_ = NoRequester;
+  // For the log.
+  RequestId Request_;
 };
 struct QueryReceived {
   AttemptId Attempt_;
@@ -150,14 +152,14 @@
   AttemptId Attempt_;
   bool operator==(const ResumeRun &) const = default;
 };
-struct SendAccepted {
-  RequesterId To_;
 // The answer's bytes before Offset_ are freed: that much more may be read.
 struct ReleaseRun {
   AttemptId Attempt_;
   std::uint64_t Offset_;
   bool operator==(const ReleaseRun &) const = default;
 };
+struct SendAccepted {
+  RequesterId To_;
   AttemptId Attempt_;
   bool operator==(const SendAccepted &) const = default;
 };
--- a/hawthornroad/runtime/AgentAttempts.cpp
+++ b/hawthornroad/runtime/AgentAttempts.cpp
@@ -185,15 +185,15 @@
   BeginReceived E{specOf(Begin), From.Connection_};
   // No entry sends these; HTTP has no way to write them.
   if (Begin.method.empty() || Begin.target.empty()) {
-    onBeginDropped({E.Spec_.Attempt_, E.From_}, Now);
+    onBeginDropped({E.Spec_.Attempt_, E.From_, E.Spec_.Request_}, Now);
     return;
   }
   EndpointCall Call = callOf(Begin, Facts_.IsModel_);
-  perform(Table_.handle(E, Now), &Call);
+  perform(Table_.handle(E, Now), E.Spec_.Request_, &Call);
 }
 
 void AgentAttempts::onBeginDropped(const BeginDropped &E, TimePoint Now) {
-  perform(Table_.handle(E, Now));
+  perform(Table_.handle(E, Now), E.Request_);
 }
 
 void AgentAttempts::onLost(const PeerContext &Peer, TimePoint Now) {
@@ -215,16 +215,17 @@
   Table_.setEndpoint(Facts);
 }
 
-void AgentAttempts::perform(const AttemptActions &Actions, EndpointCall *Call) {
+void AgentAttempts::perform(const AttemptActions &Actions,
+                            const RequestId &Request, EndpointCall *Call) {
   Overloaded Perform{
       [&](const StartRun &) { Endpoint_.start(std::move(*Call)); },
       [&](const StopRun &A) { Endpoint_.stop(A.Attempt_); },
       [&](const PauseRun &A) { Endpoint_.pause(A.Attempt_); },
       [&](const ResumeRun &A) { Endpoint_.resume(A.Attempt_); },
-      [&](const AttemptEnded &A) { note(A); },
       [&](const ReleaseRun &A) { Endpoint_.release(A.Attempt_, A.Offset_); },
+      [&](const AttemptEnded &A) { note(A); },
       [&](const SendRefused &A) {
-        noteRefusal(A.Attempt_, A.Reason_);
+        noteRefusal(A, Request);
         Net_.reply(A.To_, frameOf(A));
       },
       // A frame the ring has no room for is lost like one lost with its
@@ -261,12 +262,14 @@
        {"detail", E.Failure_ ? E.Failure_->Message_ : ""}});
 }
 
-void AgentAttempts::noteRefusal(const AttemptId &Attempt,
-                                AttemptRefusal Reason) {
-  std::string Why(toString(Reason));
+void AgentAttempts::noteRefusal(const SendRefused &A,
+                                const RequestId &Request) {
+  std::string Why(toString(A.Reason_));
   Metrics_.count("hawthornroad_attempts_refused_total", {{"reason", Why}});
   log(LogLevel::Info, Step::Run, "attempt refused",
-      {{"attempt", Attempt.str()}, {"detail", Why}});
+      {{"request", Request.str()},
+       {"attempt", A.Attempt_.str()},
+       {"detail", Why}});
 }
 
 boost::json::object AgentAttempts::status() const {
--- a/hawthornroad/runtime/AgentAttempts.h
+++ b/hawthornroad/runtime/AgentAttempts.h
@@ -41,9 +41,11 @@
 private:
   void begin(const PeerContext &From, wire::AttemptBeginT &Begin,
              TimePoint Now);
-  void perform(const AttemptActions &Actions, EndpointCall *Call = nullptr);
+  // Request and Call belong to the Begin that the actions answer, if one.
+  void perform(const AttemptActions &Actions, const RequestId &Request = {},
+               EndpointCall *Call = nullptr);
   void note(const AttemptEnded &E);
-  void noteRefusal(const AttemptId &Attempt, AttemptRefusal Reason);
+  void noteRefusal(const SendRefused &A, const RequestId &Request);
 
   AttemptTable Table_;
   EndpointFacts Facts_;
--- a/hawthornroad/runtime/FrameFeed.cpp
+++ b/hawthornroad/runtime/FrameFeed.cpp
@@ -25,7 +25,8 @@
     return;
   if (Begin != nullptr) {
     BeginDropped E{idFromWire<AttemptId>(Begin->attempt.get()),
-                   From.Connection_};
+                   From.Connection_,
+                   idFromWire<RequestId>(Begin->request.get())};
     wait([this, E](TimePoint Now) { Callbacks_.OnBeginDropped_(E, Now); });
     return;
   }
--- a/tests/integration/AgentAttemptsTest.cpp
+++ b/tests/integration/AgentAttemptsTest.cpp
@@ -124,6 +124,13 @@
   Entry_.sendFresh(to(), begin(Attempt));
   REQUIRE(Entry_.awaitOver(Attempt).Refused_.has_value());
   REQUIRE(runs() == 0);
+  RequestId Request = idFromWire<RequestId>(begin(Attempt).request.get());
+  eventually(
+      [&] {
+        return logLines(*Fleet_,
+                        {"attempt refused", Request.str(), Attempt.str()}) == 1;
+      },
+      "the refusal is logged with its request");
 }
 
 // A connection dies with the answer half on its way. The entry asks over a
--- a/tests/integration/Fleet.cpp
+++ b/tests/integration/Fleet.cpp
@@ -7,6 +7,8 @@
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 #include <cstring>
+#include <filesystem>
+#include <fstream>
 
 namespace hawthornroad {
 
@@ -71,6 +73,21 @@
   return {};
 }
 
+int logLines(Fleet &F, const std::vector<std::string> &Texts) {
+  int Found = 0;
+  for (const auto &Each :
+       std::filesystem::directory_iterator(F.folder().path())) {
+    if (Each.path().extension() != ".log")
+      continue;
+    std::ifstream Log(Each.path());
+    for (std::string Line; std::getline(Log, Line);)
+      Found += std::all_of(Texts.begin(), Texts.end(), [&](const auto &Text) {
+        return Line.find(Text) != std::string::npos;
+      });
+  }
+  return Found;
+}
+
 std::string FleetProcess::peers() {
   return PeerProxy_ != nullptr ? PeerProxy_->address()
                                : Process_->readyText("peers");
--- a/tests/integration/Fleet.h
+++ b/tests/integration/Fleet.h
@@ -175,6 +175,8 @@
 // What Seen's /status says of another process: "alive", "suspect", "dead" or
 // "left"; empty when it does not know it.
 std::string memberState(FleetProcess &Seen, const std::string &Process);
+// Log lines of all of the fleet's processes that hold each of Texts.
+int logLines(Fleet &F, const std::vector<std::string> &Texts);
 
 // Bytes that depend on the seed alone.
 std::string seededBytes(std::size_t Size, std::uint64_t Seed);
--- a/tests/integration/WholePathTest.cpp
+++ b/tests/integration/WholePathTest.cpp
@@ -94,6 +94,25 @@
   CHECK(Answer.Body_ == Direct.Body_);
 }
 
+// A customer complains about one answer and names the id it came with; the
+// operator follows that id from the entry's log to the VM that ran it.
+TEST_CASE_METHOD(WholePathFixture,
+                 "request, answered, stands with one id in the logs of its "
+                 "entry and its agent",
+                 "[path]") {
+  HttpResponse Answer = callUntilAnswered(
+      asCustomer(completionRequest(CompletionPath, "slogan", Tokens, false)));
+  auto Id = findHeader(Answer.Headers_, "Hawthornroad-Request");
+  REQUIRE(Id);
+  std::string Field = "\"request\":\"" + *Id + "\"";
+  eventually(
+      [&] {
+        return logLines(*Fleet_, {"request done", Field}) == 1 &&
+               logLines(*Fleet_, {"attempt ended", Field}) == 1;
+      },
+      "both logs hold the request");
+}
+
 TEST_CASE_METHOD(WholePathFixture,
                  "entry, streamed completion, passes every event of the engine "
                  "and ends whole",
