Entry: the mark of a begun attempt is one step with its frame

Cause of "unknown" where "not-run" was due (AtMostOnceTest, agent killed before the run): the mark that a Begin is on a connection was a task of its own behind the frame. On a busy machine the refusal of the frame's dial came between the two; the loss then named no attempt, the request fell silent, was asked for and became "endpoint_gone" 2.6 s later.

PeerNet::send takes the mark along and runs it behind the frame in one task. Ruled out: the mark before the frame, for a loss in between would be told as "not run" of a frame that is sent after all. The integration test is unchanged.

--- a/hawthornroad/runtime/EntryActions.cpp
+++ b/hawthornroad/runtime/EntryActions.cpp
@@ -22,14 +22,16 @@
   }
 }
 
-// The marker behind the frame tells the peers' thread which begins it has put
-// on a connection; see RequestCore.h, "Truth of not run".
+// The marker tells the peers' thread which begins it has put on a connection.
+// It is one step with the frame: as a task of its own it could come after the
+// refusal of the frame's dial, which then named no attempt, and a request that
+// never left was called "unknown" once its VM was gone.
 void EntryProcess::State::perform(const BeginAttempt &A, TimePoint Now) {
-  if (!Net_->send(A.Address_, Lane::Requests, toFrame(A))) {
+  auto Mark = [this, Number = A.Number_] { BegunUpTo_ = Number; };
+  if (!Net_->send(A.Address_, Lane::Requests, toFrame(A), Mark)) {
     run(Core_.notSent(A.Attempt_, Now), Now);
     return;
   }
-  PeersIo_.submit([this, Number = A.Number_] { BegunUpTo_ = Number; });
   log(LogLevel::Debug, Step::Dispatch, "attempt begun",
       {{"request", A.Request_->Id_.str()},
        {"attempt", A.Attempt_.str()},
--- a/hawthornroad/runtime/PeerNet.cpp
+++ b/hawthornroad/runtime/PeerNet.cpp
@@ -441,9 +441,13 @@
   });
 }
 
-bool PeerNet::send(const PeerAddress &To, Lane L, FrameBuffer Frame) {
-  return State_->Io_.submit([S = State_, To, L, Frame = std::move(Frame)] {
+bool PeerNet::send(const PeerAddress &To, Lane L, FrameBuffer Frame,
+                   std::function<void()> WhenPut) {
+  return State_->Io_.submit([S = State_, To, L, Frame = std::move(Frame),
+                             WhenPut = std::move(WhenPut)] {
     S->sendNow({To, L}, Frame, false);
+    if (WhenPut)
+      WhenPut();
   });
 }
 
--- a/hawthornroad/runtime/PeerNet.h
+++ b/hawthornroad/runtime/PeerNet.h
@@ -101,7 +101,10 @@
 
   // Thread-safe. False when the IoThread's ring is full: nothing was sent.
   // True promises only that the frame was queued; loss shows as OnLost_.
-  bool send(const PeerAddress &To, Lane L, FrameBuffer Frame);
+  // WhenPut runs on the IoThread once the frame is on its connection and before
+  // any later loss of that connection is told. May be empty.
+  bool send(const PeerAddress &To, Lane L, FrameBuffer Frame,
+            std::function<void()> WhenPut = {});
   // As send, over a connection dialled anew.
   bool sendFresh(const PeerAddress &To, Lane L, FrameBuffer Frame);
   // Sends on the connection a frame came in on; lost if that is closed.
--- a/tests/unit/RuntimeTest.cpp
+++ b/tests/unit/RuntimeTest.cpp
@@ -212,6 +212,31 @@
   Io.stop();
 }
 
+// An entry marks a call as begun once its frame is on a connection. When the
+// refusal of the dial overtook the mark, the loss named no call, and the caller
+// was told "unknown" of a call that had never left.
+TEST_CASE("peer net, its dial refused, tells the loss after the mark of the "
+          "frame",
+          "[peernet]") {
+  IoThread Io("peers", 1024);
+  std::vector<std::string> Order;
+  std::promise<void> Lost;
+  PeerNet Client(Io, {.Process_ = ProcessName("a")}, {},
+                 {.OnFrame_ = [](const PeerContext &, const wire::Frame &) {},
+                  .OnLost_ =
+                      [&](const PeerContext &, const Error &) {
+                        Order.push_back("lost");
+                        Lost.set_value();
+                      }});
+  REQUIRE(Client.send(PeerAddress("127.0.0.1:1"), Lane::Requests,
+                      makeFrame(wire::PingT()),
+                      [&] { Order.push_back("mark"); }));
+  auto Future = Lost.get_future();
+  REQUIRE(Future.wait_for(Patience) == std::future_status::ready);
+  REQUIRE(Order == std::vector<std::string>{"mark", "lost"});
+  Io.stop();
+}
+
 // A desk's call is handed to an agent that was killed a moment before. The
 // caller is told "unknown", though the agent was dead already: the closed
 // connection was in the kernel, its turn on the busy peers' thread not yet.
