--- a/hawthornroad/routing/AttemptMessages.h
+++ b/hawthornroad/routing/AttemptMessages.h
@@ -98,6 +98,8 @@
 struct BeginDropped {
   AttemptId Attempt_;
   RequesterId From_ = NoRequester;
+  // For the log.
+  RequestId Request_;
 };
 struct QueryReceived {
   AttemptId Attempt_;
@@ -150,6 +152,12 @@
   AttemptId Attempt_;
   bool operator==(const ResumeRun &) const = default;
 };
+// The answer's bytes before Offset_ are freed: that much more may be read.
+struct ReleaseRun {
+  AttemptId Attempt_;
+  std::uint64_t Offset_;
+  bool operator==(const ReleaseRun &) const = default;
+};
 struct SendAccepted {
   RequesterId To_;
   AttemptId Attempt_;
@@ -209,9 +217,9 @@
 };
 
 using AttemptAction =
-    std::variant<StartRun, StopRun, PauseRun, ResumeRun, SendAccepted,
-                 SendRefused, SendState, SendHead, SendData, SendEnd,
-                 SendFailed, AttemptEnded>;
+    std::variant<StartRun, StopRun, PauseRun, ResumeRun, ReleaseRun,
+                 SendAccepted, SendRefused, SendState, SendHead, SendData,
+                 SendEnd, SendFailed, AttemptEnded>;
 using AttemptActions = std::vector<AttemptAction>;
 
 } // namespace hawthornroad
