Control connections: no pings but for word of what was sent, closed after 5 s

Cause: each member probed left a connection that both ends pinged twice a second for 60 s, so control bytes grew with the size of the fleet.

--- a/hawthornroad/runtime/AgentProcess.cpp
+++ b/hawthornroad/runtime/AgentProcess.cpp
@@ -194,10 +194,9 @@
       Done(R"({"error":"busy"})");
   };
   Hooks.BeforeMetrics_ = [this] {
-    Metrics_.set("hawthornroad_peer_bytes_sent",
-                 static_cast<double>(Peers_.bytesSent()));
-    Metrics_.set("hawthornroad_peer_bytes_received",
-                 static_cast<double>(Peers_.bytesReceived()));
+    Peers_.showBytes(Metrics_, Lane::Control);
+    Peers_.showBytes(Metrics_, Lane::Requests);
+    WeightsNet_.showBytes(Metrics_, Lane::Weights);
   };
   Hooks.Routes_.push_back(
       {"POST", "/drain", [this](HttpRequest, auto Exchange) {
--- a/hawthornroad/runtime/EntryProcess.cpp
+++ b/hawthornroad/runtime/EntryProcess.cpp
@@ -248,6 +248,8 @@
   H.BeforeMetrics_ = [this] {
     Metrics_.set("hawthornroad_decision_backlog",
                  static_cast<double>(Loop_->backlog()));
+    Net_->showBytes(Metrics_, Lane::Control);
+    Net_->showBytes(Metrics_, Lane::Requests);
   };
   return H;
 }
--- a/hawthornroad/runtime/PeerNet.cpp
+++ b/hawthornroad/runtime/PeerNet.cpp
@@ -2,6 +2,7 @@
 
 #include "hawthornroad/runtime/Address.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
@@ -26,6 +27,10 @@
 constexpr std::size_t LengthBytes = 4;
 using LengthField = std::array<unsigned char, LengthBytes>;
 using Key = std::pair<PeerAddress, Lane>;
+constexpr std::size_t LaneCount = 3;
+
+std::size_t indexOf(Lane L) { return static_cast<std::size_t>(L); }
+
 class Connection;
 } // namespace
 
@@ -48,8 +53,8 @@
   bool Closing_ = false;
   ConnectionId NextId_ = 1;
   std::atomic<Revision> Revision_{0};
-  std::atomic<std::uint64_t> Sent_{0};
-  std::atomic<std::uint64_t> Received_{0};
+  std::array<std::atomic<std::uint64_t>, LaneCount> Sent_{};
+  std::array<std::atomic<std::uint64_t>, LaneCount> Received_{};
   std::map<Key, std::shared_ptr<Connection>> Dialled_;
   std::unordered_map<ConnectionId, std::shared_ptr<Connection>> ById_;
 };
@@ -60,6 +65,7 @@
 class Connection : public std::enable_shared_from_this<Connection> {
 public:
   using NetState = PeerNet::State;
+  using Limits = PeerNet::Limits;
 
   Connection(std::shared_ptr<NetState> Net, tcp::socket Socket,
              PeerContext Context, bool Dialled)
@@ -79,6 +85,14 @@
         asio::detached);
   }
 
+  // A frame of the owner's, unlike this class's own pings and answers.
+  void send(FrameBuffer Frame) {
+    LastSent_ = std::chrono::steady_clock::now();
+    if (!UnansweredSince_)
+      UnansweredSince_ = LastSent_;
+    enqueue(std::move(Frame));
+  }
+
   void enqueue(FrameBuffer Frame) {
     if (Closed_)
       return;
@@ -162,7 +176,8 @@
           Socket_, Parts, asio::redirect_error(asio::use_awaitable, Code));
       std::size_t Bytes = Frame->size() + LengthBytes;
       Backlog_ -= Bytes;
-      Net_->Sent_.fetch_add(Bytes, std::memory_order_relaxed);
+      Net_->Sent_[indexOf(Context_.Lane_)].fetch_add(Bytes,
+                                                     std::memory_order_relaxed);
       if (Code)
         close(Step::Send, Code.message());
     }
@@ -191,9 +206,11 @@
       Bytes.resize(Length);
       if (!co_await readBody(Bytes))
         co_return;
-      Net_->Received_.fetch_add(Length + LengthBytes,
-                                std::memory_order_relaxed);
-      if (!dispatch(Bytes))
+      bool Fine = dispatch(Bytes);
+      // After dispatch: an accepted connection learns its lane from the Hello.
+      Net_->Received_[indexOf(Context_.Lane_)].fetch_add(
+          Length + LengthBytes, std::memory_order_relaxed);
+      if (!Fine)
         close(Step::Receive, "frame is malformed");
     }
   }
@@ -211,7 +228,7 @@
         close(Step::Receive, Code.message());
         co_return false;
       }
-      LastHeard_ = std::chrono::steady_clock::now();
+      noteHeard();
     }
     co_return true;
   }
@@ -221,7 +238,7 @@
     if (!wire::VerifyFrameBuffer(Verifier))
       return false;
     const wire::Frame &Frame = *wire::GetFrame(Bytes.data());
-    LastHeard_ = std::chrono::steady_clock::now();
+    noteHeard();
     switch (Frame.body_type()) {
     case wire::Body::Hello:
       noteHello(*Frame.body_as_Hello());
@@ -242,6 +259,11 @@
     }
   }
 
+  void noteHeard() {
+    LastHeard_ = std::chrono::steady_clock::now();
+    UnansweredSince_.reset();
+  }
+
   void noteHello(const wire::Hello &Hello) {
     Context_.Process_ = ProcessName(Hello.process()->str());
     Context_.Incarnation_ = Hello.incarnation();
@@ -269,6 +291,8 @@
 
   void checkSilence() {
     TimePoint Now = std::chrono::steady_clock::now();
+    if (Context_.Lane_ == Lane::Control)
+      return checkControlSilence(Now);
     if (Now - LastHeard_ >= Net_->Limits_.DeadAfter_) {
       close(Step::Receive, "connection went silent");
       return;
@@ -277,8 +301,34 @@
       close(Step::Receive, "connection is idle");
       return;
     }
-    if (Now - LastHeard_ < Net_->Limits_.PingAfter_)
+    if (Now - LastHeard_ >= Net_->Limits_.PingAfter_)
+      ping();
+  }
+
+  // Probes leave connections to many members behind; asking for word on each
+  // would cost a process more the more members there are. So only the dialling
+  // side asks, and only for word of what it sent: a push or report into a
+  // forgotten path is still noticed in DeadAfter. The accepting side waits
+  // longer than the dialling one, for a peer that vanished without a close.
+  void checkControlSilence(TimePoint Now) {
+    const Limits &L = Net_->Limits_;
+    Duration Idle = Now - std::max(LastHeard_, LastSent_);
+    if (!IsDialled_ && Now - LastHeard_ >= 2 * L.ControlIdleAfter_)
+      return close(Step::Receive, "connection is idle");
+    if (!IsDialled_)
+      return;
+    if (Idle >= L.ControlIdleAfter_)
+      return close(Step::Receive, "connection is idle");
+    if (!UnansweredSince_)
       return;
+    Duration Silent = Now - *UnansweredSince_;
+    if (Silent >= L.DeadAfter_)
+      close(Step::Receive, "connection went silent");
+    else if (Silent >= L.PingAfter_)
+      ping();
+  }
+
+  void ping() {
     wire::PingT Ping;
     Ping.nonce = ++PingNonce_;
     enqueue(makeFrame(std::move(Ping)));
@@ -296,6 +346,9 @@
   std::uint64_t PingNonce_ = 0;
   TimePoint LastHeard_;
   TimePoint LastUsed_;
+  TimePoint LastSent_{};
+  // When the first frame was sent that nothing was heard after.
+  std::optional<TimePoint> UnansweredSince_;
 };
 
 } // namespace
@@ -370,7 +423,7 @@
   if (!Current)
     Current = dial(K);
   if (Current)
-    Current->enqueue(Frame);
+    Current->send(Frame);
 }
 
 void PeerNet::State::forget(Connection &C) {
@@ -435,7 +488,7 @@
   return State_->Io_.submit([S = State_, To, Frame = std::move(Frame)] {
     auto Found = S->ById_.find(To);
     if (Found != S->ById_.end())
-      Found->second->enqueue(Frame);
+      Found->second->send(Frame);
   });
 }
 
@@ -446,10 +499,22 @@
 
 void PeerNet::setRevision(Revision R) { State_->Revision_.store(R); }
 
-std::uint64_t PeerNet::bytesSent() const { return State_->Sent_.load(); }
+std::uint64_t PeerNet::bytesSent(Lane L) const {
+  return State_->Sent_[indexOf(L)].load();
+}
+
+std::uint64_t PeerNet::bytesReceived(Lane L) const {
+  return State_->Received_[indexOf(L)].load();
+}
 
-std::uint64_t PeerNet::bytesReceived() const {
-  return State_->Received_.load();
+void PeerNet::showBytes(Metrics &M, Lane L) const {
+  static constexpr std::array<const char *, LaneCount> Names = {
+      "control", "requests", "weights"};
+  Metrics::Labels Labels = {{"lane", Names[indexOf(L)]}};
+  M.set("hawthornroad_peer_bytes_sent_total", static_cast<double>(bytesSent(L)),
+        Labels);
+  M.set("hawthornroad_peer_bytes_received_total",
+        static_cast<double>(bytesReceived(L)), Labels);
 }
 
 } // namespace hawthornroad
--- a/hawthornroad/runtime/PeerNet.h
+++ b/hawthornroad/runtime/PeerNet.h
@@ -14,6 +14,10 @@
 // PingAfter and closes it after DeadAfter, so a path that a middlebox has
 // forgotten is noticed in DeadAfter and not when TCP gives up. sendFresh()
 // does not wait for that: it abandons the old connection and dials again.
+// On Lane::Control, which goes to many peers and seldom to one, only the
+// dialling side pings, and only for word of what it sent; it closes an unused
+// connection after ControlIdleAfter. So the connections and the bytes of a
+// process stay bounded by its own sends and not by the size of the fleet.
 //
 // Bounds: a frame above MaxFrame closes the connection; a connection whose
 // unsent bytes exceed MaxBacklog refuses further sends (false).
@@ -24,6 +28,7 @@
 #include "hawthornroad/base/Error.h"
 #include "hawthornroad/base/Types.h"
 #include "hawthornroad/runtime/Io.h"
+#include "hawthornroad/runtime/Metrics.h"
 #include "schema/wire_generated.h"
 
 #include <flatbuffers/flatbuffers.h>
@@ -78,6 +83,8 @@
     Duration DeadAfter_ = Milliseconds(2000);
     // A connection that carried no frame but pings for this long is closed.
     Duration IdleAfter_ = Seconds(60);
+    // The same on Lane::Control.
+    Duration ControlIdleAfter_ = Seconds(5);
   };
   // All run on the IoThread and must not block.
   struct Callbacks {
@@ -108,9 +115,12 @@
   // The revision told in later Hellos.
   void setRevision(Revision R);
 
-  // Control bytes sent and received so far, frames and pings alike.
-  std::uint64_t bytesSent() const;
-  std::uint64_t bytesReceived() const;
+  // Bytes of a lane sent and received so far: frames, Hellos and pings with
+  // their lengths. The Hello an acceptor sends counts as Control.
+  std::uint64_t bytesSent(Lane L) const;
+  std::uint64_t bytesReceived(Lane L) const;
+  // Sets hawthornroad_peer_bytes_sent_total and _received_total of a lane.
+  void showBytes(Metrics &M, Lane L) const;
 
   struct State;
 
