--- a/bench/PathBench.cpp
+++ b/bench/PathBench.cpp
@@ -9,8 +9,9 @@
 // that both see the same machine; throughput with --concurrency calls in
 // progress. Each call has a connection of its own on both ways. A call that is
 // not answered 200 counts as failed and ends the run with exit code 1.
-// Prints a table and, as the last line, JSON.
+// Prints a table and, as the last line, JSON. StreamBench.cpp measures streams.
 
+#include "bench/ProcessUse.h"
 #include "hawthornroad/base/Error.h"
 #include "hawthornroad/runtime/Http.h"
 
@@ -19,11 +20,8 @@
 #include <boost/json/serialize.hpp>
 #include <boost/program_options.hpp>
 #include <chrono>
-#include <fstream>
 #include <future>
 #include <iostream>
-#include <sstream>
-#include <unistd.h>
 
 using namespace hawthornroad;
 
@@ -56,22 +54,6 @@
   return {Values[Values.size() / 2], Values[Values.size() * 99 / 100]};
 }
 
-// Seconds of processor time Pid has used; user and system.
-double cpuSeconds(int Pid) {
-  std::ifstream File("/proc/" + std::to_string(Pid) + "/stat");
-  std::string Text((std::istreambuf_iterator<char>(File)), {});
-  // Fields are counted after the name, which is in parentheses.
-  constexpr int UserField = 12;
-  std::istringstream Fields(Text.substr(Text.rfind(')') + 1));
-  std::string Skipped;
-  for (int I = 1; I < UserField; ++I)
-    Fields >> Skipped;
-  double User = 0;
-  double System = 0;
-  Fields >> User >> System;
-  return (User + System) / static_cast<double>(::sysconf(_SC_CLK_TCK));
-}
-
 class Bench {
 public:
   explicit Bench(Options O) : Options_(std::move(O)) {}
