A slice nobody has begun is taken over on time alone

Cause: a VM stepped in for a late slice only when the other slices were 3 chunks ahead or the whole fleet had been silent for 3 patiences a rank. With one chunk a slice nothing can get ahead, so the owners of a zone cut off from origin and table were replaced by silence, rank after rank.

Idea: the slice's own grant tells whether anybody is at work. Claiming it after the patience of the rank costs one write when lost and never a second read; its holder reads, whatever its rank. Spare grants keep the stricter rule. Claims in another's place need an origin that answered lately.

--- a/hawthornroad/weights/OriginBudget.cpp
+++ b/hawthornroad/weights/OriginBudget.cpp
@@ -43,8 +43,10 @@
 }
 
 bool OriginBudget::mayRead(ChunkIndex Index) const {
-  if (SpareReads_ > 0)
-    return true;
+  return SpareReads_ > 0 || isReader(Index);
+}
+
+bool OriginBudget::isReader(ChunkIndex Index) const {
   return Fate_[sliceOf(Index)] == SliceFate::Mine && !Charged_.has(Index);
 }
 
--- a/hawthornroad/weights/OriginBudget.h
+++ b/hawthornroad/weights/OriginBudget.h
@@ -77,6 +77,13 @@
   ChunkIndex chunksPerSpare() const { return PerSpare_; }
 
   bool mayRead(ChunkIndex Index) const;
+  // Whether the slice's own grant, held here, still pays for Index: this VM is
+  // the one that shall read it.
+  bool isReader(ChunkIndex Index) const;
+  // Whether, for all this VM knows, the slice's grant may still be had.
+  bool isUnclaimed(SliceIndex S) const {
+    return Fate_[S] == SliceFate::Unknown;
+  }
   // Charges one read. Call only when mayRead(Index).
   void spend(ChunkIndex Index);
   // The origin sent no byte of the read that was charged.
--- a/hawthornroad/weights/Swarm.cpp
+++ b/hawthornroad/weights/Swarm.cpp
@@ -11,6 +11,10 @@
 constexpr std::size_t MaxRank = 64;
 // With no news of any slice for this many patiences, all count as late.
 constexpr int SilentPatiences = 3;
+// Ranks that claim a slice's grant on time alone: bounds the table's writes
+// under a slow origin. That so many in a row are all cut off is unlikely, and
+// later ranks still step in when the slice is late.
+constexpr std::size_t MaxTakers = 16;
 } // namespace
 
 Swarm::Swarm(Setup S, const Manifest &M, ChunkSet Held, TimePoint Now)
@@ -197,24 +201,30 @@
          Rank * Setup_.LagNews_ * static_cast<std::size_t>(SeenAt_.size());
 }
 
+bool Swarm::mayTakeOver(SliceIndex S, std::size_t Rank, TimePoint Now) const {
+  return Rank <= MaxTakers && Budget_.isUnclaimed(S) &&
+         Now - News_[S] >= patience(Rank);
+}
+
 bool Swarm::stepIn(ChunkIndex Index, std::vector<SwarmAction> &Out,
                    TimePoint Now) {
   SliceIndex S = Budget_.sliceOf(Index);
   std::size_t Rank = Owners_.rank(S);
-  if (!isLate(S, Rank, Now))
-    return false;
-  if (Budget_.mayRead(Index)) {
+  // A VM that read the chunk in vain knows better than to wait for others.
+  bool IsTurn = Wasted_.has(Index) || isLate(S, Rank, Now);
+  if (Budget_.isReader(Index) || (IsTurn && Budget_.mayRead(Index))) {
     Budget_.spend(Index);
     Plan_.reserve(Index);
     ++Reading_;
     Out.push_back(ReadOrigin{Index});
     return true;
   }
+  if (!IsTurn && !mayTakeOver(S, Rank, Now))
+    return false;
   // Beyond the slice's own grant, even its owner waits a turn: the grant's
-  // holder may be another VM that is reading. A VM that read the chunk in vain
-  // knows better.
+  // holder may be another VM that is reading.
   bool MaySpare = Wasted_.has(Index) || isLate(S, Rank + 1, Now);
-  if (MaySpare && !originIsFresh(Now)) {
+  if ((MaySpare || Rank > 0) && !originIsFresh(Now)) {
     if (!Checking_)
       Out.push_back(CheckOrigin{});
     Checking_ = true;
--- a/hawthornroad/weights/Swarm.h
+++ b/hawthornroad/weights/Swarm.h
@@ -22,9 +22,17 @@
 // is no evidence: with a slow origin every slice is silent for long. So a slice
 // must also have fallen behind the others, by LagNews_ chunks each.
 //
-// Reading for a late slice needs the origin to have answered a check lately:
-// while the origin is down, VMs that take turns to try would otherwise use up
-// the spare grants.
+// That rule guards spare grants. It cannot see owners that never began: where
+// slices hold few chunks the others are whole before they are LagNews_ ahead,
+// and a zone cut off from the origin or the table would wait for silence, rank
+// after rank. So the slice's own grant is free to whoever claims it after the
+// patience of its rank, on time alone: if the owner is at work, the claim is
+// lost and costs one write; if not, the winner reads in the owner's place, and
+// still each chunk once. The holder of the grant reads, whatever its rank.
+//
+// Reading in another's place needs the origin to have answered lately: while
+// it is down or out of reach, VMs that take turns to try would otherwise use up
+// the spare grants, or win slices that they cannot read.
 
 #ifndef HAWTHORNROAD_WEIGHTS_SWARM_H
 #define HAWTHORNROAD_WEIGHTS_SWARM_H
@@ -145,6 +153,7 @@
   void noteOwn(ChunkIndex Index, TimePoint Now);
   bool isLateInZone(SliceIndex S, TimePoint Now) const;
   bool isLate(SliceIndex S, std::size_t Rank, TimePoint Now) const;
+  bool mayTakeOver(SliceIndex S, std::size_t Rank, TimePoint Now) const;
   Duration patience(std::size_t Rank) const;
   void readOrigin(std::vector<SwarmAction> &Out, TimePoint Now);
   bool stepIn(ChunkIndex Index, std::vector<SwarmAction> &Out, TimePoint Now);
