--- a/hawthornroad/runtime/WeightSwarm.cpp
+++ b/hawthornroad/runtime/WeightSwarm.cpp
@@ -37,8 +37,8 @@
   // gone, and whose charges are therefore unknown.
   if (Token_.empty()) {
     Random R(Setup_.Swarm_.Seed_);
-    Token_ = Setup_.Swarm_.Self_.Vm_.str() + " " +
-             std::to_string(R.next()) + " " + std::to_string(R.next());
+    Token_ = Setup_.Swarm_.Self_.Vm_.str() + " " + std::to_string(R.next()) +
+             " " + std::to_string(R.next());
   }
 }
 
--- a/tests/integration/RolloutTest.cpp
+++ b/tests/integration/RolloutTest.cpp
@@ -179,10 +179,11 @@
 // turn would give up the old version for one that never comes. The old one
 // keeps serving, operators see which endpoints failed and why, and a rollback
 // needs no transfer.
-TEST_CASE_METHOD(RolloutFixture,
-                 "rollout of a version that fails to load halts, and a rollback "
-                 "and a later version go through",
-                 "[rollout]") {
+TEST_CASE_METHOD(
+    RolloutFixture,
+    "rollout of a version that fails to load halts, and a rollback "
+    "and a later version go through",
+    "[rollout]") {
   auto F = build(4);
   WeightVersion V1 = F->publishWeights("v1", 1);
   WeightVersion V2 = F->publishWeights("v2", 2);
