--- a/hawthornroad/weights/ChunkPlan.cpp
+++ b/hawthornroad/weights/ChunkPlan.cpp
@@ -112,8 +112,9 @@
     return std::nullopt;
   Duration Long =
       std::max(Limits_.Timeout_ / LateFactor, Usual_ * AskTwiceFactor);
-  for (const auto &[F, Since] : Requests_) {
-    if (Now - Since < Long)
+  for (const auto &Request : Requests_) {
+    const ChunkFetch &F = Request.first;
+    if (Now - Request.second < Long)
       continue;
     auto SameChunk = [&](const auto &R) { return R.first.Chunk_ == F.Chunk_; };
     if (std::count_if(Requests_.begin(), Requests_.end(), SameChunk) >=
