--- a/hawthornroad/routing/RequestDispatch.cpp
+++ b/hawthornroad/routing/RequestDispatch.cpp
@@ -159,6 +159,7 @@
 // retried outside it, refused requests take the places of those that wait, and
 // in overload the small customers lose theirs (docs/design/routing.md). One
 // that holds a claim does not wait again, since it would claim its key twice.
+// Puts the request back when it says yes.
 bool RequestCore::State::canWait(Record &R, TimePoint Now) {
   bool IsFresh = !R.EndedAttemptMayHaveRun_ && !R.Answer_.hasBegun();
   bool IsWanted = !R.Answered_ && !R.CallerGone_ && Now < R.Call_->Deadline_;
