--- a/hawthornroad/agent/PieceTransfer.cpp
+++ b/hawthornroad/agent/PieceTransfer.cpp
@@ -15,9 +15,9 @@
 constexpr Duration EngineLimit = Seconds(1);
 // A piece over a shared narrow link, with many readers at once.
 constexpr Duration OriginLimit = Seconds(4);
-// Unsent bytes of a connection above which no more pieces are put on it: two
-// pieces, or a tenth of a second of a narrow link.
-constexpr std::size_t MostUnsent = 64 * 1024;
+// Pieces that wait to be sent at once; peers ask elsewhere for further ones. Over
+// a narrow link five pieces take an eighth of a second.
+constexpr std::size_t MostUploads = 5;
 // Wrong copies of one piece after which its digest is doubted.
 constexpr unsigned WrongBeforeDoubt = 2;
 // Copies of a version that the origin may send in all.
@@ -28,23 +28,28 @@
   Out.Self_ = S.Self_;
   Out.OriginCopies_ = OriginCopies;
   Out.Seed_ = S.Seed_;
-  Out.OriginReads_ = 2;
+  Out.OriginReads_ = 1;
   Out.OriginZone_ = S.OriginZone_;
   // The bound is eight seconds for the whole of it, so what is late is taken
   // over within one.
   Out.TimePatience_ = Milliseconds(600);
   Out.ZonePatience_ = Milliseconds(1500);
   Out.Plan_.Timeout_ = Milliseconds(2500);
+  // Each piece asked for comes in over the link that brings the engine its
+  // requests; five in flight keep it busy and its queue short.
+  Out.Plan_.InFlight_ = 5;
+  Out.Plan_.PerPeer_ = 1;
   Out.Exchange_.TellPeriod_ = Milliseconds(60);
   return Out;
 }
 } // namespace
 
-PieceTransfer::PieceTransfer(Setup S, HttpCalls &Engine, HttpCalls *Origin,
-                             PeerNet &Net, EventLog &Log,
+PieceTransfer::PieceTransfer(Setup S, IoThread &Io, HttpCalls &Engine,
+                             HttpCalls *Origin, PeerNet &Net, EventLog &Log,
                              PieceCounters &Counters, Callbacks C)
     : Setup_(std::move(S)), Engine_(Engine), Origin_(Origin), Net_(Net),
-      Log_(Log), Counters_(Counters), Callbacks_(std::move(C)) {}
+      Log_(Log), Counters_(Counters), Callbacks_(std::move(C)), Io_(Io),
+      UploadRate_(Setup_.UploadRate_) {}
 
 void PieceTransfer::start(std::vector<std::string> Digests,
                           const std::set<ChunkIndex> &Held, TimePoint Now) {
@@ -171,6 +176,7 @@
   wire::ChunkHaveT Have;
   Have.manifest = frameName(Setup_.Version_);
   Have.vm = Setup_.Self_.Vm_.str();
+  Have.uploads = static_cast<std::uint32_t>(Uploads_.size());
   if (A.News_.Whole_)
     Have.bitmap = Swarm_->held().bytes();
   else
@@ -240,7 +246,7 @@
 
 void PieceTransfer::onRequest(const PeerContext &From,
                               const wire::ChunkRequestT &R, TimePoint Now) {
-  if (Net_.backlog(From.Connection_) > MostUnsent) {
+  if (Uploads_.size() >= MostUploads) {
     wire::ChunkReplyT Busy;
     Busy.manifest = R.manifest;
     Busy.index = R.index;
@@ -248,15 +254,41 @@
     Net_.reply(From.Connection_, makeFrame(std::move(Busy)));
     return;
   }
-  auto Found = Pieces_.find(R.index);
-  if (Found != Pieces_.end())
-    return answer(From, R.index, Found->second);
   if (!Swarm_->held().has(R.index))
     return answer(From, R.index, {});
-  Engine_.call(platform::stagedReadCall(Setup_.Version_.Model_, R.index),
+  Uploads_.push_back({From, R.index});
+  upload();
+}
+
+// One piece at a time, each when the link's share has paid for the one before:
+// so the link's queue never holds more than one piece.
+void PieceTransfer::upload() {
+  TimePoint Now = bootNow();
+  while (!Uploads_.empty() && UploadRate_.isOpen(Now)) {
+    Upload Next = std::move(Uploads_.front());
+    Uploads_.pop_front();
+    UploadRate_.take(Setup_.PieceBytes_, Now);
+    startUpload(Next.To_, Next.Index_);
+  }
+  if (Uploads_.empty() || UploadTimerSet_)
+    return;
+  UploadTimerSet_ = true;
+  Io_.after(UploadRate_.opensAt() - Now, [Weak = weak_from_this()] {
+    if (auto Self = Weak.lock()) {
+      Self->UploadTimerSet_ = false;
+      Self->upload();
+    }
+  });
+}
+
+void PieceTransfer::startUpload(const PeerContext &From, ChunkIndex Index) {
+  auto Found = Pieces_.find(Index);
+  if (Found != Pieces_.end())
+    return answer(From, Index, Found->second);
+  Engine_.call(platform::stagedReadCall(Setup_.Version_.Model_, Index),
                EngineLimit,
                [Weak = weak_from_this(), From,
-                Index = R.index](const HttpCalls::Result &Result) {
+                Index](const HttpCalls::Result &Result) {
                  auto Self = Weak.lock();
                  if (!Self)
                    return;
--- a/hawthornroad/agent/PieceTransfer.h
+++ b/hawthornroad/agent/PieceTransfer.h
@@ -26,8 +26,10 @@
 #include "hawthornroad/runtime/EventLog.h"
 #include "hawthornroad/runtime/PeerNet.h"
 #include "hawthornroad/staging/EngineDuty.h"
+#include "hawthornroad/weights/RateLimiter.h"
 #include "hawthornroad/weights/Swarm.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -59,6 +61,10 @@
     std::size_t Pieces_ = 0;
     std::size_t PieceBytes_ = 0;
     std::uint64_t Seed_ = 1;
+    // Bytes a second that pieces may take of this VM's link; 0: no bound. The
+    // engine's answers use the same link, and an event that waits behind a
+    // burst of pieces comes late.
+    std::int64_t UploadRate_ = 0;
   };
   struct Callbacks {
     // All pieces lie at the engine.
@@ -69,8 +75,9 @@
   };
 
   // Origin may be null when this VM only passes pieces on.
-  PieceTransfer(Setup S, HttpCalls &Engine, HttpCalls *Origin, PeerNet &Net,
-                EventLog &Log, PieceCounters &Counters, Callbacks C);
+  PieceTransfer(Setup S, IoThread &Io, HttpCalls &Engine, HttpCalls *Origin,
+                PeerNet &Net, EventLog &Log, PieceCounters &Counters,
+                Callbacks C);
 
   // Without digests this VM only passes on what it holds.
   void start(std::vector<std::string> Digests, const std::set<ChunkIndex> &Held,
@@ -106,6 +113,9 @@
   void onRequest(const PeerContext &From, const wire::ChunkRequestT &R,
                  TimePoint Now);
   void onReply(const wire::ChunkReplyT &R, const Vm &From, TimePoint Now);
+  // Sends what waits as far as the link's share allows.
+  void upload();
+  void startUpload(const PeerContext &To, ChunkIndex Index);
   void answer(const PeerContext &To, ChunkIndex Index, const std::string &Bytes);
   bool isRight(ChunkIndex Index, const std::string &Bytes);
   void keep(ChunkIndex Index, std::string Bytes,
@@ -125,6 +135,14 @@
   std::map<ChunkIndex, std::string> Pieces_;
   std::map<Vm, PeerAddress> Addresses_;
   std::map<ChunkIndex, unsigned> WrongCount_;
+  struct Upload {
+    PeerContext To_;
+    ChunkIndex Index_ = 0;
+  };
+  std::deque<Upload> Uploads_;
+  bool UploadTimerSet_ = false;
+  IoThread &Io_;
+  RateLimiter UploadRate_;
   bool WholeTold_ = false;
 };
 
--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -18,6 +18,8 @@
 
 namespace {
 constexpr std::size_t WorkRing = 256;
+// Versions count up from here.
+constexpr WeightVersion FirstVersion = 1;
 // While a version is on its way, and otherwise.
 constexpr Duration BusyTick = Milliseconds(30);
 constexpr Duration IdleTick = Milliseconds(150);
@@ -37,6 +39,11 @@
 // Connections between agents are closed soon after a transfer: keeping them
 // alive costs both sides a wake-up for nothing.
 constexpr Duration PeerIdle = Seconds(4);
+// Part of the VM's link that pieces may take: the engine's answers need a
+// tenth of it, in bursts.
+constexpr double UploadShare = 0.85;
+// A version named this much later than the one under way waits for it.
+constexpr Duration SwitchBefore = Milliseconds(1200);
 // Before the bound, for the load itself to be through.
 constexpr Duration BoundMargin = Milliseconds(700);
 
@@ -87,6 +94,11 @@
   void step(TimePoint Now);
   void onOperatorRows(const TableWatch::Update &U);
   void takeVersion(const ModelVersion &V, TimePoint Now);
+  void takeFirstVersion(TimePoint Now);
+  // V is the version to bring about from now on.
+  void pursue(const ModelVersion &V, TimePoint HeardAt, TimePoint Now);
+  // What is declared of this VM's engine; null until known.
+  const EnginePace *pace() const;
   void report();
   void onReport(const HttpCalls::Result &R);
   // The pieces of the wanted version, from nothing to whole.
@@ -104,6 +116,12 @@
   std::shared_ptr<PieceTransfer> makeTransfer(const ModelVersion &V,
                                               bool ReadsOrigin);
   TimePoint mayLoadAt() const;
+  // Bytes a second.
+  std::int64_t uploadRate() const {
+    constexpr double BytesPerMegabit = 1e6 / 8;
+    return static_cast<std::int64_t>(Settings_.LinkMbps_ * BytesPerMegabit *
+                                     UploadShare);
+  }
   bool isBusy() const { return Duty_.wanted() && !Duty_.isDone(); }
 
   StoreAgentSettings Settings_;
@@ -125,6 +143,11 @@
   AvailabilityZone OriginZone_;
   std::map<std::string, ModelVersion> Named_;
   TimePoint HeardAt_{};
+  // Named while another one was nearly there; follows it.
+  std::optional<ModelVersion> Next_;
+  TimePoint NextHeardAt_{};
+  // The engine has taken the order to load the wanted version.
+  bool OrderBegun_ = false;
   std::optional<ModelVersion> DigestsOf_;
   std::vector<std::string> Digests_;
   std::size_t PieceBytes_ = 0;
@@ -241,6 +264,21 @@
                  true);
     }
   }
+  takeFirstVersion(Now);
+}
+
+// Until operators name a version, the first one counts as wanted: an engine
+// that was added would otherwise stay empty.
+void StoreAgent::State::takeFirstVersion(TimePoint Now) {
+  const EnginePace *Pace = pace();
+  if (!Duty_.wanted() && Pace != nullptr && !Pace->Model_.empty())
+    takeVersion({Pace->Model_, FirstVersion}, Now);
+}
+
+const EnginePace *StoreAgent::State::pace() const {
+  const ServiceEntry *S =
+      Config_ ? Config_->findService(Settings_.Service_) : nullptr;
+  return S != nullptr && S->Engine_ ? &*S->Engine_ : nullptr;
 }
 
 void StoreAgent::State::takeVersion(const ModelVersion &V, TimePoint Now) {
@@ -248,9 +286,27 @@
   if (Duty_.state() && !Duty_.state()->Loaded_.Model_.empty() &&
       Duty_.state()->Loaded_.Model_ != V.Model_)
     return;
+  if (Duty_.wanted() && V.Version_ <= Duty_.wanted()->Version_)
+    return;
+  // Each version has its own bound: one that is nearly there is finished first,
+  // or requests would have no engine that may serve them.
+  bool IsFar = isBusy() && !OrderBegun_ && Now - HeardAt_ >= SwitchBefore;
+  if (IsFar) {
+    if (!Next_ || Next_->Version_ < V.Version_) {
+      Next_ = V;
+      NextHeardAt_ = Now;
+    }
+    return;
+  }
+  pursue(V, Now, Now);
+}
+
+void StoreAgent::State::pursue(const ModelVersion &V, TimePoint HeardAt,
+                               TimePoint Now) {
   if (!Duty_.want(V))
     return;
-  HeardAt_ = Now;
+  HeardAt_ = HeardAt;
+  OrderBegun_ = false;
   TransferBegun_ = false;
   Transfer_.reset();
   WholeAt_.reset();
@@ -269,6 +325,9 @@
 }
 
 void StoreAgent::State::step(TimePoint Now) {
+  // The order may have been taken without an answer.
+  if (Next_ && Duty_.isDone())
+    pursue(*std::exchange(Next_, std::nullopt), NextHeardAt_, Now);
   TimePoint LoadAt = Duty_.wanted() ? mayLoadAt() : Now;
   switch (Duty_.next(LoadAt, Now)) {
   case EngineStep::Nothing:
@@ -367,6 +426,13 @@
                                 .millis("since_wanted_ms",
                                         bootNow() - HeardAt_));
                  Duty_.ordered(End, bootNow());
+                 if (End == EngineDuty::OrderEnd::Begun &&
+                     Duty_.wanted() == V) {
+                   OrderBegun_ = true;
+                   if (Next_)
+                     pursue(*std::exchange(Next_, std::nullopt), NextHeardAt_,
+                            bootNow());
+                 }
                  step(bootNow());
                });
 }
@@ -451,6 +517,7 @@
   S.Pieces_ = Digests_.size();
   S.PieceBytes_ = PieceBytes_;
   S.Seed_ = seedOf(Settings_.Common_);
+  S.UploadRate_ = uploadRate();
   PieceTransfer::Callbacks C;
   C.OnWhole_ = [this, V] {
     if (Duty_.wanted() != V)
@@ -471,7 +538,7 @@
                   [this, V](const HttpCalls::Result &R) { onManifest(V, R); });
   };
   return std::make_shared<PieceTransfer>(
-      std::move(S), Engine_, ReadsOrigin ? Origin_.get() : nullptr, *Net_, Log_,
+      std::move(S), Io_, Engine_, ReadsOrigin ? Origin_.get() : nullptr, *Net_, Log_,
       Pieces_, std::move(C));
 }
 
@@ -492,11 +559,8 @@
 void StoreAgent::State::offerLoaded() {
   if (OfferLooked_ || Transfer_ || !Duty_.isDone() || !Config_)
     return;
-  const EnginePace *Pace = nullptr;
-  for (const ServiceEntry &S : Config_->parts().Services_)
-    if (S.Engine_ && S.Engine_->Pieces_ > 0)
-      Pace = &*S.Engine_;
-  if (Pace == nullptr)
+  const EnginePace *Pace = pace();
+  if (Pace == nullptr || Pace->Pieces_ == 0)
     return;
   OfferLooked_ = true;
   ModelVersion V = *Duty_.wanted();
@@ -514,8 +578,9 @@
                  S.Self_ = {Vm(Self_), Settings_.Common_.Zone_};
                  S.Pieces_ = Count;
                  S.PieceBytes_ = Bytes;
+                 S.UploadRate_ = uploadRate();
                  Transfer_ = std::make_shared<PieceTransfer>(
-                     std::move(S), Engine_, nullptr, *Net_, Log_, Pieces_,
+                     std::move(S), Io_, Engine_, nullptr, *Net_, Log_, Pieces_,
                      PieceTransfer::Callbacks{});
                  Transfer_->start({}, {Held.begin(), Held.end()}, bootNow());
                });
--- a/hawthornroad/config/RoutingConfig.h
+++ b/hawthornroad/config/RoutingConfig.h
@@ -66,6 +66,8 @@
 
 // How fast an engine reads and writes, from its declaration.
 struct EnginePace {
+  // The model it serves.
+  std::string Model_;
   // Requests of one batch.
   unsigned Slots_ = 1;
   double StepMs_ = 0;
--- a/hawthornroad/config/Settings.cpp
+++ b/hawthornroad/config/Settings.cpp
@@ -181,6 +181,7 @@
   StoreAgentSettings S;
   S.Common_ = readStoreProcess(R);
   readTarget(R, "engine_address", S.EngineAddress_);
+  S.Service_ = ServiceName(readName(R, "service"));
   readListen(R, "peer_listen", S.PeerListen_);
   constexpr double MaxMbps = 1e6;
   S.LinkMbps_ = R.number("link_mbps", 0.01, MaxMbps, S.LinkMbps_);
--- a/hawthornroad/config/Settings.h
+++ b/hawthornroad/config/Settings.h
@@ -147,8 +147,9 @@
 
 struct StoreAgentSettings {
   StoreProcessSettings Common_;
-  // The engine beside this agent, "IP:port".
+  // The engine beside this agent, "IP:port", and the service it is part of.
   std::string EngineAddress_;
+  ServiceName Service_;
   std::string PeerListen_ = "127.0.0.1:0";
   // Bits a second of this VM's link.
   double LinkMbps_ = 1000;
--- a/hawthornroad/staging/EngineDuty.cpp
+++ b/hawthornroad/staging/EngineDuty.cpp
@@ -74,10 +74,14 @@
                                        : EngineStep::Nothing;
   if (Age >= (UnderWay ? Options_.BusyReport_ : Options_.IdleReport_))
     return EngineStep::Report;
-  if (!UnderWay || State_->IsBusy_)
+  if (!UnderWay)
     return EngineStep::Nothing;
+  // Also while another version is being loaded: the engine took what lay there
+  // when it accepted that order.
   if (!Staged_)
     return EngineStep::Fetch;
+  if (State_->IsBusy_)
+    return EngineStep::Nothing;
   if (Now < OrderNotBefore_ || (Now < MayLoadAt && !isEmpty()))
     return EngineStep::Nothing;
   if (!VerifiedAt_ || Now - *VerifiedAt_ > Options_.VerifiedFor_)
--- a/hawthornroad/traffic/Placement.cpp
+++ b/hawthornroad/traffic/Placement.cpp
@@ -198,9 +198,15 @@
   case End::Cancelled:
     return;
   case End::TurnedAway:
-    S.FullUntil_ = Now + Options_.FullFor_;
+    // Requests turned away together count once.
+    if (Now < S.FullUntil_)
+      return;
+    S.FullFor_ = std::clamp(2 * S.FullFor_, Options_.FullFor_,
+                            Options_.FullMost_);
+    S.FullUntil_ = Now + S.FullFor_;
     return;
   case End::Good:
+    S.FullFor_ = Duration::zero();
     S.FailuresInRow_ = 0;
     S.FailureShare_ *= 1 - SampleWeight;
     if (S.FailureShare_ < SampleWeight)
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -45,7 +45,7 @@
     AvailabilityZone Zone_;
     // Part of an endpoint's places by which a neighbour in the zone may be
     // fuller than one elsewhere and still be chosen.
-    double CrossZonePenalty_ = 0.4;
+    double CrossZonePenalty_ = 0.8;
     // Requests beyond an engine's batch that may wait at it, so that a place
     // that falls free is taken without a round trip.
     unsigned EngineQueue_ = 2;
@@ -58,8 +58,10 @@
     unsigned FailuresInRow_ = 3;
     Duration EjectFor_ = Seconds(2);
     Duration EjectMost_ = Seconds(8);
-    // Pause after an endpoint said it had no place.
+    // Pause after an endpoint said it had no place; doubles with each time in a
+    // row, since one that loads new weights is away for seconds.
     Duration FullFor_ = Milliseconds(60);
+    Duration FullMost_ = Milliseconds(500);
   };
   enum class End {
     Good,
@@ -125,6 +127,7 @@
     Duration EjectFor_ = Duration::zero();
     TimePoint EjectedUntil_;
     TimePoint FullUntil_;
+    Duration FullFor_ = Duration::zero();
   };
 
   double load(const State &S, TimePoint Now) const;
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -173,9 +173,9 @@
 
 void TrafficCore::requireVersion(const std::string &Model, WeightVersion V,
                                  TimePoint At) {
-  VersionDuty &D = Duties_[Model];
-  if (V > D.Version_)
-    D = {V, At};
+  // Each version's bound counts from its own naming: a later one does not put
+  // off the duty of one before.
+  Duties_[Model].try_emplace(V, At);
 }
 
 WeightVersion TrafficCore::minVersion(const ServiceName &Service,
@@ -185,8 +185,10 @@
     if (!E->HasModel_ || E->Model_.empty())
       continue;
     auto Found = Duties_.find(E->Model_);
-    if (Found != Duties_.end() && Now >= Found->second.At_)
-      Out = std::max(Out, Found->second.Version_);
+    if (Found != Duties_.end())
+      for (const auto &[Version, From] : Found->second)
+        if (Now >= From)
+          Out = std::max(Out, Version);
     // All endpoints of a service serve one model.
     break;
   }
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -183,10 +183,6 @@
 private:
   struct Record;
   struct Line;
-  struct VersionDuty {
-    WeightVersion Version_ = 0;
-    TimePoint At_;
-  };
 
   Record *find(AttemptNumber A);
   // Why a call cannot be taken at all; sets route and customer otherwise.
@@ -221,7 +217,8 @@
   Placement Placement_;
   RepeatBudget Budget_;
   KeyLease Lease_;
-  std::map<std::string, VersionDuty> Duties_;
+  // By model: from when on which version is the least.
+  std::map<std::string, std::map<WeightVersion, TimePoint>> Duties_;
   std::unordered_map<CallNumber, std::unique_ptr<Record>> Calls_;
   std::unordered_map<AttemptNumber, CallNumber> ByAttempt_;
   std::map<ServiceName, Line> Lines_;
