--- a/hawthornroad/agent/PieceTransfer.cpp
+++ b/hawthornroad/agent/PieceTransfer.cpp
@@ -4,15 +4,14 @@
 #include "hawthornroad/runtime/BootClock.h"
 #include "platform/EngineWire.h"
 
+#include <algorithm>
+
 namespace hawthornroad {
 
 namespace {
 constexpr const char *ReplyBusy = "busy";
 constexpr const char *ReplyMissing = "missing";
 constexpr std::size_t DigestPrefixLength = 7; // "sha256:"
-// The engine is on this machine; it answers within milliseconds unless the
-// machine stands still.
-constexpr Duration EngineLimit = Seconds(1);
 // A piece over a shared narrow link, with many readers at once.
 constexpr Duration OriginLimit = Seconds(4);
 // Pieces that wait to be sent at once; peers ask elsewhere for further ones. Over
@@ -44,19 +43,31 @@
 }
 } // namespace
 
-PieceTransfer::PieceTransfer(Setup S, IoThread &Io, HttpCalls &Engine,
-                             HttpCalls *Origin, PeerNet &Net, EventLog &Log,
+PieceTransfer::PieceTransfer(Setup S, IoThread &Io, HttpCalls *Origin,
+                             PeerNet &Net, EventLog &Log,
                              PieceCounters &Counters, Callbacks C)
-    : Setup_(std::move(S)), Engine_(Engine), Origin_(Origin), Net_(Net),
-      Log_(Log), Counters_(Counters), Callbacks_(std::move(C)), Io_(Io),
+    : Setup_(std::move(S)), Origin_(Origin), Net_(Net), Log_(Log), Counters_(Counters), Callbacks_(std::move(C)), Io_(Io),
       UploadRate_(Setup_.UploadRate_) {}
 
 void PieceTransfer::start(std::vector<std::string> Digests,
-                          const std::set<ChunkIndex> &Held, TimePoint Now) {
+                          std::map<ChunkIndex, std::string> Held,
+                          TimePoint Now) {
   Digests_ = std::move(Digests);
+  Pieces_ = std::move(Held);
   ChunkSet Have(Setup_.Pieces_);
-  for (ChunkIndex Index : Held)
+  for (const auto &[Index, Bytes] : Pieces_)
     Have.add(Index);
+  startSwarm(std::move(Have), Now);
+}
+
+void PieceTransfer::startOffer(TimePoint Now) {
+  ChunkSet Have(Setup_.Pieces_);
+  for (ChunkIndex I = 0; I < Setup_.Pieces_; ++I)
+    Have.add(I);
+  startSwarm(std::move(Have), Now);
+}
+
+void PieceTransfer::startSwarm(ChunkSet Have, TimePoint Now) {
   ContentShape Shape;
   Shape.Version_ = VersionDigest(frameName(Setup_.Version_));
   Shape.Chunks_ = static_cast<ChunkIndex>(Setup_.Pieces_);
@@ -141,12 +152,9 @@
       Self->Swarm_->onOrigin(Index, OriginEnd::Wasted, bootNow());
       return;
     }
-    Self->keep(Index, std::move(Answer->Body_),
-               [Self, Index](bool Kept, TimePoint Later) {
-                 Self->Swarm_->onOrigin(
-                     Index, Kept ? OriginEnd::Good : OriginEnd::Wasted, Later);
-                 Self->pump(Later);
-               });
+    Self->Pieces_[Index] = std::move(Answer->Body_);
+    Self->Swarm_->onOrigin(Index, OriginEnd::Good, bootNow());
+    Self->pump(bootNow());
   };
   Origin_->call(platform::pieceCall(Setup_.Version_, A.Chunk_), OriginLimit,
                 OnDone);
@@ -256,7 +264,12 @@
   }
   if (!Swarm_->held().has(R.index))
     return answer(From, R.index, {});
-  Uploads_.push_back({From, R.index});
+  unsigned Urgency =
+      Callbacks_.Urgency_ ? Callbacks_.Urgency_(Vm(R.vm)) : 0;
+  auto After = std::find_if(
+      Uploads_.begin(), Uploads_.end(),
+      [&](const Upload &Each) { return Each.Urgency_ > Urgency; });
+  Uploads_.insert(After, {From, R.index, Urgency});
   upload();
 }
 
@@ -285,18 +298,13 @@
   auto Found = Pieces_.find(Index);
   if (Found != Pieces_.end())
     return answer(From, Index, Found->second);
-  Engine_.call(platform::stagedReadCall(Setup_.Version_.Model_, Index),
-               EngineLimit,
-               [Weak = weak_from_this(), From,
-                Index](const HttpCalls::Result &Result) {
-                 auto Self = Weak.lock();
-                 if (!Self)
-                   return;
-                 const auto *Answer = std::get_if<HttpAnswer>(&Result);
-                 constexpr unsigned Ok = 200;
-                 bool Has = Answer != nullptr && Answer->Status_ == Ok;
-                 Self->answer(From, Index, Has ? Answer->Body_ : std::string());
-               });
+  if (!Callbacks_.ReadStaged_)
+    return answer(From, Index, {});
+  Callbacks_.ReadStaged_(Index, [Weak = weak_from_this(), From,
+                                 Index](const std::string &Bytes) {
+    if (auto Self = Weak.lock())
+      Self->answer(From, Index, Bytes);
+  });
 }
 
 bool PieceTransfer::isRight(ChunkIndex Index, const std::string &Bytes) {
@@ -334,34 +342,9 @@
     Swarm_->onRefused(Index, From, FetchEnd::Bad, Now);
     return pump(Now);
   }
-  keep(Index, std::move(Bytes),
-       [Self = shared_from_this(), Index, From](bool Kept, TimePoint Later) {
-         if (Kept)
-           Self->Swarm_->onChunk(Index, From, Later);
-         else
-           Self->Swarm_->onRefused(Index, From, FetchEnd::Busy, Later);
-         Self->pump(Later);
-       });
-}
-
-void PieceTransfer::keep(ChunkIndex Index, std::string Bytes,
-                         std::function<void(bool, TimePoint)> Then) {
-  Pieces_[Index] = Bytes;
-  Engine_.call(
-      platform::stagePutCall(Setup_.Version_.Model_, Index, std::move(Bytes)),
-      EngineLimit,
-      [Weak = weak_from_this(), Index,
-       Then = std::move(Then)](const HttpCalls::Result &R) {
-        auto Self = Weak.lock();
-        if (!Self)
-          return;
-        const auto *Answer = std::get_if<HttpAnswer>(&R);
-        constexpr unsigned FirstRedirect = 300;
-        bool Kept = Answer != nullptr && Answer->Status_ < FirstRedirect;
-        if (!Kept)
-          Self->Pieces_.erase(Index);
-        Then(Kept, bootNow());
-      });
+  Pieces_[Index] = std::move(Bytes);
+  Swarm_->onChunk(Index, From, Now);
+  pump(Now);
 }
 
 void PieceTransfer::onPeerLost(const PeerAddress &Address, TimePoint Now) {
--- a/hawthornroad/agent/PieceTransfer.h
+++ b/hawthornroad/agent/PieceTransfer.h
@@ -1,7 +1,7 @@
-// Brings the pieces of one version to this VM's engine, together with the
-// agents of the other VMs.
+// Brings the pieces of one version to this VM, together with the agents of the
+// other VMs.
 //
-//   auto T = std::make_shared<PieceTransfer>(Setup, Links, Callbacks);
+//   auto T = std::make_shared<PieceTransfer>(Setup, Io, Origin, Net, ...);
 //   T->start(Digests, Held, Now);
 //   T->setPeers(Peers, Now);
 //   T->onFrame(From, Frame, Now);
@@ -9,12 +9,13 @@
 //
 // The decisions are weights/Swarm's: which piece to ask of whom, and who reads
 // the origin. Here they are carried out: frames to and from peers, reads from
-// the origin, digests checked before a piece counts, pieces put beside the
-// engine. A piece counts as held when the engine has taken it.
+// the origin, digests checked before a piece counts.
 //
-// Pieces that came in lately are kept in memory to be passed on (a version is a
-// few megabytes); forgetPieces() drops them once all is calm. Later requests
-// are answered from what lies at the engine, unchecked: who asked for a piece
+// Pieces are gathered in memory (a version is a few megabytes) and not beside
+// the engine, which has room for one version: so the next version can be on its
+// way while the one before waits for its turn to be loaded. Once a version is
+// loaded, forgetPieces() frees them; later requests are answered through
+// ReadStaged from what lies at the engine, unchecked: who asked for a piece
 // checks it.
 //
 // All of it runs on one thread.
@@ -67,21 +68,27 @@
     std::int64_t UploadRate_ = 0;
   };
   struct Callbacks {
-    // All pieces lie at the engine.
+    // All pieces are here.
     std::function<void()> OnWhole_;
+    // Reads a piece that is not in memory; empty bytes when it cannot be had.
+    std::function<void(ChunkIndex, std::function<void(std::string)>)>
+        ReadStaged_;
+    // Peers with a lower value are sent pieces first. May be empty.
+    std::function<unsigned(const Vm &)> Urgency_;
     // A piece never matches its digest, wherever it comes from: the digests
     // themselves may be spoilt.
     std::function<void()> OnDoubt_;
   };
 
   // Origin may be null when this VM only passes pieces on.
-  PieceTransfer(Setup S, IoThread &Io, HttpCalls &Engine, HttpCalls *Origin,
-                PeerNet &Net, EventLog &Log, PieceCounters &Counters,
-                Callbacks C);
+  PieceTransfer(Setup S, IoThread &Io, HttpCalls *Origin, PeerNet &Net,
+                EventLog &Log, PieceCounters &Counters, Callbacks C);
 
-  // Without digests this VM only passes on what it holds.
-  void start(std::vector<std::string> Digests, const std::set<ChunkIndex> &Held,
-             TimePoint Now);
+  // Held: pieces known to be right.
+  void start(std::vector<std::string> Digests,
+             std::map<ChunkIndex, std::string> Held, TimePoint Now);
+  // This VM only passes on what lies staged, all of it.
+  void startOffer(TimePoint Now);
   void setDigests(std::vector<std::string> Digests) {
     Digests_ = std::move(Digests);
   }
@@ -92,6 +99,8 @@
   void onPeerLost(const PeerAddress &Address, TimePoint Now);
   void tick(TimePoint Now);
   void forgetPieces() { Pieces_.clear(); }
+  const std::map<ChunkIndex, std::string> &pieces() const { return Pieces_; }
+  const std::vector<std::string> &digests() const { return Digests_; }
 
   bool isWhole() const { return Swarm_ && Swarm_->isDone(); }
   std::size_t held() const { return Swarm_ ? Swarm_->held().count() : 0; }
@@ -118,13 +127,11 @@
   void startUpload(const PeerContext &To, ChunkIndex Index);
   void answer(const PeerContext &To, ChunkIndex Index, const std::string &Bytes);
   bool isRight(ChunkIndex Index, const std::string &Bytes);
-  void keep(ChunkIndex Index, std::string Bytes,
-            std::function<void(bool Kept, TimePoint)> Then);
+  void startSwarm(ChunkSet Have, TimePoint Now);
   Vm vmOf(const PeerAddress &Address) const;
   void checkWhole();
 
   Setup Setup_;
-  HttpCalls &Engine_;
   HttpCalls *Origin_;
   PeerNet &Net_;
   EventLog &Log_;
@@ -138,6 +145,7 @@
   struct Upload {
     PeerContext To_;
     ChunkIndex Index_ = 0;
+    unsigned Urgency_ = 0;
   };
   std::deque<Upload> Uploads_;
   bool UploadTimerSet_ = false;
--- a/hawthornroad/agent/ReadBack.cpp
+++ b/hawthornroad/agent/ReadBack.cpp
@@ -32,9 +32,31 @@
                               sha256(Answer->Body_).substr(
                                   DigestPrefixLength) == Self->Digests_[Index];
                  if (Right)
-                   Self->Right_.insert(Index);
+                   Self->Right_[Index] = Answer->Body_;
                  Self->next();
                });
 }
 
+void StagePut::run(HttpCalls &Engine, const std::string &Model, Pieces P,
+                   Done D) {
+  std::shared_ptr<StagePut> Made(
+      new StagePut(Engine, Model, std::move(P), std::move(D)));
+  Made->next();
+}
+
+void StagePut::next() {
+  if (Pieces_.empty())
+    return std::exchange(Done_, nullptr)(true);
+  auto Piece = Pieces_.extract(Pieces_.begin());
+  Engine_.call(
+      platform::stagePutCall(Model_, Piece.key(), std::move(Piece.mapped())),
+      EngineLimit, [Self = shared_from_this()](const HttpCalls::Result &R) {
+        const auto *Answer = std::get_if<HttpAnswer>(&R);
+        constexpr unsigned FirstRedirect = 300;
+        if (Answer == nullptr || Answer->Status_ >= FirstRedirect)
+          return std::exchange(Self->Done_, nullptr)(false);
+        Self->next();
+      });
+}
+
 } // namespace hawthornroad
--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -6,6 +6,7 @@
 #include "hawthornroad/runtime/BootClock.h"
 #include "hawthornroad/runtime/Io.h"
 #include "hawthornroad/runtime/Metrics.h"
+#include "hawthornroad/runtime/PeerPace.h"
 #include "hawthornroad/staging/LoadTurn.h"
 #include "hawthornroad/store/StoreClient.h"
 #include "platform/EngineWire.h"
@@ -17,7 +18,7 @@
 namespace hawthornroad {
 
 namespace {
-constexpr std::size_t WorkRing = 256;
+constexpr std::size_t WorkRing = 2048;
 // Versions count up from here.
 constexpr WeightVersion FirstVersion = 1;
 // While a version is on its way, and otherwise.
@@ -36,12 +37,12 @@
 // are still without.
 constexpr Duration PiecesKept = Seconds(5);
 constexpr std::size_t EngineCallsAtOnce = 3;
-// Connections between agents are closed soon after a transfer: keeping them
-// alive costs both sides a wake-up for nothing.
-constexpr Duration PeerIdle = Seconds(4);
 // Part of the VM's link that pieces may take: the engine's answers need a
 // tenth of it, in bursts.
 constexpr double UploadShare = 0.85;
+// What a transfer takes at least, against the bare time of its bytes over the
+// narrowest link.
+constexpr double TransferStretch = 1.3;
 // A version named this much later than the one under way waits for it.
 constexpr Duration SwitchBefore = Milliseconds(1200);
 // Before the bound, for the load itself to be through.
@@ -70,18 +71,24 @@
 
 PeerNet::Limits peerLimits() {
   PeerNet::Limits L;
-  L.IdleAfter_ = PeerIdle;
+  L.PingAfter_ = PeerPing;
+  L.DeadAfter_ = PeerDead;
   return L;
 }
 
-LoadTurn::Options turnOptions(const StoreProcessSettings &S) {
-  LoadTurn::Options O;
-  O.Bound_ = S.VersionBound_ - BoundMargin;
-  return O;
-}
 } // namespace
 
 struct StoreAgent::State final : SessionHandler {
+  // A version on its way to this VM.
+  struct Pursuit {
+    ModelVersion Version_;
+    TimePoint HeardAt_{};
+    bool ManifestUnderWay_ = false;
+    TimePoint ManifestNotBefore_{};
+    // Set once its digests are known.
+    std::shared_ptr<PieceTransfer> Transfer_;
+  };
+
   explicit State(StoreAgentSettings Settings);
   ~State() override;
 
@@ -95,27 +102,41 @@
   void onOperatorRows(const TableWatch::Update &U);
   void takeVersion(const ModelVersion &V, TimePoint Now);
   void takeFirstVersion(TimePoint Now);
-  // V is the version to bring about from now on.
-  void pursue(const ModelVersion &V, TimePoint HeardAt, TimePoint Now);
   // What is declared of this VM's engine; null until known.
   const EnginePace *pace() const;
+  // V is the version to bring about from now on.
+  void pursue(std::shared_ptr<Pursuit> P);
+  void pursueNext();
   void report();
   void onReport(const HttpCalls::Result &R);
-  // The pieces of the wanted version, from nothing to whole.
-  void fetchManifest(TimePoint Now);
-  void onManifest(const ModelVersion &V, const HttpCalls::Result &R);
-  void lookAtStaged(const ModelVersion &V);
-  void beginTransfer(const ModelVersion &V, const std::set<ChunkIndex> &Held);
+  // The pieces of a version, from nothing to whole.
+  void fetch(const std::shared_ptr<Pursuit> &P, TimePoint Now);
+  void onManifest(const std::shared_ptr<Pursuit> &P,
+                  const HttpCalls::Result &R);
+  void lookAtStaged(const std::shared_ptr<Pursuit> &P,
+                    const platform::PieceDigests &D);
+  void beginTransfer(const std::shared_ptr<Pursuit> &P,
+                     const platform::PieceDigests &D,
+                     std::map<ChunkIndex, std::string> Held);
+  void onWhole(const Pursuit &P);
+  PieceTransfer::Setup transferSetup(const ModelVersion &V) const;
   // Passes on the pieces of the loaded version, if all lie at the engine.
   void offerLoaded();
-  void verify();
+  void readStaged(const std::string &Model, ChunkIndex Index,
+                  std::function<void(std::string)> Then);
+  // Puts the pieces beside the engine and reads them back.
+  void stageAndVerify();
+  void onVerified(const std::shared_ptr<Pursuit> &P,
+                  const ReadBack::Result &Right);
   void order();
   void listPeers(TimePoint Now);
   void onPeers(const StoreRows &Rows);
   void onFrame(const PeerContext &From, const wire::Frame &Frame);
-  std::shared_ptr<PieceTransfer> makeTransfer(const ModelVersion &V,
-                                              bool ReadsOrigin);
+  std::vector<std::shared_ptr<PieceTransfer>> transfers() const;
   TimePoint mayLoadAt() const;
+  LoadTurn turn() const;
+  unsigned waveOf(const std::string &Ip, const ModelVersion &V) const;
+  void tellEntries();
   // Bytes a second.
   std::int64_t uploadRate() const {
     constexpr double BytesPerMegabit = 1e6 / 8;
@@ -123,6 +144,7 @@
                                      UploadShare);
   }
   bool isBusy() const { return Duty_.wanted() && !Duty_.isDone(); }
+  bool isFetching() const;
 
   StoreAgentSettings Settings_;
   EventLog Log_;
@@ -138,31 +160,25 @@
   std::optional<StoreWatch> OperatorWatch_;
   SharedConfig Config_;
   EngineDuty Duty_;
-  LoadTurn Turn_;
   std::string Self_;
   AvailabilityZone OriginZone_;
-  std::map<std::string, ModelVersion> Named_;
-  TimePoint HeardAt_{};
-  // Named while another one was nearly there; follows it.
-  std::optional<ModelVersion> Next_;
-  TimePoint NextHeardAt_{};
+  // What Duty_ wants, and what was named while that was nearly there.
+  std::shared_ptr<Pursuit> Current_;
+  std::shared_ptr<Pursuit> Next_;
+  // Of the loaded version, for VMs that are still without.
+  std::shared_ptr<PieceTransfer> Offer_;
+  bool OfferLooked_ = false;
   // The engine has taken the order to load the wanted version.
   bool OrderBegun_ = false;
-  std::optional<ModelVersion> DigestsOf_;
-  std::vector<std::string> Digests_;
-  std::size_t PieceBytes_ = 0;
-  bool ManifestUnderWay_ = false;
-  TimePoint ManifestNotBefore_{};
-  std::shared_ptr<PieceTransfer> Transfer_;
-  // The transfer of the wanted version has been set up, or is being.
-  bool TransferBegun_ = false;
-  bool OfferLooked_ = false;
   std::vector<PiecePeer> Peers_;
   std::vector<std::string> ZoneMembers_;
   bool PeersUnderWay_ = false;
   TimePoint PeersAt_{};
-  std::optional<TimePoint> WholeAt_;
+  std::optional<TimePoint> LoadedAt_;
   std::optional<EngineState> LastTold_;
+  // Entries that asked to be told of the engine, by process.
+  std::map<ProcessName, ConnectionId> Watchers_;
+  std::optional<wire::EngineNoticeT> ToldEntries_;
 };
 
 StoreAgent::State::State(StoreAgentSettings Settings)
@@ -173,7 +189,6 @@
       Engine_(Io_.context(), Settings_.EngineAddress_, engineOptions()),
       MetricsServer_(std::make_shared<HttpListener>(Io_.context(),
                                                     SessionLimits{}, *this)),
-      Turn_(turnOptions(Settings_.Common_)),
       Self_(ipOf(Settings_.EngineAddress_)) {
   Log_.write(LogLine("start")
                  .text("role", "agent")
@@ -194,8 +209,8 @@
     onFrame(From, Frame);
   };
   C.OnLost_ = [this](const PeerContext &From, const Error &) {
-    if (Transfer_)
-      Transfer_->onPeerLost(From.Address_, bootNow());
+    for (const auto &T : transfers())
+      T->onPeerLost(From.Address_, bootNow());
   };
   Net_ = std::make_unique<PeerNet>(Io_, Self, peerLimits(), std::move(C));
   Net_->listen(ipOf(Settings_.PeerListen_),
@@ -226,17 +241,32 @@
 
 void StoreAgent::State::tick() {
   TimePoint Now = bootNow();
-  if (Transfer_)
-    Transfer_->tick(Now);
-  if (WholeAt_ && !isBusy() && Now - *WholeAt_ > PiecesKept && Transfer_) {
-    Transfer_->forgetPieces();
-    WholeAt_.reset();
-  }
+  for (const auto &T : transfers())
+    T->tick(Now);
   step(Now);
-  Io_.after(isBusy() || Duty_.isLoading() ? BusyTick : IdleTick,
+  Io_.after(isBusy() || isFetching() ? BusyTick : IdleTick,
             [this] { tick(); });
 }
 
+std::vector<std::shared_ptr<PieceTransfer>>
+StoreAgent::State::transfers() const {
+  std::vector<std::shared_ptr<PieceTransfer>> Out;
+  if (Offer_)
+    Out.push_back(Offer_);
+  if (Current_ && Current_->Transfer_ && Current_->Transfer_ != Offer_)
+    Out.push_back(Current_->Transfer_);
+  if (Next_ && Next_->Transfer_)
+    Out.push_back(Next_->Transfer_);
+  return Out;
+}
+
+bool StoreAgent::State::isFetching() const {
+  auto IsPartial = [](const std::shared_ptr<Pursuit> &P) {
+    return P && (!P->Transfer_ || !P->Transfer_->isWhole());
+  };
+  return (isBusy() && IsPartial(Current_)) || IsPartial(Next_);
+}
+
 // ---- What is wanted ---------------------------------------------------------
 
 void StoreAgent::State::onOperatorRows(const TableWatch::Update &U) {
@@ -283,52 +313,93 @@
 
 void StoreAgent::State::takeVersion(const ModelVersion &V, TimePoint Now) {
   // A VM has one engine with one model; others' versions are not its own.
-  if (Duty_.state() && !Duty_.state()->Loaded_.Model_.empty() &&
-      Duty_.state()->Loaded_.Model_ != V.Model_)
+  if (pace() != nullptr && !pace()->Model_.empty() &&
+      pace()->Model_ != V.Model_)
     return;
   if (Duty_.wanted() && V.Version_ <= Duty_.wanted()->Version_)
     return;
+  auto P = std::make_shared<Pursuit>();
+  P->Version_ = V;
+  P->HeardAt_ = Now;
+  Log_.write(LogLine("version_wanted")
+                 .text("model", V.Model_)
+                 .count("version", V.Version_),
+             true);
   // Each version has its own bound: one that is nearly there is finished first,
   // or requests would have no engine that may serve them.
-  bool IsFar = isBusy() && !OrderBegun_ && Now - HeardAt_ >= SwitchBefore;
-  if (IsFar) {
-    if (!Next_ || Next_->Version_ < V.Version_) {
-      Next_ = V;
-      NextHeardAt_ = Now;
-    }
-    return;
-  }
-  pursue(V, Now, Now);
+  bool IsFar = isBusy() && !OrderBegun_ && Current_ &&
+               Now - Current_->HeardAt_ >= SwitchBefore;
+  if (!IsFar)
+    return pursue(std::move(P));
+  if (!Next_ || Next_->Version_.Version_ < V.Version_)
+    Next_ = std::move(P);
+  step(Now);
 }
 
-void StoreAgent::State::pursue(const ModelVersion &V, TimePoint HeardAt,
-                               TimePoint Now) {
-  if (!Duty_.want(V))
+void StoreAgent::State::pursue(std::shared_ptr<Pursuit> P) {
+  if (!Duty_.want(P->Version_))
     return;
-  HeardAt_ = HeardAt;
+  Current_ = std::move(P);
   OrderBegun_ = false;
-  TransferBegun_ = false;
-  Transfer_.reset();
-  WholeAt_.reset();
-  Log_.write(LogLine("version_wanted")
-                 .text("model", V.Model_)
-                 .count("version", V.Version_),
-             true);
-  step(Now);
+  LoadedAt_.reset();
+  if (Current_->Transfer_ && Current_->Transfer_->isWhole())
+    Duty_.setStaged(true);
+  step(bootNow());
+}
+
+void StoreAgent::State::pursueNext() {
+  if (Next_)
+    pursue(std::exchange(Next_, nullptr));
 }
 
 // ---- The engine -------------------------------------------------------------
 
 TimePoint StoreAgent::State::mayLoadAt() const {
-  return Turn_.at(Self_, ZoneMembers_,
-                  PieceTransfer::frameName(*Duty_.wanted()), HeardAt_);
+  return turn().at(waveOf(Self_, Current_->Version_), Current_->HeardAt_);
+}
+
+unsigned StoreAgent::State::waveOf(const std::string &Ip,
+                                   const ModelVersion &V) const {
+  return turn().wave(Ip, ZoneMembers_, PieceTransfer::frameName(V));
+}
+
+LoadTurn StoreAgent::State::turn() const {
+  LoadTurn::Options O;
+  O.Bound_ = Settings_.Common_.VersionBound_ - BoundMargin;
+  const EnginePace *Pace = pace();
+  double Bits = Pace != nullptr
+                    ? static_cast<double>(Pace->Pieces_ * Pace->PieceBytes_) * 8
+                    : 0;
+  const ServiceEntry *Origin = Config_ ? Config_->origin() : nullptr;
+  double Mbps = Settings_.LinkMbps_;
+  if (Origin != nullptr && Origin->LinkMbps_ > 0)
+    Mbps = std::min(Mbps, Origin->LinkMbps_);
+  constexpr double BitsPerMegabit = 1e6;
+  O.Transfer_ = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Bits / (Mbps * BitsPerMegabit) *
+                                    TransferStretch));
+  return LoadTurn(O);
+}
+
+// Entries that asked are told when the engine's state changes for them.
+void StoreAgent::State::tellEntries() {
+  if (!Duty_.state())
+    return;
+  wire::EngineNoticeT Notice;
+  Notice.address = Settings_.EngineAddress_;
+  Notice.version = Duty_.state()->Loaded_.Version_;
+  if (Duty_.isAway())
+    Notice.phase = static_cast<std::uint8_t>(EnginePhase::Away);
+  if (ToldEntries_ == Notice)
+    return;
+  ToldEntries_ = Notice;
+  FrameBuffer Frame = makeFrame(Notice);
+  for (const auto &[Process, Connection] : Watchers_)
+    Net_->reply(Connection, Frame);
 }
 
 void StoreAgent::State::step(TimePoint Now) {
-  // The order may have been taken without an answer.
-  if (Next_ && Duty_.isDone())
-    pursue(*std::exchange(Next_, std::nullopt), NextHeardAt_, Now);
-  TimePoint LoadAt = Duty_.wanted() ? mayLoadAt() : Now;
+  TimePoint LoadAt = Current_ ? mayLoadAt() : Now;
   switch (Duty_.next(LoadAt, Now)) {
   case EngineStep::Nothing:
     break;
@@ -336,20 +407,41 @@
     report();
     break;
   case EngineStep::Fetch:
-    fetchManifest(Now);
+    fetch(Current_, Now);
+    break;
+  case EngineStep::Close:
+    Log_.write(LogLine("engine_closing")
+                   .count("version", Current_->Version_.Version_)
+                   .count("running", Duty_.state()->Running_)
+                   .millis("since_wanted_ms", Now - Current_->HeardAt_));
+    Duty_.closed(Now);
+    tellEntries();
     break;
   case EngineStep::Verify:
-    verify();
+    stageAndVerify();
     break;
   case EngineStep::Order:
     order();
     break;
   }
-  if (isBusy() && (!Transfer_ || !Transfer_->isWhole()) &&
-      Now - PeersAt_ >= PeersAgain)
+  if (Next_)
+    fetch(Next_, Now);
+  if (isFetching() && Now - PeersAt_ >= PeersAgain)
     listPeers(Now);
-  if (!isBusy())
+  if (!Duty_.isDone())
+    return;
+  if (!LoadedAt_) {
+    LoadedAt_ = Now;
+    // What lies at the engine now is what it has loaded.
+    if (Current_ && Current_->Transfer_)
+      Offer_ = Current_->Transfer_;
+  }
+  if (Offer_ && Now - *LoadedAt_ > PiecesKept)
+    Offer_->forgetPieces();
+  if (!Offer_)
     offerLoaded();
+  // The order may have been taken without an answer.
+  pursueNext();
 }
 
 void StoreAgent::State::report() {
@@ -378,6 +470,7 @@
                      .count("waiting", S.Waiting_));
     LastTold_ = S;
     Duty_.reported(std::move(S), Now);
+    tellEntries();
   } catch (const Error &E) {
     Log_.write(LogLine("engine_unreadable").text("detail", E.what()));
     return Duty_.reportFailed(Now);
@@ -385,205 +478,235 @@
   step(Now);
 }
 
-void StoreAgent::State::verify() {
-  ModelVersion V = *Duty_.wanted();
-  if (!DigestsOf_ || *DigestsOf_ != V)
+void StoreAgent::State::stageAndVerify() {
+  auto P = Current_;
+  if (!P->Transfer_ || !P->Transfer_->isWhole())
     return;
   Duty_.verifying();
   std::vector<ChunkIndex> All;
-  for (ChunkIndex I = 0; I < Digests_.size(); ++I)
+  for (ChunkIndex I = 0; I < P->Transfer_->digests().size(); ++I)
     All.push_back(I);
-  ReadBack::run(Engine_, V.Model_, All, Digests_,
-                [this, V](const ReadBack::Result &Right) {
-                  bool Whole = Right.size() == Digests_.size();
-                  bool Current = Duty_.wanted() == V;
-                  Duty_.verified(Whole && Current, bootNow());
-                  Log_.write(LogLine("pieces_verified")
-                                 .count("version", V.Version_)
-                                 .count("right", Right.size())
-                                 .count("pieces", Digests_.size()));
-                  if (!Whole && Current)
-                    beginTransfer(V, Right);
-                  step(bootNow());
+  StagePut::run(Engine_, P->Version_.Model_, P->Transfer_->pieces(),
+                [this, P, All](bool) {
+                  ReadBack::run(Engine_, P->Version_.Model_, All,
+                                P->Transfer_->digests(),
+                                [this, P](const ReadBack::Result &Right) {
+                                  onVerified(P, Right);
+                                });
                 });
 }
 
+void StoreAgent::State::onVerified(const std::shared_ptr<Pursuit> &P,
+                                   const ReadBack::Result &Right) {
+  std::size_t Pieces = P->Transfer_->digests().size();
+  bool Whole = Right.size() == Pieces && Current_ == P;
+  Log_.write(LogLine("pieces_verified")
+                 .count("version", P->Version_.Version_)
+                 .count("right", Right.size())
+                 .count("pieces", Pieces));
+  Duty_.verified(Whole, bootNow());
+  // The copy in memory is right: the next try puts all of it there again.
+  if (!Whole && Current_ == P)
+    Duty_.setStaged(true);
+  step(bootNow());
+}
+
 void StoreAgent::State::order() {
-  ModelVersion V = *Duty_.wanted();
+  auto P = Current_;
   std::uint64_t Orders = Duty_.state()->Orders_;
   Duty_.ordering();
-  Engine_.call(platform::loadCall(V, Orders), OrderLimit,
-               [this, V](const HttpCalls::Result &R) {
-                 auto End = EngineDuty::OrderEnd::Unknown;
-                 unsigned Status = 0;
-                 if (const auto *Answer = std::get_if<HttpAnswer>(&R)) {
-                   Status = Answer->Status_;
-                   End = platform::decodeOrder(Status);
-                 }
-                 Log_.write(LogLine("order")
-                                .count("version", V.Version_)
-                                .count("status", Status)
-                                .millis("since_wanted_ms",
-                                        bootNow() - HeardAt_));
-                 Duty_.ordered(End, bootNow());
-                 if (End == EngineDuty::OrderEnd::Begun &&
-                     Duty_.wanted() == V) {
-                   OrderBegun_ = true;
-                   if (Next_)
-                     pursue(*std::exchange(Next_, std::nullopt), NextHeardAt_,
-                            bootNow());
-                 }
-                 step(bootNow());
-               });
+  Engine_.call(
+      platform::loadCall(P->Version_, Orders), OrderLimit,
+      [this, P](const HttpCalls::Result &R) {
+        auto End = EngineDuty::OrderEnd::Unknown;
+        unsigned Status = 0;
+        if (const auto *Answer = std::get_if<HttpAnswer>(&R)) {
+          Status = Answer->Status_;
+          End = platform::decodeOrder(Status);
+        }
+        Log_.write(LogLine("order")
+                       .count("version", P->Version_.Version_)
+                       .count("status", Status)
+                       .millis("since_wanted_ms", bootNow() - P->HeardAt_));
+        Duty_.ordered(End, bootNow());
+        if (End == EngineDuty::OrderEnd::Begun && Current_ == P) {
+          OrderBegun_ = true;
+          tellEntries();
+          pursueNext();
+        }
+        step(bootNow());
+      });
 }
 
 // ---- Pieces -----------------------------------------------------------------
 
-void StoreAgent::State::fetchManifest(TimePoint Now) {
-  if (TransferBegun_ || ManifestUnderWay_ || !Origin_ ||
-      Now < ManifestNotBefore_)
+void StoreAgent::State::fetch(const std::shared_ptr<Pursuit> &P,
+                              TimePoint Now) {
+  if (P->Transfer_ || P->ManifestUnderWay_ || !Origin_ ||
+      Now < P->ManifestNotBefore_)
     return;
-  ModelVersion V = *Duty_.wanted();
-  if (DigestsOf_ == V)
-    return lookAtStaged(V);
-  ManifestUnderWay_ = true;
-  Origin_->call(platform::manifestCall(V), ManifestLimit,
-                [this, V](const HttpCalls::Result &R) { onManifest(V, R); });
+  P->ManifestUnderWay_ = true;
+  Origin_->call(platform::manifestCall(P->Version_), ManifestLimit,
+                [this, P](const HttpCalls::Result &R) { onManifest(P, R); });
 }
 
-void StoreAgent::State::onManifest(const ModelVersion &V,
+void StoreAgent::State::onManifest(const std::shared_ptr<Pursuit> &P,
                                    const HttpCalls::Result &R) {
-  ManifestUnderWay_ = false;
-  ManifestNotBefore_ = bootNow() + ManifestAgain;
-  if (Duty_.wanted() != V)
+  P->ManifestUnderWay_ = false;
+  P->ManifestNotBefore_ = bootNow() + ManifestAgain;
+  if (P != Current_ && P != Next_)
     return;
   const auto *Answer = std::get_if<HttpAnswer>(&R);
   constexpr unsigned Ok = 200;
   std::optional<platform::PieceDigests> Digests;
   if (Answer != nullptr && Answer->Status_ == Ok)
-    Digests = platform::decodeManifest(Answer->Body_, V);
+    Digests = platform::decodeManifest(Answer->Body_, P->Version_);
   if (!Digests) {
     Log_.write(LogLine("manifest_failed")
-                   .count("version", V.Version_)
+                   .count("version", P->Version_.Version_)
                    .count("status", Answer != nullptr ? Answer->Status_ : 0));
     return;
   }
   Pieces_.OriginBytes_ += Answer->Body_.size();
-  DigestsOf_ = V;
-  Digests_ = Digests->Digests_;
-  PieceBytes_ = Digests->PieceBytes_;
-  if (TransferBegun_ && Transfer_)
-    return Transfer_->setDigests(Digests_);
-  lookAtStaged(V);
-}
-
-void StoreAgent::State::lookAtStaged(const ModelVersion &V) {
-  TransferBegun_ = true;
-  Engine_.call(platform::stagedListCall(V.Model_), EngineLimit,
-               [this, V](const HttpCalls::Result &R) {
-                 if (Duty_.wanted() != V)
-                   return;
-                 const auto *Answer = std::get_if<HttpAnswer>(&R);
-                 std::vector<std::uint32_t> Held;
-                 if (Answer != nullptr)
-                   Held = platform::decodeStagedList(Answer->Body_);
-                 // What lies there is most likely the loaded version; a look at
-                 // one piece spares reading the rest.
-                 std::vector<ChunkIndex> Probe;
-                 if (!Held.empty())
-                   Probe.push_back(Held.front());
-                 ReadBack::run(
-                     Engine_, V.Model_, Probe, Digests_,
-                     [this, V, Held](const ReadBack::Result &One) {
-                       if (Duty_.wanted() != V)
-                         return;
-                       if (One.empty())
-                         return beginTransfer(V, {});
-                       ReadBack::run(Engine_, V.Model_, Held, Digests_,
-                                     [this, V](const ReadBack::Result &Right) {
-                                       if (Duty_.wanted() == V)
-                                         beginTransfer(V, Right);
-                                     });
-                     });
-               });
-}
-
-std::shared_ptr<PieceTransfer>
-StoreAgent::State::makeTransfer(const ModelVersion &V, bool ReadsOrigin) {
+  if (P->Transfer_)
+    return P->Transfer_->setDigests(Digests->Digests_);
+  P->ManifestUnderWay_ = true;
+  lookAtStaged(P, *Digests);
+}
+
+// After a restart of this agent the pieces may lie at the engine already. What
+// lies there is most likely another version; a look at one piece spares reading
+// the rest.
+void StoreAgent::State::lookAtStaged(const std::shared_ptr<Pursuit> &P,
+                                     const platform::PieceDigests &D) {
+  const std::string &Model = P->Version_.Model_;
+  Engine_.call(
+      platform::stagedListCall(Model), EngineLimit,
+      [this, P, D](const HttpCalls::Result &R) {
+        const auto *Answer = std::get_if<HttpAnswer>(&R);
+        std::vector<std::uint32_t> Held;
+        if (Answer != nullptr)
+          Held = platform::decodeStagedList(Answer->Body_);
+        std::vector<ChunkIndex> First;
+        if (!Held.empty())
+          First.push_back(Held.front());
+        ReadBack::run(Engine_, P->Version_.Model_, First, D.Digests_,
+                      [this, P, D, Held](const ReadBack::Result &One) {
+                        if (One.empty())
+                          return beginTransfer(P, D, {});
+                        ReadBack::run(Engine_, P->Version_.Model_, Held,
+                                      D.Digests_,
+                                      [this, P, D](ReadBack::Result Right) {
+                                        beginTransfer(P, D, std::move(Right));
+                                      });
+                      });
+      });
+}
+
+PieceTransfer::Setup
+StoreAgent::State::transferSetup(const ModelVersion &V) const {
   PieceTransfer::Setup S;
   S.Version_ = V;
   S.Self_ = {Vm(Self_), Settings_.Common_.Zone_};
   S.OriginZone_ = OriginZone_;
-  S.Pieces_ = Digests_.size();
-  S.PieceBytes_ = PieceBytes_;
   S.Seed_ = seedOf(Settings_.Common_);
   S.UploadRate_ = uploadRate();
-  PieceTransfer::Callbacks C;
-  C.OnWhole_ = [this, V] {
-    if (Duty_.wanted() != V)
-      return;
-    WholeAt_ = bootNow();
-    Duty_.setStaged(true);
-    Log_.write(LogLine("pieces_whole")
-                   .count("version", V.Version_)
-                   .millis("since_wanted_ms", bootNow() - HeardAt_)
-                   .count("origin_bytes", Pieces_.OriginBytes_)
-                   .count("peer_bytes", Pieces_.PeerBytes_));
-  };
-  C.OnDoubt_ = [this, V] {
-    if (Duty_.wanted() != V || ManifestUnderWay_ || !Origin_)
-      return;
-    ManifestUnderWay_ = true;
-    Origin_->call(platform::manifestCall(V), ManifestLimit,
-                  [this, V](const HttpCalls::Result &R) { onManifest(V, R); });
-  };
-  return std::make_shared<PieceTransfer>(
-      std::move(S), Io_, Engine_, ReadsOrigin ? Origin_.get() : nullptr, *Net_, Log_,
-      Pieces_, std::move(C));
+  return S;
 }
 
-void StoreAgent::State::beginTransfer(const ModelVersion &V,
-                                      const std::set<ChunkIndex> &Held) {
+void StoreAgent::State::readStaged(const std::string &Model, ChunkIndex Index,
+                                   std::function<void(std::string)> Then) {
+  Engine_.call(platform::stagedReadCall(Model, Index), EngineLimit,
+               [Then = std::move(Then)](HttpCalls::Result R) {
+                 auto *Answer = std::get_if<HttpAnswer>(&R);
+                 constexpr unsigned Ok = 200;
+                 bool Has = Answer != nullptr && Answer->Status_ == Ok;
+                 Then(Has ? std::move(Answer->Body_) : std::string());
+               });
+}
+
+void StoreAgent::State::beginTransfer(const std::shared_ptr<Pursuit> &P,
+                                      const platform::PieceDigests &D,
+                                      std::map<ChunkIndex, std::string> Held) {
+  P->ManifestUnderWay_ = false;
+  if (P != Current_ && P != Next_)
+    return;
   TimePoint Now = bootNow();
   Log_.write(LogLine("transfer")
-                 .count("version", V.Version_)
+                 .count("version", P->Version_.Version_)
                  .count("held", Held.size())
                  .count("peers", Peers_.size()));
-  Transfer_ = makeTransfer(V, true);
-  Transfer_->start(Digests_, Held, Now);
-  Transfer_->setPeers(Peers_, Now);
+  PieceTransfer::Setup S = transferSetup(P->Version_);
+  S.Pieces_ = D.Digests_.size();
+  S.PieceBytes_ = D.PieceBytes_;
+  PieceTransfer::Callbacks C;
+  std::weak_ptr<Pursuit> Weak = P;
+  C.OnWhole_ = [this, Weak] {
+    if (auto Held = Weak.lock())
+      onWhole(*Held);
+  };
+  C.OnDoubt_ = [this, Weak] {
+    auto Held = Weak.lock();
+    if (!Held || Held->ManifestUnderWay_ || !Origin_)
+      return;
+    Held->ManifestUnderWay_ = true;
+    Origin_->call(
+        platform::manifestCall(Held->Version_), ManifestLimit,
+        [this, Held](const HttpCalls::Result &R) { onManifest(Held, R); });
+  };
+  C.Urgency_ = [this, V = P->Version_](const Vm &Peer) {
+    return waveOf(Peer.str(), V);
+  };
+  C.ReadStaged_ = [this, Model = P->Version_.Model_](ChunkIndex Index,
+                                                     auto Then) {
+    readStaged(Model, Index, std::move(Then));
+  };
+  P->Transfer_ =
+      std::make_shared<PieceTransfer>(std::move(S), Io_, Origin_.get(), *Net_,
+                                      Log_, Pieces_, std::move(C));
+  P->Transfer_->start(D.Digests_, std::move(Held), Now);
+  P->Transfer_->setPeers(Peers_, Now);
   if (Peers_.empty())
     listPeers(Now);
 }
 
+void StoreAgent::State::onWhole(const Pursuit &P) {
+  Log_.write(LogLine("pieces_whole")
+                 .count("version", P.Version_.Version_)
+                 .millis("since_wanted_ms", bootNow() - P.HeardAt_)
+                 .count("origin_bytes", Pieces_.OriginBytes_)
+                 .count("peer_bytes", Pieces_.PeerBytes_));
+  if (Current_.get() == &P)
+    Duty_.setStaged(true);
+}
+
 void StoreAgent::State::offerLoaded() {
-  if (OfferLooked_ || Transfer_ || !Duty_.isDone() || !Config_)
-    return;
   const EnginePace *Pace = pace();
-  if (Pace == nullptr || Pace->Pieces_ == 0)
+  if (OfferLooked_ || Pace == nullptr || Pace->Pieces_ == 0)
     return;
   OfferLooked_ = true;
   ModelVersion V = *Duty_.wanted();
-  Engine_.call(platform::stagedListCall(V.Model_), EngineLimit,
-               [this, V, Count = Pace->Pieces_,
-                Bytes = Pace->PieceBytes_](const HttpCalls::Result &R) {
-                 const auto *Answer = std::get_if<HttpAnswer>(&R);
-                 if (Answer == nullptr || Duty_.wanted() != V || Transfer_)
-                   return;
-                 auto Held = platform::decodeStagedList(Answer->Body_);
-                 if (Held.size() < Count)
-                   return;
-                 PieceTransfer::Setup S;
-                 S.Version_ = V;
-                 S.Self_ = {Vm(Self_), Settings_.Common_.Zone_};
-                 S.Pieces_ = Count;
-                 S.PieceBytes_ = Bytes;
-                 S.UploadRate_ = uploadRate();
-                 Transfer_ = std::make_shared<PieceTransfer>(
-                     std::move(S), Io_, Engine_, nullptr, *Net_, Log_, Pieces_,
-                     PieceTransfer::Callbacks{});
-                 Transfer_->start({}, {Held.begin(), Held.end()}, bootNow());
-               });
+  Engine_.call(
+      platform::stagedListCall(V.Model_), EngineLimit,
+      [this, V, Count = Pace->Pieces_,
+       Bytes = Pace->PieceBytes_](const HttpCalls::Result &R) {
+        const auto *Answer = std::get_if<HttpAnswer>(&R);
+        if (Answer == nullptr || Duty_.wanted() != V || Offer_)
+          return;
+        if (platform::decodeStagedList(Answer->Body_).size() < Count)
+          return;
+        PieceTransfer::Setup S = transferSetup(V);
+        S.Pieces_ = Count;
+        S.PieceBytes_ = Bytes;
+        PieceTransfer::Callbacks C;
+        C.ReadStaged_ = [this, Model = V.Model_](ChunkIndex Index, auto Then) {
+          readStaged(Model, Index, std::move(Then));
+        };
+        Offer_ = std::make_shared<PieceTransfer>(std::move(S), Io_, nullptr,
+                                                 *Net_, Log_, Pieces_,
+                                                 std::move(C));
+        Offer_->startOffer(bootNow());
+      });
 }
 
 // ---- Peers ------------------------------------------------------------------
@@ -620,17 +743,24 @@
                      .text("detail", E.what()));
     }
   }
-  if (Transfer_)
-    Transfer_->setPeers(Peers_, bootNow());
+  for (const auto &T : transfers())
+    if (T != Offer_)
+      T->setPeers(Peers_, bootNow());
 }
 
 void StoreAgent::State::onFrame(const PeerContext &From,
                                 const wire::Frame &Frame) {
-  if (!Transfer_)
-    return;
   wire::FrameT Unpacked;
   Frame.UnPackTo(&Unpacked);
-  Transfer_->onFrame(From, Unpacked, bootNow());
+  if (Unpacked.body.AsEngineWatch() != nullptr) {
+    Watchers_[From.Process_] = From.Connection_;
+    if (ToldEntries_)
+      Net_->reply(From.Connection_, makeFrame(*ToldEntries_));
+    return;
+  }
+  for (const auto &T : transfers())
+    if (T->onFrame(From, Unpacked, bootNow()))
+      return;
 }
 
 // ---- Metrics ----------------------------------------------------------------
--- a/hawthornroad/config/RoutingConfig.h
+++ b/hawthornroad/config/RoutingConfig.h
@@ -99,6 +99,8 @@
   // Set for the service that hands out weights: its "IP:port" and zone.
   std::string OriginAddress_;
   AvailabilityZone OriginZone_;
+  // The origin's link, megabits a second; 0 when not told.
+  double LinkMbps_ = 0;
   bool operator==(const ServiceEntry &) const = default;
 };
 
--- a/hawthornroad/config/Settings.cpp
+++ b/hawthornroad/config/Settings.cpp
@@ -171,6 +171,8 @@
   S.Common_ = readStoreProcess(R);
   readListen(R, "caller_listen", S.CallerListen_);
   readListen(R, "ready_listen", S.ReadyListen_);
+  constexpr std::int64_t MaxPort = 65535;
+  S.AgentPort_ = R.integer("agent_port", 0, MaxPort, S.AgentPort_);
   S.RepeatRatio_ = R.number("repeat_ratio", 0, 10, S.RepeatRatio_);
   readDuration(R, "repeat_window_ms", 100, Hour, S.RepeatWindow_);
   S.RepeatSlack_ = R.integer("repeat_slack", 0, MaxCount, S.RepeatSlack_);
--- a/hawthornroad/config/Settings.h
+++ b/hawthornroad/config/Settings.h
@@ -134,6 +134,9 @@
   std::string CallerListen_ = "127.0.0.1:0";
   // Answers the balancer's question whether this entry is ready.
   std::string ReadyListen_ = "127.0.0.1:0";
+  // Port of agents' peer listeners, the same on all VMs; 0: agents are not
+  // asked of their engines.
+  std::int64_t AgentPort_ = 0;
   // Bounds of what a service is sent beyond first arrivals, over all entries.
   double RepeatRatio_ = 0.2;
   Duration RepeatWindow_ = Seconds(10);
--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -1,5 +1,6 @@
 #include "hawthornroad/entry/DirectEntry.h"
 
+#include "hawthornroad/entry/EngineNews.h"
 #include "hawthornroad/http/LinkPool.h"
 #include "hawthornroad/http/ServerSession.h"
 #include "hawthornroad/runtime/BootClock.h"
@@ -23,7 +24,7 @@
 namespace hawthornroad {
 
 namespace {
-constexpr std::size_t WorkRing = 256;
+constexpr std::size_t WorkRing = 1024;
 // Time limits are seen to this often; the shortest one is 80 ms.
 constexpr Duration TickPeriod = Milliseconds(20);
 // Unused connections are looked over this often.
@@ -120,6 +121,8 @@
   void onOperatorCall(bool Ok, const TableWatch &W);
   void onEndpointCall(bool Ok, const TableWatch &W);
   void takeConfig(const std::string &Text);
+  void onEngineTold(const EngineTold &T);
+  void followEngines(TimePoint Now);
   bool isReady(TimePoint Now) const;
   void answerReady(ServerSession &S);
   void answerMetrics(ServerSession &S);
@@ -160,6 +163,7 @@
   std::shared_ptr<HttpListener> MetricsServer_;
   std::optional<StoreWatch> OperatorWatch_;
   std::optional<StoreWatch> EndpointWatch_;
+  std::unique_ptr<EngineNews> News_;
   std::unordered_map<CallNumber, std::shared_ptr<ServerSession>> Sessions_;
   std::unordered_map<AttemptNumber, Attempt> Attempts_;
   CallNumber NextCall_ = 1;
@@ -196,6 +200,17 @@
   Ready_->open(Settings_.ReadyListen_);
   if (!Settings_.Common_.MetricsListen_.empty())
     MetricsServer_->open(Settings_.Common_.MetricsListen_);
+  if (Settings_.AgentPort_ != 0) {
+    PeerNet::Self Self;
+    Self.Process_ = Settings_.Common_.Process_;
+    Self.Incarnation_ =
+        static_cast<Incarnation>(bootNow().time_since_epoch().count());
+    Self.Zone_ = Settings_.Common_.Zone_;
+    Self.Role_ = "entry";
+    News_ = std::make_unique<EngineNews>(
+        Io_, Self, std::to_string(Settings_.AgentPort_),
+        [this](const EngineTold &T) { onEngineTold(T); });
+  }
   Io_.submit([this] { start(); });
 }
 
@@ -233,6 +248,8 @@
   if (Now - SweptAt_ >= SweepPeriod) {
     SweptAt_ = Now;
     Links_.sweep(Now);
+    if (News_)
+      News_->tick(Now);
   }
   bool Ready = isReady(Now);
   if (Ready != WasReady_) {
@@ -338,6 +355,26 @@
     Present.insert(Id.str());
   Links_.keepOnly(Present);
   Core_.endpointsChanged(Now);
+  followEngines(Now);
+}
+
+void DirectEntry::State::followEngines(TimePoint Now) {
+  if (!News_)
+    return;
+  std::set<std::string> Engines;
+  for (const auto &[Id, Each] : Core_.endpoints().all())
+    if (Each.Endpoint_.HasModel_)
+      Engines.insert(Each.Endpoint_.Address_);
+  News_->follow(Engines, Now);
+}
+
+void DirectEntry::State::onEngineTold(const EngineTold &T) {
+  bool IsAway = T.Phase_ != EnginePhase::Serving;
+  Log_.write(LogLine("engine_told")
+                 .text("address", T.Address_)
+                 .flag("away", IsAway)
+                 .count("version", T.Version_));
+  Core_.engineTold(T.Address_, IsAway, T.Version_, bootNow());
 }
 
 void DirectEntry::State::onOperatorCall(bool Ok, const TableWatch &W) {
--- a/hawthornroad/staging/EngineDuty.cpp
+++ b/hawthornroad/staging/EngineDuty.cpp
@@ -8,6 +8,8 @@
     return "nothing";
   case EngineStep::Fetch:
     return "fetch";
+  case EngineStep::Close:
+    return "close";
   case EngineStep::Verify:
     return "verify";
   case EngineStep::Order:
@@ -24,6 +26,7 @@
   Wanted_ = std::move(V);
   Staged_ = false;
   VerifiedAt_.reset();
+  ClosedAt_.reset();
   return true;
 }
 
@@ -34,6 +37,8 @@
   State_ = std::move(S);
   ReportedAt_ = Now;
   MustReport_ = false;
+  if (!State_->IsBusy_)
+    Loading_ = false;
 }
 
 void EngineDuty::reportFailed(TimePoint Now) {
@@ -60,8 +65,14 @@
   MustReport_ = true;
   VerifiedAt_.reset();
   ReportedAt_ = Now - Options_.IdleReport_;
-  if (E != OrderEnd::Begun)
-    OrderNotBefore_ = Now + Options_.OrderAgain_;
+  if (E == OrderEnd::Begun) {
+    Loading_ = true;
+    ClosedAt_.reset();
+    return;
+  }
+  if (E == OrderEnd::Already)
+    ClosedAt_.reset();
+  OrderNotBefore_ = Now + Options_.OrderAgain_;
 }
 
 EngineStep EngineDuty::next(TimePoint MayLoadAt, TimePoint Now) const {
@@ -84,6 +95,13 @@
     return EngineStep::Nothing;
   if (Now < OrderNotBefore_ || (Now < MayLoadAt && !isEmpty()))
     return EngineStep::Nothing;
+  bool IsIdle = State_->Running_ + State_->Waiting_ == 0;
+  if (!isEmpty()) {
+    if (!ClosedAt_)
+      return EngineStep::Close;
+    if (!IsIdle && Now - *ClosedAt_ < Options_.CloseFor_)
+      return EngineStep::Nothing;
+  }
   if (!VerifiedAt_ || Now - *VerifiedAt_ > Options_.VerifiedFor_)
     return EngineStep::Verify;
   return EngineStep::Order;
--- a/hawthornroad/staging/EngineDuty.h
+++ b/hawthornroad/staging/EngineDuty.h
@@ -48,6 +48,7 @@
 enum class EngineStep {
   Nothing, // all is done, or something is awaited
   Fetch,   // pieces are missing
+  Close,   // tell entries to send it nothing more
   Verify,  // read the pieces back
   Order,   // give the order to load
   Report   // ask the engine how it is
@@ -64,6 +65,10 @@
     Duration OrderAgain_ = Milliseconds(250);
     // A verification this old no longer vouches for the pieces.
     Duration VerifiedFor_ = Milliseconds(400);
+    // From the announcement to the order, which cuts what still runs: most
+    // running requests end by themselves in that time, and the engine is not
+    // kept idle by the longest of them.
+    Duration CloseFor_ = Milliseconds(600);
   };
   enum class OrderEnd {
     Begun,    // taken
@@ -86,12 +91,17 @@
   void verified(bool Right, TimePoint Now);
   void verifying() { Verifying_ = true; }
   void ordering() { Ordering_ = true; }
+  // The announcement was made.
+  void closed(TimePoint Now) { ClosedAt_ = Now; }
   void ordered(OrderEnd E, TimePoint Now);
 
   // MayLoadAt: from when on this engine may be out of service for a load.
   EngineStep next(TimePoint MayLoadAt, TimePoint Now) const;
 
   bool isDone() const { return State_ && Wanted_ && State_->Loaded_ == *Wanted_; }
+  // Entries are to send it nothing new: a load was announced, or ordered and
+  // not yet reported as over.
+  bool isAway() const { return ClosedAt_ || Loading_ || isLoading(); }
   // Nothing is lost by loading at once: the engine serves nothing now.
   bool isEmpty() const { return State_ && State_->Loaded_.Version_ == 0; }
   bool isLoading() const { return State_ && State_->IsBusy_; }
@@ -104,6 +114,9 @@
   TimePoint ReportedAt_{};
   TimePoint OrderNotBefore_{};
   std::optional<TimePoint> VerifiedAt_;
+  std::optional<TimePoint> ClosedAt_;
+  // An order was taken, and no report since has said that it is over.
+  bool Loading_ = false;
   bool Staged_ = false;
   bool Verifying_ = false;
   bool Ordering_ = false;
--- a/hawthornroad/staging/LoadTurn.cpp
+++ b/hawthornroad/staging/LoadTurn.cpp
@@ -6,23 +6,34 @@
 
 namespace hawthornroad {
 
-TimePoint LoadTurn::at(const std::string &Self,
-                       const std::vector<std::string> &Members,
-                       const std::string &Version, TimePoint HeardAt) const {
+// Time between the first and the last wave's begin.
+Duration LoadTurn::room() const {
+  Duration Last = Options_.Bound_ - Options_.LoadTime_;
+  return std::max<Duration>(Duration::zero(), Last - Options_.Transfer_);
+}
+
+unsigned LoadTurn::waves() const {
+  auto Fit = static_cast<unsigned>(room() / Options_.WaveLeast_) + 1;
+  return std::clamp(Fit, 1U, Options_.MostWaves_);
+}
+
+unsigned LoadTurn::wave(const std::string &Self,
+                        const std::vector<std::string> &ZoneMembers,
+                        const std::string &Version) const {
   std::uint64_t Own = rendezvousScore(Version, Self);
-  std::size_t Rank = 0;
-  for (const std::string &Each : Members)
+  unsigned Rank = 0;
+  for (const std::string &Each : ZoneMembers)
     if (Each != Self && rendezvousScore(Version, Each) > Own)
       ++Rank;
   // Dealt in order, so that waves differ by one member at most.
-  auto Wave = static_cast<Duration::rep>(Rank % Options_.Waves_);
+  return Rank % waves();
+}
+
+TimePoint LoadTurn::at(unsigned Wave, TimePoint HeardAt) const {
   if (Wave == 0)
     return HeardAt;
-  Duration Last = Options_.Bound_ - Options_.LoadTime_;
-  Duration First = std::min(Options_.FirstAt_, Last);
-  Duration Gap = (Last - First) /
-                 std::max<Duration::rep>(1, Options_.Waves_ - 1);
-  return HeardAt + First + Gap * Wave;
+  Duration Step = room() / std::max(1U, waves() - 1);
+  return HeardAt + Options_.Transfer_ + Step * Wave;
 }
 
 } // namespace hawthornroad
--- a/hawthornroad/staging/LoadTurn.h
+++ b/hawthornroad/staging/LoadTurn.h
@@ -1,20 +1,18 @@
 // When an engine may be taken out of service to load a new version, so that the
 // others of its zone carry its requests meanwhile.
 //
-//   LoadTurn T({.Bound_ = Seconds(8)});
-//   TimePoint At = T.at(Self, ZoneMembers, Version, HeardAt, Now);
+//   LoadTurn T({.Bound_ = Seconds(8), .Transfer_ = Seconds(3)});
+//   unsigned W = T.wave(Self, ZoneMembers, Version);
+//   TimePoint At = T.at(W, HeardAt);
 //
 // Every agent works it out alone from the zone's members, the version and the
-// moment it heard of it, which differ little. The members are dealt into Waves
+// moment it heard of it, which differ little. The members are dealt into waves
 // by a rendezvous hash that the version changes, so that no engine is always
-// last. The first wave begins at once, each next one WaveGap later: an engine
-// that loads lets its running requests end (two seconds) and then takes the
-// load itself (a third of one). The last wave begins early enough to be through
-// at the bound: from then on an old engine serves nobody, so there is no reason
-// to wait longer.
-//
-// Where a transfer takes most of the bound, the waves lie close together: it is
-// better to have all serve late in the bound than some not at all after it.
+// last. There are as many waves, up to MostWaves, as fit between the moment at
+// which the first pieces can be whole and the last moment at which a load is
+// through within the bound; a wave lasts WaveLeast at least. The more waves,
+// the fewer engines are away at once; after the bound an old engine serves
+// nobody, so waiting longer helps no caller.
 
 #ifndef HAWTHORNROAD_STAGING_LOADTURN_H
 #define HAWTHORNROAD_STAGING_LOADTURN_H
@@ -30,20 +28,26 @@
 public:
   struct Options {
     Duration Bound_ = Seconds(8);
-    // What a load takes: the rest of the running requests, then the load.
-    Duration LoadTime_ = Milliseconds(2200);
-    // When the pieces can be expected to lie at every engine.
-    Duration FirstAt_ = Milliseconds(3500);
-    unsigned Waves_ = 2;
+    // From the announcement of a load to its end.
+    Duration LoadTime_ = Milliseconds(1300);
+    // What bringing the pieces to the first wave takes at least.
+    Duration Transfer_ = Seconds(3);
+    unsigned MostWaves_ = 5;
+    Duration WaveLeast_ = Milliseconds(550);
   };
 
   explicit LoadTurn(Options O) : Options_(O) {}
 
-  // The moment from which on Self may load.
-  TimePoint at(const std::string &Self, const std::vector<std::string> &Members,
-               const std::string &Version, TimePoint HeardAt) const;
+  unsigned waves() const;
+  // Which wave Self is in, counted from 0.
+  unsigned wave(const std::string &Self,
+                const std::vector<std::string> &ZoneMembers,
+                const std::string &Version) const;
+  // From when on a member of the wave may load.
+  TimePoint at(unsigned Wave, TimePoint HeardAt) const;
 
 private:
+  Duration room() const;
   Options Options_;
 };
 
--- a/hawthornroad/traffic/Call.h
+++ b/hawthornroad/traffic/Call.h
@@ -72,8 +72,10 @@
   bool IsEncoded_ = false;
   // The request's id as the endpoint gives it back; empty when absent.
   std::string RequestId_;
-  // The endpoint at the address is another one.
+  // It is not the endpoint that was expected, or lacks what was.
   bool IsOtherEndpoint_ = false;
+  // Who answered, where it says so.
+  std::string EndpointId_;
   bool HasLoad_ = false;
   unsigned Running_ = 0;
   unsigned Waiting_ = 0;
--- a/hawthornroad/traffic/Placement.cpp
+++ b/hawthornroad/traffic/Placement.cpp
@@ -112,7 +112,8 @@
   unsigned Ties = 0;
   for (const State *S : Candidates) {
     double Load = load(*S, Now);
-    bool IsFull = Load >= S->Places_ || Now < S->FullUntil_;
+    bool IsFull = Load >= S->Places_ || Now < S->FullUntil_ ||
+                  Now < S->AwayUntil_;
     if (S->Own_ >= S->Connections_ || (IsFull && !Q.MayQueue_))
       continue;
     double Score = (Load + 1) / S->Places_;
@@ -155,6 +156,16 @@
     Found->second.Version_ = std::max(Found->second.Version_, V);
 }
 
+void Placement::setAway(const EndpointId &Id, bool IsAway, TimePoint Now) {
+  auto Found = States_.find(Id);
+  if (Found == States_.end())
+    return;
+  State &S = Found->second;
+  S.AwayUntil_ = IsAway ? Now + Options_.AwayMost_ : TimePoint();
+  if (!IsAway)
+    S.FullUntil_ = TimePoint();
+}
+
 void Placement::firstByte(const EndpointId &Id, Duration Took) {
   auto Found = States_.find(Id);
   if (Found == States_.end())
@@ -237,6 +248,7 @@
     V.ReportAge_ = Now - *S.ReportedAt_;
   V.Version_ = S.Version_;
   V.IsEjected_ = Now < S.EjectedUntil_;
+  V.IsAway_ = Now < S.AwayUntil_;
   return V;
 }
 
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -62,6 +62,8 @@
     // row, since one that loads new weights is away for seconds.
     Duration FullFor_ = Milliseconds(60);
     Duration FullMost_ = Milliseconds(500);
+    // How long a told load is believed in without further word.
+    Duration AwayMost_ = Milliseconds(3500);
   };
   enum class End {
     Good,
@@ -95,6 +97,9 @@
   void ended(const EndpointId &Id, End E, TimePoint Now);
   void heard(const EndpointId &Id, unsigned Load, TimePoint Now);
   void heardVersion(const EndpointId &Id, WeightVersion V);
+  // Its agent says that it takes nothing new (a load follows or is under way),
+  // or that it serves again.
+  void setAway(const EndpointId &Id, bool IsAway, TimePoint Now);
   // Time from begin to the first byte.
   void firstByte(const EndpointId &Id, Duration Took);
 
@@ -105,6 +110,7 @@
     std::optional<Duration> ReportAge_;
     WeightVersion Version_ = 0;
     bool IsEjected_ = false;
+    bool IsAway_ = false;
   };
   // What is believed of an endpoint; unset when it is not known.
   std::optional<View> view(const EndpointId &Id, TimePoint Now) const;
@@ -127,6 +133,7 @@
     Duration EjectFor_ = Duration::zero();
     TimePoint EjectedUntil_;
     TimePoint FullUntil_;
+    TimePoint AwayUntil_;
     Duration FullFor_ = Duration::zero();
   };
 
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -171,6 +171,19 @@
   pumpDue(Now);
 }
 
+void TrafficCore::engineTold(const std::string &Address, bool IsAway,
+                             WeightVersion V, TimePoint Now) {
+  for (const auto &[Id, Each] : Endpoints_.all()) {
+    if (Each.Endpoint_.Address_ != Address)
+      continue;
+    Placement_.setAway(Id, IsAway, Now);
+    if (V != 0)
+      Placement_.heardVersion(Id, V);
+    Freed_.insert(Each.Endpoint_.Service_);
+  }
+  pumpDue(Now);
+}
+
 void TrafficCore::requireVersion(const std::string &Model, WeightVersion V,
                                  TimePoint At) {
   // Each version's bound counts from its own naming: a later one does not put
@@ -195,6 +208,10 @@
   return Out;
 }
 
+WeightVersion TrafficCore::newestWanted(const ServiceName &Service) const {
+  return minVersion(Service, TimePoint::max());
+}
+
 TrafficCore::Record *TrafficCore::find(AttemptNumber A) {
   auto Found = ByAttempt_.find(A);
   if (Found == ByAttempt_.end())
@@ -383,10 +400,11 @@
   if (!R.Tried_.empty() && Placement_.usable(Q) == 0)
     R.Tried_.clear();
   std::optional<EndpointId> Chosen;
-  if (R.IsStreaming_ && R.Version_ >= Q.MinVersion_) {
-    Q.Version_ = R.Version_;
-    Chosen = Placement_.choose(Q, Now);
-    Q.Version_ = 0;
+  // A stream that was cut by a load goes on where none is to come.
+  if (R.IsStreaming_) {
+    Placement::Query Newest = Q;
+    Newest.MinVersion_ = std::max(Q.MinVersion_, newestWanted(R.Service_));
+    Chosen = Placement_.choose(Newest, Now);
   }
   if (!Chosen)
     Chosen = Placement_.choose(Q, Now);
@@ -517,7 +535,9 @@
     return;
   if (R->Head_.NotRun_) {
     std::string Why = "status " + std::to_string(R->Head_.Status_);
-    bool IsOther = R->Head_.IsOtherEndpoint_;
+    // The right engine says so too, while it holds no weights.
+    bool IsOther = R->Head_.IsOtherEndpoint_ &&
+                   R->Head_.EndpointId_ != R->At_.str();
     if (IsOther)
       R->Tried_.insert(R->At_);
     endAttempt(*R, IsOther ? Placement::End::Failed : Placement::End::TurnedAway,
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -161,6 +161,9 @@
   const SharedConfig &config() const { return Config_; }
   EndpointSet &endpoints() { return Endpoints_; }
   void endpointsChanged(TimePoint Now);
+  // An agent's word of its engine.
+  void engineTold(const std::string &Address, bool IsAway, WeightVersion V,
+                  TimePoint Now);
   KeyLease &lease() { return Lease_; }
   const Placement &placement() const { return Placement_; }
   // From At on no request is begun on a version of Model below V.
@@ -207,6 +210,7 @@
   Duration lineWait(const ServiceName &Service, const Record &R) const;
   Duration timeToReturn(const ServiceName &Service, TimePoint Now);
   WeightVersion minVersion(const ServiceName &Service, TimePoint Now) const;
+  WeightVersion newestWanted(const ServiceName &Service) const;
   void noteDone(const ServiceName &Service, TimePoint Now);
 
   Options Options_;
--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -130,6 +130,14 @@
 struct ChunkTakenBuilder;
 struct ChunkTakenT;
 
+struct EngineWatch;
+struct EngineWatchBuilder;
+struct EngineWatchT;
+
+struct EngineNotice;
+struct EngineNoticeBuilder;
+struct EngineNoticeT;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -192,6 +200,10 @@
 bool operator!=(const ChunkReplyT &lhs, const ChunkReplyT &rhs);
 bool operator==(const ChunkTakenT &lhs, const ChunkTakenT &rhs);
 bool operator!=(const ChunkTakenT &lhs, const ChunkTakenT &rhs);
+bool operator==(const EngineWatchT &lhs, const EngineWatchT &rhs);
+bool operator!=(const EngineWatchT &lhs, const EngineWatchT &rhs);
+bool operator==(const EngineNoticeT &lhs, const EngineNoticeT &rhs);
+bool operator!=(const EngineNoticeT &lhs, const EngineNoticeT &rhs);
 bool operator==(const FrameT &lhs, const FrameT &rhs);
 bool operator!=(const FrameT &lhs, const FrameT &rhs);
 
@@ -369,11 +381,13 @@
   ChunkRequest = 23,
   ChunkReply = 24,
   ChunkTaken = 25,
+  EngineWatch = 26,
+  EngineNotice = 27,
   MIN = NONE,
-  MAX = ChunkTaken
+  MAX = EngineNotice
 };
 
-inline const Body (&EnumValuesBody())[26] {
+inline const Body (&EnumValuesBody())[28] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -400,13 +414,15 @@
     Body::ChunkAsk,
     Body::ChunkRequest,
     Body::ChunkReply,
-    Body::ChunkTaken
+    Body::ChunkTaken,
+    Body::EngineWatch,
+    Body::EngineNotice
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[27] = {
+  static const char * const names[29] = {
     "NONE",
     "Hello",
     "Ping",
@@ -433,13 +449,15 @@
     "ChunkRequest",
     "ChunkReply",
     "ChunkTaken",
+    "EngineWatch",
+    "EngineNotice",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ChunkTaken)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::EngineNotice)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -548,6 +566,14 @@
   static const Body enum_value = Body::ChunkTaken;
 };
 
+template<> struct BodyTraits<hawthornroad::wire::EngineWatch> {
+  static const Body enum_value = Body::EngineWatch;
+};
+
+template<> struct BodyTraits<hawthornroad::wire::EngineNotice> {
+  static const Body enum_value = Body::EngineNotice;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -652,6 +678,14 @@
   static const Body enum_value = Body::ChunkTaken;
 };
 
+template<> struct BodyUnionTraits<hawthornroad::wire::EngineWatchT> {
+  static const Body enum_value = Body::EngineWatch;
+};
+
+template<> struct BodyUnionTraits<hawthornroad::wire::EngineNoticeT> {
+  static const Body enum_value = Body::EngineNotice;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -882,6 +916,22 @@
     return type == Body::ChunkTaken ?
       reinterpret_cast<const hawthornroad::wire::ChunkTakenT *>(value) : nullptr;
   }
+  hawthornroad::wire::EngineWatchT *AsEngineWatch() {
+    return type == Body::EngineWatch ?
+      reinterpret_cast<hawthornroad::wire::EngineWatchT *>(value) : nullptr;
+  }
+  const hawthornroad::wire::EngineWatchT *AsEngineWatch() const {
+    return type == Body::EngineWatch ?
+      reinterpret_cast<const hawthornroad::wire::EngineWatchT *>(value) : nullptr;
+  }
+  hawthornroad::wire::EngineNoticeT *AsEngineNotice() {
+    return type == Body::EngineNotice ?
+      reinterpret_cast<hawthornroad::wire::EngineNoticeT *>(value) : nullptr;
+  }
+  const hawthornroad::wire::EngineNoticeT *AsEngineNotice() const {
+    return type == Body::EngineNotice ?
+      reinterpret_cast<const hawthornroad::wire::EngineNoticeT *>(value) : nullptr;
+  }
 };
 
 
@@ -991,6 +1041,14 @@
       return *(reinterpret_cast<const hawthornroad::wire::ChunkTakenT *>(lhs.value)) ==
              *(reinterpret_cast<const hawthornroad::wire::ChunkTakenT *>(rhs.value));
     }
+    case Body::EngineWatch: {
+      return *(reinterpret_cast<const hawthornroad::wire::EngineWatchT *>(lhs.value)) ==
+             *(reinterpret_cast<const hawthornroad::wire::EngineWatchT *>(rhs.value));
+    }
+    case Body::EngineNotice: {
+      return *(reinterpret_cast<const hawthornroad::wire::EngineNoticeT *>(lhs.value)) ==
+             *(reinterpret_cast<const hawthornroad::wire::EngineNoticeT *>(rhs.value));
+    }
     default: {
       return false;
     }
@@ -4035,6 +4093,134 @@
 
 flatbuffers::Offset<ChunkTaken> CreateChunkTaken(flatbuffers::FlatBufferBuilder &_fbb, const ChunkTakenT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct EngineWatchT : public flatbuffers::NativeTable {
+  typedef EngineWatch TableType;
+};
+
+struct EngineWatch FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EngineWatchT NativeTableType;
+  typedef EngineWatchBuilder Builder;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           verifier.EndTable();
+  }
+  EngineWatchT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EngineWatchT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EngineWatch> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineWatchT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EngineWatchBuilder {
+  typedef EngineWatch Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  explicit EngineWatchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EngineWatch> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EngineWatch>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EngineWatch> CreateEngineWatch(
+    flatbuffers::FlatBufferBuilder &_fbb) {
+  EngineWatchBuilder builder_(_fbb);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<EngineWatch> CreateEngineWatch(flatbuffers::FlatBufferBuilder &_fbb, const EngineWatchT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct EngineNoticeT : public flatbuffers::NativeTable {
+  typedef EngineNotice TableType;
+  std::string address{};
+  uint8_t phase = 0;
+  uint64_t version = 0;
+};
+
+struct EngineNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EngineNoticeT NativeTableType;
+  typedef EngineNoticeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ADDRESS = 4,
+    VT_PHASE = 6,
+    VT_VERSION = 8
+  };
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  uint8_t phase() const {
+    return GetField<uint8_t>(VT_PHASE, 0);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint8_t>(verifier, VT_PHASE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           verifier.EndTable();
+  }
+  EngineNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EngineNoticeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EngineNotice> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EngineNoticeBuilder {
+  typedef EngineNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(EngineNotice::VT_ADDRESS, address);
+  }
+  void add_phase(uint8_t phase) {
+    fbb_.AddElement<uint8_t>(EngineNotice::VT_PHASE, phase, 0);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(EngineNotice::VT_VERSION, version, 0);
+  }
+  explicit EngineNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EngineNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EngineNotice>(end);
+    fbb_.Required(o, EngineNotice::VT_ADDRESS);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EngineNotice> CreateEngineNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint8_t phase = 0,
+    uint64_t version = 0) {
+  EngineNoticeBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_address(address);
+  builder_.add_phase(phase);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<EngineNotice> CreateEngineNoticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *address = nullptr,
+    uint8_t phase = 0,
+    uint64_t version = 0) {
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  return hawthornroad::wire::CreateEngineNotice(
+      _fbb,
+      address__,
+      phase,
+      version);
+}
+
+flatbuffers::Offset<EngineNotice> CreateEngineNotice(flatbuffers::FlatBufferBuilder &_fbb, const EngineNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
   hawthornroad::wire::BodyUnion body{};
@@ -4129,6 +4315,12 @@
   const hawthornroad::wire::ChunkTaken *body_as_ChunkTaken() const {
     return body_type() == hawthornroad::wire::Body::ChunkTaken ? static_cast<const hawthornroad::wire::ChunkTaken *>(body()) : nullptr;
   }
+  const hawthornroad::wire::EngineWatch *body_as_EngineWatch() const {
+    return body_type() == hawthornroad::wire::Body::EngineWatch ? static_cast<const hawthornroad::wire::EngineWatch *>(body()) : nullptr;
+  }
+  const hawthornroad::wire::EngineNotice *body_as_EngineNotice() const {
+    return body_type() == hawthornroad::wire::Body::EngineNotice ? static_cast<const hawthornroad::wire::EngineNotice *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -4241,6 +4433,14 @@
   return body_as_ChunkTaken();
 }
 
+template<> inline const hawthornroad::wire::EngineWatch *Frame::body_as<hawthornroad::wire::EngineWatch>() const {
+  return body_as_EngineWatch();
+}
+
+template<> inline const hawthornroad::wire::EngineNotice *Frame::body_as<hawthornroad::wire::EngineNotice>() const {
+  return body_as_EngineNotice();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5929,6 +6129,84 @@
 }
 
 
+inline bool operator==(const EngineWatchT &, const EngineWatchT &) {
+  return true;
+}
+
+inline bool operator!=(const EngineWatchT &lhs, const EngineWatchT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline EngineWatchT *EngineWatch::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<EngineWatchT>(new EngineWatchT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EngineWatch::UnPackTo(EngineWatchT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+}
+
+inline flatbuffers::Offset<EngineWatch> EngineWatch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineWatchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEngineWatch(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EngineWatch> CreateEngineWatch(flatbuffers::FlatBufferBuilder &_fbb, const EngineWatchT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EngineWatchT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  return hawthornroad::wire::CreateEngineWatch(
+      _fbb);
+}
+
+
+inline bool operator==(const EngineNoticeT &lhs, const EngineNoticeT &rhs) {
+  return
+      (lhs.address == rhs.address) &&
+      (lhs.phase == rhs.phase) &&
+      (lhs.version == rhs.version);
+}
+
+inline bool operator!=(const EngineNoticeT &lhs, const EngineNoticeT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline EngineNoticeT *EngineNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<EngineNoticeT>(new EngineNoticeT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EngineNotice::UnPackTo(EngineNoticeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = phase(); _o->phase = _e; }
+  { auto _e = version(); _o->version = _e; }
+}
+
+inline flatbuffers::Offset<EngineNotice> EngineNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEngineNotice(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EngineNotice> CreateEngineNotice(flatbuffers::FlatBufferBuilder &_fbb, const EngineNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EngineNoticeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _address = _fbb.CreateString(_o->address);
+  auto _phase = _o->phase;
+  auto _version = _o->version;
+  return hawthornroad::wire::CreateEngineNotice(
+      _fbb,
+      _address,
+      _phase,
+      _version);
+}
+
+
 inline bool operator==(const FrameT &lhs, const FrameT &rhs) {
   return
       (lhs.body == rhs.body);
@@ -6073,6 +6351,14 @@
       auto ptr = reinterpret_cast<const hawthornroad::wire::ChunkTaken *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::EngineWatch: {
+      auto ptr = reinterpret_cast<const hawthornroad::wire::EngineWatch *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::EngineNotice: {
+      auto ptr = reinterpret_cast<const hawthornroad::wire::EngineNotice *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6192,6 +6478,14 @@
       auto ptr = reinterpret_cast<const hawthornroad::wire::ChunkTaken *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::EngineWatch: {
+      auto ptr = reinterpret_cast<const hawthornroad::wire::EngineWatch *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::EngineNotice: {
+      auto ptr = reinterpret_cast<const hawthornroad::wire::EngineNotice *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6299,6 +6593,14 @@
       auto ptr = reinterpret_cast<const hawthornroad::wire::ChunkTakenT *>(value);
       return CreateChunkTaken(_fbb, ptr, _rehasher).Union();
     }
+    case Body::EngineWatch: {
+      auto ptr = reinterpret_cast<const hawthornroad::wire::EngineWatchT *>(value);
+      return CreateEngineWatch(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::EngineNotice: {
+      auto ptr = reinterpret_cast<const hawthornroad::wire::EngineNoticeT *>(value);
+      return CreateEngineNotice(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6405,6 +6707,14 @@
       value = new hawthornroad::wire::ChunkTakenT(*reinterpret_cast<hawthornroad::wire::ChunkTakenT *>(u.value));
       break;
     }
+    case Body::EngineWatch: {
+      value = new hawthornroad::wire::EngineWatchT(*reinterpret_cast<hawthornroad::wire::EngineWatchT *>(u.value));
+      break;
+    }
+    case Body::EngineNotice: {
+      value = new hawthornroad::wire::EngineNoticeT(*reinterpret_cast<hawthornroad::wire::EngineNoticeT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -6537,6 +6847,16 @@
       delete ptr;
       break;
     }
+    case Body::EngineWatch: {
+      auto ptr = reinterpret_cast<hawthornroad::wire::EngineWatchT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::EngineNotice: {
+      auto ptr = reinterpret_cast<hawthornroad::wire::EngineNoticeT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
