Engines close while their last pieces come; a request never begins on a version past its bound

Cause: with 0.6 s of notice 4.3 streams an engine were cut by its load, and four fifths of those paused for more than 300 ms on their way to another one; the rest of the bound was not used.

--- a/hawthornroad/agent/PieceTransfer.cpp
+++ b/hawthornroad/agent/PieceTransfer.cpp
@@ -38,6 +38,7 @@
   // requests; five in flight keep it busy and its queue short.
   Out.Plan_.InFlight_ = 5;
   Out.Plan_.PerPeer_ = 1;
+  Out.Plan_.AcrossZones_ = 1;
   Out.Exchange_.TellPeriod_ = Milliseconds(60);
   return Out;
 }
@@ -74,6 +75,7 @@
   Shape.Size_ = Setup_.Pieces_ * Setup_.PieceBytes_;
   Shape.ChunkSize_ = Setup_.PieceBytes_;
   Swarm_.emplace(swarmSetup(Setup_), Shape, std::move(Have), Now);
+  StartedAt_ = Now;
   WholeTold_ = false;
 }
 
--- a/hawthornroad/agent/PieceTransfer.h
+++ b/hawthornroad/agent/PieceTransfer.h
@@ -104,6 +104,7 @@
 
   bool isWhole() const { return Swarm_ && Swarm_->isDone(); }
   std::size_t held() const { return Swarm_ ? Swarm_->held().count() : 0; }
+  TimePoint startedAt() const { return StartedAt_; }
   const ModelVersion &version() const { return Setup_.Version_; }
   static std::string frameName(const ModelVersion &V) {
     return V.Model_ + "/" + std::to_string(V.Version_);
@@ -151,6 +152,7 @@
   bool UploadTimerSet_ = false;
   IoThread &Io_;
   RateLimiter UploadRate_;
+  TimePoint StartedAt_{};
   bool WholeTold_ = false;
 };
 
--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -42,11 +42,12 @@
 constexpr double UploadShare = 0.85;
 // What a transfer takes at least, against the bare time of its bytes over the
 // narrowest link.
-constexpr double TransferStretch = 1.3;
+constexpr double TransferStretch = 1.6;
 // A version named this much later than the one under way waits for it.
 constexpr Duration SwitchBefore = Milliseconds(1200);
-// Before the bound, for the load itself to be through.
-constexpr Duration BoundMargin = Milliseconds(700);
+// Loads are through this long before the bound: by then entries no longer use
+// engines with older versions.
+constexpr Duration BoundMargin = Milliseconds(600);
 
 std::string ipOf(const std::string &Address) {
   return Address.substr(0, Address.rfind(':'));
@@ -135,6 +136,8 @@
   std::vector<std::shared_ptr<PieceTransfer>> transfers() const;
   TimePoint mayLoadAt() const;
   LoadTurn turn() const;
+  // When all pieces of the wanted version are likely to be here.
+  TimePoint wholeBy(TimePoint Now) const;
   unsigned waveOf(const std::string &Ip, const ModelVersion &V) const;
   void tellEntries();
   // Bytes a second.
@@ -177,7 +180,11 @@
   std::optional<TimePoint> LoadedAt_;
   std::optional<EngineState> LastTold_;
   // Entries that asked to be told of the engine, by process.
-  std::map<ProcessName, ConnectionId> Watchers_;
+  struct Watcher {
+    ConnectionId Connection_ = 0;
+    bool WantsLoads_ = false;
+  };
+  std::map<ProcessName, Watcher> Watchers_;
   std::optional<wire::EngineNoticeT> ToldEntries_;
 };
 
@@ -358,6 +365,20 @@
   return turn().at(waveOf(Self_, Current_->Version_), Current_->HeardAt_);
 }
 
+// By the pace so far; never before pieces have begun to come.
+TimePoint StoreAgent::State::wholeBy(TimePoint Now) const {
+  if (!Current_ || !Current_->Transfer_)
+    return TimePoint::max();
+  const PieceTransfer &T = *Current_->Transfer_;
+  std::size_t All = T.digests().size();
+  if (T.isWhole() || T.held() * 3 < All)
+    return T.isWhole() ? Now : TimePoint::max();
+  double Missing = static_cast<double>(All - T.held()) /
+                   static_cast<double>(T.held());
+  return Now + std::chrono::duration_cast<Duration>((Now - T.startedAt()) *
+                                                    Missing);
+}
+
 unsigned StoreAgent::State::waveOf(const std::string &Ip,
                                    const ModelVersion &V) const {
   return turn().wave(Ip, ZoneMembers_, PieceTransfer::frameName(V));
@@ -390,17 +411,21 @@
   Notice.version = Duty_.state()->Loaded_.Version_;
   if (Duty_.isAway())
     Notice.phase = static_cast<std::uint8_t>(EnginePhase::Away);
+  Notice.load = Duty_.state()->Running_ + Duty_.state()->Waiting_;
   if (ToldEntries_ == Notice)
     return;
+  bool IsLoadOnly = ToldEntries_ && ToldEntries_->phase == Notice.phase &&
+                    ToldEntries_->version == Notice.version;
   ToldEntries_ = Notice;
   FrameBuffer Frame = makeFrame(Notice);
-  for (const auto &[Process, Connection] : Watchers_)
-    Net_->reply(Connection, Frame);
+  for (const auto &[Process, W] : Watchers_)
+    if (!IsLoadOnly || W.WantsLoads_)
+      Net_->reply(W.Connection_, Frame);
 }
 
 void StoreAgent::State::step(TimePoint Now) {
   TimePoint LoadAt = Current_ ? mayLoadAt() : Now;
-  switch (Duty_.next(LoadAt, Now)) {
+  switch (Duty_.next(LoadAt, wholeBy(Now), Now)) {
   case EngineStep::Nothing:
     break;
   case EngineStep::Report:
@@ -752,8 +777,8 @@
                                 const wire::Frame &Frame) {
   wire::FrameT Unpacked;
   Frame.UnPackTo(&Unpacked);
-  if (Unpacked.body.AsEngineWatch() != nullptr) {
-    Watchers_[From.Process_] = From.Connection_;
+  if (const auto *Watch = Unpacked.body.AsEngineWatch()) {
+    Watchers_[From.Process_] = {From.Connection_, Watch->loads};
     if (ToldEntries_)
       Net_->reply(From.Connection_, makeFrame(*ToldEntries_));
     return;
--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -41,7 +41,9 @@
 // the operators' bound: callers' keys will soon not be accepted here.
 constexpr double ReadyShare = 0.6;
 // Before the bound of a version, so that requests already sent have begun.
-constexpr Duration VersionMargin = Milliseconds(700);
+constexpr Duration VersionMargin = Milliseconds(600);
+// What word of the version and of the taking back may take on their ways.
+constexpr Duration VersionHardMargin = Milliseconds(200);
 // A planned stop: the balancer asks each second and acts on the second miss.
 constexpr Duration BalancerNotice = Milliseconds(2600);
 constexpr Duration StopPoll = Milliseconds(20);
@@ -164,6 +166,7 @@
   std::optional<StoreWatch> OperatorWatch_;
   std::optional<StoreWatch> EndpointWatch_;
   std::unique_ptr<EngineNews> News_;
+  std::map<std::string, EngineTold> LastTold_;
   std::unordered_map<CallNumber, std::shared_ptr<ServerSession>> Sessions_;
   std::unordered_map<AttemptNumber, Attempt> Attempts_;
   CallNumber NextCall_ = 1;
@@ -276,9 +279,9 @@
       if (Row.Key_ == platform::ConfigKey) {
         takeConfig(Row.Value_);
       } else if (auto V = platform::decodeVersion(Row.Key_, Row.Value_)) {
-        Core_.requireVersion(V->Model_, V->Version_,
-                             Now + Settings_.Common_.VersionBound_ -
-                                 VersionMargin);
+        TimePoint Bound = Now + Settings_.Common_.VersionBound_;
+        Core_.requireVersion(V->Model_, V->Version_, Bound - VersionMargin,
+                             Bound - VersionHardMargin);
         Log_.write(LogLine("version_wanted")
                        .text("model", V->Model_)
                        .count("version", V->Version_),
@@ -361,20 +364,24 @@
 void DirectEntry::State::followEngines(TimePoint Now) {
   if (!News_)
     return;
-  std::set<std::string> Engines;
+  std::map<std::string, bool> Engines;
   for (const auto &[Id, Each] : Core_.endpoints().all())
     if (Each.Endpoint_.HasModel_)
-      Engines.insert(Each.Endpoint_.Address_);
+      Engines[Each.Endpoint_.Address_] =
+          Each.Endpoint_.Zone_ == Settings_.Common_.Zone_;
   News_->follow(Engines, Now);
 }
 
 void DirectEntry::State::onEngineTold(const EngineTold &T) {
+  EngineTold &Last = LastTold_[T.Address_];
   bool IsAway = T.Phase_ != EnginePhase::Serving;
-  Log_.write(LogLine("engine_told")
-                 .text("address", T.Address_)
-                 .flag("away", IsAway)
-                 .count("version", T.Version_));
-  Core_.engineTold(T.Address_, IsAway, T.Version_, bootNow());
+  if (Last.Phase_ != T.Phase_ || Last.Version_ != T.Version_)
+    Log_.write(LogLine("engine_told")
+                   .text("address", T.Address_)
+                   .flag("away", IsAway)
+                   .count("version", T.Version_));
+  Last = T;
+  Core_.engineTold(T.Address_, IsAway, T.Version_, T.Load_, bootNow());
 }
 
 void DirectEntry::State::onOperatorCall(bool Ok, const TableWatch &W) {
@@ -588,7 +595,7 @@
       .millis("waited_ms", R.Waited_)
       .millis("whole_ms", R.Whole_);
   if (R.FirstByte_)
-    L.millis("first_ms", *R.FirstByte_);
+    L.millis("first_ms", *R.FirstByte_).millis("gap_ms", R.LongestGap_);
   Log_.write(L);
   Metrics_.count("hawthornroad_requests_total",
                  {{"status", std::to_string(R.Status_)},
--- a/hawthornroad/entry/EngineNews.cpp
+++ b/hawthornroad/entry/EngineNews.cpp
@@ -20,7 +20,7 @@
                        Handler H)
     : Port_(std::move(AgentPort)), Handler_(std::move(H)) {
   PeerNet::Callbacks C;
-  C.OnFrame_ = [this](const PeerContext &, const wire::Frame &Frame) {
+  C.OnFrame_ = [this](const PeerContext &From, const wire::Frame &Frame) {
     const auto *Notice = Frame.body_as_EngineNotice();
     if (Notice == nullptr)
       return;
@@ -28,38 +28,45 @@
     T.Address_ = Notice->address()->str();
     T.Phase_ = static_cast<EnginePhase>(Notice->phase());
     T.Version_ = Notice->version();
+    auto Found = Agents_.find(From.Address_.str());
+    if (Found != Agents_.end() && Found->second.WantsLoads_)
+      T.Load_ = Notice->load();
     Handler_(T);
   };
   C.OnLost_ = [this](const PeerContext &From, const Error &) {
     auto Found = Agents_.find(From.Address_.str());
     if (Found != Agents_.end())
-      Found->second = bootNow() + AskAgain;
+      Found->second.AskAt_ = bootNow() + AskAgain;
   };
   Net_ = std::make_unique<PeerNet>(Io, std::move(Self), limits(), std::move(C));
 }
 
-void EngineNews::follow(const std::set<std::string> &Engines, TimePoint Now) {
-  std::set<std::string> Wanted;
-  for (const std::string &Engine : Engines)
-    Wanted.insert(Engine.substr(0, Engine.rfind(':')) + ":" + Port_);
+void EngineNews::follow(const std::map<std::string, bool> &Engines,
+                        TimePoint Now) {
+  std::map<std::string, bool> Wanted;
+  for (const auto &[Engine, Loads] : Engines)
+    Wanted[Engine.substr(0, Engine.rfind(':')) + ":" + Port_] = Loads;
   std::erase_if(Agents_, [&](const auto &Each) {
     return !Wanted.contains(Each.first);
   });
-  for (const std::string &Agent : Wanted)
-    if (!Agents_.contains(Agent))
-      ask(Agent, Now);
+  for (const auto &[Address, Loads] : Wanted) {
+    auto [Found, New] = Agents_.try_emplace(Address, Agent{Loads, {}});
+    if (New)
+      ask(Address, Found->second);
+  }
 }
 
 void EngineNews::tick(TimePoint Now) {
-  for (auto &[Agent, At] : Agents_)
-    if (At && Now >= *At)
-      ask(Agent, Now);
+  for (auto &[Address, A] : Agents_)
+    if (A.AskAt_ && Now >= *A.AskAt_)
+      ask(Address, A);
 }
 
-void EngineNews::ask(const std::string &Agent, TimePoint Now) {
-  Agents_[Agent].reset();
-  Net_->send(PeerAddress(Agent), Lane::Requests,
-             makeFrame(wire::EngineWatchT{}));
+void EngineNews::ask(const std::string &Address, Agent &A) {
+  A.AskAt_.reset();
+  wire::EngineWatchT Watch;
+  Watch.loads = A.WantsLoads_;
+  Net_->send(PeerAddress(Address), Lane::Requests, makeFrame(Watch));
 }
 
 } // namespace hawthornroad
--- a/hawthornroad/entry/EngineNews.h
+++ b/hawthornroad/entry/EngineNews.h
@@ -1,7 +1,7 @@
 // What agents tell an entry of their engines, as it happens.
 //
 //   EngineNews News(Io, Self, AgentPort, [](const EngineTold &T) {...});
-//   News.follow({"10.0.0.7:8601", ...}, Now);     // engines' addresses
+//   News.follow({{"10.0.0.7:8601", true}, ...}, Now);  // engines' addresses
 //   News.tick(Now);
 //
 // The store's list is a second old and says nothing of a load that is about to
@@ -20,7 +20,7 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <string>
 
 namespace hawthornroad {
@@ -29,6 +29,8 @@
   std::string Address_;
   EnginePhase Phase_ = EnginePhase::Serving;
   std::uint64_t Version_ = 0;
+  // Requests that run and wait there; unset when it was not asked for.
+  std::optional<unsigned> Load_;
 };
 
 class EngineNews {
@@ -38,17 +40,22 @@
   EngineNews(IoThread &Io, PeerNet::Self Self, std::string AgentPort,
              Handler H);
 
-  // The engines to hear of from now on.
-  void follow(const std::set<std::string> &Engines, TimePoint Now);
+  // The engines to hear of from now on; true: of their load too, which costs a
+  // frame several times a second.
+  void follow(const std::map<std::string, bool> &Engines, TimePoint Now);
   void tick(TimePoint Now);
 
 private:
-  void ask(const std::string &Agent, TimePoint Now);
+  struct Agent {
+    bool WantsLoads_ = false;
+    // When to ask again; unset: the connection stands.
+    std::optional<TimePoint> AskAt_;
+  };
+  void ask(const std::string &Address, Agent &A);
 
   std::string Port_;
   Handler Handler_;
-  // Agents followed, and when to ask again; unset: the connection stands.
-  std::map<std::string, std::optional<TimePoint>> Agents_;
+  std::map<std::string, Agent> Agents_;
   std::unique_ptr<PeerNet> Net_;
 };
 
--- a/hawthornroad/staging/EngineDuty.cpp
+++ b/hawthornroad/staging/EngineDuty.cpp
@@ -75,7 +75,8 @@
   OrderNotBefore_ = Now + Options_.OrderAgain_;
 }
 
-EngineStep EngineDuty::next(TimePoint MayLoadAt, TimePoint Now) const {
+EngineStep EngineDuty::next(TimePoint LoadAt, TimePoint WholeBy,
+                            TimePoint Now) const {
   if (Verifying_ || Ordering_)
     return EngineStep::Nothing;
   Duration Age = Now - ReportedAt_;
@@ -87,24 +88,28 @@
     return EngineStep::Report;
   if (!UnderWay)
     return EngineStep::Nothing;
+  bool IsBusy = State_->IsBusy_ || Loading_;
+  bool ClosesNow = !isEmpty() && !ClosedAt_ && !IsBusy &&
+                   Now >= LoadAt - Options_.CloseFor_ &&
+                   (Staged_ || WholeBy <= Now + Options_.CloseFor_);
+  if (ClosesNow)
+    return EngineStep::Close;
   // Also while another version is being loaded: the engine took what lay there
   // when it accepted that order.
   if (!Staged_)
     return EngineStep::Fetch;
-  if (State_->IsBusy_)
+  if (IsBusy || Now < OrderNotBefore_)
     return EngineStep::Nothing;
-  if (Now < OrderNotBefore_ || (Now < MayLoadAt && !isEmpty()))
+  if (!isEmpty() && !ClosedAt_)
     return EngineStep::Nothing;
   bool IsIdle = State_->Running_ + State_->Waiting_ == 0;
-  if (!isEmpty()) {
-    if (!ClosedAt_)
-      return EngineStep::Close;
-    if (!IsIdle && Now - *ClosedAt_ < Options_.CloseFor_)
-      return EngineStep::Nothing;
-  }
-  if (!VerifiedAt_ || Now - *VerifiedAt_ > Options_.VerifiedFor_)
+  Duration Left = Duration::zero();
+  if (!isEmpty() && !IsIdle)
+    Left = *ClosedAt_ + Options_.CloseFor_ - Now;
+  bool IsVerified = VerifiedAt_ && Now - *VerifiedAt_ <= Options_.VerifiedFor_;
+  if (Left <= Options_.VerifyTime_ && !IsVerified)
     return EngineStep::Verify;
-  return EngineStep::Order;
+  return Left <= Duration::zero() ? EngineStep::Order : EngineStep::Nothing;
 }
 
 } // namespace hawthornroad
--- a/hawthornroad/staging/EngineDuty.h
+++ b/hawthornroad/staging/EngineDuty.h
@@ -4,7 +4,7 @@
 //   D.want({"model-a", 3}, HeardAt);
 //   D.reported(State, Now);             // the engine's own word
 //   D.staged(true, Now);                // all pieces lie there, verified
-//   switch (D.next(MayLoadAt, Now)) ...
+//   switch (D.next(LoadAt, WholeBy, Now)) ...
 //
 // The engine loads what lies beside it as it is at that moment, so the pieces
 // are read back and verified right before the order: they may have spoilt since
@@ -58,17 +58,20 @@
 class EngineDuty {
 public:
   struct Options {
-    // How often the engine is asked while something is under way, and else.
+    // How often the engine is asked while something is under way, and else: its
+    // load is told to entries, which spread requests by it.
     Duration BusyReport_ = Milliseconds(150);
-    Duration IdleReport_ = Milliseconds(900);
+    Duration IdleReport_ = Milliseconds(150);
     // Between two orders that were refused.
     Duration OrderAgain_ = Milliseconds(250);
     // A verification this old no longer vouches for the pieces.
     Duration VerifiedFor_ = Milliseconds(400);
-    // From the announcement to the order, which cuts what still runs: most
+    // From the announcement to the order, which cuts what still runs: nearly all
     // running requests end by themselves in that time, and the engine is not
     // kept idle by the longest of them.
-    Duration CloseFor_ = Milliseconds(600);
+    Duration CloseFor_ = Milliseconds(1300);
+    // What reading the pieces back takes.
+    Duration VerifyTime_ = Milliseconds(150);
   };
   enum class OrderEnd {
     Begun,    // taken
@@ -95,8 +98,10 @@
   void closed(TimePoint Now) { ClosedAt_ = Now; }
   void ordered(OrderEnd E, TimePoint Now);
 
-  // MayLoadAt: from when on this engine may be out of service for a load.
-  EngineStep next(TimePoint MayLoadAt, TimePoint Now) const;
+  // LoadAt: when this engine's turn to load is; it is closed CloseFor_ earlier,
+  // also while pieces are still missing, if all are likely to be here by WholeBy
+  // and that is soon enough.
+  EngineStep next(TimePoint LoadAt, TimePoint WholeBy, TimePoint Now) const;
 
   bool isDone() const { return State_ && Wanted_ && State_->Loaded_ == *Wanted_; }
   // Entries are to send it nothing new: a load was announced, or ordered and
--- a/hawthornroad/staging/LoadTurn.cpp
+++ b/hawthornroad/staging/LoadTurn.cpp
@@ -30,8 +30,6 @@
 }
 
 TimePoint LoadTurn::at(unsigned Wave, TimePoint HeardAt) const {
-  if (Wave == 0)
-    return HeardAt;
   Duration Step = room() / std::max(1U, waves() - 1);
   return HeardAt + Options_.Transfer_ + Step * Wave;
 }
--- a/hawthornroad/staging/LoadTurn.h
+++ b/hawthornroad/staging/LoadTurn.h
@@ -28,8 +28,8 @@
 public:
   struct Options {
     Duration Bound_ = Seconds(8);
-    // From the announcement of a load to its end.
-    Duration LoadTime_ = Milliseconds(1300);
+    // From the order to its end.
+    Duration LoadTime_ = Milliseconds(500);
     // What bringing the pieces to the first wave takes at least.
     Duration Transfer_ = Seconds(3);
     unsigned MostWaves_ = 5;
@@ -43,7 +43,7 @@
   unsigned wave(const std::string &Self,
                 const std::vector<std::string> &ZoneMembers,
                 const std::string &Version) const;
-  // From when on a member of the wave may load.
+  // When a member of the wave gives its order, if its pieces are there.
   TimePoint at(unsigned Wave, TimePoint HeardAt) const;
 
 private:
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -130,6 +130,8 @@
   std::optional<EventRelay> Relay_;
   WeightVersion Version_ = 0;
   std::optional<TimePoint> FirstByteAt_;
+  TimePoint LastByteAt_;
+  Duration LongestGap_ = Duration::zero();
 
   unsigned Status_ = 0;
   Cause Cause_ = Cause::None;
@@ -172,35 +174,38 @@
 }
 
 void TrafficCore::engineTold(const std::string &Address, bool IsAway,
-                             WeightVersion V, TimePoint Now) {
+                             WeightVersion V, std::optional<unsigned> Load,
+                             TimePoint Now) {
   for (const auto &[Id, Each] : Endpoints_.all()) {
     if (Each.Endpoint_.Address_ != Address)
       continue;
     Placement_.setAway(Id, IsAway, Now);
     if (V != 0)
       Placement_.heardVersion(Id, V);
+    if (Load)
+      Placement_.heard(Id, *Load, Now);
     Freed_.insert(Each.Endpoint_.Service_);
   }
   pumpDue(Now);
 }
 
 void TrafficCore::requireVersion(const std::string &Model, WeightVersion V,
-                                 TimePoint At) {
+                                 TimePoint At, TimePoint Hard) {
   // Each version's bound counts from its own naming: a later one does not put
   // off the duty of one before.
-  Duties_[Model].try_emplace(V, At);
+  Duties_[Model].try_emplace(V, VersionDuty{At, Hard});
 }
 
 WeightVersion TrafficCore::minVersion(const ServiceName &Service,
-                                      TimePoint Now) const {
+                                      TimePoint Now, bool IsHard) const {
   WeightVersion Out = 0;
   for (const Endpoint *E : Endpoints_.of(Service)) {
     if (!E->HasModel_ || E->Model_.empty())
       continue;
     auto Found = Duties_.find(E->Model_);
     if (Found != Duties_.end())
-      for (const auto &[Version, From] : Found->second)
-        if (Now >= From)
+      for (const auto &[Version, Duty] : Found->second)
+        if (Now >= (IsHard ? Duty.Hard_ : Duty.At_))
           Out = std::max(Out, Version);
     // All endpoints of a service serve one model.
     break;
@@ -521,6 +526,9 @@
     return;
   if (!R->FirstByteAt_)
     R->FirstByteAt_ = Now;
+  else
+    R->LongestGap_ = std::max(R->LongestGap_, Now - R->LastByteAt_);
+  R->LastByteAt_ = Now;
   if (!R->IsStreaming_) {
     R->IsStreaming_ = true;
     R->Status_ = R->Head_.Status_;
@@ -689,6 +697,7 @@
   Report.Waited_ = R.Waited_;
   if (R.FirstByteAt_)
     Report.FirstByte_ = *R.FirstByteAt_ - R.ArrivedAt_;
+  Report.LongestGap_ = R.LongestGap_;
   Report.Whole_ = Now - R.ArrivedAt_;
   Port_.tell(Report);
 }
@@ -717,7 +726,23 @@
 
 // ---- Time -------------------------------------------------------------------
 
+// A request that an old engine has not begun at the version's bound would begin
+// on weights that nobody may be served by any more.
+bool TrafficCore::waitsAtOldVersion(const Record &R, TimePoint Now) const {
+  if (R.Attempt_ == 0 || R.HasHead_ || Duties_.empty())
+    return false;
+  auto V = Placement_.view(R.At_, Now);
+  return V && V->Version_ != 0 &&
+         V->Version_ < minVersion(R.Service_, Now, true);
+}
+
 void TrafficCore::checkTime(Record &R, TimePoint Now) {
+  if (waitsAtOldVersion(R, Now)) {
+    Port_.cancelAttempt(R.Attempt_);
+    endAttempt(R, Placement::End::Cancelled, "cancelled",
+               "waits at an old version", true, Now);
+    return afterFailure(R, "old version", Now);
+  }
   if (Now >= R.Deadline_) {
     if (R.Attempt_ != 0) {
       Port_.cancelAttempt(R.Attempt_);
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -85,6 +85,8 @@
   std::uint64_t Events_ = 0;
   Duration Waited_ = Duration::zero();
   std::optional<Duration> FirstByte_;
+  // The longest pause between two writes of a stream.
+  Duration LongestGap_ = Duration::zero();
   Duration Whole_ = Duration::zero();
 };
 
@@ -163,11 +165,13 @@
   void endpointsChanged(TimePoint Now);
   // An agent's word of its engine.
   void engineTold(const std::string &Address, bool IsAway, WeightVersion V,
-                  TimePoint Now);
+                  std::optional<unsigned> Load, TimePoint Now);
   KeyLease &lease() { return Lease_; }
   const Placement &placement() const { return Placement_; }
-  // From At on no request is begun on a version of Model below V.
-  void requireVersion(const std::string &Model, WeightVersion V, TimePoint At);
+  // From At on no request is sent to an engine with a version of Model below V;
+  // one that waits at such an engine at Hard is taken back.
+  void requireVersion(const std::string &Model, WeightVersion V, TimePoint At,
+                      TimePoint Hard);
 
   // N is the caller's to choose, each once: answers may come before this
   // returns.
@@ -209,7 +213,9 @@
   void checkTime(Record &R, TimePoint Now);
   Duration lineWait(const ServiceName &Service, const Record &R) const;
   Duration timeToReturn(const ServiceName &Service, TimePoint Now);
-  WeightVersion minVersion(const ServiceName &Service, TimePoint Now) const;
+  WeightVersion minVersion(const ServiceName &Service, TimePoint Now,
+                           bool IsHard = false) const;
+  bool waitsAtOldVersion(const Record &R, TimePoint Now) const;
   WeightVersion newestWanted(const ServiceName &Service) const;
   void noteDone(const ServiceName &Service, TimePoint Now);
 
@@ -222,7 +228,11 @@
   RepeatBudget Budget_;
   KeyLease Lease_;
   // By model: from when on which version is the least.
-  std::map<std::string, std::map<WeightVersion, TimePoint>> Duties_;
+  struct VersionDuty {
+    TimePoint At_;
+    TimePoint Hard_;
+  };
+  std::map<std::string, std::map<WeightVersion, VersionDuty>> Duties_;
   std::unordered_map<CallNumber, std::unique_ptr<Record>> Calls_;
   std::unordered_map<AttemptNumber, CallNumber> ByAttempt_;
   std::map<ServiceName, Line> Lines_;
--- a/hawthornroad/weights/ChunkPlan.cpp
+++ b/hawthornroad/weights/ChunkPlan.cpp
@@ -99,10 +99,18 @@
                                           TimePoint Now) {
   if (Requests_.size() >= Limits_.InFlight_ || E.held().isFull())
     return std::nullopt;
-  for (bool InZone : {false, true})
-    for (const ChunkSource *S : usable(E, InZone, Now))
-      if (auto Chunk = rarest(E, *S, InZone ? nullptr : &MayCross))
-        return begin(*Chunk, S->Vm_, Now);
+  for (bool InZone : {false, true}) {
+    if (!InZone && Across_.size() >= Limits_.AcrossZones_)
+      continue;
+    for (const ChunkSource *S : usable(E, InZone, Now)) {
+      auto Chunk = rarest(E, *S, InZone ? nullptr : &MayCross);
+      if (!Chunk)
+        continue;
+      if (!InZone)
+        Across_.insert({*Chunk, S->Vm_});
+      return begin(*Chunk, S->Vm_, Now);
+    }
+  }
   return askTwice(E, Now);
 }
 
@@ -140,6 +148,7 @@
     return;
   Duration Took = Now - Found->second;
   Requests_.erase(Found);
+  Across_.erase({Chunk, From});
   release(Chunk);
   PeerState &P = Peers_[From];
   --P.InFlight_;
--- a/hawthornroad/weights/ChunkPlan.h
+++ b/hawthornroad/weights/ChunkPlan.h
@@ -26,6 +26,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace hawthornroad {
@@ -50,6 +51,9 @@
   struct Limits {
     std::size_t InFlight_ = 8;
     std::size_t PerPeer_ = 2;
+    // Of them, requests to other zones: the link between zones is shared by
+    // all VMs of both.
+    std::size_t AcrossZones_ = 8;
     // Shortest wait for an answer; a multiple of the usual time counts when
     // that is longer.
     Duration Timeout_ = Seconds(5);
@@ -97,6 +101,8 @@
   // Chunks with a request or an origin read in progress.
   ChunkSet Busy_;
   std::map<ChunkFetch, TimePoint> Requests_;
+  // Requests to other zones.
+  std::set<ChunkFetch> Across_;
   std::map<Vm, PeerState> Peers_;
   // Moving average of the time a good request took.
   Duration Usual_{};
--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -4095,13 +4095,21 @@
 
 struct EngineWatchT : public flatbuffers::NativeTable {
   typedef EngineWatch TableType;
+  bool loads = false;
 };
 
 struct EngineWatch FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EngineWatchT NativeTableType;
   typedef EngineWatchBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LOADS = 4
+  };
+  bool loads() const {
+    return GetField<uint8_t>(VT_LOADS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_LOADS, 1) &&
            verifier.EndTable();
   }
   EngineWatchT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4113,6 +4121,9 @@
   typedef EngineWatch Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_loads(bool loads) {
+    fbb_.AddElement<uint8_t>(EngineWatch::VT_LOADS, static_cast<uint8_t>(loads), 0);
+  }
   explicit EngineWatchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4125,8 +4136,10 @@
 };
 
 inline flatbuffers::Offset<EngineWatch> CreateEngineWatch(
-    flatbuffers::FlatBufferBuilder &_fbb) {
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool loads = false) {
   EngineWatchBuilder builder_(_fbb);
+  builder_.add_loads(loads);
   return builder_.Finish();
 }
 
@@ -4137,6 +4150,7 @@
   std::string address{};
   uint8_t phase = 0;
   uint64_t version = 0;
+  uint32_t load = 0;
 };
 
 struct EngineNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4145,7 +4159,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ADDRESS = 4,
     VT_PHASE = 6,
-    VT_VERSION = 8
+    VT_VERSION = 8,
+    VT_LOAD = 10
   };
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
@@ -4156,12 +4171,16 @@
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
   }
+  uint32_t load() const {
+    return GetField<uint32_t>(VT_LOAD, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ADDRESS) &&
            verifier.VerifyString(address()) &&
            VerifyField<uint8_t>(verifier, VT_PHASE, 1) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_LOAD, 4) &&
            verifier.EndTable();
   }
   EngineNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4182,6 +4201,9 @@
   void add_version(uint64_t version) {
     fbb_.AddElement<uint64_t>(EngineNotice::VT_VERSION, version, 0);
   }
+  void add_load(uint32_t load) {
+    fbb_.AddElement<uint32_t>(EngineNotice::VT_LOAD, load, 0);
+  }
   explicit EngineNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4198,9 +4220,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> address = 0,
     uint8_t phase = 0,
-    uint64_t version = 0) {
+    uint64_t version = 0,
+    uint32_t load = 0) {
   EngineNoticeBuilder builder_(_fbb);
   builder_.add_version(version);
+  builder_.add_load(load);
   builder_.add_address(address);
   builder_.add_phase(phase);
   return builder_.Finish();
@@ -4210,13 +4234,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *address = nullptr,
     uint8_t phase = 0,
-    uint64_t version = 0) {
+    uint64_t version = 0,
+    uint32_t load = 0) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   return hawthornroad::wire::CreateEngineNotice(
       _fbb,
       address__,
       phase,
-      version);
+      version,
+      load);
 }
 
 flatbuffers::Offset<EngineNotice> CreateEngineNotice(flatbuffers::FlatBufferBuilder &_fbb, const EngineNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6129,8 +6155,9 @@
 }
 
 
-inline bool operator==(const EngineWatchT &, const EngineWatchT &) {
-  return true;
+inline bool operator==(const EngineWatchT &lhs, const EngineWatchT &rhs) {
+  return
+      (lhs.loads == rhs.loads);
 }
 
 inline bool operator!=(const EngineWatchT &lhs, const EngineWatchT &rhs) {
@@ -6147,6 +6174,7 @@
 inline void EngineWatch::UnPackTo(EngineWatchT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
+  { auto _e = loads(); _o->loads = _e; }
 }
 
 inline flatbuffers::Offset<EngineWatch> EngineWatch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineWatchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6157,8 +6185,10 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EngineWatchT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _loads = _o->loads;
   return hawthornroad::wire::CreateEngineWatch(
-      _fbb);
+      _fbb,
+      _loads);
 }
 
 
@@ -6166,7 +6196,8 @@
   return
       (lhs.address == rhs.address) &&
       (lhs.phase == rhs.phase) &&
-      (lhs.version == rhs.version);
+      (lhs.version == rhs.version) &&
+      (lhs.load == rhs.load);
 }
 
 inline bool operator!=(const EngineNoticeT &lhs, const EngineNoticeT &rhs) {
@@ -6186,6 +6217,7 @@
   { auto _e = address(); if (_e) _o->address = _e->str(); }
   { auto _e = phase(); _o->phase = _e; }
   { auto _e = version(); _o->version = _e; }
+  { auto _e = load(); _o->load = _e; }
 }
 
 inline flatbuffers::Offset<EngineNotice> EngineNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6199,11 +6231,13 @@
   auto _address = _fbb.CreateString(_o->address);
   auto _phase = _o->phase;
   auto _version = _o->version;
+  auto _load = _o->load;
   return hawthornroad::wire::CreateEngineNotice(
       _fbb,
       _address,
       _phase,
-      _version);
+      _version,
+      _load);
 }
 
 
