Spoilt reads of the origin are repeated; engines whose pieces do not come are opened again

Cause: a slice's grant pays for one read of each piece; with no ledger, spare grants went by the view of the fleet to some other VM, so after one spoilt answer of the origin a piece was never read again, no engine got the version, and from its bound on every request was refused. Engines that had closed for their load stayed closed.

--- a/hawthornroad/agent/PieceTransfer.cpp
+++ b/hawthornroad/agent/PieceTransfer.cpp
@@ -17,6 +17,13 @@
 // Pieces that wait to be sent at once; peers ask elsewhere for further ones. Over
 // a narrow link five pieces take an eighth of a second.
 constexpr std::size_t MostUploads = 5;
+// Pieces under way at once on a link that takes them fast.
+constexpr std::size_t MostAtOnce = 4;
+// A piece that takes longer shows a link that is slower than its settings say:
+// four of them take half as long over a narrow link.
+constexpr Duration SlowUpload = Milliseconds(220);
+// A piece whose receiver has said nothing for this long is given up on.
+constexpr Duration UploadLost = Milliseconds(1500);
 // Wrong copies of one piece after which its digest is doubted.
 constexpr unsigned WrongBeforeDoubt = 2;
 // Copies of a version that the origin may send in all.
@@ -39,7 +46,10 @@
   Out.Plan_.InFlight_ = 5;
   Out.Plan_.PerPeer_ = 1;
   Out.Plan_.AcrossZones_ = 1;
+  Out.Plan_.SlowAt_ = Milliseconds(350);
   Out.Exchange_.TellPeriod_ = Milliseconds(60);
+  // A peer that has not heard of the version yet ignores the question.
+  Out.Exchange_.AskPeriod_ = Milliseconds(400);
   return Out;
 }
 } // namespace
@@ -96,6 +106,7 @@
   if (!Swarm_)
     return;
   run(Swarm_->tick(Now), Now);
+  upload();
   checkWhole();
 }
 
@@ -163,10 +174,13 @@
 }
 
 // The platform's origin has no ledger of grants and the table's writes are
-// dear: who may read is worked out from the view of the fleet. Views differ
-// while VMs come and go, and then a piece may be read twice.
+// dear. A slice's own grant goes to its owner by this VM's view of the fleet;
+// views differ while VMs come and go, and then a piece may be read twice. Spare
+// grants are taken freely: the swarm asks for one only after a read came to
+// nothing, or when it is this VM's turn to step in for others.
 void PieceTransfer::run(const ClaimGrant &A, TimePoint Now) {
-  bool Own = Swarm_->holdsByView(A.Grant_);
+  bool Own = A.Grant_.Kind_ == Grant::Kind::Spare ||
+             Swarm_->holdsByView(A.Grant_);
   Swarm_->onClaim(A.Grant_, Own ? ClaimResult::Won : ClaimResult::Lost, Now);
 }
 
@@ -235,9 +249,21 @@
   if (const auto *Reply = Frame.body.AsChunkReply()) {
     if (Reply->manifest != Name)
       return false;
+    if (!Reply->bytes.empty()) {
+      wire::ChunkTakenT Taken;
+      Taken.manifest = Name;
+      Taken.index = Reply->index;
+      Net_.reply(From.Connection_, makeFrame(std::move(Taken)));
+    }
     onReply(*Reply, vmOf(From.Address_), Now);
     return true;
   }
+  if (const auto *Taken = Frame.body.AsChunkTaken()) {
+    if (Taken->manifest != Name)
+      return false;
+    endUpload(From.Connection_, Taken->index, Now);
+    return true;
+  }
   return false;
 }
 
@@ -252,6 +278,11 @@
     Reply.bytes.assign(Bytes.begin(), Bytes.end());
   Counters_.SentBytes_ += Bytes.size();
   Net_.reply(To.Connection_, makeFrame(std::move(Reply)));
+  // Nobody acknowledges an error.
+  if (Bytes.empty()) {
+    Uploading_.erase({To.Connection_, Index});
+    upload();
+  }
 }
 
 void PieceTransfer::onRequest(const PeerContext &From,
@@ -275,20 +306,32 @@
   upload();
 }
 
-// One piece at a time, each when the link's share has paid for the one before:
-// so the link's queue never holds more than one piece.
+// Pieces go out as the link's share pays for them, few at a time. A link can be
+// narrower than its settings say; a piece that takes long shows it: then they go
+// one by one, with a pause after each, so that live requests keep most of the
+// link.
 void PieceTransfer::upload() {
   TimePoint Now = bootNow();
-  while (!Uploads_.empty() && UploadRate_.isOpen(Now)) {
+  std::erase_if(Uploading_, [&](const auto &Each) {
+    return Now - Each.second >= UploadLost;
+  });
+  while (!Uploads_.empty() && Uploading_.size() < UploadsAtOnce_) {
+    TimePoint At = std::max(UploadRate_.opensAt(), UploadNotBefore_);
+    if (At > Now)
+      return uploadLater(At - Now);
     Upload Next = std::move(Uploads_.front());
     Uploads_.pop_front();
     UploadRate_.take(Setup_.PieceBytes_, Now);
+    Uploading_[{Next.To_.Connection_, Next.Index_}] = Now;
     startUpload(Next.To_, Next.Index_);
   }
-  if (Uploads_.empty() || UploadTimerSet_)
+}
+
+void PieceTransfer::uploadLater(Duration Wait) {
+  if (UploadTimerSet_)
     return;
   UploadTimerSet_ = true;
-  Io_.after(UploadRate_.opensAt() - Now, [Weak = weak_from_this()] {
+  Io_.after(Wait, [Weak = weak_from_this()] {
     if (auto Self = Weak.lock()) {
       Self->UploadTimerSet_ = false;
       Self->upload();
@@ -296,6 +339,22 @@
   });
 }
 
+void PieceTransfer::endUpload(ConnectionId To, ChunkIndex Index,
+                              TimePoint Now) {
+  auto Found = Uploading_.find({To, Index});
+  if (Found == Uploading_.end())
+    return;
+  Duration Took = Now - Found->second;
+  Uploading_.erase(Found);
+  if (Took > SlowUpload) {
+    UploadsAtOnce_ = 1;
+    UploadNotBefore_ = Now + Took;
+  } else if (Took < SlowUpload / 2) {
+    UploadsAtOnce_ = std::min(UploadsAtOnce_ + 1, MostAtOnce);
+  }
+  upload();
+}
+
 void PieceTransfer::startUpload(const PeerContext &From, ChunkIndex Index) {
   auto Found = Pieces_.find(Index);
   if (Found != Pieces_.end())
--- a/hawthornroad/agent/PieceTransfer.h
+++ b/hawthornroad/agent/PieceTransfer.h
@@ -125,6 +125,8 @@
   void onReply(const wire::ChunkReplyT &R, const Vm &From, TimePoint Now);
   // Sends what waits as far as the link's share allows.
   void upload();
+  void uploadLater(Duration Wait);
+  void endUpload(ConnectionId To, ChunkIndex Index, TimePoint Now);
   void startUpload(const PeerContext &To, ChunkIndex Index);
   void answer(const PeerContext &To, ChunkIndex Index, const std::string &Bytes);
   bool isRight(ChunkIndex Index, const std::string &Bytes);
@@ -149,6 +151,10 @@
     unsigned Urgency_ = 0;
   };
   std::deque<Upload> Uploads_;
+  // Pieces under way and since when; receivers say when they have come.
+  std::map<std::pair<ConnectionId, ChunkIndex>, TimePoint> Uploading_;
+  std::size_t UploadsAtOnce_ = 1;
+  TimePoint UploadNotBefore_{};
   bool UploadTimerSet_ = false;
   IoThread &Io_;
   RateLimiter UploadRate_;
--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -425,6 +425,14 @@
 
 void StoreAgent::State::step(TimePoint Now) {
   TimePoint LoadAt = Current_ ? mayLoadAt() : Now;
+  if (Duty_.reopen(Now)) {
+    Log_.write(LogLine("engine_reopened")
+                   .count("version", Current_->Version_.Version_)
+                   .count("held", Current_->Transfer_
+                                      ? Current_->Transfer_->held()
+                                      : 0));
+    tellEntries();
+  }
   switch (Duty_.next(LoadAt, wholeBy(Now), Now)) {
   case EngineStep::Nothing:
     break;
--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -639,18 +639,23 @@
   S.Stopping_.store(true);
   S.Log_.write(LogLine("stopping"), true);
   std::this_thread::sleep_for(BalancerNotice);
+  // What is sent from now on meets a closed port, which its caller sees at once.
+  // A request on a kept connection is refused: it might not end in time.
+  S.Io_.submit([&S] {
+    S.Callers_->stopAccepting();
+    S.Core_.stop();
+  });
   for (;;) {
     std::promise<bool> Done;
     auto Answer = Done.get_future();
     S.Io_.submit([&] {
       S.Callers_->leaveAll();
-      Done.set_value(S.Callers_->inRequest() == 0);
+      Done.set_value(S.Callers_->sessions() == 0);
     });
     if (Answer.get() || bootNow() >= Last)
       break;
     std::this_thread::sleep_for(StopPoll);
   }
-  S.Io_.submit([&S] { S.Callers_->stopAccepting(); });
   std::this_thread::sleep_for(StopPoll);
 }
 
--- a/hawthornroad/http/ServerSession.cpp
+++ b/hawthornroad/http/ServerSession.cpp
@@ -120,7 +120,7 @@
   Parser_.reset();
   InRequest_ = true;
   Streaming_ = false;
-  KeepOpen_ = Message.keep_alive() && !Leaving_ && !Owner_->Leaving_;
+  KeepOpen_ = Message.keep_alive() && !Owner_->Leaving_;
   CanChunk_ = Message.version() >= 11;
   IsHead_ = Message.method() == http::verb::head;
   InboundRequest R;
@@ -274,14 +274,14 @@
   read();
 }
 
+// One that has just been answered stays open for a while: its caller may not
+// know of the stop, and a next request it has sent gets an answer. Later a
+// request that crosses the close stays unread, which its caller sees.
 void ServerSession::leave() {
-  Leaving_ = true;
-  if (Closed_ || InRequest_ || SentEnd_)
+  if (Closed_ || InRequest_ || SentEnd_ || hasPartial() || In_.size() > 0)
     return;
-  if (!hasPartial() && In_.size() == 0) {
-    EndAfterFlush_ = true;
-    flush();
-  }
+  if (Out_.empty() && Writing_.empty() && Owner_->now() - Since_ > LingerFor)
+    close();
 }
 
 void ServerSession::close() {
@@ -309,7 +309,7 @@
     return;
   }
   if (Age >= L.IdleTimeout_)
-    leave();
+    close();
 }
 
 HttpListener::HttpListener(asio::io_context &Context, SessionLimits L,
--- a/hawthornroad/http/ServerSession.h
+++ b/hawthornroad/http/ServerSession.h
@@ -101,7 +101,8 @@
   std::uint64_t tag() const { return Tag_; }
   void setTag(std::uint64_t T) { Tag_ = T; }
   bool inRequest() const { return InRequest_; }
-  // Closes an idle connection; one in use ends after its answer.
+  // Closes a connection that has been idle for a while; one in use ends after
+  // its answer.
   void leave();
   void close();
   // What time makes due: called by the listener.
@@ -134,7 +135,6 @@
   bool Reading_ = false;
   bool InRequest_ = false;
   bool KeepOpen_ = true;
-  bool Leaving_ = false;
   bool Streaming_ = false;
   bool CanChunk_ = true;
   bool IsHead_ = false;
--- a/hawthornroad/staging/EngineDuty.cpp
+++ b/hawthornroad/staging/EngineDuty.cpp
@@ -75,6 +75,14 @@
   OrderNotBefore_ = Now + Options_.OrderAgain_;
 }
 
+bool EngineDuty::reopen(TimePoint Now) {
+  if (!ClosedAt_ || Staged_ ||
+      Now - *ClosedAt_ < Options_.CloseFor_ + Options_.CloseMost_)
+    return false;
+  ClosedAt_.reset();
+  return true;
+}
+
 EngineStep EngineDuty::next(TimePoint LoadAt, TimePoint WholeBy,
                             TimePoint Now) const {
   if (Verifying_ || Ordering_)
--- a/hawthornroad/staging/EngineDuty.h
+++ b/hawthornroad/staging/EngineDuty.h
@@ -70,6 +70,8 @@
     // running requests end by themselves in that time, and the engine is not
     // kept idle by the longest of them.
     Duration CloseFor_ = Milliseconds(1300);
+    // How long after its order was due a closed engine waits for its pieces.
+    Duration CloseMost_ = Milliseconds(700);
     // What reading the pieces back takes.
     Duration VerifyTime_ = Milliseconds(150);
   };
@@ -104,6 +106,9 @@
   EngineStep next(TimePoint LoadAt, TimePoint WholeBy, TimePoint Now) const;
 
   bool isDone() const { return State_ && Wanted_ && State_->Loaded_ == *Wanted_; }
+  // Pieces that were nearly here did not come: the engine serves on until they
+  // have. True when that is news.
+  bool reopen(TimePoint Now);
   // Entries are to send it nothing new: a load was announced, or ordered and
   // not yet reported as over.
   bool isAway() const { return ClosedAt_ || Loading_ || isLoading(); }
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -48,7 +48,7 @@
     double CrossZonePenalty_ = 0.8;
     // Requests beyond an engine's batch that may wait at it, so that a place
     // that falls free is taken without a round trip.
-    unsigned EngineQueue_ = 2;
+    unsigned EngineQueue_ = 0;
     // How long a reported load counts.
     Duration ReportFresh_ = Milliseconds(1500);
     // Processes taken to send to an endpoint as much as this one.
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -736,6 +736,13 @@
          V->Version_ < minVersion(R.Service_, Now, true);
 }
 
+Duration TrafficCore::callerPatience(const Route &R) const {
+  constexpr int Goals = 4;
+  constexpr int Gaps = 8;
+  return std::max({Options_.CallerLeaves_, Duration(Goals * R.Goal_),
+                   Duration(Gaps * R.GapGoal_)});
+}
+
 void TrafficCore::checkTime(Record &R, TimePoint Now) {
   if (waitsAtOldVersion(R, Now)) {
     Port_.cancelAttempt(R.Attempt_);
@@ -743,7 +750,9 @@
                "waits at an old version", true, Now);
     return afterFailure(R, "old version", Now);
   }
-  if (Now >= R.Deadline_) {
+  TimePoint Heard = R.FirstByteAt_ ? R.LastByteAt_ : R.ArrivedAt_;
+  bool HasLeft = R.Route_->IsStream_ && Now - Heard >= callerPatience(*R.Route_);
+  if (Now >= R.Deadline_ || HasLeft) {
     if (R.Attempt_ != 0) {
       Port_.cancelAttempt(R.Attempt_);
       endAttempt(R, Placement::End::Cancelled, "cancelled", "deadline", true,
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -148,6 +148,10 @@
     // milliseconds; callers leave a stream after two seconds.
     Duration FirstEventSilence_ = Milliseconds(1500);
     Duration NextEventSilence_ = Milliseconds(900);
+    // Callers leave a stream after a pause of the longest of this, four times
+    // the goal and eight times the longest allowed pause. Some cannot be seen to
+    // leave, so their requests are ended here at the same time.
+    Duration CallerLeaves_ = Seconds(2);
     // Part of the time a request that may be repeated has, after which a silent
     // endpoint is left.
     double SilenceShare_ = 0.35;
@@ -215,6 +219,7 @@
   Duration timeToReturn(const ServiceName &Service, TimePoint Now);
   WeightVersion minVersion(const ServiceName &Service, TimePoint Now,
                            bool IsHard = false) const;
+  Duration callerPatience(const Route &R) const;
   bool waitsAtOldVersion(const Record &R, TimePoint Now) const;
   WeightVersion newestWanted(const ServiceName &Service) const;
   void noteDone(const ServiceName &Service, TimePoint Now);
--- a/hawthornroad/weights/ChunkPlan.cpp
+++ b/hawthornroad/weights/ChunkPlan.cpp
@@ -94,10 +94,18 @@
   return F;
 }
 
+std::size_t ChunkPlan::inFlightLimit() const {
+  if (Limits_.SlowAt_ <= Duration::zero() || Usual_ <= Limits_.SlowAt_)
+    return Limits_.InFlight_;
+  auto Fit = static_cast<std::size_t>(
+      static_cast<Duration::rep>(Limits_.InFlight_) * Limits_.SlowAt_ / Usual_);
+  return std::max<std::size_t>(1, Fit);
+}
+
 std::optional<ChunkFetch> ChunkPlan::next(const HaveExchange &E,
                                           const ChunkSet &MayCross,
                                           TimePoint Now) {
-  if (Requests_.size() >= Limits_.InFlight_ || E.held().isFull())
+  if (Requests_.size() >= inFlightLimit() || E.held().isFull())
     return std::nullopt;
   for (bool InZone : {false, true}) {
     if (!InZone && Across_.size() >= Limits_.AcrossZones_)
--- a/hawthornroad/weights/ChunkPlan.h
+++ b/hawthornroad/weights/ChunkPlan.h
@@ -54,6 +54,10 @@
     // Of them, requests to other zones: the link between zones is shared by
     // all VMs of both.
     std::size_t AcrossZones_ = 8;
+    // When requests take longer than this as a rule, fewer are made at once: a
+    // link narrower than it should be would otherwise hold all of them, and
+    // live requests behind them. Zero: never.
+    Duration SlowAt_ = Duration::zero();
     // Shortest wait for an answer; a multiple of the usual time counts when
     // that is longer.
     Duration Timeout_ = Seconds(5);
@@ -95,6 +99,7 @@
   std::optional<ChunkFetch> askTwice(const HaveExchange &E, TimePoint Now);
   ChunkFetch begin(ChunkIndex Chunk, const Vm &From, TimePoint Now);
   Duration patience() const;
+  std::size_t inFlightLimit() const;
 
   Limits Limits_;
   Random Random_;
