A version whose pieces do not come is overtaken by the next

Cause: the origin was away while version 2 was on its way; version 3 was whole at 31 s and waited for version 2, which nobody passed on any more.

--- a/daemons/hawthornroad-store-agent.cpp
+++ b/daemons/hawthornroad-store-agent.cpp
@@ -29,7 +29,8 @@
       Argc, Argv,
       {.Name_ = "hawthornroad-store-agent",
        .Purpose_ = "brings wanted weights to the engine of one VM",
-       .Check_ = [](const std::string &File) { StoreAgentSettings::load(File); },
+       .Check_ =
+           [](const std::string &File) { StoreAgentSettings::load(File); },
        .Reload_ = reload,
        .Run_ = run});
 }
--- a/daemons/hawthornroad-store-entry.cpp
+++ b/daemons/hawthornroad-store-entry.cpp
@@ -30,7 +30,8 @@
       Argc, Argv,
       {.Name_ = "hawthornroad-store-entry",
        .Purpose_ = "takes callers' requests to endpoints named by the store",
-       .Check_ = [](const std::string &File) { StoreEntrySettings::load(File); },
+       .Check_ =
+           [](const std::string &File) { StoreEntrySettings::load(File); },
        .Reload_ = reload,
        .Run_ = run});
 }
--- a/hawthornroad/agent/PieceTransfer.cpp
+++ b/hawthornroad/agent/PieceTransfer.cpp
@@ -14,8 +14,8 @@
 constexpr std::size_t DigestPrefixLength = 7; // "sha256:"
 // A piece over a shared narrow link, with many readers at once.
 constexpr Duration OriginLimit = Seconds(4);
-// Pieces that wait to be sent at once; peers ask elsewhere for further ones. Over
-// a narrow link five pieces take an eighth of a second.
+// Pieces that wait to be sent at once; peers ask elsewhere for further ones.
+// Over a narrow link five pieces take an eighth of a second.
 constexpr std::size_t MostUploads = 5;
 // Pieces under way at once on a link that takes them fast.
 constexpr std::size_t MostAtOnce = 4;
@@ -57,7 +57,8 @@
 PieceTransfer::PieceTransfer(Setup S, IoThread &Io, HttpCalls *Origin,
                              PeerNet &Net, EventLog &Log,
                              PieceCounters &Counters, Callbacks C)
-    : Setup_(std::move(S)), Origin_(Origin), Net_(Net), Log_(Log), Counters_(Counters), Callbacks_(std::move(C)), Io_(Io),
+    : Setup_(std::move(S)), Origin_(Origin), Net_(Net), Log_(Log),
+      Counters_(Counters), Callbacks_(std::move(C)), Io_(Io),
       UploadRate_(Setup_.UploadRate_) {}
 
 void PieceTransfer::start(std::vector<std::string> Digests,
@@ -179,8 +180,8 @@
 // grants are taken freely: the swarm asks for one only after a read came to
 // nothing, or when it is this VM's turn to step in for others.
 void PieceTransfer::run(const ClaimGrant &A, TimePoint Now) {
-  bool Own = A.Grant_.Kind_ == Grant::Kind::Spare ||
-             Swarm_->holdsByView(A.Grant_);
+  bool Own =
+      A.Grant_.Kind_ == Grant::Kind::Spare || Swarm_->holdsByView(A.Grant_);
   Swarm_->onClaim(A.Grant_, Own ? ClaimResult::Won : ClaimResult::Lost, Now);
 }
 
@@ -297,19 +298,18 @@
   }
   if (!Swarm_->held().has(R.index))
     return answer(From, R.index, {});
-  unsigned Urgency =
-      Callbacks_.Urgency_ ? Callbacks_.Urgency_(Vm(R.vm)) : 0;
-  auto After = std::find_if(
-      Uploads_.begin(), Uploads_.end(),
-      [&](const Upload &Each) { return Each.Urgency_ > Urgency; });
+  unsigned Urgency = Callbacks_.Urgency_ ? Callbacks_.Urgency_(Vm(R.vm)) : 0;
+  auto After =
+      std::find_if(Uploads_.begin(), Uploads_.end(),
+                   [&](const Upload &Each) { return Each.Urgency_ > Urgency; });
   Uploads_.insert(After, {From, R.index, Urgency});
   upload();
 }
 
 // Pieces go out as the link's share pays for them, few at a time. A link can be
-// narrower than its settings say; a piece that takes long shows it: then they go
-// one by one, with a pause after each, so that live requests keep most of the
-// link.
+// narrower than its settings say; a piece that takes long shows it: then they
+// go one by one, with a pause after each, so that live requests keep most of
+// the link.
 void PieceTransfer::upload() {
   TimePoint Now = bootNow();
   std::erase_if(Uploading_, [&](const auto &Each) {
@@ -361,11 +361,11 @@
     return answer(From, Index, Found->second);
   if (!Callbacks_.ReadStaged_)
     return answer(From, Index, {});
-  Callbacks_.ReadStaged_(Index, [Weak = weak_from_this(), From,
-                                 Index](const std::string &Bytes) {
-    if (auto Self = Weak.lock())
-      Self->answer(From, Index, Bytes);
-  });
+  Callbacks_.ReadStaged_(
+      Index, [Weak = weak_from_this(), From, Index](const std::string &Bytes) {
+        if (auto Self = Weak.lock())
+          Self->answer(From, Index, Bytes);
+      });
 }
 
 bool PieceTransfer::isRight(ChunkIndex Index, const std::string &Bytes) {
--- a/hawthornroad/agent/PieceTransfer.h
+++ b/hawthornroad/agent/PieceTransfer.h
@@ -128,7 +128,8 @@
   void uploadLater(Duration Wait);
   void endUpload(ConnectionId To, ChunkIndex Index, TimePoint Now);
   void startUpload(const PeerContext &To, ChunkIndex Index);
-  void answer(const PeerContext &To, ChunkIndex Index, const std::string &Bytes);
+  void answer(const PeerContext &To, ChunkIndex Index,
+              const std::string &Bytes);
   bool isRight(ChunkIndex Index, const std::string &Bytes);
   void startSwarm(ChunkSet Have, TimePoint Now);
   Vm vmOf(const PeerAddress &Address) const;
--- a/hawthornroad/agent/ReadBack.cpp
+++ b/hawthornroad/agent/ReadBack.cpp
@@ -14,9 +14,8 @@
 void ReadBack::run(HttpCalls &Engine, const std::string &Model,
                    std::vector<ChunkIndex> Pieces,
                    std::vector<std::string> Digests, Done D) {
-  std::shared_ptr<ReadBack> Made(new ReadBack(Engine, Model, std::move(Pieces),
-                                              std::move(Digests),
-                                              std::move(D)));
+  std::shared_ptr<ReadBack> Made(new ReadBack(
+      Engine, Model, std::move(Pieces), std::move(Digests), std::move(D)));
   Made->next();
 }
 
@@ -27,10 +26,11 @@
   Engine_.call(platform::stagedReadCall(Model_, Index), EngineLimit,
                [Self = shared_from_this(), Index](const HttpCalls::Result &R) {
                  const auto *Answer = std::get_if<HttpAnswer>(&R);
-                 bool Right = Answer != nullptr && Answer->Status_ == Ok &&
-                              Index < Self->Digests_.size() &&
-                              sha256(Answer->Body_).substr(
-                                  DigestPrefixLength) == Self->Digests_[Index];
+                 bool Right =
+                     Answer != nullptr && Answer->Status_ == Ok &&
+                     Index < Self->Digests_.size() &&
+                     sha256(Answer->Body_).substr(DigestPrefixLength) ==
+                         Self->Digests_[Index];
                  if (Right)
                    Self->Right_[Index] = Answer->Body_;
                  Self->next();
--- a/hawthornroad/agent/ReadBack.h
+++ b/hawthornroad/agent/ReadBack.h
@@ -1,6 +1,7 @@
 // Reads the pieces that lie at an engine back and checks their digests.
 //
-//   ReadBack::run(Engine, Version, Pieces, Digests, [](ReadBack::Result R) {...});
+//   ReadBack::run(Engine, Version, Pieces, Digests, [](ReadBack::Result R)
+//   {...});
 //
 // StagePut puts pieces there, one call each:
 //   StagePut::run(Engine, Model, Pieces, [](bool All) {...});
@@ -15,8 +16,8 @@
 #include "hawthornroad/weights/ChunkSet.h"
 
 #include <functional>
-#include <memory>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -108,6 +108,7 @@
   // V is the version to bring about from now on.
   void pursue(std::shared_ptr<Pursuit> P);
   void pursueNext();
+  void overtake(TimePoint Now);
   void report();
   void onReport(const HttpCalls::Result &R);
   // The pieces of a version, from nothing to whole.
@@ -206,8 +207,8 @@
              true);
   PeerNet::Self Self;
   Self.Process_ = Settings_.Common_.Process_;
-  Self.Incarnation_ = static_cast<Incarnation>(
-      bootNow().time_since_epoch().count());
+  Self.Incarnation_ =
+      static_cast<Incarnation>(bootNow().time_since_epoch().count());
   Self.Zone_ = Settings_.Common_.Zone_;
   Self.Role_ = "agent";
   Self.Advertise_ = Settings_.PeerListen_;
@@ -220,9 +221,9 @@
       T->onPeerLost(From.Address_, bootNow());
   };
   Net_ = std::make_unique<PeerNet>(Io_, Self, peerLimits(), std::move(C));
-  Net_->listen(ipOf(Settings_.PeerListen_),
-               static_cast<std::uint16_t>(
-                   std::stoul(portOf(Settings_.PeerListen_))));
+  Net_->listen(
+      ipOf(Settings_.PeerListen_),
+      static_cast<std::uint16_t>(std::stoul(portOf(Settings_.PeerListen_))));
   if (!Settings_.Common_.MetricsListen_.empty())
     MetricsServer_->open(Settings_.Common_.MetricsListen_);
   Io_.submit([this] { start(); });
@@ -250,9 +251,9 @@
   TimePoint Now = bootNow();
   for (const auto &T : transfers())
     T->tick(Now);
+  overtake(Now);
   step(Now);
-  Io_.after(isBusy() || isFetching() ? BusyTick : IdleTick,
-            [this] { tick(); });
+  Io_.after(isBusy() || isFetching() ? BusyTick : IdleTick, [this] { tick(); });
 }
 
 std::vector<std::shared_ptr<PieceTransfer>>
@@ -373,10 +374,10 @@
   std::size_t All = T.digests().size();
   if (T.isWhole() || T.held() * 3 < All)
     return T.isWhole() ? Now : TimePoint::max();
-  double Missing = static_cast<double>(All - T.held()) /
-                   static_cast<double>(T.held());
-  return Now + std::chrono::duration_cast<Duration>((Now - T.startedAt()) *
-                                                    Missing);
+  double Missing =
+      static_cast<double>(All - T.held()) / static_cast<double>(T.held());
+  return Now +
+         std::chrono::duration_cast<Duration>((Now - T.startedAt()) * Missing);
 }
 
 unsigned StoreAgent::State::waveOf(const std::string &Ip,
@@ -396,9 +397,9 @@
   if (Origin != nullptr && Origin->LinkMbps_ > 0)
     Mbps = std::min(Mbps, Origin->LinkMbps_);
   constexpr double BitsPerMegabit = 1e6;
-  O.Transfer_ = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Bits / (Mbps * BitsPerMegabit) *
-                                    TransferStretch));
+  O.Transfer_ =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+          Bits / (Mbps * BitsPerMegabit) * TransferStretch));
   return LoadTurn(O);
 }
 
@@ -477,6 +478,25 @@
   pursueNext();
 }
 
+// The next version overtakes one whose pieces do not come: when it is whole
+// itself, or when the earlier one is too late to be of use.
+void StoreAgent::State::overtake(TimePoint Now) {
+  if (!Next_ || OrderBegun_ || !Current_)
+    return;
+  if (Current_->Transfer_ && Current_->Transfer_->isWhole())
+    return;
+  bool IsNextWhole = Next_->Transfer_ && Next_->Transfer_->isWhole();
+  bool IsTooLate =
+      Now >= Current_->HeardAt_ + Settings_.Common_.VersionBound_ - BoundMargin;
+  if (!IsNextWhole && !IsTooLate)
+    return;
+  Log_.write(LogLine("version_overtaken")
+                 .count("version", Current_->Version_.Version_)
+                 .count("by", Next_->Version_.Version_)
+                 .flag("too_late", IsTooLate));
+  pursueNext();
+}
+
 void StoreAgent::State::report() {
   Duty_.reportFailed(bootNow());
   Engine_.call(platform::reportCall(), EngineLimit,
@@ -548,27 +568,27 @@
   auto P = Current_;
   std::uint64_t Orders = Duty_.state()->Orders_;
   Duty_.ordering();
-  Engine_.call(
-      platform::loadCall(P->Version_, Orders), OrderLimit,
-      [this, P](const HttpCalls::Result &R) {
-        auto End = EngineDuty::OrderEnd::Unknown;
-        unsigned Status = 0;
-        if (const auto *Answer = std::get_if<HttpAnswer>(&R)) {
-          Status = Answer->Status_;
-          End = platform::decodeOrder(Status);
-        }
-        Log_.write(LogLine("order")
-                       .count("version", P->Version_.Version_)
-                       .count("status", Status)
-                       .millis("since_wanted_ms", bootNow() - P->HeardAt_));
-        Duty_.ordered(End, bootNow());
-        if (End == EngineDuty::OrderEnd::Begun && Current_ == P) {
-          OrderBegun_ = true;
-          tellEntries();
-          pursueNext();
-        }
-        step(bootNow());
-      });
+  Engine_.call(platform::loadCall(P->Version_, Orders), OrderLimit,
+               [this, P](const HttpCalls::Result &R) {
+                 auto End = EngineDuty::OrderEnd::Unknown;
+                 unsigned Status = 0;
+                 if (const auto *Answer = std::get_if<HttpAnswer>(&R)) {
+                   Status = Answer->Status_;
+                   End = platform::decodeOrder(Status);
+                 }
+                 Log_.write(
+                     LogLine("order")
+                         .count("version", P->Version_.Version_)
+                         .count("status", Status)
+                         .millis("since_wanted_ms", bootNow() - P->HeardAt_));
+                 Duty_.ordered(End, bootNow());
+                 if (End == EngineDuty::OrderEnd::Begun && Current_ == P) {
+                   OrderBegun_ = true;
+                   tellEntries();
+                   pursueNext();
+                 }
+                 step(bootNow());
+               });
 }
 
 // ---- Pieces -----------------------------------------------------------------
@@ -613,27 +633,27 @@
 void StoreAgent::State::lookAtStaged(const std::shared_ptr<Pursuit> &P,
                                      const platform::PieceDigests &D) {
   const std::string &Model = P->Version_.Model_;
-  Engine_.call(
-      platform::stagedListCall(Model), EngineLimit,
-      [this, P, D](const HttpCalls::Result &R) {
-        const auto *Answer = std::get_if<HttpAnswer>(&R);
-        std::vector<std::uint32_t> Held;
-        if (Answer != nullptr)
-          Held = platform::decodeStagedList(Answer->Body_);
-        std::vector<ChunkIndex> First;
-        if (!Held.empty())
-          First.push_back(Held.front());
-        ReadBack::run(Engine_, P->Version_.Model_, First, D.Digests_,
-                      [this, P, D, Held](const ReadBack::Result &One) {
-                        if (One.empty())
-                          return beginTransfer(P, D, {});
-                        ReadBack::run(Engine_, P->Version_.Model_, Held,
-                                      D.Digests_,
-                                      [this, P, D](ReadBack::Result Right) {
-                                        beginTransfer(P, D, std::move(Right));
-                                      });
-                      });
-      });
+  Engine_.call(platform::stagedListCall(Model), EngineLimit,
+               [this, P, D](const HttpCalls::Result &R) {
+                 const auto *Answer = std::get_if<HttpAnswer>(&R);
+                 std::vector<std::uint32_t> Held;
+                 if (Answer != nullptr)
+                   Held = platform::decodeStagedList(Answer->Body_);
+                 std::vector<ChunkIndex> First;
+                 if (!Held.empty())
+                   First.push_back(Held.front());
+                 ReadBack::run(Engine_, P->Version_.Model_, First, D.Digests_,
+                               [this, P, D, Held](const ReadBack::Result &One) {
+                                 if (One.empty())
+                                   return beginTransfer(P, D, {});
+                                 ReadBack::run(
+                                     Engine_, P->Version_.Model_, Held,
+                                     D.Digests_,
+                                     [this, P, D](ReadBack::Result Right) {
+                                       beginTransfer(P, D, std::move(Right));
+                                     });
+                               });
+               });
 }
 
 PieceTransfer::Setup
@@ -694,9 +714,8 @@
                                                      auto Then) {
     readStaged(Model, Index, std::move(Then));
   };
-  P->Transfer_ =
-      std::make_shared<PieceTransfer>(std::move(S), Io_, Origin_.get(), *Net_,
-                                      Log_, Pieces_, std::move(C));
+  P->Transfer_ = std::make_shared<PieceTransfer>(
+      std::move(S), Io_, Origin_.get(), *Net_, Log_, Pieces_, std::move(C));
   P->Transfer_->start(D.Digests_, std::move(Held), Now);
   P->Transfer_->setPeers(Peers_, Now);
   if (Peers_.empty())
@@ -735,9 +754,8 @@
         C.ReadStaged_ = [this, Model = V.Model_](ChunkIndex Index, auto Then) {
           readStaged(Model, Index, std::move(Then));
         };
-        Offer_ = std::make_shared<PieceTransfer>(std::move(S), Io_, nullptr,
-                                                 *Net_, Log_, Pieces_,
-                                                 std::move(C));
+        Offer_ = std::make_shared<PieceTransfer>(
+            std::move(S), Io_, nullptr, *Net_, Log_, Pieces_, std::move(C));
         Offer_->startOffer(bootNow());
       });
 }
--- a/hawthornroad/config/RoutingConfig.h
+++ b/hawthornroad/config/RoutingConfig.h
@@ -30,9 +30,9 @@
 
 // What may be done with a request a second time.
 enum class Repeat {
-  Freely,     // may run more than once
-  Never,      // may run at most once
-  FromEvent   // an event stream: may go on elsewhere after its last event
+  Freely,   // may run more than once
+  Never,    // may run at most once
+  FromEvent // an event stream: may go on elsewhere after its last event
 };
 
 struct ServiceShare {
--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -436,8 +436,7 @@
                static_cast<double>(Links_.opened()));
   Metrics_.set("hawthornroad_log_dropped_lines_total",
                static_cast<double>(Log_.dropped()));
-  Metrics_.set("hawthornroad_requests_open",
-               static_cast<double>(Core_.open()));
+  Metrics_.set("hawthornroad_requests_open", static_cast<double>(Core_.open()));
   S.respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
             Metrics_.render());
 }
@@ -639,8 +638,8 @@
   S.Stopping_.store(true);
   S.Log_.write(LogLine("stopping"), true);
   std::this_thread::sleep_for(BalancerNotice);
-  // What is sent from now on meets a closed port, which its caller sees at once.
-  // A request on a kept connection is refused: it might not end in time.
+  // What is sent from now on meets a closed port, which its caller sees at
+  // once. A request on a kept connection is refused: it might not end in time.
   S.Io_.submit([&S] {
     S.Callers_->stopAccepting();
     S.Core_.stop();
--- a/hawthornroad/entry/DirectEntry.h
+++ b/hawthornroad/entry/DirectEntry.h
@@ -1,10 +1,8 @@
 // An entry on a platform whose store holds configuration and endpoints: callers
 // on one side, endpoints themselves on the other, the decisions between.
 //
-//   DirectEntry Entry(StoreEntrySettings::load(File));   // listens from here on
-//   printReady(Entry.readyLine());
-//   Stop.wait();
-//   Entry.drain();
+//   DirectEntry Entry(StoreEntrySettings::load(File));   // listens from here
+//   on printReady(Entry.readyLine()); Stop.wait(); Entry.drain();
 //
 // One thread does the work of requests, from the caller's bytes to the
 // endpoint's: handing a request from thread to thread costs more than deciding
--- a/hawthornroad/entry/EngineNews.cpp
+++ b/hawthornroad/entry/EngineNews.cpp
@@ -46,9 +46,8 @@
   std::map<std::string, bool> Wanted;
   for (const auto &[Engine, Loads] : Engines)
     Wanted[Engine.substr(0, Engine.rfind(':')) + ":" + Port_] = Loads;
-  std::erase_if(Agents_, [&](const auto &Each) {
-    return !Wanted.contains(Each.first);
-  });
+  std::erase_if(Agents_,
+                [&](const auto &Each) { return !Wanted.contains(Each.first); });
   for (const auto &[Address, Loads] : Wanted) {
     auto [Found, New] = Agents_.try_emplace(Address, Agent{Loads, {}});
     if (New)
--- a/hawthornroad/http/ClientLink.cpp
+++ b/hawthornroad/http/ClientLink.cpp
@@ -77,27 +77,27 @@
         if (!Code && Self && Self->Connecting_)
           Self->fail(Step::Connect, "no connection within the timeout");
       });
-  Socket_.async_connect(
-      Target, [Self = shared_from_this()](boost::system::error_code Code) {
-        if (Self->Closed_)
-          return;
-        Self->Connecting_ = false;
-        Self->ConnectTimer_.cancel();
-        if (Code)
-          return Self->fail(Step::Connect, Code.message());
-        Self->Connected_ = true;
-        boost::system::error_code Ignored;
-        Self->Socket_.set_option(tcp::no_delay(true), Ignored);
-        auto Limit = std::chrono::duration_cast<Milliseconds>(
-                         Self->Options_.UnackedLimit_)
-                         .count();
-        auto Value = static_cast<unsigned>(Limit);
-        ::setsockopt(Self->Socket_.native_handle(), IPPROTO_TCP,
-                     TCP_USER_TIMEOUT, &Value, sizeof(Value));
-        if (Self->Options_.KeepAlive_)
-          Self->probe();
-        Self->write();
-      });
+  Socket_.async_connect(Target, [Self = shared_from_this()](
+                                    boost::system::error_code Code) {
+    if (Self->Closed_)
+      return;
+    Self->Connecting_ = false;
+    Self->ConnectTimer_.cancel();
+    if (Code)
+      return Self->fail(Step::Connect, Code.message());
+    Self->Connected_ = true;
+    boost::system::error_code Ignored;
+    Self->Socket_.set_option(tcp::no_delay(true), Ignored);
+    auto Limit =
+        std::chrono::duration_cast<Milliseconds>(Self->Options_.UnackedLimit_)
+            .count();
+    auto Value = static_cast<unsigned>(Limit);
+    ::setsockopt(Self->Socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                 &Value, sizeof(Value));
+    if (Self->Options_.KeepAlive_)
+      Self->probe();
+    Self->write();
+  });
 }
 
 void ClientLink::probe() {
@@ -233,8 +233,8 @@
 }
 
 void ClientLink::ended(bool IsFramed) {
-  bool KeepsOpen = IsFramed && Parser_->get().keep_alive() && Written_ &&
-                   In_.size() == 0;
+  bool KeepsOpen =
+      IsFramed && Parser_->get().keep_alive() && Written_ && In_.size() == 0;
   Busy_ = false;
   FreeSince_ = bootNow();
   if (!KeepsOpen)
--- a/hawthornroad/http/Framing.cpp
+++ b/hawthornroad/http/Framing.cpp
@@ -17,8 +17,9 @@
 
 bool isConnectionHeader(std::string_view Name) {
   static constexpr std::array<std::string_view, 9> Names = {
-      "Connection", "Keep-Alive", "Proxy-Connection",  "TE",    "Trailer",
-      "Upgrade",    "Expect",     "Transfer-Encoding", "Content-Length"};
+      "Connection", "Keep-Alive",        "Proxy-Connection",
+      "TE",         "Trailer",           "Upgrade",
+      "Expect",     "Transfer-Encoding", "Content-Length"};
   return std::any_of(Names.begin(), Names.end(), [&](std::string_view Each) {
     return sameHeader(Each, Name);
   });
@@ -84,7 +85,8 @@
                          BodyFraming Framing, std::size_t Length,
                          bool KeepOpen) {
   std::string Text = "HTTP/1.1 " + std::to_string(Status) + " ";
-  auto Reason = beast::http::obsolete_reason(beast::http::int_to_status(Status));
+  auto Reason =
+      beast::http::obsolete_reason(beast::http::int_to_status(Status));
   Text.append(Reason.data(), Reason.size());
   Text += "\r\n";
   appendFields(Text, Fields);
--- a/hawthornroad/http/ServerSession.cpp
+++ b/hawthornroad/http/ServerSession.cpp
@@ -144,8 +144,8 @@
   if (Closed_ || !InRequest_)
     return;
   KeepOpen_ = KeepOpen_ && !Owner_->Leaving_;
-  std::string Text = responseHead(Status, Fields, BodyFraming::Length,
-                                  Body.size(), KeepOpen_);
+  std::string Text =
+      responseHead(Status, Fields, BodyFraming::Length, Body.size(), KeepOpen_);
   if (!IsHead_)
     Text += Body;
   send(std::move(Text));
--- a/hawthornroad/http/ServerSession.h
+++ b/hawthornroad/http/ServerSession.h
@@ -2,8 +2,8 @@
 // streams.
 //
 //   struct Handler : SessionHandler {
-//     void onRequest(std::shared_ptr<ServerSession> S, InboundRequest R) override;
-//     void onCallerGone(ServerSession &S) override;
+//     void onRequest(std::shared_ptr<ServerSession> S, InboundRequest R)
+//     override; void onCallerGone(ServerSession &S) override;
 //   };
 //   HttpListener L(Context, Limits, Handler);
 //   L.open("10.0.0.1:8005");
--- a/hawthornroad/runtime/EventLog.cpp
+++ b/hawthornroad/runtime/EventLog.cpp
@@ -133,8 +133,8 @@
       ++DroppedUntold_;
       return;
     }
-    Wake = Buffer_.empty() ||
-           Buffer_.size() > Options_.BufferBytes_ / EarlyPart;
+    Wake =
+        Buffer_.empty() || Buffer_.size() > Options_.BufferBytes_ / EarlyPart;
     if (DroppedUntold_ > 0)
       append(LogLine("log_dropped")
                  .count("lines", std::exchange(DroppedUntold_, 0))
--- a/hawthornroad/staging/EngineDuty.h
+++ b/hawthornroad/staging/EngineDuty.h
@@ -66,9 +66,9 @@
     Duration OrderAgain_ = Milliseconds(250);
     // A verification this old no longer vouches for the pieces.
     Duration VerifiedFor_ = Milliseconds(400);
-    // From the announcement to the order, which cuts what still runs: nearly all
-    // running requests end by themselves in that time, and the engine is not
-    // kept idle by the longest of them.
+    // From the announcement to the order, which cuts what still runs: nearly
+    // all running requests end by themselves in that time, and the engine is
+    // not kept idle by the longest of them.
     Duration CloseFor_ = Milliseconds(1300);
     // How long after its order was due a closed engine waits for its pieces.
     Duration CloseMost_ = Milliseconds(700);
@@ -76,10 +76,10 @@
     Duration VerifyTime_ = Milliseconds(150);
   };
   enum class OrderEnd {
-    Begun,    // taken
-    Already,  // in effect, or another one is
-    Refused,  // does not fit the engine's state
-    Unknown   // no answer
+    Begun,   // taken
+    Already, // in effect, or another one is
+    Refused, // does not fit the engine's state
+    Unknown  // no answer
   };
 
   EngineDuty() = default;
@@ -101,11 +101,13 @@
   void ordered(OrderEnd E, TimePoint Now);
 
   // LoadAt: when this engine's turn to load is; it is closed CloseFor_ earlier,
-  // also while pieces are still missing, if all are likely to be here by WholeBy
-  // and that is soon enough.
+  // also while pieces are still missing, if all are likely to be here by
+  // WholeBy and that is soon enough.
   EngineStep next(TimePoint LoadAt, TimePoint WholeBy, TimePoint Now) const;
 
-  bool isDone() const { return State_ && Wanted_ && State_->Loaded_ == *Wanted_; }
+  bool isDone() const {
+    return State_ && Wanted_ && State_->Loaded_ == *Wanted_;
+  }
   // Pieces that were nearly here did not come: the engine serves on until they
   // have. True when that is news.
   bool reopen(TimePoint Now);
--- a/hawthornroad/store/StoreClient.h
+++ b/hawthornroad/store/StoreClient.h
@@ -6,8 +6,8 @@
 //   Store.feed("op", After, Seconds(2), [](StoreReply R) {...});
 //   Store.write(Transaction, [](StoreReply R) {...});
 //
-//   StoreWatch W(Context, Store, {.Table_ = "op"}, [](TableWatch::Update U) {...});
-//   W.start();
+//   StoreWatch W(Context, Store, {.Table_ = "op"}, [](TableWatch::Update U)
+//   {...}); W.start();
 //
 // A call that gets no answer is Silent and its connection is never used again:
 // a write may still be done, at once or seconds later. Calls and bytes are
--- a/hawthornroad/store/TableWatch.cpp
+++ b/hawthornroad/store/TableWatch.cpp
@@ -51,7 +51,8 @@
   NotBefore_ = Now;
   if (!Current_.IsListing_) {
     bool IsQuiet = Answer.Rows_.empty();
-    TimePoint Proof = IsQuiet ? std::min(Now, SentAt_ + Current_.Wait_) : SentAt_;
+    TimePoint Proof =
+        IsQuiet ? std::min(Now, SentAt_ + Current_.Wait_) : SentAt_;
     // An answer before the waiting time was over says nothing beyond its call.
     if (IsQuiet && Now < SentAt_ + Current_.Wait_)
       Proof = SentAt_;
@@ -95,7 +96,8 @@
   // A page that failed may have missed what its predecessors showed.
   if (Listing_)
     relist();
-  Duration Pause = Options_.RetryMin_ * (1 << std::min(Failures_, MaxDoublings));
+  Duration Pause =
+      Options_.RetryMin_ * (1 << std::min(Failures_, MaxDoublings));
   Pause = std::min(Pause, Options_.RetryMax_);
   ++Failures_;
   NotBefore_ = Now + Random_.jitter(Pause, RetrySpread);
--- a/hawthornroad/store/TableWatch.h
+++ b/hawthornroad/store/TableWatch.h
@@ -59,7 +59,8 @@
     StoreVersion Version_ = 0;
   };
 
-  explicit TableWatch(Options O) : Options_(std::move(O)), Random_(Options_.Seed_) {}
+  explicit TableWatch(Options O)
+      : Options_(std::move(O)), Random_(Options_.Seed_) {}
 
   Ask next(TimePoint Now) const;
   // The call was sent; Now is when. Needed for proofs.
--- a/hawthornroad/traffic/EventRelay.cpp
+++ b/hawthornroad/traffic/EventRelay.cpp
@@ -9,8 +9,7 @@
 
 std::optional<std::uint64_t> numberOf(std::string_view Text) {
   std::uint64_t Value = 0;
-  auto Result =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  auto Result = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
   if (Result.ec != std::errc() || Result.ptr != Text.data() + Text.size())
     return std::nullopt;
   return Value;
--- a/hawthornroad/traffic/Placement.cpp
+++ b/hawthornroad/traffic/Placement.cpp
@@ -35,9 +35,9 @@
     if (IsEngine)
       S.Places_ = Service->Engine_->Slots_ + Options_.EngineQueue_;
     std::size_t Cap = Service != nullptr ? Service->MaxConnections_ : S.Places_;
-    S.Connections_ = std::max(
-        2U, static_cast<unsigned>(static_cast<double>(Cap) *
-                                  Options_.ConnectionShare_));
+    S.Connections_ =
+        std::max(2U, static_cast<unsigned>(static_cast<double>(Cap) *
+                                           Options_.ConnectionShare_));
     if (!E.IsDraining_)
       ByService_[E.Service_].push_back(Id);
   }
@@ -73,9 +73,8 @@
   if (Found == ByService_.end())
     return 0;
   return static_cast<std::size_t>(std::count_if(
-      Found->second.begin(), Found->second.end(), [&](const EndpointId &Id) {
-        return isUsable(States_.at(Id), Q);
-      }));
+      Found->second.begin(), Found->second.end(),
+      [&](const EndpointId &Id) { return isUsable(States_.at(Id), Q); }));
 }
 
 double Placement::meanFirstByte(const ServiceName &Service) const {
@@ -112,8 +111,8 @@
   unsigned Ties = 0;
   for (const State *S : Candidates) {
     double Load = load(*S, Now);
-    bool IsFull = Load >= S->Places_ || Now < S->FullUntil_ ||
-                  Now < S->AwayUntil_;
+    bool IsFull =
+        Load >= S->Places_ || Now < S->FullUntil_ || Now < S->AwayUntil_;
     if (S->Own_ >= S->Connections_ || (IsFull && !Q.MayQueue_))
       continue;
     double Score = (Load + 1) / S->Places_;
@@ -212,8 +211,8 @@
     // Requests turned away together count once.
     if (Now < S.FullUntil_)
       return;
-    S.FullFor_ = std::clamp(2 * S.FullFor_, Options_.FullFor_,
-                            Options_.FullMost_);
+    S.FullFor_ =
+        std::clamp(2 * S.FullFor_, Options_.FullFor_, Options_.FullMost_);
     S.FullUntil_ = Now + S.FullFor_;
     return;
   case End::Good:
--- a/hawthornroad/traffic/RepeatBudget.cpp
+++ b/hawthornroad/traffic/RepeatBudget.cpp
@@ -33,8 +33,8 @@
     Requests += Each.Requests_;
     Repeats += Each.Repeats_;
   }
-  double Allowed = Options_.Ratio_ * Options_.Share_ * Requests +
-                   Options_.AlwaysAllowed_;
+  double Allowed =
+      Options_.Ratio_ * Options_.Share_ * Requests + Options_.AlwaysAllowed_;
   if (Repeats + 1 > Allowed)
     return false;
   ++S.Repeats_;
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -196,8 +196,8 @@
   Duties_[Model].try_emplace(V, VersionDuty{At, Hard});
 }
 
-WeightVersion TrafficCore::minVersion(const ServiceName &Service,
-                                      TimePoint Now, bool IsHard) const {
+WeightVersion TrafficCore::minVersion(const ServiceName &Service, TimePoint Now,
+                                      bool IsHard) const {
   WeightVersion Out = 0;
   for (const Endpoint *E : Endpoints_.of(Service)) {
     if (!E->HasModel_ || E->Model_.empty())
@@ -266,8 +266,7 @@
     const CustomerEntry *Who =
         Holds ? Config.customerOf(R.Call_.Key_) : nullptr;
     if (!R.Route_->IsPublic_ && !Holds) {
-      refuse(R, status::Unavailable, Cause::KeyLeaseOver, ReturnElsewhere,
-             Now);
+      refuse(R, status::Unavailable, Cause::KeyLeaseOver, ReturnElsewhere, Now);
       return false;
     }
     if (!R.Route_->IsPublic_ && Who == nullptr) {
@@ -336,10 +335,9 @@
     Q.MinVersion_ = minVersion(R.Service_, Now);
     if (Placement_.usable(Q) == 0)
       return giveUp(R, Cause::NoEndpoint, Now);
-    Duration Limit = std::max(
-        Options_.LineLeast_,
-        std::chrono::duration_cast<Duration>(R.Route_->Goal_ *
-                                             Options_.LineShare_));
+    Duration Limit = std::max(Options_.LineLeast_,
+                              std::chrono::duration_cast<Duration>(
+                                  R.Route_->Goal_ * Options_.LineShare_));
     if (lineWait(R.Service_, R) > Limit)
       return giveUp(R, Cause::LineFull, Now);
   }
@@ -482,8 +480,7 @@
   R->HasHead_ = true;
   R->Head_ = std::move(H);
   const AnswerHead &Head = R->Head_;
-  bool IsOthers =
-      !Head.RequestId_.empty() && Head.RequestId_ != R->Call_.Id_;
+  bool IsOthers = !Head.RequestId_.empty() && Head.RequestId_ != R->Call_.Id_;
   bool IsUnsigned = !Head.NotRun_ && !Head.IsSigned_;
   if (IsOthers || Head.IsEncoded_ || IsUnsigned) {
     // An answer to something else, or from something that is no endpoint.
@@ -544,11 +541,12 @@
   if (R->Head_.NotRun_) {
     std::string Why = "status " + std::to_string(R->Head_.Status_);
     // The right engine says so too, while it holds no weights.
-    bool IsOther = R->Head_.IsOtherEndpoint_ &&
-                   R->Head_.EndpointId_ != R->At_.str();
+    bool IsOther =
+        R->Head_.IsOtherEndpoint_ && R->Head_.EndpointId_ != R->At_.str();
     if (IsOther)
       R->Tried_.insert(R->At_);
-    endAttempt(*R, IsOther ? Placement::End::Failed : Placement::End::TurnedAway,
+    endAttempt(*R,
+               IsOther ? Placement::End::Failed : Placement::End::TurnedAway,
                "turned_away", Why, false, Now);
     afterTurnedAway(*R, Why, Now);
     return pumpDue(Now);
@@ -751,7 +749,8 @@
     return afterFailure(R, "old version", Now);
   }
   TimePoint Heard = R.FirstByteAt_ ? R.LastByteAt_ : R.ArrivedAt_;
-  bool HasLeft = R.Route_->IsStream_ && Now - Heard >= callerPatience(*R.Route_);
+  bool HasLeft =
+      R.Route_->IsStream_ && Now - Heard >= callerPatience(*R.Route_);
   if (Now >= R.Deadline_ || HasLeft) {
     if (R.Attempt_ != 0) {
       Port_.cancelAttempt(R.Attempt_);
@@ -776,8 +775,8 @@
   if (!R.IsStreaming_ && R.Route_->IsStream_)
     Limit = Options_.FirstEventSilence_;
   else if (!R.IsStreaming_)
-    Limit = std::chrono::duration_cast<Duration>(
-        (R.Deadline_ - R.ArrivedAt_) * Options_.SilenceShare_);
+    Limit = std::chrono::duration_cast<Duration>((R.Deadline_ - R.ArrivedAt_) *
+                                                 Options_.SilenceShare_);
   if (Now - R.HeardAt_ < Limit)
     return;
   R.RanAt_.insert(R.At_);
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -114,11 +114,11 @@
                             const AttemptOrder &O) = 0;
   // No further word of the attempt is wanted.
   virtual void cancelAttempt(AttemptNumber A) = 0;
-  virtual void respond(CallNumber N, unsigned Status, const HeaderFields &Fields,
-                       std::string Body) = 0;
+  virtual void respond(CallNumber N, unsigned Status,
+                       const HeaderFields &Fields, std::string Body) = 0;
   // A refusal or failure of this process's own; RetryAfter zero: none.
-  virtual void refuse(CallNumber N, const Call &C, unsigned Status,
-                      Cause Why, Duration RetryAfter) = 0;
+  virtual void refuse(CallNumber N, const Call &C, unsigned Status, Cause Why,
+                      Duration RetryAfter) = 0;
   virtual void beginStream(CallNumber N, unsigned Status,
                            const HeaderFields &Fields) = 0;
   virtual void writeStream(CallNumber N, std::string_view Bytes) = 0;
@@ -144,13 +144,13 @@
     // Deadline of a caller that names none.
     Duration DefaultPatience_ = Seconds(30);
     // An event stream without a byte for this long, before and after its first
-    // event, goes on elsewhere. A loaded engine's pass takes up to a few hundred
-    // milliseconds; callers leave a stream after two seconds.
+    // event, goes on elsewhere. A loaded engine's pass takes up to a few
+    // hundred milliseconds; callers leave a stream after two seconds.
     Duration FirstEventSilence_ = Milliseconds(1500);
     Duration NextEventSilence_ = Milliseconds(900);
     // Callers leave a stream after a pause of the longest of this, four times
-    // the goal and eight times the longest allowed pause. Some cannot be seen to
-    // leave, so their requests are ended here at the same time.
+    // the goal and eight times the longest allowed pause. Some cannot be seen
+    // to leave, so their requests are ended here at the same time.
     Duration CallerLeaves_ = Seconds(2);
     // Part of the time a request that may be repeated has, after which a silent
     // endpoint is left.
--- a/hawthornroad/weights/Owners.cpp
+++ b/hawthornroad/weights/Owners.cpp
@@ -20,8 +20,8 @@
 Owners::Owners(const VersionDigest &Version, SliceIndex Slices, SwarmPeer Self,
                AvailabilityZone NearOrigin)
     : Version_(Version), NearOrigin_(std::move(NearOrigin)),
-      Self_(std::move(Self)), Rank_(Slices, 0),
-      ZoneRank_(Slices, 0), Owner_(Slices, 0) {
+      Self_(std::move(Self)), Rank_(Slices, 0), ZoneRank_(Slices, 0),
+      Owner_(Slices, 0) {
   for (SliceIndex S = 0; S < Slices; ++S)
     SliceHash_.push_back(rendezvousScore(Version.str(), std::to_string(S)));
   setPeers({});
