--- a/hawthornroad/agent/PieceTransfer.cpp
+++ b/hawthornroad/agent/PieceTransfer.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t DigestPrefixLength = 7; // "sha256:"
 // A piece over a shared narrow link, with many readers at once.
 constexpr Duration OriginLimit = Seconds(4);
+constexpr Duration CheckLimit = Milliseconds(1500);
 // Pieces that wait to be sent at once; peers ask elsewhere for further ones.
 // Over a narrow link five pieces take an eighth of a second.
 constexpr std::size_t MostUploads = 5;
@@ -38,7 +39,8 @@
   Out.OriginZone_ = S.OriginZone_;
   // The bound is eight seconds for the whole of it, so what is late is taken
   // over within one.
-  Out.TimePatience_ = Milliseconds(600);
+  Out.WatchOwners_ = true;
+  Out.TimePatience_ = Milliseconds(900);
   Out.ZonePatience_ = Milliseconds(1500);
   Out.Plan_.Timeout_ = Milliseconds(2500);
   // Each piece asked for comes in over the link that brings the engine its
@@ -174,20 +176,28 @@
                 OnDone);
 }
 
-// The platform's origin has no ledger of grants and the table's writes are
-// dear. A slice's own grant goes to its owner by this VM's view of the fleet;
-// views differ while VMs come and go, and then a piece may be read twice. Spare
-// grants are taken freely: the swarm asks for one only after a read came to
-// nothing, or when it is this VM's turn to step in for others.
+// The platform's origin has no ledger of grants, and writes to the table are
+// dear: whoever asks for a grant gets it. The swarm asks only for its own slices,
+// and for others' after their owners have been silent; so a piece may be read
+// twice when views of the fleet differ, and none stays unread.
 void PieceTransfer::run(const ClaimGrant &A, TimePoint Now) {
-  bool Own =
-      A.Grant_.Kind_ == Grant::Kind::Spare || Swarm_->holdsByView(A.Grant_);
-  Swarm_->onClaim(A.Grant_, Own ? ClaimResult::Won : ClaimResult::Lost, Now);
+  Swarm_->onClaim(A.Grant_, ClaimResult::Won, Now);
 }
 
-// Its digests came from the origin a moment ago.
+// Asks for the digests again: small, and answered only by a living origin.
 void PieceTransfer::run(const CheckOrigin &, TimePoint Now) {
-  Swarm_->onOriginChecked(Origin_ != nullptr, Now);
+  if (Origin_ == nullptr)
+    return Swarm_->onOriginChecked(false, Now);
+  Origin_->call(platform::manifestCall(Setup_.Version_), CheckLimit,
+                [Weak = weak_from_this()](const HttpCalls::Result &R) {
+                  auto Self = Weak.lock();
+                  if (!Self)
+                    return;
+                  const auto *Answer = std::get_if<HttpAnswer>(&R);
+                  constexpr unsigned Ok = 200;
+                  Self->Swarm_->onOriginChecked(
+                      Answer != nullptr && Answer->Status_ == Ok, bootNow());
+                });
 }
 
 void PieceTransfer::run(const AskHave &A, TimePoint) {
--- a/hawthornroad/weights/Swarm.cpp
+++ b/hawthornroad/weights/Swarm.cpp
@@ -27,7 +27,7 @@
       ZoneNews_(Budget_.sliceCount(), Now), News_(Budget_.sliceCount(), Now),
       SeenAt_(Budget_.sliceCount(), 0), AnyNews_(Now),
       Crosses_(Budget_.sliceCount(), false), MayCross_(C.Chunks_),
-      Wasted_(C.Chunks_), OriginPause_(Now + Setup_.LoneGrace_) {
+      Wasted_(C.Chunks_), OriginPause_(Now + Setup_.LoneGrace_), OriginBackAt_(Now) {
   refreshCrossing(Now);
   rewatch();
 }
@@ -92,6 +92,8 @@
       continue;
     SliceIndex S = Budget_.sliceOf(I);
     AnyNews_ = News_[S] = Now;
+    if (Setup_.WatchOwners_)
+      OwnerNews_[Owners_.owner(S)] = Now;
     SeenAt_[S] = ++Seen_;
     if (InZone)
       ZoneNews_[S] = Now;
@@ -145,7 +147,7 @@
   Plan_.release(Index);
   switch (End) {
   case OriginEnd::Good:
-    OriginSeen_ = Now;
+    noteOriginSeen(Now);
     noteOwn(Index, Now);
     return;
   case OriginEnd::Nothing:
@@ -154,7 +156,7 @@
     OriginPause_ = Now + Random_.jitter(Setup_.OriginRetry_, 0.5);
     return;
   case OriginEnd::Wasted:
-    OriginSeen_ = Now;
+    noteOriginSeen(Now);
     Wasted_.add(Index);
     OriginPause_ = Now + Random_.jitter(Setup_.OriginAgain_, 0.5);
     return;
@@ -171,7 +173,7 @@
 void Swarm::onOriginChecked(bool Answers, TimePoint Now) {
   Checking_ = false;
   if (Answers)
-    OriginSeen_ = Now;
+    noteOriginSeen(Now);
   else
     OriginPause_ = Now + Random_.jitter(Setup_.OriginRetry_, 0.5);
 }
@@ -202,9 +204,25 @@
          Rank * Setup_.LagNews_ * static_cast<std::size_t>(SeenAt_.size());
 }
 
+void Swarm::noteOriginSeen(TimePoint Now) {
+  if (!OriginSeen_)
+    OriginBackAt_ = Now;
+  OriginSeen_ = Now;
+}
+
+// The last evidence that somebody is at work on a slice.
+TimePoint Swarm::lastSign(SliceIndex S) const {
+  if (!Setup_.WatchOwners_)
+    return News_[S];
+  auto Found = OwnerNews_.find(Owners_.owner(S));
+  TimePoint OfOwner =
+      Found == OwnerNews_.end() ? OriginBackAt_ : Found->second;
+  return std::max({News_[S], OfOwner, OriginBackAt_});
+}
+
 bool Swarm::mayTakeOver(SliceIndex S, std::size_t Rank, TimePoint Now) const {
   return Rank <= MaxTakers && Budget_.isUnclaimed(S) &&
-         Now - News_[S] >= patience(Rank);
+         Now - lastSign(S) >= patience(Rank);
 }
 
 bool Swarm::stepIn(ChunkIndex Index, std::vector<SwarmAction> &Out,
@@ -213,7 +231,11 @@
   std::size_t Rank = Owners_.rank(S);
   // A VM that read the chunk in vain knows better than to wait for others.
   bool IsTurn = Wasted_.has(Index) || isLate(S, Rank, Now);
-  if (Budget_.isReader(Index) || (IsTurn && Budget_.mayRead(Index))) {
+  // A claim won in another's place is used while the other stays silent.
+  bool IsReader = Budget_.isReader(Index);
+  if (Setup_.WatchOwners_ && Rank > 0)
+    IsReader = IsReader && Now - lastSign(S) >= patience(Rank);
+  if (IsReader || (IsTurn && Budget_.mayRead(Index))) {
     Budget_.spend(Index);
     Plan_.reserve(Index);
     ++Reading_;
--- a/hawthornroad/weights/Swarm.h
+++ b/hawthornroad/weights/Swarm.h
@@ -122,6 +122,11 @@
     Duration LoneGrace_ = Seconds(1);
     // How long a successful answer of the origin counts.
     Duration OriginFresh_ = Seconds(5);
+    // There is no ledger: whoever claims a grant gets it, so a claim in another's
+    // place needs better evidence than a slice's silence. A slice is taken over
+    // only when its owner has shown nothing new of any of its slices for the
+    // patience, counted anew when the origin comes back.
+    bool WatchOwners_ = false;
     // The origin's zone, see Owners; empty when it is not known.
     AvailabilityZone OriginZone_ = {};
   };
@@ -170,6 +175,8 @@
   bool isLateInZone(SliceIndex S, TimePoint Now) const;
   bool isLate(SliceIndex S, std::size_t Rank, TimePoint Now) const;
   bool mayTakeOver(SliceIndex S, std::size_t Rank, TimePoint Now) const;
+  TimePoint lastSign(SliceIndex S) const;
+  void noteOriginSeen(TimePoint Now);
   Duration patience(std::size_t Rank) const;
   void readOrigin(std::vector<SwarmAction> &Out, TimePoint Now);
   bool stepIn(ChunkIndex Index, std::vector<SwarmAction> &Out, TimePoint Now);
@@ -204,6 +211,10 @@
   TimePoint OriginPause_;
   bool Lone_ = true;
   std::optional<TimePoint> OriginSeen_;
+  // When the origin first answered after it had not, and when each owner last
+  // showed something new; used with WatchOwners_.
+  TimePoint OriginBackAt_;
+  std::map<Vm, TimePoint> OwnerNews_;
   bool Checking_ = false;
 };
 
