Endpoints are chosen by the prompts that stand before a request

Cause: by running requests alone the engine that had just loaded looked emptiest, all entries sent to it at once and sixteen prompts stood in line there (first byte 500 ms at a believed load of 0).

--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -412,7 +412,8 @@
   Notice.version = Duty_.state()->Loaded_.Version_;
   if (Duty_.isAway())
     Notice.phase = static_cast<std::uint8_t>(EnginePhase::Away);
-  Notice.load = Duty_.state()->Running_ + Duty_.state()->Waiting_;
+  Notice.running = Duty_.state()->Running_;
+  Notice.waiting = Duty_.state()->Waiting_;
   if (ToldEntries_ == Notice)
     return;
   bool IsLoadOnly = ToldEntries_ && ToldEntries_->phase == Notice.phase &&
--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -564,6 +564,7 @@
       .count("ordinal", R.Ordinal_);
   if (R.What_ == "begun") {
     L.number("load", R.Belief_.Load_)
+        .number("unread", R.Belief_.Unread_)
         .count("own", R.Belief_.Own_)
         .count("places", R.Belief_.Places_)
         .count("version", R.Belief_.Version_);
--- a/hawthornroad/entry/EngineNews.h
+++ b/hawthornroad/entry/EngineNews.h
@@ -16,6 +16,7 @@
 
 #include "hawthornroad/runtime/PeerNet.h"
 #include "hawthornroad/runtime/PeerPace.h"
+#include "hawthornroad/traffic/TrafficCore.h"
 
 #include <functional>
 #include <map>
@@ -29,8 +30,8 @@
   std::string Address_;
   EnginePhase Phase_ = EnginePhase::Serving;
   std::uint64_t Version_ = 0;
-  // Requests that run and wait there; unset when it was not asked for.
-  std::optional<unsigned> Load_;
+  // Unset when it was not asked for.
+  std::optional<EngineLoad> Load_;
 };
 
 class EngineNews {
--- a/hawthornroad/traffic/Placement.cpp
+++ b/hawthornroad/traffic/Placement.cpp
@@ -32,8 +32,12 @@
     S.IsListed_ = true;
     bool IsEngine = Service != nullptr && Service->Engine_;
     S.Places_ = std::max(1U, E.Slots_);
-    if (IsEngine)
+    if (IsEngine) {
       S.Places_ = Service->Engine_->Slots_ + Options_.EngineQueue_;
+      S.ReadMs_ = Service->Engine_->UsualPrompt_ /
+                      std::max(1.0, Service->Engine_->ReadTokensPerMs_) +
+                  Service->Engine_->StepMs_;
+    }
     std::size_t Cap = Service != nullptr ? Service->MaxConnections_ : S.Places_;
     S.Connections_ =
         std::max(2U, static_cast<unsigned>(static_cast<double>(Cap) *
@@ -46,14 +50,49 @@
   });
 }
 
+bool Placement::isReportFresh(const State &S, TimePoint Now) const {
+  return S.ReportedAt_ && Now - *S.ReportedAt_ <= Options_.ReportFresh_;
+}
+
+namespace {
+// What stands at an endpoint now: the report, and what has been sent there since
+// by this process and, as far as can be told, by others like it. They all see
+// the same report and choose alike.
+double since(unsigned Reported, unsigned OwnAtReport, unsigned Own,
+             double Senders) {
+  double Change = static_cast<double>(Own) - static_cast<double>(OwnAtReport);
+  if (Change > 0)
+    Change *= Senders;
+  return std::max(static_cast<double>(Reported) + Change,
+                  static_cast<double>(Own));
+}
+} // namespace
+
 double Placement::load(const State &S, TimePoint Now) const {
-  double Alone = S.Own_ * Options_.Senders_;
-  if (!S.ReportedAt_ || Now - *S.ReportedAt_ > Options_.ReportFresh_)
-    return Alone;
-  double CountedOn = static_cast<double>(S.Reported_) +
-                     static_cast<double>(S.Own_) -
-                     static_cast<double>(S.OwnAtReport_);
-  return std::max(CountedOn, static_cast<double>(S.Own_));
+  if (!isReportFresh(S, Now))
+    return S.Own_ * Options_.Senders_;
+  return since(S.Reported_, S.OwnAtReport_, S.Own_, Options_.Senders_);
+}
+
+double Placement::unread(const State &S, TimePoint Now) const {
+  if (!isReportFresh(S, Now))
+    return S.OwnUnread_ * Options_.Senders_;
+  return since(S.ReportedWaiting_, S.OwnUnreadAtReport_, S.OwnUnread_,
+               Options_.Senders_);
+}
+
+double Placement::cost(const State &S, double MeanFirstByte,
+                       TimePoint Now) const {
+  double Cost = unread(S, Now) * S.ReadMs_ + load(S, Now) * Options_.RunningCost_;
+  // Plain services: the fuller, the later.
+  if (S.ReadMs_ <= 0)
+    Cost += load(S, Now) / S.Places_ * Options_.CrossZoneCost_;
+  if (MeanFirstByte > 0 && S.FirstByteMs_ > MeanFirstByte)
+    Cost += std::min(S.FirstByteMs_, SlowestFactor * MeanFirstByte) -
+            MeanFirstByte;
+  if (S.Endpoint_.Zone_ != Options_.Zone_)
+    Cost += Options_.CrossZoneCost_;
+  return Cost;
 }
 
 bool Placement::isUsable(const State &S, const Query &Q) const {
@@ -110,16 +149,12 @@
   double BestScore = 0;
   unsigned Ties = 0;
   for (const State *S : Candidates) {
-    double Load = load(*S, Now);
-    bool IsFull =
-        Load >= S->Places_ || Now < S->FullUntil_ || Now < S->AwayUntil_;
+    bool IsFull = load(*S, Now) >= S->Places_ || Now < S->FullUntil_ ||
+                  Now < S->AwayUntil_ ||
+                  unread(*S, Now) * S->ReadMs_ >= Options_.MostReading_;
     if (S->Own_ >= S->Connections_ || (IsFull && !Q.MayQueue_))
       continue;
-    double Score = (Load + 1) / S->Places_;
-    if (Mean > 0 && S->FirstByteMs_ > 0)
-      Score *= std::clamp(S->FirstByteMs_ / Mean, 1.0, SlowestFactor);
-    if (S->Endpoint_.Zone_ != Options_.Zone_)
-      Score += Options_.CrossZonePenalty_;
+    double Score = cost(*S, Mean, Now);
     if (Best == nullptr || Score < BestScore) {
       Best = S;
       BestScore = Score;
@@ -135,17 +170,22 @@
 
 void Placement::begun(const EndpointId &Id, TimePoint Now) {
   auto Found = States_.find(Id);
-  if (Found != States_.end())
-    ++Found->second.Own_;
+  if (Found == States_.end())
+    return;
+  ++Found->second.Own_;
+  ++Found->second.OwnUnread_;
 }
 
-void Placement::heard(const EndpointId &Id, unsigned Load, TimePoint Now) {
+void Placement::heard(const EndpointId &Id, unsigned Running, unsigned Waiting,
+                      TimePoint Now) {
   auto Found = States_.find(Id);
   if (Found == States_.end())
     return;
   State &S = Found->second;
-  S.Reported_ = Load;
+  S.Reported_ = Running + Waiting;
+  S.ReportedWaiting_ = Waiting;
   S.OwnAtReport_ = S.Own_;
+  S.OwnUnreadAtReport_ = S.OwnUnread_;
   S.ReportedAt_ = Now;
 }
 
@@ -169,6 +209,8 @@
   auto Found = States_.find(Id);
   if (Found == States_.end())
     return;
+  if (Found->second.OwnUnread_ > 0)
+    --Found->second.OwnUnread_;
   double Ms = std::chrono::duration<double, std::milli>(Took).count();
   double &Mean = Found->second.FirstByteMs_;
   Mean = Mean <= 0 ? Ms : Mean + SampleWeight * (Ms - Mean);
@@ -193,13 +235,16 @@
   S.FailureShare_ = FailureFloor / 2;
 }
 
-void Placement::ended(const EndpointId &Id, End E, TimePoint Now) {
+void Placement::ended(const EndpointId &Id, End E, bool HadHead,
+                      TimePoint Now) {
   auto Found = States_.find(Id);
   if (Found == States_.end())
     return;
   State &S = Found->second;
   if (S.Own_ > 0)
     --S.Own_;
+  if (!HadHead && S.OwnUnread_ > 0)
+    --S.OwnUnread_;
   if (!S.IsListed_ && S.Own_ == 0) {
     States_.erase(Found);
     return;
@@ -241,6 +286,7 @@
   const State &S = Found->second;
   View V;
   V.Load_ = load(S, Now);
+  V.Unread_ = unread(S, Now);
   V.Own_ = S.Own_;
   V.Places_ = S.Places_;
   if (S.ReportedAt_)
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -13,10 +13,14 @@
 // ended since. Where nothing recent was reported, its own share stands for the
 // whole, times the number of processes that are taken to send alike.
 //
-// The choice is the endpoint with the smallest load for its places, ties at
-// random; one of another zone must be emptier by CrossZonePenalty of its
-// places, since its bytes go over the narrow links between zones. An endpoint
-// whose answers take longer than those of its service counts as fuller.
+// The choice is the endpoint from which the first byte can be expected soonest,
+// ties at random. An engine reads prompts one after another, so what a request
+// waits for is mostly the prompts before it; each running request adds little.
+// Where loads were chosen by running requests alone, all processes sent to the
+// engine that had just come back, and sixteen prompts stood in line there. An
+// endpoint of another zone must be sooner by CrossZoneCost_, since its bytes go
+// over the narrow links between zones. One whose answers take longer than those
+// of its service counts as later.
 //
 // Endpoints that fail are left out for a while (ejected): after FailuresInRow,
 // or when the share of failures stands out from the service's. Never more than
@@ -43,9 +47,15 @@
 public:
   struct Options {
     AvailabilityZone Zone_;
-    // Part of an endpoint's places by which a neighbour in the zone may be
-    // fuller than one elsewhere and still be chosen.
-    double CrossZonePenalty_ = 0.8;
+    // How much later a neighbour in the zone may answer than one elsewhere and
+    // still be chosen, ms.
+    double CrossZoneCost_ = 120;
+    // What one running request adds to the first byte of a next one, ms: some
+    // hundredths of a step, and the share of its events in a pass.
+    double RunningCost_ = 3;
+    // Prompts that may stand before a request at an engine, as reading time, ms.
+    // Beyond it the request waits here, where it can still go elsewhere.
+    double MostReading_ = 170;
     // Requests beyond an engine's batch that may wait at it, so that a place
     // that falls free is taken without a round trip.
     unsigned EngineQueue_ = 0;
@@ -94,17 +104,22 @@
   std::size_t usable(const Query &Q) const;
 
   void begun(const EndpointId &Id, TimePoint Now);
-  void ended(const EndpointId &Id, End E, TimePoint Now);
-  void heard(const EndpointId &Id, unsigned Load, TimePoint Now);
+  // HadHead: firstByte() was told of it.
+  void ended(const EndpointId &Id, End E, bool HadHead, TimePoint Now);
+  // Running and waiting requests there, as told at Now.
+  void heard(const EndpointId &Id, unsigned Running, unsigned Waiting,
+             TimePoint Now);
   void heardVersion(const EndpointId &Id, WeightVersion V);
   // Its agent says that it takes nothing new (a load follows or is under way),
   // or that it serves again.
   void setAway(const EndpointId &Id, bool IsAway, TimePoint Now);
-  // Time from begin to the first byte.
+  // The head of an answer came, Took after its begin.
   void firstByte(const EndpointId &Id, Duration Took);
 
   struct View {
     double Load_ = 0;
+    // Requests whose prompts are still to be read.
+    double Unread_ = 0;
     unsigned Own_ = 0;
     unsigned Places_ = 0;
     std::optional<Duration> ReportAge_;
@@ -123,8 +138,14 @@
     unsigned Places_ = 1;
     unsigned Connections_ = 1;
     unsigned Own_ = 0;
+    // Of them, those without a head.
+    unsigned OwnUnread_ = 0;
+    // Reading time of a usual prompt, ms; 0 for plain services.
+    double ReadMs_ = 0;
     unsigned Reported_ = 0;
+    unsigned ReportedWaiting_ = 0;
     unsigned OwnAtReport_ = 0;
+    unsigned OwnUnreadAtReport_ = 0;
     std::optional<TimePoint> ReportedAt_;
     WeightVersion Version_ = 0;
     unsigned FailuresInRow_ = 0;
@@ -137,7 +158,11 @@
     Duration FullFor_ = Duration::zero();
   };
 
+  bool isReportFresh(const State &S, TimePoint Now) const;
   double load(const State &S, TimePoint Now) const;
+  double unread(const State &S, TimePoint Now) const;
+  // Expected time to the first byte, ms, up to what all have in common.
+  double cost(const State &S, double MeanFirstByte, TimePoint Now) const;
   bool isUsable(const State &S, const Query &Q) const;
   double meanFailureShare(const ServiceName &Service) const;
   double meanFirstByte(const ServiceName &Service) const;
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -111,6 +111,7 @@
   TimePoint HeardAt_;
   Placement::View Belief_;
   bool HasHead_ = false;
+  bool FirstByteTold_ = false;
   AnswerHead Head_;
   std::string Body_;
   bool IsEvents_ = false;
@@ -174,7 +175,7 @@
 }
 
 void TrafficCore::engineTold(const std::string &Address, bool IsAway,
-                             WeightVersion V, std::optional<unsigned> Load,
+                             WeightVersion V, std::optional<EngineLoad> Load,
                              TimePoint Now) {
   for (const auto &[Id, Each] : Endpoints_.all()) {
     if (Each.Endpoint_.Address_ != Address)
@@ -183,7 +184,7 @@
     if (V != 0)
       Placement_.heardVersion(Id, V);
     if (Load)
-      Placement_.heard(Id, *Load, Now);
+      Placement_.heard(Id, Load->Running_, Load->Waiting_, Now);
     Freed_.insert(Each.Endpoint_.Service_);
   }
   pumpDue(Now);
@@ -461,7 +462,8 @@
     return;
   ByAttempt_.erase(R.Attempt_);
   R.Attempt_ = 0;
-  Placement_.ended(R.At_, E, Now);
+  Placement_.ended(R.At_, E, R.FirstByteTold_, Now);
+  R.FirstByteTold_ = false;
   Freed_.insert(R.Service_);
   if (MayHaveRun) {
     R.MayHaveRun_ = true;
@@ -493,10 +495,11 @@
     return pumpDue(Now);
   }
   if (Head.HasLoad_)
-    Placement_.heard(R->At_, Head.Running_ + Head.Waiting_, Now);
+    Placement_.heard(R->At_, Head.Running_, Head.Waiting_, Now);
   if (Head.NotRun_)
     return;
   Placement_.firstByte(R->At_, Now - R->BegunAt_);
+  R->FirstByteTold_ = true;
   if (Head.Version_ != 0)
     Placement_.heardVersion(R->At_, Head.Version_);
   R->IsEvents_ = Head.Status_ == status::Ok && R->Route_->IsStream_ &&
@@ -734,6 +737,13 @@
          V->Version_ < minVersion(R.Service_, Now, true);
 }
 
+// What is left of the goal when an engine's usual time is taken off.
+Duration TrafficCore::lineLimit(const Route &R) const {
+  Duration Share =
+      std::chrono::duration_cast<Duration>(R.Goal_ * Options_.LineShare_);
+  return std::max(Options_.LineLeast_, Share);
+}
+
 Duration TrafficCore::callerPatience(const Route &R) const {
   constexpr int Goals = 4;
   constexpr int Gaps = 8;
@@ -760,11 +770,7 @@
     return giveUp(R, Cause::DeadlinePassed, Now);
   }
   if (R.IsInLine_) {
-    Duration Limit = ResumeWait;
-    if (!R.IsStreaming_)
-      Limit = std::max(Options_.LineLeast_,
-                       std::chrono::duration_cast<Duration>(
-                           R.Route_->Goal_ * Options_.LineShare_));
+    Duration Limit = R.IsStreaming_ ? ResumeWait : lineLimit(*R.Route_);
     if (Now - R.LineSince_ >= Limit)
       giveUp(R, Cause::WaitedTooLong, Now);
     return;
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -129,6 +129,12 @@
   virtual void tell(const AttemptReport &R) = 0;
 };
 
+// Requests at an engine, by its agent's word.
+struct EngineLoad {
+  unsigned Running_ = 0;
+  unsigned Waiting_ = 0;
+};
+
 class TrafficCore {
 public:
   struct Options {
@@ -139,7 +145,7 @@
     Duration RevokeMargin_ = Milliseconds(700);
     std::size_t MaxCalls_ = 2000;
     // Part of the goal a request may spend in line.
-    double LineShare_ = 0.6;
+    double LineShare_ = 0.35;
     Duration LineLeast_ = Milliseconds(80);
     // Deadline of a caller that names none.
     Duration DefaultPatience_ = Seconds(30);
@@ -169,7 +175,7 @@
   void endpointsChanged(TimePoint Now);
   // An agent's word of its engine.
   void engineTold(const std::string &Address, bool IsAway, WeightVersion V,
-                  std::optional<unsigned> Load, TimePoint Now);
+                  std::optional<EngineLoad> Load, TimePoint Now);
   KeyLease &lease() { return Lease_; }
   const Placement &placement() const { return Placement_; }
   // From At on no request is sent to an engine with a version of Model below V;
@@ -219,6 +225,7 @@
   Duration timeToReturn(const ServiceName &Service, TimePoint Now);
   WeightVersion minVersion(const ServiceName &Service, TimePoint Now,
                            bool IsHard = false) const;
+  Duration lineLimit(const Route &R) const;
   Duration callerPatience(const Route &R) const;
   bool waitsAtOldVersion(const Record &R, TimePoint Now) const;
   WeightVersion newestWanted(const ServiceName &Service) const;
--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -4150,7 +4150,8 @@
   std::string address{};
   uint8_t phase = 0;
   uint64_t version = 0;
-  uint32_t load = 0;
+  uint32_t running = 0;
+  uint32_t waiting = 0;
 };
 
 struct EngineNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4160,7 +4161,8 @@
     VT_ADDRESS = 4,
     VT_PHASE = 6,
     VT_VERSION = 8,
-    VT_LOAD = 10
+    VT_RUNNING = 10,
+    VT_WAITING = 12
   };
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
@@ -4171,8 +4173,11 @@
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
   }
-  uint32_t load() const {
-    return GetField<uint32_t>(VT_LOAD, 0);
+  uint32_t running() const {
+    return GetField<uint32_t>(VT_RUNNING, 0);
+  }
+  uint32_t waiting() const {
+    return GetField<uint32_t>(VT_WAITING, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -4180,7 +4185,8 @@
            verifier.VerifyString(address()) &&
            VerifyField<uint8_t>(verifier, VT_PHASE, 1) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
-           VerifyField<uint32_t>(verifier, VT_LOAD, 4) &&
+           VerifyField<uint32_t>(verifier, VT_RUNNING, 4) &&
+           VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
            verifier.EndTable();
   }
   EngineNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4201,8 +4207,11 @@
   void add_version(uint64_t version) {
     fbb_.AddElement<uint64_t>(EngineNotice::VT_VERSION, version, 0);
   }
-  void add_load(uint32_t load) {
-    fbb_.AddElement<uint32_t>(EngineNotice::VT_LOAD, load, 0);
+  void add_running(uint32_t running) {
+    fbb_.AddElement<uint32_t>(EngineNotice::VT_RUNNING, running, 0);
+  }
+  void add_waiting(uint32_t waiting) {
+    fbb_.AddElement<uint32_t>(EngineNotice::VT_WAITING, waiting, 0);
   }
   explicit EngineNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -4221,10 +4230,12 @@
     flatbuffers::Offset<flatbuffers::String> address = 0,
     uint8_t phase = 0,
     uint64_t version = 0,
-    uint32_t load = 0) {
+    uint32_t running = 0,
+    uint32_t waiting = 0) {
   EngineNoticeBuilder builder_(_fbb);
   builder_.add_version(version);
-  builder_.add_load(load);
+  builder_.add_waiting(waiting);
+  builder_.add_running(running);
   builder_.add_address(address);
   builder_.add_phase(phase);
   return builder_.Finish();
@@ -4235,14 +4246,16 @@
     const char *address = nullptr,
     uint8_t phase = 0,
     uint64_t version = 0,
-    uint32_t load = 0) {
+    uint32_t running = 0,
+    uint32_t waiting = 0) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   return hawthornroad::wire::CreateEngineNotice(
       _fbb,
       address__,
       phase,
       version,
-      load);
+      running,
+      waiting);
 }
 
 flatbuffers::Offset<EngineNotice> CreateEngineNotice(flatbuffers::FlatBufferBuilder &_fbb, const EngineNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6197,7 +6210,8 @@
       (lhs.address == rhs.address) &&
       (lhs.phase == rhs.phase) &&
       (lhs.version == rhs.version) &&
-      (lhs.load == rhs.load);
+      (lhs.running == rhs.running) &&
+      (lhs.waiting == rhs.waiting);
 }
 
 inline bool operator!=(const EngineNoticeT &lhs, const EngineNoticeT &rhs) {
@@ -6217,7 +6231,8 @@
   { auto _e = address(); if (_e) _o->address = _e->str(); }
   { auto _e = phase(); _o->phase = _e; }
   { auto _e = version(); _o->version = _e; }
-  { auto _e = load(); _o->load = _e; }
+  { auto _e = running(); _o->running = _e; }
+  { auto _e = waiting(); _o->waiting = _e; }
 }
 
 inline flatbuffers::Offset<EngineNotice> EngineNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6231,13 +6246,15 @@
   auto _address = _fbb.CreateString(_o->address);
   auto _phase = _o->phase;
   auto _version = _o->version;
-  auto _load = _o->load;
+  auto _running = _o->running;
+  auto _waiting = _o->waiting;
   return hawthornroad::wire::CreateEngineNotice(
       _fbb,
       _address,
       _phase,
       _version,
-      _load);
+      _running,
+      _waiting);
 }
 
 
