--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -134,6 +134,7 @@
   void listPeers(TimePoint Now);
   void onPeers(const StoreRows &Rows);
   void onFrame(const PeerContext &From, const wire::Frame &Frame);
+  void onNewest(WeightVersion Version);
   std::vector<std::shared_ptr<PieceTransfer>> transfers() const;
   TimePoint mayLoadAt() const;
   LoadTurn turn() const;
@@ -180,6 +181,8 @@
   TimePoint PeersAt_{};
   std::optional<TimePoint> LoadedAt_;
   std::optional<EngineState> LastTold_;
+  // The version for which the store was asked out of turn.
+  WeightVersion LookedFor_ = 0;
   // Entries that asked to be told of the engine, by process.
   struct Watcher {
     ConnectionId Connection_ = 0;
@@ -808,6 +811,7 @@
     Watchers_[From.Process_] = {From.Connection_, Watch->loads};
     if (ToldEntries_)
       Net_->reply(From.Connection_, makeFrame(*ToldEntries_));
+    onNewest(Watch->newest);
     return;
   }
   for (const auto &T : transfers())
@@ -815,6 +819,18 @@
       return;
 }
 
+// An entry has heard of a version that this agent has not.
+void StoreAgent::State::onNewest(WeightVersion Version) {
+  WeightVersion Known = Duty_.wanted() ? Duty_.wanted()->Version_ : 0;
+  if (Next_)
+    Known = std::max(Known, Next_->Version_.Version_);
+  if (Version <= std::max(Known, LookedFor_) || !OperatorWatch_)
+    return;
+  LookedFor_ = Version;
+  Log_.write(LogLine("store_refresh").count("version", Version));
+  OperatorWatch_->refresh();
+}
+
 // ---- Metrics ----------------------------------------------------------------
 
 void StoreAgent::State::onRequest(const std::shared_ptr<ServerSession> &S,
--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -286,6 +286,8 @@
                        .text("model", V->Model_)
                        .count("version", V->Version_),
                    true);
+        if (News_)
+          News_->setNewest(V->Version_);
       }
     } catch (const Error &E) {
       // The store takes only valid texts: one that is not is of a later kind.
--- a/hawthornroad/entry/EngineNews.cpp
+++ b/hawthornroad/entry/EngineNews.cpp
@@ -61,10 +61,19 @@
       ask(Address, A);
 }
 
+void EngineNews::setNewest(std::uint64_t Version) {
+  if (Version <= Newest_)
+    return;
+  Newest_ = Version;
+  for (auto &[Address, A] : Agents_)
+    ask(Address, A);
+}
+
 void EngineNews::ask(const std::string &Address, Agent &A) {
   A.AskAt_.reset();
   wire::EngineWatchT Watch;
   Watch.loads = A.WantsLoads_;
+  Watch.newest = Newest_;
   Net_->send(PeerAddress(Address), Lane::Requests, makeFrame(Watch));
 }
 
--- a/hawthornroad/entry/EngineNews.h
+++ b/hawthornroad/entry/EngineNews.h
@@ -45,6 +45,9 @@
   // frame several times a second.
   void follow(const std::map<std::string, bool> &Engines, TimePoint Now);
   void tick(TimePoint Now);
+  // Weights up to this version have been named: agents are told, for one whose
+  // own question to the store is held or lost would hear of it late.
+  void setNewest(std::uint64_t Version);
 
 private:
   struct Agent {
@@ -56,6 +59,7 @@
 
   std::string Port_;
   Handler Handler_;
+  std::uint64_t Newest_ = 0;
   std::map<std::string, Agent> Agents_;
   std::unique_ptr<PeerNet> Net_;
 };
--- a/hawthornroad/store/StoreClient.cpp
+++ b/hawthornroad/store/StoreClient.cpp
@@ -78,8 +78,10 @@
       return;
     }
     Watch_.sent(A, Now);
-    auto OnReply = [Weak = weak_from_this()](StoreReply R) {
-      if (auto Self = Weak.lock())
+    auto OnReply = [Weak = weak_from_this(),
+                    Generation = Generation_](StoreReply R) {
+      auto Self = Weak.lock();
+      if (Self && Self->Generation_ == Generation)
         Self->take(std::move(R));
     };
     if (A.IsListing_)
@@ -111,6 +113,8 @@
   std::function<TimePoint()> Clock_;
   Callbacks Callbacks_;
   asio::steady_timer Timer_;
+  // Counts refreshes: answers to calls before the last one are ignored.
+  unsigned Generation_ = 0;
 };
 
 StoreWatch::StoreWatch(asio::io_context &Context, StoreClient &Store,
@@ -123,6 +127,12 @@
 
 void StoreWatch::start() { State_->step(); }
 
+void StoreWatch::refresh() {
+  ++State_->Generation_;
+  State_->Timer_.cancel();
+  State_->step();
+}
+
 const TableWatch &StoreWatch::watch() const { return State_->Watch_; }
 
 } // namespace hawthornroad
--- a/hawthornroad/store/StoreClient.h
+++ b/hawthornroad/store/StoreClient.h
@@ -84,6 +84,9 @@
   ~StoreWatch();
 
   void start();
+  // Something is said to have changed: asks at once, whatever call is under way;
+  // that one's answer, which may never come, no longer counts.
+  void refresh();
   const TableWatch &watch() const;
 
 private:
--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -4096,20 +4096,26 @@
 struct EngineWatchT : public flatbuffers::NativeTable {
   typedef EngineWatch TableType;
   bool loads = false;
+  uint64_t newest = 0;
 };
 
 struct EngineWatch FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EngineWatchT NativeTableType;
   typedef EngineWatchBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_LOADS = 4
+    VT_LOADS = 4,
+    VT_NEWEST = 6
   };
   bool loads() const {
     return GetField<uint8_t>(VT_LOADS, 0) != 0;
   }
+  uint64_t newest() const {
+    return GetField<uint64_t>(VT_NEWEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_LOADS, 1) &&
+           VerifyField<uint64_t>(verifier, VT_NEWEST, 8) &&
            verifier.EndTable();
   }
   EngineWatchT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4124,6 +4130,9 @@
   void add_loads(bool loads) {
     fbb_.AddElement<uint8_t>(EngineWatch::VT_LOADS, static_cast<uint8_t>(loads), 0);
   }
+  void add_newest(uint64_t newest) {
+    fbb_.AddElement<uint64_t>(EngineWatch::VT_NEWEST, newest, 0);
+  }
   explicit EngineWatchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4137,8 +4146,10 @@
 
 inline flatbuffers::Offset<EngineWatch> CreateEngineWatch(
     flatbuffers::FlatBufferBuilder &_fbb,
-    bool loads = false) {
+    bool loads = false,
+    uint64_t newest = 0) {
   EngineWatchBuilder builder_(_fbb);
+  builder_.add_newest(newest);
   builder_.add_loads(loads);
   return builder_.Finish();
 }
@@ -6170,7 +6181,8 @@
 
 inline bool operator==(const EngineWatchT &lhs, const EngineWatchT &rhs) {
   return
-      (lhs.loads == rhs.loads);
+      (lhs.loads == rhs.loads) &&
+      (lhs.newest == rhs.newest);
 }
 
 inline bool operator!=(const EngineWatchT &lhs, const EngineWatchT &rhs) {
@@ -6188,6 +6200,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = loads(); _o->loads = _e; }
+  { auto _e = newest(); _o->newest = _e; }
 }
 
 inline flatbuffers::Offset<EngineWatch> EngineWatch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineWatchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6199,9 +6212,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EngineWatchT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _loads = _o->loads;
+  auto _newest = _o->newest;
   return hawthornroad::wire::CreateEngineWatch(
       _fbb,
-      _loads);
+      _loads,
+      _newest);
 }
 
 
--- /dev/null
+++ b/tests/unit/StagingTest.cpp
@@ -0,0 +1,182 @@
+// An engine's way to a new version, and its turn to load.
+
+#include "hawthornroad/staging/EngineDuty.h"
+#include "hawthornroad/staging/LoadTurn.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace hawthornroad;
+
+namespace {
+constexpr TimePoint Start{Seconds(1000)};
+constexpr TimePoint Never = TimePoint::max();
+
+struct DutyFixture {
+  EngineDuty D_;
+  TimePoint Now_ = Start;
+
+  EngineState state(WeightVersion V, unsigned Running = 0, bool Busy = false,
+                    std::uint64_t Orders = 0) const {
+    EngineState S;
+    S.Loaded_ = {"m", V};
+    S.Running_ = Running;
+    S.IsBusy_ = Busy;
+    S.Orders_ = Orders;
+    return S;
+  }
+  void report(EngineState S) { D_.reported(std::move(S), Now_); }
+  EngineStep next(TimePoint LoadAt = Start, TimePoint WholeBy = Never) const {
+    return D_.next(LoadAt, WholeBy, Now_);
+  }
+};
+} // namespace
+
+TEST_CASE("engine duty, from an empty engine to a loaded one, fetches, "
+          "verifies and orders at once",
+          "[staging]") {
+  DutyFixture F;
+  REQUIRE(F.next() == EngineStep::Report);
+  F.D_.want({"m", 2});
+  F.report(F.state(0));
+  REQUIRE(F.next(Never) == EngineStep::Fetch);
+  F.D_.setStaged(true);
+  REQUIRE(F.next(Never) == EngineStep::Verify);
+  F.D_.verifying();
+  REQUIRE(F.next(Never) == EngineStep::Nothing);
+  F.D_.verified(true, F.Now_);
+  REQUIRE(F.next(Never) == EngineStep::Order);
+  F.D_.ordering();
+  F.D_.ordered(EngineDuty::OrderEnd::Begun, F.Now_);
+  REQUIRE(F.D_.isAway());
+  REQUIRE(F.next(Never) == EngineStep::Report);
+  F.report(F.state(0, 0, true, 1));
+  REQUIRE(F.next(Never) == EngineStep::Nothing);
+  F.report(F.state(2, 0, false, 1));
+  REQUIRE(F.D_.isDone());
+  REQUIRE_FALSE(F.D_.isAway());
+}
+
+TEST_CASE("engine duty, with an engine that serves, closes it before its turn "
+          "and orders when it is idle or the time is over",
+          "[staging]") {
+  DutyFixture F;
+  F.D_.want({"m", 2});
+  F.D_.setStaged(true);
+  TimePoint LoadAt = Start + Seconds(3);
+  F.report(F.state(1, 9));
+  REQUIRE(F.next(LoadAt) == EngineStep::Nothing);
+  F.Now_ = LoadAt - Milliseconds(1300);
+  F.report(F.state(1, 9));
+  REQUIRE(F.next(LoadAt) == EngineStep::Close);
+  F.D_.closed(F.Now_);
+  REQUIRE(F.D_.isAway());
+  F.Now_ += Milliseconds(500);
+  F.report(F.state(1, 4));
+  REQUIRE(F.next(LoadAt) == EngineStep::Nothing);
+  SECTION("idle") { F.report(F.state(1, 0)); }
+  SECTION("time over") {
+    F.Now_ += Milliseconds(700);
+    F.report(F.state(1, 2));
+  }
+  REQUIRE(F.next(LoadAt) == EngineStep::Verify);
+}
+
+// The last pieces do not come although they were expected. An engine that stays
+// closed for them serves nobody, for nothing.
+TEST_CASE("engine duty, closed for pieces that do not come, opens again",
+          "[staging]") {
+  DutyFixture F;
+  F.D_.want({"m", 2});
+  F.report(F.state(1, 9));
+  REQUIRE(F.next(Start, Start + Seconds(2)) == EngineStep::Fetch);
+  REQUIRE(F.next(Start, Start + Seconds(1)) == EngineStep::Close);
+  F.D_.closed(F.Now_);
+  REQUIRE_FALSE(F.D_.reopen(Start + Milliseconds(1900)));
+  REQUIRE(F.D_.reopen(Start + Milliseconds(2000)));
+  REQUIRE_FALSE(F.D_.isAway());
+  REQUIRE_FALSE(F.D_.reopen(Start + Milliseconds(2100)));
+}
+
+// An order got no answer. It may have been taken: the next one must name the
+// engine's count of orders as read back after it.
+TEST_CASE("engine duty, after an order without an answer, reads the engine's "
+          "state before anything else",
+          "[staging]") {
+  DutyFixture F;
+  F.D_.want({"m", 2});
+  F.D_.setStaged(true);
+  F.report(F.state(0));
+  F.D_.verified(true, F.Now_);
+  REQUIRE(F.next() == EngineStep::Order);
+  F.D_.ordering();
+  F.D_.ordered(EngineDuty::OrderEnd::Unknown, F.Now_);
+  F.Now_ += Seconds(1);
+  REQUIRE(F.next() == EngineStep::Report);
+  F.report(F.state(0, 0, true, 1));
+  REQUIRE(F.next() == EngineStep::Nothing);
+  F.report(F.state(0, 0, false, 1));
+  // Nothing that was verified before the order still counts.
+  REQUIRE(F.next() == EngineStep::Verify);
+}
+
+TEST_CASE("engine duty, when pieces have spoilt, does not order", "[staging]") {
+  DutyFixture F;
+  F.D_.want({"m", 2});
+  F.D_.setStaged(true);
+  F.report(F.state(0));
+  F.D_.verifying();
+  F.D_.verified(false, F.Now_);
+  REQUIRE(F.next() == EngineStep::Fetch);
+  // And what was right half a second ago is read again.
+  F.D_.setStaged(true);
+  F.D_.verified(true, F.Now_);
+  F.Now_ += Milliseconds(500);
+  F.report(F.state(0));
+  REQUIRE(F.next() == EngineStep::Verify);
+}
+
+TEST_CASE("engine duty, asked for an older version, keeps the newer wish",
+          "[staging]") {
+  DutyFixture F;
+  REQUIRE(F.D_.want({"m", 3}));
+  REQUIRE_FALSE(F.D_.want({"m", 2}));
+  REQUIRE_FALSE(F.D_.want({"m", 3}));
+  REQUIRE(F.D_.wanted()->Version_ == 3);
+}
+
+TEST_CASE("load turns, for a zone's members, are even, differ with the version "
+          "and end within the bound",
+          "[staging]") {
+  struct Row {
+    std::size_t Members_;
+    Duration Bound_, Transfer_;
+    unsigned Waves_;
+  };
+  for (const Row &R :
+       std::vector<Row>{{10, Milliseconds(7400), Milliseconds(4100), 5},
+                        {10, Milliseconds(7400), Milliseconds(6200), 2},
+                        {10, Milliseconds(7400), Milliseconds(9000), 1},
+                        {20, Milliseconds(12800), Milliseconds(6900), 5}}) {
+    LoadTurn T({.Bound_ = R.Bound_, .Transfer_ = R.Transfer_});
+    CAPTURE(R.Members_);
+    REQUIRE(T.waves() == R.Waves_);
+    std::vector<std::string> Members;
+    for (std::size_t I = 0; I < R.Members_; ++I)
+      Members.push_back("10.0.0." + std::to_string(I));
+    std::map<unsigned, std::size_t> Size;
+    unsigned Moved = 0;
+    for (const std::string &M : Members) {
+      unsigned W = T.wave(M, Members, "m/2");
+      ++Size[W];
+      Moved += W != T.wave(M, Members, "m/3") ? 1 : 0;
+      REQUIRE(T.at(W, Start) <=
+              Start + std::max(R.Bound_ - Milliseconds(500), R.Transfer_));
+    }
+    for (const auto &[W, Count] : Size) {
+      REQUIRE(Count >= R.Members_ / R.Waves_);
+      REQUIRE(Count <= R.Members_ / R.Waves_ + 1);
+    }
+    REQUIRE((R.Waves_ == 1 || Moved > 0));
+  }
+}
--- /dev/null
+++ b/tests/unit/SwarmWithoutLedgerTest.cpp
@@ -0,0 +1,116 @@
+// The swarm where nobody records who may read the origin.
+
+#include "hawthornroad/weights/Swarm.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace hawthornroad;
+
+namespace {
+constexpr TimePoint Start{Seconds(1000)};
+constexpr ChunkIndex Chunks = 12;
+const AvailabilityZone Zone("z");
+
+ContentShape shape() {
+  return {VersionDigest("m/2"), Chunks, Chunks * 100, 100};
+}
+
+Swarm::Setup setup(const std::string &Self) {
+  Swarm::Setup S;
+  S.Self_ = {Vm(Self), Zone};
+  S.OriginCopies_ = 2;
+  S.WatchOwners_ = true;
+  S.TimePatience_ = Milliseconds(900);
+  S.OriginReads_ = 1;
+  return S;
+}
+
+// One VM that gets every grant it asks for and an origin that answers at once.
+struct LoneReader {
+  Swarm Swarm_;
+  TimePoint Now_ = Start;
+  std::vector<ChunkIndex> Reads_;
+  // Ends of reads to come, by order; Good when used up.
+  std::vector<OriginEnd> Ends_;
+
+  explicit LoneReader(const std::vector<std::string> &Others)
+      : Swarm_(setup("self"), shape(), ChunkSet(Chunks), Start) {
+    std::vector<SwarmPeer> Peers;
+    for (const std::string &O : Others)
+      Peers.push_back({Vm(O), Zone});
+    Swarm_.setPeers(Peers, Start);
+  }
+  void run(const std::vector<SwarmAction> &Actions) {
+    for (const SwarmAction &A : Actions) {
+      if (const auto *Claim = std::get_if<ClaimGrant>(&A))
+        Swarm_.onClaim(Claim->Grant_, ClaimResult::Won, Now_);
+      else if (std::holds_alternative<CheckOrigin>(A))
+        Swarm_.onOriginChecked(true, Now_);
+      else if (const auto *Read = std::get_if<ReadOrigin>(&A)) {
+        OriginEnd End = OriginEnd::Good;
+        if (Reads_.size() < Ends_.size())
+          End = Ends_[Reads_.size()];
+        Reads_.push_back(Read->Chunk_);
+        Swarm_.onOrigin(Read->Chunk_, End, Now_);
+      }
+    }
+  }
+  void runUntil(Duration D) {
+    for (TimePoint End = Start + D; Now_ < End; Now_ += Milliseconds(30))
+      run(Swarm_.tick(Now_));
+  }
+};
+} // namespace
+
+// The origin spoils one answer. The slice's own grant paid for one read of each
+// chunk; a second read must still be had, or the version never becomes whole.
+TEST_CASE("swarm without a ledger, after a spoilt read of the origin, reads "
+          "that chunk again",
+          "[swarm]") {
+  LoneReader R({});
+  R.Ends_ = {OriginEnd::Good, OriginEnd::Wasted, OriginEnd::Wasted};
+  R.runUntil(Seconds(12));
+  REQUIRE(R.Swarm_.isDone());
+  REQUIRE(R.Reads_.size() == Chunks + 2);
+}
+
+// The owners of most slices are frozen and say nothing. Their slices must be
+// taken over, though nobody can hand on their grants.
+TEST_CASE(
+    "swarm without a ledger, when the owners of slices stay silent, reads "
+    "in their place after a patience for each rank",
+    "[swarm]") {
+  LoneReader R({"a", "b"});
+  R.runUntil(Milliseconds(800));
+  std::size_t Own = R.Reads_.size();
+  REQUIRE(Own < Chunks);
+  R.runUntil(Seconds(10));
+  CAPTURE(Own, R.Reads_.size());
+  REQUIRE(R.Swarm_.isDone());
+  REQUIRE(R.Reads_.size() == Chunks);
+}
+
+TEST_CASE("swarm without a ledger, while an owner shows new chunks, leaves its "
+          "slices to it",
+          "[swarm]") {
+  LoneReader R({"a"});
+  R.Swarm_.onAsk(Vm("a"), Start);
+  ChunkSet Have(Chunks);
+  // "a" shows one more of its chunks every half second.
+  std::vector<ChunkIndex> Others;
+  // Its own slices are read by then.
+  R.runUntil(Milliseconds(700));
+  for (ChunkIndex I = 0; I < Chunks; ++I)
+    if (std::find(R.Reads_.begin(), R.Reads_.end(), I) == R.Reads_.end())
+      Others.push_back(I);
+  REQUIRE(Others.size() >= 3);
+  std::size_t Own = R.Reads_.size();
+  for (std::size_t N = 0; N < Others.size(); ++N) {
+    Have.add(Others[N]);
+    R.Swarm_.onHave(Vm("a"), Have, 0, R.Now_);
+    R.runUntil(R.Now_ - Start + Milliseconds(500));
+  }
+  CAPTURE(R.Reads_, Others);
+  REQUIRE(R.Reads_.size() == Own);
+}
--- /dev/null
+++ b/tests/unit/TableWatchTest.cpp
@@ -0,0 +1,160 @@
+// Following a table of the store through everything the store may do.
+
+#include "hawthornroad/store/TableWatch.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hawthornroad;
+
+namespace {
+constexpr TimePoint Start{Seconds(1000)};
+
+TableWatch::Options options() {
+  TableWatch::Options O;
+  O.Table_ = "t";
+  O.Wait_ = Milliseconds(2000);
+  O.Pace_ = Milliseconds(500);
+  return O;
+}
+
+StoreRow row(const std::string &Key, StoreVersion V) {
+  StoreRow R;
+  R.Table_ = "t";
+  R.Key_ = Key;
+  R.Version_ = V;
+  return R;
+}
+
+struct WatchFixture {
+  TableWatch W_{options()};
+  TimePoint Now_ = Start;
+
+  TableWatch::Ask ask() {
+    TableWatch::Ask A = W_.next(Now_);
+    Now_ = A.At_;
+    W_.sent(A, Now_);
+    return A;
+  }
+  std::optional<TableWatch::Update> rows(std::vector<StoreRow> Rows,
+                                         StoreVersion V, bool More = false) {
+    StoreRows Out;
+    Out.Rows_ = std::move(Rows);
+    Out.Version_ = V;
+    Out.HasMore_ = More;
+    return W_.onRows(std::move(Out), Now_);
+  }
+};
+} // namespace
+
+TEST_CASE(
+    "table watch, listing in pages, follows from the first page's version",
+    "[store]") {
+  WatchFixture F;
+  REQUIRE(F.ask().IsListing_);
+  REQUIRE_FALSE(F.rows({row("a", 1), row("b", 2)}, 10, true));
+  TableWatch::Ask Second = F.ask();
+  REQUIRE(Second.FromKey_ > "b");
+  REQUIRE(Second.FromKey_ < "b!");
+  auto U = F.rows({row("c", 3)}, 14);
+  REQUIRE(U);
+  REQUIRE(U->IsWhole_);
+  REQUIRE(U->Rows_.size() == 3);
+  TableWatch::Ask Feed = F.ask();
+  REQUIRE_FALSE(Feed.IsListing_);
+  REQUIRE(Feed.After_ == 10);
+}
+
+TEST_CASE("table watch, following, asks from the last version told and keeps "
+          "its pace",
+          "[store]") {
+  WatchFixture F;
+  F.ask();
+  F.rows({}, 10);
+  F.ask();
+  TimePoint Before = F.Now_;
+  auto U = F.rows({row("a", 12)}, 13);
+  REQUIRE(U);
+  REQUIRE_FALSE(U->IsWhole_);
+  TableWatch::Ask Next = F.ask();
+  REQUIRE(Next.After_ == 13);
+  REQUIRE(Next.At_ == Before + Milliseconds(500));
+  REQUIRE_FALSE(F.rows({}, 13));
+}
+
+TEST_CASE("table watch, when the history is gone, lists again and says so with "
+          "a whole update",
+          "[store]") {
+  WatchFixture F;
+  F.ask();
+  F.rows({row("a", 1)}, 10);
+  F.ask();
+  F.W_.onFailure(StoreFailure::HistoryGone, F.Now_);
+  REQUIRE(F.W_.isListed());
+  REQUIRE(F.W_.failures() == 0);
+  REQUIRE(F.ask().IsListing_);
+  auto U = F.rows({row("b", 20)}, 21);
+  REQUIRE(U->IsWhole_);
+}
+
+TEST_CASE("table watch, when calls fail, pauses longer each time up to a bound",
+          "[store]") {
+  WatchFixture F;
+  Duration Last = Duration::zero();
+  for (int N = 0; N < 12; ++N) {
+    F.ask();
+    TimePoint Failed = F.Now_;
+    F.W_.onFailure(N % 2 == 0 ? StoreFailure::Refused : StoreFailure::Silent,
+                   F.Now_);
+    Last = F.W_.next(F.Now_).At_ - Failed;
+    CAPTURE(N);
+    REQUIRE(Last >= Milliseconds(30));
+    REQUIRE(Last <= Milliseconds(1120));
+  }
+  REQUIRE(Last >= Milliseconds(480));
+  REQUIRE(F.W_.failures() == 12);
+}
+
+TEST_CASE("table watch, when a page fails, begins the listing anew",
+          "[store]") {
+  WatchFixture F;
+  F.ask();
+  F.rows({row("a", 1)}, 10, true);
+  F.ask();
+  F.W_.onFailure(StoreFailure::Silent, F.Now_);
+  TableWatch::Ask Again = F.ask();
+  REQUIRE(Again.IsListing_);
+  REQUIRE(Again.FromKey_.empty());
+  REQUIRE(F.rows({row("a", 1)}, 12)->Rows_.size() == 1);
+}
+
+// Keys are accepted for as long as an answer vouches for the table. A quiet
+// answer vouches up to the end of its waiting time, not up to its arrival: it
+// may have been long on its way.
+TEST_CASE(
+    "table watch, as proof of the store's state, counts no later than the "
+    "store can have answered",
+    "[store]") {
+  struct Row {
+    std::string Name_;
+    Duration Took_;
+    bool HasRows_;
+    Duration Proof_; // after the call was sent
+  };
+  for (const Row &R : std::vector<Row>{
+           {"quiet, on time", Milliseconds(2005), false, Milliseconds(2000)},
+           {"quiet, delayed", Milliseconds(2800), false, Milliseconds(2000)},
+           {"quiet, early", Milliseconds(700), false, Milliseconds(0)},
+           {"with rows", Milliseconds(1500), true, Milliseconds(0)}}) {
+    CAPTURE(R.Name_);
+    WatchFixture F;
+    F.ask();
+    F.rows({}, 10);
+    F.ask();
+    TimePoint Sent = F.Now_;
+    F.Now_ += R.Took_;
+    F.rows(R.HasRows_ ? std::vector<StoreRow>{row("a", 11)}
+                      : std::vector<StoreRow>{},
+           11);
+    REQUIRE(F.W_.provenAt() == Sent + R.Proof_);
+  }
+}
--- /dev/null
+++ b/tests/unit/TrafficPartsTest.cpp
@@ -0,0 +1,191 @@
+#include "hawthornroad/traffic/Endpoint.h"
+#include "hawthornroad/traffic/EventRelay.h"
+#include "hawthornroad/traffic/KeyLease.h"
+#include "hawthornroad/traffic/RepeatBudget.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <vector>
+
+using namespace hawthornroad;
+
+namespace {
+constexpr TimePoint Start{Seconds(1000)};
+const ServiceName S("api");
+
+Endpoint endpoint(const std::string &Id, const std::string &Address) {
+  Endpoint E;
+  E.Id_ = EndpointId(Id);
+  E.Service_ = S;
+  E.Address_ = Address;
+  return E;
+}
+} // namespace
+
+// A key is taken away while this process is cut off or frozen. It must refuse
+// the key before the operators' bound, counted from the last proof, whatever
+// happened in between.
+TEST_CASE("key lease, without a new proof, is over before the bound",
+          "[traffic]") {
+  KeyLease L(Seconds(5), Milliseconds(700));
+  REQUIRE_FALSE(L.holds(Start));
+  L.prove(Start);
+  REQUIRE(L.holds(Start + Milliseconds(4299)));
+  REQUIRE_FALSE(L.holds(Start + Milliseconds(4300)));
+  // Word of an older state does not shorten it, newer word extends it.
+  L.prove(Start - Seconds(1));
+  REQUIRE(L.holds(Start + Milliseconds(4299)));
+  L.prove(Start + Seconds(2));
+  REQUIRE(L.holds(Start + Seconds(6)));
+}
+
+// The sum over all processes must keep ratio and slack in any window. Every
+// process spends only against its own requests; with as many processes as the
+// slack is dealt out to, the sum holds whatever the split of the callers.
+TEST_CASE("repeat budget, when everything fails at many processes, keeps ratio "
+          "and slack in any window",
+          "[traffic]") {
+  constexpr unsigned Processes = 10;
+  constexpr double Ratio = 0.2;
+  constexpr unsigned Slack = 100;
+  std::vector<RepeatBudget> All(Processes, RepeatBudget({.Ratio_ = Ratio,
+                                                         .Window_ = Seconds(10),
+                                                         .Share_ = 0.85,
+                                                         .AlwaysAllowed_ = 5}));
+  std::vector<std::pair<TimePoint, bool>> Log;
+  TimePoint Now = Start;
+  // Uneven split: process P gets P + 1 requests in each round; a burst of three
+  // times as much in the middle third.
+  for (int Round = 0; Round < 300; ++Round, Now += Milliseconds(100)) {
+    int Times = Round >= 100 && Round < 200 ? 3 : 1;
+    for (unsigned P = 0; P < Processes; ++P)
+      for (unsigned I = 0; I < (P + 1) * static_cast<unsigned>(Times); ++I) {
+        All[P].noteRequest(S, Now);
+        Log.emplace_back(Now, false);
+        for (int Try = 0; Try < 3; ++Try)
+          if (All[P].take(S, Now))
+            Log.emplace_back(Now, true);
+      }
+  }
+  auto Count = [&](TimePoint From, bool Repeat) {
+    return std::count_if(Log.begin(), Log.end(), [&](const auto &E) {
+      return E.second == Repeat && E.first >= From &&
+             E.first < From + Seconds(10);
+    });
+  };
+  long Total = 0;
+  for (int Step = 0; Step < 200; ++Step) {
+    TimePoint From = Start + Milliseconds(100) * Step;
+    long Requests =
+        std::max({Count(From, false), Count(From - Seconds(5), false),
+                  Count(From - Seconds(10), false)});
+    long Repeats = Count(From, true);
+    Total = std::max(Total, Repeats);
+    CAPTURE(Step, Requests, Repeats);
+    REQUIRE(static_cast<double>(Repeats) <= Ratio * Requests + Slack);
+  }
+  // And it is no brake that never lets go.
+  REQUIRE(Total > 500);
+}
+
+TEST_CASE("endpoint set, when an entry is removed, keeps it only while the "
+          "store's absence explains it",
+          "[traffic]") {
+  EndpointSet Set;
+  Set.listed({endpoint("i-1", "10.0.0.1:80"), endpoint("i-2", "10.0.0.2:80")},
+             Start);
+  Set.removed(EndpointId("i-1"), Start);
+  REQUIRE(Set.of(S).size() == 1);
+
+  Set.storeLost(Start + Seconds(1));
+  Set.removed(EndpointId("i-2"), Start + Seconds(2));
+  REQUIRE(Set.of(S).size() == 1);
+  Set.storeBack(Start + Seconds(3));
+  REQUIRE_FALSE(Set.tick(Start + Seconds(3) + EndpointSet::ReturnGrace -
+                         Milliseconds(1)));
+  REQUIRE(Set.of(S).size() == 1);
+  REQUIRE(Set.tick(Start + Seconds(3) + EndpointSet::ReturnGrace));
+  REQUIRE(Set.of(S).empty());
+}
+
+TEST_CASE(
+    "endpoint set, when a lapsed entry's address has a new owner, forgets "
+    "the lapsed one",
+    "[traffic]") {
+  EndpointSet Set;
+  Set.listed({endpoint("i-1", "10.0.0.1:80")}, Start);
+  Set.storeLost(Start);
+  Set.removed(EndpointId("i-1"), Start);
+  Set.changed(endpoint("i-9", "10.0.0.1:80"), Start);
+  REQUIRE(Set.find(EndpointId("i-1")) == nullptr);
+  REQUIRE(Set.find(EndpointId("i-9")) != nullptr);
+}
+
+TEST_CASE(
+    "endpoint set, when an endpoint drains, offers it no more and forgets "
+    "it also while the store is away",
+    "[traffic]") {
+  EndpointSet Set;
+  Endpoint E = endpoint("i-1", "10.0.0.1:80");
+  Set.listed({E}, Start);
+  E.IsDraining_ = true;
+  Set.changed(E, Start);
+  REQUIRE(Set.of(S).empty());
+  REQUIRE(Set.find(E.Id_) != nullptr);
+  Set.storeLost(Start);
+  Set.removed(E.Id_, Start);
+  REQUIRE(Set.find(E.Id_) == nullptr);
+}
+
+TEST_CASE(
+    "event relay, across attempts, passes each event on once and in order",
+    "[traffic]") {
+  struct Row {
+    std::string Name_;
+    std::vector<std::string> First_, Second_;
+    std::string Passed_, Last_;
+  };
+  const std::string E1 = "id: 1\ndata: a\n\n";
+  const std::string E2 = "id: 2\ndata: b\n\n";
+  const std::string E3 = "id: 3\ndata: c\n\n";
+  for (const Row &R : std::vector<Row>{
+           {"whole", {E1, E2}, {}, E1 + E2, "2"},
+           {"cut within an event",
+            {E1, "id: 2\nda"},
+            {E2, E3},
+            E1 + E2 + E3,
+            "3"},
+           {"successor starts over", {E1, E2}, {E1, E2, E3}, E1 + E2 + E3, "3"},
+           {"pieces", {"id: 1\n", "data: a\n", "\nid: 2"}, {}, E1, "1"},
+           {"no ids",
+            {"data: a\n\n", "data: b\n\n"},
+            {},
+            "data: a\n\ndata: b\n\n",
+            ""},
+           {"carriage returns",
+            {"id: 1\r\ndata: a\r\n\r\n"},
+            {},
+            "id: 1\r\ndata: a\r\n\r\n",
+            "1"}}) {
+    CAPTURE(R.Name_);
+    EventRelay Relay("");
+    std::string Passed;
+    Relay.startAttempt();
+    for (const std::string &Bytes : R.First_)
+      Passed += Relay.feed(Bytes);
+    Relay.startAttempt();
+    for (const std::string &Bytes : R.Second_)
+      Passed += Relay.feed(Bytes);
+    REQUIRE(Passed == R.Passed_);
+    REQUIRE(Relay.lastEvent() == R.Last_);
+  }
+}
+
+TEST_CASE("event relay, given the caller's last event, drops what it has",
+          "[traffic]") {
+  EventRelay Relay("7");
+  Relay.startAttempt();
+  REQUIRE(Relay.feed("id: 7\ndata: x\n\nid: 8\ndata: y\n\n") ==
+          "id: 8\ndata: y\n\n");
+  REQUIRE(Relay.passed() == 1);
+}
