--- /dev/null
+++ b/tests/unit/EventLogTest.cpp
@@ -0,0 +1,124 @@
+#include "hawthornroad/runtime/EventLog.h"
+
+#include <boost/json/parse.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <fcntl.h>
+#include <sstream>
+#include <unistd.h>
+
+using namespace hawthornroad;
+
+namespace {
+struct Pipe {
+  int Read_ = -1;
+  int Write_ = -1;
+  Pipe() {
+    int Ends[2];
+    REQUIRE(::pipe(Ends) == 0);
+    Read_ = Ends[0];
+    Write_ = Ends[1];
+  }
+  ~Pipe() {
+    ::close(Read_);
+    if (Write_ >= 0)
+      ::close(Write_);
+  }
+  // Everything written so far, after the writing end is closed.
+  std::string all() {
+    ::close(std::exchange(Write_, -1));
+    std::string Out;
+    char Buffer[4096];
+    for (ssize_t N = 0; (N = ::read(Read_, Buffer, sizeof(Buffer))) > 0;)
+      Out.append(Buffer, static_cast<std::size_t>(N));
+    return Out;
+  }
+};
+
+std::vector<boost::json::object> lines(const std::string &Text) {
+  std::vector<boost::json::object> Out;
+  std::istringstream In(Text);
+  for (std::string Line; std::getline(In, Line);)
+    Out.push_back(boost::json::parse(Line).as_object());
+  return Out;
+}
+} // namespace
+
+TEST_CASE("event log, given any text, writes lines of JSON", "[log]") {
+  Pipe P;
+  {
+    EventLog Log({.Process_ = "a\"b", .Descriptor_ = P.Write_});
+    Log.write(LogLine("attempt")
+                  .text("request", "x\n\"\\\x01\xff")
+                  .text("empty", "")
+                  .number("load", 1.256)
+                  .count("n", 7)
+                  .flag("ok", true)
+                  .millis("took_ms", Milliseconds(12)));
+  }
+  auto All = lines(P.all());
+  REQUIRE(All.size() == 1);
+  REQUIRE(All[0]["event"].as_string() == "attempt");
+  REQUIRE(All[0]["process"].as_string() == "a\"b");
+  REQUIRE(All[0]["load"].to_number<double>() == Approx(1.26));
+  REQUIRE(All[0]["took_ms"].to_number<double>() == Approx(12));
+  REQUIRE(All[0]["ok"].as_bool());
+  REQUIRE_FALSE(All[0].contains("empty"));
+}
+
+// Whoever reads the process's output stops reading. Requests must not wait for
+// it; lines are lost, and the loss is told.
+TEST_CASE("event log, when nobody reads it, never blocks and counts what it "
+          "drops",
+          "[log]") {
+  Pipe P;
+  EventLog::Options O;
+  O.Descriptor_ = P.Write_;
+  O.BufferBytes_ = 32 * 1024;
+  O.BytesPerSecond_ = 1e9;
+  EventLog Log(O);
+  auto Begun = std::chrono::steady_clock::now();
+  std::chrono::steady_clock::duration Longest{};
+  for (int N = 0; N < 20000; ++N) {
+    auto At = std::chrono::steady_clock::now();
+    Log.write(LogLine("request").count("n", static_cast<std::uint64_t>(N)));
+    Longest = std::max(Longest, std::chrono::steady_clock::now() - At);
+  }
+  REQUIRE(std::chrono::steady_clock::now() - Begun < Seconds(3));
+  REQUIRE(Longest < Milliseconds(500));
+  REQUIRE(Log.dropped() > 10000);
+  // The reader comes back and is told.
+  ::fcntl(P.Read_, F_SETFL, O_NONBLOCK);
+  std::string Got;
+  char Buffer[65536];
+  auto Until = std::chrono::steady_clock::now() + Seconds(5);
+  while (Got.find("log_dropped") == std::string::npos &&
+         std::chrono::steady_clock::now() < Until) {
+    ssize_t N = ::read(P.Read_, Buffer, sizeof(Buffer));
+    if (N > 0)
+      Got.append(Buffer, static_cast<std::size_t>(N));
+    else
+      Log.write(LogLine("again"));
+  }
+  REQUIRE(Got.find("log_dropped") != std::string::npos);
+}
+
+TEST_CASE("event log, at several times its usual rate, keeps to its bound",
+          "[log]") {
+  Pipe P;
+  std::uint64_t Dropped = 0;
+  constexpr double Bound = 20000;
+  {
+    EventLog Log(
+        {.Process_ = "p", .Descriptor_ = P.Write_, .BytesPerSecond_ = Bound});
+    for (int N = 0; N < 600; ++N)
+      Log.write(LogLine("request").text("request", std::string(100, 'x')));
+    // Important lines pass.
+    Log.write(LogLine("store_lost"), true);
+    Dropped = Log.dropped();
+  }
+  std::string All = P.all();
+  REQUIRE(Dropped > 200);
+  REQUIRE(All.size() < 2 * Bound);
+  REQUIRE(All.find("store_lost") != std::string::npos);
+}
--- /dev/null
+++ b/tests/unit/HttpLinkTest.cpp
@@ -0,0 +1,457 @@
+// Kept connections to endpoints and from callers, against raw sockets that
+// behave as badly as endpoints and callers may.
+
+#include "hawthornroad/http/LinkPool.h"
+#include "hawthornroad/http/ServerSession.h"
+#include "hawthornroad/runtime/Io.h"
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <future>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace hawthornroad;
+
+namespace {
+constexpr auto Patience = std::chrono::seconds(5);
+
+// A socket of the test's own, closed at the end.
+class RawSocket {
+public:
+  explicit RawSocket(int Handle = -1) : Handle_(Handle) {}
+  RawSocket(RawSocket &&Other) noexcept
+      : Handle_(std::exchange(Other.Handle_, -1)) {}
+  RawSocket &operator=(RawSocket &&Other) noexcept {
+    close();
+    Handle_ = std::exchange(Other.Handle_, -1);
+    return *this;
+  }
+  ~RawSocket() { close(); }
+
+  static RawSocket connectTo(std::uint16_t Port) {
+    RawSocket S(::socket(AF_INET, SOCK_STREAM, 0));
+    sockaddr_in At = address(Port);
+    REQUIRE(::connect(S.Handle_, reinterpret_cast<sockaddr *>(&At),
+                      sizeof(At)) == 0);
+    timeval Limit{5, 0};
+    ::setsockopt(S.Handle_, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof(Limit));
+    return S;
+  }
+  static RawSocket listenAt(std::uint16_t &Port) {
+    RawSocket S(::socket(AF_INET, SOCK_STREAM, 0));
+    sockaddr_in At = address(0);
+    REQUIRE(::bind(S.Handle_, reinterpret_cast<sockaddr *>(&At), sizeof(At)) ==
+            0);
+    REQUIRE(::listen(S.Handle_, 16) == 0);
+    socklen_t Length = sizeof(At);
+    ::getsockname(S.Handle_, reinterpret_cast<sockaddr *>(&At), &Length);
+    Port = ntohs(At.sin_port);
+    return S;
+  }
+  RawSocket accept() const {
+    RawSocket S(::accept(Handle_, nullptr, nullptr));
+    timeval Limit{5, 0};
+    ::setsockopt(S.Handle_, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof(Limit));
+    return S;
+  }
+  void send(const std::string &Text) const {
+    REQUIRE(::send(Handle_, Text.data(), Text.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(Text.size()));
+  }
+  // Reads until Text has come or the other side ends; what came.
+  std::string readUntil(const std::string &Text) const {
+    std::string Got;
+    char Buffer[4096];
+    while (Text.empty() || Got.find(Text) == std::string::npos) {
+      ssize_t N = ::recv(Handle_, Buffer, sizeof(Buffer), 0);
+      if (N <= 0)
+        break;
+      Got.append(Buffer, static_cast<std::size_t>(N));
+    }
+    return Got;
+  }
+  // Ends with a reset.
+  void reset() {
+    linger L{1, 0};
+    ::setsockopt(Handle_, SOL_SOCKET, SO_LINGER, &L, sizeof(L));
+    close();
+  }
+  void close() {
+    if (Handle_ >= 0)
+      ::close(std::exchange(Handle_, -1));
+  }
+
+private:
+  static sockaddr_in address(std::uint16_t Port) {
+    sockaddr_in At{};
+    At.sin_family = AF_INET;
+    At.sin_port = htons(Port);
+    At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return At;
+  }
+  int Handle_;
+};
+
+struct LinkOutcome {
+  unsigned Status_ = 0;
+  std::string Body_;
+  bool Whole_ = false;
+  bool Failed_ = false;
+  bool NeverSent_ = false;
+  bool Reusable_ = false;
+};
+
+// Sends one request over L and tells how it ended.
+LinkOutcome sendOver(IoThread &Io, const std::shared_ptr<ClientLink> &L) {
+  auto Out = std::make_shared<LinkOutcome>();
+  auto Done = std::make_shared<std::promise<void>>();
+  auto Ended = Done->get_future();
+  Io.submit([=] {
+    ClientLink::Events E;
+    E.OnHead_ = [=](unsigned Status, const HeaderFields &) {
+      Out->Status_ = Status;
+    };
+    E.OnBody_ = [=](const std::string &Bytes) { Out->Body_ += Bytes; };
+    E.OnEnd_ = [=](bool) {
+      Out->Whole_ = true;
+      Out->Reusable_ = L->isFree();
+      Done->set_value();
+    };
+    E.OnFail_ = [=](const LinkFailure &F) {
+      Out->Failed_ = true;
+      Out->NeverSent_ = F.NeverSent_;
+      Done->set_value();
+    };
+    L->send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi", E);
+  });
+  REQUIRE(Ended.wait_for(Patience) == std::future_status::ready);
+  return *Out;
+}
+
+void drop(IoThread &Io, const std::shared_ptr<ClientLink> &L) {
+  std::promise<void> Done;
+  Io.submit([&] {
+    L->abandon();
+    Done.set_value();
+  });
+  Done.get_future().wait();
+}
+} // namespace
+
+TEST_CASE("client link, given an answer in any framing, knows whether it is "
+          "whole and whether the connection may be used again",
+          "[http]") {
+  struct Row {
+    std::string Name_, Answer_;
+    bool Reset_;
+    bool Whole_, Reusable_;
+    std::string Body_;
+  };
+  const std::string Ok = "HTTP/1.1 200 OK\r\n";
+  for (const Row &R : std::vector<Row>{
+           {"length", Ok + "Content-Length: 3\r\n\r\nabc", false, true, true,
+            "abc"},
+           {"chunked",
+            Ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+            false, true, true, "abc"},
+           {"close announced",
+            Ok + "Content-Length: 3\r\nConnection: close\r\n\r\nabc", false,
+            true, false, "abc"},
+           {"no length, orderly end", Ok + "\r\nabc", false, true, false,
+            "abc"},
+           {"no length, reset", Ok + "\r\nabc", true, false, false, ""},
+           {"short of its length", Ok + "Content-Length: 9\r\n\r\nabc", false,
+            false, false, ""},
+           {"without last chunk",
+            Ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", false, false,
+            false, ""},
+           {"bytes beyond the answer",
+            Ok + "Content-Length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\n", false, true,
+            false, "abc"},
+           {"no answer at all", "nonsense\r\n\r\n", false, false, false, ""},
+           {"interim first",
+            "HTTP/1.1 100 Continue\r\n\r\n" + Ok +
+                "Content-Length: 3\r\n\r\nabc",
+            false, true, true, "abc"},
+           {"empty", "", false, false, false, ""}}) {
+    CAPTURE(R.Name_);
+    std::uint16_t Port = 0;
+    RawSocket Listener = RawSocket::listenAt(Port);
+    IoThread Io("test", 64);
+    auto L = std::make_shared<ClientLink>(Io.context(),
+                                          "127.0.0.1:" + std::to_string(Port),
+                                          ClientLink::Options{});
+    std::thread Server([&] {
+      RawSocket S = Listener.accept();
+      S.readUntil("hi");
+      if (!R.Answer_.empty())
+        S.send(R.Answer_);
+      std::this_thread::sleep_for(std::chrono::milliseconds(30));
+      if (R.Reset_)
+        S.reset();
+      else if (!R.Reusable_)
+        S.close();
+      else
+        S.readUntil("never");
+    });
+    LinkOutcome Out = sendOver(Io, L);
+    REQUIRE(Out.Whole_ == R.Whole_);
+    REQUIRE(Out.Failed_ == !R.Whole_);
+    REQUIRE_FALSE(Out.NeverSent_);
+    if (R.Whole_) {
+      REQUIRE(Out.Body_ == R.Body_);
+      REQUIRE(Out.Reusable_ == R.Reusable_);
+    }
+    drop(Io, L);
+    Server.join();
+  }
+}
+
+TEST_CASE("client link, when nobody listens, says that nothing was sent",
+          "[http]") {
+  std::uint16_t Port = 0;
+  RawSocket::listenAt(Port).close();
+  IoThread Io("test", 64);
+  auto L = std::make_shared<ClientLink>(
+      Io.context(), "127.0.0.1:" + std::to_string(Port), ClientLink::Options{});
+  LinkOutcome Out = sendOver(Io, L);
+  REQUIRE(Out.Failed_);
+  REQUIRE(Out.NeverSent_);
+}
+
+// An endpoint sends a second answer after the first one. It belongs to no
+// request, least of all to the next on the connection.
+TEST_CASE("link pool, when bytes come on an unused connection, never uses it "
+          "again",
+          "[http]") {
+  std::uint16_t Port = 0;
+  RawSocket Listener = RawSocket::listenAt(Port);
+  IoThread Io("test", 64);
+  auto Pool = std::make_shared<LinkPool>(Io.context(), LinkPool::Options{});
+  std::string Address = "127.0.0.1:" + std::to_string(Port);
+  std::thread Server([&] {
+    RawSocket First = Listener.accept();
+    First.readUntil("hi");
+    First.send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    First.send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+    RawSocket Second = Listener.accept();
+    Second.readUntil("hi");
+    Second.send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb");
+    Second.readUntil("never");
+  });
+  auto Take = [&] {
+    std::promise<std::shared_ptr<ClientLink>> Got;
+    Io.submit([&] { Got.set_value(Pool->take("i-1", Address)); });
+    return Got.get_future().get();
+  };
+  auto L1 = Take();
+  REQUIRE(sendOver(Io, L1).Body_ == "a");
+  Io.submit([&] { Pool->giveBack("i-1", L1); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(150));
+  auto L2 = Take();
+  REQUIRE(L2 != L1);
+  REQUIRE(sendOver(Io, L2).Body_ == "b");
+  REQUIRE(Pool->opened() == 2);
+  drop(Io, L2);
+  Server.join();
+  Io.stop();
+}
+
+TEST_CASE("link pool, when an endpoint names how long it keeps connections, "
+          "uses none that is nearly as old",
+          "[http]") {
+  struct Row {
+    std::string KeepAlive_;
+    int PauseMs_;
+    std::uint64_t Opened_;
+  };
+  for (const Row &R : {Row{"Keep-Alive: timeout=5\r\n", 900, 1},
+                       Row{"Keep-Alive: timeout=1\r\n", 750, 2},
+                       Row{"", 300, 1}, Row{"", 850, 2}}) {
+    CAPTURE(R.KeepAlive_, R.PauseMs_);
+    std::uint16_t Port = 0;
+    RawSocket Listener = RawSocket::listenAt(Port);
+    IoThread Io("test", 64);
+    LinkPool Pool(Io.context(), LinkPool::Options{});
+    std::string Address = "127.0.0.1:" + std::to_string(Port);
+    std::thread Server([&] {
+      std::vector<RawSocket> Open;
+      for (std::uint64_t N = 0; N < R.Opened_; ++N) {
+        Open.push_back(Listener.accept());
+        std::size_t Answers = R.Opened_ == 1 ? 2 : 1;
+        for (std::size_t A = 0; A < Answers; ++A) {
+          Open.back().readUntil("hi");
+          Open.back().send("HTTP/1.1 200 OK\r\n" + R.KeepAlive_ +
+                           "Content-Length: 1\r\n\r\na");
+        }
+      }
+      Open.back().readUntil("never");
+    });
+    std::shared_ptr<ClientLink> Last;
+    for (int N = 0; N < 2; ++N) {
+      std::promise<std::shared_ptr<ClientLink>> Got;
+      Io.submit([&] { Got.set_value(Pool.take("i-1", Address)); });
+      Last = Got.get_future().get();
+      REQUIRE(sendOver(Io, Last).Body_ == "a");
+      if (N == 0) {
+        Io.submit([&] { Pool.giveBack("i-1", Last); });
+        std::this_thread::sleep_for(std::chrono::milliseconds(R.PauseMs_));
+      }
+    }
+    REQUIRE(Pool.opened() == R.Opened_);
+    drop(Io, Last);
+    Server.join();
+    Io.stop();
+  }
+}
+
+namespace {
+// Answers each request with its body; "/stream" as a stream, "/hold" never.
+struct EchoHandler final : SessionHandler {
+  std::atomic<int> Requests_{0};
+  std::atomic<int> Gone_{0};
+  void onRequest(const std::shared_ptr<ServerSession> &S,
+                 InboundRequest R) override {
+    ++Requests_;
+    if (R.Target_ == "/hold")
+      return;
+    if (R.Target_ == "/abort") {
+      S->begin(200, {});
+      S->write("part");
+      return S->abort();
+    }
+    if (R.Target_ == "/stream") {
+      S->begin(200, {});
+      S->write("one");
+      S->write("two");
+      return S->finish();
+    }
+    S->respond(200, {{"X-Target", R.Target_}}, R.Body_);
+  }
+  void onCallerGone(ServerSession &) override { ++Gone_; }
+};
+
+struct ListenerFixture {
+  EchoHandler Handler_;
+  IoThread Io_{"test", 64};
+  std::shared_ptr<HttpListener> Listener_;
+  std::uint16_t Port_ = 0;
+
+  explicit ListenerFixture(SessionLimits L = {}) {
+    Listener_ = std::make_shared<HttpListener>(Io_.context(), L, Handler_);
+    Port_ = Listener_->open("127.0.0.1:0");
+  }
+  ~ListenerFixture() {
+    std::promise<void> Done;
+    Io_.submit([&] {
+      Listener_->stopAccepting();
+      Listener_->closeAll();
+      Done.set_value();
+    });
+    Done.get_future().wait();
+    Io_.stop();
+  }
+};
+} // namespace
+
+TEST_CASE("server session, given requests in any framing, answers each on the "
+          "same connection",
+          "[http]") {
+  ListenerFixture F;
+  RawSocket S = RawSocket::connectTo(F.Port_);
+  S.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi");
+  REQUIRE(S.readUntil("hi").find("200 OK") != std::string::npos);
+  S.send("POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "2\r\nyo\r\n0\r\n\r\n");
+  REQUIRE(S.readUntil("yo").find("/b") != std::string::npos);
+  S.send("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(S.readUntil("0\r\n\r\n").find("3\r\none\r\n3\r\ntwo\r\n") !=
+          std::string::npos);
+  // Two at once: the second waits its turn.
+  S.send(
+      "GET /c HTTP/1.1\r\nHost: h\r\n\r\nGET /d HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::string Both = S.readUntil("/d");
+  REQUIRE(Both.find("/c") < Both.find("/d"));
+}
+
+TEST_CASE("server session, given what it cannot read, refuses with the right "
+          "status and ends",
+          "[http]") {
+  struct Row {
+    std::string Name_, Sent_, Status_;
+  };
+  SessionLimits L;
+  L.HeaderBytes_ = 400;
+  L.BodyBytes_ = 10;
+  L.HeaderTimeout_ = Milliseconds(300);
+  for (const Row &R : std::vector<Row>{
+           {"nonsense", "nonsense\r\n\r\n", " 400 "},
+           {"long headers",
+            "GET / HTTP/1.1\r\nX: " + std::string(800, 'a') + "\r\n\r\n",
+            " 431 "},
+           {"long body", "POST / HTTP/1.1\r\nContent-Length: 99\r\n\r\n",
+            " 413 "},
+           {"two lengths",
+            "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+            " 400 "},
+           {"slow headers", "GET / HTTP/1.1\r\nHo", " 408 "}}) {
+    CAPTURE(R.Name_);
+    ListenerFixture F(L);
+    RawSocket S = RawSocket::connectTo(F.Port_);
+    S.send(R.Sent_);
+    std::string Got = S.readUntil("");
+    REQUIRE(Got.find(R.Status_) != std::string::npos);
+    REQUIRE(Got.find("Connection: close") != std::string::npos);
+    REQUIRE(F.Handler_.Requests_ == 0);
+  }
+}
+
+TEST_CASE("server session, when its caller leaves during a request, tells at "
+          "once",
+          "[http]") {
+  ListenerFixture F;
+  RawSocket S = RawSocket::connectTo(F.Port_);
+  S.send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+  while (F.Handler_.Requests_ == 0)
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  S.close();
+  auto Until =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(500);
+  while (F.Handler_.Gone_ == 0 && std::chrono::steady_clock::now() < Until)
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  REQUIRE(F.Handler_.Gone_ == 1);
+}
+
+TEST_CASE("server session, when an answer is broken off, does not look whole",
+          "[http]") {
+  ListenerFixture F;
+  RawSocket S = RawSocket::connectTo(F.Port_);
+  S.send("GET /abort HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(S.readUntil("").find("0\r\n\r\n") == std::string::npos);
+}
+
+// A planned stop: a caller that does not know of it sends one more request on
+// its kept connection. It gets an answer, and with it word of the end.
+TEST_CASE("server session, when the process is leaving, answers a next request "
+          "and ends the connection with it",
+          "[http]") {
+  ListenerFixture F;
+  RawSocket S = RawSocket::connectTo(F.Port_);
+  S.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(S.readUntil("/a\r\n").find("close") == std::string::npos);
+  std::promise<void> Done;
+  F.Io_.submit([&] {
+    F.Listener_->leaveAll();
+    Done.set_value();
+  });
+  Done.get_future().wait();
+  S.send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::string Got = S.readUntil("");
+  REQUIRE(Got.find("/b") != std::string::npos);
+  REQUIRE(Got.find("Connection: close") != std::string::npos);
+}
