--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -206,7 +206,7 @@
                  .text("zone", Settings_.Common_.Zone_.str())
                  .text("engine", Settings_.EngineAddress_)
                  .text("version", HAWTHORNROAD_VERSION)
-                 .count("wall", static_cast<std::uint64_t>(::time(nullptr))),
+                 .count("wall_ms", EventLog::wallMilliseconds()),
              true);
   PeerNet::Self Self;
   Self.Process_ = Settings_.Common_.Process_;
--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -197,7 +197,7 @@
                  .text("zone", Settings_.Common_.Zone_.str())
                  .text("store", Settings_.Common_.Store_)
                  .text("version", HAWTHORNROAD_VERSION)
-                 .count("wall", static_cast<std::uint64_t>(::time(nullptr))),
+                 .count("wall_ms", EventLog::wallMilliseconds()),
              true);
   CallerPort_ = Callers_->open(Settings_.CallerListen_);
   Ready_->open(Settings_.ReadyListen_);
--- a/hawthornroad/runtime/Ctl.cpp
+++ b/hawthornroad/runtime/Ctl.cpp
@@ -36,15 +36,17 @@
   CtlExit (*Run_)(const CtlOptions &, CtlPrinter &);
 };
 
-constexpr std::array<Command, 9> Commands = {{{"validate", ctlValidate},
-                                              {"diff", ctlDiff},
-                                              {"apply", ctlApply},
-                                              {"rollback", ctlRollback},
-                                              {"history", ctlHistory},
-                                              {"status", ctlStatus},
-                                              {"explain", ctlExplain},
-                                              {"drain", ctlDrain},
-                                              {"manifest", ctlManifest}}};
+constexpr std::array<Command, 11> Commands = {{{"validate", ctlValidate},
+                                               {"diff", ctlDiff},
+                                               {"apply", ctlApply},
+                                               {"rollback", ctlRollback},
+                                               {"history", ctlHistory},
+                                               {"status", ctlStatus},
+                                               {"explain", ctlExplain},
+                                               {"drain", ctlDrain},
+                                               {"manifest", ctlManifest},
+                                               {"trace", ctlTrace},
+                                               {"logs", ctlLogs}}};
 
 CtlExit runCommand(const CtlOptions &O, CtlPrinter &P) {
   for (const Command &Each : Commands)
--- a/hawthornroad/runtime/CtlCommands.h
+++ b/hawthornroad/runtime/CtlCommands.h
@@ -41,6 +41,10 @@
 CtlExit ctlExplain(const CtlOptions &O, CtlPrinter &P);
 CtlExit ctlDrain(const CtlOptions &O, CtlPrinter &P);
 CtlExit ctlManifest(const CtlOptions &O, CtlPrinter &P);
+// Of the logs of store-based processes: one request's story, and refusals by
+// cause.
+CtlExit ctlTrace(const CtlOptions &O, CtlPrinter &P);
+CtlExit ctlLogs(const CtlOptions &O, CtlPrinter &P);
 
 } // namespace hawthornroad
 
--- a/hawthornroad/runtime/CtlOptions.cpp
+++ b/hawthornroad/runtime/CtlOptions.cpp
@@ -25,6 +25,8 @@
   std::vector<std::string> Options_;
   std::vector<std::string> Required_;
   bool OperandIsOptional_ = false;
+  // More operands than the one, files as a rule.
+  bool TakesMore_ = false;
 };
 
 const std::vector<CommandForm> &commandForms() {
@@ -65,6 +67,20 @@
        "make the manifest of a weights file",
        {"model", "blob", "path", "chunk-size", "out"},
        {"model", "blob", "path", "chunk-size"}},
+      {"trace",
+       "ID FILE...",
+       "one request's story from the logs of many processes",
+       {},
+       {},
+       false,
+       true},
+      {"logs",
+       "FILE...",
+       "refused and failed requests of logs, by cause",
+       {},
+       {},
+       false,
+       true},
   };
   return Forms;
 }
@@ -201,7 +217,9 @@
 
 void checkOperands(const CtlOptions &O, const CommandForm &Form) {
   std::size_t Wanted = Form.Operand_.empty() ? 0 : 1;
-  if (O.Operands_.size() > Wanted)
+  if (Form.Name_ == "trace")
+    Wanted = 2;
+  if (O.Operands_.size() > Wanted && !Form.TakesMore_)
     throw UsageError(O.Command_ + ": too many operands: \"" +
                      O.Operands_.back() + "\"");
   if (O.Operands_.size() < Wanted && !Form.OperandIsOptional_)
@@ -280,7 +298,7 @@
   Out << "Usage: hawthornroadctl [OPTIONS] COMMAND [OPERAND]\n\nCommands:\n";
   for (const CommandForm &Each : commandForms()) {
     std::string Left = "  " + Each.Name_ + " " + Each.Operand_;
-    constexpr std::size_t Column = 20;
+    constexpr std::size_t Column = 22;
     Left.resize(std::max(Left.size() + 1, Column), ' ');
     Out << Left << Each.Help_ << "\n";
   }
--- a/hawthornroad/runtime/EventLog.cpp
+++ b/hawthornroad/runtime/EventLog.cpp
@@ -151,6 +151,12 @@
   return Dropped_;
 }
 
+std::uint64_t EventLog::wallMilliseconds() {
+  auto Since = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<Milliseconds>(Since).count());
+}
+
 void EventLog::run() {
   std::string Out;
   for (;;) {
--- a/hawthornroad/runtime/EventLog.h
+++ b/hawthornroad/runtime/EventLog.h
@@ -5,8 +5,8 @@
 //
 // prints {"t":81.204,"process":"zg-entry-1","event":"attempt",
 // "request":"...","ms":12.5}. "t" is seconds of the steady clock, which all
-// processes of a machine share; "wall" in the line "start" ties it to the time
-// of day.
+// processes of a machine share; "wall_ms" in the line "start" ties it to the
+// time of day.
 //
 // Writing never blocks the work: a line goes into a bounded buffer that a
 // thread of its own writes out. A reader that stops reading costs lines, not
@@ -66,6 +66,8 @@
 
   void write(const LogLine &L, bool IsImportant = false);
   std::uint64_t dropped() const;
+  // Since the epoch, by this machine's time of day.
+  static std::uint64_t wallMilliseconds();
 
 private:
   void run();
--- /dev/null
+++ b/hawthornroad/runtime/LogReader.cpp
@@ -0,0 +1,173 @@
+#include "hawthornroad/runtime/LogReader.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <cstdio>
+#include <set>
+
+namespace hawthornroad {
+
+namespace json = boost::json;
+
+namespace {
+constexpr double MillisPerSecond = 1000;
+constexpr unsigned FirstFailure = 400;
+
+double numberOf(const json::object &O, std::string_view Key) {
+  const json::value *V = O.if_contains({Key.data(), Key.size()});
+  return V != nullptr && V->is_number() ? V->to_number<double>() : 0;
+}
+
+// What a process believes of the world, beside its endpoints.
+bool isBelief(const std::string &Kind) {
+  static const std::set<std::string> Kinds = {
+      "config",     "ready",          "not_ready", "store_lost",
+      "store_back", "version_wanted", "start",     "stopping"};
+  return Kinds.contains(Kind);
+}
+
+// Lines about one endpoint or engine.
+bool isOfEndpoint(const std::string &Kind) {
+  return Kind == "endpoint" || Kind == "endpoint_changed" ||
+         Kind == "endpoint_gone" || Kind == "engine_told";
+}
+} // namespace
+
+std::string LogEvent::text(std::string_view Key) const {
+  const json::value *V = Fields_.if_contains({Key.data(), Key.size()});
+  if (V == nullptr)
+    return {};
+  if (V->is_string())
+    return {V->get_string().data(), V->get_string().size()};
+  return json::serialize(*V);
+}
+
+void LogStory::read(std::istream &In) {
+  for (std::string Line; std::getline(In, Line);) {
+    // Collectors put their own marks before a line.
+    std::size_t From = Line.find('{');
+    boost::system::error_code Code;
+    json::value Parsed;
+    if (From != std::string::npos)
+      Parsed = json::parse(Line.substr(From), Code);
+    bool IsOurs = !Code && Parsed.is_object() &&
+                  Parsed.get_object().contains("event") &&
+                  Parsed.get_object().contains("t") &&
+                  Parsed.get_object().contains("process");
+    if (!IsOurs) {
+      ++BadLines_;
+      continue;
+    }
+    LogEvent E;
+    E.Fields_ = std::move(Parsed.get_object());
+    E.Process_ = E.text("process");
+    E.Own_ = numberOf(E.Fields_, "t");
+    if (E.kind() == "start")
+      Offsets_[E.Process_][E.Own_] =
+          numberOf(E.Fields_, "wall_ms") / MillisPerSecond - E.Own_;
+    if (E.kind() == "log_dropped")
+      Dropped_ += static_cast<std::uint64_t>(numberOf(E.Fields_, "lines"));
+    Events_.push_back(std::move(E));
+  }
+  place();
+}
+
+void LogStory::place() {
+  for (LogEvent &E : Events_) {
+    auto Found = Offsets_.find(E.Process_);
+    if (Found == Offsets_.end())
+      continue;
+    auto At = Found->second.upper_bound(E.Own_);
+    if (At != Found->second.begin())
+      --At;
+    E.Wall_ = E.Own_ + At->second;
+  }
+}
+
+void LogStory::addBeliefs(const LogEvent &First,
+                          const std::vector<LogEvent> &Own,
+                          std::vector<LogEvent> &Out) const {
+  std::set<std::string> Endpoints;
+  for (const LogEvent &E : Own) {
+    Endpoints.insert(E.text("endpoint"));
+    Endpoints.insert(E.text("address"));
+  }
+  Endpoints.erase("");
+  // The last word of each kind, and of each endpoint.
+  std::map<std::string, const LogEvent *> Last;
+  for (const LogEvent &E : Events_) {
+    if (E.Process_ != First.Process_ || E.Own_ > First.Own_)
+      continue;
+    std::string Kind = E.kind();
+    if (isBelief(Kind))
+      Last[Kind + E.text("table")] = &E;
+    else if (isOfEndpoint(Kind) && (Endpoints.contains(E.text("endpoint")) ||
+                                    Endpoints.contains(E.text("address"))))
+      Last[Kind + E.text("endpoint") + E.text("address")] = &E;
+  }
+  for (const auto &[Key, E] : Last)
+    Out.push_back(*E);
+}
+
+std::vector<LogEvent> LogStory::ofRequest(const std::string &Id) const {
+  std::map<std::string, std::vector<LogEvent>> ByProcess;
+  for (const LogEvent &E : Events_)
+    if (E.text("request") == Id)
+      ByProcess[E.Process_].push_back(E);
+  std::vector<LogEvent> Out;
+  for (auto &[Process, Own] : ByProcess) {
+    std::stable_sort(
+        Own.begin(), Own.end(),
+        [](const LogEvent &A, const LogEvent &B) { return A.Own_ < B.Own_; });
+    addBeliefs(Own.front(), Own, Out);
+    Out.insert(Out.end(), Own.begin(), Own.end());
+  }
+  std::stable_sort(Out.begin(), Out.end(),
+                   [](const LogEvent &A, const LogEvent &B) {
+                     if (A.Process_ == B.Process_)
+                       return A.Own_ < B.Own_;
+                     return A.Wall_ < B.Wall_;
+                   });
+  return Out;
+}
+
+std::map<std::string, LogStory::CauseCount> LogStory::refusals() const {
+  std::map<std::string, CauseCount> Out;
+  for (const LogEvent &E : Events_) {
+    if (E.kind() != "request")
+      continue;
+    bool IsFailure = numberOf(E.Fields_, "status") >= FirstFailure ||
+                     E.text("cause") != "none";
+    if (!IsFailure)
+      continue;
+    CauseCount &C = Out[E.text("status") + " " + E.text("cause")];
+    ++C.Count_;
+    if (C.Example_.empty())
+      C.Example_ = E.text("request");
+  }
+  return Out;
+}
+
+std::size_t LogStory::requests() const {
+  return static_cast<std::size_t>(
+      std::count_if(Events_.begin(), Events_.end(),
+                    [](const LogEvent &E) { return E.kind() == "request"; }));
+}
+
+std::string describe(const LogEvent &E) {
+  std::array<char, 32> At{};
+  std::snprintf(At.data(), At.size(), "%.3f", E.Wall_ != 0 ? E.Wall_ : E.Own_);
+  std::string Out = std::string(At.data()) + " " + E.Process_ + " " + E.kind();
+  static const std::set<std::string, std::less<>> Shown = {"t", "process",
+                                                           "event"};
+  for (const auto &Field : E.Fields_) {
+    std::string Key(Field.key().data(), Field.key().size());
+    if (!Shown.contains(Key))
+      Out += " " + Key + "=" + E.text(Key);
+  }
+  return Out;
+}
+
+} // namespace hawthornroad
