Engines of other zones are taken to be sent to by more entries

Cause: loads are told within a zone only; when a zone's engines load, the entries of all zones turn to the same engines elsewhere, two prompts each, and eighteen stood in line there.

--- a/hawthornroad/traffic/Placement.cpp
+++ b/hawthornroad/traffic/Placement.cpp
@@ -70,15 +70,15 @@
 
 double Placement::load(const State &S, TimePoint Now) const {
   if (!isReportFresh(S, Now))
-    return S.Own_ * Options_.Senders_;
-  return since(S.Reported_, S.OwnAtReport_, S.Own_, Options_.Senders_);
+    return S.Own_ * senders(S);
+  return since(S.Reported_, S.OwnAtReport_, S.Own_, senders(S));
 }
 
 double Placement::unread(const State &S, TimePoint Now) const {
   if (!isReportFresh(S, Now))
-    return S.OwnUnread_ * Options_.Senders_;
+    return S.OwnUnread_ * senders(S);
   return since(S.ReportedWaiting_, S.OwnUnreadAtReport_, S.OwnUnread_,
-               Options_.Senders_);
+               senders(S));
 }
 
 double Placement::cost(const State &S, double MeanFirstByte,
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -55,14 +55,17 @@
     double RunningCost_ = 3;
     // Prompts that may stand before a request at an engine, as reading time,
     // ms. Beyond it the request waits here, where it can still go elsewhere.
-    double MostReading_ = 170;
+    double MostReading_ = 140;
     // Requests beyond an engine's batch that may wait at it, so that a place
     // that falls free is taken without a round trip.
     unsigned EngineQueue_ = 0;
     // How long a reported load counts.
     Duration ReportFresh_ = Milliseconds(1500);
-    // Processes taken to send to an endpoint as much as this one.
+    // Processes taken to send to an endpoint as much as this one: those of its
+    // zone, and, to an endpoint elsewhere, those of all zones that are full at
+    // the same moment. Loads are told within a zone only.
     double Senders_ = 2.5;
+    double SendersAcross_ = 6;
     // Part of an endpoint's connections that this process may hold.
     double ConnectionShare_ = 1.0 / 16;
     unsigned FailuresInRow_ = 3;
@@ -158,6 +161,10 @@
     Duration FullFor_ = Duration::zero();
   };
 
+  double senders(const State &S) const {
+    return S.Endpoint_.Zone_ == Options_.Zone_ ? Options_.Senders_
+                                               : Options_.SendersAcross_;
+  }
   bool isReportFresh(const State &S, TimePoint Now) const;
   double load(const State &S, TimePoint Now) const;
   double unread(const State &S, TimePoint Now) const;
