--- a/hawthornroad/runtime/LogReader.cpp
+++ b/hawthornroad/runtime/LogReader.cpp
@@ -64,26 +64,17 @@
     E.Fields_ = std::move(Parsed.get_object());
     E.Process_ = E.text("process");
     E.Own_ = numberOf(E.Fields_, "t");
+    Start &S = Starts_[E.Process_];
     if (E.kind() == "start")
-      Offsets_[E.Process_][E.Own_] =
-          numberOf(E.Fields_, "wall_ms") / MillisPerSecond - E.Own_;
+      S = {S.Run_ + 1,
+           numberOf(E.Fields_, "wall_ms") / MillisPerSecond - E.Own_};
+    E.Run_ = S.Run_;
+    if (S.Run_ > 0)
+      E.Wall_ = E.Own_ + S.Offset_;
     if (E.kind() == "log_dropped")
       Dropped_ += static_cast<std::uint64_t>(numberOf(E.Fields_, "lines"));
     Events_.push_back(std::move(E));
   }
-  place();
-}
-
-void LogStory::place() {
-  for (LogEvent &E : Events_) {
-    auto Found = Offsets_.find(E.Process_);
-    if (Found == Offsets_.end())
-      continue;
-    auto At = Found->second.upper_bound(E.Own_);
-    if (At != Found->second.begin())
-      --At;
-    E.Wall_ = E.Own_ + At->second;
-  }
 }
 
 void LogStory::addBeliefs(const LogEvent &First,
@@ -98,7 +89,8 @@
   // The last word of each kind, and of each endpoint.
   std::map<std::string, const LogEvent *> Last;
   for (const LogEvent &E : Events_) {
-    if (E.Process_ != First.Process_ || E.Own_ > First.Own_)
+    if (E.Process_ != First.Process_ || E.Run_ != First.Run_ ||
+        E.Own_ > First.Own_)
       continue;
     std::string Kind = E.kind();
     if (isBelief(Kind))
@@ -126,7 +118,7 @@
   }
   std::stable_sort(Out.begin(), Out.end(),
                    [](const LogEvent &A, const LogEvent &B) {
-                     if (A.Process_ == B.Process_)
+                     if (A.Process_ == B.Process_ && A.Run_ == B.Run_)
                        return A.Own_ < B.Own_;
                      return A.Wall_ < B.Wall_;
                    });
--- a/hawthornroad/runtime/LogReader.h
+++ b/hawthornroad/runtime/LogReader.h
@@ -27,9 +27,11 @@
 struct LogEvent {
   std::string Process_;
   // Seconds of the process's own clock, and since the epoch when its start line
-  // was read (else 0).
+  // was read before (else 0).
   double Own_ = 0;
   double Wall_ = 0;
+  // Counts the process's starts: a restarted one believes nothing of before.
+  unsigned Run_ = 0;
   boost::json::object Fields_;
 
   std::string text(std::string_view Key) const;
@@ -60,14 +62,17 @@
   std::size_t requests() const;
 
 private:
-  void place();
   void addBeliefs(const LogEvent &First, const std::vector<LogEvent> &Own,
                   std::vector<LogEvent> &Out) const;
 
   std::vector<LogEvent> Events_;
-  // Per process, the difference between the time of day and its clock; a
-  // restarted process has a later line.
-  std::map<std::string, std::map<double, double>> Offsets_;
+  // The latest start of each process: its number, and the difference between
+  // the time of day and its clock.
+  struct Start {
+    unsigned Run_ = 0;
+    double Offset_ = 0;
+  };
+  std::map<std::string, Start> Starts_;
   std::size_t BadLines_ = 0;
   std::uint64_t Dropped_ = 0;
 };
--- a/hawthornroad/traffic/Endpoint.cpp
+++ b/hawthornroad/traffic/Endpoint.cpp
@@ -45,6 +45,14 @@
     Found->second.Until_ = Now + LateGrace;
 }
 
+bool EndpointSet::refused(const EndpointId &Id) {
+  auto Found = Entries_.find(Id);
+  if (Found == Entries_.end() || !Found->second.IsLapsed_)
+    return false;
+  Entries_.erase(Found);
+  return true;
+}
+
 bool EndpointSet::isOver(const Entry &E, TimePoint Now) const {
   if (!E.IsLapsed_)
     return false;
--- a/hawthornroad/traffic/Endpoint.h
+++ b/hawthornroad/traffic/Endpoint.h
@@ -71,6 +71,10 @@
   void changed(const Endpoint &E, TimePoint Now);
   void removed(const EndpointId &Id, TimePoint Now);
 
+  // Its address takes no connections: if its entry has lapsed, it is gone. True
+  // when that is news.
+  bool refused(const EndpointId &Id);
+
   // This process no longer reaches the store.
   void storeLost(TimePoint Now);
   void storeBack(TimePoint Now);
--- a/hawthornroad/traffic/RepeatBudget.cpp
+++ b/hawthornroad/traffic/RepeatBudget.cpp
@@ -41,4 +41,10 @@
   return true;
 }
 
+void RepeatBudget::giveBack(const ServiceName &Service, TimePoint Now) {
+  Slot &S = current(Accounts_[Service], Now);
+  if (S.Repeats_ > 0)
+    --S.Repeats_;
+}
+
 } // namespace hawthornroad
--- a/hawthornroad/traffic/RepeatBudget.h
+++ b/hawthornroad/traffic/RepeatBudget.h
@@ -41,6 +41,8 @@
   void noteRequest(const ServiceName &Service, TimePoint Now);
   // Whether one more may be sent; counts it when so.
   bool take(const ServiceName &Service, TimePoint Now);
+  // What was taken at Now's time did not arrive after all.
+  void giveBack(const ServiceName &Service, TimePoint Now);
 
 private:
   static constexpr std::size_t Slots = 20;
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -121,7 +121,11 @@
   // Endpoints at which it may have run.
   std::set<EndpointId> RanAt_;
   bool MayHaveRun_ = false;
-  bool Counted_ = false;
+  // Counted by the repeat budget; an attempt has been sent; the attempt under
+  // way was paid for as a repeat.
+  bool IsNoted_ = false;
+  bool HasArrived_ = false;
+  bool TookRepeat_ = false;
   // An endpoint's own failure, given to the caller if nothing better comes.
   std::optional<AnswerHead> Fallback_;
   std::string FallbackBody_;
@@ -417,13 +421,14 @@
   const Endpoint *E = Placement_.find(*Chosen);
   if (E == nullptr)
     return false;
-  if (R.Counted_ && !Budget_.take(R.Service_, Now)) {
+  if (R.HasArrived_ && !Budget_.take(R.Service_, Now)) {
     giveUp(R, R.MayHaveRun_ ? Cause::AttemptLost : Cause::TurnedAway, Now);
     return false;
   }
-  if (!R.Counted_)
+  if (!R.IsNoted_)
     Budget_.noteRequest(R.Service_, Now);
-  R.Counted_ = true;
+  R.IsNoted_ = true;
+  R.TookRepeat_ = std::exchange(R.HasArrived_, true);
   R.Attempt_ = NextAttempt_++;
   ByAttempt_[R.Attempt_] = R.Number_;
   R.At_ = *Chosen;
@@ -596,8 +601,16 @@
     return;
   // The endpoint's statement counts even if its answer was cut after the head.
   bool NotRun = NeverSent || (R->HasHead_ && R->Head_.NotRun_);
-  R->Tried_.insert(R->At_);
+  // Nothing arrived at the endpoint, so the next attempt is no repeat of it.
+  if (NeverSent && R->TookRepeat_)
+    Budget_.giveBack(R->Service_, Now);
+  else if (NeverSent)
+    R->HasArrived_ = false;
+  EndpointId At = R->At_;
+  R->Tried_.insert(At);
   endAttempt(*R, Placement::End::Failed, "failed", Why, !NotRun, Now);
+  if (NeverSent && Endpoints_.refused(At))
+    Placement_.setEndpoints(Endpoints_, *Config_);
   if (NotRun)
     afterTurnedAway(*R, Why, Now);
   else
--- a/tests/unit/TrafficCoreTest.cpp
+++ b/tests/unit/TrafficCoreTest.cpp
@@ -267,6 +267,24 @@
   REQUIRE_FALSE(F.Port_.Reports_.back().MayHaveRun_);
 }
 
+// Endpoints are gone and their addresses refuse connections. Nothing arrives
+// anywhere, so going on costs no repeat, and a later real repeat is still had.
+TEST_CASE("traffic core, when connections are refused, spends no repeats",
+          "[traffic]") {
+  CoreFixture F;
+  for (int I = 0; I < 20; ++I) {
+    CallNumber N = F.send("/safe/1", Start + Seconds(I % 3));
+    F.Core_.onFail(F.Port_.last().Attempt_, true, "refused", Start);
+    REQUIRE(F.Port_.Answers_.count(N) == 0);
+    F.Core_.callerGone(N, Start);
+  }
+  CallNumber N = F.send("/safe/1", Start + Seconds(3));
+  std::size_t Before = F.Port_.Begun_.size();
+  F.Core_.onFail(F.Port_.last().Attempt_, false, "reset", Start + Seconds(3));
+  REQUIRE(F.Port_.Begun_.size() == Before + 1);
+  REQUIRE(F.Port_.Answers_.count(N) == 0);
+}
+
 TEST_CASE("traffic core, given an answer that is not the endpoint's to this "
           "request, passes none of it on",
           "[traffic]") {
--- a/tests/unit/TrafficPartsTest.cpp
+++ b/tests/unit/TrafficPartsTest.cpp
@@ -100,6 +100,7 @@
   Set.storeLost(Start + Seconds(1));
   Set.removed(EndpointId("i-2"), Start + Seconds(2));
   REQUIRE(Set.of(S).size() == 1);
+  REQUIRE_FALSE(Set.refused(EndpointId("i-1")));
   Set.storeBack(Start + Seconds(3));
   REQUIRE_FALSE(Set.tick(Start + Seconds(3) + EndpointSet::ReturnGrace -
                          Milliseconds(1)));
