--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -24,10 +24,12 @@
 // While a version is on its way, and otherwise.
 constexpr Duration BusyTick = Milliseconds(30);
 constexpr Duration IdleTick = Milliseconds(150);
-// The operators' table changes seldom, and calls are dear.
+// Of the operators' table an agent needs the versions; entries tell it when
+// there is a new one. So changes of the rest are read late, for calls are dear.
 constexpr Duration OperatorWait = Seconds(28);
+constexpr Duration OperatorPace = Seconds(4);
 // Engines come and go while a version is on its way.
-constexpr Duration PeersAgain = Milliseconds(1800);
+constexpr Duration PeersAgain = Milliseconds(2500);
 constexpr Duration ManifestLimit = Milliseconds(2500);
 constexpr Duration ManifestAgain = Milliseconds(300);
 constexpr Duration EngineLimit = Seconds(1);
@@ -241,6 +243,7 @@
   TableWatch::Options O;
   O.Table_ = std::string(platform::OperatorTable);
   O.Wait_ = OperatorWait;
+  O.Pace_ = OperatorPace;
   O.Seed_ = seedOf(Settings_.Common_);
   OperatorWatch_.emplace(
       Io_.context(), Store_, std::move(O), bootNow,
--- a/hawthornroad/config/Settings.cpp
+++ b/hawthornroad/config/Settings.cpp
@@ -162,6 +162,7 @@
       static_cast<std::uint64_t>(R.integer("random_seed", 0, MaxInteger, 0));
   readDuration(R, "revoke_bound_ms", 1000, Hour, S.RevokeBound_);
   readDuration(R, "version_bound_ms", 1000, Hour, S.VersionBound_);
+  readDuration(R, "drain_bound_ms", 100, Hour, S.DrainBound_);
   readDuration(R, "stop_bound_ms", 1000, Hour, S.StopBound_);
   return S;
 }
--- a/hawthornroad/config/Settings.h
+++ b/hawthornroad/config/Settings.h
@@ -124,6 +124,9 @@
   Duration RevokeBound_ = Milliseconds(5000);
   // Time from the word of new weights until no request may begin on older ones.
   Duration VersionBound_ = Milliseconds(8000);
+  // Time from the store's word that an endpoint leaves until no request may
+  // reach it.
+  Duration DrainBound_ = Milliseconds(2000);
   // Time a process has between the signal to stop and its end.
   Duration StopBound_ = Seconds(8);
   bool operator==(const StoreProcessSettings &) const = default;
--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -29,10 +29,10 @@
 constexpr Duration TickPeriod = Milliseconds(20);
 // Unused connections are looked over this often.
 constexpr Duration SweepPeriod = Milliseconds(200);
-// The endpoints' list changes with every heartbeat of any of them; read more
-// often than this it costs a call a heartbeat. Draining must be seen within two
-// seconds.
-constexpr Duration EndpointPace = Milliseconds(900);
+// The endpoints' list changes often, and every read costs a call: it is read as
+// seldom as the bound on leaving endpoints allows, with as much time again for
+// the answer and for requests on their way.
+constexpr double EndpointPaceShare = 0.45;
 // How long the store may hold a question with nothing to tell. The one for the
 // operators' table also renews the lease of customers' keys.
 constexpr Duration EndpointWait = Milliseconds(3000);
@@ -234,7 +234,9 @@
           [this](bool Ok, const TableWatch &W) { onOperatorCall(Ok, W); }});
   EndpointWatch_.emplace(
       Io_.context(), Store_,
-      watchOptions(platform::EndpointTable, EndpointWait, EndpointPace,
+      watchOptions(platform::EndpointTable, EndpointWait,
+                   std::chrono::duration_cast<Duration>(
+                       Settings_.Common_.DrainBound_ * EndpointPaceShare),
                    Seed + 1),
       bootNow,
       StoreWatch::Callbacks{
