Integration tests of the entry beside stand-ins of the platform; the lease's question follows its bound

Cause: with a bound for taken-away keys of 2 s the store was asked every 2.5 s and keys were refused most of the time; found by the new test of draining endpoints.

--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -164,6 +164,7 @@
   std::unique_ptr<HttpCalls> Origin_;
   std::unique_ptr<PeerNet> Net_;
   std::shared_ptr<HttpListener> MetricsServer_;
+  std::string MetricsAddress_;
   std::optional<StoreWatch> OperatorWatch_;
   SharedConfig Config_;
   EngineDuty Duty_;
@@ -230,7 +231,7 @@
       ipOf(Settings_.PeerListen_),
       static_cast<std::uint16_t>(std::stoul(portOf(Settings_.PeerListen_))));
   if (!Settings_.Common_.MetricsListen_.empty())
-    MetricsServer_->open(Settings_.Common_.MetricsListen_);
+    MetricsAddress_ = MetricsServer_->open(Settings_.Common_.MetricsListen_);
   Io_.submit([this] { start(); });
 }
 
@@ -866,9 +867,10 @@
 
 boost::json::object StoreAgent::readyLine() const {
   boost::json::object Line;
-  Line["event"] = "listening";
+  Line["ready"] = "agent";
   Line["process"] = State_->Settings_.Common_.Process_.str();
   Line["peers"] = State_->Settings_.PeerListen_;
+  Line["metrics"] = State_->MetricsAddress_;
   return Line;
 }
 
--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -34,9 +34,10 @@
 // the answer and for requests on their way.
 constexpr double EndpointPaceShare = 0.45;
 // How long the store may hold a question with nothing to tell. The one for the
-// operators' table also renews the lease of customers' keys.
+// operators' table also renews the lease of customers' keys: this part of their
+// bound, so that a lost answer leaves time for another question.
 constexpr Duration EndpointWait = Milliseconds(3000);
-constexpr Duration OperatorWait = Milliseconds(2500);
+constexpr double OperatorWaitShare = 0.5;
 // The entry says it is not ready when its last proof is older than this part of
 // the operators' bound: callers' keys will soon not be accepted here.
 constexpr double ReadyShare = 0.6;
@@ -176,7 +177,9 @@
   bool EndpointAway_ = false;
   bool WasReady_ = false;
   std::atomic<bool> Stopping_{false};
-  std::uint16_t CallerPort_ = 0;
+  std::string CallersAddress_;
+  std::string ReadyAddress_;
+  std::string MetricsAddress_;
 };
 
 DirectEntry::State::State(StoreEntrySettings Settings)
@@ -199,10 +202,10 @@
                  .text("version", HAWTHORNROAD_VERSION)
                  .count("wall_ms", EventLog::wallMilliseconds()),
              true);
-  CallerPort_ = Callers_->open(Settings_.CallerListen_);
-  Ready_->open(Settings_.ReadyListen_);
+  CallersAddress_ = Callers_->open(Settings_.CallerListen_);
+  ReadyAddress_ = Ready_->open(Settings_.ReadyListen_);
   if (!Settings_.Common_.MetricsListen_.empty())
-    MetricsServer_->open(Settings_.Common_.MetricsListen_);
+    MetricsAddress_ = MetricsServer_->open(Settings_.Common_.MetricsListen_);
   if (Settings_.AgentPort_ != 0) {
     PeerNet::Self Self;
     Self.Process_ = Settings_.Common_.Process_;
@@ -226,8 +229,10 @@
   std::uint64_t Seed = seedOf(Settings_.Common_);
   OperatorWatch_.emplace(
       Io_.context(), Store_,
-      watchOptions(platform::OperatorTable, OperatorWait, Duration::zero(),
-                   Seed),
+      watchOptions(platform::OperatorTable,
+                   std::chrono::duration_cast<Duration>(
+                       Settings_.Common_.RevokeBound_ * OperatorWaitShare),
+                   Duration::zero(), Seed),
       bootNow,
       StoreWatch::Callbacks{
           [this](const TableWatch::Update &U) { onOperatorRows(U); },
@@ -619,9 +624,11 @@
 
 boost::json::object DirectEntry::readyLine() const {
   boost::json::object Line;
-  Line["event"] = "listening";
+  Line["ready"] = "entry";
   Line["process"] = State_->Settings_.Common_.Process_.str();
-  Line["callers"] = State_->CallerPort_;
+  Line["callers"] = State_->CallersAddress_;
+  Line["balancer"] = State_->ReadyAddress_;
+  Line["metrics"] = State_->MetricsAddress_;
   return Line;
 }
 
--- a/hawthornroad/http/ServerSession.cpp
+++ b/hawthornroad/http/ServerSession.cpp
@@ -316,16 +316,16 @@
                            SessionHandler &H)
     : Context_(Context), Limits_(L), Handler_(H), Sweep_(Context) {}
 
-std::uint16_t HttpListener::open(const std::string &Address) {
+std::string HttpListener::open(const std::string &Address) {
   tcp::endpoint At = parseAddress(Address, Step::Listen);
   Acceptor_.emplace(
       openAcceptor(Context_, At.address().to_string(), At.port()));
-  std::uint16_t Port = Acceptor_->local_endpoint().port();
+  std::string Bound = formatAddress(Acceptor_->local_endpoint());
   asio::post(Context_, [Self = shared_from_this()] {
     Self->accept();
     Self->sweep();
   });
-  return Port;
+  return Bound;
 }
 
 void HttpListener::accept() {
--- a/hawthornroad/http/ServerSession.h
+++ b/hawthornroad/http/ServerSession.h
@@ -149,8 +149,8 @@
   HttpListener(boost::asio::io_context &Context, SessionLimits L,
                SessionHandler &H);
 
-  // Throws Error(Step::Listen). Returns the port bound.
-  std::uint16_t open(const std::string &Address);
+  // Throws Error(Step::Listen). Returns the address bound, "IP:port".
+  std::string open(const std::string &Address);
   // Sessions from now on keep to these.
   void setLimits(SessionLimits L) { Limits_ = L; }
   const SessionLimits &limits() const { return Limits_; }
--- a/tests/integration/HttpHelpers.cpp
+++ b/tests/integration/HttpHelpers.cpp
@@ -31,8 +31,14 @@
     if (End == std::string_view::npos)
       return Events;
     std::string_view Event = Body.substr(0, End);
-    if (Event.starts_with(DataPrefix))
+    // Other fields, an id for one, may come before it.
+    std::size_t Line = Event.starts_with(DataPrefix)
+                           ? 0
+                           : Event.find("\n" + std::string(DataPrefix));
+    if (Line != std::string_view::npos) {
+      Event.remove_prefix(Line == 0 ? 0 : Line + 1);
       Events.emplace_back(Event.substr(DataPrefix.size()));
+    }
     Body.remove_prefix(End + EventEnd.size());
   }
 }
--- /dev/null
+++ b/tests/integration/PlatformFixture.cpp
@@ -0,0 +1,356 @@
+#include "tests/integration/PlatformFixture.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <sstream>
+
+namespace hawthornroad {
+
+namespace json = boost::json;
+
+namespace {
+std::string queryOf(const std::string &Target, const std::string &Key) {
+  std::string Query = Target.substr(std::min(Target.find('?'), Target.size()));
+  std::string Word = Key + "=";
+  for (std::size_t At = 0; (At = Query.find(Word, At)) != std::string::npos;
+       ++At)
+    if (At > 0 && (Query[At - 1] == '?' || Query[At - 1] == '&')) {
+      std::size_t From = At + Word.size();
+      return Query.substr(From, Query.find('&', From) - From);
+    }
+  return {};
+}
+
+std::uint64_t numberOf(const std::string &Text) {
+  return Text.empty() ? 0 : std::stoull(Text);
+}
+
+std::string encode(const std::string &Bytes) {
+  namespace base64 = boost::beast::detail::base64;
+  std::string Out(base64::encoded_size(Bytes.size()), '\0');
+  Out.resize(base64::encode(Out.data(), Bytes.data(), Bytes.size()));
+  return Out;
+}
+
+constexpr auto Loopback = "127.0.0.1";
+} // namespace
+
+// ---- Store ------------------------------------------------------------------
+
+StoreStandIn::StoreStandIn() {
+  Server_ = std::make_unique<HttpServer>(
+      Io_, HttpServer::Limits{},
+      [this](HttpRequest R, std::shared_ptr<HttpExchange> X) { handle(R, X); });
+  Address_ = std::string(Loopback) + ":" +
+             std::to_string(Server_->listen(Loopback, 0));
+}
+
+StoreStandIn::~StoreStandIn() { Io_.stop(); }
+
+std::string StoreStandIn::text(const std::vector<Row> &Rows) const {
+  json::array Out;
+  for (const Row &R : Rows) {
+    json::object O = {{"table", R.Table_},
+                      {"part", ""},
+                      {"key", R.Key_},
+                      {"ver", R.Version_}};
+    if (R.IsRemoved_)
+      O["removed"] = true;
+    else
+      O["value"] = encode(R.Value_);
+    Out.push_back(std::move(O));
+  }
+  return json::serialize(json::object{
+      {"rows", std::move(Out)}, {"ver", Version_}, {"has_more", false}});
+}
+
+void StoreStandIn::handle(const HttpRequest &R,
+                          const std::shared_ptr<HttpExchange> &X) {
+  ++Calls_;
+  if (Mode_ == Mode::Refuse)
+    return X->respond(jsonResponse(503, "{}"));
+  if (Mode_ == Mode::Silent)
+    return;
+  std::string Table = queryOf(R.Target_, "table");
+  if (R.Target_.starts_with("/-/rows-feed"))
+    return feed(Table, numberOf(queryOf(R.Target_, "after")),
+                static_cast<int>(numberOf(queryOf(R.Target_, "wait_ms"))), X);
+  std::lock_guard Lock(Mutex_);
+  std::vector<Row> Out;
+  for (const auto &[Key, Each] : Rows_)
+    if (Each.Table_ == Table && !Each.IsRemoved_)
+      Out.push_back(Each);
+  X->respond(jsonResponse(200, text(Out)));
+}
+
+bool StoreStandIn::answerFeed(const Held &H, bool AtOnce) {
+  std::vector<Row> Out;
+  for (const auto &[Key, Each] : Rows_)
+    if (Each.Table_ == H.Table_ && Each.Version_ > H.After_)
+      Out.push_back(Each);
+  if (Out.empty() && !AtOnce)
+    return false;
+  H.Exchange_->respond(jsonResponse(200, text(Out)));
+  return true;
+}
+
+void StoreStandIn::feed(const std::string &Table, std::uint64_t After,
+                        int WaitMs, const std::shared_ptr<HttpExchange> &X) {
+  {
+    std::lock_guard Lock(Mutex_);
+    if (After < HistoryFrom_)
+      return X->respond(jsonResponse(410, "{}"));
+    Held H{Table, After, X};
+    if (answerFeed(H, WaitMs == 0))
+      return;
+    Held_.push_back(std::move(H));
+  }
+  Io_.after(Milliseconds(WaitMs), [this, X] {
+    std::lock_guard Lock(Mutex_);
+    std::erase_if(Held_, [&](const Held &H) {
+      if (H.Exchange_ != X)
+        return false;
+      // A silent store's held questions are lost.
+      if (Mode_ == Mode::Normal)
+        answerFeed(H, true);
+      return true;
+    });
+  });
+}
+
+void StoreStandIn::change(Row R) {
+  std::lock_guard Lock(Mutex_);
+  R.Version_ = ++Version_;
+  Rows_[{R.Table_, R.Key_}] = std::move(R);
+  if (Mode_ == Mode::Normal)
+    std::erase_if(Held_, [&](const Held &H) { return answerFeed(H, false); });
+}
+
+void StoreStandIn::put(const std::string &Table, const std::string &Key,
+                       const std::string &Value) {
+  change({Table, Key, Value, 0, false});
+}
+
+void StoreStandIn::remove(const std::string &Table, const std::string &Key) {
+  change({Table, Key, "", 0, true});
+}
+
+void StoreStandIn::dropHistory() {
+  std::lock_guard Lock(Mutex_);
+  HistoryFrom_ = Version_ + 1;
+  for (const Held &H : Held_)
+    H.Exchange_->respond(jsonResponse(410, "{}"));
+  Held_.clear();
+  ++Version_;
+}
+
+// ---- Endpoint ---------------------------------------------------------------
+
+EndpointStandIn::EndpointStandIn(std::string Id, std::string Service)
+    : Id_(std::move(Id)), Service_(std::move(Service)) {
+  Server_ = std::make_unique<HttpServer>(
+      Io_, HttpServer::Limits{},
+      [this](HttpRequest R, std::shared_ptr<HttpExchange> X) { handle(R, X); });
+  Address_ = std::string(Loopback) + ":" +
+             std::to_string(Server_->listen(Loopback, 0));
+}
+
+EndpointStandIn::~EndpointStandIn() { Io_.stop(); }
+
+std::string EndpointStandIn::row(bool Draining) const {
+  return json::serialize(
+      json::object{{"service", Service_},
+                   {"address", Address_},
+                   {"zone", "z"},
+                   {"version", "v1"},
+                   {"slots", 8},
+                   {"state", Draining ? "draining" : "ready"},
+                   {"seq", 1}});
+}
+
+int EndpointStandIn::runs(const std::string &Request) const {
+  std::lock_guard Lock(Mutex_);
+  auto Found = Runs_.find(Request);
+  return Found == Runs_.end() ? 0 : Found->second;
+}
+
+int EndpointStandIn::runs() const {
+  std::lock_guard Lock(Mutex_);
+  int Sum = 0;
+  for (const auto &[Id, Count] : Runs_)
+    Sum += Count;
+  return Sum;
+}
+
+HttpRequest EndpointStandIn::last() const {
+  std::lock_guard Lock(Mutex_);
+  return Last_;
+}
+
+void EndpointStandIn::handle(const HttpRequest &R,
+                             const std::shared_ptr<HttpExchange> &X) {
+  auto Expected = findHeader(R.Headers_, "X-Hawthornroad-Expect-Instance");
+  if (Expected && *Expected != Id_)
+    return X->respond(
+        {.Status_ = 421, .Headers_ = {{"X-Hawthornroad-Instance-Id", Id_}}});
+  if (Mode_ == Mode::NotRun)
+    return X->respond(
+        {.Status_ = 503, .Headers_ = {{"X-Hawthornroad-Not-Executed", "1"}}});
+  std::string Id =
+      findHeader(R.Headers_, "X-Hawthornroad-Request-Id").value_or("");
+  {
+    std::lock_guard Lock(Mutex_);
+    ++Runs_[Id];
+    Last_ = R;
+  }
+  if (Mode_ == Mode::LoseAnswer)
+    return X->abort();
+  Duration Delay = Delay_;
+  if (Delay > Duration::zero())
+    Io_.after(Delay, [this, R, X] { run(R, X); });
+  else
+    run(R, X);
+}
+
+void EndpointStandIn::run(const HttpRequest &R,
+                          const std::shared_ptr<HttpExchange> &X) {
+  if (R.Target_.starts_with("/stream/"))
+    return stream(R, X);
+  HttpResponse Out{.Status_ = 200, .Body_ = "from " + Id_};
+  Out.Headers_ = {
+      {"X-Hawthornroad-Server-Stamp", "stamp-" + Id_},
+      {"X-Hawthornroad-Request-Id",
+       findHeader(R.Headers_, "X-Hawthornroad-Request-Id").value_or("")}};
+  X->respond(std::move(Out));
+}
+
+void EndpointStandIn::stream(const HttpRequest &R,
+                             const std::shared_ptr<HttpExchange> &X) {
+  int From = static_cast<int>(
+      numberOf(findHeader(R.Headers_, "Last-Event-Id").value_or("")));
+  X->head(200,
+          {{"Content-Type", "text/event-stream"},
+           {"X-Hawthornroad-Server-Stamp", "stamp-" + Id_},
+           {"X-Hawthornroad-Request-Id",
+            findHeader(R.Headers_, "X-Hawthornroad-Request-Id").value_or("")}});
+  for (int I = From + 1; I <= PlatformFixture::Events; ++I) {
+    std::string Event =
+        "id: " + std::to_string(I) + "\ndata: e" + std::to_string(I) + "\n\n";
+    if (Mode_ == Mode::BreakStream && I == From + 3) {
+      X->write(Event.substr(0, 7));
+      return Io_.after(Milliseconds(50), [X] { X->abort(); });
+    }
+    X->write(Event);
+  }
+  X->finish();
+}
+
+// ---- Fixture ----------------------------------------------------------------
+
+PlatformFixture::PlatformFixture() {
+  Store_.put("servers", A_.id(), A_.row());
+  Store_.put("servers", B_.id(), B_.row());
+}
+
+void PlatformFixture::configure() {
+  auto Route = [](const std::string &Prefix, const std::string &Kind) {
+    return json::object{{"name", "r-" + Prefix},
+                        {"host", "127.0.0.1"},
+                        {"prefix", "/" + Prefix + "/"},
+                        {"kind", Kind},
+                        {"timeout_ms", 5000},
+                        {"latency_goal_ms", 1000},
+                        {"gap_goal_ms", 1000},
+                        {"priority", 1},
+                        {"service", "api"},
+                        {"max_attempts", 2},
+                        {"public", false},
+                        {"resumable", Kind == "streaming"}};
+  };
+  json::array Routes = {Route("once", "non_idempotent"),
+                        Route("stream", "streaming")};
+  if (HasSafeRoute_)
+    Routes.push_back(Route("safe", "idempotent"));
+  json::array Keys;
+  for (const std::string &Each : Keys_)
+    Keys.push_back(json::string(Each));
+  json::object Config = {
+      {"version", ConfigVersion_++},
+      {"routes", std::move(Routes)},
+      {"services",
+       json::array{json::object{
+           {"name", "api"}, {"health_path", "/health"}, {"max_conns", 100}}}},
+      {"limits", json::object{{"max_header_bytes", 16384},
+                              {"max_body_bytes", 65536},
+                              {"header_timeout_ms", 3000},
+                              {"idle_timeout_ms", 15000}}},
+      {"tenants", json::array{json::object{{"name", "zet"},
+                                           {"api_keys", std::move(Keys)}}}}};
+  Store_.put("op", "config", json::serialize(Config));
+}
+
+Process &PlatformFixture::startEntry(Duration RevokeBound) {
+  json::object S = {
+      {"process", "entry-1"},
+      {"zone", "z"},
+      {"store", Store_.address()},
+      {"metrics_listen", "127.0.0.1:0"},
+      {"revoke_bound_ms",
+       std::chrono::duration_cast<Milliseconds>(RevokeBound).count()},
+      {"repeat_slack", 200}};
+  std::string File = Folder_.write("entry.jsonc", json::serialize(S));
+  Entry_ =
+      std::make_unique<Process>(Launch{.Name_ = "entry-1",
+                                       .Program_ = "hawthornroad-store-entry",
+                                       .Arguments_ = {"--settings", File}},
+                                Folder_);
+  Entry_->ready();
+  return *Entry_;
+}
+
+bool PlatformFixture::isReady() {
+  return get(Entry_->readyText("balancer"), "/-/readyz").Status_ == 200;
+}
+
+HttpRequest PlatformFixture::request(const std::string &Target,
+                                     const std::string &Key,
+                                     const std::string &Id) {
+  HttpRequest R;
+  R.Method_ = "POST";
+  R.Target_ = Target;
+  R.Headers_ = {{"X-Hawthornroad-Request-Id", Id},
+                {"X-Hawthornroad-Deadline-Ms", "4000"}};
+  if (!Key.empty())
+    R.Headers_.push_back({"Authorization", "Token " + Key});
+  R.Body_ = "{}";
+  return R;
+}
+
+HttpResponse PlatformFixture::call(const std::string &Target,
+                                   const std::string &Key,
+                                   const std::string &Id) {
+  std::string Own = Id.empty() ? "r" + std::to_string(++NextId_) : Id;
+  return fetch(callers(), request(Target, Key, Own));
+}
+
+// Parses the page strictly: a line that is no sample and no comment throws.
+std::map<std::string, double> PlatformFixture::metrics() {
+  std::map<std::string, double> Out;
+  std::istringstream Page(get(Entry_->readyText("metrics"), "/metrics").Body_);
+  for (std::string Line; std::getline(Page, Line);) {
+    if (Line.empty() || Line[0] == '#')
+      continue;
+    std::size_t Space = Line.rfind(' ');
+    if (Space == std::string::npos)
+      throw std::runtime_error("no sample: " + Line);
+    std::size_t Used = 0;
+    double Value = std::stod(Line.substr(Space + 1), &Used);
+    if (Used != Line.size() - Space - 1)
+      throw std::runtime_error("no number: " + Line);
+    Out[Line.substr(0, Space)] = Value;
+  }
+  return Out;
+}
+
+} // namespace hawthornroad
--- /dev/null
+++ b/tests/integration/PlatformFixture.h
@@ -0,0 +1,142 @@
+// Stand-ins of a platform with a store, and an entry or agent beside them.
+//
+//   PlatformFixture P;
+//   P.Store_.put("servers", "i-1", Api.row());
+//   P.configure();
+//   Process &Entry = P.startEntry();
+//   HttpResponse R = P.call("/safe/1");
+//
+// The stand-ins speak the platform's published messages and misbehave on
+// request: the store refuses, stays silent or drops its history; an endpoint
+// refuses, loses answers or breaks streams off. What reached them is counted by
+// request, which is the evidence of at most one run.
+
+#ifndef HAWTHORNROAD_TESTS_INTEGRATION_PLATFORMFIXTURE_H
+#define HAWTHORNROAD_TESTS_INTEGRATION_PLATFORMFIXTURE_H
+
+#include "hawthornroad/runtime/Io.h"
+#include "tests/integration/Fixture.h"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+
+namespace hawthornroad {
+
+// Rows of tables, a listing and a feed.
+class StoreStandIn {
+public:
+  enum class Mode { Normal, Refuse, Silent };
+
+  StoreStandIn();
+  ~StoreStandIn();
+
+  const std::string &address() const { return Address_; }
+  void put(const std::string &Table, const std::string &Key,
+           const std::string &Value);
+  void remove(const std::string &Table, const std::string &Key);
+  void setMode(Mode M) { Mode_ = M; }
+  // Changes up to now are no longer told by feeds.
+  void dropHistory();
+  int calls() const { return Calls_; }
+
+private:
+  struct Row {
+    std::string Table_, Key_, Value_;
+    std::uint64_t Version_ = 0;
+    bool IsRemoved_ = false;
+  };
+  struct Held {
+    std::string Table_;
+    std::uint64_t After_ = 0;
+    std::shared_ptr<HttpExchange> Exchange_;
+  };
+  void handle(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
+  void feed(const std::string &Table, std::uint64_t After, int WaitMs,
+            const std::shared_ptr<HttpExchange> &X);
+  bool answerFeed(const Held &H, bool AtOnce);
+  void change(Row R);
+  std::string text(const std::vector<Row> &Rows) const;
+
+  IoThread Io_{"store", 256};
+  std::mutex Mutex_;
+  std::map<std::pair<std::string, std::string>, Row> Rows_;
+  std::vector<Held> Held_;
+  std::uint64_t Version_ = 1;
+  std::uint64_t HistoryFrom_ = 0;
+  std::atomic<Mode> Mode_{Mode::Normal};
+  std::atomic<int> Calls_{0};
+  std::unique_ptr<HttpServer> Server_;
+  std::string Address_;
+};
+
+// One endpoint of a service, plain or an event stream's.
+class EndpointStandIn {
+public:
+  enum class Mode { Normal, NotRun, LoseAnswer, BreakStream };
+
+  explicit EndpointStandIn(std::string Id, std::string Service);
+  ~EndpointStandIn();
+
+  const std::string &id() const { return Id_; }
+  const std::string &address() const { return Address_; }
+  std::string row(bool Draining = false) const;
+  void setMode(Mode M) { Mode_ = M; }
+  // How long an answer takes.
+  void setDelay(Duration D) { Delay_ = D; }
+  int runs(const std::string &Request) const;
+  int runs() const;
+  // The last request that ran.
+  HttpRequest last() const;
+
+private:
+  void handle(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
+  void run(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
+  void stream(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
+
+  std::string Id_;
+  std::string Service_;
+  IoThread Io_{"endpoint", 256};
+  mutable std::mutex Mutex_;
+  std::map<std::string, int> Runs_;
+  HttpRequest Last_;
+  std::atomic<Mode> Mode_{Mode::Normal};
+  std::atomic<Duration> Delay_{Duration::zero()};
+  std::unique_ptr<HttpServer> Server_;
+  std::string Address_;
+};
+
+class PlatformFixture {
+public:
+  static constexpr int Events = 6;
+
+  TemporaryFolder Folder_;
+  StoreStandIn Store_;
+  EndpointStandIn A_{"i-a", "api"};
+  EndpointStandIn B_{"i-b", "api"};
+  std::uint64_t ConfigVersion_ = 1;
+  std::vector<std::string> Keys_ = {"key1", "key2"};
+  bool HasSafeRoute_ = true;
+
+  PlatformFixture();
+
+  // Writes the configuration as it is now, with the next version.
+  void configure();
+  Process &startEntry(Duration RevokeBound = Milliseconds(2000));
+  bool isReady();
+  // A request with a new id, unless one is given.
+  HttpResponse call(const std::string &Target, const std::string &Key = "key1",
+                    const std::string &Id = "");
+  HttpRequest request(const std::string &Target, const std::string &Key,
+                      const std::string &Id);
+  std::string callers() { return Entry_->readyText("callers"); }
+  std::map<std::string, double> metrics();
+
+private:
+  std::unique_ptr<Process> Entry_;
+  int NextId_ = 0;
+};
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_TESTS_INTEGRATION_PLATFORMFIXTURE_H
--- a/tests/integration/Process.cpp
+++ b/tests/integration/Process.cpp
@@ -191,8 +191,12 @@
 }
 
 const boost::json::object &Process::ready() {
-  if (!Ready_)
-    Ready_ = boost::json::parse(readLine()).as_object();
+  // Processes that log to standard output may have said something before.
+  while (!Ready_) {
+    auto Line = boost::json::parse(readLine()).as_object();
+    if (Line.contains("ready"))
+      Ready_ = std::move(Line);
+  }
   return *Ready_;
 }
 
--- /dev/null
+++ b/tests/integration/StoreEntryTest.cpp
@@ -0,0 +1,261 @@
+// The entry of a platform with a store, as a real process.
+
+#include "tests/integration/PlatformFixture.h"
+
+#include <algorithm>
+#include <boost/json/serialize.hpp>
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace hawthornroad;
+
+namespace {
+std::string headerOf(const HttpRequest &R, const std::string &Name) {
+  return findHeader(R.Headers_, Name).value_or("");
+}
+} // namespace
+
+TEST_CASE_METHOD(PlatformFixture,
+                 "store entry, before it has a configuration, is not ready and "
+                 "refuses as not run",
+                 "[store-entry]") {
+  startEntry();
+  REQUIRE_FALSE(isReady());
+  HttpResponse R = call("/safe/1");
+  REQUIRE(R.Status_ == 503);
+  REQUIRE(findHeader(R.Headers_, "Retry-After"));
+  configure();
+  eventually([&] { return isReady(); }, "the entry is ready");
+  REQUIRE(call("/safe/1").Status_ == 200);
+}
+
+TEST_CASE_METHOD(PlatformFixture,
+                 "store entry, given a request, passes it on by the "
+                 "customer's name and never the key",
+                 "[store-entry]") {
+  configure();
+  startEntry();
+  eventually([&] { return isReady(); }, "the entry is ready");
+  HttpResponse R = call("/once/x?y=1", "key2", "abc");
+  REQUIRE(R.Status_ == 200);
+  REQUIRE(findHeader(R.Headers_, "X-Hawthornroad-Server-Stamp"));
+  REQUIRE(A_.runs("abc") + B_.runs("abc") == 1);
+  HttpRequest Got = A_.runs("abc") == 1 ? A_.last() : B_.last();
+  REQUIRE(Got.Target_ == "/once/x?y=1");
+  REQUIRE(headerOf(Got, "X-Hawthornroad-Tenant") == "zet");
+  REQUIRE(headerOf(Got, "Authorization").empty());
+  REQUIRE(std::stoi(headerOf(Got, "X-Hawthornroad-Deadline-Ms")) <= 4000);
+  REQUIRE(call("/once/x", "nokey").Status_ == 401);
+  REQUIRE(call("/none/x").Status_ == 404);
+}
+
+TEST_CASE_METHOD(PlatformFixture,
+                 "store entry, when the configuration changes, follows at once "
+                 "and also after the store has dropped its history",
+                 "[store-entry]") {
+  configure();
+  startEntry();
+  eventually([&] { return isReady(); }, "the entry is ready");
+  HasSafeRoute_ = false;
+  configure();
+  eventually([&] { return call("/safe/1").Status_ == 404; },
+             "the route is gone", Milliseconds(1500));
+  Keys_ = {"key2"};
+  configure();
+  eventually([&] { return call("/once/1", "key1").Status_ == 401; },
+             "the key is refused", Milliseconds(1500));
+  Store_.dropHistory();
+  HasSafeRoute_ = true;
+  configure();
+  eventually([&] { return call("/safe/1", "key2").Status_ == 200; },
+             "the route is back", Milliseconds(2500));
+}
+
+// The store goes silent: a key may be taken away there without this entry's
+// hearing of it. From the bound on no request with a key may run; the entry
+// says so to the balancer before.
+TEST_CASE_METHOD(PlatformFixture,
+                 "store entry, when the store goes silent, takes no keys after "
+                 "the bound and serves again when it is back",
+                 "[store-entry]") {
+  configure();
+  startEntry();
+  eventually([&] { return isReady(); }, "the entry is ready");
+  REQUIRE(call("/safe/1").Status_ == 200);
+  Store_.setMode(StoreStandIn::Mode::Silent);
+  auto Since = std::chrono::steady_clock::now();
+  eventually([&] { return call("/safe/1").Status_ == 503; }, "keys are refused",
+             Milliseconds(4500));
+  // A proof made just before the silence is good for the bound at most.
+  REQUIRE(std::chrono::steady_clock::now() - Since <= Milliseconds(4500));
+  REQUIRE_FALSE(isReady());
+  int Runs = A_.runs() + B_.runs();
+  REQUIRE(call("/once/1").Status_ == 503);
+  REQUIRE(A_.runs() + B_.runs() == Runs);
+  Store_.setMode(StoreStandIn::Mode::Normal);
+  eventually([&] { return isReady(); }, "the entry is ready again");
+  REQUIRE(call("/safe/1").Status_ == 200);
+}
+
+// The endpoint runs a request and its answer is lost. What may run once is
+// answered as unknown and never sent again; the rest is sent elsewhere.
+TEST_CASE_METHOD(PlatformFixture,
+                 "store entry, when answers are lost, runs what may run once "
+                 "at most once",
+                 "[store-entry]") {
+  configure();
+  startEntry();
+  eventually([&] { return isReady(); }, "the entry is ready");
+  A_.setMode(EndpointStandIn::Mode::LoseAnswer);
+  B_.setMode(EndpointStandIn::Mode::LoseAnswer);
+  for (int I = 0; I < 5; ++I) {
+    std::string Id = "once-" + std::to_string(I);
+    REQUIRE(call("/once/1", "key1", Id).Status_ == 502);
+    REQUIRE(A_.runs(Id) + B_.runs(Id) == 1);
+  }
+  B_.setMode(EndpointStandIn::Mode::Normal);
+  for (int I = 0; I < 5; ++I) {
+    std::string Id = "safe-" + std::to_string(I);
+    REQUIRE(call("/safe/1", "key1", Id).Status_ == 200);
+    REQUIRE(A_.runs(Id) + B_.runs(Id) <= 2);
+  }
+}
+
+TEST_CASE_METHOD(PlatformFixture,
+                 "store entry, when all endpoints refuse, says not run with a "
+                 "time to come back",
+                 "[store-entry]") {
+  configure();
+  startEntry();
+  eventually([&] { return isReady(); }, "the entry is ready");
+  A_.setMode(EndpointStandIn::Mode::NotRun);
+  B_.setMode(EndpointStandIn::Mode::NotRun);
+  HttpResponse R = call("/once/1", "key1", "x");
+  REQUIRE(R.Status_ == 503);
+  REQUIRE(std::stod(findHeader(R.Headers_, "Retry-After").value_or("0")) > 0);
+  REQUIRE(A_.runs("x") + B_.runs("x") == 0);
+}
+
+TEST_CASE_METHOD(PlatformFixture,
+                 "store entry, when a stream is broken off within an event, "
+                 "goes on elsewhere with no event lost or doubled",
+                 "[store-entry]") {
+  configure();
+  startEntry();
+  eventually([&] { return isReady(); }, "the entry is ready");
+  A_.setMode(EndpointStandIn::Mode::BreakStream);
+  std::vector<std::string> Expected;
+  for (int I = 1; I <= Events; ++I)
+    Expected.push_back("e" + std::to_string(I));
+  // Until one of them began at the endpoint that breaks.
+  for (int I = 0; I < 20 && A_.runs() == 0; ++I) {
+    StreamResult R = fetchStream(
+        callers(), request("/stream/1", "key1", "s" + std::to_string(I)));
+    REQUIRE(R.Whole_);
+    REQUIRE(R.Events_ == Expected);
+  }
+  REQUIRE(A_.runs() >= 1);
+}
+
+TEST_CASE_METHOD(PlatformFixture,
+                 "store entry, when an endpoint drains or goes, sends it "
+                 "nothing more",
+                 "[store-entry]") {
+  configure();
+  startEntry();
+  eventually([&] { return isReady(); }, "the entry is ready");
+  Store_.put("servers", A_.id(), A_.row(true));
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  int Before = A_.runs();
+  for (int I = 0; I < 10; ++I) {
+    HttpResponse R = call("/safe/1");
+    CAPTURE(R.Body_);
+    REQUIRE(R.Status_ == 200);
+  }
+  REQUIRE(A_.runs() == Before);
+  Store_.remove("servers", B_.id());
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  int BeforeB = B_.runs();
+  REQUIRE(call("/safe/1").Status_ == 503);
+  REQUIRE(B_.runs() == BeforeB);
+}
+
+// A planned stop while a request is under way: it gets its whole answer, the
+// balancer is told at once, and the process ends by itself.
+TEST_CASE_METHOD(PlatformFixture,
+                 "store entry, at a planned stop, finishes what it has and "
+                 "ends",
+                 "[store-entry]") {
+  configure();
+  Process &Entry = startEntry();
+  eventually([&] { return isReady(); }, "the entry is ready");
+  A_.setDelay(Milliseconds(1500));
+  B_.setDelay(Milliseconds(1500));
+  StreamCall Call(callers(), request("/stream/1", "key1", "s"));
+  eventually([&] { return A_.runs() + B_.runs() == 1; }, "it runs");
+  Entry.terminate();
+  eventually([&] { return !isReady(); }, "the balancer is told",
+             Milliseconds(500));
+  StreamResult R = Call.wait();
+  REQUIRE(R.Whole_);
+  REQUIRE(R.Events_.size() == Events);
+  REQUIRE(Entry.waitExit() == 0);
+}
+
+TEST_CASE_METHOD(PlatformFixture,
+                 "store entry, when its settings file is said to have changed, "
+                 "goes on",
+                 "[store-entry]") {
+  configure();
+  Process &Entry = startEntry();
+  eventually([&] { return isReady(); }, "the entry is ready");
+  for (int I = 0; I < 3; ++I) {
+    ::kill(Entry.pid(), SIGHUP);
+    REQUIRE(call("/safe/1").Status_ == 200);
+  }
+  REQUIRE(Entry.running());
+}
+
+// Nobody reads the process's standard output: the pipe fills. Requests must not
+// notice.
+TEST_CASE_METHOD(PlatformFixture,
+                 "store entry, when nobody reads its log, answers as before",
+                 "[store-entry]") {
+  configure();
+  startEntry();
+  eventually([&] { return isReady(); }, "the entry is ready");
+  // A request writes about 600 bytes of log; a pipe holds 64 KiB.
+  auto Longest = Duration::zero();
+  for (int I = 0; I < 600; ++I) {
+    auto At = std::chrono::steady_clock::now();
+    REQUIRE(call("/safe/1").Status_ == 200);
+    Longest =
+        std::max<Duration>(Longest, std::chrono::steady_clock::now() - At);
+  }
+  REQUIRE(Longest < Seconds(2));
+  auto M = metrics();
+  REQUIRE(M.at("hawthornroad_requests_total{status=\"200\",cause=\"none\"}") >=
+          600);
+}
+
+TEST_CASE_METHOD(PlatformFixture,
+                 "store entry, asked for metrics, gives counters and "
+                 "histograms that add up",
+                 "[store-entry]") {
+  configure();
+  startEntry();
+  eventually([&] { return isReady(); }, "the entry is ready");
+  for (int I = 0; I < 7; ++I)
+    REQUIRE(call("/safe/1").Status_ == 200);
+  REQUIRE(call("/safe/1", "nokey").Status_ == 401);
+  auto M = metrics();
+  REQUIRE(M.at("hawthornroad_requests_total{status=\"200\",cause=\"none\"}") ==
+          7);
+  REQUIRE(M.at("hawthornroad_requests_total{status=\"401\",cause=\"unknown_"
+               "key\"}") == 1);
+  REQUIRE(M.at("hawthornroad_attempts_total{end=\"ended\"}") == 7);
+  REQUIRE(M.at("hawthornroad_first_byte_seconds_count{route=\"r-safe\","
+               "customer=\"zet\"}") == 7);
+  REQUIRE(M.at("hawthornroad_store_calls_total") >= 2);
+  REQUIRE(M.at("hawthornroad_config_version") == 1);
+}
--- a/tests/unit/HttpLinkTest.cpp
+++ b/tests/unit/HttpLinkTest.cpp
@@ -344,7 +344,9 @@
 
   explicit ListenerFixture(SessionLimits L = {}) {
     Listener_ = std::make_shared<HttpListener>(Io_.context(), L, Handler_);
-    Port_ = Listener_->open("127.0.0.1:0");
+    std::string Bound = Listener_->open("127.0.0.1:0");
+    Port_ = static_cast<std::uint16_t>(
+        std::stoul(Bound.substr(Bound.rfind(':') + 1)));
   }
   ~ListenerFixture() {
     std::promise<void> Done;
