--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -35,7 +35,7 @@
 constexpr Duration ManifestAgain = Milliseconds(300);
 // A peer that was asked for the digests has them within two round trips to the
 // origin and its own hearing of the version.
-constexpr Duration ManifestPatience = Milliseconds(900);
+constexpr Duration ManifestPatience = Milliseconds(400);
 // In frames, the index that means the digests themselves.
 constexpr std::uint32_t ManifestIndex = 0xffffffff;
 constexpr Duration EngineLimit = Seconds(1);
@@ -734,21 +734,30 @@
   const auto *Reply = Frame.body.AsChunkReply();
   if (Request != nullptr && Request->index == ManifestIndex) {
     auto P = pursuitOf(Request->manifest);
-    if (P && P->Manifest_.empty())
+    bool WillHave = P && !P->Transfer_ && P->Manifest_.empty();
+    if (WillHave) {
       P->ManifestWaits_.push_back(From.Connection_);
-    else if (P) {
-      wire::ChunkReplyT Out;
-      Out.manifest = Request->manifest;
-      Out.index = ManifestIndex;
-      Out.bytes.assign(P->Manifest_.begin(), P->Manifest_.end());
-      Net_->reply(From.Connection_, makeFrame(std::move(Out)));
+      return true;
     }
+    // Of a version that was loaded before this agent's start, or has not been
+    // heard of here, the origin must be asked.
+    wire::ChunkReplyT Out;
+    Out.manifest = Request->manifest;
+    Out.index = ManifestIndex;
+    if (P)
+      Out.bytes.assign(P->Manifest_.begin(), P->Manifest_.end());
+    if (Out.bytes.empty())
+      Out.error = "missing";
+    Net_->reply(From.Connection_, makeFrame(std::move(Out)));
     return true;
   }
   if (Reply == nullptr || Reply->index != ManifestIndex)
     return false;
   auto P = pursuitOf(Reply->manifest);
-  if (P && P->Manifest_.empty())
+  if (P && !Reply->error.empty()) {
+    P->ManifestAskedAt_ = bootNow() - ManifestPatience;
+    step(bootNow());
+  } else if (P && P->Manifest_.empty())
     takeManifest(P, {Reply->bytes.begin(), Reply->bytes.end()});
   return true;
 }
