--- /dev/null
+++ b/tests/integration/StoreAgentTest.cpp
@@ -0,0 +1,298 @@
+// The agent of a platform with a store, as a real process beside an engine,
+// with an origin of weights.
+
+#include "hawthornroad/base/Hash.h"
+#include "tests/integration/PlatformFixture.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace hawthornroad;
+
+namespace json = boost::json;
+
+namespace {
+constexpr int Pieces = 12;
+constexpr std::size_t DigestPrefixLength = 7; // "sha256:"
+
+std::string piece(int Version, int Index) {
+  return "weights " + std::to_string(Version) + "." + std::to_string(Index);
+}
+
+int queryNumber(const std::string &Target, const std::string &Key) {
+  std::size_t At = Target.find(Key + "=");
+  return At == std::string::npos
+             ? -1
+             : std::stoi(Target.substr(At + Key.size() + 1));
+}
+
+// An engine that loads what is staged, and the origin of its weights.
+class EngineStandIn {
+public:
+  EngineStandIn() {
+    Server_ = std::make_unique<HttpServer>(
+        Io_, HttpServer::Limits{},
+        [this](HttpRequest R, std::shared_ptr<HttpExchange> X) {
+          std::lock_guard Lock(Mutex_);
+          handle(R, X);
+        });
+    Address_ = "127.0.0.1:" + std::to_string(Server_->listen("127.0.0.1", 0));
+  }
+  ~EngineStandIn() { Io_.stop(); }
+
+  const std::string &address() const { return Address_; }
+  int loaded() {
+    std::lock_guard Lock(Mutex_);
+    return Loaded_;
+  }
+  // Orders it has begun, and whether each found whole weights of one version.
+  int orders() {
+    std::lock_guard Lock(Mutex_);
+    return Orders_;
+  }
+  bool alwaysWhole() {
+    std::lock_guard Lock(Mutex_);
+    return AlwaysWhole_;
+  }
+  int pieceReads() {
+    std::lock_guard Lock(Mutex_);
+    return PieceReads_;
+  }
+  // The next answers of the origin are spoilt; the next orders are taken and
+  // not answered; a staged piece turns bad right after it was put.
+  void spoilOrigin(int Count) { SpoilOrigin_ = Count; }
+  void loseOrders(int Count) { LoseOrders_ = Count; }
+  void rotOnce() { Rot_ = true; }
+  // The engine starts anew: it holds no weights and has counted no orders.
+  void restart() {
+    std::lock_guard Lock(Mutex_);
+    Loaded_ = 0;
+    Orders_ = 0;
+  }
+
+private:
+  void handle(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X) {
+    const std::string &T = R.Target_;
+    if (T.starts_with("/-/report"))
+      return report(X);
+    if (T.starts_with("/-/manifest/"))
+      return manifest(queryNumber(T, "version"), X);
+    if (T.starts_with("/-/piece/")) {
+      ++PieceReads_;
+      std::string Bytes =
+          piece(queryNumber(T, "version"), queryNumber(T, "num"));
+      if (SpoilOrigin_ > 0 && SpoilOrigin_-- > 0)
+        Bytes[0] = 'X';
+      return X->respond({.Status_ = 200, .Body_ = Bytes});
+    }
+    if (T.starts_with("/-/stage-put/")) {
+      int Index = queryNumber(T, "num");
+      Staged_[Index] = R.Body_;
+      if (Rot_.exchange(false))
+        Staged_[Index] = "rotten";
+      return X->respond({.Status_ = 200});
+    }
+    if (T.starts_with("/-/stage-get/"))
+      return staged(queryNumber(T, "num"), X);
+    if (T.starts_with("/-/order"))
+      return order(R, X);
+    X->respond({.Status_ = 404});
+  }
+
+  void report(const std::shared_ptr<HttpExchange> &X) {
+    json::array Models;
+    if (Loaded_ > 0)
+      Models.push_back(json::object{{"name", "m"}, {"version", Loaded_}});
+    X->respond(jsonResponse(
+        200, json::serialize(json::object{{"models", std::move(Models)},
+                                          {"busy", false},
+                                          {"seq", Orders_},
+                                          {"running", 0},
+                                          {"queued", 0}})));
+  }
+
+  void manifest(int Version, const std::shared_ptr<HttpExchange> &X) {
+    json::array Digests;
+    for (int I = 0; I < Pieces; ++I)
+      Digests.push_back(
+          json::string(sha256(piece(Version, I)).substr(DigestPrefixLength)));
+    X->respond(jsonResponse(
+        200, json::serialize(json::object{{"model", "m"},
+                                          {"version", Version},
+                                          {"chunk_bytes", 32},
+                                          {"layers", 1},
+                                          {"digests", std::move(Digests)}})));
+  }
+
+  void staged(int Index, const std::shared_ptr<HttpExchange> &X) {
+    if (Index < 0) {
+      json::array Held;
+      for (const auto &[I, Bytes] : Staged_)
+        Held.push_back(I);
+      return X->respond(jsonResponse(
+          200, json::serialize(json::object{{"held", std::move(Held)}})));
+    }
+    auto Found = Staged_.find(Index);
+    if (Found == Staged_.end())
+      return X->respond({.Status_ = 404});
+    X->respond({.Status_ = 200, .Body_ = Found->second});
+  }
+
+  void order(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X) {
+    auto Body = json::parse(R.Body_).as_object();
+    int Version = Body["version"].to_number<int>();
+    if (Body["expected"].to_number<int>() != Orders_)
+      return X->respond({.Status_ = 409});
+    ++Orders_;
+    for (int I = 0; I < Pieces; ++I)
+      AlwaysWhole_ = AlwaysWhole_ && Staged_[I] == piece(Version, I);
+    Loaded_ = Version;
+    if (LoseOrders_ > 0 && LoseOrders_-- > 0)
+      return X->abort();
+    X->respond({.Status_ = 202});
+  }
+
+  IoThread Io_{"engine", 256};
+  std::mutex Mutex_;
+  std::map<int, std::string> Staged_;
+  int Loaded_ = 0;
+  int Orders_ = 0;
+  int PieceReads_ = 0;
+  bool AlwaysWhole_ = true;
+  std::atomic<int> SpoilOrigin_{0};
+  std::atomic<int> LoseOrders_{0};
+  std::atomic<bool> Rot_{false};
+  std::unique_ptr<HttpServer> Server_;
+  std::string Address_;
+};
+
+struct AgentFixture {
+  TemporaryFolder Folder_;
+  StoreStandIn Store_;
+  EngineStandIn Engine_;
+  std::unique_ptr<Process> Agent_;
+
+  AgentFixture() {
+    json::object Service = {
+        {"name", "lm"},
+        {"max_conns", 100},
+        {"engine",
+         json::object{{"slots", 4},
+                      {"chunks", Pieces},
+                      {"chunk_bytes", 32},
+                      {"models", json::array{json::object{{"name", "m"}}}}}}};
+    json::object Origin = {{"name", "weights"},
+                           {"origin", Engine_.address()},
+                           {"zone", "z"},
+                           {"link_mbps", 100}};
+    Store_.put(
+        "op", "config",
+        json::serialize(json::object{{"version", 1},
+                                     {"routes", json::array{}},
+                                     {"services", json::array{Service, Origin}},
+                                     {"tenants", json::array{}}}));
+    Store_.put("servers", "i-1",
+               json::serialize(json::object{{"service", "lm"},
+                                            {"address", Engine_.address()},
+                                            {"zone", "z"},
+                                            {"stage", "both"},
+                                            {"models", json::array{}}}));
+  }
+
+  void name(int Version) {
+    Store_.put(
+        "op", "version/m",
+        json::serialize(json::object{{"model", "m"}, {"version", Version}}));
+  }
+  void start() {
+    std::string File = Folder_.write(
+        "agent.jsonc",
+        json::serialize(json::object{{"process", "agent-1"},
+                                     {"zone", "z"},
+                                     {"store", Store_.address()},
+                                     {"engine_address", Engine_.address()},
+                                     {"service", "lm"},
+                                     {"metrics_listen", "127.0.0.1:0"},
+                                     {"version_bound_ms", 3000}}));
+    Agent_ =
+        std::make_unique<Process>(Launch{.Name_ = "agent-1",
+                                         .Program_ = "hawthornroad-store-agent",
+                                         .Arguments_ = {"--settings", File}},
+                                  Folder_);
+    Agent_->ready();
+  }
+  void awaitLoaded(int Version) {
+    eventually([&] { return Engine_.loaded() == Version; },
+               "version " + std::to_string(Version) + " is loaded");
+    REQUIRE(Engine_.alwaysWhole());
+  }
+};
+} // namespace
+
+TEST_CASE_METHOD(AgentFixture,
+                 "store agent, beside an empty engine, loads the first version "
+                 "and then each that is named",
+                 "[store-agent]") {
+  start();
+  awaitLoaded(1);
+  name(2);
+  awaitLoaded(2);
+  REQUIRE(Engine_.orders() == 2);
+  REQUIRE(Engine_.pieceReads() == 2 * Pieces);
+}
+
+// The origin hands out wrong bytes, and a piece turns bad where it is staged.
+// Neither may ever be loaded.
+TEST_CASE_METHOD(AgentFixture,
+                 "store agent, with spoilt reads and a staged piece that turns "
+                 "bad, loads whole weights only",
+                 "[store-agent]") {
+  Engine_.spoilOrigin(3);
+  Engine_.rotOnce();
+  start();
+  awaitLoaded(1);
+  REQUIRE(Engine_.orders() == 1);
+}
+
+// The engine takes an order and its answer is lost. A second order must name
+// the count that the engine has now, and none is needed.
+TEST_CASE_METHOD(AgentFixture,
+                 "store agent, when an order's answer is lost, reads back and "
+                 "does not give it twice",
+                 "[store-agent]") {
+  Engine_.loseOrders(1);
+  start();
+  awaitLoaded(1);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+  REQUIRE(Engine_.orders() == 1);
+}
+
+TEST_CASE_METHOD(AgentFixture,
+                 "store agent, when its engine starts anew, loads again from "
+                 "what it has",
+                 "[store-agent]") {
+  start();
+  awaitLoaded(1);
+  int Reads = Engine_.pieceReads();
+  Engine_.restart();
+  awaitLoaded(1);
+  REQUIRE(Engine_.pieceReads() == Reads);
+}
+
+TEST_CASE_METHOD(AgentFixture,
+                 "store agent, when it is replaced itself, takes what lies "
+                 "staged after checking it",
+                 "[store-agent]") {
+  start();
+  awaitLoaded(1);
+  Agent_->kill();
+  Agent_->waitExit();
+  Engine_.restart();
+  int Reads = Engine_.pieceReads();
+  start();
+  awaitLoaded(1);
+  REQUIRE(Engine_.pieceReads() == Reads);
+}
