--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -25,6 +25,8 @@
 // While a version is on its way, and otherwise.
 constexpr Duration BusyTick = Milliseconds(30);
 constexpr Duration IdleTick = Milliseconds(150);
+// An entry believes for 3.5 s that an engine is away; it is told again before.
+constexpr Duration AwayAgain = Milliseconds(1500);
 // Of the operators' table an agent needs the versions; entries tell it when
 // there is a new one. So changes of the rest are read late, for calls are dear.
 constexpr Duration OperatorWait = Seconds(28);
@@ -209,6 +211,7 @@
   };
   std::map<ProcessName, Watcher> Watchers_;
   std::optional<wire::EngineNoticeT> ToldEntries_;
+  TimePoint ToldAt_{};
 };
 
 StoreAgent::State::State(StoreAgentSettings Settings)
@@ -436,13 +439,18 @@
   wire::EngineNoticeT Notice;
   Notice.address = Settings_.EngineAddress_;
   Notice.version = Duty_.state()->Loaded_.Version_;
-  if (Duty_.isAway())
+  // An engine that has started anew holds nothing, whatever the store's list
+  // still says of it.
+  if (Duty_.isAway() || Duty_.isEmpty())
     Notice.phase = static_cast<std::uint8_t>(EnginePhase::Away);
   Notice.running = Duty_.state()->Running_;
   Notice.waiting = Duty_.state()->Waiting_;
-  if (ToldEntries_ == Notice)
+  TimePoint Now = bootNow();
+  bool IsAway = Notice.phase != 0;
+  if (ToldEntries_ == Notice && !(IsAway && Now - ToldAt_ >= AwayAgain))
     return;
-  bool IsLoadOnly = ToldEntries_ && ToldEntries_->phase == Notice.phase &&
+  ToldAt_ = Now;
+  bool IsLoadOnly = !IsAway && ToldEntries_ && ToldEntries_->phase == Notice.phase &&
                     ToldEntries_->version == Notice.version;
   ToldEntries_ = Notice;
   FrameBuffer Frame = makeFrame(Notice);
--- a/hawthornroad/runtime/LogReader.cpp
+++ b/hawthornroad/runtime/LogReader.cpp
@@ -41,6 +41,11 @@
     return {};
   if (V->is_string())
     return {V->get_string().data(), V->get_string().size()};
+  if (V->is_double()) {
+    std::array<char, 32> Text{};
+    std::snprintf(Text.data(), Text.size(), "%.7g", V->get_double());
+    return Text.data();
+  }
   return json::serialize(*V);
 }
 
--- a/hawthornroad/runtime/PeerPace.h
+++ b/hawthornroad/runtime/PeerPace.h
@@ -14,8 +14,8 @@
 inline constexpr Duration PeerPing = Seconds(3);
 inline constexpr Duration PeerDead = Seconds(7);
 
-// What an EngineNotice tells. Away: it takes nothing new, a load follows or is
-// under way.
+// What an EngineNotice tells. Away: it takes nothing new, since it holds no
+// weights, or a load follows or is under way.
 enum class EnginePhase : std::uint8_t { Serving = 0, Away = 1 };
 
 } // namespace hawthornroad
