--- a/tests/unit/PlatformWireTest.cpp
+++ b/tests/unit/PlatformWireTest.cpp
@@ -214,6 +214,9 @@
   REQUIRE(std::get<StoreFailure>(W.read(503, "")) == StoreFailure::Refused);
   REQUIRE(std::get<StoreFailure>(W.read(429, "")) == StoreFailure::Refused);
   REQUIRE(std::get<StoreFailure>(W.read(200, "{")) == StoreFailure::Malformed);
+  REQUIRE(std::get<StoreFailure>(W.read(
+              200, R"({"rows":[{"key":"k","value":"a*b="}],"ver":1})")) ==
+          StoreFailure::Malformed);
   auto Rows = std::get<StoreRows>(W.read(
       200, R"({"rows":[{"table":"t","part":"","key":"k","value":"aGkAIQ==",
       "ver":5},{"table":"t","key":"g","ver":6,"removed":true}],
