--- a/hawthornroad/agent/PieceTransfer.cpp
+++ b/hawthornroad/agent/PieceTransfer.cpp
@@ -180,9 +180,9 @@
 }
 
 // The platform's origin has no ledger of grants, and writes to the table are
-// dear: whoever asks for a grant gets it. The swarm asks only for its own slices,
-// and for others' after their owners have been silent; so a piece may be read
-// twice when views of the fleet differ, and none stays unread.
+// dear: whoever asks for a grant gets it. The swarm asks only for its own
+// slices, and for others' after their owners have been silent; so a piece may
+// be read twice when views of the fleet differ, and none stays unread.
 void PieceTransfer::run(const ClaimGrant &A, TimePoint Now) {
   Swarm_->onClaim(A.Grant_, ClaimResult::Won, Now);
 }
--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -14,6 +14,7 @@
 #include "platform/Names.h"
 #include "platform/StoreWire.h"
 
+#include <algorithm>
 #include <random>
 
 namespace hawthornroad {
@@ -38,6 +39,9 @@
 // A peer that was asked for the digests has them within two round trips to the
 // origin and its own hearing of the version.
 constexpr Duration ManifestPatience = Milliseconds(400);
+// Later ones in the order wait no longer than this many patiences.
+constexpr std::size_t MostManifestRank = 8;
+constexpr double ManifestSpread = 0.9;
 // In frames, the index that means the digests themselves.
 constexpr std::uint32_t ManifestIndex = 0xffffffff;
 constexpr Duration EngineLimit = Seconds(1);
@@ -80,6 +84,14 @@
   return O;
 }
 
+// The origin takes few connections from all VMs together, and those of a VM
+// that lost its power count for long: none is kept while it is of no use.
+HttpCalls::Options originOptions() {
+  HttpCalls::Options O;
+  O.SpareFor_ = Milliseconds(400);
+  return O;
+}
+
 PeerNet::Limits peerLimits() {
   PeerNet::Limits L;
   L.PingAfter_ = PeerPing;
@@ -99,8 +111,13 @@
     // The origin's text, to be passed on, and who waits for it.
     std::string Manifest_;
     std::vector<ConnectionId> ManifestWaits_;
-    // A peer was asked for it; the origin is, when it does not answer in time.
-    std::optional<TimePoint> ManifestAskedAt_;
+    // When it was first looked for, when a peer was last asked, and how often.
+    std::optional<TimePoint> ManifestSince_;
+    TimePoint ManifestAskedAt_{};
+    std::size_t ManifestAsks_ = 0;
+    // A peer said that it will not have it.
+    bool IsUnknownToPeers_ = false;
+    unsigned ManifestFailures_ = 0;
     // Set once its digests are known.
     std::shared_ptr<PieceTransfer> Transfer_;
   };
@@ -128,8 +145,11 @@
   void onReport(const HttpCalls::Result &R);
   // The pieces of a version, from nothing to whole.
   void fetch(const std::shared_ptr<Pursuit> &P, TimePoint Now);
-  // Which peer to ask for the digests; empty: the origin.
-  std::optional<PiecePeer> manifestSource(const Pursuit &P) const;
+  // All VMs and this one, in the order in which they read the digests.
+  std::vector<PiecePeer> manifestOrder(const Pursuit &P) const;
+  void readManifest(const std::shared_ptr<Pursuit> &P);
+  void askForManifest(const std::shared_ptr<Pursuit> &P,
+                      std::vector<PiecePeer> Order);
   void onManifest(const std::shared_ptr<Pursuit> &P,
                   const HttpCalls::Result &R);
   void takeManifest(const std::shared_ptr<Pursuit> &P, const std::string &Text);
@@ -172,6 +192,7 @@
   bool isFetching() const;
 
   StoreAgentSettings Settings_;
+  Random Random_;
   EventLog Log_;
   Metrics Metrics_;
   PieceCounters Pieces_;
@@ -215,7 +236,7 @@
 };
 
 StoreAgent::State::State(StoreAgentSettings Settings)
-    : Settings_(std::move(Settings)),
+    : Settings_(std::move(Settings)), Random_(seedOf(Settings_.Common_)),
       Log_({.Process_ = Settings_.Common_.Process_.str()}),
       Io_("agent", WorkRing),
       Store_(Io_.context(), Settings_.Common_.Store_, Codec_),
@@ -315,8 +336,9 @@
         if (Origin != nullptr &&
             (!Origin_ || Origin_->address() != Origin->OriginAddress_)) {
           Origin_ = std::make_unique<HttpCalls>(
-              Io_.context(), Origin->OriginAddress_, HttpCalls::Options{});
+              Io_.context(), Origin->OriginAddress_, originOptions());
           OriginZone_ = Origin->OriginZone_;
+          Log_.write(LogLine("origin").text("address", Origin->OriginAddress_));
         }
       } else if (auto V = platform::decodeVersion(Row.Key_, Row.Value_)) {
         takeVersion({V->Model_, V->Version_}, Now);
@@ -450,7 +472,8 @@
   if (ToldEntries_ == Notice && !(IsAway && Now - ToldAt_ >= AwayAgain))
     return;
   ToldAt_ = Now;
-  bool IsLoadOnly = !IsAway && ToldEntries_ && ToldEntries_->phase == Notice.phase &&
+  bool IsLoadOnly = !IsAway && ToldEntries_ &&
+                    ToldEntries_->phase == Notice.phase &&
                     ToldEntries_->version == Notice.version;
   ToldEntries_ = Notice;
   FrameBuffer Frame = makeFrame(Notice);
@@ -634,31 +657,25 @@
 // ---- Pieces -----------------------------------------------------------------
 
 // The digests of a version are some kilobytes; read by every VM from a narrow
-// origin they would take as long as half of the pieces. One VM of the origin's
-// zone reads them, one of each other zone asks that one, the rest ask the one of
-// their zone.
-std::optional<PiecePeer>
-StoreAgent::State::manifestSource(const Pursuit &P) const {
+// origin they would take as long as half of the pieces, and more connections
+// than it takes. So VMs have an order, those of the origin's zone first: the
+// first reads the origin, each next one only when all before it have been
+// silent for a patience. The others ask the first of their zone, then the next
+// in the order, and so on.
+std::vector<PiecePeer>
+StoreAgent::State::manifestOrder(const Pursuit &P) const {
   std::string Name = PieceTransfer::frameName(P.Version_);
-  const PiecePeer *OfZone = nullptr;
-  const PiecePeer *OfOrigin = nullptr;
-  std::uint64_t BestOfZone = rendezvousScore(Name, Self_);
-  std::uint64_t BestOfOrigin =
-      Settings_.Common_.Zone_ == OriginZone_ ? BestOfZone : 0;
-  for (const PiecePeer &Each : Peers_) {
-    std::uint64_t Score = rendezvousScore(Name, Each.Peer_.Vm_.str());
-    if (Each.Peer_.Zone_ == Settings_.Common_.Zone_ && Score > BestOfZone) {
-      BestOfZone = Score;
-      OfZone = &Each;
-    }
-    if (Each.Peer_.Zone_ == OriginZone_ && Score > BestOfOrigin) {
-      BestOfOrigin = Score;
-      OfOrigin = &Each;
-    }
-  }
-  if (OfZone != nullptr)
-    return *OfZone;
-  return OfOrigin != nullptr ? std::optional(*OfOrigin) : std::nullopt;
+  std::vector<PiecePeer> Order = Peers_;
+  Order.push_back({{Vm(Self_), Settings_.Common_.Zone_}, {}});
+  auto Key = [&](const PiecePeer &Each) {
+    bool IsElsewhere = Each.Peer_.Zone_ != OriginZone_;
+    return std::make_pair(IsElsewhere,
+                          ~rendezvousScore(Name, Each.Peer_.Vm_.str()));
+  };
+  std::sort(
+      Order.begin(), Order.end(),
+      [&](const PiecePeer &A, const PiecePeer &B) { return Key(A) < Key(B); });
+  return Order;
 }
 
 void StoreAgent::State::fetch(const std::shared_ptr<Pursuit> &P,
@@ -666,35 +683,66 @@
   if (P->Transfer_ || P->ManifestUnderWay_ || !Origin_ ||
       Now < P->ManifestNotBefore_ || PeersAt_ == TimePoint() || PeersUnderWay_)
     return;
-  if (!P->ManifestAskedAt_) {
-    P->ManifestAskedAt_ = Now;
-    if (auto Source = manifestSource(*P)) {
-      wire::ChunkRequestT Request;
-      Request.manifest = PieceTransfer::frameName(P->Version_);
-      Request.index = ManifestIndex;
-      Request.vm = Self_;
-      Net_->send(Source->Address_, Lane::Weights, makeFrame(Request));
-      return;
-    }
-    P->ManifestAskedAt_ = Now - ManifestPatience;
-  }
-  if (Now - *P->ManifestAskedAt_ < ManifestPatience)
+  if (!P->ManifestSince_)
+    P->ManifestSince_ = Now;
+  std::vector<PiecePeer> Order = manifestOrder(*P);
+  std::size_t Rank = 0;
+  while (Order[Rank].Peer_.Vm_.str() != Self_)
+    ++Rank;
+  auto Patiences = static_cast<Duration::rep>(std::min(Rank, MostManifestRank));
+  if (P->IsUnknownToPeers_ ||
+      Now - *P->ManifestSince_ >= ManifestPatience * Patiences)
+    return readManifest(P);
+  if (P->ManifestAsks_ > 0 && Now - P->ManifestAskedAt_ < ManifestPatience)
     return;
+  P->ManifestAskedAt_ = Now;
+  askForManifest(P, Order);
+}
+
+void StoreAgent::State::readManifest(const std::shared_ptr<Pursuit> &P) {
   P->ManifestUnderWay_ = true;
   Origin_->call(platform::manifestCall(P->Version_), ManifestLimit,
                 [this, P](const HttpCalls::Result &R) { onManifest(P, R); });
 }
 
+void StoreAgent::State::askForManifest(const std::shared_ptr<Pursuit> &P,
+                                       std::vector<PiecePeer> Order) {
+  std::erase_if(Order, [&](const PiecePeer &Each) {
+    return Each.Peer_.Vm_.str() == Self_;
+  });
+  // The first of the own zone goes first: its link is near.
+  auto Near =
+      std::find_if(Order.begin(), Order.end(), [&](const PiecePeer &Each) {
+        return Each.Peer_.Zone_ == Settings_.Common_.Zone_;
+      });
+  if (Near != Order.end())
+    std::rotate(Order.begin(), Near, Near + 1);
+  if (Order.empty())
+    return;
+  const PiecePeer &To = Order[P->ManifestAsks_++ % Order.size()];
+  wire::ChunkRequestT Request;
+  Request.manifest = PieceTransfer::frameName(P->Version_);
+  Request.index = ManifestIndex;
+  Request.vm = Self_;
+  Net_->send(To.Address_, Lane::Weights, makeFrame(Request));
+}
+
 void StoreAgent::State::onManifest(const std::shared_ptr<Pursuit> &P,
                                    const HttpCalls::Result &R) {
   P->ManifestUnderWay_ = false;
-  P->ManifestNotBefore_ = bootNow() + ManifestAgain;
+  Duration Pause = ManifestAgain * (1 << std::min(P->ManifestFailures_, 3U));
+  P->ManifestNotBefore_ = bootNow() + Random_.jitter(Pause, ManifestSpread);
   const auto *Answer = std::get_if<HttpAnswer>(&R);
   constexpr unsigned Ok = 200;
   if (Answer == nullptr || Answer->Status_ != Ok) {
-    Log_.write(LogLine("manifest_failed")
-                   .count("version", P->Version_.Version_)
-                   .count("status", Answer != nullptr ? Answer->Status_ : 0));
+    LogLine L("manifest_failed");
+    L.count("version", P->Version_.Version_).text("origin", Origin_->address());
+    if (Answer != nullptr)
+      L.count("status", Answer->Status_);
+    else
+      L.text("why", std::get<LinkFailure>(R).Message_);
+    Log_.write(L);
+    ++P->ManifestFailures_;
     return;
   }
   Pieces_.OriginBytes_ += Answer->Body_.size();
@@ -742,7 +790,9 @@
   const auto *Reply = Frame.body.AsChunkReply();
   if (Request != nullptr && Request->index == ManifestIndex) {
     auto P = pursuitOf(Request->manifest);
-    bool WillHave = P && !P->Transfer_ && P->Manifest_.empty();
+    // A loaded version's digests are not fetched again.
+    bool IsWanted = P && (P == Next_ || !Duty_.isDone());
+    bool WillHave = IsWanted && !P->Transfer_ && P->Manifest_.empty();
     if (WillHave) {
       P->ManifestWaits_.push_back(From.Connection_);
       return true;
@@ -763,8 +813,9 @@
     return false;
   auto P = pursuitOf(Reply->manifest);
   if (P && !Reply->error.empty()) {
-    P->ManifestAskedAt_ = bootNow() - ManifestPatience;
-    step(bootNow());
+    P->IsUnknownToPeers_ = true;
+    P->ManifestNotBefore_ =
+        bootNow() + Random_.jitter(ManifestAgain / 2, ManifestSpread);
   } else if (P && P->Manifest_.empty())
     takeManifest(P, {Reply->bytes.begin(), Reply->bytes.end()});
   return true;
--- a/hawthornroad/http/HttpCalls.cpp
+++ b/hawthornroad/http/HttpCalls.cpp
@@ -26,7 +26,8 @@
   };
 
   State(asio::io_context &Context, std::string Address, Options O)
-      : Context_(Context), Address_(std::move(Address)), Options_(O) {}
+      : Context_(Context), Address_(std::move(Address)), Options_(O),
+        Sweep_(Context) {}
 
   std::shared_ptr<ClientLink> take() {
     TimePoint Now = bootNow();
@@ -41,6 +42,39 @@
     return std::make_shared<ClientLink>(Context_, Address_, Options_.Link_);
   }
 
+  // A spare is closed when its time is over, not when it is next looked for:
+  // servers count the connections of all callers.
+  void giveBack(const std::shared_ptr<ClientLink> &Link) {
+    if (!Link->isFree() || Spare_.size() >= Options_.MaxSpare_)
+      return Link->abandon();
+    Spare_.push_back(Link);
+    if (SweepSet_)
+      return;
+    SweepSet_ = true;
+    Sweep_.expires_after(Options_.SpareFor_);
+    Sweep_.async_wait([Weak = weak_from_this()](boost::system::error_code C) {
+      auto Self = Weak.lock();
+      if (C || !Self)
+        return;
+      Self->SweepSet_ = false;
+      Self->sweep();
+    });
+  }
+
+  void sweep() {
+    TimePoint Now = bootNow();
+    std::vector<std::shared_ptr<ClientLink>> Kept;
+    for (const auto &Link : Spare_) {
+      if (Link->isFree() && Now - Link->freeSince() < Options_.SpareFor_)
+        Kept.push_back(Link);
+      else
+        Link->abandon();
+    }
+    Spare_.clear();
+    for (const auto &Link : Kept)
+      giveBack(Link);
+  }
+
   void finish(const std::shared_ptr<Call> &C, Result R) {
     C->Timer_.cancel();
     auto Told = std::exchange(C->Done_, nullptr);
@@ -88,10 +122,7 @@
       C->Answer_.Body_ += Bytes;
     };
     E.OnEnd_ = [Self, C](bool) {
-      if (C->Link_->isFree() && Self->Spare_.size() < Self->Options_.MaxSpare_)
-        Self->Spare_.push_back(C->Link_);
-      else
-        C->Link_->abandon();
+      Self->giveBack(C->Link_);
       Self->finish(C, std::move(C->Answer_));
     };
     E.OnFail_ = [Self, C](const LinkFailure &F) { Self->finish(C, F); };
@@ -103,6 +134,8 @@
   Options Options_;
   std::vector<std::shared_ptr<ClientLink>> Spare_;
   Counters Counters_;
+  asio::steady_timer Sweep_;
+  bool SweepSet_ = false;
   std::deque<Pending> Waiting_;
   std::size_t UnderWay_ = 0;
 };
