Agents list the newest versions only and read the operators' table at start

Cause: with 60 machines and a configuration of some 100 KB, every agent read every new configuration with the rest of the operators' table. Ruled out: the store's notice (entries were told at once and asked at once; the answer took the 3.3 s). Change: agents list the whole table at start and after four failures of the origin; on an entry's hint or every 15 s they list version rows only.

--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -28,10 +28,14 @@
 constexpr Duration IdleTick = Milliseconds(150);
 // An entry believes for 3.5 s that an engine is away; it is told again before.
 constexpr Duration AwayAgain = Milliseconds(1500);
-// Of the operators' table an agent needs the versions; entries tell it when
-// there is a new one. So changes of the rest are read late, for calls are dear.
-constexpr Duration OperatorWait = Seconds(28);
-constexpr Duration OperatorPace = Seconds(4);
+// Versions are read this often when no entry has named a new one: only an agent
+// that no entry reaches needs it. And after a failure, or while something is
+// known to be missing.
+constexpr Duration VersionPoll = Seconds(15);
+constexpr Duration OperatorAgain = Milliseconds(400);
+constexpr double OperatorSpread = 0.4;
+// Failures of the origin in a row after which its address may have changed.
+constexpr unsigned OriginFailuresBeforeLook = 4;
 // Engines come and go while a version is on its way.
 constexpr Duration PeersAgain = Milliseconds(2500);
 constexpr Duration ManifestLimit = Milliseconds(2500);
@@ -132,7 +136,13 @@
   void start();
   void tick();
   void step(TimePoint Now);
-  void onOperatorRows(const TableWatch::Update &U);
+  // The operators' table whole: configuration and versions.
+  void listOperators();
+  // Only the versions.
+  void listVersions();
+  void onOperatorReply(bool IsWhole, const StoreReply &R);
+  void onOperatorRows(const StoreRows &Rows);
+  void askOperators(TimePoint Now);
   void takeVersion(const ModelVersion &V, TimePoint Now);
   void takeFirstVersion(TimePoint Now);
   // What is declared of this VM's engine; null until known.
@@ -175,6 +185,7 @@
   void onPeers(const StoreRows &Rows);
   void onFrame(const PeerContext &From, const wire::Frame &Frame);
   void onNewest(WeightVersion Version);
+  WeightVersion newestKnown() const;
   std::vector<std::shared_ptr<PieceTransfer>> transfers() const;
   TimePoint mayLoadAt() const;
   LoadTurn turn() const;
@@ -204,7 +215,11 @@
   std::unique_ptr<PeerNet> Net_;
   std::shared_ptr<HttpListener> MetricsServer_;
   std::string MetricsAddress_;
-  std::optional<StoreWatch> OperatorWatch_;
+  bool OperatorUnderWay_ = false;
+  TimePoint OperatorNotBefore_{};
+  // Something is known to be missing: the whole table, or a version.
+  bool MustListOperators_ = true;
+  unsigned OriginFailures_ = 0;
   SharedConfig Config_;
   EngineDuty Duty_;
   std::string Self_;
@@ -280,24 +295,13 @@
   Log_.write(LogLine("stop"), true);
 }
 
-void StoreAgent::State::start() {
-  TableWatch::Options O;
-  O.Table_ = std::string(platform::OperatorTable);
-  O.Wait_ = OperatorWait;
-  O.Pace_ = OperatorPace;
-  O.Seed_ = seedOf(Settings_.Common_);
-  OperatorWatch_.emplace(
-      Io_.context(), Store_, std::move(O), bootNow,
-      StoreWatch::Callbacks{
-          [this](const TableWatch::Update &U) { onOperatorRows(U); }, {}});
-  OperatorWatch_->start();
-  tick();
-}
+void StoreAgent::State::start() { tick(); }
 
 void StoreAgent::State::tick() {
   TimePoint Now = bootNow();
   for (const auto &T : transfers())
     T->tick(Now);
+  askOperators(Now);
   overtake(Now);
   step(Now);
   Io_.after(isBusy() || isFetching() ? BusyTick : IdleTick, [this] { tick(); });
@@ -324,9 +328,56 @@
 
 // ---- What is wanted ---------------------------------------------------------
 
-void StoreAgent::State::onOperatorRows(const TableWatch::Update &U) {
+// The text of the configuration is large and changes often, and a VM's agent
+// needs little of it: with every agent reading every change, the links between
+// zones were full and entries got theirs late. So it is read at the start, and
+// again when the origin cannot be reached. Versions are read when an entry says
+// that there is one, and now and then for the case that none does.
+void StoreAgent::State::askOperators(TimePoint Now) {
+  if (OperatorUnderWay_ || Now < OperatorNotBefore_)
+    return;
+  if (MustListOperators_ || pace() == nullptr)
+    listOperators();
+  else
+    listVersions();
+}
+
+void StoreAgent::State::listOperators() {
+  OperatorUnderWay_ = true;
+  Store_.list(std::string(platform::OperatorTable), "", "",
+              [this](const StoreReply &R) { onOperatorReply(true, R); });
+}
+
+void StoreAgent::State::listVersions() {
+  OperatorUnderWay_ = true;
+  platform::KeyRange Keys = platform::versionKeys();
+  Store_.list(std::string(platform::OperatorTable), Keys.From_, Keys.To_,
+              [this](const StoreReply &R) { onOperatorReply(false, R); });
+}
+
+void StoreAgent::State::onOperatorReply(bool IsWhole, const StoreReply &R) {
+  TimePoint Now = bootNow();
+  OperatorUnderWay_ = false;
+  const auto *Rows = std::get_if<StoreRows>(&R);
+  OperatorNotBefore_ = Now + Random_.jitter(OperatorAgain, OperatorSpread);
+  if (Rows == nullptr)
+    return;
+  if (IsWhole)
+    MustListOperators_ = false;
+  onOperatorRows(*Rows);
+  bool IsBehind = newestKnown() < LookedFor_;
+  if (!IsBehind && pace() != nullptr)
+    OperatorNotBefore_ = Now + Random_.jitter(VersionPoll, OperatorSpread);
+}
+
+WeightVersion StoreAgent::State::newestKnown() const {
+  WeightVersion Known = Duty_.wanted() ? Duty_.wanted()->Version_ : 0;
+  return Next_ ? std::max(Known, Next_->Version_.Version_) : Known;
+}
+
+void StoreAgent::State::onOperatorRows(const StoreRows &Rows) {
   TimePoint Now = bootNow();
-  for (const StoreRow &Row : U.Rows_) {
+  for (const StoreRow &Row : Rows.Rows_) {
     if (Row.IsRemoved_)
       continue;
     try {
@@ -743,6 +794,10 @@
       L.text("why", std::get<LinkFailure>(R).Message_);
     Log_.write(L);
     ++P->ManifestFailures_;
+    if (++OriginFailures_ % OriginFailuresBeforeLook == 0) {
+      MustListOperators_ = true;
+      OperatorNotBefore_ = TimePoint();
+    }
     return;
   }
   Pieces_.OriginBytes_ += Answer->Body_.size();
@@ -961,11 +1016,12 @@
     return;
   PeersUnderWay_ = true;
   PeersAt_ = Now;
-  Store_.list(std::string(platform::EndpointTable), "", [this](StoreReply R) {
-    PeersUnderWay_ = false;
-    if (const auto *Rows = std::get_if<StoreRows>(&R))
-      onPeers(*Rows);
-  });
+  Store_.list(std::string(platform::EndpointTable), "", "",
+              [this](StoreReply R) {
+                PeersUnderWay_ = false;
+                if (const auto *Rows = std::get_if<StoreRows>(&R))
+                  onPeers(*Rows);
+              });
 }
 
 void StoreAgent::State::onPeers(const StoreRows &Rows) {
@@ -1013,14 +1069,12 @@
 
 // An entry has heard of a version that this agent has not.
 void StoreAgent::State::onNewest(WeightVersion Version) {
-  WeightVersion Known = Duty_.wanted() ? Duty_.wanted()->Version_ : 0;
-  if (Next_)
-    Known = std::max(Known, Next_->Version_.Version_);
-  if (Version <= std::max(Known, LookedFor_) || !OperatorWatch_)
+  if (Version <= std::max(newestKnown(), LookedFor_))
     return;
   LookedFor_ = Version;
   Log_.write(LogLine("store_refresh").count("version", Version));
-  OperatorWatch_->refresh();
+  OperatorNotBefore_ = TimePoint();
+  askOperators(bootNow());
 }
 
 // ---- Metrics ----------------------------------------------------------------
--- a/hawthornroad/store/StoreClient.cpp
+++ b/hawthornroad/store/StoreClient.cpp
@@ -46,8 +46,8 @@
 }
 
 void StoreClient::list(const std::string &Table, const std::string &FromKey,
-                       Done D) {
-  call(Codec_.list(Table, FromKey), AnswerLimit, std::move(D));
+                       const std::string &ToKey, Done D) {
+  call(Codec_.list(Table, FromKey, ToKey), AnswerLimit, std::move(D));
 }
 
 void StoreClient::feed(const std::string &Table, StoreVersion After,
@@ -85,7 +85,7 @@
         Self->take(std::move(R));
     };
     if (A.IsListing_)
-      Store_.list(Table_, A.FromKey_, OnReply);
+      Store_.list(Table_, A.FromKey_, "", OnReply);
     else
       Store_.feed(Table_, A.After_, A.Wait_, OnReply);
   }
--- a/hawthornroad/store/StoreClient.h
+++ b/hawthornroad/store/StoreClient.h
@@ -2,7 +2,7 @@
 // connections, with a time limit each.
 //
 //   StoreClient Store(Context, "10.200.1.7:8007", Codec, Counters);
-//   Store.list("servers", "", [](StoreReply R) {...});
+//   Store.list("servers", "", "", [](StoreReply R) {...});
 //   Store.feed("op", After, Seconds(2), [](StoreReply R) {...});
 //   Store.write(Transaction, [](StoreReply R) {...});
 //
@@ -32,8 +32,9 @@
 class StoreCodec {
 public:
   virtual ~StoreCodec() = default;
-  virtual HttpMessage list(const std::string &Table,
-                           const std::string &FromKey) const = 0;
+  // Keys from FromKey on, before ToKey; empty: from the first, to the last.
+  virtual HttpMessage list(const std::string &Table, const std::string &FromKey,
+                           const std::string &ToKey) const = 0;
   virtual HttpMessage feed(const std::string &Table, StoreVersion After,
                            Duration Wait) const = 0;
   virtual HttpMessage write(const StoreTransaction &T) const = 0;
@@ -54,7 +55,8 @@
   StoreClient(boost::asio::io_context &Context, std::string Address,
               const StoreCodec &Codec);
 
-  void list(const std::string &Table, const std::string &FromKey, Done D);
+  void list(const std::string &Table, const std::string &FromKey,
+            const std::string &ToKey, Done D);
   void feed(const std::string &Table, StoreVersion After, Duration Wait,
             Done D);
   void write(const StoreTransaction &T, Done D);
@@ -84,8 +86,8 @@
   ~StoreWatch();
 
   void start();
-  // Something is said to have changed: asks at once, whatever call is under way;
-  // that one's answer, which may never come, no longer counts.
+  // Something is said to have changed: asks at once, whatever call is under
+  // way; that one's answer, which may never come, no longer counts.
   void refresh();
   const TableWatch &watch() const;
 
--- a/tests/unit/PlatformWireTest.cpp
+++ b/tests/unit/PlatformWireTest.cpp
@@ -230,8 +230,11 @@
 TEST_CASE("platform store, its calls written, escape names and encode values",
           "[platform]") {
   platform::StoreWire W;
-  REQUIRE(W.list("a/b c", "k&1").Target_ ==
+  REQUIRE(W.list("a/b c", "k&1", "").Target_ ==
           "/-/rows-get?table=a%2Fb%20c&part=&from=k%261");
+  platform::KeyRange Versions = platform::versionKeys();
+  REQUIRE(W.list("op", Versions.From_, Versions.To_).Target_ ==
+          "/-/rows-get?table=op&part=&from=version%2F&to=version0");
   REQUIRE(W.feed("op", 12, Milliseconds(2500)).Target_ ==
           "/-/rows-feed?table=op&after=12&wait_ms=2500");
   StoreTransaction T;
