One definition for each type: two types of one name damaged the stack

Cause: EngineState, AnswerHead, EngineLoad and CallerLimits were each defined twice in namespace hawthornroad, once by the old routing and once by the new one. The linker keeps one copy of an inline member, so code of one type ran on objects of the other. Shown by the unit tests under the address sanitizer: a stack overflow in parseEngineReading, and after that was renamed, a free of a wild pointer in the test of decodeAnswer. Ruled out: a mixed build (the folder was built anew before the second). Conclusion: optimised builds inlined these members and did not show it.

--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -237,7 +237,7 @@
   bool PeersUnderWay_ = false;
   TimePoint PeersAt_{};
   std::optional<TimePoint> LoadedAt_;
-  std::optional<EngineState> LastTold_;
+  std::optional<EngineReport> LastTold_;
   // The version for which the store was asked out of turn.
   WeightVersion LookedFor_ = 0;
   // Entries that asked to be told of the engine, by process.
@@ -624,7 +624,7 @@
   if (Answer == nullptr || Answer->Status_ != Ok)
     return Duty_.reportFailed(Now);
   try {
-    EngineState S = platform::decodeReport(Answer->Body_);
+    EngineReport S = platform::decodeReport(Answer->Body_);
     bool News = !LastTold_ || LastTold_->Loaded_ != S.Loaded_ ||
                 LastTold_->IsBusy_ != S.IsBusy_ ||
                 LastTold_->Orders_ != S.Orders_;
--- a/hawthornroad/config/RoutingConfig.h
+++ b/hawthornroad/config/RoutingConfig.h
@@ -113,12 +113,12 @@
 };
 
 // Bounds on what a caller may send.
-struct CallerLimits {
+struct RequestBounds {
   std::size_t HeaderBytes_ = 16384;
   std::size_t BodyBytes_ = 4 * 1024 * 1024;
   Duration HeaderTimeout_ = Seconds(3);
   Duration IdleTimeout_ = Seconds(15);
-  bool operator==(const CallerLimits &) const = default;
+  bool operator==(const RequestBounds &) const = default;
 };
 
 class RoutingConfig {
@@ -128,7 +128,7 @@
     std::vector<Route> Routes_;
     std::vector<ServiceEntry> Services_;
     std::vector<CustomerEntry> Customers_;
-    CallerLimits Limits_;
+    RequestBounds Limits_;
   };
 
   static std::shared_ptr<const RoutingConfig> build(Parts P);
@@ -142,7 +142,7 @@
   const CustomerEntry *customerOf(const std::string &Key) const;
   // Whether any customer is declared: then routes need keys.
   bool hasCustomers() const { return !Parts_.Customers_.empty(); }
-  const CallerLimits &limits() const { return Parts_.Limits_; }
+  const RequestBounds &limits() const { return Parts_.Limits_; }
   const Parts &parts() const { return Parts_; }
 
 private:
--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -318,7 +318,7 @@
              true);
   if (!Taken)
     return;
-  const CallerLimits &L = Config->limits();
+  const RequestBounds &L = Config->limits();
   SessionLimits Limits;
   Limits.HeaderBytes_ = L.HeaderBytes_;
   Limits.BodyBytes_ = L.BodyBytes_;
--- a/hawthornroad/entry/EngineNews.cpp
+++ b/hawthornroad/entry/EngineNews.cpp
@@ -30,7 +30,7 @@
     T.Version_ = Notice->version();
     auto Found = Agents_.find(From.Address_.str());
     if (Found != Agents_.end() && Found->second.WantsLoads_)
-      T.Load_ = EngineLoad{Notice->running(), Notice->waiting()};
+      T.Load_ = EndpointLoad{Notice->running(), Notice->waiting()};
     Handler_(T);
   };
   C.OnLost_ = [this](const PeerContext &From, const Error &) {
--- a/hawthornroad/entry/EngineNews.h
+++ b/hawthornroad/entry/EngineNews.h
@@ -31,7 +31,7 @@
   EnginePhase Phase_ = EnginePhase::Serving;
   std::uint64_t Version_ = 0;
   // Unset when it was not asked for.
-  std::optional<EngineLoad> Load_;
+  std::optional<EndpointLoad> Load_;
 };
 
 class EngineNews {
--- a/hawthornroad/staging/EngineDuty.cpp
+++ b/hawthornroad/staging/EngineDuty.cpp
@@ -30,7 +30,7 @@
   return true;
 }
 
-void EngineDuty::reported(EngineState S, TimePoint Now) {
+void EngineDuty::reported(EngineReport S, TimePoint Now) {
   // Fewer orders than before: it has started anew.
   if (State_ && S.Orders_ < State_->Orders_)
     VerifiedAt_.reset();
--- a/hawthornroad/staging/EngineDuty.h
+++ b/hawthornroad/staging/EngineDuty.h
@@ -33,7 +33,7 @@
 };
 
 // What an engine says of itself.
-struct EngineState {
+struct EngineReport {
   // Loaded whole; version 0: holds nothing that serves.
   ModelVersion Loaded_;
   // An order is in progress.
@@ -42,7 +42,7 @@
   std::uint64_t Orders_ = 0;
   unsigned Running_ = 0;
   unsigned Waiting_ = 0;
-  bool operator==(const EngineState &) const = default;
+  bool operator==(const EngineReport &) const = default;
 };
 
 enum class EngineStep {
@@ -88,7 +88,7 @@
   // An older version than the one wanted is ignored; true when it is news.
   bool want(ModelVersion V);
   const std::optional<ModelVersion> &wanted() const { return Wanted_; }
-  void reported(EngineState S, TimePoint Now);
+  void reported(EngineReport S, TimePoint Now);
   void reportFailed(TimePoint Now);
   // Whether all pieces of the wanted version lie at the engine.
   void setStaged(bool IsStaged);
@@ -117,12 +117,12 @@
   // Nothing is lost by loading at once: the engine serves nothing now.
   bool isEmpty() const { return State_ && State_->Loaded_.Version_ == 0; }
   bool isLoading() const { return State_ && State_->IsBusy_; }
-  const std::optional<EngineState> &state() const { return State_; }
+  const std::optional<EngineReport> &state() const { return State_; }
 
 private:
   Options Options_;
   std::optional<ModelVersion> Wanted_;
-  std::optional<EngineState> State_;
+  std::optional<EngineReport> State_;
   TimePoint ReportedAt_{};
   TimePoint OrderNotBefore_{};
   std::optional<TimePoint> VerifiedAt_;
--- a/hawthornroad/traffic/Call.h
+++ b/hawthornroad/traffic/Call.h
@@ -61,7 +61,7 @@
 };
 
 // The head of an endpoint's answer.
-struct AnswerHead {
+struct EndpointHead {
   unsigned Status_ = 0;
   HeaderFields Headers_;
   // The endpoint states that it did not run the request and will not.
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -112,7 +112,7 @@
   Placement::View Belief_;
   bool HasHead_ = false;
   bool FirstByteTold_ = false;
-  AnswerHead Head_;
+  EndpointHead Head_;
   std::string Body_;
   bool IsEvents_ = false;
 
@@ -127,7 +127,7 @@
   bool HasArrived_ = false;
   bool TookRepeat_ = false;
   // An endpoint's own failure, given to the caller if nothing better comes.
-  std::optional<AnswerHead> Fallback_;
+  std::optional<EndpointHead> Fallback_;
   std::string FallbackBody_;
 
   // The caller's stream has begun.
@@ -179,7 +179,7 @@
 }
 
 void TrafficCore::engineTold(const std::string &Address, bool IsAway,
-                             WeightVersion V, std::optional<EngineLoad> Load,
+                             WeightVersion V, std::optional<EndpointLoad> Load,
                              TimePoint Now) {
   for (const auto &[Id, Each] : Endpoints_.all()) {
     if (Each.Endpoint_.Address_ != Address)
@@ -479,14 +479,14 @@
                            Now - R.BegunAt_});
 }
 
-void TrafficCore::onHead(AttemptNumber A, AnswerHead H, TimePoint Now) {
+void TrafficCore::onHead(AttemptNumber A, EndpointHead H, TimePoint Now) {
   Record *R = find(A);
   if (R == nullptr)
     return;
   R->HeardAt_ = Now;
   R->HasHead_ = true;
   R->Head_ = std::move(H);
-  const AnswerHead &Head = R->Head_;
+  const EndpointHead &Head = R->Head_;
   bool IsOthers = !Head.RequestId_.empty() && Head.RequestId_ != R->Call_.Id_;
   bool IsUnsigned = !Head.NotRun_ && !Head.IsSigned_;
   if (IsOthers || Head.IsEncoded_ || IsUnsigned) {
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -130,7 +130,7 @@
 };
 
 // Requests at an engine, by its agent's word.
-struct EngineLoad {
+struct EndpointLoad {
   unsigned Running_ = 0;
   unsigned Waiting_ = 0;
 };
@@ -175,7 +175,7 @@
   void endpointsChanged(TimePoint Now);
   // An agent's word of its engine.
   void engineTold(const std::string &Address, bool IsAway, WeightVersion V,
-                  std::optional<EngineLoad> Load, TimePoint Now);
+                  std::optional<EndpointLoad> Load, TimePoint Now);
   KeyLease &lease() { return Lease_; }
   const Placement &placement() const { return Placement_; }
   // From At on no request is sent to an engine with a version of Model below V;
@@ -187,7 +187,7 @@
   // returns.
   void arrive(CallNumber N, Call C, TimePoint Now);
   void callerGone(CallNumber N, TimePoint Now);
-  void onHead(AttemptNumber A, AnswerHead H, TimePoint Now);
+  void onHead(AttemptNumber A, EndpointHead H, TimePoint Now);
   void onBody(AttemptNumber A, std::string Bytes, TimePoint Now);
   void onEnd(AttemptNumber A, TimePoint Now);
   void onFail(AttemptNumber A, bool NeverSent, const std::string &Why,
--- a/hawthornroad/weights/Swarm.cpp
+++ b/hawthornroad/weights/Swarm.cpp
@@ -27,7 +27,8 @@
       ZoneNews_(Budget_.sliceCount(), Now), News_(Budget_.sliceCount(), Now),
       SeenAt_(Budget_.sliceCount(), 0), AnyNews_(Now),
       Crosses_(Budget_.sliceCount(), false), MayCross_(C.Chunks_),
-      Wasted_(C.Chunks_), OriginPause_(Now + Setup_.LoneGrace_), OriginBackAt_(Now) {
+      Wasted_(C.Chunks_), OriginPause_(Now + Setup_.LoneGrace_),
+      OriginBackAt_(Now) {
   refreshCrossing(Now);
   rewatch();
 }
@@ -215,8 +216,7 @@
   if (!Setup_.WatchOwners_)
     return News_[S];
   auto Found = OwnerNews_.find(Owners_.owner(S));
-  TimePoint OfOwner =
-      Found == OwnerNews_.end() ? OriginBackAt_ : Found->second;
+  TimePoint OfOwner = Found == OwnerNews_.end() ? OriginBackAt_ : Found->second;
   return std::max({News_[S], OfOwner, OriginBackAt_});
 }
 
--- a/hawthornroad/weights/Swarm.h
+++ b/hawthornroad/weights/Swarm.h
@@ -122,10 +122,10 @@
     Duration LoneGrace_ = Seconds(1);
     // How long a successful answer of the origin counts.
     Duration OriginFresh_ = Seconds(5);
-    // There is no ledger: whoever claims a grant gets it, so a claim in another's
-    // place needs better evidence than a slice's silence. A slice is taken over
-    // only when its owner has shown nothing new of any of its slices for the
-    // patience, counted anew when the origin comes back.
+    // There is no ledger: whoever claims a grant gets it, so a claim in
+    // another's place needs better evidence than a slice's silence. A slice is
+    // taken over only when its owner has shown nothing new of any of its slices
+    // for the patience, counted anew when the origin comes back.
     bool WatchOwners_ = false;
     // The origin's zone, see Owners; empty when it is not known.
     AvailabilityZone OriginZone_ = {};
--- a/tests/unit/PlatformWireTest.cpp
+++ b/tests/unit/PlatformWireTest.cpp
@@ -189,12 +189,12 @@
                          false,
                          true}}) {
     CAPTURE(R.Name_);
-    AnswerHead H = platform::decodeAnswer(R.Status_, R.Fields_);
+    EndpointHead H = platform::decodeAnswer(R.Status_, R.Fields_);
     REQUIRE(H.NotRun_ == R.NotRun_);
     REQUIRE(H.IsSigned_ == R.Signed_);
     REQUIRE(H.IsOtherEndpoint_ == R.Other_);
   }
-  AnswerHead H =
+  EndpointHead H =
       platform::decodeAnswer(200, {{"X-Hawthornroad-Server-Load", "3,1,16"},
                                    {"X-Hawthornroad-Weight-Versions", "2"},
                                    {"Keep-Alive", "timeout=5"}});
@@ -268,7 +268,7 @@
 
 TEST_CASE("platform engine report, decoded, tells what is loaded",
           "[platform]") {
-  EngineState S = platform::decodeReport(
+  EngineReport S = platform::decodeReport(
       R"({"stage":"both","models":[{"name":"m","version":2}],"busy":true,
       "seq":3,"queued":1,"running":12})");
   REQUIRE(S.Loaded_ == ModelVersion{"m", 2});
--- a/tests/unit/StagingTest.cpp
+++ b/tests/unit/StagingTest.cpp
@@ -16,16 +16,16 @@
   EngineDuty D_;
   TimePoint Now_ = Start;
 
-  EngineState state(WeightVersion V, unsigned Running = 0, bool Busy = false,
-                    std::uint64_t Orders = 0) const {
-    EngineState S;
+  EngineReport state(WeightVersion V, unsigned Running = 0, bool Busy = false,
+                     std::uint64_t Orders = 0) const {
+    EngineReport S;
     S.Loaded_ = {"m", V};
     S.Running_ = Running;
     S.IsBusy_ = Busy;
     S.Orders_ = Orders;
     return S;
   }
-  void report(EngineState S) { D_.reported(std::move(S), Now_); }
+  void report(EngineReport S) { D_.reported(std::move(S), Now_); }
   EngineStep next(TimePoint LoadAt = Start, TimePoint WholeBy = Never) const {
     return D_.next(LoadAt, WholeBy, Now_);
   }
--- a/tests/unit/TrafficCoreTest.cpp
+++ b/tests/unit/TrafficCoreTest.cpp
@@ -145,9 +145,9 @@
     Core_.arrive(N, std::move(C), Now);
     return N;
   }
-  AnswerHead head(CallNumber N, unsigned Status = 200,
-                  bool Events = false) const {
-    AnswerHead H;
+  EndpointHead head(CallNumber N, unsigned Status = 200,
+                    bool Events = false) const {
+    EndpointHead H;
     H.Status_ = Status;
     H.IsSigned_ = true;
     H.RequestId_ = "r" + std::to_string(N);
@@ -155,8 +155,8 @@
       H.Headers_ = {{"Content-Type", "text/event-stream"}};
     return H;
   }
-  AnswerHead notRun(unsigned Status = 503) const {
-    AnswerHead H;
+  EndpointHead notRun(unsigned Status = 503) const {
+    EndpointHead H;
     H.Status_ = Status;
     H.NotRun_ = true;
     return H;
@@ -290,16 +290,16 @@
           "[traffic]") {
   struct Row {
     std::string Name_;
-    void (*Spoil_)(AnswerHead &);
+    void (*Spoil_)(EndpointHead &);
   };
   for (const Row &R : std::vector<Row>{
-           {"other request", [](AnswerHead &H) { H.RequestId_ = "x"; }},
-           {"unsigned", [](AnswerHead &H) { H.IsSigned_ = false; }},
-           {"encoded", [](AnswerHead &H) { H.IsEncoded_ = true; }}}) {
+           {"other request", [](EndpointHead &H) { H.RequestId_ = "x"; }},
+           {"unsigned", [](EndpointHead &H) { H.IsSigned_ = false; }},
+           {"encoded", [](EndpointHead &H) { H.IsEncoded_ = true; }}}) {
     CAPTURE(R.Name_);
     CoreFixture F;
     CallNumber N = F.send("/once/1");
-    AnswerHead H = F.head(N);
+    EndpointHead H = F.head(N);
     R.Spoil_(H);
     AttemptNumber A = F.Port_.last().Attempt_;
     F.Core_.onHead(A, H, Start);
