Limits of store calls bound each silence, not the whole answer

Cause: a store call had 900 ms in all. A configuration of 1,300 routes, read by thirty entries at once over links of 28 Mbit/s between regions, takes longer; every reader gave up shortly before the end and began anew, so the links stayed full. An entry that lost the store at 2.5 s had it back at 29 s, though the store answered again from 11.5 s on. Ruled out: the store (links within its own region stayed fast, entries there had each version in 0.2 s); the processors (0.01 of a core). What is left: agents that start list the operators' whole table, 99 times the same configuration over the same links.

--- a/hawthornroad/http/HttpCalls.cpp
+++ b/hawthornroad/http/HttpCalls.cpp
@@ -2,6 +2,7 @@
 
 #include "hawthornroad/runtime/BootClock.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
 
@@ -14,6 +15,8 @@
   struct Call {
     explicit Call(asio::io_context &Context) : Timer_(Context) {}
     asio::steady_timer Timer_;
+    Duration Limit_{};
+    TimePoint EndsBy_;
     std::shared_ptr<ClientLink> Link_;
     Done Done_;
     HttpAnswer Answer_;
@@ -96,20 +99,32 @@
       start(M, Limit, std::move(D));
   }
 
+  // Gives the call its limit anew, up to the end of the whole.
+  void arm(const std::shared_ptr<Call> &C) {
+    if (!C->Done_)
+      return;
+    C->Timer_.expires_after(std::min(C->Limit_, C->EndsBy_ - bootNow()));
+    C->Timer_.async_wait([Self = shared_from_this(),
+                          C](boost::system::error_code Code) {
+      // A wait that ended before it was renewed still runs, without an error.
+      bool IsRenewed = C->Timer_.expiry() > std::chrono::steady_clock::now();
+      if (Code || IsRenewed || !C->Done_)
+        return;
+      C->Link_->abandon();
+      Self->finish(C, LinkFailure{false, Step::Receive,
+                                  "no answer within the time limit"});
+    });
+  }
+
   void start(const HttpMessage &M, Duration Limit, Done D) {
     ++UnderWay_;
     auto C = std::make_shared<Call>(Context_);
     C->Link_ = take();
     C->Done_ = std::move(D);
     auto Self = shared_from_this();
-    C->Timer_.expires_after(Limit);
-    C->Timer_.async_wait([Self, C](boost::system::error_code Code) {
-      if (Code || !C->Done_)
-        return;
-      C->Link_->abandon();
-      Self->finish(C, LinkFailure{false, Step::Receive,
-                                  "no answer within the time limit"});
-    });
+    C->Limit_ = Limit;
+    C->EndsBy_ = bootNow() + std::max(Limit, Options_.WholeLimit_);
+    arm(C);
     std::string Text = requestText(M, Address_);
     ++Counters_.Calls_;
     Counters_.BytesSent_ += Text.size();
@@ -120,6 +135,8 @@
     E.OnBody_ = [Self, C](const std::string &Bytes) {
       Self->Counters_.BytesReceived_ += Bytes.size();
       C->Answer_.Body_ += Bytes;
+      if (Self->Options_.WholeLimit_ > Duration::zero())
+        Self->arm(C);
     };
     E.OnEnd_ = [Self, C](bool) {
       Self->giveBack(C->Link_);
--- a/hawthornroad/http/HttpCalls.h
+++ b/hawthornroad/http/HttpCalls.h
@@ -9,6 +9,11 @@
 // other. One that gets no answer in time ends its connection: whether it was
 // done is unknown. Calls and bytes are counted.
 //
+// With WholeLimit a call's limit bounds each silence, and WholeLimit all of it:
+// for answers whose length is not known beforehand. Where many read the same
+// long answer over one link, a bound on the whole ends every read shortly
+// before its end, all begin anew, and the link stays full for nothing.
+//
 // Bounds: MaxSpare unused connections are kept, for SpareFor.
 
 #ifndef HAWTHORNROAD_HTTP_HTTPCALLS_H
@@ -37,6 +42,8 @@
     std::size_t AtOnce_ = 0;
     // An unused connection is not trusted for longer: it may have gone silent.
     Duration SpareFor_ = Seconds(8);
+    // Zero: the limit of a call bounds the whole of it.
+    Duration WholeLimit_ = Duration::zero();
     ClientLink::Options Link_ = {};
   };
   struct Counters {
