An engine that waited for its pieces in vain closes only when they are there

Cause: after 2.0 s without its pieces a closed engine opened, and the same forecast closed it again in the same step, as long as the origin was away. Ruled out: slow VMs (pieces stopped at all VMs at once and came at all within a second). Change: EngineDuty forgets the forecast for this version after one wait. Test: fails before the change at "Fetch" (it said Close), passes after.

--- a/hawthornroad/staging/EngineDuty.cpp
+++ b/hawthornroad/staging/EngineDuty.cpp
@@ -27,6 +27,7 @@
   Staged_ = false;
   VerifiedAt_.reset();
   ClosedAt_.reset();
+  Misjudged_ = false;
   return true;
 }
 
@@ -80,6 +81,7 @@
       Now - *ClosedAt_ < Options_.CloseFor_ + Options_.CloseMost_)
     return false;
   ClosedAt_.reset();
+  Misjudged_ = true;
   return true;
 }
 
@@ -97,9 +99,9 @@
   if (!UnderWay)
     return EngineStep::Nothing;
   bool IsBusy = State_->IsBusy_ || Loading_;
+  bool ComesSoon = !Misjudged_ && WholeBy <= Now + Options_.CloseFor_;
   bool ClosesNow = !isEmpty() && !ClosedAt_ && !IsBusy &&
-                   Now >= LoadAt - Options_.CloseFor_ &&
-                   (Staged_ || WholeBy <= Now + Options_.CloseFor_);
+                   Now >= LoadAt - Options_.CloseFor_ && (Staged_ || ComesSoon);
   if (ClosesNow)
     return EngineStep::Close;
   // Also while another version is being loaded: the engine took what lay there
--- a/hawthornroad/staging/EngineDuty.h
+++ b/hawthornroad/staging/EngineDuty.h
@@ -127,6 +127,9 @@
   TimePoint OrderNotBefore_{};
   std::optional<TimePoint> VerifiedAt_;
   std::optional<TimePoint> ClosedAt_;
+  // It was closed for pieces that did not come: the forecast, which knows
+  // nothing of an origin that is away, counts no more for this version.
+  bool Misjudged_ = false;
   // An order was taken, and no report since has said that it is over.
   bool Loading_ = false;
   bool Staged_ = false;
--- a/tests/unit/StagingTest.cpp
+++ b/tests/unit/StagingTest.cpp
@@ -82,9 +82,11 @@
   REQUIRE(F.next(LoadAt) == EngineStep::Verify);
 }
 
-// The last pieces do not come although they were expected. An engine that stays
-// closed for them serves nobody, for nothing.
-TEST_CASE("engine duty, closed for pieces that do not come, opens again",
+// The last pieces do not come although they were expected: the origin is away.
+// An engine that stays closed for them serves nobody, for nothing; so does one
+// that opens and, the same forecast still standing, closes again at once.
+TEST_CASE("engine duty, closed for pieces that do not come, opens again until "
+          "they have",
           "[staging]") {
   DutyFixture F;
   F.D_.want({"m", 2});
@@ -96,6 +98,16 @@
   REQUIRE(F.D_.reopen(Start + Milliseconds(2000)));
   REQUIRE_FALSE(F.D_.isAway());
   REQUIRE_FALSE(F.D_.reopen(Start + Milliseconds(2100)));
+  F.Now_ = Start + Milliseconds(2100);
+  F.report(F.state(1, 9));
+  REQUIRE(F.next(Start, F.Now_) == EngineStep::Fetch);
+  F.D_.setStaged(true);
+  REQUIRE(F.next(Start, F.Now_) == EngineStep::Close);
+  SECTION("a later version is forecast anew") {
+    F.D_.setStaged(false);
+    F.D_.want({"m", 3});
+    REQUIRE(F.next(Start, F.Now_) == EngineStep::Close);
+  }
 }
 
 // An order got no answer. It may have been taken: the next one must name the
