--- /dev/null
+++ b/hawthornroad/agent/AgentEngine.cpp
@@ -0,0 +1,263 @@
+#include "hawthornroad/agent/StoreAgentState.h"
+
+#include <algorithm>
+
+namespace hawthornroad {
+
+namespace {
+// An entry believes for 3.5 s that an engine is away; it is told again before.
+constexpr Duration AwayAgain = Milliseconds(1500);
+// Engines come and go while a version is on its way.
+constexpr Duration PeersAgain = Milliseconds(2500);
+// An order is answered at once or not at all.
+constexpr Duration OrderLimit = Seconds(1);
+// How long pieces are kept in memory after a version is whole, for peers that
+// are still without.
+constexpr Duration PiecesKept = Seconds(5);
+// What a transfer takes at least, against the bare time of its bytes over the
+// narrowest link.
+constexpr double TransferStretch = 1.6;
+} // namespace
+
+TimePoint StoreAgent::State::mayLoadAt() const {
+  return turn().at(waveOf(Self_, Current_->Version_), Current_->HeardAt_);
+}
+
+// By the pace so far; never before pieces have begun to come.
+TimePoint StoreAgent::State::wholeBy(TimePoint Now) const {
+  if (!Current_ || !Current_->Transfer_)
+    return TimePoint::max();
+  const PieceTransfer &T = *Current_->Transfer_;
+  std::size_t All = T.digests().size();
+  if (T.isWhole() || T.held() * 3 < All)
+    return T.isWhole() ? Now : TimePoint::max();
+  double Missing =
+      static_cast<double>(All - T.held()) / static_cast<double>(T.held());
+  return Now +
+         std::chrono::duration_cast<Duration>((Now - T.startedAt()) * Missing);
+}
+
+unsigned StoreAgent::State::waveOf(const std::string &Ip,
+                                   const ModelVersion &V) const {
+  return turn().wave(Ip, ZoneMembers_, PieceTransfer::frameName(V));
+}
+
+LoadTurn StoreAgent::State::turn() const {
+  LoadTurn::Options O;
+  O.Bound_ = Settings_.Common_.VersionBound_ - BoundMargin;
+  const EnginePace *Pace = pace();
+  double Bits = Pace != nullptr
+                    ? static_cast<double>(Pace->Pieces_ * Pace->PieceBytes_) * 8
+                    : 0;
+  const ServiceEntry *Origin = Config_ ? Config_->origin() : nullptr;
+  double Mbps = Settings_.LinkMbps_;
+  if (Origin != nullptr && Origin->LinkMbps_ > 0)
+    Mbps = std::min(Mbps, Origin->LinkMbps_);
+  constexpr double BitsPerMegabit = 1e6;
+  O.Transfer_ =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+          Bits / (Mbps * BitsPerMegabit) * TransferStretch));
+  return LoadTurn(O);
+}
+
+// Entries that asked are told when the engine's state changes for them.
+void StoreAgent::State::tellEntries() {
+  if (!Duty_.state())
+    return;
+  wire::EngineNoticeT Notice;
+  Notice.address = Settings_.EngineAddress_;
+  Notice.version = Duty_.state()->Loaded_.Version_;
+  // An engine that has started anew holds nothing, whatever the store's list
+  // still says of it.
+  if (Duty_.isAway() || Duty_.isEmpty())
+    Notice.phase = static_cast<std::uint8_t>(EnginePhase::Away);
+  Notice.running = Duty_.state()->Running_;
+  Notice.waiting = Duty_.state()->Waiting_;
+  TimePoint Now = bootNow();
+  bool IsAway = Notice.phase != 0;
+  if (ToldEntries_ == Notice && !(IsAway && Now - ToldAt_ >= AwayAgain))
+    return;
+  ToldAt_ = Now;
+  bool IsLoadOnly = !IsAway && ToldEntries_ &&
+                    ToldEntries_->phase == Notice.phase &&
+                    ToldEntries_->version == Notice.version;
+  ToldEntries_ = Notice;
+  FrameBuffer Frame = makeFrame(Notice);
+  for (const auto &[Process, W] : Watchers_)
+    if (!IsLoadOnly || W.WantsLoads_)
+      Net_->reply(W.Connection_, Frame);
+}
+
+void StoreAgent::State::step(TimePoint Now) {
+  TimePoint LoadAt = Current_ ? mayLoadAt() : Now;
+  if (Duty_.reopen(Now)) {
+    Log_.write(LogLine("engine_reopened")
+                   .count("version", Current_->Version_.Version_)
+                   .count("held", Current_->Transfer_
+                                      ? Current_->Transfer_->held()
+                                      : 0));
+    tellEntries();
+  }
+  switch (Duty_.next(LoadAt, wholeBy(Now), Now)) {
+  case EngineStep::Nothing:
+    break;
+  case EngineStep::Report:
+    report();
+    break;
+  case EngineStep::Fetch:
+    fetch(Current_, Now);
+    break;
+  case EngineStep::Close:
+    Log_.write(LogLine("engine_closing")
+                   .count("version", Current_->Version_.Version_)
+                   .count("running", Duty_.state()->Running_)
+                   .millis("since_wanted_ms", Now - Current_->HeardAt_));
+    Duty_.closed(Now);
+    tellEntries();
+    break;
+  case EngineStep::Verify:
+    stageAndVerify();
+    break;
+  case EngineStep::Order:
+    order();
+    break;
+  }
+  if (Next_)
+    fetch(Next_, Now);
+  if (isFetching() && Now - PeersAt_ >= PeersAgain)
+    listPeers(Now);
+  // One version at a time uses the origin's narrow link: the earlier one first.
+  if (Next_ && Next_->Transfer_)
+    Next_->Transfer_->setReadsOrigin(!Current_ || OrderBegun_ ||
+                                     !Current_->Transfer_ ||
+                                     Current_->Transfer_->isWhole());
+  if (!Duty_.isDone())
+    return;
+  if (!LoadedAt_) {
+    LoadedAt_ = Now;
+    // What lies at the engine now is what it has loaded.
+    if (Current_ && Current_->Transfer_)
+      Offer_ = Current_->Transfer_;
+  }
+  if (Offer_ && Now - *LoadedAt_ > PiecesKept)
+    Offer_->forgetPieces();
+  if (!Offer_)
+    offerLoaded();
+  // The order may have been taken without an answer.
+  pursueNext();
+}
+
+// The next version overtakes one whose pieces do not come: when it is whole
+// itself, or when the earlier one is too late to be of use.
+void StoreAgent::State::overtake(TimePoint Now) {
+  if (!Next_ || OrderBegun_ || !Current_)
+    return;
+  if (Current_->Transfer_ && Current_->Transfer_->isWhole())
+    return;
+  bool IsNextWhole = Next_->Transfer_ && Next_->Transfer_->isWhole();
+  bool IsTooLate =
+      Now >= Current_->HeardAt_ + Settings_.Common_.VersionBound_ - BoundMargin;
+  if (!IsNextWhole && !IsTooLate)
+    return;
+  Log_.write(LogLine("version_overtaken")
+                 .count("version", Current_->Version_.Version_)
+                 .count("by", Next_->Version_.Version_)
+                 .flag("too_late", IsTooLate));
+  pursueNext();
+}
+
+void StoreAgent::State::report() {
+  Duty_.reportFailed(bootNow());
+  Engine_.call(platform::reportCall(), AgentEngineLimit,
+               [this](const HttpCalls::Result &R) { onReport(R); });
+}
+
+void StoreAgent::State::onReport(const HttpCalls::Result &R) {
+  TimePoint Now = bootNow();
+  const auto *Answer = std::get_if<HttpAnswer>(&R);
+  constexpr unsigned Ok = 200;
+  if (Answer == nullptr || Answer->Status_ != Ok)
+    return Duty_.reportFailed(Now);
+  try {
+    EngineReport S = platform::decodeReport(Answer->Body_);
+    bool News = !LastTold_ || LastTold_->Loaded_ != S.Loaded_ ||
+                LastTold_->IsBusy_ != S.IsBusy_ ||
+                LastTold_->Orders_ != S.Orders_;
+    if (News)
+      Log_.write(LogLine("engine")
+                     .count("version", S.Loaded_.Version_)
+                     .flag("busy", S.IsBusy_)
+                     .count("orders", S.Orders_)
+                     .count("running", S.Running_)
+                     .count("waiting", S.Waiting_));
+    LastTold_ = S;
+    Duty_.reported(std::move(S), Now);
+    tellEntries();
+  } catch (const Error &E) {
+    Log_.write(LogLine("engine_unreadable").text("detail", E.what()));
+    return Duty_.reportFailed(Now);
+  }
+  step(Now);
+}
+
+void StoreAgent::State::stageAndVerify() {
+  auto P = Current_;
+  if (!P->Transfer_ || !P->Transfer_->isWhole())
+    return;
+  Duty_.verifying();
+  std::vector<ChunkIndex> All;
+  for (ChunkIndex I = 0; I < P->Transfer_->digests().size(); ++I)
+    All.push_back(I);
+  StagePut::run(Engine_, P->Version_.Model_, P->Transfer_->pieces(),
+                [this, P, All](bool) {
+                  ReadBack::run(Engine_, P->Version_.Model_, All,
+                                P->Transfer_->digests(),
+                                [this, P](const ReadBack::Result &Right) {
+                                  onVerified(P, Right);
+                                });
+                });
+}
+
+void StoreAgent::State::onVerified(const std::shared_ptr<Pursuit> &P,
+                                   const ReadBack::Result &Right) {
+  std::size_t Pieces = P->Transfer_->digests().size();
+  bool Whole = Right.size() == Pieces && Current_ == P;
+  Log_.write(LogLine("pieces_verified")
+                 .count("version", P->Version_.Version_)
+                 .count("right", Right.size())
+                 .count("pieces", Pieces));
+  Duty_.verified(Whole, bootNow());
+  // The copy in memory is right: the next try puts all of it there again.
+  if (!Whole && Current_ == P)
+    Duty_.setStaged(true);
+  step(bootNow());
+}
+
+void StoreAgent::State::order() {
+  auto P = Current_;
+  std::uint64_t Orders = Duty_.state()->Orders_;
+  Duty_.ordering();
+  Engine_.call(platform::loadCall(P->Version_, Orders), OrderLimit,
+               [this, P](const HttpCalls::Result &R) {
+                 auto End = EngineDuty::OrderEnd::Unknown;
+                 unsigned Status = 0;
+                 if (const auto *Answer = std::get_if<HttpAnswer>(&R)) {
+                   Status = Answer->Status_;
+                   End = platform::decodeOrder(Status);
+                 }
+                 Log_.write(
+                     LogLine("order")
+                         .count("version", P->Version_.Version_)
+                         .count("status", Status)
+                         .millis("since_wanted_ms", bootNow() - P->HeardAt_));
+                 Duty_.ordered(End, bootNow());
+                 if (End == EngineDuty::OrderEnd::Begun && Current_ == P) {
+                   OrderBegun_ = true;
+                   tellEntries();
+                   pursueNext();
+                 }
+                 step(bootNow());
+               });
+}
+
+} // namespace hawthornroad
--- /dev/null
+++ b/hawthornroad/entry/DirectEntryState.h
@@ -0,0 +1,126 @@
+// The inside of DirectEntry, shared by its parts:
+//
+//   DirectEntry.cpp      its life, readiness, metrics
+//   EntryBeliefs.cpp     what the store and the agents tell
+//   EntryCalls.cpp       callers' connections, attempts, their lines in the log
+//
+// Everything runs on one thread, Io_'s.
+
+#ifndef HAWTHORNROAD_ENTRY_DIRECTENTRYSTATE_H
+#define HAWTHORNROAD_ENTRY_DIRECTENTRYSTATE_H
+
+#include "hawthornroad/entry/DirectEntry.h"
+#include "hawthornroad/entry/EngineNews.h"
+#include "hawthornroad/http/LinkPool.h"
+#include "hawthornroad/http/ServerSession.h"
+#include "hawthornroad/runtime/BootClock.h"
+#include "hawthornroad/runtime/EventLog.h"
+#include "hawthornroad/runtime/Io.h"
+#include "hawthornroad/runtime/Metrics.h"
+#include "hawthornroad/store/StoreClient.h"
+#include "hawthornroad/traffic/TrafficCore.h"
+#include "platform/RequestWire.h"
+#include "platform/StoreWire.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace hawthornroad {
+
+struct DirectEntry::State final : TrafficPort, SessionHandler {
+  explicit State(StoreEntrySettings Settings);
+  ~State() override;
+
+  // ---- SessionHandler
+  void onRequest(const std::shared_ptr<ServerSession> &S,
+                 InboundRequest R) override;
+  void onCallerGone(ServerSession &S) override;
+
+  // ---- TrafficPort
+  void beginAttempt(AttemptNumber A, const Call &C,
+                    const AttemptOrder &O) override;
+  void cancelAttempt(AttemptNumber A) override;
+  void respond(CallNumber N, unsigned Status, const HeaderFields &Fields,
+               std::string Body) override;
+  void refuse(CallNumber N, const Call &C, unsigned Status, Cause Why,
+              Duration RetryAfter) override;
+  void beginStream(CallNumber N, unsigned Status,
+                   const HeaderFields &Fields) override;
+  void writeStream(CallNumber N, std::string_view Bytes) override;
+  void finishStream(CallNumber N) override;
+  void abortStream(CallNumber N) override;
+  void tell(const CallReport &R) override;
+  void tell(const AttemptReport &R) override;
+
+  void start();
+  void tick();
+  void onOperatorRows(const TableWatch::Update &U);
+  void onEndpointRows(const TableWatch::Update &U);
+  void onOperatorCall(bool Ok, const TableWatch &W);
+  void onEndpointCall(bool Ok, const TableWatch &W);
+  void takeConfig(const std::string &Text);
+  void onEngineTold(const EngineTold &T);
+  void followEngines(TimePoint Now);
+  bool isReady(TimePoint Now) const;
+  void answerReady(ServerSession &S);
+  void answerMetrics(ServerSession &S);
+  ServerSession *session(CallNumber N) const;
+  std::shared_ptr<ServerSession> release(CallNumber N);
+
+  struct Attempt {
+    std::shared_ptr<ClientLink> Link_;
+    std::string Endpoint_;
+  };
+  // Answers questions on the ready and metrics addresses.
+  struct Questions final : SessionHandler {
+    State &Owner_;
+    explicit Questions(State &Owner) : Owner_(Owner) {}
+    void onRequest(const std::shared_ptr<ServerSession> &S,
+                   InboundRequest R) override {
+      if (platform::isReadyQuestion(R))
+        Owner_.answerReady(*S);
+      else if (R.Target_ == "/metrics")
+        Owner_.answerMetrics(*S);
+      else
+        S->respond(404, {}, "");
+    }
+    void onCallerGone(ServerSession &) override {}
+  };
+
+  StoreEntrySettings Settings_;
+  EventLog Log_;
+  Metrics Metrics_;
+  IoThread Io_;
+  platform::StoreWire Codec_;
+  StoreClient Store_;
+  Questions Questions_;
+  LinkPool Links_;
+  TrafficCore Core_;
+  std::shared_ptr<HttpListener> Callers_;
+  std::shared_ptr<HttpListener> Ready_;
+  std::shared_ptr<HttpListener> MetricsServer_;
+  std::optional<StoreWatch> OperatorWatch_;
+  std::optional<StoreWatch> EndpointWatch_;
+  std::unique_ptr<EngineNews> News_;
+  std::map<std::string, EngineTold> LastTold_;
+  std::unordered_map<CallNumber, std::shared_ptr<ServerSession>> Sessions_;
+  std::unordered_map<AttemptNumber, Attempt> Attempts_;
+  CallNumber NextCall_ = 1;
+  TimePoint SweptAt_{};
+  bool EndpointsListed_ = false;
+  bool OperatorAway_ = false;
+  bool EndpointAway_ = false;
+  bool WasReady_ = false;
+  std::atomic<bool> Stopping_{false};
+  std::string CallersAddress_;
+  std::string ReadyAddress_;
+  std::string MetricsAddress_;
+};
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_ENTRY_DIRECTENTRYSTATE_H
--- /dev/null
+++ b/hawthornroad/entry/EntryBeliefs.cpp
@@ -0,0 +1,159 @@
+#include "hawthornroad/entry/DirectEntryState.h"
+#include "platform/Names.h"
+
+#include <algorithm>
+
+namespace hawthornroad {
+
+namespace {
+// Before the bound of a version, so that requests already sent have begun.
+constexpr Duration VersionMargin = Milliseconds(600);
+// What word of the version and of the taking back may take on their ways.
+constexpr Duration VersionHardMargin = Milliseconds(200);
+} // namespace
+
+void DirectEntry::State::onOperatorRows(const TableWatch::Update &U) {
+  TimePoint Now = bootNow();
+  for (const StoreRow &Row : U.Rows_) {
+    if (Row.IsRemoved_)
+      continue;
+    try {
+      if (Row.Key_ == platform::ConfigKey) {
+        takeConfig(Row.Value_);
+      } else if (auto V = platform::decodeVersion(Row.Key_, Row.Value_)) {
+        TimePoint Bound = Now + Settings_.Common_.VersionBound_;
+        Core_.requireVersion(V->Model_, V->Version_, Bound - VersionMargin,
+                             Bound - VersionHardMargin);
+        Log_.write(LogLine("version_wanted")
+                       .text("model", V->Model_)
+                       .count("version", V->Version_),
+                   true);
+        if (News_)
+          News_->setNewest(V->Version_);
+      }
+    } catch (const Error &E) {
+      // The store takes only valid texts: one that is not is of a later kind.
+      // What was in force stays.
+      Log_.write(LogLine("config_unreadable")
+                     .text("key", Row.Key_)
+                     .text("detail", E.what()),
+                 true);
+    }
+  }
+}
+
+void DirectEntry::State::takeConfig(const std::string &Text) {
+  SharedConfig Config = RoutingConfig::build(platform::decodeConfig(Text));
+  bool Taken = Core_.configure(Config, bootNow());
+  Log_.write(LogLine("config")
+                 .count("version", Config->version())
+                 .flag("in_force", Taken)
+                 .count("routes", Config->parts().Routes_.size())
+                 .count("customers", Config->parts().Customers_.size()),
+             true);
+  if (!Taken)
+    return;
+  const RequestBounds &L = Config->limits();
+  SessionLimits Limits;
+  Limits.HeaderBytes_ = L.HeaderBytes_;
+  Limits.BodyBytes_ = L.BodyBytes_;
+  Limits.HeaderTimeout_ = L.HeaderTimeout_;
+  Limits.IdleTimeout_ = L.IdleTimeout_;
+  Callers_->setLimits(Limits);
+  Metrics_.set("hawthornroad_config_version",
+               static_cast<double>(Config->version()));
+}
+
+void DirectEntry::State::onEndpointRows(const TableWatch::Update &U) {
+  TimePoint Now = bootNow();
+  EndpointsListed_ = true;
+  std::vector<Endpoint> All;
+  std::vector<EndpointId> Gone;
+  for (const StoreRow &Row : U.Rows_) {
+    EndpointId Id(Row.Key_);
+    if (Row.IsRemoved_) {
+      Log_.write(LogLine("endpoint_gone").text("endpoint", Row.Key_));
+      Gone.push_back(Id);
+      continue;
+    }
+    try {
+      Endpoint E = platform::decodeEndpoint(Row.Key_, Row.Value_);
+      const Endpoint *Known = Core_.endpoints().find(Id);
+      if (Known == nullptr || *Known != E)
+        Log_.write(LogLine(Known == nullptr ? "endpoint" : "endpoint_changed")
+                       .text("endpoint", Row.Key_)
+                       .text("service", E.Service_.str())
+                       .text("address", E.Address_)
+                       .text("zone", E.Zone_.str())
+                       .flag("draining", E.IsDraining_)
+                       .count("version", E.Version_));
+      if (!U.IsWhole_)
+        Core_.endpoints().changed(E, Now);
+      All.push_back(std::move(E));
+    } catch (const Error &E) {
+      Log_.write(LogLine("endpoint_unreadable")
+                     .text("endpoint", Row.Key_)
+                     .text("detail", E.what()));
+    }
+  }
+  if (U.IsWhole_)
+    Core_.endpoints().listed(All, Now);
+  else
+    Core_.endpoints().removed(Gone, Now);
+  std::set<std::string> Present;
+  for (const auto &[Id, Each] : Core_.endpoints().all())
+    Present.insert(Id.str());
+  Links_.keepOnly(Present);
+  Core_.endpointsChanged(Now);
+  followEngines(Now);
+}
+
+void DirectEntry::State::followEngines(TimePoint Now) {
+  if (!News_)
+    return;
+  std::map<std::string, bool> Engines;
+  for (const auto &[Id, Each] : Core_.endpoints().all())
+    if (Each.Endpoint_.HasModel_)
+      Engines[Each.Endpoint_.Address_] =
+          Each.Endpoint_.Zone_ == Settings_.Common_.Zone_;
+  News_->follow(Engines, Now);
+}
+
+void DirectEntry::State::onEngineTold(const EngineTold &T) {
+  EngineTold &Last = LastTold_[T.Address_];
+  bool IsAway = T.Phase_ != EnginePhase::Serving;
+  if (Last.Phase_ != T.Phase_ || Last.Version_ != T.Version_)
+    Log_.write(LogLine("engine_told")
+                   .text("address", T.Address_)
+                   .flag("away", IsAway)
+                   .count("version", T.Version_));
+  Last = T;
+  Core_.engineTold(T.Address_, IsAway, T.Version_, T.Load_, bootNow());
+}
+
+void DirectEntry::State::onOperatorCall(bool Ok, const TableWatch &W) {
+  if (auto Proof = W.provenAt())
+    Core_.lease().prove(*Proof);
+  if (Ok == !OperatorAway_)
+    return;
+  OperatorAway_ = !Ok;
+  Log_.write(LogLine(Ok ? "store_back" : "store_lost")
+                 .text("table", platform::OperatorTable),
+             true);
+}
+
+void DirectEntry::State::onEndpointCall(bool Ok, const TableWatch &W) {
+  if (Ok == !EndpointAway_)
+    return;
+  EndpointAway_ = !Ok;
+  TimePoint Now = bootNow();
+  if (Ok)
+    Core_.endpoints().storeBack(Now);
+  else
+    Core_.endpoints().storeLost(Now);
+  Log_.write(LogLine(Ok ? "store_back" : "store_lost")
+                 .text("table", platform::EndpointTable),
+             true);
+}
+
+} // namespace hawthornroad
--- /dev/null
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -0,0 +1,180 @@
+#include "hawthornroad/entry/DirectEntryState.h"
+
+#include <array>
+#include <cstdio>
+
+namespace hawthornroad {
+
+namespace {
+std::string secondsText(Duration D) {
+  std::array<char, 32> Text;
+  double Value = std::chrono::duration<double>(D).count();
+  int Length = std::snprintf(Text.data(), Text.size(), "%.2f", Value);
+  return {Text.data(), static_cast<std::size_t>(Length)};
+}
+} // namespace
+
+void DirectEntry::State::onRequest(const std::shared_ptr<ServerSession> &S,
+                                   InboundRequest R) {
+  if (platform::isReadyQuestion(R))
+    return answerReady(*S);
+  CallNumber N = NextCall_++;
+  S->setTag(N);
+  Sessions_[N] = S;
+  Core_.arrive(N, platform::decodeCall(std::move(R)), bootNow());
+}
+
+void DirectEntry::State::onCallerGone(ServerSession &S) {
+  CallNumber N = S.tag();
+  Sessions_.erase(N);
+  Core_.callerGone(N, bootNow());
+}
+
+ServerSession *DirectEntry::State::session(CallNumber N) const {
+  auto Found = Sessions_.find(N);
+  return Found == Sessions_.end() ? nullptr : Found->second.get();
+}
+
+std::shared_ptr<ServerSession> DirectEntry::State::release(CallNumber N) {
+  auto Found = Sessions_.find(N);
+  if (Found == Sessions_.end())
+    return nullptr;
+  auto S = std::move(Found->second);
+  Sessions_.erase(Found);
+  return S;
+}
+
+void DirectEntry::State::respond(CallNumber N, unsigned Status,
+                                 const HeaderFields &Fields, std::string Body) {
+  if (auto S = release(N))
+    S->respond(Status, Fields, std::move(Body));
+}
+
+void DirectEntry::State::refuse(CallNumber N, const Call &C, unsigned Status,
+                                Cause Why, Duration RetryAfter) {
+  auto S = release(N);
+  if (!S)
+    return;
+  HeaderFields Fields = platform::refusalHeaders(C);
+  Fields.push_back({"Content-Type", "application/problem+json"});
+  if (RetryAfter > Duration::zero())
+    Fields.push_back({"Retry-After", secondsText(RetryAfter)});
+  S->respond(Status, Fields,
+             "{\"cause\":\"" + std::string(toString(Why)) + "\"}");
+}
+
+void DirectEntry::State::beginStream(CallNumber N, unsigned Status,
+                                     const HeaderFields &Fields) {
+  if (ServerSession *S = session(N))
+    S->begin(Status, Fields);
+}
+
+void DirectEntry::State::writeStream(CallNumber N, std::string_view Bytes) {
+  if (ServerSession *S = session(N))
+    S->write(Bytes);
+}
+
+void DirectEntry::State::finishStream(CallNumber N) {
+  if (auto S = release(N))
+    S->finish();
+}
+
+void DirectEntry::State::abortStream(CallNumber N) {
+  if (auto S = release(N))
+    S->abort();
+}
+
+// ---- Endpoints --------------------------------------------------------------
+
+void DirectEntry::State::beginAttempt(AttemptNumber A, const Call &C,
+                                      const AttemptOrder &O) {
+  auto Link = Links_.take(O.Endpoint_.str(), O.Address_);
+  Attempts_[A] = {Link, O.Endpoint_.str()};
+  ClientLink::Events E;
+  E.OnHead_ = [this, A](unsigned Status, HeaderFields Fields) {
+    Core_.onHead(A, platform::decodeAnswer(Status, std::move(Fields)),
+                 bootNow());
+  };
+  E.OnBody_ = [this, A](std::string Bytes) {
+    Core_.onBody(A, std::move(Bytes), bootNow());
+  };
+  E.OnEnd_ = [this, A](bool) {
+    auto Found = Attempts_.find(A);
+    if (Found != Attempts_.end()) {
+      Links_.giveBack(Found->second.Endpoint_, Found->second.Link_);
+      Attempts_.erase(Found);
+    }
+    Core_.onEnd(A, bootNow());
+  };
+  E.OnFail_ = [this, A](const LinkFailure &F) {
+    Attempts_.erase(A);
+    Core_.onFail(A, F.NeverSent_,
+                 std::string(toString(F.Step_)) + ": " + F.Message_, bootNow());
+  };
+  Link->send(requestText(platform::encodeAttempt(C, O), O.Address_),
+             std::move(E));
+}
+
+void DirectEntry::State::cancelAttempt(AttemptNumber A) {
+  auto Found = Attempts_.find(A);
+  if (Found == Attempts_.end())
+    return;
+  auto Link = std::move(Found->second.Link_);
+  Attempts_.erase(Found);
+  Link->abandon();
+}
+
+// ---- Log --------------------------------------------------------------------
+
+void DirectEntry::State::tell(const AttemptReport &R) {
+  LogLine L("attempt");
+  L.text("request", R.Id_)
+      .text("what", R.What_)
+      .text("endpoint", R.Endpoint_.str())
+      .text("address", R.Address_)
+      .count("ordinal", R.Ordinal_);
+  if (R.What_ == "begun") {
+    L.number("load", R.Belief_.Load_)
+        .number("unread", R.Belief_.Unread_)
+        .count("own", R.Belief_.Own_)
+        .count("places", R.Belief_.Places_)
+        .count("version", R.Belief_.Version_);
+    if (R.Belief_.ReportAge_)
+      L.millis("load_age_ms", *R.Belief_.ReportAge_);
+  } else {
+    L.text("why", R.Why_).flag("may_have_run", R.MayHaveRun_);
+    L.millis("took_ms", R.Took_);
+    Metrics_.count("hawthornroad_attempts_total",
+                   {{"end", std::string(R.What_)}});
+  }
+  Log_.write(L);
+}
+
+void DirectEntry::State::tell(const CallReport &R) {
+  LogLine L("request");
+  L.text("request", R.Id_)
+      .text("route", R.Route_)
+      .text("customer", R.Customer_.str())
+      .count("status", R.Status_)
+      .text("cause", toString(R.Cause_))
+      .flag("may_have_run", R.MayHaveRun_)
+      .flag("caller_gone", R.CallerGone_)
+      .count("attempts", R.Attempts_)
+      .text("endpoint", R.LastEndpoint_.str())
+      .count("config", R.ConfigVersion_)
+      .count("events", R.Events_)
+      .millis("waited_ms", R.Waited_)
+      .millis("whole_ms", R.Whole_);
+  if (R.FirstByte_)
+    L.millis("first_ms", *R.FirstByte_).millis("gap_ms", R.LongestGap_);
+  Log_.write(L);
+  Metrics_.count("hawthornroad_requests_total",
+                 {{"status", std::to_string(R.Status_)},
+                  {"cause", std::string(toString(R.Cause_))}});
+  if (R.FirstByte_)
+    Metrics_.observe("hawthornroad_first_byte_seconds",
+                     std::chrono::duration<double>(*R.FirstByte_).count(),
+                     {{"route", R.Route_}, {"customer", R.Customer_.str()}});
+}
+
+} // namespace hawthornroad
--- a/hawthornroad/http/HttpCalls.h
+++ b/hawthornroad/http/HttpCalls.h
@@ -11,8 +11,8 @@
 //
 // With WholeLimit a call's limit bounds each silence, and WholeLimit all of it:
 // for answers whose length is not known beforehand. Where many read the same
-// long answer over one link, a bound on the whole ends every read shortly
-// before its end, all begin anew, and the link stays full for nothing.
+// long answer over one link, a bound on the whole ends reads before they are
+// through, they begin anew, and the link carries the same bytes again.
 //
 // Bounds: MaxSpare unused connections are kept, for SpareFor.
 
--- a/hawthornroad/runtime/Address.cpp
+++ b/hawthornroad/runtime/Address.cpp
@@ -28,6 +28,14 @@
   return {Ip, Port};
 }
 
+std::string ipOf(const std::string &Address, Step Where) {
+  return parseAddress(Address, Where).address().to_string();
+}
+
+std::uint16_t portOf(const std::string &Address, Step Where) {
+  return parseAddress(Address, Where).port();
+}
+
 std::string formatAddress(const tcp::endpoint &Endpoint) {
   std::string Ip = Endpoint.address().to_string();
   if (Endpoint.address().is_v6())
--- a/hawthornroad/runtime/Address.h
+++ b/hawthornroad/runtime/Address.h
@@ -14,6 +14,9 @@
 // Throws Error(Where, Address, ...) when Address is not "IP:port".
 boost::asio::ip::tcp::endpoint parseAddress(const std::string &Address,
                                             Step Where);
+// The parts of an address; throw as parseAddress does.
+std::string ipOf(const std::string &Address, Step Where = Step::Settings);
+std::uint16_t portOf(const std::string &Address, Step Where = Step::Settings);
 std::string formatAddress(const boost::asio::ip::tcp::endpoint &Endpoint);
 
 // Opens a listener on Ip:Port; port 0 lets the kernel choose. Throws
--- a/hawthornroad/runtime/ControlPlane.cpp
+++ b/hawthornroad/runtime/ControlPlane.cpp
@@ -7,8 +7,7 @@
 #include "hawthornroad/runtime/ControlStatus.h"
 #include "hawthornroad/runtime/Log.h"
 #include "hawthornroad/runtime/PlatformTable.h"
-
-#include <random>
+#include "hawthornroad/runtime/Seed.h"
 
 namespace hawthornroad {
 
@@ -17,9 +16,7 @@
 using Kind = MemberChange::Kind;
 
 Random makeRandom(const ControlPlane::Setup &S) {
-  std::uint64_t Seed = S.Settings_.RandomSeed_;
-  if (Seed == 0)
-    Seed = std::random_device()();
+  std::uint64_t Seed = seedOr(S.Settings_.RandomSeed_);
   // Processes that share a seed must still not choose alike.
   return Random(Seed ^ rendezvousScore("seed", S.Settings_.Process_.str()));
 }
--- a/hawthornroad/runtime/CtlChange.cpp
+++ b/hawthornroad/runtime/CtlChange.cpp
@@ -5,6 +5,7 @@
 #include "hawthornroad/config/PatchLines.h"
 #include "hawthornroad/runtime/CtlCommands.h"
 #include "hawthornroad/runtime/FleetStatus.h"
+#include "hawthornroad/runtime/Seed.h"
 #include "hawthornroad/runtime/TableClient.h"
 
 #include <boost/json/array.hpp>
@@ -12,7 +13,6 @@
 #include <charconv>
 #include <filesystem>
 #include <iomanip>
-#include <random>
 #include <sstream>
 #include <thread>
 
@@ -29,11 +29,6 @@
       .count();
 }
 
-std::uint64_t systemSeed() {
-  std::random_device Device;
-  return (std::uint64_t{Device()} << 32) | Device();
-}
-
 // The validated text of a file; throws TextError with all faults.
 json::value readDeclared(const std::string &File) {
   std::string Text = readTextFile(File, Step::Declaration);
--- a/hawthornroad/runtime/EngineControl.cpp
+++ b/hawthornroad/runtime/EngineControl.cpp
@@ -6,10 +6,10 @@
 #include "hawthornroad/rollout/RolloutTurn.h"
 #include "hawthornroad/runtime/EngineAnswers.h"
 #include "hawthornroad/runtime/Log.h"
+#include "hawthornroad/runtime/Seed.h"
 
 #include <boost/json/array.hpp>
 #include <optional>
-#include <random>
 #include <utility>
 
 namespace hawthornroad {
@@ -36,12 +36,6 @@
   return L;
 }
 
-std::uint64_t seedOf(const AgentSettings &S) {
-  if (S.Common_.RandomSeed_ != 0)
-    return S.Common_.RandomSeed_;
-  return std::random_device()();
-}
-
 HttpClient::Options callOptions() {
   return {.ConnectTimeout_ = CallConnectTimeout,
           .IdleTimeout_ = CallTimeout,
@@ -107,7 +101,8 @@
   State(Setup S, DecisionLoop &Loop, HttpClient &Client, Metrics &M,
         Callbacks C)
       : Setup_(std::move(S)), Loop_(Loop), Client_(Client), Metrics_(M),
-        Callbacks_(std::move(C)), Random_(seedOf(Setup_.Settings_)),
+        Callbacks_(std::move(C)),
+        Random_(seedOr(Setup_.Settings_.Common_.RandomSeed_)),
         Turn_({.Vm_ = Setup_.Settings_.Vm_,
                .Zone_ = Setup_.Settings_.Common_.Zone_,
                .Incarnation_ = Setup_.Incarnation_,
--- a/hawthornroad/runtime/EntryProcess.cpp
+++ b/hawthornroad/runtime/EntryProcess.cpp
@@ -5,10 +5,10 @@
 #include "hawthornroad/runtime/AttemptCodec.h"
 #include "hawthornroad/runtime/EntryState.h"
 #include "hawthornroad/runtime/Log.h"
+#include "hawthornroad/runtime/Seed.h"
 
 #include <boost/json/serialize.hpp>
 #include <chrono>
-#include <random>
 #include <thread>
 
 namespace hawthornroad {
@@ -30,13 +30,6 @@
   return std::chrono::duration_cast<Milliseconds>(Since).count();
 }
 
-std::uint64_t seedFrom(const ProcessSettings &S) {
-  if (S.RandomSeed_ != 0)
-    return S.RandomSeed_;
-  std::random_device Device;
-  return (std::uint64_t{Device()} << 32) ^ Device();
-}
-
 Problem processBusy() {
   Problem P;
   P.Cause_ = std::string(toString(RefusalCause::ProcessBusy));
@@ -52,10 +45,7 @@
       std::chrono::duration_cast<std::chrono::nanoseconds>(Since).count());
 }
 
-std::uint64_t idSeed() {
-  std::random_device Device;
-  return (std::uint64_t{Device()} << 32) ^ Device() ^ startTime();
-}
+std::uint64_t idSeed() { return systemSeed() ^ startTime(); }
 
 namespace {
 RequestCore::Options coreOptions(const EntrySettings &S) {
@@ -72,25 +62,18 @@
   O.Timeout_ = std::min(S.Common_.Platform_.Timeout_, ClaimTimeout);
   return O;
 }
-
-std::string ipOf(const std::string &Address) {
-  return parseAddress(Address, Step::Settings).address().to_string();
-}
-
-std::uint16_t portOf(const std::string &Address) {
-  return parseAddress(Address, Step::Settings).port();
-}
 } // namespace
 
 EntryProcess::State::State(EntrySettings Settings)
     : Settings_(std::move(Settings)),
-      Admission_(Random(seedFrom(Settings_.Common_))),
-      Chooser_(Random(seedFrom(Settings_.Common_)), Settings_.Common_.Zone_),
+      Admission_(Random(seedOr(Settings_.Common_.RandomSeed_))),
+      Chooser_(Random(seedOr(Settings_.Common_.RandomSeed_)),
+               Settings_.Common_.Zone_),
       Core_(coreOptions(Settings_), loadRequestChart(Settings_.Common_.Charts_),
             Random(idSeed()), Admission_, Chooser_, Budget_),
       Claims_(claimOptions(Settings_, Incarnation_),
               loadClaimChart(Settings_.Common_.Charts_),
-              Random(seedFrom(Settings_.Common_))) {
+              Random(seedOr(Settings_.Common_.RandomSeed_))) {
   listen();
 }
 
--- a/hawthornroad/store/StoreClient.cpp
+++ b/hawthornroad/store/StoreClient.cpp
@@ -10,8 +10,8 @@
 // A healthy store answers within some ten milliseconds; a slow one takes fifty
 // times as long. Longer silences would eat into the lease of customers' keys.
 constexpr Duration AnswerLimit = Milliseconds(900);
-// A page holds up to 1 MB; a link of 28 Mbit/s between zones that thirty
-// entries share brings all of theirs in 9 s.
+// A page holds up to 1 MB: thirty of them take 9 s over one link of 28 Mbit/s
+// between regions (computed).
 constexpr Duration WholeLimit = Seconds(10);
 // A write that got no answer cannot be repeated lightly, so it waits longer.
 constexpr Duration WriteLimit = Milliseconds(1500);
--- /dev/null
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -0,0 +1,260 @@
+#include "hawthornroad/traffic/TrafficState.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hawthornroad {
+
+namespace {
+// Times to come back. Callers honour up to a third of the time they have left;
+// below the shortest they would return before anything can have changed.
+constexpr Duration ReturnLeast = Milliseconds(250);
+constexpr Duration ReturnMost = Milliseconds(1800);
+// A process without configuration or with a stale lease sends its callers to
+// another one, for which no time need pass.
+constexpr Duration ReturnElsewhere = Milliseconds(300);
+// Spread of times to come back, so that refused callers do not return at once.
+constexpr double ReturnSpread = 0.35;
+// A line this short is not estimated: its pace is not known well enough.
+constexpr std::size_t LineUnestimated = 3;
+// Endpoint's urgency of a first attempt (the field's default), and of one that
+// goes on with a begun stream.
+constexpr int UrgencyMiddle = 5;
+constexpr int UrgencyResume = 1;
+constexpr int UrgencyMost = 9;
+
+Priority classOf(int Rank) {
+  if (Rank <= 0)
+    return Priority::Interactive;
+  return Rank == 1 ? Priority::Normal : Priority::Batch;
+}
+} // namespace
+
+void TrafficCore::arrive(CallNumber N, Call C, TimePoint Now) {
+  auto Made = std::make_unique<Record>();
+  Record &R = *Made;
+  R.Number_ = N;
+  R.Call_ = std::move(C);
+  R.Config_ = Config_;
+  R.ArrivedAt_ = Now;
+  R.Deadline_ = Now + R.Call_.Patience_.value_or(Options_.DefaultPatience_);
+  bool IsFull = Calls_.size() >= Options_.MaxCalls_;
+  Calls_.emplace(N, std::move(Made));
+  if (IsFull)
+    refuse(R, status::Unavailable, Cause::ProcessFull, ReturnElsewhere, Now);
+  else if (classify(R, Now))
+    place(R, Now);
+  pumpDue(Now);
+}
+
+bool TrafficCore::classify(Record &R, TimePoint Now) {
+  if (Stopping_) {
+    refuse(R, status::Unavailable, Cause::Stopping, ReturnElsewhere, Now);
+    return false;
+  }
+  if (!R.Config_) {
+    refuse(R, status::Unavailable, Cause::NoConfiguration, ReturnElsewhere,
+           Now);
+    return false;
+  }
+  const RoutingConfig &Config = *R.Config_;
+  R.Route_ = Config.match(R.Call_.Host_, R.Call_.path());
+  if (R.Route_ == nullptr) {
+    refuse(R, status::NotFound, Cause::NoRoute, Duration::zero(), Now);
+    return false;
+  }
+  R.Rank_ = R.Route_->Rank_;
+  R.Deadline_ = std::min(R.Deadline_, Now + R.Route_->Timeout_);
+  if (Config.hasCustomers()) {
+    bool Holds = Lease_.holds(Now);
+    const CustomerEntry *Who =
+        Holds ? Config.customerOf(R.Call_.Key_) : nullptr;
+    if (!R.Route_->IsPublic_ && !Holds) {
+      refuse(R, status::Unavailable, Cause::KeyLeaseOver, ReturnElsewhere, Now);
+      return false;
+    }
+    if (!R.Route_->IsPublic_ && Who == nullptr) {
+      refuse(R, status::Unauthorized, Cause::NoKey, Duration::zero(), Now);
+      return false;
+    }
+    if (Who != nullptr) {
+      R.Customer_ = Who->Name_;
+      R.Rank_ = Who->Rank_.value_or(R.Rank_);
+    }
+  }
+  unsigned Total = 0;
+  for (const ServiceShare &S : R.Route_->Services_)
+    Total += S.Weight_;
+  std::uint64_t Drawn = Random_.below(std::max(1U, Total));
+  for (const ServiceShare &S : R.Route_->Services_) {
+    R.Service_ = S.Service_;
+    if (Drawn < S.Weight_)
+      break;
+    Drawn -= S.Weight_;
+  }
+  return true;
+}
+
+Duration TrafficCore::lineWait(const ServiceName &Service,
+                               const Record &R) const {
+  auto Found = Lines_.find(Service);
+  if (Found == Lines_.end())
+    return Duration::zero();
+  const Line &L = Found->second;
+  if (L.Queue_.size() < LineUnestimated || L.Ends_.size() < 2)
+    return Duration::zero();
+  double Ahead = L.Queue_.aheadOf(R.Customer_, classOf(R.Rank_), 1.0);
+  Duration PerEnd = (L.Ends_.back() - L.Ends_.front()) /
+                    static_cast<Duration::rep>(L.Ends_.size() - 1);
+  return std::chrono::duration_cast<Duration>(PerEnd * (Ahead + 1));
+}
+
+Duration TrafficCore::timeToReturn(const ServiceName &Service, TimePoint Now) {
+  Duration Wait = Duration::zero();
+  auto Found = Lines_.find(Service);
+  if (Found != Lines_.end() && Found->second.Ends_.size() >= 2) {
+    const Line &L = Found->second;
+    Duration PerEnd = (L.Ends_.back() - L.Ends_.front()) /
+                      static_cast<Duration::rep>(L.Ends_.size() - 1);
+    Wait = PerEnd * static_cast<Duration::rep>(L.Queue_.size());
+  }
+  Duration Base = std::clamp<Duration>(2 * Wait, 2 * ReturnLeast, ReturnMost);
+  return std::max<Duration>(ReturnLeast, Random_.jitter(Base, ReturnSpread));
+}
+
+void TrafficCore::place(Record &R, TimePoint Now) {
+  auto Found = Lines_.find(R.Service_);
+  bool OthersWait = Found != Lines_.end() && !Found->second.Queue_.empty();
+  if (!OthersWait && tryBegin(R, Now))
+    return;
+  queue(R, Now);
+}
+
+void TrafficCore::queue(Record &R, TimePoint Now) {
+  if (R.IsDone_)
+    return;
+  if (!R.IsStreaming_) {
+    Placement::Query Q;
+    Q.Service_ = R.Service_;
+    Q.MinVersion_ = minVersion(R.Service_, Now);
+    if (Placement_.usable(Q) == 0)
+      return giveUp(R, Cause::NoEndpoint, Now);
+    Duration Limit = std::max(Options_.LineLeast_,
+                              std::chrono::duration_cast<Duration>(
+                                  R.Route_->Goal_ * Options_.LineShare_));
+    if (lineWait(R.Service_, R) > Limit)
+      return giveUp(R, Cause::LineFull, Now);
+  }
+  R.IsInLine_ = true;
+  R.LineSince_ = Now;
+  R.Item_ = {RequestId{0, R.Number_}, Customer(),
+             R.IsStreaming_ ? Priority::Interactive : classOf(R.Rank_),
+             R.Deadline_};
+  Lines_[R.Service_].Queue_.push(R.Item_, 1.0);
+}
+
+void TrafficCore::unqueue(Record &R) {
+  if (!R.IsInLine_)
+    return;
+  R.IsInLine_ = false;
+  Lines_[R.Service_].Queue_.remove(R.Item_);
+}
+
+void TrafficCore::pump(const ServiceName &Service, TimePoint Now) {
+  auto Found = Lines_.find(Service);
+  if (Found == Lines_.end())
+    return;
+  FairQueue &Queue = Found->second.Queue_;
+  while (!Queue.empty()) {
+    std::optional<FairQueue::Item> Next = Queue.pop();
+    if (!Next)
+      return;
+    auto At = Calls_.find(Next->Id_.Lo_);
+    if (At == Calls_.end())
+      continue;
+    Record &R = *At->second;
+    if (!tryBegin(R, Now) && !R.IsDone_) {
+      Queue.unpop(*Next, 1.0);
+      return;
+    }
+    R.IsInLine_ = false;
+    R.Waited_ += Now - R.LineSince_;
+  }
+}
+
+void TrafficCore::pumpDue(TimePoint Now) {
+  if (Pumping_)
+    return;
+  Pumping_ = true;
+  while (!Freed_.empty()) {
+    ServiceName Service = *Freed_.begin();
+    Freed_.erase(Freed_.begin());
+    pump(Service, Now);
+  }
+  Pumping_ = false;
+  for (CallNumber N : std::exchange(Closed_, {}))
+    Calls_.erase(N);
+}
+
+// False when no endpoint has a place now. A request whose repeat is denied is
+// done afterwards.
+bool TrafficCore::tryBegin(Record &R, TimePoint Now) {
+  Placement::Query Q;
+  Q.Service_ = R.Service_;
+  Q.Tried_ = &R.Tried_;
+  Q.MinVersion_ = minVersion(R.Service_, Now);
+  // With all of them tried, each gets another chance.
+  if (!R.Tried_.empty() && Placement_.usable(Q) == 0)
+    R.Tried_.clear();
+  std::optional<EndpointId> Chosen;
+  // A stream that was cut by a load goes on where none is to come.
+  if (R.IsStreaming_) {
+    Placement::Query Newest = Q;
+    Newest.MinVersion_ = std::max(Q.MinVersion_, newestWanted(R.Service_));
+    Chosen = Placement_.choose(Newest, Now);
+  }
+  if (!Chosen)
+    Chosen = Placement_.choose(Q, Now);
+  if (!Chosen)
+    return false;
+  const Endpoint *E = Placement_.find(*Chosen);
+  if (E == nullptr)
+    return false;
+  if (R.HasArrived_ && !Budget_.take(R.Service_, Now)) {
+    giveUp(R, R.MayHaveRun_ ? Cause::AttemptLost : Cause::TurnedAway, Now);
+    return false;
+  }
+  if (!R.IsNoted_)
+    Budget_.noteRequest(R.Service_, Now);
+  R.IsNoted_ = true;
+  R.TookRepeat_ = std::exchange(R.HasArrived_, true);
+  R.Attempt_ = NextAttempt_++;
+  ByAttempt_[R.Attempt_] = R.Number_;
+  R.At_ = *Chosen;
+  R.Address_ = E->Address_;
+  R.BegunAt_ = R.HeardAt_ = Now;
+  R.HasHead_ = R.IsEvents_ = false;
+  R.Body_.clear();
+  ++R.Attempts_;
+  if (auto V = Placement_.view(*Chosen, Now))
+    R.Belief_ = *V;
+  if (R.Relay_)
+    R.Relay_->startAttempt();
+  Placement_.begun(*Chosen, Now);
+  AttemptOrder O;
+  O.Call_ = R.Number_;
+  O.Endpoint_ = *Chosen;
+  O.Address_ = E->Address_;
+  O.Customer_ = R.Customer_;
+  O.TimeLeft_ = R.Deadline_ - Now;
+  O.Urgency_ = R.IsStreaming_
+                   ? UrgencyResume
+                   : std::clamp(UrgencyMiddle + R.Rank_ - 1, 0, UrgencyMost);
+  O.LastEvent_ = R.Relay_ ? R.Relay_->lastEvent() : R.Call_.LastEvent_;
+  Port_.tell(AttemptReport{R.Number_, R.Call_.Id_, R.At_, R.Address_, "begun",
+                           "", false, R.Attempts_, R.Belief_});
+  Port_.beginAttempt(R.Attempt_, R.Call_, O);
+  return true;
+}
+
+} // namespace hawthornroad
--- /dev/null
+++ b/hawthornroad/traffic/TrafficAttempts.cpp
@@ -0,0 +1,206 @@
+#include "hawthornroad/traffic/TrafficState.h"
+
+namespace hawthornroad {
+
+namespace {
+bool isEventStream(const HeaderFields &Fields) {
+  for (const HeaderField &Each : Fields)
+    if (Each.Value_.starts_with("text/event-stream"))
+      return true;
+  return false;
+}
+} // namespace
+
+void TrafficCore::endAttempt(Record &R, Placement::End E, std::string_view What,
+                             const std::string &Why, bool MayHaveRun,
+                             TimePoint Now) {
+  if (R.Attempt_ == 0)
+    return;
+  ByAttempt_.erase(R.Attempt_);
+  R.Attempt_ = 0;
+  Placement_.ended(R.At_, E, R.FirstByteTold_, Now);
+  R.FirstByteTold_ = false;
+  Freed_.insert(R.Service_);
+  if (MayHaveRun) {
+    R.MayHaveRun_ = true;
+    R.RanAt_.insert(R.At_);
+  }
+  Port_.tell(AttemptReport{R.Number_, R.Call_.Id_, R.At_, R.Address_, What, Why,
+                           MayHaveRun, R.Attempts_, R.Belief_,
+                           Now - R.BegunAt_});
+}
+
+void TrafficCore::onHead(AttemptNumber A, EndpointHead H, TimePoint Now) {
+  Record *R = find(A);
+  if (R == nullptr)
+    return;
+  R->HeardAt_ = Now;
+  R->HasHead_ = true;
+  R->Head_ = std::move(H);
+  const EndpointHead &Head = R->Head_;
+  bool IsOthers = !Head.RequestId_.empty() && Head.RequestId_ != R->Call_.Id_;
+  bool IsUnsigned = !Head.NotRun_ && !Head.IsSigned_;
+  if (IsOthers || Head.IsEncoded_ || IsUnsigned) {
+    // An answer to something else, or from something that is no endpoint.
+    Port_.cancelAttempt(A);
+    endAttempt(*R, Placement::End::Failed, "failed",
+               IsOthers ? "an answer to another request"
+                        : "an answer without the endpoint's signature",
+               true, Now);
+    afterFailure(*R, "wrong answer", Now);
+    return pumpDue(Now);
+  }
+  if (Head.HasLoad_)
+    Placement_.heard(R->At_, Head.Running_, Head.Waiting_, Now);
+  if (Head.NotRun_)
+    return;
+  Placement_.firstByte(R->At_, Now - R->BegunAt_);
+  R->FirstByteTold_ = true;
+  if (Head.Version_ != 0)
+    Placement_.heardVersion(R->At_, Head.Version_);
+  R->IsEvents_ = Head.Status_ == status::Ok && R->Route_->IsStream_ &&
+                 isEventStream(Head.Headers_);
+  if (!R->IsEvents_)
+    return;
+  if (!R->Relay_)
+    R->Relay_.emplace(R->Call_.LastEvent_);
+  if (!R->IsStreaming_)
+    R->Version_ = Head.Version_;
+}
+
+void TrafficCore::onBody(AttemptNumber A, std::string Bytes, TimePoint Now) {
+  Record *R = find(A);
+  if (R == nullptr)
+    return;
+  R->HeardAt_ = Now;
+  if (!R->IsEvents_) {
+    R->Body_ += Bytes;
+    return;
+  }
+  std::string Out = R->Relay_->feed(Bytes);
+  if (Out.empty())
+    return;
+  if (!R->FirstByteAt_)
+    R->FirstByteAt_ = Now;
+  else
+    R->LongestGap_ = std::max(R->LongestGap_, Now - R->LastByteAt_);
+  R->LastByteAt_ = Now;
+  if (!R->IsStreaming_) {
+    R->IsStreaming_ = true;
+    R->Status_ = R->Head_.Status_;
+    Port_.beginStream(R->Number_, R->Head_.Status_, R->Head_.Headers_);
+  }
+  Port_.writeStream(R->Number_, Out);
+}
+
+void TrafficCore::onEnd(AttemptNumber A, TimePoint Now) {
+  Record *R = find(A);
+  if (R == nullptr)
+    return;
+  if (R->Head_.NotRun_) {
+    std::string Why = "status " + std::to_string(R->Head_.Status_);
+    // The right engine says so too, while it holds no weights.
+    bool IsOther =
+        R->Head_.IsOtherEndpoint_ && R->Head_.EndpointId_ != R->At_.str();
+    if (IsOther)
+      R->Tried_.insert(R->At_);
+    endAttempt(*R,
+               IsOther ? Placement::End::Failed : Placement::End::TurnedAway,
+               "turned_away", Why, false, Now);
+    afterTurnedAway(*R, Why, Now);
+    return pumpDue(Now);
+  }
+  if (R->IsEvents_ && !R->Relay_->isWhole()) {
+    endAttempt(*R, Placement::End::Failed, "failed",
+               "the stream ended within an event", true, Now);
+    R->Tried_.insert(R->At_);
+    afterFailure(*R, "stream ended early", Now);
+    return pumpDue(Now);
+  }
+  bool IsFailure = R->Head_.Status_ >= status::FirstServerError;
+  endAttempt(*R, IsFailure ? Placement::End::Failed : Placement::End::Good,
+             "ended", "status " + std::to_string(R->Head_.Status_), true, Now);
+  noteDone(R->Service_, Now);
+  finishAnswer(*R, Now);
+  pumpDue(Now);
+}
+
+void TrafficCore::finishAnswer(Record &R, TimePoint Now) {
+  if (R.IsStreaming_) {
+    Port_.finishStream(R.Number_);
+    return close(R, Now);
+  }
+  bool IsFailure = R.Head_.Status_ >= status::FirstServerError;
+  if (IsFailure && R.Route_->Repeat_ != Repeat::Never && !R.CallerGone_) {
+    R.Fallback_ = R.Head_;
+    R.FallbackBody_ = R.Body_;
+    R.Tried_.insert(R.At_);
+    return afterFailure(R, "status " + std::to_string(R.Head_.Status_), Now);
+  }
+  if (!R.FirstByteAt_)
+    R.FirstByteAt_ = Now;
+  R.Status_ = R.Head_.Status_;
+  Port_.respond(R.Number_, R.Head_.Status_, R.Head_.Headers_,
+                std::move(R.Body_));
+  close(R, Now);
+}
+
+void TrafficCore::onFail(AttemptNumber A, bool NeverSent,
+                         const std::string &Why, TimePoint Now) {
+  Record *R = find(A);
+  if (R == nullptr)
+    return;
+  // The endpoint's statement counts even if its answer was cut after the head.
+  bool NotRun = NeverSent || (R->HasHead_ && R->Head_.NotRun_);
+  // Nothing arrived at the endpoint, so the next attempt is no repeat of it.
+  if (NeverSent && R->TookRepeat_)
+    Budget_.giveBack(R->Service_, Now);
+  else if (NeverSent)
+    R->HasArrived_ = false;
+  EndpointId At = R->At_;
+  R->Tried_.insert(At);
+  endAttempt(*R, Placement::End::Failed, "failed", Why, !NotRun, Now);
+  if (NeverSent && Endpoints_.refused(At))
+    Placement_.setEndpoints(Endpoints_, *Config_);
+  if (NotRun)
+    afterTurnedAway(*R, Why, Now);
+  else
+    afterFailure(*R, Why, Now);
+  pumpDue(Now);
+}
+
+bool TrafficCore::mayGoElsewhere(const Record &R) const {
+  if (R.CallerGone_ || !R.mayRepeat())
+    return false;
+  if (R.IsStreaming_ && R.Route_->Repeat_ != Repeat::FromEvent)
+    return false;
+  // Endpoints that have ended meanwhile do not count.
+  unsigned Ran = 0;
+  for (const EndpointId &Id : R.RanAt_)
+    Ran += Endpoints_.find(Id) != nullptr ? 1 : 0;
+  return Ran < R.Route_->MaxAttempts_;
+}
+
+void TrafficCore::afterFailure(Record &R, const std::string &Why,
+                               TimePoint Now) {
+  if (R.IsDone_)
+    return;
+  if (R.CallerGone_)
+    return close(R, Now);
+  if (!mayGoElsewhere(R) || Now >= R.Deadline_)
+    return giveUp(R, Cause::AttemptLost, Now);
+  place(R, Now);
+}
+
+void TrafficCore::afterTurnedAway(Record &R, const std::string &Why,
+                                  TimePoint Now) {
+  if (R.IsDone_)
+    return;
+  if (R.CallerGone_)
+    return close(R, Now);
+  if (Now >= R.Deadline_)
+    return giveUp(R, Cause::DeadlinePassed, Now);
+  place(R, Now);
+}
+
+} // namespace hawthornroad
--- a/tests/unit/HttpLinkTest.cpp
+++ b/tests/unit/HttpLinkTest.cpp
@@ -1,107 +1,21 @@
 // Kept connections to endpoints and from callers, against raw sockets that
 // behave as badly as endpoints and callers may.
 
-#include "hawthornroad/http/HttpCalls.h"
 #include "hawthornroad/http/LinkPool.h"
 #include "hawthornroad/http/ServerSession.h"
 #include "hawthornroad/runtime/Io.h"
+#include "tests/unit/RawSocket.h"
 
-#include <arpa/inet.h>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <thread>
-#include <unistd.h>
 
 using namespace hawthornroad;
 
 namespace {
 constexpr auto Patience = std::chrono::seconds(5);
 
-// A socket of the test's own, closed at the end.
-class RawSocket {
-public:
-  explicit RawSocket(int Handle = -1) : Handle_(Handle) {}
-  RawSocket(RawSocket &&Other) noexcept
-      : Handle_(std::exchange(Other.Handle_, -1)) {}
-  RawSocket &operator=(RawSocket &&Other) noexcept {
-    close();
-    Handle_ = std::exchange(Other.Handle_, -1);
-    return *this;
-  }
-  ~RawSocket() { close(); }
-
-  static RawSocket connectTo(std::uint16_t Port) {
-    RawSocket S(::socket(AF_INET, SOCK_STREAM, 0));
-    sockaddr_in At = address(Port);
-    REQUIRE(::connect(S.Handle_, reinterpret_cast<sockaddr *>(&At),
-                      sizeof(At)) == 0);
-    timeval Limit{5, 0};
-    ::setsockopt(S.Handle_, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof(Limit));
-    return S;
-  }
-  static RawSocket listenAt(std::uint16_t &Port) {
-    RawSocket S(::socket(AF_INET, SOCK_STREAM, 0));
-    sockaddr_in At = address(0);
-    REQUIRE(::bind(S.Handle_, reinterpret_cast<sockaddr *>(&At), sizeof(At)) ==
-            0);
-    REQUIRE(::listen(S.Handle_, 16) == 0);
-    socklen_t Length = sizeof(At);
-    ::getsockname(S.Handle_, reinterpret_cast<sockaddr *>(&At), &Length);
-    Port = ntohs(At.sin_port);
-    return S;
-  }
-  RawSocket accept() const {
-    RawSocket S(::accept(Handle_, nullptr, nullptr));
-    timeval Limit{5, 0};
-    ::setsockopt(S.Handle_, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof(Limit));
-    return S;
-  }
-  // For a peer that may have gone.
-  bool trySend(const std::string &Text) const {
-    return ::send(Handle_, Text.data(), Text.size(), MSG_NOSIGNAL) ==
-           static_cast<ssize_t>(Text.size());
-  }
-  void send(const std::string &Text) const {
-    REQUIRE(::send(Handle_, Text.data(), Text.size(), MSG_NOSIGNAL) ==
-            static_cast<ssize_t>(Text.size()));
-  }
-  // Reads until Text has come or the other side ends; what came.
-  std::string readUntil(const std::string &Text) const {
-    std::string Got;
-    char Buffer[4096];
-    while (Text.empty() || Got.find(Text) == std::string::npos) {
-      ssize_t N = ::recv(Handle_, Buffer, sizeof(Buffer), 0);
-      if (N <= 0)
-        break;
-      Got.append(Buffer, static_cast<std::size_t>(N));
-    }
-    return Got;
-  }
-  // Ends with a reset.
-  void reset() {
-    linger L{1, 0};
-    ::setsockopt(Handle_, SOL_SOCKET, SO_LINGER, &L, sizeof(L));
-    close();
-  }
-  void close() {
-    if (Handle_ >= 0)
-      ::close(std::exchange(Handle_, -1));
-  }
-
-private:
-  static sockaddr_in address(std::uint16_t Port) {
-    sockaddr_in At{};
-    At.sin_family = AF_INET;
-    At.sin_port = htons(Port);
-    At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    return At;
-  }
-  int Handle_;
-};
-
 struct LinkOutcome {
   unsigned Status_ = 0;
   std::string Body_;
@@ -463,65 +377,3 @@
   REQUIRE(Got.find("/b") != std::string::npos);
   REQUIRE(Got.find("Connection: close") != std::string::npos);
 }
-
-// Thirty entries read one long configuration over one link between zones. Each
-// answer came steadily, but not whole within the limit: all readers gave up,
-// began anew and filled the link for nothing, for as long as twenty seconds.
-TEST_CASE("calls to one server, given an answer that comes slowly, bound each "
-          "silence and the whole apart",
-          "[http]") {
-  using std::chrono::milliseconds;
-  struct Row {
-    std::string Name_;
-    milliseconds Whole_;
-    int Sent_;
-    bool IsWhole_;
-  };
-  constexpr int Pieces = 5;
-  constexpr milliseconds Gap(120);
-  constexpr milliseconds Limit(300);
-  for (const Row &R : std::vector<Row>{
-           {"limit on the whole", milliseconds(0), Pieces, false},
-           {"limit on each silence", milliseconds(4000), Pieces, true},
-           {"silent midway", milliseconds(4000), 2, false},
-           {"whole takes too long", milliseconds(400), Pieces, false}}) {
-    INFO(R.Name_);
-    std::uint16_t Port = 0;
-    RawSocket Listener = RawSocket::listenAt(Port);
-    IoThread Io("test", 64);
-    HttpCalls::Options O;
-    O.WholeLimit_ = R.Whole_;
-    HttpCalls Calls(Io.context(), "127.0.0.1:" + std::to_string(Port), O);
-    std::promise<void> Told;
-    std::thread Server([&] {
-      RawSocket S = Listener.accept();
-      S.readUntil("\r\n\r\n");
-      S.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Pieces) +
-             "\r\n\r\n");
-      for (int I = 0; I < R.Sent_; ++I) {
-        std::this_thread::sleep_for(Gap);
-        S.trySend("x");
-      }
-      Told.get_future().wait_for(Patience);
-    });
-    std::promise<HttpCalls::Result> Got;
-    Io.submit([&] {
-      HttpMessage M;
-      M.Method_ = "GET";
-      M.Target_ = "/";
-      Calls.call(M, Limit, [&](HttpCalls::Result Answer) {
-        Got.set_value(std::move(Answer));
-      });
-    });
-    auto Future = Got.get_future();
-    REQUIRE(Future.wait_for(Patience) == std::future_status::ready);
-    HttpCalls::Result Answer = Future.get();
-    Told.set_value();
-    Server.join();
-    Io.stop();
-    const auto *Whole = std::get_if<HttpAnswer>(&Answer);
-    REQUIRE((Whole != nullptr) == R.IsWhole_);
-    if (Whole != nullptr)
-      REQUIRE(Whole->Body_ == std::string(Pieces, 'x'));
-  }
-}
--- /dev/null
+++ b/tests/unit/RawSocket.h
@@ -0,0 +1,102 @@
+// A TCP socket for tests that behave as badly as endpoints and callers may:
+// bytes sent as told, late, too many, or ended by a reset. Loopback only; a
+// read waits five seconds at most.
+
+#ifndef HAWTHORNROAD_TESTS_UNIT_RAWSOCKET_H
+#define HAWTHORNROAD_TESTS_UNIT_RAWSOCKET_H
+
+#include <arpa/inet.h>
+#include <catch2/catch.hpp>
+#include <netinet/in.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace hawthornroad {
+
+// Closed at its end.
+class RawSocket {
+public:
+  explicit RawSocket(int Handle = -1) : Handle_(Handle) {}
+  RawSocket(RawSocket &&Other) noexcept
+      : Handle_(std::exchange(Other.Handle_, -1)) {}
+  RawSocket &operator=(RawSocket &&Other) noexcept {
+    close();
+    Handle_ = std::exchange(Other.Handle_, -1);
+    return *this;
+  }
+  ~RawSocket() { close(); }
+
+  static RawSocket connectTo(std::uint16_t Port) {
+    RawSocket S(::socket(AF_INET, SOCK_STREAM, 0));
+    sockaddr_in At = address(Port);
+    REQUIRE(::connect(S.Handle_, reinterpret_cast<sockaddr *>(&At),
+                      sizeof(At)) == 0);
+    timeval Limit{5, 0};
+    ::setsockopt(S.Handle_, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof(Limit));
+    return S;
+  }
+  static RawSocket listenAt(std::uint16_t &Port) {
+    RawSocket S(::socket(AF_INET, SOCK_STREAM, 0));
+    sockaddr_in At = address(0);
+    REQUIRE(::bind(S.Handle_, reinterpret_cast<sockaddr *>(&At), sizeof(At)) ==
+            0);
+    REQUIRE(::listen(S.Handle_, 16) == 0);
+    socklen_t Length = sizeof(At);
+    ::getsockname(S.Handle_, reinterpret_cast<sockaddr *>(&At), &Length);
+    Port = ntohs(At.sin_port);
+    return S;
+  }
+  RawSocket accept() const {
+    RawSocket S(::accept(Handle_, nullptr, nullptr));
+    timeval Limit{5, 0};
+    ::setsockopt(S.Handle_, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof(Limit));
+    return S;
+  }
+  // For a peer that may have gone.
+  bool trySend(const std::string &Text) const {
+    return ::send(Handle_, Text.data(), Text.size(), MSG_NOSIGNAL) ==
+           static_cast<ssize_t>(Text.size());
+  }
+  void send(const std::string &Text) const {
+    REQUIRE(::send(Handle_, Text.data(), Text.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(Text.size()));
+  }
+  // Reads until Text has come or the other side ends; what came.
+  std::string readUntil(const std::string &Text) const {
+    std::string Got;
+    char Buffer[4096];
+    while (Text.empty() || Got.find(Text) == std::string::npos) {
+      ssize_t N = ::recv(Handle_, Buffer, sizeof(Buffer), 0);
+      if (N <= 0)
+        break;
+      Got.append(Buffer, static_cast<std::size_t>(N));
+    }
+    return Got;
+  }
+  // Ends with a reset.
+  void reset() {
+    linger L{1, 0};
+    ::setsockopt(Handle_, SOL_SOCKET, SO_LINGER, &L, sizeof(L));
+    close();
+  }
+  void close() {
+    if (Handle_ >= 0)
+      ::close(std::exchange(Handle_, -1));
+  }
+
+private:
+  static sockaddr_in address(std::uint16_t Port) {
+    sockaddr_in At{};
+    At.sin_family = AF_INET;
+    At.sin_port = htons(Port);
+    At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return At;
+  }
+  int Handle_;
+};
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_TESTS_UNIT_RAWSOCKET_H
