A reader that has fallen behind lists the operators' table instead of hearing each change

A feed tells every version in full; an entry that was away 5 s is sent five of them and is behind again when it has read them.

Ruled out: a history that the store had dropped (no 410 in the entries' lines).

Conclusion: kept, because it bounds what one reader is sent, yet not the mend: every entry still reads every version over the link between regions.

--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -106,13 +106,14 @@
 
 void DirectEntry::State::start() {
   std::uint64_t Seed = seedOr(Settings_.Common_.RandomSeed_);
-  OperatorWatch_.emplace(
-      Io_.context(), Store_,
+  TableWatch::Options Operators =
       watchOptions(platform::OperatorTable,
                    std::chrono::duration_cast<Duration>(
                        Settings_.Common_.RevokeBound_ * OperatorWaitShare),
-                   Duration::zero(), Seed),
-      bootNow,
+                   Duration::zero(), Seed);
+  Operators.ListsWhenBehind_ = true;
+  OperatorWatch_.emplace(
+      Io_.context(), Store_, std::move(Operators), bootNow,
       StoreWatch::Callbacks{
           [this](const TableWatch::Update &U) { onOperatorRows(U); },
           [this](bool Ok, const TableWatch &W) { onOperatorCall(Ok, W); }});
--- a/hawthornroad/entry/EntryBeliefs.cpp
+++ b/hawthornroad/entry/EntryBeliefs.cpp
@@ -22,8 +22,9 @@
         takeConfig(Row.Value_);
       } else if (auto V = platform::decodeVersion(Row.Key_, Row.Value_)) {
         TimePoint Bound = Now + Settings_.Common_.VersionBound_;
-        Core_.requireVersion(V->Model_, V->Version_, Bound - VersionMargin,
-                             Bound - VersionHardMargin);
+        if (!Core_.requireVersion(V->Model_, V->Version_, Bound - VersionMargin,
+                                  Bound - VersionHardMargin))
+          continue;
         Log_.write(LogLine("version_wanted")
                        .text("model", V->Model_)
                        .count("version", V->Version_),
--- a/hawthornroad/store/TableWatch.cpp
+++ b/hawthornroad/store/TableWatch.cpp
@@ -1,6 +1,8 @@
 #include "hawthornroad/store/TableWatch.h"
 
 #include <algorithm>
+#include <map>
+#include <string_view>
 #include <utility>
 
 namespace hawthornroad {
@@ -10,6 +12,20 @@
 constexpr double RetrySpread = 0.4;
 // Doublings after which the longest pause is reached in any case.
 constexpr unsigned MaxDoublings = 8;
+// A single failed call may be a lost answer; two take about as long as four
+// changes of a row that changes every half second.
+constexpr unsigned BehindFailures = 2;
+// A reader that keeps up is told one change at a time, or two.
+constexpr std::size_t BehindCopies = 3;
+
+// Whether one row comes so often that only its last state is worth reading.
+bool hasManyCopies(const std::vector<StoreRow> &Rows) {
+  std::map<std::string_view, std::size_t> Copies;
+  for (const StoreRow &Each : Rows)
+    if (++Copies[Each.Key_] >= BehindCopies)
+      return true;
+  return false;
+}
 } // namespace
 
 std::string_view toString(StoreFailure F) {
@@ -61,6 +77,8 @@
     if (IsQuiet)
       return std::nullopt;
     NotBefore_ = Now + Options_.Pace_;
+    if (Options_.ListsWhenBehind_ && hasManyCopies(Answer.Rows_))
+      relist();
     return Update{false, std::move(Answer.Rows_), After_};
   }
   if (FromKey_.empty())
@@ -94,7 +112,8 @@
     return;
   }
   // A page that failed may have missed what its predecessors showed.
-  if (Listing_)
+  bool IsBehind = Options_.ListsWhenBehind_ && Failures_ + 1 >= BehindFailures;
+  if (Listing_ || IsBehind)
     relist();
   Duration Pause =
       Options_.RetryMin_ * (1 << std::min(Failures_, MaxDoublings));
--- a/hawthornroad/store/TableWatch.h
+++ b/hawthornroad/store/TableWatch.h
@@ -16,6 +16,12 @@
 // after RetryMin, doubling to RetryMax, with a random part, so that a store
 // that returns does not meet all readers at the same moment.
 //
+// Falling behind. Followed rows come once for each change, listed ones once.
+// Where rows are long and change often, a reader that was away is sent every
+// version it missed, is behind again when it has read them, and stays so. With
+// ListsWhenBehind it lists instead: after failures that took BehindFailures
+// calls, and after an answer with BehindCopies of one row.
+//
 // Proofs. provenAt() is a moment as of which everything in the table is known
 // here: an answer tells the state no earlier than its call was sent, and one
 // without rows no earlier than the end of its waiting time, for the store
@@ -41,6 +47,8 @@
     Duration Pace_ = Milliseconds(0);
     Duration RetryMin_ = Milliseconds(50);
     Duration RetryMax_ = Milliseconds(800);
+    // For tables of few, long rows that change often.
+    bool ListsWhenBehind_ = false;
     std::uint64_t Seed_ = 1;
   };
   // The next call: a page of the listing after a key, or changes after a
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -86,11 +86,11 @@
   pumpDue(Now);
 }
 
-void TrafficCore::requireVersion(const std::string &Model, WeightVersion V,
+bool TrafficCore::requireVersion(const std::string &Model, WeightVersion V,
                                  TimePoint At, TimePoint Hard) {
   // Each version's bound counts from its own naming: a later one does not put
   // off the duty of one before.
-  Duties_[Model].try_emplace(V, VersionDuty{At, Hard});
+  return Duties_[Model].try_emplace(V, VersionDuty{At, Hard}).second;
 }
 
 WeightVersion TrafficCore::minVersion(const ServiceName &Service, TimePoint Now,
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -179,8 +179,9 @@
   KeyLease &lease() { return Lease_; }
   const Placement &placement() const { return Placement_; }
   // From At on no request is sent to an engine with a version of Model below V;
-  // one that waits at such an engine at Hard is taken back.
-  void requireVersion(const std::string &Model, WeightVersion V, TimePoint At,
+  // one that waits at such an engine at Hard is taken back. True when V is
+  // news; named again, it keeps the times of its first naming.
+  bool requireVersion(const std::string &Model, WeightVersion V, TimePoint At,
                       TimePoint Hard);
 
   // N is the caller's to choose, each once: answers may come before this
--- a/tests/unit/TableWatchTest.cpp
+++ b/tests/unit/TableWatchTest.cpp
@@ -114,6 +114,42 @@
   REQUIRE(F.W_.failures() == 12);
 }
 
+// The store was away for eight seconds while a long configuration changed four
+// times a second. The feed then told twelve versions of it in full, one after
+// the other: the reader was behind by 3.2 s when it had them.
+TEST_CASE("table watch of long rows, when it has fallen behind, lists instead "
+          "of hearing each change",
+          "[store]") {
+  TableWatch::Options O = options();
+  O.ListsWhenBehind_ = true;
+  WatchFixture F{TableWatch(O)};
+  F.ask();
+  F.rows({}, 10);
+  SECTION("after an outage") {
+    F.ask();
+    F.W_.onFailure(StoreFailure::Silent, F.Now_);
+    REQUIRE_FALSE(F.ask().IsListing_);
+    F.W_.onFailure(StoreFailure::Refused, F.Now_);
+    REQUIRE(F.ask().IsListing_);
+    // As of the listing, everything is known.
+    auto U = F.rows({row("config", 30)}, 31);
+    REQUIRE(U->IsWhole_);
+    REQUIRE(F.ask().After_ == 31);
+  }
+  SECTION("after an answer with copies of one row") {
+    F.ask();
+    auto U =
+        F.rows({row("config", 11), row("config", 12), row("config", 13)}, 13);
+    REQUIRE(U->Rows_.size() == 3);
+    REQUIRE(F.ask().IsListing_);
+  }
+  SECTION("not after changes of several rows, or two of one") {
+    F.ask();
+    F.rows({row("config", 11), row("config", 12), row("version", 13)}, 13);
+    REQUIRE_FALSE(F.ask().IsListing_);
+  }
+}
+
 TEST_CASE("table watch, when a page fails, begins the listing anew",
           "[store]") {
   WatchFixture F;
