--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -209,6 +209,9 @@
                static_cast<double>(C.BytesSent_));
   Metrics_.set("hawthornroad_store_received_bytes_total",
                static_cast<double>(C.BytesReceived_));
+  Metrics_.set("hawthornroad_reads_store", Source_->readsStore() ? 1 : 0);
+  Metrics_.set("hawthornroad_table_questions_answered_total",
+               static_cast<double>(Source_->answered()));
   Metrics_.set("hawthornroad_endpoint_connections_opened_total",
                static_cast<double>(Links_.opened()));
   Metrics_.set("hawthornroad_log_dropped_lines_total",
--- a/hawthornroad/entry/EntryBeliefs.cpp
+++ b/hawthornroad/entry/EntryBeliefs.cpp
@@ -54,6 +54,7 @@
   Log_.write(LogLine("config")
                  .count("version", Config->version())
                  .flag("in_force", Taken)
+                 .count("bytes", Text.size())
                  .count("routes", Config->parts().Routes_.size())
                  .count("customers", Config->parts().Customers_.size()),
              true);
--- a/hawthornroad/entry/TableRelay.cpp
+++ b/hawthornroad/entry/TableRelay.cpp
@@ -93,6 +93,7 @@
 }
 
 void TableRelay::answer(const Held &H, TimePoint Now) {
+  ++Answered_;
   wire::RowsAnswerT A;
   A.number = H.Question_.number;
   A.held_us = microseconds(Now - H.CameAt_);
--- a/hawthornroad/entry/TableRelay.h
+++ b/hawthornroad/entry/TableRelay.h
@@ -52,6 +52,8 @@
 
   const RowCopy &copy(const std::string &Table) const;
   std::optional<TimePoint> provenAt(const std::string &Table) const;
+  // Questions answered so far.
+  std::uint64_t answered() const { return Answered_; }
   // Unset: never.
   std::optional<TimePoint> lastAsked() const { return LastAsked_; }
 
@@ -77,6 +79,7 @@
   std::map<std::string, Table> Tables_;
   std::list<Held> Held_;
   std::optional<TimePoint> LastAsked_;
+  std::uint64_t Answered_ = 0;
   bool IsAway_ = false;
   bool IsReceiving_ = false;
 };
--- a/hawthornroad/entry/TableSource.h
+++ b/hawthornroad/entry/TableSource.h
@@ -69,6 +69,9 @@
   void start();
   void tick(TimePoint Now);
   void ask(wire::RowsAskT Question, TableRelay::Reply R, TimePoint Now);
+  // Whether this entry reads the store itself.
+  bool readsStore() const { return Choice_.readsStore(); }
+  std::uint64_t answered() const { return Relay_.answered(); }
 
 private:
   struct Table {
--- a/tests/integration/PlatformFixture.cpp
+++ b/tests/integration/PlatformFixture.cpp
@@ -202,7 +202,7 @@
 std::string EndpointStandIn::row(bool Draining) const {
   return json::serialize(
       json::object{{"service", Service_},
-                   {"address", Address_},
+                   {"address", ListedAt_.empty() ? Address_ : ListedAt_},
                    {"zone", "z"},
                    {"version", "v1"},
                    {"slots", 8},
--- a/tests/integration/PlatformFixture.h
+++ b/tests/integration/PlatformFixture.h
@@ -86,6 +86,8 @@
   const std::string &id() const { return Id_; }
   const std::string &address() const { return Address_; }
   std::string row(bool Draining = false) const;
+  // Listed under another address than its own: that of a proxy before it.
+  void setListedAt(const std::string &Address) { ListedAt_ = Address; }
   void setMode(Mode M) { Mode_ = M; }
   // How long an answer takes.
   void setDelay(Duration D) { Delay_ = D; }
@@ -109,6 +111,7 @@
   std::atomic<Duration> Delay_{Duration::zero()};
   std::unique_ptr<HttpServer> Server_;
   std::string Address_;
+  std::string ListedAt_;
 };
 
 class PlatformFixture {
--- a/tests/integration/ZoneSourceTest.cpp
+++ b/tests/integration/ZoneSourceTest.cpp
@@ -49,6 +49,10 @@
   // The list of the zone's entries may be read once more.
   REQUIRE(storeCalls(*Second_) - Before <= 1);
   REQUIRE(storeCalls(*First_) >= 8);
+  REQUIRE(metricsOf(*First_)["hawthornroad_reads_store"] == 1);
+  REQUIRE(metricsOf(*First_)["hawthornroad_table_questions_answered_total"] >=
+          4);
+  REQUIRE(metricsOf(*Second_)["hawthornroad_reads_store"] == 0);
   REQUIRE(isReady(*Second_));
 }
 
