runtime/ divided: peers, transfer and ctl have folders of their own

89 files stood in one folder, so a newcomer could not see the way of a request from the folders. Moved by name only; no line of code changed but includes, guards and pages. 406 unit tests and the store's integration tests pass.

--- a/bench/ControlBench.cpp
+++ b/bench/ControlBench.cpp
@@ -7,7 +7,7 @@
 // processor's. Bytes are those of the encoded frames. Prints a table, then one
 // line of JSON.
 
-#include "hawthornroad/runtime/ControlCodec.h"
+#include "hawthornroad/peers/ControlCodec.h"
 #include "tests/unit/ControlLoop.h"
 
 #include <algorithm>
--- a/daemons/hawthornroadctl.cpp
+++ b/daemons/hawthornroadctl.cpp
@@ -1,4 +1,4 @@
-#include "hawthornroad/runtime/Ctl.h"
+#include "hawthornroad/ctl/Ctl.h"
 
 #include <exception>
 #include <iostream>
--- a/hawthornroad/agent/PieceTransfer.h
+++ b/hawthornroad/agent/PieceTransfer.h
@@ -24,8 +24,8 @@
 #define HAWTHORNROAD_AGENT_PIECETRANSFER_H
 
 #include "hawthornroad/http/HttpCalls.h"
+#include "hawthornroad/peers/PeerNet.h"
 #include "hawthornroad/runtime/EventLog.h"
-#include "hawthornroad/runtime/PeerNet.h"
 #include "hawthornroad/staging/EngineDuty.h"
 #include "hawthornroad/weights/RateLimiter.h"
 #include "hawthornroad/weights/Swarm.h"
--- a/hawthornroad/agent/RowReader.h
+++ b/hawthornroad/agent/RowReader.h
@@ -20,7 +20,7 @@
 #define HAWTHORNROAD_AGENT_ROWREADER_H
 
 #include "hawthornroad/base/Random.h"
-#include "hawthornroad/runtime/PeerNet.h"
+#include "hawthornroad/peers/PeerNet.h"
 #include "hawthornroad/store/StoreClient.h"
 
 #include <functional>
--- a/hawthornroad/runtime/Ctl.cpp
+++ b/hawthornroad/ctl/Ctl.cpp
@@ -1,7 +1,7 @@
-#include "hawthornroad/runtime/Ctl.h"
+#include "hawthornroad/ctl/Ctl.h"
 #include "hawthornroad/base/Error.h"
 #include "hawthornroad/config/JsonText.h"
-#include "hawthornroad/runtime/CtlCommands.h"
+#include "hawthornroad/ctl/CtlCommands.h"
 
 #include <array>
 #include <boost/json/serialize.hpp>
--- a/hawthornroad/runtime/Ctl.h
+++ b/hawthornroad/ctl/Ctl.h
@@ -9,8 +9,8 @@
 // Err as text (with --json to Out too, so that a pipeline reads one object in
 // every case). Nothing is written before the text is known to be valid.
 
-#ifndef HAWTHORNROAD_RUNTIME_CTL_H
-#define HAWTHORNROAD_RUNTIME_CTL_H
+#ifndef HAWTHORNROAD_CTL_CTL_H
+#define HAWTHORNROAD_CTL_CTL_H
 
 #include <iosfwd>
 #include <string>
@@ -34,4 +34,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_RUNTIME_CTL_H
+#endif // HAWTHORNROAD_CTL_CTL_H
--- a/hawthornroad/runtime/CtlChange.cpp
+++ b/hawthornroad/ctl/CtlChange.cpp
@@ -3,8 +3,8 @@
 #include "hawthornroad/config/JsonText.h"
 #include "hawthornroad/config/MergePatch.h"
 #include "hawthornroad/config/PatchLines.h"
-#include "hawthornroad/runtime/CtlCommands.h"
-#include "hawthornroad/runtime/FleetStatus.h"
+#include "hawthornroad/ctl/CtlCommands.h"
+#include "hawthornroad/ctl/FleetStatus.h"
 #include "hawthornroad/runtime/Seed.h"
 #include "hawthornroad/runtime/TableClient.h"
 
--- a/hawthornroad/runtime/CtlCommands.h
+++ b/hawthornroad/ctl/CtlCommands.h
@@ -1,11 +1,11 @@
 // The commands of hawthornroadctl. Each prints through a CtlPrinter and
 // returns the exit code; errors are thrown and told by runCtl().
 
-#ifndef HAWTHORNROAD_RUNTIME_CTLCOMMANDS_H
-#define HAWTHORNROAD_RUNTIME_CTLCOMMANDS_H
+#ifndef HAWTHORNROAD_CTL_CTLCOMMANDS_H
+#define HAWTHORNROAD_CTL_CTLCOMMANDS_H
 
-#include "hawthornroad/runtime/Ctl.h"
-#include "hawthornroad/runtime/CtlOptions.h"
+#include "hawthornroad/ctl/Ctl.h"
+#include "hawthornroad/ctl/CtlOptions.h"
 
 #include <boost/json/object.hpp>
 #include <cstdint>
@@ -48,4 +48,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_RUNTIME_CTLCOMMANDS_H
+#endif // HAWTHORNROAD_CTL_CTLCOMMANDS_H
--- a/hawthornroad/runtime/CtlFleet.cpp
+++ b/hawthornroad/ctl/CtlFleet.cpp
@@ -1,7 +1,7 @@
 #include "hawthornroad/base/Error.h"
 #include "hawthornroad/config/Declaration.h"
-#include "hawthornroad/runtime/CtlCommands.h"
-#include "hawthornroad/runtime/FleetStatus.h"
+#include "hawthornroad/ctl/CtlCommands.h"
+#include "hawthornroad/ctl/FleetStatus.h"
 #include "hawthornroad/runtime/Http.h"
 #include "hawthornroad/runtime/TableClient.h"
 
--- a/hawthornroad/runtime/CtlLogs.cpp
+++ b/hawthornroad/ctl/CtlLogs.cpp
@@ -1,6 +1,6 @@
 #include "hawthornroad/base/Error.h"
-#include "hawthornroad/runtime/CtlCommands.h"
-#include "hawthornroad/runtime/LogReader.h"
+#include "hawthornroad/ctl/CtlCommands.h"
+#include "hawthornroad/ctl/LogReader.h"
 
 #include <boost/json/array.hpp>
 #include <fstream>
--- a/hawthornroad/runtime/CtlManifest.cpp
+++ b/hawthornroad/ctl/CtlManifest.cpp
@@ -1,7 +1,7 @@
 #include "hawthornroad/base/Error.h"
 #include "hawthornroad/base/Hash.h"
 #include "hawthornroad/config/Names.h"
-#include "hawthornroad/runtime/CtlCommands.h"
+#include "hawthornroad/ctl/CtlCommands.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
--- a/hawthornroad/runtime/CtlOptions.cpp
+++ b/hawthornroad/ctl/CtlOptions.cpp
@@ -1,4 +1,4 @@
-#include "hawthornroad/runtime/CtlOptions.h"
+#include "hawthornroad/ctl/CtlOptions.h"
 #include "hawthornroad/config/Names.h"
 
 #include <algorithm>
--- a/hawthornroad/runtime/CtlOptions.h
+++ b/hawthornroad/ctl/CtlOptions.h
@@ -4,8 +4,8 @@
 //   CtlOptions O = parseCtlOptions({"apply", "fleet.jsonc", "--table",
 //                                   "10.0.0.1:7000"});   // throws UsageError
 
-#ifndef HAWTHORNROAD_RUNTIME_CTLOPTIONS_H
-#define HAWTHORNROAD_RUNTIME_CTLOPTIONS_H
+#ifndef HAWTHORNROAD_CTL_CTLOPTIONS_H
+#define HAWTHORNROAD_CTL_CTLOPTIONS_H
 
 #include "hawthornroad/base/Types.h"
 
@@ -60,4 +60,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_RUNTIME_CTLOPTIONS_H
+#endif // HAWTHORNROAD_CTL_CTLOPTIONS_H
--- a/hawthornroad/runtime/FleetStatus.cpp
+++ b/hawthornroad/ctl/FleetStatus.cpp
@@ -1,4 +1,4 @@
-#include "hawthornroad/runtime/FleetStatus.h"
+#include "hawthornroad/ctl/FleetStatus.h"
 #include "hawthornroad/base/Error.h"
 #include "hawthornroad/runtime/Http.h"
 
--- a/hawthornroad/runtime/FleetStatus.h
+++ b/hawthornroad/ctl/FleetStatus.h
@@ -7,8 +7,8 @@
 // A process that does not answer is part of the result, not an error: the tool
 // is used exactly when some do not.
 
-#ifndef HAWTHORNROAD_RUNTIME_FLEETSTATUS_H
-#define HAWTHORNROAD_RUNTIME_FLEETSTATUS_H
+#ifndef HAWTHORNROAD_CTL_FLEETSTATUS_H
+#define HAWTHORNROAD_CTL_FLEETSTATUS_H
 
 #include "hawthornroad/base/Types.h"
 
@@ -76,4 +76,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_RUNTIME_FLEETSTATUS_H
+#endif // HAWTHORNROAD_CTL_FLEETSTATUS_H
--- a/hawthornroad/runtime/LogReader.cpp
+++ b/hawthornroad/ctl/LogReader.cpp
@@ -1,4 +1,4 @@
-#include "hawthornroad/runtime/LogReader.h"
+#include "hawthornroad/ctl/LogReader.h"
 
 #include <algorithm>
 #include <array>
--- a/hawthornroad/runtime/LogReader.h
+++ b/hawthornroad/ctl/LogReader.h
@@ -13,8 +13,8 @@
 // A line that is not one of ours is counted and passed over: logs are cut off
 // by kills and mixed with other output.
 
-#ifndef HAWTHORNROAD_RUNTIME_LOGREADER_H
-#define HAWTHORNROAD_RUNTIME_LOGREADER_H
+#ifndef HAWTHORNROAD_CTL_LOGREADER_H
+#define HAWTHORNROAD_CTL_LOGREADER_H
 
 #include <boost/json/object.hpp>
 #include <istream>
@@ -82,4 +82,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_RUNTIME_LOGREADER_H
+#endif // HAWTHORNROAD_CTL_LOGREADER_H
--- a/hawthornroad/entry/EngineNews.h
+++ b/hawthornroad/entry/EngineNews.h
@@ -16,8 +16,8 @@
 #ifndef HAWTHORNROAD_ENTRY_ENGINENEWS_H
 #define HAWTHORNROAD_ENTRY_ENGINENEWS_H
 
-#include "hawthornroad/runtime/PeerNet.h"
-#include "hawthornroad/runtime/PeerPace.h"
+#include "hawthornroad/peers/PeerNet.h"
+#include "hawthornroad/peers/PeerPace.h"
 #include "hawthornroad/traffic/TrafficCore.h"
 
 #include <functional>
--- a/hawthornroad/entry/TableRelay.h
+++ b/hawthornroad/entry/TableRelay.h
@@ -18,7 +18,7 @@
 #ifndef HAWTHORNROAD_ENTRY_TABLERELAY_H
 #define HAWTHORNROAD_ENTRY_TABLERELAY_H
 
-#include "hawthornroad/runtime/PeerNet.h"
+#include "hawthornroad/peers/PeerNet.h"
 #include "hawthornroad/store/RowCopy.h"
 
 #include <functional>
--- a/hawthornroad/entry/ZoneEntries.cpp
+++ b/hawthornroad/entry/ZoneEntries.cpp
@@ -1,7 +1,7 @@
 #include "hawthornroad/entry/ZoneEntries.h"
 
 #include "hawthornroad/base/Error.h"
-#include "hawthornroad/runtime/PeerNet.h"
+#include "hawthornroad/peers/PeerNet.h"
 
 #include <algorithm>
 
--- a/hawthornroad/membership/ControlMessages.h
+++ b/hawthornroad/membership/ControlMessages.h
@@ -1,4 +1,4 @@
-// The control messages between processes as value types; runtime/ControlCodec.h
+// The control messages between processes as value types; peers/ControlCodec.h
 // turns them into frames. In Probe, Ack and Gossip the first member is always
 // the sender itself, as it is now, and Revision_ is the highest it holds.
 
--- a/hawthornroad/membership/EndpointStatus.h
+++ b/hawthornroad/membership/EndpointStatus.h
@@ -1,5 +1,5 @@
 // What one agent says of the endpoint on its VM, as a value type. The wire's
-// EndpointReport carries it (runtime/WireCodec.h).
+// EndpointReport carries it (peers/WireCodec.h).
 
 #ifndef HAWTHORNROAD_MEMBERSHIP_ENDPOINTSTATUS_H
 #define HAWTHORNROAD_MEMBERSHIP_ENDPOINTSTATUS_H
--- a/hawthornroad/runtime/AttemptCodec.cpp
+++ b/hawthornroad/peers/AttemptCodec.cpp
@@ -1,6 +1,6 @@
-#include "hawthornroad/runtime/AttemptCodec.h"
+#include "hawthornroad/peers/AttemptCodec.h"
 
-#include "hawthornroad/runtime/WireCodec.h"
+#include "hawthornroad/peers/WireCodec.h"
 
 #include <algorithm>
 #include <array>
--- a/hawthornroad/runtime/AttemptCodec.h
+++ b/hawthornroad/peers/AttemptCodec.h
@@ -1,10 +1,10 @@
 // Between the request path's types and the Attempt* messages of the wire.
 
-#ifndef HAWTHORNROAD_RUNTIME_ATTEMPTCODEC_H
-#define HAWTHORNROAD_RUNTIME_ATTEMPTCODEC_H
+#ifndef HAWTHORNROAD_PEERS_ATTEMPTCODEC_H
+#define HAWTHORNROAD_PEERS_ATTEMPTCODEC_H
 
+#include "hawthornroad/peers/PeerNet.h"
 #include "hawthornroad/routing/RequestTypes.h"
-#include "hawthornroad/runtime/PeerNet.h"
 
 #include <optional>
 
@@ -21,4 +21,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_RUNTIME_ATTEMPTCODEC_H
+#endif // HAWTHORNROAD_PEERS_ATTEMPTCODEC_H
--- a/hawthornroad/runtime/ControlCodec.cpp
+++ b/hawthornroad/peers/ControlCodec.cpp
@@ -1,6 +1,6 @@
-#include "hawthornroad/runtime/ControlCodec.h"
+#include "hawthornroad/peers/ControlCodec.h"
 
-#include "hawthornroad/runtime/WireCodec.h"
+#include "hawthornroad/peers/WireCodec.h"
 
 namespace hawthornroad {
 
--- a/hawthornroad/runtime/ControlCodec.h
+++ b/hawthornroad/peers/ControlCodec.h
@@ -7,11 +7,11 @@
 // MaxMembersInMessage members of one message are taken, and names and addresses
 // longer than MaxNameBytes make a member be left out.
 
-#ifndef HAWTHORNROAD_RUNTIME_CONTROLCODEC_H
-#define HAWTHORNROAD_RUNTIME_CONTROLCODEC_H
+#ifndef HAWTHORNROAD_PEERS_CONTROLCODEC_H
+#define HAWTHORNROAD_PEERS_CONTROLCODEC_H
 
 #include "hawthornroad/membership/ControlMessages.h"
-#include "hawthornroad/runtime/PeerNet.h"
+#include "hawthornroad/peers/PeerNet.h"
 
 #include <optional>
 
@@ -26,4 +26,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_RUNTIME_CONTROLCODEC_H
+#endif // HAWTHORNROAD_PEERS_CONTROLCODEC_H
--- a/hawthornroad/runtime/FrameFeed.cpp
+++ b/hawthornroad/peers/FrameFeed.cpp
@@ -1,6 +1,6 @@
-#include "hawthornroad/runtime/FrameFeed.h"
+#include "hawthornroad/peers/FrameFeed.h"
 
-#include "hawthornroad/runtime/WireCodec.h"
+#include "hawthornroad/peers/WireCodec.h"
 
 namespace hawthornroad {
 
--- a/hawthornroad/runtime/FrameFeed.h
+++ b/hawthornroad/peers/FrameFeed.h
@@ -14,13 +14,13 @@
 // asks again after its silence limit. Control and chunk frames are dropped at
 // once: both are sent again by their senders.
 
-#ifndef HAWTHORNROAD_RUNTIME_FRAMEFEED_H
-#define HAWTHORNROAD_RUNTIME_FRAMEFEED_H
+#ifndef HAWTHORNROAD_PEERS_FRAMEFEED_H
+#define HAWTHORNROAD_PEERS_FRAMEFEED_H
 
+#include "hawthornroad/peers/PeerNet.h"
 #include "hawthornroad/routing/AttemptMessages.h"
 #include "hawthornroad/runtime/DecisionLoop.h"
 #include "hawthornroad/runtime/Metrics.h"
-#include "hawthornroad/runtime/PeerNet.h"
 
 #include <atomic>
 #include <deque>
@@ -67,4 +67,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_RUNTIME_FRAMEFEED_H
+#endif // HAWTHORNROAD_PEERS_FRAMEFEED_H
--- a/hawthornroad/runtime/PeerConnection.cpp
+++ b/hawthornroad/peers/PeerConnection.cpp
@@ -1,4 +1,4 @@
-#include "hawthornroad/runtime/PeerConnection.h"
+#include "hawthornroad/peers/PeerConnection.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
--- a/hawthornroad/runtime/PeerConnection.h
+++ b/hawthornroad/peers/PeerConnection.h
@@ -1,10 +1,10 @@
 // One framed TCP connection of a PeerNet, and what PeerNet keeps of them all.
 // Internal to PeerNet. Everything here lives on the net's IoThread.
 
-#ifndef HAWTHORNROAD_RUNTIME_PEERCONNECTION_H
-#define HAWTHORNROAD_RUNTIME_PEERCONNECTION_H
+#ifndef HAWTHORNROAD_PEERS_PEERCONNECTION_H
+#define HAWTHORNROAD_PEERS_PEERCONNECTION_H
 
-#include "hawthornroad/runtime/PeerNet.h"
+#include "hawthornroad/peers/PeerNet.h"
 
 #include <array>
 #include <atomic>
@@ -149,4 +149,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_RUNTIME_PEERCONNECTION_H
+#endif // HAWTHORNROAD_PEERS_PEERCONNECTION_H
--- a/hawthornroad/runtime/PeerNet.cpp
+++ b/hawthornroad/peers/PeerNet.cpp
@@ -1,7 +1,7 @@
-#include "hawthornroad/runtime/PeerNet.h"
+#include "hawthornroad/peers/PeerNet.h"
 
+#include "hawthornroad/peers/PeerConnection.h"
 #include "hawthornroad/runtime/Address.h"
-#include "hawthornroad/runtime/PeerConnection.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/hawthornroad/runtime/PeerNet.h
+++ b/hawthornroad/peers/PeerNet.h
@@ -25,8 +25,8 @@
 // Bounds: a frame above MaxFrame closes the connection; a connection whose
 // unsent bytes exceed MaxBacklog refuses further sends (false).
 
-#ifndef HAWTHORNROAD_RUNTIME_PEERNET_H
-#define HAWTHORNROAD_RUNTIME_PEERNET_H
+#ifndef HAWTHORNROAD_PEERS_PEERNET_H
+#define HAWTHORNROAD_PEERS_PEERNET_H
 
 #include "hawthornroad/base/Error.h"
 #include "hawthornroad/base/Types.h"
@@ -136,4 +136,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_RUNTIME_PEERNET_H
+#endif // HAWTHORNROAD_PEERS_PEERNET_H
--- a/hawthornroad/runtime/PeerPace.h
+++ b/hawthornroad/peers/PeerPace.h
@@ -4,8 +4,8 @@
 // seconds between them find a silent one in seven, and until then an entry
 // merely learns of a load from the engine's own refusals.
 
-#ifndef HAWTHORNROAD_RUNTIME_PEERPACE_H
-#define HAWTHORNROAD_RUNTIME_PEERPACE_H
+#ifndef HAWTHORNROAD_PEERS_PEERPACE_H
+#define HAWTHORNROAD_PEERS_PEERPACE_H
 
 #include "hawthornroad/base/Types.h"
 
@@ -20,4 +20,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_RUNTIME_PEERPACE_H
+#endif // HAWTHORNROAD_PEERS_PEERPACE_H
--- a/hawthornroad/runtime/ReadWindow.h
+++ b/hawthornroad/peers/ReadWindow.h
@@ -9,8 +9,8 @@
 // time: however late the thread that consumes the bytes is, what is read and
 // not released stays below the window's size and one read more.
 
-#ifndef HAWTHORNROAD_RUNTIME_READWINDOW_H
-#define HAWTHORNROAD_RUNTIME_READWINDOW_H
+#ifndef HAWTHORNROAD_PEERS_READWINDOW_H
+#define HAWTHORNROAD_PEERS_READWINDOW_H
 
 #include <algorithm>
 #include <cstdint>
@@ -38,4 +38,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_RUNTIME_READWINDOW_H
+#endif // HAWTHORNROAD_PEERS_READWINDOW_H
--- a/hawthornroad/runtime/WireCodec.cpp
+++ b/hawthornroad/peers/WireCodec.cpp
@@ -1,4 +1,4 @@
-#include "hawthornroad/runtime/WireCodec.h"
+#include "hawthornroad/peers/WireCodec.h"
 
 namespace hawthornroad {
 
--- a/hawthornroad/runtime/WireCodec.h
+++ b/hawthornroad/peers/WireCodec.h
@@ -1,7 +1,7 @@
 // Between value types of the decision modules and messages of the wire.
 
-#ifndef HAWTHORNROAD_RUNTIME_WIRECODEC_H
-#define HAWTHORNROAD_RUNTIME_WIRECODEC_H
+#ifndef HAWTHORNROAD_PEERS_WIRECODEC_H
+#define HAWTHORNROAD_PEERS_WIRECODEC_H
 
 #include "hawthornroad/base/Types.h"
 #include "hawthornroad/membership/EndpointStatus.h"
@@ -26,4 +26,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_RUNTIME_WIRECODEC_H
+#endif // HAWTHORNROAD_PEERS_WIRECODEC_H
--- a/hawthornroad/runtime/AgentAttempts.cpp
+++ b/hawthornroad/runtime/AgentAttempts.cpp
@@ -1,7 +1,7 @@
 #include "hawthornroad/runtime/AgentAttempts.h"
 
+#include "hawthornroad/peers/WireCodec.h"
 #include "hawthornroad/runtime/Log.h"
-#include "hawthornroad/runtime/WireCodec.h"
 
 namespace hawthornroad {
 
--- a/hawthornroad/runtime/AgentAttempts.h
+++ b/hawthornroad/runtime/AgentAttempts.h
@@ -12,9 +12,9 @@
 #define HAWTHORNROAD_RUNTIME_AGENTATTEMPTS_H
 
 #include "hawthornroad/config/Settings.h"
+#include "hawthornroad/peers/PeerNet.h"
 #include "hawthornroad/routing/AttemptTable.h"
 #include "hawthornroad/runtime/EndpointClient.h"
-#include "hawthornroad/runtime/PeerNet.h"
 
 #include <boost/json/object.hpp>
 
--- a/hawthornroad/runtime/AgentCore.h
+++ b/hawthornroad/runtime/AgentCore.h
@@ -20,7 +20,7 @@
 #include "hawthornroad/runtime/AgentAttempts.h"
 #include "hawthornroad/runtime/ControlPlane.h"
 #include "hawthornroad/runtime/EndpointView.h"
-#include "hawthornroad/runtime/WeightTransfer.h"
+#include "hawthornroad/transfer/WeightTransfer.h"
 
 #include <map>
 #include <optional>
--- a/hawthornroad/runtime/AgentProcess.cpp
+++ b/hawthornroad/runtime/AgentProcess.cpp
@@ -1,11 +1,11 @@
 #include "hawthornroad/runtime/AgentProcess.h"
 
 #include "hawthornroad/membership/MemberTable.h"
+#include "hawthornroad/peers/FrameFeed.h"
 #include "hawthornroad/rollout/RolloutTurn.h"
 #include "hawthornroad/runtime/Address.h"
 #include "hawthornroad/runtime/Admin.h"
 #include "hawthornroad/runtime/AgentCore.h"
-#include "hawthornroad/runtime/FrameFeed.h"
 
 #include <atomic>
 #include <boost/json/serialize.hpp>
--- a/hawthornroad/runtime/ControlPlane.cpp
+++ b/hawthornroad/runtime/ControlPlane.cpp
@@ -3,7 +3,7 @@
 #include "hawthornroad/base/Hash.h"
 #include "hawthornroad/config/MergePatch.h"
 #include "hawthornroad/membership/ControlCore.h"
-#include "hawthornroad/runtime/ControlCodec.h"
+#include "hawthornroad/peers/ControlCodec.h"
 #include "hawthornroad/runtime/ControlStatus.h"
 #include "hawthornroad/runtime/Log.h"
 #include "hawthornroad/runtime/PlatformTable.h"
--- a/hawthornroad/runtime/ControlPlane.h
+++ b/hawthornroad/runtime/ControlPlane.h
@@ -23,10 +23,10 @@
 #include "hawthornroad/config/Declaration.h"
 #include "hawthornroad/config/Settings.h"
 #include "hawthornroad/membership/EndpointStatus.h"
+#include "hawthornroad/peers/PeerNet.h"
 #include "hawthornroad/runtime/DecisionLoop.h"
 #include "hawthornroad/runtime/Http.h"
 #include "hawthornroad/runtime/Metrics.h"
-#include "hawthornroad/runtime/PeerNet.h"
 
 #include <boost/json/object.hpp>
 #include <functional>
--- a/hawthornroad/runtime/EndpointClient.cpp
+++ b/hawthornroad/runtime/EndpointClient.cpp
@@ -1,7 +1,7 @@
 #include "hawthornroad/runtime/EndpointClient.h"
 
+#include "hawthornroad/peers/ReadWindow.h"
 #include "hawthornroad/runtime/Log.h"
-#include "hawthornroad/runtime/ReadWindow.h"
 
 #include <algorithm>
 #include <array>
--- a/hawthornroad/runtime/EntryActions.cpp
+++ b/hawthornroad/runtime/EntryActions.cpp
@@ -1,4 +1,4 @@
-#include "hawthornroad/runtime/AttemptCodec.h"
+#include "hawthornroad/peers/AttemptCodec.h"
 #include "hawthornroad/runtime/EntryState.h"
 #include "hawthornroad/runtime/Log.h"
 
--- a/hawthornroad/runtime/EntryProcess.cpp
+++ b/hawthornroad/runtime/EntryProcess.cpp
@@ -1,8 +1,8 @@
 #include "hawthornroad/runtime/EntryProcess.h"
 
 #include "hawthornroad/membership/MemberTable.h"
+#include "hawthornroad/peers/AttemptCodec.h"
 #include "hawthornroad/runtime/Address.h"
-#include "hawthornroad/runtime/AttemptCodec.h"
 #include "hawthornroad/runtime/EntryState.h"
 #include "hawthornroad/runtime/Log.h"
 #include "hawthornroad/runtime/Seed.h"
--- a/hawthornroad/runtime/ChunkStore.cpp
+++ b/hawthornroad/transfer/ChunkStore.cpp
@@ -1,4 +1,4 @@
-#include "hawthornroad/runtime/ChunkStore.h"
+#include "hawthornroad/transfer/ChunkStore.h"
 
 #include "hawthornroad/base/Error.h"
 #include "hawthornroad/base/Hash.h"
--- a/hawthornroad/runtime/ChunkStore.h
+++ b/hawthornroad/transfer/ChunkStore.h
@@ -16,8 +16,8 @@
 // Blocking, and for one thread (the agent's file thread). Memory: one chunk at
 // a time. Cost of recover() and open(): one hash over what is there.
 
-#ifndef HAWTHORNROAD_RUNTIME_CHUNKSTORE_H
-#define HAWTHORNROAD_RUNTIME_CHUNKSTORE_H
+#ifndef HAWTHORNROAD_TRANSFER_CHUNKSTORE_H
+#define HAWTHORNROAD_TRANSFER_CHUNKSTORE_H
 
 #include "hawthornroad/base/Types.h"
 #include "hawthornroad/weights/Manifest.h"
@@ -82,4 +82,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_RUNTIME_CHUNKSTORE_H
+#endif // HAWTHORNROAD_TRANSFER_CHUNKSTORE_H
--- a/hawthornroad/runtime/OriginClient.cpp
+++ b/hawthornroad/transfer/OriginClient.cpp
@@ -1,4 +1,4 @@
-#include "hawthornroad/runtime/OriginClient.h"
+#include "hawthornroad/transfer/OriginClient.h"
 
 namespace hawthornroad {
 
--- a/hawthornroad/runtime/OriginClient.h
+++ b/hawthornroad/transfer/OriginClient.h
@@ -8,8 +8,8 @@
 //
 // Each callback runs once in the loop, unless its Owner is gone by then.
 
-#ifndef HAWTHORNROAD_RUNTIME_ORIGINCLIENT_H
-#define HAWTHORNROAD_RUNTIME_ORIGINCLIENT_H
+#ifndef HAWTHORNROAD_TRANSFER_ORIGINCLIENT_H
+#define HAWTHORNROAD_TRANSFER_ORIGINCLIENT_H
 
 #include "hawthornroad/runtime/DecisionLoop.h"
 #include "hawthornroad/runtime/Http.h"
@@ -64,4 +64,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_RUNTIME_ORIGINCLIENT_H
+#endif // HAWTHORNROAD_TRANSFER_ORIGINCLIENT_H
--- a/hawthornroad/runtime/WeightSwarm.cpp
+++ b/hawthornroad/transfer/WeightSwarm.cpp
@@ -1,4 +1,4 @@
-#include "hawthornroad/runtime/WeightSwarm.h"
+#include "hawthornroad/transfer/WeightSwarm.h"
 
 #include "hawthornroad/runtime/Log.h"
 
--- a/hawthornroad/runtime/WeightSwarm.h
+++ b/hawthornroad/transfer/WeightSwarm.h
@@ -13,12 +13,12 @@
 // the chunks before it begins, so that a killed agent's successor knows what
 // was charged.
 
-#ifndef HAWTHORNROAD_RUNTIME_WEIGHTSWARM_H
-#define HAWTHORNROAD_RUNTIME_WEIGHTSWARM_H
+#ifndef HAWTHORNROAD_TRANSFER_WEIGHTSWARM_H
+#define HAWTHORNROAD_TRANSFER_WEIGHTSWARM_H
 
-#include "hawthornroad/runtime/OriginClient.h"
-#include "hawthornroad/runtime/WeightTransfer.h"
-#include "hawthornroad/runtime/WeightWork.h"
+#include "hawthornroad/transfer/OriginClient.h"
+#include "hawthornroad/transfer/WeightTransfer.h"
+#include "hawthornroad/transfer/WeightWork.h"
 #include "hawthornroad/weights/RateLimiter.h"
 
 #include <map>
@@ -93,4 +93,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_RUNTIME_WEIGHTSWARM_H
+#endif // HAWTHORNROAD_TRANSFER_WEIGHTSWARM_H
--- a/hawthornroad/runtime/WeightTransfer.cpp
+++ b/hawthornroad/transfer/WeightTransfer.cpp
@@ -1,5 +1,5 @@
 #include "hawthornroad/runtime/Log.h"
-#include "hawthornroad/runtime/WeightTransferState.h"
+#include "hawthornroad/transfer/WeightTransferState.h"
 
 #include <algorithm>
 #include <chrono>
--- a/hawthornroad/runtime/WeightTransfer.h
+++ b/hawthornroad/transfer/WeightTransfer.h
@@ -12,17 +12,17 @@
 // two versions cannot mix; a version counts as staged only when every chunk and
 // the whole have been verified.
 
-#ifndef HAWTHORNROAD_RUNTIME_WEIGHTTRANSFER_H
-#define HAWTHORNROAD_RUNTIME_WEIGHTTRANSFER_H
+#ifndef HAWTHORNROAD_TRANSFER_WEIGHTTRANSFER_H
+#define HAWTHORNROAD_TRANSFER_WEIGHTTRANSFER_H
 
 #include "hawthornroad/base/Chart.h"
 #include "hawthornroad/base/Types.h"
 #include "hawthornroad/config/Declaration.h"
 #include "hawthornroad/config/Settings.h"
+#include "hawthornroad/peers/PeerNet.h"
 #include "hawthornroad/runtime/DecisionLoop.h"
 #include "hawthornroad/runtime/Http.h"
 #include "hawthornroad/runtime/Metrics.h"
-#include "hawthornroad/runtime/PeerNet.h"
 
 #include <boost/json/object.hpp>
 #include <functional>
@@ -95,4 +95,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_RUNTIME_WEIGHTTRANSFER_H
+#endif // HAWTHORNROAD_TRANSFER_WEIGHTTRANSFER_H
--- a/hawthornroad/runtime/WeightTransferFrames.cpp
+++ b/hawthornroad/transfer/WeightTransferFrames.cpp
@@ -1,4 +1,4 @@
-#include "hawthornroad/runtime/WeightTransferState.h"
+#include "hawthornroad/transfer/WeightTransferState.h"
 
 namespace hawthornroad {
 
--- a/hawthornroad/runtime/WeightTransferState.h
+++ b/hawthornroad/transfer/WeightTransferState.h
@@ -1,13 +1,13 @@
 // The inside of WeightTransfer, shared by WeightTransfer.cpp (the life of a
 // transfer) and WeightTransferFrames.cpp (what peers send and are sent).
 
-#ifndef HAWTHORNROAD_RUNTIME_WEIGHTTRANSFERSTATE_H
-#define HAWTHORNROAD_RUNTIME_WEIGHTTRANSFERSTATE_H
+#ifndef HAWTHORNROAD_TRANSFER_WEIGHTTRANSFERSTATE_H
+#define HAWTHORNROAD_TRANSFER_WEIGHTTRANSFERSTATE_H
 
 #include "hawthornroad/base/Chart.h"
-#include "hawthornroad/runtime/WeightSwarm.h"
-#include "hawthornroad/runtime/WeightTransfer.h"
-#include "hawthornroad/runtime/WeightUploads.h"
+#include "hawthornroad/transfer/WeightSwarm.h"
+#include "hawthornroad/transfer/WeightTransfer.h"
+#include "hawthornroad/transfer/WeightUploads.h"
 #include "hawthornroad/weights/ManifestPlan.h"
 
 #include <map>
@@ -96,4 +96,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_RUNTIME_WEIGHTTRANSFERSTATE_H
+#endif // HAWTHORNROAD_TRANSFER_WEIGHTTRANSFERSTATE_H
--- a/hawthornroad/runtime/WeightUploads.cpp
+++ b/hawthornroad/transfer/WeightUploads.cpp
@@ -1,4 +1,4 @@
-#include "hawthornroad/runtime/WeightUploads.h"
+#include "hawthornroad/transfer/WeightUploads.h"
 
 namespace hawthornroad {
 
--- a/hawthornroad/runtime/WeightUploads.h
+++ b/hawthornroad/transfer/WeightUploads.h
@@ -9,10 +9,10 @@
 // its peer says that it has it. A request that finds no place is answered
 // "busy" at once, one for a chunk that is not here "missing".
 
-#ifndef HAWTHORNROAD_RUNTIME_WEIGHTUPLOADS_H
-#define HAWTHORNROAD_RUNTIME_WEIGHTUPLOADS_H
+#ifndef HAWTHORNROAD_TRANSFER_WEIGHTUPLOADS_H
+#define HAWTHORNROAD_TRANSFER_WEIGHTUPLOADS_H
 
-#include "hawthornroad/runtime/WeightWork.h"
+#include "hawthornroad/transfer/WeightWork.h"
 #include "hawthornroad/weights/UploadScheduler.h"
 
 #include <limits>
@@ -51,4 +51,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_RUNTIME_WEIGHTUPLOADS_H
+#endif // HAWTHORNROAD_TRANSFER_WEIGHTUPLOADS_H
--- a/hawthornroad/runtime/WeightWork.h
+++ b/hawthornroad/transfer/WeightWork.h
@@ -9,14 +9,14 @@
 // the loop, and not at all when its owner is gone by then. A full ring loses
 // the outcome: whoever waits for one has a time limit.
 
-#ifndef HAWTHORNROAD_RUNTIME_WEIGHTWORK_H
-#define HAWTHORNROAD_RUNTIME_WEIGHTWORK_H
+#ifndef HAWTHORNROAD_TRANSFER_WEIGHTWORK_H
+#define HAWTHORNROAD_TRANSFER_WEIGHTWORK_H
 
-#include "hawthornroad/runtime/ChunkStore.h"
+#include "hawthornroad/peers/PeerNet.h"
 #include "hawthornroad/runtime/DecisionLoop.h"
 #include "hawthornroad/runtime/Io.h"
 #include "hawthornroad/runtime/Metrics.h"
-#include "hawthornroad/runtime/PeerNet.h"
+#include "hawthornroad/transfer/ChunkStore.h"
 
 #include <functional>
 #include <memory>
@@ -63,4 +63,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_RUNTIME_WEIGHTWORK_H
+#endif // HAWTHORNROAD_TRANSFER_WEIGHTWORK_H
--- a/hawthornroad/weights/Swarm.h
+++ b/hawthornroad/weights/Swarm.h
@@ -1,5 +1,5 @@
 // One VM's part in bringing one version to the fleet: takes events, returns
-// actions; the driver (runtime/WeightTransfer, bench/WeightsModel) does them.
+// actions; the driver (transfer/WeightTransfer, bench/WeightsModel) does them.
 //
 //   Swarm S({.Self_ = {Vm, Zone}, ...}, Manifest, Held);
 //   S.setPeers(Peers, Now);
--- a/tests/integration/ControlConnectionsTest.cpp
+++ b/tests/integration/ControlConnectionsTest.cpp
@@ -1,4 +1,4 @@
-#include "hawthornroad/runtime/PeerNet.h"
+#include "hawthornroad/peers/PeerNet.h"
 #include "tests/integration/Fixture.h"
 
 #include <atomic>
--- a/tests/integration/RawEntry.h
+++ b/tests/integration/RawEntry.h
@@ -10,8 +10,8 @@
 #define HAWTHORNROAD_TESTS_INTEGRATION_RAWENTRY_H
 
 #include "hawthornroad/base/Hash.h"
-#include "hawthornroad/runtime/PeerNet.h"
-#include "hawthornroad/runtime/WireCodec.h"
+#include "hawthornroad/peers/PeerNet.h"
+#include "hawthornroad/peers/WireCodec.h"
 
 #include <catch2/catch.hpp>
 #include <condition_variable>
--- a/tests/unit/CtlTest.cpp
+++ b/tests/unit/CtlTest.cpp
@@ -1,8 +1,8 @@
-#include "hawthornroad/runtime/Ctl.h"
+#include "hawthornroad/ctl/Ctl.h"
 #include "hawthornroad/base/Hash.h"
 #include "hawthornroad/config/PatchLines.h"
-#include "hawthornroad/runtime/CtlOptions.h"
-#include "hawthornroad/runtime/FleetStatus.h"
+#include "hawthornroad/ctl/CtlOptions.h"
+#include "hawthornroad/ctl/FleetStatus.h"
 
 #include <boost/json/parse.hpp>
 #include <catch2/catch.hpp>
--- a/tests/unit/EndpointClientTest.cpp
+++ b/tests/unit/EndpointClientTest.cpp
@@ -1,5 +1,5 @@
 #include "hawthornroad/runtime/EndpointClient.h"
-#include "hawthornroad/runtime/ReadWindow.h"
+#include "hawthornroad/peers/ReadWindow.h"
 
 #include <catch2/catch.hpp>
 #include <future>
--- a/tests/unit/LogReaderTest.cpp
+++ b/tests/unit/LogReaderTest.cpp
@@ -1,5 +1,5 @@
-#include "hawthornroad/runtime/LogReader.h"
-#include "hawthornroad/runtime/Ctl.h"
+#include "hawthornroad/ctl/LogReader.h"
+#include "hawthornroad/ctl/Ctl.h"
 
 #include <catch2/catch.hpp>
 #include <filesystem>
--- a/tests/unit/RuntimeTest.cpp
+++ b/tests/unit/RuntimeTest.cpp
@@ -1,9 +1,9 @@
 #include "hawthornroad/base/Ring.h"
+#include "hawthornroad/peers/PeerNet.h"
 #include "hawthornroad/runtime/Actor.h"
 #include "hawthornroad/runtime/DecisionLoop.h"
 #include "hawthornroad/runtime/Http.h"
 #include "hawthornroad/runtime/Metrics.h"
-#include "hawthornroad/runtime/PeerNet.h"
 
 #include <catch2/catch.hpp>
 #include <future>
--- a/tests/unit/WeightTransferTest.cpp
+++ b/tests/unit/WeightTransferTest.cpp
@@ -1,4 +1,4 @@
-#include "hawthornroad/runtime/WeightTransfer.h"
+#include "hawthornroad/transfer/WeightTransfer.h"
 
 #include "hawthornroad/base/Hash.h"
 #include "hawthornroad/base/Random.h"
