--- a/hawthornroad/agent/RowReader.cpp
+++ b/hawthornroad/agent/RowReader.cpp
@@ -66,7 +66,7 @@
 }
 
 void RowReader::readStore(Read R) {
-  Store_.list(R.Table_, "", "", std::move(R.Done_));
+  Ways_.ReadStore_(R.Table_, std::move(R.Done_));
 }
 
 void RowReader::onAnswer(const wire::RowsAnswerT &A) {
--- a/hawthornroad/agent/RowReader.h
+++ b/hawthornroad/agent/RowReader.h
@@ -1,7 +1,8 @@
 // Whole tables of the store, from an entry of the zone, or from the store when
 // no entry answers.
 //
-//   RowReader R(Store, {.Reply_ = ..., .Dial_ = ..., .Find_ = ...});
+//   RowReader R({.Reply_ = ..., .Dial_ = ..., .Find_ = ..., .ReadStore_ = ...},
+//               Seed);
 //   R.entryCame("zg-entry-1", Connection);
 //   R.list("op", Now, [](const StoreReply &R) {...});
 //   R.onAnswer(Frame);  R.tick(Now);
@@ -40,14 +41,14 @@
     // Tells the addresses of the zone's entries; none when they are not known.
     using Found = std::function<void(std::vector<PeerAddress>)>;
     std::function<void(Found)> Find_;
+    std::function<void(const std::string &Table, Done)> ReadStore_;
   };
 
   // The entry holds the question for less; the rest is the way of 60 KB over an
   // agent's link.
   static constexpr Duration AnswerPatience = Milliseconds(600);
 
-  RowReader(StoreClient &Store, Ways W, std::uint64_t Seed)
-      : Store_(Store), Ways_(std::move(W)), Random_(Seed) {}
+  RowReader(Ways W, std::uint64_t Seed) : Ways_(std::move(W)), Random_(Seed) {}
 
   // An entry of this zone is connected, or again under a new connection.
   void entryCame(const ProcessName &Entry, ConnectionId Connection);
@@ -68,7 +69,6 @@
   void askFound(const std::vector<PeerAddress> &Entries);
   void readStore(Read R);
 
-  StoreClient &Store_;
   Ways Ways_;
   Random Random_;
   // The last to have come is asked first.
--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -35,7 +35,7 @@
       Io_("agent", WorkRing),
       Store_(Io_.context(), Settings_.Common_.Store_, Codec_),
       Engine_(Io_.context(), Settings_.EngineAddress_, engineOptions()),
-      Reader_(Store_, readerWays(), Random_.next()),
+      Reader_(readerWays(), Random_.next()),
       MetricsServer_(std::make_shared<HttpListener>(Io_.context(),
                                                     SessionLimits{}, *this)),
       Self_(ipOf(Settings_.EngineAddress_)) {
@@ -76,6 +76,9 @@
   W.Dial_ = [this](const PeerAddress &To, FrameBuffer F) {
     Net_->send(To, Lane::Control, std::move(F));
   };
+  W.ReadStore_ = [this](const std::string &Table, RowReader::Done D) {
+    Store_.list(Table, "", "", std::move(D));
+  };
   W.Find_ = [this](RowReader::Ways::Found Then) {
     listPresences(Store_, Log_, Settings_.Common_.Zone_,
                   [Then = std::move(Then)](const auto &Entries) {
--- a/tests/unit/RowReaderTest.cpp
+++ b/tests/unit/RowReaderTest.cpp
@@ -3,7 +3,6 @@
 #include "hawthornroad/agent/RowReader.h"
 #include "hawthornroad/entry/TableRelay.h"
 
-#include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
 using namespace hawthornroad;
@@ -11,29 +10,9 @@
 namespace {
 constexpr TimePoint Start{Seconds(1000)};
 
-// Counts what is asked of the store; nothing is sent, for the context never
-// runs.
-class CountingCodec final : public StoreCodec {
-public:
-  mutable int Lists_ = 0;
-  HttpMessage list(const std::string &, const std::string &,
-                   const std::string &) const override {
-    ++Lists_;
-    return {};
-  }
-  HttpMessage feed(const std::string &, StoreVersion, Duration) const override {
-    return {};
-  }
-  HttpMessage write(const StoreTransaction &) const override { return {}; }
-  StoreReply read(unsigned, const std::string &) const override {
-    return StoreFailure::Malformed;
-  }
-};
-
 struct ReaderFixture {
-  boost::asio::io_context Context_;
-  CountingCodec Codec_;
-  StoreClient Store_{Context_, "127.0.0.1:9", Codec_};
+  // What was read from the store itself.
+  int StoreReads_ = 0;
   TimePoint Now_ = Start;
   // By connection; closed ones take nothing.
   std::vector<std::pair<ConnectionId, std::uint64_t>> Asked_;
@@ -44,7 +23,7 @@
   std::vector<PeerAddress> Listed_;
   std::vector<std::pair<PeerAddress, std::uint64_t>> Dialled_;
   int Finds_ = 0;
-  RowReader R_{Store_, ways(), 1};
+  RowReader R_{ways(), 1};
 
   static std::uint64_t numberOf(const FrameBuffer &F) {
     return wire::GetFrame(F->data())->body_as_RowsAsk()->number();
@@ -60,6 +39,9 @@
     W.Dial_ = [this](const PeerAddress &To, FrameBuffer F) {
       Dialled_.emplace_back(To, numberOf(F));
     };
+    W.ReadStore_ = [this](const std::string &, const RowReader::Done &) {
+      ++StoreReads_;
+    };
     W.Find_ = [this](RowReader::Ways::Found Then) {
       ++Finds_;
       Then(Listed_);
@@ -110,7 +92,7 @@
   R_.onAnswer(answer(Asked_[0].second));
   REQUIRE(Done_ == 1);
   pass(Seconds(2));
-  REQUIRE(Codec_.Lists_ == 0);
+  REQUIRE(StoreReads_ == 0);
 }
 
 // Endpoints are replaced one after the other; each new VM's agent reads the
@@ -127,11 +109,11 @@
     R_.onAnswer(answer(Dialled_[0].second));
     REQUIRE(Done_ == 1);
     pass(Seconds(2));
-    REQUIRE(Codec_.Lists_ == 0);
+    REQUIRE(StoreReads_ == 0);
   }
   SECTION("it is gone") {
     pass(RowReader::AnswerPatience);
-    REQUIRE(Codec_.Lists_ == 1);
+    REQUIRE(StoreReads_ == 1);
   }
 }
 
@@ -140,7 +122,7 @@
                  "[relay]") {
   list();
   REQUIRE(Finds_ == 1);
-  REQUIRE(Codec_.Lists_ == 1);
+  REQUIRE(StoreReads_ == 1);
 }
 
 // An entry is frozen or has lost its way to the store; the agent must have the
@@ -155,7 +137,7 @@
   REQUIRE(Asked_[0].first == 5);
   SECTION("silent") {
     pass(RowReader::AnswerPatience);
-    REQUIRE(Codec_.Lists_ == 1);
+    REQUIRE(StoreReads_ == 1);
     list();
     REQUIRE(Asked_[1].first == 4);
   }
@@ -164,7 +146,7 @@
     Away.number = Asked_[0].second;
     Away.away = true;
     R_.onAnswer(Away);
-    REQUIRE(Codec_.Lists_ == 1);
+    REQUIRE(StoreReads_ == 1);
   }
 }
 
