--- a/hawthornroad/agent/AgentVersions.cpp
+++ b/hawthornroad/agent/AgentVersions.cpp
@@ -11,7 +11,8 @@
 // Versions are read this often when no entry has named a new one: only an agent
 // that no entry reaches needs it. And after a failure, or while something is
 // known to be missing.
-constexpr Duration VersionPoll = Seconds(15);
+// With its spread it comes within 18.2 s.
+constexpr Duration VersionPoll = Seconds(13);
 constexpr Duration OperatorAgain = Milliseconds(400);
 constexpr double OperatorSpread = 0.4;
 // A version named this much later than the one under way waits for it.
