--- a/hawthornroad/agent/AgentEngine.cpp
+++ b/hawthornroad/agent/AgentEngine.cpp
@@ -7,6 +7,12 @@
 namespace {
 // An entry believes for 3.5 s that an engine is away; it is told again before.
 constexpr Duration AwayAgain = Milliseconds(1500);
+// Loads are told no more often than this, though the engine may be asked more
+// often: they order an entry's choice, and its places are asked for.
+constexpr Duration LoadsApart = Milliseconds(120);
+// Questions for places that wait for the engine's word; beyond it, one is
+// answered with no.
+constexpr std::size_t MostPlaceQuestions = 256;
 // Engines come and go while a version is on its way.
 constexpr Duration PeersAgain = Milliseconds(2500);
 // An order is answered at once or not at all.
@@ -77,10 +83,12 @@
   bool IsAway = Notice.phase != 0;
   if (ToldEntries_ == Notice && !(IsAway && Now - ToldAt_ >= AwayAgain))
     return;
-  ToldAt_ = Now;
   bool IsLoadOnly = !IsAway && ToldEntries_ &&
                     ToldEntries_->phase == Notice.phase &&
                     ToldEntries_->version == Notice.version;
+  if (IsLoadOnly && Now - ToldAt_ < LoadsApart)
+    return;
+  ToldAt_ = Now;
   ToldEntries_ = Notice;
   FrameBuffer Frame = makeFrame(Notice);
   for (const auto &[Process, W] : Watchers_)
@@ -167,13 +175,17 @@
 }
 
 void StoreAgent::State::report() {
-  Duty_.reportFailed(bootNow());
+  TimePoint Now = bootNow();
+  Duty_.reportFailed(Now);
+  ReportUnderWay_ = true;
   Engine_.call(platform::reportCall(), AgentEngineLimit,
-               [this](const HttpCalls::Result &R) { onReport(R); });
+               [this, Now](const HttpCalls::Result &R) { onReport(R, Now); });
 }
 
-void StoreAgent::State::onReport(const HttpCalls::Result &R) {
+void StoreAgent::State::onReport(const HttpCalls::Result &R,
+                                 TimePoint AskedAt) {
   TimePoint Now = bootNow();
+  ReportUnderWay_ = false;
   const auto *Answer = std::get_if<HttpAnswer>(&R);
   constexpr unsigned Ok = 200;
   if (Answer == nullptr || Answer->Status_ != Ok)
@@ -191,8 +203,10 @@
                      .count("running", S.Running_)
                      .count("waiting", S.Waiting_));
     LastTold_ = S;
+    Places_.reported(S.Running_, S.Waiting_, AskedAt);
     Duty_.reported(std::move(S), Now);
     tellEntries();
+    answerPlaceAsks(Now);
   } catch (const Error &E) {
     Log_.write(LogLine("engine_unreadable").text("detail", E.what()));
     return Duty_.reportFailed(Now);
@@ -200,6 +214,46 @@
   step(Now);
 }
 
+void StoreAgent::State::onPlaceAsk(const PeerContext &From,
+                                   const wire::PlaceAskT &Ask) {
+  TimePoint Now = bootNow();
+  if (PlaceQuestions_.size() >= MostPlaceQuestions)
+    PlaceQuestions_.erase(PlaceQuestions_.begin());
+  PlaceQuestions_.push_back({From.Connection_, Ask});
+  bool MustHear = Duty_.state() && !Duty_.isAway() && !Duty_.isEmpty() &&
+                  !Places_.isFresh(Now);
+  if (!MustHear)
+    return answerPlaceAsks(Now);
+  if (!ReportUnderWay_)
+    report();
+}
+
+void StoreAgent::State::answerPlaceAsks(TimePoint Now) {
+  const EnginePace *Pace = pace();
+  PlaceGrants::Pace P;
+  if (Pace != nullptr) {
+    P.Places_ = Pace->Slots_;
+    P.Reading_ = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(Pace->readingMs()));
+  }
+  bool IsAway = !Duty_.state() || Duty_.isAway() || Duty_.isEmpty();
+  for (const PlaceQuestion &Q : std::exchange(PlaceQuestions_, {})) {
+    PlaceKind Kind = PlaceKind::First;
+    if (Q.Ask_.late)
+      Kind = PlaceKind::Late;
+    if (Q.Ask_.resumes)
+      Kind = PlaceKind::Resumed;
+    wire::PlaceAnswerT Answer;
+    Answer.number = Q.Ask_.number;
+    Answer.away = IsAway;
+    Answer.granted = !IsAway && Pace != nullptr && Places_.ask(Kind, P, Now);
+    Answer.running = Places_.running();
+    Answer.waiting = Places_.waiting();
+    Answer.version = Duty_.state() ? Duty_.state()->Loaded_.Version_ : 0;
+    Net_->reply(Q.From_, makeFrame(Answer));
+  }
+}
+
 void StoreAgent::State::stageAndVerify() {
   auto P = Current_;
   if (!P->Transfer_ || !P->Transfer_->isWhole())
--- a/hawthornroad/agent/PieceTransfer.cpp
+++ b/hawthornroad/agent/PieceTransfer.cpp
@@ -47,8 +47,10 @@
   Out.ZonePatience_ = Milliseconds(1500);
   Out.Plan_.Timeout_ = Milliseconds(2500);
   // Each piece asked for comes in over the link that brings the engine its
-  // requests; five in flight keep it busy and its queue short.
-  Out.Plan_.InFlight_ = 5;
+  // requests, and what stands before a request there delays its first byte: a
+  // piece takes 27 ms over a narrow link. Three keep it busy; five cost 0.01 to
+  // 0.02 of what is owed on calm days.
+  Out.Plan_.InFlight_ = 3;
   Out.Plan_.PerPeer_ = 1;
   Out.Plan_.AcrossZones_ = 1;
   Out.Plan_.SlowAt_ = Milliseconds(350);
--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -20,6 +20,14 @@
   return O;
 }
 
+PlaceGrants::Options placeOptions(const AgentPolicy &P) {
+  PlaceGrants::Options O;
+  O.MostReading_ = P.MostReading_;
+  O.PlacesKept_ = P.PlacesKept_;
+  O.KeptFromLate_ = P.KeptFromLate_;
+  return O;
+}
+
 PeerNet::Limits peerLimits() {
   PeerNet::Limits L;
   L.PingAfter_ = PeerPing;
@@ -38,7 +46,8 @@
       Reader_(readerWays(), Random_.next()),
       MetricsServer_(std::make_shared<HttpListener>(Io_.context(),
                                                     SessionLimits{}, *this)),
-      Self_(ipOf(Settings_.EngineAddress_)) {
+      Self_(ipOf(Settings_.EngineAddress_)),
+      Places_(placeOptions(Settings_.Policy_)) {
   Log_.write(LogLine("start")
                  .text("role", "agent")
                  .text("zone", Settings_.Common_.Zone_.str())
@@ -183,6 +192,8 @@
     onNewest(Watch->newest);
     return;
   }
+  if (const auto *Ask = Unpacked.body.AsPlaceAsk())
+    return onPlaceAsk(From, *Ask);
   if (const auto *Rows = Unpacked.body.AsRowsAnswer())
     return Reader_.onAnswer(*Rows);
   if (onManifestFrame(From, Unpacked))
--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -21,6 +21,7 @@
 #include "hawthornroad/runtime/Io.h"
 #include "hawthornroad/runtime/Metrics.h"
 #include "hawthornroad/staging/LoadTurn.h"
+#include "hawthornroad/staging/PlaceGrants.h"
 #include "hawthornroad/store/StoreClient.h"
 #include "platform/EngineWire.h"
 #include "platform/StoreWire.h"
@@ -93,7 +94,7 @@
   void pursueNext();
   void overtake(TimePoint Now);
   void report();
-  void onReport(const HttpCalls::Result &R);
+  void onReport(const HttpCalls::Result &R, TimePoint AskedAt);
   // The pieces of a version, from nothing to whole.
   void fetch(const std::shared_ptr<Pursuit> &P, TimePoint Now);
   // All VMs and this one, in the order in which they read the digests.
@@ -126,6 +127,10 @@
   void onPeers(const StoreRows &Rows);
   void onFrame(const PeerContext &From, const wire::Frame &Frame);
   void onNewest(WeightVersion Version);
+  // An entry asks for a place at the engine; answered at once, or when the
+  // engine has told how it is.
+  void onPlaceAsk(const PeerContext &From, const wire::PlaceAskT &Ask);
+  void answerPlaceAsks(TimePoint Now);
   WeightVersion newestKnown() const;
   std::vector<std::shared_ptr<PieceTransfer>> transfers() const;
   TimePoint mayLoadAt() const;
@@ -188,6 +193,13 @@
     bool WantsLoads_ = false;
   };
   std::map<ProcessName, Watcher> Watchers_;
+  PlaceGrants Places_;
+  struct PlaceQuestion {
+    ConnectionId From_ = 0;
+    wire::PlaceAskT Ask_;
+  };
+  std::vector<PlaceQuestion> PlaceQuestions_;
+  bool ReportUnderWay_ = false;
   std::optional<wire::EngineNoticeT> ToldEntries_;
   TimePoint ToldAt_{};
 };
--- a/hawthornroad/config/RoutingConfig.h
+++ b/hawthornroad/config/RoutingConfig.h
@@ -85,6 +85,11 @@
   // last.
   std::size_t Pieces_ = 0;
   std::size_t PieceBytes_ = 0;
+  // What reading a usual prompt takes, with the step that makes its first
+  // token.
+  double readingMs() const {
+    return UsualPrompt_ / std::max(1.0, ReadTokensPerMs_) + StepMs_;
+  }
   bool operator==(const EnginePace &) const = default;
 };
 
--- a/hawthornroad/config/Settings.cpp
+++ b/hawthornroad/config/Settings.cpp
@@ -178,10 +178,11 @@
   ObjectReader R = Top.object("policy");
   P.FairByCustomer_ = R.boolean("fair_by_customer", P.FairByCustomer_);
   P.LateGoBehind_ = R.boolean("late_go_behind", P.LateGoBehind_);
+  P.AsksForPlaces_ = R.boolean("asks_for_places", P.AsksForPlaces_);
   P.LineShare_ = R.number("line_share", 0, 1, P.LineShare_);
   readDuration(R, "line_least_ms", 0, Hour, P.LineLeast_);
   readDuration(R, "most_reading_ms", 1, Hour, P.MostReading_);
-  P.PlacesKept_ = R.number("places_kept", 0, 0.9, P.PlacesKept_);
+  readDuration(R, "cross_zone_cost_ms", 0, Hour, P.CrossZoneCost_);
   P.KeptFromLate_ = R.number("kept_from_late", 0, 1, P.KeptFromLate_);
   R.finish();
   return P;
@@ -204,6 +205,16 @@
   return S;
 }
 
+AgentPolicy readAgentPolicy(ObjectReader &Top) {
+  AgentPolicy P;
+  ObjectReader R = Top.object("policy");
+  readDuration(R, "most_reading_ms", 1, Hour, P.MostReading_);
+  P.PlacesKept_ = R.number("places_kept", 0, 0.9, P.PlacesKept_);
+  P.KeptFromLate_ = R.number("kept_from_late", 0, 1, P.KeptFromLate_);
+  R.finish();
+  return P;
+}
+
 StoreAgentSettings readStoreAgent(ObjectReader &R) {
   StoreAgentSettings S;
   S.Common_ = readStoreProcess(R);
@@ -211,6 +222,7 @@
   S.Service_ = ServiceName(readName(R, "service"));
   readListen(R, "peer_listen", S.PeerListen_);
   S.LinkMbps_ = readLink(R, S.LinkMbps_);
+  S.Policy_ = readAgentPolicy(R);
   return S;
 }
 
--- a/hawthornroad/config/Settings.h
+++ b/hawthornroad/config/Settings.h
@@ -142,13 +142,16 @@
   // Those that came too late to be answered in time go behind those that did
   // not.
   bool LateGoBehind_ = true;
+  // Engines' places are asked of the agents beside them; off: chosen by what
+  // is believed of each engine.
+  bool AsksForPlaces_ = true;
   // Part of its goal that a request may wait in line for a place.
   double LineShare_ = 0.15;
   Duration LineLeast_ = Milliseconds(50);
   // Prompts that may stand before a request at an engine, as reading time.
   Duration MostReading_ = Milliseconds(140);
-  // Part of an engine's places that is left empty.
-  double PlacesKept_ = 0;
+  // How much sooner an endpoint of another zone must be expected to answer.
+  Duration CrossZoneCost_ = Milliseconds(120);
   // Of an endpoint's places, the part that late ones may not take.
   double KeptFromLate_ = 0.2;
   bool operator==(const EntryPolicy &) const = default;
@@ -179,8 +182,20 @@
   bool operator==(const StoreEntrySettings &) const = default;
 };
 
+// How an agent gives out its engine's places and brings it new weights.
+struct AgentPolicy {
+  // Prompts that may stand before a request at the engine, as reading time.
+  Duration MostReading_ = Milliseconds(100);
+  // Part of the engine's places that is left empty.
+  double PlacesKept_ = 0;
+  // Of its places, the part that late requests may not take.
+  double KeptFromLate_ = 0.2;
+  bool operator==(const AgentPolicy &) const = default;
+};
+
 struct StoreAgentSettings {
   StoreProcessSettings Common_;
+  AgentPolicy Policy_;
   // The engine beside this agent, "IP:port", and the service it is part of.
   std::string EngineAddress_;
   ServiceName Service_;
--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -60,11 +60,13 @@
   const EntryPolicy &P = S.Policy_;
   O.FairByCustomer_ = P.FairByCustomer_;
   O.LateGoBehind_ = P.LateGoBehind_;
+  O.AsksForPlaces_ = P.AsksForPlaces_;
   O.LineShare_ = P.LineShare_;
   O.LineLeast_ = P.LineLeast_;
   O.Placement_.MostReading_ =
       std::chrono::duration<double, std::milli>(P.MostReading_).count();
-  O.Placement_.PlacesKept_ = P.PlacesKept_;
+  O.Placement_.CrossZoneCost_ =
+      std::chrono::duration<double, std::milli>(P.CrossZoneCost_).count();
   O.Placement_.KeptFromLate_ = P.KeptFromLate_;
   return O;
 }
@@ -105,6 +107,9 @@
         [this](const EngineTold &T) { onEngineTold(T); },
         [this](wire::RowsAskT Question, TableRelay::Reply R) {
           Source_->ask(std::move(Question), std::move(R), bootNow());
+        },
+        [this](AttemptNumber A, const PlaceWord &W) {
+          Core_.onPlace(A, W, bootNow());
         });
   Io_.submit([this] { start(); });
 }
--- a/hawthornroad/entry/DirectEntryState.h
+++ b/hawthornroad/entry/DirectEntryState.h
@@ -45,6 +45,10 @@
   void beginAttempt(AttemptNumber A, const Call &C,
                     const AttemptOrder &O) override;
   void cancelAttempt(AttemptNumber A) override;
+  bool askPlace(AttemptNumber A, const std::string &Address,
+                PlaceKind Kind) override {
+    return News_ && News_->askPlace(A, Address, Kind);
+  }
   void respond(CallNumber N, unsigned Status, const HeaderFields &Fields,
                std::string Body) override;
   void refuse(CallNumber N, const Call &C, unsigned Status, Cause Why,
--- a/hawthornroad/entry/EngineNews.cpp
+++ b/hawthornroad/entry/EngineNews.cpp
@@ -17,20 +17,28 @@
 } // namespace
 
 EngineNews::EngineNews(IoThread &Io, PeerNet::Self Self, std::string AgentPort,
-                       Handler H, AskHandler A)
+                       Handler H, AskHandler A, PlaceHandler P)
     : Port_(std::move(AgentPort)), Handler_(std::move(H)),
-      AskHandler_(std::move(A)) {
+      AskHandler_(std::move(A)), PlaceHandler_(std::move(P)) {
   PeerNet::Callbacks C;
   C.OnFrame_ = [this](const PeerContext &From, const wire::Frame &Frame) {
     if (const auto *Notice = Frame.body_as_EngineNotice())
       onNotice(From, *Notice);
+    else if (const auto *Place = Frame.body_as_PlaceAnswer())
+      PlaceHandler_(Place->number(),
+                    {.IsGranted_ = Place->granted(),
+                     .IsAway_ = Place->away(),
+                     .Load_ = {Place->running(), Place->waiting()},
+                     .Version_ = Place->version()});
     else if (Frame.body_type() == wire::Body::RowsAsk)
       onAsk(From, Frame);
   };
   C.OnLost_ = [this](const PeerContext &From, const Error &) {
     auto Found = Agents_.find(From.Address_.str());
-    if (Found != Agents_.end())
-      Found->second.AskAt_ = bootNow() + AskAgain;
+    if (Found == Agents_.end())
+      return;
+    Found->second.AskAt_ = bootNow() + AskAgain;
+    Found->second.IsHeard_ = false;
   };
   Net_ = std::make_unique<PeerNet>(Io, std::move(Self), limits(), std::move(C));
 }
@@ -42,6 +50,8 @@
   T.Phase_ = static_cast<EnginePhase>(N.phase());
   T.Version_ = N.version();
   auto Found = Agents_.find(From.Address_.str());
+  if (Found != Agents_.end())
+    Found->second.IsHeard_ = true;
   if (Found != Agents_.end() && Found->second.WantsLoads_)
     T.Load_ = EndpointLoad{N.running(), N.waiting()};
   Handler_(T);
@@ -60,7 +70,7 @@
                         TimePoint Now) {
   std::map<std::string, bool> Wanted;
   for (const auto &[Engine, Loads] : Engines)
-    Wanted[Engine.substr(0, Engine.rfind(':')) + ":" + Port_] = Loads;
+    Wanted[agentOf(Engine)] = Loads;
   std::erase_if(Agents_,
                 [&](const auto &Each) { return !Wanted.contains(Each.first); });
   for (const auto &[Address, Loads] : Wanted) {
@@ -76,6 +86,19 @@
       ask(Address, A);
 }
 
+bool EngineNews::askPlace(AttemptNumber A, const std::string &Engine,
+                          PlaceKind Kind) {
+  std::string Address = agentOf(Engine);
+  auto Found = Agents_.find(Address);
+  if (Found == Agents_.end() || !Found->second.IsHeard_)
+    return false;
+  wire::PlaceAskT Ask;
+  Ask.number = A;
+  Ask.late = Kind == PlaceKind::Late;
+  Ask.resumes = Kind == PlaceKind::Resumed;
+  return Net_->send(PeerAddress(Address), Lane::Requests, makeFrame(Ask));
+}
+
 void EngineNews::setNewest(std::uint64_t Version) {
   if (Version <= Newest_)
     return;
--- a/hawthornroad/entry/EngineNews.h
+++ b/hawthornroad/entry/EngineNews.h
@@ -42,8 +42,13 @@
   using AskHandler = std::function<void(
       wire::RowsAskT, std::function<void(FrameBuffer)> Reply)>;
 
+  using PlaceHandler = std::function<void(AttemptNumber, const PlaceWord &)>;
+
   EngineNews(IoThread &Io, PeerNet::Self Self, std::string AgentPort, Handler H,
-             AskHandler A);
+             AskHandler A, PlaceHandler P);
+
+  // Asks the agent of an engine for a place; false when no agent is connected.
+  bool askPlace(AttemptNumber A, const std::string &Engine, PlaceKind Kind);
 
   // The engines to hear of from now on; true: of their load too, which costs a
   // frame several times a second.
@@ -56,16 +61,22 @@
 private:
   struct Agent {
     bool WantsLoads_ = false;
-    // When to ask again; unset: the connection stands.
+    // When to ask again; unset: the connection stands, or is being made.
     std::optional<TimePoint> AskAt_;
+    // It has told something over the connection.
+    bool IsHeard_ = false;
   };
   void ask(const std::string &Address, Agent &A);
+  std::string agentOf(const std::string &Engine) const {
+    return Engine.substr(0, Engine.rfind(':')) + ":" + Port_;
+  }
   void onNotice(const PeerContext &From, const wire::EngineNotice &N);
   void onAsk(const PeerContext &From, const wire::Frame &Frame);
 
   std::string Port_;
   Handler Handler_;
   AskHandler AskHandler_;
+  PlaceHandler PlaceHandler_;
   std::uint64_t Newest_ = 0;
   std::map<std::string, Agent> Agents_;
   std::unique_ptr<PeerNet> Net_;
--- a/hawthornroad/traffic/Placement.cpp
+++ b/hawthornroad/traffic/Placement.cpp
@@ -33,13 +33,8 @@
     bool IsEngine = Service != nullptr && Service->Engine_;
     S.Places_ = std::max(1U, E.Slots_);
     if (IsEngine) {
-      unsigned Slots = Service->Engine_->Slots_;
-      auto Kept =
-          static_cast<unsigned>(std::lround(Slots * Options_.PlacesKept_));
-      S.Places_ = std::max(1U, Slots + Options_.EngineQueue_ - Kept);
-      S.ReadMs_ = Service->Engine_->UsualPrompt_ /
-                      std::max(1.0, Service->Engine_->ReadTokensPerMs_) +
-                  Service->Engine_->StepMs_;
+      S.Places_ = Service->Engine_->Slots_ + Options_.EngineQueue_;
+      S.ReadMs_ = Service->Engine_->readingMs();
     }
     std::size_t Cap = Service != nullptr ? Service->MaxConnections_ : S.Places_;
     S.Connections_ =
@@ -134,10 +129,14 @@
 }
 
 bool Placement::isFull(const State &S, const Query &Q, TimePoint Now) const {
+  if (Now < S.FullUntil_ || Now < S.AwayUntil_ || Now < S.DeniedUntil_)
+    return true;
+  if (Q.MayAsk_ && mayAsk(S, Now))
+    return false;
   double Places = S.Places_;
   if (Q.IsLate_)
     Places -= std::ceil(Places * Options_.KeptFromLate_);
-  return load(S, Now) >= Places || Now < S.FullUntil_ || Now < S.AwayUntil_ ||
+  return load(S, Now) >= Places ||
          unread(S, Now) * S.ReadMs_ >= Options_.MostReading_;
 }
 
@@ -214,6 +213,28 @@
     S.FullUntil_ = TimePoint();
 }
 
+void Placement::denied(const EndpointId &Id, TimePoint Now) {
+  auto Found = States_.find(Id);
+  if (Found == States_.end())
+    return;
+  State &S = Found->second;
+  auto Engines =
+      static_cast<Duration::rep>(ByService_[S.Endpoint_.Service_].size());
+  S.DeniedUntil_ = Now + std::max<Duration>(Options_.DeniedFor_,
+                                            Engines * Options_.DeniedForEach_);
+}
+
+void Placement::setUnasked(const EndpointId &Id, TimePoint Now) {
+  auto Found = States_.find(Id);
+  if (Found != States_.end())
+    Found->second.UnaskedUntil_ = Now + Options_.UnaskedFor_;
+}
+
+bool Placement::mayAsk(const EndpointId &Id, TimePoint Now) const {
+  auto Found = States_.find(Id);
+  return Found != States_.end() && mayAsk(Found->second, Now);
+}
+
 void Placement::firstByte(const EndpointId &Id, Duration Took) {
   auto Found = States_.find(Id);
   if (Found == States_.end())
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -56,9 +56,6 @@
     // Prompts that may stand before a request at an engine, as reading time,
     // ms. Beyond it the request waits here, where it can still go elsewhere.
     double MostReading_ = 140;
-    // Part of an engine's places that is left empty: with all of them taken, a
-    // request waits there for the next one to end.
-    double PlacesKept_ = 0;
     // Of an endpoint's places, the part that requests with IsLate_ leave free:
     // those that fall free in the next quarter of a second, which others can
     // use in time. 0.06 lets too many of the late in, 0.25 is no better.
@@ -82,6 +79,14 @@
     // row, since one that loads new weights is away for seconds.
     Duration FullFor_ = Milliseconds(60);
     Duration FullMost_ = Milliseconds(500);
+    // An engine without a place is not asked again for so long; for a service
+    // with many engines longer by each, which bounds an entry's questions to
+    // 200 a second. A place falls free at an engine about every tenth of a
+    // second.
+    Duration DeniedFor_ = Milliseconds(50);
+    Duration DeniedForEach_ = Milliseconds(5);
+    // How long an agent that did not answer is not asked.
+    Duration UnaskedFor_ = Milliseconds(1000);
     // How long a told load is believed in without further word.
     Duration AwayMost_ = Milliseconds(3500);
   };
@@ -103,6 +108,9 @@
     WeightVersion Version_ = 0;
     // Whether a full endpoint may be chosen when all are.
     bool MayQueue_ = false;
+    // Places are asked of the agents of engines, so what is believed of an
+    // engine's load only orders the choice.
+    bool MayAsk_ = false;
     // It leaves KeptFromLate_ of an endpoint's places to others.
     bool IsLate_ = false;
   };
@@ -125,6 +133,13 @@
   // Its agent says that it takes nothing new (a load follows or is under way),
   // or that it serves again.
   void setAway(const EndpointId &Id, bool IsAway, TimePoint Now);
+  // Its agent had no place for a request.
+  void denied(const EndpointId &Id, TimePoint Now);
+  // There is no agent that answers: the endpoint is chosen for a while by what
+  // is believed of its load.
+  void setUnasked(const EndpointId &Id, TimePoint Now);
+  // Whether its places are asked for.
+  bool mayAsk(const EndpointId &Id, TimePoint Now) const;
   // The head of an answer came, Took after its begin.
   void firstByte(const EndpointId &Id, Duration Took);
 
@@ -167,6 +182,8 @@
     TimePoint EjectedUntil_;
     TimePoint FullUntil_;
     TimePoint AwayUntil_;
+    TimePoint DeniedUntil_;
+    TimePoint UnaskedUntil_;
     Duration FullFor_ = Duration::zero();
   };
 
@@ -180,6 +197,9 @@
   // Expected time to the first byte, ms, up to what all have in common.
   double cost(const State &S, double MeanFirstByte, TimePoint Now) const;
   bool isUsable(const State &S, const Query &Q) const;
+  bool mayAsk(const State &S, TimePoint Now) const {
+    return S.Endpoint_.HasModel_ && Now >= S.UnaskedUntil_;
+  }
   // Whether a request of this kind finds no place there now.
   bool isFull(const State &S, const Query &Q, TimePoint Now) const;
   double meanFailureShare(const ServiceName &Service) const;
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -154,6 +154,7 @@
       return giveUp(R, Cause::LineFull, Now);
   }
   R.IsInLine_ = true;
+  R.Asks_ = 0;
   R.LineSince_ = Now;
   R.Item_ = {RequestId{0, R.Number_},
              Options_.FairByCustomer_ ? R.Customer_ : Customer(),
@@ -187,7 +188,6 @@
       return;
     }
     R.IsInLine_ = false;
-    R.Waited_ += Now - R.LineSince_;
   }
 }
 
@@ -205,31 +205,105 @@
     Calls_.erase(N);
 }
 
-// False when no endpoint has a place now. A request whose repeat is denied is
-// done afterwards.
-bool TrafficCore::tryBegin(Record &R, TimePoint Now) {
+std::optional<EndpointId> TrafficCore::chooseFor(Record &R, TimePoint Now) {
   Placement::Query Q;
   Q.Service_ = R.Service_;
   Q.Tried_ = &R.Tried_;
   Q.MinVersion_ = minVersion(R.Service_, Now);
   Q.IsLate_ = R.IsLate_;
+  Q.MayAsk_ = Options_.AsksForPlaces_;
   // With all of them tried, each gets another chance.
   if (!R.Tried_.empty() && Placement_.usable(Q) == 0)
     R.Tried_.clear();
-  std::optional<EndpointId> Chosen;
   // A stream that was cut by a load goes on where none is to come.
   if (R.IsStreaming_) {
     Placement::Query Newest = Q;
     Newest.MinVersion_ = std::max(Q.MinVersion_, newestWanted(R.Service_));
-    Chosen = Placement_.choose(Newest, Now);
+    if (auto Chosen = Placement_.choose(Newest, Now))
+      return Chosen;
   }
-  if (!Chosen)
-    Chosen = Placement_.choose(Q, Now);
-  if (!Chosen)
-    return false;
-  const Endpoint *E = Placement_.find(*Chosen);
-  if (E == nullptr)
-    return false;
+  return Placement_.choose(Q, Now);
+}
+
+// A request whose repeat is denied is done afterwards.
+bool TrafficCore::tryBegin(Record &R, TimePoint Now) {
+  // Endpoints without an agent are found out one by one.
+  for (;;) {
+    std::optional<EndpointId> Chosen = chooseFor(R, Now);
+    const Endpoint *E = Chosen ? Placement_.find(*Chosen) : nullptr;
+    if (E == nullptr)
+      return false;
+    if (!Options_.AsksForPlaces_ || !Placement_.mayAsk(*Chosen, Now))
+      return begin(R, *E, Now);
+    if (R.Asks_ >= Options_.AsksMost_)
+      return false;
+    if (askPlace(R, *E, Now))
+      return true;
+    Placement_.setUnasked(*Chosen, Now);
+  }
+}
+
+bool TrafficCore::askPlace(Record &R, const Endpoint &E, TimePoint Now) {
+  PlaceKind Kind = R.IsLate_ ? PlaceKind::Late : PlaceKind::First;
+  if (R.IsStreaming_)
+    Kind = PlaceKind::Resumed;
+  AttemptNumber A = NextAttempt_++;
+  R.Asking_ = A;
+  R.AskedOf_ = E.Id_;
+  R.AskedAt_ = Now;
+  ++R.Asks_;
+  Asks_[A] = R.Number_;
+  // Counts as sent, so that the next request goes elsewhere.
+  Placement_.begun(E.Id_, Now);
+  if (Port_.askPlace(A, E.Address_, Kind))
+    return true;
+  --R.Asks_;
+  endAsk(R, Now);
+  return false;
+}
+
+void TrafficCore::endAsk(Record &R, TimePoint Now) {
+  if (R.Asking_ == 0)
+    return;
+  Asks_.erase(R.Asking_);
+  R.Asking_ = 0;
+  Placement_.ended(R.AskedOf_, Placement::End::Cancelled, false, Now);
+}
+
+void TrafficCore::askElsewhere(Record &R, TimePoint Now) {
+  if (tryBegin(R, Now) || R.IsDone_)
+    return;
+  R.Asks_ = 0;
+  if (!R.LineSince_)
+    return queue(R, Now);
+  // It was first in line, and is again.
+  R.IsInLine_ = true;
+  Lines_[R.Service_].Queue_.unpop(R.Item_, 1.0);
+}
+
+void TrafficCore::onPlace(AttemptNumber A, const PlaceWord &W, TimePoint Now) {
+  auto Found = Asks_.find(A);
+  if (Found == Asks_.end())
+    return;
+  Record &R = *Calls_.at(Found->second);
+  endAsk(R, Now);
+  Placement_.heard(R.AskedOf_, W.Load_.Running_, W.Load_.Waiting_, Now);
+  if (W.IsAway_)
+    Placement_.setAway(R.AskedOf_, true, Now);
+  if (W.Version_ != 0)
+    Placement_.heardVersion(R.AskedOf_, W.Version_);
+  if (!W.IsGranted_)
+    Placement_.denied(R.AskedOf_, Now);
+  const Endpoint *E = Placement_.find(R.AskedOf_);
+  bool IsUsable = W.IsGranted_ && E != nullptr && !E->IsDraining_ &&
+                  W.Version_ >= minVersion(R.Service_, Now);
+  if (!IsUsable || !begin(R, *E, Now))
+    if (!R.IsDone_)
+      askElsewhere(R, Now);
+  pumpDue(Now);
+}
+
+bool TrafficCore::begin(Record &R, const Endpoint &E, TimePoint Now) {
   if (R.HasArrived_ && !Budget_.take(R.Service_, Now)) {
     giveUp(R, R.MayHaveRun_ ? Cause::AttemptLost : Cause::TurnedAway, Now);
     return false;
@@ -238,24 +312,28 @@
     Budget_.noteRequest(R.Service_, Now);
   R.IsNoted_ = true;
   R.IsLate_ = false;
+  R.Asks_ = 0;
+  if (R.LineSince_)
+    R.Waited_ += Now - *R.LineSince_;
+  R.LineSince_.reset();
   R.TookRepeat_ = std::exchange(R.HasArrived_, true);
   R.Attempt_ = NextAttempt_++;
   ByAttempt_[R.Attempt_] = R.Number_;
-  R.At_ = *Chosen;
-  R.Address_ = E->Address_;
+  R.At_ = E.Id_;
+  R.Address_ = E.Address_;
   R.BegunAt_ = R.HeardAt_ = Now;
   R.HasHead_ = R.IsEvents_ = false;
   R.Body_.clear();
   ++R.Attempts_;
-  if (auto V = Placement_.view(*Chosen, Now))
+  if (auto V = Placement_.view(E.Id_, Now))
     R.Belief_ = *V;
   if (R.Relay_)
     R.Relay_->startAttempt();
-  Placement_.begun(*Chosen, Now);
+  Placement_.begun(E.Id_, Now);
   AttemptOrder O;
   O.Call_ = R.Number_;
-  O.Endpoint_ = *Chosen;
-  O.Address_ = E->Address_;
+  O.Endpoint_ = E.Id_;
+  O.Address_ = E.Address_;
   O.Customer_ = R.Customer_;
   O.TimeLeft_ = R.Deadline_ - Now;
   O.Urgency_ = R.IsStreaming_
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -161,6 +161,7 @@
   if (R.IsDone_)
     return;
   unqueue(R);
+  endAsk(R, Now);
   R.IsDone_ = true;
   Closed_.push_back(R.Number_);
   CallReport Report;
@@ -254,10 +255,16 @@
   }
   if (R.IsInLine_) {
     Duration Limit = R.IsStreaming_ ? ResumeWait : lineLimit(*R.Route_);
-    if (Now - R.LineSince_ >= Limit)
+    if (Now - *R.LineSince_ >= Limit)
       giveUp(R, Cause::WaitedTooLong, Now);
     return;
   }
+  if (R.Asking_ != 0 && Now - R.AskedAt_ >= Options_.AskPatience_) {
+    Placement_.setUnasked(R.AskedOf_, Now);
+    Placement_.denied(R.AskedOf_, Now);
+    endAsk(R, Now);
+    return askElsewhere(R, Now);
+  }
   if (R.Attempt_ == 0 || R.Route_->Repeat_ == Repeat::Never)
     return;
   Duration Limit = Options_.NextEventSilence_;
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -35,6 +35,7 @@
 #define HAWTHORNROAD_TRAFFIC_TRAFFICCORE_H
 
 #include "hawthornroad/routing/FairQueue.h"
+#include "hawthornroad/staging/PlaceGrants.h"
 #include "hawthornroad/traffic/Call.h"
 #include "hawthornroad/traffic/CallerAge.h"
 #include "hawthornroad/traffic/EventRelay.h"
@@ -115,6 +116,12 @@
   virtual ~TrafficPort() = default;
   virtual void beginAttempt(AttemptNumber A, const Call &C,
                             const AttemptOrder &O) = 0;
+  // Asks the agent beside the endpoint for a place, for an attempt that would
+  // begin next; false when there is no agent to ask. The answer is onPlace().
+  virtual bool askPlace(AttemptNumber A, const std::string &Address,
+                        PlaceKind Kind) {
+    return false;
+  }
   // No further word of the attempt is wanted.
   virtual void cancelAttempt(AttemptNumber A) = 0;
   virtual void respond(CallNumber N, unsigned Status,
@@ -138,6 +145,15 @@
   unsigned Waiting_ = 0;
 };
 
+// An agent's answer to askPlace().
+struct PlaceWord {
+  bool IsGranted_ = false;
+  // The engine takes nothing new now.
+  bool IsAway_ = false;
+  EndpointLoad Load_;
+  WeightVersion Version_ = 0;
+};
+
 class TrafficCore {
 public:
   struct Options {
@@ -163,6 +179,17 @@
     // days with several troubles this is worth 0.10 to 0.13 of what is owed.
     bool LateGoBehind_ = true;
     double LateShare_ = 0.5;
+    // Places at engines are asked for, see PlaceGrants.
+    bool AsksForPlaces_ = true;
+    // Engines that are asked for one request before it waits in line. With one
+    // engine in four free, three of four requests find it in four questions.
+    unsigned AsksMost_ = 4;
+    // An agent answers within a round trip and a question to its engine, five
+    // milliseconds between regions. One that does not is cut off or stopped, or
+    // new weights fill its link: a question that waits behind them costs its
+    // request more than a better choice gains (60 in place of 20 ms: 0.02 of
+    // what is owed on calm days).
+    Duration AskPatience_ = Milliseconds(20);
     // Deadline of a caller that names none.
     Duration DefaultPatience_ = Seconds(30);
     // An event stream without a byte for this long, before and after its first
@@ -204,6 +231,7 @@
   // returns.
   void arrive(CallNumber N, Call C, TimePoint Now);
   void callerGone(CallNumber N, TimePoint Now);
+  void onPlace(AttemptNumber A, const PlaceWord &W, TimePoint Now);
   void onHead(AttemptNumber A, EndpointHead H, TimePoint Now);
   void onBody(AttemptNumber A, std::string Bytes, TimePoint Now);
   void onEnd(AttemptNumber A, TimePoint Now);
@@ -224,7 +252,15 @@
   // Whether the caller's goal is out of reach already.
   bool isLate(Record &R, TimePoint Now);
   void place(Record &R, TimePoint Now);
+  // Begins it or asks for a place for it; false when no endpoint has one.
   bool tryBegin(Record &R, TimePoint Now);
+  // The endpoint that R would go to now.
+  std::optional<EndpointId> chooseFor(Record &R, TimePoint Now);
+  bool begin(Record &R, const Endpoint &E, TimePoint Now);
+  bool askPlace(Record &R, const Endpoint &E, TimePoint Now);
+  void endAsk(Record &R, TimePoint Now);
+  // R was not given the place it had asked for.
+  void askElsewhere(Record &R, TimePoint Now);
   void queue(Record &R, TimePoint Now);
   void unqueue(Record &R);
   void pump(const ServiceName &Service, TimePoint Now);
@@ -266,6 +302,8 @@
   std::map<std::string, std::map<WeightVersion, VersionDuty>> Duties_;
   std::unordered_map<CallNumber, std::unique_ptr<Record>> Calls_;
   std::unordered_map<AttemptNumber, CallNumber> ByAttempt_;
+  // Questions for places under way.
+  std::unordered_map<AttemptNumber, CallNumber> Asks_;
   std::map<ServiceName, Line> Lines_;
   CallerAge Ages_;
   // Services at which a place may have fallen free.
--- a/hawthornroad/traffic/TrafficState.h
+++ b/hawthornroad/traffic/TrafficState.h
@@ -46,10 +46,18 @@
   bool IsLate_ = false;
 
   bool IsInLine_ = false;
-  TimePoint LineSince_;
+  // Set from its first wait for a place until an attempt begins.
+  std::optional<TimePoint> LineSince_;
   Duration Waited_ = Duration::zero();
   FairQueue::Item Item_;
 
+  // The place that is being asked for; 0: none.
+  AttemptNumber Asking_ = 0;
+  EndpointId AskedOf_;
+  TimePoint AskedAt_;
+  // Questions since it last waited.
+  unsigned Asks_ = 0;
+
   // The attempt under way; 0: none.
   AttemptNumber Attempt_ = 0;
   EndpointId At_;
--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -138,6 +138,14 @@
 struct EngineNoticeBuilder;
 struct EngineNoticeT;
 
+struct PlaceAsk;
+struct PlaceAskBuilder;
+struct PlaceAskT;
+
+struct PlaceAnswer;
+struct PlaceAnswerBuilder;
+struct PlaceAnswerT;
+
 struct TableWanted;
 struct TableWantedBuilder;
 struct TableWantedT;
@@ -228,6 +236,10 @@
 bool operator!=(const EngineWatchT &lhs, const EngineWatchT &rhs);
 bool operator==(const EngineNoticeT &lhs, const EngineNoticeT &rhs);
 bool operator!=(const EngineNoticeT &lhs, const EngineNoticeT &rhs);
+bool operator==(const PlaceAskT &lhs, const PlaceAskT &rhs);
+bool operator!=(const PlaceAskT &lhs, const PlaceAskT &rhs);
+bool operator==(const PlaceAnswerT &lhs, const PlaceAnswerT &rhs);
+bool operator!=(const PlaceAnswerT &lhs, const PlaceAnswerT &rhs);
 bool operator==(const TableWantedT &lhs, const TableWantedT &rhs);
 bool operator!=(const TableWantedT &lhs, const TableWantedT &rhs);
 bool operator==(const RowsAskT &lhs, const RowsAskT &rhs);
@@ -422,11 +434,13 @@
   RowsAsk = 28,
   RowsAnswer = 29,
   EntryPresence = 30,
+  PlaceAsk = 31,
+  PlaceAnswer = 32,
   MIN = NONE,
-  MAX = EntryPresence
+  MAX = PlaceAnswer
 };
 
-inline const Body (&EnumValuesBody())[31] {
+inline const Body (&EnumValuesBody())[33] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -458,13 +472,15 @@
     Body::EngineNotice,
     Body::RowsAsk,
     Body::RowsAnswer,
-    Body::EntryPresence
+    Body::EntryPresence,
+    Body::PlaceAsk,
+    Body::PlaceAnswer
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[32] = {
+  static const char * const names[34] = {
     "NONE",
     "Hello",
     "Ping",
@@ -496,13 +512,15 @@
     "RowsAsk",
     "RowsAnswer",
     "EntryPresence",
+    "PlaceAsk",
+    "PlaceAnswer",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::EntryPresence)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::PlaceAnswer)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -631,6 +649,14 @@
   static const Body enum_value = Body::EntryPresence;
 };
 
+template<> struct BodyTraits<hawthornroad::wire::PlaceAsk> {
+  static const Body enum_value = Body::PlaceAsk;
+};
+
+template<> struct BodyTraits<hawthornroad::wire::PlaceAnswer> {
+  static const Body enum_value = Body::PlaceAnswer;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -755,6 +781,14 @@
   static const Body enum_value = Body::EntryPresence;
 };
 
+template<> struct BodyUnionTraits<hawthornroad::wire::PlaceAskT> {
+  static const Body enum_value = Body::PlaceAsk;
+};
+
+template<> struct BodyUnionTraits<hawthornroad::wire::PlaceAnswerT> {
+  static const Body enum_value = Body::PlaceAnswer;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -1025,6 +1059,22 @@
     return type == Body::EntryPresence ?
       reinterpret_cast<const hawthornroad::wire::EntryPresenceT *>(value) : nullptr;
   }
+  hawthornroad::wire::PlaceAskT *AsPlaceAsk() {
+    return type == Body::PlaceAsk ?
+      reinterpret_cast<hawthornroad::wire::PlaceAskT *>(value) : nullptr;
+  }
+  const hawthornroad::wire::PlaceAskT *AsPlaceAsk() const {
+    return type == Body::PlaceAsk ?
+      reinterpret_cast<const hawthornroad::wire::PlaceAskT *>(value) : nullptr;
+  }
+  hawthornroad::wire::PlaceAnswerT *AsPlaceAnswer() {
+    return type == Body::PlaceAnswer ?
+      reinterpret_cast<hawthornroad::wire::PlaceAnswerT *>(value) : nullptr;
+  }
+  const hawthornroad::wire::PlaceAnswerT *AsPlaceAnswer() const {
+    return type == Body::PlaceAnswer ?
+      reinterpret_cast<const hawthornroad::wire::PlaceAnswerT *>(value) : nullptr;
+  }
 };
 
 
@@ -1154,6 +1204,14 @@
       return *(reinterpret_cast<const hawthornroad::wire::EntryPresenceT *>(lhs.value)) ==
              *(reinterpret_cast<const hawthornroad::wire::EntryPresenceT *>(rhs.value));
     }
+    case Body::PlaceAsk: {
+      return *(reinterpret_cast<const hawthornroad::wire::PlaceAskT *>(lhs.value)) ==
+             *(reinterpret_cast<const hawthornroad::wire::PlaceAskT *>(rhs.value));
+    }
+    case Body::PlaceAnswer: {
+      return *(reinterpret_cast<const hawthornroad::wire::PlaceAnswerT *>(lhs.value)) ==
+             *(reinterpret_cast<const hawthornroad::wire::PlaceAnswerT *>(rhs.value));
+    }
     default: {
       return false;
     }
@@ -4376,6 +4434,187 @@
 
 flatbuffers::Offset<EngineNotice> CreateEngineNotice(flatbuffers::FlatBufferBuilder &_fbb, const EngineNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct PlaceAskT : public flatbuffers::NativeTable {
+  typedef PlaceAsk TableType;
+  uint64_t number = 0;
+  bool late = false;
+  bool resumes = false;
+};
+
+struct PlaceAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlaceAskT NativeTableType;
+  typedef PlaceAskBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_LATE = 6,
+    VT_RESUMES = 8
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool late() const {
+    return GetField<uint8_t>(VT_LATE, 0) != 0;
+  }
+  bool resumes() const {
+    return GetField<uint8_t>(VT_RESUMES, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LATE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RESUMES, 1) &&
+           verifier.EndTable();
+  }
+  PlaceAskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PlaceAskT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PlaceAsk> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceAskT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PlaceAskBuilder {
+  typedef PlaceAsk Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(PlaceAsk::VT_NUMBER, number, 0);
+  }
+  void add_late(bool late) {
+    fbb_.AddElement<uint8_t>(PlaceAsk::VT_LATE, static_cast<uint8_t>(late), 0);
+  }
+  void add_resumes(bool resumes) {
+    fbb_.AddElement<uint8_t>(PlaceAsk::VT_RESUMES, static_cast<uint8_t>(resumes), 0);
+  }
+  explicit PlaceAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlaceAsk> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlaceAsk>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlaceAsk> CreatePlaceAsk(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    bool late = false,
+    bool resumes = false) {
+  PlaceAskBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_resumes(resumes);
+  builder_.add_late(late);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<PlaceAsk> CreatePlaceAsk(flatbuffers::FlatBufferBuilder &_fbb, const PlaceAskT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PlaceAnswerT : public flatbuffers::NativeTable {
+  typedef PlaceAnswer TableType;
+  uint64_t number = 0;
+  bool granted = false;
+  bool away = false;
+  uint32_t running = 0;
+  uint32_t waiting = 0;
+  uint64_t version = 0;
+};
+
+struct PlaceAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlaceAnswerT NativeTableType;
+  typedef PlaceAnswerBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_GRANTED = 6,
+    VT_AWAY = 8,
+    VT_RUNNING = 10,
+    VT_WAITING = 12,
+    VT_VERSION = 14
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool granted() const {
+    return GetField<uint8_t>(VT_GRANTED, 0) != 0;
+  }
+  bool away() const {
+    return GetField<uint8_t>(VT_AWAY, 0) != 0;
+  }
+  uint32_t running() const {
+    return GetField<uint32_t>(VT_RUNNING, 0);
+  }
+  uint32_t waiting() const {
+    return GetField<uint32_t>(VT_WAITING, 0);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_GRANTED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_AWAY, 1) &&
+           VerifyField<uint32_t>(verifier, VT_RUNNING, 4) &&
+           VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           verifier.EndTable();
+  }
+  PlaceAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PlaceAnswerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PlaceAnswer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PlaceAnswerBuilder {
+  typedef PlaceAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(PlaceAnswer::VT_NUMBER, number, 0);
+  }
+  void add_granted(bool granted) {
+    fbb_.AddElement<uint8_t>(PlaceAnswer::VT_GRANTED, static_cast<uint8_t>(granted), 0);
+  }
+  void add_away(bool away) {
+    fbb_.AddElement<uint8_t>(PlaceAnswer::VT_AWAY, static_cast<uint8_t>(away), 0);
+  }
+  void add_running(uint32_t running) {
+    fbb_.AddElement<uint32_t>(PlaceAnswer::VT_RUNNING, running, 0);
+  }
+  void add_waiting(uint32_t waiting) {
+    fbb_.AddElement<uint32_t>(PlaceAnswer::VT_WAITING, waiting, 0);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(PlaceAnswer::VT_VERSION, version, 0);
+  }
+  explicit PlaceAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlaceAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlaceAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlaceAnswer> CreatePlaceAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    bool granted = false,
+    bool away = false,
+    uint32_t running = 0,
+    uint32_t waiting = 0,
+    uint64_t version = 0) {
+  PlaceAnswerBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_number(number);
+  builder_.add_waiting(waiting);
+  builder_.add_running(running);
+  builder_.add_away(away);
+  builder_.add_granted(granted);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<PlaceAnswer> CreatePlaceAnswer(flatbuffers::FlatBufferBuilder &_fbb, const PlaceAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct TableWantedT : public flatbuffers::NativeTable {
   typedef TableWanted TableType;
   std::string table{};
@@ -5143,6 +5382,12 @@
   const hawthornroad::wire::EntryPresence *body_as_EntryPresence() const {
     return body_type() == hawthornroad::wire::Body::EntryPresence ? static_cast<const hawthornroad::wire::EntryPresence *>(body()) : nullptr;
   }
+  const hawthornroad::wire::PlaceAsk *body_as_PlaceAsk() const {
+    return body_type() == hawthornroad::wire::Body::PlaceAsk ? static_cast<const hawthornroad::wire::PlaceAsk *>(body()) : nullptr;
+  }
+  const hawthornroad::wire::PlaceAnswer *body_as_PlaceAnswer() const {
+    return body_type() == hawthornroad::wire::Body::PlaceAnswer ? static_cast<const hawthornroad::wire::PlaceAnswer *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -5275,6 +5520,14 @@
   return body_as_EntryPresence();
 }
 
+template<> inline const hawthornroad::wire::PlaceAsk *Frame::body_as<hawthornroad::wire::PlaceAsk>() const {
+  return body_as_PlaceAsk();
+}
+
+template<> inline const hawthornroad::wire::PlaceAnswer *Frame::body_as<hawthornroad::wire::PlaceAnswer>() const {
+  return body_as_PlaceAnswer();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -7057,6 +7310,108 @@
 }
 
 
+inline bool operator==(const PlaceAskT &lhs, const PlaceAskT &rhs) {
+  return
+      (lhs.number == rhs.number) &&
+      (lhs.late == rhs.late) &&
+      (lhs.resumes == rhs.resumes);
+}
+
+inline bool operator!=(const PlaceAskT &lhs, const PlaceAskT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline PlaceAskT *PlaceAsk::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<PlaceAskT>(new PlaceAskT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PlaceAsk::UnPackTo(PlaceAskT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = late(); _o->late = _e; }
+  { auto _e = resumes(); _o->resumes = _e; }
+}
+
+inline flatbuffers::Offset<PlaceAsk> PlaceAsk::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceAskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePlaceAsk(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PlaceAsk> CreatePlaceAsk(flatbuffers::FlatBufferBuilder &_fbb, const PlaceAskT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlaceAskT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _late = _o->late;
+  auto _resumes = _o->resumes;
+  return hawthornroad::wire::CreatePlaceAsk(
+      _fbb,
+      _number,
+      _late,
+      _resumes);
+}
+
+
+inline bool operator==(const PlaceAnswerT &lhs, const PlaceAnswerT &rhs) {
+  return
+      (lhs.number == rhs.number) &&
+      (lhs.granted == rhs.granted) &&
+      (lhs.away == rhs.away) &&
+      (lhs.running == rhs.running) &&
+      (lhs.waiting == rhs.waiting) &&
+      (lhs.version == rhs.version);
+}
+
+inline bool operator!=(const PlaceAnswerT &lhs, const PlaceAnswerT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline PlaceAnswerT *PlaceAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<PlaceAnswerT>(new PlaceAnswerT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PlaceAnswer::UnPackTo(PlaceAnswerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = granted(); _o->granted = _e; }
+  { auto _e = away(); _o->away = _e; }
+  { auto _e = running(); _o->running = _e; }
+  { auto _e = waiting(); _o->waiting = _e; }
+  { auto _e = version(); _o->version = _e; }
+}
+
+inline flatbuffers::Offset<PlaceAnswer> PlaceAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePlaceAnswer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PlaceAnswer> CreatePlaceAnswer(flatbuffers::FlatBufferBuilder &_fbb, const PlaceAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlaceAnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _granted = _o->granted;
+  auto _away = _o->away;
+  auto _running = _o->running;
+  auto _waiting = _o->waiting;
+  auto _version = _o->version;
+  return hawthornroad::wire::CreatePlaceAnswer(
+      _fbb,
+      _number,
+      _granted,
+      _away,
+      _running,
+      _waiting,
+      _version);
+}
+
+
 inline bool operator==(const TableWantedT &lhs, const TableWantedT &rhs) {
   return
       (lhs.table == rhs.table) &&
@@ -7573,6 +7928,14 @@
       auto ptr = reinterpret_cast<const hawthornroad::wire::EntryPresence *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::PlaceAsk: {
+      auto ptr = reinterpret_cast<const hawthornroad::wire::PlaceAsk *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::PlaceAnswer: {
+      auto ptr = reinterpret_cast<const hawthornroad::wire::PlaceAnswer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -7712,6 +8075,14 @@
       auto ptr = reinterpret_cast<const hawthornroad::wire::EntryPresence *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::PlaceAsk: {
+      auto ptr = reinterpret_cast<const hawthornroad::wire::PlaceAsk *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::PlaceAnswer: {
+      auto ptr = reinterpret_cast<const hawthornroad::wire::PlaceAnswer *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -7839,6 +8210,14 @@
       auto ptr = reinterpret_cast<const hawthornroad::wire::EntryPresenceT *>(value);
       return CreateEntryPresence(_fbb, ptr, _rehasher).Union();
     }
+    case Body::PlaceAsk: {
+      auto ptr = reinterpret_cast<const hawthornroad::wire::PlaceAskT *>(value);
+      return CreatePlaceAsk(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::PlaceAnswer: {
+      auto ptr = reinterpret_cast<const hawthornroad::wire::PlaceAnswerT *>(value);
+      return CreatePlaceAnswer(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -7965,6 +8344,14 @@
       value = new hawthornroad::wire::EntryPresenceT(*reinterpret_cast<hawthornroad::wire::EntryPresenceT *>(u.value));
       break;
     }
+    case Body::PlaceAsk: {
+      value = new hawthornroad::wire::PlaceAskT(*reinterpret_cast<hawthornroad::wire::PlaceAskT *>(u.value));
+      break;
+    }
+    case Body::PlaceAnswer: {
+      value = new hawthornroad::wire::PlaceAnswerT(*reinterpret_cast<hawthornroad::wire::PlaceAnswerT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -8122,6 +8509,16 @@
       delete ptr;
       break;
     }
+    case Body::PlaceAsk: {
+      auto ptr = reinterpret_cast<hawthornroad::wire::PlaceAskT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::PlaceAnswer: {
+      auto ptr = reinterpret_cast<hawthornroad::wire::PlaceAnswerT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/tests/unit/TrafficCoreTest.cpp
+++ b/tests/unit/TrafficCoreTest.cpp
@@ -35,6 +35,20 @@
     Begun_.push_back({A, O});
   }
   void cancelAttempt(AttemptNumber A) override { Cancelled_.push_back(A); }
+  struct PlaceAsked {
+    AttemptNumber Attempt_ = 0;
+    std::string Address_;
+    PlaceKind Kind_ = PlaceKind::First;
+  };
+  // Whether engines have agents that can be asked.
+  bool HasAgents_ = false;
+  std::vector<PlaceAsked> Asked_;
+  bool askPlace(AttemptNumber A, const std::string &Address,
+                PlaceKind Kind) override {
+    if (HasAgents_)
+      Asked_.push_back({A, Address, Kind});
+    return HasAgents_;
+  }
   void respond(CallNumber N, unsigned Status, const HeaderFields &,
                std::string Body) override {
     REQUIRE(Answers_.count(N) == 0);
@@ -573,3 +587,96 @@
   REQUIRE(F.answerOf(F.send("/stream/1", Later)).RetryAfter_ >=
           Milliseconds(1100));
 }
+
+TEST_CASE("traffic core, granted a place by an engine's agent, sends the "
+          "request there",
+          "[traffic]") {
+  CoreFixture F;
+  F.Port_.HasAgents_ = true;
+  F.send("/stream/1");
+  REQUIRE(F.Port_.Begun_.empty());
+  REQUIRE(F.Port_.Asked_.size() == 1);
+  F.Core_.onPlace(F.Port_.Asked_[0].Attempt_,
+                  {.IsGranted_ = true, .Version_ = 1}, Start);
+  REQUIRE(F.Port_.Begun_.size() == 1);
+  REQUIRE(F.Port_.last().Order_.Address_ == F.Port_.Asked_[0].Address_);
+}
+
+// All places of the fleet are taken. A request that stood at a full engine
+// would be begun a second later; it waits here for a moment and is refused,
+// truthfully not run, while there is time to come back.
+TEST_CASE(
+    "traffic core, denied a place everywhere, refuses before long and has "
+    "sent nothing",
+    "[traffic]") {
+  CoreFixture F;
+  F.Port_.HasAgents_ = true;
+  CallNumber N = F.send("/stream/1");
+  TimePoint Now = Start;
+  std::size_t Answered = 0;
+  while (F.Port_.Answers_.count(N) == 0 && Now < Start + Seconds(1)) {
+    while (Answered < F.Port_.Asked_.size())
+      F.Core_.onPlace(F.Port_.Asked_[Answered++].Attempt_,
+                      {.Load_ = {2, 0}, .Version_ = 1}, Now);
+    Now += Milliseconds(20);
+    F.Core_.tick(Now);
+  }
+  REQUIRE(F.answerOf(N).Status_ == 503);
+  REQUIRE(F.answerOf(N).RetryAfter_ > Duration::zero());
+  REQUIRE(F.Port_.Begun_.empty());
+  REQUIRE(Now <= Start + Milliseconds(120));
+  // Both engines were asked, and neither without end.
+  REQUIRE(F.Port_.Asked_.size() >= 2);
+  REQUIRE(F.Port_.Asked_.size() <= 8);
+}
+
+// The agent's VM is cut off or frozen, or new weights fill its link. Without a
+// bound the request would wait for the answer until its caller leaves.
+TEST_CASE("traffic core, when an agent does not answer, sends the request "
+          "elsewhere",
+          "[traffic]") {
+  CoreFixture F;
+  F.Port_.HasAgents_ = true;
+  F.send("/stream/1");
+  F.Core_.tick(Start + Milliseconds(25));
+  REQUIRE(F.Port_.Asked_.size() == 2);
+  REQUIRE(F.Port_.Asked_[1].Address_ != F.Port_.Asked_[0].Address_);
+  // A late answer to the first question changes nothing.
+  F.Core_.onPlace(F.Port_.Asked_[0].Attempt_,
+                  {.IsGranted_ = true, .Version_ = 1},
+                  Start + Milliseconds(26));
+  REQUIRE(F.Port_.Begun_.empty());
+  F.Core_.onPlace(F.Port_.Asked_[1].Attempt_,
+                  {.IsGranted_ = true, .Version_ = 1},
+                  Start + Milliseconds(30));
+  REQUIRE(F.Port_.Begun_.size() == 1);
+}
+
+TEST_CASE("traffic core, when a caller leaves while its place is asked for, "
+          "sends nothing",
+          "[traffic]") {
+  CoreFixture F;
+  F.Port_.HasAgents_ = true;
+  CallNumber N = F.send("/stream/1");
+  F.Core_.callerGone(N, Start);
+  F.Core_.onPlace(F.Port_.Asked_[0].Attempt_,
+                  {.IsGranted_ = true, .Version_ = 1}, Start);
+  REQUIRE(F.Port_.Begun_.empty());
+  REQUIRE(F.Core_.open() == 0);
+}
+
+// An engine that has started anew holds no weights; the store's list still says
+// that it does. Its agent knows.
+TEST_CASE("traffic core, told by an agent that its engine is away, sends the "
+          "next request elsewhere",
+          "[traffic]") {
+  CoreFixture F;
+  F.Port_.HasAgents_ = true;
+  F.send("/stream/1");
+  std::string Away = F.Port_.Asked_[0].Address_;
+  F.Core_.onPlace(F.Port_.Asked_[0].Attempt_, {.IsAway_ = true}, Start);
+  F.send("/stream/1", Start + Milliseconds(500));
+  REQUIRE(F.Port_.Asked_.size() == 3);
+  REQUIRE(F.Port_.Asked_[1].Address_ != Away);
+  REQUIRE(F.Port_.Asked_[2].Address_ != Away);
+}
