Origin: probed while away, its pieces awaited no longer than they come, loads at once past the bound

Reads hung on it for up to 4 s, and owners that had left the fleet were listed for 2.5 s more, so the last pieces came 1.6 s after its return. Engines closed for pieces that did not come stayed closed 2 s each (twenty engine-seconds). Engines that were whole after the bound waited for a notice of 1.3 s, though no engine could serve the older version any more.

Change: a silence of 1.2 s ends a read of the origin, most dials to it 0.2 s; the next try follows after 0.12 s. Agents list each other each second while a version is on its way. A transfer without a piece for 0.4 s opens its engine again and is not forecast. Past the bound pieces are verified and ordered at once. One log line when the origin is lost and one when it is back.

--- a/hawthornroad/agent/AgentEngine.cpp
+++ b/hawthornroad/agent/AgentEngine.cpp
@@ -13,10 +13,14 @@
 // Questions for places that wait for the engine's word; beyond it, one is
 // answered with no.
 constexpr std::size_t MostPlaceQuestions = 256;
-// Engines come and go while a version is on its way.
-constexpr Duration PeersAgain = Milliseconds(2500);
+// Engines come and go while a version is on its way; whoever left was to bring
+// pieces, which nobody else does while it is listed.
+constexpr Duration PeersAgain = Milliseconds(1000);
 // An order is answered at once or not at all.
 constexpr Duration OrderLimit = Seconds(1);
+// Without a piece for this long a transfer has stopped: pieces come every 30 ms
+// over a narrow link, and one that was spoilt again within 0.3 s.
+constexpr Duration PiecesStalled = Milliseconds(400);
 // How long pieces are kept in memory after a version is whole, for peers that
 // are still without.
 constexpr Duration PiecesKept = Seconds(5);
@@ -35,8 +39,10 @@
     return TimePoint::max();
   const PieceTransfer &T = *Current_->Transfer_;
   std::size_t All = T.digests().size();
-  if (T.isWhole() || T.held() * 3 < All)
-    return T.isWhole() ? Now : TimePoint::max();
+  if (T.isWhole())
+    return Now;
+  if (T.held() * 3 < All || Now - T.heldAt() >= PiecesStalled)
+    return TimePoint::max();
   double Missing =
       static_cast<double>(All - T.held()) / static_cast<double>(T.held());
   return Now +
@@ -98,7 +104,9 @@
 
 void StoreAgent::State::step(TimePoint Now) {
   TimePoint LoadAt = Current_ ? mayLoadAt() : Now;
-  if (Duty_.reopen(Now)) {
+  bool IsStalled = Current_ && Current_->Transfer_ &&
+                   Now - Current_->Transfer_->heldAt() >= PiecesStalled;
+  if (Duty_.reopen(Now, IsStalled)) {
     Log_.write(LogLine("engine_reopened")
                    .count("version", Current_->Version_.Version_)
                    .count("held", Current_->Transfer_
--- a/hawthornroad/agent/AgentVersions.cpp
+++ b/hawthornroad/agent/AgentVersions.cpp
@@ -20,9 +20,16 @@
 
 // The origin takes few connections from all VMs together, and those of a VM
 // that lost its power count for long: none is kept while it is of no use.
+//
+// An origin that has gone away leaves its callers waiting, and one that is back
+// is found by the next dial: a dial that is not answered within a few round
+// trips is given up for a new one, long before the system would repeat its lost
+// packet (one second).
 HttpCalls::Options originOptions() {
   HttpCalls::Options O;
   O.SpareFor_ = Milliseconds(400);
+  O.WholeLimit_ = OriginWholeLimit;
+  O.QuickDial_ = Milliseconds(200);
   return O;
 }
 } // namespace
@@ -147,6 +154,8 @@
   if (!Duty_.want(P->Version_))
     return;
   Current_ = std::move(P);
+  Duty_.setUselessAt(Current_->HeardAt_ + Settings_.Common_.VersionBound_ -
+                     BoundMargin);
   OrderBegun_ = false;
   LoadedAt_.reset();
   if (Current_->Transfer_) {
--- a/hawthornroad/agent/PieceTransfer.cpp
+++ b/hawthornroad/agent/PieceTransfer.cpp
@@ -12,8 +12,9 @@
 constexpr const char *ReplyBusy = "busy";
 constexpr const char *ReplyMissing = "missing";
 constexpr std::size_t DigestPrefixLength = 7; // "sha256:"
-// A piece over a shared narrow link, with many readers at once.
-constexpr Duration OriginLimit = Seconds(4);
+// The longest silence within a read from the origin: with eight readers, two
+// reads each, a piece stands behind at most 0.45 s of others.
+constexpr Duration OriginSilence = Milliseconds(1200);
 constexpr Duration CheckLimit = Milliseconds(1500);
 // Pieces that wait to be sent at once; peers ask elsewhere for further ones.
 // Over a narrow link five pieces take an eighth of a second.
@@ -38,7 +39,9 @@
   // With few readers each keeps two reads under way, so the origin's link is
   // never idle between two of them.
   Out.OriginReads_ = 2;
-  Out.OriginRetry_ = Milliseconds(300);
+  // With the dial before it, an origin that is back is found after a sixth of a
+  // second. Its connections are few, and a dial that fails holds none.
+  Out.OriginRetry_ = Milliseconds(120);
   Out.OriginZone_ = S.OriginZone_;
   // The bound is eight seconds for the whole of it, so what is late is taken
   // over within one.
@@ -119,6 +122,8 @@
 }
 
 void PieceTransfer::checkWhole() {
+  if (std::exchange(HeldBefore_, held()) != held())
+    HeldAt_ = bootNow();
   if (WholeTold_ || !isWhole())
     return;
   WholeTold_ = true;
@@ -162,6 +167,7 @@
       return;
     auto *Answer = std::get_if<HttpAnswer>(&R);
     constexpr unsigned Ok = 200;
+    Self->noteOrigin(Answer != nullptr && Answer->Status_ == Ok);
     if (Answer == nullptr || Answer->Status_ != Ok) {
       bool NoByte = Answer != nullptr || std::get<LinkFailure>(R).NeverSent_;
       Self->Swarm_->onOrigin(
@@ -177,10 +183,20 @@
     Self->Swarm_->onOrigin(Index, OriginEnd::Good, bootNow());
     Self->pump(bootNow());
   };
-  Origin_->call(platform::pieceCall(Setup_.Version_, A.Chunk_), OriginLimit,
+  Origin_->call(platform::pieceCall(Setup_.Version_, A.Chunk_), OriginSilence,
                 OnDone);
 }
 
+// One line when the origin is lost, and one when it is back.
+void PieceTransfer::noteOrigin(bool Answers) {
+  if (Answers == OriginAnswers_)
+    return;
+  OriginAnswers_ = Answers;
+  Log_.write(LogLine(Answers ? "origin_back" : "origin_lost")
+                 .count("version", Setup_.Version_.Version_)
+                 .count("held", held()));
+}
+
 // The platform's origin has no ledger of grants, and writes to the table are
 // dear: whoever asks for a grant gets it. The swarm asks only for its own
 // slices, and for others' after their owners have been silent; so a piece may
@@ -200,6 +216,7 @@
                     return;
                   const auto *Answer = std::get_if<HttpAnswer>(&R);
                   constexpr unsigned Ok = 200;
+                  Self->noteOrigin(Answer != nullptr && Answer->Status_ == Ok);
                   Self->Swarm_->onOriginChecked(
                       Answer != nullptr && Answer->Status_ == Ok, bootNow());
                 });
--- a/hawthornroad/agent/PieceTransfer.h
+++ b/hawthornroad/agent/PieceTransfer.h
@@ -107,6 +107,8 @@
   bool isWhole() const { return Swarm_ && Swarm_->isDone(); }
   std::size_t held() const { return Swarm_ ? Swarm_->held().count() : 0; }
   TimePoint startedAt() const { return StartedAt_; }
+  // When the last piece came.
+  TimePoint heldAt() const { return HeldAt_; }
   const ModelVersion &version() const { return Setup_.Version_; }
   static std::string frameName(const ModelVersion &V) {
     return V.Model_ + "/" + std::to_string(V.Version_);
@@ -136,6 +138,7 @@
   void startSwarm(ChunkSet Have, TimePoint Now);
   Vm vmOf(const PeerAddress &Address) const;
   void checkWhole();
+  void noteOrigin(bool Answers);
 
   Setup Setup_;
   HttpCalls *Origin_;
@@ -162,8 +165,11 @@
   IoThread &Io_;
   RateLimiter UploadRate_;
   TimePoint StartedAt_{};
+  TimePoint HeldAt_{};
+  std::size_t HeldBefore_ = 0;
   bool WholeTold_ = false;
   bool ReadsOrigin_ = true;
+  bool OriginAnswers_ = true;
 };
 
 } // namespace hawthornroad
--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -36,8 +36,10 @@
 
 // A call to the engine beside this agent takes no longer.
 inline constexpr Duration AgentEngineLimit = Seconds(1);
-// A read of a version's digests from the origin.
-inline constexpr Duration ManifestLimit = Milliseconds(2500);
+// A read of a version's digests from the origin: of each silence.
+inline constexpr Duration ManifestLimit = Milliseconds(1200);
+// Any read from the origin, which has a narrow link and many readers.
+inline constexpr Duration OriginWholeLimit = Seconds(4);
 // Loads are through this long before the bound: by then entries no longer use
 // engines with older versions.
 inline constexpr Duration BoundMargin = Milliseconds(600);
--- a/hawthornroad/http/HttpCalls.cpp
+++ b/hawthornroad/http/HttpCalls.cpp
@@ -42,7 +42,10 @@
         return Link;
       Link->abandon();
     }
-    return std::make_shared<ClientLink>(Context_, Address_, Options_.Link_);
+    ClientLink::Options Link = Options_.Link_;
+    if (Options_.QuickDial_ > Duration::zero() && ++Dials_ % LongDialEach != 0)
+      Link.ConnectTimeout_ = Options_.QuickDial_;
+    return std::make_shared<ClientLink>(Context_, Address_, Link);
   }
 
   // A spare is closed when its time is over, not when it is next looked for:
@@ -151,6 +154,8 @@
   Options Options_;
   std::vector<std::shared_ptr<ClientLink>> Spare_;
   Counters Counters_;
+  static constexpr unsigned LongDialEach = 4;
+  unsigned Dials_ = 0;
   asio::steady_timer Sweep_;
   bool SweepSet_ = false;
   std::deque<Pending> Waiting_;
--- a/hawthornroad/http/HttpCalls.h
+++ b/hawthornroad/http/HttpCalls.h
@@ -45,6 +45,10 @@
     // Zero: the limit of a call bounds the whole of it.
     Duration WholeLimit_ = Duration::zero();
     ClientLink::Options Link_ = {};
+    // Limit of most dials while the server does not answer; zero: that of
+    // Link_. Every fourth still gets the limit of Link_, for a link full of
+    // other bytes answers late.
+    Duration QuickDial_ = Duration::zero();
   };
   struct Counters {
     std::uint64_t Calls_ = 0;
--- a/hawthornroad/staging/EngineDuty.cpp
+++ b/hawthornroad/staging/EngineDuty.cpp
@@ -27,6 +27,7 @@
   Staged_ = false;
   VerifiedAt_.reset();
   ClosedAt_.reset();
+  UselessAt_ = TimePoint::max();
   Misjudged_ = false;
   return true;
 }
@@ -76,9 +77,10 @@
   OrderNotBefore_ = Now + Options_.OrderAgain_;
 }
 
-bool EngineDuty::reopen(TimePoint Now) {
-  if (!ClosedAt_ || Staged_ ||
-      Now - *ClosedAt_ < Options_.CloseFor_ + Options_.CloseMost_)
+bool EngineDuty::reopen(TimePoint Now, bool IsStalled) {
+  if (!ClosedAt_ || Staged_)
+    return false;
+  if (!IsStalled && Now - *ClosedAt_ < Options_.CloseFor_ + Options_.CloseMost_)
     return false;
   ClosedAt_.reset();
   Misjudged_ = true;
@@ -100,7 +102,8 @@
     return EngineStep::Nothing;
   bool IsBusy = State_->IsBusy_ || Loading_;
   bool ComesSoon = !Misjudged_ && WholeBy <= Now + Options_.CloseFor_;
-  bool ClosesNow = !isEmpty() && !ClosedAt_ && !IsBusy &&
+  bool ServesNobody = isEmpty() || Now >= UselessAt_;
+  bool ClosesNow = !ServesNobody && !ClosedAt_ && !IsBusy &&
                    Now >= LoadAt - Options_.CloseFor_ && (Staged_ || ComesSoon);
   if (ClosesNow)
     return EngineStep::Close;
@@ -110,11 +113,11 @@
     return EngineStep::Fetch;
   if (IsBusy || Now < OrderNotBefore_)
     return EngineStep::Nothing;
-  if (!isEmpty() && !ClosedAt_)
+  if (!ServesNobody && !ClosedAt_)
     return EngineStep::Nothing;
   bool IsIdle = State_->Running_ + State_->Waiting_ == 0;
   Duration Left = Duration::zero();
-  if (!isEmpty() && !IsIdle)
+  if (!ServesNobody && !IsIdle)
     Left = *ClosedAt_ + Options_.CloseFor_ - Now;
   bool IsVerified = VerifiedAt_ && Now - *VerifiedAt_ <= Options_.VerifiedFor_;
   if (Left <= Options_.VerifyTime_ && !IsVerified)
--- a/hawthornroad/staging/EngineDuty.h
+++ b/hawthornroad/staging/EngineDuty.h
@@ -109,8 +109,13 @@
     return State_ && Wanted_ && State_->Loaded_ == *Wanted_;
   }
   // Pieces that were nearly here did not come: the engine serves on until they
-  // have. True when that is news.
-  bool reopen(TimePoint Now);
+  // have. IsStalled: none has come for a while, so they are not awaited to the
+  // end of the time for it. True when that is news.
+  bool reopen(TimePoint Now, bool IsStalled = false);
+  // From then on nobody may be served by an older version than the wanted one:
+  // a closed engine protects nobody, and each moment without the new version is
+  // one without service, so it is loaded at once.
+  void setUselessAt(TimePoint At) { UselessAt_ = At; }
   // Entries are to send it nothing new: a load was announced, or ordered and
   // not yet reported as over.
   bool isAway() const { return ClosedAt_ || Loading_ || isLoading(); }
@@ -127,6 +132,7 @@
   TimePoint OrderNotBefore_{};
   std::optional<TimePoint> VerifiedAt_;
   std::optional<TimePoint> ClosedAt_;
+  TimePoint UselessAt_ = TimePoint::max();
   // It was closed for pieces that did not come: the forecast, which knows
   // nothing of an origin that is away, counts no more for this version.
   bool Misjudged_ = false;
--- a/tests/unit/StagingTest.cpp
+++ b/tests/unit/StagingTest.cpp
@@ -110,6 +110,43 @@
   }
 }
 
+// The origin goes away while an engine waits, closed, for its last pieces. They
+// do not come, and no more pieces have come for a while: it serves on at once.
+TEST_CASE("engine duty, closed for a transfer that has stopped, opens again at "
+          "once",
+          "[staging]") {
+  DutyFixture F;
+  F.D_.want({"m", 2});
+  F.report(F.state(1, 9));
+  F.D_.closed(F.Now_);
+  REQUIRE_FALSE(F.D_.reopen(Start + Milliseconds(100), false));
+  REQUIRE(F.D_.reopen(Start + Milliseconds(100), true));
+  F.D_.setStaged(true);
+  F.D_.closed(F.Now_);
+  REQUIRE_FALSE(F.D_.reopen(Start + Milliseconds(200), true));
+}
+
+// The origin was away past the bound of a version. No engine may serve the one
+// before any more, and each has the pieces only now. Callers are refused until
+// the first engine is loaded, so neither a turn nor a notice is waited for.
+TEST_CASE("engine duty, whole after the bound, verifies and orders at once",
+          "[staging]") {
+  DutyFixture F;
+  F.D_.want({"m", 2});
+  F.D_.setUselessAt(Start);
+  F.report(F.state(1, 9));
+  REQUIRE(F.next(Never) == EngineStep::Fetch);
+  F.D_.setStaged(true);
+  REQUIRE(F.next(Never) == EngineStep::Verify);
+  F.D_.verified(true, F.Now_);
+  REQUIRE(F.next(Never) == EngineStep::Order);
+  SECTION("a later version has a bound of its own") {
+    F.D_.want({"m", 3});
+    F.D_.setStaged(true);
+    REQUIRE(F.next(Never) == EngineStep::Nothing);
+  }
+}
+
 // An order got no answer. It may have been taken: the next one must name the
 // engine's count of orders as read back after it.
 TEST_CASE("engine duty, after an order without an answer, reads the engine's "
