Readers of the origin help slow owners, and read what is stuck at one VM

Change: a VM that has read all of its own slices and had the origin's answer lately reads chunks that nobody has (Swarm::Setup::StealAfter_, 150 ms for each rank); when nothing comes to it for as long, also chunks that one VM alone has. Off for our own origin with its ledger of grants.

--- a/hawthornroad/agent/PieceTransfer.cpp
+++ b/hawthornroad/agent/PieceTransfer.cpp
@@ -47,6 +47,9 @@
   // over within one.
   Out.WatchOwners_ = true;
   Out.TimePatience_ = Milliseconds(900);
+  // Two readers behind narrowed links kept a version from a whole fleet for 4 s
+  // past its bound; others were through with theirs after two.
+  Out.StealAfter_ = Milliseconds(150);
   Out.ZonePatience_ = Milliseconds(1500);
   Out.Plan_.Timeout_ = Milliseconds(2500);
   // Each piece asked for comes in over the link that brings the engine its
--- a/hawthornroad/weights/Swarm.cpp
+++ b/hawthornroad/weights/Swarm.cpp
@@ -15,6 +15,8 @@
 // under a slow origin. That so many in a row are all cut off is unlikely, and
 // later ranks still step in when the slice is late.
 constexpr std::size_t MaxTakers = 16;
+// Ranks that read for a slow owner: more of them would read the same chunks.
+constexpr std::size_t MaxThieves = 4;
 } // namespace
 
 Swarm::Swarm(Setup S, const ContentShape &C, ChunkSet Held, TimePoint Now)
@@ -28,7 +30,7 @@
       SeenAt_(Budget_.sliceCount(), 0), AnyNews_(Now),
       Crosses_(Budget_.sliceCount(), false), MayCross_(C.Chunks_),
       Wasted_(C.Chunks_), OriginPause_(Now + Setup_.LoneGrace_),
-      OriginBackAt_(Now) {
+      OriginBackAt_(Now), OwnNewsAt_(Now) {
   refreshCrossing(Now);
   rewatch();
 }
@@ -105,6 +107,7 @@
   if (Exchange_.anywhere(Index) == 0)
     noteNews({Index}, true, Now);
   ZoneNews_[Budget_.sliceOf(Index)] = Now;
+  OwnNewsAt_ = Now;
   Exchange_.noteHeld(Index);
 }
 
@@ -145,6 +148,7 @@
   if (Reading_ > 0)
     --Reading_;
   OriginDue_ = true;
+  FromOrigin_.erase(Index);
   Plan_.release(Index);
   switch (End) {
   case OriginEnd::Good:
@@ -225,6 +229,32 @@
          Now - lastSign(S) >= patience(Rank);
 }
 
+void Swarm::noteIdle(TimePoint Now) {
+  for (ChunkIndex I = 0; I < held().size(); ++I) {
+    bool IsMine = Owners_.rank(Budget_.sliceOf(I)) == 0;
+    if (IsMine && !held().has(I) && Exchange_.anywhere(I) == 0)
+      return IdleSince_.reset();
+  }
+  if (!IdleSince_)
+    IdleSince_ = Now;
+}
+
+bool Swarm::maySteal(SliceIndex S, std::size_t Rank, TimePoint Now) const {
+  if (!Setup_.WatchOwners_ || Setup_.StealAfter_ <= Duration::zero())
+    return false;
+  if (Rank == 0 || Rank > MaxThieves || !IdleSince_ || !originIsFresh(Now))
+    return false;
+  return Now - *IdleSince_ >=
+         Setup_.StealAfter_ * static_cast<Duration::rep>(Rank);
+}
+
+bool Swarm::isStuck(ChunkIndex Index, TimePoint Now) const {
+  SliceIndex S = Budget_.sliceOf(Index);
+  return Exchange_.anywhere(Index) <= 1 && !FromOrigin_.contains(Index) &&
+         maySteal(S, std::max<std::size_t>(1, Owners_.rank(S)), Now) &&
+         Now - OwnNewsAt_ >= Setup_.StealAfter_;
+}
+
 bool Swarm::stepIn(ChunkIndex Index, std::vector<SwarmAction> &Out,
                    TimePoint Now) {
   SliceIndex S = Budget_.sliceOf(Index);
@@ -234,15 +264,17 @@
   // A claim won in another's place is used while the other stays silent.
   bool IsReader = Budget_.isReader(Index);
   if (Setup_.WatchOwners_ && Rank > 0)
-    IsReader = IsReader && Now - lastSign(S) >= patience(Rank);
+    IsReader = IsReader &&
+               (Now - lastSign(S) >= patience(Rank) || maySteal(S, Rank, Now));
   if (IsReader || (IsTurn && Budget_.mayRead(Index))) {
     Budget_.spend(Index);
     Plan_.reserve(Index);
+    FromOrigin_.insert(Index);
     ++Reading_;
     Out.push_back(ReadOrigin{Index});
     return true;
   }
-  if (!IsTurn && !mayTakeOver(S, Rank, Now))
+  if (!IsTurn && !mayTakeOver(S, Rank, Now) && !maySteal(S, Rank, Now))
     return false;
   // Beyond the slice's own grant, even its owner waits a turn: the grant's
   // holder may be another VM that is reading.
@@ -263,12 +295,15 @@
   if (Now < OriginPause_)
     return;
   const ChunkSet &Held = held();
+  noteIdle(Now);
   for (ChunkIndex I = 0; I < Held.size(); ++I) {
     if (Reading_ >= Setup_.OriginReads_)
       return;
-    if (Held.has(I) || Exchange_.anywhere(I) > 0 || Plan_.isInFlight(I))
+    if (Held.has(I))
       continue;
-    stepIn(I, Out, Now);
+    bool IsOnItsWay = Exchange_.anywhere(I) > 0 || Plan_.isInFlight(I);
+    if (!IsOnItsWay || isStuck(I, Now))
+      stepIn(I, Out, Now);
   }
 }
 
--- a/hawthornroad/weights/Swarm.h
+++ b/hawthornroad/weights/Swarm.h
@@ -30,6 +30,13 @@
 // lost and costs one write; if not, the winner reads in the owner's place, and
 // still each chunk once. The holder of the grant reads, whatever its rank.
 //
+// An owner that is slow rather than silent, behind a link that has become
+// narrow, is helped (StealAfter_): a VM that has nothing of its own left to
+// read and has read the origin lately reads chunks of others that nobody has
+// yet, those of slices where it is next in the order first; and, when
+// nothing more comes to it, chunks that one other VM alone has and does not get
+// out.
+//
 // Reading in another's place needs the origin to have answered lately: while
 // it is down or out of reach, VMs that take turns to try would otherwise use up
 // the spare grants, or win slices that they cannot read.
@@ -127,6 +134,10 @@
     // taken over only when its owner has shown nothing new of any of its slices
     // for the patience, counted anew when the origin comes back.
     bool WatchOwners_ = false;
+    // How long a VM has had nothing of its own to read before it reads for the
+    // owners that are next to it in the order; twice that for those next to
+    // these, and so on. Zero: never. Needs WatchOwners_.
+    Duration StealAfter_ = Duration::zero();
     // The origin's zone, see Owners; empty when it is not known.
     AvailabilityZone OriginZone_ = {};
   };
@@ -175,6 +186,10 @@
   bool isLateInZone(SliceIndex S, TimePoint Now) const;
   bool isLate(SliceIndex S, std::size_t Rank, TimePoint Now) const;
   bool mayTakeOver(SliceIndex S, std::size_t Rank, TimePoint Now) const;
+  void noteIdle(TimePoint Now);
+  // Whether a chunk that somebody holds is to be read all the same.
+  bool isStuck(ChunkIndex Index, TimePoint Now) const;
+  bool maySteal(SliceIndex S, std::size_t Rank, TimePoint Now) const;
   TimePoint lastSign(SliceIndex S) const;
   void noteOriginSeen(TimePoint Now);
   Duration patience(std::size_t Rank) const;
@@ -216,6 +231,12 @@
   TimePoint OriginBackAt_;
   std::map<Vm, TimePoint> OwnerNews_;
   bool Checking_ = false;
+  // Chunks that are being read from the origin, and when one last came to this
+  // VM.
+  std::set<ChunkIndex> FromOrigin_;
+  TimePoint OwnNewsAt_;
+  // Since when nothing is left to read of this VM's own slices.
+  std::optional<TimePoint> IdleSince_;
 };
 
 } // namespace hawthornroad
--- a/tests/unit/SwarmWithoutLedgerTest.cpp
+++ b/tests/unit/SwarmWithoutLedgerTest.cpp
@@ -16,8 +16,9 @@
   return {VersionDigest("m/2"), Chunks, Chunks * 100, 100};
 }
 
-Swarm::Setup setup(const std::string &Self) {
+Swarm::Setup setup(const std::string &Self, Duration StealAfter) {
   Swarm::Setup S;
+  S.StealAfter_ = StealAfter;
   S.Self_ = {Vm(Self), Zone};
   S.OriginCopies_ = 2;
   S.WatchOwners_ = true;
@@ -34,8 +35,9 @@
   // Ends of reads to come, by order; Good when used up.
   std::vector<OriginEnd> Ends_;
 
-  explicit LoneReader(const std::vector<std::string> &Others)
-      : Swarm_(setup("self"), shape(), ChunkSet(Chunks), Start) {
+  explicit LoneReader(const std::vector<std::string> &Others,
+                      Duration StealAfter = Duration::zero())
+      : Swarm_(setup("self", StealAfter), shape(), ChunkSet(Chunks), Start) {
     std::vector<SwarmPeer> Peers;
     for (const std::string &O : Others)
       Peers.push_back({Vm(O), Zone});
@@ -114,3 +116,78 @@
   CAPTURE(R.Reads_, Others);
   REQUIRE(R.Reads_.size() == Own);
 }
+
+// The link of a VM that owns a part of the version has become narrow: it reads
+// a chunk every half second, and shows it, so it is never silent. The whole
+// fleet waited for it. Whoever has read its own chunks reads the rest.
+TEST_CASE(
+    "swarm without a ledger, when an owner is slow, reads for it once its "
+    "own chunks are read",
+    "[swarm]") {
+  LoneReader R({"a"}, Milliseconds(150));
+  R.Swarm_.onAsk(Vm("a"), Start);
+  R.runUntil(Milliseconds(120));
+  std::size_t Own = R.Reads_.size();
+  REQUIRE(Own < Chunks);
+  R.runUntil(Milliseconds(1000));
+  CAPTURE(Own, R.Reads_.size());
+  REQUIRE(R.Swarm_.isDone());
+  REQUIRE(R.Reads_.size() == Chunks);
+}
+
+// A VM that never reached the origin is no help: it would only hold one of its
+// few connections.
+TEST_CASE("swarm without a ledger, when an owner is slow, does not read for it "
+          "without an answer of the origin",
+          "[swarm]") {
+  LoneReader R({"a"}, Milliseconds(150));
+  R.Ends_.assign(200, OriginEnd::Nothing);
+  R.runUntil(Milliseconds(700));
+  for (ChunkIndex I : R.Reads_)
+    REQUIRE(I == R.Reads_.front());
+}
+
+TEST_CASE(
+    "swarm without a ledger, while an owner keeps pace, leaves its slices "
+    "to it",
+    "[swarm]") {
+  LoneReader R({"a"}, Milliseconds(150));
+  R.Swarm_.onAsk(Vm("a"), Start);
+  R.runUntil(Milliseconds(30));
+  std::size_t Own = R.Reads_.size();
+  ChunkSet Have(Chunks);
+  std::vector<ChunkIndex> Others;
+  for (ChunkIndex I = 0; I < Chunks; ++I)
+    if (!R.Swarm_.held().has(I))
+      Others.push_back(I);
+  // Four in thirty milliseconds, and they come here at once.
+  for (std::size_t N = 0; N < Others.size(); ++N) {
+    Have.add(Others[N]);
+    R.Swarm_.onHave(Vm("a"), Have, 0, R.Now_);
+    R.Swarm_.onChunk(Others[N], Vm("a"), R.Now_);
+    if (N % 4 == 3)
+      R.runUntil(R.Now_ - Start + Milliseconds(30));
+  }
+  REQUIRE(R.Swarm_.isDone());
+  REQUIRE(R.Reads_.size() == Own);
+}
+
+// The slow VM has read a chunk and cannot get it out: its link is full. Nobody
+// else has it, so all wait for that one.
+TEST_CASE("swarm without a ledger, when a chunk does not come from the only VM "
+          "that has it, reads it",
+          "[swarm]") {
+  LoneReader R({"a"}, Milliseconds(150));
+  R.Swarm_.onAsk(Vm("a"), Start);
+  R.runUntil(Milliseconds(90));
+  ChunkSet Have(Chunks);
+  for (ChunkIndex I = 0; I < Chunks; ++I)
+    if (!R.Swarm_.held().has(I))
+      Have.add(I);
+  REQUIRE(Have.count() > 0);
+  R.Swarm_.onHave(Vm("a"), Have, 0, R.Now_);
+  R.runUntil(Seconds(3));
+  CAPTURE(R.Reads_, R.Swarm_.held().count());
+  REQUIRE(R.Swarm_.isDone());
+  REQUIRE(R.Reads_.size() == Chunks);
+}
