Chunks that cross to another zone are sent before those that stay in it

The links out of the VMs that read the origin carry the crossing chunks and their own zone's, 2.95 MB each at 776 KB/s, and served them as they came.

Change: a request of another zone goes first, and finds room where five others wait.

--- a/hawthornroad/agent/PieceTransfer.cpp
+++ b/hawthornroad/agent/PieceTransfer.cpp
@@ -19,6 +19,8 @@
 // Pieces that wait to be sent at once; peers ask elsewhere for further ones.
 // Over a narrow link five pieces take an eighth of a second.
 constexpr std::size_t MostUploads = 5;
+// Before all others.
+constexpr unsigned CrossingUrgency = 0;
 // Pieces under way at once on a link that takes them fast.
 constexpr std::size_t MostAtOnce = 4;
 // A piece that takes longer shows a link that is slower than its settings say:
@@ -112,6 +114,7 @@
   for (const PiecePeer &P : Peers) {
     Live.push_back(P.Peer_);
     Addresses_[P.Peer_.Vm_] = P.Address_;
+    Zones_[P.Peer_.Vm_] = P.Peer_.Zone_;
   }
   Swarm_->setPeers(std::move(Live), Now);
 }
@@ -323,7 +326,9 @@
 
 void PieceTransfer::onRequest(const PeerContext &From,
                               const wire::ChunkRequestT &R, TimePoint Now) {
-  if (Uploads_.size() >= MostUploads) {
+  unsigned Urgency = urgencyOf(Vm(R.vm));
+  std::size_t Most = Urgency == CrossingUrgency ? 2 * MostUploads : MostUploads;
+  if (Uploads_.size() >= Most) {
     wire::ChunkReplyT Busy;
     Busy.manifest = R.manifest;
     Busy.index = R.index;
@@ -333,7 +338,6 @@
   }
   if (!Swarm_->held().has(R.index))
     return answer(From, R.index, {});
-  unsigned Urgency = Callbacks_.Urgency_ ? Callbacks_.Urgency_(Vm(R.vm)) : 0;
   auto After =
       std::find_if(Uploads_.begin(), Uploads_.end(),
                    [&](const Upload &Each) { return Each.Urgency_ > Urgency; });
@@ -341,6 +345,16 @@
   upload();
 }
 
+// A piece that crosses to another zone supplies all of it, and may be the last
+// one to do so before the zones are cut off from each other.
+unsigned PieceTransfer::urgencyOf(const Vm &Peer) const {
+  auto Found = Zones_.find(Peer);
+  if (Found != Zones_.end() && Found->second != Setup_.Self_.Zone_)
+    return CrossingUrgency;
+  unsigned InZone = Callbacks_.Urgency_ ? Callbacks_.Urgency_(Peer) : 0;
+  return CrossingUrgency + 1 + InZone;
+}
+
 // Pieces go out as the link's share pays for them, few at a time. A link can be
 // narrower than its settings say; a piece that takes long shows it: then they
 // go one by one, with a pause after each, so that live requests keep most of
--- a/hawthornroad/agent/PieceTransfer.h
+++ b/hawthornroad/agent/PieceTransfer.h
@@ -73,7 +73,8 @@
     // Reads a piece that is not in memory; empty bytes when it cannot be had.
     std::function<void(ChunkIndex, std::function<void(std::string)>)>
         ReadStaged_;
-    // Peers with a lower value are sent pieces first. May be empty.
+    // Of the zone's peers, those with a lower value are sent pieces first. May
+    // be empty.
     std::function<unsigned(const Vm &)> Urgency_;
     // A piece never matches its digest, wherever it comes from: the digests
     // themselves may be spoilt.
@@ -136,6 +137,7 @@
               const std::string &Bytes);
   bool isRight(ChunkIndex Index, const std::string &Bytes);
   void startSwarm(ChunkSet Have, TimePoint Now);
+  unsigned urgencyOf(const Vm &Peer) const;
   Vm vmOf(const PeerAddress &Address) const;
   void checkWhole();
   void noteOrigin(bool Answers);
@@ -150,6 +152,7 @@
   std::optional<Swarm> Swarm_;
   std::map<ChunkIndex, std::string> Pieces_;
   std::map<Vm, PeerAddress> Addresses_;
+  std::map<Vm, AvailabilityZone> Zones_;
   std::map<ChunkIndex, unsigned> WrongCount_;
   struct Upload {
     PeerContext To_;
