Settings take every figure that a platform may hand on

Change: config/BoundReader reads all of them in one place, with the unit in the member's name (_ms or _s); whole numbers, fractions, zero, false and very large ones are taken, absent ones left out by the template. What has no meaning is refused with its key and line.

--- a/hawthornroad/config/ObjectReader.h
+++ b/hawthornroad/config/ObjectReader.h
@@ -58,6 +58,8 @@
   // A nested object; an absent one reads as empty.
   ObjectReader object(std::string_view Key);
   bool has(std::string_view Key) const;
+  // The member at Key, for readers that take several kinds; null when absent.
+  const JsonNode *take(std::string_view Key, bool Required);
   // Takes Key as known; its value is not looked at.
   void ignore(std::string_view Key) { take(Key, false); }
 
@@ -68,7 +70,6 @@
   const std::string &path() const { return Path_; }
 
 private:
-  const JsonNode *take(std::string_view Key, bool Required);
   void wrongKind(std::string_view Key, const JsonNode &Found,
                  const std::string &Expected);
   std::string pathOf(std::string_view Key) const;
--- a/hawthornroad/config/Settings.cpp
+++ b/hawthornroad/config/Settings.cpp
@@ -1,4 +1,5 @@
 #include "hawthornroad/config/Settings.h"
+#include "hawthornroad/config/BoundReader.h"
 #include "hawthornroad/config/JsonText.h"
 #include "hawthornroad/config/Names.h"
 #include "hawthornroad/config/ObjectReader.h"
@@ -14,6 +15,10 @@
 constexpr std::int64_t Day = 24 * Hour;
 constexpr std::int64_t MaxBodyLimit = std::int64_t{1} << 30;
 constexpr std::int64_t MaxCount = 1000000;
+// The least bounds that can be kept: two reads of the store with their margins,
+// and, for what entries hear of at once, one read.
+constexpr Duration LeastBound = Milliseconds(1000);
+constexpr Duration LeastQuickBound = Milliseconds(100);
 
 std::int64_t millisecondsOf(Duration D) {
   return std::chrono::duration_cast<Milliseconds>(D).count();
@@ -160,19 +165,14 @@
   S.LogLevel_ = Levels[R.choice("log_level", Levels, Info)];
   S.RandomSeed_ =
       static_cast<std::uint64_t>(R.integer("random_seed", 0, MaxInteger, 0));
-  readDuration(R, "revoke_bound_ms", 1000, Hour, S.RevokeBound_);
-  readDuration(R, "version_bound_ms", 1000, Hour, S.VersionBound_);
-  readDuration(R, "drain_bound_ms", 100, Hour, S.DrainBound_);
-  readDuration(R, "apply_bound_ms", 100, Hour, S.ApplyBound_);
-  readDuration(R, "stop_bound_ms", 1000, Hour, S.StopBound_);
+  readBound(R, "revoke_bound", LeastBound, S.RevokeBound_);
+  readBound(R, "version_bound", LeastBound, S.VersionBound_);
+  readBound(R, "drain_bound", LeastQuickBound, S.DrainBound_);
+  readBound(R, "apply_bound", LeastQuickBound, S.ApplyBound_);
+  readBound(R, "stop_bound", LeastBound, S.StopBound_);
   return S;
 }
 
-double readLink(ObjectReader &R, double Default) {
-  constexpr double MaxMbps = 1e6;
-  return R.number("link_mbps", 0.01, MaxMbps, Default);
-}
-
 EntryPolicy readEntryPolicy(ObjectReader &Top) {
   EntryPolicy P;
   ObjectReader R = Top.object("policy");
@@ -197,11 +197,11 @@
   S.AgentPort_ = R.integer("agent_port", 0, MaxPort, S.AgentPort_);
   S.PeerListen_ = R.text("peer_listen", "");
   checkAddress(R, "peer_listen", S.PeerListen_, PortRule::AnyPort);
-  S.LinkMbps_ = readLink(R, S.LinkMbps_);
+  readFigure(R, "link_mbps", S.LinkMbps_);
   S.Policy_ = readEntryPolicy(R);
-  S.RepeatRatio_ = R.number("repeat_ratio", 0, 10, S.RepeatRatio_);
-  readDuration(R, "repeat_window_ms", 100, Hour, S.RepeatWindow_);
-  S.RepeatSlack_ = R.integer("repeat_slack", 0, MaxCount, S.RepeatSlack_);
+  readFigure(R, "repeat_ratio", S.RepeatRatio_);
+  readBound(R, "repeat_window", LeastQuickBound, S.RepeatWindow_);
+  readFigure(R, "repeat_slack", S.RepeatSlack_);
   return S;
 }
 
@@ -221,7 +221,7 @@
   readTarget(R, "engine_address", S.EngineAddress_);
   S.Service_ = ServiceName(readName(R, "service"));
   readListen(R, "peer_listen", S.PeerListen_);
-  S.LinkMbps_ = readLink(R, S.LinkMbps_);
+  readFigure(R, "link_mbps", S.LinkMbps_);
   S.Policy_ = readAgentPolicy(R);
   return S;
 }
--- a/hawthornroad/config/Settings.h
+++ b/hawthornroad/config/Settings.h
@@ -174,7 +174,7 @@
   // Bounds of what a service is sent beyond first arrivals, over all entries.
   double RepeatRatio_ = 0.2;
   Duration RepeatWindow_ = Seconds(10);
-  std::int64_t RepeatSlack_ = 100;
+  double RepeatSlack_ = 100;
 
   static StoreEntrySettings parse(std::string_view Text,
                                   const std::string &File);
--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -46,16 +46,15 @@
 // One entry's part of the operators' slack for repeats: entries do not know
 // their number, so this must hold with as many as are foreseen.
 constexpr double SlackPart = 1.0 / 20;
-constexpr unsigned MostSlack = 5;
+constexpr double MostSlack = 5;
 
 TrafficCore::Options coreOptions(const StoreEntrySettings &S) {
   TrafficCore::Options O;
   O.Placement_.Zone_ = S.Common_.Zone_;
   O.Budget_.Ratio_ = S.RepeatRatio_;
   O.Budget_.Window_ = S.RepeatWindow_;
-  double Slack = static_cast<double>(S.RepeatSlack_) * SlackPart;
-  O.Budget_.AlwaysAllowed_ =
-      std::min(MostSlack, static_cast<unsigned>(std::max(0.0, Slack)));
+  double Slack = S.RepeatSlack_ * SlackPart;
+  O.Budget_.AlwaysAllowed_ = static_cast<unsigned>(std::min(MostSlack, Slack));
   O.RevokeBound_ = S.Common_.RevokeBound_;
   const EntryPolicy &P = S.Policy_;
   O.FairByCustomer_ = P.FairByCustomer_;
