A stream that goes on at an endpoint without events is never ended as complete

Cause: a stream that had begun broke at one engine and went on at another, whose answer was a failure of its own (504, its deadline passed in the queue). TrafficCore::finishAnswer ended the caller's stream as complete whatever the second head said.

Change: an answer without events where a stream goes on counts as a failed attempt; the stream goes on elsewhere or is broken off.

Ruled out: the relay of events, which knows partial events only.

--- a/hawthornroad/traffic/TrafficAttempts.cpp
+++ b/hawthornroad/traffic/TrafficAttempts.cpp
@@ -117,6 +117,18 @@
     afterFailure(*R, "stream ended early", Now);
     return pumpDue(Now);
   }
+  // The caller has the head of a stream and a part of it: whatever this endpoint
+  // said in place of events cannot follow them, and ended here the answer would
+  // look complete.
+  if (R->IsStreaming_ && !R->IsEvents_) {
+    endAttempt(*R, Placement::End::Failed, "failed",
+               "no events where a stream goes on: status " +
+                   std::to_string(R->Head_.Status_),
+               true, Now);
+    R->Tried_.insert(R->At_);
+    afterFailure(*R, "no events where a stream goes on", Now);
+    return pumpDue(Now);
+  }
   bool IsFailure = R->Head_.Status_ >= status::FirstServerError;
   endAttempt(*R, IsFailure ? Placement::End::Failed : Placement::End::Good,
              "ended", "status " + std::to_string(R->Head_.Status_), true, Now);
--- a/tests/unit/TrafficCoreTest.cpp
+++ b/tests/unit/TrafficCoreTest.cpp
@@ -383,6 +383,29 @@
   REQUIRE_FALSE(F.answerOf(N).Finished_);
 }
 
+// A stream breaks half-way and goes on at a second engine, which answers with a
+// failure of its own (its deadline passed in the queue) and no events. The
+// entry ended the caller's answer as complete, with half of the text missing.
+TEST_CASE(
+    "traffic core, when a stream goes on at an endpoint that answers with "
+    "a failure, never ends it as complete",
+    "[traffic]") {
+  unsigned Status = GENERATE(504U, 500U, 200U);
+  CoreFixture F;
+  CallNumber N = F.send("/stream/1");
+  AttemptNumber A = F.Port_.last().Attempt_;
+  F.Core_.onHead(A, F.head(N, 200, true), Start);
+  F.Core_.onBody(A, "id: 1\ndata: a\n\n", Start);
+  F.Core_.onFail(A, false, "reset", Start);
+  A = F.Port_.last().Attempt_;
+  F.Core_.onHead(A, F.head(N, Status), Start);
+  F.Core_.onBody(A, "deadline", Start);
+  F.Core_.onEnd(A, Start);
+  REQUIRE(F.answerOf(N).Body_ == "id: 1\ndata: a\n\n");
+  REQUIRE(F.answerOf(N).Aborted_);
+  REQUIRE_FALSE(F.answerOf(N).Finished_);
+}
+
 TEST_CASE("traffic core, when a stream ends within an event, does not take it "
           "for whole",
           "[traffic]") {
