--- a/bench/WeightsBench.cpp
+++ b/bench/WeightsBench.cpp
@@ -99,6 +99,29 @@
     Out.add({"swarm origin", S, runSwarm(S)});
   }
 }
+// A version of 2.36 MB that the origin sends in 4.3 s and a VM in 2.6 s: links
+// of 4.38 and 7.3 Mbit/s. Three zones as small fleets have, five as large ones.
+void measureNarrowOrigin(Report &Out, std::uint64_t Seed, double Dead) {
+  struct Fleet {
+    std::size_t Vms_;
+    std::size_t Zones_;
+  };
+  constexpr Fleet Fleets[] = {{9, 3}, {58, 3}, {265, 5}, {820, 5}};
+  for (const Fleet &F : Fleets)
+    for (double Share : std::set<double>{0.0, Dead}) {
+      ModelSetup S;
+      S.Vms_ = F.Vms_;
+      S.Zones_ = F.Zones_;
+      S.Chunks_ = 96;
+      S.HasNarrowOrigin_ = true;
+      S.Window_ = Milliseconds(4310);
+      S.OriginCopies_ = 1;
+      S.LinkCopies_ = 4.31 / 2.59;
+      S.DeadShare_ = Share;
+      S.Seed_ = Seed;
+      Out.add({"narrow origin", S, runSwarm(S)});
+    }
+}
 } // namespace
 
 int main(int Count, char **Words) {
@@ -127,6 +150,8 @@
   Add("tell-ms", po::value(&TellMs)->default_value(100),
       "period of news to one watcher");
   Add("swarm-only", "leave out the baselines");
+  Add("narrow-origin",
+      "a version of 96 chunks due within seconds, as engines' agents bring it");
   po::variables_map Given;
   po::store(po::parse_command_line(Count, Words, Options), Given);
   po::notify(Given);
@@ -137,16 +162,19 @@
   Base.Exchange_.TellPeriod_ = Milliseconds(TellMs);
   Report Out;
   printHeader();
-  for (std::size_t Z : Zones)
-    for (std::size_t Vms : FleetSizes) {
-      if (Vms < MinVms || Vms > MaxVms)
-        continue;
-      Base.Vms_ = Vms;
-      Base.Zones_ = Z;
-      if (!Given.contains("swarm-only"))
-        measureBaselines(Out, Base);
-      measureSwarm(Out, Base, Dead);
-    }
+  if (Given.contains("narrow-origin"))
+    measureNarrowOrigin(Out, Base.Seed_, Dead);
+  else
+    for (std::size_t Z : Zones)
+      for (std::size_t Vms : FleetSizes) {
+        if (Vms < MinVms || Vms > MaxVms)
+          continue;
+        Base.Vms_ = Vms;
+        Base.Zones_ = Z;
+        if (!Given.contains("swarm-only"))
+          measureBaselines(Out, Base);
+        measureSwarm(Out, Base, Dead);
+      }
   if (!Json.empty())
     Out.write(Json);
   return 0;
--- a/bench/WeightsModel.h
+++ b/bench/WeightsModel.h
@@ -36,6 +36,10 @@
   std::uint64_t Seed_ = 1;
   ChunkPlan::Limits Plan_ = {};
   HaveExchange::Limits Exchange_ = {};
+  // The fleet of a narrow origin: the swarms are set as agents set theirs
+  // (weights/OriginSwarm), there is no ledger, the origin is in the first zone.
+  // Plan_, Exchange_, Preference_ and Budget_ do not count then.
+  bool HasNarrowOrigin_ = false;
 };
 
 struct ModelResult {
--- a/hawthornroad/agent/PieceTransfer.cpp
+++ b/hawthornroad/agent/PieceTransfer.cpp
@@ -2,9 +2,11 @@
 
 #include "hawthornroad/base/Hash.h"
 #include "hawthornroad/runtime/BootClock.h"
+#include "hawthornroad/weights/OriginSwarm.h"
 #include "platform/EngineWire.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace hawthornroad {
 
@@ -30,43 +32,6 @@
 constexpr Duration UploadLost = Milliseconds(1500);
 // Wrong copies of one piece after which its digest is doubted.
 constexpr unsigned WrongBeforeDoubt = 2;
-// Copies of a version that the origin may send in all.
-constexpr double OriginCopies = 2.0;
-
-Swarm::Setup swarmSetup(const PieceTransfer::Setup &S) {
-  Swarm::Setup Out;
-  Out.Self_ = S.Self_;
-  Out.OriginCopies_ = OriginCopies;
-  Out.Seed_ = S.Seed_;
-  // With few readers each keeps two reads under way, so the origin's link is
-  // never idle between two of them.
-  Out.OriginReads_ = 2;
-  // With the dial before it, an origin that is back is found after a sixth of a
-  // second. Its connections are few, and a dial that fails holds none.
-  Out.OriginRetry_ = Milliseconds(120);
-  Out.OriginZone_ = S.OriginZone_;
-  // The bound is eight seconds for the whole of it, so what is late is taken
-  // over within one.
-  Out.WatchOwners_ = true;
-  Out.TimePatience_ = Milliseconds(900);
-  // Two readers behind narrowed links kept a version from a whole fleet for 4 s
-  // past its bound; others were through with theirs after two.
-  Out.StealAfter_ = Milliseconds(150);
-  Out.ZonePatience_ = Milliseconds(1500);
-  Out.Plan_.Timeout_ = Milliseconds(2500);
-  // Each piece asked for comes in over the link that brings the engine its
-  // requests, and what stands before a request there delays its first byte: a
-  // piece takes 27 ms over a narrow link. Three keep it busy; five cost 0.01 to
-  // 0.02 of what is owed on calm days.
-  Out.Plan_.InFlight_ = 3;
-  Out.Plan_.PerPeer_ = 1;
-  Out.Plan_.AcrossZones_ = 1;
-  Out.Plan_.SlowAt_ = Milliseconds(350);
-  Out.Exchange_.TellPeriod_ = Milliseconds(60);
-  // A peer that has not heard of the version yet ignores the question.
-  Out.Exchange_.AskPeriod_ = Milliseconds(400);
-  return Out;
-}
 } // namespace
 
 PieceTransfer::PieceTransfer(Setup S, IoThread &Io, HttpCalls *Origin,
@@ -76,6 +41,19 @@
       Counters_(Counters), Callbacks_(std::move(C)), Io_(Io),
       UploadRate_(Setup_.UploadRate_) {}
 
+std::optional<ModelVersion>
+PieceTransfer::versionOf(const std::string &FrameName) {
+  auto Slash = FrameName.rfind('/');
+  if (Slash == std::string::npos)
+    return std::nullopt;
+  WeightVersion Version = 0;
+  const char *End = FrameName.data() + FrameName.size();
+  auto [At, Code] = std::from_chars(FrameName.data() + Slash + 1, End, Version);
+  if (Code != std::errc() || At != End)
+    return std::nullopt;
+  return ModelVersion{FrameName.substr(0, Slash), Version};
+}
+
 void PieceTransfer::start(std::vector<std::string> Digests,
                           std::map<ChunkIndex, std::string> Held,
                           TimePoint Now) {
@@ -100,7 +78,9 @@
   Shape.Chunks_ = static_cast<ChunkIndex>(Setup_.Pieces_);
   Shape.Size_ = Setup_.Pieces_ * Setup_.PieceBytes_;
   Shape.ChunkSize_ = Setup_.PieceBytes_;
-  Swarm_.emplace(swarmSetup(Setup_), Shape, std::move(Have), Now);
+  Swarm_.emplace(
+      originSwarmSetup(Setup_.Self_, Setup_.OriginZone_, Setup_.Seed_), Shape,
+      std::move(Have), Now);
   StartedAt_ = Now;
   WholeTold_ = false;
 }
--- a/hawthornroad/agent/PieceTransfer.h
+++ b/hawthornroad/agent/PieceTransfer.h
@@ -114,6 +114,8 @@
   static std::string frameName(const ModelVersion &V) {
     return V.Model_ + "/" + std::to_string(V.Version_);
   }
+  // The version whose frames bear a name; nothing for a name of another form.
+  static std::optional<ModelVersion> versionOf(const std::string &FrameName);
 
 private:
   void pump(TimePoint Now);
--- a/hawthornroad/weights/Owners.cpp
+++ b/hawthornroad/weights/Owners.cpp
@@ -57,25 +57,44 @@
 }
 
 void Owners::chooseReaders() {
-  constexpr unsigned Reader = 0;
-  constexpr unsigned Near = 1;
-  constexpr unsigned Elsewhere = 2;
-  Order_.assign(Peers_.size(), NearOrigin_.empty() ? Reader : Elsewhere);
-  std::vector<std::size_t> Candidates;
+  Order_.assign(Peers_.size(), {});
+  if (NearOrigin_.empty())
+    return;
+  std::map<AvailabilityZone, std::vector<std::size_t>> Zones;
   for (std::size_t I = 0; I < Peers_.size(); ++I)
-    if (!NearOrigin_.empty() && Peers_[I].Zone_ == NearOrigin_)
-      Candidates.push_back(I);
-  std::sort(Candidates.begin(), Candidates.end(),
-            [&](std::size_t A, std::size_t B) {
-              return PeerHash_[A] > PeerHash_[B];
-            });
-  for (std::size_t N = 0; N < Candidates.size(); ++N)
-    Order_[Candidates[N]] = N < MaxReaders ? Reader : Near;
+    Zones[Peers_[I].Zone_].push_back(I);
+  for (auto &[Zone, Members] : Zones) {
+    bool IsNear = Zone == NearOrigin_;
+    std::size_t First =
+        std::min(IsNear ? MaxReaders : MaxCrossers, Members.size());
+    std::sort(Members.begin(), Members.end(),
+              [&](std::size_t A, std::size_t B) {
+                return PeerHash_[A] > PeerHash_[B];
+              });
+    for (std::size_t N = 0; N < Members.size(); ++N) {
+      Turn &T = Order_[Members[N]];
+      T.Class_ = (N < First ? 0U : 1U) + (IsNear ? 0U : 2U);
+      T.Index_ = N;
+      T.Of_ = N < First ? First : 0;
+    }
+  }
+}
+
+// Those that come first in a zone take turns, so that each owns as many slices
+// as the next: by a hash of their own some of eight had twice as many, and were
+// waited for.
+std::size_t Owners::turnOf(SliceIndex S, std::size_t Peer) const {
+  const Turn &T = Order_[Peer];
+  return T.Of_ == 0 ? 0 : (T.Index_ + T.Of_ - S % T.Of_) % T.Of_;
 }
 
 bool Owners::isBefore(SliceIndex S, std::size_t A, std::size_t B) const {
-  if (Order_[A] != Order_[B])
-    return Order_[A] < Order_[B];
+  if (Order_[A].Class_ != Order_[B].Class_)
+    return Order_[A].Class_ < Order_[B].Class_;
+  std::size_t TurnA = turnOf(S, A);
+  std::size_t TurnB = turnOf(S, B);
+  if (TurnA != TurnB)
+    return TurnA < TurnB;
   return score(S, A) > score(S, B);
 }
 
@@ -126,7 +145,7 @@
     if (Peers_[I].Zone_ == Self_.Zone_)
       continue;
     auto [At, New] = ZoneOwner.try_emplace(Peers_[I].Zone_, I);
-    if (!New && score(S, I) > score(S, At->second))
+    if (!New && isBefore(S, I, At->second))
       At->second = I;
   }
   std::vector<Vm> Out;
--- a/hawthornroad/weights/Owners.h
+++ b/hawthornroad/weights/Owners.h
@@ -45,12 +45,19 @@
   static constexpr std::size_t ZonesWatched = 2;
   // With eight, a chunk of a megabyte's fortieth over 4 Mbit/s takes 0.4 s.
   static constexpr std::size_t MaxReaders = 8;
+  // VMs of a zone that take chunks into it from other zones. Four of 7 Mbit/s
+  // take in several times what a narrow origin sends. Each that crosses has a
+  // share of the link between two regions, and so has whoever reads a
+  // configuration over it: beside 31 of them 336 KB take 2.8 s of 31 Mbit/s,
+  // beside four 0.4 s (computed).
+  static constexpr std::size_t MaxCrossers = 8;
 
   // NearOrigin: VMs of this zone own the slices while there are any, so that a
   // slice crosses between zones once for each other zone and not once more on
   // its way from the origin; and only MaxReaders of them, since many readers of
   // a narrow origin make every chunk slow, and their silence between two chunks
-  // looks like a failure. Empty: all VMs alike.
+  // looks like a failure; and of each other zone MaxCrossers take slices into
+  // it. Empty: all VMs alike.
   Owners(const VersionDigest &Version, SliceIndex Slices, SwarmPeer Self,
          AvailabilityZone NearOrigin = {});
 
@@ -82,8 +89,17 @@
 
   VersionDigest Version_;
   AvailabilityZone NearOrigin_;
-  // By peer: 0 reads the origin first, then 1, then 2.
-  std::vector<unsigned> Order_;
+  // A peer's part in the order. Class 0 reads the origin first, then 1, and so
+  // on; of a class whose members take turns, its index among Of_.
+  struct Turn {
+    unsigned Class_ = 0;
+    std::size_t Index_ = 0;
+    std::size_t Of_ = 0;
+  };
+  std::size_t turnOf(SliceIndex S, std::size_t Peer) const;
+
+  // By peer.
+  std::vector<Turn> Order_;
   SwarmPeer Self_;
   std::vector<SwarmPeer> Peers_;
   std::vector<std::uint64_t> PeerHash_;
--- a/hawthornroad/weights/Swarm.cpp
+++ b/hawthornroad/weights/Swarm.cpp
@@ -15,6 +15,12 @@
 // under a slow origin. That so many in a row are all cut off is unlikely, and
 // later ranks still step in when the slice is late.
 constexpr std::size_t MaxTakers = 16;
+// An owner reads its chunks in their order, two at a time, and what it has got
+// is known here some tens of milliseconds later. So many of the first ones that
+// nobody has are left to it for as long as reads take here: read by another at
+// once, they came twice (a quarter of a version in fleets of 58 to 820 VMs, and
+// as much later; bench/WeightsBench --narrow-origin).
+constexpr std::size_t OwnersNext = 4;
 // Ranks that read for a slow owner: more of them would read the same chunks.
 constexpr std::size_t MaxThieves = 4;
 } // namespace
@@ -148,11 +154,13 @@
   if (Reading_ > 0)
     --Reading_;
   OriginDue_ = true;
-  FromOrigin_.erase(Index);
+  auto Begun = FromOrigin_.extract(Index);
   Plan_.release(Index);
   switch (End) {
   case OriginEnd::Good:
     noteOriginSeen(Now);
+    if (!Begun.empty())
+      UsualRead_ = Now - Begun.mapped();
     noteOwn(Index, Now);
     return;
   case OriginEnd::Nothing:
@@ -239,42 +247,44 @@
     IdleSince_ = Now;
 }
 
-bool Swarm::maySteal(SliceIndex S, std::size_t Rank, TimePoint Now) const {
+bool Swarm::maySteal(std::size_t Rank, Duration More, TimePoint Now) const {
   if (!Setup_.WatchOwners_ || Setup_.StealAfter_ <= Duration::zero())
     return false;
   if (Rank == 0 || Rank > MaxThieves || !IdleSince_ || !originIsFresh(Now))
     return false;
   return Now - *IdleSince_ >=
-         Setup_.StealAfter_ * static_cast<Duration::rep>(Rank);
+         Setup_.StealAfter_ * static_cast<Duration::rep>(Rank) + More;
 }
 
 bool Swarm::isStuck(ChunkIndex Index, TimePoint Now) const {
-  SliceIndex S = Budget_.sliceOf(Index);
+  std::size_t Rank =
+      std::max<std::size_t>(1, Owners_.rank(Budget_.sliceOf(Index)));
   return Exchange_.anywhere(Index) <= 1 && !FromOrigin_.contains(Index) &&
-         maySteal(S, std::max<std::size_t>(1, Owners_.rank(S)), Now) &&
+         maySteal(Rank, UsualRead_, Now) &&
          Now - OwnNewsAt_ >= Setup_.StealAfter_;
 }
 
-bool Swarm::stepIn(ChunkIndex Index, std::vector<SwarmAction> &Out,
-                   TimePoint Now) {
+bool Swarm::stepIn(ChunkIndex Index, bool IsOwnersNext,
+                   std::vector<SwarmAction> &Out, TimePoint Now) {
   SliceIndex S = Budget_.sliceOf(Index);
   std::size_t Rank = Owners_.rank(S);
+  Duration More = IsOwnersNext ? UsualRead_ : Duration::zero();
+  bool MaySteal = maySteal(Rank, More, Now);
   // A VM that read the chunk in vain knows better than to wait for others.
   bool IsTurn = Wasted_.has(Index) || isLate(S, Rank, Now);
   // A claim won in another's place is used while the other stays silent.
   bool IsReader = Budget_.isReader(Index);
   if (Setup_.WatchOwners_ && Rank > 0)
-    IsReader = IsReader &&
-               (Now - lastSign(S) >= patience(Rank) || maySteal(S, Rank, Now));
+    IsReader = IsReader && (Now - lastSign(S) >= patience(Rank) || MaySteal);
   if (IsReader || (IsTurn && Budget_.mayRead(Index))) {
     Budget_.spend(Index);
     Plan_.reserve(Index);
-    FromOrigin_.insert(Index);
+    FromOrigin_.emplace(Index, Now);
     ++Reading_;
     Out.push_back(ReadOrigin{Index});
     return true;
   }
-  if (!IsTurn && !mayTakeOver(S, Rank, Now) && !maySteal(S, Rank, Now))
+  if (!IsTurn && !mayTakeOver(S, Rank, Now) && !MaySteal)
     return false;
   // Beyond the slice's own grant, even its owner waits a turn: the grant's
   // holder may be another VM that is reading.
@@ -296,14 +306,20 @@
     return;
   const ChunkSet &Held = held();
   noteIdle(Now);
+  // Chunks of each owner that nobody has yet, as far as the pass has come.
+  std::map<Vm, std::size_t> Unread;
   for (ChunkIndex I = 0; I < Held.size(); ++I) {
     if (Reading_ >= Setup_.OriginReads_)
       return;
     if (Held.has(I))
       continue;
-    bool IsOnItsWay = Exchange_.anywhere(I) > 0 || Plan_.isInFlight(I);
-    if (!IsOnItsWay || isStuck(I, Now))
-      stepIn(I, Out, Now);
+    bool IsStuck = isStuck(I, Now);
+    bool IsUnread = Exchange_.anywhere(I) == 0;
+    bool IsOwnersNext =
+        IsUnread && Unread[Owners_.owner(Budget_.sliceOf(I))]++ < OwnersNext;
+    bool IsOnItsWay = !IsUnread || Plan_.isInFlight(I);
+    if (!IsOnItsWay || IsStuck)
+      stepIn(I, IsOwnersNext, Out, Now);
   }
 }
 
--- a/hawthornroad/weights/Swarm.h
+++ b/hawthornroad/weights/Swarm.h
@@ -189,12 +189,16 @@
   void noteIdle(TimePoint Now);
   // Whether a chunk that somebody holds is to be read all the same.
   bool isStuck(ChunkIndex Index, TimePoint Now) const;
-  bool maySteal(SliceIndex S, std::size_t Rank, TimePoint Now) const;
+  // Whether a VM of this rank has been idle for long enough, and for More, to
+  // read in an owner's place.
+  bool maySteal(std::size_t Rank, Duration More, TimePoint Now) const;
   TimePoint lastSign(SliceIndex S) const;
   void noteOriginSeen(TimePoint Now);
   Duration patience(std::size_t Rank) const;
   void readOrigin(std::vector<SwarmAction> &Out, TimePoint Now);
-  bool stepIn(ChunkIndex Index, std::vector<SwarmAction> &Out, TimePoint Now);
+  // IsOwnersNext: its owner is about to read it, or does.
+  bool stepIn(ChunkIndex Index, bool IsOwnersNext,
+              std::vector<SwarmAction> &Out, TimePoint Now);
   bool originIsFresh(TimePoint Now) const {
     return OriginSeen_ && Now - *OriginSeen_ <= Setup_.OriginFresh_;
   }
@@ -231,9 +235,10 @@
   TimePoint OriginBackAt_;
   std::map<Vm, TimePoint> OwnerNews_;
   bool Checking_ = false;
-  // Chunks that are being read from the origin, and when one last came to this
-  // VM.
-  std::set<ChunkIndex> FromOrigin_;
+  // Chunks that are being read from the origin and since when, how long the
+  // last good read took, and when a chunk last came to this VM.
+  std::map<ChunkIndex, TimePoint> FromOrigin_;
+  Duration UsualRead_ = Duration::zero();
   TimePoint OwnNewsAt_;
   // Since when nothing is left to read of this VM's own slices.
   std::optional<TimePoint> IdleSince_;
