--- a/hawthornroad/agent/AgentEngine.cpp
+++ b/hawthornroad/agent/AgentEngine.cpp
@@ -30,7 +30,7 @@
 } // namespace
 
 TimePoint StoreAgent::State::mayLoadAt() const {
-  return turn().at(waveOf(Self_, Current_->Version_), Current_->HeardAt_);
+  return turn().at(loadPosition(Self_, Current_->Version_), Current_->HeardAt_);
 }
 
 // By the pace so far; never before pieces have begun to come.
@@ -49,9 +49,9 @@
          std::chrono::duration_cast<Duration>((Now - T.startedAt()) * Missing);
 }
 
-unsigned StoreAgent::State::waveOf(const std::string &Ip,
-                                   const ModelVersion &V) const {
-  return turn().wave(Ip, ZoneMembers_, PieceTransfer::frameName(V));
+LoadPosition StoreAgent::State::loadPosition(const std::string &Ip,
+                                             const ModelVersion &V) const {
+  return turn().position(Ip, ZoneMembers_, PieceTransfer::frameName(V));
 }
 
 LoadTurn StoreAgent::State::turn() const {
--- a/hawthornroad/agent/AgentPieces.cpp
+++ b/hawthornroad/agent/AgentPieces.cpp
@@ -84,7 +84,7 @@
         [this, Held](const HttpCalls::Result &R) { onManifest(Held, R); });
   };
   C.Urgency_ = [this, V = P->Version_](const Vm &Peer) {
-    return waveOf(Peer.str(), V);
+    return static_cast<unsigned>(loadPosition(Peer.str(), V).Index_);
   };
   C.ReadStaged_ = [this, Model = P->Version_.Model_](ChunkIndex Index,
                                                      auto Then) {
--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -139,7 +139,8 @@
   LoadTurn turn() const;
   // When all pieces of the wanted version are likely to be here.
   TimePoint wholeBy(TimePoint Now) const;
-  unsigned waveOf(const std::string &Ip, const ModelVersion &V) const;
+  // Of the zone's engine on the VM with this address.
+  LoadPosition loadPosition(const std::string &Ip, const ModelVersion &V) const;
   void tellEntries();
   // Bytes a second.
   std::int64_t uploadRate() const {
