Digests come by a tree, versions from entries, rows by their changes

Each agent also read the versions from the store itself (265 calls a version, and one every 13 s each), looked its entries up there at its start, and read the whole list of endpoints every second from the entry that had come last, the same one for all.

Change: weights/DigestTree says who reads the digests and whom the others ask; a question is kept until the digests are here, and tells an agent of a version that it has not heard of. Entries name versions with their model, and an agent takes them from there; the store is read by agents without an entry. RowReader asks for changes, spreads its questions over the entries, and waits 0.9 s for an entry to come before it looks for one. Entries list each other once where two come before them, and again after two minutes.

--- a/hawthornroad/agent/AgentDigests.cpp
+++ b/hawthornroad/agent/AgentDigests.cpp
@@ -8,58 +8,51 @@
 namespace {
 // Failures of the origin in a row after which its address may have changed.
 constexpr unsigned OriginFailuresBeforeLook = 4;
-constexpr Duration ManifestAgain = Milliseconds(300);
-// A peer that was asked for the digests has them within two round trips to the
-// origin and its own hearing of the version.
-constexpr Duration ManifestPatience = Milliseconds(400);
-// Later ones in the order wait no longer than this many patiences.
-constexpr std::size_t MostManifestRank = 8;
-constexpr double ManifestSpread = 0.9;
 // In frames, the index that means the digests themselves.
 constexpr std::uint32_t ManifestIndex = 0xffffffff;
+// Connections whose question for digests is kept until they are here: more than
+// the children and the other zones' first VMs that weights/DigestTree sends.
+constexpr std::size_t MostManifestWaits = 256;
 } // namespace
 
-// The digests of a version are some kilobytes; read by every VM from a narrow
-// origin they would take as long as half of the pieces, and more connections
-// than it takes. So VMs have an order, those of the origin's zone first: the
-// first reads the origin, each next one only when all before it have been
-// silent for a patience. The others ask the first of their zone, then the next
-// in the order, and so on.
-std::vector<PiecePeer>
-StoreAgent::State::manifestOrder(const Pursuit &P) const {
-  std::string Name = PieceTransfer::frameName(P.Version_);
-  std::vector<PiecePeer> Order = Peers_;
-  Order.push_back({{Vm(Self_), Settings_.Common_.Zone_}, {}});
-  auto Key = [&](const PiecePeer &Each) {
-    bool IsElsewhere = Each.Peer_.Zone_ != OriginZone_;
-    return std::make_pair(IsElsewhere,
-                          ~rendezvousScore(Name, Each.Peer_.Vm_.str()));
-  };
-  std::sort(
-      Order.begin(), Order.end(),
-      [&](const PiecePeer &A, const PiecePeer &B) { return Key(A) < Key(B); });
-  return Order;
+std::vector<SwarmPeer> StoreAgent::State::swarmPeers() const {
+  std::vector<SwarmPeer> Out;
+  for (const PiecePeer &Each : Peers_)
+    Out.push_back(Each.Peer_);
+  return Out;
 }
 
 void StoreAgent::State::fetch(const std::shared_ptr<Pursuit> &P,
                               TimePoint Now) {
-  if (P->Transfer_ || P->ManifestUnderWay_ || !Origin_ ||
-      Now < P->ManifestNotBefore_ || PeersAt_ == TimePoint() || PeersUnderWay_)
-    return;
-  if (!P->ManifestSince_)
-    P->ManifestSince_ = Now;
-  std::vector<PiecePeer> Order = manifestOrder(*P);
-  std::size_t Rank = 0;
-  while (Order[Rank].Peer_.Vm_.str() != Self_)
-    ++Rank;
-  auto Patiences = static_cast<Duration::rep>(std::min(Rank, MostManifestRank));
-  if (P->IsUnknownToPeers_ ||
-      Now - *P->ManifestSince_ >= ManifestPatience * Patiences)
-    return readManifest(P);
-  if (P->ManifestAsks_ > 0 && Now - P->ManifestAskedAt_ < ManifestPatience)
+  if (!P->Transfer_)
+    seekDigests(P, Now);
+}
+
+// Digests of a version that this VM has loaded, for one that asks.
+void StoreAgent::State::seekForOthers(TimePoint Now) {
+  if (Current_ && Duty_.isDone() && !Current_->ManifestWaits_.empty())
+    seekDigests(Current_, Now);
+}
+
+void StoreAgent::State::seekDigests(const std::shared_ptr<Pursuit> &P,
+                                    TimePoint Now) {
+  if (P->ManifestUnderWay_ || !Origin_ || PeersAt_ == TimePoint() ||
+      PeersUnderWay_)
     return;
-  P->ManifestAskedAt_ = Now;
-  askForManifest(P, Order);
+  if (!P->Tree_) {
+    DigestTree::Setup S;
+    S.Self_ = {Vm(Self_), Settings_.Common_.Zone_};
+    S.OriginZone_ = OriginZone_;
+    S.Version_ = PieceTransfer::frameName(P->Version_);
+    S.Seed_ = Random_.next();
+    P->Tree_.emplace(std::move(S), Now);
+  }
+  P->Tree_->setPeers(swarmPeers());
+  DigestStep Step = P->Tree_->next(Now);
+  if (Step.Kind_ == DigestStep::Kind::Read)
+    readManifest(P);
+  else if (Step.Kind_ == DigestStep::Kind::Ask)
+    askForManifest(*P, Step.To_);
 }
 
 void StoreAgent::State::readManifest(const std::shared_ptr<Pursuit> &P) {
@@ -68,33 +61,22 @@
                 [this, P](const HttpCalls::Result &R) { onManifest(P, R); });
 }
 
-void StoreAgent::State::askForManifest(const std::shared_ptr<Pursuit> &P,
-                                       std::vector<PiecePeer> Order) {
-  std::erase_if(Order, [&](const PiecePeer &Each) {
-    return Each.Peer_.Vm_.str() == Self_;
-  });
-  // The first of the own zone goes first: its link is near.
-  auto Near =
-      std::find_if(Order.begin(), Order.end(), [&](const PiecePeer &Each) {
-        return Each.Peer_.Zone_ == Settings_.Common_.Zone_;
-      });
-  if (Near != Order.end())
-    std::rotate(Order.begin(), Near, Near + 1);
-  if (Order.empty())
+void StoreAgent::State::askForManifest(const Pursuit &P, const Vm &To) {
+  auto Found =
+      std::find_if(Peers_.begin(), Peers_.end(),
+                   [&](const PiecePeer &Each) { return Each.Peer_.Vm_ == To; });
+  if (Found == Peers_.end())
     return;
-  const PiecePeer &To = Order[P->ManifestAsks_++ % Order.size()];
   wire::ChunkRequestT Request;
-  Request.manifest = PieceTransfer::frameName(P->Version_);
+  Request.manifest = PieceTransfer::frameName(P.Version_);
   Request.index = ManifestIndex;
   Request.vm = Self_;
-  Net_->send(To.Address_, Lane::Weights, makeFrame(Request));
+  Net_->send(Found->Address_, Lane::Weights, makeFrame(Request));
 }
 
 void StoreAgent::State::onManifest(const std::shared_ptr<Pursuit> &P,
                                    const HttpCalls::Result &R) {
   P->ManifestUnderWay_ = false;
-  Duration Pause = ManifestAgain * (1 << std::min(P->ManifestFailures_, 3U));
-  P->ManifestNotBefore_ = bootNow() + Random_.jitter(Pause, ManifestSpread);
   const auto *Answer = std::get_if<HttpAnswer>(&R);
   constexpr unsigned Ok = 200;
   if (Answer == nullptr || Answer->Status_ != Ok) {
@@ -105,7 +87,8 @@
     else
       L.text("why", std::get<LinkFailure>(R).Message_);
     Log_.write(L);
-    ++P->ManifestFailures_;
+    if (P->Tree_)
+      P->Tree_->onReadFailed(bootNow());
     if (++OriginFailures_ % OriginFailuresBeforeLook == 0) {
       MustListOperators_ = true;
       OperatorNotBefore_ = TimePoint();
@@ -124,24 +107,31 @@
   if (!Digests) {
     Log_.write(
         LogLine("manifest_spoilt").count("version", P->Version_.Version_));
+    if (P->Tree_)
+      P->Tree_->onReadFailed(bootNow());
     return;
   }
   P->Manifest_ = Text;
-  wire::ChunkReplyT Reply;
-  Reply.manifest = PieceTransfer::frameName(P->Version_);
-  Reply.index = ManifestIndex;
-  Reply.bytes.assign(Text.begin(), Text.end());
-  FrameBuffer Frame = makeFrame(std::move(Reply));
-  for (ConnectionId To : std::exchange(P->ManifestWaits_, {}))
-    Net_->reply(To, Frame);
+  answerManifestWaits(*P);
   if (P->Transfer_)
     return P->Transfer_->setDigests(Digests->Digests_);
-  if (P->ManifestUnderWay_)
+  bool IsLoaded = P == Current_ && Duty_.isDone();
+  if (P->ManifestUnderWay_ || IsLoaded)
     return;
   P->ManifestUnderWay_ = true;
   lookAtStaged(P, *Digests);
 }
 
+void StoreAgent::State::answerManifestWaits(Pursuit &P) {
+  wire::ChunkReplyT Reply;
+  Reply.manifest = PieceTransfer::frameName(P.Version_);
+  Reply.index = ManifestIndex;
+  Reply.bytes.assign(P.Manifest_.begin(), P.Manifest_.end());
+  FrameBuffer Frame = makeFrame(std::move(Reply));
+  for (ConnectionId To : std::exchange(P.ManifestWaits_, {}))
+    Net_->reply(To, Frame);
+}
+
 std::shared_ptr<StoreAgent::State::Pursuit>
 StoreAgent::State::pursuitOf(const std::string &FrameName) const {
   for (const auto &P : {Current_, Next_})
@@ -150,41 +140,53 @@
   return nullptr;
 }
 
+// An agent that asks has heard of a version before this one has.
+void StoreAgent::State::learnFromAsker(const std::string &FrameName) {
+  auto V = PieceTransfer::versionOf(FrameName);
+  if (V && !pursuitOf(FrameName))
+    onNamed(*V);
+}
+
+void StoreAgent::State::onManifestAsk(const PeerContext &From,
+                                      const std::string &FrameName) {
+  learnFromAsker(FrameName);
+  auto P = pursuitOf(FrameName);
+  bool IsRoom = P && P->ManifestWaits_.size() < MostManifestWaits;
+  if (IsRoom) {
+    P->ManifestWaits_.push_back(From.Connection_);
+    if (!P->Manifest_.empty())
+      answerManifestWaits(*P);
+    return;
+  }
+  // An older version than this agent brings about, or of another model.
+  wire::ChunkReplyT Out;
+  Out.manifest = FrameName;
+  Out.index = ManifestIndex;
+  Out.error = "missing";
+  Net_->reply(From.Connection_, makeFrame(std::move(Out)));
+}
+
+void StoreAgent::State::onManifestReply(const wire::ChunkReplyT &Reply) {
+  auto P = pursuitOf(Reply.manifest);
+  if (!P || !P->Manifest_.empty())
+    return;
+  if (Reply.error.empty())
+    takeManifest(P, {Reply.bytes.begin(), Reply.bytes.end()});
+  else if (P->Tree_)
+    P->Tree_->onMissing(bootNow());
+}
+
 // Whether the frame was about a version's digests.
 bool StoreAgent::State::onManifestFrame(const PeerContext &From,
                                         const wire::FrameT &Frame) {
   const auto *Request = Frame.body.AsChunkRequest();
   const auto *Reply = Frame.body.AsChunkReply();
-  if (Request != nullptr && Request->index == ManifestIndex) {
-    auto P = pursuitOf(Request->manifest);
-    // A loaded version's digests are not fetched again.
-    bool IsWanted = P && (P == Next_ || !Duty_.isDone());
-    bool WillHave = IsWanted && !P->Transfer_ && P->Manifest_.empty();
-    if (WillHave) {
-      P->ManifestWaits_.push_back(From.Connection_);
-      return true;
-    }
-    // Of a version that was loaded before this agent's start, or has not been
-    // heard of here, the origin must be asked.
-    wire::ChunkReplyT Out;
-    Out.manifest = Request->manifest;
-    Out.index = ManifestIndex;
-    if (P)
-      Out.bytes.assign(P->Manifest_.begin(), P->Manifest_.end());
-    if (Out.bytes.empty())
-      Out.error = "missing";
-    Net_->reply(From.Connection_, makeFrame(std::move(Out)));
-    return true;
-  }
-  if (Reply == nullptr || Reply->index != ManifestIndex)
+  if (Request != nullptr && Request->index == ManifestIndex)
+    onManifestAsk(From, Request->manifest);
+  else if (Reply != nullptr && Reply->index == ManifestIndex)
+    onManifestReply(*Reply);
+  else
     return false;
-  auto P = pursuitOf(Reply->manifest);
-  if (P && !Reply->error.empty()) {
-    P->IsUnknownToPeers_ = true;
-    P->ManifestNotBefore_ =
-        bootNow() + Random_.jitter(ManifestAgain / 2, ManifestSpread);
-  } else if (P && P->Manifest_.empty())
-    takeManifest(P, {Reply->bytes.begin(), Reply->bytes.end()});
   return true;
 }
 
--- a/hawthornroad/agent/AgentVersions.cpp
+++ b/hawthornroad/agent/AgentVersions.cpp
@@ -8,10 +8,8 @@
 namespace {
 // Versions count up from here.
 constexpr WeightVersion FirstVersion = 1;
-// Versions are read this often when no entry has named a new one: only an agent
-// that no entry reaches needs it. And after a failure, or while something is
-// known to be missing.
-// With its spread it comes within 18.2 s.
+// An agent that no entry is connected to reads the versions this often; with
+// its spread it hears of one within 18.2 s. Entries tell the others at once.
 constexpr Duration VersionPoll = Seconds(13);
 constexpr Duration OperatorAgain = Milliseconds(400);
 constexpr double OperatorSpread = 0.4;
@@ -37,16 +35,17 @@
 // The text of the configuration is large and changes often, and a VM's agent
 // needs little of it: with every agent reading every change, the links between
 // zones were full and entries got theirs late. So it is read at the start, and
-// again when the origin cannot be reached, and from an entry. Versions are read
-// when an entry says that there is one, and now and then for the case that none
-// does.
+// again when the origin cannot be reached, and from an entry. Versions come
+// from entries, and are read now and then by an agent that no entry is
+// connected to.
 void StoreAgent::State::askOperators(TimePoint Now) {
   if (OperatorUnderWay_ || Now < OperatorNotBefore_)
     return;
   if (MustListOperators_ || pace() == nullptr)
-    listOperators();
-  else
-    listVersions();
+    return listOperators();
+  if (!isToldByEntries() || newestKnown() < LookedFor_)
+    return listVersions();
+  OperatorNotBefore_ = Now + Random_.jitter(VersionPoll, OperatorSpread);
 }
 
 void StoreAgent::State::listOperators() {
--- a/hawthornroad/agent/RowReader.cpp
+++ b/hawthornroad/agent/RowReader.cpp
@@ -10,18 +10,46 @@
 namespace {
 // How long an entry may wait for younger knowledge before it answers, and how
 // old that may be: what agents read is looked at again when it proves wrong.
-constexpr Duration EntryWait = Milliseconds(250);
+constexpr Duration AnswerHeld = Milliseconds(250);
 constexpr Duration MaxAge = Seconds(2);
+
+constexpr std::uint64_t microseconds(Duration D) {
+  return static_cast<std::uint64_t>(D / std::chrono::microseconds(1));
+}
 } // namespace
 
-void RowReader::entryCame(const ProcessName &Entry, ConnectionId Connection) {
+void RowReader::entryCame(const ProcessName &Entry, ConnectionId Connection,
+                          TimePoint Now) {
   Entries_.remove_if([&](const auto &Each) { return Each.first == Entry; });
-  Entries_.emplace_front(Entry, Connection);
+  auto At = std::next(
+      Entries_.begin(),
+      static_cast<std::ptrdiff_t>(Random_.below(Entries_.size() + 1)));
+  Entries_.emplace(At, Entry, Connection);
+  askWaiting(Now);
 }
 
 void RowReader::list(const std::string &Table, TimePoint Now, Done D) {
   Reads_.push_back({Table, std::move(D), 0, Now});
-  if (!askConnected(Reads_.back()))
+  askConnected(Reads_.back());
+}
+
+void RowReader::askWaiting(TimePoint Now) {
+  for (Read &Each : Reads_) {
+    if (Each.Number_ != 0 || Each.IsSearching_ || !askConnected(Each))
+      continue;
+    Each.Since_ = Now;
+  }
+}
+
+void RowReader::searchOverdue(TimePoint Now) {
+  bool IsAny = false;
+  for (Read &Each : Reads_) {
+    bool IsOverdue = Each.Number_ == 0 && !Each.IsSearching_ &&
+                     Now - Each.Since_ >= EntryWait;
+    Each.IsSearching_ |= IsOverdue;
+    IsAny |= IsOverdue;
+  }
+  if (IsAny)
     Ways_.Find_(
         [this](const std::vector<PeerAddress> &Entries) { askFound(Entries); });
 }
@@ -29,11 +57,15 @@
 FrameBuffer RowReader::question(Read &R) {
   wire::RowsAskT Q;
   Q.number = R.Number_ = NextNumber_++;
-  Q.wait_ms = static_cast<std::uint32_t>(EntryWait / Milliseconds(1));
+  Q.wait_ms = static_cast<std::uint32_t>(AnswerHeld / Milliseconds(1));
   auto Wanted = std::make_unique<wire::TableWantedT>();
   Wanted->table = R.Table_;
-  Wanted->max_age_us =
-      static_cast<std::uint64_t>(MaxAge / std::chrono::microseconds(1));
+  Wanted->max_age_us = microseconds(MaxAge);
+  const RowCopy &Copy = Copies_[R.Table_];
+  Wanted->listed = Copy.isListed();
+  Wanted->after = Copy.version();
+  // So old that any proof is worth an answer at once.
+  Wanted->age_us = microseconds(MaxAge);
   Q.tables.push_back(std::move(Wanted));
   return makeFrame(std::move(Q));
 }
@@ -50,7 +82,7 @@
 
 void RowReader::askFound(const std::vector<PeerAddress> &Entries) {
   for (auto Each = Reads_.begin(); Each != Reads_.end();) {
-    if (Each->Number_ != 0) {
+    if (Each->Number_ != 0 || !Each->IsSearching_) {
       ++Each;
       continue;
     }
@@ -66,7 +98,16 @@
 }
 
 void RowReader::readStore(Read R) {
-  Ways_.ReadStore_(R.Table_, std::move(R.Done_));
+  Ways_.ReadStore_(R.Table_, [this, R](const StoreReply &Reply) {
+    onStore(R.Table_, R.Done_, Reply);
+  });
+}
+
+void RowReader::onStore(const std::string &Table, const Done &D,
+                        const StoreReply &R) {
+  if (const auto *Rows = std::get_if<StoreRows>(&R))
+    Copies_[Table].apply({true, Rows->Rows_, Rows->Version_});
+  D(R);
 }
 
 void RowReader::onAnswer(const wire::RowsAnswerT &A) {
@@ -77,20 +118,27 @@
     return;
   Read R = std::move(*Found);
   Reads_.erase(Found);
-  if (A.tables.size() != 1 || !A.tables[0]->whole)
+  RowCopy &Copy = Copies_[R.Table_];
+  bool IsUsable =
+      A.tables.size() == 1 && (A.tables[0]->whole || Copy.isListed());
+  if (!IsUsable)
     return readStore(std::move(R));
   try {
-    TableWatch::Update U = decodeRelayed(*A.tables[0]);
-    R.Done_(StoreRows{std::move(U.Rows_), U.Version_, false});
+    Copy.apply(decodeRelayed(*A.tables[0]));
   } catch (const Error &) {
     // Spoilt on the way; the store has the same.
-    readStore(std::move(R));
+    return readStore(std::move(R));
   }
+  R.Done_(StoreRows{Copy.since(std::nullopt).Rows_, Copy.version(), false});
 }
 
 void RowReader::tick(TimePoint Now) {
+  searchOverdue(Now);
   for (auto Each = Reads_.begin(); Each != Reads_.end();) {
-    if (Now - Each->Since_ < AnswerPatience) {
+    bool IsAsked = Each->Number_ != 0;
+    Duration Limit = IsAsked && !Each->IsSearching_ ? AnswerTimeout
+                                                    : EntryWait + AnswerTimeout;
+    if (Now - Each->Since_ < Limit) {
       ++Each;
       continue;
     }
--- a/hawthornroad/agent/RowReader.h
+++ b/hawthornroad/agent/RowReader.h
@@ -13,19 +13,29 @@
 // regions once an agent (51 MB in a day of 40 s, seen); from an entry, which
 // has it anyway, it crosses none, deflated.
 //
-// An entry that is connected is asked first. An agent that has just started on
-// a new VM is not known to entries yet: it finds their addresses in the store,
-// some hundred bytes. One that has been asked has AnswerPatience.
+// An entry that is connected is asked first, each agent another one. An agent
+// that has just started is not known to entries yet. Entries come to it within
+// half a second of the store's listing its engine, so it waits EntryWait for
+// one; then it finds their addresses in the store, some hundred bytes. Without
+// the wait a start of everything cost the store a call a VM. One that has been
+// asked has AnswerTimeout.
+//
+// What was read of a table is kept, and the next reading asks for what has
+// changed since: while a version is on its way each agent wants the list of
+// endpoints every second, which is 40 KB with 265 of them, a twentieth of a
+// link of 7 Mbit/s.
 
 #ifndef HAWTHORNROAD_AGENT_ROWREADER_H
 #define HAWTHORNROAD_AGENT_ROWREADER_H
 
 #include "hawthornroad/base/Random.h"
 #include "hawthornroad/peers/PeerNet.h"
+#include "hawthornroad/store/RowCopy.h"
 #include "hawthornroad/store/StoreClient.h"
 
 #include <functional>
 #include <list>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -46,12 +56,14 @@
 
   // The entry holds the question for less; the rest is the way of 60 KB over an
   // agent's link.
-  static constexpr Duration AnswerPatience = Milliseconds(600);
+  static constexpr Duration AnswerTimeout = Milliseconds(600);
+  static constexpr Duration EntryWait = Milliseconds(900);
 
   RowReader(Ways W, std::uint64_t Seed) : Ways_(std::move(W)), Random_(Seed) {}
 
   // An entry of this zone is connected, or again under a new connection.
-  void entryCame(const ProcessName &Entry, ConnectionId Connection);
+  void entryCame(const ProcessName &Entry, ConnectionId Connection,
+                 TimePoint Now);
   void list(const std::string &Table, TimePoint Now, Done D);
   void onAnswer(const wire::RowsAnswerT &A);
   void tick(TimePoint Now);
@@ -60,20 +72,27 @@
   struct Read {
     std::string Table_;
     Done Done_;
-    // Of the question under way; 0: an entry is being looked for.
+    // Of the question under way; 0: an entry is awaited or looked for.
     std::uint64_t Number_ = 0;
     TimePoint Since_;
+    bool IsSearching_ = false;
   };
   FrameBuffer question(Read &R);
   bool askConnected(Read &R);
+  // Asks a connected entry for what waits for one.
+  void askWaiting(TimePoint Now);
+  void searchOverdue(TimePoint Now);
+  void onStore(const std::string &Table, const Done &D, const StoreReply &R);
   void askFound(const std::vector<PeerAddress> &Entries);
   void readStore(Read R);
 
   Ways Ways_;
   Random Random_;
-  // The last to have come is asked first.
+  // The first is asked; those that come go anywhere in it, so that the agents
+  // of a zone ask different ones.
   std::list<std::pair<ProcessName, ConnectionId>> Entries_;
   std::list<Read> Reads_;
+  std::map<std::string, RowCopy> Copies_;
   std::uint64_t NextNumber_ = 1;
 };
 
--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -67,6 +67,9 @@
     onFrame(From, Frame);
   };
   C.OnLost_ = [this](const PeerContext &From, const Error &) {
+    std::erase_if(Watchers_, [&](const auto &Each) {
+      return Each.second.Connection_ == From.Connection_;
+    });
     for (const auto &T : transfers())
       T->onPeerLost(From.Address_, bootNow());
   };
@@ -116,6 +119,7 @@
   askOperators(Now);
   overtake(Now);
   step(Now);
+  seekForOthers(Now);
   Io_.after(isBusy() || isFetching() ? BusyTick : IdleTick, [this] { tick(); });
 }
 
@@ -186,10 +190,11 @@
     Watchers_[From.Process_] = {From.Connection_, Watch->loads};
     // Only entries of the same zone ask for loads.
     if (Watch->loads)
-      Reader_.entryCame(From.Process_, From.Connection_);
+      Reader_.entryCame(From.Process_, From.Connection_, bootNow());
     if (ToldEntries_)
       Net_->reply(From.Connection_, makeFrame(*ToldEntries_));
-    onNewest(Watch->newest);
+    for (const auto &Each : Watch->versions)
+      onNamed({Each->model, Each->version});
     return;
   }
   if (const auto *Ask = Unpacked.body.AsPlaceAsk())
@@ -203,14 +208,17 @@
       return;
 }
 
-// An entry has heard of a version that this agent has not.
-void StoreAgent::State::onNewest(WeightVersion Version) {
-  if (Version <= std::max(newestKnown(), LookedFor_))
+// Entries and other agents have it from the store, so the store is not asked
+// again: with every agent asking, a version cost a call a VM, all within
+// milliseconds. Without the configuration it is not known whether the model is
+// this engine's; the reading that is under way then brings both.
+void StoreAgent::State::onNamed(const ModelVersion &V) {
+  if (pace() != nullptr) {
+    if (V.Version_ > newestKnown())
+      takeVersion(V, bootNow());
     return;
-  LookedFor_ = Version;
-  Log_.write(LogLine("store_refresh").count("version", Version));
-  OperatorNotBefore_ = TimePoint();
-  askOperators(bootNow());
+  }
+  LookedFor_ = std::max(LookedFor_, V.Version_);
 }
 
 // ---- Metrics ----------------------------------------------------------------
--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -23,6 +23,7 @@
 #include "hawthornroad/staging/LoadTurn.h"
 #include "hawthornroad/staging/PlaceGrants.h"
 #include "hawthornroad/store/StoreClient.h"
+#include "hawthornroad/weights/DigestTree.h"
 #include "platform/EngineWire.h"
 #include "platform/StoreWire.h"
 
@@ -53,18 +54,14 @@
   struct Pursuit {
     ModelVersion Version_;
     TimePoint HeardAt_{};
+    // The digests are being read from the origin, or were had and are compared
+    // with what lies at the engine.
     bool ManifestUnderWay_ = false;
-    TimePoint ManifestNotBefore_{};
     // The origin's text, to be passed on, and who waits for it.
     std::string Manifest_;
     std::vector<ConnectionId> ManifestWaits_;
-    // When it was first looked for, when a peer was last asked, and how often.
-    std::optional<TimePoint> ManifestSince_;
-    TimePoint ManifestAskedAt_{};
-    std::size_t ManifestAsks_ = 0;
-    // A peer said that it will not have it.
-    bool IsUnknownToPeers_ = false;
-    unsigned ManifestFailures_ = 0;
+    // Set once they are looked for.
+    std::optional<DigestTree> Tree_;
     // Set once its digests are known.
     std::shared_ptr<PieceTransfer> Transfer_;
   };
@@ -84,6 +81,7 @@
   void listOperators();
   // Only the versions.
   void listVersions();
+  bool isToldByEntries() const { return !Watchers_.empty(); }
   void onOperatorReply(bool IsWhole, const StoreReply &R);
   void onOperatorRows(const StoreRows &Rows);
   void askOperators(TimePoint Now);
@@ -99,11 +97,15 @@
   void onReport(const HttpCalls::Result &R, TimePoint AskedAt);
   // The pieces of a version, from nothing to whole.
   void fetch(const std::shared_ptr<Pursuit> &P, TimePoint Now);
-  // All VMs and this one, in the order in which they read the digests.
-  std::vector<PiecePeer> manifestOrder(const Pursuit &P) const;
+  std::vector<SwarmPeer> swarmPeers() const;
+  void seekDigests(const std::shared_ptr<Pursuit> &P, TimePoint Now);
+  void seekForOthers(TimePoint Now);
   void readManifest(const std::shared_ptr<Pursuit> &P);
-  void askForManifest(const std::shared_ptr<Pursuit> &P,
-                      std::vector<PiecePeer> Order);
+  void askForManifest(const Pursuit &P, const Vm &To);
+  void answerManifestWaits(Pursuit &P);
+  void learnFromAsker(const std::string &FrameName);
+  void onManifestAsk(const PeerContext &From, const std::string &FrameName);
+  void onManifestReply(const wire::ChunkReplyT &Reply);
   void onManifest(const std::shared_ptr<Pursuit> &P,
                   const HttpCalls::Result &R);
   void takeManifest(const std::shared_ptr<Pursuit> &P, const std::string &Text);
@@ -128,7 +130,8 @@
   void listPeers(TimePoint Now);
   void onPeers(const StoreRows &Rows);
   void onFrame(const PeerContext &From, const wire::Frame &Frame);
-  void onNewest(WeightVersion Version);
+  // Another process has heard of a version.
+  void onNamed(const ModelVersion &V);
   // An entry asks for a place at the engine; answered at once, or when the
   // engine has told how it is.
   void onPlaceAsk(const PeerContext &From, const wire::PlaceAskT &Ask);
--- a/hawthornroad/entry/EngineNews.cpp
+++ b/hawthornroad/entry/EngineNews.cpp
@@ -99,10 +99,11 @@
   return Net_->send(PeerAddress(Address), Lane::Requests, makeFrame(Ask));
 }
 
-void EngineNews::setNewest(std::uint64_t Version) {
-  if (Version <= Newest_)
+void EngineNews::setNewest(const std::string &Model, std::uint64_t Version) {
+  std::uint64_t &Newest = Newest_[Model];
+  if (Version <= Newest)
     return;
-  Newest_ = Version;
+  Newest = Version;
   for (auto &[Address, A] : Agents_)
     ask(Address, A);
 }
@@ -111,8 +112,13 @@
   A.AskAt_.reset();
   wire::EngineWatchT Watch;
   Watch.loads = A.WantsLoads_;
-  Watch.newest = Newest_;
-  Net_->send(PeerAddress(Address), Lane::Requests, makeFrame(Watch));
+  for (const auto &[Model, Version] : Newest_) {
+    auto Named = std::make_unique<wire::NamedVersionT>();
+    Named->model = Model;
+    Named->version = Version;
+    Watch.versions.push_back(std::move(Named));
+  }
+  Net_->send(PeerAddress(Address), Lane::Requests, makeFrame(std::move(Watch)));
 }
 
 } // namespace hawthornroad
--- a/hawthornroad/entry/EngineNews.h
+++ b/hawthornroad/entry/EngineNews.h
@@ -54,9 +54,9 @@
   // frame several times a second.
   void follow(const std::map<std::string, bool> &Engines, TimePoint Now);
   void tick(TimePoint Now);
-  // Weights up to this version have been named: agents are told, for one whose
-  // own question to the store is held or lost would hear of it late.
-  void setNewest(std::uint64_t Version);
+  // A version of a model's weights has been named: agents are told, which do
+  // not follow the store's table themselves.
+  void setNewest(const std::string &Model, std::uint64_t Version);
 
 private:
   struct Agent {
@@ -77,7 +77,8 @@
   Handler Handler_;
   AskHandler AskHandler_;
   PlaceHandler PlaceHandler_;
-  std::uint64_t Newest_ = 0;
+  // By model.
+  std::map<std::string, std::uint64_t> Newest_;
   std::map<std::string, Agent> Agents_;
   std::unique_ptr<PeerNet> Net_;
 };
--- a/hawthornroad/entry/EntryBeliefs.cpp
+++ b/hawthornroad/entry/EntryBeliefs.cpp
@@ -35,7 +35,7 @@
                        .count("version", V->Version_),
                    true);
         if (News_)
-          News_->setNewest(V->Version_);
+          News_->setNewest(V->Model_, V->Version_);
       }
     } catch (const Error &E) {
       // The store takes only valid texts: one that is not is of a later kind.
--- a/hawthornroad/entry/ZoneEntries.cpp
+++ b/hawthornroad/entry/ZoneEntries.cpp
@@ -12,10 +12,12 @@
 constexpr std::string_view PresenceTable = "entries";
 // Entries that start with this one have written their rows by then.
 constexpr Duration SecondLook = Milliseconds(1500);
+// With so many before it an entry has a source and another for when that one
+// fails, so it needs no second look: each costs the store a call an entry.
+constexpr std::size_t EnoughBefore = 2;
 // New entries ask the older ones, not the other way round, so a list that is
-// old costs at most a detour. The spread keeps processes that started together
-// apart.
-constexpr Duration LookAgainAfter = Seconds(30);
+// old costs at most a detour, and a source that fails brings a look at once.
+constexpr Duration LookAgainAfter = Seconds(120);
 constexpr Duration AfterFailure = Milliseconds(1000);
 // Not oftener, whatever happens.
 constexpr Duration LeastPause = Milliseconds(5000);
@@ -114,11 +116,13 @@
 
 void ZoneEntries::onEntries(std::vector<ZoneEntry> All) {
   bool IsFirst = ListedAt_ == TimePoint();
-  ListedAt_ = Clock_();
-  ListAt_ = ListedAt_ + (IsFirst ? SecondLook : LookAgainAfter);
   if (std::find(All.begin(), All.end(), Self_) == All.end())
     write();
-  Handler_(entriesBefore(Self_, std::move(All)));
+  std::vector<PeerAddress> Before = entriesBefore(Self_, std::move(All));
+  bool LooksTwice = IsFirst && Before.size() < EnoughBefore;
+  ListedAt_ = Clock_();
+  ListAt_ = ListedAt_ + (LooksTwice ? SecondLook : LookAgainAfter);
+  Handler_(std::move(Before));
 }
 
 void ZoneEntries::write() {
--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -134,6 +134,10 @@
 struct EngineWatchBuilder;
 struct EngineWatchT;
 
+struct NamedVersion;
+struct NamedVersionBuilder;
+struct NamedVersionT;
+
 struct EngineNotice;
 struct EngineNoticeBuilder;
 struct EngineNoticeT;
@@ -234,6 +238,8 @@
 bool operator!=(const ChunkTakenT &lhs, const ChunkTakenT &rhs);
 bool operator==(const EngineWatchT &lhs, const EngineWatchT &rhs);
 bool operator!=(const EngineWatchT &lhs, const EngineWatchT &rhs);
+bool operator==(const NamedVersionT &lhs, const NamedVersionT &rhs);
+bool operator!=(const NamedVersionT &lhs, const NamedVersionT &rhs);
 bool operator==(const EngineNoticeT &lhs, const EngineNoticeT &rhs);
 bool operator!=(const EngineNoticeT &lhs, const EngineNoticeT &rhs);
 bool operator==(const PlaceAskT &lhs, const PlaceAskT &rhs);
@@ -4259,7 +4265,11 @@
 struct EngineWatchT : public flatbuffers::NativeTable {
   typedef EngineWatch TableType;
   bool loads = false;
-  uint64_t newest = 0;
+  std::vector<std::unique_ptr<hawthornroad::wire::NamedVersionT>> versions{};
+  EngineWatchT() = default;
+  EngineWatchT(const EngineWatchT &o);
+  EngineWatchT(EngineWatchT&&) FLATBUFFERS_NOEXCEPT = default;
+  EngineWatchT &operator=(EngineWatchT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct EngineWatch FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4267,18 +4277,20 @@
   typedef EngineWatchBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_LOADS = 4,
-    VT_NEWEST = 6
+    VT_VERSIONS = 8
   };
   bool loads() const {
     return GetField<uint8_t>(VT_LOADS, 0) != 0;
   }
-  uint64_t newest() const {
-    return GetField<uint64_t>(VT_NEWEST, 0);
+  const flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::NamedVersion>> *versions() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::NamedVersion>> *>(VT_VERSIONS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_LOADS, 1) &&
-           VerifyField<uint64_t>(verifier, VT_NEWEST, 8) &&
+           VerifyOffset(verifier, VT_VERSIONS) &&
+           verifier.VerifyVector(versions()) &&
+           verifier.VerifyVectorOfTables(versions()) &&
            verifier.EndTable();
   }
   EngineWatchT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4293,8 +4305,8 @@
   void add_loads(bool loads) {
     fbb_.AddElement<uint8_t>(EngineWatch::VT_LOADS, static_cast<uint8_t>(loads), 0);
   }
-  void add_newest(uint64_t newest) {
-    fbb_.AddElement<uint64_t>(EngineWatch::VT_NEWEST, newest, 0);
+  void add_versions(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::NamedVersion>>> versions) {
+    fbb_.AddOffset(EngineWatch::VT_VERSIONS, versions);
   }
   explicit EngineWatchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -4310,15 +4322,102 @@
 inline flatbuffers::Offset<EngineWatch> CreateEngineWatch(
     flatbuffers::FlatBufferBuilder &_fbb,
     bool loads = false,
-    uint64_t newest = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::NamedVersion>>> versions = 0) {
   EngineWatchBuilder builder_(_fbb);
-  builder_.add_newest(newest);
+  builder_.add_versions(versions);
   builder_.add_loads(loads);
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<EngineWatch> CreateEngineWatchDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool loads = false,
+    const std::vector<flatbuffers::Offset<hawthornroad::wire::NamedVersion>> *versions = nullptr) {
+  auto versions__ = versions ? _fbb.CreateVector<flatbuffers::Offset<hawthornroad::wire::NamedVersion>>(*versions) : 0;
+  return hawthornroad::wire::CreateEngineWatch(
+      _fbb,
+      loads,
+      versions__);
+}
+
 flatbuffers::Offset<EngineWatch> CreateEngineWatch(flatbuffers::FlatBufferBuilder &_fbb, const EngineWatchT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct NamedVersionT : public flatbuffers::NativeTable {
+  typedef NamedVersion TableType;
+  std::string model{};
+  uint64_t version = 0;
+};
+
+struct NamedVersion FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef NamedVersionT NativeTableType;
+  typedef NamedVersionBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_MODEL = 4,
+    VT_VERSION = 6
+  };
+  const flatbuffers::String *model() const {
+    return GetPointer<const flatbuffers::String *>(VT_MODEL);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_MODEL) &&
+           verifier.VerifyString(model()) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           verifier.EndTable();
+  }
+  NamedVersionT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(NamedVersionT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<NamedVersion> Pack(flatbuffers::FlatBufferBuilder &_fbb, const NamedVersionT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct NamedVersionBuilder {
+  typedef NamedVersion Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_model(flatbuffers::Offset<flatbuffers::String> model) {
+    fbb_.AddOffset(NamedVersion::VT_MODEL, model);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(NamedVersion::VT_VERSION, version, 0);
+  }
+  explicit NamedVersionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<NamedVersion> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<NamedVersion>(end);
+    fbb_.Required(o, NamedVersion::VT_MODEL);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<NamedVersion> CreateNamedVersion(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> model = 0,
+    uint64_t version = 0) {
+  NamedVersionBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_model(model);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<NamedVersion> CreateNamedVersionDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *model = nullptr,
+    uint64_t version = 0) {
+  auto model__ = model ? _fbb.CreateString(model) : 0;
+  return hawthornroad::wire::CreateNamedVersion(
+      _fbb,
+      model__,
+      version);
+}
+
+flatbuffers::Offset<NamedVersion> CreateNamedVersion(flatbuffers::FlatBufferBuilder &_fbb, const NamedVersionT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EngineNoticeT : public flatbuffers::NativeTable {
   typedef EngineNotice TableType;
   std::string address{};
@@ -7219,7 +7318,7 @@
 inline bool operator==(const EngineWatchT &lhs, const EngineWatchT &rhs) {
   return
       (lhs.loads == rhs.loads) &&
-      (lhs.newest == rhs.newest);
+      (lhs.versions.size() == rhs.versions.size() && std::equal(lhs.versions.cbegin(), lhs.versions.cend(), rhs.versions.cbegin(), [](std::unique_ptr<hawthornroad::wire::NamedVersionT> const &a, std::unique_ptr<hawthornroad::wire::NamedVersionT> const &b) { return (a == b) || (a && b && *a == *b); }));
 }
 
 inline bool operator!=(const EngineWatchT &lhs, const EngineWatchT &rhs) {
@@ -7227,6 +7326,18 @@
 }
 
 
+inline EngineWatchT::EngineWatchT(const EngineWatchT &o)
+      : loads(o.loads) {
+  versions.reserve(o.versions.size());
+  for (const auto &versions_ : o.versions) { versions.emplace_back((versions_) ? new hawthornroad::wire::NamedVersionT(*versions_) : nullptr); }
+}
+
+inline EngineWatchT &EngineWatchT::operator=(EngineWatchT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(loads, o.loads);
+  std::swap(versions, o.versions);
+  return *this;
+}
+
 inline EngineWatchT *EngineWatch::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<EngineWatchT>(new EngineWatchT());
   UnPackTo(_o.get(), _resolver);
@@ -7237,7 +7348,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = loads(); _o->loads = _e; }
-  { auto _e = newest(); _o->newest = _e; }
+  { auto _e = versions(); if (_e) { _o->versions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->versions[_i] = std::unique_ptr<hawthornroad::wire::NamedVersionT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<EngineWatch> EngineWatch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineWatchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7249,11 +7360,52 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EngineWatchT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _loads = _o->loads;
-  auto _newest = _o->newest;
+  auto _versions = _o->versions.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornroad::wire::NamedVersion>> (_o->versions.size(), [](size_t i, _VectorArgs *__va) { return CreateNamedVersion(*__va->__fbb, __va->__o->versions[i].get(), __va->__rehasher); }, &_va ) : 0;
   return hawthornroad::wire::CreateEngineWatch(
       _fbb,
       _loads,
-      _newest);
+      _versions);
+}
+
+
+inline bool operator==(const NamedVersionT &lhs, const NamedVersionT &rhs) {
+  return
+      (lhs.model == rhs.model) &&
+      (lhs.version == rhs.version);
+}
+
+inline bool operator!=(const NamedVersionT &lhs, const NamedVersionT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline NamedVersionT *NamedVersion::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<NamedVersionT>(new NamedVersionT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void NamedVersion::UnPackTo(NamedVersionT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = model(); if (_e) _o->model = _e->str(); }
+  { auto _e = version(); _o->version = _e; }
+}
+
+inline flatbuffers::Offset<NamedVersion> NamedVersion::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NamedVersionT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateNamedVersion(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<NamedVersion> CreateNamedVersion(flatbuffers::FlatBufferBuilder &_fbb, const NamedVersionT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const NamedVersionT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _model = _fbb.CreateString(_o->model);
+  auto _version = _o->version;
+  return hawthornroad::wire::CreateNamedVersion(
+      _fbb,
+      _model,
+      _version);
 }
 
 
