A store that is down is asked less, and its return is known with the first answer

Causes: an agent whose entry was without the store went to the store itself, every second while a version was on its way, 265 of them; readings of the operators' table were repeated each 0.4 s however often they failed. After an outage the list of endpoints was asked with a question that may be held 3 s, and the entry counted as without the store until it was answered. Entries that start together each read the store for 1.5 s until they saw each other.

Change: RowReader tells what it has while entries are without the store; failed readings double their pause to 3.2 s; the question after a failure is not held; the second look at the zone's entries comes after 0.6 s.

--- a/hawthornroad/agent/AgentVersions.cpp
+++ b/hawthornroad/agent/AgentVersions.cpp
@@ -12,6 +12,9 @@
 // its spread it hears of one within 18.2 s. Entries tell the others at once.
 constexpr Duration VersionPoll = Seconds(13);
 constexpr Duration OperatorAgain = Milliseconds(400);
+// Each further failure doubles it, up to 3.2 s: a store that is down meets as
+// many agents as there are engines.
+constexpr unsigned MostDoublings = 3;
 constexpr double OperatorSpread = 0.4;
 // A version named this much later than the one under way waits for it.
 constexpr Duration SwitchBefore = Milliseconds(1200);
@@ -65,7 +68,10 @@
   TimePoint Now = bootNow();
   OperatorUnderWay_ = false;
   const auto *Rows = std::get_if<StoreRows>(&R);
-  OperatorNotBefore_ = Now + Random_.jitter(OperatorAgain, OperatorSpread);
+  OperatorFailures_ = Rows == nullptr ? OperatorFailures_ + 1 : 0;
+  auto Doubled = std::min(OperatorFailures_, MostDoublings);
+  OperatorNotBefore_ =
+      Now + Random_.jitter(OperatorAgain * (1 << Doubled), OperatorSpread);
   if (Rows == nullptr)
     return;
   if (IsWhole)
--- a/hawthornroad/agent/RowReader.cpp
+++ b/hawthornroad/agent/RowReader.cpp
@@ -121,17 +121,31 @@
   RowCopy &Copy = Copies_[R.Table_];
   bool IsUsable =
       A.tables.size() == 1 && (A.tables[0]->whole || Copy.isListed());
-  if (!IsUsable)
+  if (!IsUsable) {
+    askAnotherNext();
+    if (Copy.isListed())
+      return tell(R);
     return readStore(std::move(R));
+  }
   try {
     Copy.apply(decodeRelayed(*A.tables[0]));
   } catch (const Error &) {
     // Spoilt on the way; the store has the same.
     return readStore(std::move(R));
   }
+  tell(R);
+}
+
+void RowReader::tell(const Read &R) {
+  const RowCopy &Copy = Copies_[R.Table_];
   R.Done_(StoreRows{Copy.since(std::nullopt).Rows_, Copy.version(), false});
 }
 
+void RowReader::askAnotherNext() {
+  if (!Entries_.empty())
+    Entries_.splice(Entries_.end(), Entries_, Entries_.begin());
+}
+
 void RowReader::tick(TimePoint Now) {
   searchOverdue(Now);
   for (auto Each = Reads_.begin(); Each != Reads_.end();) {
@@ -142,9 +156,7 @@
       ++Each;
       continue;
     }
-    // Silent: the others are asked before it from now on.
-    if (!Entries_.empty())
-      Entries_.splice(Entries_.end(), Entries_, Entries_.begin());
+    askAnotherNext();
     Read R = std::move(*Each);
     Each = Reads_.erase(Each);
     readStore(std::move(R));
--- a/hawthornroad/agent/RowReader.h
+++ b/hawthornroad/agent/RowReader.h
@@ -23,7 +23,9 @@
 // What was read of a table is kept, and the next reading asks for what has
 // changed since: while a version is on its way each agent wants the list of
 // endpoints every second, which is 40 KB with 265 of them, a twentieth of a
-// link of 7 Mbit/s.
+// link of 7 Mbit/s. It is also what is told while entries are without the
+// store: then the store is away or will be asked by them, and a call from each
+// agent every second would bring nothing newer.
 
 #ifndef HAWTHORNROAD_AGENT_ROWREADER_H
 #define HAWTHORNROAD_AGENT_ROWREADER_H
@@ -85,6 +87,10 @@
   void onStore(const std::string &Table, const Done &D, const StoreReply &R);
   void askFound(const std::vector<PeerAddress> &Entries);
   void readStore(Read R);
+  // Tells what is kept of the table.
+  void tell(const Read &R);
+  // The entry that was asked gave nothing: others come before it from now on.
+  void askAnotherNext();
 
   Ways Ways_;
   Random Random_;
--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -172,6 +172,8 @@
   TimePoint OperatorNotBefore_{};
   // The configuration is not known, or the origin's address in it may be old.
   bool MustListOperators_ = true;
+  // Readings of that table in a row that failed.
+  unsigned OperatorFailures_ = 0;
   unsigned OriginFailures_ = 0;
   SharedConfig Config_;
   EngineDuty Duty_;
--- a/hawthornroad/entry/ZoneEntries.cpp
+++ b/hawthornroad/entry/ZoneEntries.cpp
@@ -10,8 +10,9 @@
 namespace {
 // This product's own table.
 constexpr std::string_view PresenceTable = "entries";
-// Entries that start with this one have written their rows by then.
-constexpr Duration SecondLook = Milliseconds(1500);
+// Entries that start with this one, within a third of a second, have written
+// their rows by then. Until it has seen them each reads the store itself.
+constexpr Duration SecondLook = Milliseconds(600);
 // With so many before it an entry has a source and another for when that one
 // fails, so it needs no second look: each costs the store a call an entry.
 constexpr std::size_t EnoughBefore = 2;
@@ -19,7 +20,7 @@
 // old costs at most a detour, and a source that fails brings a look at once.
 constexpr Duration LookAgainAfter = Seconds(120);
 constexpr Duration AfterFailure = Milliseconds(1000);
-// Not oftener, whatever happens.
+// Not oftener, whatever fails.
 constexpr Duration LeastPause = Milliseconds(5000);
 } // namespace
 
--- a/hawthornroad/store/TableWatch.cpp
+++ b/hawthornroad/store/TableWatch.cpp
@@ -49,7 +49,8 @@
   A.IsListing_ = Listing_;
   A.FromKey_ = FromKey_;
   A.After_ = After_;
-  A.Wait_ = Listing_ ? Duration::zero() : Options_.Wait_;
+  bool IsHeld = !Listing_ && Failures_ == 0;
+  A.Wait_ = IsHeld ? Options_.Wait_ : Duration::zero();
   A.At_ = std::max(Now, NotBefore_);
   return A;
 }
--- a/tests/unit/RowReaderTest.cpp
+++ b/tests/unit/RowReaderTest.cpp
@@ -169,6 +169,29 @@
   CHECK(Got_.Version_ == 12);
 }
 
+// The store is down for eight seconds while a version is on its way. Each agent
+// wants the list of endpoints every second, its entries are without the store,
+// and 265 agents asked it in vain, at a price, every second.
+TEST_CASE_METHOD(ReaderFixture,
+                 "row reader, while its entry is without the store, tells what "
+                 "it has and asks another entry next",
+                 "[relay]") {
+  R_.entryCame(ProcessName("e1"), 4, Now_);
+  R_.entryCame(ProcessName("e2"), 5, Now_);
+  list();
+  R_.onAnswer(answer(Asked_[0].second));
+  list();
+  wire::RowsAnswerT Away;
+  Away.number = Asked_[1].second;
+  Away.away = true;
+  R_.onAnswer(Away);
+  REQUIRE(Done_ == 2);
+  REQUIRE(Got_.Rows_.size() == 1);
+  REQUIRE(StoreReads_ == 0);
+  list();
+  REQUIRE(Asked_[2].first != Asked_[1].first);
+}
+
 TEST_CASE_METHOD(ReaderFixture,
                  "row reader, told changes of a table that it never read, "
                  "reads the store",
--- a/tests/unit/TableWatchTest.cpp
+++ b/tests/unit/TableWatchTest.cpp
@@ -114,6 +114,23 @@
   REQUIRE(F.W_.failures() == 12);
 }
 
+// The store was away and is back, and nothing has changed. A question that it
+// may hold for three seconds is answered three seconds later: until then the
+// reader counted as without the store, and so did all that ask it.
+TEST_CASE("table watch, after a failure, asks a question that is answered at "
+          "once",
+          "[store]") {
+  WatchFixture F;
+  F.ask();
+  F.rows({row("a", 1)}, 10);
+  REQUIRE(F.ask().Wait_ > Duration::zero());
+  F.W_.onFailure(StoreFailure::Silent, F.Now_);
+  REQUIRE(F.ask().Wait_ == Duration::zero());
+  F.rows({}, 10);
+  REQUIRE(F.W_.provenAt() == F.Now_);
+  REQUIRE(F.ask().Wait_ > Duration::zero());
+}
+
 // The store was away for eight seconds while a long configuration changed four
 // times a second. The feed then told twelve versions of it in full, one after
 // the other: the reader was behind by 3.2 s when it had them.
