--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -101,9 +101,9 @@
   if (!Settings_.Common_.MetricsListen_.empty())
     MetricsAddress_ = MetricsServer_->open(Settings_.Common_.MetricsListen_);
   if (Settings_.AgentPort_ != 0)
-    News_ = std::make_unique<EngineNews>(
+    Notices_ = std::make_unique<EngineNotices>(
         Io_, peerSelf(), std::to_string(Settings_.AgentPort_),
-        [this](const EngineTold &T) { onEngineTold(T); },
+        [this](const EngineUpdate &T) { onEngineUpdate(T); },
         [this](wire::RowsAskT Question, TableRelay::Reply R) {
           Source_->ask(std::move(Question), std::move(R), bootNow());
         },
@@ -182,8 +182,8 @@
   if (Now - SweptAt_ >= SweepPeriod) {
     SweptAt_ = Now;
     Links_.sweep(Now);
-    if (News_)
-      News_->tick(Now);
+    if (Notices_)
+      Notices_->tick(Now);
   }
   bool Ready = isReady(Now);
   if (Ready != WasReady_) {
--- a/hawthornroad/entry/DirectEntryState.h
+++ b/hawthornroad/entry/DirectEntryState.h
@@ -1,7 +1,7 @@
 // The inside of DirectEntry, shared by its parts:
 //
 //   DirectEntry.cpp      its life, readiness, metrics
-//   EntryBeliefs.cpp     what the store and the agents tell
+//   EntryTables.cpp      what the store and the agents tell
 //   EntryCalls.cpp       callers' connections, attempts, their lines in the log
 //
 // Everything runs on one thread, Io_'s.
@@ -10,7 +10,7 @@
 #define HAWTHORNROAD_ENTRY_DIRECTENTRYSTATE_H
 
 #include "hawthornroad/entry/DirectEntry.h"
-#include "hawthornroad/entry/EngineNews.h"
+#include "hawthornroad/entry/EngineNotices.h"
 #include "hawthornroad/entry/TableSource.h"
 #include "hawthornroad/http/LinkPool.h"
 #include "hawthornroad/http/ServerSession.h"
@@ -47,7 +47,7 @@
   void cancelAttempt(AttemptNumber A) override;
   bool askPlace(AttemptNumber A, const std::string &Address,
                 PlaceKind Kind) override {
-    return News_ && News_->askPlace(A, Address, Kind);
+    return Notices_ && Notices_->askPlace(A, Address, Kind);
   }
   void respond(CallNumber N, unsigned Status, const HeaderFields &Fields,
                std::string Body) override;
@@ -71,7 +71,7 @@
   void onOperatorCall(bool Ok);
   void onEndpointCall(bool Ok);
   void takeConfig(const std::string &Text);
-  void onEngineTold(const EngineTold &T);
+  void onEngineUpdate(const EngineUpdate &T);
   void followEngines(TimePoint Now);
   bool isReady(TimePoint Now) const;
   void answerReady(ServerSession &S);
@@ -112,8 +112,8 @@
   std::shared_ptr<HttpListener> Ready_;
   std::shared_ptr<HttpListener> MetricsServer_;
   std::unique_ptr<TableSource> Source_;
-  std::unique_ptr<EngineNews> News_;
-  std::map<std::string, EngineTold> LastTold_;
+  std::unique_ptr<EngineNotices> Notices_;
+  std::map<std::string, EngineUpdate> LastTold_;
   std::unordered_map<CallNumber, std::shared_ptr<ServerSession>> Sessions_;
   std::unordered_map<AttemptNumber, Attempt> Attempts_;
   CallNumber NextCall_ = 1;
--- a/hawthornroad/entry/EngineNews.cpp
+++ b/hawthornroad/entry/EngineNotices.cpp
@@ -1,4 +1,4 @@
-#include "hawthornroad/entry/EngineNews.h"
+#include "hawthornroad/entry/EngineNotices.h"
 
 #include "hawthornroad/runtime/BootClock.h"
 
@@ -16,8 +16,9 @@
 }
 } // namespace
 
-EngineNews::EngineNews(IoThread &Io, PeerNet::Self Self, std::string AgentPort,
-                       Handler H, AskHandler A, PlaceHandler P)
+EngineNotices::EngineNotices(IoThread &Io, PeerNet::Self Self,
+                             std::string AgentPort, Handler H, AskHandler A,
+                             PlaceHandler P)
     : Port_(std::move(AgentPort)), Handler_(std::move(H)),
       AskHandler_(std::move(A)), PlaceHandler_(std::move(P)) {
   PeerNet::Callbacks C;
@@ -43,9 +44,9 @@
   Net_ = std::make_unique<PeerNet>(Io, std::move(Self), limits(), std::move(C));
 }
 
-void EngineNews::onNotice(const PeerContext &From,
-                          const wire::EngineNotice &N) {
-  EngineTold T;
+void EngineNotices::onNotice(const PeerContext &From,
+                             const wire::EngineNotice &N) {
+  EngineUpdate T;
   T.Address_ = N.address()->str();
   T.Phase_ = static_cast<EnginePhase>(N.phase());
   T.Version_ = N.version();
@@ -57,7 +58,7 @@
   Handler_(T);
 }
 
-void EngineNews::onAsk(const PeerContext &From, const wire::Frame &Frame) {
+void EngineNotices::onAsk(const PeerContext &From, const wire::Frame &Frame) {
   wire::FrameT Unpacked;
   Frame.UnPackTo(&Unpacked);
   AskHandler_(std::move(*Unpacked.body.AsRowsAsk()),
@@ -66,8 +67,8 @@
               });
 }
 
-void EngineNews::follow(const std::map<std::string, bool> &Engines,
-                        TimePoint Now) {
+void EngineNotices::follow(const std::map<std::string, bool> &Engines,
+                           TimePoint Now) {
   std::map<std::string, bool> Wanted;
   for (const auto &[Engine, Loads] : Engines)
     Wanted[agentOf(Engine)] = Loads;
@@ -80,14 +81,14 @@
   }
 }
 
-void EngineNews::tick(TimePoint Now) {
+void EngineNotices::tick(TimePoint Now) {
   for (auto &[Address, A] : Agents_)
     if (A.AskAt_ && Now >= *A.AskAt_)
       ask(Address, A);
 }
 
-bool EngineNews::askPlace(AttemptNumber A, const std::string &Engine,
-                          PlaceKind Kind) {
+bool EngineNotices::askPlace(AttemptNumber A, const std::string &Engine,
+                             PlaceKind Kind) {
   std::string Address = agentOf(Engine);
   auto Found = Agents_.find(Address);
   if (Found == Agents_.end() || !Found->second.IsHeard_)
@@ -99,7 +100,7 @@
   return Net_->send(PeerAddress(Address), Lane::Requests, makeFrame(Ask));
 }
 
-void EngineNews::setNewest(const std::string &Model, std::uint64_t Version) {
+void EngineNotices::setNewest(const std::string &Model, std::uint64_t Version) {
   std::uint64_t &Newest = Newest_[Model];
   if (Version <= Newest)
     return;
@@ -108,7 +109,7 @@
     ask(Address, A);
 }
 
-void EngineNews::ask(const std::string &Address, Agent &A) {
+void EngineNotices::ask(const std::string &Address, Agent &A) {
   A.AskAt_.reset();
   wire::EngineWatchT Watch;
   Watch.loads = A.WantsLoads_;
--- a/hawthornroad/entry/EngineNews.h
+++ b/hawthornroad/entry/EngineNotices.h
@@ -1,9 +1,9 @@
 // What agents tell an entry of their engines, as it happens.
 //
-//   EngineNews News(Io, Self, AgentPort, [](const EngineTold &T) {...},
+//   EngineNotices Notices(Io, Self, AgentPort, [](const EngineUpdate &T) {...},
 //                   [](wire::RowsAskT Question, auto Reply) {...});
-//   News.follow({{"10.0.0.7:8601", true}, ...}, Now);  // engines' addresses
-//   News.tick(Now);
+//   Notices.follow({{"10.0.0.7:8601", true}, ...}, Now);  // engines' addresses
+//   Notices.tick(Now);
 //
 // The store's list is a second old and says nothing of a load that is about to
 // begin. An entry that knows sends the engine nothing new in time; one that
@@ -13,8 +13,8 @@
 // entries, and asks on it for what the store said. A lost connection is asked
 // for anew after AskAgain.
 
-#ifndef HAWTHORNROAD_ENTRY_ENGINENEWS_H
-#define HAWTHORNROAD_ENTRY_ENGINENEWS_H
+#ifndef HAWTHORNROAD_ENTRY_ENGINENOTICES_H
+#define HAWTHORNROAD_ENTRY_ENGINENOTICES_H
 
 #include "hawthornroad/peers/PeerNet.h"
 #include "hawthornroad/peers/PeerPace.h"
@@ -28,7 +28,7 @@
 
 namespace hawthornroad {
 
-struct EngineTold {
+struct EngineUpdate {
   std::string Address_;
   EnginePhase Phase_ = EnginePhase::Serving;
   std::uint64_t Version_ = 0;
@@ -36,16 +36,16 @@
   std::optional<EndpointLoad> Load_;
 };
 
-class EngineNews {
+class EngineNotices {
 public:
-  using Handler = std::function<void(const EngineTold &)>;
+  using Handler = std::function<void(const EngineUpdate &)>;
   using AskHandler = std::function<void(
       wire::RowsAskT, std::function<void(FrameBuffer)> Reply)>;
 
   using PlaceHandler = std::function<void(AttemptNumber, const PlaceWord &)>;
 
-  EngineNews(IoThread &Io, PeerNet::Self Self, std::string AgentPort, Handler H,
-             AskHandler A, PlaceHandler P);
+  EngineNotices(IoThread &Io, PeerNet::Self Self, std::string AgentPort,
+                Handler H, AskHandler A, PlaceHandler P);
 
   // Asks the agent of an engine for a place; false when no agent is connected.
   bool askPlace(AttemptNumber A, const std::string &Engine, PlaceKind Kind);
@@ -85,4 +85,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_ENTRY_ENGINENEWS_H
+#endif // HAWTHORNROAD_ENTRY_ENGINENOTICES_H
--- a/hawthornroad/entry/EntryBeliefs.cpp
+++ b/hawthornroad/entry/EntryTables.cpp
@@ -34,8 +34,8 @@
                        .text("model", V->Model_)
                        .count("version", V->Version_),
                    true);
-        if (News_)
-          News_->setNewest(V->Model_, V->Version_);
+        if (Notices_)
+          Notices_->setNewest(V->Model_, V->Version_);
       }
     } catch (const Error &E) {
       // The store takes only valid texts: one that is not is of a later kind.
@@ -122,18 +122,18 @@
 }
 
 void DirectEntry::State::followEngines(TimePoint Now) {
-  if (!News_)
+  if (!Notices_)
     return;
   std::map<std::string, bool> Engines;
   for (const auto &[Id, Each] : Core_.endpoints().all())
     if (Each.Endpoint_.HasModel_)
       Engines[Each.Endpoint_.Address_] =
           Each.Endpoint_.Zone_ == Settings_.Common_.Zone_;
-  News_->follow(Engines, Now);
+  Notices_->follow(Engines, Now);
 }
 
-void DirectEntry::State::onEngineTold(const EngineTold &T) {
-  EngineTold &Last = LastTold_[T.Address_];
+void DirectEntry::State::onEngineUpdate(const EngineUpdate &T) {
+  EngineUpdate &Last = LastTold_[T.Address_];
   bool IsAway = T.Phase_ != EnginePhase::Serving;
   if (Last.Phase_ != T.Phase_ || Last.Version_ != T.Version_)
     Log_.write(LogLine("engine_told")
@@ -141,7 +141,7 @@
                    .flag("away", IsAway)
                    .count("version", T.Version_));
   Last = T;
-  Core_.engineTold(T.Address_, IsAway, T.Version_, T.Load_, bootNow());
+  Core_.engineUpdated(T.Address_, IsAway, T.Version_, T.Load_, bootNow());
 }
 
 void DirectEntry::State::onOperatorCall(bool Ok) {
--- a/hawthornroad/store/SourceChoice.cpp
+++ b/hawthornroad/store/SourceChoice.cpp
@@ -101,7 +101,7 @@
 }
 
 void SourceChoice::tick(TimePoint Now) {
-  if (State_ == State::Seeking && Now - SeeksSince_ >= Options_.SeekPatience_)
+  if (State_ == State::Seeking && Now - SeeksSince_ >= Options_.SeekTimeout_)
     read(Now);
 }
 
--- a/hawthornroad/store/SourceChoice.h
+++ b/hawthornroad/store/SourceChoice.h
@@ -15,7 +15,7 @@
 // only the first one reads the store.
 //
 // States:
-//   Seeking    asks one peer after the other, for SeekPatience at most
+//   Seeking    asks one peer after the other, for SeekTimeout at most
 //   Reading    reads the store itself; tries a peer again now and then
 //   Following  hears from a peer
 //
@@ -29,7 +29,7 @@
 // KB a second over a link between regions fill it, each reading takes seconds,
 // and nobody's knowledge is young any more (seen: 4 s behind for 30 s). So one
 // that reads, and is late all the same, yields: while a peer before it is
-// receiving from the store, it seeks for SeekPatience and leaves it the link.
+// receiving from the store, it seeks for SeekTimeout and leaves it the link.
 //
 // A source that failed is left alone for BadFor, one that is without the store
 // for TryAgain.
@@ -60,7 +60,7 @@
   struct Options {
     // Two reads of a configuration by the first entry of a zone whose processes
     // all start together take 0.4 s over a link between regions (measured).
-    Duration SeekPatience_ = Milliseconds(800);
+    Duration SeekTimeout_ = Milliseconds(800);
     // Two of three VMs at once are seldom in trouble (a third of them are, when
     // a store turns VMs away).
     std::size_t Backups_ = 2;
--- a/hawthornroad/store/TableWatch.h
+++ b/hawthornroad/store/TableWatch.h
@@ -15,8 +15,8 @@
 // answer with rows, or to a call that was not to be held (Wait zero), the next
 // call is sent no sooner than Pace after that one was. A failed call is
 // repeated after RetryMin, doubling to RetryMax, with a random part, so that a
-// store that returns does not meet all readers at the same moment; and it is not
-// held, so that the return is known with the first answer.
+// store that returns does not meet all readers at the same moment; and it is
+// not held, so that the return is known with the first answer.
 //
 // Falling behind. Followed rows come once for each change, listed ones once.
 // Where rows are long and change often, a reader that was away is sent every
--- a/hawthornroad/traffic/Call.h
+++ b/hawthornroad/traffic/Call.h
@@ -36,7 +36,7 @@
   std::string Body_;
   std::string Key_;
   // How long the caller waits; unset when it does not say.
-  std::optional<Duration> Patience_;
+  std::optional<Duration> TimeLeft_;
   // The caller has the events up to this one and wants those after it.
   std::string LastEvent_;
   TokenCount Tokens_;
--- a/hawthornroad/traffic/CallerAge.cpp
+++ b/hawthornroad/traffic/CallerAge.cpp
@@ -5,8 +5,8 @@
 
 namespace hawthornroad {
 
-void CallerAge::learn(Account &A, Duration Patience) {
-  A.Calm_.push_back(Patience);
+void CallerAge::learn(Account &A, Duration TimeLeft) {
+  A.Calm_.push_back(TimeLeft);
   if (A.Calm_.size() > SamplesKept)
     A.Calm_.pop_front();
   if (A.Calm_.size() < SamplesLeast)
@@ -29,18 +29,18 @@
   });
 }
 
-Duration CallerAge::note(const std::string &Route, Duration Patience,
+Duration CallerAge::note(const std::string &Route, Duration TimeLeft,
                          bool IsCalm, TimePoint Now) {
   forgetIdle(Now);
   Account &A = Accounts_[Route];
   A.UsedAt_ = Now;
   if (IsCalm)
-    learn(A, Patience);
-  A.Longest_ = std::max(A.Longest_, Patience);
+    learn(A, TimeLeft);
+  A.Longest_ = std::max(A.Longest_, TimeLeft);
   Duration Least = A.Least_;
   if (Least == Duration::zero())
     Least = std::chrono::duration_cast<Duration>(A.Longest_ * UnlearntLeast);
-  return Patience < Least ? A.Longest_ - Patience : Duration::zero();
+  return TimeLeft < Least ? A.Longest_ - TimeLeft : Duration::zero();
 }
 
 } // namespace hawthornroad
--- a/hawthornroad/traffic/CallerAge.h
+++ b/hawthornroad/traffic/CallerAge.h
@@ -1,7 +1,7 @@
 // How much of a caller's time had gone when its request came here.
 //
 //   CallerAge Ages;
-//   Duration Gone = Ages.note(Route, Patience, IsCalm, Now);
+//   Duration Gone = Ages.note(Route, TimeLeft, IsCalm, Now);
 //
 // Callers name the time they still wait, not the time they have waited. One
 // that was refused comes back with less of it, under a new id and mostly at
@@ -44,7 +44,7 @@
   static constexpr Duration Memory = Seconds(120);
 
   // IsCalm: nobody has been refused lately. Zero for a first request.
-  Duration note(const std::string &Route, Duration Patience, bool IsCalm,
+  Duration note(const std::string &Route, Duration TimeLeft, bool IsCalm,
                 TimePoint Now);
 
 private:
@@ -56,7 +56,7 @@
     Duration Least_ = Duration::zero();
     TimePoint UsedAt_;
   };
-  static void learn(Account &A, Duration Patience);
+  static void learn(Account &A, Duration TimeLeft);
   void forgetIdle(TimePoint Now);
 
   std::map<std::string, Account> Accounts_;
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -37,7 +37,7 @@
   R.Call_ = std::move(C);
   R.Config_ = Config_;
   R.ArrivedAt_ = Now;
-  R.Deadline_ = Now + R.Call_.Patience_.value_or(Options_.DefaultPatience_);
+  R.Deadline_ = Now + R.Call_.TimeLeft_.value_or(Options_.DefaultTimeLeft_);
   bool IsFull = Calls_.size() >= Options_.MaxCalls_;
   Calls_.emplace(N, std::move(Made));
   if (IsFull)
@@ -98,9 +98,9 @@
 }
 
 bool TrafficCore::isLate(Record &R, TimePoint Now) {
-  if (!R.Call_.Patience_ || R.Route_->Goal_ <= Duration::zero())
+  if (!R.Call_.TimeLeft_ || R.Route_->Goal_ <= Duration::zero())
     return false;
-  R.Gone_ = Ages_.note(R.Route_->Name_, *R.Call_.Patience_,
+  R.Gone_ = Ages_.note(R.Route_->Name_, *R.Call_.TimeLeft_,
                        !Lines_[R.Service_].Overload_.isOn(Now), Now);
   return Options_.LateGoBehind_ &&
          R.Gone_ >= R.Route_->Goal_ * Options_.LateShare_;
--- a/hawthornroad/traffic/TrafficAttempts.cpp
+++ b/hawthornroad/traffic/TrafficAttempts.cpp
@@ -117,9 +117,9 @@
     afterFailure(*R, "stream ended early", Now);
     return pumpDue(Now);
   }
-  // The caller has the head of a stream and a part of it: whatever this endpoint
-  // said in place of events cannot follow them, and ended here the answer would
-  // look complete.
+  // The caller has the head of a stream and a part of it: whatever this
+  // endpoint said in place of events cannot follow them, and ended here the
+  // answer would look complete.
   if (R->IsStreaming_ && !R->IsEvents_) {
     endAttempt(*R, Placement::End::Failed, "failed",
                "no events where a stream goes on: status " +
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -88,9 +88,10 @@
   }
 }
 
-void TrafficCore::engineTold(const std::string &Address, bool IsAway,
-                             WeightVersion V, std::optional<EndpointLoad> Load,
-                             TimePoint Now) {
+void TrafficCore::engineUpdated(const std::string &Address, bool IsAway,
+                                WeightVersion V,
+                                std::optional<EndpointLoad> Load,
+                                TimePoint Now) {
   for (const auto &[Id, Each] : Endpoints_.all()) {
     if (Each.Endpoint_.Address_ != Address)
       continue;
@@ -246,7 +247,7 @@
   return std::max(Options_.LineLeast_, Share);
 }
 
-Duration TrafficCore::callerPatience(const Route &R) const {
+Duration TrafficCore::callerTimeout(const Route &R) const {
   constexpr int Goals = 4;
   constexpr int Gaps = 8;
   return std::max({Options_.CallerLeaves_, Duration(Goals * R.Goal_),
@@ -261,8 +262,7 @@
     return afterFailure(R, "old version", Now);
   }
   TimePoint Heard = R.FirstByteAt_ ? R.LastByteAt_ : R.ArrivedAt_;
-  bool HasLeft =
-      R.Route_->IsStream_ && Now - Heard >= callerPatience(*R.Route_);
+  bool HasLeft = R.Route_->IsStream_ && Now - Heard >= callerTimeout(*R.Route_);
   if (Now >= R.Deadline_ || HasLeft) {
     if (R.Attempt_ != 0) {
       Port_.cancelAttempt(R.Attempt_);
@@ -277,7 +277,7 @@
       giveUp(R, Cause::WaitedTooLong, Now);
     return;
   }
-  if (R.Asking_ != 0 && Now - R.AskedAt_ >= Options_.AskPatience_) {
+  if (R.Asking_ != 0 && Now - R.AskedAt_ >= Options_.AskTimeout_) {
     Placement_.setUnasked(R.AskedOf_, Now);
     Placement_.denied(R.AskedOf_, Now);
     endAsk(R, Now);
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -195,9 +195,9 @@
     // new weights fill its link: a question that waits behind them costs its
     // request more than a better choice gains (60 in place of 20 ms: 0.02 of
     // what is owed on calm days).
-    Duration AskPatience_ = Milliseconds(20);
+    Duration AskTimeout_ = Milliseconds(20);
     // Deadline of a caller that names none.
-    Duration DefaultPatience_ = Seconds(30);
+    Duration DefaultTimeLeft_ = Seconds(30);
     // An event stream without a byte for this long, before and after its first
     // event, goes on elsewhere. A loaded engine's pass takes up to a few
     // hundred milliseconds; callers leave a stream after two seconds.
@@ -223,8 +223,8 @@
   EndpointSet &endpoints() { return Endpoints_; }
   void endpointsChanged(TimePoint Now);
   // An agent's word of its engine.
-  void engineTold(const std::string &Address, bool IsAway, WeightVersion V,
-                  std::optional<EndpointLoad> Load, TimePoint Now);
+  void engineUpdated(const std::string &Address, bool IsAway, WeightVersion V,
+                     std::optional<EndpointLoad> Load, TimePoint Now);
   KeyLease &lease() { return Lease_; }
   const Placement &placement() const { return Placement_; }
   // From At on no request is sent to an engine with a version of Model below V;
@@ -289,7 +289,7 @@
   WeightVersion minVersion(const ServiceName &Service, TimePoint Now,
                            bool IsHard = false) const;
   Duration lineLimit(const Route &R) const;
-  Duration callerPatience(const Route &R) const;
+  Duration callerTimeout(const Route &R) const;
   bool waitsAtOldVersion(const Record &R, TimePoint Now) const;
   WeightVersion newestWanted(const ServiceName &Service) const;
   void noteDone(const ServiceName &Service, TimePoint Now);
--- a/hawthornroad/weights/ChunkPlan.cpp
+++ b/hawthornroad/weights/ChunkPlan.cpp
@@ -21,7 +21,7 @@
 ChunkPlan::ChunkPlan(std::size_t Chunks, Limits L, std::uint64_t Seed)
     : Limits_(L), Random_(Seed), Busy_(Chunks) {}
 
-Duration ChunkPlan::patience() const {
+Duration ChunkPlan::timeout() const {
   return std::max(Limits_.Timeout_, Usual_ * LateFactor);
 }
 
@@ -186,7 +186,7 @@
 std::vector<ChunkFetch> ChunkPlan::expire(TimePoint Now) {
   std::vector<ChunkFetch> Out;
   for (const auto &[F, Since] : Requests_)
-    if (Now - Since >= patience())
+    if (Now - Since >= timeout())
       Out.push_back(F);
   for (const ChunkFetch &F : Out)
     finish(F.Chunk_, F.From_, FetchEnd::Lost, Now);
--- a/hawthornroad/weights/ChunkPlan.h
+++ b/hawthornroad/weights/ChunkPlan.h
@@ -98,7 +98,7 @@
                                    const ChunkSet *Mask);
   std::optional<ChunkFetch> askTwice(const HaveExchange &E, TimePoint Now);
   ChunkFetch begin(ChunkIndex Chunk, const Vm &From, TimePoint Now);
-  Duration patience() const;
+  Duration timeout() const;
   std::size_t inFlightLimit() const;
 
   Limits Limits_;
--- a/hawthornroad/weights/ManifestPlan.cpp
+++ b/hawthornroad/weights/ManifestPlan.cpp
@@ -6,7 +6,7 @@
 
 ManifestPlan::ManifestPlan(const VersionDigest &Version, const Vm &Self,
                            std::vector<Vm> Peers, TimePoint Now)
-    : Peers_(std::move(Peers)), OriginAt_(Now + Patience), AskAt_(Now) {
+    : Peers_(std::move(Peers)), OriginAt_(Now + Timeout), AskAt_(Now) {
   std::vector<std::string> All{Self.str()};
   for (const Vm &V : Peers_)
     All.push_back(V.str());
--- a/hawthornroad/weights/ManifestPlan.h
+++ b/hawthornroad/weights/ManifestPlan.h
@@ -7,7 +7,7 @@
 // A manifest of tens of thousands of chunks is a few megabytes; read by each
 // of hundreds of VMs it would be a noticeable share of the origin's link. So
 // only the first Readers VMs of the rendezvous order go to the origin at once;
-// the rest ask random peers, and go to the origin after a patience.
+// the rest ask random peers, and go to the origin after a timeout.
 
 #ifndef HAWTHORNROAD_WEIGHTS_MANIFESTPLAN_H
 #define HAWTHORNROAD_WEIGHTS_MANIFESTPLAN_H
@@ -24,7 +24,7 @@
 public:
   static constexpr std::size_t Readers = 2;
   static constexpr Duration AskPeriod = Milliseconds(200);
-  static constexpr Duration Patience = Seconds(3);
+  static constexpr Duration Timeout = Seconds(3);
   static constexpr Duration OriginPeriod = Seconds(5);
 
   ManifestPlan(const VersionDigest &Version, const Vm &Self,
--- a/hawthornroad/weights/OriginSwarm.cpp
+++ b/hawthornroad/weights/OriginSwarm.cpp
@@ -25,18 +25,18 @@
   // The bound is eight seconds for the whole of it, so what is late is taken
   // over within one.
   Out.WatchOwners_ = true;
-  Out.TimePatience_ = Milliseconds(900);
+  Out.SliceTimeout_ = Milliseconds(900);
   // Two readers behind narrowed links kept a version from a whole fleet for 4 s
   // past its bound; others were through with theirs after two.
   Out.StealAfter_ = Milliseconds(150);
-  Out.ZonePatience_ = Milliseconds(1500);
+  Out.ZoneTimeout_ = Milliseconds(1500);
   Out.Plan_.Timeout_ = Milliseconds(2500);
   // Each piece asked for comes in over the link that brings the engine its
   // requests, and what stands before a request there delays its first byte: a
   // piece takes 27 ms over a narrow link. Two keep it busy. A third only waits
   // behind them, chosen before it was known what is rare by then: a version
-  // took 6% longer to reach 265 VMs, 8% longer 58; one alone leaves the link
-  // idle between two (14% longer; bench/WeightsBench --narrow-origin).
+  // took 8% longer to reach 265 VMs, 9% longer 58; one alone leaves the link
+  // idle between two (15% longer; bench/WeightsBench --narrow-origin).
   Out.Plan_.InFlight_ = 2;
   Out.Plan_.PerPeer_ = 1;
   Out.Plan_.AcrossZones_ = 1;
--- a/hawthornroad/weights/Swarm.cpp
+++ b/hawthornroad/weights/Swarm.cpp
@@ -7,10 +7,10 @@
 namespace {
 // Neighbours watched in return, beside those of the own choice.
 constexpr std::size_t MaxGuests = 10;
-// Later ranks wait no longer than this many patiences.
+// Later ranks wait no longer than this many timeouts.
 constexpr std::size_t MaxRank = 64;
-// With no news of any slice for this many patiences, all count as late.
-constexpr int SilentPatiences = 3;
+// With no news of any slice for this many timeouts, all count as late.
+constexpr int SilentTimeouts = 3;
 // Ranks that claim a slice's grant on time alone: bounds the table's writes
 // under a slow origin. That so many in a row are all cut off is unlikely, and
 // later ranks still step in when the slice is late.
@@ -196,22 +196,22 @@
   Exchange_.onLost(Peer);
 }
 
-Duration Swarm::patience(std::size_t Rank) const {
+Duration Swarm::timeout(std::size_t Rank) const {
   Duration One = Setup_.Preference_ == RolloutPreference::Time
-                     ? Setup_.TimePatience_
-                     : Setup_.OriginBytesPatience_;
+                     ? Setup_.SliceTimeout_
+                     : Setup_.FrugalSliceTimeout_;
   return One * static_cast<Duration::rep>(std::min(Rank, MaxRank));
 }
 
 bool Swarm::isLateInZone(SliceIndex S, TimePoint Now) const {
   auto Rank = static_cast<Duration::rep>(Owners_.zoneRank(S));
-  return Now - ZoneNews_[S] >= Setup_.ZonePatience_ * Rank;
+  return Now - ZoneNews_[S] >= Setup_.ZoneTimeout_ * Rank;
 }
 
 bool Swarm::isLate(SliceIndex S, std::size_t Rank, TimePoint Now) const {
-  if (Now - News_[S] < patience(Rank))
+  if (Now - News_[S] < timeout(Rank))
     return false;
-  if (Now - AnyNews_ >= patience(Rank) * SilentPatiences)
+  if (Now - AnyNews_ >= timeout(Rank) * SilentTimeouts)
     return true;
   return Seen_ - SeenAt_[S] >=
          Rank * Setup_.LagNews_ * static_cast<std::size_t>(SeenAt_.size());
@@ -234,7 +234,7 @@
 
 bool Swarm::mayTakeOver(SliceIndex S, std::size_t Rank, TimePoint Now) const {
   return Rank <= MaxTakers && Budget_.isUnclaimed(S) &&
-         Now - lastSign(S) >= patience(Rank);
+         Now - lastSign(S) >= timeout(Rank);
 }
 
 void Swarm::noteIdle(TimePoint Now) {
@@ -275,7 +275,7 @@
   // A claim won in another's place is used while the other stays silent.
   bool IsReader = Budget_.isReader(Index);
   if (Setup_.WatchOwners_ && Rank > 0)
-    IsReader = IsReader && (Now - lastSign(S) >= patience(Rank) || MaySteal);
+    IsReader = IsReader && (Now - lastSign(S) >= timeout(Rank) || MaySteal);
   if (IsReader || (IsTurn && Budget_.mayRead(Index))) {
     Budget_.spend(Index);
     Plan_.reserve(Index);
--- a/hawthornroad/weights/Swarm.h
+++ b/hawthornroad/weights/Swarm.h
@@ -15,9 +15,9 @@
 //
 // Owners die, stall and are cut off. Nobody can tell this apart from a slow
 // link, so what counts is news: a slice of which nothing new has been seen for
-// a patience is late. When a slice is late in the zone, the next in the zone's
+// a timeout is late. When a slice is late in the zone, the next in the zone's
 // order takes it across zones; when it is late everywhere, the next in the
-// fleet's order reads what is missing, under spare grants. The patience grows
+// fleet's order reads what is missing, under spare grants. The timeout grows
 // with the rank, so that one VM steps in and not all. For the fleet, time alone
 // is no evidence: with a slow origin every slice is silent for long. So a slice
 // must also have fallen behind the others, by LagNews_ chunks each.
@@ -26,7 +26,7 @@
 // slices hold few chunks the others are whole before they are LagNews_ ahead,
 // and a zone cut off from the origin or the table would wait for silence, rank
 // after rank. So the slice's own grant is free to whoever claims it after the
-// patience of its rank, on time alone: if the owner is at work, the claim is
+// timeout of its rank, on time alone: if the owner is at work, the claim is
 // lost and costs one write; if not, the winner reads in the owner's place, and
 // still each chunk once. The holder of the grant reads, whatever its rank.
 //
@@ -113,11 +113,11 @@
     HaveExchange::Limits Exchange_ = {};
     // Time without news after which a slice is late: short when time matters,
     // long when the origin's bytes do.
-    Duration TimePatience_ = Seconds(1);
-    Duration OriginBytesPatience_ = Seconds(4);
+    Duration SliceTimeout_ = Seconds(1);
+    Duration FrugalSliceTimeout_ = Seconds(4);
     // Time without news in the zone after which the next of the zone's order
     // crosses; needless crossing costs messages, not the origin.
-    Duration ZonePatience_ = Seconds(4);
+    Duration ZoneTimeout_ = Seconds(4);
     // Chunks seen of the average other slice since a silent slice's last.
     std::size_t LagNews_ = 3;
     // Pause after the origin could not be reached, and after it sent wrong
@@ -132,7 +132,7 @@
     // There is no ledger: whoever claims a grant gets it, so a claim in
     // another's place needs better evidence than a slice's silence. A slice is
     // taken over only when its owner has shown nothing new of any of its slices
-    // for the patience, counted anew when the origin comes back.
+    // for the timeout, counted anew when the origin comes back.
     bool WatchOwners_ = false;
     // How long a VM has had nothing of its own to read before it reads for the
     // owners that are next to it in the order; twice that for those next to
@@ -194,7 +194,7 @@
   bool maySteal(std::size_t Rank, Duration More, TimePoint Now) const;
   TimePoint lastSign(SliceIndex S) const;
   void noteOriginSeen(TimePoint Now);
-  Duration patience(std::size_t Rank) const;
+  Duration timeout(std::size_t Rank) const;
   void readOrigin(std::vector<SwarmAction> &Out, TimePoint Now);
   // IsOwnersNext: its owner is about to read it, or does.
   bool stepIn(ChunkIndex Index, bool IsOwnersNext,
--- a/tests/unit/PlatformWireTest.cpp
+++ b/tests/unit/PlatformWireTest.cpp
@@ -175,7 +175,7 @@
                {"Content-Length", "4"},
                {"X-Other", "kept"}}));
   REQUIRE(C.Key_ == "secret");
-  REQUIRE(C.Patience_ == Milliseconds(6000));
+  REQUIRE(C.TimeLeft_ == Milliseconds(6000));
   REQUIRE(C.Tokens_ == TokenCount{1460, 80});
   REQUIRE(C.LastEvent_ == "12");
   REQUIRE(C.path() == "/a/b");
--- a/tests/unit/SourceChoiceTest.cpp
+++ b/tests/unit/SourceChoiceTest.cpp
@@ -69,7 +69,7 @@
                  "store after its patience",
                  "[relay]") {
   C_.setPreferred({A}, Now_);
-  pass(O_.SeekPatience_ - Milliseconds(1));
+  pass(O_.SeekTimeout_ - Milliseconds(1));
   REQUIRE_FALSE(C_.readsStore());
   pass(Milliseconds(1));
   REQUIRE(C_.readsStore());
@@ -140,7 +140,7 @@
       REQUIRE(C_.source() == A);
     }
     SECTION("the other does not") {
-      pass(O_.SeekPatience_);
+      pass(O_.SeekTimeout_);
       REQUIRE(C_.readsStore());
     }
   }
--- a/tests/unit/SwarmWithoutLedgerTest.cpp
+++ b/tests/unit/SwarmWithoutLedgerTest.cpp
@@ -22,7 +22,7 @@
   S.Self_ = {Vm(Self), Zone};
   S.OriginCopies_ = 2;
   S.WatchOwners_ = true;
-  S.TimePatience_ = Milliseconds(900);
+  S.SliceTimeout_ = Milliseconds(900);
   S.OriginReads_ = 1;
   return S;
 }
--- a/tests/unit/TrafficCoreTest.cpp
+++ b/tests/unit/TrafficCoreTest.cpp
@@ -152,7 +152,7 @@
                   const std::string &Key = "key",
                   std::optional<Duration> Patience = std::nullopt) {
     Call C;
-    C.Patience_ = Patience;
+    C.TimeLeft_ = Patience;
     C.Id_ = "r" + std::to_string(Next_);
     C.Method_ = "POST";
     C.Host_ = "h";
@@ -516,8 +516,8 @@
   CallNumber Later = F.send("/stream/1", Start + Milliseconds(2100));
   REQUIRE(F.answerOf(Later).Cause_ == Cause::NoEndpoint);
   // An engine that has loaded it serves again at once.
-  F.Core_.engineTold("10.0.1.1:80", false, 2, std::nullopt,
-                     Start + Milliseconds(2200));
+  F.Core_.engineUpdated("10.0.1.1:80", false, 2, std::nullopt,
+                        Start + Milliseconds(2200));
   F.send("/stream/1", Start + Milliseconds(2200));
   REQUIRE(F.Port_.last().Order_.Endpoint_ == EndpointId("m1"));
 }
@@ -547,7 +547,7 @@
   }
   // Two engines with two places each: one place is left at each.
   for (const char *Address : {"10.0.1.0:80", "10.0.1.1:80"})
-    F.Core_.engineTold(Address, false, 1, EndpointLoad{1, 0}, Start);
+    F.Core_.engineUpdated(Address, false, 1, EndpointLoad{1, 0}, Start);
   CallNumber Late = F.send("/stream/1", Start, "key", Seconds(4));
   REQUIRE(F.answerOf(Late).Status_ == 503);
   REQUIRE(F.answerOf(Late).Cause_ == Cause::LineFull);
