--- a/hawthornroad/agent/AgentDigests.cpp
+++ b/hawthornroad/agent/AgentDigests.cpp
@@ -30,8 +30,12 @@
 
 // Digests of a version that this VM has loaded, for one that asks.
 void StoreAgent::State::seekForOthers(TimePoint Now) {
-  if (Current_ && Duty_.isDone() && !Current_->ManifestWaits_.empty())
-    seekDigests(Current_, Now);
+  if (!Current_ || !Duty_.isDone() || Current_->ManifestWaits_.empty())
+    return;
+  // An agent that started beside a loaded engine has not needed them before.
+  if (PeersAt_ == TimePoint())
+    listPeers(Now);
+  seekDigests(Current_, Now);
 }
 
 void StoreAgent::State::seekDigests(const std::shared_ptr<Pursuit> &P,
--- a/hawthornroad/config/BoundReader.cpp
+++ b/hawthornroad/config/BoundReader.cpp
@@ -7,7 +7,7 @@
 namespace hawthornroad {
 
 namespace {
-// The figure at Key; nothing when no bound is set or after a fault.
+// The figure at Key; nothing when there is none or after a fault.
 std::optional<double> figureAt(ObjectReader &R, const std::string &Key) {
   const JsonNode *Found = R.take(Key, false);
   if (Found == nullptr)
@@ -21,8 +21,6 @@
     R.fault(Key, "expected a number from 0, or false for none");
     return std::nullopt;
   }
-  if (Found->Double_ == 0)
-    return std::nullopt;
   return Found->Double_;
 }
 
@@ -42,17 +40,22 @@
   const std::string InSeconds = Name + "_s";
   if (R.has(InMilliseconds) && R.has(InSeconds))
     R.fault(InSeconds, "expected either this member or " + InMilliseconds);
-  auto Short = figureAt(R, InMilliseconds);
-  auto Long = figureAt(R, InSeconds);
-  if (Short)
-    Value = std::max(Least, boundOf(*Short, SecondsInMillisecond));
-  else if (Long)
-    Value = std::max(Least, boundOf(*Long, 1));
+  double Short = figureAt(R, InMilliseconds).value_or(0);
+  double Long = figureAt(R, InSeconds).value_or(0);
+  if (Short > 0)
+    Value = std::max(Least, boundOf(Short, SecondsInMillisecond));
+  else if (Long > 0)
+    Value = std::max(Least, boundOf(Long, 1));
 }
 
 void readFigure(ObjectReader &R, const std::string &Name, double &Value) {
-  if (auto Given = figureAt(R, Name))
-    Value = *Given;
+  Value = figureAt(R, Name).value_or(Value);
+}
+
+void readRate(ObjectReader &R, const std::string &Name, double &Value) {
+  double Given = figureAt(R, Name).value_or(0);
+  if (Given > 0)
+    Value = Given;
 }
 
 } // namespace hawthornroad
--- a/hawthornroad/config/BoundReader.h
+++ b/hawthornroad/config/BoundReader.h
@@ -9,9 +9,10 @@
 // was foreseen, serves nobody, so these readers refuse only what has no
 // meaning: a text, a list, true, a negative number.
 //
-// Absent, false and zero mean that no bound is set; the default stays, which
-// is a working one. A smaller bound than this product can keep is raised to the
-// least one: it is kept as well as it can be.
+// An absent or false figure leaves the default, which is a working one. So does
+// a bound or a rate of zero: it means that none is set. An allowance of zero is
+// meant as it stands. A smaller bound than this product can keep is raised to
+// the least one: it is kept as well as it can be.
 
 #ifndef HAWTHORNROAD_CONFIG_BOUNDREADER_H
 #define HAWTHORNROAD_CONFIG_BOUNDREADER_H
@@ -32,9 +33,12 @@
 void readBound(ObjectReader &R, const std::string &Name, Duration Least,
                Duration &Value);
 
-// Reads a figure without a unit of time, in the unit of Value.
+// Reads an allowance, zero included, in the unit of Value.
 void readFigure(ObjectReader &R, const std::string &Name, double &Value);
 
+// Reads a rate of something that must go on, in the unit of Value.
+void readRate(ObjectReader &R, const std::string &Name, double &Value);
+
 } // namespace hawthornroad
 
 #endif // HAWTHORNROAD_CONFIG_BOUNDREADER_H
--- a/hawthornroad/config/Settings.cpp
+++ b/hawthornroad/config/Settings.cpp
@@ -197,7 +197,7 @@
   S.AgentPort_ = R.integer("agent_port", 0, MaxPort, S.AgentPort_);
   S.PeerListen_ = R.text("peer_listen", "");
   checkAddress(R, "peer_listen", S.PeerListen_, PortRule::AnyPort);
-  readFigure(R, "link_mbps", S.LinkMbps_);
+  readRate(R, "link_mbps", S.LinkMbps_);
   S.Policy_ = readEntryPolicy(R);
   readFigure(R, "repeat_ratio", S.RepeatRatio_);
   readBound(R, "repeat_window", LeastQuickBound, S.RepeatWindow_);
@@ -221,7 +221,7 @@
   readTarget(R, "engine_address", S.EngineAddress_);
   S.Service_ = ServiceName(readName(R, "service"));
   readListen(R, "peer_listen", S.PeerListen_);
-  readFigure(R, "link_mbps", S.LinkMbps_);
+  readRate(R, "link_mbps", S.LinkMbps_);
   S.Policy_ = readAgentPolicy(R);
   return S;
 }
--- a/tests/unit/StoreSettingsTest.cpp
+++ b/tests/unit/StoreSettingsTest.cpp
@@ -183,6 +183,9 @@
   CHECK(entryOf(withBound("retry_slack", "1e12")).RepeatSlack_ == 1e12);
   CHECK(entryOf(withBound("retry_ratio", "3")).RepeatRatio_ == 3);
   CHECK(entryOf(withBound("retry_ratio", "absent")).RepeatRatio_ == 0.2);
+  // Operators who allow no repeats mean none.
+  CHECK(entryOf(withBound("retry_slack", "0")).RepeatSlack_ == 0);
+  CHECK(entryOf(withBound("retry_ratio", "0")).RepeatRatio_ == 0);
 }
 
 TEST_CASE("store settings, both programs, take each figure that the platform "
