--- a/hawthornroad/entry/ZoneEntries.cpp
+++ b/hawthornroad/entry/ZoneEntries.cpp
@@ -10,17 +10,17 @@
 namespace {
 // This product's own table.
 constexpr std::string_view PresenceTable = "entries";
-// Entries that start with this one, within a third of a second, have written
-// their rows by then. Until it has seen them each reads the store itself.
-constexpr Duration SecondLook = Milliseconds(600);
-// With so many before it an entry has a source and another for when that one
-// fails, so it needs no second look: each costs the store a call an entry.
-constexpr std::size_t EnoughBefore = 2;
+// Entries that start with this one have written their rows by then. An entry's
+// place in the whole list decides whether it reads the store when its source
+// fails: entries that know only one or two before them, as a first look shows
+// them, all read at once and keep each other 3 s late.
+constexpr Duration SecondLook = Milliseconds(1500);
 // New entries ask the older ones, not the other way round, so a list that is
-// old costs at most a detour, and a source that fails brings a look at once.
-constexpr Duration LookAgainAfter = Seconds(120);
+// old costs at most a detour. The spread keeps processes that started together
+// apart.
+constexpr Duration LookAgainAfter = Seconds(30);
 constexpr Duration AfterFailure = Milliseconds(1000);
-// Not oftener, whatever fails.
+// Not oftener, whatever happens.
 constexpr Duration LeastPause = Milliseconds(5000);
 } // namespace
 
@@ -117,13 +117,11 @@
 
 void ZoneEntries::onEntries(std::vector<ZoneEntry> All) {
   bool IsFirst = ListedAt_ == TimePoint();
+  ListedAt_ = Clock_();
+  ListAt_ = ListedAt_ + (IsFirst ? SecondLook : LookAgainAfter);
   if (std::find(All.begin(), All.end(), Self_) == All.end())
     write();
-  std::vector<PeerAddress> Before = entriesBefore(Self_, std::move(All));
-  bool LooksTwice = IsFirst && Before.size() < EnoughBefore;
-  ListedAt_ = Clock_();
-  ListAt_ = ListedAt_ + (LooksTwice ? SecondLook : LookAgainAfter);
-  Handler_(std::move(Before));
+  Handler_(entriesBefore(Self_, std::move(All)));
 }
 
 void ZoneEntries::write() {
