--- a/hawthornroad/agent/RowReader.h
+++ b/hawthornroad/agent/RowReader.h
@@ -14,18 +14,18 @@
 // has it anyway, it crosses none, deflated.
 //
 // An entry that is connected is asked first, each agent another one. An agent
-// that has just started is not known to entries yet. Entries come to it within
-// half a second of the store's listing its engine, so it waits EntryWait for
-// one; then it finds their addresses in the store, some hundred bytes. Without
-// the wait a start of everything cost the store a call a VM. One that has been
+// that has just started is not known to entries yet: they come to it after
+// their next reading of the endpoints' list. So it waits EntryWait for one;
+// then it finds their addresses in the store, some hundred bytes. Without the
+// wait a start of everything cost the store a call a VM. One that has been
 // asked has AnswerTimeout.
 //
 // What was read of a table is kept, and the next reading asks for what has
 // changed since: while a version is on its way each agent wants the list of
-// endpoints every second, which is 40 KB with 265 of them, a twentieth of a
-// link of 7 Mbit/s. It is also what is told while entries are without the
-// store: then the store is away or will be asked by them, and a call from each
-// agent every second would bring nothing newer.
+// endpoints every second, which for hundreds of them is some ten kilobytes (an
+// estimate, not measured). It is also what is told while entries are without
+// the store: then the store is away or will be asked by them, and a call from
+// each agent every second would bring nothing newer.
 
 #ifndef HAWTHORNROAD_AGENT_ROWREADER_H
 #define HAWTHORNROAD_AGENT_ROWREADER_H
@@ -59,6 +59,8 @@
   // The entry holds the question for less; the rest is the way of 60 KB over an
   // agent's link.
   static constexpr Duration AnswerTimeout = Milliseconds(600);
+  // Longer than an entry takes between two readings of the endpoints under a
+  // drain bound of 2 s (0.6 s), and short against a start of everything.
   static constexpr Duration EntryWait = Milliseconds(900);
 
   RowReader(Ways W, std::uint64_t Seed) : Ways_(std::move(W)), Random_(Seed) {}
--- a/hawthornroad/staging/LoadTurn.h
+++ b/hawthornroad/staging/LoadTurn.h
@@ -11,9 +11,9 @@
 // turns are spread evenly between the moment at which the first chunks can be
 // whole and the last moment at which a load is through within the bound: an
 // engine is away for 1.5 s, and of n in a zone with 6 s of room a quarter is
-// away at any moment. In five waves of a fifth each it was two fifths where two
-// waves overlapped. After the bound an old engine serves nobody, so waiting
-// longer helps no caller.
+// away at any moment; dealt into five waves, two of which overlap, two fifths
+// would be (both computed). After the bound an old engine serves nobody, so
+// waiting longer helps no caller.
 
 #ifndef HAWTHORNROAD_STAGING_LOADTURN_H
 #define HAWTHORNROAD_STAGING_LOADTURN_H
--- a/tests/unit/RowReaderTest.cpp
+++ b/tests/unit/RowReaderTest.cpp
@@ -123,9 +123,8 @@
   }
 }
 
-// Hundreds of agents start together and entries come to each of them within
-// half a second. Each that looked for an entry in the store at once cost it a
-// call.
+// Hundreds of agents start together and entries come to each of them soon. Each
+// that looked for an entry in the store at once cost it a call.
 TEST_CASE_METHOD(ReaderFixture,
                  "row reader, when an entry comes soon after its start, asks "
                  "it and leaves the store alone",
@@ -144,7 +143,7 @@
 }
 
 // While a version is on its way each of 265 agents wants the list of endpoints
-// every second: 40 KB of rows that are the same as a second ago.
+// every second, and nearly all of its rows are the same as a second ago.
 TEST_CASE_METHOD(ReaderFixture,
                  "row reader, with a table read before, asks for what has "
                  "changed and tells the whole",
--- /dev/null
+++ b/tests/unit/TrafficStreamTest.cpp
@@ -0,0 +1,100 @@
+// What becomes of streams that break, fall silent or go on elsewhere.
+
+#include "tests/unit/TrafficFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hawthornroad;
+using namespace hawthornroad::traffic_test;
+
+// The endpoint of a stream dies half-way. The caller must see every event once,
+// in order, under the head of the first endpoint.
+TEST_CASE(
+    "traffic core, when a stream breaks, goes on elsewhere after the last "
+    "event passed on",
+    "[traffic]") {
+  CoreFixture F;
+  CallNumber N = F.send("/stream/1");
+  AttemptNumber A = F.Port_.last().Attempt_;
+  F.Core_.onHead(A, F.head(N, 200, true), Start);
+  F.Core_.onBody(A, "id: 1\ndata: a\n\nid: 2\nda", Start);
+  F.Core_.onFail(A, false, "reset", Start);
+  REQUIRE(F.Port_.Begun_.size() == 2);
+  REQUIRE(F.Port_.last().Order_.LastEvent_ == "1");
+  A = F.Port_.last().Attempt_;
+  F.Core_.onHead(A, F.head(N, 200, true), Start);
+  F.Core_.onBody(A, "id: 2\ndata: b\n\n", Start);
+  F.Core_.onEnd(A, Start);
+  REQUIRE(F.answerOf(N).Body_ == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  REQUIRE(F.answerOf(N).Finished_);
+  REQUIRE_FALSE(F.answerOf(N).Aborted_);
+}
+
+TEST_CASE(
+    "traffic core, when a stream has used up its endpoints, breaks it off "
+    "and never ends it as complete",
+    "[traffic]") {
+  CoreFixture F;
+  CallNumber N = F.send("/stream/1");
+  for (int I = 0; I < 2; ++I) {
+    AttemptNumber A = F.Port_.last().Attempt_;
+    F.Core_.onHead(A, F.head(N, 200, true), Start);
+    F.Core_.onBody(A, "id: " + std::to_string(I + 1) + "\ndata: a\n\n", Start);
+    F.Core_.onFail(A, false, "reset", Start);
+  }
+  REQUIRE(F.Port_.Begun_.size() == 2);
+  REQUIRE(F.answerOf(N).Aborted_);
+  REQUIRE_FALSE(F.answerOf(N).Finished_);
+}
+
+// A stream breaks half-way and goes on at a second engine, which answers with a
+// failure of its own (its deadline passed in the queue) and no events. The
+// entry ended the caller's answer as complete, with half of the text missing.
+TEST_CASE(
+    "traffic core, when a stream goes on at an endpoint that answers with "
+    "a failure, never ends it as complete",
+    "[traffic]") {
+  unsigned Status = GENERATE(504U, 500U, 200U);
+  CoreFixture F;
+  CallNumber N = F.send("/stream/1");
+  AttemptNumber A = F.Port_.last().Attempt_;
+  F.Core_.onHead(A, F.head(N, 200, true), Start);
+  F.Core_.onBody(A, "id: 1\ndata: a\n\n", Start);
+  F.Core_.onFail(A, false, "reset", Start);
+  A = F.Port_.last().Attempt_;
+  F.Core_.onHead(A, F.head(N, Status), Start);
+  F.Core_.onBody(A, "deadline", Start);
+  F.Core_.onEnd(A, Start);
+  REQUIRE(F.answerOf(N).Body_ == "id: 1\ndata: a\n\n");
+  REQUIRE(F.answerOf(N).Aborted_);
+  REQUIRE_FALSE(F.answerOf(N).Finished_);
+}
+
+TEST_CASE("traffic core, when a stream ends within an event, does not take it "
+          "for whole",
+          "[traffic]") {
+  CoreFixture F;
+  CallNumber N = F.send("/stream/1");
+  AttemptNumber A = F.Port_.last().Attempt_;
+  F.Core_.onHead(A, F.head(N, 200, true), Start);
+  F.Core_.onBody(A, "id: 1\ndata: a\n\nid: 2\nda", Start);
+  F.Core_.onEnd(A, Start);
+  REQUIRE_FALSE(F.answerOf(N).Finished_);
+  REQUIRE(F.Port_.Begun_.size() == 2);
+}
+
+// Some callers cannot be seen to leave: their machine is cut off. They give a
+// stream up after a known pause, so its work is ended then.
+TEST_CASE("traffic core, when a stream has been silent for as long as callers "
+          "wait, ends it",
+          "[traffic]") {
+  CoreFixture F;
+  CallNumber N = F.send("/stream/1");
+  TimePoint Now = Start;
+  while (F.Port_.Answers_.count(N) == 0 && Now < Start + Seconds(6)) {
+    Now += Milliseconds(20);
+    F.Core_.tick(Now);
+  }
+  REQUIRE(Now - Start <= Milliseconds(2420));
+  REQUIRE(F.Core_.open() == 0);
+}
