Late readers of the store leave the link to a source that is receiving

Callers saw: in a region that was cut off for 5 s, entries refused with 404 what a configuration acknowledged 4.2 to 4.5 s before allows (bound 4.0 s).

Cause: all entries of a zone that lost the store read it themselves, and one that is late yields to a peer before it that is receiving. But a source counted as "away" from its failed call until its next whole answer, and "away" came before "receiving". So after a cut nobody yielded: 21 entries read the 300 KB configuration together over the region's link, again for each of the versions that came twice a second.

Why the fix works: bytes of an answer that come in show that the store is reached, so they count before the failed call. The bytes of a refusal do not (ReceiveMonitor). A late reader asks without waiting, which ends its reading sooner; a source that is receiving holds the questions of those that seek.

--- a/hawthornroad/entry/TableRelay.cpp
+++ b/hawthornroad/entry/TableRelay.cpp
@@ -75,7 +75,8 @@
 bool TableRelay::isDue(const Held &H, TimePoint Now) {
   Duration Wait =
       std::min(MaxWait, Duration(Milliseconds(H.Question_.wait_ms)));
-  if (IsAway_ || Now - H.CameAt_ >= Wait)
+  bool IsUnreached = IsAway_ && !IsReceiving_;
+  if (IsUnreached || Now - H.CameAt_ >= Wait)
     return true;
   bool HasNews = false;
   for (const auto &Wanted : H.Question_.tables) {
--- a/hawthornroad/entry/TableSource.cpp
+++ b/hawthornroad/entry/TableSource.cpp
@@ -27,8 +27,6 @@
 // first who can spares the others the reading; no later than MostRank steps.
 constexpr Duration StaleStep = Milliseconds(100);
 constexpr std::size_t MostRank = 4;
-// Bytes came in that long ago at most: more than the pause between two polls.
-constexpr Duration ReceivingFor = Milliseconds(400);
 // This process counts as asked by others for so long after a question.
 constexpr Duration AskedFor = Seconds(3);
 
@@ -147,11 +145,8 @@
 }
 
 void TableSource::watchReceiving(TimePoint Now) {
-  std::uint64_t Bytes = Store_.counters().BytesReceived_;
-  if (Bytes != BytesSeen_)
-    BytesAt_ = Now;
-  BytesSeen_ = Bytes;
-  Relay_.setReceiving(Choice_.readsStore() && Now - BytesAt_ < ReceivingFor);
+  Receiving_.onBytes(Store_.counters().BytesReceived_, Now);
+  Relay_.setReceiving(Choice_.readsStore() && Receiving_.isReceiving(Now));
 }
 
 void TableSource::take(const Table &T, const TableWatch::Update &U) {
@@ -173,6 +168,8 @@
 
 void TableSource::onStoreCall(Table &T, bool Ok, const TableWatch &W) {
   T.IsAway_ = !Ok;
+  if (!Ok)
+    Receiving_.onFailedCall(Store_.counters().BytesReceived_);
   if (auto Proof = W.provenAt(); Ok && Proof)
     prove(T, *Proof);
   Relay_.setAway(std::any_of(Tables_.begin(), Tables_.end(),
@@ -234,12 +231,17 @@
 void TableSource::askSource(TimePoint Now) {
   if (!Net_ || Asked_.Number_ != 0 || Now < AskAt_)
     return;
-  auto To = Choice_.next(greatestAge(Now) <= 1, Now);
+  bool IsFresh = greatestAge(Now) <= 1;
+  auto To = Choice_.next(IsFresh, Now);
   if (!To)
     return;
+  // A late reader takes a part of the link that the source may need, so it asks
+  // for the source's state without waiting.
+  Duration Wait =
+      Choice_.readsStore() && !IsFresh ? Duration::zero() : Duration(AskWait);
   wire::RowsAskT Q;
   Q.number = NextNumber_++;
-  Q.wait_ms = static_cast<std::uint32_t>(AskWait / Milliseconds(1));
+  Q.wait_ms = static_cast<std::uint32_t>(Wait / Milliseconds(1));
   for (const Table &Each : Tables_) {
     const RowCopy &Copy = Relay_.copy(Each.Setup_.Name_);
     auto Wanted = std::make_unique<wire::TableWantedT>();
@@ -305,10 +307,7 @@
     return onSourceLost(From, E.what());
   }
   Question Was = std::exchange(Asked_, Question{});
-  SourceHealth Health = IsFresh                  ? SourceHealth::Fresh
-                        : A.receiving && !A.away ? SourceHealth::Receiving
-                                                 : SourceHealth::Without;
-  Choice_.onAnswer(Was.To_, Health, WasFresh, Now);
+  Choice_.onAnswer(Was.To_, sourceHealth(IsFresh, A.receiving), WasFresh, Now);
   if (IsFresh)
     for (const Table &Each : Tables_)
       Callbacks_.OnCall_(Each.Setup_.Name_, true);
--- a/hawthornroad/entry/TableSource.h
+++ b/hawthornroad/entry/TableSource.h
@@ -23,6 +23,7 @@
 
 #include "hawthornroad/entry/TableRelay.h"
 #include "hawthornroad/entry/ZoneEntries.h"
+#include "hawthornroad/store/ReceiveMonitor.h"
 #include "hawthornroad/store/SourceChoice.h"
 
 #include <array>
@@ -120,9 +121,7 @@
   std::set<PeerAddress> DialAnew_;
   std::string LoggedSource_ = "none";
   bool WasAsked_ = false;
-  // Bytes from the store so far, and when that last grew.
-  std::uint64_t BytesSeen_ = 0;
-  TimePoint BytesAt_{};
+  ReceiveMonitor Receiving_;
 };
 
 } // namespace hawthornroad
--- a/hawthornroad/store/SourceChoice.h
+++ b/hawthornroad/store/SourceChoice.h
@@ -55,6 +55,17 @@
   Without
 };
 
+// IsFresh: all of its tables are young enough and it reaches the store.
+// IsReceiving: bytes of an answer are coming in from the store. After an outage
+// a source counts as away until its first whole answer, which for a long table
+// takes seconds over a full link; receiving comes first, or nobody would leave
+// it the link.
+constexpr SourceHealth sourceHealth(bool IsFresh, bool IsReceiving) {
+  if (IsFresh)
+    return SourceHealth::Fresh;
+  return IsReceiving ? SourceHealth::Receiving : SourceHealth::Without;
+}
+
 class SourceChoice {
 public:
   struct Options {
--- a/tests/unit/SourceChoiceTest.cpp
+++ b/tests/unit/SourceChoiceTest.cpp
@@ -2,7 +2,9 @@
 
 #include "hawthornroad/store/SourceChoice.h"
 #include "hawthornroad/entry/ZoneEntries.h"
+#include "hawthornroad/store/ReceiveMonitor.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <set>
 
@@ -179,6 +181,117 @@
   REQUIRE_FALSE(C_.source());
 }
 
+TEST_CASE("source health, told what a source says of itself, puts receiving "
+          "before being without the store",
+          "[relay]") {
+  REQUIRE(sourceHealth(true, false) == SourceHealth::Fresh);
+  REQUIRE(sourceHealth(true, true) == SourceHealth::Fresh);
+  REQUIRE(sourceHealth(false, true) == SourceHealth::Receiving);
+  REQUIRE(sourceHealth(false, false) == SourceHealth::Without);
+}
+
+// Guards against entries that wait for a source whose store only refuses.
+TEST_CASE("receive monitor, given the bytes of a call that failed, does not "
+          "count as receiving",
+          "[relay]") {
+  ReceiveMonitor M;
+  REQUIRE_FALSE(M.isReceiving(Start));
+  M.onBytes(1000, Start);
+  REQUIRE(M.isReceiving(Start + Milliseconds(399)));
+  REQUIRE_FALSE(M.isReceiving(Start + Milliseconds(400)));
+  M.onBytes(1100, Start + Milliseconds(500));
+  M.onFailedCall(1200);
+  REQUIRE_FALSE(M.isReceiving(Start + Milliseconds(500)));
+  M.onBytes(1200, Start + Milliseconds(520));
+  REQUIRE_FALSE(M.isReceiving(Start + Milliseconds(520)));
+  M.onBytes(1300, Start + Milliseconds(540));
+  REQUIRE(M.isReceiving(Start + Milliseconds(540)));
+}
+
+namespace {
+// A zone whose entries all read one long table from the store, over one link
+// that they share evenly.
+struct ZoneAfterOutage {
+  static constexpr double TableBytes = 300'000;
+  static constexpr double LinkBytesPerMs = 3'900;
+  static constexpr Duration Step = Milliseconds(20);
+  struct Entry {
+    SourceChoice Choice_;
+    double Received_ = 0;
+    bool IsFresh_ = false;
+  };
+  std::vector<PeerAddress> Names_;
+  std::vector<Entry> Entries_;
+  TimePoint Now_ = Start;
+  double Carried_ = 0;
+
+  explicit ZoneAfterOutage(std::size_t Count) {
+    for (std::size_t I = 0; I < Count; ++I) {
+      Names_.push_back(PeerAddress("10.0.0." + std::to_string(I) + ":7700"));
+      Entries_.push_back({SourceChoice(SourceChoice::Options{}, Now_)});
+      Entries_[I].Choice_.setPreferred({Names_.begin(), Names_.begin() + I},
+                                       Now_);
+      Entries_[I].Choice_.onStale(Now_);
+    }
+    // The outage has lasted for longer than any pause between questions.
+    Now_ += Seconds(5);
+  }
+  Entry &named(const PeerAddress &Name) {
+    auto At = std::find(Names_.begin(), Names_.end(), Name);
+    return Entries_[static_cast<std::size_t>(At - Names_.begin())];
+  }
+  void ask(Entry &E) {
+    auto Peer = E.Choice_.next(E.IsFresh_, Now_);
+    if (!Peer)
+      return;
+    const Entry &Of = named(*Peer);
+    bool IsReceiving = Of.Choice_.readsStore() && Of.Received_ > 0;
+    SourceHealth H = sourceHealth(Of.IsFresh_, IsReceiving);
+    E.Choice_.onAnswer(*Peer, H, E.IsFresh_, Now_);
+    E.IsFresh_ |= H == SourceHealth::Fresh;
+  }
+  void read(Entry &E, double Share) {
+    if (!E.Choice_.readsStore())
+      E.Received_ = 0;
+    else if (!E.IsFresh_) {
+      E.Received_ += Share;
+      Carried_ += Share;
+      E.IsFresh_ = E.Received_ >= TableBytes;
+    }
+  }
+  bool isFresh() const {
+    return std::all_of(Entries_.begin(), Entries_.end(),
+                       [](const Entry &E) { return E.IsFresh_; });
+  }
+  void step() {
+    Now_ += Step;
+    auto Readers =
+        std::count_if(Entries_.begin(), Entries_.end(), [](const Entry &E) {
+          return E.Choice_.readsStore() && !E.IsFresh_;
+        });
+    double Share = LinkBytesPerMs * 20 / static_cast<double>(Readers + 1);
+    for (Entry &E : Entries_) {
+      E.Choice_.tick(Now_);
+      read(E, Share);
+      ask(E);
+    }
+  }
+};
+} // namespace
+
+// Guards against a zone whose entries all read the configuration over its link
+// for ten seconds after a cut, and have none in force in time.
+TEST_CASE("source choice, in a zone of twenty after an outage, leaves the link "
+          "to the first and has all of them fresh in half a second",
+          "[relay]") {
+  ZoneAfterOutage Z(20);
+  TimePoint Back = Z.Now_;
+  while (!Z.isFresh() && Z.Now_ < Back + Seconds(10))
+    Z.step();
+  REQUIRE(Z.Now_ - Back <= Milliseconds(500));
+  REQUIRE(Z.Carried_ <= 3 * ZoneAfterOutage::TableBytes);
+}
+
 // Twelve entries of a zone, all fresh, one of them killed now and then: how
 // many read the store. The grounds of "one reader a zone": the reads of the
 // others are what filled the links between regions.
--- a/tests/unit/TableRelayTest.cpp
+++ b/tests/unit/TableRelayTest.cpp
@@ -147,6 +147,38 @@
   REQUIRE(Answers_[0].away);
 }
 
+// Guards against twenty followers that ask a source again and again while it
+// reads its first answer after an outage.
+TEST_CASE_METHOD(
+    RelayFixture,
+    "table relay, without the store but receiving from it, holds a "
+    "question that may wait and says that it is receiving",
+    "[relay]") {
+  R_.setAway(true);
+  R_.setReceiving(true);
+  ask(std::nullopt);
+  REQUIRE(Answers_.empty());
+  SECTION("until the end of the wait") {
+    pass(Milliseconds(700));
+    REQUIRE(Answers_.size() == 1);
+    REQUIRE(Answers_[0].receiving);
+  }
+  SECTION("until it has both tables") {
+    pass(Milliseconds(200));
+    R_.setAway(false);
+    know("op", 5, "a", Now_);
+    know("servers", 6, "b", Now_);
+    REQUIRE(Answers_.size() == 1);
+    REQUIRE_FALSE(Answers_[0].away);
+  }
+  SECTION("until nothing more comes") {
+    R_.setReceiving(false);
+    pass(Milliseconds(100));
+    REQUIRE(Answers_.size() == 1);
+    REQUIRE_FALSE(Answers_[0].receiving);
+  }
+}
+
 TEST_CASE_METHOD(RelayFixture,
                  "table relay, given a long value, sends it deflated and the "
                  "asker has it whole",
