Endpoints whose agents do not answer are left out, but for a probe a second

Cause: a question for a slot that an agent did not answer within 20 ms made its engine one that is chosen without a question for a second, by its last report. Behind a link that chunks fill, that report is two seconds old, so the engine looked empty and was the first choice.

Tests that failed before: "placement, when the agent of an endpoint does not answer...", "traffic core, while one engine's agent does not answer...".

Why the fix works: the agent is behind the same link. After 300 ms without an answer its engine is left out, and with less than a second until the caller leaves at once; each second one request probes it by a question. A prompt answer of the agent, or of the engine itself (the agent may be stopped beside a sound engine), ends that. When most do not answer the fault is this process's, and all stay in.

Ruled out: leaving an engine out from the first question that is 20 ms late.

--- a/hawthornroad/traffic/Placement.cpp
+++ b/hawthornroad/traffic/Placement.cpp
@@ -154,15 +154,24 @@
     return std::nullopt;
   std::vector<const State *> Candidates;
   std::vector<const State *> Ejected;
+  std::vector<const State *> Unresponsive;
   for (const EndpointId &Id : Found->second) {
     const State &S = States_.at(Id);
     if (!isUsable(S, Q))
       continue;
-    (Now < S.EjectedUntil_ ? Ejected : Candidates).push_back(&S);
+    if (Now < S.EjectedUntil_)
+      Ejected.push_back(&S);
+    else if (isUnresponsive(S, Q, Now))
+      Unresponsive.push_back(&S);
+    else
+      Candidates.push_back(&S);
   }
   // When most seem to fail, the fault is not theirs.
-  if (Candidates.size() < Ejected.size())
+  if (Candidates.size() + Unresponsive.size() < Ejected.size())
     Candidates.insert(Candidates.end(), Ejected.begin(), Ejected.end());
+  if (Candidates.size() < Unresponsive.size())
+    Candidates.insert(Candidates.end(), Unresponsive.begin(),
+                      Unresponsive.end());
   double Mean = meanFirstByte(Q.Service_);
   const State *Best = nullptr;
   double BestScore = 0;
@@ -238,6 +247,36 @@
     Found->second.UnaskedUntil_ = Now + Options_.UnaskedFor_;
 }
 
+void Placement::askTimedOut(const EndpointId &Id, TimePoint AskedAt,
+                            TimePoint Now) {
+  auto Found = States_.find(Id);
+  if (Found == States_.end())
+    return;
+  State &S = Found->second;
+  S.UnaskedUntil_ = Now + Options_.UnaskedFor_;
+  if (!S.UnansweredSince_)
+    S.UnansweredSince_ = AskedAt;
+}
+
+void Placement::askAnswered(const EndpointId &Id, Duration Took) {
+  auto Found = States_.find(Id);
+  if (Found == States_.end())
+    return;
+  if (Took < Options_.UnresponsiveAfter_)
+    Found->second.UnansweredSince_.reset();
+  else
+    Found->second.UnaskedUntil_ = TimePoint();
+}
+
+// One that may be probed is not left out: the question decides.
+bool Placement::isUnresponsive(const State &S, const Query &Q,
+                               TimePoint Now) const {
+  if (!S.UnansweredSince_ || (Q.MayAsk_ && mayAsk(S, Now)))
+    return false;
+  return Now - *S.UnansweredSince_ >= Options_.UnresponsiveAfter_ ||
+         Q.TimeLeft_ < Options_.PromptFirstByte_;
+}
+
 bool Placement::mayAsk(const EndpointId &Id, TimePoint Now) const {
   auto Found = States_.find(Id);
   return Found != States_.end() && mayAsk(Found->second, Now);
@@ -249,6 +288,8 @@
     return;
   if (Found->second.OwnUnread_ > 0)
     --Found->second.OwnUnread_;
+  if (Took < Options_.PromptFirstByte_)
+    Found->second.UnansweredSince_.reset();
   double Ms = std::chrono::duration<double, std::milli>(Took).count();
   double &Mean = Found->second.FirstByteMs_;
   Mean = Mean <= 0 ? Ms : Mean + SampleWeight * (Ms - Mean);
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -26,6 +26,12 @@
 // or when the share of failures stands out from the service's. Never more than
 // half of a service's endpoints are left out, for then the fault is elsewhere.
 //
+// An endpoint whose agent has not answered for UnresponsiveAfter is left out as
+// well, until an answer takes less: the link to their VM may be congested, and
+// a request would reach the endpoint after its caller has left (a stale load
+// report makes such an endpoint look empty). Prompt answers of the endpoint
+// itself count as well, since an agent may be stopped beside a sound endpoint.
+//
 // Cost: a pass over the service's endpoints a choice.
 
 #ifndef HAWTHORNROAD_TRAFFIC_PLACEMENT_H
@@ -85,8 +91,15 @@
     // second.
     Duration DeniedFor_ = Milliseconds(50);
     Duration DeniedForEach_ = Milliseconds(5);
-    // How long an agent that did not answer is not asked.
+    // How long an agent that cannot be reached, or did not answer in time, is
+    // not asked. Then the next request probes it.
     Duration UnaskedFor_ = Milliseconds(1000);
+    // Agents that take longer count as unresponsive: a request that takes as
+    // long on its way cannot be answered within a goal of some hundred
+    // milliseconds.
+    Duration UnresponsiveAfter_ = Milliseconds(300);
+    // A first byte within this time shows that the link to an endpoint is free.
+    Duration PromptFirstByte_ = Milliseconds(1000);
     // How long a told load is believed in without further word.
     Duration AwayMost_ = Milliseconds(3500);
   };
@@ -113,6 +126,9 @@
     bool MayAsk_ = false;
     // It leaves KeptFromLate_ of an endpoint's places to others.
     bool IsLate_ = false;
+    // Until its caller leaves. With less than PromptFirstByte_ it goes to no
+    // endpoint whose agent has left a question unanswered.
+    Duration TimeLeft_ = Duration::max();
   };
 
   Placement(Options O, Random R) : Options_(std::move(O)), Random_(R) {}
@@ -138,6 +154,10 @@
   // There is no agent that answers: the endpoint is chosen for a while by what
   // is believed of its load.
   void setUnasked(const EndpointId &Id, TimePoint Now);
+  // Its agent, asked at AskedAt, has not answered within the timeout.
+  void askTimedOut(const EndpointId &Id, TimePoint AskedAt, TimePoint Now);
+  // Its agent answered, in time or late, Took after it was asked.
+  void askAnswered(const EndpointId &Id, Duration Took);
   // Whether its places are asked for.
   bool mayAsk(const EndpointId &Id, TimePoint Now) const;
   // The head of an answer came, Took after its begin.
@@ -184,6 +204,9 @@
     TimePoint AwayUntil_;
     TimePoint DeniedUntil_;
     TimePoint UnaskedUntil_;
+    // When the first question was sent that was not answered in time, of those
+    // since the last prompt answer.
+    std::optional<TimePoint> UnansweredSince_;
     Duration FullFor_ = Duration::zero();
   };
 
@@ -200,6 +223,7 @@
   bool mayAsk(const State &S, TimePoint Now) const {
     return S.Endpoint_.HasModel_ && Now >= S.UnaskedUntil_;
   }
+  bool isUnresponsive(const State &S, const Query &Q, TimePoint Now) const;
   // Whether a request of this kind finds no place there now.
   bool isFull(const State &S, const Query &Q, TimePoint Now) const;
   double meanFailureShare(const ServiceName &Service) const;
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -212,6 +212,7 @@
   Q.MinVersion_ = minVersion(R.Service_, Now);
   Q.IsLate_ = R.IsLate_;
   Q.MayAsk_ = Options_.AsksForPlaces_;
+  Q.TimeLeft_ = callerLeavesAt(R) - Now;
   // With all of them tried, each gets another chance.
   if (!R.Tried_.empty() && Placement_.usable(Q) == 0)
     R.Tried_.clear();
@@ -282,11 +283,19 @@
 }
 
 void TrafficCore::onPlace(AttemptNumber A, const PlaceWord &W, TimePoint Now) {
+  if (auto Late = Unanswered_.find(A); Late != Unanswered_.end()) {
+    const UnansweredAsk &Ask = Late->second;
+    Placement_.askAnswered(Ask.AskedOf_, Now - Ask.AskedAt_);
+    Placement_.heard(Ask.AskedOf_, W.Load_.Running_, W.Load_.Waiting_, Now);
+    Unanswered_.erase(Late);
+    return;
+  }
   auto Found = Asks_.find(A);
   if (Found == Asks_.end())
     return;
   Record &R = *Calls_.at(Found->second);
   endAsk(R, Now);
+  Placement_.askAnswered(R.AskedOf_, Now - R.AskedAt_);
   Placement_.heard(R.AskedOf_, W.Load_.Running_, W.Load_.Waiting_, Now);
   if (W.IsAway_)
     Placement_.setAway(R.AskedOf_, true, Now);
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -11,6 +11,8 @@
 // A stream that goes on holds half an answer: it waits longer for a place than
 // a request that has nothing yet.
 constexpr Duration ResumeWait = Milliseconds(1200);
+// An agent's answer that comes later than this is no longer looked for.
+constexpr Duration LateAnswerMost = Seconds(5);
 
 } // namespace
 
@@ -254,6 +256,13 @@
                    Duration(Gaps * R.GapGoal_)});
 }
 
+TimePoint TrafficCore::callerLeavesAt(const Record &R) const {
+  if (!R.Route_->IsStream_)
+    return R.Deadline_;
+  TimePoint LastByteAt = R.FirstByteAt_ ? R.LastByteAt_ : R.ArrivedAt_;
+  return std::min(R.Deadline_, LastByteAt + callerTimeout(*R.Route_));
+}
+
 void TrafficCore::checkTime(Record &R, TimePoint Now) {
   if (waitsAtOldVersion(R, Now)) {
     Port_.cancelAttempt(R.Attempt_);
@@ -261,9 +270,7 @@
                "waits at an old version", true, Now);
     return afterFailure(R, "old version", Now);
   }
-  TimePoint Heard = R.FirstByteAt_ ? R.LastByteAt_ : R.ArrivedAt_;
-  bool HasLeft = R.Route_->IsStream_ && Now - Heard >= callerTimeout(*R.Route_);
-  if (Now >= R.Deadline_ || HasLeft) {
+  if (Now >= callerLeavesAt(R)) {
     if (R.Attempt_ != 0) {
       Port_.cancelAttempt(R.Attempt_);
       endAttempt(R, Placement::End::Cancelled, "cancelled", "deadline", true,
@@ -278,8 +285,9 @@
     return;
   }
   if (R.Asking_ != 0 && Now - R.AskedAt_ >= Options_.AskTimeout_) {
-    Placement_.setUnasked(R.AskedOf_, Now);
+    Placement_.askTimedOut(R.AskedOf_, R.AskedAt_, Now);
     Placement_.denied(R.AskedOf_, Now);
+    Unanswered_[R.Asking_] = {R.AskedOf_, R.AskedAt_};
     endAsk(R, Now);
     return askElsewhere(R, Now);
   }
@@ -319,6 +327,9 @@
   for (const auto &[Name, L] : Lines_)
     if (!L.Queue_.empty())
       Freed_.insert(Name);
+  std::erase_if(Unanswered_, [&](const auto &Each) {
+    return Now - Each.second.AskedAt_ >= LateAnswerMost;
+  });
   pumpDue(Now);
 }
 
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -290,6 +290,8 @@
                            bool IsHard = false) const;
   Duration lineLimit(const Route &R) const;
   Duration callerTimeout(const Route &R) const;
+  // When R's caller gives up if nothing more reaches it.
+  TimePoint callerLeavesAt(const Record &R) const;
   bool waitsAtOldVersion(const Record &R, TimePoint Now) const;
   WeightVersion newestWanted(const ServiceName &Service) const;
   void noteDone(const ServiceName &Service, TimePoint Now);
@@ -312,6 +314,12 @@
   std::unordered_map<AttemptNumber, CallNumber> ByAttempt_;
   // Questions for places under way.
   std::unordered_map<AttemptNumber, CallNumber> Asks_;
+  // Questions that timed out; an answer shows how long the agent takes.
+  struct UnansweredAsk {
+    EndpointId AskedOf_;
+    TimePoint AskedAt_;
+  };
+  std::unordered_map<AttemptNumber, UnansweredAsk> Unanswered_;
   std::map<ServiceName, Line> Lines_;
   CallerAge Ages_;
   // Services at which a place may have fallen free.
--- a/tests/unit/PlacementTest.cpp
+++ b/tests/unit/PlacementTest.cpp
@@ -227,6 +227,76 @@
   REQUIRE(P.choose(query(), Start));
 }
 
+// Guards against requests that reach an engine behind a congested link after
+// their callers have left: its last report is stale, so it looks empty.
+TEST_CASE(
+    "placement, when the agent of an endpoint does not answer, leaves the "
+    "endpoint out but for a probe a second",
+    "[placement]") {
+  PlacementFixture F(3, 0);
+  Placement P = F.placement();
+  Placement::Query Q = query();
+  Q.MayAsk_ = true;
+  auto Busy = [&](TimePoint Now) {
+    for (unsigned I = 1; I < 3; ++I)
+      P.heard(F.id(I), 12, 0, Now);
+    return Now;
+  };
+  REQUIRE(P.choose(Q, Busy(Start)) == F.id(0));
+  TimePoint TimedOut = Start + Milliseconds(20);
+  P.askTimedOut(F.id(0), Start, TimedOut);
+  // A little late is no reason yet, unless the caller leaves soon.
+  REQUIRE(P.choose(Q, Busy(Start + Milliseconds(299))) == F.id(0));
+  Placement::Query Short = Q;
+  Short.TimeLeft_ = Milliseconds(999);
+  REQUIRE(P.choose(Short, Busy(TimedOut)) != F.id(0));
+  Short.TimeLeft_ = Milliseconds(1000);
+  REQUIRE(P.choose(Short, Busy(TimedOut)) == F.id(0));
+  for (int N = 0; N < 50; ++N)
+    REQUIRE(P.choose(Q, Busy(Start + Milliseconds(300))) != F.id(0));
+  REQUIRE(P.choose(Q, Busy(TimedOut + Milliseconds(999))) != F.id(0));
+  TimePoint Probe = TimedOut + Milliseconds(1000);
+  REQUIRE(P.mayAsk(F.id(0), Probe));
+  REQUIRE(P.choose(Q, Busy(Probe)) == F.id(0));
+  TimePoint After = Busy(Probe + Milliseconds(20));
+  SECTION("the probe is not answered") {
+    P.askTimedOut(F.id(0), Probe, After);
+    REQUIRE(P.choose(Q, After) != F.id(0));
+  }
+  SECTION("the first question is answered after a second") {
+    P.askAnswered(F.id(0), Milliseconds(1100));
+    P.askTimedOut(F.id(0), Probe, After);
+    REQUIRE(P.choose(Q, After) != F.id(0));
+  }
+  SECTION("the probe is answered") {
+    P.askAnswered(F.id(0), Milliseconds(60));
+    P.askTimedOut(F.id(0), Probe, After);
+    REQUIRE(P.choose(Q, After) == F.id(0));
+  }
+  SECTION("the endpoint itself answers promptly") {
+    P.firstByte(F.id(0), Milliseconds(200));
+    P.askTimedOut(F.id(0), Probe, After);
+    REQUIRE(P.choose(Q, After) == F.id(0));
+  }
+}
+
+// Guards against an entry that refuses everything because its own link is slow.
+TEST_CASE("placement, when most agents do not answer, keeps choosing their "
+          "endpoints",
+          "[placement]") {
+  PlacementFixture F(3, 0);
+  Placement P = F.placement();
+  P.heard(F.id(2), 12, 0, Start);
+  P.askTimedOut(F.id(0), Start, Start);
+  P.askTimedOut(F.id(1), Start, Start);
+  std::set<EndpointId> Chosen;
+  for (int N = 0; N < 50; ++N)
+    if (auto Id = P.choose(query(), Start + Milliseconds(500)))
+      Chosen.insert(*Id);
+  REQUIRE(Chosen.contains(F.id(0)));
+  REQUIRE(Chosen.contains(F.id(1)));
+}
+
 TEST_CASE("placement, when an endpoint turns requests away again and again, "
           "waits longer each time",
           "[placement]") {
--- /dev/null
+++ b/tests/unit/TrafficDeadlineTest.cpp
@@ -0,0 +1,54 @@
+// Attempts whose callers would leave before they could be served; no network.
+//
+// Pattern: new weights fill the links of some engines' VMs, or these links are
+// narrowed. A request sent there waits in the link, reaches the engine after
+// its caller has left, and takes a slot for nothing. What an entry can see is
+// that the agent on the VM, behind the same link, does not answer.
+
+#include "tests/unit/TrafficFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hawthornroad;
+using namespace hawthornroad::traffic_test;
+
+namespace {
+const std::string Congested = "10.0.1.0:80";
+
+// Answers each question for a place of the other engine with "full" from Next
+// on, and none of the congested one; returns the next question's index.
+std::size_t denyOthers(CoreFixture &F, std::size_t Next, TimePoint Now) {
+  for (; Next < F.Port_.Asked_.size(); ++Next)
+    if (F.Port_.Asked_[Next].Address_ != Congested)
+      F.Core_.onPlace(F.Port_.Asked_[Next].Attempt_,
+                      {.Load_ = {2, 0}, .Version_ = 1}, Now);
+  return Next;
+}
+} // namespace
+
+// Guards against requests that are sent into a congested link because the
+// engine behind it, of which nothing has come for seconds, looks empty.
+TEST_CASE(
+    "traffic core, while one engine's agent does not answer and the other "
+    "engine is full, sends the first nothing but a question a second",
+    "[traffic]") {
+  CoreFixture F;
+  F.Port_.HasAgents_ = true;
+  std::size_t Next = 0;
+  std::size_t SentEarly = 0;
+  for (TimePoint Now = Start; Now < Start + Seconds(4);
+       Now += Milliseconds(10)) {
+    if ((Now - Start) % Milliseconds(100) == Duration::zero())
+      F.send("/stream/1", Now);
+    Next = denyOthers(F, Next, Now);
+    F.Core_.tick(Now);
+    if (Now == Start + Milliseconds(300))
+      SentEarly = F.Port_.Begun_.size();
+  }
+  REQUIRE(F.Port_.Begun_.size() == SentEarly);
+  std::size_t Probes = 0;
+  for (const FakePort::PlaceAsked &Each : F.Port_.Asked_)
+    Probes += Each.Address_ == Congested ? 1 : 0;
+  REQUIRE(Probes >= 3);
+  REQUIRE(Probes <= 5);
+}
