No attempt begins with less time left than its endpoint takes to the first byte

Callers saw: a request that waits for an engine until they leave, in place of a refusal.

Cause: a further attempt was begun as long as any time was left.

Evidence: the test "traffic core, with less time left than an engine usually takes to answer..." failed before: 4 attempts in place of 3.

Why the fix works: the usual time to the first byte at an endpoint is measured there. With less left (at most 300 ms count, so that a slow endpoint is never shut for good) the request ends at once: 503 with a time to come back if it has not run, 504 if it may have.

--- a/hawthornroad/traffic/Placement.cpp
+++ b/hawthornroad/traffic/Placement.cpp
@@ -295,6 +295,14 @@
   Mean = Mean <= 0 ? Ms : Mean + SampleWeight * (Ms - Mean);
 }
 
+Duration Placement::usualFirstByte(const EndpointId &Id) const {
+  auto Found = States_.find(Id);
+  if (Found == States_.end())
+    return Duration::zero();
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(Found->second.FirstByteMs_));
+}
+
 double Placement::meanFailureShare(const ServiceName &Service) const {
   auto Found = ByService_.find(Service);
   if (Found == ByService_.end() || Found->second.empty())
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -162,6 +162,9 @@
   bool mayAsk(const EndpointId &Id, TimePoint Now) const;
   // The head of an answer came, Took after its begin.
   void firstByte(const EndpointId &Id, Duration Took);
+  // Mean time from the begin of an attempt there to the head of its answer;
+  // zero when none came yet.
+  Duration usualFirstByte(const EndpointId &Id) const;
 
   struct View {
     double Load_ = 0;
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -226,7 +226,14 @@
   return Placement_.choose(Q, Now);
 }
 
-// A request whose repeat is denied is done afterwards.
+bool TrafficCore::isInTime(const Record &R, const Endpoint &E,
+                           TimePoint Now) const {
+  Duration Least =
+      std::min(Placement_.usualFirstByte(E.Id_), Options_.LeastLeftMost_);
+  return callerLeavesAt(R) - Now >= Least;
+}
+
+// A request whose repeat is denied, or that is out of time, is done afterwards.
 bool TrafficCore::tryBegin(Record &R, TimePoint Now) {
   // Endpoints without an agent are found out one by one.
   for (;;) {
@@ -234,6 +241,10 @@
     const Endpoint *E = Chosen ? Placement_.find(*Chosen) : nullptr;
     if (E == nullptr)
       return false;
+    if (!isInTime(R, *E, Now)) {
+      giveUp(R, Cause::DeadlinePassed, Now);
+      return false;
+    }
     if (!Options_.AsksForPlaces_ || !Placement_.mayAsk(*Chosen, Now))
       return begin(R, *E, Now);
     if (R.Asks_ >= Options_.AsksMost_)
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -210,6 +210,10 @@
     // Part of the time a request that may be repeated has, after which a silent
     // endpoint is left.
     double SilenceShare_ = 0.35;
+    // An attempt is not begun when less time is left than its endpoint usually
+    // takes to the first byte, of which at most this counts: it could only
+    // reach the endpoint after its caller has left.
+    Duration LeastLeftMost_ = Milliseconds(300);
   };
 
   TrafficCore(Options O, TrafficPort &Port, Random R);
@@ -292,6 +296,8 @@
   Duration callerTimeout(const Route &R) const;
   // When R's caller gives up if nothing more reaches it.
   TimePoint callerLeavesAt(const Record &R) const;
+  // Whether an attempt that begins at E now could still be of use.
+  bool isInTime(const Record &R, const Endpoint &E, TimePoint Now) const;
   bool waitsAtOldVersion(const Record &R, TimePoint Now) const;
   WeightVersion newestWanted(const ServiceName &Service) const;
   void noteDone(const ServiceName &Service, TimePoint Now);
--- a/tests/unit/TrafficDeadlineTest.cpp
+++ b/tests/unit/TrafficDeadlineTest.cpp
@@ -52,3 +52,41 @@
   REQUIRE(Probes >= 3);
   REQUIRE(Probes <= 5);
 }
+
+// Guards against attempts that begin so late that they reach the engine after
+// their callers have left a stream without a first event.
+TEST_CASE("traffic core, with less time left than an engine usually takes to "
+          "answer, refuses at once in place of another attempt",
+          "[traffic]") {
+  struct Row {
+    std::string Name_;
+    Duration At_;
+    std::size_t Begun_;
+  };
+  // Callers of this route leave after 2.4 s.
+  for (const Row &R : std::vector<Row>{{"time enough", Milliseconds(2100), 4},
+                                       {"too little", Milliseconds(2250), 3}}) {
+    CAPTURE(R.Name_);
+    CoreFixture F;
+    for (int I = 0; I < 2; ++I)
+      F.send("/stream/1");
+    for (CallNumber N = 1; N <= 2; ++N) {
+      AttemptNumber A = F.Port_.Begun_[N - 1].Attempt_;
+      TimePoint Answered = Start + Milliseconds(250);
+      F.Core_.onHead(A, F.head(N, 200, true), Answered);
+      F.Core_.onBody(A, "id: 1\ndata: a\n\n", Answered);
+      F.Core_.onEnd(A, Answered);
+    }
+    TimePoint Sent = Start + Seconds(1);
+    CallNumber N = F.send("/stream/1", Sent);
+    REQUIRE(F.Port_.Begun_.size() == 3);
+    AttemptNumber A = F.Port_.last().Attempt_;
+    F.Core_.onHead(A, F.notRun(), Sent + R.At_);
+    F.Core_.onEnd(A, Sent + R.At_);
+    REQUIRE(F.Port_.Begun_.size() == R.Begun_);
+    if (R.Begun_ > 3)
+      continue;
+    REQUIRE(F.answerOf(N).Status_ == 503);
+    REQUIRE(F.answerOf(N).RetryAfter_ > Duration::zero());
+  }
+}
