Requests tell the age of their configuration, slow calls to the store are logged

Logs could not tell what kept a zone behind: which version a request was decided by was there, but not how old its last proof was, nor from whom a version had come, nor whether a call to the store failed in silence or was slow. Now: the line of a request has config_age_ms, the line of a configuration its source and the age of the proof, a failed or slow call its duration and the bytes received since the table's last call. The histogram hawthornroad_config_age_seconds has the age at decision for each entry.

--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -166,12 +166,17 @@
       .millis("gone_ms", R.Gone_)
       .millis("waited_ms", R.Waited_)
       .millis("whole_ms", R.Whole_);
+  if (R.ConfigAge_)
+    L.millis("config_age_ms", *R.ConfigAge_);
   if (R.FirstByte_)
     L.millis("first_ms", *R.FirstByte_).millis("gap_ms", R.LongestGap_);
   Log_.write(L);
   Metrics_.count("hawthornroad_requests_total",
                  {{"status", std::to_string(R.Status_)},
                   {"cause", std::string(toString(R.Cause_))}});
+  if (R.ConfigAge_)
+    Metrics_.observe("hawthornroad_config_age_seconds",
+                     std::chrono::duration<double>(*R.ConfigAge_).count());
   if (R.FirstByte_)
     Metrics_.observe("hawthornroad_first_byte_seconds",
                      std::chrono::duration<double>(*R.FirstByte_).count(),
--- a/hawthornroad/entry/EntryTables.cpp
+++ b/hawthornroad/entry/EntryTables.cpp
@@ -56,7 +56,10 @@
                  .flag("in_force", Taken)
                  .count("bytes", Text.size())
                  .count("routes", Config->parts().Routes_.size())
-                 .count("customers", Config->parts().Customers_.size()),
+                 .count("customers", Config->parts().Customers_.size())
+                 .text("source", Source_->sourceName())
+                 .millis("proof_age_ms",
+                         Core_.lease().age(bootNow()).value_or(Duration(0))),
              true);
   if (!Taken)
     return;
--- a/hawthornroad/entry/TableSource.cpp
+++ b/hawthornroad/entry/TableSource.cpp
@@ -29,6 +29,9 @@
 constexpr std::size_t MostRank = 4;
 // This process counts as asked by others for so long after a question.
 constexpr Duration AskedFor = Seconds(3);
+// An answer of the store that takes longer, beyond the time for which it may be
+// held, is logged.
+constexpr Duration SlowCall = Milliseconds(300);
 
 std::vector<std::string> namesOf(const TableSource::Setup &S) {
   std::vector<std::string> Out;
@@ -44,7 +47,7 @@
       Callbacks_(std::move(C)), Relay_(namesOf(Setup_)),
       Choice_({}, bootNow()) {
   for (const TableSetup &Each : Setup_.Tables_)
-    Tables_.push_back({Each, nullptr, false});
+    Tables_.push_back({.Setup_ = Each});
   if (Setup_.PeerListen_.empty())
     return;
   PeerNet::Callbacks Net;
@@ -168,6 +171,7 @@
 
 void TableSource::onStoreCall(Table &T, bool Ok, const TableWatch &W) {
   T.IsAway_ = !Ok;
+  logStoreCall(T, Ok, W);
   if (!Ok)
     Receiving_.onFailedCall(Store_.counters().BytesReceived_);
   if (auto Proof = W.provenAt(); Ok && Proof)
@@ -178,11 +182,32 @@
   Relay_.settle(bootNow());
 }
 
+void TableSource::logStoreCall(Table &T, bool Ok, const TableWatch &W) {
+  const TableWatch::Ask &Call = W.current();
+  Duration Took = bootNow() - W.sentAt();
+  std::uint64_t Received = Store_.counters().BytesReceived_;
+  std::uint64_t Before = std::exchange(T.ReceivedBefore_, Received);
+  if (Ok && Took < Call.Wait_ + SlowCall)
+    return;
+  Log_.write(LogLine("store_call")
+                 .text("table", T.Setup_.Name_)
+                 .flag("ok", Ok)
+                 .flag("listing", Call.IsListing_)
+                 .millis("took_ms", Took)
+                 .millis("wait_ms", Call.Wait_)
+                 .count("received_bytes", Received - Before),
+             true);
+}
+
+std::string TableSource::sourceName() const {
+  if (auto Source = Choice_.source())
+    return Source->str();
+  return Choice_.readsStore() ? "store" : "none";
+}
+
 void TableSource::follow(TimePoint Now) {
-  auto Source = Choice_.source();
-  std::string Name = Source                 ? Source->str()
-                     : Choice_.readsStore() ? "store"
-                                            : LoggedSource_;
+  bool IsSeeking = !Choice_.source() && !Choice_.readsStore();
+  std::string Name = IsSeeking ? LoggedSource_ : sourceName();
   if (Name != LoggedSource_) {
     LogLine L("source");
     L.text("source", Name).text("before", LoggedSource_);
--- a/hawthornroad/entry/TableSource.h
+++ b/hawthornroad/entry/TableSource.h
@@ -72,6 +72,8 @@
   void ask(wire::RowsAskT Question, TableRelay::Reply R, TimePoint Now);
   // Whether this entry reads the store itself.
   bool readsStore() const { return Choice_.readsStore(); }
+  // The address of the entry that it follows, "store" or "none"; for the log.
+  std::string sourceName() const;
   std::uint64_t answered() const { return Relay_.answered(); }
 
 private:
@@ -79,9 +81,12 @@
     TableSetup Setup_;
     std::unique_ptr<StoreWatch> Watch_;
     bool IsAway_ = false;
+    // Bytes received from the store, of all tables, up to its last answer.
+    std::uint64_t ReceivedBefore_ = 0;
   };
   std::unique_ptr<StoreWatch> makeWatch(Table &T, std::uint64_t Seed);
   void onStoreCall(Table &T, bool Ok, const TableWatch &W);
+  void logStoreCall(Table &T, bool Ok, const TableWatch &W);
   void onFrame(const PeerContext &From, const wire::Frame &Frame);
   void askSource(TimePoint Now);
   void onAnswer(const PeerAddress &From, const wire::RowsAnswerT &A);
--- a/hawthornroad/store/TableWatch.h
+++ b/hawthornroad/store/TableWatch.h
@@ -94,6 +94,9 @@
   unsigned failures() const { return Failures_; }
   std::optional<TimePoint> provenAt() const { return ProvenAt_; }
   StoreVersion version() const { return After_; }
+  // The last call and when it was sent.
+  const Ask &current() const { return Current_; }
+  TimePoint sentAt() const { return SentAt_; }
 
 private:
   void relist();
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -36,6 +36,7 @@
   R.Number_ = N;
   R.Call_ = std::move(C);
   R.Config_ = Config_;
+  R.ConfigAge_ = Lease_.age(Now);
   R.ArrivedAt_ = Now;
   R.Deadline_ = Now + R.Call_.TimeLeft_.value_or(Options_.DefaultTimeLeft_);
   bool IsFull = Calls_.size() >= Options_.MaxCalls_;
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -198,6 +198,7 @@
   Report.Attempts_ = R.Attempts_;
   Report.LastEndpoint_ = R.At_;
   Report.ConfigVersion_ = R.Config_ ? R.Config_->version() : 0;
+  Report.ConfigAge_ = R.ConfigAge_;
   Report.Events_ = R.Relay_ ? R.Relay_->passed() : 0;
   Report.Waited_ = R.Waited_;
   Report.Gone_ = R.Gone_;
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -90,6 +90,8 @@
   unsigned Attempts_ = 0;
   EndpointId LastEndpoint_;
   std::uint64_t ConfigVersion_ = 0;
+  // Age of the last proof that it was in force, when the request came.
+  std::optional<Duration> ConfigAge_;
   std::uint64_t Events_ = 0;
   Duration Waited_ = Duration::zero();
   // What of the caller's time had gone before it came here, see CallerAge.
--- a/hawthornroad/traffic/TrafficState.h
+++ b/hawthornroad/traffic/TrafficState.h
@@ -33,6 +33,7 @@
   Call Call_;
   // Keeps Route_ alive.
   SharedConfig Config_;
+  std::optional<Duration> ConfigAge_;
   const Route *Route_ = nullptr;
   ServiceName Service_;
   Customer Customer_;
