A reader that pauses ends its call, and the rest of the answer with it

Calls can be cancelled now; the connection is closed. Test: 'calls to one server, cancelled while the answer comes...' (nothing could cancel a call before).

--- a/hawthornroad/http/HttpCalls.cpp
+++ b/hawthornroad/http/HttpCalls.cpp
@@ -11,23 +11,22 @@
 namespace asio = boost::asio;
 
 struct HttpCalls::State : std::enable_shared_from_this<HttpCalls::State> {
-  // One call under way.
+  // One call, waiting or under way.
   struct Call {
-    explicit Call(asio::io_context &Context) : Timer_(Context) {}
+    Call(asio::io_context &Context, HttpMessage M, Duration Limit, Done D)
+        : Timer_(Context), Message_(std::move(M)), Limit_(Limit),
+          Done_(std::move(D)) {}
     asio::steady_timer Timer_;
-    Duration Limit_{};
+    HttpMessage Message_;
+    Duration Limit_;
     TimePoint EndsBy_;
+    // Unset while it waits.
     std::shared_ptr<ClientLink> Link_;
+    // Unset once it has ended.
     Done Done_;
     HttpAnswer Answer_;
   };
 
-  struct Pending {
-    HttpMessage Message_;
-    Duration Limit_;
-    Done Done_;
-  };
-
   State(asio::io_context &Context, std::string Address, Options O)
       : Context_(Context), Address_(std::move(Address)), Options_(O),
         Sweep_(Context) {}
@@ -87,19 +86,37 @@
     if (!Told)
       return;
     --UnderWay_;
-    if (!Waiting_.empty()) {
-      Pending Next = std::move(Waiting_.front());
+    startNext();
+    Told(std::move(R));
+  }
+
+  void cancel(const std::shared_ptr<Call> &C) {
+    if (!std::exchange(C->Done_, nullptr) || !C->Link_)
+      return;
+    C->Timer_.cancel();
+    C->Link_->abandon();
+    --UnderWay_;
+    startNext();
+  }
+
+  void startNext() {
+    while (!Waiting_.empty() && hasRoom()) {
+      std::shared_ptr<Call> Next = std::move(Waiting_.front());
       Waiting_.pop_front();
-      start(Next.Message_, Next.Limit_, std::move(Next.Done_));
+      if (Next->Done_)
+        start(Next);
     }
-    Told(std::move(R));
   }
 
-  void enter(const HttpMessage &M, Duration Limit, Done D) {
-    if (Options_.AtOnce_ != 0 && UnderWay_ >= Options_.AtOnce_)
-      Waiting_.push_back({M, Limit, std::move(D)});
+  bool hasRoom() const {
+    return Options_.AtOnce_ == 0 || UnderWay_ < Options_.AtOnce_;
+  }
+
+  void enter(const std::shared_ptr<Call> &C) {
+    if (hasRoom())
+      start(C);
     else
-      start(M, Limit, std::move(D));
+      Waiting_.push_back(C);
   }
 
   // Gives the call its limit anew, up to the end of the whole.
@@ -119,16 +136,13 @@
     });
   }
 
-  void start(const HttpMessage &M, Duration Limit, Done D) {
+  void start(const std::shared_ptr<Call> &C) {
     ++UnderWay_;
-    auto C = std::make_shared<Call>(Context_);
     C->Link_ = take();
-    C->Done_ = std::move(D);
     auto Self = shared_from_this();
-    C->Limit_ = Limit;
-    C->EndsBy_ = bootNow() + std::max(Limit, Options_.WholeLimit_);
+    C->EndsBy_ = bootNow() + std::max(C->Limit_, Options_.WholeLimit_);
     arm(C);
-    std::string Text = requestText(M, Address_);
+    std::string Text = requestText(C->Message_, Address_);
     ++Counters_.Calls_;
     Counters_.BytesSent_ += Text.size();
     ClientLink::Events E;
@@ -158,7 +172,7 @@
   unsigned Dials_ = 0;
   asio::steady_timer Sweep_;
   bool SweepSet_ = false;
-  std::deque<Pending> Waiting_;
+  std::deque<std::shared_ptr<Call>> Waiting_;
   std::size_t UnderWay_ = 0;
 };
 
@@ -170,8 +184,17 @@
     Each->abandon();
 }
 
-void HttpCalls::call(const HttpMessage &M, Duration Limit, Done D) {
-  State_->enter(M, Limit, std::move(D));
+HttpCalls::Cancel HttpCalls::call(const HttpMessage &M, Duration Limit,
+                                  Done D) {
+  auto C =
+      std::make_shared<State::Call>(State_->Context_, M, Limit, std::move(D));
+  State_->enter(C);
+  return [WeakState = std::weak_ptr(State_), WeakCall = std::weak_ptr(C)] {
+    auto Owner = WeakState.lock();
+    auto Call = WeakCall.lock();
+    if (Owner && Call)
+      Owner->cancel(Call);
+  };
 }
 
 const std::string &HttpCalls::address() const { return State_->Address_; }
--- a/hawthornroad/http/HttpCalls.h
+++ b/hawthornroad/http/HttpCalls.h
@@ -57,13 +57,16 @@
   };
   using Result = std::variant<HttpAnswer, LinkFailure>;
   using Done = std::function<void(Result)>;
+  // Ends a call without a result; no effect once it has ended. Its connection
+  // is closed, so that the rest of a long answer does not take up the link.
+  using Cancel = std::function<void()>;
 
   HttpCalls(boost::asio::io_context &Context, std::string Address, Options O);
   ~HttpCalls();
   HttpCalls(const HttpCalls &) = delete;
   HttpCalls &operator=(const HttpCalls &) = delete;
 
-  void call(const HttpMessage &M, Duration Limit, Done D);
+  Cancel call(const HttpMessage &M, Duration Limit, Done D);
   const std::string &address() const;
   const Counters &counters() const;
 
--- a/hawthornroad/store/StoreClient.cpp
+++ b/hawthornroad/store/StoreClient.cpp
@@ -29,19 +29,20 @@
                          const StoreCodec &Codec)
     : Codec_(Codec), Calls_(Context, std::move(Address), callOptions()) {}
 
-void StoreClient::call(const HttpMessage &M, Duration Limit, Done D) {
-  Calls_.call(M, Limit,
-              [&Codec = Codec_, Failures = Failures_,
-               D = std::move(D)](HttpCalls::Result R) {
-                StoreReply Reply = StoreFailure::Silent;
-                if (const auto *Answer = std::get_if<HttpAnswer>(&R))
-                  Reply = Codec.read(Answer->Status_, Answer->Body_);
-                else if (std::get<LinkFailure>(R).NeverSent_)
-                  Reply = StoreFailure::Refused;
-                if (std::holds_alternative<StoreFailure>(Reply))
-                  ++*Failures;
-                D(std::move(Reply));
-              });
+HttpCalls::Cancel StoreClient::call(const HttpMessage &M, Duration Limit,
+                                    Done D) {
+  return Calls_.call(M, Limit,
+                     [&Codec = Codec_, Failures = Failures_,
+                      D = std::move(D)](HttpCalls::Result R) {
+                       StoreReply Reply = StoreFailure::Silent;
+                       if (const auto *Answer = std::get_if<HttpAnswer>(&R))
+                         Reply = Codec.read(Answer->Status_, Answer->Body_);
+                       else if (std::get<LinkFailure>(R).NeverSent_)
+                         Reply = StoreFailure::Refused;
+                       if (std::holds_alternative<StoreFailure>(Reply))
+                         ++*Failures;
+                       D(std::move(Reply));
+                     });
 }
 
 StoreCounters StoreClient::counters() const {
@@ -49,14 +50,16 @@
   return {C.Calls_, *Failures_, C.BytesSent_, C.BytesReceived_};
 }
 
-void StoreClient::list(const std::string &Table, const std::string &FromKey,
-                       const std::string &ToKey, Done D) {
-  call(Codec_.list(Table, FromKey, ToKey), AnswerLimit, std::move(D));
+HttpCalls::Cancel StoreClient::list(const std::string &Table,
+                                    const std::string &FromKey,
+                                    const std::string &ToKey, Done D) {
+  return call(Codec_.list(Table, FromKey, ToKey), AnswerLimit, std::move(D));
 }
 
-void StoreClient::feed(const std::string &Table, StoreVersion After,
-                       Duration Wait, Done D) {
-  call(Codec_.feed(Table, After, Wait), Wait + AnswerLimit, std::move(D));
+HttpCalls::Cancel StoreClient::feed(const std::string &Table,
+                                    StoreVersion After, Duration Wait, Done D) {
+  return call(Codec_.feed(Table, After, Wait), Wait + AnswerLimit,
+              std::move(D));
 }
 
 void StoreClient::write(const StoreTransaction &T, Done D) {
@@ -90,10 +93,16 @@
       if (Self && Self->Generation_ == Generation)
         Self->take(std::move(R));
     };
-    if (A.IsListing_)
-      Store_.list(Table_, A.FromKey_, "", OnReply);
-    else
-      Store_.feed(Table_, A.After_, A.Wait_, OnReply);
+    Cancel_ = A.IsListing_ ? Store_.list(Table_, A.FromKey_, "", OnReply)
+                           : Store_.feed(Table_, A.After_, A.Wait_, OnReply);
+  }
+
+  // The call under way no longer counts, nor does it go on.
+  void leaveCall() {
+    ++Generation_;
+    Timer_.cancel();
+    if (auto Cancel = std::exchange(Cancel_, nullptr))
+      Cancel();
   }
 
   void take(StoreReply R) {
@@ -122,6 +131,7 @@
   std::function<TimePoint()> Clock_;
   Callbacks Callbacks_;
   asio::steady_timer Timer_;
+  HttpCalls::Cancel Cancel_;
   // Counts starts and pauses: answers to calls before the last one are ignored.
   unsigned Generation_ = 0;
   bool IsPaused_ = true;
@@ -137,15 +147,13 @@
 
 void StoreWatch::start() {
   State_->IsPaused_ = false;
-  ++State_->Generation_;
-  State_->Timer_.cancel();
+  State_->leaveCall();
   State_->step();
 }
 
 void StoreWatch::pause() {
   State_->IsPaused_ = true;
-  ++State_->Generation_;
-  State_->Timer_.cancel();
+  State_->leaveCall();
 }
 
 void StoreWatch::resume(StoreVersion V) {
--- a/hawthornroad/store/StoreClient.h
+++ b/hawthornroad/store/StoreClient.h
@@ -55,16 +55,16 @@
   StoreClient(boost::asio::io_context &Context, std::string Address,
               const StoreCodec &Codec);
 
-  void list(const std::string &Table, const std::string &FromKey,
-            const std::string &ToKey, Done D);
-  void feed(const std::string &Table, StoreVersion After, Duration Wait,
-            Done D);
+  HttpCalls::Cancel list(const std::string &Table, const std::string &FromKey,
+                         const std::string &ToKey, Done D);
+  HttpCalls::Cancel feed(const std::string &Table, StoreVersion After,
+                         Duration Wait, Done D);
   void write(const StoreTransaction &T, Done D);
 
   StoreCounters counters() const;
 
 private:
-  void call(const HttpMessage &M, Duration Limit, Done D);
+  HttpCalls::Cancel call(const HttpMessage &M, Duration Limit, Done D);
 
   const StoreCodec &Codec_;
   HttpCalls Calls_;
@@ -86,8 +86,7 @@
   ~StoreWatch();
 
   void start();
-  // Asks no more, and an answer under way no longer counts, until start() or
-  // resume(). The store is not told: a held call ends by itself.
+  // Asks no more until start() or resume(), and cancels the call under way.
   void pause();
   // Goes on from what another process told; whoever knows nothing start()s.
   void resume(StoreVersion V);
--- a/tests/unit/HttpCallsTest.cpp
+++ b/tests/unit/HttpCallsTest.cpp
@@ -4,6 +4,7 @@
 #include "hawthornroad/runtime/Io.h"
 #include "tests/unit/RawSocket.h"
 
+#include <atomic>
 #include <future>
 #include <thread>
 
@@ -74,3 +75,47 @@
       REQUIRE(Whole->Body_ == std::string(Pieces, 'x'));
   }
 }
+
+// Guards against long answers that nobody waits for any more and that fill the
+// link: the server must see its connection end.
+TEST_CASE("calls to one server, cancelled while the answer comes, close the "
+          "connection and give no result",
+          "[http]") {
+  std::uint16_t Port = 0;
+  RawSocket Listener = RawSocket::listenAt(Port);
+  IoThread Io("test", 64);
+  HttpCalls Calls(Io.context(), "127.0.0.1:" + std::to_string(Port), {});
+  std::promise<void> Begun;
+  std::promise<bool> SawEnd;
+  std::thread Server([&] {
+    RawSocket S = Listener.accept();
+    S.readUntil("\r\n\r\n");
+    S.send("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nx");
+    Begun.set_value();
+    SawEnd.set_value(S.readUntil("never").empty());
+  });
+  std::atomic<bool> HasResult{false};
+  HttpCalls::Cancel Cancel;
+  Io.submit([&] {
+    HttpMessage M;
+    M.Method_ = "GET";
+    M.Target_ = "/";
+    Cancel = Calls.call(M, Patience,
+                        [&](const HttpCalls::Result &) { HasResult = true; });
+  });
+  Begun.get_future().wait();
+  std::promise<void> Done;
+  Io.submit([&] {
+    Cancel();
+    Cancel();
+    Done.set_value();
+  });
+  Done.get_future().wait();
+  auto End = SawEnd.get_future();
+  // The socket's own limit on reading is longer than this.
+  REQUIRE(End.wait_for(std::chrono::seconds(2)) == std::future_status::ready);
+  REQUIRE(End.get());
+  Server.join();
+  Io.stop();
+  REQUIRE_FALSE(HasResult);
+}
