No request is decided by a configuration that is older than its bound

Callers saw: 404 for routes that had been added, runs at services that a route no longer named, up to 10 s after a change was acknowledged (bound 3 s), by entries that reached the store all the while.

Cause: an entry used its configuration whatever the age of the last proof of it.

Change: ConfigFence. While the store is reached and there has been no proof within the bound, less what a request may take on its way, requests are refused with 503 (not run) and a time to come back, and the entry is not ready. An entry that reaches nobody goes on: a zone that is cut off serves. Once the store is reached again it has as long as a change may take, once and not for each answer that gets through. 401 and 404 need a good proof in any case.

Tests, each failing before for want of any such check: 'config fence...' (50 seeds of random delays between two outages), 'traffic core, behind the configuration in force...'.

Ruled out: refusing by the age alone. It would stop each zone that is cut off, and all of them while the store is away.

--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -48,6 +48,14 @@
 constexpr double SlackPart = 1.0 / 20;
 constexpr double MostSlack = 5;
 
+// What a request may take from its sending until it is decided, at an entry
+// that has a quarter of a processor: part of the bound on configurations.
+constexpr double ConfigMarginShare = 0.2;
+
+Duration part(Duration Whole, double Share) {
+  return std::chrono::duration_cast<Duration>(Whole * Share);
+}
+
 TrafficCore::Options coreOptions(const StoreEntrySettings &S) {
   TrafficCore::Options O;
   O.Placement_.Zone_ = S.Common_.Zone_;
@@ -56,6 +64,8 @@
   double Slack = S.RepeatSlack_ * SlackPart;
   O.Budget_.AlwaysAllowed_ = static_cast<unsigned>(std::min(MostSlack, Slack));
   O.RevokeBound_ = S.Common_.RevokeBound_;
+  O.Fence_.Bound_ = S.Common_.ApplyBound_;
+  O.Fence_.Margin_ = part(S.Common_.ApplyBound_, ConfigMarginShare);
   const EntryPolicy &P = S.Policy_;
   O.FairByCustomer_ = P.FairByCustomer_;
   O.LateGoBehind_ = P.LateGoBehind_;
@@ -69,10 +79,6 @@
   O.Placement_.KeptFromLate_ = P.KeptFromLate_;
   return O;
 }
-
-Duration part(Duration Whole, double Share) {
-  return std::chrono::duration_cast<Duration>(Whole * Share);
-}
 } // namespace
 
 DirectEntry::State::State(StoreEntrySettings Settings)
@@ -160,8 +166,9 @@
   };
   C.OnProof_ = [this](const std::string &Table, TimePoint AsOf) {
     if (Table == platform::OperatorTable)
-      Core_.lease().prove(AsOf);
+      Core_.prove(AsOf, bootNow());
   };
+  C.OnReached_ = [this](TimePoint Now) { Core_.reached(Now); };
   C.OnCall_ = [this](const std::string &Table, bool Ok) {
     Table == platform::OperatorTable ? onOperatorCall(Ok) : onEndpointCall(Ok);
   };
@@ -188,11 +195,12 @@
   bool Ready = isReady(Now);
   if (Ready != WasReady_) {
     WasReady_ = Ready;
-    auto Age = Core_.lease().age(Now);
+    auto Age = Core_.fence().age(Now);
     Log_.write(LogLine(Ready ? "ready" : "not_ready")
                    .flag("config", Core_.config() != nullptr)
                    .flag("endpoints", EndpointsListed_)
                    .flag("stopping", Stopping_.load())
+                   .text("fence", toString(Core_.fence().state(Now)))
                    .millis("lease_age_ms", Age.value_or(Duration::zero())),
                true);
   }
@@ -204,9 +212,10 @@
 bool DirectEntry::State::isReady(TimePoint Now) const {
   if (Stopping_.load() || !Core_.config() || !EndpointsListed_)
     return false;
-  auto Age = const_cast<TrafficCore &>(Core_).lease().age(Now);
-  return Age && *Age < std::chrono::duration_cast<Duration>(
-                           Settings_.Common_.RevokeBound_ * ReadyShare);
+  auto Age = Core_.fence().age(Now);
+  return Age && Core_.fence().permits(Now) &&
+         *Age < std::chrono::duration_cast<Duration>(
+                    Settings_.Common_.RevokeBound_ * ReadyShare);
 }
 
 void DirectEntry::State::answerReady(ServerSession &S) {
--- a/hawthornroad/entry/EntryTables.cpp
+++ b/hawthornroad/entry/EntryTables.cpp
@@ -59,7 +59,7 @@
                  .count("customers", Config->parts().Customers_.size())
                  .text("source", Source_->sourceName())
                  .millis("proof_age_ms",
-                         Core_.lease().age(bootNow()).value_or(Duration(0))),
+                         Core_.fence().age(bootNow()).value_or(Duration(0))),
              true);
   if (!Taken)
     return;
--- a/hawthornroad/entry/TableSource.cpp
+++ b/hawthornroad/entry/TableSource.cpp
@@ -148,7 +148,8 @@
 }
 
 void TableSource::watchReceiving(TimePoint Now) {
-  Receiving_.onBytes(Store_.counters().BytesReceived_, Now);
+  if (Receiving_.onBytes(Store_.counters().BytesReceived_, Now))
+    Callbacks_.OnReached_(Now);
   Relay_.setReceiving(Choice_.readsStore() && Receiving_.isReceiving(Now));
 }
 
@@ -174,6 +175,8 @@
   logStoreCall(T, Ok, W);
   if (!Ok)
     Receiving_.onFailedCall(Store_.counters().BytesReceived_);
+  if (Ok)
+    Callbacks_.OnReached_(bootNow());
   if (auto Proof = W.provenAt(); Ok && Proof)
     prove(T, *Proof);
   Relay_.setAway(std::any_of(Tables_.begin(), Tables_.end(),
@@ -316,6 +319,8 @@
     return;
   TimePoint Now = bootNow();
   AskAt_ = Now + AskPace;
+  if (!A.away || A.receiving)
+    Callbacks_.OnReached_(Now);
   bool IsFresh = !A.away;
   bool WasFresh = greatestAge(Now) <= 1;
   try {
--- a/hawthornroad/entry/TableSource.h
+++ b/hawthornroad/entry/TableSource.h
@@ -58,6 +58,8 @@
         OnRows_;
     // All that the store had acknowledged by AsOf is known.
     std::function<void(const std::string &Table, TimePoint AsOf)> OnProof_;
+    // The store answers, or bytes of its answer come in, or the source says so.
+    std::function<void(TimePoint Now)> OnReached_;
     // Whether the store was reached, by oneself or by the source.
     std::function<void(const std::string &Table, bool Ok)> OnCall_;
   };
--- a/hawthornroad/store/ReceiveMonitor.h
+++ b/hawthornroad/store/ReceiveMonitor.h
@@ -23,11 +23,13 @@
   // Longer than the pause between two polls of the store.
   static constexpr Duration ReceivingFor = Milliseconds(400);
 
-  // Total: all bytes ever received.
-  void onBytes(std::uint64_t Total, TimePoint Now) {
-    if (Total != Total_)
-      LastAt_ = Now;
+  // Total: all bytes ever received. Whether some have come since the last time.
+  bool onBytes(std::uint64_t Total, TimePoint Now) {
+    if (Total == Total_)
+      return false;
+    LastAt_ = Now;
     Total_ = Total;
+    return true;
   }
   void onFailedCall(std::uint64_t Total) {
     Total_ = Total;
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -36,7 +36,7 @@
   R.Number_ = N;
   R.Call_ = std::move(C);
   R.Config_ = Config_;
-  R.ConfigAge_ = Lease_.age(Now);
+  R.ConfigAge_ = Fence_.age(Now);
   R.ArrivedAt_ = Now;
   R.Deadline_ = Now + R.Call_.TimeLeft_.value_or(Options_.DefaultTimeLeft_);
   bool IsFull = Calls_.size() >= Options_.MaxCalls_;
@@ -60,10 +60,14 @@
            Now);
     return false;
   }
+  if (!Fence_.permits(Now)) {
+    refuse(R, status::Unavailable, Cause::ConfigBehind, ReturnElsewhere, Now);
+    return false;
+  }
   const RoutingConfig &Config = *R.Config_;
   R.Route_ = Config.match(R.Call_.Host_, R.Call_.path());
   if (R.Route_ == nullptr) {
-    refuse(R, status::NotFound, Cause::NoRoute, Duration::zero(), Now);
+    deny(R, status::NotFound, Cause::NoRoute, Now);
     return false;
   }
   R.Rank_ = R.Route_->Rank_;
@@ -77,7 +81,7 @@
       return false;
     }
     if (!R.Route_->IsPublic_ && Who == nullptr) {
-      refuse(R, status::Unauthorized, Cause::NoKey, Duration::zero(), Now);
+      deny(R, status::Unauthorized, Cause::NoKey, Now);
       return false;
     }
     if (Who != nullptr) {
@@ -98,6 +102,12 @@
   return true;
 }
 
+void TrafficCore::deny(Record &R, unsigned Status, Cause Why, TimePoint Now) {
+  if (Fence_.permitsDenial(Now))
+    return refuse(R, Status, Why, Duration::zero(), Now);
+  refuse(R, status::Unavailable, Cause::ConfigBehind, ReturnElsewhere, Now);
+}
+
 bool TrafficCore::isLate(Record &R, TimePoint Now) {
   if (!R.Call_.TimeLeft_ || R.Route_->Goal_ <= Duration::zero())
     return false;
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -22,6 +22,8 @@
     return "none";
   case Cause::NoConfiguration:
     return "no_configuration";
+  case Cause::ConfigBehind:
+    return "config_behind";
   case Cause::NoRoute:
     return "no_route";
   case Cause::NoKey:
@@ -51,7 +53,7 @@
 TrafficCore::TrafficCore(Options O, TrafficPort &Port, Random R)
     : Options_(O), Port_(Port), Random_(R),
       Placement_(O.Placement_, Random(Random_.next())), Budget_(O.Budget_),
-      Lease_(O.RevokeBound_, O.RevokeMargin_) {}
+      Lease_(O.RevokeBound_, O.RevokeMargin_), Fence_(O.Fence_) {}
 
 TrafficCore::~TrafficCore() = default;
 
@@ -63,6 +65,11 @@
   return true;
 }
 
+void TrafficCore::prove(TimePoint AsOf, TimePoint Now) {
+  Lease_.prove(AsOf);
+  Fence_.prove(AsOf, Now);
+}
+
 void TrafficCore::endpointsChanged(TimePoint Now) {
   if (!Config_)
     return;
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -44,6 +44,7 @@
 #include "hawthornroad/staging/PlaceGrants.h"
 #include "hawthornroad/traffic/Call.h"
 #include "hawthornroad/traffic/CallerAge.h"
+#include "hawthornroad/traffic/ConfigFence.h"
 #include "hawthornroad/traffic/EventRelay.h"
 #include "hawthornroad/traffic/KeyLease.h"
 #include "hawthornroad/traffic/Placement.h"
@@ -63,6 +64,7 @@
 enum class Cause {
   None,
   NoConfiguration,
+  ConfigBehind,
   NoRoute,
   NoKey,
   KeyLeaseOver,
@@ -170,6 +172,8 @@
     // Acceptance of keys: see KeyLease.
     Duration RevokeBound_ = Seconds(5);
     Duration RevokeMargin_ = Milliseconds(700);
+    // Decisions by the configuration: see ConfigFence.
+    ConfigFence::Options Fence_;
     std::size_t MaxCalls_ = 2000;
     // Part of the goal a request may spend in line. A place falls free about
     // every tenth of a second for each entry, so this is long enough to take
@@ -231,7 +235,12 @@
   // An agent's word of its engine.
   void engineUpdated(const std::string &Address, bool IsAway, WeightVersion V,
                      std::optional<EndpointLoad> Load, TimePoint Now);
+  // All that the store had accepted as of AsOf is known.
+  void prove(TimePoint AsOf, TimePoint Now);
+  // The store answers, or the entry that reads it for this one.
+  void reached(TimePoint Now) { Fence_.reached(Now); }
   KeyLease &lease() { return Lease_; }
+  const ConfigFence &fence() const { return Fence_; }
   const Placement &placement() const { return Placement_; }
   // From At on no request is sent to an engine with a version of Model below V;
   // one that waits at such an engine at Hard is taken back. True when V is
@@ -261,6 +270,8 @@
   Record *find(AttemptNumber A);
   // Why a call cannot be taken at all; sets route and customer otherwise.
   bool classify(Record &R, TimePoint Now);
+  // Refuses what is not declared.
+  void deny(Record &R, unsigned Status, Cause Why, TimePoint Now);
   // Whether the caller's goal is out of reach already.
   bool isLate(Record &R, TimePoint Now);
   void place(Record &R, TimePoint Now);
@@ -312,6 +323,7 @@
   Placement Placement_;
   RepeatBudget Budget_;
   KeyLease Lease_;
+  ConfigFence Fence_;
   // By model: from when on which version is the least.
   struct VersionDuty {
     TimePoint At_;
--- /dev/null
+++ b/tests/unit/ConfigFenceTest.cpp
@@ -0,0 +1,176 @@
+// Whether requests are decided by a configuration that may no longer be in
+// force, whatever has made it late.
+
+#include "hawthornroad/traffic/ConfigFence.h"
+
+#include "hawthornroad/base/Random.h"
+#include "tests/unit/TrafficFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hawthornroad;
+using namespace hawthornroad::traffic_test;
+
+namespace {
+using State = ConfigFence::State;
+
+struct FenceFixture {
+  ConfigFence::Options O_{.Bound_ = Seconds(3),
+                          .Margin_ = Milliseconds(600),
+                          .Silence_ = Milliseconds(1000)};
+  Duration Good_ = O_.Bound_ - O_.Margin_;
+  ConfigFence Fence_{O_};
+
+  FenceFixture() { Fence_.prove(Start, Start); }
+  void reachedAt(std::initializer_list<int> Ms) {
+    for (int Each : Ms)
+      Fence_.reached(Start + Milliseconds(Each));
+  }
+  State at(int Ms) const { return Fence_.state(Start + Milliseconds(Ms)); }
+};
+} // namespace
+
+TEST_CASE_METHOD(FenceFixture,
+                 "config fence, with a proof younger than the bound, permits "
+                 "everything",
+                 "[traffic]") {
+  REQUIRE(at(2399) == State::Current);
+  REQUIRE(Fence_.permitsDenial(Start + Milliseconds(2399)));
+  REQUIRE(Fence_.age(Start + Seconds(1)) == Duration(Seconds(1)));
+}
+
+// Guards against decisions by an old configuration while the store is reached.
+TEST_CASE_METHOD(FenceFixture,
+                 "config fence, reached but without a proof within the bound, "
+                 "permits nothing until there is one",
+                 "[traffic]") {
+  reachedAt({500, 1000, 1500, 2000, 2300});
+  REQUIRE(at(2400) == State::Behind);
+  reachedAt({2500});
+  REQUIRE(at(2501) == State::Behind);
+  SECTION("a proof that is too old as well changes nothing") {
+    Fence_.prove(Start + Milliseconds(100), Start + Milliseconds(2600));
+    REQUIRE(at(2600) == State::Behind);
+  }
+  SECTION("a good one ends it") {
+    Fence_.prove(Start + Milliseconds(2550), Start + Milliseconds(2600));
+    REQUIRE(at(2600) == State::Current);
+    REQUIRE(at(2550 + 2399) == State::Current);
+    REQUIRE(at(2550 + 2400) == State::Isolated);
+  }
+}
+
+// Guards against a zone that stops serving because it is cut off.
+TEST_CASE_METHOD(FenceFixture,
+                 "config fence, without the store, permits requests but no "
+                 "denial",
+                 "[traffic]") {
+  reachedAt({500, 900});
+  REQUIRE(at(2400) == State::Isolated);
+  REQUIRE(at(60000) == State::Isolated);
+  REQUIRE(Fence_.permits(Start + Seconds(60)));
+  REQUIRE_FALSE(Fence_.permitsDenial(Start + Seconds(60)));
+}
+
+TEST_CASE_METHOD(FenceFixture,
+                 "config fence, when the store is reached again, permits "
+                 "requests for as long as a change may take",
+                 "[traffic]") {
+  reachedAt({900, 5000});
+  REQUIRE(at(5000) == State::CatchingUp);
+  REQUIRE_FALSE(Fence_.permitsDenial(Start + Milliseconds(5000)));
+  REQUIRE(at(5000 + 2399) == State::CatchingUp);
+  REQUIRE(at(5000 + 2400) == State::Behind);
+}
+
+// Guards against a full link: answers come now and then, and each of them could
+// be taken for the store's return.
+TEST_CASE_METHOD(
+    FenceFixture,
+    "config fence, with answers that come and stop by turns, gives "
+    "the time for catching up once",
+    "[traffic]") {
+  reachedAt({900, 5000, 6500, 8500, 12000});
+  REQUIRE(at(7399) == State::CatchingUp);
+  for (int Ms : {7400, 8500, 10000, 12000, 20000})
+    REQUIRE(at(Ms) == State::Behind);
+  Fence_.prove(Start + Milliseconds(20000), Start + Milliseconds(20100));
+  REQUIRE(at(20100) == State::Current);
+}
+
+// The class of fault, not one cause: answers and proofs are delayed at random
+// between two stretches without the store. Whenever it was reached in the last
+// second and has been for longer than a change may take, a request is decided
+// by a configuration that was in force within the bound, or refused.
+TEST_CASE("config fence, under any delays of the path, never permits what is "
+          "older than the bound while the store is reached",
+          "[traffic]") {
+  for (std::uint64_t Seed = 1; Seed <= 50; ++Seed) {
+    CAPTURE(Seed);
+    Random R(Seed);
+    FenceFixture F;
+    TimePoint Proven = Start;
+    std::optional<TimePoint> ReachedSince;
+    TimePoint LastReached{};
+    for (int Ms = 0; Ms < 60000; Ms += 50) {
+      TimePoint Now = Start + Milliseconds(Ms);
+      bool IsCut = Ms % 20000 >= 8000 && Ms % 20000 < 14000;
+      if (!IsCut && R.below(10) < 5) {
+        if (!ReachedSince || Now - LastReached >= F.O_.Silence_)
+          ReachedSince = Now;
+        LastReached = Now;
+        F.Fence_.reached(Now);
+      }
+      if (!IsCut && R.below(100) < 4) {
+        TimePoint AsOf = Now - Milliseconds(R.below(5000));
+        Proven = std::max(Proven, AsOf);
+        F.Fence_.prove(AsOf, Now);
+      }
+      bool IsReached = ReachedSince && Now - LastReached < F.O_.Silence_;
+      bool HadTime = IsReached && Now - *ReachedSince >= F.Good_;
+      if (HadTime && Now - Proven >= F.Good_)
+        REQUIRE_FALSE(F.Fence_.permits(Now));
+      if (Now - Proven >= F.Good_)
+        REQUIRE_FALSE(F.Fence_.permitsDenial(Now));
+      else
+        REQUIRE(F.Fence_.permitsDenial(Now));
+    }
+  }
+}
+
+// Guards against callers who are answered 404 or 401, or served by what a route
+// used to name, by an entry that is behind.
+TEST_CASE("traffic core, behind the configuration in force, refuses what it "
+          "would decide by it",
+          "[traffic]") {
+  struct Row {
+    std::string Name_, Target_, Key_;
+    bool IsReached_;
+    unsigned Status_;
+  };
+  // Before the keys' lease is over, and after the bound on configurations.
+  TimePoint Now = Start + Seconds(3);
+  for (const Row &R : std::vector<Row>{
+           {"a route, reached", "/safe/1", "key", true, 503},
+           {"no route, reached", "/none/", "key", true, 503},
+           {"unknown key, reached", "/safe/1", "other", true, 503},
+           {"a route, cut off", "/safe/1", "key", false, 0},
+           {"no route, cut off", "/none/", "key", false, 503},
+           {"unknown key, cut off", "/safe/1", "other", false, 503}}) {
+    CAPTURE(R.Name_);
+    CoreFixture F;
+    if (R.IsReached_)
+      for (int Ms = 0; Ms <= 3000; Ms += 300)
+        F.Core_.reached(Start + Milliseconds(Ms));
+    CallNumber N = F.send(R.Target_, Now, R.Key_);
+    if (R.Status_ == 0) {
+      REQUIRE(F.Port_.Begun_.size() == 1);
+      continue;
+    }
+    REQUIRE(F.Port_.Begun_.empty());
+    REQUIRE(F.answerOf(N).Status_ == R.Status_);
+    REQUIRE(F.answerOf(N).Cause_ == Cause::ConfigBehind);
+    REQUIRE(F.answerOf(N).RetryAfter_ > Duration::zero());
+    REQUIRE_FALSE(F.Port_.Reports_.back().MayHaveRun_);
+  }
+}
--- a/tests/unit/TrafficFixture.h
+++ b/tests/unit/TrafficFixture.h
@@ -151,7 +151,7 @@
     }
     Core_.endpoints().listed(All, Start);
     Core_.configure(RoutingConfig::build(parts()), Start);
-    Core_.lease().prove(Start);
+    Core_.prove(Start, Start);
   }
 
   CallNumber send(const std::string &Target, TimePoint Now = Start,
