--- a/hawthornroad/entry/TableSource.cpp
+++ b/hawthornroad/entry/TableSource.cpp
@@ -32,6 +32,14 @@
 // An answer of the store that takes longer, beyond the time for which it may be
 // held, is logged.
 constexpr Duration SlowCall = Milliseconds(300);
+// Pause between two probes of a store that is away, and the entries of a zone
+// that send them: those that the others would rather follow.
+constexpr Duration ProbePace = Milliseconds(250);
+constexpr std::size_t MostProbers = 2;
+// A call that is younger than this has its answer on the way.
+constexpr Duration YoungCall = Milliseconds(200);
+// More than a probe's answer: that of a call under way comes in as well.
+constexpr std::uint64_t ProbeBytesMost = 4096;
 
 std::vector<std::string> namesOf(const TableSource::Setup &S) {
   std::vector<std::string> Out;
@@ -106,6 +114,7 @@
   if (Zone_)
     Zone_->tick(Now);
   watchReceiving(Now);
+  probeStore(Now);
   Choice_.tick(Now);
   if (Asked_.Number_ != 0 && Now - Asked_.SentAt_ >= AskLimit)
     onSourceLost(Asked_.To_, "silent");
@@ -153,6 +162,29 @@
   Relay_.setReceiving(Choice_.readsStore() && Receiving_.isReceiving(Now));
 }
 
+void TableSource::probeStore(TimePoint Now) {
+  bool IsAway = std::any_of(Tables_.begin(), Tables_.end(),
+                            [](const Table &Each) { return Each.IsAway_; });
+  bool IsProber = Zone_ && Choice_.readsStore() && Choice_.rank() < MostProbers;
+  if (!IsAway || !IsProber || Now < ProbeAt_ || Receiving_.isReceiving(Now))
+    return;
+  ProbeAt_ = Now + ProbePace;
+  Zone_->probe([this, Now, Before = Store_.counters().BytesReceived_](bool Ok) {
+    if (Ok)
+      onProbe(Now, Before);
+  });
+}
+
+// What a call under way has received would be lost if it were sent anew.
+void TableSource::onProbe(TimePoint SentAt, std::uint64_t ReceivedBefore) {
+  Callbacks_.OnReached_(bootNow());
+  if (Store_.counters().BytesReceived_ - ReceivedBefore > ProbeBytesMost)
+    return;
+  for (Table &Each : Tables_)
+    if (Each.IsAway_ && Each.Watch_->watch().sentAt() + YoungCall < SentAt)
+      Each.Watch_->retry();
+}
+
 void TableSource::take(const Table &T, const TableWatch::Update &U) {
   // What a source tells may be older than what this process has read itself.
   const RowCopy &Copy = Relay_.copy(T.Setup_.Name_);
--- a/hawthornroad/entry/TableSource.h
+++ b/hawthornroad/entry/TableSource.h
@@ -101,6 +101,10 @@
   double greatestAge(TimePoint Now) const;
   void leaveOldSource(TimePoint Now);
   void watchReceiving(TimePoint Now);
+  // Without the store, the first entries of the zone find its return by short
+  // calls of their own, beside those that wait for their time limit.
+  void probeStore(TimePoint Now);
+  void onProbe(TimePoint SentAt, std::uint64_t ReceivedBefore);
   // Starts or stops reading the store, as the choice says, and logs a change.
   void follow(TimePoint Now);
   void setRhythm(TimePoint Now);
@@ -129,6 +133,7 @@
   std::string LoggedSource_ = "none";
   bool WasAsked_ = false;
   ReceiveMonitor Receiving_;
+  TimePoint ProbeAt_{};
 };
 
 } // namespace hawthornroad
--- a/hawthornroad/entry/ZoneEntries.cpp
+++ b/hawthornroad/entry/ZoneEntries.cpp
@@ -125,11 +125,18 @@
   Handler_(entriesBefore(Self_, std::move(All)));
 }
 
+void ZoneEntries::probe(std::function<void(bool Ok)> Done) {
+  Store_.list(std::string(PresenceTable), ownKey(), ownKey() + '\0',
+              [Alive = Alive_, Done = std::move(Done)](const StoreReply &R) {
+                if (*Alive)
+                  Done(std::holds_alternative<StoreRows>(R));
+              });
+}
+
 void ZoneEntries::write() {
   StoreTransaction T;
-  T.Puts_.push_back({std::string(PresenceTable),
-                     Zone_.str() + "/" + Self_.Process_,
-                     encodePresence(Self_)});
+  T.Puts_.push_back(
+      {std::string(PresenceTable), ownKey(), encodePresence(Self_)});
   // Without its row others do not find this entry; the next listing shows that
   // and it is written again.
   Store_.write(T, [this, Alive = Alive_](const StoreReply &R) {
--- a/hawthornroad/entry/ZoneEntries.h
+++ b/hawthornroad/entry/ZoneEntries.h
@@ -69,8 +69,12 @@
   void tick(TimePoint Now);
   // Rows may be missing or their owners gone.
   void lookAgain(TimePoint Now);
+  // Asks the store for this entry's own row: a few hundred bytes that show
+  // whether it answers.
+  void probe(std::function<void(bool Ok)> Done);
 
 private:
+  std::string ownKey() const { return Zone_.str() + "/" + Self_.Process_; }
   void list();
   void onEntries(std::vector<ZoneEntry> All);
   void write();
--- a/hawthornroad/store/StoreClient.cpp
+++ b/hawthornroad/store/StoreClient.cpp
@@ -161,6 +161,13 @@
   start();
 }
 
+void StoreWatch::retry() {
+  if (State_->IsPaused_)
+    return;
+  State_->Watch_.retry(State_->Clock_());
+  start();
+}
+
 bool StoreWatch::isPaused() const { return State_->IsPaused_; }
 
 void StoreWatch::setRhythm(Duration Wait, Duration Pace) {
--- a/hawthornroad/store/StoreClient.h
+++ b/hawthornroad/store/StoreClient.h
@@ -91,6 +91,9 @@
   // Goes on from what another process told; whoever knows nothing start()s.
   void resume(StoreVersion V);
   bool isPaused() const;
+  // The store has returned: gives up the call under way, or the pause after a
+  // failed one, for a new call at once.
+  void retry();
   // From the next call on; TableWatch::Options.
   void setRhythm(Duration Wait, Duration Pace);
   const TableWatch &watch() const;
--- a/hawthornroad/store/TableWatch.h
+++ b/hawthornroad/store/TableWatch.h
@@ -81,6 +81,8 @@
   std::optional<Update> onRows(StoreRows Answer, TimePoint Now);
   void onFailure(StoreFailure F, TimePoint Now);
 
+  // The next call is due at once, whatever the pause after a failure.
+  void retry(TimePoint Now) { NotBefore_ = Now; }
   // The table as of V is known from elsewhere: follows from there.
   void resume(StoreVersion V, TimePoint Now);
   void setRhythm(Duration Wait, Duration Pace) {
