An entry that nobody asks proves its configuration within the bound

The store held its question for 0.4 of the bound on keys, 2.0 s where that is 5 s, and a proof is had at the end of it only; the fence refuses from 1.6 s on where the bound on configurations is 2 s. The wait is a part of the bound on configurations now. Test: 'store entry, alone in its zone...' (503 for 404 before). A second test covers the return of a store that was silent: nothing is denied by what the outage has made old.

--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -20,9 +20,9 @@
 // the answer and for requests on their way.
 constexpr double EndpointPaceShare = 0.45;
 // How long the store may hold a question with nothing to tell. The one for the
-// operators' table also renews the lease of customers' keys: this part of their
-// bound, so that an answer half a second late, or a lost one, still finds the
-// entry ready (ReadyShare below).
+// operators' table also renews the proof of the configuration: this part of the
+// bound on configurations, so that an answer that is late by as much again
+// still finds the proof good (ConfigMarginShare below).
 constexpr Duration EndpointWait = Milliseconds(3000);
 constexpr double OperatorWaitShare = 0.4;
 // While other entries rest on this one's proofs, as parts of the bounds on
@@ -138,7 +138,7 @@
   const StoreProcessSettings &Common = Settings_.Common_;
   TableSource::TableSetup Operators;
   Operators.Name_ = platform::OperatorTable;
-  Operators.Wait_ = part(Common.RevokeBound_, OperatorWaitShare);
+  Operators.Wait_ = part(Common.ApplyBound_, OperatorWaitShare);
   Operators.WaitAsked_ = part(Common.ApplyBound_, ConfigWaitAskedShare);
   Operators.PaceAsked_ = part(Common.ApplyBound_, ConfigPaceAskedShare);
   Operators.ListsWhenBehind_ = true;
--- a/tests/integration/StoreEntryTest.cpp
+++ b/tests/integration/StoreEntryTest.cpp
@@ -97,6 +97,49 @@
   REQUIRE(call("/safe/1").Status_ == 200);
 }
 
+// Guards against an entry that refuses while the store holds its question with
+// nothing to tell: proofs come no oftener than that.
+TEST_CASE_METHOD(PlatformFixture,
+                 "store entry, alone in its zone and with nothing changing, "
+                 "refuses no request",
+                 "[store-entry]") {
+  configure();
+  startEntry(Seconds(5));
+  eventually([&] { return isReady(); }, "the entry is ready");
+  auto Begun = std::chrono::steady_clock::now();
+  while (std::chrono::steady_clock::now() - Begun < Milliseconds(5000)) {
+    REQUIRE(call("/safe/1").Status_ == 200);
+    REQUIRE(call("/none/1").Status_ == 404);
+    std::this_thread::sleep_for(Milliseconds(50));
+  }
+}
+
+// Guards against denials by a configuration that an outage has made old: what
+// was declared meanwhile is not denied, nor is what the entry cannot know.
+TEST_CASE_METHOD(PlatformFixture,
+                 "store entry, when the store is back from an outage, denies "
+                 "nothing until it has the configuration in force",
+                 "[store-entry]") {
+  HasSafeRoute_ = false;
+  configure();
+  startEntry();
+  eventually([&] { return isReady(); }, "the entry is ready");
+  REQUIRE(call("/safe/1").Status_ == 404);
+  Store_.setMode(StoreStandIn::Mode::Silent);
+  std::this_thread::sleep_for(Milliseconds(2500));
+  HasSafeRoute_ = true;
+  configure();
+  REQUIRE(call("/safe/1").Status_ == 503);
+  Store_.setMode(StoreStandIn::Mode::Normal);
+  eventually(
+      [&] {
+        unsigned Status = call("/safe/1").Status_;
+        REQUIRE(Status != 404);
+        return Status == 200;
+      },
+      "the route is served", Milliseconds(2500));
+}
+
 // The endpoint runs a request and its answer is lost. What may run once is
 // answered as unknown and never sent again; the rest is sent elsewhere.
 TEST_CASE_METHOD(PlatformFixture,
