The first entries of a zone probe a store that is away

A cut swallows what is sent, so an entry has the store back only when its call's 0.9 s and its pause, up to 1.1 s, are over, while others of the zone that happen to ask sooner read the table by themselves. The first two in the order send a call with a short answer every 250 ms and read at once when it is answered; the others see that they are receiving.

--- a/hawthornroad/entry/TableSource.cpp
+++ b/hawthornroad/entry/TableSource.cpp
@@ -32,14 +32,9 @@
 // An answer of the store that takes longer, beyond the time for which it may be
 // held, is logged.
 constexpr Duration SlowCall = Milliseconds(300);
-// Pause between two probes of a store that is away, and the entries of a zone
-// that send them: those that the others would rather follow.
-constexpr Duration ProbePace = Milliseconds(250);
+// Entries of a zone that probe a store that is away: those that the others
+// would rather follow.
 constexpr std::size_t MostProbers = 2;
-// A call that is younger than this has its answer on the way.
-constexpr Duration YoungCall = Milliseconds(200);
-// More than a probe's answer: that of a call under way comes in as well.
-constexpr std::uint64_t ProbeBytesMost = 4096;
 
 std::vector<std::string> namesOf(const TableSource::Setup &S) {
   std::vector<std::string> Out;
@@ -166,22 +161,20 @@
   bool IsAway = std::any_of(Tables_.begin(), Tables_.end(),
                             [](const Table &Each) { return Each.IsAway_; });
   bool IsProber = Zone_ && Choice_.readsStore() && Choice_.rank() < MostProbers;
-  if (!IsAway || !IsProber || Now < ProbeAt_ || Receiving_.isReceiving(Now))
+  if (!IsProber || !Probe_.isDue(IsAway, Receiving_.isReceiving(Now), Now))
     return;
-  ProbeAt_ = Now + ProbePace;
-  Zone_->probe([this, Now, Before = Store_.counters().BytesReceived_](bool Ok) {
+  Probe_.sent(Store_.counters().BytesReceived_, Now);
+  Zone_->probe([this](bool Ok) {
     if (Ok)
-      onProbe(Now, Before);
+      onProbe();
   });
 }
 
-// What a call under way has received would be lost if it were sent anew.
-void TableSource::onProbe(TimePoint SentAt, std::uint64_t ReceivedBefore) {
+void TableSource::onProbe() {
   Callbacks_.OnReached_(bootNow());
-  if (Store_.counters().BytesReceived_ - ReceivedBefore > ProbeBytesMost)
-    return;
+  std::uint64_t Received = Store_.counters().BytesReceived_;
   for (Table &Each : Tables_)
-    if (Each.IsAway_ && Each.Watch_->watch().sentAt() + YoungCall < SentAt)
+    if (Each.IsAway_ && Probe_.isStale(Each.Watch_->watch().sentAt(), Received))
       Each.Watch_->retry();
 }
 
--- a/hawthornroad/entry/TableSource.h
+++ b/hawthornroad/entry/TableSource.h
@@ -25,6 +25,7 @@
 #include "hawthornroad/entry/ZoneEntries.h"
 #include "hawthornroad/store/ReceiveMonitor.h"
 #include "hawthornroad/store/SourceChoice.h"
+#include "hawthornroad/store/StoreProbe.h"
 
 #include <array>
 
@@ -104,7 +105,7 @@
   // Without the store, the first entries of the zone find its return by short
   // calls of their own, beside those that wait for their time limit.
   void probeStore(TimePoint Now);
-  void onProbe(TimePoint SentAt, std::uint64_t ReceivedBefore);
+  void onProbe();
   // Starts or stops reading the store, as the choice says, and logs a change.
   void follow(TimePoint Now);
   void setRhythm(TimePoint Now);
@@ -133,7 +134,7 @@
   std::string LoggedSource_ = "none";
   bool WasAsked_ = false;
   ReceiveMonitor Receiving_;
-  TimePoint ProbeAt_{};
+  StoreProbe Probe_;
 };
 
 } // namespace hawthornroad
--- /dev/null
+++ b/hawthornroad/store/StoreProbe.h
@@ -0,0 +1,54 @@
+// When to probe a store that is away, and what an answered probe ends.
+//
+//   StoreProbe P;
+//   if (P.isDue(IsAway, Receiving.isReceiving(Now), Now)) P.sent(Bytes, Now);
+//   // answered:
+//   if (P.isStale(Call.sentAt(), BytesNow)) Call.retry();
+//
+// A cut swallows what is sent, so a call that was sent before its end waits for
+// its time limit, and the next one for its pause: up to two seconds in which
+// the store could have been read. A probe is a call with a short answer, sent
+// every Pace beside those.
+
+#ifndef HAWTHORNROAD_STORE_STOREPROBE_H
+#define HAWTHORNROAD_STORE_STOREPROBE_H
+
+#include "hawthornroad/base/Types.h"
+
+#include <cstdint>
+
+namespace hawthornroad {
+
+class StoreProbe {
+public:
+  static constexpr Duration Pace = Milliseconds(250);
+  // A call that was sent so shortly before the probe may have its answer on the
+  // way.
+  static constexpr Duration YoungCall = Milliseconds(200);
+  // More than a probe's answer: that of a call under way comes in as well, and
+  // would be lost if it were sent anew.
+  static constexpr std::uint64_t AnswerBytesMost = 4096;
+
+  bool isDue(bool IsAway, bool IsReceiving, TimePoint Now) const {
+    return IsAway && !IsReceiving && Now - SentAt_ >= Pace;
+  }
+  // Received: all bytes ever received from the store.
+  void sent(std::uint64_t Received, TimePoint Now) {
+    SentAt_ = Now;
+    Received_ = Received;
+  }
+  // Whether a call that was sent at CallSentAt, and to which there is no
+  // answer, is to be sent anew, the last probe having been answered.
+  bool isStale(TimePoint CallSentAt, std::uint64_t Received) const {
+    return Received - Received_ <= AnswerBytesMost &&
+           CallSentAt + YoungCall < SentAt_;
+  }
+
+private:
+  TimePoint SentAt_{};
+  std::uint64_t Received_ = 0;
+};
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_STORE_STOREPROBE_H
