--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -22,7 +22,7 @@
 // How long the store may hold a question with nothing to tell. The one for the
 // operators' table also renews the proof of the configuration: this part of the
 // bound on configurations, so that an answer that is late by as much again
-// still finds the proof good (ConfigMarginShare below).
+// still finds the proof good (ConfigFence).
 constexpr Duration EndpointWait = Milliseconds(3000);
 constexpr double OperatorWaitShare = 0.4;
 // While other entries rest on this one's proofs, as parts of the bounds on
@@ -48,10 +48,6 @@
 constexpr double SlackPart = 1.0 / 20;
 constexpr double MostSlack = 5;
 
-// What a request may take from its sending until it is decided, at an entry
-// that has a quarter of a processor: part of the bound on configurations.
-constexpr double ConfigMarginShare = 0.2;
-
 Duration part(Duration Whole, double Share) {
   return std::chrono::duration_cast<Duration>(Whole * Share);
 }
@@ -64,8 +60,7 @@
   double Slack = S.RepeatSlack_ * SlackPart;
   O.Budget_.AlwaysAllowed_ = static_cast<unsigned>(std::min(MostSlack, Slack));
   O.RevokeBound_ = S.Common_.RevokeBound_;
-  O.Fence_.Bound_ = S.Common_.ApplyBound_;
-  O.Fence_.Margin_ = part(S.Common_.ApplyBound_, ConfigMarginShare);
+  O.Fence_ = ConfigFence::optionsFor(S.Common_.ApplyBound_);
   const EntryPolicy &P = S.Policy_;
   O.FairByCustomer_ = P.FairByCustomer_;
   O.LateGoBehind_ = P.LateGoBehind_;
@@ -168,7 +163,7 @@
     if (Table == platform::OperatorTable)
       Core_.prove(AsOf, bootNow());
   };
-  C.OnReached_ = [this](TimePoint Now) { Core_.reached(Now); };
+  C.OnReached_ = [this](TimePoint At) { Core_.reached(At); };
   C.OnCall_ = [this](const std::string &Table, bool Ok) {
     Table == platform::OperatorTable ? onOperatorCall(Ok) : onEndpointCall(Ok);
   };
--- a/hawthornroad/entry/TableRelay.cpp
+++ b/hawthornroad/entry/TableRelay.cpp
@@ -98,6 +98,7 @@
   wire::RowsAnswerT A;
   A.number = H.Question_.number;
   A.held_us = microseconds(Now - H.CameAt_);
+  A.reached_age_us = microseconds(Now - ReachedAt_);
   A.away = IsAway_;
   A.receiving = IsReceiving_;
   for (const auto &Wanted : H.Question_.tables) {
--- a/hawthornroad/entry/TableRelay.h
+++ b/hawthornroad/entry/TableRelay.h
@@ -46,6 +46,8 @@
   void setAway(bool IsAway) { IsAway_ = IsAway; }
   // Whether it reads the store itself and bytes have just come in.
   void setReceiving(bool IsReceiving) { IsReceiving_ = IsReceiving; }
+  // The store answered at that moment, this process or the one it follows.
+  void reached(TimePoint At) { ReachedAt_ = std::max(ReachedAt_, At); }
 
   void ask(wire::RowsAskT Question, Reply R, TimePoint Now);
   void settle(TimePoint Now);
@@ -82,6 +84,7 @@
   std::uint64_t Answered_ = 0;
   bool IsAway_ = false;
   bool IsReceiving_ = false;
+  TimePoint ReachedAt_{};
 };
 
 // The rows of an answer; throws Error(Step::Receive) when a value is spoilt.
--- a/hawthornroad/entry/TableSource.cpp
+++ b/hawthornroad/entry/TableSource.cpp
@@ -152,8 +152,8 @@
 }
 
 void TableSource::watchReceiving(TimePoint Now) {
-  if (Receiving_.onBytes(Store_.counters().BytesReceived_, Now))
-    Callbacks_.OnReached_(Now);
+  if (Receiving_.onBytes(Store_.counters().AnswerBytes_, Now))
+    reached(Now);
   Relay_.setReceiving(Choice_.readsStore() && Receiving_.isReceiving(Now));
 }
 
@@ -163,18 +163,18 @@
   bool IsProber = Zone_ && Choice_.readsStore() && Choice_.rank() < MostProbers;
   if (!IsProber || !Probe_.isDue(IsAway, Receiving_.isReceiving(Now), Now))
     return;
-  Probe_.sent(Store_.counters().BytesReceived_, Now);
-  Zone_->probe([this](bool Ok) {
-    if (Ok)
-      onProbe();
-  });
+  Zone_->probe(
+      [this, Sent = Probe_.send(Store_.counters().AnswerBytes_, Now)](bool Ok) {
+        if (Ok)
+          onProbe(Sent);
+      });
 }
 
-void TableSource::onProbe() {
-  Callbacks_.OnReached_(bootNow());
-  std::uint64_t Received = Store_.counters().BytesReceived_;
+void TableSource::onProbe(const StoreProbe::Sent &Sent) {
+  reached(bootNow());
+  std::uint64_t Received = Store_.counters().AnswerBytes_;
   for (Table &Each : Tables_)
-    if (Each.IsAway_ && Probe_.isStale(Each.Watch_->watch().sentAt(), Received))
+    if (Each.IsAway_ && Sent.outlives(Each.Watch_->watch().sentAt(), Received))
       Each.Watch_->retry();
 }
 
@@ -188,6 +188,11 @@
     Callbacks_.OnRows_(T.Setup_.Name_, U);
 }
 
+void TableSource::reached(TimePoint At) {
+  Relay_.reached(At);
+  Callbacks_.OnReached_(At);
+}
+
 void TableSource::prove(const Table &T, TimePoint AsOf) {
   Relay_.prove(T.Setup_.Name_, AsOf);
   Callbacks_.OnProof_(T.Setup_.Name_, AsOf);
@@ -199,9 +204,9 @@
   T.IsAway_ = !Ok;
   logStoreCall(T, Ok, W);
   if (!Ok)
-    Receiving_.onFailedCall(Store_.counters().BytesReceived_);
+    Receiving_.onFailedCall(Store_.counters().AnswerBytes_);
   if (Ok)
-    Callbacks_.OnReached_(bootNow());
+    reached(bootNow());
   if (auto Proof = W.provenAt(); Ok && Proof)
     prove(T, *Proof);
   Relay_.setAway(std::any_of(Tables_.begin(), Tables_.end(),
@@ -245,6 +250,8 @@
     Log_.write(L, true);
     LoggedSource_ = Name;
   }
+  if (!Choice_.readsStore())
+    Relay_.setAway(false);
   for (Table &Each : Tables_) {
     if (!Choice_.readsStore()) {
       Each.IsAway_ = false;
@@ -252,10 +259,11 @@
         Each.Watch_->pause();
     } else if (Each.Watch_->isPaused()) {
       const RowCopy &Copy = Relay_.copy(Each.Setup_.Name_);
-      if (Copy.isListed())
+      bool IsBehind = Each.Setup_.ListsWhenBehind_ && age(Each, Now) > 1;
+      if (Copy.isListed() && !IsBehind)
         Each.Watch_->resume(Copy.version());
       else
-        Each.Watch_->start();
+        Each.Watch_->list();
     }
   }
 }
@@ -272,10 +280,11 @@
     const TableSetup &Of = Each.Setup_;
     Each.Watch_->setRhythm(IsAsked ? Of.WaitAsked_ : Of.Wait_,
                            IsAsked ? Of.PaceAsked_ : Of.Pace_);
-    const RowCopy &Copy = Relay_.copy(Of.Name_);
     // A question that the store holds for longer is given up for a new one.
-    if (IsAsked && !Each.Watch_->isPaused() && Copy.isListed())
-      Each.Watch_->resume(Copy.version());
+    const TableWatch::Ask &Call = Each.Watch_->watch().current();
+    bool IsHeldLonger = !Call.IsListing_ && Call.Wait_ > Of.WaitAsked_;
+    if (IsAsked && !Each.Watch_->isPaused() && IsHeldLonger)
+      Each.Watch_->resume(Relay_.copy(Of.Name_).version());
   }
 }
 
@@ -344,8 +353,9 @@
     return;
   TimePoint Now = bootNow();
   AskAt_ = Now + AskPace;
-  if (!A.away || A.receiving)
-    Callbacks_.OnReached_(Now);
+  // The source had the question no sooner than it was sent.
+  reached(Asked_.SentAt_ + std::chrono::microseconds(A.held_us) -
+          std::chrono::microseconds(A.reached_age_us));
   bool IsFresh = !A.away;
   bool WasFresh = greatestAge(Now) <= 1;
   try {
--- a/hawthornroad/entry/TableSource.h
+++ b/hawthornroad/entry/TableSource.h
@@ -59,8 +59,8 @@
         OnRows_;
     // All that the store had acknowledged by AsOf is known.
     std::function<void(const std::string &Table, TimePoint AsOf)> OnProof_;
-    // The store answers, or bytes of its answer come in, or the source says so.
-    std::function<void(TimePoint Now)> OnReached_;
+    // The store answered at that moment, this process or its source.
+    std::function<void(TimePoint At)> OnReached_;
     // Whether the store was reached, by oneself or by the source.
     std::function<void(const std::string &Table, bool Ok)> OnCall_;
   };
@@ -97,6 +97,7 @@
   void onSourceLost(const PeerAddress &From, std::string_view Why);
   void take(const Table &T, const TableWatch::Update &U);
   void prove(const Table &T, TimePoint AsOf);
+  void reached(TimePoint At);
   // In units of its MaxAge; above 1: too old to rest on.
   double age(const Table &T, TimePoint Now) const;
   double greatestAge(TimePoint Now) const;
@@ -105,7 +106,7 @@
   // Without the store, the first entries of the zone find its return by short
   // calls of their own, beside those that wait for their time limit.
   void probeStore(TimePoint Now);
-  void onProbe();
+  void onProbe(const StoreProbe::Sent &Sent);
   // Starts or stops reading the store, as the choice says, and logs a change.
   void follow(TimePoint Now);
   void setRhythm(TimePoint Now);
--- a/hawthornroad/http/HttpCalls.cpp
+++ b/hawthornroad/http/HttpCalls.cpp
@@ -10,6 +10,10 @@
 
 namespace asio = boost::asio;
 
+namespace {
+constexpr unsigned StatusOk = 200;
+} // namespace
+
 struct HttpCalls::State : std::enable_shared_from_this<HttpCalls::State> {
   // One call, waiting or under way.
   struct Call {
@@ -151,6 +155,8 @@
     };
     E.OnBody_ = [Self, C](const std::string &Bytes) {
       Self->Counters_.BytesReceived_ += Bytes.size();
+      if (C->Answer_.Status_ == StatusOk)
+        Self->Counters_.AnswerBytes_ += Bytes.size();
       C->Answer_.Body_ += Bytes;
       if (Self->Options_.WholeLimit_ > Duration::zero())
         Self->arm(C);
--- a/hawthornroad/http/HttpCalls.h
+++ b/hawthornroad/http/HttpCalls.h
@@ -54,6 +54,8 @@
     std::uint64_t Calls_ = 0;
     std::uint64_t BytesSent_ = 0;
     std::uint64_t BytesReceived_ = 0;
+    // The part of them that belongs to answers of success.
+    std::uint64_t AnswerBytes_ = 0;
   };
   using Result = std::variant<HttpAnswer, LinkFailure>;
   using Done = std::function<void(Result)>;
--- a/hawthornroad/store/StoreClient.cpp
+++ b/hawthornroad/store/StoreClient.cpp
@@ -7,9 +7,6 @@
 namespace asio = boost::asio;
 
 namespace {
-// A healthy store answers within some ten milliseconds; a slow one takes fifty
-// times as long. Longer silences would eat into the lease of customers' keys.
-constexpr Duration AnswerLimit = Milliseconds(900);
 // A page holds up to 1 MB: thirty of them take 9 s over one link of 28 Mbit/s
 // between regions (computed).
 constexpr Duration WholeLimit = Seconds(10);
@@ -18,7 +15,7 @@
 
 HttpCalls::Options callOptions() {
   HttpCalls::Options O;
-  O.Link_.ConnectTimeout_ = AnswerLimit;
+  O.Link_.ConnectTimeout_ = StoreClient::PatientLimit;
   O.WholeLimit_ = WholeLimit;
   O.Link_.KeepAlive_ = true;
   return O;
@@ -47,19 +44,20 @@
 
 StoreCounters StoreClient::counters() const {
   const HttpCalls::Counters &C = Calls_.counters();
-  return {C.Calls_, *Failures_, C.BytesSent_, C.BytesReceived_};
+  return {C.Calls_, *Failures_, C.BytesSent_, C.BytesReceived_, C.AnswerBytes_};
 }
 
 HttpCalls::Cancel StoreClient::list(const std::string &Table,
                                     const std::string &FromKey,
-                                    const std::string &ToKey, Done D) {
-  return call(Codec_.list(Table, FromKey, ToKey), AnswerLimit, std::move(D));
+                                    const std::string &ToKey, Done D,
+                                    Duration Limit) {
+  return call(Codec_.list(Table, FromKey, ToKey), Limit, std::move(D));
 }
 
 HttpCalls::Cancel StoreClient::feed(const std::string &Table,
-                                    StoreVersion After, Duration Wait, Done D) {
-  return call(Codec_.feed(Table, After, Wait), Wait + AnswerLimit,
-              std::move(D));
+                                    StoreVersion After, Duration Wait, Done D,
+                                    Duration Limit) {
+  return call(Codec_.feed(Table, After, Wait), Wait + Limit, std::move(D));
 }
 
 void StoreClient::write(const StoreTransaction &T, Done D) {
@@ -93,8 +91,11 @@
       if (Self && Self->Generation_ == Generation)
         Self->take(std::move(R));
     };
-    Cancel_ = A.IsListing_ ? Store_.list(Table_, A.FromKey_, "", OnReply)
-                           : Store_.feed(Table_, A.After_, A.Wait_, OnReply);
+    Duration Limit = Watch_.failures() == 0 ? StoreClient::AnswerLimit
+                                            : StoreClient::PatientLimit;
+    Cancel_ = A.IsListing_
+                  ? Store_.list(Table_, A.FromKey_, "", OnReply, Limit)
+                  : Store_.feed(Table_, A.After_, A.Wait_, OnReply, Limit);
   }
 
   // The call under way no longer counts, nor does it go on.
@@ -168,6 +169,11 @@
   start();
 }
 
+void StoreWatch::list() {
+  State_->Watch_.list(State_->Clock_());
+  start();
+}
+
 bool StoreWatch::isPaused() const { return State_->IsPaused_; }
 
 void StoreWatch::setRhythm(Duration Wait, Duration Pace) {
--- a/hawthornroad/store/StoreClient.h
+++ b/hawthornroad/store/StoreClient.h
@@ -46,19 +46,29 @@
   std::uint64_t Failures_ = 0;
   std::uint64_t BytesSent_ = 0;
   std::uint64_t BytesReceived_ = 0;
+  // Without those of refusals.
+  std::uint64_t AnswerBytes_ = 0;
 };
 
 class StoreClient {
 public:
   using Done = std::function<void(StoreReply)>;
+  // A healthy store answers within some ten milliseconds; a slow one takes
+  // fifty times as long. Longer silences would eat into the lease of customers'
+  // keys.
+  static constexpr Duration AnswerLimit = Milliseconds(900);
+  // After a silence. A new connection and its answer pass a full link twice,
+  // and calls that are given up before leave their bytes on it.
+  static constexpr Duration PatientLimit = 2 * AnswerLimit;
 
   StoreClient(boost::asio::io_context &Context, std::string Address,
               const StoreCodec &Codec);
 
   HttpCalls::Cancel list(const std::string &Table, const std::string &FromKey,
-                         const std::string &ToKey, Done D);
+                         const std::string &ToKey, Done D,
+                         Duration Limit = AnswerLimit);
   HttpCalls::Cancel feed(const std::string &Table, StoreVersion After,
-                         Duration Wait, Done D);
+                         Duration Wait, Done D, Duration Limit = AnswerLimit);
   void write(const StoreTransaction &T, Done D);
 
   StoreCounters counters() const;
@@ -90,6 +100,8 @@
   void pause();
   // Goes on from what another process told; whoever knows nothing start()s.
   void resume(StoreVersion V);
+  // Lists the table anew: for one that knows nothing, or is far behind.
+  void list();
   bool isPaused() const;
   // The store has returned: gives up the call under way, or the pause after a
   // failed one, for a new call at once.
--- a/hawthornroad/store/TableWatch.cpp
+++ b/hawthornroad/store/TableWatch.cpp
@@ -49,7 +49,7 @@
   A.IsListing_ = Listing_;
   A.FromKey_ = FromKey_;
   A.After_ = After_;
-  bool IsHeld = !Listing_ && Failures_ == 0;
+  bool IsHeld = !Listing_ && Failures_ == 0 && IsHeld_;
   A.Wait_ = IsHeld ? Options_.Wait_ : Duration::zero();
   A.At_ = std::max(Now, NotBefore_);
   return A;
@@ -65,6 +65,7 @@
 std::optional<TableWatch::Update> TableWatch::onRows(StoreRows Answer,
                                                      TimePoint Now) {
   Failures_ = 0;
+  IsHeld_ = true;
   NotBefore_ = Now;
   if (!Current_.IsListing_) {
     bool IsQuiet = Answer.Rows_.empty();
@@ -115,6 +116,13 @@
   After_ = V;
   Failures_ = 0;
   NotBefore_ = Now;
+  IsHeld_ = false;
+}
+
+void TableWatch::list(TimePoint Now) {
+  relist();
+  Failures_ = 0;
+  NotBefore_ = Now;
 }
 
 void TableWatch::onFailure(StoreFailure F, TimePoint Now) {
--- a/hawthornroad/store/TableWatch.h
+++ b/hawthornroad/store/TableWatch.h
@@ -85,6 +85,8 @@
   void retry(TimePoint Now) { NotBefore_ = Now; }
   // The table as of V is known from elsewhere: follows from there.
   void resume(StoreVersion V, TimePoint Now);
+  // The table is listed anew; what was known stays in use until then.
+  void list(TimePoint Now);
   void setRhythm(Duration Wait, Duration Pace) {
     Options_.Wait_ = Wait;
     Options_.Pace_ = Pace;
@@ -117,6 +119,9 @@
   TimePoint SentAt_;
   TimePoint NotBefore_;
   unsigned Failures_ = 0;
+  // Unset for the first call after resume(), which proves at once what another
+  // process has told.
+  bool IsHeld_ = true;
   std::optional<TimePoint> ProvenAt_;
 };
 
--- a/hawthornroad/traffic/ConfigFence.cpp
+++ b/hawthornroad/traffic/ConfigFence.cpp
@@ -18,8 +18,25 @@
   return "unknown";
 }
 
+ConfigFence::Options ConfigFence::optionsFor(Duration Bound) {
+  // Of the bound: the clock's and the timers' inexactness; two answers of a
+  // store that is read as seldom as can be; what is left of the time without
+  // duties after a cut when its end has been noticed late.
+  constexpr double GoodShare = 0.95;
+  constexpr double SilenceShare = 0.65;
+  constexpr double CatchUpShare = 0.5;
+  constexpr double LapseShare = 2;
+  auto Part = [Bound](double Share) {
+    return std::chrono::duration_cast<Duration>(Bound * Share);
+  };
+  return {.Good_ = Part(GoodShare),
+          .Silence_ = Part(SilenceShare),
+          .CatchUp_ = Part(CatchUpShare),
+          .Lapse_ = Part(LapseShare)};
+}
+
 TimePoint ConfigFence::lateFrom() const {
-  return ProvenAt_ ? *ProvenAt_ + good() : TimePoint::min();
+  return ProvenAt_ ? *ProvenAt_ + Options_.Good_ : TimePoint::min();
 }
 
 void ConfigFence::prove(TimePoint AsOf, TimePoint Now) {
@@ -28,21 +45,23 @@
     CatchUpBy_.reset();
 }
 
-void ConfigFence::reached(TimePoint Now) {
-  bool IsLate = Now >= lateFrom();
-  bool WasReached = ReachedAt_ && Now - *ReachedAt_ < Options_.Silence_;
-  if (IsLate && !CatchUpBy_)
-    CatchUpBy_ = WasReached ? lateFrom() : Now + good();
-  ReachedAt_ = Now;
+void ConfigFence::reached(TimePoint At) {
+  if (ReachedAt_ && At <= *ReachedAt_)
+    return;
+  if (!isReached(At, Options_.Lapse_))
+    CatchUpBy_.reset();
+  if (At >= lateFrom() && !CatchUpBy_)
+    CatchUpBy_ =
+        isReached(At, Options_.Silence_) ? lateFrom() : At + Options_.CatchUp_;
+  ReachedAt_ = At;
 }
 
 ConfigFence::State ConfigFence::state(TimePoint Now) const {
   if (ProvenAt_ && Now < lateFrom())
     return State::Current;
-  if (CatchUpBy_)
+  if (CatchUpBy_ && isReached(Now, Options_.Lapse_))
     return Now < *CatchUpBy_ ? State::CatchingUp : State::Behind;
-  bool IsReached = ReachedAt_ && Now - *ReachedAt_ < Options_.Silence_;
-  return IsReached ? State::Behind : State::Isolated;
+  return isReached(Now, Options_.Silence_) ? State::Behind : State::Isolated;
 }
 
 std::optional<Duration> ConfigFence::age(TimePoint Now) const {
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -237,8 +237,8 @@
                      std::optional<EndpointLoad> Load, TimePoint Now);
   // All that the store had accepted as of AsOf is known.
   void prove(TimePoint AsOf, TimePoint Now);
-  // The store answers, or the entry that reads it for this one.
-  void reached(TimePoint Now) { Fence_.reached(Now); }
+  // The store answered at that moment, this process or the one it follows.
+  void reached(TimePoint At) { Fence_.reached(At); }
   KeyLease &lease() { return Lease_; }
   const ConfigFence &fence() const { return Fence_; }
   const Placement &placement() const { return Placement_; }
--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -5165,6 +5165,7 @@
   typedef RowsAnswer TableType;
   uint64_t number = 0;
   uint64_t held_us = 0;
+  uint64_t reached_age_us = 0;
   bool away = false;
   bool receiving = false;
   std::vector<std::unique_ptr<hawthornroad::wire::RelayedTableT>> tables{};
@@ -5180,9 +5181,10 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NUMBER = 4,
     VT_HELD_US = 6,
-    VT_AWAY = 8,
-    VT_RECEIVING = 10,
-    VT_TABLES = 12
+    VT_REACHED_AGE_US = 8,
+    VT_AWAY = 10,
+    VT_RECEIVING = 12,
+    VT_TABLES = 14
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -5190,6 +5192,9 @@
   uint64_t held_us() const {
     return GetField<uint64_t>(VT_HELD_US, 0);
   }
+  uint64_t reached_age_us() const {
+    return GetField<uint64_t>(VT_REACHED_AGE_US, 0);
+  }
   bool away() const {
     return GetField<uint8_t>(VT_AWAY, 0) != 0;
   }
@@ -5203,6 +5208,7 @@
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
            VerifyField<uint64_t>(verifier, VT_HELD_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REACHED_AGE_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_AWAY, 1) &&
            VerifyField<uint8_t>(verifier, VT_RECEIVING, 1) &&
            VerifyOffset(verifier, VT_TABLES) &&
@@ -5225,6 +5231,9 @@
   void add_held_us(uint64_t held_us) {
     fbb_.AddElement<uint64_t>(RowsAnswer::VT_HELD_US, held_us, 0);
   }
+  void add_reached_age_us(uint64_t reached_age_us) {
+    fbb_.AddElement<uint64_t>(RowsAnswer::VT_REACHED_AGE_US, reached_age_us, 0);
+  }
   void add_away(bool away) {
     fbb_.AddElement<uint8_t>(RowsAnswer::VT_AWAY, static_cast<uint8_t>(away), 0);
   }
@@ -5249,10 +5258,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t number = 0,
     uint64_t held_us = 0,
+    uint64_t reached_age_us = 0,
     bool away = false,
     bool receiving = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::RelayedTable>>> tables = 0) {
   RowsAnswerBuilder builder_(_fbb);
+  builder_.add_reached_age_us(reached_age_us);
   builder_.add_held_us(held_us);
   builder_.add_number(number);
   builder_.add_tables(tables);
@@ -5265,6 +5276,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t number = 0,
     uint64_t held_us = 0,
+    uint64_t reached_age_us = 0,
     bool away = false,
     bool receiving = false,
     const std::vector<flatbuffers::Offset<hawthornroad::wire::RelayedTable>> *tables = nullptr) {
@@ -5273,6 +5285,7 @@
       _fbb,
       number,
       held_us,
+      reached_age_us,
       away,
       receiving,
       tables__);
@@ -7804,6 +7817,7 @@
   return
       (lhs.number == rhs.number) &&
       (lhs.held_us == rhs.held_us) &&
+      (lhs.reached_age_us == rhs.reached_age_us) &&
       (lhs.away == rhs.away) &&
       (lhs.receiving == rhs.receiving) &&
       (lhs.tables.size() == rhs.tables.size() && std::equal(lhs.tables.cbegin(), lhs.tables.cend(), rhs.tables.cbegin(), [](std::unique_ptr<hawthornroad::wire::RelayedTableT> const &a, std::unique_ptr<hawthornroad::wire::RelayedTableT> const &b) { return (a == b) || (a && b && *a == *b); }));
@@ -7817,6 +7831,7 @@
 inline RowsAnswerT::RowsAnswerT(const RowsAnswerT &o)
       : number(o.number),
         held_us(o.held_us),
+        reached_age_us(o.reached_age_us),
         away(o.away),
         receiving(o.receiving) {
   tables.reserve(o.tables.size());
@@ -7826,6 +7841,7 @@
 inline RowsAnswerT &RowsAnswerT::operator=(RowsAnswerT o) FLATBUFFERS_NOEXCEPT {
   std::swap(number, o.number);
   std::swap(held_us, o.held_us);
+  std::swap(reached_age_us, o.reached_age_us);
   std::swap(away, o.away);
   std::swap(receiving, o.receiving);
   std::swap(tables, o.tables);
@@ -7843,6 +7859,7 @@
   (void)_resolver;
   { auto _e = number(); _o->number = _e; }
   { auto _e = held_us(); _o->held_us = _e; }
+  { auto _e = reached_age_us(); _o->reached_age_us = _e; }
   { auto _e = away(); _o->away = _e; }
   { auto _e = receiving(); _o->receiving = _e; }
   { auto _e = tables(); if (_e) { _o->tables.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->tables[_i] = std::unique_ptr<hawthornroad::wire::RelayedTableT>(_e->Get(_i)->UnPack(_resolver)); } } }
@@ -7858,6 +7875,7 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RowsAnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _number = _o->number;
   auto _held_us = _o->held_us;
+  auto _reached_age_us = _o->reached_age_us;
   auto _away = _o->away;
   auto _receiving = _o->receiving;
   auto _tables = _o->tables.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornroad::wire::RelayedTable>> (_o->tables.size(), [](size_t i, _VectorArgs *__va) { return CreateRelayedTable(*__va->__fbb, __va->__o->tables[i].get(), __va->__rehasher); }, &_va ) : 0;
@@ -7865,6 +7883,7 @@
       _fbb,
       _number,
       _held_us,
+      _reached_age_us,
       _away,
       _receiving,
       _tables);
--- a/tests/unit/TableWatchTest.cpp
+++ b/tests/unit/TableWatchTest.cpp
@@ -224,3 +224,24 @@
   REQUIRE(earliestChange(Start - Seconds(9), Start, Most) == Start - Most);
   REQUIRE(earliestChange(std::nullopt, Start, Most) == Start - Most);
 }
+
+// Guards against a reader that takes over with an old state and is held by the
+// store before it has proved anything, or is sent every change it has missed.
+TEST_CASE(
+    "table watch, taking over from another process, proves its state with "
+    "the first call or lists anew",
+    "[store]") {
+  TableWatch W({.Table_ = "op", .Wait_ = Seconds(2)});
+  W.resume(7, Start);
+  TableWatch::Ask First = W.next(Start);
+  REQUIRE_FALSE(First.IsListing_);
+  REQUIRE(First.After_ == 7);
+  REQUIRE(First.Wait_ == Duration::zero());
+  W.sent(First, Start);
+  W.onRows({.Version_ = 7}, Start + Milliseconds(5));
+  REQUIRE(W.provenAt() == Start);
+  REQUIRE(W.next(Start + Seconds(1)).Wait_ == Duration(Seconds(2)));
+  W.list(Start + Seconds(1));
+  REQUIRE(W.next(Start + Seconds(1)).IsListing_);
+  REQUIRE(W.isListed());
+}
