--- a/tests/integration/ZoneSourceTest.cpp
+++ b/tests/integration/ZoneSourceTest.cpp
@@ -99,3 +99,20 @@
   eventually([&] { return isReady(*First_) && isReady(*Second_); },
              "both are ready again");
 }
+
+// Guards against a follower that takes its source's word for contact with the
+// store, counts as behind, and refuses while its whole zone is cut off.
+TEST_CASE_METHOD(ZoneFixture,
+                 "entries of one zone, while the store is silent, serve until "
+                 "the lease of keys is over",
+                 "[store-entry]") {
+  Store_.setMode(StoreStandIn::Mode::Silent);
+  auto Since = std::chrono::steady_clock::now();
+  // The bound on configurations is 2 s, the lease of keys 4.3 s; the last proof
+  // was up to a second old.
+  while (std::chrono::steady_clock::now() - Since < Milliseconds(3000)) {
+    REQUIRE(callAt(*First_, "/safe/1").Status_ == 200);
+    REQUIRE(callAt(*Second_, "/safe/1").Status_ == 200);
+    std::this_thread::sleep_for(Milliseconds(20));
+  }
+}
--- a/tests/unit/TableRelayTest.cpp
+++ b/tests/unit/TableRelayTest.cpp
@@ -208,3 +208,21 @@
     ask(5);
   REQUIRE(Answers_.size() == 1);
 }
+
+// Guards against a follower that takes an answer of its source for one of the
+// store.
+TEST_CASE_METHOD(RelayFixture,
+                 "table relay, answering, tells how long ago the store was "
+                 "reached",
+                 "[relay]") {
+  know("op", 5, "a", Now_);
+  know("servers", 5, "b", Now_);
+  R_.reached(Now_);
+  // An earlier moment that comes late changes nothing.
+  R_.reached(Now_ - Seconds(1));
+  ask(4);
+  REQUIRE(Answers_.back().reached_age_us == 0);
+  pass(Milliseconds(250));
+  ask(4);
+  REQUIRE(Answers_.back().reached_age_us == 250000);
+}
