--- a/hawthornroad/agent/RowReader.cpp
+++ b/hawthornroad/agent/RowReader.cpp
@@ -29,13 +29,15 @@
 }
 
 void RowReader::list(const std::string &Table, TimePoint Now, Done D) {
-  Reads_.push_back({Table, std::move(D), 0, Now});
+  Reads_.push_back({Table, std::move(D), 0, Now, false, Now});
   askConnected(Reads_.back());
 }
 
 void RowReader::askWaiting(TimePoint Now) {
   for (Read &Each : Reads_) {
-    if (Each.Number_ != 0 || Each.IsSearching_ || !askConnected(Each))
+    bool IsWaiting =
+        Each.Number_ == 0 && !Each.IsSearching_ && !Each.AwaitsData_;
+    if (!IsWaiting || !askConnected(Each))
       continue;
     Each.Since_ = Now;
   }
@@ -45,7 +47,7 @@
   bool IsAny = false;
   for (Read &Each : Reads_) {
     bool IsOverdue = Each.Number_ == 0 && !Each.IsSearching_ &&
-                     Now - Each.Since_ >= EntryWait;
+                     !Each.AwaitsData_ && Now - Each.Since_ >= EntryWait;
     Each.IsSearching_ |= IsOverdue;
     IsAny |= IsOverdue;
   }
@@ -64,6 +66,7 @@
   const RowCopy &Copy = Copies_[R.Table_];
   Wanted->listed = Copy.isListed();
   Wanted->after = Copy.version();
+  Wanted->accepts_packed = true;
   // At the age limit, so that an entry with newer rows answers at once.
   Wanted->age_us = microseconds(MaxAge);
   Q.tables.push_back(std::move(Wanted));
@@ -81,6 +84,7 @@
 }
 
 void RowReader::askFound(const std::vector<PeerAddress> &Entries) {
+  Found_ = Entries;
   for (auto Each = Reads_.begin(); Each != Reads_.end();) {
     if (Each->Number_ != 0 || !Each->IsSearching_) {
       ++Each;
@@ -97,6 +101,15 @@
   }
 }
 
+void RowReader::askAgain(Read &R, TimePoint Now) {
+  R.AwaitsData_ = false;
+  R.Since_ = Now;
+  if (askConnected(R) || Found_.empty())
+    return;
+  R.IsSearching_ = true;
+  Transport_.Dial_(Found_[Random_.below(Found_.size())], question(R));
+}
+
 void RowReader::readStore(Read R) {
   Transport_.ReadStore_(R.Table_, [this, R](const StoreReply &Reply) {
     onStore(R.Table_, R.Done_, Reply);
@@ -116,11 +129,16 @@
   });
   if (Found == Reads_.end())
     return;
-  Read R = std::move(*Found);
-  Reads_.erase(Found);
-  RowCopy &Copy = Copies_[R.Table_];
+  RowCopy &Copy = Copies_[Found->Table_];
   bool IsUsable =
       A.tables.size() == 1 && (A.tables[0]->whole || Copy.isListed());
+  if (!IsUsable && !Copy.isListed() && A.receiving) {
+    Found->AwaitsData_ = true;
+    Found->Number_ = 0;
+    return;
+  }
+  Read R = std::move(*Found);
+  Reads_.erase(Found);
   if (!IsUsable) {
     rotateEntries();
     if (Copy.isListed())
@@ -150,9 +168,17 @@
 void RowReader::tick(TimePoint Now) {
   searchOverdue(Now);
   for (auto Each = Reads_.begin(); Each != Reads_.end();) {
+    if (Each->AwaitsData_ && Now - Each->StartedAt_ < DataTimeout) {
+      if (Now - Each->Since_ >= DataRetryDelay)
+        askAgain(*Each, Now);
+      ++Each;
+      continue;
+    }
     bool IsAsked = Each->Number_ != 0;
     Duration Limit = IsAsked && !Each->IsSearching_ ? AnswerTimeout
                                                     : EntryWait + AnswerTimeout;
+    if (Each->AwaitsData_)
+      Limit = Duration::zero();
     if (Now - Each->Since_ < Limit) {
       ++Each;
       continue;
--- a/hawthornroad/agent/RowReader.h
+++ b/hawthornroad/agent/RowReader.h
@@ -20,6 +20,11 @@
 // wait, starting the whole deployment cost the store one call per VM. An entry
 // that is asked has AnswerTimeout to answer.
 //
+// When all VMs start together, the entries have no rows yet either. An entry
+// that says that it is receiving them is asked again after DataRetryDelay, for
+// at most DataTimeout: if each agent read the store instead, their reads would
+// take the bandwidth that the entries' reader needs.
+//
 // The rows read from a table are kept, and the next read asks for what has
 // changed since: during a transfer each agent wants the list of endpoints every
 // second, which for hundreds of endpoints is some ten kilobytes (estimated).
@@ -63,6 +68,8 @@
   // bound of 2 s (0.6 s), and short compared with a start of the whole
   // deployment.
   static constexpr Duration EntryWait = Milliseconds(900);
+  static constexpr Duration DataRetryDelay = Milliseconds(200);
+  static constexpr Duration DataTimeout = Seconds(5);
 
   RowReader(Transport W, std::uint64_t Seed)
       : Transport_(std::move(W)), Random_(Seed) {}
@@ -82,6 +89,9 @@
     std::uint64_t Number_ = 0;
     TimePoint Since_;
     bool IsSearching_ = false;
+    TimePoint StartedAt_;
+    // The entry that was asked is receiving its first rows.
+    bool AwaitsData_ = false;
   };
   FrameBuffer question(Read &R);
   bool askConnected(Read &R);
@@ -90,6 +100,8 @@
   void searchOverdue(TimePoint Now);
   void onStore(const std::string &Table, const Done &D, const StoreReply &R);
   void askFound(const std::vector<PeerAddress> &Entries);
+  // Asks again for rows that an entry was receiving.
+  void askAgain(Read &R, TimePoint Now);
   void readStore(Read R);
   // Completes the read with the kept rows of the table.
   void complete(const Read &R);
@@ -102,6 +114,8 @@
   // agents of a zone ask different entries.
   std::list<std::pair<ProcessName, ConnectionId>> Entries_;
   std::list<Read> Reads_;
+  // The zone's entries as last found in the store.
+  std::vector<PeerAddress> Found_;
   std::map<std::string, RowCopy> Copies_;
   std::uint64_t NextNumber_ = 1;
 };
--- a/hawthornroad/entry/TableRelay.cpp
+++ b/hawthornroad/entry/TableRelay.cpp
@@ -1,8 +1,10 @@
 #include "hawthornroad/entry/TableRelay.h"
 
+#include "hawthornroad/base/Error.h"
 #include "hawthornroad/runtime/Deflate.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hawthornroad {
 
@@ -12,6 +14,11 @@
 // Followers need a new proof about as often as the reader of the store gets one
 // (two a second); answering more often would only cost frames.
 constexpr Duration MinProofAdvance = Milliseconds(350);
+// Fewer rows are sent one by one: their names take little space.
+constexpr std::size_t MinPackedRows = 8;
+// Clients at more different versions than this are rare: those of one source
+// follow its changes together.
+constexpr std::size_t MaxPackedVersions = 4;
 
 std::uint64_t microseconds(Duration D) {
   auto Count = std::chrono::duration_cast<std::chrono::microseconds>(D).count();
@@ -36,7 +43,9 @@
 }
 
 void TableRelay::apply(const std::string &Name, const TableWatch::Update &U) {
-  Tables_.at(Name).Copy_.apply(U);
+  Table &T = Tables_.at(Name);
+  T.Copy_.apply(U);
+  T.Packed_.clear();
 }
 
 void TableRelay::prove(const std::string &Name, TimePoint AsOf) {
@@ -118,13 +127,39 @@
   Out->age_us = microseconds(Now - *T.ProvenAt_);
   std::optional<StoreVersion> After = knownVersion(Wanted);
   Out->version = T.Copy_.version();
-  if (!T.Copy_.hasChangesSince(After))
-    return Out;
+  if (T.Copy_.hasChangesSince(After))
+    encodeRows(*Out, After, Wanted.accepts_packed, T);
+  return Out;
+}
+
+void TableRelay::encodeRows(wire::RelayedTableT &Out,
+                            std::optional<StoreVersion> After, bool MayPack,
+                            Table &T) {
+  if (auto Known = T.Packed_.find(After); MayPack && Known != T.Packed_.end()) {
+    const PackedRows &P = Known->second;
+    Out.whole = P.IsWhole_;
+    Out.packed.assign(P.Bytes_.begin(), P.Bytes_.end());
+    Out.unpacked_size = P.Length_;
+    return;
+  }
   TableWatch::Update U = T.Copy_.updateSince(After);
-  Out->whole = U.IsWhole_;
+  Out.whole = U.IsWhole_;
   for (const StoreRow &Row : U.Rows_)
-    Out->rows.push_back(encodeRow(Row, T));
-  return Out;
+    Out.rows.push_back(encodeRow(Row, T));
+  if (!MayPack || Out.rows.size() < MinPackedRows)
+    return;
+  wire::RelayedRowsT Rows;
+  Rows.rows = std::exchange(Out.rows, {});
+  flatbuffers::FlatBufferBuilder Builder(MinDeflateSize);
+  Builder.Finish(wire::RelayedRows::Pack(Builder, &Rows));
+  std::string_view Text(
+      reinterpret_cast<const char *>(Builder.GetBufferPointer()),
+      Builder.GetSize());
+  if (T.Packed_.size() >= MaxPackedVersions)
+    T.Packed_.clear();
+  T.Packed_[After] = {deflate(Text), static_cast<std::uint32_t>(Text.size()),
+                      U.IsWhole_};
+  encodeRows(Out, After, MayPack, T);
 }
 
 std::unique_ptr<wire::RelayedRowT> TableRelay::encodeRow(const StoreRow &Row,
@@ -151,7 +186,30 @@
   return Out;
 }
 
+namespace {
+wire::RelayedRowsT unpackRows(const wire::RelayedTableT &T) {
+  std::string_view Packed(reinterpret_cast<const char *>(T.packed.data()),
+                          T.packed.size());
+  std::string Text = inflate(Packed, T.unpacked_size);
+  flatbuffers::Verifier Verifier(
+      reinterpret_cast<const std::uint8_t *>(Text.data()), Text.size());
+  if (!Verifier.VerifyBuffer<wire::RelayedRows>(nullptr))
+    throw Error(Step::Receive, "", "packed rows are malformed");
+  wire::RelayedRowsT Rows;
+  flatbuffers::GetRoot<wire::RelayedRows>(Text.data())->UnPackTo(&Rows);
+  return Rows;
+}
+} // namespace
+
 TableWatch::Update decodeRelayed(const wire::RelayedTableT &T) {
+  if (!T.packed.empty()) {
+    wire::RelayedTableT Unpacked;
+    Unpacked.table = T.table;
+    Unpacked.whole = T.whole;
+    Unpacked.version = T.version;
+    Unpacked.rows = unpackRows(T).rows;
+    return decodeRelayed(Unpacked);
+  }
   TableWatch::Update U;
   U.IsWhole_ = T.whole;
   U.Version_ = T.version;
--- a/hawthornroad/entry/TableRelay.h
+++ b/hawthornroad/entry/TableRelay.h
@@ -14,7 +14,8 @@
 // query, so time in transit or in a frozen process makes the data appear older,
 // never newer.
 //
-// Long values are sent deflated; each is deflated once for all clients.
+// Long values are sent deflated, and so are many short rows together; each is
+// deflated once for all clients that lack the same rows.
 
 #ifndef HAWTHORNROAD_ENTRY_TABLERELAY_H
 #define HAWTHORNROAD_ENTRY_TABLERELAY_H
@@ -64,11 +65,18 @@
   std::optional<TimePoint> lastQueryAt() const { return LastQueryAt_; }
 
 private:
+  struct PackedRows {
+    std::string Bytes_;
+    std::uint32_t Length_ = 0;
+    bool IsWhole_ = false;
+  };
   struct Table {
     RowCopy Copy_;
     std::optional<TimePoint> ProvenAt_;
     // Deflated long values by key, with the version of their row.
     std::map<std::string, std::pair<StoreVersion, std::string>> Deflated_;
+    // Packed rows of the current version, by the version that the client has.
+    std::map<std::optional<StoreVersion>, PackedRows> Packed_;
   };
   struct PendingQuery {
     wire::RowsAskT Query_;
@@ -80,6 +88,9 @@
   void answer(const PendingQuery &H, TimePoint Now);
   static std::unique_ptr<wire::RelayedTableT>
   encodeTable(const wire::TableWantedT &Wanted, Table &T, TimePoint Now);
+  static void encodeRows(wire::RelayedTableT &Out,
+                         std::optional<StoreVersion> After, bool MayPack,
+                         Table &T);
   static std::unique_ptr<wire::RelayedRowT> encodeRow(const StoreRow &Row,
                                                       Table &T);
 
--- a/hawthornroad/entry/TableSource.cpp
+++ b/hawthornroad/entry/TableSource.cpp
@@ -13,8 +13,16 @@
 namespace {
 // How long the source may hold a query. Its own proofs arrive twice a second.
 constexpr Duration QueryWait = Milliseconds(700);
+// The same for an entry that has no data yet, so that it learns soon whether its
+// source is receiving any.
+constexpr Duration FirstQueryWait = Milliseconds(100);
 // A source that does not answer within this time is frozen or cut off.
 constexpr Duration QueryTimeout = QueryWait + Milliseconds(300);
+// The same for a query that is not to be waited for.
+constexpr Duration ProbeTimeout = Milliseconds(300);
+// A long answer may take longer as long as its bytes keep arriving.
+constexpr Duration MaxAnswerPause = Milliseconds(300);
+constexpr Duration MaxAnswerTime = Seconds(5);
 // Pause between an answer and the next query, so that rows that change together
 // are sent in one answer.
 constexpr Duration QueryInterval = Milliseconds(20);
@@ -22,11 +30,15 @@
 // operation: the proofs of a source are 0.4 to 0.6 of MaxAge old, by the sum of
 // WaitWhenServing_ and PaceWhenServing_.
 constexpr double AgingShare = 0.75;
+// Added for each transmission beyond the first: when the reader of the store
+// fails, its followers find another source before theirs leave them.
+constexpr double AgingSharePerLevel = 0.04;
+constexpr double MaxAgingShare = 0.95;
 // After MaxAge, entries start to read the store one after the other by rank, so
-// that the first to succeed serves the others. Delays are capped at
-// MaxStaggeredRank steps.
+// that the first to succeed serves the others. Beyond StaggeredRanks, each
+// doubling of the rank adds one step.
 constexpr Duration TakeoverStagger = Milliseconds(100);
-constexpr std::size_t MaxStaggeredRank = 4;
+constexpr std::size_t StaggeredRanks = 4;
 // This process counts as serving others for this long after a query.
 constexpr Duration ServingPeriod = Seconds(3);
 // A call to the store that takes longer than its wait time plus this is logged.
@@ -35,6 +47,13 @@
 // in which the zone's entries choose their source.
 constexpr std::size_t MaxProbers = 2;
 
+int takeoverTurn(std::size_t Rank) {
+  int Turn = 0;
+  for (; Rank > StaggeredRanks; Rank /= 2)
+    ++Turn;
+  return Turn + static_cast<int>(Rank);
+}
+
 std::vector<std::string> tableNames(const TableSource::Setup &S) {
   std::vector<std::string> Out;
   for (const auto &Each : S.Tables_)
@@ -110,7 +129,7 @@
   updateReceiving(Now);
   probeStore(Now);
   Choice_.tick(Now);
-  if (Query_.Number_ != 0 && Now - Query_.SentAt_ >= QueryTimeout)
+  if (isQueryOverdue(Now))
     onSourceLost(Query_.To_, "silent");
   dropAgingSource(Now);
   applyChoice(Now);
@@ -137,7 +156,7 @@
 void TableSource::dropAgingSource(TimePoint Now) {
   double Age = greatestAge(Now);
   auto Source = Choice_.source();
-  if (Source && Age > AgingShare) {
+  if (Source && Age > agingShare()) {
     Reconnect_.insert(*Source);
     Query_ = {};
     Choice_.onAging(Now);
@@ -145,15 +164,30 @@
       Zone_->refreshSoon(Now);
   }
   bool IsSeeking = !Choice_.readsStore() && !Choice_.source();
-  Duration Turn = TakeoverStagger * std::min(Choice_.rank(), MaxStaggeredRank);
+  Duration Turn = TakeoverStagger * takeoverTurn(Choice_.rank());
   if (IsSeeking && greatestAge(Now - Turn) > 1 && std::isfinite(Age))
     Choice_.onStale(Now);
 }
 
+double TableSource::agingShare() const {
+  unsigned Depth = std::max(1U, Choice_.depth());
+  return std::min(MaxAgingShare, AgingShare + AgingSharePerLevel * (Depth - 1));
+}
+
+bool TableSource::isQueryOverdue(TimePoint Now) const {
+  Duration Elapsed = Now - Query_.SentAt_;
+  if (Query_.Number_ == 0 || Elapsed < Query_.Timeout_)
+    return false;
+  auto Silence = Net_->silence(Query_.To_, Lane::Control);
+  bool IsArriving = Silence && *Silence < MaxAnswerPause;
+  return !IsArriving || Elapsed >= MaxAnswerTime;
+}
+
 void TableSource::updateReceiving(TimePoint Now) {
   if (Receiving_.onBytes(Store_.counters().AnswerBytes_, Now))
     reached(Now);
-  Relay_.setReceiving(Choice_.readsStore() && Receiving_.isReceiving(Now));
+  bool IsReading = Choice_.readsStore() && Receiving_.isReceiving(Now);
+  Relay_.setReceiving(IsReading || Choice_.isExpectingData(Now));
 }
 
 void TableSource::probeStore(TimePoint Now) {
@@ -293,6 +327,16 @@
 
 // ---- Querying another entry -------------------------------------------------
 
+Duration TableSource::queryWait(TimePoint Now) const {
+  double Age = greatestAge(Now);
+  // A stale entry that reads the store takes bandwidth that the source may
+  // need.
+  bool IsLateReader = Choice_.readsStore() && Age > 1;
+  if (IsLateReader || Choice_.isProbingParent(Now))
+    return Duration::zero();
+  return std::isfinite(Age) ? QueryWait : FirstQueryWait;
+}
+
 void TableSource::querySource(TimePoint Now) {
   if (!Net_ || Query_.Number_ != 0 || Now < NextQueryAt_)
     return;
@@ -300,10 +344,9 @@
   auto Target = Choice_.next(IsFresh, Now);
   if (!Target)
     return;
-  // A stale entry that reads the store takes bandwidth that the source may
-  // need, so it queries the source without a wait time.
-  Duration Wait =
-      Choice_.readsStore() && !IsFresh ? Duration::zero() : Duration(QueryWait);
+  Duration Wait = queryWait(Now);
+  Duration Timeout =
+      Choice_.isProbingParent(Now) ? ProbeTimeout : Duration(QueryTimeout);
   wire::RowsAskT Q;
   Q.number = NextNumber_++;
   Q.wait_ms = static_cast<std::uint32_t>(Wait / Milliseconds(1));
@@ -313,6 +356,7 @@
     Wanted->table = Each.Setup_.Name_;
     Wanted->listed = Copy.isListed();
     Wanted->after = Copy.version();
+    Wanted->accepts_packed = true;
     Wanted->max_age_us = static_cast<std::uint64_t>(
         Each.Setup_.MaxAge_ * AgingShare / std::chrono::microseconds(1));
     if (auto Proof = Relay_.provenAt(Each.Setup_.Name_))
@@ -320,7 +364,7 @@
                                                   std::chrono::microseconds(1));
     Q.tables.push_back(std::move(Wanted));
   }
-  Query_ = {Q.number, *Target, Now};
+  Query_ = {Q.number, *Target, Now, Timeout};
   FrameBuffer Frame = makeFrame(std::move(Q));
   bool IsSent = Reconnect_.erase(*Target) != 0
                     ? Net_->sendOnNewConnection(*Target, Lane::Control, Frame)
--- a/hawthornroad/entry/TableSource.h
+++ b/hawthornroad/entry/TableSource.h
@@ -96,6 +96,11 @@
   void logStoreCall(Table &T, bool Ok, const TableWatch &W);
   void onFrame(const PeerContext &From, const wire::Frame &Frame);
   void querySource(TimePoint Now);
+  // How long the source may hold a query that is sent now.
+  Duration queryWait(TimePoint Now) const;
+  bool isQueryOverdue(TimePoint Now) const;
+  // The age, as a fraction of MaxAge, at which another source is sought.
+  double agingShare() const;
   void onAnswer(const PeerAddress &From, const wire::RowsAnswerT &A);
   bool applyTable(Table &T, const wire::RelayedTableT &R, Duration Held);
   void onSourceLost(const PeerAddress &From, std::string_view Why);
@@ -131,6 +136,7 @@
     std::uint64_t Number_ = 0;
     PeerAddress To_;
     TimePoint SentAt_;
+    Duration Timeout_ = Duration::zero();
   };
   Query Query_;
   std::uint64_t NextNumber_ = 1;
--- a/hawthornroad/peers/PeerConnection.h
+++ b/hawthornroad/peers/PeerConnection.h
@@ -72,6 +72,11 @@
   PeerContext &context() { return Context_; }
   bool isDialled() const { return IsDialled_; }
   std::size_t backlog() const { return Backlog_; }
+  bool isConnected() const { return Connected_; }
+  // Time since the last received byte.
+  Duration silence() const {
+    return std::chrono::steady_clock::now() - LastReceived_;
+  }
 
   // Whether the socket already holds an unread end of stream or reset. A
   // process that dies closes its sockets at once, but a busy IoThread reads
--- a/hawthornroad/peers/PeerNet.cpp
+++ b/hawthornroad/peers/PeerNet.cpp
@@ -167,6 +167,13 @@
   return Found == State_->ById_.end() ? 0 : Found->second->backlog();
 }
 
+std::optional<Duration> PeerNet::silence(const PeerAddress &To, Lane L) const {
+  auto Found = State_->Dialled_.find({To, L});
+  if (Found == State_->Dialled_.end() || !Found->second->isConnected())
+    return std::nullopt;
+  return Found->second->silence();
+}
+
 void PeerNet::setRevision(Revision R) { State_->Revision_.store(R); }
 
 std::uint64_t PeerNet::bytesSent(Lane L) const {
--- a/hawthornroad/peers/PeerNet.h
+++ b/hawthornroad/peers/PeerNet.h
@@ -41,6 +41,7 @@
 #include <flatbuffers/flatbuffers.h>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace hawthornroad {
@@ -122,6 +123,9 @@
   bool reply(ConnectionId To, FrameBuffer Frame);
   // Unsent bytes of a connection; call on the IoThread. 0 when unknown.
   std::size_t backlog(ConnectionId Id) const;
+  // Time since the last byte received on the dialled connection to a peer, also
+  // in the middle of a frame; call on the IoThread. Unset without a connection.
+  std::optional<Duration> silence(const PeerAddress &To, Lane L) const;
   // Sets the revision announced in later Hellos.
   void setRevision(Revision R);
 
--- a/hawthornroad/store/SourceChoice.cpp
+++ b/hawthornroad/store/SourceChoice.cpp
@@ -4,6 +4,49 @@
 
 namespace hawthornroad {
 
+namespace {
+// How long a source's statement that it is receiving counts. Longer than the
+// interval between two queries of an entry without data.
+constexpr Duration ReceivingValidity = Milliseconds(500);
+} // namespace
+
+unsigned SourceChoice::depth() const {
+  unsigned Depth = 0;
+  for (std::size_t Rank = rank(); Rank > 0; Rank = (Rank - 1) / Options_.Fanout_)
+    ++Depth;
+  return Depth;
+}
+
+std::optional<PeerAddress> SourceChoice::parent(TimePoint Now) const {
+  if (Preferred_.empty())
+    return std::nullopt;
+  const PeerAddress &Parent = Preferred_[(rank() - 1) / Options_.Fanout_];
+  auto Bad = AvoidUntil_.find(Parent);
+  if (Bad != AvoidUntil_.end() && Bad->second > Now)
+    return std::nullopt;
+  return Parent;
+}
+
+bool SourceChoice::isProbingParent(TimePoint Now) const {
+  if (State_ != State::Following ||
+      Now - FollowingSince_ < Options_.ParentRetryDelay_)
+    return false;
+  auto Parent = parent(Now);
+  return Parent && *Parent != Source_;
+}
+
+bool SourceChoice::isExpectingData(TimePoint Now) const {
+  return State_ == State::Seeking && SourceReceivingAt_ &&
+         Now - *SourceReceivingAt_ < ReceivingValidity;
+}
+
+Duration SourceChoice::seekTimeout() const {
+  Duration Timeout = Options_.SeekTimeout_;
+  for (std::size_t Rank = rank(); Rank > Options_.Backups_; Rank /= 2)
+    Timeout += Options_.SeekTimeout_;
+  return Timeout;
+}
+
 void SourceChoice::setPreferred(std::vector<PeerAddress> Before,
                                 TimePoint Now) {
   Preferred_ = std::move(Before);
@@ -18,6 +61,8 @@
 }
 
 std::optional<PeerAddress> SourceChoice::firstAvailable(TimePoint Now) const {
+  if (auto Parent = parent(Now))
+    return Parent;
   for (const PeerAddress &Each : Preferred_) {
     auto Bad = AvoidUntil_.find(Each);
     if (Bad == AvoidUntil_.end() || Bad->second <= Now)
@@ -28,6 +73,8 @@
 
 std::optional<PeerAddress> SourceChoice::next(bool IsFresh,
                                               TimePoint Now) const {
+  if (isProbingParent(Now))
+    return parent(Now);
   if (State_ == State::Following)
     return Source_;
   Duration Pause =
@@ -60,10 +107,15 @@
   switch (H) {
   case SourceHealth::Fresh:
     AvoidUntil_.erase(From);
+    if (State_ != State::Following || Source_ != From)
+      FollowingSince_ = Now;
     State_ = State::Following;
     Source_ = From;
     return;
   case SourceHealth::Receiving:
+    SourceReceivingAt_ = Now;
+    if (State_ == State::Following && Source_ != From)
+      FollowingSince_ = Now;
     if (State_ == State::Reading && !IsFresh)
       startSeeking(true, Now);
     return;
@@ -98,12 +150,17 @@
 void SourceChoice::onStale(TimePoint Now) {
   if (State_ == State::Following)
     AvoidUntil_[Source_] = Now + Options_.FailedPeerDelay_;
-  if (State_ != State::Seeking || !IsYielding_)
+  bool Waits = State_ == State::Seeking && (IsYielding_ || isExpectingData(Now));
+  if (!Waits)
     startReading(Now);
 }
 
 void SourceChoice::tick(TimePoint Now) {
-  if (State_ == State::Seeking && Now - SeekingSince_ >= Options_.SeekTimeout_)
+  if (State_ != State::Seeking)
+    return;
+  Duration Timeout =
+      isExpectingData(Now) ? seekTimeout() : Options_.SeekTimeout_;
+  if (Now - SeekingSince_ >= Timeout)
     startReading(Now);
 }
 
--- a/hawthornroad/store/SourceChoice.h
+++ b/hawthornroad/store/SourceChoice.h
@@ -14,6 +14,15 @@
 // it and answers those after it, so no cycles arise, and in normal operation
 // only the first entry reads the store.
 //
+// Load pattern: many entries need the same long table at the same moment, since
+// all have restarted or the table has changed. Sent to each by the first entry,
+// it takes longer with every entry of the zone: 100 copies of 1 MB over a link
+// of 40 Mbit/s take 20 s. The entries therefore form a tree: the entry of rank
+// R prefers the one of rank (R - 1) / Fanout, so nobody sends more than Fanout
+// copies and the table arrives after log(entries) transmissions. When that
+// entry fails, the zone's order applies, and after ParentRetryDelay the entry
+// returns to its parent.
+//
 // States:
 //   Seeking    asks one peer after the other, for at most SeekTimeout
 //   Reading    reads the store itself; retries a peer from time to time
@@ -33,6 +42,10 @@
 // receiving from the store, it seeks for SeekTimeout and leaves the link to
 // that peer.
 //
+// An entry that still waits for its first data reads the store after a time that
+// grows with the logarithm of its rank: few entries read at once, and the first
+// one to succeed serves the others.
+//
 // A source that failed is not asked for FailedPeerDelay. A disconnected one is
 // not asked for PeerRetryDelay, or for DisconnectedRetryDelay by an entry that
 // is late.
@@ -73,8 +86,13 @@
 public:
   struct Options {
     // When all processes of a zone start together, two reads of a configuration
-    // by its first entry take 0.4 s over a link between regions.
+    // by its first entry take 0.4 s over a link between regions. Ranks beyond
+    // Backups wait as long again for each doubling.
     Duration SeekTimeout_ = Milliseconds(800);
+    // How many entries prefer the same source.
+    std::size_t Fanout_ = 8;
+    // How long an entry follows another source before it probes its parent.
+    Duration ParentRetryDelay_ = Seconds(10);
     // Failures of two out of three VMs at once are rare. A store that refuses
     // VMs affects a third of them.
     std::size_t Backups_ = 2;
@@ -110,12 +128,24 @@
   bool readsStore() const { return State_ == State::Reading; }
   // The number of entries before this one.
   std::size_t rank() const { return Preferred_.size(); }
+  // The number of transmissions from the store's reader to this entry: 0 for
+  // the first entry, 1 for those that prefer it.
+  unsigned depth() const;
+  // Whether next() returns the parent of an entry that follows another source.
+  // Its answer must not be waited for: the data of this process ages meanwhile.
+  bool isProbingParent(TimePoint Now) const;
+  // This process still waits for its first data, and a source that it asked is
+  // receiving it.
+  bool isExpectingData(TimePoint Now) const;
   // The peer being followed; unset in other states.
   std::optional<PeerAddress> source() const;
 
 private:
   enum class State { Seeking, Reading, Following };
   std::optional<PeerAddress> firstAvailable(TimePoint Now) const;
+  // The peer that this entry prefers, if it may be asked now.
+  std::optional<PeerAddress> parent(TimePoint Now) const;
+  Duration seekTimeout() const;
   void startReading(TimePoint Now);
   void startSeeking(bool IsYielding, TimePoint Now);
   void abandonSource(const PeerAddress &From, TimePoint Now);
@@ -126,7 +156,10 @@
   std::vector<PeerAddress> Preferred_;
   std::map<PeerAddress, TimePoint> AvoidUntil_;
   PeerAddress Source_;
+  TimePoint FollowingSince_;
   TimePoint ReadingSince_;
+  // The last answer of a source that is receiving.
+  std::optional<TimePoint> SourceReceivingAt_;
   // Seeking instead of reading, to leave the link to a peer that is receiving.
   bool IsYielding_ = false;
 };
--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -162,6 +162,10 @@
 struct RelayedRowBuilder;
 struct RelayedRowT;
 
+struct RelayedRows;
+struct RelayedRowsBuilder;
+struct RelayedRowsT;
+
 struct RelayedTable;
 struct RelayedTableBuilder;
 struct RelayedTableT;
@@ -252,6 +256,8 @@
 bool operator!=(const RowsAskT &lhs, const RowsAskT &rhs);
 bool operator==(const RelayedRowT &lhs, const RelayedRowT &rhs);
 bool operator!=(const RelayedRowT &lhs, const RelayedRowT &rhs);
+bool operator==(const RelayedRowsT &lhs, const RelayedRowsT &rhs);
+bool operator!=(const RelayedRowsT &lhs, const RelayedRowsT &rhs);
 bool operator==(const RelayedTableT &lhs, const RelayedTableT &rhs);
 bool operator!=(const RelayedTableT &lhs, const RelayedTableT &rhs);
 bool operator==(const RowsAnswerT &lhs, const RowsAnswerT &rhs);
@@ -4721,6 +4727,7 @@
   uint64_t after = 0;
   uint64_t age_us = 0;
   uint64_t max_age_us = 0;
+  bool accepts_packed = false;
 };
 
 struct TableWanted FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4731,7 +4738,8 @@
     VT_LISTED = 6,
     VT_AFTER = 8,
     VT_AGE_US = 10,
-    VT_MAX_AGE_US = 12
+    VT_MAX_AGE_US = 12,
+    VT_ACCEPTS_PACKED = 14
   };
   const flatbuffers::String *table() const {
     return GetPointer<const flatbuffers::String *>(VT_TABLE);
@@ -4748,6 +4756,9 @@
   uint64_t max_age_us() const {
     return GetField<uint64_t>(VT_MAX_AGE_US, 0);
   }
+  bool accepts_packed() const {
+    return GetField<uint8_t>(VT_ACCEPTS_PACKED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_TABLE) &&
@@ -4756,6 +4767,7 @@
            VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
            VerifyField<uint64_t>(verifier, VT_AGE_US, 8) &&
            VerifyField<uint64_t>(verifier, VT_MAX_AGE_US, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ACCEPTS_PACKED, 1) &&
            verifier.EndTable();
   }
   TableWantedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4782,6 +4794,9 @@
   void add_max_age_us(uint64_t max_age_us) {
     fbb_.AddElement<uint64_t>(TableWanted::VT_MAX_AGE_US, max_age_us, 0);
   }
+  void add_accepts_packed(bool accepts_packed) {
+    fbb_.AddElement<uint8_t>(TableWanted::VT_ACCEPTS_PACKED, static_cast<uint8_t>(accepts_packed), 0);
+  }
   explicit TableWantedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4800,12 +4815,14 @@
     bool listed = false,
     uint64_t after = 0,
     uint64_t age_us = 0,
-    uint64_t max_age_us = 0) {
+    uint64_t max_age_us = 0,
+    bool accepts_packed = false) {
   TableWantedBuilder builder_(_fbb);
   builder_.add_max_age_us(max_age_us);
   builder_.add_age_us(age_us);
   builder_.add_after(after);
   builder_.add_table(table);
+  builder_.add_accepts_packed(accepts_packed);
   builder_.add_listed(listed);
   return builder_.Finish();
 }
@@ -4816,7 +4833,8 @@
     bool listed = false,
     uint64_t after = 0,
     uint64_t age_us = 0,
-    uint64_t max_age_us = 0) {
+    uint64_t max_age_us = 0,
+    bool accepts_packed = false) {
   auto table__ = table ? _fbb.CreateString(table) : 0;
   return hawthornroad::wire::CreateTableWanted(
       _fbb,
@@ -4824,7 +4842,8 @@
       listed,
       after,
       age_us,
-      max_age_us);
+      max_age_us,
+      accepts_packed);
 }
 
 flatbuffers::Offset<TableWanted> CreateTableWanted(flatbuffers::FlatBufferBuilder &_fbb, const TableWantedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5039,6 +5058,73 @@
 
 flatbuffers::Offset<RelayedRow> CreateRelayedRow(flatbuffers::FlatBufferBuilder &_fbb, const RelayedRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RelayedRowsT : public flatbuffers::NativeTable {
+  typedef RelayedRows TableType;
+  std::vector<std::unique_ptr<hawthornroad::wire::RelayedRowT>> rows{};
+  RelayedRowsT() = default;
+  RelayedRowsT(const RelayedRowsT &o);
+  RelayedRowsT(RelayedRowsT&&) FLATBUFFERS_NOEXCEPT = default;
+  RelayedRowsT &operator=(RelayedRowsT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct RelayedRows FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RelayedRowsT NativeTableType;
+  typedef RelayedRowsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROWS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::RelayedRow>> *rows() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::RelayedRow>> *>(VT_ROWS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ROWS) &&
+           verifier.VerifyVector(rows()) &&
+           verifier.VerifyVectorOfTables(rows()) &&
+           verifier.EndTable();
+  }
+  RelayedRowsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RelayedRowsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RelayedRows> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayedRowsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RelayedRowsBuilder {
+  typedef RelayedRows Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_rows(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::RelayedRow>>> rows) {
+    fbb_.AddOffset(RelayedRows::VT_ROWS, rows);
+  }
+  explicit RelayedRowsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RelayedRows> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RelayedRows>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RelayedRows> CreateRelayedRows(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::RelayedRow>>> rows = 0) {
+  RelayedRowsBuilder builder_(_fbb);
+  builder_.add_rows(rows);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RelayedRows> CreateRelayedRowsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<hawthornroad::wire::RelayedRow>> *rows = nullptr) {
+  auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<hawthornroad::wire::RelayedRow>>(*rows) : 0;
+  return hawthornroad::wire::CreateRelayedRows(
+      _fbb,
+      rows__);
+}
+
+flatbuffers::Offset<RelayedRows> CreateRelayedRows(flatbuffers::FlatBufferBuilder &_fbb, const RelayedRowsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct RelayedTableT : public flatbuffers::NativeTable {
   typedef RelayedTable TableType;
   std::string table{};
@@ -5046,6 +5132,8 @@
   uint64_t version = 0;
   uint64_t age_us = 0;
   std::vector<std::unique_ptr<hawthornroad::wire::RelayedRowT>> rows{};
+  std::vector<uint8_t> packed{};
+  uint32_t unpacked_size = 0;
   RelayedTableT() = default;
   RelayedTableT(const RelayedTableT &o);
   RelayedTableT(RelayedTableT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -5060,7 +5148,9 @@
     VT_WHOLE = 6,
     VT_VERSION = 8,
     VT_AGE_US = 10,
-    VT_ROWS = 12
+    VT_ROWS = 12,
+    VT_PACKED = 14,
+    VT_UNPACKED_SIZE = 16
   };
   const flatbuffers::String *table() const {
     return GetPointer<const flatbuffers::String *>(VT_TABLE);
@@ -5077,6 +5167,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::RelayedRow>> *rows() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::RelayedRow>> *>(VT_ROWS);
   }
+  const flatbuffers::Vector<uint8_t> *packed() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PACKED);
+  }
+  uint32_t unpacked_size() const {
+    return GetField<uint32_t>(VT_UNPACKED_SIZE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_TABLE) &&
@@ -5087,6 +5183,9 @@
            VerifyOffset(verifier, VT_ROWS) &&
            verifier.VerifyVector(rows()) &&
            verifier.VerifyVectorOfTables(rows()) &&
+           VerifyOffset(verifier, VT_PACKED) &&
+           verifier.VerifyVector(packed()) &&
+           VerifyField<uint32_t>(verifier, VT_UNPACKED_SIZE, 4) &&
            verifier.EndTable();
   }
   RelayedTableT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5113,6 +5212,12 @@
   void add_rows(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::RelayedRow>>> rows) {
     fbb_.AddOffset(RelayedTable::VT_ROWS, rows);
   }
+  void add_packed(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed) {
+    fbb_.AddOffset(RelayedTable::VT_PACKED, packed);
+  }
+  void add_unpacked_size(uint32_t unpacked_size) {
+    fbb_.AddElement<uint32_t>(RelayedTable::VT_UNPACKED_SIZE, unpacked_size, 0);
+  }
   explicit RelayedTableBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5131,10 +5236,14 @@
     bool whole = false,
     uint64_t version = 0,
     uint64_t age_us = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::RelayedRow>>> rows = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::RelayedRow>>> rows = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed = 0,
+    uint32_t unpacked_size = 0) {
   RelayedTableBuilder builder_(_fbb);
   builder_.add_age_us(age_us);
   builder_.add_version(version);
+  builder_.add_unpacked_size(unpacked_size);
+  builder_.add_packed(packed);
   builder_.add_rows(rows);
   builder_.add_table(table);
   builder_.add_whole(whole);
@@ -5147,16 +5256,21 @@
     bool whole = false,
     uint64_t version = 0,
     uint64_t age_us = 0,
-    const std::vector<flatbuffers::Offset<hawthornroad::wire::RelayedRow>> *rows = nullptr) {
+    const std::vector<flatbuffers::Offset<hawthornroad::wire::RelayedRow>> *rows = nullptr,
+    const std::vector<uint8_t> *packed = nullptr,
+    uint32_t unpacked_size = 0) {
   auto table__ = table ? _fbb.CreateString(table) : 0;
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<hawthornroad::wire::RelayedRow>>(*rows) : 0;
+  auto packed__ = packed ? _fbb.CreateVector<uint8_t>(*packed) : 0;
   return hawthornroad::wire::CreateRelayedTable(
       _fbb,
       table__,
       whole,
       version,
       age_us,
-      rows__);
+      rows__,
+      packed__,
+      unpacked_size);
 }
 
 flatbuffers::Offset<RelayedTable> CreateRelayedTable(flatbuffers::FlatBufferBuilder &_fbb, const RelayedTableT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7583,7 +7697,8 @@
       (lhs.listed == rhs.listed) &&
       (lhs.after == rhs.after) &&
       (lhs.age_us == rhs.age_us) &&
-      (lhs.max_age_us == rhs.max_age_us);
+      (lhs.max_age_us == rhs.max_age_us) &&
+      (lhs.accepts_packed == rhs.accepts_packed);
 }
 
 inline bool operator!=(const TableWantedT &lhs, const TableWantedT &rhs) {
@@ -7605,6 +7720,7 @@
   { auto _e = after(); _o->after = _e; }
   { auto _e = age_us(); _o->age_us = _e; }
   { auto _e = max_age_us(); _o->max_age_us = _e; }
+  { auto _e = accepts_packed(); _o->accepts_packed = _e; }
 }
 
 inline flatbuffers::Offset<TableWanted> TableWanted::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TableWantedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7620,13 +7736,15 @@
   auto _after = _o->after;
   auto _age_us = _o->age_us;
   auto _max_age_us = _o->max_age_us;
+  auto _accepts_packed = _o->accepts_packed;
   return hawthornroad::wire::CreateTableWanted(
       _fbb,
       _table,
       _listed,
       _after,
       _age_us,
-      _max_age_us);
+      _max_age_us,
+      _accepts_packed);
 }
 
 
@@ -7742,13 +7860,62 @@
 }
 
 
+inline bool operator==(const RelayedRowsT &lhs, const RelayedRowsT &rhs) {
+  return
+      (lhs.rows.size() == rhs.rows.size() && std::equal(lhs.rows.cbegin(), lhs.rows.cend(), rhs.rows.cbegin(), [](std::unique_ptr<hawthornroad::wire::RelayedRowT> const &a, std::unique_ptr<hawthornroad::wire::RelayedRowT> const &b) { return (a == b) || (a && b && *a == *b); }));
+}
+
+inline bool operator!=(const RelayedRowsT &lhs, const RelayedRowsT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline RelayedRowsT::RelayedRowsT(const RelayedRowsT &o) {
+  rows.reserve(o.rows.size());
+  for (const auto &rows_ : o.rows) { rows.emplace_back((rows_) ? new hawthornroad::wire::RelayedRowT(*rows_) : nullptr); }
+}
+
+inline RelayedRowsT &RelayedRowsT::operator=(RelayedRowsT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(rows, o.rows);
+  return *this;
+}
+
+inline RelayedRowsT *RelayedRows::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<RelayedRowsT>(new RelayedRowsT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RelayedRows::UnPackTo(RelayedRowsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = rows(); if (_e) { _o->rows.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rows[_i] = std::unique_ptr<hawthornroad::wire::RelayedRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<RelayedRows> RelayedRows::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayedRowsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRelayedRows(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RelayedRows> CreateRelayedRows(flatbuffers::FlatBufferBuilder &_fbb, const RelayedRowsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RelayedRowsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _rows = _o->rows.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornroad::wire::RelayedRow>> (_o->rows.size(), [](size_t i, _VectorArgs *__va) { return CreateRelayedRow(*__va->__fbb, __va->__o->rows[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return hawthornroad::wire::CreateRelayedRows(
+      _fbb,
+      _rows);
+}
+
+
 inline bool operator==(const RelayedTableT &lhs, const RelayedTableT &rhs) {
   return
       (lhs.table == rhs.table) &&
       (lhs.whole == rhs.whole) &&
       (lhs.version == rhs.version) &&
       (lhs.age_us == rhs.age_us) &&
-      (lhs.rows.size() == rhs.rows.size() && std::equal(lhs.rows.cbegin(), lhs.rows.cend(), rhs.rows.cbegin(), [](std::unique_ptr<hawthornroad::wire::RelayedRowT> const &a, std::unique_ptr<hawthornroad::wire::RelayedRowT> const &b) { return (a == b) || (a && b && *a == *b); }));
+      (lhs.rows.size() == rhs.rows.size() && std::equal(lhs.rows.cbegin(), lhs.rows.cend(), rhs.rows.cbegin(), [](std::unique_ptr<hawthornroad::wire::RelayedRowT> const &a, std::unique_ptr<hawthornroad::wire::RelayedRowT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.packed == rhs.packed) &&
+      (lhs.unpacked_size == rhs.unpacked_size);
 }
 
 inline bool operator!=(const RelayedTableT &lhs, const RelayedTableT &rhs) {
@@ -7760,7 +7927,9 @@
       : table(o.table),
         whole(o.whole),
         version(o.version),
-        age_us(o.age_us) {
+        age_us(o.age_us),
+        packed(o.packed),
+        unpacked_size(o.unpacked_size) {
   rows.reserve(o.rows.size());
   for (const auto &rows_ : o.rows) { rows.emplace_back((rows_) ? new hawthornroad::wire::RelayedRowT(*rows_) : nullptr); }
 }
@@ -7771,6 +7940,8 @@
   std::swap(version, o.version);
   std::swap(age_us, o.age_us);
   std::swap(rows, o.rows);
+  std::swap(packed, o.packed);
+  std::swap(unpacked_size, o.unpacked_size);
   return *this;
 }
 
@@ -7788,6 +7959,8 @@
   { auto _e = version(); _o->version = _e; }
   { auto _e = age_us(); _o->age_us = _e; }
   { auto _e = rows(); if (_e) { _o->rows.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rows[_i] = std::unique_ptr<hawthornroad::wire::RelayedRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = packed(); if (_e) { _o->packed.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->packed.begin()); } }
+  { auto _e = unpacked_size(); _o->unpacked_size = _e; }
 }
 
 inline flatbuffers::Offset<RelayedTable> RelayedTable::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayedTableT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7803,13 +7976,17 @@
   auto _version = _o->version;
   auto _age_us = _o->age_us;
   auto _rows = _o->rows.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornroad::wire::RelayedRow>> (_o->rows.size(), [](size_t i, _VectorArgs *__va) { return CreateRelayedRow(*__va->__fbb, __va->__o->rows[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _packed = _o->packed.size() ? _fbb.CreateVector(_o->packed) : 0;
+  auto _unpacked_size = _o->unpacked_size;
   return hawthornroad::wire::CreateRelayedTable(
       _fbb,
       _table,
       _whole,
       _version,
       _age_us,
-      _rows);
+      _rows,
+      _packed,
+      _unpacked_size);
 }
 
 
--- a/tests/unit/RowReaderTest.cpp
+++ b/tests/unit/RowReaderTest.cpp
@@ -239,6 +239,52 @@
   }
 }
 
+// Guards against hundreds of agents that all read a long table from the store
+// right after a restart, so that the entries get it seconds later.
+TEST_CASE_METHOD(ReaderFixture,
+                 "row reader, whose entry is receiving its first rows, asks "
+                 "again and leaves the store alone",
+                 "[relay]") {
+  Listed_ = {PeerAddress("10.0.0.1:7700")};
+  bool IsConnected = GENERATE(true, false);
+  if (IsConnected)
+    R_.onEntryConnected(ProcessName("e1"), 4, Now_);
+  list();
+  if (!IsConnected)
+    pass(RowReader::EntryWait);
+  auto LastNumber = [&] {
+    return IsConnected ? Asked_.back().second : Dialled_.back().second;
+  };
+  auto Questions = [&] { return Asked_.size() + Dialled_.size(); };
+  wire::RowsAnswerT NoData;
+  NoData.away = true;
+  NoData.receiving = true;
+  NoData.number = LastNumber();
+  R_.onAnswer(NoData);
+  REQUIRE(StoreReads_ == 0);
+  pass(RowReader::DataRetryDelay);
+  REQUIRE(Questions() == 2);
+  REQUIRE(EntryLookups_ == (IsConnected ? 0 : 1));
+  SECTION("it has them later") {
+    R_.onAnswer(answer(LastNumber()));
+    REQUIRE(Done_ == 1);
+    pass(Seconds(10));
+    REQUIRE(StoreReads_ == 0);
+  }
+  SECTION("it never has them") {
+    for (TimePoint End = Now_ + RowReader::DataTimeout; Now_ < End;) {
+      NoData.number = LastNumber();
+      R_.onAnswer(NoData);
+      pass(RowReader::DataRetryDelay);
+    }
+    REQUIRE(StoreReads_ == 1);
+  }
+  SECTION("it falls silent") {
+    pass(RowReader::EntryWait + RowReader::AnswerTimeout);
+    REQUIRE(StoreReads_ == 1);
+  }
+}
+
 TEST_CASE_METHOD(ReaderFixture,
                  "row reader, with a closed connection, asks the next entry",
                  "[relay]") {
--- a/tests/unit/SourceChoiceTest.cpp
+++ b/tests/unit/SourceChoiceTest.cpp
@@ -445,3 +445,161 @@
   }
   REQUIRE(Readers == SourceChoice::Options{}.Backups_);
 }
+
+namespace {
+// Model of a zone whose entries all start at the same moment. The table crosses
+// the link between two regions once for each reader, and each entry's own link
+// once for each entry that it sends the table to.
+struct ZoneRestart {
+  static constexpr double TableBytes = 300'000;
+  static constexpr double RegionBytesPerMs = 3'250;
+  static constexpr double LinkBytesPerMs = 5'000;
+  static constexpr Duration Step = Milliseconds(20);
+  struct Entry {
+    SourceChoice Choice_;
+    bool IsFresh_ = false;
+    double Read_ = 0;
+    // The entry that sends the table to this one, and the bytes received.
+    std::optional<std::size_t> From_;
+    double Received_ = 0;
+    double Sent_ = 0;
+  };
+  std::vector<PeerAddress> Names_;
+  std::vector<Entry> Entries_;
+  TimePoint Now_ = Start;
+  double Carried_ = 0;
+
+  explicit ZoneRestart(std::size_t Count) {
+    for (std::size_t I = 0; I < Count; ++I) {
+      Names_.push_back(PeerAddress("10.0.0." + std::to_string(I) + ":7700"));
+      Entries_.push_back({SourceChoice(SourceChoice::Options{}, Now_)});
+      Entries_[I].Choice_.setPreferred({Names_.begin(), Names_.begin() + I},
+                                       Now_);
+    }
+  }
+  bool isFresh() const {
+    return std::all_of(Entries_.begin(), Entries_.end(),
+                       [](const Entry &E) { return E.IsFresh_; });
+  }
+  void read() {
+    auto Readers =
+        std::count_if(Entries_.begin(), Entries_.end(), [](const Entry &E) {
+          return E.Choice_.readsStore() && !E.IsFresh_;
+        });
+    for (Entry &E : Entries_) {
+      if (!E.Choice_.readsStore() || E.IsFresh_)
+        continue;
+      double Share = RegionBytesPerMs * 20 / static_cast<double>(Readers);
+      E.Read_ += Share;
+      Carried_ += Share;
+      E.IsFresh_ = E.Read_ >= TableBytes;
+    }
+  }
+  void transmit() {
+    std::vector<double> Receivers(Entries_.size());
+    for (const Entry &E : Entries_)
+      if (E.From_)
+        ++Receivers[*E.From_];
+    for (Entry &E : Entries_) {
+      if (!E.From_)
+        continue;
+      double Share = LinkBytesPerMs * 20 / Receivers[*E.From_];
+      E.Received_ += Share;
+      Entries_[*E.From_].Sent_ += Share;
+      if (E.Received_ < TableBytes)
+        continue;
+      E.IsFresh_ = true;
+      E.Choice_.onAnswer(Names_[*E.From_], SourceHealth::Fresh, true, Now_);
+      E.From_.reset();
+    }
+  }
+  void ask(Entry &E) {
+    if (E.IsFresh_ || E.From_)
+      return;
+    auto Peer = E.Choice_.next(false, Now_);
+    if (!Peer)
+      return;
+    auto At = static_cast<std::size_t>(
+        std::find(Names_.begin(), Names_.end(), *Peer) - Names_.begin());
+    Entry &Of = Entries_[At];
+    if (Of.IsFresh_) {
+      E.From_ = At;
+      E.Received_ = 0;
+      return;
+    }
+    bool IsReceiving = (Of.Choice_.readsStore() && Of.Read_ > 0) ||
+                       Of.Choice_.isExpectingData(Now_);
+    E.Choice_.onAnswer(*Peer, sourceHealth(false, IsReceiving), false, Now_);
+  }
+  void step() {
+    Now_ += Step;
+    for (Entry &E : Entries_)
+      if (!E.From_)
+        E.Choice_.tick(Now_);
+    read();
+    transmit();
+    for (Entry &E : Entries_)
+      ask(E);
+  }
+  double mostSent() const {
+    return std::max_element(Entries_.begin(), Entries_.end(),
+                            [](const Entry &A, const Entry &B) {
+                              return A.Sent_ < B.Sent_;
+                            })
+        ->Sent_;
+  }
+};
+} // namespace
+
+// Guards against a zone of hundreds of entries whose first one sends a long
+// table to all others, so that after a restart of all of them none serves for
+// half a minute.
+TEST_CASE("source choice, in a large zone that restarts, sends the table along "
+          "a tree, whatever the number of entries",
+          "[relay]") {
+  for (std::size_t Count : {3U, 20U, 100U, 412U}) {
+    CAPTURE(Count);
+    ZoneRestart Z(Count);
+    while (!Z.isFresh() && Z.Now_ < Start + Seconds(30))
+      Z.step();
+    CHECK(Z.Now_ - Start <= Seconds(4));
+    CHECK(Z.Carried_ <= 3 * ZoneRestart::TableBytes);
+    CHECK(Z.mostSent() <= 10 * ZoneRestart::TableBytes);
+  }
+}
+
+// Guards against load that stays at the first entry after failures of others.
+TEST_CASE_METHOD(SourceFixture,
+                 "source choice, whose preferred source has failed, returns to "
+                 "it later, and only when it has fresh data",
+                 "[relay]") {
+  std::vector<PeerAddress> Before;
+  for (int I = 0; I < 20; ++I)
+    Before.push_back(PeerAddress("10.0.1." + std::to_string(I) + ":7700"));
+  C_.setPreferred(Before, Now_);
+  REQUIRE(C_.depth() == 2);
+  PeerAddress Parent = Before[2];
+  REQUIRE(C_.next(true, Now_) == Parent);
+  C_.onAnswer(Parent, SourceHealth::Fresh, true, Now_);
+  C_.onFailure(Parent, Now_);
+  REQUIRE(C_.next(true, Now_) == Before[0]);
+  C_.onAnswer(Before[0], SourceHealth::Fresh, true, Now_);
+  pass(O_.ParentRetryDelay_);
+  REQUIRE(C_.isProbingParent(Now_));
+  REQUIRE(C_.next(true, Now_) == Parent);
+  SECTION("it has fresh data") {
+    C_.onAnswer(Parent, SourceHealth::Fresh, true, Now_);
+    REQUIRE(C_.source() == Parent);
+    REQUIRE_FALSE(C_.isProbingParent(Now_));
+  }
+  SECTION("it does not answer") {
+    C_.onFailure(Parent, Now_);
+    REQUIRE(C_.source() == Before[0]);
+    REQUIRE(C_.next(true, Now_) == Before[0]);
+  }
+  SECTION("it is receiving") {
+    C_.onAnswer(Parent, SourceHealth::Receiving, true, Now_);
+    REQUIRE(C_.source() == Before[0]);
+    REQUIRE(C_.next(true, Now_) == Before[0]);
+  }
+}
--- a/tests/unit/TableRelayTest.cpp
+++ b/tests/unit/TableRelayTest.cpp
@@ -3,6 +3,7 @@
 #include "hawthornroad/entry/TableRelay.h"
 #include "hawthornroad/base/Error.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace hawthornroad;
@@ -24,7 +25,8 @@
   }
   // After: the client's version of both tables, confirmed KnownFor ago.
   void ask(std::optional<StoreVersion> After,
-           Duration KnownFor = Duration::zero(), Duration MaxAge = Seconds(1)) {
+           Duration KnownFor = Duration::zero(), Duration MaxAge = Seconds(1),
+           bool AcceptsPacked = false) {
     wire::RowsAskT Q;
     Q.number = 7;
     Q.wait_ms = 700;
@@ -33,6 +35,7 @@
       W->table = Name;
       W->listed = After.has_value();
       W->after = After.value_or(0);
+      W->accepts_packed = AcceptsPacked;
       W->age_us = static_cast<std::uint64_t>(KnownFor.count() / 1000);
       W->max_age_us = static_cast<std::uint64_t>(MaxAge.count() / 1000);
       Q.tables.push_back(std::move(W));
@@ -201,6 +204,64 @@
   REQUIRE_THROWS_AS(decodeRelayed(T), Error);
 }
 
+// Guards against a list of thousands of endpoints that is sent in full length
+// to each of a zone's entries.
+TEST_CASE_METHOD(RelayFixture,
+                 "table relay, given many short rows, packs them for clients "
+                 "that accept it",
+                 "[relay]") {
+  TableWatch::Update All{true, {}, 3000};
+  for (int I = 0; I < 3000; ++I)
+    All.Rows_.push_back({"servers", "i-" + std::to_string(I),
+                         "{\"service\":\"s\",\"address\":\"10.1.2." +
+                             std::to_string(I) + ":80\",\"state\":\"ready\"}",
+                         static_cast<StoreVersion>(I + 1), false});
+  know("op", 3000, "a", Now_);
+  R_.apply("servers", All);
+  R_.prove("servers", Now_);
+  ask(std::nullopt);
+  wire::RelayedTableT Plain = *Answers_.at(0).tables.at(1);
+  REQUIRE(Plain.rows.size() == 3000);
+  ask(std::nullopt, Duration::zero(), Seconds(1), true);
+  wire::RelayedTableT Packed = *Answers_.at(1).tables.at(1);
+  REQUIRE(Packed.rows.empty());
+  std::size_t PlainBytes = 0;
+  for (const auto &Row : Plain.rows)
+    PlainBytes += Row->key.size() + Row->value.size();
+  REQUIRE(Packed.packed.size() * 3 < PlainBytes);
+  TableWatch::Update U = decodeRelayed(Packed);
+  REQUIRE(U.IsWhole_);
+  REQUIRE(U.Rows_.size() == 3000);
+  for (const StoreRow &Row : All.Rows_)
+    REQUIRE(std::count(U.Rows_.begin(), U.Rows_.end(), Row) == 1);
+  SECTION("changes since a version") {
+    TableWatch::Update Changes{false, {}, 3100};
+    for (int I = 0; I < 100; ++I) {
+      Changes.Rows_.push_back(All.Rows_[I]);
+      Changes.Rows_.back().Version_ = static_cast<StoreVersion>(3001 + I);
+    }
+    R_.apply("servers", Changes);
+    R_.prove("servers", Now_);
+    ask(3000, Duration::zero(), Seconds(1), true);
+    TableWatch::Update Newer = decodeRelayed(*Answers_.at(2).tables.at(1));
+    REQUIRE_FALSE(Newer.IsWhole_);
+    REQUIRE(Newer.Rows_.size() == 100);
+  }
+  SECTION("a later version") {
+    know("servers", 3001, "b", Now_);
+    ask(std::nullopt, Duration::zero(), Seconds(1), true);
+    REQUIRE(decodeRelayed(*Answers_.at(2).tables.at(1)).Rows_.size() == 1);
+  }
+  SECTION("cut short") {
+    Packed.packed.resize(Packed.packed.size() / 2);
+    REQUIRE_THROWS_AS(decodeRelayed(Packed), Error);
+  }
+  SECTION("of another length") {
+    --Packed.unpacked_size;
+    REQUIRE_THROWS_AS(decodeRelayed(Packed), Error);
+  }
+}
+
 TEST_CASE_METHOD(RelayFixture,
                  "table relay, given more queries than it holds, answers the "
                  "oldest early",
