Agents of added engines find an entry within 150 ms

Of the time to capacity 0.94 s is the wait for an entry to connect before the configuration is read, and up to 0.9 s more the same wait before the list of endpoints is.

Change: the long wait is kept for the first start of the whole deployment, which the platform's settings name; otherwise 150 ms; addresses found once are used for the next table. Cost: a call to the store for each agent that starts later.

--- a/hawthornroad/agent/RowReader.cpp
+++ b/hawthornroad/agent/RowReader.cpp
@@ -30,7 +30,16 @@
 
 void RowReader::list(const std::string &Table, TimePoint Now, Done D) {
   Reads_.push_back({Table, std::move(D), 0, Now, false, Now});
-  askConnected(Reads_.back());
+  Read &R = Reads_.back();
+  if (!askConnected(R))
+    askKnown(R);
+}
+
+void RowReader::askKnown(Read &R) {
+  if (Found_.empty())
+    return;
+  R.IsSearching_ = true;
+  Transport_.Dial_(Found_[Random_.below(Found_.size())], question(R));
 }
 
 void RowReader::askWaiting(TimePoint Now) {
@@ -47,7 +56,7 @@
   bool IsAny = false;
   for (Read &Each : Reads_) {
     bool IsOverdue = Each.Number_ == 0 && !Each.IsSearching_ &&
-                     !Each.AwaitsData_ && Now - Each.Since_ >= EntryWait;
+                     !Each.AwaitsData_ && Now - Each.Since_ >= EntryWait_;
     Each.IsSearching_ |= IsOverdue;
     IsAny |= IsOverdue;
   }
@@ -104,10 +113,8 @@
 void RowReader::askAgain(Read &R, TimePoint Now) {
   R.AwaitsData_ = false;
   R.Since_ = Now;
-  if (askConnected(R) || Found_.empty())
-    return;
-  R.IsSearching_ = true;
-  Transport_.Dial_(Found_[Random_.below(Found_.size())], question(R));
+  if (!askConnected(R))
+    askKnown(R);
 }
 
 void RowReader::readStore(Read R) {
@@ -176,7 +183,7 @@
     }
     bool IsAsked = Each->Number_ != 0;
     Duration Limit = IsAsked && !Each->IsSearching_ ? AnswerTimeout
-                                                    : EntryWait + AnswerTimeout;
+                                                    : EntryWait_ + AnswerTimeout;
     if (Each->AwaitsData_)
       Limit = Duration::zero();
     if (Now - Each->Since_ < Limit) {
--- a/hawthornroad/agent/RowReader.h
+++ b/hawthornroad/agent/RowReader.h
@@ -15,10 +15,14 @@
 //
 // A connected entry is asked first, a different one by each agent. Entries do
 // not know an agent that has just started; they connect to it after they next
-// read the list of endpoints. So it waits EntryWait for one, and then reads the
-// addresses of the entries from the store, some hundred bytes. Without the
-// wait, starting the whole deployment cost the store one call per VM. An entry
-// that is asked has AnswerTimeout to answer.
+// read the list of endpoints. So it waits for one, and then reads the addresses
+// of the entries from the store, some hundred bytes, and uses them from then
+// on. An entry that is asked has AnswerTimeout to answer.
+//
+// Load pattern: engines are added because the others are full, so each tenth of
+// a second until they serve is paid by refused callers. The wait is therefore
+// short (EntryWait), except at the first start of the whole deployment, when no
+// caller is served yet and one call per VM would be needless (FirstEntryWait).
 //
 // When all VMs start together, the entries have no rows yet either. An entry
 // that says that it is receiving them is asked again after DataRetryDelay, for
@@ -64,15 +68,17 @@
   // The entry holds the question for less; the rest is the time that 60 KB take
   // over an agent's link.
   static constexpr Duration AnswerTimeout = Milliseconds(600);
+  // Longer than an entry takes to connect to an agent that has restarted.
+  static constexpr Duration EntryWait = Milliseconds(150);
   // Longer than an entry takes between two reads of the endpoints under a drain
   // bound of 2 s (0.6 s), and short compared with a start of the whole
   // deployment.
-  static constexpr Duration EntryWait = Milliseconds(900);
+  static constexpr Duration FirstEntryWait = Milliseconds(900);
   static constexpr Duration DataRetryDelay = Milliseconds(200);
   static constexpr Duration DataTimeout = Seconds(5);
 
-  RowReader(Transport W, std::uint64_t Seed)
-      : Transport_(std::move(W)), Random_(Seed) {}
+  RowReader(Transport W, std::uint64_t Seed, Duration Wait = EntryWait)
+      : Transport_(std::move(W)), Random_(Seed), EntryWait_(Wait) {}
 
   // An entry of this zone has connected or reconnected.
   void onEntryConnected(const ProcessName &Entry, ConnectionId Connection,
@@ -102,6 +108,8 @@
   void askFound(const std::vector<PeerAddress> &Entries);
   // Asks again for rows that an entry was receiving.
   void askAgain(Read &R, TimePoint Now);
+  // Asks one of the entries found in the store, if there are any.
+  void askKnown(Read &R);
   void readStore(Read R);
   // Completes the read with the kept rows of the table.
   void complete(const Read &R);
@@ -110,6 +118,7 @@
 
   Transport Transport_;
   Random Random_;
+  Duration EntryWait_;
   // The first entry is asked. New ones are inserted at random, so that the
   // agents of a zone ask different entries.
   std::list<std::pair<ProcessName, ConnectionId>> Entries_;
--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -43,7 +43,9 @@
       Io_("agent", WorkRing),
       Store_(Io_.context(), Settings_.Common_.Store_, Codec_),
       Engine_(Io_.context(), Settings_.EngineAddress_, engineOptions()),
-      Reader_(readerTransport(), Random_.next()),
+      Reader_(readerTransport(), Random_.next(),
+              Settings_.IsFirstStart_ ? RowReader::FirstEntryWait
+                                      : RowReader::EntryWait),
       MetricsServer_(std::make_shared<HttpListener>(Io_.context(),
                                                     SessionLimits{}, *this)),
       Self_(ipOf(Settings_.EngineAddress_)),
--- a/hawthornroad/config/Settings.cpp
+++ b/hawthornroad/config/Settings.cpp
@@ -226,6 +226,7 @@
   S.Service_ = ServiceName(readName(R, "service"));
   readListenAddress(R, "peer_listen", S.PeerListen_);
   readRate(R, "link_mbps", S.LinkMbps_);
+  S.IsFirstStart_ = R.boolean("first_start", S.IsFirstStart_);
   S.Policy_ = readAgentPolicy(R);
   return S;
 }
--- a/hawthornroad/config/Settings.h
+++ b/hawthornroad/config/Settings.h
@@ -220,6 +220,8 @@
   std::string PeerListen_ = "127.0.0.1:0";
   // Bandwidth of this VM's link in Mbit/s.
   double LinkMbps_ = 1000;
+  // Whether the whole deployment starts for the first time.
+  bool IsFirstStart_ = false;
 
   static StoreAgentSettings parse(std::string_view Text,
                                   const std::string &File);
--- a/tests/unit/RowReaderTest.cpp
+++ b/tests/unit/RowReaderTest.cpp
@@ -129,6 +129,7 @@
                  "row reader, when an entry connects soon after its start, "
                  "asks it and does not call the store",
                  "[relay]") {
+  R_ = RowReader(transport(), 1, RowReader::FirstEntryWait);
   list();
   pass(Milliseconds(500));
   REQUIRE(Asked_.empty());
@@ -296,6 +297,38 @@
   REQUIRE(Asked_[0].first != Closed_);
 }
 
+// Guards against engines that are added under load and serve a second late,
+// since their agents wait for an entry to connect, for each table anew.
+TEST_CASE_METHOD(ReaderFixture,
+                 "row reader, of an agent added later, asks an entry within "
+                 "200 ms, and at once for the next table",
+                 "[relay]") {
+  Listed_ = {PeerAddress("10.0.0.1:7700"), PeerAddress("10.0.0.2:7700")};
+  list();
+  pass(Milliseconds(200));
+  REQUIRE(Dialled_.size() == 1);
+  R_.onAnswer(answer(Dialled_[0].second));
+  REQUIRE(Done_ == 1);
+  list();
+  REQUIRE(Dialled_.size() == 2);
+  REQUIRE(EntryLookups_ == 1);
+  R_.onAnswer(answer(Dialled_[1].second));
+  REQUIRE(Done_ == 2);
+  REQUIRE(StoreReads_ == 0);
+}
+
+TEST_CASE_METHOD(ReaderFixture,
+                 "row reader, at the first start of the whole deployment, "
+                 "waits longer for an entry to connect",
+                 "[relay]") {
+  RowReader R(transport(), 1, RowReader::FirstEntryWait);
+  R.list("op", Now_, [](const StoreReply &) {});
+  R.tick(Now_ + RowReader::FirstEntryWait - Milliseconds(1));
+  REQUIRE(EntryLookups_ == 0);
+  R.tick(Now_ + RowReader::FirstEntryWait);
+  REQUIRE(EntryLookups_ == 1);
+}
+
 // The agents of a zone have the same entries; if all asked the one that
 // connected last, they would saturate its link.
 TEST_CASE_METHOD(ReaderFixture,
--- a/tests/unit/StoreSettingsTest.cpp
+++ b/tests/unit/StoreSettingsTest.cpp
@@ -128,6 +128,7 @@
   CHECK(Agent.Common_.StopBound_ == Seconds(8));
   CHECK(Agent.Common_.VersionBound_ == Milliseconds(8000));
   CHECK(Agent.LinkMbps_ == 7.3);
+  CHECK_FALSE(Agent.IsFirstStart_);
 }
 
 TEST_CASE("store settings, rendered with any kind of number, are read in its "
