Places at engines are granted by the time to read prompts

Cause: an agent counted queued requests as typical prompts, though callers state between a few hundred and 3,880 tokens; and it denied every place while it had no configuration, also after a restart of all processes.

Change: an entry states the time to read the prompt, that of a typical one and the engine's batch size when it asks for a place; the agent counts what queues by these times (traffic/PromptCost, staging/PlaceGrants).

--- a/hawthornroad/agent/AgentEngine.cpp
+++ b/hawthornroad/agent/AgentEngine.cpp
@@ -1,4 +1,5 @@
 #include "hawthornroad/agent/StoreAgentState.h"
+#include "hawthornroad/traffic/PromptCost.h"
 
 #include <algorithm>
 
@@ -243,14 +244,21 @@
     requestReport();
 }
 
-void StoreAgent::State::answerPlaceRequests(TimePoint Now) {
-  const EngineProfile *Pace = pace();
+// After a restart this agent has no configuration yet, but the entry that asks
+// has one.
+PlaceGrants::Pace
+StoreAgent::State::placePace(const wire::PlaceAskT &Ask) const {
   PlaceGrants::Pace P;
-  if (Pace != nullptr) {
-    P.Places_ = Pace->Slots_;
-    P.Reading_ = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>(Pace->meanFirstTokenMs()));
+  P.Places_ = Ask.places;
+  P.Reading_ = std::chrono::microseconds(Ask.usual_reading_us);
+  if (const EngineProfile *Own = pace(); Own != nullptr && Ask.places == 0) {
+    P.Places_ = Own->Slots_;
+    P.Reading_ = promptCost({}, *Own).Reading_;
   }
+  return P;
+}
+
+void StoreAgent::State::answerPlaceRequests(TimePoint Now) {
   bool IsAway = !Updater_.state() || Updater_.isAway() || Updater_.isEmpty();
   for (const PlaceRequest &Q : std::exchange(PlaceRequests_, {})) {
     PlaceKind Kind = PlaceKind::First;
@@ -261,7 +269,12 @@
     wire::PlaceAnswerT Answer;
     Answer.number = Q.Ask_.number;
     Answer.away = IsAway;
-    Answer.granted = !IsAway && Pace != nullptr && Places_.ask(Kind, P, Now);
+    PlaceGrants::Pace P = placePace(Q.Ask_);
+    std::optional<Duration> Reading;
+    if (Q.Ask_.reading_us != 0)
+      Reading = std::chrono::microseconds(Q.Ask_.reading_us);
+    Answer.granted = !IsAway && P.Places_ != 0 &&
+                     Places_.ask(Kind, P, Now, Reading);
     Answer.running = Places_.running();
     Answer.waiting = Places_.waiting();
     Answer.version = Updater_.state() ? Updater_.state()->Loaded_.Version_ : 0;
--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -140,6 +140,8 @@
   // engine's next report.
   void onPlaceAsk(const PeerContext &From, const wire::PlaceAskT &Ask);
   void answerPlaceRequests(TimePoint Now);
+  // Capacity of the engine, as the entry that asks or this agent knows it.
+  PlaceGrants::Pace placePace(const wire::PlaceAskT &Ask) const;
   WeightVersion newestKnown() const;
   std::vector<std::shared_ptr<PieceTransfer>> transfers() const;
   TimePoint scheduledLoadAt() const;
--- a/hawthornroad/config/RoutingConfig.h
+++ b/hawthornroad/config/RoutingConfig.h
@@ -87,10 +87,11 @@
   // piece but the last, in bytes.
   std::size_t Pieces_ = 0;
   std::size_t PieceBytes_ = 0;
-  // Time to prefill a prompt of mean length and decode the first token.
-  double meanFirstTokenMs() const {
-    return MeanPromptTokens_ / std::max(1.0, PrefillTokensPerMs_) + StepMs_;
+  // Time to prefill a prompt of that length and decode the first token.
+  double firstTokenMs(double PromptTokens) const {
+    return PromptTokens / std::max(1.0, PrefillTokensPerMs_) + StepMs_;
   }
+  double meanFirstTokenMs() const { return firstTokenMs(MeanPromptTokens_); }
   bool operator==(const EngineProfile &) const = default;
 };
 
--- a/hawthornroad/entry/DirectEntryState.h
+++ b/hawthornroad/entry/DirectEntryState.h
@@ -46,8 +46,8 @@
                     const AttemptParams &O) override;
   void cancelAttempt(AttemptNumber A) override;
   bool askPlace(AttemptNumber A, const std::string &Address,
-                PlaceKind Kind) override {
-    return Notices_ && Notices_->askPlace(A, Address, Kind);
+                const PlaceDemand &D) override {
+    return Notices_ && Notices_->askPlace(A, Address, D);
   }
   void respond(CallNumber N, unsigned Status, const HeaderFields &Fields,
                std::string Body) override;
--- a/hawthornroad/entry/EngineNotices.cpp
+++ b/hawthornroad/entry/EngineNotices.cpp
@@ -8,6 +8,10 @@
 // An agent restarts within about a second.
 constexpr Duration ResubscribeDelay = Milliseconds(1000);
 
+std::uint32_t toMicroseconds(Duration D) {
+  return static_cast<std::uint32_t>(D / std::chrono::microseconds(1));
+}
+
 PeerNet::Limits limits() {
   PeerNet::Limits L;
   L.PingAfter_ = PeerPingAfter;
@@ -88,15 +92,18 @@
 }
 
 bool EngineNotices::askPlace(AttemptNumber A, const std::string &Engine,
-                             PlaceKind Kind) {
+                             const PlaceDemand &D) {
   std::string Address = agentOf(Engine);
   auto Found = Agents_.find(Address);
   if (Found == Agents_.end() || !Found->second.HasReported_)
     return false;
   wire::PlaceAskT Ask;
   Ask.number = A;
-  Ask.late = Kind == PlaceKind::Late;
-  Ask.resumes = Kind == PlaceKind::Resumed;
+  Ask.late = D.Kind_ == PlaceKind::Late;
+  Ask.resumes = D.Kind_ == PlaceKind::Resumed;
+  Ask.reading_us = toMicroseconds(D.Reading_);
+  Ask.usual_reading_us = toMicroseconds(D.UsualReading_);
+  Ask.places = D.Places_;
   return Net_->send(PeerAddress(Address), Lane::Requests, makeFrame(Ask));
 }
 
--- a/hawthornroad/entry/EngineNotices.h
+++ b/hawthornroad/entry/EngineNotices.h
@@ -52,7 +52,8 @@
 
   // Requests a place from an engine's agent. Returns false when the agent has
   // not sent anything on its current connection.
-  bool askPlace(AttemptNumber A, const std::string &Engine, PlaceKind Kind);
+  bool askPlace(AttemptNumber A, const std::string &Engine,
+                const PlaceDemand &D);
 
   // Sets the engines to subscribe to, by address. The value says whether
   // to include their load, which costs a frame several times a second.
--- a/hawthornroad/staging/PlaceGrants.h
+++ b/hawthornroad/staging/PlaceGrants.h
@@ -16,6 +16,11 @@
 // grant, the place counts as taken. So a grant whose request never arrives
 // expires by itself, and no release message is needed.
 //
+// Load pattern: many entries see one idle engine at once, and prompts have very
+// different lengths. What queues at the engine is counted by the time to read
+// it. Prompts are read in the order of their arrival, so the requests that the
+// engine reports as waiting are the last ones granted.
+//
 // No I/O, no clock, no threads. Memory: the grants of the last Transit and of
 // the time between two reports.
 
@@ -74,7 +79,11 @@
     return ReportedAt_ && Now - *ReportedAt_ <= Options_.MaxReportAge_;
   }
   // Returns whether a place is granted; a granted place counts as taken.
-  bool ask(PlaceKind Kind, const Pace &P, TimePoint Now);
+  // Reading: the time to process this request's prompt, if known.
+  bool ask(PlaceKind Kind, const Pace &P, TimePoint Now,
+           std::optional<Duration> Reading = std::nullopt);
+  // Time to process the prompts queued before the next request.
+  Duration queuedReading(const Pace &P) const;
   unsigned running() const { return Running_; }
   // Requests reported as waiting, and grants not yet in a report.
   unsigned waiting() const {
@@ -82,11 +91,20 @@
   }
 
 private:
+  struct Grant {
+    TimePoint At_;
+    Duration Reading_;
+  };
+  // Grants remembered after their Transit: more than an engine queues.
+  static constexpr std::size_t MaxArrived = 64;
+
   Options Options_;
   unsigned Running_ = 0;
   unsigned Waiting_ = 0;
   std::optional<TimePoint> ReportedAt_;
-  std::deque<TimePoint> Granted_;
+  std::deque<Grant> Granted_;
+  // Prompts of the requests that have arrived at the engine, newest last.
+  std::deque<Duration> Arrived_;
 };
 
 } // namespace hawthornroad
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -275,10 +275,22 @@
   }
 }
 
-bool TrafficCore::askPlace(Record &R, const Endpoint &E, TimePoint Now) {
-  PlaceKind Kind = R.IsLate_ ? PlaceKind::Late : PlaceKind::First;
+PlaceDemand TrafficCore::placeDemand(const Record &R) const {
+  PlaceDemand D;
+  D.Kind_ = R.IsLate_ ? PlaceKind::Late : PlaceKind::First;
   if (R.IsStreaming_)
-    Kind = PlaceKind::Resumed;
+    D.Kind_ = PlaceKind::Resumed;
+  const ServiceConfig *Service = R.Config_->findService(R.Service_);
+  if (Service == nullptr || !Service->Engine_)
+    return D;
+  const EngineProfile &Engine = *Service->Engine_;
+  D.Places_ = Engine.Slots_;
+  D.Reading_ = promptCost(R.Call_.Tokens_, Engine).Reading_;
+  D.UsualReading_ = promptCost({}, Engine).Reading_;
+  return D;
+}
+
+bool TrafficCore::askPlace(Record &R, const Endpoint &E, TimePoint Now) {
   AttemptNumber A = NextAttempt_++;
   R.Asking_ = A;
   R.AskedOf_ = E.Id_;
@@ -287,7 +299,7 @@
   Asks_[A] = R.Number_;
   // Counted as sent, so that the next request goes to another endpoint.
   Placement_.attemptBegun(E.Id_, Now);
-  if (Port_.askPlace(A, E.Address_, Kind))
+  if (Port_.askPlace(A, E.Address_, placeDemand(R)))
     return true;
   --R.Asks_;
   endAsk(R, Now);
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -49,6 +49,7 @@
 #include "hawthornroad/traffic/EventRelay.h"
 #include "hawthornroad/traffic/KeyLease.h"
 #include "hawthornroad/traffic/Placement.h"
+#include "hawthornroad/traffic/PromptCost.h"
 #include "hawthornroad/traffic/RepeatBudget.h"
 
 #include <functional>
@@ -122,6 +123,17 @@
   Duration Took_ = Duration::zero();
 };
 
+// What a request needs of an engine, see PlaceGrants.
+struct PlaceDemand {
+  PlaceKind Kind_ = PlaceKind::First;
+  // Time to process its prompt, and a typical one of its service.
+  Duration Reading_ = Duration::zero();
+  Duration UsualReading_ = Duration::zero();
+  // The engine's batch size as configured; 0: unknown.
+  unsigned Places_ = 0;
+  bool operator==(const PlaceDemand &) const = default;
+};
+
 // Actions and reports of TrafficCore.
 class TrafficPort {
 public:
@@ -132,7 +144,7 @@
   // begin next; false when there is no agent to ask. The reply is
   // onPlaceReply().
   virtual bool askPlace(AttemptNumber A, const std::string &Address,
-                        PlaceKind Kind) {
+                        const PlaceDemand &D) {
     return false;
   }
   // No further events of the attempt are wanted.
@@ -286,6 +298,7 @@
   std::optional<EndpointId> chooseFor(Record &R, TimePoint Now);
   bool begin(Record &R, const Endpoint &E, TimePoint Now);
   bool askPlace(Record &R, const Endpoint &E, TimePoint Now);
+  PlaceDemand placeDemand(const Record &R) const;
   void endAsk(Record &R, TimePoint Now);
   // R was not granted the place it asked for.
   void askElsewhere(Record &R, TimePoint Now);
--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -4544,6 +4544,9 @@
   uint64_t number = 0;
   bool late = false;
   bool resumes = false;
+  uint32_t reading_us = 0;
+  uint32_t usual_reading_us = 0;
+  uint32_t places = 0;
 };
 
 struct PlaceAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4552,7 +4555,10 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NUMBER = 4,
     VT_LATE = 6,
-    VT_RESUMES = 8
+    VT_RESUMES = 8,
+    VT_READING_US = 10,
+    VT_USUAL_READING_US = 12,
+    VT_PLACES = 14
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -4563,11 +4569,23 @@
   bool resumes() const {
     return GetField<uint8_t>(VT_RESUMES, 0) != 0;
   }
+  uint32_t reading_us() const {
+    return GetField<uint32_t>(VT_READING_US, 0);
+  }
+  uint32_t usual_reading_us() const {
+    return GetField<uint32_t>(VT_USUAL_READING_US, 0);
+  }
+  uint32_t places() const {
+    return GetField<uint32_t>(VT_PLACES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
            VerifyField<uint8_t>(verifier, VT_LATE, 1) &&
            VerifyField<uint8_t>(verifier, VT_RESUMES, 1) &&
+           VerifyField<uint32_t>(verifier, VT_READING_US, 4) &&
+           VerifyField<uint32_t>(verifier, VT_USUAL_READING_US, 4) &&
+           VerifyField<uint32_t>(verifier, VT_PLACES, 4) &&
            verifier.EndTable();
   }
   PlaceAskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4588,6 +4606,15 @@
   void add_resumes(bool resumes) {
     fbb_.AddElement<uint8_t>(PlaceAsk::VT_RESUMES, static_cast<uint8_t>(resumes), 0);
   }
+  void add_reading_us(uint32_t reading_us) {
+    fbb_.AddElement<uint32_t>(PlaceAsk::VT_READING_US, reading_us, 0);
+  }
+  void add_usual_reading_us(uint32_t usual_reading_us) {
+    fbb_.AddElement<uint32_t>(PlaceAsk::VT_USUAL_READING_US, usual_reading_us, 0);
+  }
+  void add_places(uint32_t places) {
+    fbb_.AddElement<uint32_t>(PlaceAsk::VT_PLACES, places, 0);
+  }
   explicit PlaceAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4603,9 +4630,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t number = 0,
     bool late = false,
-    bool resumes = false) {
+    bool resumes = false,
+    uint32_t reading_us = 0,
+    uint32_t usual_reading_us = 0,
+    uint32_t places = 0) {
   PlaceAskBuilder builder_(_fbb);
   builder_.add_number(number);
+  builder_.add_places(places);
+  builder_.add_usual_reading_us(usual_reading_us);
+  builder_.add_reading_us(reading_us);
   builder_.add_resumes(resumes);
   builder_.add_late(late);
   return builder_.Finish();
@@ -7593,7 +7626,10 @@
   return
       (lhs.number == rhs.number) &&
       (lhs.late == rhs.late) &&
-      (lhs.resumes == rhs.resumes);
+      (lhs.resumes == rhs.resumes) &&
+      (lhs.reading_us == rhs.reading_us) &&
+      (lhs.usual_reading_us == rhs.usual_reading_us) &&
+      (lhs.places == rhs.places);
 }
 
 inline bool operator!=(const PlaceAskT &lhs, const PlaceAskT &rhs) {
@@ -7613,6 +7649,9 @@
   { auto _e = number(); _o->number = _e; }
   { auto _e = late(); _o->late = _e; }
   { auto _e = resumes(); _o->resumes = _e; }
+  { auto _e = reading_us(); _o->reading_us = _e; }
+  { auto _e = usual_reading_us(); _o->usual_reading_us = _e; }
+  { auto _e = places(); _o->places = _e; }
 }
 
 inline flatbuffers::Offset<PlaceAsk> PlaceAsk::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceAskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7626,11 +7665,17 @@
   auto _number = _o->number;
   auto _late = _o->late;
   auto _resumes = _o->resumes;
+  auto _reading_us = _o->reading_us;
+  auto _usual_reading_us = _o->usual_reading_us;
+  auto _places = _o->places;
   return hawthornroad::wire::CreatePlaceAsk(
       _fbb,
       _number,
       _late,
-      _resumes);
+      _resumes,
+      _reading_us,
+      _usual_reading_us,
+      _places);
 }
 
 
--- a/tests/unit/PlaceGrantsTest.cpp
+++ b/tests/unit/PlaceGrantsTest.cpp
@@ -99,3 +99,40 @@
   REQUIRE(Grants_.isFresh(Start + Milliseconds(10)));
   REQUIRE_FALSE(Grants_.isFresh(Start + Milliseconds(30)));
 }
+
+// Guards against requests that wait behind two long prompts taken for typical
+// ones, and against an engine that stays idle behind two short ones.
+TEST_CASE_METHOD(GrantsFixture,
+                 "place grants, with prompts of very different lengths, count "
+                 "the time to read them",
+                 "[staging]") {
+  Grants_.onReport(4, 0, Start);
+  auto Ask = [&](int Ms) {
+    return Grants_.ask(PlaceKind::First, Pace_, Start, Milliseconds(Ms));
+  };
+  SECTION("long ones") {
+    REQUIRE(Ask(120));
+    REQUIRE_FALSE(Ask(10));
+  }
+  SECTION("short ones") {
+    for (int I = 0; I < 8; ++I)
+      REQUIRE(Ask(12));
+    // All places are taken.
+    REQUIRE_FALSE(Ask(12));
+  }
+  SECTION("a long one that the engine reports as waiting") {
+    REQUIRE(Ask(20));
+    REQUIRE(Ask(120));
+    TimePoint Later = Start + Milliseconds(30);
+    Grants_.onReport(5, 1, Later);
+    REQUIRE(Grants_.queuedReading(Pace_) == Milliseconds(120));
+    REQUIRE_FALSE(
+        Grants_.ask(PlaceKind::First, Pace_, Later, Milliseconds(10)));
+    Grants_.onReport(6, 0, Later + Milliseconds(20));
+    REQUIRE(Grants_.queuedReading(Pace_) == Duration::zero());
+  }
+  SECTION("one that it reports as waiting and that was not granted here") {
+    Grants_.onReport(4, 1, Start);
+    REQUIRE(Grants_.queuedReading(Pace_) == Pace_.Reading_);
+  }
+}
--- a/tests/unit/TrafficFixture.h
+++ b/tests/unit/TrafficFixture.h
@@ -45,14 +45,15 @@
     AttemptNumber Attempt_ = 0;
     std::string Address_;
     PlaceKind Kind_ = PlaceKind::First;
+    PlaceDemand Demand_;
   };
   // Whether engines have agents that can be asked for places.
   bool HasAgents_ = false;
   std::vector<PlaceAsked> Asked_;
   bool askPlace(AttemptNumber A, const std::string &Address,
-                PlaceKind Kind) override {
+                const PlaceDemand &D) override {
     if (HasAgents_)
-      Asked_.push_back({A, Address, Kind});
+      Asked_.push_back({A, Address, D.Kind_, D});
     return HasAgents_;
   }
   void respond(CallNumber N, unsigned Status, const HeaderFields &,
--- a/tests/unit/TrafficOverloadTest.cpp
+++ b/tests/unit/TrafficOverloadTest.cpp
@@ -264,3 +264,26 @@
   REQUIRE(F.Port_.Asked_[1].Address_ != Away);
   REQUIRE(F.Port_.Asked_[2].Address_ != Away);
 }
+
+// Guards against an agent that denies every place after a restart because it
+// has no configuration yet, and against long prompts asked for as typical ones.
+TEST_CASE("traffic core, asking for a place, states the engine's capacity and "
+          "the time to read the prompt",
+          "[traffic]") {
+  CoreFixture F;
+  F.Port_.HasAgents_ = true;
+  Call C;
+  C.Id_ = "r100";
+  C.Host_ = "h";
+  C.Target_ = "/stream/1";
+  C.Key_ = "key";
+  C.Tokens_ = {3000, 100};
+  F.Core_.arrive(100, C, Start);
+  F.send("/stream/2");
+  REQUIRE(F.Port_.Asked_.size() == 2);
+  const PlaceDemand &Long = F.Port_.Asked_[0].Demand_;
+  const PlaceDemand &Unstated = F.Port_.Asked_[1].Demand_;
+  REQUIRE(Long.Places_ == 2);
+  REQUIRE(Long.Reading_ > 2 * Long.UsualReading_);
+  REQUIRE(Unstated.Reading_ == Long.UsualReading_);
+}
