Restarted entries wait for the agents' first reports

An agent that is a tenth of a second late is dialled again after 1 s.

Change: during the first 1.5 s nothing is sent to an engine whose agent has not reported since this entry started; a lost connection is dialled again after 0.1 s, doubling up to 1 s.

--- a/hawthornroad/entry/DirectEntryState.h
+++ b/hawthornroad/entry/DirectEntryState.h
@@ -45,9 +45,9 @@
   void beginAttempt(AttemptNumber A, const Call &C,
                     const AttemptParams &O) override;
   void cancelAttempt(AttemptNumber A) override;
-  bool askPlace(AttemptNumber A, const std::string &Address,
-                const PlaceDemand &D) override {
-    return Notices_ && Notices_->askPlace(A, Address, D);
+  AskResult askPlace(AttemptNumber A, const std::string &Address,
+                     const PlaceDemand &D) override {
+    return Notices_ ? Notices_->askPlace(A, Address, D) : AskResult::NoAgent;
   }
   void respond(CallNumber N, unsigned Status, const HeaderFields &Fields,
                std::string Body) override;
--- a/hawthornroad/entry/EngineNotices.cpp
+++ b/hawthornroad/entry/EngineNotices.cpp
@@ -2,12 +2,11 @@
 
 #include "hawthornroad/runtime/BootClock.h"
 
+#include <algorithm>
+
 namespace hawthornroad {
 
 namespace {
-// An agent restarts within about a second.
-constexpr Duration ResubscribeDelay = Milliseconds(1000);
-
 std::uint32_t toMicroseconds(Duration D) {
   return static_cast<std::uint32_t>(D / std::chrono::microseconds(1));
 }
@@ -42,8 +41,11 @@
     auto Found = Agents_.find(From.Address_.str());
     if (Found == Agents_.end())
       return;
-    Found->second.SubscribeAt_ = bootNow() + ResubscribeDelay;
-    Found->second.HasReported_ = false;
+    Agent &A = Found->second;
+    A.SubscribeAt_ = bootNow() + A.ResubscribeDelay_;
+    A.ResubscribeDelay_ =
+        std::min(2 * A.ResubscribeDelay_, Duration(MaxResubscribeDelay));
+    A.HasReported_ = false;
   };
   Net_ = std::make_unique<PeerNet>(Io, std::move(Self), limits(), std::move(C));
 }
@@ -55,8 +57,10 @@
   T.Phase_ = static_cast<EnginePhase>(N.phase());
   T.Version_ = N.version();
   auto Found = Agents_.find(From.Address_.str());
-  if (Found != Agents_.end())
-    Found->second.HasReported_ = true;
+  if (Found != Agents_.end()) {
+    Found->second.HasReported_ = Found->second.WasSeen_ = true;
+    Found->second.ResubscribeDelay_ = MinResubscribeDelay;
+  }
   if (Found != Agents_.end() && Found->second.IncludesLoad_)
     T.Load_ = EndpointLoad{N.running(), N.waiting()};
   UpdateHandler_(T);
@@ -79,9 +83,12 @@
   std::erase_if(Agents_,
                 [&](const auto &Each) { return !Wanted.contains(Each.first); });
   for (const auto &[Address, Loads] : Wanted) {
-    auto [Found, New] = Agents_.try_emplace(Address, Agent{Loads, {}});
-    if (New)
-      subscribe(Address, Found->second);
+    auto [Found, New] = Agents_.try_emplace(Address);
+    if (!New)
+      continue;
+    Found->second.IncludesLoad_ = Loads;
+    Found->second.AddedAt_ = Now;
+    subscribe(Address, Found->second);
   }
 }
 
@@ -91,12 +98,18 @@
       subscribe(Address, A);
 }
 
-bool EngineNotices::askPlace(AttemptNumber A, const std::string &Engine,
+AskResult EngineNotices::askPlace(AttemptNumber A, const std::string &Engine,
                              const PlaceDemand &D) {
   std::string Address = agentOf(Engine);
   auto Found = Agents_.find(Address);
-  if (Found == Agents_.end() || !Found->second.HasReported_)
-    return false;
+  if (Found == Agents_.end())
+    return AskResult::NoAgent;
+  const Agent &Asked = Found->second;
+  if (!Asked.HasReported_) {
+    bool IsConnecting =
+        !Asked.WasSeen_ && bootNow() - Asked.AddedAt_ < ConnectTime;
+    return IsConnecting ? AskResult::Connecting : AskResult::NoAgent;
+  }
   wire::PlaceAskT Ask;
   Ask.number = A;
   Ask.late = D.Kind_ == PlaceKind::Late;
@@ -104,7 +117,9 @@
   Ask.reading_us = toMicroseconds(D.Reading_);
   Ask.usual_reading_us = toMicroseconds(D.UsualReading_);
   Ask.places = D.Places_;
-  return Net_->send(PeerAddress(Address), Lane::Requests, makeFrame(Ask));
+  bool IsSent =
+      Net_->send(PeerAddress(Address), Lane::Requests, makeFrame(Ask));
+  return IsSent ? AskResult::Sent : AskResult::NoAgent;
 }
 
 void EngineNotices::setNewestVersion(const std::string &Model,
--- a/hawthornroad/entry/EngineNotices.h
+++ b/hawthornroad/entry/EngineNotices.h
@@ -14,7 +14,12 @@
 //
 // An agent answers on the entry's connection, so agents need not know the
 // entries, and sends its queries for the store's tables on it as well. After
-// the loss of a connection the entry subscribes again after ResubscribeDelay.
+// the loss of a connection the entry subscribes again after MinResubscribeDelay,
+// doubled for each further failure up to MaxResubscribeDelay.
+//
+// Load pattern: all processes start at the same moment, and callers are there
+// already. Entries that wait a second for agents that were a tenth of a second
+// late send requests to engines that have no weights yet.
 
 #ifndef HAWTHORNROAD_ENTRY_ENGINENOTICES_H
 #define HAWTHORNROAD_ENTRY_ENGINENOTICES_H
@@ -50,10 +55,12 @@
   EngineNotices(IoThread &Io, PeerNet::Self Self, std::string AgentPort,
                 UpdateHandler H, QueryHandler A, PlaceHandler P);
 
-  // Requests a place from an engine's agent. Returns false when the agent has
-  // not sent anything on its current connection.
-  bool askPlace(AttemptNumber A, const std::string &Engine,
-                const PlaceDemand &D);
+  // Requests a place from an engine's agent. Nothing is sent to an agent that
+  // has not reported on its current connection: Connecting during the first
+  // ConnectTime if it has not reported before, NoAgent otherwise.
+  AskResult askPlace(AttemptNumber A, const std::string &Engine,
+                     const PlaceDemand &D);
+  static constexpr Duration ConnectTime = Milliseconds(1500);
 
   // Sets the engines to subscribe to, by address. The value says whether
   // to include their load, which costs a frame several times a second.
@@ -68,9 +75,15 @@
     bool IncludesLoad_ = false;
     // When to subscribe again; unset while connected or connecting.
     std::optional<TimePoint> SubscribeAt_;
+    Duration ResubscribeDelay_ = MinResubscribeDelay;
     // Whether a notice has arrived on the current connection.
     bool HasReported_ = false;
+    // Whether a notice has ever arrived.
+    bool WasSeen_ = false;
+    TimePoint AddedAt_{};
   };
+  static constexpr Duration MinResubscribeDelay = Milliseconds(100);
+  static constexpr Duration MaxResubscribeDelay = Milliseconds(1000);
   void subscribe(const std::string &Address, Agent &A);
   std::string agentOf(const std::string &Engine) const {
     return Engine.substr(0, Engine.rfind(':')) + ":" + Port_;
--- a/hawthornroad/traffic/Placement.cpp
+++ b/hawthornroad/traffic/Placement.cpp
@@ -242,6 +242,12 @@
                                             Engines * Options_.DeniedForEach_);
 }
 
+void Placement::awaitReport(const EndpointId &Id, TimePoint Now) {
+  auto Found = States_.find(Id);
+  if (Found != States_.end())
+    Found->second.DeniedUntil_ = Now + Options_.ReportWait_;
+}
+
 void Placement::pauseAsking(const EndpointId &Id, TimePoint Now) {
   auto Found = States_.find(Id);
   if (Found != States_.end())
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -96,6 +96,9 @@
     // every tenth of a second.
     Duration DeniedFor_ = Milliseconds(50);
     Duration DeniedForEach_ = Milliseconds(5);
+    // How long an engine whose agent has not reported yet is left out. Shorter
+    // than the interval at which queued requests are dispatched.
+    Duration ReportWait_ = Milliseconds(10);
     // How long an agent that is unreachable or did not answer in time is not
     // asked. The next request then probes it.
     Duration AskPause_ = Milliseconds(1000);
@@ -156,6 +159,8 @@
   void setAway(const EndpointId &Id, bool IsAway, TimePoint Now);
   // The agent had no place for a request.
   void placeDenied(const EndpointId &Id, TimePoint Now);
+  // The agent has not reported since this process started.
+  void awaitReport(const EndpointId &Id, TimePoint Now);
   // No agent answers: for a while the endpoint is chosen by its estimated load.
   void pauseAsking(const EndpointId &Id, TimePoint Now);
   // The agent, asked at AskedAt, did not answer within the timeout.
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -269,9 +269,16 @@
       return begin(R, *E, Now);
     if (R.Asks_ >= Options_.MaxAsks_)
       return false;
-    if (askPlace(R, *E, Now))
+    switch (askPlace(R, *E, Now)) {
+    case AskResult::Sent:
       return true;
-    Placement_.pauseAsking(*Chosen, Now);
+    case AskResult::Connecting:
+      Placement_.awaitReport(*Chosen, Now);
+      break;
+    case AskResult::NoAgent:
+      Placement_.pauseAsking(*Chosen, Now);
+      break;
+    }
   }
 }
 
@@ -290,7 +297,7 @@
   return D;
 }
 
-bool TrafficCore::askPlace(Record &R, const Endpoint &E, TimePoint Now) {
+AskResult TrafficCore::askPlace(Record &R, const Endpoint &E, TimePoint Now) {
   AttemptNumber A = NextAttempt_++;
   R.Asking_ = A;
   R.AskedOf_ = E.Id_;
@@ -299,11 +306,12 @@
   Asks_[A] = R.Number_;
   // Counted as sent, so that the next request goes to another endpoint.
   Placement_.attemptBegun(E.Id_, Now);
-  if (Port_.askPlace(A, E.Address_, placeDemand(R)))
-    return true;
-  --R.Asks_;
-  endAsk(R, Now);
-  return false;
+  AskResult Result = Port_.askPlace(A, E.Address_, placeDemand(R));
+  if (Result != AskResult::Sent) {
+    --R.Asks_;
+    endAsk(R, Now);
+  }
+  return Result;
 }
 
 void TrafficCore::endAsk(Record &R, TimePoint Now) {
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -134,6 +134,14 @@
   bool operator==(const PlaceDemand &) const = default;
 };
 
+enum class AskResult {
+  Sent,
+  // This process has just started and has not heard from the agent yet, so it
+  // does not know whether the engine serves.
+  Connecting,
+  NoAgent
+};
+
 // Actions and reports of TrafficCore.
 class TrafficPort {
 public:
@@ -141,11 +149,10 @@
   virtual void beginAttempt(AttemptNumber A, const Call &C,
                             const AttemptParams &O) = 0;
   // Asks the agent beside the endpoint for a place for an attempt that would
-  // begin next; false when there is no agent to ask. The reply is
-  // onPlaceReply().
-  virtual bool askPlace(AttemptNumber A, const std::string &Address,
-                        const PlaceDemand &D) {
-    return false;
+  // begin next. The reply is onPlaceReply().
+  virtual AskResult askPlace(AttemptNumber A, const std::string &Address,
+                             const PlaceDemand &D) {
+    return AskResult::NoAgent;
   }
   // No further events of the attempt are wanted.
   virtual void cancelAttempt(AttemptNumber A) = 0;
@@ -297,7 +304,7 @@
   // The endpoint that R would be sent to now.
   std::optional<EndpointId> chooseFor(Record &R, TimePoint Now);
   bool begin(Record &R, const Endpoint &E, TimePoint Now);
-  bool askPlace(Record &R, const Endpoint &E, TimePoint Now);
+  AskResult askPlace(Record &R, const Endpoint &E, TimePoint Now);
   PlaceDemand placeDemand(const Record &R) const;
   void endAsk(Record &R, TimePoint Now);
   // R was not granted the place it asked for.
--- a/tests/unit/TrafficFixture.h
+++ b/tests/unit/TrafficFixture.h
@@ -50,11 +50,16 @@
   // Whether engines have agents that can be asked for places.
   bool HasAgents_ = false;
   std::vector<PlaceAsked> Asked_;
-  bool askPlace(AttemptNumber A, const std::string &Address,
-                const PlaceDemand &D) override {
-    if (HasAgents_)
-      Asked_.push_back({A, Address, D.Kind_, D});
-    return HasAgents_;
+  // Whether this process still waits for the agents' first reports.
+  bool IsConnecting_ = false;
+  AskResult askPlace(AttemptNumber A, const std::string &Address,
+                     const PlaceDemand &D) override {
+    if (IsConnecting_)
+      return AskResult::Connecting;
+    if (!HasAgents_)
+      return AskResult::NoAgent;
+    Asked_.push_back({A, Address, D.Kind_, D});
+    return AskResult::Sent;
   }
   void respond(CallNumber N, unsigned Status, const HeaderFields &,
                std::string Body) override {
--- a/tests/unit/TrafficOverloadTest.cpp
+++ b/tests/unit/TrafficOverloadTest.cpp
@@ -287,3 +287,32 @@
   REQUIRE(Long.Reading_ > 2 * Long.UsualReading_);
   REQUIRE(Unstated.Reading_ == Long.UsualReading_);
 }
+
+// Guards against requests that a restarted entry sends to engines without
+// weights, each of which costs a repeat and ends refused.
+TEST_CASE("traffic core, before the agents have reported, sends nothing to "
+          "engines, and then asks them",
+          "[traffic]") {
+  CoreFixture F;
+  F.Port_.IsConnecting_ = true;
+  CallNumber N = F.send("/stream/1");
+  REQUIRE(F.Port_.Begun_.empty());
+  REQUIRE(F.Port_.Answers_.empty());
+  SECTION("they report soon") {
+    F.Port_.IsConnecting_ = false;
+    F.Port_.HasAgents_ = true;
+    F.Core_.engineUpdated("10.0.1.0:80", false, 1, EndpointLoad{},
+                          Start + Milliseconds(20));
+    REQUIRE(F.Port_.Asked_.size() == 1);
+  }
+  SECTION("they do not") {
+    F.Core_.tick(Start + Milliseconds(60));
+    REQUIRE(F.answerOf(N).Status_ == 503);
+    REQUIRE(F.answerOf(N).RetryAfter_ > Duration::zero());
+    REQUIRE(F.Port_.Begun_.empty());
+  }
+  SECTION("plain services are not affected") {
+    F.send("/safe/1");
+    REQUIRE(F.Port_.Begun_.size() == 1);
+  }
+}
