An endpoint whose address another one answers is not chosen again

The agent beside the engine grants a place, the attempt is rejected, and the request ends refused when its repeats are spent.

Change: the answer names the endpoint that gave it; the one that was meant is left out from then on, until it is listed with a later start. The test fails without the change (the replaced endpoint is chosen again).

--- a/hawthornroad/traffic/Placement.cpp
+++ b/hawthornroad/traffic/Placement.cpp
@@ -104,7 +104,7 @@
 }
 
 bool Placement::isUsable(const State &S, const Query &Q) const {
-  if (!S.IsListed_ || S.Endpoint_.IsDraining_)
+  if (!S.IsListed_ || S.IsReplaced_ || S.Endpoint_.IsDraining_)
     return false;
   if (Q.Tried_ != nullptr && Q.Tried_->contains(S.Endpoint_.Id_))
     return false;
@@ -242,6 +242,12 @@
                                             Engines * Options_.DeniedForEach_);
 }
 
+void Placement::setReplaced(const EndpointId &Id) {
+  auto Found = States_.find(Id);
+  if (Found != States_.end())
+    Found->second.IsReplaced_ = true;
+}
+
 void Placement::awaitReport(const EndpointId &Id, TimePoint Now) {
   auto Found = States_.find(Id);
   if (Found != States_.end())
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -159,6 +159,9 @@
   void setAway(const EndpointId &Id, bool IsAway, TimePoint Now);
   // The agent had no place for a request.
   void placeDenied(const EndpointId &Id, TimePoint Now);
+  // Another endpoint answers at the address, so this one has ended: each start
+  // has a new id. It is not chosen again while it is still listed.
+  void setReplaced(const EndpointId &Id);
   // The agent has not reported since this process started.
   void awaitReport(const EndpointId &Id, TimePoint Now);
   // No agent answers: for a while the endpoint is chosen by its estimated load.
@@ -194,6 +197,7 @@
   struct State {
     Endpoint Endpoint_;
     bool IsListed_ = true;
+    bool IsReplaced_ = false;
     unsigned Places_ = 1;
     unsigned Connections_ = 1;
     unsigned Own_ = 0;
--- a/hawthornroad/traffic/TrafficAttempts.cpp
+++ b/hawthornroad/traffic/TrafficAttempts.cpp
@@ -104,6 +104,8 @@
         R->Head_.IsOtherEndpoint_ && R->Head_.EndpointId_ != R->At_.str();
     if (IsOther)
       R->Tried_.insert(R->At_);
+    if (IsOther && !R->Head_.EndpointId_.empty())
+      Placement_.setReplaced(R->At_);
     endAttempt(*R,
                IsOther ? Placement::End::Failed : Placement::End::TurnedAway,
                "turned_away", Why, false, Now);
--- a/tests/unit/TrafficCoreTest.cpp
+++ b/tests/unit/TrafficCoreTest.cpp
@@ -207,3 +207,41 @@
     REQUIRE(F.Port_.Begun_.size() == Begun + 1);
   }
 }
+
+// Guards against a list that still names the engines from before a loss of
+// power: each request tries several of them, until all repeats are spent.
+TEST_CASE("traffic core, when another endpoint answers at an address, sends no "
+          "further request to the one that is listed there",
+          "[traffic]") {
+  CoreFixture F;
+  auto Reject = [&](const std::string &AnsweredBy) {
+    EndpointHead H = F.notRun(421);
+    H.IsOtherEndpoint_ = true;
+    H.EndpointId_ = AnsweredBy;
+    AttemptNumber A = F.Port_.last().Attempt_;
+    F.Core_.onHead(A, H, Start);
+    F.Core_.onEnd(A, Start);
+  };
+  F.send("/stream/1");
+  EndpointId First = F.Port_.last().Params_.Endpoint_;
+  Reject("m-new");
+  REQUIRE(F.Port_.Begun_.size() == 2);
+  for (int I = 0; I < 4; ++I)
+    F.send("/stream/2");
+  for (std::size_t I = 1; I < F.Port_.Begun_.size(); ++I)
+    CHECK(F.Port_.Begun_[I].Params_.Endpoint_ != First);
+  // Listed anew with a later start, it is used again.
+  Endpoint E;
+  E.Id_ = First;
+  E.Service_ = Model;
+  E.Address_ = "10.0.1.9:80";
+  E.Zone_ = AvailabilityZone("z");
+  E.HasModel_ = true;
+  E.Model_ = "m";
+  E.Version_ = 1;
+  E.Born_ = 2;
+  F.Core_.endpoints().changed(E, Start);
+  F.Core_.endpointsChanged(Start);
+  F.send("/stream/3");
+  REQUIRE(F.Port_.last().Params_.Endpoint_ == First);
+}
