--- a/hawthornroad/agent/AgentEngine.cpp
+++ b/hawthornroad/agent/AgentEngine.cpp
@@ -283,8 +283,8 @@
     std::optional<Duration> Reading;
     if (Q.Ask_.reading_us != 0)
       Reading = std::chrono::microseconds(Q.Ask_.reading_us);
-    Answer.granted = !IsAway && P.Places_ != 0 &&
-                     Places_.ask(Kind, P, Now, Reading);
+    Answer.granted =
+        !IsAway && P.Places_ != 0 && Places_.ask(Kind, P, Now, Reading);
     Answer.running = Places_.running();
     Answer.waiting = Places_.waiting();
     Answer.version = Updater_.state() ? Updater_.state()->Loaded_.Version_ : 0;
--- a/hawthornroad/agent/RowReader.cpp
+++ b/hawthornroad/agent/RowReader.cpp
@@ -182,8 +182,9 @@
       continue;
     }
     bool IsAsked = Each->Number_ != 0;
-    Duration Limit = IsAsked && !Each->IsSearching_ ? AnswerTimeout
-                                                    : EntryWait_ + AnswerTimeout;
+    Duration Limit = IsAsked && !Each->IsSearching_
+                         ? AnswerTimeout
+                         : EntryWait_ + AnswerTimeout;
     if (Each->AwaitsData_)
       Limit = Duration::zero();
     if (Now - Each->Since_ < Limit) {
--- a/hawthornroad/entry/EngineNotices.cpp
+++ b/hawthornroad/entry/EngineNotices.cpp
@@ -99,7 +99,7 @@
 }
 
 AskResult EngineNotices::askPlace(AttemptNumber A, const std::string &Engine,
-                             const PlaceDemand &D) {
+                                  const PlaceDemand &D) {
   std::string Address = agentOf(Engine);
   auto Found = Agents_.find(Address);
   if (Found == Agents_.end())
--- a/hawthornroad/entry/EngineNotices.h
+++ b/hawthornroad/entry/EngineNotices.h
@@ -14,8 +14,9 @@
 //
 // An agent answers on the entry's connection, so agents need not know the
 // entries, and sends its queries for the store's tables on it as well. After
-// the loss of a connection the entry subscribes again after MinResubscribeDelay,
-// doubled for each further failure up to MaxResubscribeDelay.
+// the loss of a connection the entry subscribes again after
+// MinResubscribeDelay, doubled for each further failure up to
+// MaxResubscribeDelay.
 //
 // Load pattern: all processes start at the same moment, and callers are there
 // already. Entries that wait a second for agents that were a tenth of a second
--- a/hawthornroad/entry/TableSource.cpp
+++ b/hawthornroad/entry/TableSource.cpp
@@ -13,8 +13,8 @@
 namespace {
 // How long the source may hold a query. Its own proofs arrive twice a second.
 constexpr Duration QueryWait = Milliseconds(700);
-// The same for an entry that has no data yet, so that it learns soon whether its
-// source is receiving any.
+// The same for an entry that has no data yet, so that it learns soon whether
+// its source is receiving any.
 constexpr Duration FirstQueryWait = Milliseconds(100);
 // A source that does not answer within this time is frozen or cut off.
 constexpr Duration QueryTimeout = QueryWait + Milliseconds(300);
--- a/hawthornroad/store/SourceChoice.cpp
+++ b/hawthornroad/store/SourceChoice.cpp
@@ -12,7 +12,8 @@
 
 unsigned SourceChoice::depth() const {
   unsigned Depth = 0;
-  for (std::size_t Rank = rank(); Rank > 0; Rank = (Rank - 1) / Options_.Fanout_)
+  for (std::size_t Rank = rank(); Rank > 0;
+       Rank = (Rank - 1) / Options_.Fanout_)
     ++Depth;
   return Depth;
 }
@@ -150,7 +151,8 @@
 void SourceChoice::onStale(TimePoint Now) {
   if (State_ == State::Following)
     AvoidUntil_[Source_] = Now + Options_.FailedPeerDelay_;
-  bool Waits = State_ == State::Seeking && (IsYielding_ || isExpectingData(Now));
+  bool Waits =
+      State_ == State::Seeking && (IsYielding_ || isExpectingData(Now));
   if (!Waits)
     startReading(Now);
 }
--- a/hawthornroad/store/SourceChoice.h
+++ b/hawthornroad/store/SourceChoice.h
@@ -42,9 +42,9 @@
 // receiving from the store, it seeks for SeekTimeout and leaves the link to
 // that peer.
 //
-// An entry that still waits for its first data reads the store after a time that
-// grows with the logarithm of its rank: few entries read at once, and the first
-// one to succeed serves the others.
+// An entry that still waits for its first data reads the store after a time
+// that grows with the logarithm of its rank: few entries read at once, and the
+// first one to succeed serves the others.
 //
 // A source that failed is not asked for FailedPeerDelay. A disconnected one is
 // not asked for PeerRetryDelay, or for DisconnectedRetryDelay by an entry that
--- a/tests/unit/SourceChoiceTest.cpp
+++ b/tests/unit/SourceChoiceTest.cpp
@@ -542,10 +542,9 @@
       ask(E);
   }
   double mostSent() const {
-    return std::max_element(Entries_.begin(), Entries_.end(),
-                            [](const Entry &A, const Entry &B) {
-                              return A.Sent_ < B.Sent_;
-                            })
+    return std::max_element(
+               Entries_.begin(), Entries_.end(),
+               [](const Entry &A, const Entry &B) { return A.Sent_ < B.Sent_; })
         ->Sent_;
   }
 };
