Taken back: late versions with few pieces missing are completed

By the logs the last piece of version 2 did not spread: agents that complete it load it and go on with version 3, and 42 of 76 agents kept asking for it at 63 of 64 pieces until version 3 was whole at 33 to 40 s. What must come first: peers that have moved on still send the pieces of the version before. The comment on the load order's mode stays corrected.

--- a/hawthornroad/agent/AgentEngine.cpp
+++ b/hawthornroad/agent/AgentEngine.cpp
@@ -149,11 +149,11 @@
   if (isFetching() && Now - PeersAt_ >= PeerListInterval)
     listPeers(Now);
   // Only one version at a time uses the origin's narrow link, the earlier one
-  // first, as long as it is not late.
+  // first.
   if (Next_ && Next_->Transfer_)
-    Next_->Transfer_->setReadsOrigin(
-        !Current_ || OrderBegun_ || !Current_->Transfer_ ||
-        Current_->Transfer_->isComplete() || isCurrentLate(Now));
+    Next_->Transfer_->setReadsOrigin(!Current_ || OrderBegun_ ||
+                                     !Current_->Transfer_ ||
+                                     Current_->Transfer_->isComplete());
   if (!Updater_.isDone())
     return;
   if (!LoadedAt_) {
@@ -170,32 +170,22 @@
   startNextUpdate();
 }
 
-bool StoreAgent::State::isCurrentLate(TimePoint Now) const {
-  return Current_ && Now >= Current_->HeardAt_ +
-                                Settings_.Common_.VersionBound_ - BoundMargin;
-}
-
-// The next version replaces one whose pieces do not arrive.
+// The next version replaces one whose pieces do not arrive: when the next one
+// is complete, or when the earlier one is too late to be of use.
 void StoreAgent::State::supersedeStalled(TimePoint Now) {
   if (!Next_ || OrderBegun_ || !Current_)
     return;
-  VersionProgress P;
-  if (Current_->Transfer_) {
-    P.Pieces_ = Current_->Transfer_->digests().size();
-    P.Held_ = Current_->Transfer_->held();
-  } else if (Next_->Transfer_) {
-    P.Pieces_ = Next_->Transfer_->digests().size();
-  }
-  if (Next_->Transfer_)
-    P.NextHeld_ = Next_->Transfer_->held();
-  P.IsLate_ = isCurrentLate(Now);
-  if (!supersedes(P))
+  if (Current_->Transfer_ && Current_->Transfer_->isComplete())
+    return;
+  bool IsNextComplete = Next_->Transfer_ && Next_->Transfer_->isComplete();
+  bool IsTooLate =
+      Now >= Current_->HeardAt_ + Settings_.Common_.VersionBound_ - BoundMargin;
+  if (!IsNextComplete && !IsTooLate)
     return;
   Log_.write(LogLine("version_overtaken")
                  .count("version", Current_->Version_.Version_)
                  .count("by", Next_->Version_.Version_)
-                 .flag("too_late", P.IsLate_)
-                 .count("held", P.Held_));
+                 .flag("too_late", IsTooLate));
   startNextUpdate();
 }
 
--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -22,7 +22,6 @@
 #include "hawthornroad/runtime/Metrics.h"
 #include "hawthornroad/staging/LoadSchedule.h"
 #include "hawthornroad/staging/PlaceGrants.h"
-#include "hawthornroad/staging/VersionSwitch.h"
 #include "hawthornroad/store/StoreClient.h"
 #include "hawthornroad/weights/DigestTree.h"
 #include "platform/EngineWire.h"
@@ -96,8 +95,6 @@
   void startUpdate(std::shared_ptr<VersionUpdate> P);
   void startNextUpdate();
   void supersedeStalled(TimePoint Now);
-  // The bound of the version in progress has passed.
-  bool isCurrentLate(TimePoint Now) const;
   void requestReport();
   void onReport(const HttpCalls::Result &R, TimePoint AskedAt);
   // Advances the transfer of a version's pieces until all are held.
