Agents look again for an entry that is silent; deep followers tolerate its age

Found by reading the change: addresses of entries found once were kept when the entry had ended; and a follower deep in the tree left a source whose data it would not yet have sought a replacement for.

--- a/hawthornroad/agent/RowReader.cpp
+++ b/hawthornroad/agent/RowReader.cpp
@@ -192,6 +192,9 @@
       continue;
     }
     rotateEntries();
+    // An entry found in the store may have ended; the next read looks again.
+    if (Each->IsSearching_)
+      Found_.clear();
     Read R = std::move(*Each);
     Each = Reads_.erase(Each);
     readStore(std::move(R));
--- a/hawthornroad/entry/TableSource.cpp
+++ b/hawthornroad/entry/TableSource.cpp
@@ -438,7 +438,7 @@
     return false;
   applyUpdate(T, U);
   prove(T, AsOf);
-  return age(T, bootNow()) <= AgingShare;
+  return age(T, bootNow()) <= agingShare();
 }
 
 void TableSource::onSourceLost(const PeerAddress &From, std::string_view Why) {
--- a/tests/unit/RowReaderTest.cpp
+++ b/tests/unit/RowReaderTest.cpp
@@ -317,6 +317,23 @@
   REQUIRE(StoreReads_ == 0);
 }
 
+// Guards against agents that keep asking an entry that has ended.
+TEST_CASE_METHOD(ReaderFixture,
+                 "row reader, when an entry found in the store is silent, "
+                 "looks for another one the next time",
+                 "[relay]") {
+  Listed_ = {PeerAddress("10.0.0.1:7700")};
+  list();
+  pass(RowReader::EntryWait);
+  pass(RowReader::EntryWait + RowReader::AnswerTimeout);
+  REQUIRE(StoreReads_ == 1);
+  Listed_ = {PeerAddress("10.0.0.2:7700")};
+  list();
+  pass(RowReader::EntryWait);
+  REQUIRE(EntryLookups_ == 2);
+  REQUIRE(Dialled_.back().first == Listed_[0]);
+}
+
 TEST_CASE_METHOD(ReaderFixture,
                  "row reader, at the first start of the whole deployment, "
                  "waits longer for an entry to connect",
