Entries of a large zone no longer all read the store at once

Causes: all entries start together, list the zone's entries before the others have written their rows, and each takes itself for one of the first; an entry that is late reads though those before it are reading too; nothing ends that state, as nobody has fresh data to offer.

Change: a new entry lists the zone again 0.4 s after it wrote its row, before it acts on the list; a late entry beyond the first three leaves the link to the entries before it as long as one of them answers, and reads after a time that grows with the logarithm of its rank. The new model test never ends without the change (30 s at 20, 50 and 412 entries), and within its bound of 6 s with it.

--- a/hawthornroad/entry/ZoneEntries.cpp
+++ b/hawthornroad/entry/ZoneEntries.cpp
@@ -4,6 +4,7 @@
 #include "hawthornroad/peers/PeerNet.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hawthornroad {
 
@@ -15,6 +16,8 @@
 // New entries query older ones, not the reverse, so an outdated list costs at
 // most an indirect path.
 constexpr Duration ListingInterval = Seconds(30);
+// All VMs of a deployment start within 0.3 s of each other.
+constexpr Duration WriteDelay = Milliseconds(400);
 constexpr Duration ListingRetryDelay = Milliseconds(1000);
 // Minimum time between two listings, also when refreshSoon() is called.
 constexpr Duration MinListingInterval = Milliseconds(5000);
@@ -115,7 +118,18 @@
   });
 }
 
+bool ZoneEntries::isPremature(const std::vector<ZoneEntry> &All) {
+  bool IsPresent = std::find(All.begin(), All.end(), Self_) != All.end();
+  if (IsPresent || ListedAt_ != TimePoint() || std::exchange(HasWritten_, true))
+    return false;
+  write();
+  ListAt_ = Clock_() + WriteDelay;
+  return true;
+}
+
 void ZoneEntries::onEntries(std::vector<ZoneEntry> All) {
+  if (isPremature(All))
+    return;
   bool IsFirst = ListedAt_ == TimePoint();
   ListedAt_ = Clock_();
   ListAt_ = ListedAt_ + nextListingDelay(IsFirst);
--- a/hawthornroad/entry/ZoneEntries.h
+++ b/hawthornroad/entry/ZoneEntries.h
@@ -6,6 +6,10 @@
 //   Z.tick(Now);
 //
 // An entry writes its row when a listing, the first one at its start, lacks it.
+// It uses that listing only once the other entries that start with it can have
+// written theirs, WriteDelay later: with the rows of few others, all entries of
+// a zone would count themselves among the first and read the store.
+//
 // Rows are neither renewed nor removed, since each write is a call to the
 // store, so a row outlives its process. A source that does not answer is
 // skipped, which costs an occasional refused connection.
@@ -77,6 +81,8 @@
   std::string ownKey() const { return Zone_.str() + "/" + Self_.Process_; }
   void list();
   void onEntries(std::vector<ZoneEntry> All);
+  // Whether the listing came too early to be used.
+  bool isPremature(const std::vector<ZoneEntry> &All);
   void write();
 
   StoreClient &Store_;
@@ -89,6 +95,7 @@
   // The first listing starts at once.
   TimePoint ListAt_{};
   TimePoint ListedAt_{};
+  bool HasWritten_ = false;
   // Lets answers that arrive after this object's destruction detect it.
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
 };
--- a/hawthornroad/store/SourceChoice.cpp
+++ b/hawthornroad/store/SourceChoice.cpp
@@ -1,6 +1,7 @@
 #include "hawthornroad/store/SourceChoice.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hawthornroad {
 
@@ -8,6 +9,9 @@
 // How long a source's statement that it is receiving counts. Longer than the
 // interval between two queries of an entry without data.
 constexpr Duration ReceivingValidity = Milliseconds(500);
+// How long an answer shows that a peer is alive. Longer than the time for which
+// a peer may hold a query.
+constexpr Duration LivePeerValidity = Milliseconds(1200);
 } // namespace
 
 unsigned SourceChoice::depth() const {
@@ -41,11 +45,18 @@
          Now - *SourceReceivingAt_ < ReceivingValidity;
 }
 
+// Continuous in the rank, so that entries of similar rank do not start to read
+// at the same moment.
 Duration SourceChoice::seekTimeout() const {
-  Duration Timeout = Options_.SeekTimeout_;
-  for (std::size_t Rank = rank(); Rank > Options_.Backups_; Rank /= 2)
-    Timeout += Options_.SeekTimeout_;
-  return Timeout;
+  auto Backups = static_cast<double>(Options_.Backups_);
+  double Doublings = std::log2(
+      std::max(1.0, static_cast<double>(rank()) / std::max(1.0, Backups)));
+  return Options_.SeekTimeout_ + std::chrono::duration_cast<Duration>(
+                                     Options_.SeekTimeoutStep_ * Doublings);
+}
+
+bool SourceChoice::hasLivePeer(TimePoint Now) const {
+  return PeerAnsweredAt_ && Now - *PeerAnsweredAt_ < LivePeerValidity;
 }
 
 void SourceChoice::setPreferred(std::vector<PeerAddress> Before,
@@ -92,8 +103,12 @@
 }
 
 void SourceChoice::startReading(TimePoint Now) {
-  if (State_ != State::Reading)
-    ReadingSince_ = Now;
+  if (State_ != State::Reading) {
+    // After a pause for its peers, an entry asks them again while it reads.
+    bool HasYielded = State_ == State::Seeking && IsYielding_;
+    ReadingSince_ = HasYielded ? Now - Options_.LatePeerRetryDelay_ : Now;
+    YieldNotBefore_ = Now + Options_.LatePeerRetryDelay_;
+  }
   State_ = State::Reading;
 }
 
@@ -105,6 +120,7 @@
 
 void SourceChoice::onAnswer(const PeerAddress &From, SourceHealth H,
                             bool IsFresh, TimePoint Now) {
+  PeerAnsweredAt_ = Now;
   switch (H) {
   case SourceHealth::Fresh:
     AvoidUntil_.erase(From);
@@ -123,6 +139,9 @@
   case SourceHealth::Disconnected:
     AvoidUntil_[From] = Now + (IsFresh ? Options_.PeerRetryDelay_
                                        : Options_.DisconnectedRetryDelay_);
+    if (State_ == State::Reading && !IsFresh && rank() > Options_.Backups_ &&
+        Now >= YieldNotBefore_)
+      return startSeeking(true, Now);
     return abandonSource(From, Now);
   }
 }
@@ -134,7 +153,8 @@
 
 void SourceChoice::abandonSource(const PeerAddress &From, TimePoint Now) {
   bool IsOther = State_ == State::Following && From != Source_;
-  if (State_ == State::Reading || IsOther)
+  bool IsWaiting = State_ == State::Seeking && IsYielding_;
+  if (State_ == State::Reading || IsOther || IsWaiting)
     return;
   bool IsBackup = State_ == State::Following && rank() <= Options_.Backups_;
   if (IsBackup || !firstAvailable(Now))
@@ -160,8 +180,7 @@
 void SourceChoice::tick(TimePoint Now) {
   if (State_ != State::Seeking)
     return;
-  Duration Timeout =
-      isExpectingData(Now) ? seekTimeout() : Options_.SeekTimeout_;
+  Duration Timeout = hasLivePeer(Now) ? seekTimeout() : Options_.SeekTimeout_;
   if (Now - SeekingSince_ >= Timeout)
     startReading(Now);
 }
--- a/hawthornroad/store/SourceChoice.h
+++ b/hawthornroad/store/SourceChoice.h
@@ -42,9 +42,12 @@
 // receiving from the store, it seeks for SeekTimeout and leaves the link to
 // that peer.
 //
-// An entry that still waits for its first data reads the store after a time
-// that grows with the logarithm of its rank: few entries read at once, and the
-// first one to succeed serves the others.
+// That holds also while no peer is receiving. When all entries of a zone read
+// at once, the link is saturated, each read times out and is sent again, and
+// nobody ever has fresh data. Beyond rank Backups, an entry that is late
+// therefore leaves the link to the entries before it as long as any of them
+// answers, and reads only after seekTimeout(), which grows with the logarithm
+// of its rank, in case the store serves it and not them.
 //
 // A source that failed is not asked for FailedPeerDelay. A disconnected one is
 // not asked for PeerRetryDelay, or for DisconnectedRetryDelay by an entry that
@@ -86,9 +89,10 @@
 public:
   struct Options {
     // When all processes of a zone start together, two reads of a configuration
-    // by its first entry take 0.4 s over a link between regions. Ranks beyond
-    // Backups wait as long again for each doubling.
+    // by its first entry take 0.4 s over a link between regions.
     Duration SeekTimeout_ = Milliseconds(800);
+    // Added for each doubling of the rank beyond Backups while peers answer.
+    Duration SeekTimeoutStep_ = Milliseconds(600);
     // How many entries prefer the same source.
     std::size_t Fanout_ = 8;
     // How long an entry follows another source before it probes its parent.
@@ -106,7 +110,7 @@
     // this. A query within a zone takes only a millisecond, and entries that
     // have to detect the store's return on their own all read the table at
     // once.
-    Duration DisconnectedRetryDelay_ = Milliseconds(50);
+    Duration DisconnectedRetryDelay_ = Milliseconds(40);
     // A frozen or cut-off VM recovers after some seconds.
     Duration FailedPeerDelay_ = Milliseconds(6000);
   };
@@ -146,6 +150,8 @@
   // The peer that this entry prefers, if it may be asked now.
   std::optional<PeerAddress> parent(TimePoint Now) const;
   Duration seekTimeout() const;
+  // An entry before this one has answered recently, with or without data.
+  bool hasLivePeer(TimePoint Now) const;
   void startReading(TimePoint Now);
   void startSeeking(bool IsYielding, TimePoint Now);
   void abandonSource(const PeerAddress &From, TimePoint Now);
@@ -158,7 +164,10 @@
   PeerAddress Source_;
   TimePoint FollowingSince_;
   TimePoint ReadingSince_;
-  // The last answer of a source that is receiving.
+  // It reads until then though its peers have no data.
+  TimePoint YieldNotBefore_;
+  // The last answer of a peer, and of one that is receiving.
+  std::optional<TimePoint> PeerAnsweredAt_;
   std::optional<TimePoint> SourceReceivingAt_;
   // Seeking instead of reading, to leave the link to a peer that is receiving.
   bool IsYielding_ = false;
--- a/tests/unit/SourceChoiceTest.cpp
+++ b/tests/unit/SourceChoiceTest.cpp
@@ -602,3 +602,67 @@
     REQUIRE(C_.next(true, Now_) == Before[0]);
   }
 }
+
+namespace {
+// Model of a zone whose entries all read the store, since they started before
+// any of them was listed. A read that takes longer than its time limit is sent
+// again from the beginning, and a saturated link delivers nothing in time.
+struct ZoneOfReaders : ZoneRestart {
+  static constexpr double LongTableBytes = 1'300'000;
+  static constexpr Duration ReadLimit = Milliseconds(2000);
+  static constexpr std::ptrdiff_t MostUseful = 6;
+  std::vector<TimePoint> ReadSince_;
+
+  explicit ZoneOfReaders(std::size_t Count) : ZoneRestart(Count) {
+    for (std::size_t I = 0; I < Count; ++I) {
+      SourceChoice &C = Entries_[I].Choice_;
+      C.setPreferred({}, Now_);
+      C.setPreferred({Names_.begin(), Names_.begin() + I}, Now_);
+    }
+    ReadSince_.assign(Count, Now_);
+  }
+  void readLong() {
+    auto Readers =
+        std::count_if(Entries_.begin(), Entries_.end(), [](const Entry &E) {
+          return E.Choice_.readsStore() && !E.IsFresh_;
+        });
+    for (std::size_t I = 0; I < Entries_.size(); ++I) {
+      Entry &E = Entries_[I];
+      if (E.IsFresh_)
+        continue;
+      if (!E.Choice_.readsStore() || Now_ - ReadSince_[I] >= ReadLimit) {
+        E.Read_ = 0;
+        ReadSince_[I] = Now_;
+        continue;
+      }
+      if (Readers <= MostUseful)
+        E.Read_ += RegionBytesPerMs * 20 / static_cast<double>(Readers);
+      E.IsFresh_ = E.Read_ >= LongTableBytes;
+    }
+  }
+  void stepLong() {
+    Now_ += Step;
+    for (Entry &E : Entries_)
+      if (!E.From_)
+        E.Choice_.tick(Now_);
+    readLong();
+    transmit();
+    for (Entry &E : Entries_)
+      ask(E);
+  }
+};
+} // namespace
+
+// Guards against a zone that is never served again once all of its entries read
+// the store at the same time: each read times out and is repeated.
+TEST_CASE("source choice, in a large zone whose entries all read the store at "
+          "once, leaves it to few and has all fresh within seconds",
+          "[relay]") {
+  for (std::size_t Count : {20U, 50U, 412U}) {
+    CAPTURE(Count);
+    ZoneOfReaders Z(Count);
+    while (!Z.isFresh() && Z.Now_ < Start + Seconds(30))
+      Z.stepLong();
+    CHECK(Z.Now_ - Start <= Seconds(6));
+  }
+}
