--- a/hawthornroad/staging/EngineUpdater.h
+++ b/hawthornroad/staging/EngineUpdater.h
@@ -74,8 +74,7 @@
     Duration VerificationLifetime_ = Milliseconds(400);
     // Time from the announcement to the order, which aborts the requests that
     // still run. Most of them end within this time, and the engine does not sit
-    // idle for the rest. On days without faults, 1.3 s costs 0.02 of what
-    // callers are owed, and 0.35 s costs as much.
+    // idle for the rest.
     Duration CloseLead_ = Milliseconds(900);
     // How long a closed engine waits for its pieces after its order was due.
     Duration MaxCloseOverrun_ = Milliseconds(700);
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -66,8 +66,7 @@
     double MostReading_ = 140;
     // Share of an endpoint's places that requests with IsLate_ leave free: the
     // places that become free in the next quarter of a second, which other
-    // requests can use in time. 0.06 admits too many late requests; 0.25 is no
-    // better.
+    // requests can use in time.
     double KeptFromLate_ = 0.2;
     // Requests beyond an engine's batch size that may wait at it, so that a
     // free place is taken without a round trip.
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -200,9 +200,7 @@
     std::size_t MaxCalls_ = 2000;
     // Share of the goal that a request may spend in the queue. A place becomes
     // free about every tenth of a second for each entry, so this is long enough
-    // to get one and short enough to be answered in time. From 0.05 to 0.25
-    // there is no measurable difference; at 0.35 two in a hundred of the owed
-    // answers are lost in an overload.
+    // to get one and short enough to be answered in time.
     double LineShare_ = 0.15;
     Duration LineLeast_ = Milliseconds(50);
     // Queued requests share places by customer.
@@ -210,9 +208,7 @@
     // Requests of which this share of the goal had passed before arrival cannot
     // be answered in time any more: they only take places that others leave,
     // and do not wait. Otherwise a lasting overload answers half of its callers
-    // in time and a quarter late, where it can answer three quarters in time:
-    // on days with several faults this is worth 0.10 to 0.13 of the owed
-    // answers.
+    // in time and a quarter late, where it can answer three quarters in time.
     bool LateGoBehind_ = true;
     double LateShare_ = 0.5;
     // Agents are asked for places at engines, see PlaceGrants.
@@ -223,8 +219,7 @@
     // An agent answers within one round trip and one query to its engine, five
     // milliseconds between regions. One that does not is partitioned or
     // stopped, or new weights saturate its link: waiting for it costs a request
-    // more than a better choice gains (60 instead of 20 ms loses 0.02 of the
-    // owed answers on normal days).
+    // more than a better choice gains.
     Duration AskTimeout_ = Milliseconds(20);
     // Deadline when the caller states none.
     Duration DefaultTimeLeft_ = Seconds(30);
