--- a/hawthornroad/entry/DirectEntryState.h
+++ b/hawthornroad/entry/DirectEntryState.h
@@ -27,6 +27,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -60,6 +61,7 @@
   void abortStream(CallNumber N) override;
   void report(const CallReport &R) override;
   void report(const AttemptReport &R) override;
+  void report(const LimitReport &R) override;
 
   void start();
   void tick();
@@ -76,6 +78,9 @@
   bool isReady(TimePoint Now) const;
   void answerReady(ServerSession &S);
   void answerMetrics(ServerSession &S);
+  // Counts statements of an endpoint that could not be read, and logs each
+  // once.
+  void noteUnreadable(const std::string &Endpoint, const EndpointHead &H);
   ServerSession *session(CallNumber N) const;
   std::shared_ptr<ServerSession> takeSession(CallNumber N);
 
@@ -114,6 +119,8 @@
   std::unique_ptr<TableSource> Source_;
   std::unique_ptr<EngineNotices> Notices_;
   std::map<std::string, EngineUpdate> LastUpdates_;
+  // Endpoint and field.
+  std::set<std::pair<std::string, std::string>> LoggedUnreadable_;
   std::unordered_map<CallNumber, std::shared_ptr<ServerSession>> Sessions_;
   std::unordered_map<AttemptNumber, Attempt> Attempts_;
   CallNumber NextCall_ = 1;
--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -6,6 +6,8 @@
 namespace hawthornroad {
 
 namespace {
+constexpr std::size_t MaxLoggedUnreadable = 1000;
+
 std::string secondsText(Duration D) {
   std::array<char, 32> Text;
   double Value = std::chrono::duration<double>(D).count();
@@ -92,8 +94,10 @@
   Attempts_[A] = {Link, O.Endpoint_.str()};
   ClientLink::Events E;
   E.OnHead_ = [this, A](unsigned Status, HeaderFields Fields) {
-    Core_.onHead(A, platform::decodeAnswer(Status, std::move(Fields)),
-                 bootNow());
+    EndpointHead H = platform::decodeAnswer(Status, std::move(Fields));
+    if (auto Found = Attempts_.find(A); Found != Attempts_.end())
+      noteUnreadable(Found->second.Endpoint_, H);
+    Core_.onHead(A, std::move(H), bootNow());
   };
   E.OnBody_ = [this, A](std::string Bytes) {
     Core_.onBody(A, std::move(Bytes), bootNow());
@@ -124,6 +128,19 @@
   Link->abandon();
 }
 
+void DirectEntry::State::noteUnreadable(const std::string &Endpoint,
+                                        const EndpointHead &H) {
+  for (std::string_view Field : H.Unreadable_) {
+    Metrics_.count("hawthornroad_endpoint_statements_unreadable_total",
+                   {{"field", std::string(Field)}});
+    if (LoggedUnreadable_.size() < MaxLoggedUnreadable &&
+        LoggedUnreadable_.emplace(Endpoint, Field).second)
+      Log_.write(LogLine("statement_unreadable")
+                     .text("endpoint", Endpoint)
+                     .text("field", Field));
+  }
+}
+
 // ---- Log --------------------------------------------------------------------
 
 void DirectEntry::State::report(const AttemptReport &R) {
@@ -150,6 +167,21 @@
   Log_.write(L);
 }
 
+void DirectEntry::State::report(const LimitReport &R) {
+  LogLine L("endpoint_limit");
+  L.text("endpoint", R.Endpoint_.str())
+      .flag("limited", R.PerSecond_.has_value())
+      .text("source", R.Source_)
+      .millis("age_ms", R.Age_);
+  if (R.PerSecond_)
+    L.number("per_second", *R.PerSecond_);
+  if (R.Previous_)
+    L.number("previous", *R.Previous_);
+  Log_.write(L, true);
+  Metrics_.set("hawthornroad_endpoints_limited",
+               static_cast<double>(Core_.limits().inForce()));
+}
+
 void DirectEntry::State::report(const CallReport &R) {
   LogLine L("request");
   L.text("request", R.Id_)
--- a/hawthornroad/traffic/Call.h
+++ b/hawthornroad/traffic/Call.h
@@ -11,6 +11,8 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace hawthornroad {
 
@@ -81,6 +83,10 @@
   unsigned Running_ = 0;
   unsigned Waiting_ = 0;
   WeightVersion Version_ = 0;
+  // Requests a second that the endpoint accepts from all processes together.
+  std::optional<double> RateLimit_;
+  // Names of the fields whose values could not be read; they are ignored.
+  std::vector<std::string_view> Unreadable_;
 };
 
 } // namespace hawthornroad
--- a/hawthornroad/traffic/TrafficAttempts.cpp
+++ b/hawthornroad/traffic/TrafficAttempts.cpp
@@ -50,6 +50,8 @@
     afterFailure(*R, "wrong answer", Now);
     return dispatchFreed(Now);
   }
+  if (!Head.IsOtherEndpoint_)
+    noteLimit(*R, Head, Now);
   if (Head.HasLoad_)
     Placement_.updateLoad(R->At_, Head.Running_, Head.Waiting_, Now);
   if (Head.NotRun_)
@@ -68,6 +70,25 @@
     R->Version_ = Head.Version_;
 }
 
+// An answer that ran ends a limit by stating none. One that was turned away
+// does not: it may come from a queue before the endpoint.
+void TrafficCore::noteLimit(const Record &R, const EndpointHead &H,
+                            TimePoint Now) {
+  bool StatesNothing = !H.Unreadable_.empty() || (H.NotRun_ && !H.RateLimit_);
+  if (StatesNothing)
+    return;
+  noteLimit({R.At_, R.Born_}, {H.RateLimit_, R.BegunAt_, Now}, "answer", Now);
+}
+
+void TrafficCore::noteLimit(const EndpointStart &E, const LimitStatement &S,
+                            std::string_view Source, TimePoint Now) {
+  const LimitStatement *Before = Limits_.find(E);
+  auto Previous = Before != nullptr ? Before->PerSecond_ : std::nullopt;
+  if (!Limits_.note(E, S))
+    return;
+  Port_.report(LimitReport{E.Id_, Previous, S.PerSecond_, Source, Now - S.At_});
+}
+
 void TrafficCore::onBody(AttemptNumber A, std::string Bytes, TimePoint Now) {
   Record *R = find(A);
   if (R == nullptr)
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -51,6 +51,7 @@
 #include "hawthornroad/traffic/Placement.h"
 #include "hawthornroad/traffic/PromptCost.h"
 #include "hawthornroad/traffic/RepeatBudget.h"
+#include "hawthornroad/traffic/StatedLimits.h"
 
 #include <functional>
 #include <list>
@@ -123,6 +124,17 @@
   Duration Took_ = Duration::zero();
 };
 
+// A change of the rate limit that an endpoint states, for the log.
+struct LimitReport {
+  EndpointId Endpoint_;
+  std::optional<double> Previous_;
+  std::optional<double> PerSecond_;
+  // "answer" or "granter"
+  std::string_view Source_;
+  // Time since the statement was received first.
+  Duration Age_ = Duration::zero();
+};
+
 // What a request needs of an engine, see PlaceGrants.
 struct PlaceDemand {
   PlaceKind Kind_ = PlaceKind::First;
@@ -170,6 +182,7 @@
   virtual void abortStream(CallNumber N) = 0;
   virtual void report(const CallReport &R) = 0;
   virtual void report(const AttemptReport &R) = 0;
+  virtual void report(const LimitReport &R) {}
 };
 
 // Requests at an engine, as reported by its agent.
@@ -261,6 +274,7 @@
   KeyLease &lease() { return Lease_; }
   const ConfigFence &fence() const { return Fence_; }
   const Placement &placement() const { return Placement_; }
+  const StatedLimits &limits() const { return Limits_; }
   // From At on, no request is sent to an engine with a version of Model below
   // V; a request that waits at such an engine at Hard is withdrawn. True when V
   // is new; a repeated announcement keeps the first times.
@@ -334,6 +348,10 @@
   bool waitsAtOldVersion(const Record &R, TimePoint Now) const;
   WeightVersion newestRequired(const ServiceName &Service) const;
   void noteCompletion(const ServiceName &Service, TimePoint Now);
+  // What the answer of R's attempt states of the endpoint's rate limit.
+  void noteLimit(const Record &R, const EndpointHead &H, TimePoint Now);
+  void noteLimit(const EndpointStart &E, const LimitStatement &S,
+                 std::string_view Source, TimePoint Now);
 
   Options Options_;
   TrafficPort &Port_;
@@ -342,6 +360,7 @@
   EndpointSet Endpoints_;
   Placement Placement_;
   RepeatBudget Budget_;
+  StatedLimits Limits_;
   KeyLease Lease_;
   ConfigFence Fence_;
   // By model: from which time on each version is the minimum.
