Failing test: a fleet of entries does not stay within an endpoint's limit

A model without network: 9 and 300 entries, engines with an agent and plain endpoints, limits of 0.5 to 100 requests a second for all entries together.

--- /dev/null
+++ b/tests/unit/LimitFleet.h
@@ -0,0 +1,89 @@
+// A fleet of entries before one service, without network: every entry is a
+// TrafficCore, endpoints answer after a fixed time, and some of them name a
+// rate limit in their answers.
+//
+//   LimitFleet F({.Entries_ = 9, .PerSecond_ = 1});
+//   F.limit(0, 1.0, Start + Seconds(5));     // endpoint 0 names 1 a second
+//   F.run(Seconds(20));
+//   F.excess(0);                             // the worst window
+//
+// Times and seeds are fixed by the options, so every run of one seed is alike.
+
+#ifndef HAWTHORNROAD_TESTS_UNIT_LIMITFLEET_H
+#define HAWTHORNROAD_TESTS_UNIT_LIMITFLEET_H
+
+#include "hawthornroad/traffic/TrafficCore.h"
+#include "tests/unit/TrafficFixture.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hawthornroad::traffic_test {
+
+class LimitFleet {
+public:
+  struct Options {
+    unsigned Entries_ = 9;
+    unsigned Endpoints_ = 9;
+    // Engines have agents beside them, plain endpoints have none.
+    bool IsEngine_ = true;
+    // Requests a second that reach each entry.
+    double RequestsPerSecond_ = 6;
+    std::uint64_t Seed_ = 1;
+  };
+  // The rule's window, its slack and when it begins to bind.
+  static constexpr Duration Window = Seconds(4);
+  static constexpr double Slack = 5;
+  static constexpr double Excess = 1.5;
+  static constexpr Duration ContactBound = Seconds(3);
+  static constexpr Duration EntryBound = Milliseconds(500);
+
+  explicit LimitFleet(Options O);
+  ~LimitFleet();
+
+  // From At on, the endpoint names this limit in its answers; unset: none.
+  void limit(unsigned Endpoint, std::optional<double> PerSecond, TimePoint At);
+  // Runs the fleet for this long.
+  void run(Duration Length);
+
+  // The most requests in any window above what the rule allows, over all
+  // endpoints; negative or zero when the rule holds.
+  double excess() const;
+  // Requests at an endpoint in a span, of all entries.
+  std::size_t arrivals(unsigned Endpoint, TimePoint From, TimePoint To) const;
+  // Requests of callers that were answered with success in a span.
+  std::size_t served(TimePoint From, TimePoint To) const;
+  std::size_t refused(TimePoint From, TimePoint To) const;
+
+private:
+  struct Entry;
+  struct Server;
+  struct Arrival {
+    TimePoint At_;
+    unsigned Entry_ = 0;
+  };
+  void after(Duration D, std::function<void()> F) {
+    Events_.emplace(Now_ + D, std::move(F));
+  }
+  void arriveAt(unsigned Endpoint, Entry &From, AttemptNumber A,
+                const std::string &RequestId);
+  void nextRequest(Entry &E);
+  void tick(Entry &E);
+  unsigned indexOf(const std::string &Address) const;
+
+  Options Options_;
+  Random Random_;
+  TimePoint Now_ = Start;
+  std::multimap<TimePoint, std::function<void()>> Events_;
+  std::vector<std::unique_ptr<Entry>> Entries_;
+  std::vector<std::unique_ptr<Server>> Servers_;
+};
+
+} // namespace hawthornroad::traffic_test
+
+#endif // HAWTHORNROAD_TESTS_UNIT_LIMITFLEET_H
