--- a/hawthornroad/agent/AgentEngine.cpp
+++ b/hawthornroad/agent/AgentEngine.cpp
@@ -1,4 +1,5 @@
 #include "hawthornroad/agent/StoreAgentState.h"
+#include "hawthornroad/peers/LimitCodec.h"
 #include "hawthornroad/traffic/PromptCost.h"
 
 #include <algorithm>
@@ -31,6 +32,14 @@
 // Minimum duration of a transfer, relative to the time that its bytes alone
 // need on the narrowest link.
 constexpr double TransferOverhead = 1.6;
+
+EndpointStart startIn(const wire::PlaceAskT &Ask) {
+  return {EndpointId(Ask.endpoint), Ask.born};
+}
+
+std::uint64_t inMicroseconds(Duration D) {
+  return static_cast<std::uint64_t>(D / std::chrono::microseconds(1));
+}
 } // namespace
 
 TimePoint StoreAgent::State::scheduledLoadAt() const {
@@ -230,12 +239,47 @@
   step(Now);
 }
 
+void StoreAgent::State::noteLimit(const EndpointStart &E,
+                                  const wire::StatedLimitT &Limit,
+                                  const ProcessName &From) {
+  LimitStatement S = decodeLimit(Limit, bootNow());
+  if (!Limits_.note(E, S))
+    return;
+  LogLine L("endpoint_limit");
+  L.text("endpoint", E.Id_.str())
+      .flag("limited", S.PerSecond_.has_value())
+      .text("source", From.str())
+      .millis("age_ms", bootNow() - S.At_);
+  if (S.PerSecond_)
+    L.number("per_second", *S.PerSecond_);
+  Log_.write(L, true);
+}
+
+void StoreAgent::State::answerLimitRequest(const PeerContext &From,
+                                           const wire::PlaceAskT &Ask) {
+  TimePoint Now = bootNow();
+  EndpointStart E = startIn(Ask);
+  LimitGrants::Verdict V = Limits_.check(E, From.Process_, Now);
+  if (V.IsGranted_)
+    Limits_.take(E);
+  wire::PlaceAnswerT Answer;
+  Answer.number = Ask.number;
+  Answer.granted = V.IsGranted_;
+  Answer.limit_wait_us = inMicroseconds(V.Wait_);
+  Answer.limit = encodeLimit(Limits_.limits().last(E), Now);
+  Net_->reply(From.Connection_, makeFrame(std::move(Answer)));
+}
+
 void StoreAgent::State::onPlaceAsk(const PeerContext &From,
                                    const wire::PlaceAskT &Ask) {
   TimePoint Now = bootNow();
+  if (Ask.limit)
+    noteLimit(startIn(Ask), *Ask.limit, From.Process_);
+  if (Ask.only_limit)
+    return answerLimitRequest(From, Ask);
   if (PlaceRequests_.size() >= MaxPlaceRequests)
     PlaceRequests_.erase(PlaceRequests_.begin());
-  PlaceRequests_.push_back({From.Connection_, Ask});
+  PlaceRequests_.push_back({From.Connection_, From.Process_, Ask});
   bool NeedsReport = Updater_.state() && !Updater_.isAway() &&
                      !Updater_.isEmpty() && !Places_.isFresh(Now);
   if (!NeedsReport)
@@ -273,12 +317,18 @@
     std::optional<Duration> Reading;
     if (Q.Ask_.reading_us != 0)
       Reading = std::chrono::microseconds(Q.Ask_.reading_us);
-    Answer.granted =
-        !IsAway && P.Places_ != 0 && Places_.ask(Kind, P, Now, Reading);
+    EndpointStart E = startIn(Q.Ask_);
+    LimitGrants::Verdict V = Limits_.check(E, Q.Process_, Now);
+    Answer.limit_wait_us = inMicroseconds(V.Wait_);
+    Answer.limit = encodeLimit(Limits_.limits().last(E), Now);
+    Answer.granted = !IsAway && V.IsGranted_ && P.Places_ != 0 &&
+                     Places_.ask(Kind, P, Now, Reading);
+    if (Answer.granted)
+      Limits_.take(E);
     Answer.running = Places_.running();
     Answer.waiting = Places_.waiting();
     Answer.version = Updater_.state() ? Updater_.state()->Loaded_.Version_ : 0;
-    Net_->reply(Q.From_, makeFrame(Answer));
+    Net_->reply(Q.From_, makeFrame(std::move(Answer)));
   }
 }
 
--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -201,6 +201,9 @@
   }
   if (const auto *Ask = Unpacked.body.AsPlaceAsk())
     return onPlaceAsk(From, *Ask);
+  if (const auto *Notice = Unpacked.body.AsLimitNotice())
+    return noteLimit({EndpointId(Notice->endpoint), Notice->born},
+                     *Notice->limit, From.Process_);
   if (const auto *Rows = Unpacked.body.AsRowsAnswer())
     return Reader_.onAnswer(*Rows);
   if (onManifestFrame(From, Unpacked))
--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -23,6 +23,7 @@
 #include "hawthornroad/staging/LoadSchedule.h"
 #include "hawthornroad/staging/PlaceGrants.h"
 #include "hawthornroad/store/StoreClient.h"
+#include "hawthornroad/traffic/LimitGrants.h"
 #include "hawthornroad/weights/DigestTree.h"
 #include "platform/EngineWire.h"
 #include "platform/StoreWire.h"
@@ -140,6 +141,10 @@
   // engine's next report.
   void onPlaceAsk(const PeerContext &From, const wire::PlaceAskT &Ask);
   void answerPlaceRequests(TimePoint Now);
+  // Grants a request under the rate limit of any endpoint.
+  void answerLimitRequest(const PeerContext &From, const wire::PlaceAskT &Ask);
+  void noteLimit(const EndpointStart &E, const wire::StatedLimitT &Limit,
+                 const ProcessName &From);
   // Capacity of the engine, as the entry that asks or this agent knows it.
   PlaceGrants::Pace placePace(const wire::PlaceAskT &Ask) const;
   WeightVersion newestKnown() const;
@@ -211,8 +216,10 @@
   };
   std::map<ProcessName, Watcher> Watchers_;
   PlaceGrants Places_;
+  LimitGrants Limits_;
   struct PlaceRequest {
     ConnectionId From_ = 0;
+    ProcessName Process_;
     wire::PlaceAskT Ask_;
   };
   std::vector<PlaceRequest> PlaceRequests_;
--- a/hawthornroad/entry/DirectEntryState.h
+++ b/hawthornroad/entry/DirectEntryState.h
@@ -50,6 +50,15 @@
                      const PlaceDemand &D) override {
     return Notices_ ? Notices_->askPlace(A, Address, D) : AskResult::NoAgent;
   }
+  AskResult askLimit(AttemptNumber A, const std::string &Address,
+                     const PlaceDemand &D) override {
+    return Notices_ ? Notices_->askLimit(A, Address, D) : AskResult::NoAgent;
+  }
+  void shareLimit(const std::string &Address, const EndpointStart &E,
+                  const LimitStatement &S) override {
+    if (Notices_)
+      Notices_->noteLimit(Address, E, S);
+  }
   void respond(CallNumber N, unsigned Status, const HeaderFields &Fields,
                std::string Body) override;
   void refuse(CallNumber N, const Call &C, unsigned Status, Cause Why,
--- a/hawthornroad/entry/EngineNotices.cpp
+++ b/hawthornroad/entry/EngineNotices.cpp
@@ -1,5 +1,7 @@
 #include "hawthornroad/entry/EngineNotices.h"
 
+#include "hawthornroad/base/Hash.h"
+#include "hawthornroad/peers/LimitCodec.h"
 #include "hawthornroad/runtime/BootClock.h"
 
 #include <algorithm>
@@ -11,6 +13,21 @@
   return static_cast<std::uint32_t>(D / std::chrono::microseconds(1));
 }
 
+PlaceReply decodePlace(const wire::PlaceAnswer &Answer) {
+  PlaceReply R;
+  R.IsGranted_ = Answer.granted();
+  R.IsAway_ = Answer.away();
+  R.Load_ = {Answer.running(), Answer.waiting()};
+  R.Version_ = Answer.version();
+  R.LimitWait_ = std::chrono::microseconds(Answer.limit_wait_us());
+  if (Answer.limit() != nullptr) {
+    wire::StatedLimitT Limit;
+    Answer.limit()->UnPackTo(&Limit);
+    R.Limit_ = decodeLimit(Limit, bootNow());
+  }
+  return R;
+}
+
 PeerNet::Limits limits() {
   PeerNet::Limits L;
   L.PingAfter_ = PeerPingAfter;
@@ -29,11 +46,7 @@
     if (const auto *Notice = Frame.body_as_EngineNotice())
       onNotice(From, *Notice);
     else if (const auto *Place = Frame.body_as_PlaceAnswer())
-      PlaceHandler_(Place->number(),
-                    {.IsGranted_ = Place->granted(),
-                     .IsAway_ = Place->away(),
-                     .Load_ = {Place->running(), Place->waiting()},
-                     .Version_ = Place->version()});
+      PlaceHandler_(Place->number(), decodePlace(*Place));
     else if (Frame.body_type() == wire::Body::RowsAsk)
       onQuery(From, Frame);
   };
@@ -77,16 +90,17 @@
 
 void EngineNotices::setEngines(const std::map<std::string, bool> &Engines,
                                TimePoint Now) {
-  std::map<std::string, bool> Wanted;
+  std::map<std::string, std::pair<std::string, bool>> Wanted;
   for (const auto &[Engine, Loads] : Engines)
-    Wanted[agentOf(Engine)] = Loads;
+    Wanted[agentOf(Engine)] = {Engine, Loads};
   std::erase_if(Agents_,
                 [&](const auto &Each) { return !Wanted.contains(Each.first); });
-  for (const auto &[Address, Loads] : Wanted) {
+  for (const auto &[Address, Each] : Wanted) {
     auto [Found, New] = Agents_.try_emplace(Address);
+    Found->second.Engine_ = Each.first;
     if (!New)
       continue;
-    Found->second.IncludesLoad_ = Loads;
+    Found->second.IncludesLoad_ = Each.second;
     Found->second.AddedAt_ = Now;
     subscribe(Address, Found->second);
   }
@@ -110,6 +124,11 @@
         !Asked.WasSeen_ && bootNow() - Asked.AddedAt_ < ConnectTime;
     return IsConnecting ? AskResult::Connecting : AskResult::NoAgent;
   }
+  return sendAsk(Address, A, D, false) ? AskResult::Sent : AskResult::NoAgent;
+}
+
+bool EngineNotices::sendAsk(const std::string &Agent, AttemptNumber A,
+                            const PlaceDemand &D, bool IsOnlyLimit) {
   wire::PlaceAskT Ask;
   Ask.number = A;
   Ask.late = D.Kind_ == PlaceKind::Late;
@@ -117,9 +136,62 @@
   Ask.reading_us = toMicroseconds(D.Reading_);
   Ask.usual_reading_us = toMicroseconds(D.UsualReading_);
   Ask.places = D.Places_;
-  bool IsSent =
-      Net_->send(PeerAddress(Address), Lane::Requests, makeFrame(Ask));
-  return IsSent ? AskResult::Sent : AskResult::NoAgent;
+  Ask.endpoint = D.Endpoint_.Id_.str();
+  Ask.born = D.Endpoint_.Born_;
+  Ask.only_limit = IsOnlyLimit;
+  if (D.Limit_)
+    Ask.limit = encodeLimit(*D.Limit_, bootNow());
+  return Net_->send(PeerAddress(Agent), Lane::Requests,
+                    makeFrame(std::move(Ask)));
+}
+
+std::string EngineNotices::agentBeside(const std::string &Address) const {
+  auto Found = Agents_.find(agentOf(Address));
+  bool IsBeside = Found != Agents_.end() && Found->second.Engine_ == Address;
+  return IsBeside ? Found->first : std::string();
+}
+
+bool EngineNotices::isConnected(const std::string &Agent) const {
+  auto Found = Agents_.find(Agent);
+  return Found != Agents_.end() && Found->second.HasReported_;
+}
+
+std::string EngineNotices::granterOf(const EndpointId &Id,
+                                     const std::string &Except) const {
+  std::string Best;
+  std::uint64_t BestScore = 0;
+  for (const auto &[Address, A] : Agents_) {
+    if (!A.HasReported_ || Address == Except)
+      continue;
+    std::uint64_t Score = rendezvousScore(Id.str(), Address);
+    if (Best.empty() || Score > BestScore) {
+      Best = Address;
+      BestScore = Score;
+    }
+  }
+  return Best;
+}
+
+AskResult EngineNotices::askLimit(AttemptNumber A, const std::string &Address,
+                                  const PlaceDemand &D) {
+  std::string Granter = granterOf(D.Endpoint_.Id_, agentBeside(Address));
+  if (Granter.empty())
+    return AskResult::NoAgent;
+  return sendAsk(Granter, A, D, true) ? AskResult::Sent : AskResult::NoAgent;
+}
+
+void EngineNotices::noteLimit(const std::string &Address,
+                              const EndpointStart &E, const LimitStatement &S) {
+  std::string Own = agentBeside(Address);
+  std::string Granter = isConnected(Own) ? Own : granterOf(E.Id_, Own);
+  if (Granter.empty())
+    return;
+  wire::LimitNoticeT Notice;
+  Notice.endpoint = E.Id_.str();
+  Notice.born = E.Born_;
+  Notice.limit = encodeLimit(S, bootNow());
+  Net_->send(PeerAddress(Granter), Lane::Requests,
+             makeFrame(std::move(Notice)));
 }
 
 void EngineNotices::setNewestVersion(const std::string &Model,
--- a/hawthornroad/entry/EngineNotices.h
+++ b/hawthornroad/entry/EngineNotices.h
@@ -62,6 +62,15 @@
   AskResult askPlace(AttemptNumber A, const std::string &Engine,
                      const PlaceDemand &D);
   static constexpr Duration ConnectTime = Milliseconds(1500);
+  // Requests one request under a rate limit from the agent that grants for the
+  // endpoint, when its own agent does not. All entries that are connected to
+  // the same agents choose the same one.
+  AskResult askLimit(AttemptNumber A, const std::string &Address,
+                     const PlaceDemand &D);
+  // Reports what is known of an endpoint's limit to the agent that grants for
+  // it.
+  void noteLimit(const std::string &Address, const EndpointStart &E,
+                 const LimitStatement &S);
 
   // Sets the engines to subscribe to, by address. The value says whether
   // to include their load, which costs a frame several times a second.
@@ -73,6 +82,7 @@
 
 private:
   struct Agent {
+    std::string Engine_;
     bool IncludesLoad_ = false;
     // When to subscribe again; unset while connected or connecting.
     std::optional<TimePoint> SubscribeAt_;
@@ -86,6 +96,14 @@
   static constexpr Duration MinResubscribeDelay = Milliseconds(100);
   static constexpr Duration MaxResubscribeDelay = Milliseconds(1000);
   void subscribe(const std::string &Address, Agent &A);
+  // The agent beside the endpoint at Address; empty when it is no engine.
+  std::string agentBeside(const std::string &Address) const;
+  bool isConnected(const std::string &Agent) const;
+  // The connected agent other than Except that grants for an endpoint; empty
+  // when there is none.
+  std::string granterOf(const EndpointId &Id, const std::string &Except) const;
+  bool sendAsk(const std::string &Agent, AttemptNumber A, const PlaceDemand &D,
+               bool IsOnlyLimit);
   std::string agentOf(const std::string &Engine) const {
     return Engine.substr(0, Engine.rfind(':')) + ":" + Port_;
   }
--- /dev/null
+++ b/hawthornroad/traffic/LimitGrants.h
@@ -0,0 +1,86 @@
+// Grants the requests that an endpoint with a stated rate limit accepts, to the
+// entries that ask for them.
+//
+//   LimitGrants G;
+//   G.note(Start, Statement);              // as an entry reports it
+//   LimitGrants::Verdict V = G.check(Start, Asker, Now);
+//   if (V.IsGranted_) { G.take(Start); send(); } else waitFor(V.Wait_);
+//
+// The limit is one for all entries together. One process grants for an
+// endpoint, so the sum holds for any number of entries, for limits below one a
+// second, and while entries come and go. Entries that disagree on the granter,
+// because they lost the connection to it, use two at once: each grants
+// Share_ of the limit and a burst such that two stay within one and a half
+// times the limit and five requests in four seconds,
+//   2 * (4 * Share_ * L + Burst_ + BurstShare_ * L) <= 6 * L + 5.
+//
+// An entry that is refused asks again after a time in which twice the requests
+// become free that all entries ask for, so granted rates are used and the
+// number of queries stays small with hundreds of entries.
+//
+// No I/O, no clock, no threads. Memory: the entries that have asked within
+// AskerMemory_, for at most StatedLimits::MaxKnown endpoints.
+
+#ifndef HAWTHORNROAD_TRAFFIC_LIMITGRANTS_H
+#define HAWTHORNROAD_TRAFFIC_LIMITGRANTS_H
+
+#include "hawthornroad/base/Types.h"
+#include "hawthornroad/traffic/StatedLimits.h"
+
+#include <map>
+
+namespace hawthornroad {
+
+class LimitGrants {
+public:
+  struct Options {
+    // Share of the limit that is granted, and the requests granted at once.
+    double Share_ = 0.7;
+    double Burst_ = 2;
+    double BurstShare_ = 0.2;
+    // Granted also at a limit of zero: only an answer shows that it ended.
+    double MinPerSecond_ = 0.1;
+    // Least and longest time after which a refused entry asks again.
+    Duration MinWait_ = Milliseconds(50);
+    Duration MaxWait_ = Seconds(5);
+    // How long an entry that has asked counts as one that wants requests.
+    Duration AskerMemory_ = Seconds(6);
+  };
+  struct Verdict {
+    bool IsGranted_ = false;
+    // When refused: how long to wait before asking again.
+    Duration Wait_ = Duration::zero();
+  };
+
+  LimitGrants() = default;
+  explicit LimitGrants(Options O) : Options_(O) {}
+
+  // True when the limit in force changed.
+  bool note(const EndpointStart &E, const LimitStatement &S) {
+    return Limits_.note(E, S);
+  }
+  const StatedLimits &limits() const { return Limits_; }
+  // Whether the endpoint accepts one more request now. Granted without a limit.
+  Verdict check(const EndpointStart &E, const ProcessName &Asker,
+                TimePoint Now);
+  // Counts the request that check() has just granted.
+  void take(const EndpointStart &E);
+
+private:
+  struct Bucket {
+    double Tokens_ = 0;
+    TimePoint FilledAt_;
+    std::map<ProcessName, TimePoint> Askers_;
+  };
+  double rate(double Limit) const;
+  double burst(double Limit) const;
+  void fill(Bucket &B, double Limit, TimePoint Now) const;
+
+  Options Options_;
+  StatedLimits Limits_;
+  std::map<EndpointStart, Bucket> Buckets_;
+};
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_TRAFFIC_LIMITGRANTS_H
--- a/hawthornroad/traffic/Placement.cpp
+++ b/hawthornroad/traffic/Placement.cpp
@@ -158,7 +158,7 @@
   std::vector<const State *> Unresponsive;
   for (const EndpointId &Id : Found->second) {
     const State &S = States_.at(Id);
-    if (!isUsable(S, Q))
+    if (!isUsable(S, Q) || isHeld(S, Now))
       continue;
     if (Now < S.EjectedUntil_)
       Ejected.push_back(&S);
@@ -242,6 +242,35 @@
                                             Engines * Options_.DeniedForEach_);
 }
 
+void Placement::hold(const EndpointId &Id, TimePoint Until) {
+  auto Found = States_.find(Id);
+  if (Found == States_.end())
+    return;
+  std::optional<TimePoint> &Held = Found->second.HeldUntil_;
+  Held = Held ? std::max(*Held, Until) : Until;
+}
+
+void Placement::release(const EndpointId &Id) {
+  auto Found = States_.find(Id);
+  if (Found != States_.end())
+    Found->second.HeldUntil_.reset();
+}
+
+TimePoint Placement::heldUntil(const Query &Q) const {
+  auto Found = ByService_.find(Q.Service_);
+  if (Found == ByService_.end())
+    return TimePoint();
+  std::optional<TimePoint> First;
+  for (const EndpointId &Id : Found->second) {
+    const State &S = States_.at(Id);
+    if (!isUsable(S, Q))
+      continue;
+    TimePoint Until = S.HeldUntil_.value_or(TimePoint());
+    First = First ? std::min(*First, Until) : Until;
+  }
+  return First.value_or(TimePoint());
+}
+
 void Placement::setReplaced(const EndpointId &Id) {
   auto Found = States_.find(Id);
   if (Found != States_.end())
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -158,6 +158,13 @@
   void setAway(const EndpointId &Id, bool IsAway, TimePoint Now);
   // The agent had no place for a request.
   void placeDenied(const EndpointId &Id, TimePoint Now);
+  // Nothing is sent there before Until, whatever its load: it has said so
+  // itself (StatedLimits). The longest time holds.
+  void hold(const EndpointId &Id, TimePoint Until);
+  void release(const EndpointId &Id);
+  // When the first usable endpoint is no longer held; TimePoint() when one
+  // is not held at all, or none is usable.
+  TimePoint heldUntil(const Query &Q) const;
   // Another endpoint answers at the address, so this one has ended: each start
   // has a new id. It is not chosen again while it is still listed.
   void setReplaced(const EndpointId &Id);
@@ -218,6 +225,7 @@
     TimePoint FullUntil_;
     TimePoint AwayUntil_;
     TimePoint DeniedUntil_;
+    std::optional<TimePoint> HeldUntil_;
     TimePoint AskPausedUntil_;
     // Send time of the first query since the last prompt answer that was not
     // answered in time.
@@ -239,6 +247,9 @@
   bool mayAsk(const State &S, TimePoint Now) const {
     return S.Endpoint_.HasModel_ && Now >= S.AskPausedUntil_;
   }
+  static bool isHeld(const State &S, TimePoint Now) {
+    return S.HeldUntil_ && Now < *S.HeldUntil_;
+  }
   bool isUnresponsive(const State &S, const Query &Q, TimePoint Now) const;
   // Whether such a request finds no free place there now.
   bool isFull(const State &S, const Query &Q, TimePoint Now) const;
--- a/hawthornroad/traffic/StatedLimits.h
+++ b/hawthornroad/traffic/StatedLimits.h
@@ -35,6 +35,8 @@
   auto operator<=>(const EndpointStart &) const = default;
 };
 
+inline EndpointStart startOf(const Endpoint &E) { return {E.Id_, E.Born_}; }
+
 struct LimitStatement {
   // Unset: any number of requests is accepted.
   std::optional<double> PerSecond_;
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -138,13 +138,30 @@
   return std::chrono::duration_cast<Duration>(PerEnd * (Ahead + 1));
 }
 
-Duration TrafficCore::retryAfter(const ServiceName &Service, TimePoint Now) {
-  Overload &O = ServiceQueues_[Service].Overload_;
-  O.refused(Now);
+// Endpoints that hold back by their own statement do not make the service count
+// as overloaded.
+Duration TrafficCore::retryAfter(const Record &R, Cause Why, TimePoint Now) {
+  Overload &O = ServiceQueues_[R.Service_].Overload_;
+  if (Why != Cause::EndpointsLimited)
+    O.refused(Now);
   Duration Base =
       std::clamp<Duration>(O.elapsed(Now), 2 * MinRetryAfter, MaxRetryAfter);
-  return std::max<Duration>(MinRetryAfter,
-                            Random_.jitter(Base, RetryAfterSpread));
+  Duration Delay =
+      std::max<Duration>(MinRetryAfter, Random_.jitter(Base, RetryAfterSpread));
+  // Later only: before this time none of the endpoints accepts a request.
+  Duration Held = heldUntil(R, Now) - Now;
+  if (Held > Duration::zero())
+    Delay = std::max(Delay, Held + std::chrono::duration_cast<Duration>(
+                                       RetryAfterSpread * Random_.unit() *
+                                       std::max(Held, Base)));
+  return Delay;
+}
+
+TimePoint TrafficCore::heldUntil(const Record &R, TimePoint Now) const {
+  Placement::Query Q;
+  Q.Service_ = R.Service_;
+  Q.MinVersion_ = minVersion(R.Service_, Now);
+  return Placement_.heldUntil(Q);
 }
 
 void TrafficCore::place(Record &R, TimePoint Now) {
@@ -169,6 +186,8 @@
         std::max(Options_.LineLeast_,
                  std::chrono::duration_cast<Duration>(R.Route_->FirstByteGoal_ *
                                                       Options_.LineShare_));
+    if (heldUntil(R, Now) > Now + Limit)
+      return giveUp(R, Cause::EndpointsLimited, Now);
     if (R.IsLate_ || estimatedWait(R.Service_, R) > Limit)
       return giveUp(R, Cause::LineFull, Now);
   }
@@ -265,25 +284,40 @@
       giveUp(R, Cause::DeadlinePassed, Now);
       return false;
     }
-    if (!Options_.AsksForPlaces_ || !Placement_.mayAsk(*Chosen, Now))
+    const LimitStatement *Limit = Limits_.find(startOf(*E));
+    bool AsksAgent = Options_.AsksForPlaces_ && Placement_.mayAsk(E->Id_, Now);
+    if (!AsksAgent && Limit == nullptr)
       return begin(R, *E, Now);
     if (R.Asks_ >= Options_.MaxAsks_)
       return false;
-    switch (askPlace(R, *E, Now)) {
-    case AskResult::Sent:
+    AskResult Result = ask(R, *E, !AsksAgent, Now);
+    if (Result == AskResult::Sent)
       return true;
-    case AskResult::Connecting:
-      Placement_.awaitReport(*Chosen, Now);
-      break;
-    case AskResult::NoAgent:
-      Placement_.pauseAsking(*Chosen, Now);
-      break;
-    }
+    if (Result == AskResult::Connecting)
+      Placement_.awaitReport(E->Id_, Now);
+    else if (AsksAgent)
+      Placement_.pauseAsking(E->Id_, Now);
+    else if (takeShare(*E, *Limit->PerSecond_, Now))
+      return begin(R, *E, Now);
+  }
+}
+
+bool TrafficCore::takeShare(const Endpoint &E, double PerSecond,
+                            TimePoint Now) {
+  TimePoint Next = Share_.nextAt(startOf(E), PerSecond, Now);
+  if (Next > Now) {
+    Placement_.hold(E.Id_, Next);
+    return false;
   }
+  Share_.take(startOf(E), PerSecond, Now);
+  return true;
 }
 
-PlaceDemand TrafficCore::placeDemand(const Record &R) const {
+PlaceDemand TrafficCore::placeDemand(const Record &R, const Endpoint &E) const {
   PlaceDemand D;
+  D.Endpoint_ = startOf(E);
+  if (const LimitStatement *Limit = Limits_.last(D.Endpoint_))
+    D.Limit_ = *Limit;
   D.Kind_ = R.IsLate_ ? PlaceKind::Late : PlaceKind::First;
   if (R.IsStreaming_)
     D.Kind_ = PlaceKind::Resumed;
@@ -297,16 +331,20 @@
   return D;
 }
 
-AskResult TrafficCore::askPlace(Record &R, const Endpoint &E, TimePoint Now) {
+AskResult TrafficCore::ask(Record &R, const Endpoint &E, bool IsOnlyLimit,
+                           TimePoint Now) {
   AttemptNumber A = NextAttempt_++;
   R.Asking_ = A;
   R.AskedOf_ = E.Id_;
   R.AskedAt_ = Now;
+  R.AsksOnlyLimit_ = IsOnlyLimit;
   ++R.Asks_;
   Asks_[A] = R.Number_;
   // Counted as sent, so that the next request goes to another endpoint.
   Placement_.attemptBegun(E.Id_, Now);
-  AskResult Result = Port_.askPlace(A, E.Address_, placeDemand(R));
+  PlaceDemand D = placeDemand(R, E);
+  AskResult Result = IsOnlyLimit ? Port_.askLimit(A, E.Address_, D)
+                                 : Port_.askPlace(A, E.Address_, D);
   if (Result != AskResult::Sent) {
     --R.Asks_;
     endAsk(R, Now);
@@ -348,23 +386,40 @@
     return;
   Record &R = *Calls_.at(Found->second);
   endAsk(R, Now);
-  Placement_.askAnswered(R.AskedOf_, Now - R.AskedAt_);
-  Placement_.updateLoad(R.AskedOf_, W.Load_.Running_, W.Load_.Waiting_, Now);
-  if (W.IsAway_)
-    Placement_.setAway(R.AskedOf_, true, Now);
-  if (W.Version_ != 0)
-    Placement_.updateVersion(R.AskedOf_, W.Version_);
-  if (!W.IsGranted_)
-    Placement_.placeDenied(R.AskedOf_, Now);
   const Endpoint *E = Placement_.find(R.AskedOf_);
-  bool IsUsable = W.IsGranted_ && E != nullptr && !E->IsDraining_ &&
-                  W.Version_ >= minVersion(R.Service_, Now);
+  if (W.Limit_ && E != nullptr)
+    noteLimit(startOf(*E), *W.Limit_, GranterSource, Now);
+  if (!R.AsksOnlyLimit_) {
+    Placement_.askAnswered(R.AskedOf_, Now - R.AskedAt_);
+    Placement_.updateLoad(R.AskedOf_, W.Load_.Running_, W.Load_.Waiting_, Now);
+    if (W.IsAway_)
+      Placement_.setAway(R.AskedOf_, true, Now);
+    if (W.Version_ != 0)
+      Placement_.updateVersion(R.AskedOf_, W.Version_);
+  }
+  if (!W.IsGranted_)
+    onDenied(R, W, Now);
+  bool IsNewEnough =
+      R.AsksOnlyLimit_ || W.Version_ >= minVersion(R.Service_, Now);
+  bool IsUsable =
+      W.IsGranted_ && E != nullptr && !E->IsDraining_ && IsNewEnough;
   if (!IsUsable || !begin(R, *E, Now))
     if (!R.IsDone_)
       askElsewhere(R, Now);
   dispatchFreed(Now);
 }
 
+// A limit that is used up says nothing about places elsewhere, so the query
+// does not count as one of the few that a request may make.
+void TrafficCore::onDenied(Record &R, const PlaceReply &W, TimePoint Now) {
+  if (W.LimitWait_ <= Duration::zero())
+    return Placement_.placeDenied(R.AskedOf_, Now);
+  Placement_.hold(R.AskedOf_,
+                  Now + Random_.jitter(W.LimitWait_, RetryAfterSpread));
+  if (R.Asks_ > 0)
+    --R.Asks_;
+}
+
 bool TrafficCore::begin(Record &R, const Endpoint &E, TimePoint Now) {
   if (R.HasArrived_ && !Budget_.take(R.Service_, Now)) {
     giveUp(R, R.MayHaveRun_ ? Cause::AttemptLost : Cause::TurnedAway, Now);
--- a/hawthornroad/traffic/TrafficAttempts.cpp
+++ b/hawthornroad/traffic/TrafficAttempts.cpp
@@ -77,7 +77,8 @@
   bool StatesNothing = !H.Unreadable_.empty() || (H.NotRun_ && !H.RateLimit_);
   if (StatesNothing)
     return;
-  noteLimit({R.At_, R.Born_}, {H.RateLimit_, R.BegunAt_, Now}, "answer", Now);
+  noteLimit({R.At_, R.Born_}, {H.RateLimit_, R.BegunAt_, Now}, AnswerSource,
+            Now);
 }
 
 void TrafficCore::noteLimit(const EndpointStart &E, const LimitStatement &S,
@@ -87,6 +88,15 @@
   if (!Limits_.note(E, S))
     return;
   Port_.report(LimitReport{E.Id_, Previous, S.PerSecond_, Source, Now - S.At_});
+  const Endpoint *At = Endpoints_.find(E.Id_);
+  if (At == nullptr)
+    return;
+  if (Source == AnswerSource)
+    Port_.shareLimit(At->Address_, E, S);
+  if (!S.PerSecond_) {
+    Placement_.release(E.Id_);
+    Freed_.insert(At->Service_);
+  }
 }
 
 void TrafficCore::onBody(AttemptNumber A, std::string Bytes, TimePoint Now) {
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -32,6 +32,8 @@
     return "key_lease_over";
   case Cause::NoEndpoint:
     return "no_endpoint";
+  case Cause::EndpointsLimited:
+    return "endpoints_limited";
   case Cause::LineFull:
     return "line_full";
   case Cause::WaitedTooLong:
@@ -53,6 +55,7 @@
 TrafficCore::TrafficCore(Options O, TrafficPort &Port, Random R)
     : Options_(O), Port_(Port), Random_(R),
       Placement_(O.Placement_, Random(Random_.next())), Budget_(O.Budget_),
+      Share_(O.Share_, Random(Random_.next())),
       Lease_(O.RevokeBound_, O.RevokeMargin_), Fence_(O.Fence_) {}
 
 TrafficCore::~TrafficCore() = default;
@@ -181,8 +184,7 @@
     return close(R, Now);
   }
   if (!R.MayHaveRun_)
-    return refuse(R, status::Unavailable, Why, retryAfter(R.Service_, Now),
-                  Now);
+    return refuse(R, status::Unavailable, Why, retryAfter(R, Why, Now), Now);
   bool IsLate = Why == Cause::DeadlinePassed;
   refuse(R, IsLate ? status::GatewayTimeout : status::BadGateway, Why,
          Duration::zero(), Now);
@@ -296,9 +298,13 @@
     return;
   }
   if (R.Asking_ != 0 && Now - R.AskedAt_ >= Options_.AskTimeout_) {
-    Placement_.askTimedOut(R.AskedOf_, R.AskedAt_, Now);
-    Placement_.placeDenied(R.AskedOf_, Now);
-    Unanswered_[R.Asking_] = {R.AskedOf_, R.AskedAt_};
+    if (R.AsksOnlyLimit_) {
+      Placement_.hold(R.AskedOf_, Now + Options_.LimitRetry_);
+    } else {
+      Placement_.askTimedOut(R.AskedOf_, R.AskedAt_, Now);
+      Placement_.placeDenied(R.AskedOf_, Now);
+      Unanswered_[R.Asking_] = {R.AskedOf_, R.AskedAt_};
+    }
     endAsk(R, Now);
     return askElsewhere(R, Now);
   }
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -30,6 +30,13 @@
 // another engine if not. Without an answering agent, the estimated load
 // decides.
 //
+// Rate limits. An endpoint in need states in its answers how many requests a
+// second it accepts from all entries together (StatedLimits). From then on each
+// request to it needs a grant of the one process that adds up what all entries
+// send (LimitGrants): the agent beside an engine, one agent for each other
+// endpoint. While none answers, the entry uses a small share (LimitShare). A
+// request that is denied goes to another endpoint, or is refused at once.
+//
 // Queueing. A request waits only while it is likely to begin soon. It is
 // refused at once when the requests before it would take longer than its share
 // of the goal, or when its goal has already passed and no place is to spare.
@@ -48,6 +55,7 @@
 #include "hawthornroad/traffic/ConfigFence.h"
 #include "hawthornroad/traffic/EventRelay.h"
 #include "hawthornroad/traffic/KeyLease.h"
+#include "hawthornroad/traffic/LimitShare.h"
 #include "hawthornroad/traffic/Placement.h"
 #include "hawthornroad/traffic/PromptCost.h"
 #include "hawthornroad/traffic/RepeatBudget.h"
@@ -72,6 +80,7 @@
   NoKey,
   KeyLeaseOver,
   NoEndpoint,
+  EndpointsLimited,
   LineFull,
   WaitedTooLong,
   DeadlinePassed,
@@ -124,12 +133,16 @@
   Duration Took_ = Duration::zero();
 };
 
+// Where a process knows a rate limit from.
+inline constexpr std::string_view AnswerSource = "answer";
+inline constexpr std::string_view GranterSource = "granter";
+
 // A change of the rate limit that an endpoint states, for the log.
 struct LimitReport {
   EndpointId Endpoint_;
   std::optional<double> Previous_;
   std::optional<double> PerSecond_;
-  // "answer" or "granter"
+  // AnswerSource or GranterSource.
   std::string_view Source_;
   // Time since the statement was received first.
   Duration Age_ = Duration::zero();
@@ -143,6 +156,9 @@
   Duration UsualReading_ = Duration::zero();
   // The engine's batch size as configured; 0: unknown.
   unsigned Places_ = 0;
+  EndpointStart Endpoint_;
+  // The endpoint's last statement of a rate limit, if any.
+  std::optional<LimitStatement> Limit_;
   bool operator==(const PlaceDemand &) const = default;
 };
 
@@ -166,6 +182,15 @@
                              const PlaceDemand &D) {
     return AskResult::NoAgent;
   }
+  // Asks for one request under the endpoint's rate limit, where its own agent
+  // cannot be asked. The reply is onPlaceReply().
+  virtual AskResult askLimit(AttemptNumber A, const std::string &Address,
+                             const PlaceDemand &D) {
+    return AskResult::NoAgent;
+  }
+  // The known limit of an endpoint changed; tells who grants under it.
+  virtual void shareLimit(const std::string &Address, const EndpointStart &E,
+                          const LimitStatement &S) {}
   // No further events of the attempt are wanted.
   virtual void cancelAttempt(AttemptNumber A) = 0;
   virtual void respond(CallNumber N, unsigned Status,
@@ -198,6 +223,10 @@
   bool IsAway_ = false;
   EndpointLoad Load_;
   WeightVersion Version_ = 0;
+  // Denied by the endpoint's rate limit: when to ask again; else zero.
+  Duration LimitWait_ = Duration::zero();
+  // What the granter knows of the limit, if it was ever stated.
+  std::optional<LimitStatement> Limit_;
 };
 
 class TrafficCore {
@@ -234,6 +263,10 @@
     // stopped, or new weights saturate its link: waiting for it costs a request
     // more than a better choice gains.
     Duration AskTimeout_ = Milliseconds(20);
+    // How long an endpoint with a rate limit is left out when its granter does
+    // not answer within AskTimeout_.
+    Duration LimitRetry_ = Milliseconds(500);
+    LimitShare::Options Share_;
     // Deadline when the caller states none.
     Duration DefaultTimeLeft_ = Seconds(30);
     // An event stream without a byte for this long, before and after its first
@@ -313,8 +346,14 @@
   // The endpoint that R would be sent to now.
   std::optional<EndpointId> chooseFor(Record &R, TimePoint Now);
   bool begin(Record &R, const Endpoint &E, TimePoint Now);
-  AskResult askPlace(Record &R, const Endpoint &E, TimePoint Now);
-  PlaceDemand placeDemand(const Record &R) const;
+  // Asks the endpoint's agent for a place, or its granter for a request under
+  // its limit.
+  AskResult ask(Record &R, const Endpoint &E, bool IsOnlyLimit, TimePoint Now);
+  PlaceDemand placeDemand(const Record &R, const Endpoint &E) const;
+  // Takes this entry's own share of the limit; false when it is used up.
+  bool takeShare(const Endpoint &E, double PerSecond, TimePoint Now);
+  // Handles a denied place or request.
+  void onDenied(Record &R, const PlaceReply &W, TimePoint Now);
   void endAsk(Record &R, TimePoint Now);
   // R was not granted the place it asked for.
   void askElsewhere(Record &R, TimePoint Now);
@@ -336,7 +375,10 @@
   // Ends the attempts at endpoints that have restarted since.
   void endLostAttempts(TimePoint Now);
   Duration estimatedWait(const ServiceName &Service, const Record &R) const;
-  Duration retryAfter(const ServiceName &Service, TimePoint Now);
+  Duration retryAfter(const Record &R, Cause Why, TimePoint Now);
+  // When the first endpoint that R may use is no longer held back by its limit;
+  // not after Now when one is not.
+  TimePoint heldUntil(const Record &R, TimePoint Now) const;
   WeightVersion minVersion(const ServiceName &Service, TimePoint Now,
                            bool IsHard = false) const;
   Duration queueWaitLimit(const Route &R) const;
@@ -361,6 +403,7 @@
   Placement Placement_;
   RepeatBudget Budget_;
   StatedLimits Limits_;
+  LimitShare Share_;
   KeyLease Lease_;
   ConfigFence Fence_;
   // By model: from which time on each version is the minimum.
--- a/hawthornroad/traffic/TrafficState.h
+++ b/hawthornroad/traffic/TrafficState.h
@@ -56,6 +56,8 @@
   AttemptNumber Asking_ = 0;
   EndpointId AskedOf_;
   TimePoint AskedAt_;
+  // It asks for a request under a rate limit, not for a place.
+  bool AsksOnlyLimit_ = false;
   // Place queries since it was last queued.
   unsigned Asks_ = 0;
 
--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -142,6 +142,10 @@
 struct EngineNoticeBuilder;
 struct EngineNoticeT;
 
+struct StatedLimit;
+struct StatedLimitBuilder;
+struct StatedLimitT;
+
 struct PlaceAsk;
 struct PlaceAskBuilder;
 struct PlaceAskT;
@@ -150,6 +154,10 @@
 struct PlaceAnswerBuilder;
 struct PlaceAnswerT;
 
+struct LimitNotice;
+struct LimitNoticeBuilder;
+struct LimitNoticeT;
+
 struct TableWanted;
 struct TableWantedBuilder;
 struct TableWantedT;
@@ -246,10 +254,14 @@
 bool operator!=(const NamedVersionT &lhs, const NamedVersionT &rhs);
 bool operator==(const EngineNoticeT &lhs, const EngineNoticeT &rhs);
 bool operator!=(const EngineNoticeT &lhs, const EngineNoticeT &rhs);
+bool operator==(const StatedLimitT &lhs, const StatedLimitT &rhs);
+bool operator!=(const StatedLimitT &lhs, const StatedLimitT &rhs);
 bool operator==(const PlaceAskT &lhs, const PlaceAskT &rhs);
 bool operator!=(const PlaceAskT &lhs, const PlaceAskT &rhs);
 bool operator==(const PlaceAnswerT &lhs, const PlaceAnswerT &rhs);
 bool operator!=(const PlaceAnswerT &lhs, const PlaceAnswerT &rhs);
+bool operator==(const LimitNoticeT &lhs, const LimitNoticeT &rhs);
+bool operator!=(const LimitNoticeT &lhs, const LimitNoticeT &rhs);
 bool operator==(const TableWantedT &lhs, const TableWantedT &rhs);
 bool operator!=(const TableWantedT &lhs, const TableWantedT &rhs);
 bool operator==(const RowsAskT &lhs, const RowsAskT &rhs);
@@ -448,11 +460,12 @@
   EntryPresence = 30,
   PlaceAsk = 31,
   PlaceAnswer = 32,
+  LimitNotice = 33,
   MIN = NONE,
-  MAX = PlaceAnswer
+  MAX = LimitNotice
 };
 
-inline const Body (&EnumValuesBody())[33] {
+inline const Body (&EnumValuesBody())[34] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -486,13 +499,14 @@
     Body::RowsAnswer,
     Body::EntryPresence,
     Body::PlaceAsk,
-    Body::PlaceAnswer
+    Body::PlaceAnswer,
+    Body::LimitNotice
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[34] = {
+  static const char * const names[35] = {
     "NONE",
     "Hello",
     "Ping",
@@ -526,13 +540,14 @@
     "EntryPresence",
     "PlaceAsk",
     "PlaceAnswer",
+    "LimitNotice",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::PlaceAnswer)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::LimitNotice)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -669,6 +684,10 @@
   static const Body enum_value = Body::PlaceAnswer;
 };
 
+template<> struct BodyTraits<hawthornroad::wire::LimitNotice> {
+  static const Body enum_value = Body::LimitNotice;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -801,6 +820,10 @@
   static const Body enum_value = Body::PlaceAnswer;
 };
 
+template<> struct BodyUnionTraits<hawthornroad::wire::LimitNoticeT> {
+  static const Body enum_value = Body::LimitNotice;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -1087,6 +1110,14 @@
     return type == Body::PlaceAnswer ?
       reinterpret_cast<const hawthornroad::wire::PlaceAnswerT *>(value) : nullptr;
   }
+  hawthornroad::wire::LimitNoticeT *AsLimitNotice() {
+    return type == Body::LimitNotice ?
+      reinterpret_cast<hawthornroad::wire::LimitNoticeT *>(value) : nullptr;
+  }
+  const hawthornroad::wire::LimitNoticeT *AsLimitNotice() const {
+    return type == Body::LimitNotice ?
+      reinterpret_cast<const hawthornroad::wire::LimitNoticeT *>(value) : nullptr;
+  }
 };
 
 
@@ -1224,6 +1255,10 @@
       return *(reinterpret_cast<const hawthornroad::wire::PlaceAnswerT *>(lhs.value)) ==
              *(reinterpret_cast<const hawthornroad::wire::PlaceAnswerT *>(rhs.value));
     }
+    case Body::LimitNotice: {
+      return *(reinterpret_cast<const hawthornroad::wire::LimitNoticeT *>(lhs.value)) ==
+             *(reinterpret_cast<const hawthornroad::wire::LimitNoticeT *>(rhs.value));
+    }
     default: {
       return false;
     }
@@ -4539,6 +4574,91 @@
 
 flatbuffers::Offset<EngineNotice> CreateEngineNotice(flatbuffers::FlatBufferBuilder &_fbb, const EngineNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct StatedLimitT : public flatbuffers::NativeTable {
+  typedef StatedLimit TableType;
+  bool limited = false;
+  double per_second = 0.0;
+  uint64_t begun_age_us = 0;
+  uint64_t age_us = 0;
+};
+
+struct StatedLimit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StatedLimitT NativeTableType;
+  typedef StatedLimitBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LIMITED = 4,
+    VT_PER_SECOND = 6,
+    VT_BEGUN_AGE_US = 8,
+    VT_AGE_US = 10
+  };
+  bool limited() const {
+    return GetField<uint8_t>(VT_LIMITED, 0) != 0;
+  }
+  double per_second() const {
+    return GetField<double>(VT_PER_SECOND, 0.0);
+  }
+  uint64_t begun_age_us() const {
+    return GetField<uint64_t>(VT_BEGUN_AGE_US, 0);
+  }
+  uint64_t age_us() const {
+    return GetField<uint64_t>(VT_AGE_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_LIMITED, 1) &&
+           VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
+           VerifyField<uint64_t>(verifier, VT_BEGUN_AGE_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_AGE_US, 8) &&
+           verifier.EndTable();
+  }
+  StatedLimitT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StatedLimitT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StatedLimit> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StatedLimitT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StatedLimitBuilder {
+  typedef StatedLimit Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_limited(bool limited) {
+    fbb_.AddElement<uint8_t>(StatedLimit::VT_LIMITED, static_cast<uint8_t>(limited), 0);
+  }
+  void add_per_second(double per_second) {
+    fbb_.AddElement<double>(StatedLimit::VT_PER_SECOND, per_second, 0.0);
+  }
+  void add_begun_age_us(uint64_t begun_age_us) {
+    fbb_.AddElement<uint64_t>(StatedLimit::VT_BEGUN_AGE_US, begun_age_us, 0);
+  }
+  void add_age_us(uint64_t age_us) {
+    fbb_.AddElement<uint64_t>(StatedLimit::VT_AGE_US, age_us, 0);
+  }
+  explicit StatedLimitBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StatedLimit> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StatedLimit>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StatedLimit> CreateStatedLimit(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool limited = false,
+    double per_second = 0.0,
+    uint64_t begun_age_us = 0,
+    uint64_t age_us = 0) {
+  StatedLimitBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
+  builder_.add_begun_age_us(begun_age_us);
+  builder_.add_per_second(per_second);
+  builder_.add_limited(limited);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<StatedLimit> CreateStatedLimit(flatbuffers::FlatBufferBuilder &_fbb, const StatedLimitT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct PlaceAskT : public flatbuffers::NativeTable {
   typedef PlaceAsk TableType;
   uint64_t number = 0;
@@ -4547,6 +4667,14 @@
   uint32_t reading_us = 0;
   uint32_t usual_reading_us = 0;
   uint32_t places = 0;
+  std::string endpoint{};
+  uint64_t born = 0;
+  bool only_limit = false;
+  std::unique_ptr<hawthornroad::wire::StatedLimitT> limit{};
+  PlaceAskT() = default;
+  PlaceAskT(const PlaceAskT &o);
+  PlaceAskT(PlaceAskT&&) FLATBUFFERS_NOEXCEPT = default;
+  PlaceAskT &operator=(PlaceAskT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct PlaceAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4558,7 +4686,11 @@
     VT_RESUMES = 8,
     VT_READING_US = 10,
     VT_USUAL_READING_US = 12,
-    VT_PLACES = 14
+    VT_PLACES = 14,
+    VT_ENDPOINT = 16,
+    VT_BORN = 18,
+    VT_ONLY_LIMIT = 20,
+    VT_LIMIT = 22
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -4578,6 +4710,18 @@
   uint32_t places() const {
     return GetField<uint32_t>(VT_PLACES, 0);
   }
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  uint64_t born() const {
+    return GetField<uint64_t>(VT_BORN, 0);
+  }
+  bool only_limit() const {
+    return GetField<uint8_t>(VT_ONLY_LIMIT, 0) != 0;
+  }
+  const hawthornroad::wire::StatedLimit *limit() const {
+    return GetPointer<const hawthornroad::wire::StatedLimit *>(VT_LIMIT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -4586,6 +4730,12 @@
            VerifyField<uint32_t>(verifier, VT_READING_US, 4) &&
            VerifyField<uint32_t>(verifier, VT_USUAL_READING_US, 4) &&
            VerifyField<uint32_t>(verifier, VT_PLACES, 4) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<uint64_t>(verifier, VT_BORN, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ONLY_LIMIT, 1) &&
+           VerifyOffset(verifier, VT_LIMIT) &&
+           verifier.VerifyTable(limit()) &&
            verifier.EndTable();
   }
   PlaceAskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4615,6 +4765,18 @@
   void add_places(uint32_t places) {
     fbb_.AddElement<uint32_t>(PlaceAsk::VT_PLACES, places, 0);
   }
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(PlaceAsk::VT_ENDPOINT, endpoint);
+  }
+  void add_born(uint64_t born) {
+    fbb_.AddElement<uint64_t>(PlaceAsk::VT_BORN, born, 0);
+  }
+  void add_only_limit(bool only_limit) {
+    fbb_.AddElement<uint8_t>(PlaceAsk::VT_ONLY_LIMIT, static_cast<uint8_t>(only_limit), 0);
+  }
+  void add_limit(flatbuffers::Offset<hawthornroad::wire::StatedLimit> limit) {
+    fbb_.AddOffset(PlaceAsk::VT_LIMIT, limit);
+  }
   explicit PlaceAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4633,17 +4795,52 @@
     bool resumes = false,
     uint32_t reading_us = 0,
     uint32_t usual_reading_us = 0,
-    uint32_t places = 0) {
+    uint32_t places = 0,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    uint64_t born = 0,
+    bool only_limit = false,
+    flatbuffers::Offset<hawthornroad::wire::StatedLimit> limit = 0) {
   PlaceAskBuilder builder_(_fbb);
+  builder_.add_born(born);
   builder_.add_number(number);
+  builder_.add_limit(limit);
+  builder_.add_endpoint(endpoint);
   builder_.add_places(places);
   builder_.add_usual_reading_us(usual_reading_us);
   builder_.add_reading_us(reading_us);
+  builder_.add_only_limit(only_limit);
   builder_.add_resumes(resumes);
   builder_.add_late(late);
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<PlaceAsk> CreatePlaceAskDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    bool late = false,
+    bool resumes = false,
+    uint32_t reading_us = 0,
+    uint32_t usual_reading_us = 0,
+    uint32_t places = 0,
+    const char *endpoint = nullptr,
+    uint64_t born = 0,
+    bool only_limit = false,
+    flatbuffers::Offset<hawthornroad::wire::StatedLimit> limit = 0) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return hawthornroad::wire::CreatePlaceAsk(
+      _fbb,
+      number,
+      late,
+      resumes,
+      reading_us,
+      usual_reading_us,
+      places,
+      endpoint__,
+      born,
+      only_limit,
+      limit);
+}
+
 flatbuffers::Offset<PlaceAsk> CreatePlaceAsk(flatbuffers::FlatBufferBuilder &_fbb, const PlaceAskT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct PlaceAnswerT : public flatbuffers::NativeTable {
@@ -4654,6 +4851,12 @@
   uint32_t running = 0;
   uint32_t waiting = 0;
   uint64_t version = 0;
+  uint64_t limit_wait_us = 0;
+  std::unique_ptr<hawthornroad::wire::StatedLimitT> limit{};
+  PlaceAnswerT() = default;
+  PlaceAnswerT(const PlaceAnswerT &o);
+  PlaceAnswerT(PlaceAnswerT&&) FLATBUFFERS_NOEXCEPT = default;
+  PlaceAnswerT &operator=(PlaceAnswerT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct PlaceAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4665,7 +4868,9 @@
     VT_AWAY = 8,
     VT_RUNNING = 10,
     VT_WAITING = 12,
-    VT_VERSION = 14
+    VT_VERSION = 14,
+    VT_LIMIT_WAIT_US = 16,
+    VT_LIMIT = 18
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -4685,6 +4890,12 @@
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
   }
+  uint64_t limit_wait_us() const {
+    return GetField<uint64_t>(VT_LIMIT_WAIT_US, 0);
+  }
+  const hawthornroad::wire::StatedLimit *limit() const {
+    return GetPointer<const hawthornroad::wire::StatedLimit *>(VT_LIMIT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -4693,6 +4904,9 @@
            VerifyField<uint32_t>(verifier, VT_RUNNING, 4) &&
            VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LIMIT_WAIT_US, 8) &&
+           VerifyOffset(verifier, VT_LIMIT) &&
+           verifier.VerifyTable(limit()) &&
            verifier.EndTable();
   }
   PlaceAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4722,6 +4936,12 @@
   void add_version(uint64_t version) {
     fbb_.AddElement<uint64_t>(PlaceAnswer::VT_VERSION, version, 0);
   }
+  void add_limit_wait_us(uint64_t limit_wait_us) {
+    fbb_.AddElement<uint64_t>(PlaceAnswer::VT_LIMIT_WAIT_US, limit_wait_us, 0);
+  }
+  void add_limit(flatbuffers::Offset<hawthornroad::wire::StatedLimit> limit) {
+    fbb_.AddOffset(PlaceAnswer::VT_LIMIT, limit);
+  }
   explicit PlaceAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4740,10 +4960,14 @@
     bool away = false,
     uint32_t running = 0,
     uint32_t waiting = 0,
-    uint64_t version = 0) {
+    uint64_t version = 0,
+    uint64_t limit_wait_us = 0,
+    flatbuffers::Offset<hawthornroad::wire::StatedLimit> limit = 0) {
   PlaceAnswerBuilder builder_(_fbb);
+  builder_.add_limit_wait_us(limit_wait_us);
   builder_.add_version(version);
   builder_.add_number(number);
+  builder_.add_limit(limit);
   builder_.add_waiting(waiting);
   builder_.add_running(running);
   builder_.add_away(away);
@@ -4753,6 +4977,101 @@
 
 flatbuffers::Offset<PlaceAnswer> CreatePlaceAnswer(flatbuffers::FlatBufferBuilder &_fbb, const PlaceAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct LimitNoticeT : public flatbuffers::NativeTable {
+  typedef LimitNotice TableType;
+  std::string endpoint{};
+  uint64_t born = 0;
+  std::unique_ptr<hawthornroad::wire::StatedLimitT> limit{};
+  LimitNoticeT() = default;
+  LimitNoticeT(const LimitNoticeT &o);
+  LimitNoticeT(LimitNoticeT&&) FLATBUFFERS_NOEXCEPT = default;
+  LimitNoticeT &operator=(LimitNoticeT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct LimitNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LimitNoticeT NativeTableType;
+  typedef LimitNoticeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENDPOINT = 4,
+    VT_BORN = 6,
+    VT_LIMIT = 8
+  };
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  uint64_t born() const {
+    return GetField<uint64_t>(VT_BORN, 0);
+  }
+  const hawthornroad::wire::StatedLimit *limit() const {
+    return GetPointer<const hawthornroad::wire::StatedLimit *>(VT_LIMIT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<uint64_t>(verifier, VT_BORN, 8) &&
+           VerifyOffsetRequired(verifier, VT_LIMIT) &&
+           verifier.VerifyTable(limit()) &&
+           verifier.EndTable();
+  }
+  LimitNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LimitNoticeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LimitNotice> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LimitNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LimitNoticeBuilder {
+  typedef LimitNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(LimitNotice::VT_ENDPOINT, endpoint);
+  }
+  void add_born(uint64_t born) {
+    fbb_.AddElement<uint64_t>(LimitNotice::VT_BORN, born, 0);
+  }
+  void add_limit(flatbuffers::Offset<hawthornroad::wire::StatedLimit> limit) {
+    fbb_.AddOffset(LimitNotice::VT_LIMIT, limit);
+  }
+  explicit LimitNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LimitNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LimitNotice>(end);
+    fbb_.Required(o, LimitNotice::VT_ENDPOINT);
+    fbb_.Required(o, LimitNotice::VT_LIMIT);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LimitNotice> CreateLimitNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    uint64_t born = 0,
+    flatbuffers::Offset<hawthornroad::wire::StatedLimit> limit = 0) {
+  LimitNoticeBuilder builder_(_fbb);
+  builder_.add_born(born);
+  builder_.add_limit(limit);
+  builder_.add_endpoint(endpoint);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<LimitNotice> CreateLimitNoticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *endpoint = nullptr,
+    uint64_t born = 0,
+    flatbuffers::Offset<hawthornroad::wire::StatedLimit> limit = 0) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return hawthornroad::wire::CreateLimitNotice(
+      _fbb,
+      endpoint__,
+      born,
+      limit);
+}
+
+flatbuffers::Offset<LimitNotice> CreateLimitNotice(flatbuffers::FlatBufferBuilder &_fbb, const LimitNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct TableWantedT : public flatbuffers::NativeTable {
   typedef TableWanted TableType;
   std::string table{};
@@ -5647,6 +5966,9 @@
   const hawthornroad::wire::PlaceAnswer *body_as_PlaceAnswer() const {
     return body_type() == hawthornroad::wire::Body::PlaceAnswer ? static_cast<const hawthornroad::wire::PlaceAnswer *>(body()) : nullptr;
   }
+  const hawthornroad::wire::LimitNotice *body_as_LimitNotice() const {
+    return body_type() == hawthornroad::wire::Body::LimitNotice ? static_cast<const hawthornroad::wire::LimitNotice *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -5787,6 +6109,10 @@
   return body_as_PlaceAnswer();
 }
 
+template<> inline const hawthornroad::wire::LimitNotice *Frame::body_as<hawthornroad::wire::LimitNotice>() const {
+  return body_as_LimitNotice();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -7622,6 +7948,55 @@
 }
 
 
+inline bool operator==(const StatedLimitT &lhs, const StatedLimitT &rhs) {
+  return
+      (lhs.limited == rhs.limited) &&
+      (lhs.per_second == rhs.per_second) &&
+      (lhs.begun_age_us == rhs.begun_age_us) &&
+      (lhs.age_us == rhs.age_us);
+}
+
+inline bool operator!=(const StatedLimitT &lhs, const StatedLimitT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline StatedLimitT *StatedLimit::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<StatedLimitT>(new StatedLimitT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StatedLimit::UnPackTo(StatedLimitT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = limited(); _o->limited = _e; }
+  { auto _e = per_second(); _o->per_second = _e; }
+  { auto _e = begun_age_us(); _o->begun_age_us = _e; }
+  { auto _e = age_us(); _o->age_us = _e; }
+}
+
+inline flatbuffers::Offset<StatedLimit> StatedLimit::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StatedLimitT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStatedLimit(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StatedLimit> CreateStatedLimit(flatbuffers::FlatBufferBuilder &_fbb, const StatedLimitT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StatedLimitT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _limited = _o->limited;
+  auto _per_second = _o->per_second;
+  auto _begun_age_us = _o->begun_age_us;
+  auto _age_us = _o->age_us;
+  return hawthornroad::wire::CreateStatedLimit(
+      _fbb,
+      _limited,
+      _per_second,
+      _begun_age_us,
+      _age_us);
+}
+
+
 inline bool operator==(const PlaceAskT &lhs, const PlaceAskT &rhs) {
   return
       (lhs.number == rhs.number) &&
@@ -7629,7 +8004,11 @@
       (lhs.resumes == rhs.resumes) &&
       (lhs.reading_us == rhs.reading_us) &&
       (lhs.usual_reading_us == rhs.usual_reading_us) &&
-      (lhs.places == rhs.places);
+      (lhs.places == rhs.places) &&
+      (lhs.endpoint == rhs.endpoint) &&
+      (lhs.born == rhs.born) &&
+      (lhs.only_limit == rhs.only_limit) &&
+      ((lhs.limit == rhs.limit) || (lhs.limit && rhs.limit && *lhs.limit == *rhs.limit));
 }
 
 inline bool operator!=(const PlaceAskT &lhs, const PlaceAskT &rhs) {
@@ -7637,6 +8016,33 @@
 }
 
 
+inline PlaceAskT::PlaceAskT(const PlaceAskT &o)
+      : number(o.number),
+        late(o.late),
+        resumes(o.resumes),
+        reading_us(o.reading_us),
+        usual_reading_us(o.usual_reading_us),
+        places(o.places),
+        endpoint(o.endpoint),
+        born(o.born),
+        only_limit(o.only_limit),
+        limit((o.limit) ? new hawthornroad::wire::StatedLimitT(*o.limit) : nullptr) {
+}
+
+inline PlaceAskT &PlaceAskT::operator=(PlaceAskT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(number, o.number);
+  std::swap(late, o.late);
+  std::swap(resumes, o.resumes);
+  std::swap(reading_us, o.reading_us);
+  std::swap(usual_reading_us, o.usual_reading_us);
+  std::swap(places, o.places);
+  std::swap(endpoint, o.endpoint);
+  std::swap(born, o.born);
+  std::swap(only_limit, o.only_limit);
+  std::swap(limit, o.limit);
+  return *this;
+}
+
 inline PlaceAskT *PlaceAsk::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<PlaceAskT>(new PlaceAskT());
   UnPackTo(_o.get(), _resolver);
@@ -7652,6 +8058,10 @@
   { auto _e = reading_us(); _o->reading_us = _e; }
   { auto _e = usual_reading_us(); _o->usual_reading_us = _e; }
   { auto _e = places(); _o->places = _e; }
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = born(); _o->born = _e; }
+  { auto _e = only_limit(); _o->only_limit = _e; }
+  { auto _e = limit(); if (_e) _o->limit = std::unique_ptr<hawthornroad::wire::StatedLimitT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<PlaceAsk> PlaceAsk::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceAskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7668,6 +8078,10 @@
   auto _reading_us = _o->reading_us;
   auto _usual_reading_us = _o->usual_reading_us;
   auto _places = _o->places;
+  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
+  auto _born = _o->born;
+  auto _only_limit = _o->only_limit;
+  auto _limit = _o->limit ? CreateStatedLimit(_fbb, _o->limit.get(), _rehasher) : 0;
   return hawthornroad::wire::CreatePlaceAsk(
       _fbb,
       _number,
@@ -7675,7 +8089,11 @@
       _resumes,
       _reading_us,
       _usual_reading_us,
-      _places);
+      _places,
+      _endpoint,
+      _born,
+      _only_limit,
+      _limit);
 }
 
 
@@ -7686,7 +8104,9 @@
       (lhs.away == rhs.away) &&
       (lhs.running == rhs.running) &&
       (lhs.waiting == rhs.waiting) &&
-      (lhs.version == rhs.version);
+      (lhs.version == rhs.version) &&
+      (lhs.limit_wait_us == rhs.limit_wait_us) &&
+      ((lhs.limit == rhs.limit) || (lhs.limit && rhs.limit && *lhs.limit == *rhs.limit));
 }
 
 inline bool operator!=(const PlaceAnswerT &lhs, const PlaceAnswerT &rhs) {
@@ -7694,6 +8114,29 @@
 }
 
 
+inline PlaceAnswerT::PlaceAnswerT(const PlaceAnswerT &o)
+      : number(o.number),
+        granted(o.granted),
+        away(o.away),
+        running(o.running),
+        waiting(o.waiting),
+        version(o.version),
+        limit_wait_us(o.limit_wait_us),
+        limit((o.limit) ? new hawthornroad::wire::StatedLimitT(*o.limit) : nullptr) {
+}
+
+inline PlaceAnswerT &PlaceAnswerT::operator=(PlaceAnswerT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(number, o.number);
+  std::swap(granted, o.granted);
+  std::swap(away, o.away);
+  std::swap(running, o.running);
+  std::swap(waiting, o.waiting);
+  std::swap(version, o.version);
+  std::swap(limit_wait_us, o.limit_wait_us);
+  std::swap(limit, o.limit);
+  return *this;
+}
+
 inline PlaceAnswerT *PlaceAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<PlaceAnswerT>(new PlaceAnswerT());
   UnPackTo(_o.get(), _resolver);
@@ -7709,6 +8152,8 @@
   { auto _e = running(); _o->running = _e; }
   { auto _e = waiting(); _o->waiting = _e; }
   { auto _e = version(); _o->version = _e; }
+  { auto _e = limit_wait_us(); _o->limit_wait_us = _e; }
+  { auto _e = limit(); if (_e) _o->limit = std::unique_ptr<hawthornroad::wire::StatedLimitT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<PlaceAnswer> PlaceAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7725,6 +8170,8 @@
   auto _running = _o->running;
   auto _waiting = _o->waiting;
   auto _version = _o->version;
+  auto _limit_wait_us = _o->limit_wait_us;
+  auto _limit = _o->limit ? CreateStatedLimit(_fbb, _o->limit.get(), _rehasher) : 0;
   return hawthornroad::wire::CreatePlaceAnswer(
       _fbb,
       _number,
@@ -7732,7 +8179,67 @@
       _away,
       _running,
       _waiting,
-      _version);
+      _version,
+      _limit_wait_us,
+      _limit);
+}
+
+
+inline bool operator==(const LimitNoticeT &lhs, const LimitNoticeT &rhs) {
+  return
+      (lhs.endpoint == rhs.endpoint) &&
+      (lhs.born == rhs.born) &&
+      ((lhs.limit == rhs.limit) || (lhs.limit && rhs.limit && *lhs.limit == *rhs.limit));
+}
+
+inline bool operator!=(const LimitNoticeT &lhs, const LimitNoticeT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline LimitNoticeT::LimitNoticeT(const LimitNoticeT &o)
+      : endpoint(o.endpoint),
+        born(o.born),
+        limit((o.limit) ? new hawthornroad::wire::StatedLimitT(*o.limit) : nullptr) {
+}
+
+inline LimitNoticeT &LimitNoticeT::operator=(LimitNoticeT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(endpoint, o.endpoint);
+  std::swap(born, o.born);
+  std::swap(limit, o.limit);
+  return *this;
+}
+
+inline LimitNoticeT *LimitNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<LimitNoticeT>(new LimitNoticeT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LimitNotice::UnPackTo(LimitNoticeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = born(); _o->born = _e; }
+  { auto _e = limit(); if (_e) _o->limit = std::unique_ptr<hawthornroad::wire::StatedLimitT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<LimitNotice> LimitNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LimitNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLimitNotice(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LimitNotice> CreateLimitNotice(flatbuffers::FlatBufferBuilder &_fbb, const LimitNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LimitNoticeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _endpoint = _fbb.CreateString(_o->endpoint);
+  auto _born = _o->born;
+  auto _limit = _o->limit ? CreateStatedLimit(_fbb, _o->limit.get(), _rehasher) : 0;
+  return hawthornroad::wire::CreateLimitNotice(
+      _fbb,
+      _endpoint,
+      _born,
+      _limit);
 }
 
 
@@ -8329,6 +8836,10 @@
       auto ptr = reinterpret_cast<const hawthornroad::wire::PlaceAnswer *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::LimitNotice: {
+      auto ptr = reinterpret_cast<const hawthornroad::wire::LimitNotice *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -8476,6 +8987,10 @@
       auto ptr = reinterpret_cast<const hawthornroad::wire::PlaceAnswer *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::LimitNotice: {
+      auto ptr = reinterpret_cast<const hawthornroad::wire::LimitNotice *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -8611,6 +9126,10 @@
       auto ptr = reinterpret_cast<const hawthornroad::wire::PlaceAnswerT *>(value);
       return CreatePlaceAnswer(_fbb, ptr, _rehasher).Union();
     }
+    case Body::LimitNotice: {
+      auto ptr = reinterpret_cast<const hawthornroad::wire::LimitNoticeT *>(value);
+      return CreateLimitNotice(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -8745,6 +9264,10 @@
       value = new hawthornroad::wire::PlaceAnswerT(*reinterpret_cast<hawthornroad::wire::PlaceAnswerT *>(u.value));
       break;
     }
+    case Body::LimitNotice: {
+      value = new hawthornroad::wire::LimitNoticeT(*reinterpret_cast<hawthornroad::wire::LimitNoticeT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -8912,6 +9435,11 @@
       delete ptr;
       break;
     }
+    case Body::LimitNotice: {
+      auto ptr = reinterpret_cast<hawthornroad::wire::LimitNoticeT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- /dev/null
+++ b/tests/integration/EndpointLimitTest.cpp
@@ -0,0 +1,100 @@
+// Entries and an agent as real processes, before endpoints that state a rate
+// limit.
+
+#include "tests/integration/PlatformFixture.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/json/serialize.hpp>
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace hawthornroad;
+
+namespace json = boost::json;
+
+namespace {
+std::uint16_t unusedPort() {
+  boost::asio::io_context Io;
+  boost::asio::ip::tcp::acceptor A(
+      Io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return A.local_endpoint().port();
+}
+
+struct LimitFixture : PlatformFixture {
+  EndpointStandIn Engine_{"i-e", "lm"};
+  std::uint16_t AgentPort_ = unusedPort();
+  std::unique_ptr<Process> Agent_;
+  std::unique_ptr<Process> First_;
+  std::unique_ptr<Process> Second_;
+
+  LimitFixture() {
+    Engine_.setModel("m", 1);
+    Store_.put("servers", Engine_.id(), Engine_.row());
+    configure();
+    startAgent();
+    First_ = startEntryOfAgents("entry-1", AgentPort_);
+    Second_ = startEntryOfAgents("entry-2", AgentPort_);
+    eventually([&] { return isReady(*First_) && isReady(*Second_); },
+               "the entries are ready");
+  }
+
+  void startAgent() {
+    std::string File = Folder_.write(
+        "agent.jsonc",
+        json::serialize(json::object{
+            {"process", "agent-1"},
+            {"zone", "z"},
+            {"store", Store_.address()},
+            {"engine_address", Engine_.address()},
+            {"service", "lm"},
+            {"peer_listen", "127.0.0.1:" + std::to_string(AgentPort_)}}));
+    Agent_ =
+        std::make_unique<Process>(Launch{.Name_ = "agent-1",
+                                         .Program_ = "hawthornroad-store-agent",
+                                         .Arguments_ = {"--settings", File}},
+                                  Folder_);
+    Agent_->ready();
+  }
+
+  // Calls both entries in turn for this long; returns the answers with success.
+  int callFor(Duration Length) {
+    int Good = 0;
+    TimePoint End = std::chrono::steady_clock::now() + Length;
+    while (std::chrono::steady_clock::now() < End) {
+      for (Process *Entry : {First_.get(), Second_.get()})
+        Good += callAt(*Entry, "/safe/1").Status_ == 200 ? 1 : 0;
+      std::this_thread::sleep_for(Milliseconds(20));
+    }
+    return Good;
+  }
+};
+} // namespace
+
+// Guards against processes that each use the whole of an endpoint's limit.
+TEST_CASE_METHOD(LimitFixture,
+                 "entries, before an endpoint that states a limit, stay within "
+                 "it together and use it, and send more once it has ended",
+                 "[store-entry]") {
+  A_.setRateLimit(2.0);
+  callFor(Seconds(1));
+  int Before = A_.runs();
+  int Good = callFor(Seconds(4));
+  int Limited = A_.runs() - Before;
+  INFO("runs under the limit: " << Limited);
+  CHECK(Limited <= 1.5 * 2 * 4 + 5);
+  CHECK(Limited >= 0.5 * 2 * 4);
+  CHECK(Good > 100);
+  CHECK(metricsOf(*First_)["hawthornroad_endpoints_limited"] == 1);
+  A_.setRateLimit(std::nullopt);
+  eventually(
+      [&] {
+        callFor(Milliseconds(500));
+        return metricsOf(*First_)["hawthornroad_endpoints_limited"] == 0 &&
+               metricsOf(*Second_)["hawthornroad_endpoints_limited"] == 0;
+      },
+      "the limit has ended at both entries");
+  Before = A_.runs();
+  callFor(Seconds(1));
+  CHECK(A_.runs() - Before > 10);
+}
--- a/tests/integration/PlatformFixture.cpp
+++ b/tests/integration/PlatformFixture.cpp
@@ -200,14 +200,42 @@
 EndpointStandIn::~EndpointStandIn() { Io_.stop(); }
 
 std::string EndpointStandIn::row(bool Draining) const {
-  return json::serialize(
-      json::object{{"service", Service_},
+  json::object Row{{"service", Service_},
                    {"address", ListedAt_.empty() ? Address_ : ListedAt_},
                    {"zone", "z"},
                    {"version", "v1"},
                    {"slots", 8},
                    {"state", Draining ? "draining" : "ready"},
-                   {"seq", 1}});
+                   {"seq", 1}};
+  if (!Model_.empty())
+    Row["models"] = models();
+  return json::serialize(Row);
+}
+
+json::array EndpointStandIn::models() const {
+  return {json::object{{"name", Model_}, {"version", ModelVersion_}}};
+}
+
+void EndpointStandIn::setModel(const std::string &Model, int Version) {
+  std::lock_guard Lock(Mutex_);
+  Model_ = Model;
+  ModelVersion_ = Version;
+}
+
+void EndpointStandIn::setRateLimit(std::optional<double> PerSecond) {
+  std::lock_guard Lock(Mutex_);
+  RateLimit_ = PerSecond;
+}
+
+HttpHeaders EndpointStandIn::headersFor(const HttpRequest &R) const {
+  std::lock_guard Lock(Mutex_);
+  HttpHeaders Out = {
+      {"X-Hawthornroad-Server-Stamp", "stamp-" + Id_},
+      {"X-Hawthornroad-Request-Id",
+       findHeader(R.Headers_, "X-Hawthornroad-Request-Id").value_or("")}};
+  if (RateLimit_)
+    Out.push_back({"Server-Limit", std::to_string(*RateLimit_)});
+  return Out;
 }
 
 int EndpointStandIn::runs(const std::string &Request) const {
@@ -231,6 +259,13 @@
 
 void EndpointStandIn::handle(const HttpRequest &R,
                              const std::shared_ptr<HttpExchange> &X) {
+  if (!Model_.empty() && R.Target_ == "/-/report")
+    return X->respond(
+        jsonResponse(200, json::serialize(json::object{{"models", models()},
+                                                       {"busy", false},
+                                                       {"seq", 0},
+                                                       {"running", 0},
+                                                       {"queued", 0}})));
   auto Expected = findHeader(R.Headers_, "X-Hawthornroad-Expect-Instance");
   if (Expected && *Expected != Id_)
     return X->respond(
@@ -259,10 +294,7 @@
   if (R.Target_.starts_with("/stream/"))
     return stream(R, X);
   HttpResponse Out{.Status_ = 200, .Body_ = "from " + Id_};
-  Out.Headers_ = {
-      {"X-Hawthornroad-Server-Stamp", "stamp-" + Id_},
-      {"X-Hawthornroad-Request-Id",
-       findHeader(R.Headers_, "X-Hawthornroad-Request-Id").value_or("")}};
+  Out.Headers_ = headersFor(R);
   X->respond(std::move(Out));
 }
 
@@ -270,11 +302,9 @@
                              const std::shared_ptr<HttpExchange> &X) {
   int From = static_cast<int>(
       numberOf(findHeader(R.Headers_, "Last-Event-Id").value_or("")));
-  X->head(200,
-          {{"Content-Type", "text/event-stream"},
-           {"X-Hawthornroad-Server-Stamp", "stamp-" + Id_},
-           {"X-Hawthornroad-Request-Id",
-            findHeader(R.Headers_, "X-Hawthornroad-Request-Id").value_or("")}});
+  HttpHeaders Headers = headersFor(R);
+  Headers.push_back({"Content-Type", "text/event-stream"});
+  X->head(200, std::move(Headers));
   for (int I = From + 1; I <= PlatformFixture::Events; ++I) {
     std::string Event =
         "id: " + std::to_string(I) + "\ndata: e" + std::to_string(I) + "\n\n";
@@ -359,6 +389,13 @@
   return launch(Name, {{"peer_listen", "127.0.0.1:0"}});
 }
 
+std::unique_ptr<Process>
+PlatformFixture::startEntryOfAgents(const std::string &Name,
+                                    std::uint16_t AgentPort) {
+  return launch(Name,
+                {{"peer_listen", "127.0.0.1:0"}, {"agent_port", AgentPort}});
+}
+
 bool PlatformFixture::isReady() { return isReady(*Entry_); }
 
 bool PlatformFixture::isReady(Process &Entry) {
--- a/tests/integration/PlatformFixture.h
+++ b/tests/integration/PlatformFixture.h
@@ -18,9 +18,11 @@
 #include "tests/integration/Fixture.h"
 
 #include <atomic>
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <map>
 #include <mutex>
+#include <optional>
 
 namespace hawthornroad {
 
@@ -89,6 +91,11 @@
   // Lists it under another address, that of a proxy in front of it.
   void setListedAt(const std::string &Address) { ListedAt_ = Address; }
   void setMode(Mode M) { Mode_ = M; }
+  // From now on it is an engine with this version of a model, and answers
+  // reports.
+  void setModel(const std::string &Model, int Version);
+  // The rate limit that its answers state; unset: none.
+  void setRateLimit(std::optional<double> PerSecond);
   // Delay before each answer.
   void setDelay(Duration D) { Delay_ = D; }
   int runs(const std::string &Request) const;
@@ -100,6 +107,8 @@
   void handle(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
   void run(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
   void stream(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
+  boost::json::array models() const;
+  HttpHeaders headersFor(const HttpRequest &R) const;
 
   std::string Id_;
   std::string Service_;
@@ -107,6 +116,9 @@
   mutable std::mutex Mutex_;
   std::map<std::string, int> Runs_;
   HttpRequest Last_;
+  std::string Model_;
+  int ModelVersion_ = 0;
+  std::optional<double> RateLimit_;
   std::atomic<Mode> Mode_{Mode::Normal};
   std::atomic<Duration> Delay_{Duration::zero()};
   std::unique_ptr<HttpServer> Server_;
@@ -133,6 +145,9 @@
   Process &startEntry(Duration RevokeBound = Milliseconds(2000));
   // An entry of zone z that serves reads to its peers and reads from them.
   std::unique_ptr<Process> startZoneEntry(const std::string &Name);
+  // An entry that connects to the agents on this port.
+  std::unique_ptr<Process> startEntryOfAgents(const std::string &Name,
+                                              std::uint16_t AgentPort);
   bool isReady();
   static bool isReady(Process &Entry);
   HttpResponse callAt(Process &Entry, const std::string &Target,
--- a/tests/unit/EndpointLimitTest.cpp
+++ b/tests/unit/EndpointLimitTest.cpp
@@ -34,3 +34,118 @@
   F.run(Seconds(20));
   CHECK(F.excess() <= 0);
 }
+
+// Guards against a limit that is hardly used: callers pay for it elsewhere.
+TEST_CASE("fleet of entries, with enough to send, uses half of a limit or more",
+          "[limit]") {
+  auto C = GENERATE(Case{9, true, 1, 6}, Case{9, true, 10, 12},
+                    Case{9, false, 1.7, 6}, Case{9, false, 10, 60},
+                    Case{300, true, 0.5, 1}, Case{300, false, 1, 1},
+                    Case{300, true, 10, 1}, Case{300, false, 100, 5});
+  CAPTURE(C.Entries_, C.IsEngine_, C.PerSecond_);
+  LimitFleet F({.Entries_ = C.Entries_,
+                .Endpoints_ = 6,
+                .IsEngine_ = C.IsEngine_,
+                .RequestsPerSecond_ = C.Load_});
+  F.limit(0, C.PerSecond_, LimitedAt);
+  F.run(Seconds(30));
+  constexpr int Measured = 20;
+  auto Used = static_cast<double>(
+      F.arrivals(0, Start + Seconds(10), Start + Seconds(10 + Measured)));
+  CHECK(Used >= 0.5 * C.PerSecond_ * Measured);
+  CHECK(F.excess() <= 0);
+}
+
+// Guards against limits that outlast what the endpoint says.
+TEST_CASE("fleet of entries, when a limit is raised and then lifted, sends as "
+          "much again",
+          "[limit]") {
+  auto C = GENERATE(Case{9, true, 1, 6}, Case{9, false, 1, 6},
+                    Case{300, true, 1, 1}, Case{300, false, 1, 1});
+  CAPTURE(C.Entries_, C.IsEngine_);
+  LimitFleet F({.Entries_ = C.Entries_,
+                .Endpoints_ = 6,
+                .IsEngine_ = C.IsEngine_,
+                .RequestsPerSecond_ = C.Load_});
+  F.limit(0, C.PerSecond_, LimitedAt);
+  F.limit(0, 4 * C.PerSecond_, Start + Seconds(15));
+  F.limit(0, std::nullopt, Start + Seconds(30));
+  F.run(Seconds(50));
+  CHECK(F.excess() <= 0);
+  auto Count = [&](unsigned Endpoint, int From, int To) {
+    return F.arrivals(Endpoint, Start + Seconds(From), Start + Seconds(To));
+  };
+  constexpr double Raised = 4;
+  CHECK(static_cast<double>(Count(0, 20, 30)) >=
+        0.5 * Raised * C.PerSecond_ * 10);
+  CHECK(2 * Count(0, 40, 50) >= Count(1, 40, 50));
+}
+
+// Guards against entries and agents that forget a limit together.
+TEST_CASE("fleet of entries, while entries and agents restart and are cut off, "
+          "stays within a limit",
+          "[limit]") {
+  auto IsEngine = GENERATE(true, false);
+  auto [Entries, PerSecond] = GENERATE(table<unsigned, double>({{3, 1.0},
+                                                                {9, 0.5},
+                                                                {9, 1.7},
+                                                                {9, 10.0},
+                                                                {45, 1.0},
+                                                                {300, 0.5},
+                                                                {300, 10.0}}));
+  CAPTURE(IsEngine, PerSecond, Entries);
+  LimitFleet F({.Entries_ = Entries,
+                .Endpoints_ = 6,
+                .IsEngine_ = IsEngine,
+                .RequestsPerSecond_ = Entries > 100 ? 1.0 : 6.0,
+                .Seed_ = Entries});
+  F.limit(0, PerSecond, LimitedAt);
+  for (unsigned I = 0; I < Entries / 3; ++I)
+    F.restart(I, Start + Seconds(10) + I * Milliseconds(50));
+  for (unsigned I = Entries / 3; I < 2 * Entries / 3; ++I)
+    F.cut(I, Start + Seconds(14), Start + Seconds(20));
+  for (unsigned I = 0; I < 6; ++I)
+    F.restartAgent(I, Start + Seconds(12) + I * Milliseconds(900));
+  F.run(Seconds(30));
+  CHECK(F.excess() <= 0);
+}
+
+// Guards against entries that each fall back to the whole limit.
+TEST_CASE("fleet of entries, without any agent, stays within a limit",
+          "[limit]") {
+  auto PerSecond = GENERATE(0.5, 1.0, 10.0, 100.0);
+  auto Entries = GENERATE(9U, 300U);
+  auto Seed = GENERATE(range(1, 4));
+  CAPTURE(PerSecond, Entries, Seed);
+  LimitFleet F({.Entries_ = Entries,
+                .Endpoints_ = 6,
+                .IsEngine_ = false,
+                .HasAgents_ = false,
+                .AssumedEntries_ = Entries,
+                .RequestsPerSecond_ = Entries > 100 ? 2.0 : 60.0,
+                .Seed_ = static_cast<std::uint64_t>(Seed)});
+  F.limit(0, PerSecond, LimitedAt);
+  F.run(Seconds(30));
+  CHECK(F.excess() <= 0);
+}
+
+// Guards against callers who wait for endpoints that accept nothing, or who are
+// all told to return at once.
+TEST_CASE("fleet of entries, when all endpoints of a service are limited, "
+          "refuses the rest at once",
+          "[limit]") {
+  auto IsEngine = GENERATE(true, false);
+  LimitFleet F({.Entries_ = 9,
+                .Endpoints_ = 6,
+                .IsEngine_ = IsEngine,
+                .RequestsPerSecond_ = 6});
+  for (unsigned I = 0; I < 6; ++I)
+    F.limit(I, 2.0, LimitedAt);
+  F.run(Seconds(30));
+  CHECK(F.excess() <= 0);
+  std::size_t Served = F.served(Start + Seconds(10), Start + Seconds(30));
+  CHECK(Served >= 0.5 * 6 * 2 * 20);
+  CHECK(F.refused(Start + Seconds(10), Start + Seconds(30)) > Served);
+  // Most are refused on arrival; the rest waited for their turn in the queue.
+  CHECK(F.medianRefusal() <= Milliseconds(60));
+}
--- a/tests/unit/LimitFleet.cpp
+++ b/tests/unit/LimitFleet.cpp
@@ -9,7 +9,7 @@
 namespace {
 constexpr Duration Hop = Milliseconds(1);
 constexpr Duration Service = Milliseconds(120);
-constexpr Duration TickPeriod = Milliseconds(20);
+constexpr Duration TickPeriod = Milliseconds(40);
 constexpr Duration ProofPeriod = Milliseconds(500);
 constexpr unsigned Slots = 64;
 } // namespace
@@ -19,9 +19,11 @@
   // From each time on, the limit that is named.
   std::map<TimePoint, std::optional<double>> Limits_;
   std::vector<Arrival> Arrivals_;
-  // When each entry passed on the first answer that names a limit.
-  std::map<unsigned, TimePoint> InformedAt_;
+  // When each start of an entry passed on the first answer that names a limit.
+  std::map<std::pair<unsigned, unsigned>, TimePoint> InformedAt_;
+  // The agent beside it.
   PlaceGrants Places_;
+  LimitGrants Grants_;
 
   std::optional<double> limitAt(TimePoint T) const {
     auto After = Limits_.upper_bound(T);
@@ -32,15 +34,23 @@
 struct LimitFleet::Entry final : TrafficPort {
   LimitFleet &Fleet_;
   unsigned Index_;
-  TrafficCore Core_;
+  unsigned Starts_ = 0;
+  ProcessName Name_;
+  std::unique_ptr<TrafficCore> Core_;
   CallNumber NextCall_ = 1;
   std::vector<TimePoint> Served_;
   std::vector<TimePoint> Refused_;
+  std::vector<Duration> RefusedAfter_;
+  std::map<CallNumber, TimePoint> ArrivedAt_;
   std::set<AttemptNumber> Open_;
+  // When queries stay unanswered.
+  TimePoint CutFrom_ = TimePoint::max();
+  TimePoint CutTo_ = TimePoint::max();
 
-  Entry(LimitFleet &F, unsigned Index, TrafficCore::Options O, Random R)
-      : Fleet_(F), Index_(Index), Core_(O, *this, R) {}
+  Entry(LimitFleet &F, unsigned Index)
+      : Fleet_(F), Index_(Index), Name_("entry-" + std::to_string(Index)) {}
 
+  bool isCut() const { return Fleet_.Now_ >= CutFrom_ && Fleet_.Now_ < CutTo_; }
   void beginAttempt(AttemptNumber A, const Call &C,
                     const AttemptParams &O) override {
     Open_.insert(A);
@@ -52,26 +62,37 @@
   void cancelAttempt(AttemptNumber A) override { Open_.erase(A); }
   AskResult askPlace(AttemptNumber A, const std::string &Address,
                      const PlaceDemand &D) override {
-    if (!Fleet_.Options_.IsEngine_)
+    if (!Fleet_.Options_.IsEngine_ || !Fleet_.Options_.HasAgents_)
+      return AskResult::NoAgent;
+    return Fleet_.send(*this, A, Fleet_.indexOf(Address), D, false);
+  }
+  AskResult askLimit(AttemptNumber A, const std::string &Address,
+                     const PlaceDemand &D) override {
+    if (!Fleet_.Options_.HasAgents_)
       return AskResult::NoAgent;
-    unsigned Endpoint = Fleet_.indexOf(Address);
-    Fleet_.after(2 * Hop, [this, Endpoint, A, D] {
-      Server &S = *Fleet_.Servers_[Endpoint];
-      S.Places_.onReport(0, 0, Fleet_.Now_);
-      PlaceReply R;
-      R.IsGranted_ = S.Places_.ask(D.Kind_, {Slots, Milliseconds(1)},
-                                   Fleet_.Now_, D.Reading_);
-      R.Version_ = 1;
-      Core_.onPlaceReply(A, R, Fleet_.Now_);
+    // Any agent but its own.
+    unsigned Granter = (Fleet_.indexOf(Address) + 1) %
+                       static_cast<unsigned>(Fleet_.Servers_.size());
+    return Fleet_.send(*this, A, Granter, D, true);
+  }
+  void shareLimit(const std::string &Address, const EndpointStart &E,
+                  const LimitStatement &S) override {
+    if (!Fleet_.Options_.HasAgents_ || isCut())
+      return;
+    unsigned Granter = Fleet_.indexOf(Address);
+    if (!Fleet_.Options_.IsEngine_)
+      Granter = (Granter + 1) % static_cast<unsigned>(Fleet_.Servers_.size());
+    Fleet_.after(Hop, [this, Granter, E, S] {
+      Fleet_.Servers_[Granter]->Grants_.note(E, S);
     });
-    return AskResult::Sent;
   }
   void respond(CallNumber, unsigned Status, const HeaderFields &,
                std::string) override {
     Served_.push_back(Fleet_.Now_);
   }
-  void refuse(CallNumber, const Call &, unsigned, Cause, Duration) override {
+  void refuse(CallNumber N, const Call &, unsigned, Cause, Duration) override {
     Refused_.push_back(Fleet_.Now_);
+    RefusedAfter_.push_back(Fleet_.Now_ - ArrivedAt_[N]);
   }
   void beginStream(CallNumber, unsigned, const HeaderFields &) override {}
   void writeStream(CallNumber, std::string_view) override {}
@@ -82,7 +103,6 @@
 };
 
 LimitFleet::LimitFleet(Options O) : Options_(O), Random_(O.Seed_) {
-  std::vector<Endpoint> Listed;
   for (unsigned I = 0; I < O.Endpoints_; ++I) {
     auto S = std::make_unique<Server>();
     S->Address_ = "10.0.1." + std::to_string(I) + ":80";
@@ -95,24 +115,82 @@
     E.HasModel_ = O.IsEngine_;
     E.Model_ = O.IsEngine_ ? "m" : "";
     E.Version_ = O.IsEngine_ ? 1 : 0;
-    Listed.push_back(E);
+    Listed_.push_back(E);
     Servers_.push_back(std::move(S));
   }
   RoutingConfig::Parts P = parts();
   P.Services_[1].Engine_->Slots_ = Slots;
-  SharedConfig Config = RoutingConfig::build(std::move(P));
+  Config_ = RoutingConfig::build(std::move(P));
   for (unsigned I = 0; I < O.Entries_; ++I) {
-    Entries_.push_back(std::make_unique<Entry>(*this, I, CoreFixture::options(),
-                                               Random(Random_.next())));
+    Entries_.push_back(std::make_unique<Entry>(*this, I));
     Entry &E = *Entries_.back();
-    E.Core_.endpoints().listed(Listed, Now_);
-    E.Core_.configure(Config, Now_);
-    E.Core_.prove(Now_, Now_);
+    start(E);
     after(Random_.jitter(TickPeriod, 0.5), [this, &E] { tick(E); });
     nextRequest(E);
   }
 }
 
+void LimitFleet::start(Entry &E) {
+  TrafficCore::Options O = CoreFixture::options();
+  O.Share_.Entries_ = Options_.AssumedEntries_;
+  E.Open_.clear();
+  ++E.Starts_;
+  E.Core_ = std::make_unique<TrafficCore>(O, E, Random(Random_.next()));
+  E.Core_->endpoints().listed(Listed_, Now_);
+  E.Core_->configure(Config_, Now_);
+  E.Core_->prove(Now_, Now_);
+}
+
+void LimitFleet::cut(unsigned Index, TimePoint From, TimePoint To) {
+  Entries_[Index]->CutFrom_ = From;
+  Entries_[Index]->CutTo_ = To;
+}
+
+void LimitFleet::restart(unsigned Index, TimePoint At) {
+  after(At - Now_, [this, Index] { start(*Entries_[Index]); });
+}
+
+void LimitFleet::restartAgent(unsigned Endpoint, TimePoint At) {
+  after(At - Now_, [this, Endpoint] {
+    Servers_[Endpoint]->Places_ = PlaceGrants();
+    Servers_[Endpoint]->Grants_ = LimitGrants();
+  });
+}
+
+PlaceReply LimitFleet::decide(Server &Granter, Entry &From,
+                              const PlaceDemand &D, bool IsOnlyLimit) {
+  if (D.Limit_)
+    Granter.Grants_.note(D.Endpoint_, *D.Limit_);
+  LimitGrants::Verdict V = Granter.Grants_.check(D.Endpoint_, From.Name_, Now_);
+  Granter.Places_.onReport(0, 0, Now_);
+  PlaceReply R;
+  R.LimitWait_ = V.Wait_;
+  if (auto Last = Granter.Grants_.limits().last(D.Endpoint_))
+    R.Limit_ = *Last;
+  R.IsGranted_ =
+      V.IsGranted_ &&
+      (IsOnlyLimit || Granter.Places_.ask(D.Kind_, {Slots, Milliseconds(1)},
+                                          Now_, D.Reading_));
+  if (R.IsGranted_)
+    Granter.Grants_.take(D.Endpoint_);
+  R.Version_ = IsOnlyLimit ? 0 : 1;
+  return R;
+}
+
+AskResult LimitFleet::send(Entry &From, AttemptNumber A, unsigned Agent,
+                           const PlaceDemand &D, bool IsOnlyLimit) {
+  if (From.isCut())
+    return AskResult::Sent;
+  after(Hop, [this, &From, A, Agent, D, IsOnlyLimit, Starts = From.Starts_] {
+    PlaceReply R = decide(*Servers_[Agent], From, D, IsOnlyLimit);
+    after(Hop, [this, &From, A, R, Starts] {
+      if (From.Starts_ == Starts)
+        From.Core_->onPlaceReply(A, R, Now_);
+    });
+  });
+  return AskResult::Sent;
+}
+
 LimitFleet::~LimitFleet() = default;
 
 void LimitFleet::limit(unsigned Endpoint, std::optional<double> PerSecond,
@@ -128,8 +206,8 @@
 
 void LimitFleet::tick(Entry &E) {
   if (Now_.time_since_epoch() % ProofPeriod < TickPeriod)
-    E.Core_.prove(Now_, Now_);
-  E.Core_.tick(Now_);
+    E.Core_->prove(Now_, Now_);
+  E.Core_->tick(Now_);
   after(TickPeriod, [this, &E] { tick(E); });
 }
 
@@ -143,7 +221,8 @@
     C.Host_ = "h";
     C.Target_ = Options_.IsEngine_ ? "/stream/1" : "/safe/1";
     C.Key_ = "key";
-    E.Core_.arrive(E.NextCall_++, std::move(C), Now_);
+    E.ArrivedAt_[E.NextCall_] = Now_;
+    E.Core_->arrive(E.NextCall_++, std::move(C), Now_);
     nextRequest(E);
   });
 }
@@ -151,8 +230,8 @@
 void LimitFleet::arriveAt(unsigned Endpoint, Entry &From, AttemptNumber A,
                           const std::string &RequestId) {
   Server &S = *Servers_[Endpoint];
-  S.Arrivals_.push_back({Now_, From.Index_});
-  after(Service, [this, &S, &From, A, RequestId] {
+  S.Arrivals_.push_back({Now_, From.Index_, From.Starts_});
+  after(Service, [this, &S, &From, A, RequestId, Starts = From.Starts_] {
     HeaderFields Fields = {{"X-Hawthornroad-Request-Id", RequestId},
                            {"X-Hawthornroad-Server-Stamp", "s"}};
     if (Options_.IsEngine_)
@@ -160,15 +239,16 @@
     std::optional<double> Limit = S.limitAt(Now_);
     if (Limit)
       Fields.push_back({"Server-Limit", std::to_string(*Limit)});
-    after(Hop, [this, &S, &From, A, Fields, IsLimited = Limit.has_value()] {
-      if (From.Open_.erase(A) == 0)
-        return;
-      if (IsLimited)
-        S.InformedAt_.emplace(From.Index_, Now_);
-      From.Core_.onHead(A, platform::decodeAnswer(200, Fields), Now_);
-      From.Core_.onBody(A, "id: 1\ndata: x\n\n", Now_);
-      From.Core_.onEnd(A, Now_);
-    });
+    after(Hop,
+          [this, &S, &From, A, Fields, Starts, IsLimited = Limit.has_value()] {
+            if (From.Starts_ != Starts || From.Open_.erase(A) == 0)
+              return;
+            if (IsLimited)
+              S.InformedAt_.emplace(std::pair(From.Index_, Starts), Now_);
+            From.Core_->onHead(A, platform::decodeAnswer(200, Fields), Now_);
+            From.Core_->onBody(A, "id: 1\ndata: x\n\n", Now_);
+            From.Core_->onEnd(A, Now_);
+          });
   });
 }
 
@@ -191,7 +271,7 @@
     std::deque<TimePoint> Last;
     for (const Arrival &Each : S->Arrivals_) {
       std::optional<double> Limit = S->limitAt(Each.At_);
-      auto Informed = S->InformedAt_.find(Each.Entry_);
+      auto Informed = S->InformedAt_.find({Each.Entry_, Each.Starts_});
       if (!Limit || Each.At_ < BindsAt || Informed == S->InformedAt_.end() ||
           Each.At_ < Informed->second + EntryBound)
         continue;
@@ -247,4 +327,15 @@
   return Sum;
 }
 
+Duration LimitFleet::medianRefusal() const {
+  std::vector<Duration> All;
+  for (const auto &E : Entries_)
+    All.insert(All.end(), E->RefusedAfter_.begin(), E->RefusedAfter_.end());
+  if (All.empty())
+    return Duration::zero();
+  auto Middle = All.begin() + static_cast<std::ptrdiff_t>(All.size() / 2);
+  std::nth_element(All.begin(), Middle, All.end());
+  return *Middle;
+}
+
 } // namespace hawthornroad::traffic_test
--- a/tests/unit/LimitFleet.h
+++ b/tests/unit/LimitFleet.h
@@ -1,6 +1,6 @@
 // A fleet of entries before one service, without network: every entry is a
 // TrafficCore, endpoints answer after a fixed time, and some of them name a
-// rate limit in their answers.
+// rate limit in their answers. Agents grant under the limits.
 //
 //   LimitFleet F({.Entries_ = 9, .PerSecond_ = 1});
 //   F.limit(0, 1.0, Start + Seconds(5));     // endpoint 0 names 1 a second
@@ -12,6 +12,7 @@
 #ifndef HAWTHORNROAD_TESTS_UNIT_LIMITFLEET_H
 #define HAWTHORNROAD_TESTS_UNIT_LIMITFLEET_H
 
+#include "hawthornroad/traffic/LimitGrants.h"
 #include "hawthornroad/traffic/TrafficCore.h"
 #include "tests/unit/TrafficFixture.h"
 
@@ -32,6 +33,9 @@
     unsigned Endpoints_ = 9;
     // Engines have agents beside them, plain endpoints have none.
     bool IsEngine_ = true;
+    // Without, entries use their own shares of a limit.
+    bool HasAgents_ = true;
+    unsigned AssumedEntries_ = 300;
     // Requests a second that reach each entry.
     double RequestsPerSecond_ = 6;
     std::uint64_t Seed_ = 1;
@@ -48,6 +52,12 @@
 
   // From At on, the endpoint names this limit in its answers; unset: none.
   void limit(unsigned Endpoint, std::optional<double> PerSecond, TimePoint At);
+  // In this span the entry does not reach any agent: queries stay unanswered.
+  void cut(unsigned Entry, TimePoint From, TimePoint To);
+  // The entry restarts and knows nothing.
+  void restart(unsigned Entry, TimePoint At);
+  // The agent restarts and knows nothing.
+  void restartAgent(unsigned Endpoint, TimePoint At);
   // Runs the fleet for this long.
   void run(Duration Length);
 
@@ -60,12 +70,17 @@
   std::size_t served(TimePoint From, TimePoint To) const;
   std::size_t refused(TimePoint From, TimePoint To) const;
 
+  // Time from a request's arrival to its refusal, the median.
+  Duration medianRefusal() const;
+
 private:
   struct Entry;
   struct Server;
   struct Arrival {
     TimePoint At_;
     unsigned Entry_ = 0;
+    // Starts of the entry before this request.
+    unsigned Starts_ = 0;
   };
   void after(Duration D, std::function<void()> F) {
     Events_.emplace(Now_ + D, std::move(F));
@@ -74,12 +89,19 @@
                 const std::string &RequestId);
   void nextRequest(Entry &E);
   void tick(Entry &E);
+  void start(Entry &E);
+  PlaceReply decide(Server &Granter, Entry &From, const PlaceDemand &D,
+                    bool IsOnlyLimit);
+  AskResult send(Entry &From, AttemptNumber A, unsigned Agent,
+                 const PlaceDemand &D, bool IsOnlyLimit);
   unsigned indexOf(const std::string &Address) const;
 
   Options Options_;
   Random Random_;
   TimePoint Now_ = Start;
   std::multimap<TimePoint, std::function<void()>> Events_;
+  std::vector<Endpoint> Listed_;
+  SharedConfig Config_;
   std::vector<std::unique_ptr<Entry>> Entries_;
   std::vector<std::unique_ptr<Server>> Servers_;
 };
--- /dev/null
+++ b/tests/unit/LimitGrantsTest.cpp
@@ -0,0 +1,122 @@
+// Grants under a rate limit that an endpoint states.
+
+#include "hawthornroad/traffic/LimitGrants.h"
+#include "hawthornroad/peers/LimitCodec.h"
+#include "hawthornroad/traffic/LimitShare.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+
+using namespace hawthornroad;
+
+namespace {
+constexpr TimePoint Start{Seconds(1000)};
+constexpr Duration Window = Seconds(4);
+const EndpointStart E{EndpointId("i-1"), 7};
+
+double allowed(double PerSecond) { return 1.5 * 4 * PerSecond + 5; }
+
+LimitStatement statement(std::optional<double> PerSecond, TimePoint At) {
+  return {PerSecond, At, At};
+}
+
+// Asks each granter as often as it can; returns the most grants in any window.
+std::size_t mostGranted(std::vector<LimitGrants> &Granters, Duration Length) {
+  std::deque<TimePoint> Last;
+  std::size_t Most = 0;
+  for (TimePoint Now = Start; Now < Start + Length; Now += Milliseconds(2)) {
+    for (LimitGrants &G : Granters)
+      while (G.check(E, ProcessName("entry"), Now).IsGranted_) {
+        G.take(E);
+        Last.push_back(Now);
+      }
+    while (!Last.empty() && Now - Last.front() >= Window)
+      Last.pop_front();
+    Most = std::max(Most, Last.size());
+  }
+  return Most;
+}
+} // namespace
+
+// Guards against a limit that is exceeded while entries disagree on the
+// granter.
+TEST_CASE("limit grants, of two granters at once, stay within the limit",
+          "[limit]") {
+  auto PerSecond = GENERATE(0.0, 0.5, 1.0, 1.7, 10.0, 100.0);
+  CAPTURE(PerSecond);
+  std::vector<LimitGrants> Granters(2);
+  for (LimitGrants &G : Granters)
+    G.note(E, statement(PerSecond, Start));
+  CHECK(static_cast<double>(mostGranted(Granters, Seconds(30))) <=
+        allowed(PerSecond));
+}
+
+// Guards against a limit of zero that nobody finds to have ended.
+TEST_CASE("limit grants, at a limit of zero, still grant a request now and "
+          "then",
+          "[limit]") {
+  LimitGrants G;
+  G.note(E, statement(0, Start));
+  std::size_t Granted = 0;
+  for (TimePoint Now = Start; Now < Start + Seconds(60); Now += Seconds(1))
+    if (G.check(E, ProcessName("entry"), Now).IsGranted_) {
+      G.take(E);
+      ++Granted;
+    }
+  CHECK(Granted >= 5);
+}
+
+// Guards against hundreds of entries that ask without pause.
+TEST_CASE("limit grants, asked by many entries, tell each to wait longer",
+          "[limit]") {
+  LimitGrants G;
+  G.note(E, statement(1, Start));
+  Duration Longest = Duration::zero();
+  for (int I = 0; I < 300; ++I) {
+    LimitGrants::Verdict V =
+        G.check(E, ProcessName("entry-" + std::to_string(I)), Start);
+    if (V.IsGranted_)
+      G.take(E);
+    else
+      Longest = std::max(Longest, V.Wait_);
+  }
+  CHECK(Longest == LimitGrants::Options().MaxWait_);
+}
+
+TEST_CASE("limit grants, once the limit has ended, grant everything",
+          "[limit]") {
+  LimitGrants G;
+  G.note(E, statement(1, Start));
+  CHECK(G.note(E, statement(std::nullopt, Start + Seconds(1))));
+  for (int I = 0; I < 100; ++I)
+    CHECK(G.check(E, ProcessName("entry"), Start + Seconds(1)).IsGranted_);
+}
+
+// Guards against entries that all send at once after a pause.
+TEST_CASE("limit share, not used at its time, is forfeited", "[limit]") {
+  LimitShare S({.Entries_ = 10}, Random(1));
+  TimePoint First = S.nextAt(E, 1, Start);
+  CHECK(First >= Start);
+  CHECK(S.nextAt(E, 1, First) == First);
+  TimePoint Late = First + Seconds(10);
+  CHECK(S.nextAt(E, 1, Late) > Late);
+}
+
+TEST_CASE("limit share, when the limit is raised, comes sooner", "[limit]") {
+  LimitShare S({.Entries_ = 300}, Random(1));
+  S.take(E, 0.5, Start);
+  CHECK(S.nextAt(E, 100, Start) <= Start + Seconds(6));
+}
+
+TEST_CASE("stated limit, encoded by one process and decoded by another, keeps "
+          "its ages",
+          "[limit]") {
+  LimitStatement S{1.7, Start - Milliseconds(300), Start - Milliseconds(100)};
+  constexpr TimePoint Elsewhere{Seconds(5)};
+  auto Encoded = encodeLimit(S, Start);
+  LimitStatement Decoded = decodeLimit(*Encoded, Elsewhere);
+  CHECK(Decoded == LimitStatement{1.7, Elsewhere - Milliseconds(300),
+                                  Elsewhere - Milliseconds(100)});
+  CHECK(encodeLimit(static_cast<const LimitStatement *>(nullptr), Start) ==
+        nullptr);
+}
