--- a/tests/unit/EndpointLimitTest.cpp
+++ b/tests/unit/EndpointLimitTest.cpp
@@ -2,6 +2,9 @@
 
 #include "tests/unit/LimitFleet.h"
 
+#include <array>
+#include <cstdio>
+
 using namespace hawthornroad;
 using namespace hawthornroad::traffic_test;
 
@@ -149,3 +152,51 @@
   // Most are refused on arrival; the rest waited for their turn in the queue.
   CHECK(F.medianRefusal() <= Milliseconds(60));
 }
+
+// Prints the comparison of docs/design/endpoint-limits.md; hidden, since it
+// takes a minute. Only the design in use is checked.
+TEST_CASE("fleet of entries, with limits shared in four ways, is compared",
+          "[.][limit-table]") {
+  struct Way {
+    const char *Name_;
+    bool HasAgents_;
+    bool GrantsAlone_;
+    bool KnowsEntries_;
+  };
+  constexpr std::array<Way, 4> Ways = {
+      {{"one granter", true, false, true},
+       {"whole limit each", true, true, true},
+       {"shares, N known", false, false, true},
+       {"shares, N = 300", false, false, false}}};
+  for (unsigned Entries : {3U, 9U, 45U, 300U})
+    for (double PerSecond : {0.5, 1.0, 1.7, 10.0, 100.0})
+      for (const Way &W : Ways) {
+        double Worst = -1e9;
+        double Used = 0;
+        constexpr int Seeds = 3;
+        for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+          // Each endpoint is offered three times the limit, and twenty a second
+          // at least.
+          LimitFleet F({.Entries_ = Entries,
+                        .Endpoints_ = 6,
+                        .IsEngine_ = false,
+                        .HasAgents_ = W.HasAgents_,
+                        .AssumedEntries_ = W.KnowsEntries_ ? Entries : 300,
+                        .GrantsAlone_ = W.GrantsAlone_,
+                        .RequestsPerSecond_ =
+                            6 * std::max(20.0, 3 * PerSecond) / Entries,
+                        .Seed_ = Seed});
+          F.limit(0, PerSecond, LimitedAt);
+          F.run(Seconds(40));
+          Worst = std::max(Worst, F.excess());
+          Used += static_cast<double>(
+                      F.arrivals(0, Start + Seconds(20), Start + Seconds(40))) /
+                  (PerSecond * 20 * Seeds);
+        }
+        std::printf("%3u entries, %5.1f a second, %-16s: %7.1f over, %.2f "
+                    "used\n",
+                    Entries, PerSecond, W.Name_, Worst, Used);
+        if (W.HasAgents_ && !W.GrantsAlone_)
+          CHECK(Worst <= 0);
+      }
+}
--- a/tests/unit/LimitFleet.cpp
+++ b/tests/unit/LimitFleet.cpp
@@ -3,6 +3,7 @@
 #include "platform/RequestWire.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace hawthornroad::traffic_test {
 
@@ -36,6 +37,7 @@
   unsigned Index_;
   unsigned Starts_ = 0;
   ProcessName Name_;
+  LimitGrants Own_;
   std::unique_ptr<TrafficCore> Core_;
   CallNumber NextCall_ = 1;
   std::vector<TimePoint> Served_;
@@ -159,20 +161,21 @@
 
 PlaceReply LimitFleet::decide(Server &Granter, Entry &From,
                               const PlaceDemand &D, bool IsOnlyLimit) {
+  LimitGrants &Grants = Options_.GrantsAlone_ ? From.Own_ : Granter.Grants_;
   if (D.Limit_)
-    Granter.Grants_.note(D.Endpoint_, *D.Limit_);
-  LimitGrants::Verdict V = Granter.Grants_.check(D.Endpoint_, From.Name_, Now_);
+    Grants.note(D.Endpoint_, *D.Limit_);
+  LimitGrants::Verdict V = Grants.check(D.Endpoint_, From.Name_, Now_);
   Granter.Places_.onReport(0, 0, Now_);
   PlaceReply R;
   R.LimitWait_ = V.Wait_;
-  if (auto Last = Granter.Grants_.limits().last(D.Endpoint_))
+  if (auto Last = Grants.limits().last(D.Endpoint_))
     R.Limit_ = *Last;
   R.IsGranted_ =
       V.IsGranted_ &&
       (IsOnlyLimit || Granter.Places_.ask(D.Kind_, {Slots, Milliseconds(1)},
                                           Now_, D.Reading_));
   if (R.IsGranted_)
-    Granter.Grants_.take(D.Endpoint_);
+    Grants.take(D.Endpoint_);
   R.Version_ = IsOnlyLimit ? 0 : 1;
   return R;
 }
@@ -263,7 +266,7 @@
 }
 
 double LimitFleet::excess() const {
-  double Worst = -Slack;
+  double Worst = std::numeric_limits<double>::lowest();
   for (const auto &S : Servers_) {
     if (S->Limits_.empty())
       continue;
--- a/tests/unit/LimitFleet.h
+++ b/tests/unit/LimitFleet.h
@@ -36,6 +36,8 @@
     // Without, entries use their own shares of a limit.
     bool HasAgents_ = true;
     unsigned AssumedEntries_ = 300;
+    // For comparison: every entry grants for itself, the whole limit.
+    bool GrantsAlone_ = false;
     // Requests a second that reach each entry.
     double RequestsPerSecond_ = 6;
     std::uint64_t Seed_ = 1;
