The agent beside an engine grants nearly the whole of a stated limit

The agent beside an engine is the same for all entries, so it may grant 0.95; an agent that stands in for it grants 0.35, both together 1.3 of the 1.5 allowed. Endpoints without an agent keep 0.7, since entries may choose two granters for some seconds. Tests hold both pairs to the rule's bound.

--- a/hawthornroad/agent/AgentEngine.cpp
+++ b/hawthornroad/agent/AgentEngine.cpp
@@ -259,7 +259,9 @@
                                            const wire::PlaceAskT &Ask) {
   TimePoint Now = bootNow();
   EndpointStart E = startIn(Ask);
-  LimitGrants::Verdict V = Limits_.check(E, From.Process_, Now);
+  LimitGrants::Verdict V = Limits_.check(
+      E, From.Process_,
+      Ask.substitute ? GranterRole::Substitute : GranterRole::Chosen, Now);
   if (V.IsGranted_)
     Limits_.take(E);
   wire::PlaceAnswerT Answer;
@@ -318,7 +320,8 @@
     if (Q.Ask_.reading_us != 0)
       Reading = std::chrono::microseconds(Q.Ask_.reading_us);
     EndpointStart E = startIn(Q.Ask_);
-    LimitGrants::Verdict V = Limits_.check(E, Q.Process_, Now);
+    LimitGrants::Verdict V =
+        Limits_.check(E, Q.Process_, GranterRole::Beside, Now);
     Answer.limit_wait_us = inMicroseconds(V.Wait_);
     Answer.limit = encodeLimit(Limits_.limits().last(E), Now);
     Answer.granted = !IsAway && V.IsGranted_ && P.Places_ != 0 &&
--- a/hawthornroad/entry/EngineNotices.cpp
+++ b/hawthornroad/entry/EngineNotices.cpp
@@ -124,11 +124,13 @@
         !Asked.WasSeen_ && bootNow() - Asked.AddedAt_ < ConnectTime;
     return IsConnecting ? AskResult::Connecting : AskResult::NoAgent;
   }
-  return sendAsk(Address, A, D, false) ? AskResult::Sent : AskResult::NoAgent;
+  return sendAsk(Address, A, D, std::nullopt) ? AskResult::Sent
+                                              : AskResult::NoAgent;
 }
 
 bool EngineNotices::sendAsk(const std::string &Agent, AttemptNumber A,
-                            const PlaceDemand &D, bool IsOnlyLimit) {
+                            const PlaceDemand &D,
+                            std::optional<GranterRole> Role) {
   wire::PlaceAskT Ask;
   Ask.number = A;
   Ask.late = D.Kind_ == PlaceKind::Late;
@@ -138,7 +140,8 @@
   Ask.places = D.Places_;
   Ask.endpoint = D.Endpoint_.Id_.str();
   Ask.born = D.Endpoint_.Born_;
-  Ask.only_limit = IsOnlyLimit;
+  Ask.only_limit = Role.has_value();
+  Ask.substitute = Role == GranterRole::Substitute;
   if (D.Limit_)
     Ask.limit = encodeLimit(*D.Limit_, bootNow());
   return Net_->send(PeerAddress(Agent), Lane::Requests,
@@ -174,10 +177,13 @@
 
 AskResult EngineNotices::askLimit(AttemptNumber A, const std::string &Address,
                                   const PlaceDemand &D) {
-  std::string Granter = granterOf(D.Endpoint_.Id_, agentBeside(Address));
+  std::string Own = agentBeside(Address);
+  GranterRole Role =
+      Own.empty() ? GranterRole::Chosen : GranterRole::Substitute;
+  std::string Granter = granterOf(D.Endpoint_.Id_, Own);
   if (Granter.empty())
     return AskResult::NoAgent;
-  return sendAsk(Granter, A, D, true) ? AskResult::Sent : AskResult::NoAgent;
+  return sendAsk(Granter, A, D, Role) ? AskResult::Sent : AskResult::NoAgent;
 }
 
 void EngineNotices::noteLimit(const std::string &Address,
--- a/hawthornroad/entry/EngineNotices.h
+++ b/hawthornroad/entry/EngineNotices.h
@@ -27,6 +27,7 @@
 
 #include "hawthornroad/peers/PeerNet.h"
 #include "hawthornroad/peers/PeerPace.h"
+#include "hawthornroad/traffic/LimitGrants.h"
 #include "hawthornroad/traffic/TrafficCore.h"
 
 #include <functional>
@@ -102,8 +103,9 @@
   // The connected agent other than Except that grants for an endpoint; empty
   // when there is none.
   std::string granterOf(const EndpointId &Id, const std::string &Except) const;
+  // Role: set when only a request under the limit is asked for.
   bool sendAsk(const std::string &Agent, AttemptNumber A, const PlaceDemand &D,
-               bool IsOnlyLimit);
+               std::optional<GranterRole> Role);
   std::string agentOf(const std::string &Engine) const {
     return Engine.substr(0, Engine.rfind(':')) + ":" + Port_;
   }
--- a/hawthornroad/traffic/LimitGrants.cpp
+++ b/hawthornroad/traffic/LimitGrants.cpp
@@ -4,24 +4,29 @@
 
 namespace hawthornroad {
 
-double LimitGrants::rate(double Limit) const {
-  return std::max(Options_.Share_ * Limit, Options_.MinPerSecond_);
+double LimitGrants::rate(double Limit, GranterRole Role) const {
+  double Share = Options_.Chosen_;
+  if (Role == GranterRole::Beside)
+    Share = Options_.Beside_;
+  if (Role == GranterRole::Substitute)
+    Share = Options_.Substitute_;
+  return std::max(Share * Limit, Options_.MinPerSecond_);
 }
 
 double LimitGrants::burst(double Limit) const {
   return Options_.Burst_ + Options_.BurstShare_ * Limit;
 }
 
-void LimitGrants::fill(Bucket &B, double Limit, TimePoint Now) const {
+void LimitGrants::fill(Bucket &B, double Limit, double Rate,
+                       TimePoint Now) const {
   double Elapsed = std::chrono::duration<double>(Now - B.FilledAt_).count();
-  B.Tokens_ =
-      std::min(burst(Limit), B.Tokens_ + std::max(0.0, Elapsed) * rate(Limit));
+  B.Tokens_ = std::min(burst(Limit), B.Tokens_ + std::max(0.0, Elapsed) * Rate);
   B.FilledAt_ = Now;
 }
 
 LimitGrants::Verdict LimitGrants::check(const EndpointStart &E,
                                         const ProcessName &Asker,
-                                        TimePoint Now) {
+                                        GranterRole Role, TimePoint Now) {
   const LimitStatement *S = Limits_.find(E);
   if (S == nullptr) {
     Buckets_.erase(E);
@@ -32,7 +37,8 @@
   Bucket &B = Found->second;
   if (IsNew)
     B = {.Tokens_ = burst(Limit), .FilledAt_ = Now};
-  fill(B, Limit, Now);
+  double Rate = rate(Limit, Role);
+  fill(B, Limit, Rate, Now);
   B.Askers_[Asker] = Now;
   if (B.Tokens_ >= 1)
     return {.IsGranted_ = true};
@@ -40,9 +46,9 @@
     return Now - Each.second > Options_.AskerMemory_;
   });
   constexpr double QueriesPerGrant = 2;
-  double NextToken = (1 - B.Tokens_) / rate(Limit);
+  double NextToken = (1 - B.Tokens_) / Rate;
   double Turn =
-      static_cast<double>(B.Askers_.size()) / (QueriesPerGrant * rate(Limit));
+      static_cast<double>(B.Askers_.size()) / (QueriesPerGrant * Rate);
   auto Wait = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(std::max(NextToken, Turn)));
   return {.Wait_ =
--- a/hawthornroad/traffic/LimitGrants.h
+++ b/hawthornroad/traffic/LimitGrants.h
@@ -3,16 +3,22 @@
 //
 //   LimitGrants G;
 //   G.note(Start, Statement);              // as an entry reports it
-//   LimitGrants::Verdict V = G.check(Start, Asker, Now);
+//   LimitGrants::Verdict V = G.check(Start, Asker, Role, Now);
 //   if (V.IsGranted_) { G.take(Start); send(); } else waitFor(V.Wait_);
 //
 // The limit is one for all entries together. One process grants for an
 // endpoint, so the sum holds for any number of entries, for limits below one a
-// second, and while entries come and go. Entries that disagree on the granter,
-// because they lost the connection to it, use two at once: each grants
-// Share_ of the limit and a burst such that two stay within one and a half
-// times the limit and five requests in four seconds,
-//   2 * (4 * Share_ * L + Burst_ + BurstShare_ * L) <= 6 * L + 5.
+// second, and while entries come and go.
+//
+// Entries may use two granters at once, and both together must stay within one
+// and a half times the limit and five requests in four seconds. The agent
+// beside an engine is the same for all entries and grants nearly the whole
+// limit; one that stands in for it, for entries that it does not answer, grants
+// a smaller share. Granters of other endpoints are chosen by each entry among
+// the agents that it is connected to, so two of them may be chosen for some
+// seconds:
+//   4 * (Beside + Substitute) * L + 2 * (Burst_ + BurstShare_ * L) <= 6 * L + 5
+//   4 * 2 * Chosen * L            + 2 * (Burst_ + BurstShare_ * L) <= 6 * L + 5
 //
 // An entry that is refused asks again after a time in which twice the requests
 // become free that all entries ask for, so granted rates are used and the
@@ -31,13 +37,25 @@
 
 namespace hawthornroad {
 
+enum class GranterRole {
+  // The agent beside the endpoint.
+  Beside,
+  // Stands in for the agent beside the endpoint.
+  Substitute,
+  // The endpoint has no agent of its own.
+  Chosen
+};
+
 class LimitGrants {
 public:
   struct Options {
-    // Share of the limit that is granted, and the requests granted at once.
-    double Share_ = 0.7;
+    // Shares of the limit that are granted in each role.
+    double Beside_ = 0.95;
+    double Substitute_ = 0.35;
+    double Chosen_ = 0.7;
+    // Requests granted at once, and more of them for higher limits.
     double Burst_ = 2;
-    double BurstShare_ = 0.2;
+    double BurstShare_ = 0.15;
     // Granted also at a limit of zero: only an answer shows that it ended.
     double MinPerSecond_ = 0.1;
     // Least and longest time after which a refused entry asks again.
@@ -62,7 +80,7 @@
   const StatedLimits &limits() const { return Limits_; }
   // Whether the endpoint accepts one more request now. Granted without a limit.
   Verdict check(const EndpointStart &E, const ProcessName &Asker,
-                TimePoint Now);
+                GranterRole Role, TimePoint Now);
   // Counts the request that check() has just granted.
   void take(const EndpointStart &E);
 
@@ -72,9 +90,10 @@
     TimePoint FilledAt_;
     std::map<ProcessName, TimePoint> Askers_;
   };
-  double rate(double Limit) const;
+  // Requests a second.
+  double rate(double Limit, GranterRole Role) const;
   double burst(double Limit) const;
-  void fill(Bucket &B, double Limit, TimePoint Now) const;
+  void fill(Bucket &B, double Limit, double Rate, TimePoint Now) const;
 
   Options Options_;
   StatedLimits Limits_;
--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -4671,6 +4671,7 @@
   uint64_t born = 0;
   bool only_limit = false;
   std::unique_ptr<hawthornroad::wire::StatedLimitT> limit{};
+  bool substitute = false;
   PlaceAskT() = default;
   PlaceAskT(const PlaceAskT &o);
   PlaceAskT(PlaceAskT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4690,7 +4691,8 @@
     VT_ENDPOINT = 16,
     VT_BORN = 18,
     VT_ONLY_LIMIT = 20,
-    VT_LIMIT = 22
+    VT_LIMIT = 22,
+    VT_SUBSTITUTE = 24
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -4722,6 +4724,9 @@
   const hawthornroad::wire::StatedLimit *limit() const {
     return GetPointer<const hawthornroad::wire::StatedLimit *>(VT_LIMIT);
   }
+  bool substitute() const {
+    return GetField<uint8_t>(VT_SUBSTITUTE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -4736,6 +4741,7 @@
            VerifyField<uint8_t>(verifier, VT_ONLY_LIMIT, 1) &&
            VerifyOffset(verifier, VT_LIMIT) &&
            verifier.VerifyTable(limit()) &&
+           VerifyField<uint8_t>(verifier, VT_SUBSTITUTE, 1) &&
            verifier.EndTable();
   }
   PlaceAskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4777,6 +4783,9 @@
   void add_limit(flatbuffers::Offset<hawthornroad::wire::StatedLimit> limit) {
     fbb_.AddOffset(PlaceAsk::VT_LIMIT, limit);
   }
+  void add_substitute(bool substitute) {
+    fbb_.AddElement<uint8_t>(PlaceAsk::VT_SUBSTITUTE, static_cast<uint8_t>(substitute), 0);
+  }
   explicit PlaceAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4799,7 +4808,8 @@
     flatbuffers::Offset<flatbuffers::String> endpoint = 0,
     uint64_t born = 0,
     bool only_limit = false,
-    flatbuffers::Offset<hawthornroad::wire::StatedLimit> limit = 0) {
+    flatbuffers::Offset<hawthornroad::wire::StatedLimit> limit = 0,
+    bool substitute = false) {
   PlaceAskBuilder builder_(_fbb);
   builder_.add_born(born);
   builder_.add_number(number);
@@ -4808,6 +4818,7 @@
   builder_.add_places(places);
   builder_.add_usual_reading_us(usual_reading_us);
   builder_.add_reading_us(reading_us);
+  builder_.add_substitute(substitute);
   builder_.add_only_limit(only_limit);
   builder_.add_resumes(resumes);
   builder_.add_late(late);
@@ -4825,7 +4836,8 @@
     const char *endpoint = nullptr,
     uint64_t born = 0,
     bool only_limit = false,
-    flatbuffers::Offset<hawthornroad::wire::StatedLimit> limit = 0) {
+    flatbuffers::Offset<hawthornroad::wire::StatedLimit> limit = 0,
+    bool substitute = false) {
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   return hawthornroad::wire::CreatePlaceAsk(
       _fbb,
@@ -4838,7 +4850,8 @@
       endpoint__,
       born,
       only_limit,
-      limit);
+      limit,
+      substitute);
 }
 
 flatbuffers::Offset<PlaceAsk> CreatePlaceAsk(flatbuffers::FlatBufferBuilder &_fbb, const PlaceAskT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8008,7 +8021,8 @@
       (lhs.endpoint == rhs.endpoint) &&
       (lhs.born == rhs.born) &&
       (lhs.only_limit == rhs.only_limit) &&
-      ((lhs.limit == rhs.limit) || (lhs.limit && rhs.limit && *lhs.limit == *rhs.limit));
+      ((lhs.limit == rhs.limit) || (lhs.limit && rhs.limit && *lhs.limit == *rhs.limit)) &&
+      (lhs.substitute == rhs.substitute);
 }
 
 inline bool operator!=(const PlaceAskT &lhs, const PlaceAskT &rhs) {
@@ -8026,7 +8040,8 @@
         endpoint(o.endpoint),
         born(o.born),
         only_limit(o.only_limit),
-        limit((o.limit) ? new hawthornroad::wire::StatedLimitT(*o.limit) : nullptr) {
+        limit((o.limit) ? new hawthornroad::wire::StatedLimitT(*o.limit) : nullptr),
+        substitute(o.substitute) {
 }
 
 inline PlaceAskT &PlaceAskT::operator=(PlaceAskT o) FLATBUFFERS_NOEXCEPT {
@@ -8040,6 +8055,7 @@
   std::swap(born, o.born);
   std::swap(only_limit, o.only_limit);
   std::swap(limit, o.limit);
+  std::swap(substitute, o.substitute);
   return *this;
 }
 
@@ -8062,6 +8078,7 @@
   { auto _e = born(); _o->born = _e; }
   { auto _e = only_limit(); _o->only_limit = _e; }
   { auto _e = limit(); if (_e) _o->limit = std::unique_ptr<hawthornroad::wire::StatedLimitT>(_e->UnPack(_resolver)); }
+  { auto _e = substitute(); _o->substitute = _e; }
 }
 
 inline flatbuffers::Offset<PlaceAsk> PlaceAsk::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceAskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8082,6 +8099,7 @@
   auto _born = _o->born;
   auto _only_limit = _o->only_limit;
   auto _limit = _o->limit ? CreateStatedLimit(_fbb, _o->limit.get(), _rehasher) : 0;
+  auto _substitute = _o->substitute;
   return hawthornroad::wire::CreatePlaceAsk(
       _fbb,
       _number,
@@ -8093,7 +8111,8 @@
       _endpoint,
       _born,
       _only_limit,
-      _limit);
+      _limit,
+      _substitute);
 }
 
 
--- a/tests/unit/LimitFleet.cpp
+++ b/tests/unit/LimitFleet.cpp
@@ -162,9 +162,12 @@
 PlaceReply LimitFleet::decide(Server &Granter, Entry &From,
                               const PlaceDemand &D, bool IsOnlyLimit) {
   LimitGrants &Grants = Options_.GrantsAlone_ ? From.Own_ : Granter.Grants_;
+  GranterRole Role = GranterRole::Beside;
+  if (IsOnlyLimit)
+    Role = Options_.IsEngine_ ? GranterRole::Substitute : GranterRole::Chosen;
   if (D.Limit_)
     Grants.note(D.Endpoint_, *D.Limit_);
-  LimitGrants::Verdict V = Grants.check(D.Endpoint_, From.Name_, Now_);
+  LimitGrants::Verdict V = Grants.check(D.Endpoint_, From.Name_, Role, Now_);
   Granter.Places_.onReport(0, 0, Now_);
   PlaceReply R;
   R.LimitWait_ = V.Wait_;
--- a/tests/unit/LimitGrantsTest.cpp
+++ b/tests/unit/LimitGrantsTest.cpp
@@ -20,14 +20,20 @@
   return {PerSecond, At, At};
 }
 
+struct Granter {
+  GranterRole Role_;
+  LimitGrants Grants_;
+};
+
 // Asks each granter as often as it can; returns the most grants in any window.
-std::size_t mostGranted(std::vector<LimitGrants> &Granters, Duration Length) {
+std::size_t mostGranted(std::vector<Granter> &Granters, Duration Length) {
   std::deque<TimePoint> Last;
   std::size_t Most = 0;
   for (TimePoint Now = Start; Now < Start + Length; Now += Milliseconds(2)) {
-    for (LimitGrants &G : Granters)
-      while (G.check(E, ProcessName("entry"), Now).IsGranted_) {
-        G.take(E);
+    for (Granter &G : Granters)
+      while (
+          G.Grants_.check(E, ProcessName("entry"), G.Role_, Now).IsGranted_) {
+        G.Grants_.take(E);
         Last.push_back(Now);
       }
     while (!Last.empty() && Now - Last.front() >= Window)
@@ -43,10 +49,15 @@
 TEST_CASE("limit grants, of two granters at once, stay within the limit",
           "[limit]") {
   auto PerSecond = GENERATE(0.0, 0.5, 1.0, 1.7, 10.0, 100.0);
-  CAPTURE(PerSecond);
-  std::vector<LimitGrants> Granters(2);
-  for (LimitGrants &G : Granters)
-    G.note(E, statement(PerSecond, Start));
+  auto IsEngine = GENERATE(true, false);
+  CAPTURE(PerSecond, IsEngine);
+  std::vector<Granter> Granters(2, Granter{GranterRole::Chosen, {}});
+  if (IsEngine) {
+    Granters[0].Role_ = GranterRole::Beside;
+    Granters[1].Role_ = GranterRole::Substitute;
+  }
+  for (Granter &G : Granters)
+    G.Grants_.note(E, statement(PerSecond, Start));
   CHECK(static_cast<double>(mostGranted(Granters, Seconds(30))) <=
         allowed(PerSecond));
 }
@@ -59,7 +70,7 @@
   G.note(E, statement(0, Start));
   std::size_t Granted = 0;
   for (TimePoint Now = Start; Now < Start + Seconds(60); Now += Seconds(1))
-    if (G.check(E, ProcessName("entry"), Now).IsGranted_) {
+    if (G.check(E, ProcessName("entry"), GranterRole::Chosen, Now).IsGranted_) {
       G.take(E);
       ++Granted;
     }
@@ -74,7 +85,8 @@
   Duration Longest = Duration::zero();
   for (int I = 0; I < 300; ++I) {
     LimitGrants::Verdict V =
-        G.check(E, ProcessName("entry-" + std::to_string(I)), Start);
+        G.check(E, ProcessName("entry-" + std::to_string(I)),
+                GranterRole::Chosen, Start);
     if (V.IsGranted_)
       G.take(E);
     else
@@ -89,7 +101,9 @@
   G.note(E, statement(1, Start));
   CHECK(G.note(E, statement(std::nullopt, Start + Seconds(1))));
   for (int I = 0; I < 100; ++I)
-    CHECK(G.check(E, ProcessName("entry"), Start + Seconds(1)).IsGranted_);
+    CHECK(G.check(E, ProcessName("entry"), GranterRole::Chosen,
+                  Start + Seconds(1))
+              .IsGranted_);
 }
 
 // Guards against entries that all send at once after a pause.
