--- a/hawthornroad/config/Settings.cpp
+++ b/hawthornroad/config/Settings.cpp
@@ -182,6 +182,7 @@
   ObjectReader R = Top.object("policy");
   P.FairByCustomer_ = R.boolean("fair_by_customer", P.FairByCustomer_);
   P.LateGoBehind_ = R.boolean("late_go_behind", P.LateGoBehind_);
+  readDuration(R, "max_rest_ms", 1, HourMs, P.MaxRest_);
   P.AsksForPlaces_ = R.boolean("asks_for_places", P.AsksForPlaces_);
   P.LineShare_ = R.number("line_share", 0, 1, P.LineShare_);
   readDuration(R, "line_least_ms", 0, HourMs, P.LineLeast_);
--- a/hawthornroad/config/Settings.h
+++ b/hawthornroad/config/Settings.h
@@ -169,6 +169,8 @@
   Duration CrossZoneCost_ = Milliseconds(120);
   // Fraction of an endpoint's slots that late requests may not use.
   double KeptFromLate_ = 0.2;
+  // An endpoint that asks for a longer rest gets this one.
+  Duration MaxRest_ = Seconds(300);
   bool operator==(const EntryPolicy &) const = default;
 };
 
--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -71,6 +71,7 @@
   O.FairByCustomer_ = P.FairByCustomer_;
   O.LateGoBehind_ = P.LateGoBehind_;
   O.AsksForPlaces_ = P.AsksForPlaces_;
+  O.MaxRest_ = P.MaxRest_;
   O.LineShare_ = P.LineShare_;
   O.LineLeast_ = P.LineLeast_;
   O.Placement_.MostReading_ =
--- a/hawthornroad/entry/DirectEntryState.h
+++ b/hawthornroad/entry/DirectEntryState.h
@@ -71,6 +71,7 @@
   void report(const CallReport &R) override;
   void report(const AttemptReport &R) override;
   void report(const LimitReport &R) override;
+  void report(const HoldReport &R) override;
 
   void start();
   void tick();
--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -182,6 +182,18 @@
                static_cast<double>(Core_.limits().inForce()));
 }
 
+void DirectEntry::State::report(const HoldReport &R) {
+  constexpr std::array<const char *, 3> Names = {
+      "endpoint_rests", "endpoint_rest_ended", "endpoint_leaves"};
+  const char *Name = Names.at(static_cast<std::size_t>(R.Kind_));
+  LogLine L(Name);
+  L.text("endpoint", R.Endpoint_.str()).text("source", AnswerSource);
+  if (R.Kind_ == HoldReport::Kind::Rests)
+    L.millis("rest_ms", R.Rest_);
+  Log_.write(L, true);
+  Metrics_.count("hawthornroad_endpoint_holds_total", {{"event", Name}});
+}
+
 void DirectEntry::State::report(const CallReport &R) {
   LogLine L("request");
   L.text("request", R.Id_)
--- a/hawthornroad/traffic/Call.h
+++ b/hawthornroad/traffic/Call.h
@@ -85,6 +85,10 @@
   WeightVersion Version_ = 0;
   // Requests a second that the endpoint accepts from all processes together.
   std::optional<double> RateLimit_;
+  // With a refusal: how long the endpoint wants no request from this process.
+  std::optional<Duration> Rest_;
+  // The endpoint is leaving and takes no new requests.
+  bool IsLeaving_ = false;
   // Names of the fields whose values could not be read; they are ignored.
   std::vector<std::string_view> Unreadable_;
 };
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -42,6 +42,7 @@
 #include "hawthornroad/base/Random.h"
 #include "hawthornroad/config/RoutingConfig.h"
 #include "hawthornroad/traffic/Endpoint.h"
+#include "hawthornroad/traffic/EndpointHolds.h"
 
 #include <map>
 #include <optional>
@@ -162,6 +163,16 @@
   // itself (StatedLimits). The longest time holds.
   void hold(const EndpointId &Id, TimePoint Until);
   void release(const EndpointId &Id);
+  // The endpoint asked for rest, or says that it leaves; see EndpointHolds.
+  bool rest(const EndpointStart &E, TimePoint Until) {
+    return Holds_.rest(E, Until);
+  }
+  bool leave(const EndpointStart &E, TimePoint Now) {
+    return Holds_.leave(E, Now);
+  }
+  std::vector<EndpointStart> takeEndedRests(TimePoint Now) {
+    return Holds_.takeEnded(Now);
+  }
   // When the first usable endpoint is no longer held; TimePoint() when one
   // is not held at all, or none is usable.
   TimePoint heldUntil(const Query &Q) const;
@@ -259,6 +270,7 @@
 
   Options Options_;
   Random Random_;
+  EndpointHolds Holds_;
   std::map<EndpointId, State> States_;
   std::map<ServiceName, std::vector<EndpointId>> ByService_;
 };
--- a/hawthornroad/traffic/TrafficAttempts.cpp
+++ b/hawthornroad/traffic/TrafficAttempts.cpp
@@ -1,5 +1,7 @@
 #include "hawthornroad/traffic/TrafficState.h"
 
+#include <algorithm>
+
 namespace hawthornroad {
 
 namespace {
@@ -50,8 +52,10 @@
     afterFailure(*R, "wrong answer", Now);
     return dispatchFreed(Now);
   }
-  if (!Head.IsOtherEndpoint_)
+  if (!Head.IsOtherEndpoint_) {
     noteLimit(*R, Head, Now);
+    noteHolds(*R, Head, Now);
+  }
   if (Head.HasLoad_)
     Placement_.updateLoad(R->At_, Head.Running_, Head.Waiting_, Now);
   if (Head.NotRun_)
@@ -81,6 +85,18 @@
             Now);
 }
 
+void TrafficCore::noteHolds(const Record &R, const EndpointHead &H,
+                            TimePoint Now) {
+  EndpointStart E{R.At_, R.Born_};
+  if (H.Rest_ && *H.Rest_ > Duration::zero()) {
+    Duration Rest = std::min(*H.Rest_, Options_.MaxRest_);
+    if (Placement_.rest(E, Now + Rest))
+      Port_.report(HoldReport{R.At_, HoldReport::Kind::Rests, Rest});
+  }
+  if (H.IsLeaving_ && Placement_.leave(E, Now))
+    Port_.report(HoldReport{R.At_, HoldReport::Kind::Leaves});
+}
+
 void TrafficCore::noteLimit(const EndpointStart &E, const LimitStatement &S,
                             std::string_view Source, TimePoint Now) {
   const LimitStatement *Before = Limits_.find(E);
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -341,6 +341,8 @@
   for (Record *R : Open)
     if (!R->IsDone_)
       checkTime(*R, Now);
+  for (const EndpointStart &E : Placement_.takeEndedRests(Now))
+    Port_.report(HoldReport{E.Id_, HoldReport::Kind::RestEnded});
   for (const auto &[Name, L] : ServiceQueues_)
     if (!L.Queue_.empty())
       Freed_.insert(Name);
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -148,6 +148,14 @@
   Duration Age_ = Duration::zero();
 };
 
+// An endpoint asked this process to send it nothing, or its rest ended.
+struct HoldReport {
+  enum class Kind { Rests, RestEnded, Leaves };
+  EndpointId Endpoint_;
+  Kind Kind_ = Kind::Rests;
+  Duration Rest_ = Duration::zero();
+};
+
 // What a request needs of an engine, see PlaceGrants.
 struct PlaceDemand {
   PlaceKind Kind_ = PlaceKind::First;
@@ -208,6 +216,7 @@
   virtual void report(const CallReport &R) = 0;
   virtual void report(const AttemptReport &R) = 0;
   virtual void report(const LimitReport &R) {}
+  virtual void report(const HoldReport &R) {}
 };
 
 // Requests at an engine, as reported by its agent.
@@ -267,6 +276,8 @@
     // not answer within AskTimeout_.
     Duration LimitRetry_ = Milliseconds(500);
     LimitShare::Options Share_;
+    // An endpoint that asks for a longer rest gets this one.
+    Duration MaxRest_ = Seconds(300);
     // Deadline when the caller states none.
     Duration DefaultTimeLeft_ = Seconds(30);
     // An event stream without a byte for this long, before and after its first
@@ -392,6 +403,8 @@
   void noteCompletion(const ServiceName &Service, TimePoint Now);
   // What the answer of R's attempt states of the endpoint's rate limit.
   void noteLimit(const Record &R, const EndpointHead &H, TimePoint Now);
+  // What the answer of R's attempt asks for: rest, or nothing more at all.
+  void noteHolds(const Record &R, const EndpointHead &H, TimePoint Now);
   void noteLimit(const EndpointStart &E, const LimitStatement &S,
                  std::string_view Source, TimePoint Now);
 
