--- a/tests/unit/LimitFleet.cpp
+++ b/tests/unit/LimitFleet.cpp
@@ -22,6 +22,19 @@
   std::vector<Arrival> Arrivals_;
   // When each start of an entry passed on the first answer that names a limit.
   std::map<std::pair<unsigned, unsigned>, TimePoint> InformedAt_;
+  struct Refusal {
+    TimePoint From_;
+    TimePoint To_;
+    Duration Rest_;
+  };
+  std::vector<Refusal> Refusals_;
+  // By entry and its start: when it was asked for rest, and the rest's end.
+  std::map<std::pair<unsigned, unsigned>,
+           std::vector<std::pair<TimePoint, TimePoint>>>
+      Rests_;
+  TimePoint LeavesAt_ = TimePoint::max();
+  // When each start of an entry passed on the first answer that says so.
+  std::map<std::pair<unsigned, unsigned>, TimePoint> LeavingKnownAt_;
   // The agent beside it.
   PlaceGrants Places_;
   LimitGrants Grants_;
@@ -237,6 +250,9 @@
                           const std::string &RequestId) {
   Server &S = *Servers_[Endpoint];
   S.Arrivals_.push_back({Now_, From.Index_, From.Starts_});
+  for (const Server::Refusal &Each : S.Refusals_)
+    if (Now_ >= Each.From_ && Now_ < Each.To_)
+      return refuse(S, From, A, Each.Rest_);
   after(Service, [this, &S, &From, A, RequestId, Starts = From.Starts_] {
     HeaderFields Fields = {{"X-Hawthornroad-Request-Id", RequestId},
                            {"X-Hawthornroad-Server-Stamp", "s"}};
@@ -245,19 +261,79 @@
     std::optional<double> Limit = S.limitAt(Now_);
     if (Limit)
       Fields.push_back({"Server-Limit", std::to_string(*Limit)});
-    after(Hop,
-          [this, &S, &From, A, Fields, Starts, IsLimited = Limit.has_value()] {
-            if (From.Starts_ != Starts || From.Open_.erase(A) == 0)
-              return;
-            if (IsLimited)
-              S.InformedAt_.emplace(std::pair(From.Index_, Starts), Now_);
-            From.Core_->onHead(A, platform::decodeAnswer(200, Fields), Now_);
-            From.Core_->onBody(A, "id: 1\ndata: x\n\n", Now_);
-            From.Core_->onEnd(A, Now_);
-          });
+    bool IsLeaving = Now_ >= S.LeavesAt_;
+    if (IsLeaving)
+      Fields.push_back({"Server-Leaving", "1"});
+    after(Hop, [this, &S, &From, A, Fields, Starts, IsLeaving,
+                IsLimited = Limit.has_value()] {
+      if (From.Starts_ != Starts || From.Open_.erase(A) == 0)
+        return;
+      if (IsLimited)
+        S.InformedAt_.emplace(std::pair(From.Index_, Starts), Now_);
+      if (IsLeaving)
+        S.LeavingKnownAt_.emplace(std::pair(From.Index_, Starts), Now_);
+      From.Core_->onHead(A, platform::decodeAnswer(200, Fields), Now_);
+      From.Core_->onBody(A, "id: 1\ndata: x\n\n", Now_);
+      From.Core_->onEnd(A, Now_);
+    });
+  });
+}
+
+void LimitFleet::refuse(Server &S, Entry &From, AttemptNumber A,
+                        Duration Rest) {
+  std::pair Key(From.Index_, From.Starts_);
+  S.Rests_[Key].emplace_back(Now_, Now_ + Rest);
+  std::string Seconds =
+      std::to_string(std::chrono::duration<double>(Rest).count());
+  after(Hop, [this, &From, A, Seconds, Starts = From.Starts_] {
+    if (From.Starts_ != Starts || From.Open_.erase(A) == 0)
+      return;
+    HeaderFields Fields = {{"X-Hawthornroad-Not-Executed", "1"},
+                           {"Retry-After", Seconds}};
+    From.Core_->onHead(A, platform::decodeAnswer(503, Fields), Now_);
+    From.Core_->onEnd(A, Now_);
   });
 }
 
+void LimitFleet::turnAway(unsigned Endpoint, TimePoint From, TimePoint To,
+                          Duration Rest) {
+  Servers_[Endpoint]->Refusals_.push_back({From, To, Rest});
+}
+
+void LimitFleet::leave(unsigned Endpoint, TimePoint At) {
+  Servers_[Endpoint]->LeavesAt_ = At;
+}
+
+std::size_t LimitFleet::mostInRest() const {
+  std::size_t Most = 0;
+  for (const auto &S : Servers_) {
+    std::map<std::pair<unsigned, unsigned>, std::vector<TimePoint>> ByEntry;
+    for (const Arrival &Each : S->Arrivals_)
+      ByEntry[{Each.Entry_, Each.Starts_}].push_back(Each.At_);
+    for (const auto &[Key, Rests] : S->Rests_)
+      for (const auto &[AskedAt, End] : Rests) {
+        const std::vector<TimePoint> &Times = ByEntry[Key];
+        auto First =
+            std::lower_bound(Times.begin(), Times.end(), AskedAt + EntryBound);
+        auto Last = std::lower_bound(First, Times.end(), End);
+        Most = std::max(Most, static_cast<std::size_t>(Last - First));
+      }
+  }
+  return Most;
+}
+
+std::size_t LimitFleet::afterLeaving() const {
+  std::size_t Sum = 0;
+  for (const auto &S : Servers_)
+    for (const Arrival &Each : S->Arrivals_) {
+      auto Known = S->LeavingKnownAt_.find({Each.Entry_, Each.Starts_});
+      if (Known != S->LeavingKnownAt_.end() &&
+          Each.At_ >= Known->second + DrainBound)
+        ++Sum;
+    }
+  return Sum;
+}
+
 void LimitFleet::run(Duration Length) {
   TimePoint End = Now_ + Length;
   while (!Events_.empty() && Events_.begin()->first <= End) {
--- a/tests/unit/LimitFleet.h
+++ b/tests/unit/LimitFleet.h
@@ -48,12 +48,20 @@
   static constexpr double Excess = 1.5;
   static constexpr Duration ContactBound = Seconds(3);
   static constexpr Duration EntryBound = Milliseconds(500);
+  static constexpr Duration DrainBound = Seconds(2);
+  // Requests of one entry that a rest allows.
+  static constexpr std::size_t RestSlack = 2;
 
   explicit LimitFleet(Options O);
   ~LimitFleet();
 
   // From At on, the endpoint names this limit in its answers; unset: none.
   void limit(unsigned Endpoint, std::optional<double> PerSecond, TimePoint At);
+  // In this span the endpoint turns all requests away and asks each entry to
+  // send nothing for Rest.
+  void turnAway(unsigned Endpoint, TimePoint From, TimePoint To, Duration Rest);
+  // From At on, its answers say that it leaves.
+  void leave(unsigned Endpoint, TimePoint At);
   // In this span the entry does not reach any agent: queries stay unanswered.
   void cut(unsigned Entry, TimePoint From, TimePoint To);
   // The entry restarts and knows nothing.
@@ -66,6 +74,12 @@
   // The most requests in any window above what the rule allows, over all
   // endpoints; negative or zero when the rule holds.
   double excess() const;
+  // The most requests of one entry at one endpoint between EntryBound after it
+  // was asked for rest and the end of that rest.
+  std::size_t mostInRest() const;
+  // Requests that reached a leaving endpoint later than DrainBound after their
+  // entry had passed on an answer that says so.
+  std::size_t afterLeaving() const;
   // Requests at an endpoint in a span, of all entries.
   std::size_t arrivals(unsigned Endpoint, TimePoint From, TimePoint To) const;
   // Requests of callers that were answered with success in a span.
@@ -89,6 +103,7 @@
   }
   void arriveAt(unsigned Endpoint, Entry &From, AttemptNumber A,
                 const std::string &RequestId);
+  void refuse(Server &S, Entry &From, AttemptNumber A, Duration Rest);
   void nextRequest(Entry &E);
   void tick(Entry &E);
   void start(Entry &E);
