An endpoint that asks for rest is sent nothing until its end

What callers saw: engines that had answered 503 with Retry-After: 3 got up to 7 requests from one entry within that time (2 allowed), and requests went from one resting engine to the next until their repeats were used up and they were refused.

Cause: Retry-After of an endpoint was read nowhere; a full endpoint was left alone for 60 to 500 ms, whatever it asked for.

Change: Placement leaves a resting endpoint out of every choice (arriving and waiting requests, next attempts, resumed streams; all go through choose()), and a place that is granted while the rest begins is not used. The rest is kept by start of the endpoint and outlives its row in the list. When all endpoints of a service are held back, by rests or limits, a request is refused at once with the time at which the first may be used (cause endpoints_held, named endpoints_limited before); such refusals do not count as overload.

--- a/hawthornroad/traffic/Placement.cpp
+++ b/hawthornroad/traffic/Placement.cpp
@@ -158,7 +158,7 @@
   std::vector<const State *> Unresponsive;
   for (const EndpointId &Id : Found->second) {
     const State &S = States_.at(Id);
-    if (!isUsable(S, Q) || isHeld(S, Now))
+    if (!isUsable(S, Q) || Now < holdEnd(S))
       continue;
     if (Now < S.EjectedUntil_)
       Ejected.push_back(&S);
@@ -256,6 +256,11 @@
     Found->second.HeldUntil_.reset();
 }
 
+bool Placement::isHeld(const EndpointId &Id, TimePoint Now) const {
+  auto Found = States_.find(Id);
+  return Found != States_.end() && Now < holdEnd(Found->second);
+}
+
 TimePoint Placement::heldUntil(const Query &Q) const {
   auto Found = ByService_.find(Q.Service_);
   if (Found == ByService_.end())
@@ -265,8 +270,7 @@
     const State &S = States_.at(Id);
     if (!isUsable(S, Q))
       continue;
-    TimePoint Until = S.HeldUntil_.value_or(TimePoint());
-    First = First ? std::min(*First, Until) : Until;
+    First = First ? std::min(*First, holdEnd(S)) : holdEnd(S);
   }
   return First.value_or(TimePoint());
 }
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -44,6 +44,7 @@
 #include "hawthornroad/traffic/Endpoint.h"
 #include "hawthornroad/traffic/EndpointHolds.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -173,6 +174,8 @@
   std::vector<EndpointStart> takeEndedRests(TimePoint Now) {
     return Holds_.takeEnded(Now);
   }
+  // Whether the endpoint is held, rests or leaves.
+  bool isHeld(const EndpointId &Id, TimePoint Now) const;
   // When the first usable endpoint is no longer held; TimePoint() when one
   // is not held at all, or none is usable.
   TimePoint heldUntil(const Query &Q) const;
@@ -258,8 +261,10 @@
   bool mayAsk(const State &S, TimePoint Now) const {
     return S.Endpoint_.HasModel_ && Now >= S.AskPausedUntil_;
   }
-  static bool isHeld(const State &S, TimePoint Now) {
-    return S.HeldUntil_ && Now < *S.HeldUntil_;
+  // Until when the endpoint itself holds back; TimePoint() when it does not.
+  TimePoint holdEnd(const State &S) const {
+    return std::max(S.HeldUntil_.value_or(TimePoint()),
+                    Holds_.restsUntil(startOf(S.Endpoint_)));
   }
   bool isUnresponsive(const State &S, const Query &Q, TimePoint Now) const;
   // Whether such a request finds no free place there now.
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -142,7 +142,7 @@
 // as overloaded.
 Duration TrafficCore::retryAfter(const Record &R, Cause Why, TimePoint Now) {
   Overload &O = ServiceQueues_[R.Service_].Overload_;
-  if (Why != Cause::EndpointsLimited)
+  if (Why != Cause::EndpointsHeld)
     O.refused(Now);
   Duration Base =
       std::clamp<Duration>(O.elapsed(Now), 2 * MinRetryAfter, MaxRetryAfter);
@@ -187,7 +187,7 @@
                  std::chrono::duration_cast<Duration>(R.Route_->FirstByteGoal_ *
                                                       Options_.LineShare_));
     if (heldUntil(R, Now) > Now + Limit)
-      return giveUp(R, Cause::EndpointsLimited, Now);
+      return giveUp(R, Cause::EndpointsHeld, Now);
     if (R.IsLate_ || estimatedWait(R.Service_, R) > Limit)
       return giveUp(R, Cause::LineFull, Now);
   }
@@ -401,8 +401,8 @@
     onDenied(R, W, Now);
   bool IsNewEnough =
       R.AsksOnlyLimit_ || W.Version_ >= minVersion(R.Service_, Now);
-  bool IsUsable =
-      W.IsGranted_ && E != nullptr && !E->IsDraining_ && IsNewEnough;
+  bool IsUsable = W.IsGranted_ && E != nullptr && !E->IsDraining_ &&
+                  IsNewEnough && !Placement_.isHeld(R.AskedOf_, Now);
   if (!IsUsable || !begin(R, *E, Now))
     if (!R.IsDone_)
       askElsewhere(R, Now);
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -32,8 +32,8 @@
     return "key_lease_over";
   case Cause::NoEndpoint:
     return "no_endpoint";
-  case Cause::EndpointsLimited:
-    return "endpoints_limited";
+  case Cause::EndpointsHeld:
+    return "endpoints_held";
   case Cause::LineFull:
     return "line_full";
   case Cause::WaitedTooLong:
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -80,7 +80,7 @@
   NoKey,
   KeyLeaseOver,
   NoEndpoint,
-  EndpointsLimited,
+  EndpointsHeld,
   LineFull,
   WaitedTooLong,
   DeadlinePassed,
--- a/tests/unit/EndpointRestTest.cpp
+++ b/tests/unit/EndpointRestTest.cpp
@@ -104,3 +104,51 @@
   }
   CHECK(CountAtResting() == 0);
 }
+
+// Guards against callers who wait for endpoints that take nothing, or come back
+// too early.
+TEST_CASE_METHOD(CoreFixture,
+                 "traffic core, when all endpoints of a service rest, refuses "
+                 "at once with the time at which the first may be used",
+                 "[rest]") {
+  for (const char *Rest : {"3", "5"}) {
+    CallNumber N = send("/safe/1");
+    REQUIRE(Port_.Answers_.count(N) == 0);
+    Core_.onHead(Port_.last().Attempt_, refusal(Rest), Start);
+    Core_.onEnd(Port_.last().Attempt_, Start);
+  }
+  std::size_t Attempts = Port_.Begun_.size();
+  TimePoint Now = Start + Seconds(1);
+  CallNumber N = send("/safe/1", Now);
+  CHECK(Port_.Begun_.size() == Attempts);
+  CHECK(answerOf(N).Status_ == 503);
+  CHECK(answerOf(N).Cause_ == Cause::EndpointsHeld);
+  CHECK(answerOf(N).RetryAfter_ >= Seconds(2));
+  CHECK(answerOf(N).RetryAfter_ <= Seconds(3));
+  Now = Start + Seconds(3);
+  Core_.prove(Now, Now);
+  Core_.tick(Now);
+  send("/safe/1", Now);
+  CHECK(Port_.Begun_.size() == Attempts + 1);
+}
+
+// Guards against a rest that is forgotten when the store's list is read anew.
+TEST_CASE_METHOD(CoreFixture,
+                 "traffic core, when a resting endpoint vanishes from the list "
+                 "and returns, sends it nothing until the rest ends",
+                 "[rest]") {
+  send("/safe/1");
+  EndpointId Resting = Port_.last().Params_.Endpoint_;
+  Core_.onHead(Port_.last().Attempt_, refusal("3"), Start);
+  Core_.onEnd(Port_.last().Attempt_, Start);
+  Endpoint Row = *Core_.endpoints().find(Resting);
+  Core_.endpoints().removed({Resting}, Start);
+  Core_.endpointsChanged(Start);
+  Core_.endpoints().changed(Row, Start + Seconds(1));
+  Core_.endpointsChanged(Start + Seconds(1));
+  std::size_t Before = Port_.Begun_.size();
+  for (int I = 0; I < 4; ++I)
+    send("/safe/1", Start + Seconds(1));
+  for (std::size_t I = Before; I < Port_.Begun_.size(); ++I)
+    CHECK(Port_.Begun_[I].Params_.Endpoint_ != Resting);
+}
