An endpoint that says it leaves is sent nothing new

The list of endpoints, which all paths read, may be seconds late.

Placement treats such an endpoint as one that drains, from the first answer on, for all ways; running requests end as they would.

--- a/hawthornroad/traffic/Placement.cpp
+++ b/hawthornroad/traffic/Placement.cpp
@@ -104,7 +104,8 @@
 }
 
 bool Placement::isUsable(const State &S, const Query &Q) const {
-  if (!S.IsListed_ || S.IsReplaced_ || S.Endpoint_.IsDraining_)
+  if (!S.IsListed_ || S.IsReplaced_ || S.Endpoint_.IsDraining_ ||
+      Holds_.isLeaving(startOf(S.Endpoint_)))
     return false;
   if (Q.Tried_ != nullptr && Q.Tried_->contains(S.Endpoint_.Id_))
     return false;
@@ -258,7 +259,10 @@
 
 bool Placement::isHeld(const EndpointId &Id, TimePoint Now) const {
   auto Found = States_.find(Id);
-  return Found != States_.end() && Now < holdEnd(Found->second);
+  if (Found == States_.end())
+    return false;
+  const State &S = Found->second;
+  return Now < holdEnd(S) || Holds_.isLeaving(startOf(S.Endpoint_));
 }
 
 TimePoint Placement::heldUntil(const Query &Q) const {
--- a/tests/unit/EndpointRestTest.cpp
+++ b/tests/unit/EndpointRestTest.cpp
@@ -152,3 +152,43 @@
   for (std::size_t I = Before; I < Port_.Begun_.size(); ++I)
     CHECK(Port_.Begun_[I].Params_.Endpoint_ != Resting);
 }
+
+// Guards against a leaving endpoint whose running requests are cut off.
+TEST_CASE_METHOD(CoreFixture,
+                 "traffic core, when an endpoint says that it leaves, lets its "
+                 "running requests end",
+                 "[rest]") {
+  CallNumber First = send("/stream/1");
+  AttemptNumber A = Port_.last().Attempt_;
+  EndpointId Leaving = Port_.last().Params_.Endpoint_;
+  EndpointHead H = head(First, 200, true);
+  H.IsLeaving_ = true;
+  Core_.onHead(A, H, Start);
+  Core_.onBody(A, "id: 1\ndata: x\n\n", Start);
+  for (int I = 0; I < 4; ++I)
+    send("/stream/1", Start);
+  for (std::size_t I = 1; I < Port_.Begun_.size(); ++I)
+    CHECK(Port_.Begun_[I].Params_.Endpoint_ != Leaving);
+  Core_.tick(Start + Milliseconds(500));
+  CHECK(Port_.Cancelled_.empty());
+  Core_.onBody(A, "id: 2\ndata: y\n\n", Start + Milliseconds(500));
+  Core_.onEnd(A, Start + Milliseconds(500));
+  CHECK(answerOf(First).Finished_);
+}
+
+// Guards against a service whose only endpoint leaves, and callers who wait.
+TEST_CASE_METHOD(CoreFixture,
+                 "traffic core, when all endpoints of a service leave, refuses "
+                 "at once",
+                 "[rest]") {
+  for (int I = 0; I < 2; ++I) {
+    CallNumber N = send("/safe/1");
+    EndpointHead H = head(N);
+    H.IsLeaving_ = true;
+    Core_.onHead(Port_.last().Attempt_, H, Start);
+    Core_.onEnd(Port_.last().Attempt_, Start);
+  }
+  CallNumber N = send("/safe/1");
+  CHECK(answerOf(N).Status_ == 503);
+  CHECK(answerOf(N).Cause_ == Cause::NoEndpoint);
+}
