--- a/fakes/ServiceFake.h
+++ b/fakes/ServiceFake.h
@@ -26,12 +26,19 @@
 
 private:
   std::uint64_t countRun(const HttpRequest &R);
+  // What its answers say of the service's own state.
+  HttpHeaders statements() const;
 
   IoThread &Io_;
   Options Options_;
   Duration Work_ = Options_.Work_;
   bool FailRequests_ = false;
   bool AbortDuringCall_ = false;
+  // Requests a second; negative: no limit is stated.
+  double RateLimit_ = -1;
+  // Seconds of rest asked for with each refusal; negative: none is refused.
+  double RetryAfter_ = -1;
+  bool IsLeaving_ = false;
   std::map<std::string, std::uint64_t> RunsByKey_;
   std::uint64_t Total_ = 0;
 };
--- a/tests/integration/FakesTest.cpp
+++ b/tests/integration/FakesTest.cpp
@@ -350,3 +350,21 @@
   REQUIRE(textAt(Answer, "echo") == "b");
   REQUIRE(numberAt(Service.counters(), "total") == 2);
 }
+
+TEST_CASE_METHOD(FakesFixture,
+                 "service, in need, states its limit, that it leaves, and how "
+                 "long it wants no call",
+                 "[fakes]") {
+  Fake &Service = fake("service", {"--name", "desk"});
+  HttpRequest Call = {.Method_ = "POST", .Target_ = "/invoices"};
+  Service.setFaults(R"({"rate_limit":1.5,"leaving":true})");
+  HttpResponse Served = fetch(Service.address(), Call);
+  REQUIRE(Served.Status_ == 200);
+  REQUIRE(findHeader(Served.Headers_, "Server-Limit") == "1.500000");
+  REQUIRE(findHeader(Served.Headers_, "Server-Leaving") == "1");
+  Service.setFaults(R"({"retry_after":3})");
+  HttpResponse Refused = fetch(Service.address(), Call);
+  REQUIRE(Refused.Status_ == 503);
+  REQUIRE(findHeader(Refused.Headers_, "Retry-After") == "3.000000");
+  REQUIRE(numberAt(Service.counters(), "total") == 1);
+}
--- a/tests/integration/PlatformFixture.cpp
+++ b/tests/integration/PlatformFixture.cpp
@@ -227,6 +227,32 @@
   RateLimit_ = PerSecond;
 }
 
+void EndpointStandIn::setRest(std::optional<double> Seconds) {
+  std::lock_guard Lock(Mutex_);
+  Rest_ = Seconds;
+}
+
+void EndpointStandIn::setLeaving() {
+  std::lock_guard Lock(Mutex_);
+  IsLeaving_ = true;
+}
+
+int EndpointStandIn::refusals() const {
+  std::lock_guard Lock(Mutex_);
+  return Refusals_;
+}
+
+bool EndpointStandIn::refuseForRest(const std::shared_ptr<HttpExchange> &X) {
+  std::lock_guard Lock(Mutex_);
+  if (!Rest_)
+    return false;
+  ++Refusals_;
+  X->respond({.Status_ = 503,
+              .Headers_ = {{"X-Hawthornroad-Not-Executed", "1"},
+                           {"Retry-After", std::to_string(*Rest_)}}});
+  return true;
+}
+
 HttpHeaders EndpointStandIn::headersFor(const HttpRequest &R) const {
   std::lock_guard Lock(Mutex_);
   HttpHeaders Out = {
@@ -235,6 +261,8 @@
        findHeader(R.Headers_, "X-Hawthornroad-Request-Id").value_or("")}};
   if (RateLimit_)
     Out.push_back({"Server-Limit", std::to_string(*RateLimit_)});
+  if (IsLeaving_)
+    Out.push_back({"Server-Leaving", "1"});
   return Out;
 }
 
@@ -270,6 +298,8 @@
   if (Expected && *Expected != Id_)
     return X->respond(
         {.Status_ = 421, .Headers_ = {{"X-Hawthornroad-Instance-Id", Id_}}});
+  if (refuseForRest(X))
+    return;
   if (Mode_ == Mode::NotRun)
     return X->respond(
         {.Status_ = 503, .Headers_ = {{"X-Hawthornroad-Not-Executed", "1"}}});
--- a/tests/integration/PlatformFixture.h
+++ b/tests/integration/PlatformFixture.h
@@ -96,10 +96,16 @@
   void setModel(const std::string &Model, int Version);
   // The rate limit that its answers state; unset: none.
   void setRateLimit(std::optional<double> PerSecond);
+  // Turns every request away and asks for this rest, in seconds; unset: none.
+  void setRest(std::optional<double> Seconds);
+  // From now on its answers say that it leaves.
+  void setLeaving();
   // Delay before each answer.
   void setDelay(Duration D) { Delay_ = D; }
   int runs(const std::string &Request) const;
   int runs() const;
+  // Requests that it turned away asking for rest.
+  int refusals() const;
   // The most recent request that ran.
   HttpRequest last() const;
 
@@ -108,6 +114,7 @@
   void run(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
   void stream(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
   boost::json::array models() const;
+  bool refuseForRest(const std::shared_ptr<HttpExchange> &X);
   HttpHeaders headersFor(const HttpRequest &R) const;
 
   std::string Id_;
@@ -119,6 +126,9 @@
   std::string Model_;
   int ModelVersion_ = 0;
   std::optional<double> RateLimit_;
+  std::optional<double> Rest_;
+  bool IsLeaving_ = false;
+  int Refusals_ = 0;
   std::atomic<Mode> Mode_{Mode::Normal};
   std::atomic<Duration> Delay_{Duration::zero()};
   std::unique_ptr<HttpServer> Server_;
