A grant under a limit is used although another query was denied

Found by reading: of two queries under way for one engine the first is denied by the limit, which holds the engine back, and the second is granted; its request was then sent elsewhere, and the grant lost. Only a rest or a leaving overrides a grant now. Test before: 'traffic core, granted a request under a limit after another was denied...' began no attempt.

--- a/hawthornroad/traffic/Placement.cpp
+++ b/hawthornroad/traffic/Placement.cpp
@@ -257,12 +257,12 @@
     Found->second.HeldUntil_.reset();
 }
 
-bool Placement::isHeld(const EndpointId &Id, TimePoint Now) const {
+bool Placement::restsOrLeaves(const EndpointId &Id, TimePoint Now) const {
   auto Found = States_.find(Id);
   if (Found == States_.end())
     return false;
-  const State &S = Found->second;
-  return Now < holdEnd(S) || Holds_.isLeaving(startOf(S.Endpoint_));
+  EndpointStart E = startOf(Found->second.Endpoint_);
+  return Now < Holds_.restsUntil(E) || Holds_.isLeaving(E);
 }
 
 TimePoint Placement::heldUntil(const Query &Q) const {
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -174,8 +174,8 @@
   std::vector<EndpointStart> takeEndedRests(TimePoint Now) {
     return Holds_.takeEnded(Now);
   }
-  // Whether the endpoint is held, rests or leaves.
-  bool isHeld(const EndpointId &Id, TimePoint Now) const;
+  // Whether the endpoint rests or leaves; a grant does not override that.
+  bool restsOrLeaves(const EndpointId &Id, TimePoint Now) const;
   // When the first usable endpoint is no longer held; TimePoint() when one
   // is not held at all, or none is usable.
   TimePoint heldUntil(const Query &Q) const;
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -402,7 +402,7 @@
   bool IsNewEnough =
       R.AsksOnlyLimit_ || W.Version_ >= minVersion(R.Service_, Now);
   bool IsUsable = W.IsGranted_ && E != nullptr && !E->IsDraining_ &&
-                  IsNewEnough && !Placement_.isHeld(R.AskedOf_, Now);
+                  IsNewEnough && !Placement_.restsOrLeaves(R.AskedOf_, Now);
   if (!IsUsable || !begin(R, *E, Now))
     if (!R.IsDone_)
       askElsewhere(R, Now);
--- a/tests/unit/EndpointLimitTest.cpp
+++ b/tests/unit/EndpointLimitTest.cpp
@@ -200,3 +200,44 @@
           CHECK(Worst <= 0);
       }
 }
+
+// Guards against grants that are thrown away because another query was denied.
+TEST_CASE_METHOD(CoreFixture,
+                 "traffic core, granted a request under a limit after another "
+                 "was denied, sends it",
+                 "[limit]") {
+  Port_.HasAgents_ = true;
+  send("/stream/1");
+  send("/stream/1");
+  send("/stream/1");
+  REQUIRE(Port_.Asked_.size() == 3);
+  // Two of the three queries went to one engine.
+  auto AddressOf = [&](std::size_t I) { return Port_.Asked_[I].Address_; };
+  std::size_t First = AddressOf(0) == AddressOf(1) ? 0 : 2;
+  std::size_t Second = AddressOf(1) == AddressOf(First) ? 1 : 0;
+  REQUIRE(AddressOf(First) == AddressOf(Second));
+  std::string Address = AddressOf(First);
+  PlaceReply Denied{.Version_ = 1, .LimitWait_ = Seconds(5)};
+  Denied.Limit_ = LimitStatement{1.0, Start, Start};
+  Core_.onPlaceReply(Port_.Asked_[First].Attempt_, Denied, Start);
+  std::size_t Before = Port_.Begun_.size();
+  PlaceReply Granted{.IsGranted_ = true, .Version_ = 1};
+  Granted.Limit_ = Denied.Limit_;
+  Core_.onPlaceReply(Port_.Asked_[Second].Attempt_, Granted, Start);
+  REQUIRE(Port_.Begun_.size() == Before + 1);
+  CHECK(Port_.last().Params_.Address_ == Address);
+}
+
+// Guards against a limit that is passed by because another field of the answer
+// could not be read.
+TEST_CASE_METHOD(CoreFixture,
+                 "traffic core, given a limit beside an unreadable field, "
+                 "takes the limit",
+                 "[limit]") {
+  CallNumber N = send("/safe/1");
+  EndpointHead H = head(N);
+  H.RateLimit_ = 1.0;
+  H.Unreadable_ = {"another field"};
+  Core_.onHead(Port_.last().Attempt_, H, Start);
+  CHECK(Core_.limits().inForce() == 1);
+}
