A limit counts although another field of the answer is unreadable

Found by reading: noteLimit() took nothing from an answer with any unreadable field. Test before: 'traffic core, given a limit beside an unreadable field...' found no limit in force.

--- a/hawthornroad/traffic/TrafficAttempts.cpp
+++ b/hawthornroad/traffic/TrafficAttempts.cpp
@@ -78,8 +78,8 @@
 // does not: it may come from a queue before the endpoint.
 void TrafficCore::noteLimit(const Record &R, const EndpointHead &H,
                             TimePoint Now) {
-  bool StatesNothing = !H.Unreadable_.empty() || (H.NotRun_ && !H.RateLimit_);
-  if (StatesNothing)
+  bool MayEndLimit = !H.NotRun_ && H.Unreadable_.empty();
+  if (!H.RateLimit_ && !MayEndLimit)
     return;
   noteLimit({R.At_, R.Born_}, {H.RateLimit_, R.BegunAt_, Now}, AnswerSource,
             Now);
