Limit grants forget endpoints whose limits are forgotten

Found by reading: the grants of an endpoint that ended without a last statement were kept for good. Test before: 'limit grants, of more endpoints than are remembered...' counted 8,192 of at most 4,096.

--- a/hawthornroad/traffic/LimitGrants.cpp
+++ b/hawthornroad/traffic/LimitGrants.cpp
@@ -24,6 +24,16 @@
   B.FilledAt_ = Now;
 }
 
+bool LimitGrants::note(const EndpointStart &E, const LimitStatement &S) {
+  if (!Limits_.note(E, S))
+    return false;
+  // Endpoints end without a last statement, and their limits are forgotten.
+  std::erase_if(Buckets_, [&](const auto &Each) {
+    return Limits_.find(Each.first) == nullptr;
+  });
+  return true;
+}
+
 LimitGrants::Verdict LimitGrants::check(const EndpointStart &E,
                                         const ProcessName &Asker,
                                         GranterRole Role, TimePoint Now) {
--- a/hawthornroad/traffic/LimitGrants.h
+++ b/hawthornroad/traffic/LimitGrants.h
@@ -74,15 +74,15 @@
   explicit LimitGrants(Options O) : Options_(O) {}
 
   // True when the limit in force changed.
-  bool note(const EndpointStart &E, const LimitStatement &S) {
-    return Limits_.note(E, S);
-  }
+  bool note(const EndpointStart &E, const LimitStatement &S);
   const StatedLimits &limits() const { return Limits_; }
   // Whether the endpoint accepts one more request now. Granted without a limit.
   Verdict check(const EndpointStart &E, const ProcessName &Asker,
                 GranterRole Role, TimePoint Now);
   // Counts the request that check() has just granted.
   void take(const EndpointStart &E);
+  // Number of endpoints whose grants are counted.
+  std::size_t counted() const { return Buckets_.size(); }
 
 private:
   struct Bucket {
--- a/tests/unit/LimitGrantsTest.cpp
+++ b/tests/unit/LimitGrantsTest.cpp
@@ -134,3 +134,31 @@
   CHECK(encodeLimit(static_cast<const LimitStatement *>(nullptr), Start) ==
         nullptr);
 }
+
+// Guards against memory that grows with each endpoint that ever had a limit.
+TEST_CASE("limit grants, of more endpoints than are remembered, do not grow",
+          "[limit]") {
+  LimitGrants G;
+  for (std::size_t I = 0; I < 2 * StatedLimits::MaxKnown; ++I) {
+    EndpointStart Each{EndpointId("i-" + std::to_string(I)), 0};
+    TimePoint Now = Start + Milliseconds(static_cast<int>(I));
+    G.note(Each, statement(1, Now));
+    G.check(Each, ProcessName("entry"), GranterRole::Beside, Now);
+  }
+  CHECK(G.counted() <= StatedLimits::MaxKnown);
+}
+
+TEST_CASE("limit share, of more endpoints than are remembered, forgets those "
+          "whose time has passed",
+          "[limit]") {
+  LimitShare S({.Entries_ = 1}, Random(1));
+  for (std::size_t I = 0; I < StatedLimits::MaxKnown; ++I)
+    S.nextAt({EndpointId("i-" + std::to_string(I)), 0}, 1, Start);
+  // The draw of a new endpoint lies within one span, not after it.
+  TimePoint Later = Start + Seconds(60);
+  bool IsDrawn = false;
+  for (int I = 0; I < 20; ++I)
+    IsDrawn |= S.nextAt({EndpointId("new-" + std::to_string(I)), 0}, 1, Later) <
+               Later + Seconds(2);
+  CHECK(IsDrawn);
+}
