--- a/hawthornroad/traffic/LimitShare.cpp
+++ b/hawthornroad/traffic/LimitShare.cpp
@@ -16,6 +16,10 @@
 
 TimePoint LimitShare::nextAt(const EndpointStart &E, double PerSecond,
                              TimePoint Now) {
+  if (NextAt_.size() >= StatedLimits::MaxKnown && !NextAt_.contains(E))
+    std::erase_if(NextAt_, [&](const auto &Each) {
+      return Now - Each.second > Options_.Open_;
+    });
   if (NextAt_.size() >= StatedLimits::MaxKnown && !NextAt_.contains(E))
     return Now + span(PerSecond);
   auto [Found, IsNew] = NextAt_.try_emplace(E);
