--- a/tests/unit/EndpointLimitTest.cpp
+++ b/tests/unit/EndpointLimitTest.cpp
@@ -241,3 +241,32 @@
   Core_.onHead(Port_.last().Attempt_, H, Start);
   CHECK(Core_.limits().inForce() == 1);
 }
+
+// Guards against ways to a limited endpoint that need no grant.
+TEST_CASE_METHOD(CoreFixture,
+                 "traffic core, before endpoints with a limit and without a "
+                 "granter, begins neither first nor second attempts, nor "
+                 "resumed streams",
+                 "[limit]") {
+  // Each of the two engines states a limit with its first answer, and breaks
+  // the stream.
+  CallNumber N = send("/stream/1");
+  for (int I = 0; I < 2; ++I) {
+    REQUIRE(Port_.Begun_.size() == static_cast<std::size_t>(I + 1));
+    AttemptNumber A = Port_.last().Attempt_;
+    EndpointHead H = head(N, 200, true);
+    H.RateLimit_ = 1.0;
+    Core_.onHead(A, H, Start);
+    Core_.onBody(A, "id: " + std::to_string(I + 1) + "\ndata: x\n\n", Start);
+    Core_.onFail(A, false, "reset", Start);
+  }
+  REQUIRE(Core_.limits().inForce() == 2);
+  std::size_t Before = Port_.Begun_.size();
+  for (int Ms = 0; Ms < 1000; Ms += 100) {
+    TimePoint Now = Start + Milliseconds(Ms);
+    send("/stream/1", Now);
+    Core_.tick(Now);
+  }
+  // The share of one of 300 entries: none in a second.
+  CHECK(Port_.Begun_.size() == Before);
+}
--- a/tests/unit/EndpointRestTest.cpp
+++ b/tests/unit/EndpointRestTest.cpp
@@ -3,6 +3,8 @@
 #include "platform/RequestWire.h"
 #include "tests/unit/LimitFleet.h"
 
+#include <algorithm>
+
 using namespace hawthornroad;
 using namespace hawthornroad::traffic_test;
 
@@ -192,3 +194,21 @@
   CHECK(answerOf(N).Status_ == 503);
   CHECK(answerOf(N).Cause_ == Cause::NoEndpoint);
 }
+
+// Guards against all refused callers returning in the moment the rest ends.
+TEST_CASE_METHOD(CoreFixture,
+                 "traffic core, refusing many requests while all endpoints "
+                 "rest, spreads the times at which they may return",
+                 "[rest]") {
+  for (int I = 0; I < 2; ++I) {
+    send("/safe/1");
+    Core_.onHead(Port_.last().Attempt_, refusal("3"), Start);
+    Core_.onEnd(Port_.last().Attempt_, Start);
+  }
+  std::vector<Duration> Delays;
+  for (int I = 0; I < 100; ++I)
+    Delays.push_back(answerOf(send("/safe/1")).RetryAfter_);
+  auto [Least, Most] = std::minmax_element(Delays.begin(), Delays.end());
+  CHECK(*Least >= Seconds(3));
+  CHECK(*Most - *Least >= Milliseconds(500));
+}
