A destroyed PeerNet calls its owner no more

Cause: ~PeerNet posted its closing to the I/O thread and returned. A frame handler that was running, or whose bytes had been read before the close, went on while the owner destroyed what the handler uses.

Change: the destructor waits for its closing, unless it runs on the I/O thread or that thread has ended; a connection that was closed handles no frame; what was to be told of a queued frame is not told after the closing.

Callers saw nothing: the daemons stop their I/O threads first.

--- a/hawthornroad/peers/PeerConnection.cpp
+++ b/hawthornroad/peers/PeerConnection.cpp
@@ -154,7 +154,8 @@
       co_return;
     }
     Bytes.resize(Length);
-    if (!co_await readBody(Bytes))
+    // A read that had ended before close() still resumes after it.
+    if (!co_await readBody(Bytes) || Closed_)
       co_return;
     bool IsValid = dispatch(Bytes);
     // After dispatch: an accepted connection learns its lane from the Hello.
--- a/hawthornroad/peers/PeerNet.cpp
+++ b/hawthornroad/peers/PeerNet.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <future>
 
 namespace hawthornroad {
 
@@ -103,7 +104,7 @@
 
 PeerNet::~PeerNet() {
   // Connections and this state refer to each other; closing all connections
-  // breaks the cycle. A stopped IoThread runs no more work, so it is done here.
+  // breaks the cycle.
   auto Close = [S = State_] {
     S->Closing_ = true;
     boost::system::error_code Ignored;
@@ -113,10 +114,18 @@
     for (auto &[Id, Each] : Open)
       Each->close(Step::Send, "shutting down");
   };
-  if (State_->Io_.stopped())
+  // A stopped IoThread runs no more work, so it is done here.
+  if (State_->Io_.stopped() || State_->Io_.onThisThread()) {
     Close();
-  else
-    asio::post(State_->Io_.context(), Close);
+    return;
+  }
+  // Callbacks use parts of the owner that are destroyed next.
+  auto Closed = std::make_shared<std::promise<void>>();
+  asio::post(State_->Io_.context(), [Close, Closed] {
+    Close();
+    Closed->set_value();
+  });
+  Closed->get_future().wait();
 }
 
 std::uint16_t PeerNet::listen(const std::string &Ip, std::uint16_t Port) {
@@ -141,6 +150,8 @@
                    std::function<void()> OnQueued) {
   return State_->Io_.submit([S = State_, To, L, Frame = std::move(Frame),
                              OnQueued = std::move(OnQueued)] {
+    if (S->Closing_)
+      return;
     S->sendNow({To, L}, Frame, false);
     if (OnQueued)
       OnQueued();
--- a/hawthornroad/peers/PeerNet.h
+++ b/hawthornroad/peers/PeerNet.h
@@ -103,6 +103,8 @@
   };
 
   PeerNet(IoThread &Io, Self S, Limits L, Callbacks C);
+  // Closes all connections. No callback is running or runs after it returns; on
+  // another thread than the IoThread it waits for the one that is running.
   ~PeerNet();
   PeerNet(const PeerNet &) = delete;
   PeerNet &operator=(const PeerNet &) = delete;
--- a/tests/unit/RuntimeTest.cpp
+++ b/tests/unit/RuntimeTest.cpp
@@ -5,8 +5,10 @@
 #include "hawthornroad/runtime/Http.h"
 #include "hawthornroad/runtime/Metrics.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
+#include <thread>
 
 using namespace hawthornroad;
 
@@ -297,6 +299,56 @@
   Io.stop();
 }
 
+// Guards against frames that reach an owner whose destruction has gone on: the
+// owner's parts that a frame handler uses are gone by then.
+TEST_CASE("peer net, destroyed while a frame is handled, waits for the handler "
+          "and calls no other",
+          "[peernet]") {
+  IoThread Io("peers", 1024);
+  std::promise<void> Entered;
+  std::promise<void> Continue;
+  std::atomic<int> Begun{0};
+  std::atomic<int> Ended{0};
+  auto Server = std::make_unique<PeerNet>(
+      Io, PeerNet::Self{.Process_ = ProcessName("b")}, PeerNet::Limits(),
+      PeerNet::Callbacks{
+          .OnFrame_ = [&](const PeerContext &, const wire::Frame &) {
+            if (++Begun == 1) {
+              Entered.set_value();
+              Continue.get_future().wait();
+            }
+            ++Ended;
+          }});
+  PeerAddress To("127.0.0.1:" + std::to_string(Server->listen("127.0.0.1", 0)));
+  IoThread ClientIo("client", 1024);
+  PeerNet Client(ClientIo, {.Process_ = ProcessName("a")}, {},
+                 {.OnFrame_ = [](const PeerContext &, const wire::Frame &) {}});
+  constexpr int Frames = 20;
+  for (int I = 0; I < Frames; ++I)
+    REQUIRE(Client.send(To, Lane::Requests, makeFrame(wire::ConfigPullT())));
+  auto IsEntered = Entered.get_future();
+  REQUIRE(IsEntered.wait_for(WaitTimeout) == std::future_status::ready);
+
+  std::atomic<bool> IsDestroyed{false};
+  std::thread Owner([&] {
+    Server.reset();
+    IsDestroyed = true;
+  });
+  constexpr auto Watched = Milliseconds(100);
+  std::this_thread::sleep_for(Watched);
+  bool WasDestroyedEarly = IsDestroyed;
+  Continue.set_value();
+  Owner.join();
+  int EndedThen = Ended;
+  int BegunThen = Begun;
+  std::this_thread::sleep_for(Watched);
+  CHECK_FALSE(WasDestroyedEarly);
+  CHECK(EndedThen == BegunThen);
+  CHECK(Begun == BegunThen);
+  ClientIo.stop();
+  Io.stop();
+}
+
 TEST_CASE("metrics render counters, gauges and histograms by label",
           "[metrics]") {
   Metrics M;
