Failing test: limits are not used while agents answer late

In the model an endpoint with a limit gets no request at all while agents take 100 ms to answer: the query ends after 20 ms, the grant comes later and is thrown away, the granter has counted it.

--- a/tests/unit/EndpointLimitTest.cpp
+++ b/tests/unit/EndpointLimitTest.cpp
@@ -59,6 +59,30 @@
   CHECK(F.excess() <= 0);
 }
 
+// Guards against grants that are lost because they arrive after the query's
+// timeout: an endpoint with a limit would get nothing while agents are slow.
+TEST_CASE(
+    "fleet of entries, whose granters answer after the timeout, uses half "
+    "of a limit or more and stays within it",
+    "[limit]") {
+  auto C = GENERATE(Case{9, false, 1.7, 6}, Case{9, false, 10, 60},
+                    Case{300, false, 1, 1}, Case{300, false, 10, 1});
+  auto Delay = GENERATE(Milliseconds(30), Milliseconds(100));
+  CAPTURE(C.Entries_, C.PerSecond_, Delay.count());
+  LimitFleet F({.Entries_ = C.Entries_,
+                .Endpoints_ = 6,
+                .IsEngine_ = false,
+                .AgentDelay_ = Delay,
+                .RequestsPerSecond_ = C.Load_});
+  F.limit(0, C.PerSecond_, LimitedAt);
+  F.run(Seconds(30));
+  constexpr int Measured = 20;
+  auto Used = static_cast<double>(
+      F.arrivals(0, Start + Seconds(10), Start + Seconds(10 + Measured)));
+  CHECK(Used >= 0.5 * C.PerSecond_ * Measured);
+  CHECK(F.excess() <= 0);
+}
+
 // Guards against limits that outlast what the endpoint says.
 TEST_CASE("fleet of entries, when a limit is raised and then lifted, sends as "
           "much again",
--- a/tests/unit/LimitFleet.cpp
+++ b/tests/unit/LimitFleet.cpp
@@ -202,7 +202,7 @@
     return AskResult::Sent;
   after(Hop, [this, &From, A, Agent, D, IsOnlyLimit, Starts = From.Starts_] {
     PlaceReply R = decide(*Servers_[Agent], From, D, IsOnlyLimit);
-    after(Hop, [this, &From, A, R, Starts] {
+    after(Hop + Options_.AgentDelay_, [this, &From, A, R, Starts] {
       if (From.Starts_ == Starts)
         From.Core_->onPlaceReply(A, R, Now_);
     });
--- a/tests/unit/LimitFleet.h
+++ b/tests/unit/LimitFleet.h
@@ -38,6 +38,8 @@
     unsigned AssumedEntries_ = 300;
     // For comparison: every entry grants for itself, the whole limit.
     bool GrantsAlone_ = false;
+    // How much longer than a round trip agents take to answer.
+    Duration AgentDelay_ = Duration::zero();
     // Requests a second that reach each entry.
     double RequestsPerSecond_ = 6;
     std::uint64_t Seed_ = 1;
