Grants under a limit that arrive late are used by the next request

Cause: a query ends after 20 ms, and its request goes elsewhere. The granter has counted what it grants, so with a granter that takes longer (a starved agent, a link full of chunks) nothing at all reaches an endpoint with a limit. Callers are refused where the endpoint would have served them.

Change: a late grant is kept (Placement) until 0.45 s after it was asked for, and the next request of that entry goes there. Grants of requests that were closed meanwhile count too. So that any two granters still stay within the rule for grants of 4.45 s, another endpoint's granter grants 0.65 in place of 0.7 and bursts are smaller; the header has the sum, 'limit grants, of two granters at once...' now counts 4.45 s.

--- a/hawthornroad/traffic/LimitGrants.h
+++ b/hawthornroad/traffic/LimitGrants.h
@@ -16,9 +16,10 @@
 // limit; one that stands in for it, for entries that it does not answer, grants
 // a smaller share. Granters of other endpoints are chosen by each entry among
 // the agents that it is connected to, so two of them may be chosen for some
-// seconds:
-//   4 * (Beside + Substitute) * L + 2 * (Burst_ + BurstShare_ * L) <= 6 * L + 5
-//   4 * 2 * Chosen * L            + 2 * (Burst_ + BurstShare_ * L) <= 6 * L + 5
+// seconds. A grant is used up to MaxGrantAge after it was given:
+//   T * (Beside + Substitute) * L + 2 * (Burst_ + BurstShare_ * L) <= 6 * L + 5
+//   T * 2 * Chosen * L            + 2 * (Burst_ + BurstShare_ * L) <= 6 * L + 5
+// with T = 4 + MaxGrantAge.
 //
 // An entry that is refused asks again after a time in which twice the requests
 // become free that all entries ask for, so granted rates are used and the
@@ -48,14 +49,17 @@
 
 class LimitGrants {
 public:
+  // Entries use no grant later than this after they have asked for it.
+  static constexpr Duration MaxGrantAge = Milliseconds(450);
+
   struct Options {
     // Shares of the limit that are granted in each role.
     double Beside_ = 0.95;
     double Substitute_ = 0.35;
-    double Chosen_ = 0.7;
+    double Chosen_ = 0.65;
     // Requests granted at once, and more of them for higher limits.
     double Burst_ = 2;
-    double BurstShare_ = 0.15;
+    double BurstShare_ = 0.1;
     // Granted also at a limit of zero: only an answer shows that it ended.
     double MinPerSecond_ = 0.1;
     // Least and longest time after which a refused entry asks again.
--- a/hawthornroad/traffic/Placement.cpp
+++ b/hawthornroad/traffic/Placement.cpp
@@ -90,6 +90,10 @@
 
 double Placement::cost(const State &S, double MeanFirstByte,
                        TimePoint Now) const {
+  // Below all others: a grant that is not used soon is lost.
+  constexpr double GrantedCost = -1;
+  if (hasGrant(S, Now))
+    return GrantedCost;
   double Cost =
       unread(S, Now) * S.ReadMs_ + load(S, Now) * Options_.RunningCost_;
   // Plain services: the cost grows with utilization.
@@ -257,6 +261,31 @@
     Found->second.HeldUntil_.reset();
 }
 
+bool Placement::hasGrant(const State &S, TimePoint Now) {
+  return std::any_of(S.GrantsUntil_.begin(), S.GrantsUntil_.end(),
+                     [&](TimePoint Until) { return Now < Until; });
+}
+
+void Placement::keepGrant(const EndpointId &Id, TimePoint Until) {
+  auto Found = States_.find(Id);
+  if (Found == States_.end())
+    return;
+  Found->second.GrantsUntil_.push_back(Until);
+  Found->second.HeldUntil_.reset();
+}
+
+bool Placement::takeGrant(const EndpointId &Id, TimePoint Now) {
+  auto Found = States_.find(Id);
+  if (Found == States_.end())
+    return false;
+  std::vector<TimePoint> &Grants = Found->second.GrantsUntil_;
+  std::erase_if(Grants, [&](TimePoint Until) { return Now >= Until; });
+  if (Grants.empty())
+    return false;
+  Grants.erase(std::min_element(Grants.begin(), Grants.end()));
+  return true;
+}
+
 bool Placement::restsOrLeaves(const EndpointId &Id, TimePoint Now) const {
   auto Found = States_.find(Id);
   if (Found == States_.end())
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -164,6 +164,12 @@
   // itself (StatedLimits). The longest time holds.
   void hold(const EndpointId &Id, TimePoint Until);
   void release(const EndpointId &Id);
+  // A grant under the endpoint's rate limit arrived when its request had gone
+  // elsewhere. The granter has counted it, so until then the endpoint is not
+  // held and the next request goes there.
+  void keepGrant(const EndpointId &Id, TimePoint Until);
+  // Uses a kept grant; false when there is none.
+  bool takeGrant(const EndpointId &Id, TimePoint Now);
   // The endpoint asked for rest, or says that it leaves; see EndpointHolds.
   bool rest(const EndpointStart &E, TimePoint Until) {
     return Holds_.rest(E, Until);
@@ -240,6 +246,8 @@
     TimePoint AwayUntil_;
     TimePoint DeniedUntil_;
     std::optional<TimePoint> HeldUntil_;
+    // When the kept grants under its rate limit expire.
+    std::vector<TimePoint> GrantsUntil_;
     TimePoint AskPausedUntil_;
     // Send time of the first query since the last prompt answer that was not
     // answered in time.
@@ -266,6 +274,7 @@
     return std::max(S.HeldUntil_.value_or(TimePoint()),
                     Holds_.restsUntil(startOf(S.Endpoint_)));
   }
+  static bool hasGrant(const State &S, TimePoint Now);
   bool isUnresponsive(const State &S, const Query &Q, TimePoint Now) const;
   // Whether such a request finds no free place there now.
   bool isFull(const State &S, const Query &Q, TimePoint Now) const;
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -1,3 +1,4 @@
+#include "hawthornroad/traffic/LimitGrants.h"
 #include "hawthornroad/traffic/TrafficState.h"
 
 #include <algorithm>
@@ -285,6 +286,8 @@
       return false;
     }
     const LimitStatement *Limit = Limits_.find(startOf(*E));
+    if (Limit != nullptr && Placement_.takeGrant(E->Id_, Now))
+      return begin(R, *E, Now);
     bool AsksAgent = Options_.AsksForPlaces_ && Placement_.mayAsk(E->Id_, Now);
     if (!AsksAgent && Limit == nullptr)
       return begin(R, *E, Now);
@@ -360,6 +363,29 @@
   Placement_.attemptEnded(R.AskedOf_, Placement::End::Cancelled, false, Now);
 }
 
+void TrafficCore::abandonAsk(Record &R, TimePoint Now) {
+  const Endpoint *E = Placement_.find(R.AskedOf_);
+  if (R.Asking_ != 0 && E != nullptr)
+    Unanswered_[R.Asking_] = {startOf(*E), R.AskedAt_, R.AsksOnlyLimit_};
+  endAsk(R, Now);
+}
+
+void TrafficCore::onLateReply(const Ask &Asked, const PlaceReply &W,
+                              TimePoint Now) {
+  const EndpointStart &At = Asked.Endpoint_;
+  if (!Asked.IsOnlyLimit_) {
+    Placement_.askAnswered(At.Id_, Now - Asked.AskedAt_);
+    Placement_.updateLoad(At.Id_, W.Load_.Running_, W.Load_.Waiting_, Now);
+  }
+  if (W.Limit_)
+    noteLimit(At, *W.Limit_, GranterSource, Now);
+  const Endpoint *E = Placement_.find(At.Id_);
+  if (!W.IsGranted_ || E == nullptr || Limits_.find(At) == nullptr)
+    return;
+  Placement_.keepGrant(At.Id_, Asked.AskedAt_ + LimitGrants::MaxGrantAge);
+  Freed_.insert(E->Service_);
+}
+
 void TrafficCore::askElsewhere(Record &R, TimePoint Now) {
   if (tryBegin(R, Now) || R.IsDone_)
     return;
@@ -373,13 +399,9 @@
 
 void TrafficCore::onPlaceReply(AttemptNumber A, const PlaceReply &W,
                                TimePoint Now) {
-  if (auto Late = Unanswered_.find(A); Late != Unanswered_.end()) {
-    const UnansweredAsk &Ask = Late->second;
-    Placement_.askAnswered(Ask.AskedOf_, Now - Ask.AskedAt_);
-    Placement_.updateLoad(Ask.AskedOf_, W.Load_.Running_, W.Load_.Waiting_,
-                          Now);
-    Unanswered_.erase(Late);
-    return;
+  if (auto Late = Unanswered_.extract(A)) {
+    onLateReply(Late.mapped(), W, Now);
+    return dispatchFreed(Now);
   }
   auto Found = Asks_.find(A);
   if (Found == Asks_.end())
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -194,7 +194,7 @@
   if (R.IsDone_)
     return;
   unqueue(R);
-  endAsk(R, Now);
+  abandonAsk(R, Now);
   R.IsDone_ = true;
   Closed_.push_back(R.Number_);
   CallReport Report;
@@ -303,9 +303,8 @@
     } else {
       Placement_.askTimedOut(R.AskedOf_, R.AskedAt_, Now);
       Placement_.placeDenied(R.AskedOf_, Now);
-      Unanswered_[R.Asking_] = {R.AskedOf_, R.AskedAt_};
     }
-    endAsk(R, Now);
+    abandonAsk(R, Now);
     return askElsewhere(R, Now);
   }
   if (R.Attempt_ == 0 || R.Route_->Repeat_ == Repeat::Never)
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -35,7 +35,8 @@
 // request to it needs a grant of the one process that adds up what all entries
 // send (LimitGrants): the agent beside an engine, one agent for each other
 // endpoint. While none answers, the entry uses a small share (LimitShare). A
-// request that is denied goes to another endpoint, or is refused at once.
+// request that is denied goes to another endpoint, or is refused at once; a
+// grant that arrives after that is used by another request (Placement).
 //
 // Queueing. A request waits only while it is likely to begin soon. It is
 // refused at once when the requests before it would take longer than its share
@@ -343,6 +344,12 @@
 private:
   struct Record;
   struct ServiceQueue;
+  // A query for a place or a grant.
+  struct Ask {
+    EndpointStart Endpoint_;
+    TimePoint AskedAt_;
+    bool IsOnlyLimit_ = false;
+  };
 
   Record *find(AttemptNumber A);
   // Sets route and customer; false when the call was refused instead.
@@ -366,6 +373,9 @@
   // Handles a denied place or request.
   void onDenied(Record &R, const PlaceReply &W, TimePoint Now);
   void endAsk(Record &R, TimePoint Now);
+  // Ends the query of a request that no longer waits for the reply.
+  void abandonAsk(Record &R, TimePoint Now);
+  void onLateReply(const Ask &Asked, const PlaceReply &W, TimePoint Now);
   // R was not granted the place it asked for.
   void askElsewhere(Record &R, TimePoint Now);
   void queue(Record &R, TimePoint Now);
@@ -430,12 +440,8 @@
   std::unordered_map<AttemptNumber, CallNumber> ByAttempt_;
   // Pending place queries.
   std::unordered_map<AttemptNumber, CallNumber> Asks_;
-  // Place queries that timed out; a late reply shows how long the agent takes.
-  struct UnansweredAsk {
-    EndpointId AskedOf_;
-    TimePoint AskedAt_;
-  };
-  std::unordered_map<AttemptNumber, UnansweredAsk> Unanswered_;
+  // Queries whose requests no longer wait for the reply.
+  std::unordered_map<AttemptNumber, Ask> Unanswered_;
   std::map<ServiceName, ServiceQueue> ServiceQueues_;
   CallerAge Ages_;
   // Services at which a place may have become free.
