Tests of rests and leavings do not depend on the machine's speed

They compared counts within 700 ms and 1 s: a slow machine makes fewer calls than they wanted, the rest of 1.5 s could end before the second count, and an entry that had not called the endpoint within 0.5 s was taken as informed. Now both entries must have logged the hold, each of 40 and 60 calls must be served (before: over 20 of any number), and the endpoint must get none of them.

--- a/tests/integration/EndpointStatementsTest.cpp
+++ b/tests/integration/EndpointStatementsTest.cpp
@@ -57,6 +57,28 @@
     Agent_->ready();
   }
 
+  // Calls both entries until each has logged this hold of an endpoint.
+  void awaitHold(const std::string &Event) {
+    std::string Metric =
+        "hawthornroad_endpoint_holds_total{event=\"" + Event + "\"}";
+    eventually(
+        [&] {
+          callFor(Milliseconds(100));
+          return metricsOf(*First_)[Metric] == 1 &&
+                 metricsOf(*Second_)[Metric] == 1;
+        },
+        "both entries know: " + Event);
+  }
+
+  // Calls both entries this often each; returns the answers with success.
+  int callTimes(int Count) {
+    int Good = 0;
+    for (int I = 0; I < Count; ++I)
+      for (Process *Entry : {First_.get(), Second_.get()})
+        Good += callAt(*Entry, "/safe/1").Status_ == 200 ? 1 : 0;
+    return Good;
+  }
+
   // Calls both entries in turn for this long; returns the answers with success.
   int callFor(Duration Length) {
     int Good = 0;
@@ -111,13 +133,16 @@
                  "entries, before an endpoint that asks for rest, send it "
                  "nothing until the end and are served elsewhere",
                  "[store-entry]") {
-  A_.setRest(1.5);
-  callFor(Milliseconds(600));
-  int Before = A_.refusals();
-  CHECK(Before >= 2);
-  int Good = callFor(Milliseconds(700));
-  CHECK(Good > 20);
-  CHECK(A_.refusals() == Before);
+  constexpr int RestSeconds = 8;
+  TimePoint Begun = std::chrono::steady_clock::now();
+  A_.setRest(RestSeconds);
+  awaitHold("endpoint_rests");
+  CHECK(A_.refusals() == 2);
+  constexpr int Calls = 20;
+  CHECK(callTimes(Calls) == 2 * Calls);
+  // Each rest began after Begun, so none has ended yet.
+  REQUIRE(std::chrono::steady_clock::now() < Begun + Seconds(RestSeconds));
+  CHECK(A_.refusals() == 2);
   A_.setRest(std::nullopt);
   int Runs = A_.runs();
   eventually(
@@ -134,10 +159,9 @@
                  "it nothing new and are served elsewhere",
                  "[store-entry]") {
   A_.setLeaving();
-  callFor(Milliseconds(500));
+  awaitHold("endpoint_leaves");
   int Runs = A_.runs();
-  CHECK(Runs >= 2);
-  int Good = callFor(Milliseconds(1000));
-  CHECK(Good > 20);
+  constexpr int Calls = 30;
+  CHECK(callTimes(Calls) == 2 * Calls);
   CHECK(A_.runs() == Runs);
 }
