--- a/tests/unit/EndpointLimitTest.cpp
+++ b/tests/unit/EndpointLimitTest.cpp
@@ -109,6 +109,30 @@
   CHECK(2 * Count(0, 40, 50) >= Count(1, 40, 50));
 }
 
+// Guards against limits that are passed on for as long as anybody asks: a
+// statement that counts as new with each exchange never ends.
+TEST_CASE("fleet of entries, whose granters answer late, sends as much again "
+          "once a limit is lifted",
+          "[limit]") {
+  auto C = GENERATE(Case{9, true, 1, 6}, Case{9, false, 1.7, 6},
+                    Case{300, true, 10, 1}, Case{300, false, 10, 1});
+  auto Delay = GENERATE(Milliseconds(30), Milliseconds(100), Milliseconds(300));
+  CAPTURE(C.Entries_, C.IsEngine_, Delay.count());
+  LimitFleet F({.Entries_ = C.Entries_,
+                .Endpoints_ = 6,
+                .IsEngine_ = C.IsEngine_,
+                .AgentDelay_ = Delay,
+                .RequestsPerSecond_ = C.Load_});
+  F.limit(0, C.PerSecond_, LimitedAt);
+  F.limit(0, std::nullopt, Start + Seconds(15));
+  F.run(Seconds(40));
+  auto Count = [&](unsigned Endpoint) {
+    return F.arrivals(Endpoint, Start + Seconds(30), Start + Seconds(40));
+  };
+  CHECK(2 * Count(0) >= Count(1));
+  CHECK(F.excess() <= 0);
+}
+
 // Guards against entries and agents that forget a limit together.
 TEST_CASE("fleet of entries, while entries and agents restart and are cut off, "
           "stays within a limit",
@@ -295,3 +319,25 @@
   // The share of one of 300 entries: none in a second.
   CHECK(Port_.Begun_.size() == Before);
 }
+
+// Guards against endpoints that stay unused for minutes because no agent was
+// heard at the moment of their first limited request.
+TEST_CASE_METHOD(CoreFixture,
+                 "traffic core, that waits for its own share of a limit, asks "
+                 "for a grant once an agent is heard",
+                 "[limit]") {
+  for (int I = 0; I < 2; ++I) {
+    CallNumber N = send("/safe/1");
+    EndpointHead H = head(N);
+    H.RateLimit_ = 1.0;
+    Core_.onHead(Port_.last().Attempt_, H, Start);
+    Core_.onEnd(Port_.last().Attempt_, Start);
+  }
+  REQUIRE(Core_.limits().inForce() == 2);
+  CHECK(answerOf(send("/safe/1")).Cause_ == Cause::EndpointsHeld);
+  Port_.HasGranters_ = true;
+  TimePoint Heard = Start + Seconds(1);
+  Core_.engineUpdated("10.0.1.0:80", false, 1, std::nullopt, Heard);
+  send("/safe/1", Heard);
+  CHECK(Port_.Asked_.size() == 1);
+}
--- a/tests/unit/LimitFleet.cpp
+++ b/tests/unit/LimitFleet.cpp
@@ -13,6 +13,14 @@
 constexpr Duration TickPeriod = Milliseconds(40);
 constexpr Duration ProofPeriod = Milliseconds(500);
 constexpr unsigned Slots = 64;
+
+// Statements are exchanged with their ages, which leave out the time on the
+// way: the receiver takes them for younger than they are.
+LimitStatement received(LimitStatement S, Duration OnTheWay) {
+  S.Begun_ += OnTheWay;
+  S.At_ += OnTheWay;
+  return S;
+}
 } // namespace
 
 struct LimitFleet::Server {
@@ -98,7 +106,7 @@
     if (!Fleet_.Options_.IsEngine_)
       Granter = (Granter + 1) % static_cast<unsigned>(Fleet_.Servers_.size());
     Fleet_.after(Hop, [this, Granter, E, S] {
-      Fleet_.Servers_[Granter]->Grants_.note(E, S);
+      Fleet_.Servers_[Granter]->Grants_.note(E, received(S, Hop));
     });
   }
   void respond(CallNumber, unsigned Status, const HeaderFields &,
@@ -179,13 +187,13 @@
   if (IsOnlyLimit)
     Role = Options_.IsEngine_ ? GranterRole::Substitute : GranterRole::Chosen;
   if (D.Limit_)
-    Grants.note(D.Endpoint_, *D.Limit_);
+    Grants.note(D.Endpoint_, received(*D.Limit_, Hop));
   LimitGrants::Verdict V = Grants.check(D.Endpoint_, From.Name_, Role, Now_);
   Granter.Places_.onReport(0, 0, Now_);
   PlaceReply R;
   R.LimitWait_ = V.Wait_;
   if (auto Last = Grants.limits().last(D.Endpoint_))
-    R.Limit_ = *Last;
+    R.Limit_ = received(*Last, Hop + Options_.AgentDelay_);
   R.IsGranted_ =
       V.IsGranted_ &&
       (IsOnlyLimit || Granter.Places_.ask(D.Kind_, {Slots, Milliseconds(1)},
--- a/tests/unit/TrafficFixture.h
+++ b/tests/unit/TrafficFixture.h
@@ -61,6 +61,15 @@
     Asked_.push_back({A, Address, D.Kind_, D});
     return AskResult::Sent;
   }
+  // Whether an agent grants under the limits of plain endpoints.
+  bool HasGranters_ = false;
+  AskResult askLimit(AttemptNumber A, const std::string &Address,
+                     const PlaceDemand &D) override {
+    if (!HasGranters_)
+      return AskResult::NoAgent;
+    Asked_.push_back({A, Address, D.Kind_, D});
+    return AskResult::Sent;
+  }
   void respond(CallNumber N, unsigned Status, const HeaderFields &,
                std::string Body) override {
     REQUIRE(Answers_.count(N) == 0);
