Entries look for a granter again while they wait for their own share

Cause: the time of an entry's own share, up to 300 / (0.5 * limit) seconds away, was the time until which the endpoint was left out. An agent that was heard a moment later changed nothing: with a limit of 1 a second the endpoint was unused by that entry for up to ten minutes, and the end of the limit unknown to it.

Change: the endpoint is left out for 5 s at most, and until the next report of an agent.

Before: 'traffic core, that waits for its own share...' made no query. After: one, with the first request after the report. Why it works: the share itself stays where it is, in LimitShare; only looking again is new. Ruled out: the report alone, since an idle engine's agent has nothing to report.

--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -309,7 +309,8 @@
                             TimePoint Now) {
   TimePoint Next = Share_.nextAt(startOf(E), PerSecond, Now);
   if (Next > Now) {
-    Placement_.hold(E.Id_, Next);
+    Placement_.hold(E.Id_, std::min(Next, Now + Options_.MaxShareHold_));
+    HeldByShare_.insert(E.Id_);
     return false;
   }
   Share_.take(startOf(E), PerSecond, Now);
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -115,9 +115,18 @@
       Placement_.updateLoad(Id, Load->Running_, Load->Waiting_, Now);
     Freed_.insert(Each.Endpoint_.Service_);
   }
+  releaseShares();
   dispatchFreed(Now);
 }
 
+void TrafficCore::releaseShares() {
+  for (const EndpointId &Id : std::exchange(HeldByShare_, {})) {
+    Placement_.release(Id);
+    if (const Endpoint *E = Endpoints_.find(Id))
+      Freed_.insert(E->Service_);
+  }
+}
+
 bool TrafficCore::requireVersion(const std::string &Model, WeightVersion V,
                                  TimePoint At, TimePoint Hard) {
   // Each version's limit counts from its own announcement: a later version does
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -277,6 +277,9 @@
     // not answer within AskTimeout_.
     Duration LimitRetry_ = Milliseconds(500);
     LimitShare::Options Share_;
+    // How long an endpoint is left out for this entry's own share of its limit
+    // before a granter is looked for again.
+    Duration MaxShareHold_ = Seconds(5);
     // An endpoint that asks for a longer rest gets this one.
     Duration MaxRest_ = Seconds(300);
     // Deadline when the caller states none.
@@ -370,6 +373,8 @@
   PlaceDemand placeDemand(const Record &R, const Endpoint &E) const;
   // Takes this entry's own share of the limit; false when it is used up.
   bool takeShare(const Endpoint &E, double PerSecond, TimePoint Now);
+  // An agent was heard, which may grant more than this entry's own shares.
+  void releaseShares();
   // Handles a denied place or request.
   void onDenied(Record &R, const PlaceReply &W, TimePoint Now);
   void endAsk(Record &R, TimePoint Now);
@@ -427,6 +432,8 @@
   RepeatBudget Budget_;
   StatedLimits Limits_;
   LimitShare Share_;
+  // Endpoints left out until this entry's own share permits a request.
+  std::set<EndpointId> HeldByShare_;
   KeyLease Lease_;
   ConfigFence Fence_;
   // By model: from which time on each version is the minimum.
