--- a/tests/unit/EndpointLimitTest.cpp
+++ b/tests/unit/EndpointLimitTest.cpp
@@ -17,6 +17,23 @@
   double Load_;
 };
 constexpr TimePoint LimitedAt = Start + Seconds(5);
+
+LimitFleet::Options optionsOf(const Case &C) {
+  return {.Entries_ = C.Entries_,
+          .Endpoints_ = 6,
+          .IsEngine_ = C.IsEngine_,
+          .RequestsPerSecond_ = C.Load_};
+}
+
+// Limits one endpoint; returns the share of the limit that is used later on.
+double usedShare(LimitFleet &F, double PerSecond) {
+  F.limit(0, PerSecond, LimitedAt);
+  F.run(Seconds(30));
+  constexpr int Measured = 20;
+  return static_cast<double>(F.arrivals(0, Start + Seconds(10),
+                                        Start + Seconds(10 + Measured))) /
+         (PerSecond * Measured);
+}
 } // namespace
 
 // Guards against entries that read an endpoint's limit nowhere, or each use the
@@ -29,10 +46,7 @@
                     Case{300, true, 0.5, 1}, Case{300, true, 1, 1},
                     Case{300, false, 1, 1}, Case{300, false, 100, 5});
   CAPTURE(C.Entries_, C.IsEngine_, C.PerSecond_);
-  LimitFleet F({.Entries_ = C.Entries_,
-                .Endpoints_ = 6,
-                .IsEngine_ = C.IsEngine_,
-                .RequestsPerSecond_ = C.Load_});
+  LimitFleet F(optionsOf(C));
   F.limit(0, C.PerSecond_, LimitedAt);
   F.run(Seconds(20));
   CHECK(F.excess() <= 0);
@@ -46,16 +60,8 @@
                     Case{300, true, 0.5, 1}, Case{300, false, 1, 1},
                     Case{300, true, 10, 1}, Case{300, false, 100, 5});
   CAPTURE(C.Entries_, C.IsEngine_, C.PerSecond_);
-  LimitFleet F({.Entries_ = C.Entries_,
-                .Endpoints_ = 6,
-                .IsEngine_ = C.IsEngine_,
-                .RequestsPerSecond_ = C.Load_});
-  F.limit(0, C.PerSecond_, LimitedAt);
-  F.run(Seconds(30));
-  constexpr int Measured = 20;
-  auto Used = static_cast<double>(
-      F.arrivals(0, Start + Seconds(10), Start + Seconds(10 + Measured)));
-  CHECK(Used >= 0.5 * C.PerSecond_ * Measured);
+  LimitFleet F(optionsOf(C));
+  CHECK(usedShare(F, C.PerSecond_) >= 0.5);
   CHECK(F.excess() <= 0);
 }
 
@@ -70,17 +76,10 @@
                     Case{9, true, 1.7, 6}, Case{300, true, 10, 1});
   auto Delay = GENERATE(Milliseconds(30), Milliseconds(100));
   CAPTURE(C.Entries_, C.IsEngine_, C.PerSecond_, Delay.count());
-  LimitFleet F({.Entries_ = C.Entries_,
-                .Endpoints_ = 6,
-                .IsEngine_ = C.IsEngine_,
-                .AgentDelay_ = Delay,
-                .RequestsPerSecond_ = C.Load_});
-  F.limit(0, C.PerSecond_, LimitedAt);
-  F.run(Seconds(30));
-  constexpr int Measured = 20;
-  auto Used = static_cast<double>(
-      F.arrivals(0, Start + Seconds(10), Start + Seconds(10 + Measured)));
-  CHECK(Used >= 0.5 * C.PerSecond_ * Measured);
+  LimitFleet::Options O = optionsOf(C);
+  O.AgentDelay_ = Delay;
+  LimitFleet F(O);
+  CHECK(usedShare(F, C.PerSecond_) >= 0.5);
   CHECK(F.excess() <= 0);
 }
 
@@ -91,10 +90,7 @@
   auto C = GENERATE(Case{9, true, 1, 6}, Case{9, false, 1, 6},
                     Case{300, true, 1, 1}, Case{300, false, 1, 1});
   CAPTURE(C.Entries_, C.IsEngine_);
-  LimitFleet F({.Entries_ = C.Entries_,
-                .Endpoints_ = 6,
-                .IsEngine_ = C.IsEngine_,
-                .RequestsPerSecond_ = C.Load_});
+  LimitFleet F(optionsOf(C));
   F.limit(0, C.PerSecond_, LimitedAt);
   F.limit(0, 4 * C.PerSecond_, Start + Seconds(15));
   F.limit(0, std::nullopt, Start + Seconds(30));
@@ -118,11 +114,9 @@
                     Case{300, true, 10, 1}, Case{300, false, 10, 1});
   auto Delay = GENERATE(Milliseconds(30), Milliseconds(100), Milliseconds(300));
   CAPTURE(C.Entries_, C.IsEngine_, Delay.count());
-  LimitFleet F({.Entries_ = C.Entries_,
-                .Endpoints_ = 6,
-                .IsEngine_ = C.IsEngine_,
-                .AgentDelay_ = Delay,
-                .RequestsPerSecond_ = C.Load_});
+  LimitFleet::Options O = optionsOf(C);
+  O.AgentDelay_ = Delay;
+  LimitFleet F(O);
   F.limit(0, C.PerSecond_, LimitedAt);
   F.limit(0, std::nullopt, Start + Seconds(15));
   F.run(Seconds(40));
