Logs: why an answer is cut, the age of the last byte, pauses of the entry's thread

A stream that its entry ends midway had no line that tells the incident's hypotheses apart. Line 'answer_cut' (never dropped for volume) names the request, the step that could not be taken, the age of the endpoint's last byte, what was last known of the endpoint and the longest pause of the entry's own thread in the last five seconds; counter hawthornroad_answers_cut_total{why}. Ends of attempts name the age of the last byte. Line 'paused' and histogram hawthornroad_pause_seconds: the thread did not run for 250 ms or more. No decision changes.

--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -13,6 +13,11 @@
 constexpr std::size_t WorkRingCapacity = 1024;
 // How often time limits are checked; the shortest one is 80 ms.
 constexpr Duration TickPeriod = Milliseconds(20);
+// A longer time without a tick is logged: this thread had no processor, or a
+// task on it took as long.
+constexpr Duration MinLoggedPause = Milliseconds(250);
+// For how long a pause is named beside the answers that are cut after it.
+constexpr Duration PauseMemory = Seconds(5);
 // How often idle connections are checked.
 constexpr Duration SweepPeriod = Milliseconds(200);
 // Read interval of the endpoint table, as a share of the bound on draining
@@ -187,8 +192,25 @@
   tick();
 }
 
+void DirectEntry::State::notePause(TimePoint Now) {
+  Duration Gap = TickedAt_ ? Now - *TickedAt_ : Duration::zero();
+  TickedAt_ = Now;
+  if (Now - PausedAt_ > PauseMemory)
+    LongestPause_ = Duration::zero();
+  if (Gap < MinLoggedPause)
+    return;
+  LongestPause_ = std::max(LongestPause_, Gap);
+  PausedAt_ = Now;
+  Log_.write(LogLine("paused").millis("gap_ms", Gap).count("open_requests",
+                                                           Core_.open()),
+             true);
+  Metrics_.observe("hawthornroad_pause_seconds",
+                   std::chrono::duration<double>(Gap).count());
+}
+
 void DirectEntry::State::tick() {
   TimePoint Now = bootNow();
+  notePause(Now);
   Core_.tick(Now);
   Source_->tick(Now);
   if (Now - SweptAt_ >= SweepPeriod) {
--- a/hawthornroad/entry/DirectEntryState.h
+++ b/hawthornroad/entry/DirectEntryState.h
@@ -70,11 +70,14 @@
   void abortStream(CallNumber N) override;
   void report(const CallReport &R) override;
   void report(const AttemptReport &R) override;
+  void report(const CutReport &R) override;
   void report(const LimitReport &R) override;
   void report(const HoldReport &R) override;
 
   void start();
   void tick();
+  // Logs that this thread did not run for a while.
+  void notePause(TimePoint Now);
   void onOperatorRows(const TableWatch::Update &U);
   void onEndpointRows(const TableWatch::Update &U);
   TableSource::Setup sourceSetup() const;
@@ -135,6 +138,10 @@
   std::unordered_map<AttemptNumber, Attempt> Attempts_;
   CallNumber NextCall_ = 1;
   TimePoint SweptAt_{};
+  std::optional<TimePoint> TickedAt_;
+  // The longest time without a tick in the last PauseMemory.
+  Duration LongestPause_ = Duration::zero();
+  TimePoint PausedAt_{};
   bool EndpointsListed_ = false;
   bool IsOperatorTableLost_ = false;
   bool IsEndpointTableLost_ = false;
--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -160,13 +160,38 @@
       L.millis("load_age_ms", *R.EndpointView_.ReportAge_);
   } else {
     L.text("why", R.Reason_).flag("may_have_run", R.MayHaveRun_);
-    L.millis("took_ms", R.Took_);
+    L.millis("took_ms", R.Took_).millis("silent_ms", R.SilentFor_);
     Metrics_.count("hawthornroad_attempts_total",
                    {{"end", std::string(R.Event_)}});
   }
   Log_.write(L);
 }
 
+void DirectEntry::State::report(const CutReport &R) {
+  LogLine L("answer_cut");
+  L.text("request", R.Id_)
+      .text("why", R.Reason_)
+      .text("cause", toString(R.Cause_))
+      .text("endpoint", R.LastEndpoint_.str())
+      .millis("silent_ms", R.SilentFor_)
+      .count("events", R.Events_)
+      .count("attempts", R.Attempts_)
+      .millis("whole_ms", R.Total_)
+      .millis("left_ms", R.TimeLeft_)
+      .millis("paused_ms", LongestPause_);
+  if (R.EndpointView_) {
+    L.number("load", R.EndpointView_->Load_)
+        .count("version", R.EndpointView_->Version_)
+        .flag("away", R.EndpointView_->IsAway_)
+        .flag("ejected", R.EndpointView_->IsEjected_);
+    if (R.EndpointView_->ReportAge_)
+      L.millis("load_age_ms", *R.EndpointView_->ReportAge_);
+  }
+  Log_.write(L, true);
+  Metrics_.count("hawthornroad_answers_cut_total",
+                 {{"why", std::string(R.Reason_)}});
+}
+
 void DirectEntry::State::report(const LimitReport &R) {
   LogLine L("endpoint_limit");
   L.text("endpoint", R.Endpoint_.str())
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -182,15 +182,15 @@
     Q.Service_ = R.Service_;
     Q.MinVersion_ = minVersion(R.Service_, Now);
     if (Placement_.usable(Q) == 0)
-      return giveUp(R, Cause::NoEndpoint, Now);
+      return giveUp(R, Cause::NoEndpoint, "no usable endpoint", Now);
     Duration Limit =
         std::max(Options_.LineLeast_,
                  std::chrono::duration_cast<Duration>(R.Route_->FirstByteGoal_ *
                                                       Options_.LineShare_));
     if (heldUntil(R, Now) > Now + Limit)
-      return giveUp(R, Cause::EndpointsHeld, Now);
+      return giveUp(R, Cause::EndpointsHeld, "all endpoints hold back", Now);
     if (R.IsLate_ || estimatedWait(R.Service_, R) > Limit)
-      return giveUp(R, Cause::LineFull, Now);
+      return giveUp(R, Cause::LineFull, "no place in time", Now);
   }
   R.IsQueued_ = true;
   R.Asks_ = 0;
@@ -282,7 +282,7 @@
     if (E == nullptr)
       return false;
     if (!isInTime(R, *E, Now)) {
-      giveUp(R, Cause::DeadlinePassed, Now);
+      giveUp(R, Cause::DeadlinePassed, "no time for another attempt", Now);
       return false;
     }
     const LimitStatement *Limit = Limits_.find(startOf(*E));
@@ -445,7 +445,8 @@
 
 bool TrafficCore::begin(Record &R, const Endpoint &E, TimePoint Now) {
   if (R.HasArrived_ && !Budget_.take(R.Service_, Now)) {
-    giveUp(R, R.MayHaveRun_ ? Cause::AttemptLost : Cause::TurnedAway, Now);
+    giveUp(R, R.MayHaveRun_ ? Cause::AttemptLost : Cause::TurnedAway,
+           "the repeat budget is spent", Now);
     return false;
   }
   if (!R.IsNoted_)
--- a/hawthornroad/traffic/TrafficAttempts.cpp
+++ b/hawthornroad/traffic/TrafficAttempts.cpp
@@ -29,7 +29,7 @@
   }
   Port_.report(AttemptReport{R.Number_, R.Call_.Id_, R.At_, R.Address_, What,
                              Why, MayHaveRun, R.Attempts_, R.EndpointView_,
-                             Now - R.BegunAt_});
+                             Now - R.BegunAt_, Now - R.LastReceivedAt_});
 }
 
 void TrafficCore::onHead(AttemptNumber A, EndpointHead H, TimePoint Now) {
@@ -250,7 +250,7 @@
   if (R.CallerGone_)
     return close(R, Now);
   if (!mayGoElsewhere(R) || Now >= R.Deadline_)
-    return giveUp(R, Cause::AttemptLost, Now);
+    return giveUp(R, Cause::AttemptLost, "no further attempt is allowed", Now);
   place(R, Now);
 }
 
@@ -261,7 +261,7 @@
   if (R.CallerGone_)
     return close(R, Now);
   if (Now >= R.Deadline_)
-    return giveUp(R, Cause::DeadlinePassed, Now);
+    return giveUp(R, Cause::DeadlinePassed, "the deadline has passed", Now);
   place(R, Now);
 }
 
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -176,7 +176,8 @@
 }
 
 // Final answer to a request that cannot be served.
-void TrafficCore::giveUp(Record &R, Cause Why, TimePoint Now) {
+void TrafficCore::giveUp(Record &R, Cause Why, std::string_view Reason,
+                         TimePoint Now) {
   if (R.IsDone_)
     return;
   unqueue(R);
@@ -189,6 +190,7 @@
   }
   if (R.IsStreaming_) {
     R.Cause_ = Why;
+    reportCut(R, Why, Reason, Now);
     Port_.abortStream(R.Number_);
     return close(R, Now);
   }
@@ -199,6 +201,25 @@
          Duration::zero(), Now);
 }
 
+void TrafficCore::reportCut(const Record &R, Cause Why,
+                            std::string_view Reason, TimePoint Now) {
+  if (R.CallerGone_)
+    return;
+  CutReport C;
+  C.Number_ = R.Number_;
+  C.Id_ = R.Call_.Id_;
+  C.Cause_ = Why;
+  C.Reason_ = Reason;
+  C.LastEndpoint_ = R.At_;
+  C.EndpointView_ = Placement_.view(R.At_, Now);
+  C.SilentFor_ = Now - R.LastReceivedAt_;
+  C.Events_ = R.Relay_ ? R.Relay_->passed() : 0;
+  C.Attempts_ = R.Attempts_;
+  C.Total_ = Now - R.ArrivedAt_;
+  C.TimeLeft_ = R.Deadline_ - Now;
+  Port_.report(C);
+}
+
 void TrafficCore::close(Record &R, TimePoint Now) {
   if (R.IsDone_)
     return;
@@ -298,12 +319,15 @@
       endAttempt(R, Placement::End::Cancelled, "cancelled", "deadline", true,
                  Now);
     }
-    return giveUp(R, Cause::DeadlinePassed, Now);
+    return giveUp(R, Cause::DeadlinePassed,
+                  Now >= R.Deadline_ ? "the deadline has passed"
+                                     : "silent for as long as callers wait",
+                  Now);
   }
   if (R.IsQueued_) {
     Duration Limit = R.IsStreaming_ ? ResumeWait : queueWaitLimit(*R.Route_);
     if (Now - *R.QueuedAt_ >= Limit)
-      giveUp(R, Cause::WaitedTooLong, Now);
+      giveUp(R, Cause::WaitedTooLong, "no place in time", Now);
     return;
   }
   if (R.Asking_ != 0 && Now - R.AskedAt_ >= Options_.AskTimeout_) {
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -132,6 +132,26 @@
   // Estimated state of the endpoint when it was chosen.
   Placement::View EndpointView_;
   Duration Took_ = Duration::zero();
+  // Time since the endpoint's last byte, or since the attempt began.
+  Duration SilentFor_ = Duration::zero();
+};
+
+// This process ends an answer that its caller has received in part.
+struct CutReport {
+  CallNumber Number_ = 0;
+  std::string Id_;
+  Cause Cause_ = Cause::None;
+  // The step that could not be taken, for example "no place in time".
+  std::string_view Reason_;
+  EndpointId LastEndpoint_;
+  // What was last known of that endpoint, if it is still known.
+  std::optional<Placement::View> EndpointView_;
+  // Time since its last byte.
+  Duration SilentFor_ = Duration::zero();
+  std::uint64_t Events_ = 0;
+  unsigned Attempts_ = 0;
+  Duration Total_ = Duration::zero();
+  Duration TimeLeft_ = Duration::zero();
 };
 
 // Where a process knows a rate limit from.
@@ -216,6 +236,7 @@
   virtual void abortStream(CallNumber N) = 0;
   virtual void report(const CallReport &R) = 0;
   virtual void report(const AttemptReport &R) = 0;
+  virtual void report(const CutReport &R) {}
   virtual void report(const LimitReport &R) {}
   virtual void report(const HoldReport &R) {}
 };
@@ -395,7 +416,10 @@
   void finishAnswer(Record &R, TimePoint Now);
   void refuse(Record &R, unsigned Status, Cause Why, Duration RetryAfter,
               TimePoint Now);
-  void giveUp(Record &R, Cause Why, TimePoint Now);
+  // Reason: for the log, when an answer is cut by this.
+  void giveUp(Record &R, Cause Why, std::string_view Reason, TimePoint Now);
+  void reportCut(const Record &R, Cause Why, std::string_view Reason,
+                 TimePoint Now);
   void close(Record &R, TimePoint Now);
   void checkTime(Record &R, TimePoint Now);
   // Ends the attempts at endpoints that have restarted since.
