--- a/hawthornroad/traffic/Placement.cpp
+++ b/hawthornroad/traffic/Placement.cpp
@@ -434,16 +434,26 @@
       S.EjectFor_ = Duration::zero();
     return;
   case End::Failed:
-    ++S.FailuresInRow_;
-    S.FailureShare_ += SampleWeight * (1 - S.FailureShare_);
-    double Mean = meanFailureShare(S.Endpoint_.Service_);
-    if (S.FailuresInRow_ >= Options_.FailuresInRow_ ||
-        (S.FailureShare_ > FailureFloor && S.FailureShare_ > 2 * Mean))
-      eject(S, Now);
+    countFailure(S, Now);
     return;
   }
 }
 
+void Placement::noteFailure(const EndpointId &Id, TimePoint Now) {
+  auto Found = States_.find(Id);
+  if (Found != States_.end())
+    countFailure(Found->second, Now);
+}
+
+void Placement::countFailure(State &S, TimePoint Now) {
+  ++S.FailuresInRow_;
+  S.FailureShare_ += SampleWeight * (1 - S.FailureShare_);
+  double Mean = meanFailureShare(S.Endpoint_.Service_);
+  if (S.FailuresInRow_ >= Options_.FailuresInRow_ ||
+      (S.FailureShare_ > FailureFloor && S.FailureShare_ > 2 * Mean))
+    eject(S, Now);
+}
+
 std::optional<Placement::View> Placement::view(const EndpointId &Id,
                                                TimePoint Now) const {
   auto Found = States_.find(Id);
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -151,6 +151,8 @@
   void attemptBegun(const EndpointId &Id, TimePoint Now);
   // HadHead: firstByte() was called for the attempt.
   void attemptEnded(const EndpointId &Id, End E, bool HadHead, TimePoint Now);
+  // An attempt that goes on counts as failed for now: its endpoint is silent.
+  void noteFailure(const EndpointId &Id, TimePoint Now);
   // Running and waiting requests at the endpoint, as reported at Now.
   void updateLoad(const EndpointId &Id, unsigned Running, unsigned Waiting,
                   TimePoint Now);
@@ -280,6 +282,7 @@
   bool isFull(const State &S, const Query &Q, TimePoint Now) const;
   double meanFailureShare(const ServiceName &Service) const;
   double meanFirstByte(const ServiceName &Service) const;
+  void countFailure(State &S, TimePoint Now);
   void eject(State &S, TimePoint Now);
 
   Options Options_;
--- a/hawthornroad/traffic/RepeatBudget.cpp
+++ b/hawthornroad/traffic/RepeatBudget.cpp
@@ -21,7 +21,7 @@
   ++current(Accounts_[Service], Now).Requests_;
 }
 
-bool RepeatBudget::take(const ServiceName &Service, TimePoint Now) {
+bool RepeatBudget::permits(const ServiceName &Service, TimePoint Now) {
   Account &A = Accounts_[Service];
   Slot &S = current(A, Now);
   std::int64_t Oldest = S.Number_ - static_cast<std::int64_t>(Slots) + 1;
@@ -35,9 +35,13 @@
   }
   double Allowed =
       Options_.Ratio_ * Options_.Share_ * Requests + Options_.AlwaysAllowed_;
-  if (Repeats + 1 > Allowed)
+  return Repeats + 1 <= Allowed;
+}
+
+bool RepeatBudget::take(const ServiceName &Service, TimePoint Now) {
+  if (!permits(Service, Now))
     return false;
-  ++S.Repeats_;
+  ++current(Accounts_[Service], Now).Repeats_;
   return true;
 }
 
--- a/hawthornroad/traffic/RepeatBudget.h
+++ b/hawthornroad/traffic/RepeatBudget.h
@@ -38,7 +38,9 @@
   explicit RepeatBudget(Options O) : Options_(O) {}
 
   void noteRequest(const ServiceName &Service, TimePoint Now);
-  // Whether one more repeat may be sent; counts it if so.
+  // Whether one more repeat may be sent.
+  bool permits(const ServiceName &Service, TimePoint Now);
+  // The same, and counts it if so.
   bool take(const ServiceName &Service, TimePoint Now);
   // Returns a repeat taken at Now that never reached an endpoint.
   void giveBack(const ServiceName &Service, TimePoint Now);
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -253,8 +253,11 @@
   Q.MayAsk_ = Options_.AsksForPlaces_;
   Q.TimeLeft_ = callerLeavesAt(R) - Now;
   // When all endpoints were tried, each may be tried again.
-  if (!R.Tried_.empty() && Placement_.usable(Q) == 0)
+  if (!R.Tried_.empty() && Placement_.usable(Q) == 0) {
+    if (R.Current_.isRunning())
+      return std::nullopt;
     R.Tried_.clear();
+  }
   // A stream cut by a weight load resumes at an engine with no load ahead.
   if (R.IsStreaming_) {
     Placement::Query Newest = Q;
@@ -282,6 +285,8 @@
     if (E == nullptr)
       return false;
     if (!isInTime(R, *E, Now)) {
+      if (R.Current_.isRunning())
+        return false;
       giveUp(R, Cause::DeadlinePassed, "no time for another attempt", Now);
       return false;
     }
@@ -391,6 +396,8 @@
   if (tryBegin(R, Now) || R.IsDone_)
     return;
   R.Asks_ = 0;
+  if (R.Current_.isRunning())
+    return;
   if (!R.QueuedAt_)
     return queue(R, Now);
   // It was at the front of the queue and returns there.
@@ -445,8 +452,9 @@
 
 bool TrafficCore::begin(Record &R, const Endpoint &E, TimePoint Now) {
   if (R.HasArrived_ && !Budget_.take(R.Service_, Now)) {
-    giveUp(R, R.MayHaveRun_ ? Cause::AttemptLost : Cause::TurnedAway,
-           "the repeat budget is spent", Now);
+    if (!R.Current_.isRunning())
+      giveUp(R, R.MayHaveRun_ ? Cause::AttemptLost : Cause::TurnedAway,
+             "the repeat budget is spent", Now);
     return false;
   }
   if (!R.IsNoted_)
@@ -457,21 +465,11 @@
   if (R.QueuedAt_)
     R.Waited_ += Now - *R.QueuedAt_;
   R.QueuedAt_.reset();
-  R.TookRepeat_ = std::exchange(R.HasArrived_, true);
-  R.Attempt_ = NextAttempt_++;
-  ByAttempt_[R.Attempt_] = R.Number_;
-  R.At_ = E.Id_;
-  R.Address_ = E.Address_;
-  R.Born_ = E.Born_;
-  R.BegunAt_ = R.LastReceivedAt_ = Now;
-  R.HasHead_ = R.IsEvents_ = false;
-  R.Body_.clear();
-  ++R.Attempts_;
-  if (auto V = Placement_.view(E.Id_, Now))
-    R.EndpointView_ = *V;
-  if (R.Relay_)
-    R.Relay_->startAttempt();
-  Placement_.attemptBegun(E.Id_, Now);
+  if (R.Current_.isRunning()) {
+    R.Silent_ = std::move(R.Current_);
+    R.Silent_->Relay_ = R.Relay_;
+  }
+  startAttempt(R, E, Now);
   AttemptParams O;
   O.Call_ = R.Number_;
   O.Endpoint_ = E.Id_;
@@ -482,10 +480,28 @@
                    ? ResumeUrgency
                    : std::clamp(DefaultUrgency + R.Rank_ - 1, 0, MaxUrgency);
   O.LastEvent_ = R.Relay_ ? R.Relay_->lastEvent() : R.Call_.LastEvent_;
-  Port_.report(AttemptReport{R.Number_, R.Call_.Id_, R.At_, R.Address_, "begun",
-                             "", false, R.Attempts_, R.EndpointView_});
-  Port_.beginAttempt(R.Attempt_, R.Call_, O);
+  const Attempt &T = R.Current_;
+  Port_.report(AttemptReport{R.Number_, R.Call_.Id_, T.At_, T.Address_, "begun",
+                             "", false, T.Ordinal_, T.EndpointView_});
+  Port_.beginAttempt(T.Number_, R.Call_, O);
   return true;
 }
 
+void TrafficCore::startAttempt(Record &R, const Endpoint &E, TimePoint Now) {
+  Attempt &T = R.Current_ = Attempt();
+  T.Number_ = NextAttempt_++;
+  ByAttempt_[T.Number_] = R.Number_;
+  T.TookRepeat_ = std::exchange(R.HasArrived_, true);
+  T.At_ = E.Id_;
+  T.Address_ = E.Address_;
+  T.Born_ = E.Born_;
+  T.Ordinal_ = ++R.Attempts_;
+  T.BegunAt_ = T.LastReceivedAt_ = Now;
+  if (auto V = Placement_.view(E.Id_, Now))
+    T.EndpointView_ = *V;
+  if (R.Relay_)
+    R.Relay_->startAttempt();
+  Placement_.attemptBegun(E.Id_, Now);
+}
+
 } // namespace hawthornroad
--- a/hawthornroad/traffic/TrafficAttempts.cpp
+++ b/hawthornroad/traffic/TrafficAttempts.cpp
@@ -13,88 +13,152 @@
 }
 } // namespace
 
-void TrafficCore::endAttempt(Record &R, Placement::End E, std::string_view What,
-                             const std::string &Why, bool MayHaveRun,
-                             TimePoint Now) {
-  if (R.Attempt_ == 0)
+TrafficCore::Attempt &TrafficCore::attemptOf(Record &R, AttemptNumber A) {
+  return R.Silent_ && R.Silent_->Number_ == A ? *R.Silent_ : R.Current_;
+}
+
+void TrafficCore::endAttempt(Record &R, Attempt &T, Placement::End E,
+                             std::string_view What, const std::string &Why,
+                             bool MayHaveRun, TimePoint Now) {
+  if (!T.isRunning())
     return;
-  ByAttempt_.erase(R.Attempt_);
-  R.Attempt_ = 0;
-  Placement_.attemptEnded(R.At_, E, R.FirstByteReported_, Now);
-  R.FirstByteReported_ = false;
+  ByAttempt_.erase(T.Number_);
+  T.Number_ = 0;
+  Placement_.attemptEnded(T.At_, E, T.FirstByteReported_, Now);
+  T.FirstByteReported_ = false;
   Freed_.insert(R.Service_);
   if (MayHaveRun) {
     R.MayHaveRun_ = true;
-    R.RanAt_.insert(R.At_);
+    R.RanAt_.insert(T.At_);
+  }
+  Port_.report(AttemptReport{R.Number_, R.Call_.Id_, T.At_, T.Address_, What,
+                             Why, MayHaveRun, T.Ordinal_, T.EndpointView_,
+                             Now - T.BegunAt_, Now - T.LastReceivedAt_});
+}
+
+void TrafficCore::cancelAttempt(Record &R, Attempt &T, const std::string &Why,
+                                TimePoint Now) {
+  if (!T.isRunning())
+    return;
+  Port_.cancelAttempt(T.Number_);
+  endAttempt(R, T, Placement::End::Cancelled, "cancelled", Why, true, Now);
+}
+
+void TrafficCore::cancelAttempts(Record &R, const std::string &Why,
+                                 TimePoint Now) {
+  cancelAttempt(R, R.Current_, Why, Now);
+  if (R.Silent_)
+    cancelAttempt(R, *R.Silent_, Why, Now);
+  R.Silent_.reset();
+}
+
+// An attempt of R has ended without an answer. True when another one runs, with
+// which R continues.
+bool TrafficCore::continueWithOther(Record &R, TimePoint Now) {
+  if (R.Silent_ && !R.Silent_->isRunning())
+    R.Silent_.reset();
+  if (!R.Current_.isRunning() && R.Silent_)
+    restoreSilent(R);
+  if (!R.Current_.isRunning())
+    return false;
+  R.NextReplacementAt_ = Now + Options_.ReplacementRetry_;
+  return true;
+}
+
+void TrafficCore::restoreSilent(Record &R) {
+  R.Relay_ = std::move(R.Silent_->Relay_);
+  R.Current_ = std::move(*R.Silent_);
+  R.Silent_.reset();
+}
+
+// T has sent what may be forwarded: R needs no other attempt any more.
+void TrafficCore::keepOnly(Record &R, Attempt &T, TimePoint Now) {
+  abandonAsk(R, Now);
+  if (!R.Silent_)
+    return;
+  if (&T == &R.Current_) {
+    cancelAttempt(R, *R.Silent_, "silent, and replaced", Now);
+    R.Silent_.reset();
+    return;
   }
-  Port_.report(AttemptReport{R.Number_, R.Call_.Id_, R.At_, R.Address_, What,
-                             Why, MayHaveRun, R.Attempts_, R.EndpointView_,
-                             Now - R.BegunAt_, Now - R.LastReceivedAt_});
+  cancelAttempt(R, R.Current_, "the attempt before it continued", Now);
+  restoreSilent(R);
 }
 
 void TrafficCore::onHead(AttemptNumber A, EndpointHead H, TimePoint Now) {
   Record *R = find(A);
   if (R == nullptr)
     return;
-  R->LastReceivedAt_ = Now;
-  R->HasHead_ = true;
-  R->Head_ = std::move(H);
-  const EndpointHead &Head = R->Head_;
+  Attempt &T = attemptOf(*R, A);
+  T.LastReceivedAt_ = Now;
+  T.HasHead_ = true;
+  T.Head_ = std::move(H);
+  const EndpointHead &Head = T.Head_;
   bool IsForeign = !Head.RequestId_.empty() && Head.RequestId_ != R->Call_.Id_;
   bool IsUnsigned = !Head.NotRun_ && !Head.IsSigned_;
   if (IsForeign || Head.IsEncoded_ || IsUnsigned) {
     // The answer belongs to another request or does not come from an endpoint.
     Port_.cancelAttempt(A);
-    endAttempt(*R, Placement::End::Failed, "failed",
-               IsForeign ? "an answer to another request"
-                         : "an answer without the endpoint's signature",
-               true, Now);
-    afterFailure(*R, "wrong answer", Now);
-    return dispatchFreed(Now);
+    return failAttempt(*R, T,
+                       IsForeign ? "an answer to another request"
+                                 : "an answer without the endpoint's signature",
+                       Now);
   }
   if (!Head.IsOtherEndpoint_) {
-    noteLimit(*R, Head, Now);
-    noteHolds(*R, Head, Now);
+    noteLimit(T, Now);
+    noteHolds(T, Now);
   }
   if (Head.HasLoad_)
-    Placement_.updateLoad(R->At_, Head.Running_, Head.Waiting_, Now);
+    Placement_.updateLoad(T.At_, Head.Running_, Head.Waiting_, Now);
   if (Head.NotRun_)
     return;
-  Placement_.firstByte(R->At_, Now - R->BegunAt_);
-  R->FirstByteReported_ = true;
+  Placement_.firstByte(T.At_, Now - T.BegunAt_);
+  T.FirstByteReported_ = true;
   if (Head.Version_ != 0)
-    Placement_.updateVersion(R->At_, Head.Version_);
-  R->IsEvents_ = Head.Status_ == status::Ok && R->Route_->IsStream_ &&
-                 isEventStream(Head.Headers_);
-  if (!R->IsEvents_)
+    Placement_.updateVersion(T.At_, Head.Version_);
+  T.IsEvents_ = Head.Status_ == status::Ok && R->Route_->IsStream_ &&
+                isEventStream(Head.Headers_);
+  if (!T.IsEvents_)
     return;
-  if (!R->Relay_)
-    R->Relay_.emplace(R->Call_.LastEvent_);
-  if (!R->IsStreaming_)
-    R->Version_ = Head.Version_;
+  if (std::optional<EventRelay> &Relay = relayOf(*R, T); !Relay)
+    Relay.emplace(R->Call_.LastEvent_);
+}
+
+std::optional<EventRelay> &TrafficCore::relayOf(Record &R, Attempt &T) {
+  return &T == &R.Current_ ? R.Relay_ : T.Relay_;
+}
+
+// An attempt that sent something else than its answer.
+void TrafficCore::failAttempt(Record &R, Attempt &T, const std::string &Why,
+                              TimePoint Now) {
+  R.Tried_.insert(T.At_);
+  endAttempt(R, T, Placement::End::Failed, "failed", Why, true, Now);
+  if (!continueWithOther(R, Now))
+    afterFailure(R, Now);
+  dispatchFreed(Now);
 }
 
 // An answer that ran ends a limit by stating none. One that was turned away
 // does not: it may come from a queue before the endpoint.
-void TrafficCore::noteLimit(const Record &R, const EndpointHead &H,
-                            TimePoint Now) {
+void TrafficCore::noteLimit(const Attempt &T, TimePoint Now) {
+  const EndpointHead &H = T.Head_;
   bool MayEndLimit = !H.NotRun_ && H.Unreadable_.empty();
   if (!H.RateLimit_ && !MayEndLimit)
     return;
-  noteLimit({R.At_, R.Born_}, {H.RateLimit_, R.BegunAt_, Now}, AnswerSource,
+  noteLimit({T.At_, T.Born_}, {H.RateLimit_, T.BegunAt_, Now}, AnswerSource,
             Now);
 }
 
-void TrafficCore::noteHolds(const Record &R, const EndpointHead &H,
-                            TimePoint Now) {
-  EndpointStart E{R.At_, R.Born_};
+void TrafficCore::noteHolds(const Attempt &T, TimePoint Now) {
+  const EndpointHead &H = T.Head_;
+  EndpointStart E{T.At_, T.Born_};
   if (H.Rest_ && *H.Rest_ > Duration::zero()) {
     Duration Rest = std::min(*H.Rest_, Options_.MaxRest_);
     if (Placement_.rest(E, Now + Rest))
-      Port_.report(HoldReport{R.At_, HoldReport::Kind::Rests, Rest});
+      Port_.report(HoldReport{T.At_, HoldReport::Kind::Rests, Rest});
   }
   if (H.IsLeaving_ && Placement_.leave(E, Now))
-    Port_.report(HoldReport{R.At_, HoldReport::Kind::Leaves});
+    Port_.report(HoldReport{T.At_, HoldReport::Kind::Leaves});
 }
 
 void TrafficCore::noteLimit(const EndpointStart &E, const LimitStatement &S,
@@ -119,90 +183,102 @@
   Record *R = find(A);
   if (R == nullptr)
     return;
-  R->LastReceivedAt_ = Now;
-  if (!R->IsEvents_) {
-    R->Body_ += Bytes;
+  Attempt &T = attemptOf(*R, A);
+  T.LastReceivedAt_ = Now;
+  if (!T.IsEvents_) {
+    T.Body_ += Bytes;
     return;
   }
-  std::string Out = R->Relay_->feed(Bytes);
+  std::string Out = relayOf(*R, T)->feed(Bytes);
   if (Out.empty())
     return;
-  if (!R->FirstByteAt_)
-    R->FirstByteAt_ = Now;
+  keepOnly(*R, T, Now);
+  forward(*R, Out, Now);
+  dispatchFreed(Now);
+}
+
+// Sends events of the current attempt to the caller.
+void TrafficCore::forward(Record &R, std::string_view Events, TimePoint Now) {
+  if (!R.FirstByteAt_)
+    R.FirstByteAt_ = Now;
   else
-    R->LongestGap_ = std::max(R->LongestGap_, Now - R->LastByteAt_);
-  R->LastByteAt_ = Now;
-  if (!R->IsStreaming_) {
-    R->IsStreaming_ = true;
-    R->Status_ = R->Head_.Status_;
-    Port_.beginStream(R->Number_, R->Head_.Status_, R->Head_.Headers_);
+    R.LongestGap_ = std::max(R.LongestGap_, Now - R.LastByteAt_);
+  R.LastByteAt_ = Now;
+  const EndpointHead &Head = R.Current_.Head_;
+  if (!R.IsStreaming_) {
+    R.IsStreaming_ = true;
+    R.Status_ = Head.Status_;
+    Port_.beginStream(R.Number_, Head.Status_, Head.Headers_);
   }
-  Port_.writeStream(R->Number_, Out);
+  Port_.writeStream(R.Number_, Events);
 }
 
 void TrafficCore::onEnd(AttemptNumber A, TimePoint Now) {
   Record *R = find(A);
   if (R == nullptr)
     return;
-  if (R->Head_.NotRun_) {
-    std::string Why = "status " + std::to_string(R->Head_.Status_);
-    // The expected engine also answers so while it has no weights loaded.
-    bool IsOther =
-        R->Head_.IsOtherEndpoint_ && R->Head_.EndpointId_ != R->At_.str();
-    if (IsOther)
-      R->Tried_.insert(R->At_);
-    if (IsOther && !R->Head_.EndpointId_.empty())
-      Placement_.setReplaced(R->At_);
-    endAttempt(*R,
-               IsOther ? Placement::End::Failed : Placement::End::TurnedAway,
-               "turned_away", Why, false, Now);
-    afterTurnedAway(*R, Why, Now);
-    return dispatchFreed(Now);
-  }
-  if (R->IsEvents_ && !R->Relay_->isWhole()) {
-    endAttempt(*R, Placement::End::Failed, "failed",
-               "the stream ended within an event", true, Now);
-    R->Tried_.insert(R->At_);
-    afterFailure(*R, "stream ended early", Now);
-    return dispatchFreed(Now);
-  }
+  Attempt &T = attemptOf(*R, A);
+  const EndpointHead &Head = T.Head_;
+  if (Head.NotRun_)
+    return onTurnedAway(*R, T, Now);
+  if (T.IsEvents_ && !relayOf(*R, T)->isWhole())
+    return failAttempt(*R, T, "the stream ended within an event", Now);
   // The caller already has the head and a part of a stream. Another kind of
   // answer cannot follow it, and finishing here would make the partial stream
   // look complete.
-  if (R->IsStreaming_ && !R->IsEvents_) {
-    endAttempt(*R, Placement::End::Failed, "failed",
-               "no event stream from the resuming endpoint: status " +
-                   std::to_string(R->Head_.Status_),
-               true, Now);
-    R->Tried_.insert(R->At_);
-    afterFailure(*R, "no event stream from the resuming endpoint", Now);
+  if (R->IsStreaming_ && !T.IsEvents_)
+    return failAttempt(*R, T,
+                       "no event stream from the resuming endpoint: status " +
+                           std::to_string(Head.Status_),
+                       Now);
+  std::string What = "status " + std::to_string(Head.Status_);
+  bool IsFailure = Head.Status_ >= status::FirstServerError;
+  noteCompletion(R->Service_, Now);
+  if (IsFailure && R->Route_->Repeat_ != Repeat::Never) {
+    R->Fallback_ = Head;
+    R->FallbackBody_ = T.Body_;
+    R->Tried_.insert(T.At_);
+    endAttempt(*R, T, Placement::End::Failed, "ended", What, true, Now);
+    if (!continueWithOther(*R, Now))
+      afterFailure(*R, Now);
     return dispatchFreed(Now);
   }
-  bool IsFailure = R->Head_.Status_ >= status::FirstServerError;
-  endAttempt(*R, IsFailure ? Placement::End::Failed : Placement::End::Good,
-             "ended", "status " + std::to_string(R->Head_.Status_), true, Now);
-  noteCompletion(R->Service_, Now);
+  keepOnly(*R, T, Now);
+  endAttempt(*R, R->Current_,
+             IsFailure ? Placement::End::Failed : Placement::End::Good, "ended",
+             What, true, Now);
   finishAnswer(*R, Now);
   dispatchFreed(Now);
 }
 
+void TrafficCore::onTurnedAway(Record &R, Attempt &T, TimePoint Now) {
+  const EndpointHead &Head = T.Head_;
+  // The expected engine also answers so while it has no weights loaded.
+  bool IsOther = Head.IsOtherEndpoint_ && Head.EndpointId_ != T.At_.str();
+  if (IsOther)
+    R.Tried_.insert(T.At_);
+  if (IsOther && !Head.EndpointId_.empty())
+    Placement_.setReplaced(T.At_);
+  endAttempt(
+      R, T, IsOther ? Placement::End::Failed : Placement::End::TurnedAway,
+      "turned_away", "status " + std::to_string(Head.Status_), false, Now);
+  if (!continueWithOther(R, Now))
+    afterTurnedAway(R, Now);
+  dispatchFreed(Now);
+}
+
+// The current attempt has ended with the whole answer.
 void TrafficCore::finishAnswer(Record &R, TimePoint Now) {
   if (R.IsStreaming_) {
     Port_.finishStream(R.Number_);
     return close(R, Now);
   }
-  bool IsFailure = R.Head_.Status_ >= status::FirstServerError;
-  if (IsFailure && R.Route_->Repeat_ != Repeat::Never && !R.CallerGone_) {
-    R.Fallback_ = R.Head_;
-    R.FallbackBody_ = R.Body_;
-    R.Tried_.insert(R.At_);
-    return afterFailure(R, "status " + std::to_string(R.Head_.Status_), Now);
-  }
   if (!R.FirstByteAt_)
     R.FirstByteAt_ = Now;
-  R.Status_ = R.Head_.Status_;
-  Port_.respond(R.Number_, R.Head_.Status_, R.Head_.Headers_,
-                std::move(R.Body_));
+  const EndpointHead &Head = R.Current_.Head_;
+  R.Status_ = Head.Status_;
+  Port_.respond(R.Number_, Head.Status_, Head.Headers_,
+                std::move(R.Current_.Body_));
   close(R, Now);
 }
 
@@ -211,23 +287,23 @@
   Record *R = find(A);
   if (R == nullptr)
     return;
+  Attempt &T = attemptOf(*R, A);
   // The endpoint's statement counts even if its answer was cut after the head.
-  bool NotRun = NeverSent || (R->HasHead_ && R->Head_.NotRun_);
-  // Nothing reached the endpoint, so the next attempt does not count as a
-  // repeat.
-  if (NeverSent && R->TookRepeat_)
-    Budget_.giveBack(R->Service_, Now);
-  else if (NeverSent)
-    R->HasArrived_ = false;
-  EndpointId At = R->At_;
+  bool NotRun = NeverSent || (T.HasHead_ && T.Head_.NotRun_);
+  EndpointId At = T.At_;
+  bool TookRepeat = T.TookRepeat_;
   R->Tried_.insert(At);
-  endAttempt(*R, Placement::End::Failed, "failed", Why, !NotRun, Now);
+  endAttempt(*R, T, Placement::End::Failed, "failed", Why, !NotRun, Now);
   if (NeverSent && Endpoints_.refused(At))
     Placement_.setEndpoints(Endpoints_, *Config_);
-  if (NotRun)
-    afterTurnedAway(*R, Why, Now);
-  else
-    afterFailure(*R, Why, Now);
+  bool HasOther = continueWithOther(*R, Now);
+  // Nothing reached the endpoint, so one attempt less counts as a repeat.
+  if (NeverSent && (TookRepeat || HasOther))
+    Budget_.giveBack(R->Service_, Now);
+  else if (NeverSent)
+    R->HasArrived_ = false;
+  if (!HasOther)
+    NotRun ? afterTurnedAway(*R, Now) : afterFailure(*R, Now);
   dispatchFreed(Now);
 }
 
@@ -243,26 +319,30 @@
   return Ran < R.Route_->MaxAttempts_;
 }
 
-void TrafficCore::afterFailure(Record &R, const std::string &Why,
-                               TimePoint Now) {
+void TrafficCore::afterFailure(Record &R, TimePoint Now) {
   if (R.IsDone_)
     return;
   if (R.CallerGone_)
     return close(R, Now);
   if (!mayGoElsewhere(R) || Now >= R.Deadline_)
     return giveUp(R, Cause::AttemptLost, "no further attempt is allowed", Now);
-  place(R, Now);
+  placeUnlessAsking(R, Now);
 }
 
-void TrafficCore::afterTurnedAway(Record &R, const std::string &Why,
-                                  TimePoint Now) {
+void TrafficCore::afterTurnedAway(Record &R, TimePoint Now) {
   if (R.IsDone_)
     return;
   if (R.CallerGone_)
     return close(R, Now);
   if (Now >= R.Deadline_)
     return giveUp(R, Cause::DeadlinePassed, "the deadline has passed", Now);
-  place(R, Now);
+  placeUnlessAsking(R, Now);
+}
+
+// A place may have been asked for while the ended attempt was silent.
+void TrafficCore::placeUnlessAsking(Record &R, TimePoint Now) {
+  if (R.Asking_ == 0)
+    place(R, Now);
 }
 
 } // namespace hawthornroad
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -87,17 +87,26 @@
 // may have run before, so a request that may run only once is answered at once
 // and not sent again.
 void TrafficCore::endLostAttempts(TimePoint Now) {
-  std::vector<Record *> Lost;
+  std::vector<AttemptNumber> Lost;
+  auto Check = [&](const Attempt &T) {
+    const Endpoint *E = T.isRunning() ? Endpoints_.find(T.At_) : nullptr;
+    if (E != nullptr && E->Born_ > T.Born_)
+      Lost.push_back(T.Number_);
+  };
   for (const auto &[N, R] : Calls_) {
-    const Endpoint *E = R->Attempt_ != 0 ? Endpoints_.find(R->At_) : nullptr;
-    if (E != nullptr && E->Born_ > R->Born_)
-      Lost.push_back(R.get());
+    Check(R->Current_);
+    if (R->Silent_)
+      Check(*R->Silent_);
   }
-  for (Record *R : Lost) {
-    Port_.cancelAttempt(R->Attempt_);
-    endAttempt(*R, Placement::End::Cancelled, "failed",
+  for (AttemptNumber A : Lost) {
+    Record *R = find(A);
+    if (R == nullptr)
+      continue;
+    Port_.cancelAttempt(A);
+    endAttempt(*R, attemptOf(*R, A), Placement::End::Cancelled, "failed",
                "the endpoint restarted", true, Now);
-    afterFailure(*R, "endpoint restarted", Now);
+    if (!continueWithOther(*R, Now))
+      afterFailure(*R, Now);
   }
 }
 
@@ -201,8 +210,8 @@
          Duration::zero(), Now);
 }
 
-void TrafficCore::reportCut(const Record &R, Cause Why,
-                            std::string_view Reason, TimePoint Now) {
+void TrafficCore::reportCut(const Record &R, Cause Why, std::string_view Reason,
+                            TimePoint Now) {
   if (R.CallerGone_)
     return;
   CutReport C;
@@ -210,9 +219,9 @@
   C.Id_ = R.Call_.Id_;
   C.Cause_ = Why;
   C.Reason_ = Reason;
-  C.LastEndpoint_ = R.At_;
-  C.EndpointView_ = Placement_.view(R.At_, Now);
-  C.SilentFor_ = Now - R.LastReceivedAt_;
+  C.LastEndpoint_ = R.Current_.At_;
+  C.EndpointView_ = Placement_.view(R.Current_.At_, Now);
+  C.SilentFor_ = Now - R.Current_.LastReceivedAt_;
   C.Events_ = R.Relay_ ? R.Relay_->passed() : 0;
   C.Attempts_ = R.Attempts_;
   C.Total_ = Now - R.ArrivedAt_;
@@ -238,7 +247,7 @@
   Report.MayHaveRun_ = R.MayHaveRun_;
   Report.CallerGone_ = R.CallerGone_;
   Report.Attempts_ = R.Attempts_;
-  Report.LastEndpoint_ = R.At_;
+  Report.LastEndpoint_ = R.Current_.At_;
   Report.ConfigVersion_ = R.Config_ ? R.Config_->version() : 0;
   Report.ConfigAge_ = R.ConfigAge_;
   Report.Events_ = R.Relay_ ? R.Relay_->passed() : 0;
@@ -257,11 +266,7 @@
     return;
   Record &R = *Found->second;
   R.CallerGone_ = true;
-  if (R.Attempt_ != 0) {
-    Port_.cancelAttempt(R.Attempt_);
-    endAttempt(R, Placement::End::Cancelled, "cancelled", "the caller left",
-               true, Now);
-  }
+  cancelAttempts(R, "the caller left", Now);
   close(R, Now);
   dispatchFreed(Now);
 }
@@ -277,14 +282,30 @@
 
 // A request that an engine with an old version has not begun by the version's
 // hard limit would run on weights that may no longer serve anybody.
-bool TrafficCore::waitsAtOldVersion(const Record &R, TimePoint Now) const {
-  if (R.Attempt_ == 0 || R.HasHead_ || Requirements_.empty())
+bool TrafficCore::waitsAtOldVersion(const Record &R, const Attempt &T,
+                                    TimePoint Now) const {
+  if (!T.isRunning() || T.HasHead_ || Requirements_.empty())
     return false;
-  auto V = Placement_.view(R.At_, Now);
+  auto V = Placement_.view(T.At_, Now);
   return V && V->Version_ != 0 &&
          V->Version_ < minVersion(R.Service_, Now, true);
 }
 
+// True when R has no attempt left because of that.
+bool TrafficCore::endAtOldVersion(Record &R, TimePoint Now) {
+  bool HasEnded = false;
+  auto End = [&](Attempt &T) {
+    if (!waitsAtOldVersion(R, T, Now))
+      return;
+    cancelAttempt(R, T, "queued at an engine with an old version", Now);
+    HasEnded = true;
+  };
+  End(R.Current_);
+  if (R.Silent_)
+    End(*R.Silent_);
+  return HasEnded && !continueWithOther(R, Now);
+}
+
 // Longest wait in the queue that leaves an engine's usual time within the goal.
 Duration TrafficCore::queueWaitLimit(const Route &R) const {
   Duration Share = std::chrono::duration_cast<Duration>(R.FirstByteGoal_ *
@@ -307,21 +328,14 @@
 }
 
 void TrafficCore::checkTime(Record &R, TimePoint Now) {
-  if (waitsAtOldVersion(R, Now)) {
-    Port_.cancelAttempt(R.Attempt_);
-    endAttempt(R, Placement::End::Cancelled, "cancelled",
-               "queued at an engine with an old version", true, Now);
-    return afterFailure(R, "old version", Now);
-  }
+  if (endAtOldVersion(R, Now))
+    return afterFailure(R, Now);
   if (Now >= callerLeavesAt(R)) {
-    if (R.Attempt_ != 0) {
-      Port_.cancelAttempt(R.Attempt_);
-      endAttempt(R, Placement::End::Cancelled, "cancelled", "deadline", true,
-                 Now);
-    }
+    bool IsOver = Now >= R.Deadline_;
+    cancelAttempts(R, IsOver ? "deadline" : "the caller has left by now", Now);
     return giveUp(R, Cause::DeadlinePassed,
-                  Now >= R.Deadline_ ? "the deadline has passed"
-                                     : "silent for as long as callers wait",
+                  IsOver ? "the deadline has passed"
+                         : "silent for as long as callers wait",
                   Now);
   }
   if (R.IsQueued_) {
@@ -340,27 +354,40 @@
     abandonAsk(R, Now);
     return askElsewhere(R, Now);
   }
-  if (R.Attempt_ == 0 || R.Route_->Repeat_ == Repeat::Never)
-    return;
+  if (isSilent(R, Now))
+    replaceSilent(R, Now);
+}
+
+bool TrafficCore::isSilent(const Record &R, TimePoint Now) const {
+  if (!R.Current_.isRunning() || R.Route_->Repeat_ == Repeat::Never)
+    return false;
   Duration Limit = Options_.NextEventSilence_;
   if (!R.IsStreaming_ && R.Route_->IsStream_)
     Limit = Options_.FirstEventSilence_;
   else if (!R.IsStreaming_)
     Limit = std::chrono::duration_cast<Duration>((R.Deadline_ - R.ArrivedAt_) *
                                                  Options_.SilenceShare_);
-  if (Now - R.LastReceivedAt_ < Limit)
+  return Now - R.Current_.LastReceivedAt_ >= Limit;
+}
+
+// Begins another attempt beside the silent one, which goes on: its endpoint may
+// be sound, and without a replacement it is the only answer there can be.
+void TrafficCore::replaceSilent(Record &R, TimePoint Now) {
+  if (R.Silent_ || R.Asking_ != 0 || Now < R.NextReplacementAt_)
     return;
-  R.RanAt_.insert(R.At_);
-  R.Tried_.insert(R.At_);
+  R.RanAt_.insert(R.Current_.At_);
+  R.Tried_.insert(R.Current_.At_);
   Placement::Query Q;
   Q.Service_ = R.Service_;
   Q.Tried_ = &R.Tried_;
   Q.MinVersion_ = minVersion(R.Service_, Now);
   if (!mayGoElsewhere(R) || Placement_.usable(Q) == 0)
     return;
-  Port_.cancelAttempt(R.Attempt_);
-  endAttempt(R, Placement::End::Failed, "failed", "silent", true, Now);
-  afterFailure(R, "silent", Now);
+  R.NextReplacementAt_ = Now + Options_.ReplacementRetry_;
+  if (!std::exchange(R.Current_.IsSilenceNoted_, true))
+    Placement_.noteFailure(R.Current_.At_, Now);
+  if (Budget_.permits(R.Service_, Now))
+    tryBegin(R, Now);
 }
 
 void TrafficCore::tick(TimePoint Now) {
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -24,6 +24,13 @@
 // as they are completed; a broken stream resumes at another endpoint after the
 // last forwarded event, or is aborted visibly for the caller.
 //
+// Silence. An endpoint that sends nothing may be sound: its processor may be
+// busy, its link slow, or this process may have had no processor itself. So
+// silence ends no attempt. A second one is begun at another endpoint where the
+// request may be repeated, and the one that sends the next event or a whole
+// answer first is kept. Attempts end by what the connection, the endpoint or
+// the list of endpoints states, when the caller leaves, or at the deadline.
+//
 // Places. An entry's view of an engine is outdated, and other entries send to
 // it too. The agent beside the engine is therefore asked for a place before a
 // request is sent; the request is sent if the place is granted, and goes to
@@ -305,17 +312,20 @@
     Duration MaxRest_ = Seconds(300);
     // Deadline when the caller states none.
     Duration DefaultTimeLeft_ = Seconds(30);
-    // An event stream without a byte for this long, before and after its first
-    // event, resumes at another endpoint. A pass of a loaded engine takes up to
-    // a few hundred milliseconds; callers leave a stream after two seconds.
+    // For an event stream without a byte for this long, before and after its
+    // first event, another endpoint is looked for. A pass of a loaded engine
+    // takes up to a few hundred milliseconds; callers leave a stream after two
+    // seconds.
     Duration FirstEventSilence_ = Milliseconds(1500);
     Duration NextEventSilence_ = Milliseconds(900);
+    // How often a replacement is looked for while an attempt is silent.
+    Duration ReplacementRetry_ = Milliseconds(200);
     // Callers leave a stream after a gap of the longest of this, four times the
     // goal and eight times the longest allowed gap. Some leave undetectably, so
     // their requests are ended here after the same time.
     Duration CallerLeaves_ = Seconds(2);
-    // Share of a repeatable request's time after which a silent endpoint is
-    // abandoned.
+    // Share of a repeatable request's time after which another endpoint is
+    // looked for besides a silent one.
     double SilenceShare_ = 0.35;
     // An attempt is not begun when less time is left than its endpoint's usual
     // time to the first byte, capped at this value: it would reach the endpoint
@@ -366,6 +376,7 @@
   std::size_t open() const { return Calls_.size(); }
 
 private:
+  struct Attempt;
   struct Record;
   struct ServiceQueue;
   // A query for a place or a grant.
@@ -408,10 +419,25 @@
   void unqueue(Record &R);
   void dispatchQueue(const ServiceName &Service, TimePoint Now);
   void dispatchFreed(TimePoint Now);
-  void endAttempt(Record &R, Placement::End E, std::string_view What,
-                  const std::string &Why, bool MayHaveRun, TimePoint Now);
-  void afterFailure(Record &R, const std::string &Why, TimePoint Now);
-  void afterTurnedAway(Record &R, const std::string &Why, TimePoint Now);
+  void startAttempt(Record &R, const Endpoint &E, TimePoint Now);
+  static Attempt &attemptOf(Record &R, AttemptNumber A);
+  static std::optional<EventRelay> &relayOf(Record &R, Attempt &T);
+  void endAttempt(Record &R, Attempt &T, Placement::End E,
+                  std::string_view What, const std::string &Why,
+                  bool MayHaveRun, TimePoint Now);
+  void cancelAttempt(Record &R, Attempt &T, const std::string &Why,
+                     TimePoint Now);
+  void cancelAttempts(Record &R, const std::string &Why, TimePoint Now);
+  void failAttempt(Record &R, Attempt &T, const std::string &Why,
+                   TimePoint Now);
+  void onTurnedAway(Record &R, Attempt &T, TimePoint Now);
+  bool continueWithOther(Record &R, TimePoint Now);
+  static void restoreSilent(Record &R);
+  void keepOnly(Record &R, Attempt &T, TimePoint Now);
+  void forward(Record &R, std::string_view Events, TimePoint Now);
+  void afterFailure(Record &R, TimePoint Now);
+  void afterTurnedAway(Record &R, TimePoint Now);
+  void placeUnlessAsking(Record &R, TimePoint Now);
   bool mayGoElsewhere(const Record &R) const;
   void finishAnswer(Record &R, TimePoint Now);
   void refuse(Record &R, unsigned Status, Cause Why, Duration RetryAfter,
@@ -422,6 +448,8 @@
                  TimePoint Now);
   void close(Record &R, TimePoint Now);
   void checkTime(Record &R, TimePoint Now);
+  bool isSilent(const Record &R, TimePoint Now) const;
+  void replaceSilent(Record &R, TimePoint Now);
   // Ends the attempts at endpoints that have restarted since.
   void endLostAttempts(TimePoint Now);
   Duration estimatedWait(const ServiceName &Service, const Record &R) const;
@@ -437,13 +465,15 @@
   TimePoint callerLeavesAt(const Record &R) const;
   // Whether an attempt that begins at E now could still reach its caller.
   bool isInTime(const Record &R, const Endpoint &E, TimePoint Now) const;
-  bool waitsAtOldVersion(const Record &R, TimePoint Now) const;
+  bool waitsAtOldVersion(const Record &R, const Attempt &T,
+                         TimePoint Now) const;
+  bool endAtOldVersion(Record &R, TimePoint Now);
   WeightVersion newestRequired(const ServiceName &Service) const;
   void noteCompletion(const ServiceName &Service, TimePoint Now);
-  // What the answer of R's attempt states of the endpoint's rate limit.
-  void noteLimit(const Record &R, const EndpointHead &H, TimePoint Now);
-  // What the answer of R's attempt asks for: rest, or nothing more at all.
-  void noteHolds(const Record &R, const EndpointHead &H, TimePoint Now);
+  // What the attempt's answer states of the endpoint's rate limit.
+  void noteLimit(const Attempt &T, TimePoint Now);
+  // What the attempt's answer asks for: rest, or nothing more at all.
+  void noteHolds(const Attempt &T, TimePoint Now);
   void noteLimit(const EndpointStart &E, const LimitStatement &S,
                  std::string_view Source, TimePoint Now);
 
--- a/hawthornroad/traffic/TrafficState.h
+++ b/hawthornroad/traffic/TrafficState.h
@@ -28,6 +28,35 @@
 inline constexpr unsigned GatewayTimeout = 504;
 } // namespace status
 
+// One try of a request at one endpoint.
+struct TrafficCore::Attempt {
+  // 0: none, or it has ended.
+  AttemptNumber Number_ = 0;
+  EndpointId At_;
+  std::string Address_;
+  // Start time of the endpoint, see Endpoint.
+  std::uint64_t Born_ = 0;
+  unsigned Ordinal_ = 0;
+  TimePoint BegunAt_;
+  // When its endpoint last sent anything.
+  TimePoint LastReceivedAt_;
+  Placement::View EndpointView_;
+  // It was charged as a repeat.
+  bool TookRepeat_ = false;
+  bool HasHead_ = false;
+  bool FirstByteReported_ = false;
+  EndpointHead Head_;
+  std::string Body_;
+  bool IsEvents_ = false;
+  // The endpoint's silence was reported to Placement.
+  bool IsSilenceNoted_ = false;
+  // Of a silent attempt: its own copy, since its replacement uses the
+  // request's.
+  std::optional<EventRelay> Relay_;
+
+  bool isRunning() const { return Number_ != 0; }
+};
+
 struct TrafficCore::Record {
   CallNumber Number_ = 0;
   Call Call_;
@@ -61,20 +90,14 @@
   // Place queries since it was last queued.
   unsigned Asks_ = 0;
 
-  // The current attempt; 0: none.
-  AttemptNumber Attempt_ = 0;
-  EndpointId At_;
-  std::string Address_;
-  // Start time of the endpoint, see Endpoint.
-  std::uint64_t Born_ = 0;
-  TimePoint BegunAt_;
-  TimePoint LastReceivedAt_;
-  Placement::View EndpointView_;
-  bool HasHead_ = false;
-  bool FirstByteReported_ = false;
-  EndpointHead Head_;
-  std::string Body_;
-  bool IsEvents_ = false;
+  // The attempt whose answer is forwarded.
+  Attempt Current_;
+  // An attempt whose endpoint has been silent and that Current_ is to replace.
+  // It still runs: whichever sends the next event, or a whole answer, first is
+  // kept.
+  std::optional<Attempt> Silent_;
+  // When a replacement is looked for again.
+  TimePoint NextReplacementAt_;
 
   unsigned Attempts_ = 0;
   std::set<EndpointId> Tried_;
@@ -82,10 +105,9 @@
   std::set<EndpointId> RanAt_;
   bool MayHaveRun_ = false;
   // IsNoted_: counted by the repeat budget. HasArrived_: an attempt has been
-  // sent. TookRepeat_: the current attempt was charged as a repeat.
+  // sent.
   bool IsNoted_ = false;
   bool HasArrived_ = false;
-  bool TookRepeat_ = false;
   // A failure answered by an endpoint, returned to the caller if no other
   // answer follows.
   std::optional<EndpointHead> Fallback_;
@@ -94,7 +116,6 @@
   // The stream to the caller has begun.
   bool IsStreaming_ = false;
   std::optional<EventRelay> Relay_;
-  WeightVersion Version_ = 0;
   std::optional<TimePoint> FirstByteAt_;
   TimePoint LastByteAt_;
   Duration LongestGap_ = Duration::zero();
--- /dev/null
+++ b/tests/unit/TrafficSilenceTest.cpp
@@ -0,0 +1,272 @@
+// Answers that stall while their endpoint may be sound: when another attempt
+// is begun, and when the stalled one is given up.
+
+#include "tests/unit/TrafficFixture.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace hawthornroad;
+using namespace hawthornroad::traffic_test;
+
+namespace {
+struct SilenceFixture : CoreFixture {
+  TimePoint Now_ = Start;
+
+  // Ticks as a process does that is never paused.
+  void passTime(Duration D) {
+    for (TimePoint End = Now_ + D; Now_ < End;) {
+      Now_ += Milliseconds(20);
+      Core_.tick(Now_);
+    }
+  }
+  void sendEvent(AttemptNumber A, int Id) {
+    Core_.onBody(A,
+                 "id: " + std::to_string(Id) + "\ndata: e" +
+                     std::to_string(Id) + "\n\n",
+                 Now_);
+  }
+  // A stream whose first event has been forwarded.
+  CallNumber startStream() {
+    CallNumber N = send("/stream/1", Now_);
+    AttemptNumber A = Port_.last().Attempt_;
+    Core_.onHead(A, head(N, 200, true), Now_);
+    sendEvent(A, 1);
+    return N;
+  }
+  bool isCancelled(AttemptNumber A) const {
+    const auto &All = Port_.Cancelled_;
+    return std::find(All.begin(), All.end(), A) != All.end();
+  }
+  std::string events(int From, int To) const {
+    std::string Out;
+    for (int I = From; I <= To; ++I)
+      Out +=
+          "id: " + std::to_string(I) + "\ndata: e" + std::to_string(I) + "\n\n";
+    return Out;
+  }
+};
+
+constexpr Duration Silence = Milliseconds(1600);
+} // namespace
+
+// Guards against the loss of sound answers beside a pause of their endpoints:
+// streams were cancelled first and then found no other place.
+TEST_CASE_METHOD(SilenceFixture,
+                 "traffic core, with a silent stream and no replacement to be "
+                 "had, keeps the stream",
+                 "[traffic]") {
+  enum class Obstacle { NoBudget, AllFull, PlacesDenied, EndpointRests };
+  Obstacle O = GENERATE(Obstacle::NoBudget, Obstacle::AllFull,
+                        Obstacle::PlacesDenied, Obstacle::EndpointRests);
+  CAPTURE(static_cast<int>(O));
+  CallNumber N = startStream();
+  AttemptNumber First = Port_.last().Attempt_;
+  EndpointId Other(Port_.last().Params_.Endpoint_.str() == "m0" ? "m1" : "m0");
+  switch (O) {
+  case Obstacle::NoBudget:
+    for (int I = 0; I < 4; ++I) {
+      CallNumber Spent = send("/safe/1", Now_);
+      Core_.onFail(Port_.last().Attempt_, false, "reset", Now_);
+      Core_.callerGone(Spent, Now_);
+    }
+    for (int I = 0; I < 4; ++I) {
+      send("/stream/1", Now_);
+      Core_.onFail(Port_.last().Attempt_, false, "reset", Now_);
+    }
+    break;
+  case Obstacle::AllFull:
+    for (int I = 0; I < 6; ++I)
+      send("/stream/1", Now_);
+    break;
+  case Obstacle::PlacesDenied:
+    Port_.HasAgents_ = true;
+    break;
+  case Obstacle::EndpointRests:
+    Core_.engineUpdated(Other == EndpointId("m0") ? "10.0.1.0:80"
+                                                  : "10.0.1.1:80",
+                        true, 1, std::nullopt, Now_);
+    break;
+  }
+  for (int I = 0; I < 80; ++I) {
+    passTime(Milliseconds(20));
+    while (!Port_.Asked_.empty()) {
+      AttemptNumber Asked = Port_.Asked_.back().Attempt_;
+      Port_.Asked_.pop_back();
+      Core_.onPlaceReply(Asked, {.IsGranted_ = false}, Now_);
+    }
+  }
+  REQUIRE_FALSE(isCancelled(First));
+  REQUIRE_FALSE(answerOf(N).Aborted_);
+  sendEvent(First, 2);
+  Core_.onEnd(First, Now_);
+  REQUIRE(answerOf(N).Body_ == events(1, 2));
+  REQUIRE(answerOf(N).Finished_);
+}
+
+// Guards against an answer that is lost between two attempts: the silent one
+// was given up before the replacement had sent anything.
+TEST_CASE_METHOD(SilenceFixture,
+                 "traffic core, with a replacement for a silent stream, keeps "
+                 "the attempt that sends the next event first",
+                 "[traffic]") {
+  bool FirstResumes = GENERATE(true, false);
+  CAPTURE(FirstResumes);
+  CallNumber N = startStream();
+  AttemptNumber First = Port_.last().Attempt_;
+  passTime(Milliseconds(1000));
+  AttemptNumber Second = Port_.last().Attempt_;
+  REQUIRE(Second != First);
+  REQUIRE(Port_.last().Params_.LastEvent_ == "1");
+  REQUIRE(Port_.Cancelled_.empty());
+  Core_.onHead(Second, head(N, 200, true), Now_);
+  REQUIRE(Port_.Cancelled_.empty());
+  sendEvent(FirstResumes ? First : Second, 2);
+  REQUIRE(Port_.Cancelled_ ==
+          std::vector<AttemptNumber>{FirstResumes ? Second : First});
+  sendEvent(FirstResumes ? First : Second, 3);
+  Core_.onEnd(FirstResumes ? First : Second, Now_);
+  REQUIRE(answerOf(N).Body_ == events(1, 3));
+  REQUIRE(answerOf(N).Finished_);
+  REQUIRE(Core_.open() == 0);
+}
+
+TEST_CASE_METHOD(SilenceFixture,
+                 "traffic core, with two attempts of a stream, forwards each "
+                 "event once whatever either had sent in part",
+                 "[traffic]") {
+  CallNumber N = startStream();
+  AttemptNumber First = Port_.last().Attempt_;
+  Core_.onBody(First, "id: 2\nda", Now_);
+  passTime(Milliseconds(1000));
+  AttemptNumber Second = Port_.last().Attempt_;
+  Core_.onHead(Second, head(N, 200, true), Now_);
+  Core_.onBody(Second, "id: 2\ndat", Now_);
+  Core_.onBody(First, "ta: e2\n\nid: 3\n", Now_);
+  REQUIRE(isCancelled(Second));
+  Core_.onBody(First, "data: e3\n\n", Now_);
+  Core_.onEnd(First, Now_);
+  REQUIRE(answerOf(N).Body_ == events(1, 3));
+  REQUIRE(answerOf(N).Finished_);
+}
+
+// Guards against the loss of an answer whose replacement turns out to be worse
+// than the silent attempt.
+TEST_CASE_METHOD(SilenceFixture,
+                 "traffic core, whose replacement for a silent stream fails, "
+                 "continues with the silent attempt",
+                 "[traffic]") {
+  enum class Failure { Reset, Refused, NotRun, NoStream, EndsEarly };
+  Failure How = GENERATE(Failure::Reset, Failure::Refused, Failure::NotRun,
+                         Failure::NoStream, Failure::EndsEarly);
+  CAPTURE(static_cast<int>(How));
+  CallNumber N = startStream();
+  AttemptNumber First = Port_.last().Attempt_;
+  passTime(Milliseconds(1000));
+  AttemptNumber Second = Port_.last().Attempt_;
+  REQUIRE(Second != First);
+  switch (How) {
+  case Failure::Reset:
+    Core_.onFail(Second, false, "reset", Now_);
+    break;
+  case Failure::Refused:
+    Core_.onFail(Second, true, "refused", Now_);
+    break;
+  case Failure::NotRun:
+    Core_.onHead(Second, notRun(), Now_);
+    Core_.onEnd(Second, Now_);
+    break;
+  case Failure::NoStream:
+    Core_.onHead(Second, head(N, 504), Now_);
+    Core_.onBody(Second, "deadline", Now_);
+    Core_.onEnd(Second, Now_);
+    break;
+  case Failure::EndsEarly:
+    Core_.onHead(Second, head(N, 200, true), Now_);
+    Core_.onBody(Second, "id: 2\nda", Now_);
+    Core_.onEnd(Second, Now_);
+    break;
+  }
+  REQUIRE_FALSE(isCancelled(First));
+  REQUIRE_FALSE(answerOf(N).Aborted_);
+  sendEvent(First, 2);
+  Core_.onEnd(First, Now_);
+  REQUIRE(answerOf(N).Body_ == events(1, 2));
+  REQUIRE(answerOf(N).Finished_);
+  REQUIRE(Core_.open() == 0);
+}
+
+TEST_CASE_METHOD(SilenceFixture,
+                 "traffic core, whose silent attempt breaks while a "
+                 "replacement runs, continues with the replacement",
+                 "[traffic]") {
+  CallNumber N = startStream();
+  AttemptNumber First = Port_.last().Attempt_;
+  passTime(Milliseconds(1000));
+  AttemptNumber Second = Port_.last().Attempt_;
+  Core_.onFail(First, false, "reset", Now_);
+  REQUIRE(Port_.Begun_.size() == 2);
+  Core_.onHead(Second, head(N, 200, true), Now_);
+  sendEvent(Second, 2);
+  Core_.onEnd(Second, Now_);
+  REQUIRE(answerOf(N).Body_ == events(1, 2));
+  REQUIRE(answerOf(N).Finished_);
+}
+
+// Guards against work that goes on for callers that have left.
+TEST_CASE_METHOD(SilenceFixture,
+                 "traffic core, with two attempts of a request, ends both when "
+                 "its caller leaves or its time is over",
+                 "[traffic]") {
+  bool Leaves = GENERATE(true, false);
+  CAPTURE(Leaves);
+  CallNumber N = startStream();
+  AttemptNumber First = Port_.last().Attempt_;
+  passTime(Milliseconds(1000));
+  AttemptNumber Second = Port_.last().Attempt_;
+  REQUIRE(Second != First);
+  if (Leaves)
+    Core_.callerGone(N, Now_);
+  else
+    passTime(Seconds(2));
+  REQUIRE(isCancelled(First));
+  REQUIRE(isCancelled(Second));
+  REQUIRE(Core_.open() == 0);
+}
+
+// Guards against an answer that is thrown away for another one: a plain request
+// that may be repeated was cancelled at its silent endpoint.
+TEST_CASE_METHOD(SilenceFixture,
+                 "traffic core, with two attempts of a plain request, answers "
+                 "with the first whole answer",
+                 "[traffic]") {
+  bool FirstAnswers = GENERATE(true, false);
+  CAPTURE(FirstAnswers);
+  CallNumber N = send("/safe/1", Now_);
+  AttemptNumber First = Port_.last().Attempt_;
+  passTime(Milliseconds(600));
+  AttemptNumber Second = Port_.last().Attempt_;
+  REQUIRE(Second != First);
+  REQUIRE(Port_.Cancelled_.empty());
+  // The head and a part of the other answer must not mix with it.
+  AttemptNumber Late = FirstAnswers ? Second : First;
+  Core_.onHead(Late, head(N), Now_);
+  Core_.onBody(Late, "lat", Now_);
+  answer(FirstAnswers ? First : Second, N, "whole", 200, Now_);
+  REQUIRE(answerOf(N).Status_ == 200);
+  REQUIRE(answerOf(N).Body_ == "whole");
+  REQUIRE(Port_.Cancelled_ == std::vector<AttemptNumber>{Late});
+  REQUIRE(Core_.open() == 0);
+}
+
+TEST_CASE_METHOD(SilenceFixture,
+                 "traffic core, with a silent request that may run only once, "
+                 "begins no other attempt",
+                 "[traffic]") {
+  CallNumber N = send("/once/1", Now_);
+  passTime(Milliseconds(1400));
+  REQUIRE(Port_.Begun_.size() == 1);
+  REQUIRE(Port_.Cancelled_.empty());
+  answer(Port_.last().Attempt_, N, "late", 200, Now_);
+  REQUIRE(answerOf(N).Body_ == "late");
+}
