A pause of the entry does not make endpoints and callers look silent

Time between two ticks that is longer than 100 ms (a tick is due every 20 ms) counts neither as an endpoint's silence, nor as an agent's delay, nor as a caller's gap. Deadlines are as before. A silence that lasts is found in the usual time after the pause.

Not seen with real processes: an entry with 12 streams that was stopped for 1.3 s lost none on the code before either, since Asio serves up to 128 ready sockets before the timers. Ruled out by 'after a pause of its own, replaces an endpoint that stays silent': that pauses hide dead endpoints.

--- a/hawthornroad/traffic/TrafficAttempts.cpp
+++ b/hawthornroad/traffic/TrafficAttempts.cpp
@@ -204,6 +204,7 @@
   else
     R.LongestGap_ = std::max(R.LongestGap_, Now - R.LastByteAt_);
   R.LastByteAt_ = Now;
+  R.PausedSinceByte_ = Duration::zero();
   const EndpointHead &Head = R.Current_.Head_;
   if (!R.IsStreaming_) {
     R.IsStreaming_ = true;
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -324,7 +324,8 @@
   if (!R.Route_->IsStream_)
     return R.Deadline_;
   TimePoint LastByteAt = R.FirstByteAt_ ? R.LastByteAt_ : R.ArrivedAt_;
-  return std::min(R.Deadline_, LastByteAt + callerTimeout(*R.Route_));
+  return std::min(R.Deadline_,
+                  LastByteAt + R.PausedSinceByte_ + callerTimeout(*R.Route_));
 }
 
 void TrafficCore::checkTime(Record &R, TimePoint Now) {
@@ -390,7 +391,23 @@
     tryBegin(R, Now);
 }
 
+// Endpoints and callers are not to blame for the time in which this process did
+// not run: what they sent meanwhile is read only now.
+void TrafficCore::notePause(Duration Gap) {
+  for (const auto &[N, R] : Calls_) {
+    R->Current_.LastReceivedAt_ += Gap;
+    if (R->Silent_)
+      R->Silent_->LastReceivedAt_ += Gap;
+    R->AskedAt_ += Gap;
+    R->PausedSinceByte_ += Gap;
+  }
+}
+
 void TrafficCore::tick(TimePoint Now) {
+  Duration Gap = TickedAt_ ? Now - *TickedAt_ : Duration::zero();
+  TickedAt_ = Now;
+  if (Gap >= Options_.MinPause_)
+    notePause(Gap);
   if (Endpoints_.tick(Now))
     endpointsChanged(Now);
   std::vector<Record *> Open;
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -320,6 +320,8 @@
     Duration NextEventSilence_ = Milliseconds(900);
     // How often a replacement is looked for while an attempt is silent.
     Duration ReplacementRetry_ = Milliseconds(200);
+    // A longer time without a tick is a pause of this process.
+    Duration MinPause_ = Milliseconds(100);
     // Callers leave a stream after a gap of the longest of this, four times the
     // goal and eight times the longest allowed gap. Some leave undetectably, so
     // their requests are ended here after the same time.
@@ -450,6 +452,8 @@
   void checkTime(Record &R, TimePoint Now);
   bool isSilent(const Record &R, TimePoint Now) const;
   void replaceSilent(Record &R, TimePoint Now);
+  // This process did not run for Gap.
+  void notePause(Duration Gap);
   // Ends the attempts at endpoints that have restarted since.
   void endLostAttempts(TimePoint Now);
   Duration estimatedWait(const ServiceName &Service, const Record &R) const;
@@ -509,6 +513,7 @@
   std::set<ServiceName> Freed_;
   std::vector<CallNumber> Closed_;
   AttemptNumber NextAttempt_ = 1;
+  std::optional<TimePoint> TickedAt_;
   bool Stopping_ = false;
   bool Dispatching_ = false;
 };
--- a/hawthornroad/traffic/TrafficState.h
+++ b/hawthornroad/traffic/TrafficState.h
@@ -38,7 +38,7 @@
   std::uint64_t Born_ = 0;
   unsigned Ordinal_ = 0;
   TimePoint BegunAt_;
-  // When its endpoint last sent anything.
+  // When its endpoint last sent anything, not counting pauses of this process.
   TimePoint LastReceivedAt_;
   Placement::View EndpointView_;
   // It was charged as a repeat.
@@ -118,6 +118,8 @@
   std::optional<EventRelay> Relay_;
   std::optional<TimePoint> FirstByteAt_;
   TimePoint LastByteAt_;
+  // Pauses of this process since then, see TrafficCore::notePause().
+  Duration PausedSinceByte_ = Duration::zero();
   Duration LongestGap_ = Duration::zero();
 
   unsigned Status_ = 0;
--- a/tests/unit/TrafficSilenceTest.cpp
+++ b/tests/unit/TrafficSilenceTest.cpp
@@ -270,3 +270,47 @@
   answer(Port_.last().Attempt_, N, "late", 200, Now_);
   REQUIRE(answerOf(N).Body_ == "late");
 }
+
+// Guards against the loss of many answers at once after this process had no
+// processor: what endpoints had sent meanwhile was not read yet, and all of
+// them looked silent.
+TEST_CASE_METHOD(SilenceFixture,
+                 "traffic core, after a pause of its own, takes no endpoint "
+                 "for silent before it has read what was sent meanwhile",
+                 "[traffic]") {
+  Duration Pause =
+      GENERATE(Milliseconds(950), Milliseconds(1700), Milliseconds(3000));
+  CAPTURE(Pause / Milliseconds(1));
+  CallNumber Stream = startStream();
+  AttemptNumber OfStream = Port_.last().Attempt_;
+  CallNumber Begun = send("/stream/1", Now_);
+  AttemptNumber OfBegun = Port_.last().Attempt_;
+  passTime(Milliseconds(100));
+  Now_ += Pause;
+  Core_.tick(Now_);
+  REQUIRE(Port_.Begun_.size() == 2);
+  REQUIRE(Port_.Cancelled_.empty());
+  sendEvent(OfStream, 2);
+  Core_.onHead(OfBegun, head(Begun, 200, true), Now_);
+  sendEvent(OfBegun, 1);
+  passTime(Milliseconds(100));
+  REQUIRE(Port_.Begun_.size() == 2);
+  Core_.onEnd(OfStream, Now_);
+  Core_.onEnd(OfBegun, Now_);
+  REQUIRE(answerOf(Stream).Finished_);
+  REQUIRE(answerOf(Begun).Finished_);
+}
+
+// An endpoint that stays silent after the pause is still found, in the usual
+// time.
+TEST_CASE_METHOD(SilenceFixture,
+                 "traffic core, after a pause of its own, replaces an endpoint "
+                 "that stays silent",
+                 "[traffic]") {
+  startStream();
+  passTime(Milliseconds(100));
+  Now_ += Milliseconds(600);
+  Core_.tick(Now_);
+  passTime(Milliseconds(900));
+  REQUIRE(Port_.Begun_.size() == 2);
+}
