A stream whose caller is taken to have left is ended after the caller's own close

Callers that still waited were reset: an entry ended a stream without events at the very moment at which callers leave one (2.4 s in most deployments), counted from when it had written the last event.

The caller's close is now awaited for 300 ms; it ends the request at once, as before. A caller that left undetectably costs no more than half a second of work, less the time to cancel, which is the stated bound on work for callers that have left.

--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -331,8 +331,8 @@
 void TrafficCore::checkTime(Record &R, TimePoint Now) {
   if (endAtOldVersion(R, Now))
     return afterFailure(R, Now);
-  if (Now >= callerLeavesAt(R)) {
-    bool IsOver = Now >= R.Deadline_;
+  bool IsOver = Now >= R.Deadline_;
+  if (IsOver || Now >= callerLeavesAt(R) + Options_.CallerCloseMargin_) {
     cancelAttempts(R, IsOver ? "deadline" : "the caller has left by now", Now);
     return giveUp(R, Cause::DeadlinePassed,
                   IsOver ? "the deadline has passed"
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -326,6 +326,9 @@
     // goal and eight times the longest allowed gap. Some leave undetectably, so
     // their requests are ended here after the same time.
     Duration CallerLeaves_ = Seconds(2);
+    // Callers measure the gap from when an event reaches them. Their close is
+    // awaited for this long before their requests are ended here.
+    Duration CallerCloseMargin_ = Milliseconds(300);
     // Share of a repeatable request's time after which another endpoint is
     // looked for besides a silent one.
     double SilenceShare_ = 0.35;
