--- a/tests/integration/PlatformFixture.cpp
+++ b/tests/integration/PlatformFixture.cpp
@@ -335,14 +335,23 @@
   HttpHeaders Headers = headersFor(R);
   Headers.push_back({"Content-Type", "text/event-stream"});
   X->head(200, std::move(Headers));
-  for (int I = From + 1; I <= PlatformFixture::Events; ++I) {
+  sendEvents(X, From + 1, From + 3);
+}
+
+void EndpointStandIn::sendEvents(const std::shared_ptr<HttpExchange> &X,
+                                 int Next, int BreakAt) {
+  Duration Pause = EventPause_;
+  for (int I = Next; I <= PlatformFixture::Events; ++I) {
     std::string Event =
         "id: " + std::to_string(I) + "\ndata: e" + std::to_string(I) + "\n\n";
-    if (Mode_ == Mode::BreakStream && I == From + 3) {
+    if (Mode_ == Mode::BreakStream && I == BreakAt) {
       X->write(Event.substr(0, 7));
       return Io_.after(Milliseconds(50), [X] { X->abort(); });
     }
     X->write(Event);
+    if (Pause > Duration::zero() && I < PlatformFixture::Events)
+      return Io_.after(
+          Pause, [this, X, I, BreakAt] { sendEvents(X, I + 1, BreakAt); });
   }
   X->finish();
 }
--- a/tests/integration/PlatformFixture.h
+++ b/tests/integration/PlatformFixture.h
@@ -102,6 +102,8 @@
   void setLeaving();
   // Delay before each answer.
   void setDelay(Duration D) { Delay_ = D; }
+  // Pause before each event of a stream but the first.
+  void setEventPause(Duration D) { EventPause_ = D; }
   int runs(const std::string &Request) const;
   int runs() const;
   // Requests that it turned away asking for rest.
@@ -113,6 +115,9 @@
   void handle(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
   void run(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
   void stream(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
+  // Sends the events from Next on; a stream breaks off after BreakAt.
+  void sendEvents(const std::shared_ptr<HttpExchange> &X, int Next,
+                  int BreakAt);
   boost::json::array models() const;
   bool refuseForRest(const std::shared_ptr<HttpExchange> &X);
   HttpHeaders headersFor(const HttpRequest &R) const;
@@ -131,6 +136,7 @@
   int Refusals_ = 0;
   std::atomic<Mode> Mode_{Mode::Normal};
   std::atomic<Duration> Delay_{Duration::zero()};
+  std::atomic<Duration> EventPause_{Duration::zero()};
   std::unique_ptr<HttpServer> Server_;
   std::string Address_;
   std::string ListedAt_;
