What is read between a pause and the next tick does not count as received later

A pause of the entry moves the time of the last byte of all attempts by its length. Sockets are usually read before the first tick after the pause, so the bytes read then counted as received up to the whole pause in the future: an endpoint that fell silent right after it was found late by as much, and a caller that left undetected was served as much longer.

--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -392,14 +392,17 @@
 }
 
 // Endpoints and callers are not to blame for the time in which this process did
-// not run: what they sent meanwhile is read only now.
-void TrafficCore::notePause(Duration Gap) {
+// not run: what they sent meanwhile is read only now. What was read before this
+// tick is not moved into the future.
+void TrafficCore::notePause(Duration Gap, TimePoint Now) {
+  auto Shift = [&](TimePoint &At) { At = std::min(At + Gap, Now); };
   for (const auto &[N, R] : Calls_) {
-    R->Current_.LastReceivedAt_ += Gap;
+    Shift(R->Current_.LastReceivedAt_);
     if (R->Silent_)
-      R->Silent_->LastReceivedAt_ += Gap;
-    R->AskedAt_ += Gap;
-    R->PausedSinceByte_ += Gap;
+      Shift(R->Silent_->LastReceivedAt_);
+    Shift(R->AskedAt_);
+    TimePoint LastByteAt = R->FirstByteAt_ ? R->LastByteAt_ : R->ArrivedAt_;
+    R->PausedSinceByte_ += std::min(Gap, Now - LastByteAt);
   }
 }
 
@@ -407,7 +410,7 @@
   Duration Gap = TickedAt_ ? Now - *TickedAt_ : Duration::zero();
   TickedAt_ = Now;
   if (Gap >= Options_.MinPause_)
-    notePause(Gap);
+    notePause(Gap, Now);
   if (Endpoints_.tick(Now))
     endpointsChanged(Now);
   std::vector<Record *> Open;
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -455,8 +455,8 @@
   void checkTime(Record &R, TimePoint Now);
   bool isSilent(const Record &R, TimePoint Now) const;
   void replaceSilent(Record &R, TimePoint Now);
-  // This process did not run for Gap.
-  void notePause(Duration Gap);
+  // This process did not run for Gap until Now.
+  void notePause(Duration Gap, TimePoint Now);
   // Ends the attempts at endpoints that have restarted since.
   void endLostAttempts(TimePoint Now);
   Duration estimatedWait(const ServiceName &Service, const Record &R) const;
--- a/tests/unit/TrafficSilenceTest.cpp
+++ b/tests/unit/TrafficSilenceTest.cpp
@@ -314,3 +314,24 @@
   passTime(Milliseconds(900));
   REQUIRE(Port_.Begun_.size() == 2);
 }
+
+// Guards against dead endpoints found late: what was read between a pause and
+// the next tick counted as received in the future.
+TEST_CASE_METHOD(SilenceFixture,
+                 "traffic core, with bytes read after a pause and before its "
+                 "next tick, finds silence from these bytes on",
+                 "[traffic]") {
+  startStream();
+  AttemptNumber First = Port_.last().Attempt_;
+  passTime(Milliseconds(100));
+  Now_ += Seconds(3);
+  sendEvent(First, 2);
+  SECTION("another endpoint is looked for in the usual time") {
+    passTime(Milliseconds(1000));
+    REQUIRE(Port_.Begun_.size() == 2);
+  }
+  SECTION("the caller is taken to have left in the usual time") {
+    passTime(Milliseconds(2800));
+    REQUIRE(Core_.open() == 0);
+  }
+}
