HttpListener in files of its own, and the listener of its tests in a header

No change of logic. The fixture can now run a function on the I/O thread after a request has arrived in the kernel and before it is read, which is what a pause of an entry looks like.

--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -15,7 +15,7 @@
 #include "hawthornroad/agent/RowReader.h"
 #include "hawthornroad/agent/StagedPieces.h"
 #include "hawthornroad/agent/StoreAgent.h"
-#include "hawthornroad/http/ServerSession.h"
+#include "hawthornroad/http/HttpListener.h"
 #include "hawthornroad/peers/PeerPace.h"
 #include "hawthornroad/runtime/BootClock.h"
 #include "hawthornroad/runtime/Io.h"
--- a/hawthornroad/http/ServerSession.cpp
+++ b/hawthornroad/http/ServerSession.cpp
@@ -1,11 +1,11 @@
 #include "hawthornroad/http/ServerSession.h"
 
-#include "hawthornroad/runtime/Address.h"
+#include "hawthornroad/http/HttpListener.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
-#include <vector>
 
 namespace hawthornroad {
 
@@ -22,8 +22,6 @@
 // How long a connection is read after its sending side was shut down, so that
 // the caller receives the answer: many round trips between two regions.
 constexpr Duration LingerTime = Seconds(1);
-// Timeouts are seconds long; this period keeps them accurate to about a tenth.
-constexpr Duration SweepPeriod = Milliseconds(250);
 
 namespace status {
 constexpr unsigned BadRequest = 400;
@@ -314,83 +312,4 @@
     close();
 }
 
-HttpListener::HttpListener(asio::io_context &Context, SessionLimits L,
-                           SessionHandler &H)
-    : Context_(Context), Limits_(L), Handler_(H), Sweep_(Context) {}
-
-std::string HttpListener::open(const std::string &Address) {
-  tcp::endpoint At = parseAddress(Address, Step::Listen);
-  Acceptor_.emplace(
-      openAcceptor(Context_, At.address().to_string(), At.port()));
-  std::string Bound = formatAddress(Acceptor_->local_endpoint());
-  asio::post(Context_, [Self = shared_from_this()] {
-    Self->accept();
-    Self->sweep();
-  });
-  return Bound;
-}
-
-void HttpListener::accept() {
-  if (!Acceptor_ || !Acceptor_->is_open())
-    return;
-  Acceptor_->async_accept([Self = shared_from_this()](
-                              boost::system::error_code Code, tcp::socket S) {
-    if (Code == asio::error::operation_aborted)
-      return;
-    // Above the limit the socket is closed unread: its caller may retry.
-    if (!Code && Self->Sessions_.size() < Self->Limits_.Connections_)
-      std::make_shared<ServerSession>(std::move(S), Self)->start();
-    Self->accept();
-  });
-}
-
-void HttpListener::sweep() {
-  Sweep_.expires_after(SweepPeriod);
-  Sweep_.async_wait([Self = shared_from_this()](boost::system::error_code C) {
-    if (C)
-      return;
-    TimePoint Now = Self->now();
-    std::vector<std::shared_ptr<ServerSession>> Live;
-    Live.reserve(Self->Sessions_.size());
-    for (ServerSession *Each : Self->Sessions_)
-      if (auto Held = Each->weak_from_this().lock())
-        Live.push_back(std::move(Held));
-    for (const auto &Each : Live)
-      Each->check(Now);
-    Self->sweep();
-  });
-}
-
-void HttpListener::stopAccepting() {
-  boost::system::error_code Ignored;
-  if (Acceptor_)
-    Acceptor_->close(Ignored);
-}
-
-void HttpListener::drainAll() {
-  Draining_ = true;
-  std::vector<std::shared_ptr<ServerSession>> Live;
-  for (ServerSession *Each : Sessions_)
-    if (auto Held = Each->weak_from_this().lock())
-      Live.push_back(std::move(Held));
-  for (const auto &Each : Live)
-    Each->closeIfIdle();
-}
-
-void HttpListener::closeAll() {
-  std::vector<std::shared_ptr<ServerSession>> Live;
-  for (ServerSession *Each : Sessions_)
-    if (auto Held = Each->weak_from_this().lock())
-      Live.push_back(std::move(Held));
-  for (const auto &Each : Live)
-    Each->close();
-}
-
-std::size_t HttpListener::inRequest() const {
-  std::size_t Count = 0;
-  for (const ServerSession *Each : Sessions_)
-    Count += Each->inRequest() ? 1 : 0;
-  return Count;
-}
-
 } // namespace hawthornroad
--- a/hawthornroad/http/ServerSession.h
+++ b/hawthornroad/http/ServerSession.h
@@ -5,8 +5,8 @@
 //     void onRequest(std::shared_ptr<ServerSession> S, InboundRequest R)
 //     override; void onCallerDisconnected(ServerSession &S) override;
 //   };
-//   HttpListener L(Context, Limits, Handler);
-//   L.open("10.0.0.1:8005");
+//   auto L = std::make_shared<HttpListener>(Context, Limits, Handler);
+//   L->open("10.0.0.1:8005");
 //   S->respond(200, Fields, Body);
 //   S->begin(200, Fields); S->write(Bytes); S->finish();
 //
@@ -29,19 +29,17 @@
 #ifndef HAWTHORNROAD_HTTP_SERVERSESSION_H
 #define HAWTHORNROAD_HTTP_SERVERSESSION_H
 
+#include "hawthornroad/base/Types.h"
 #include "hawthornroad/http/Framing.h"
-#include "hawthornroad/runtime/BootClock.h"
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <functional>
 #include <memory>
 #include <optional>
-#include <unordered_set>
+#include <string>
+#include <string_view>
 
 namespace hawthornroad {
 
@@ -146,38 +144,6 @@
   bool ContinueSent_ = false;
 };
 
-class HttpListener : public std::enable_shared_from_this<HttpListener> {
-public:
-  HttpListener(boost::asio::io_context &Context, SessionLimits L,
-               SessionHandler &H);
-
-  // Throws Error(Step::Listen). Returns the address bound, "IP:port".
-  std::string open(const std::string &Address);
-  // Takes effect from now on, also for open sessions.
-  void setLimits(SessionLimits L) { Limits_ = L; }
-  const SessionLimits &limits() const { return Limits_; }
-  void stopAccepting();
-  // Closes every connection after its request in progress.
-  void drainAll();
-  void closeAll();
-  std::size_t sessions() const { return Sessions_.size(); }
-  std::size_t inRequest() const;
-  TimePoint now() const { return bootNow(); }
-
-private:
-  friend class ServerSession;
-  void accept();
-  void sweep();
-
-  boost::asio::io_context &Context_;
-  SessionLimits Limits_;
-  SessionHandler &Handler_;
-  std::optional<boost::asio::ip::tcp::acceptor> Acceptor_;
-  boost::asio::steady_timer Sweep_;
-  std::unordered_set<ServerSession *> Sessions_;
-  bool Draining_ = false;
-};
-
 } // namespace hawthornroad
 
 #endif // HAWTHORNROAD_HTTP_SERVERSESSION_H
--- a/tests/unit/HttpLinkTest.cpp
+++ b/tests/unit/HttpLinkTest.cpp
@@ -2,9 +2,8 @@
 // that misbehave as endpoints and callers may.
 
 #include "hawthornroad/http/LinkPool.h"
-#include "hawthornroad/http/ServerSession.h"
 #include "hawthornroad/runtime/Io.h"
-#include "tests/unit/RawSocket.h"
+#include "tests/unit/ListenerFixture.h"
 
 #include <atomic>
 #include <catch2/catch.hpp>
@@ -229,57 +228,6 @@
   }
 }
 
-namespace {
-// Echoes each request's body; "/stream" as a stream, "/hold" never.
-struct EchoHandler final : SessionHandler {
-  std::atomic<int> Requests_{0};
-  std::atomic<int> Disconnects_{0};
-  void onRequest(const std::shared_ptr<ServerSession> &S,
-                 InboundRequest R) override {
-    ++Requests_;
-    if (R.Target_ == "/hold")
-      return;
-    if (R.Target_ == "/abort") {
-      S->begin(200, {});
-      S->write("part");
-      return S->abort();
-    }
-    if (R.Target_ == "/stream") {
-      S->begin(200, {});
-      S->write("one");
-      S->write("two");
-      return S->finish();
-    }
-    S->respond(200, {{"X-Target", R.Target_}}, R.Body_);
-  }
-  void onCallerDisconnected(ServerSession &) override { ++Disconnects_; }
-};
-
-struct ListenerFixture {
-  EchoHandler Handler_;
-  IoThread Io_{"test", 64};
-  std::shared_ptr<HttpListener> Listener_;
-  std::uint16_t Port_ = 0;
-
-  explicit ListenerFixture(SessionLimits L = {}) {
-    Listener_ = std::make_shared<HttpListener>(Io_.context(), L, Handler_);
-    std::string Bound = Listener_->open("127.0.0.1:0");
-    Port_ = static_cast<std::uint16_t>(
-        std::stoul(Bound.substr(Bound.rfind(':') + 1)));
-  }
-  ~ListenerFixture() {
-    std::promise<void> Done;
-    Io_.submit([&] {
-      Listener_->stopAccepting();
-      Listener_->closeAll();
-      Done.set_value();
-    });
-    Done.get_future().wait();
-    Io_.stop();
-  }
-};
-} // namespace
-
 TEST_CASE("server session, given requests in any framing, answers each on the "
           "same connection",
           "[http]") {
--- a/tests/unit/RawSocket.h
+++ b/tests/unit/RawSocket.h
@@ -7,8 +7,10 @@
 
 #include <arpa/inet.h>
 #include <catch2/catch.hpp>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <string>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -63,6 +65,11 @@
     REQUIRE(::send(Handle_, Text.data(), Text.size(), MSG_NOSIGNAL) ==
             static_cast<ssize_t>(Text.size()));
   }
+  // Waits until the peer's kernel has received all that was sent.
+  void waitDelivered() const {
+    for (int Unacknowledged = 1; Unacknowledged > 0;)
+      REQUIRE(::ioctl(Handle_, SIOCOUTQ, &Unacknowledged) == 0);
+  }
   // Reads until Text has arrived or the peer closes; returns what was read.
   std::string readUntil(const std::string &Text) const {
     std::string Got;
