A connection with an unread request does not count as idle

Seen by callers: a reset of a kept connection in answer to a request that had arrived before the connection was closed. Cause: the idle timeout and closeIfIdle() of a planned stop judge by what the session has read. When the entry's thread had not run for a while (paused, starved, or busy with a long configuration), the request stands in the kernel's buffer; the timer is served first and the close resets the connection, since bytes are unread. Evidence: the test holds the I/O thread until the request is in the kernel's buffer and then lets the limit pass. Why it works: the read of an idle session is always pending, so bytes in the buffer are read in the next pass of the event loop and end the idle state. Ruled out: closing only the sending side and reading on; the request would still get no answer. Remains: a request that arrives between the look at the buffer and the close. It was not read, and its caller can detect that.

--- a/hawthornroad/http/ServerSession.cpp
+++ b/hawthornroad/http/ServerSession.cpp
@@ -279,11 +279,16 @@
 void ServerSession::closeIfIdle() {
   if (Closed_ || InRequest_ || SendShutdown_ || hasPartial() || In_.size() > 0)
     return;
-  if (Out_.empty() && Writing_.empty() &&
+  if (Out_.empty() && Writing_.empty() && unread() == 0 &&
       Owner_->now() - StateSince_ > LingerTime)
     close();
 }
 
+std::size_t ServerSession::unread() const {
+  boost::system::error_code Ignored;
+  return Socket_.available(Ignored);
+}
+
 void ServerSession::close() {
   if (Closed_)
     return;
@@ -308,7 +313,7 @@
       refuse(status::Timeout);
     return;
   }
-  if (Age >= L.IdleTimeout_)
+  if (Age >= L.IdleTimeout_ && unread() == 0)
     close();
 }
 
--- a/hawthornroad/http/ServerSession.h
+++ b/hawthornroad/http/ServerSession.h
@@ -21,6 +21,9 @@
 // abort() resets on purpose, so that no caller takes the truncated answer for a
 // complete one.
 //
+// This process may not have run for a while when a limit has passed. So a
+// connection with unread bytes does not count as idle.
+//
 // Single-threaded. Limits: SessionLimits; at most MaxReadAhead bytes of
 // following requests are buffered; a caller that leaves more than MaxBacklog_
 // bytes of a stream unread is disconnected, since the engine that produces an
@@ -113,6 +116,8 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   bool hasPartial() const { return Parser_ && Parser_->got_some(); }
+  // Bytes that have arrived and are not read yet.
+  std::size_t unread() const;
   void read();
   void onRead(boost::system::error_code Code, std::size_t Bytes);
   void parse();
--- /dev/null
+++ b/tests/unit/SessionCloseTest.cpp
@@ -0,0 +1,66 @@
+// Connections that a server session ends by itself while a caller's bytes may
+// be on their way.
+
+#include "hawthornroad/runtime/BootClock.h"
+#include "tests/unit/ListenerFixture.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <optional>
+#include <thread>
+#include <vector>
+
+using namespace hawthornroad;
+
+namespace {
+// Longer than a connection is kept after its answer in a drain.
+constexpr auto IdleTime = std::chrono::milliseconds(1100);
+// Longer than each of the default time limits.
+constexpr Duration AllLimits = Seconds(20);
+
+struct SessionCloseFixture : ListenerFixture {
+  RawSocket Caller_ = RawSocket::connectTo(Port_);
+
+  std::string ask(const std::string &Target) {
+    Caller_.send("GET " + Target + " HTTP/1.1\r\nHost: h\r\n\r\n");
+    return Caller_.readUntil(Target + "\r\n");
+  }
+  // Enforces the time limits as they are when AllLimits have passed. Runs on
+  // the I/O thread.
+  void checkLate() const {
+    if (auto S = Handler_.Last_.lock())
+      S->check(bootNow() + AllLimits);
+  }
+  void waitUntilPartial() {
+    for (bool IsPartial = false; !IsPartial;)
+      run([&] { IsPartial = !Handler_.Last_.lock()->isIdle(); });
+  }
+};
+} // namespace
+
+// Guards against resetting a caller whose request had arrived when its
+// connection was closed as idle.
+TEST_CASE_METHOD(SessionCloseFixture,
+                 "server session, closed as idle while a request is unread, "
+                 "answers the request",
+                 "[http]") {
+  bool Drains = GENERATE(false, true);
+  CAPTURE(Drains);
+  ask("/a");
+  std::this_thread::sleep_for(IdleTime);
+  runAfterArrival(Caller_, "GET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+                  [&] { Drains ? Listener_->drainAll() : checkLate(); });
+  std::string Got = Caller_.readUntil("/b\r\n");
+  REQUIRE(Got.find("200 OK") != std::string::npos);
+}
+
+TEST_CASE_METHOD(SessionCloseFixture,
+                 "server session, closed as idle with nothing unread, ends",
+                 "[http]") {
+  bool Drains = GENERATE(false, true);
+  CAPTURE(Drains);
+  ask("/a");
+  std::this_thread::sleep_for(IdleTime);
+  run([&] { Drains ? Listener_->drainAll() : checkLate(); });
+  REQUIRE(Caller_.readUntil("").empty());
+}
