A request's time limit takes effect after the bytes that had arrived by then

Seen by callers: 408 for a request that they had sent whole and in time. Cause: the limits on headers and body count from the request's first byte to the check. When the entry's thread had not run meanwhile, the rest stood in the kernel's buffer, and the check refused before it was read. A long prompt takes several reads, so one more pass of the event loop is not enough. Why it works: when a limit is first seen to have passed, the number of bytes in the buffer is noted, and the request is refused only after so many have been read. Bytes that arrive later do not count, so a slow sender gains no time: a second test. Reading on while bytes arrive; that never ends.

--- a/hawthornroad/http/ServerSession.cpp
+++ b/hawthornroad/http/ServerSession.cpp
@@ -2,6 +2,7 @@
 
 #include "hawthornroad/http/HttpListener.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -71,6 +72,8 @@
     return;
   if (Code)
     return onDisconnect();
+  if (ArrivedInTime_)
+    *ArrivedInTime_ -= std::min(*ArrivedInTime_, Bytes);
   // After the shutdown, input is only discarded until the caller closes.
   if (!SendShutdown_)
     In_.commit(Bytes);
@@ -97,6 +100,7 @@
     Parser_->body_limit(Owner_->Limits_.BodyBytes_);
     Parser_->eager(true);
     StateSince_ = Owner_->now();
+    ArrivedInTime_.reset();
     ContinueSent_ = false;
   }
   boost::system::error_code Code;
@@ -289,6 +293,18 @@
   return Socket_.available(Ignored);
 }
 
+// Bytes that arrive after a limit has passed do not count, so a slow sender
+// gains no time by them.
+bool ServerSession::isOver(Duration Age, Duration Limit) {
+  if (Age < Limit) {
+    ArrivedInTime_.reset();
+    return false;
+  }
+  if (!ArrivedInTime_)
+    ArrivedInTime_ = unread();
+  return *ArrivedInTime_ == 0;
+}
+
 void ServerSession::close() {
   if (Closed_)
     return;
@@ -309,7 +325,7 @@
   const SessionLimits &L = Owner_->Limits_;
   if (hasPartial()) {
     bool HeaderDone = Parser_->is_header_done();
-    if (Age >= (HeaderDone ? L.BodyTimeout_ : L.HeaderTimeout_))
+    if (isOver(Age, HeaderDone ? L.BodyTimeout_ : L.HeaderTimeout_))
       refuse(status::Timeout);
     return;
   }
--- a/hawthornroad/http/ServerSession.h
+++ b/hawthornroad/http/ServerSession.h
@@ -22,7 +22,8 @@
 // complete one.
 //
 // This process may not have run for a while when a limit has passed. So a
-// connection with unread bytes does not count as idle.
+// connection with unread bytes does not count as idle, and a limit takes effect
+// after the bytes that had arrived by then have been read.
 //
 // Single-threaded. Limits: SessionLimits; at most MaxReadAhead bytes of
 // following requests are buffered; a caller that leaves more than MaxBacklog_
@@ -118,6 +119,7 @@
   bool hasPartial() const { return Parser_ && Parser_->got_some(); }
   // Bytes that have arrived and are not read yet.
   std::size_t unread() const;
+  bool isOver(Duration Age, Duration Limit);
   void read();
   void onRead(boost::system::error_code Code, std::size_t Bytes);
   void parse();
@@ -137,6 +139,9 @@
   std::string Writing_;
   std::uint64_t Tag_ = 0;
   TimePoint StateSince_;
+  // Set once a time limit has passed: how many of the bytes that had arrived by
+  // then are still unread.
+  std::optional<std::size_t> ArrivedInTime_;
   bool Reading_ = false;
   bool InRequest_ = false;
   bool KeepOpen_ = true;
--- a/tests/unit/SessionCloseTest.cpp
+++ b/tests/unit/SessionCloseTest.cpp
@@ -64,3 +64,44 @@
   run([&] { Drains ? Listener_->drainAll() : checkLate(); });
   REQUIRE(Caller_.readUntil("").empty());
 }
+
+// Guards against a 408 for a request that had arrived whole before its time
+// limit was checked, when this process had not run for a while.
+TEST_CASE_METHOD(SessionCloseFixture,
+                 "server session, past a request's time limit with the rest "
+                 "of it unread, answers the request",
+                 "[http]") {
+  // More than one read takes.
+  const std::string Filler(20000, 'x');
+  struct Row {
+    std::string Name_, First_, Rest_;
+  };
+  const Row R = GENERATE_COPY(values<Row>(
+      {{"headers", "GET /b HTTP/1.1\r\nHo", "st: h\r\n\r\n"},
+       {"body", "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\n",
+        Filler}}));
+  CAPTURE(R.Name_);
+  ask("/a");
+  Caller_.send(R.First_);
+  waitUntilPartial();
+  runAfterArrival(Caller_, R.Rest_, [&] { checkLate(); });
+  // The rest is read in parts, between which the limit is checked again.
+  run([&] { checkLate(); });
+  REQUIRE(Caller_.readUntil("/b\r\n").find("200 OK") != std::string::npos);
+}
+
+// Guards against a connection that a slow sender keeps open for ever.
+TEST_CASE_METHOD(SessionCloseFixture,
+                 "server session, given more bytes of a request after its time "
+                 "limit, refuses it",
+                 "[http]") {
+  ask("/a");
+  Caller_.send("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\n");
+  waitUntilPartial();
+  const std::string Part(100, 'x');
+  runAfterArrival(Caller_, Part, [&] { checkLate(); });
+  // Lets the session read the part.
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  runAfterArrival(Caller_, Part, [&] { checkLate(); });
+  REQUIRE(Caller_.readUntil("").find(" 408 ") != std::string::npos);
+}
