The end of lingering does not reset a connection whose bytes had arrived

Seen by callers: an answer cut short although it was written whole. Cause: an ended connection is read for a second, so that no reset destroys its last answer. After a pause of the entry's thread the second was over with bytes unread, and the close reset the connection; the kernel then drops what the caller has not taken yet. Evidence: on SessionCloseTest "past its linger time with bytes unread" fails, REQUIRE(Got.size() > AnswerBytes): 128000 of 524288 bytes arrived. Why it works: lingering ends after the bytes that had arrived by then, as the limits of a request do. Later bytes do not prolong it.

--- a/hawthornroad/http/ServerSession.cpp
+++ b/hawthornroad/http/ServerSession.cpp
@@ -271,6 +271,7 @@
     return;
   SendShutdown_ = true;
   StateSince_ = Owner_->now();
+  ArrivedInTime_.reset();
   boost::system::error_code Ignored;
   Socket_.shutdown(tcp::socket::shutdown_send, Ignored);
   read();
@@ -318,7 +319,7 @@
     return;
   Duration Age = Now - StateSince_;
   if (SendShutdown_) {
-    if (Age >= LingerTime)
+    if (isOver(Age, LingerTime))
       close();
     return;
   }
--- a/tests/unit/SessionCloseTest.cpp
+++ b/tests/unit/SessionCloseTest.cpp
@@ -105,3 +105,21 @@
   runAfterArrival(Caller_, Part, [&] { checkLate(); });
   REQUIRE(Caller_.readUntil("").find(" 408 ") != std::string::npos);
 }
+
+// Guards against a last answer that is destroyed by the reset of a connection
+// that is closed with unread bytes.
+TEST_CASE_METHOD(SessionCloseFixture,
+                 "server session, past its linger time with bytes unread, "
+                 "keeps the answer that its caller has not read yet",
+                 "[http]") {
+  constexpr std::size_t AnswerBytes = 512 * 1024;
+  Caller_.send("POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+               "Content-Length: " +
+               std::to_string(AnswerBytes) + "\r\n\r\n");
+  Caller_.send(std::string(AnswerBytes, 'x'));
+  while (Handler_.Requests_ == 0)
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  runAfterArrival(Caller_, "unexpected bytes", [&] { checkLate(); });
+  std::string Got = Caller_.readUntil("");
+  REQUIRE(Got.size() > AnswerBytes);
+}
