A listener that closes takes the connections in its queue first

Seen by callers: a reset at a planned stop of an entry, for a request on a connection that had been established. Cause: the kernel completes connections before the process accepts them. Closing the listener resets those in its queue, with the requests that have arrived on them; an entry whose thread lacks processor time has a long queue. Evidence: before this change SessionCloseTest "closed while a connection stands in its queue" fails, REQUIRE(Got.find("200 OK") != npos): no byte came. Why it works: stopAccepting() accepts what is queued without waiting, at most the limit of connections, and then closes. Such a connection gets an answer and the announcement that it closes, as every other one does in a drain.

--- a/hawthornroad/http/HttpListener.cpp
+++ b/hawthornroad/http/HttpListener.cpp
@@ -38,13 +38,18 @@
                               boost::system::error_code Code, tcp::socket S) {
     if (Code == asio::error::operation_aborted)
       return;
-    // Above the limit the socket is closed unread: its caller may retry.
-    if (!Code && Self->Sessions_.size() < Self->Limits_.Connections_)
-      std::make_shared<ServerSession>(std::move(S), Self)->start();
+    if (!Code)
+      Self->admit(std::move(S));
     Self->accept();
   });
 }
 
+// Above the limit the socket is closed unread: its caller may retry.
+void HttpListener::admit(tcp::socket S) {
+  if (Sessions_.size() < Limits_.Connections_)
+    std::make_shared<ServerSession>(std::move(S), shared_from_this())->start();
+}
+
 void HttpListener::sweep() {
   Sweep_.expires_after(SweepPeriod);
   Sweep_.async_wait([Self = shared_from_this()](boost::system::error_code C) {
@@ -63,9 +68,18 @@
 }
 
 void HttpListener::stopAccepting() {
-  boost::system::error_code Ignored;
-  if (Acceptor_)
-    Acceptor_->close(Ignored);
+  if (!Acceptor_ || !Acceptor_->is_open())
+    return;
+  boost::system::error_code Code;
+  Acceptor_->non_blocking(true, Code);
+  // Bounded, since callers may connect faster than this.
+  for (std::size_t I = 0; !Code && I < Limits_.Connections_; ++I) {
+    tcp::socket S(Context_);
+    Acceptor_->accept(S, Code);
+    if (!Code)
+      admit(std::move(S));
+  }
+  Acceptor_->close(Code);
 }
 
 void HttpListener::drainAll() {
--- a/hawthornroad/http/HttpListener.h
+++ b/hawthornroad/http/HttpListener.h
@@ -29,6 +29,8 @@
   // Takes effect from now on, also for open sessions.
   void setLimits(SessionLimits L) { Limits_ = L; }
   const SessionLimits &limits() const { return Limits_; }
+  // Also takes the connections that stand in the kernel's queue, which would be
+  // reset otherwise.
   void stopAccepting();
   // Closes every connection after its request in progress.
   void drainAll();
@@ -40,6 +42,7 @@
 private:
   friend class ServerSession;
   void accept();
+  void admit(boost::asio::ip::tcp::socket S);
   void sweep();
 
   boost::asio::io_context &Context_;
--- a/tests/unit/SessionCloseTest.cpp
+++ b/tests/unit/SessionCloseTest.cpp
@@ -123,3 +123,22 @@
   std::string Got = Caller_.readUntil("");
   REQUIRE(Got.size() > AnswerBytes);
 }
+
+// Guards against resetting callers whose connections the kernel had accepted
+// when the listener was closed in a planned stop.
+TEST_CASE_METHOD(ListenerFixture,
+                 "listener, closed while a connection stands in its queue, "
+                 "answers the request on it",
+                 "[http]") {
+  std::optional<RawSocket> Caller;
+  run([&] {
+    Caller.emplace(RawSocket::connectTo(Port_));
+    Caller->send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    Caller->waitDelivered();
+    Listener_->stopAccepting();
+    Listener_->drainAll();
+  });
+  std::string Got = Caller->readUntil("");
+  REQUIRE(Got.find("200 OK") != std::string::npos);
+  REQUIRE(Got.find("Connection: close") != std::string::npos);
+}
