SIGHUP at the end of a process does not reach an object that is destroyed

Seen by callers: nothing so far; a crash would cut every answer under way, since the entry's object is destroyed after its drain. Cause: the signal thread loaded a pointer to the running entry or agent and then called reload() while the main thread went on to destroy the object. After an exception in drain() or readyLine() the pointer was not reset at all. Evidence: read in the code; the race is a few microseconds wide and was not provoked with a real process. SignalTargetTest "whose scope ends during a use" fails with the former atomic pointer behind the same interface, REQUIRE(EndedBefore), and passes with the lock. Why it works: a use holds the lock that the end of the scope needs, and the scope is declared after the object, so it ends before it also on an exception.

--- a/daemons/hawthornroad-store-agent.cpp
+++ b/daemons/hawthornroad-store-agent.cpp
@@ -2,25 +2,22 @@
 
 #include "hawthornroad/agent/StoreAgent.h"
 #include "hawthornroad/runtime/Daemon.h"
-
-#include <atomic>
+#include "hawthornroad/runtime/SignalTarget.h"
 
 using namespace hawthornroad;
 
 namespace {
-std::atomic<StoreAgent *> Running{nullptr};
+SignalTarget<StoreAgent> Running;
 
 void run(const std::string &File, StopSignal &Stop) {
   StoreAgent Agent(StoreAgentSettings::load(File));
-  Running.store(&Agent);
+  SignalTarget<StoreAgent>::Scope Published(Running, Agent);
   printReady(Agent.readyLine());
   Stop.wait();
-  Running.store(nullptr);
 }
 
 void reload(const std::string &File) {
-  if (StoreAgent *Agent = Running.load())
-    Agent->reload(File);
+  Running.use([&](StoreAgent &Agent) { Agent.reload(File); });
 }
 } // namespace
 
--- a/daemons/hawthornroad-store-entry.cpp
+++ b/daemons/hawthornroad-store-entry.cpp
@@ -2,26 +2,23 @@
 
 #include "hawthornroad/entry/DirectEntry.h"
 #include "hawthornroad/runtime/Daemon.h"
-
-#include <atomic>
+#include "hawthornroad/runtime/SignalTarget.h"
 
 using namespace hawthornroad;
 
 namespace {
-std::atomic<DirectEntry *> Running{nullptr};
+SignalTarget<DirectEntry> Running;
 
 void run(const std::string &File, StopSignal &Stop) {
   DirectEntry Entry(StoreEntrySettings::load(File));
-  Running.store(&Entry);
+  SignalTarget<DirectEntry>::Scope Published(Running, Entry);
   printReady(Entry.readyLine());
   Stop.wait();
   Entry.drain();
-  Running.store(nullptr);
 }
 
 void reload(const std::string &File) {
-  if (DirectEntry *Entry = Running.load())
-    Entry->reload(File);
+  Running.use([&](DirectEntry &Entry) { Entry.reload(File); });
 }
 } // namespace
 
