A failure to send is reported after the call that gave the answer

Seen by callers: nothing that was traced to it; it may end the entry, and with it every answer under way. Cause: when a write failed, or more than the backlog was unread, ServerSession called its handler from within respond(), write() or finish(). The handler is the entry, whose TrafficCore was in the middle of that call: callerGone() closed and destroyed the request's record, and the call went on to use it (finishAnswer: respond, then close(R); refuse; forward: beginStream, then writeStream). It takes a caller that resets its connection just before its answer is written, in the same pass of the event loop as the endpoint's last bytes. That the record is used afterwards is read in the code; a crash was not provoked. Why it works: the end is posted to the event loop, and a session that is ending takes no more output, so it does not look complete either. Ruled out: deferring the destruction in TrafficCore only; each of its calls into the port would have to expect any change.

--- a/hawthornroad/http/ServerSession.cpp
+++ b/hawthornroad/http/ServerSession.cpp
@@ -77,7 +77,7 @@
   // After the shutdown, input is only discarded until the caller closes.
   if (!SendShutdown_)
     In_.commit(Bytes);
-  if (!InRequest_ && !SendShutdown_ && !EndAfterFlush_)
+  if (!InRequest_ && !SendShutdown_ && !EndAfterFlush_ && !Ending_)
     parse();
   read();
 }
@@ -144,7 +144,7 @@
 
 void ServerSession::respond(unsigned Status, const HeaderFields &Fields,
                             std::string Body) {
-  if (Closed_ || !InRequest_)
+  if (!isOpen() || !InRequest_)
     return;
   KeepOpen_ = KeepOpen_ && !Owner_->Draining_;
   std::string Text =
@@ -156,7 +156,7 @@
 }
 
 void ServerSession::begin(unsigned Status, const HeaderFields &Fields) {
-  if (Closed_ || !InRequest_)
+  if (!isOpen() || !InRequest_)
     return;
   Streaming_ = true;
   KeepOpen_ = KeepOpen_ && CanChunk_ && !Owner_->Draining_;
@@ -171,13 +171,13 @@
 }
 
 void ServerSession::write(std::string_view Bytes) {
-  if (Closed_ || !Streaming_ || Bytes.empty())
+  if (!isOpen() || !Streaming_ || Bytes.empty())
     return;
   send(CanChunk_ ? chunkText(Bytes) : std::string(Bytes));
 }
 
 void ServerSession::finish() {
-  if (Closed_ || !Streaming_)
+  if (!isOpen() || !Streaming_)
     return;
   if (CanChunk_)
     send(std::string(LastChunk));
@@ -193,6 +193,8 @@
 }
 
 void ServerSession::onAnswerSent() {
+  if (!isOpen())
+    return;
   InRequest_ = false;
   Streaming_ = false;
   StateSince_ = Owner_->now();
@@ -216,18 +218,15 @@
     Out_ = std::move(Text);
   else
     Out_ += Text;
-  if (Out_.size() > Owner_->Limits_.MaxBacklog_ && Streaming_) {
-    if (InRequest_)
-      Owner_->Handler_.onCallerDisconnected(*this);
-    return abort();
-  }
+  if (Out_.size() > Owner_->Limits_.MaxBacklog_ && Streaming_)
+    return endLater(true);
   flush();
 }
 
 // Most answers fit into the socket's buffer: they are written directly, which
 // saves a pass of the event loop.
 void ServerSession::flush() {
-  if (Closed_ || !Writing_.empty())
+  if (!isOpen() || !Writing_.empty())
     return;
   if (Out_.empty()) {
     if (EndAfterFlush_)
@@ -237,11 +236,8 @@
   boost::system::error_code Code;
   Socket_.non_blocking(true, Code);
   std::size_t Sent = Socket_.write_some(asio::buffer(Out_), Code);
-  if (Code && Code != asio::error::would_block) {
-    if (InRequest_)
-      Owner_->Handler_.onCallerDisconnected(*this);
-    return close();
-  }
+  if (Code && Code != asio::error::would_block)
+    return endLater(false);
   if (!Code && Sent == Out_.size()) {
     Out_.clear();
     if (EndAfterFlush_)
@@ -266,6 +262,18 @@
                     });
 }
 
+void ServerSession::endLater(bool WithReset) {
+  Ending_ = true;
+  Out_.clear();
+  asio::post(Socket_.get_executor(), [Self = shared_from_this(), WithReset] {
+    if (Self->Closed_)
+      return;
+    if (Self->InRequest_)
+      Self->Owner_->Handler_.onCallerDisconnected(*Self);
+    WithReset ? Self->abort() : Self->close();
+  });
+}
+
 void ServerSession::shutdownSending() {
   if (SendShutdown_)
     return;
--- a/hawthornroad/http/ServerSession.h
+++ b/hawthornroad/http/ServerSession.h
@@ -93,7 +93,8 @@
 
   void start();
 
-  // Each does nothing once the caller has disconnected.
+  // Each does nothing once the caller has disconnected. None calls the handler:
+  // a failure to send is reported from the event loop.
   void respond(unsigned Status, const HeaderFields &Fields, std::string Body);
   void begin(unsigned Status, const HeaderFields &Fields);
   void write(std::string_view Bytes);
@@ -116,6 +117,7 @@
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+  bool isOpen() const { return !Closed_ && !Ending_; }
   bool hasPartial() const { return Parser_ && Parser_->got_some(); }
   // Bytes that have arrived and are not read yet.
   std::size_t unread() const;
@@ -129,6 +131,8 @@
   void send(std::string Text);
   void flush();
   void onAnswerSent();
+  // Ends the connection after the current call.
+  void endLater(bool WithReset);
   void shutdownSending();
 
   Socket Socket_;
@@ -150,6 +154,7 @@
   bool IsHead_ = false;
   bool EndAfterFlush_ = false;
   bool SendShutdown_ = false;
+  bool Ending_ = false;
   bool Closed_ = false;
   bool ContinueSent_ = false;
 };
--- a/tests/unit/SessionCloseTest.cpp
+++ b/tests/unit/SessionCloseTest.cpp
@@ -142,3 +142,35 @@
   REQUIRE(Got.find("200 OK") != std::string::npos);
   REQUIRE(Got.find("Connection: close") != std::string::npos);
 }
+
+// Guards against a handler that is called while it gives an answer: the record
+// of the request would be destroyed during its use.
+TEST_CASE_METHOD(SessionCloseFixture,
+                 "server session, unable to send an answer, notifies its "
+                 "handler after the call that gave the answer",
+                 "[http]") {
+  bool IsBacklog = GENERATE(false, true);
+  CAPTURE(IsBacklog);
+  Caller_.send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+  while (Handler_.Requests_ == 0)
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  int During = 0;
+  run([&] {
+    auto S = Handler_.Last_.lock();
+    if (!IsBacklog)
+      Caller_.reset();
+    // The first write may still be taken by a connection that was reset.
+    S->begin(200, {});
+    const std::string Part(256 * 1024, 'x');
+    for (int I = 0; I < 64; ++I)
+      S->write(Part);
+    During = Handler_.Disconnects_;
+  });
+  REQUIRE(During == 0);
+  auto Until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  while (Handler_.Disconnects_ == 0 && std::chrono::steady_clock::now() < Until)
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  REQUIRE(Handler_.Disconnects_ == 1);
+  // The partial answer does not look complete.
+  REQUIRE(Caller_.readUntil("").find("0\r\n\r\n") == std::string::npos);
+}
