Logs: queued lines are written out at a planned stop, within two seconds

Cause: the destructor polled once for 100 ms before it wrote the rest; a collector that was busy for longer cost all queued lines. And outside the stop the writer blocked in write(), so a collector that never reads kept the process from ending at all.

Pieces end with a line, so a loss cuts none.

Before, on: 'destroyed while its reader is slow' fails with 0 == 400 lines, 'destroyed while nobody reads it' with 8.0 s < 5 s (its rescue reader ended the wait).

--- a/hawthornroad/runtime/EventLog.cpp
+++ b/hawthornroad/runtime/EventLog.cpp
@@ -3,19 +3,30 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <climits>
 #include <cmath>
 #include <cstdio>
 #include <poll.h>
 #include <unistd.h>
+#include <utility>
 
 namespace hawthornroad {
 
 namespace {
-// Maximum wait for a blocked reader at the end of the process.
-constexpr int FinalPollMs = 100;
+// How often a wait for a blocked reader checks whether the process ends.
+constexpr int ReaderPollMs = 50;
 // A buffer more than 1/EarlyFlushDivisor full wakes the writer early.
 constexpr std::size_t EarlyFlushDivisor = 4;
 
+// A pipe that is ready takes PIPE_BUF bytes without blocking. Ends with a whole
+// line where it can, so a loss cuts no line.
+std::string_view nextPiece(std::string_view Lines) {
+  if (Lines.size() <= PIPE_BUF)
+    return Lines;
+  std::size_t End = Lines.rfind('\n', PIPE_BUF - 1);
+  return Lines.substr(0, End == std::string_view::npos ? PIPE_BUF : End + 1);
+}
+
 void appendEscaped(std::string &Out, std::string_view Text) {
   static constexpr std::string_view Hex = "0123456789abcdef";
   for (char C : Text) {
@@ -93,7 +104,7 @@
 EventLog::~EventLog() {
   {
     std::lock_guard Lock(Mutex_);
-    Stopping_ = true;
+    StopBy_ = std::chrono::steady_clock::now() + Options_.StopTimeout_;
   }
   Changed_.notify_all();
   Thread_.join();
@@ -157,38 +168,41 @@
       std::chrono::duration_cast<Milliseconds>(Since).count());
 }
 
+bool EventLog::isOverdue() const {
+  std::lock_guard Lock(Mutex_);
+  return StopBy_ && std::chrono::steady_clock::now() >= *StopBy_;
+}
+
+void EventLog::writeOut(std::string_view Lines) {
+  while (!Lines.empty() && !isOverdue()) {
+    pollfd Ready{Options_.Descriptor_, POLLOUT, 0};
+    if (::poll(&Ready, 1, ReaderPollMs) <= 0)
+      continue;
+    std::string_view Piece = nextPiece(Lines);
+    ssize_t Wrote = ::write(Options_.Descriptor_, Piece.data(), Piece.size());
+    if (Wrote > 0)
+      Lines.remove_prefix(static_cast<std::size_t>(Wrote));
+    else if (Wrote < 0 && errno != EINTR && errno != EAGAIN)
+      return; // the reader is gone: drop the lines and go on
+  }
+}
+
 void EventLog::run() {
   std::string Out;
-  for (;;) {
-    bool Last = false;
+  bool IsLast = false;
+  while (!IsLast) {
     {
       std::unique_lock Lock(Mutex_);
-      Changed_.wait(Lock, [&] { return Stopping_ || !Buffer_.empty(); });
-      if (!Stopping_)
-        Changed_.wait_for(Lock, Options_.FlushDelay_, [&] {
-          return Stopping_ ||
-                 Buffer_.size() > Options_.BufferBytes_ / EarlyFlushDivisor;
-        });
+      Changed_.wait(Lock, [&] { return StopBy_ || !Buffer_.empty(); });
+      Changed_.wait_for(Lock, Options_.FlushDelay_, [&] {
+        return StopBy_ ||
+               Buffer_.size() > Options_.BufferBytes_ / EarlyFlushDivisor;
+      });
       Out.swap(Buffer_);
-      Last = Stopping_;
-    }
-    std::size_t Done = 0;
-    while (Done < Out.size()) {
-      if (Last) {
-        pollfd Ready{Options_.Descriptor_, POLLOUT, 0};
-        if (::poll(&Ready, 1, FinalPollMs) <= 0)
-          return;
-      }
-      ssize_t Wrote =
-          ::write(Options_.Descriptor_, Out.data() + Done, Out.size() - Done);
-      if (Wrote > 0)
-        Done += static_cast<std::size_t>(Wrote);
-      else if (Wrote < 0 && errno != EINTR && errno != EAGAIN)
-        break; // the reader is gone: drop the lines and go on
+      IsLast = StopBy_.has_value();
     }
+    writeOut(Out);
     Out.clear();
-    if (Last)
-      return;
   }
 }
 
--- a/hawthornroad/runtime/EventLog.h
+++ b/hawthornroad/runtime/EventLog.h
@@ -13,6 +13,9 @@
 // are dropped and counted, and a "log_dropped" line reports them as soon as
 // there is room. The volume is limited to BytesPerSecond, with a burst of one
 // second's worth; important lines bypass this limit but not the buffer's.
+//
+// The destructor writes all queued lines within StopTimeout_ and drops what is
+// left then.
 
 #ifndef HAWTHORNROAD_RUNTIME_EVENTLOG_H
 #define HAWTHORNROAD_RUNTIME_EVENTLOG_H
@@ -22,6 +25,7 @@
 #include <condition_variable>
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -56,10 +60,11 @@
     double BytesPerSecond_ = 200 * 1024;
     // How long lines are buffered before they are written together.
     Duration FlushDelay_ = Milliseconds(200);
+    // How long the destructor waits for a slow reader.
+    Duration StopTimeout_ = Seconds(2);
   };
 
   explicit EventLog(Options O);
-  // Flushes the buffer; gives up after one wait for a blocked reader.
   ~EventLog();
   EventLog(const EventLog &) = delete;
   EventLog &operator=(const EventLog &) = delete;
@@ -71,6 +76,8 @@
 
 private:
   void run();
+  void writeOut(std::string_view Lines);
+  bool isOverdue() const;
   bool tryReserve(std::size_t Bytes, bool IsImportant, TimePoint Now);
   void append(const std::string &Body, TimePoint Now);
 
@@ -83,7 +90,8 @@
   TimePoint RefilledAt_;
   std::uint64_t Dropped_ = 0;
   std::uint64_t DroppedUnreported_ = 0;
-  bool Stopping_ = false;
+  // Set by the destructor.
+  std::optional<TimePoint> StopBy_;
   std::thread Thread_;
 };
 
--- a/tests/unit/EventLogTest.cpp
+++ b/tests/unit/EventLogTest.cpp
@@ -4,7 +4,10 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <fcntl.h>
+#include <future>
+#include <poll.h>
 #include <sstream>
+#include <thread>
 #include <unistd.h>
 
 using namespace hawthornroad;
@@ -35,6 +38,23 @@
   }
 };
 
+std::string available(int Descriptor, Duration Limit) {
+  pollfd Ready{Descriptor, POLLIN, 0};
+  char Buffer[4096];
+  if (::poll(&Ready, 1, static_cast<int>(Limit / Milliseconds(1))) <= 0)
+    return {};
+  ssize_t N = ::read(Descriptor, Buffer, sizeof(Buffer));
+  return {Buffer, static_cast<std::size_t>(std::max<ssize_t>(N, 0))};
+}
+
+// More than a pipe holds (64 KiB), less than the default buffer.
+constexpr std::size_t QueuedLines = 1500;
+
+void writeQueued(EventLog &Log) {
+  for (std::size_t N = 0; N < QueuedLines; ++N)
+    Log.write(LogLine("request").count("n", N).text("x", std::string(60, 'x')));
+}
+
 std::vector<boost::json::object> lines(const std::string &Text) {
   std::vector<boost::json::object> Out;
   std::istringstream In(Text);
@@ -122,3 +142,59 @@
   REQUIRE(All.size() < 2 * Bound);
   REQUIRE(All.find("store_lost") != std::string::npos);
 }
+
+// A planned stop lost the lines that its collector had not read yet.
+TEST_CASE("event log, destroyed while its reader is slow, writes all lines",
+          "[log]") {
+  constexpr std::size_t Lines = 400;
+  Pipe P;
+  ::fcntl(P.Write_, F_SETFL, O_NONBLOCK);
+  while (::write(P.Write_, "\n", 1) == 1)
+    ;
+  ::fcntl(P.Write_, F_SETFL, 0);
+  std::string Received;
+  std::thread Reader([&] {
+    std::this_thread::sleep_for(Milliseconds(400));
+    std::vector<char> Buffer(32 * 1024);
+    for (ssize_t N = 0;
+         (N = ::read(P.Read_, Buffer.data(), Buffer.size())) > 0;) {
+      Received.append(Buffer.data(), static_cast<std::size_t>(N));
+      std::this_thread::sleep_for(Milliseconds(50));
+    }
+  });
+  {
+    EventLog Log(
+        {.Process_ = "p", .Descriptor_ = P.Write_, .FlushDelay_ = Seconds(30)});
+    for (std::size_t N = 0; N < Lines; ++N)
+      Log.write(LogLine("request").text("x", std::string(60, 'x')));
+  }
+  ::close(std::exchange(P.Write_, -1));
+  Reader.join();
+  Received.erase(0, Received.find('{'));
+  REQUIRE(lines(Received).size() == Lines);
+}
+
+// A collector that hangs kept the process from ending.
+TEST_CASE("event log, destroyed while nobody reads it, ends within its bound",
+          "[log]") {
+  Pipe P;
+  std::promise<void> Ended;
+  // Ends the test where the log waits for its reader without a bound.
+  std::thread Rescue([&, End = Ended.get_future()] {
+    if (End.wait_for(Seconds(8)) == std::future_status::ready)
+      return;
+    while (!available(P.Read_, Milliseconds(500)).empty())
+      ;
+  });
+  std::chrono::steady_clock::time_point StartedAt;
+  {
+    EventLog Log(
+        {.Process_ = "p", .Descriptor_ = P.Write_, .BytesPerSecond_ = 1e9});
+    writeQueued(Log);
+    StartedAt = std::chrono::steady_clock::now();
+  }
+  auto Took = std::chrono::steady_clock::now() - StartedAt;
+  Ended.set_value();
+  Rescue.join();
+  REQUIRE(Took < Seconds(5));
+}
