Logs: important lines have limits of their own; log_dropped names what was dropped

Seen: a line that is never dropped for volume was still dropped when ordinary lines had filled the buffer, and took its bytes from their volume; log_dropped gave a number only, and none at all when the process wrote nothing more.

Fix: two quotas. Important lines besides: 200 KB/s, a burst and 2.5 MiB waiting, which holds the three lines of about 1.2 KB in all of each of the 2,000 requests that an entry may have open. Neither kind can push out the other, and a fault that repeats without end is bounded. log_dropped adds 'important' and 'events' (event=count), and is written with the next block and at the stop. The buffers of such a burst are released after it.

--- a/hawthornroad/runtime/EventLog.cpp
+++ b/hawthornroad/runtime/EventLog.cpp
@@ -45,7 +45,7 @@
 }
 } // namespace
 
-LogLine::LogLine(std::string_view Event) {
+LogLine::LogLine(std::string_view Event) : Event_(Event) {
   Body_.reserve(256);
   Body_ += "\"event\":\"";
   Body_ += Event;
@@ -92,9 +92,19 @@
   return number(Key, std::chrono::duration<double, std::milli>(D).count());
 }
 
-EventLog::EventLog(Options O)
-    : Options_(std::move(O)), Allowance_(Options_.BytesPerSecond_),
-      RefilledAt_(std::chrono::steady_clock::now()) {
+EventLog::EventLog(Options O) : Options_(std::move(O)) {
+  TimePoint Now = std::chrono::steady_clock::now();
+  Ordinary_ = {.BytesPerSecond_ = Options_.BytesPerSecond_,
+               .Burst_ = Options_.BytesPerSecond_,
+               .BufferBytes_ = Options_.BufferBytes_,
+               .Allowance_ = Options_.BytesPerSecond_,
+               .RefilledAt_ = Now};
+  auto ImportantBurst = static_cast<double>(Options_.ImportantBufferBytes_);
+  Important_ = {.BytesPerSecond_ = Options_.ImportantBytesPerSecond_,
+                .Burst_ = ImportantBurst,
+                .BufferBytes_ = Options_.ImportantBufferBytes_,
+                .Allowance_ = ImportantBurst,
+                .RefilledAt_ = Now};
   Prefix_ = ",\"process\":\"";
   appendEscaped(Prefix_, Options_.Process_);
   Prefix_ += "\",";
@@ -110,15 +120,13 @@
   Thread_.join();
 }
 
-bool EventLog::tryReserve(std::size_t Bytes, bool IsImportant, TimePoint Now) {
+bool EventLog::Quota::tryReserve(std::size_t Bytes, TimePoint Now) {
   double Elapsed = std::chrono::duration<double>(Now - RefilledAt_).count();
   RefilledAt_ = Now;
-  Allowance_ = std::min(Options_.BytesPerSecond_,
-                        Allowance_ + Elapsed * Options_.BytesPerSecond_);
-  if (Buffer_.size() + Bytes > Options_.BufferBytes_)
-    return false;
-  if (!IsImportant && Allowance_ < static_cast<double>(Bytes))
+  Allowance_ = std::min(Burst_, Allowance_ + Elapsed * BytesPerSecond_);
+  if (Queued_ + Bytes > BufferBytes_ || Allowance_ < static_cast<double>(Bytes))
     return false;
+  Queued_ += Bytes;
   Allowance_ -= static_cast<double>(Bytes);
   return true;
 }
@@ -134,24 +142,41 @@
   Buffer_ += "}\n";
 }
 
+void EventLog::reportDropped(TimePoint Now) {
+  if (DroppedByEvent_.empty())
+    return;
+  std::string Events;
+  for (const auto &[Event, Count] : DroppedByEvent_)
+    Events += (Events.empty() ? "" : " ") + Event + "=" + std::to_string(Count);
+  std::uint64_t Important = std::exchange(Important_.Dropped_, 0);
+  append(LogLine("log_dropped")
+             .count("lines", std::exchange(Ordinary_.Dropped_, 0) + Important)
+             .count("important", Important)
+             .text("events", Events)
+             .body(),
+         Now);
+  DroppedByEvent_.clear();
+}
+
+bool EventLog::mustFlush() const {
+  return StopBy_ || Buffer_.size() > Options_.BufferBytes_ / EarlyFlushDivisor;
+}
+
 void EventLog::write(const LogLine &L, bool IsImportant) {
   TimePoint Now = std::chrono::steady_clock::now();
   bool Wake = false;
   {
     std::lock_guard Lock(Mutex_);
-    if (!tryReserve(L.body().size() + Prefix_.size() + 24, IsImportant, Now)) {
+    Quota &Q = IsImportant ? Important_ : Ordinary_;
+    if (!Q.tryReserve(L.body().size() + Prefix_.size() + 24, Now)) {
       ++Dropped_;
-      ++DroppedUnreported_;
+      ++Q.Dropped_;
+      ++DroppedByEvent_[std::string(L.event())];
       return;
     }
-    Wake = Buffer_.empty() ||
-           Buffer_.size() > Options_.BufferBytes_ / EarlyFlushDivisor;
-    if (DroppedUnreported_ > 0)
-      append(LogLine("log_dropped")
-                 .count("lines", std::exchange(DroppedUnreported_, 0))
-                 .body(),
-             Now);
+    Wake = Buffer_.empty();
     append(L.body(), Now);
+    Wake = Wake || mustFlush();
   }
   if (Wake)
     Changed_.notify_one();
@@ -194,15 +219,17 @@
     {
       std::unique_lock Lock(Mutex_);
       Changed_.wait(Lock, [&] { return StopBy_ || !Buffer_.empty(); });
-      Changed_.wait_for(Lock, Options_.FlushDelay_, [&] {
-        return StopBy_ ||
-               Buffer_.size() > Options_.BufferBytes_ / EarlyFlushDivisor;
-      });
+      Changed_.wait_for(Lock, Options_.FlushDelay_,
+                        [&] { return mustFlush(); });
+      reportDropped(std::chrono::steady_clock::now());
       Out.swap(Buffer_);
+      Ordinary_.Queued_ = Important_.Queued_ = 0;
       IsLast = StopBy_.has_value();
     }
     writeOut(Out);
     Out.clear();
+    if (Out.capacity() > Options_.BufferBytes_)
+      Out.shrink_to_fit();
   }
 }
 
--- a/hawthornroad/runtime/EventLog.h
+++ b/hawthornroad/runtime/EventLog.h
@@ -9,10 +9,12 @@
 // time of day.
 //
 // write() never blocks on output: it appends to a bounded buffer that a
-// dedicated thread writes out. When the reader stalls, lines that do not fit
-// are dropped and counted, and a "log_dropped" line reports them as soon as
-// there is room. The volume is limited to BytesPerSecond, with a burst of one
-// second's worth; important lines bypass this limit but not the buffer's.
+// dedicated thread writes out. Lines that do not fit are dropped and counted,
+// and a "log_dropped" line reports them by event as soon as there is room.
+//
+// Ordinary and important lines have separate limits, so neither kind can push
+// out the other. Each kind has a volume per second, a burst, and a number of
+// bytes that may wait for the reader.
 //
 // The destructor writes all queued lines within StopTimeout_ and drops what is
 // left then.
@@ -24,6 +26,7 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -35,6 +38,7 @@
 // Builds one line. Keys must be literals that need no escaping.
 class LogLine {
 public:
+  // Event must be a literal.
   explicit LogLine(std::string_view Event);
 
   LogLine &text(std::string_view Key, std::string_view Value);
@@ -44,9 +48,11 @@
   LogLine &millis(std::string_view Key, Duration D);
 
   const std::string &body() const { return Body_; }
+  std::string_view event() const { return Event_; }
 
 private:
   void key(std::string_view Key);
+  std::string_view Event_;
   std::string Body_;
 };
 
@@ -56,8 +62,13 @@
     std::string Process_;
     int Descriptor_ = 1;
     std::size_t BufferBytes_ = 256 * 1024;
-    // A busy entry writes about 60 KB/s; three times that rate is allowed.
+    // A busy entry writes about 60 KB/s; three times that rate is allowed. The
+    // burst is one second's worth.
     double BytesPerSecond_ = 200 * 1024;
+    // The same limits for important lines. The buffer, which is also their
+    // burst, holds the lines of an entry whose 2,000 requests are cut at once.
+    std::size_t ImportantBufferBytes_ = 2560 * 1024;
+    double ImportantBytesPerSecond_ = 200 * 1024;
     // How long lines are buffered before they are written together.
     Duration FlushDelay_ = Milliseconds(200);
     // How long the destructor waits for a slow reader.
@@ -75,21 +86,37 @@
   static std::uint64_t wallMilliseconds();
 
 private:
+  // Limits of one kind of lines.
+  struct Quota {
+    double BytesPerSecond_ = 0;
+    double Burst_ = 0;
+    std::size_t BufferBytes_ = 0;
+    double Allowance_ = 0;
+    TimePoint RefilledAt_{};
+    // Bytes in the buffer, and lines dropped since the last report.
+    std::size_t Queued_ = 0;
+    std::uint64_t Dropped_ = 0;
+
+    bool tryReserve(std::size_t Bytes, TimePoint Now);
+  };
+
   void run();
   void writeOut(std::string_view Lines);
   bool isOverdue() const;
-  bool tryReserve(std::size_t Bytes, bool IsImportant, TimePoint Now);
   void append(const std::string &Body, TimePoint Now);
+  void reportDropped(TimePoint Now);
+  bool mustFlush() const;
 
   Options Options_;
   std::string Prefix_;
   mutable std::mutex Mutex_;
   std::condition_variable Changed_;
   std::string Buffer_;
-  double Allowance_;
-  TimePoint RefilledAt_;
+  Quota Ordinary_;
+  Quota Important_;
   std::uint64_t Dropped_ = 0;
-  std::uint64_t DroppedUnreported_ = 0;
+  // Lines dropped since the last report, by event.
+  std::map<std::string, std::uint64_t, std::less<>> DroppedByEvent_;
   // Set by the destructor.
   std::optional<TimePoint> StopBy_;
   std::thread Thread_;
--- a/tests/unit/EventLogTest.cpp
+++ b/tests/unit/EventLogTest.cpp
@@ -198,3 +198,82 @@
   Rescue.join();
   REQUIRE(Took < Seconds(5));
 }
+
+// Lines of ordinary requests pushed out the ones of lost answers.
+TEST_CASE("event log, buffer full of ordinary lines, keeps important ones",
+          "[log]") {
+  Pipe P;
+  constexpr std::size_t Important = 100;
+  EventLog Log({.Process_ = "p",
+                .Descriptor_ = P.Write_,
+                .BufferBytes_ = 32 * 1024,
+                .BytesPerSecond_ = 1e9});
+  writeQueued(Log);
+  REQUIRE(Log.dropped() > 0);
+  std::uint64_t Dropped = Log.dropped();
+  for (std::size_t N = 0; N < Important; ++N)
+    Log.write(LogLine("answer_cut").count("n", N), true);
+  REQUIRE(Log.dropped() == Dropped);
+}
+
+// A fault that repeats without end must not grow the buffer without end.
+TEST_CASE("event log, important lines beyond their own bound, drops them and "
+          "leaves room for ordinary ones",
+          "[log]") {
+  Pipe P;
+  std::string Received;
+  {
+    EventLog Log({.Process_ = "p", .Descriptor_ = P.Write_});
+    std::string Detail(1000, 'x');
+    for (int N = 0; N < 5000; ++N)
+      Log.write(LogLine("answer_cut").text("detail", Detail), true);
+    std::uint64_t Dropped = Log.dropped();
+    REQUIRE(Dropped > 1000);
+    Log.write(LogLine("request").text("request", "r1"));
+    REQUIRE(Log.dropped() == Dropped);
+    Log.write(LogLine("answer_cut").text("detail", Detail), true);
+    REQUIRE(Log.dropped() == Dropped + 1);
+    while (Received.find("log_dropped") == std::string::npos) {
+      std::string More = available(P.Read_, Seconds(5));
+      REQUIRE_FALSE(More.empty());
+      Received += More;
+    }
+  }
+  Received += P.all();
+  for (const boost::json::object &Line : lines(Received))
+    if (Line.at("event").as_string() == "log_dropped") {
+      REQUIRE(Line.at("important").to_number<std::uint64_t>() ==
+              Line.at("lines").to_number<std::uint64_t>());
+      REQUIRE(std::string_view(Line.at("events").as_string())
+                  .starts_with("answer_cut="));
+    }
+}
+
+// Whoever looks for a request's line must see that lines are missing, also
+// where the process writes nothing more.
+TEST_CASE("event log, destroyed after it dropped lines, reports their kinds",
+          "[log]") {
+  Pipe P;
+  std::uint64_t Dropped = 0;
+  {
+    EventLog Log(
+        {.Process_ = "p", .Descriptor_ = P.Write_, .BytesPerSecond_ = 10000});
+    for (int N = 0; N < 200; ++N) {
+      Log.write(LogLine("request").text("request", std::string(100, 'x')));
+      Log.write(LogLine("attempt").text("request", std::string(100, 'x')));
+    }
+    Dropped = Log.dropped();
+  }
+  REQUIRE(Dropped > 0);
+  std::uint64_t Reported = 0;
+  std::string Events;
+  for (const boost::json::object &Line : lines(P.all()))
+    if (Line.at("event").as_string() == "log_dropped") {
+      Reported += Line.at("lines").to_number<std::uint64_t>();
+      REQUIRE(Line.at("important").to_number<std::uint64_t>() == 0);
+      Events += Line.at("events").as_string();
+    }
+  REQUIRE(Reported == Dropped);
+  REQUIRE(Events.find("request=") != std::string::npos);
+  REQUIRE(Events.find("attempt=") != std::string::npos);
+}
