Logs: important lines wake the writer at once

Seen: a process that ends at once loses up to 200 ms of its lines, among them those of the answers that it cut. Cause: lines wait for FlushDelay_ to be written together. Fix: an important line ends that wait; it and all lines before it are written at once.

Before, on the parent: 'important line, is written without the flush delay' fails, the line has not come after 5 s of a delay of 30 s.

--- a/hawthornroad/runtime/EventLog.cpp
+++ b/hawthornroad/runtime/EventLog.cpp
@@ -159,7 +159,8 @@
 }
 
 bool EventLog::mustFlush() const {
-  return StopBy_ || Buffer_.size() > Options_.BufferBytes_ / EarlyFlushDivisor;
+  return StopBy_ || Important_.Queued_ > 0 ||
+         Buffer_.size() > Options_.BufferBytes_ / EarlyFlushDivisor;
 }
 
 void EventLog::write(const LogLine &L, bool IsImportant) {
--- a/hawthornroad/runtime/EventLog.h
+++ b/hawthornroad/runtime/EventLog.h
@@ -14,10 +14,12 @@
 //
 // Ordinary and important lines have separate limits, so neither kind can push
 // out the other. Each kind has a volume per second, a burst, and a number of
-// bytes that may wait for the reader.
+// bytes that may wait for the reader. Important lines are written at once, the
+// others together after FlushDelay_.
 //
 // The destructor writes all queued lines within StopTimeout_ and drops what is
-// left then.
+// left then. A process that is killed loses the ordinary lines of the last
+// FlushDelay_, and the important ones that its thread had no time to write.
 
 #ifndef HAWTHORNROAD_RUNTIME_EVENTLOG_H
 #define HAWTHORNROAD_RUNTIME_EVENTLOG_H
--- a/tests/unit/EventLogTest.cpp
+++ b/tests/unit/EventLogTest.cpp
@@ -143,6 +143,23 @@
   REQUIRE(All.find("store_lost") != std::string::npos);
 }
 
+// A process that is killed loses what waits in its buffer, and the line that
+// names the cut answer with it.
+TEST_CASE("event log, important line, is written without the flush delay",
+          "[log]") {
+  Pipe P;
+  EventLog Log(
+      {.Process_ = "p", .Descriptor_ = P.Write_, .FlushDelay_ = Seconds(30)});
+  Log.write(LogLine("request").text("request", "r1"));
+  Log.write(LogLine("answer_cut").text("request", "r1"), true);
+  std::string Received;
+  auto Deadline = std::chrono::steady_clock::now() + Seconds(5);
+  while (Received.find("answer_cut") == std::string::npos &&
+         std::chrono::steady_clock::now() < Deadline)
+    Received += available(P.Read_, Milliseconds(100));
+  REQUIRE(Received.find("answer_cut") != std::string::npos);
+}
+
 // A planned stop lost the lines that its collector had not read yet.
 TEST_CASE("event log, destroyed while its reader is slow, writes all lines",
           "[log]") {
