--- a/tests/integration/Process.cpp
+++ b/tests/integration/Process.cpp
@@ -32,7 +32,7 @@
 constexpr std::size_t MaxPrintedLog = 16 * 1024;
 
 std::string programPath(const std::string &Program) {
-  return std::string(BINARY_DIR) + "/" + Program;
+  return std::filesystem::path(BINARY_DIR) / Program;
 }
 
 // Runs in the child. The kernel kills it when the test ends, even by a crash.
--- a/tests/integration/Process.h
+++ b/tests/integration/Process.h
@@ -48,7 +48,7 @@
 struct Launch {
   // For logs and messages.
   std::string Name_;
-  // A program of the build folder.
+  // A program of the build folder, or a full path.
   std::string Program_;
   std::vector<std::string> Arguments_;
 };
--- a/tests/soak/Main.cpp
+++ b/tests/soak/Main.cpp
@@ -14,21 +14,25 @@
 bool Failed = false;
 
 bool runSeed(const SoakWorld::Options &O, const std::string &LogFolder) {
-  std::cout << "seed " << O.Seed_ << std::endl;
+  std::string Seed = std::to_string(O.Layout_.Seed_);
+  std::cout << "seed " << Seed << std::endl;
   SoakWorld W(O);
   W.run();
-  std::cout << "seed " << O.Seed_ << ": " << W.checks().summary() << std::endl;
+  std::cout << "seed " << Seed << ": " << W.checks().summary() << std::endl;
   for (const std::string &Each : W.checks().violations())
     std::cout << "  BROKEN " << Each << std::endl;
   if (W.checks().violations().empty())
     return true;
   std::filesystem::path KeptLogs =
-      std::filesystem::path(LogFolder) / ("seed-" + std::to_string(O.Seed_));
+      std::filesystem::path(LogFolder) / ("seed-" + Seed);
   std::filesystem::create_directories(KeptLogs);
   std::filesystem::copy(W.logs(), KeptLogs,
                         std::filesystem::copy_options::recursive |
                             std::filesystem::copy_options::overwrite_existing);
   std::cout << "  logs: " << KeptLogs.string() << std::endl;
+  for (const auto &[Id, Entry] : W.checks().lost())
+    std::cout << "  hawthornroadctl trace " << Id << ' ' << KeptLogs.string()
+              << '/' << Entry << "-*.log" << std::endl;
   return false;
 }
 } // namespace
@@ -43,15 +47,24 @@
   std::uint64_t Seed = 1;
   std::uint64_t Seeds = 1;
   int Length = 20;
-  std::size_t Entries = 4;
+  bool PlannedOnly = false;
+  SoakLayout::Options Layout;
   std::string Logs = "soak-logs";
   Description.add_options()("help", "this text")(
       "seed", po::value(&Seed)->default_value(Seed), "the first seed")(
       "seeds", po::value(&Seeds)->default_value(Seeds), "how many, one by one")(
       "seconds", po::value(&Length)->default_value(Length),
       "how long faults last, for each seed")(
-      "entries", po::value(&Entries)->default_value(Entries),
-      "entry processes; there are as many proxies and three more")(
+      "entries", po::value(&Layout.Entries_)->default_value(Layout.Entries_),
+      "entry processes; the first 16 have a proxy to the store")(
+      "zones", po::value(&Layout.Zones_)->default_value(Layout.Zones_),
+      "zones of the entries and endpoints")(
+      "agents", po::value(&Layout.Agents_)->default_value(Layout.Agents_),
+      "agent processes, each with an engine")(
+      "entry-program", po::value(&Layout.EntryProgram_),
+      "full path of a program to run as the entries")(
+      "planned-only", po::bool_switch(&PlannedOnly),
+      "planned work only, without faults")(
       "logs", po::value(&Logs)->default_value(Logs),
       "where logs of seeds that failed are kept");
   po::variables_map Variables;
@@ -68,9 +81,10 @@
   }
   for (std::uint64_t S = Seed; S < Seed + Seeds; ++S) {
     SoakWorld::Options O;
-    O.Seed_ = S;
     O.Length_ = Seconds(Length);
-    O.Entries_ = Entries;
+    O.IsPlannedOnly_ = PlannedOnly;
+    O.Layout_ = Layout;
+    O.Layout_.Seed_ = S;
     Failed |= !runSeed(O, Logs);
   }
   std::cout << (Failed ? "soak: broken" : "soak: all promises held")
--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -10,60 +10,85 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
-std::optional<SoakAnswer> SoakCaller::call(const std::string &Address,
-                                           const std::string &Target,
-                                           const SoakRequest &R) {
-  auto &Stream = Connections_[Address];
-  if (!Stream) {
-    Stream = std::make_unique<beast::tcp_stream>(Io_);
-    Stream->expires_after(RequestTimeout);
-    beast::error_code Code;
-    Stream->async_connect(parseAddress(Address, Step::Connect),
-                          [&](beast::error_code C) { Code = C; });
-    Io_.restart();
-    Io_.run();
-    if (Code) {
-      Stream.reset();
-      return std::nullopt;
-    }
+namespace {
+TimePoint now() { return std::chrono::steady_clock::now(); }
+
+void setError(SoakOutcome &O, beast::error_code Code, SoakOutcome::End End) {
+  O.End_ = Code == beast::error::timeout ? SoakOutcome::End::TimedOut : End;
+  O.Error_ = Code.message();
+}
+} // namespace
+
+SoakOutcome SoakCaller::call(const std::string &Address,
+                             const std::string &Target, const SoakRequest &R) {
+  SoakOutcome O;
+  O.IsKept_ = Connections_.contains(Address);
+  bool IsOpen = O.IsKept_ || connect(Address, R, O);
+  if (IsOpen && !exchange(*Connections_.at(Address), Target, R, O))
+    Connections_.erase(Address);
+  O.EndedAt_ = now();
+  O.Answer_.At_ = O.EndedAt_;
+  return O;
+}
+
+bool SoakCaller::connect(const std::string &Address, const SoakRequest &R,
+                         SoakOutcome &O) {
+  auto Stream = std::make_unique<beast::tcp_stream>(Io_);
+  beast::error_code Code;
+  Stream->expires_at(R.SentAt_ + R.Deadline_);
+  Stream->async_connect(parseAddress(Address, Step::Connect),
+                        [&](beast::error_code C) { Code = C; });
+  Io_.restart();
+  Io_.run();
+  if (Code) {
+    O.End_ = SoakOutcome::End::Refused;
+    O.Error_ = Code.message();
+    return false;
   }
-  SoakAnswer A;
-  if (exchange(*Stream, Target, R, A))
-    return A;
-  Stream.reset();
-  return std::nullopt;
+  Connections_[Address] = std::move(Stream);
+  return true;
 }
 
 bool SoakCaller::exchange(beast::tcp_stream &Stream, const std::string &Target,
-                          const SoakRequest &R, SoakAnswer &A) {
+                          const SoakRequest &R, SoakOutcome &O) {
   http::request<http::string_body> Request(http::verb::post, Target, 11);
   Request.set(http::field::host, "127.0.0.1");
   Request.set("X-Hawthornroad-Request-Id", R.Id_);
   Request.set("X-Hawthornroad-Deadline-Ms",
-              std::to_string(RequestTimeout / Milliseconds(1)));
+              std::to_string(R.Deadline_ / Milliseconds(1)));
   Request.set(http::field::authorization, "Token " + R.Key_);
+  if (!R.Model_.empty()) {
+    Request.set("X-Hawthornroad-Model", R.Model_);
+    Request.set("X-Hawthornroad-Token-Usage", "200,24");
+  }
   Request.body() = "{}";
   Request.prepare_payload();
-  http::response<http::string_body> Answer;
+  http::response_parser<http::string_body> Parser;
   beast::flat_buffer Buffer;
   beast::error_code Code;
-  Stream.expires_after(RequestTimeout);
+  Stream.expires_at(R.SentAt_ + R.Deadline_);
   http::async_write(Stream, Request, [&](beast::error_code C, std::size_t) {
     Code = C;
-    if (!C)
-      http::async_read(Stream, Buffer, Answer,
-                       [&](beast::error_code E, std::size_t) { Code = E; });
+    if (C)
+      return;
+    O.WrittenAt_ = now();
+    http::async_read(Stream, Buffer, Parser,
+                     [&](beast::error_code E, std::size_t) { Code = E; });
   });
   Io_.restart();
   Io_.run();
-  if (Code)
+  const auto &Answer = Parser.get();
+  if (Parser.is_header_done()) {
+    O.Answer_.Status_ = Answer.result_int();
+    O.Answer_.Stamp_ = Answer["X-Hawthornroad-Server-Stamp"];
+    O.Answer_.EchoedId_ = Answer["X-Hawthornroad-Request-Id"];
+    O.Answer_.Body_ = Answer.body();
+  }
+  if (Code) {
+    setError(O, Code, SoakOutcome::End::Closed);
     return false;
-  A.At_ =
-      std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-  A.Status_ = Answer.result_int();
-  A.Stamp_ = Answer["X-Hawthornroad-Server-Stamp"];
-  A.EchoedId_ = Answer["X-Hawthornroad-Request-Id"];
-  A.Body_ = Answer.body();
+  }
+  O.End_ = SoakOutcome::End::Whole;
   return Answer.keep_alive();
 }
 
--- a/tests/soak/SoakCaller.h
+++ b/tests/soak/SoakCaller.h
@@ -1,39 +1,37 @@
-// An HTTP caller that keeps one connection per address open until it fails.
+// An HTTP caller that keeps one connection per address open until it ends.
 //
 //   SoakCaller C;
-//   std::optional<SoakAnswer> A = C.call("127.0.0.1:8001", "POST", ...);
+//   SoakOutcome O = C.call("127.0.0.1:8001", "/safe/x", R);
 //
-// Sends one request at a time. An unset result means that no complete answer
-// arrived, for whatever reason; whether the request ran is then unknown.
+// Sends one request at a time and reports how it ended, with what had arrived.
+// The connection is dropped after an answer that says that it closes.
 
 #ifndef HAWTHORNROAD_TESTS_SOAK_SOAKCALLER_H
 #define HAWTHORNROAD_TESTS_SOAK_SOAKCALLER_H
 
-#include "tests/soak/SoakChecks.h"
+#include "tests/soak/SoakRequest.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <map>
 #include <memory>
-#include <optional>
 
 namespace hawthornroad {
 
 class SoakCaller {
 public:
-  // How long the caller waits; sent to the entry as the request's deadline.
-  static constexpr Duration RequestTimeout = Milliseconds(3000);
-
-  std::optional<SoakAnswer> call(const std::string &Address,
-                                 const std::string &Target,
-                                 const SoakRequest &R);
+  SoakOutcome call(const std::string &Address, const std::string &Target,
+                   const SoakRequest &R);
 
 private:
+  bool connect(const std::string &Address, const SoakRequest &R,
+               SoakOutcome &O);
+  // Returns whether the connection may carry another request.
   bool exchange(boost::beast::tcp_stream &Stream, const std::string &Target,
-                const SoakRequest &R, SoakAnswer &A);
+                const SoakRequest &R, SoakOutcome &O);
 
   boost::asio::io_context Io_;
-  // By address; a failed connection is removed.
+  // By address.
   std::map<std::string, std::unique_ptr<boost::beast::tcp_stream>> Connections_;
 };
 
--- a/tests/soak/SoakChecks.cpp
+++ b/tests/soak/SoakChecks.cpp
@@ -1,6 +1,6 @@
 #include "tests/soak/SoakChecks.h"
 
-#include "tests/integration/PlatformFixture.h"
+#include "tests/soak/SoakEndpoint.h"
 
 #include <sstream>
 
@@ -39,14 +39,19 @@
   Removed_[Key] = At;
 }
 
-void SoakChecks::answered(const std::string &Id, const SoakAnswer &A) {
+void SoakChecks::ended(const std::string &Id, const SoakOutcome &O) {
   std::lock_guard Lock(Mutex_);
   const SoakRequest &R = Requests_.at(Id);
-  Answers_[Id] = A;
-  ++Statuses_[A.Status_];
-  if (A.Status_ == Ok)
-    R.Kind_ == SoakKind::Stream ? checkStream(R, A) : checkPlainAnswer(R, A);
-  checkNoRollback(R, A);
+  Outcomes_[Id] = O;
+  bool IsOk = O.Answer_.Status_ == Ok;
+  if (IsOk && isStream(R.Kind_))
+    checkStream(R, O);
+  if (O.End_ != SoakOutcome::End::Whole)
+    return;
+  ++Statuses_[O.Answer_.Status_];
+  if (IsOk && !isStream(R.Kind_))
+    checkPlainAnswer(R, O.Answer_);
+  checkNoRollback(R, O.Answer_);
 }
 
 void SoakChecks::checkPlainAnswer(const SoakRequest &R, const SoakAnswer &A) {
@@ -58,13 +63,16 @@
     add(R, "signature \"" + A.Stamp_ + "\" with body \"" + A.Body_ + "\"");
 }
 
-void SoakChecks::checkStream(const SoakRequest &R, const SoakAnswer &A) {
-  std::string Expected;
-  for (int I = 1; I <= PlatformFixture::Events; ++I)
-    Expected +=
-        "id: " + std::to_string(I) + "\ndata: e" + std::to_string(I) + "\n\n";
-  if (A.Body_ != Expected)
-    add(R, "a stream that ends as complete has other events: " + A.Body_);
+// Also what arrived of a stream that was not whole must be in order.
+void SoakChecks::checkStream(const SoakRequest &R, const SoakOutcome &O) {
+  const std::string &Body = O.Answer_.Body_;
+  std::string Expected = SoakEndpoint::wholeStream();
+  if (O.Answer_.EchoedId_ != R.Id_)
+    add(R, "the stream is that of " + O.Answer_.EchoedId_);
+  if (O.End_ == SoakOutcome::End::Whole && Body != Expected)
+    add(R, "a stream that ends as complete has other events: " + Body);
+  if (!Expected.starts_with(Body))
+    add(R, "a stream's events are not in order: " + Body);
 }
 
 void SoakChecks::checkNoRollback(const SoakRequest &R, const SoakAnswer &A) {
@@ -84,12 +92,13 @@
 }
 
 void SoakChecks::checkRuns(const SoakRequest &R, int Runs) {
-  int MaxRuns = R.Kind_ == SoakKind::Once ? 1 : MaxAttempts;
+  int MaxRuns = mayRepeat(R.Kind_) ? MaxAttempts : 1;
   if (Runs > MaxRuns)
     add(R, "ran " + std::to_string(Runs) + " times");
-  auto Answer = Answers_.find(R.Id_);
-  if (Answer != Answers_.end()) {
-    unsigned Status = Answer->second.Status_;
+  auto Found = Outcomes_.find(R.Id_);
+  if (Found != Outcomes_.end() &&
+      Found->second.End_ == SoakOutcome::End::Whole) {
+    unsigned Status = Found->second.Answer_.Status_;
     if (R.Kind_ != SoakKind::Safe && impliesNotRun(Status) && Runs > 0)
       add(R, "was answered " + std::to_string(Status) + " and ran");
     if (Status == Ok && Runs == 0)
@@ -97,16 +106,35 @@
   }
   auto Removed = Removed_.find(R.Key_);
   if (Removed != Removed_.end() && Runs > 0 &&
-      R.SentAt_ > Removed->second + RevokeBound_)
+      R.SentAt_ > Removed->second + Bounds_.RevokeBound_)
     add(R, "ran with a key removed " +
                std::to_string((R.SentAt_ - Removed->second) / Milliseconds(1)) +
                " ms before it was sent");
 }
 
-void SoakChecks::finish(const std::function<int(const std::string &)> &Runs) {
+void SoakChecks::checkFate(const SoakRequest &R) {
+  auto Found = Outcomes_.find(R.Id_);
+  if (Found == Outcomes_.end())
+    return add(R, "its caller has not ended");
+  SoakFate Fate = fateOf(R, Found->second, Record_, Bounds_.StopBound_);
+  ++Fates_[Fate];
+  if (Fate != SoakFate::Lost)
+    return;
+  Violations_.push_back(describe(R, Found->second, Record_));
+  Lost_.emplace_back(R.Id_, R.entry());
+}
+
+void SoakChecks::finish() {
   std::lock_guard Lock(Mutex_);
-  for (const auto &[Id, R] : Requests_)
-    checkRuns(R, Runs(Id));
+  for (const auto &[Id, R] : Requests_) {
+    checkRuns(R, Record_.countRuns(Id));
+    checkFate(R);
+  }
+}
+
+std::vector<std::pair<std::string, std::string>> SoakChecks::lost() const {
+  std::lock_guard Lock(Mutex_);
+  return Lost_;
 }
 
 std::vector<std::string> SoakChecks::violations() const {
@@ -117,10 +145,16 @@
 std::string SoakChecks::summary() const {
   std::lock_guard Lock(Mutex_);
   std::ostringstream Out;
-  Out << Requests_.size() << " requests, " << Answers_.size() << " answers (";
+  Out << Requests_.size() << " requests";
+  for (std::size_t I = 0; I < SoakFateNames.size(); ++I) {
+    auto Found = Fates_.find(static_cast<SoakFate>(I));
+    Out << ", " << SoakFateNames[I] << ' '
+        << (Found == Fates_.end() ? 0 : Found->second);
+  }
+  Out << "; answers";
   for (const auto &[Status, Count] : Statuses_)
     Out << ' ' << Status << ':' << Count;
-  Out << " ), " << Violations_.size() << " violations";
+  Out << "; " << Violations_.size() << " violations";
   return Out.str();
 }
 
--- /dev/null
+++ b/tests/soak/SoakConfig.cpp
@@ -0,0 +1,81 @@
+#include "tests/soak/SoakConfig.h"
+
+#include "tests/soak/SoakEndpoint.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace hawthornroad {
+
+namespace json = boost::json;
+
+namespace {
+json::object route(const std::string &Prefix, const std::string &Kind,
+                   const std::string &Service, bool IsResumable = false) {
+  Duration Timeout = Kind == "streaming" ? SoakConfig::StreamTimeout
+                                         : SoakConfig::PlainTimeout;
+  return {{"name", "r-" + Prefix},
+          {"host", "127.0.0.1"},
+          {"prefix", "/" + Prefix + "/"},
+          {"kind", Kind},
+          {"timeout_ms", Timeout / Milliseconds(1)},
+          {"latency_goal_ms", 1000},
+          {"gap_goal_ms", 1000},
+          {"priority", 1},
+          {"service", Service},
+          {"max_attempts", 2},
+          {"public", false},
+          {"resumable", IsResumable}};
+}
+
+json::object service(const std::string &Name) {
+  return {{"name", Name}, {"health_path", "/health"}, {"max_conns", 400}};
+}
+
+json::object engineService() {
+  json::object Out = service("lm");
+  Out["engine"] =
+      json::object{{"slots", SoakEndpoint::Slots},
+                   {"chunks", SoakWeights::Pieces},
+                   {"chunk_bytes", SoakWeights::PieceBytes},
+                   {"models", json::array{json::object{{"name", "m"}}}}};
+  return Out;
+}
+} // namespace
+
+std::string SoakConfig::text() const {
+  json::array Routes = {route("once", "non_idempotent", "api"),
+                        route("safe", "idempotent", "api"),
+                        route("stream", "streaming", "api", true),
+                        route("streamonce", "streaming", "api"),
+                        route("moved", "idempotent", IsMoved_ ? "aux" : "api")};
+  json::array Services = {service("api"), service("aux")};
+  if (!Origin_.empty()) {
+    Routes.push_back(route("stream-lm", "streaming", "lm", true));
+    Routes.push_back(route("streamonce-lm", "streaming", "lm"));
+    Services.push_back(engineService());
+    Services.push_back(json::object{{"name", "weights"},
+                                    {"origin", Origin_},
+                                    {"zone", "z0"},
+                                    {"link_mbps", 100}});
+  }
+  for (std::uint64_t I = 1; I <= AddedRoutes_; ++I)
+    Routes.push_back(route("new" + std::to_string(I), "idempotent", "api"));
+  for (std::size_t I = 0; I < UnusedRoutes_; ++I)
+    Routes.push_back(route("unused" + std::to_string(I), "idempotent", "api"));
+  json::array Keys;
+  for (const std::string &Each : Keys_)
+    Keys.push_back(json::string(Each));
+  return json::serialize(json::object{
+      {"version", Version_},
+      {"routes", std::move(Routes)},
+      {"services", std::move(Services)},
+      {"limits", json::object{{"max_header_bytes", 16384},
+                              {"max_body_bytes", 65536},
+                              {"header_timeout_ms", 3000},
+                              {"idle_timeout_ms", 15000}}},
+      {"tenants", json::array{json::object{{"name", "zet"},
+                                           {"api_keys", std::move(Keys)}}}}});
+}
+
+} // namespace hawthornroad
--- /dev/null
+++ b/tests/soak/SoakConfig.h
@@ -0,0 +1,42 @@
+// The operator's configuration of a soak, of the size of real ones.
+//
+//   SoakConfig C;
+//   C.Version_ = 7; C.AddedRoutes_ = 2;
+//   Store.put("op", "config", C.text());
+
+#ifndef HAWTHORNROAD_TESTS_SOAK_SOAKCONFIG_H
+#define HAWTHORNROAD_TESTS_SOAK_SOAKCONFIG_H
+
+#include "hawthornroad/base/Types.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace hawthornroad {
+
+struct SoakConfig {
+  static constexpr Duration PlainTimeout = Milliseconds(2500);
+  static constexpr Duration StreamTimeout = Milliseconds(8000);
+  // 250 to 340 KB.
+  static constexpr std::size_t FewestUnusedRoutes = 1050;
+  static constexpr std::size_t MostUnusedRoutes = 1350;
+
+  std::uint64_t Version_ = 0;
+  // "/new1/" and on; a route is never removed.
+  std::uint64_t AddedRoutes_ = 0;
+  // Routes that no caller uses.
+  std::size_t UnusedRoutes_ = FewestUnusedRoutes;
+  // Whether "/moved/" is served by "aux", or else by "api".
+  bool IsMoved_ = false;
+  std::vector<std::string> Keys_;
+  // Empty without engines.
+  std::string Origin_;
+
+  std::string text() const;
+  bool operator==(const SoakConfig &) const = default;
+};
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_TESTS_SOAK_SOAKCONFIG_H
--- /dev/null
+++ b/tests/soak/SoakEndpoint.cpp
@@ -0,0 +1,287 @@
+#include "tests/soak/SoakEndpoint.h"
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace hawthornroad {
+
+namespace json = boost::json;
+
+namespace {
+constexpr int ShortestAnswerMs = 10;
+constexpr int ShortAnswerMs = 60;
+constexpr int LongAnswerMs = 300;
+constexpr int LongestAnswerMs = 1500;
+// One plain answer in so many is a long one.
+constexpr std::uint64_t LongAnswers = 2;
+constexpr int ShortestPauseMs = 20;
+constexpr int LongestPauseMs = 200;
+constexpr int ShortestLongPauseMs = 500;
+constexpr int LongestLongPauseMs = 2000;
+// One event in so many comes after a long pause, and while pausing is set.
+constexpr std::uint64_t EventsPerLongPause = 120;
+constexpr std::uint64_t EventsPerLongPauseWhilePausing = 12;
+constexpr int EventsBeforeBreak = 3;
+constexpr Duration BreakDelay = Milliseconds(50);
+constexpr Duration LoadDuration = Milliseconds(300);
+constexpr std::size_t BrokenEventBytes = 7;
+
+TimePoint now() { return std::chrono::steady_clock::now(); }
+
+std::string event(int Number) {
+  std::string Text = std::to_string(Number);
+  return "id: " + Text + "\ndata: e" + Text + "\n\n";
+}
+
+std::string header(const HttpRequest &R, std::string_view Name) {
+  return findHeader(R.Headers_, Name).value_or("");
+}
+
+HttpResponse notExecuted(unsigned Status) {
+  return {.Status_ = Status,
+          .Headers_ = {{"X-Hawthornroad-Not-Executed", "1"}}};
+}
+} // namespace
+
+SoakEndpoint::SoakEndpoint(Options O, SoakRecord &Record)
+    : Options_(std::move(O)), Record_(Record), Random_(Options_.Seed_) {
+  Server_ = std::make_unique<HttpServer>(
+      Io_, HttpServer::Limits{},
+      [this](HttpRequest R, std::shared_ptr<HttpExchange> X) { handle(R, X); });
+  Address_ =
+      Options_.Ip_ + ":" + std::to_string(Server_->listen(Options_.Ip_, 0));
+}
+
+SoakEndpoint::~SoakEndpoint() {
+  Record_.endpointEnds(id(), now());
+  Io_.stop();
+}
+
+std::string SoakEndpoint::wholeStream() {
+  std::string Out;
+  for (int I = 1; I <= Events; ++I)
+    Out += event(I);
+  return Out;
+}
+
+std::string SoakEndpoint::row() const {
+  std::lock_guard Lock(Mutex_);
+  json::object Row{{"service", Options_.Service_},
+                   {"address", ListedAt_.empty() ? Address_ : ListedAt_},
+                   {"zone", Options_.Zone_},
+                   {"version", "v1"},
+                   {"slots", Slots},
+                   {"state", IsDraining_ ? "draining" : "ready"},
+                   {"seq", 1}};
+  if (!Options_.Model_.empty()) {
+    json::array Models;
+    if (Weights_.loaded() > 0)
+      Models.push_back(json::object{{"name", Options_.Model_},
+                                    {"version", Weights_.loaded()}});
+    Row["models"] = std::move(Models);
+    Row["stage"] = "both";
+  }
+  return json::serialize(Row);
+}
+
+void SoakEndpoint::setDraining() {
+  std::lock_guard Lock(Mutex_);
+  IsDraining_ = true;
+}
+
+unsigned SoakEndpoint::running() const {
+  std::lock_guard Lock(Mutex_);
+  return static_cast<unsigned>(AtWork_.size());
+}
+
+int SoakEndpoint::loadedVersion() const {
+  std::lock_guard Lock(Mutex_);
+  return Weights_.loaded();
+}
+
+bool SoakEndpoint::wasAlwaysWhole() const {
+  std::lock_guard Lock(Mutex_);
+  return Weights_.wasAlwaysWhole();
+}
+
+Duration SoakEndpoint::between(int FromMs, int ToMs) {
+  return Milliseconds(FromMs + static_cast<int>(Random_.below(ToMs - FromMs)));
+}
+
+// ---- Requests ---------------------------------------------------------------
+
+void SoakEndpoint::handle(const HttpRequest &R,
+                          const std::shared_ptr<HttpExchange> &X) {
+  std::lock_guard Lock(Mutex_);
+  if (isControl(R, X))
+    return;
+  unsigned Rejected = rejection(R);
+  if (Rejected == 0)
+    return begin(R, X);
+  std::string Id = header(R, "X-Hawthornroad-Request-Id");
+  Record_.endRun(Id, Record_.beginRun(Id, id(), now()), SoakRun::End::Rejected,
+                 now());
+  HttpResponse Out = notExecuted(Rejected);
+  Out.Headers_.push_back({"X-Hawthornroad-Instance-Id", id()});
+  Out.Headers_.push_back({"X-Hawthornroad-Request-Id", Id});
+  X->respond(std::move(Out));
+}
+
+bool SoakEndpoint::isControl(const HttpRequest &R,
+                             const std::shared_ptr<HttpExchange> &X) {
+  if (R.Target_ == "/health") {
+    X->respond({.Status_ = IsDraining_ ? 503U : 200U,
+                .Headers_ = {{"X-Hawthornroad-Instance-Id", id()}}});
+    return true;
+  }
+  if (Options_.Model_.empty())
+    return false;
+  if (R.Target_ == "/-/report")
+    report(X);
+  else if (R.Target_.starts_with("/-/order"))
+    order(R, X);
+  else
+    return Weights_.handle(R, X);
+  return true;
+}
+
+unsigned SoakEndpoint::rejection(const HttpRequest &R) const {
+  std::string Instance = header(R, "X-Hawthornroad-Expect-Instance");
+  std::string Version = header(R, "X-Hawthornroad-Expect-Version");
+  if (!Instance.empty() && Instance != id())
+    return 421;
+  if (!Version.empty() && Version != std::to_string(Weights_.loaded()))
+    return 421;
+  bool IsEmptyEngine = !Options_.Model_.empty() && Weights_.loaded() == 0;
+  bool IsFull = AtWork_.size() >= std::size_t{2} * Slots;
+  if (Mode_ == Mode::NotRun || IsLoading_ || IsEmptyEngine || IsFull)
+    return 503;
+  return 0;
+}
+
+void SoakEndpoint::begin(const HttpRequest &R,
+                         const std::shared_ptr<HttpExchange> &X) {
+  auto Self = std::make_shared<Run>();
+  Self->Request_ = header(R, "X-Hawthornroad-Request-Id");
+  Self->Number_ = Record_.beginRun(Self->Request_, id(), now());
+  Self->Exchange_ = X;
+  Self->Headers_ = {{"X-Hawthornroad-Server-Stamp", "stamp-" + id()},
+                    {"X-Hawthornroad-Request-Id", Self->Request_}};
+  if (Weights_.loaded() > 0)
+    Self->Headers_.push_back(
+        {"X-Hawthornroad-Weight-Versions", std::to_string(Weights_.loaded())});
+  AtWork_.push_back(Self);
+  X->onDisconnect([this, Self] {
+    std::lock_guard Lock(Mutex_);
+    end(Self, SoakRun::End::Cut);
+  });
+  if (Mode_ == Mode::LoseAnswer) {
+    end(Self, SoakRun::End::BrokenOff);
+    return X->abort();
+  }
+  bool IsLong = Random_.below(LongAnswers) == 0;
+  Duration Delay = IsLong ? between(LongAnswerMs, LongestAnswerMs)
+                          : between(ShortestAnswerMs, ShortAnswerMs);
+  if (!R.Target_.starts_with("/stream"))
+    return Io_.after(Delay, [this, Self] {
+      std::lock_guard Lock(Mutex_);
+      if (Self->HasEnded_)
+        return;
+      end(Self, SoakRun::End::Whole);
+      Self->Exchange_->respond({.Status_ = 200,
+                                .Headers_ = Self->Headers_,
+                                .Body_ = "from " + id()});
+    });
+  std::string Last = header(R, "Last-Event-Id");
+  Self->NextEvent_ = Last.empty() ? 1 : std::stoi(Last) + 1;
+  Self->BreakAt_ = Self->NextEvent_ + EventsBeforeBreak;
+  Self->EventPause_ = between(ShortestPauseMs, LongestPauseMs);
+  Io_.after(Delay, [this, Self] {
+    std::lock_guard Lock(Mutex_);
+    if (Self->HasEnded_)
+      return;
+    HttpHeaders Headers = Self->Headers_;
+    Headers.push_back({"Content-Type", "text/event-stream"});
+    Self->Exchange_->head(200, std::move(Headers));
+    sendEvents(Self);
+  });
+}
+
+// Sends one event and schedules the next.
+void SoakEndpoint::sendEvents(const RunPtr &R) {
+  if (R->HasEnded_)
+    return;
+  if (R->NextEvent_ > Events) {
+    end(R, SoakRun::End::Whole);
+    return R->Exchange_->finish();
+  }
+  std::string Event = event(R->NextEvent_);
+  if (Mode_ == Mode::BreakStream && R->NextEvent_ >= R->BreakAt_) {
+    R->Exchange_->write(Event.substr(0, BrokenEventBytes));
+    end(R, SoakRun::End::BrokenOff);
+    return Io_.after(BreakDelay, [R] { R->Exchange_->abort(); });
+  }
+  R->Exchange_->write(std::move(Event));
+  ++R->NextEvent_;
+  std::uint64_t Every =
+      IsPausing_ ? EventsPerLongPauseWhilePausing : EventsPerLongPause;
+  bool IsLong = R->NextEvent_ <= Events && Random_.below(Every) == 0;
+  Duration Pause = IsLong ? between(ShortestLongPauseMs, LongestLongPauseMs)
+                          : R->EventPause_;
+  Io_.after(Pause, [this, R] {
+    std::lock_guard Lock(Mutex_);
+    sendEvents(R);
+  });
+}
+
+void SoakEndpoint::end(const RunPtr &R, SoakRun::End How) {
+  if (R->HasEnded_)
+    return;
+  R->HasEnded_ = true;
+  Record_.endRun(R->Request_, R->Number_, How, now());
+  std::erase(AtWork_, R);
+}
+
+void SoakEndpoint::truncate() {
+  for (const RunPtr &Each : std::vector<RunPtr>(AtWork_)) {
+    end(Each, SoakRun::End::BrokenOff);
+    Each->Exchange_->abort();
+  }
+}
+
+// ---- Weights ----------------------------------------------------------------
+
+void SoakEndpoint::report(const std::shared_ptr<HttpExchange> &X) const {
+  json::array Models;
+  if (Weights_.loaded() > 0)
+    Models.push_back(json::object{{"name", Options_.Model_},
+                                  {"version", Weights_.loaded()}});
+  X->respond(jsonResponse(
+      200, json::serialize(json::object{{"models", std::move(Models)},
+                                        {"busy", IsLoading_},
+                                        {"seq", Weights_.orders()},
+                                        {"running", AtWork_.size()},
+                                        {"queued", 0}})));
+}
+
+void SoakEndpoint::order(const HttpRequest &R,
+                         const std::shared_ptr<HttpExchange> &X) {
+  auto Body = json::parse(R.Body_).as_object();
+  int Version = Body["version"].to_number<int>();
+  if (Body["expected"].to_number<int>() != Weights_.orders() || IsLoading_)
+    return X->respond({.Status_ = 409});
+  Weights_.countOrder();
+  IsLoading_ = true;
+  truncate();
+  Io_.after(LoadDuration, [this, Version] {
+    std::lock_guard Lock(Mutex_);
+    Weights_.load(Version);
+    IsLoading_ = false;
+    IsRowNew_ = true;
+  });
+  X->respond({.Status_ = 202});
+}
+
+} // namespace hawthornroad
--- /dev/null
+++ b/tests/soak/SoakEndpoint.h
@@ -0,0 +1,117 @@
+// Stand-in for an endpoint or an engine whose answers take as long as real
+// ones, and which records each request's runs.
+//
+//   SoakEndpoint E({.Id_ = "i-1", .Service_ = "api"}, Record);
+//   Store.put("servers", E.id(), E.row());
+//   E.setMode(SoakEndpoint::Mode::BreakStream);
+//
+// A plain answer takes up to 1.5 s, a stream a few seconds, with rare pauses of
+// 0.5 to 2 s between events. With a model it is an engine that its agent stages
+// and loads weights at.
+
+#ifndef HAWTHORNROAD_TESTS_SOAK_SOAKENDPOINT_H
+#define HAWTHORNROAD_TESTS_SOAK_SOAKENDPOINT_H
+
+#include "hawthornroad/base/Random.h"
+#include "hawthornroad/runtime/Http.h"
+#include "tests/soak/SoakRecord.h"
+#include "tests/soak/SoakWeights.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+
+namespace hawthornroad {
+
+class SoakEndpoint {
+public:
+  enum class Mode { Normal, NotRun, LoseAnswer, BreakStream };
+  struct Options {
+    std::string Id_;
+    std::string Service_;
+    std::string Zone_;
+    std::string Ip_ = "127.0.0.1";
+    std::uint64_t Seed_ = 1;
+    // Empty for an endpoint that is no engine.
+    std::string Model_;
+  };
+  static constexpr int Events = 24;
+  static constexpr unsigned Slots = 16;
+
+  SoakEndpoint(Options O, SoakRecord &Record);
+  ~SoakEndpoint();
+  SoakEndpoint(const SoakEndpoint &) = delete;
+  SoakEndpoint &operator=(const SoakEndpoint &) = delete;
+
+  const std::string &id() const { return Options_.Id_; }
+  const std::string &service() const { return Options_.Service_; }
+  const std::string &address() const { return Address_; }
+  const std::string &ip() const { return Options_.Ip_; }
+  // Its entry in the store's list.
+  std::string row() const;
+  // Whether row() has changed since the last call.
+  bool hasNewRow() { return IsRowNew_.exchange(false); }
+  // Lists it under another address, that of a proxy in front of it.
+  void setListedAt(const std::string &Address) { ListedAt_ = Address; }
+  void setDraining();
+  void setMode(Mode M) { Mode_ = M; }
+  // While set, most streams pause for long, though nothing is wrong.
+  void setPausing(bool Pausing) { IsPausing_ = Pausing; }
+  // Requests at work.
+  unsigned running() const;
+  // 0: none.
+  int loadedVersion() const;
+  // Whether each load had all pieces of its version.
+  bool wasAlwaysWhole() const;
+
+  // The body of a whole stream.
+  static std::string wholeStream();
+
+private:
+  struct Run {
+    std::string Request_;
+    std::size_t Number_ = 0;
+    HttpHeaders Headers_;
+    std::shared_ptr<HttpExchange> Exchange_;
+    bool HasEnded_ = false;
+    // The next event, and the one at which BreakStream ends the stream.
+    int NextEvent_ = 1;
+    int BreakAt_ = 0;
+    Duration EventPause_{};
+  };
+  using RunPtr = std::shared_ptr<Run>;
+
+  void handle(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
+  // Whether it was answered as a control call or as rejected.
+  bool isControl(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
+  unsigned rejection(const HttpRequest &R) const;
+  void begin(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
+  void sendEvents(const RunPtr &R);
+  // Breaks off everything at work.
+  void truncate();
+  void end(const RunPtr &R, SoakRun::End How);
+  void report(const std::shared_ptr<HttpExchange> &X) const;
+  void order(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
+  void load();
+  Duration between(int FromMs, int ToMs);
+
+  Options Options_;
+  SoakRecord &Record_;
+  IoThread Io_{"endpoint", 1024};
+  mutable std::mutex Mutex_;
+  Random Random_;
+  std::vector<RunPtr> AtWork_;
+  SoakWeights Weights_;
+  bool IsLoading_ = false;
+  bool IsDraining_ = false;
+  std::atomic<bool> IsRowNew_{true};
+  std::atomic<bool> IsPausing_{false};
+  std::atomic<Mode> Mode_{Mode::Normal};
+  std::unique_ptr<HttpServer> Server_;
+  std::string Address_;
+  std::string ListedAt_;
+};
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_TESTS_SOAK_SOAKENDPOINT_H
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -4,16 +4,12 @@
 
 #include <algorithm>
 #include <array>
+#include <span>
 #include <sstream>
 
 namespace hawthornroad {
 
 namespace {
-constexpr std::size_t Series = 4;
-constexpr int ShortestMs = 200;
-constexpr int LongestMs = 4500;
-constexpr int LongestPauseMs = 1500;
-
 // The entry that loses the store: the first one, which the others read from and
 // which reads from no other entry.
 constexpr std::size_t StoreLossEntry = 0;
@@ -21,27 +17,60 @@
 constexpr Duration StoreLossFor = Milliseconds(9000);
 constexpr Duration KeyRemovedAfter = Milliseconds(500);
 
+enum class Target { Entry, Agent, Endpoint };
+
 struct KindRow {
   SoakFaultKind Kind_;
   const char *Name_;
+  Target Target_;
   // Relative probability of being drawn.
   unsigned Weight_;
 };
-constexpr std::array Kinds = {
-    KindRow{SoakFaultKind::StorePath, "store path", 4},
-    KindRow{SoakFaultKind::EndpointPath, "endpoint path", 4},
-    KindRow{SoakFaultKind::Freeze, "freeze", 3},
-    KindRow{SoakFaultKind::Kill, "kill", 2},
-    KindRow{SoakFaultKind::Stop, "stop", 1},
-    KindRow{SoakFaultKind::Reload, "reload", 1},
-    KindRow{SoakFaultKind::StoreRefuses, "store refuses", 1},
-    KindRow{SoakFaultKind::StoreSilent, "store silent", 1},
-    KindRow{SoakFaultKind::HistoryLost, "history lost", 1},
-    KindRow{SoakFaultKind::AnswersLost, "answers lost", 2},
-    KindRow{SoakFaultKind::NotRun, "not run", 2},
-    KindRow{SoakFaultKind::StreamsBroken, "streams broken", 2},
-    KindRow{SoakFaultKind::KeyRemoved, "key removed", 2},
-    KindRow{SoakFaultKind::RouteAdded, "route added", 4}};
+constexpr std::array Faults = {
+    KindRow{SoakFaultKind::StorePath, "store path", Target::Entry, 4},
+    KindRow{SoakFaultKind::EndpointPath, "endpoint path", Target::Endpoint, 4},
+    KindRow{SoakFaultKind::Freeze, "freeze", Target::Entry, 3},
+    KindRow{SoakFaultKind::Kill, "kill", Target::Entry, 2},
+    KindRow{SoakFaultKind::Stop, "stop", Target::Entry, 1},
+    KindRow{SoakFaultKind::Reload, "reload", Target::Entry, 1},
+    KindRow{SoakFaultKind::StoreRefuses, "store refuses", Target::Entry, 1},
+    KindRow{SoakFaultKind::StoreSilent, "store silent", Target::Entry, 1},
+    KindRow{SoakFaultKind::HistoryLost, "history lost", Target::Entry, 1},
+    KindRow{SoakFaultKind::AnswersLost, "answers lost", Target::Endpoint, 2},
+    KindRow{SoakFaultKind::NotRun, "not run", Target::Endpoint, 2},
+    KindRow{SoakFaultKind::StreamsBroken, "streams broken", Target::Endpoint,
+            2},
+    KindRow{SoakFaultKind::KeyRemoved, "key removed", Target::Entry, 2},
+    KindRow{SoakFaultKind::RouteAdded, "route added", Target::Entry, 4}};
+constexpr std::array PlannedWork = {
+    KindRow{SoakFaultKind::Stop, "stop", Target::Entry, 4},
+    KindRow{SoakFaultKind::StopTwice, "stop twice", Target::Entry, 1},
+    KindRow{SoakFaultKind::StopAndReload, "stop and reload", Target::Entry, 2},
+    KindRow{SoakFaultKind::Reload, "reload", Target::Entry, 2},
+    KindRow{SoakFaultKind::Pauses, "pauses", Target::Endpoint, 3},
+    KindRow{SoakFaultKind::Leaves, "leaves", Target::Endpoint, 2},
+    KindRow{SoakFaultKind::AgentStop, "agent stop", Target::Agent, 1}};
+constexpr std::array Configurations = {
+    KindRow{SoakFaultKind::Configured, "configured", Target::Entry, 1}};
+constexpr std::array Versions = {KindRow{SoakFaultKind::VersionDeclared,
+                                         "version declared", Target::Agent, 1}};
+
+constexpr std::uint64_t MaxSeries = 4;
+
+// A sequence of faults, each with a length and a pause after it.
+struct Series {
+  std::span<const KindRow> Kinds_;
+  std::size_t Count_ = 1;
+  int ShortestMs_ = 0;
+  int LongestMs_ = 1;
+  int ShortestPauseMs_ = 0;
+  int LongestPauseMs_ = 1;
+};
+constexpr std::array FaultSeries = {Series{Faults, 4, 200, 4500, 0, 1500}};
+constexpr std::array PlannedSeries = {
+    Series{PlannedWork, 2, 300, 3000, 0, 1500},
+    Series{Configurations, 1, 0, 1, 1000, 2000},
+    Series{Versions, 1, 0, 1, 4000, 8000}};
 
 // A link of 50 KB/s carries about 50 stand-in answers per second.
 constexpr std::array PathFaultTexts = {
@@ -50,7 +79,7 @@
     R"({"reset":true})",     R"({"delay_ms":60,"jitter_ms":60})",
     R"({"rate":50000})",     R"({"blackhole":true,"silent_existing":true})"};
 
-const KindRow &draw(Random &R) {
+const KindRow &draw(Random &R, std::span<const KindRow> Kinds) {
   unsigned Sum = 0;
   for (const KindRow &Each : Kinds)
     Sum += Each.Weight_;
@@ -66,28 +95,44 @@
 Duration between(Random &R, int FromMs, int ToMs) {
   return Milliseconds(FromMs + static_cast<int>(R.below(ToMs - FromMs)));
 }
-} // namespace
 
-std::vector<SoakFault> planFaults(std::uint64_t Seed, Duration Length,
-                                  std::size_t Entries, std::size_t Endpoints) {
-  std::vector<SoakFault> Out;
-  for (std::size_t S = 0; S < Series; ++S) {
-    Random R(Seed * Series + S);
-    for (Duration At = between(R, 0, LongestPauseMs); At < Length;) {
-      SoakFault F;
-      F.Kind_ = draw(R).Kind_;
-      bool IsOfEndpoint = F.Kind_ == SoakFaultKind::EndpointPath ||
-                          F.Kind_ == SoakFaultKind::AnswersLost ||
-                          F.Kind_ == SoakFaultKind::NotRun ||
-                          F.Kind_ == SoakFaultKind::StreamsBroken;
-      F.Target_ = R.below(IsOfEndpoint ? Endpoints : Entries);
-      F.Path_ = PathFaultTexts[R.below(PathFaultTexts.size())];
-      F.From_ = At;
-      F.To_ = std::min(Length, At + between(R, ShortestMs, LongestMs));
-      At = F.To_ + between(R, 0, LongestPauseMs);
+std::size_t targets(const SoakPlan &P, Target T) {
+  return T == Target::Entry   ? P.Entries_
+         : T == Target::Agent ? P.Agents_
+                              : P.Endpoints_;
+}
+
+void addSeries(const SoakPlan &P, const Series &S, Random R,
+               std::vector<SoakFault> &Out) {
+  for (Duration At = between(R, 0, S.LongestPauseMs_); At < P.Length_;) {
+    const KindRow &Row = draw(R, S.Kinds_);
+    SoakFault F;
+    F.Kind_ = Row.Kind_;
+    F.Target_ = R.below(targets(P, Row.Target_));
+    F.Path_ = PathFaultTexts[R.below(PathFaultTexts.size())];
+    F.From_ = At;
+    F.To_ = std::min(P.Length_, At + between(R, S.ShortestMs_, S.LongestMs_));
+    At = F.To_ + between(R, S.ShortestPauseMs_, S.LongestPauseMs_);
+    if (targets(P, Row.Target_) > 0)
       Out.push_back(std::move(F));
-    }
   }
+}
+} // namespace
+
+std::vector<SoakFault> planFaults(const SoakPlan &P) {
+  std::vector<SoakFault> Out;
+  // Keeps the random numbers of planned work apart from those of faults.
+  constexpr std::uint64_t PlannedWorkSeed = 0x9E3779B97F4A7C15;
+  auto Add = [&](std::span<const Series> All, std::uint64_t Base) {
+    for (const Series &Each : All)
+      for (std::size_t I = 0; I < Each.Count_; ++I)
+        addSeries(P, Each, Random(Base + P.Seed_ * MaxSeries + I), Out);
+  };
+  std::uint64_t Base = PlannedWorkSeed;
+  for (const Series &Each : PlannedSeries)
+    Add({&Each, 1}, Base++ * PlannedWorkSeed);
+  if (!P.IsPlannedOnly_)
+    Add(FaultSeries, 0);
   Out.push_back({SoakFaultKind::StorePath, StoreLossEntry,
                  R"({"blackhole":true})", StoreLossFrom,
                  StoreLossFrom + StoreLossFor});
@@ -101,12 +146,17 @@
 }
 
 std::string describe(const SoakFault &F) {
-  auto Row = std::find_if(Kinds.begin(), Kinds.end(), [&](const KindRow &Each) {
-    return Each.Kind_ == F.Kind_;
-  });
+  const char *Name = "";
+  for (std::span<const KindRow> Kinds :
+       {std::span<const KindRow>(Faults), std::span<const KindRow>(PlannedWork),
+        std::span<const KindRow>(Configurations),
+        std::span<const KindRow>(Versions)})
+    for (const KindRow &Each : Kinds)
+      if (Each.Kind_ == F.Kind_)
+        Name = Each.Name_;
   std::ostringstream Out;
   Out << F.From_ / Milliseconds(1) << " to " << F.To_ / Milliseconds(1)
-      << " ms: " << Row->Name_ << ' ' << F.Target_;
+      << " ms: " << Name << ' ' << F.Target_;
   if (F.Kind_ == SoakFaultKind::StorePath ||
       F.Kind_ == SoakFaultKind::EndpointPath)
     Out << ' ' << F.Path_;
--- a/tests/soak/SoakFaults.h
+++ b/tests/soak/SoakFaults.h
@@ -1,12 +1,13 @@
-// Derives a fault plan from a seed: each fault's kind, target, start and end.
+// Derives a plan from a seed: each fault or piece of planned work with its
+// kind, target, start and end.
 //
-//   for (const SoakFault &F : planFaults(Seed, Seconds(30), Entries,
-//   Endpoints))
+//   for (const SoakFault &F : planFaults({.Seed_ = 7, .Length_ = Seconds(30)}))
 //     ...
 //
 // Faults overlap: several series run in parallel, each a sequence of faults
 // with pauses between them, so that one fault often begins while another is
-// active.
+// active. Planned work has series of its own: signals to entries and agents,
+// endpoints that leave, configurations, and versions of weights.
 //
 // Every plan holds one fixed combination that random draws rarely produce: the
 // entry that reads the store for the others loses the store for longer than the
@@ -30,8 +31,6 @@
   // On an entry's process.
   Freeze,
   Kill,
-  Stop,
-  Reload,
   // On the store.
   StoreRefuses,
   StoreSilent,
@@ -40,14 +39,25 @@
   AnswersLost,
   NotRun,
   StreamsBroken,
+  // Planned work on an entry's process; a stop is followed by a restart.
+  Stop,
+  StopTwice,
+  StopAndReload,
+  Reload,
+  AgentStop,
+  // On an endpoint: it pauses between events, or another one replaces it.
+  Pauses,
+  Leaves,
   // Operator actions.
   KeyRemoved,
-  RouteAdded
+  RouteAdded,
+  Configured,
+  VersionDeclared
 };
 
 struct SoakFault {
   SoakFaultKind Kind_ = SoakFaultKind::Freeze;
-  // Index of the entry or endpoint.
+  // Index of the entry, agent or endpoint.
   std::size_t Target_ = 0;
   // For path faults: the proxy's fault settings, as JSON.
   std::string Path_;
@@ -55,8 +65,17 @@
   Duration To_{};
 };
 
-std::vector<SoakFault> planFaults(std::uint64_t Seed, Duration Length,
-                                  std::size_t Entries, std::size_t Endpoints);
+struct SoakPlan {
+  std::uint64_t Seed_ = 1;
+  Duration Length_{};
+  std::size_t Entries_ = 1;
+  std::size_t Agents_ = 0;
+  std::size_t Endpoints_ = 1;
+  // Without the series of faults.
+  bool IsPlannedOnly_ = false;
+};
+
+std::vector<SoakFault> planFaults(const SoakPlan &P);
 std::string describe(const SoakFault &F);
 
 } // namespace hawthornroad
--- /dev/null
+++ b/tests/soak/SoakLayout.cpp
@@ -0,0 +1,331 @@
+#include "tests/soak/SoakLayout.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/json/serialize.hpp>
+#include <thread>
+
+namespace hawthornroad {
+
+namespace json = boost::json;
+
+namespace {
+constexpr std::array EndpointServices = {"api", "api", "api", "aux", "aux"};
+// With more entries, the others reach the store directly.
+constexpr std::size_t MaxStoreProxies = 16;
+constexpr Duration ExitTimeout = Seconds(10);
+// An endpoint serves on for so long after it was unlisted.
+constexpr Duration ServeAfterLeaving =
+    SoakLayout::DrainBound + Milliseconds(1000);
+
+TimePoint now() { return std::chrono::steady_clock::now(); }
+
+long milliseconds(Duration D) { return D / Milliseconds(1); }
+
+// Free at 127.0.0.1 and, for all that is known, at the engines' addresses.
+std::uint16_t unusedPort() {
+  boost::asio::io_context Io;
+  boost::asio::ip::tcp::acceptor A(
+      Io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return A.local_endpoint().port();
+}
+
+// Each engine has an address of its own: all agents listen on the same port.
+std::string engineIp(std::size_t Index) {
+  constexpr std::size_t HostsPerNet = 250;
+  return "127.0." + std::to_string(1 + Index / HostsPerNet) + "." +
+         std::to_string(1 + Index % HostsPerNet);
+}
+
+void putInForce(const SoakLayout::Path &P) {
+  if (P.Proxy_)
+    P.Proxy_->setFaults(P.Faults_.empty() ? "{}" : P.Faults_.back());
+}
+
+void removeFault(SoakLayout::Path &P, const std::string &Fault) {
+  auto Found = std::find(P.Faults_.begin(), P.Faults_.end(), Fault);
+  if (Found != P.Faults_.end())
+    P.Faults_.erase(Found);
+  putInForce(P);
+}
+
+// A path that only delays is slow, not disrupted.
+bool isCut(const SoakLayout::Path &P) {
+  return !P.Faults_.empty() &&
+         P.Faults_.back().find("delay_ms") == std::string::npos;
+}
+} // namespace
+
+SoakLayout::SoakLayout(Options O, SoakRecord &Record, TemporaryFolder &Folder)
+    : Options_(std::move(O)), Record_(Record), Folder_(Folder),
+      AgentPort_(unusedPort()), Addresses_(Options_.Entries_) {
+  for (std::size_t I = 0; I < EndpointServices.size(); ++I) {
+    Endpoints_.push_back(makeEndpoint(EndpointServices[I], I));
+    list(*Endpoints_.back().Server_);
+  }
+  for (std::size_t I = 0; I < Options_.Agents_; ++I)
+    addAgent(I);
+  for (std::size_t I = 0; I < Options_.Entries_; ++I)
+    addEntry(I);
+}
+
+std::string SoakLayout::zone(std::size_t Index) const {
+  return "z" + std::to_string(Index % Options_.Zones_);
+}
+
+SoakLayout::Endpoint SoakLayout::makeEndpoint(const std::string &Service,
+                                              std::size_t Index) {
+  std::uint64_t Number = NextEndpoint_++;
+  Endpoint Out;
+  Out.Server_ = std::make_unique<SoakEndpoint>(
+      SoakEndpoint::Options{.Id_ = "i-" + std::to_string(Number),
+                            .Service_ = Service,
+                            .Zone_ = zone(Index),
+                            .Seed_ = Options_.Seed_ + Number},
+      Record_);
+  Out.Path_.Proxy_ = std::make_unique<Proxy>(Folder_, Out.Server_->address());
+  Out.Server_->setListedAt(Out.Path_.Proxy_->address());
+  return Out;
+}
+
+void SoakLayout::addAgent(std::size_t Index) {
+  Agent A;
+  std::string Name = "agent-" + std::to_string(Index + 1);
+  A.Engine_ = std::make_unique<SoakEndpoint>(
+      SoakEndpoint::Options{.Id_ = "e-" + std::to_string(Index),
+                            .Service_ = "lm",
+                            .Zone_ = zone(Index),
+                            .Ip_ = engineIp(Index),
+                            .Seed_ = ~Options_.Seed_ + Index,
+                            .Model_ = "m"},
+      Record_);
+  json::object S = {
+      {"process", Name},
+      {"zone", zone(Index)},
+      {"store", Store_.address()},
+      {"engine_address", A.Engine_->address()},
+      {"service", "lm"},
+      {"peer_listen", A.Engine_->ip() + ":" + std::to_string(AgentPort_)},
+      {"metrics_listen", "127.0.0.1:0"},
+      {"version_bound_ms", milliseconds(VersionBound)},
+      {"first_start", true}};
+  A.Settings_ = Folder_.write(Name + ".jsonc", json::serialize(S));
+  list(*A.Engine_);
+  Agents_.push_back(std::move(A));
+}
+
+void SoakLayout::addEntry(std::size_t Index) {
+  Entry &E = Entries_.emplace_back();
+  E.Name_ = "entry-" + std::to_string(Index + 1);
+  if (Index < MaxStoreProxies)
+    E.StorePath_.Proxy_ = std::make_unique<Proxy>(Folder_, Store_.address());
+  json::object S = {{"process", E.Name_},
+                    {"zone", zone(Index)},
+                    {"store", E.StorePath_.Proxy_
+                                  ? E.StorePath_.Proxy_->address()
+                                  : Store_.address()},
+                    {"peer_listen", "127.0.0.1:0"},
+                    {"revoke_bound_ms", milliseconds(RevokeBound)},
+                    {"drain_bound_ms", milliseconds(DrainBound)},
+                    {"version_bound_ms", milliseconds(VersionBound)},
+                    {"stop_bound_s", StopBound / Seconds(1)},
+                    {"metrics_listen", "127.0.0.1:0"}};
+  if (Options_.Agents_ > 0)
+    S["agent_port"] = AgentPort_;
+  E.Settings_ = Folder_.write(E.Name_ + ".jsonc", json::serialize(S));
+}
+
+void SoakLayout::list(const SoakEndpoint &E) {
+  Store_.put("servers", E.id(), E.row());
+}
+
+SoakLayout::Address SoakLayout::address(std::size_t Entry) const {
+  std::lock_guard Lock(Mutex_);
+  return Addresses_.at(Entry);
+}
+
+// ---- Processes --------------------------------------------------------------
+
+void SoakLayout::start() {
+  for (Agent &Each : Agents_)
+    start(Each);
+  for (Agent &Each : Agents_)
+    eventually([&] { return Each.Engine_->loadedVersion() > 0; },
+               "the engine has its first weights");
+  for (Entry &Each : Entries_)
+    start(Each);
+  for (Entry &Each : Entries_)
+    eventually([&] { return PlatformFixture::isReady(*Each.Process_); },
+               Each.Name_ + " is ready");
+}
+
+void SoakLayout::start(Entry &E) {
+  E.Process_.reset();
+  E.Process_ = std::make_unique<Process>(
+      Launch{.Name_ = E.Name_,
+             .Program_ = Options_.EntryProgram_.empty()
+                             ? "hawthornroad-store-entry"
+                             : Options_.EntryProgram_,
+             .Arguments_ = {"--settings", E.Settings_}},
+      Folder_);
+  E.Process_->ready();
+  E.Frozen_ = 0;
+  E.RestartAt_.reset();
+  ++E.Starts_;
+  Record_.endDisruption(E.Name_, now());
+  auto Index = static_cast<std::size_t>(
+      std::find_if(Entries_.begin(), Entries_.end(),
+                   [&](const Entry &Each) { return &Each == &E; }) -
+      Entries_.begin());
+  std::lock_guard Lock(Mutex_);
+  Addresses_[Index] = {E.Process_->readyText("callers"), E.process()};
+}
+
+void SoakLayout::start(Agent &A) {
+  A.Process_.reset();
+  A.Process_ = std::make_unique<Process>(
+      Launch{.Name_ = "agent-" + A.Engine_->id(),
+             .Program_ = "hawthornroad-store-agent",
+             .Arguments_ = {"--settings", A.Settings_}},
+      Folder_);
+  A.Process_->ready();
+  A.RestartAt_.reset();
+}
+
+void SoakLayout::stop(Entry &E, TimePoint RestartAt) {
+  TimePoint Now = now();
+  if (E.RestartAt_)
+    return E.Process_->terminate();
+  E.RestartAt_ = RestartAt;
+  E.KillAt_ = Now + StopBound;
+  Record_.stopSignal(E.process(), Now);
+  E.Process_->terminate();
+}
+
+void SoakLayout::kill(Entry &E, TimePoint RestartAt) {
+  Record_.beginDisruption(E.Name_, now());
+  E.Process_->kill();
+  E.RestartAt_ = std::max(E.RestartAt_.value_or(RestartAt), RestartAt);
+  E.KillAt_ = now();
+}
+
+void SoakLayout::freeze(Entry &E) {
+  Record_.beginDisruption(E.Name_, now());
+  ++E.Frozen_;
+  E.Process_->freeze();
+}
+
+void SoakLayout::resume(Entry &E) {
+  if (E.Frozen_ == 0 || --E.Frozen_ > 0)
+    return;
+  E.Process_->resume();
+  if (E.Process_->running())
+    Record_.endDisruption(E.Name_, now());
+}
+
+void SoakLayout::stop(Agent &A, TimePoint RestartAt) {
+  A.RestartAt_ = RestartAt;
+  A.Process_->terminate();
+}
+
+void SoakLayout::tick(TimePoint Now) {
+  for (Entry &Each : Entries_) {
+    if (!Each.RestartAt_)
+      continue;
+    if (Each.Process_->running() && Now >= Each.KillAt_)
+      Each.Process_->kill();
+    if (!Each.Process_->running() && Now >= *Each.RestartAt_)
+      start(Each);
+  }
+  for (Agent &Each : Agents_) {
+    if (Each.RestartAt_ && Now >= *Each.RestartAt_ && !Each.Process_->running())
+      start(Each);
+    if (Each.Engine_->hasNewRow())
+      list(*Each.Engine_);
+  }
+  std::erase_if(Leaving_, [&](const Endpoint &Each) {
+    if (Now < Each.ExitAt_)
+      return false;
+    Store_.remove("servers", Each.Server_->id());
+    return true;
+  });
+}
+
+// ---- Endpoints --------------------------------------------------------------
+
+void SoakLayout::replace(Endpoint &E) {
+  auto Index = static_cast<std::size_t>(
+      std::find_if(Endpoints_.begin(), Endpoints_.end(),
+                   [&](const Endpoint &Each) { return &Each == &E; }) -
+      Endpoints_.begin());
+  Endpoint Old = std::move(E);
+  E = makeEndpoint(Old.Server_->service(), Index);
+  list(*E.Server_);
+  // Half of them leave the list without having been listed as draining.
+  if (NextEndpoint_ % 2 == 0) {
+    Old.Server_->setDraining();
+    list(*Old.Server_);
+  } else {
+    Store_.remove("servers", Old.Server_->id());
+  }
+  Old.ExitAt_ = now() + ServeAfterLeaving;
+  Leaving_.push_back(std::move(Old));
+}
+
+void SoakLayout::setDisruption(Endpoint &E) {
+  if (isCut(E.Path_))
+    Record_.beginDisruption(E.Server_->id(), now());
+  putInForce(E.Path_);
+  if (!isCut(E.Path_))
+    Record_.endDisruption(E.Server_->id(), now());
+}
+
+void SoakLayout::beginFault(Endpoint &E, const std::string &Fault) {
+  E.Path_.Faults_.push_back(Fault);
+  setDisruption(E);
+}
+
+void SoakLayout::endFault(Endpoint &E, const std::string &Fault) {
+  removeFault(E.Path_, Fault);
+  setDisruption(E);
+}
+
+void SoakLayout::beginFault(Entry &E, const std::string &Fault) {
+  E.StorePath_.Faults_.push_back(Fault);
+  putInForce(E.StorePath_);
+}
+
+void SoakLayout::endFault(Entry &E, const std::string &Fault) {
+  removeFault(E.StorePath_, Fault);
+}
+
+void SoakLayout::clearFaults() {
+  Store_.setMode(StoreStandIn::Mode::Normal);
+  for (Endpoint &Each : Endpoints_) {
+    Each.Path_.Faults_.clear();
+    setDisruption(Each);
+    Each.Server_->setMode(SoakEndpoint::Mode::Normal);
+    Each.Server_->setPausing(false);
+  }
+  for (Entry &Each : Entries_) {
+    Each.StorePath_.Faults_.clear();
+    putInForce(Each.StorePath_);
+    while (Each.Frozen_ > 0)
+      resume(Each);
+    if (!Each.RestartAt_)
+      continue;
+    if (Each.Process_->running())
+      std::this_thread::sleep_until(Each.KillAt_);
+    Each.Process_->kill();
+    Each.Process_->waitExit(ExitTimeout);
+    start(Each);
+  }
+  for (Agent &Each : Agents_)
+    if (Each.RestartAt_) {
+      Each.Process_->waitExit(ExitTimeout);
+      start(Each);
+    }
+}
+
+} // namespace hawthornroad
--- /dev/null
+++ b/tests/soak/SoakRecord.cpp
@@ -0,0 +1,88 @@
+#include "tests/soak/SoakRecord.h"
+
+#include <algorithm>
+
+namespace hawthornroad {
+
+void SoakRecord::beginDisruption(const std::string &Target, TimePoint At) {
+  std::lock_guard Lock(Mutex_);
+  auto &Spans = Disruptions_[Target];
+  if (Spans.empty() || Spans.back().To_ != TimePoint::max())
+    Spans.push_back({At});
+}
+
+void SoakRecord::endDisruption(const std::string &Target, TimePoint At) {
+  std::lock_guard Lock(Mutex_);
+  auto &Spans = Disruptions_[Target];
+  if (!Spans.empty() && Spans.back().To_ == TimePoint::max())
+    Spans.back().To_ = At;
+}
+
+bool SoakRecord::isDisrupted(const std::string &Target, TimePoint From,
+                             TimePoint To) const {
+  std::lock_guard Lock(Mutex_);
+  auto Found = Disruptions_.find(Target);
+  return Found != Disruptions_.end() &&
+         std::any_of(Found->second.begin(), Found->second.end(),
+                     [&](const Span &Each) {
+                       return Each.From_ <= To && Each.To_ >= From;
+                     });
+}
+
+void SoakRecord::stopSignal(const std::string &Process, TimePoint At) {
+  std::lock_guard Lock(Mutex_);
+  StopSignals_.try_emplace(Process, At);
+}
+
+std::optional<TimePoint>
+SoakRecord::stopSignalOf(const std::string &Process) const {
+  std::lock_guard Lock(Mutex_);
+  auto Found = StopSignals_.find(Process);
+  if (Found == StopSignals_.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+std::size_t SoakRecord::beginRun(const std::string &Request,
+                                 const std::string &Endpoint, TimePoint At) {
+  std::lock_guard Lock(Mutex_);
+  auto &Runs = Runs_[Request];
+  Runs.push_back({.Endpoint_ = Endpoint, .From_ = At});
+  return Runs.size() - 1;
+}
+
+void SoakRecord::endRun(const std::string &Request, std::size_t Run,
+                        SoakRun::End End, TimePoint At) {
+  std::lock_guard Lock(Mutex_);
+  SoakRun &R = Runs_.at(Request).at(Run);
+  if (R.End_ != SoakRun::End::AtWork)
+    return;
+  R.End_ = End;
+  R.To_ = At;
+}
+
+void SoakRecord::endpointEnds(const std::string &Endpoint, TimePoint At) {
+  std::lock_guard Lock(Mutex_);
+  for (auto &[Id, Runs] : Runs_)
+    for (SoakRun &Each : Runs)
+      if (Each.Endpoint_ == Endpoint && Each.End_ == SoakRun::End::AtWork) {
+        Each.End_ = SoakRun::End::BrokenOff;
+        Each.To_ = At;
+      }
+}
+
+std::vector<SoakRun> SoakRecord::runs(const std::string &Request) const {
+  std::lock_guard Lock(Mutex_);
+  auto Found = Runs_.find(Request);
+  return Found == Runs_.end() ? std::vector<SoakRun>() : Found->second;
+}
+
+int SoakRecord::countRuns(const std::string &Request) const {
+  std::vector<SoakRun> Runs = runs(Request);
+  return static_cast<int>(
+      std::count_if(Runs.begin(), Runs.end(), [](const SoakRun &Each) {
+        return Each.End_ != SoakRun::End::Rejected;
+      }));
+}
+
+} // namespace hawthornroad
--- /dev/null
+++ b/tests/soak/SoakRecord.h
@@ -0,0 +1,82 @@
+// What a soak itself knows to have happened, with times: disruptions of
+// processes and paths, stop signals, and the runs of each request.
+//
+//   SoakRecord Record;
+//   Record.beginDisruption("entry-1", Now); ...
+//   Record.endDisruption("entry-1", Now);
+//   std::size_t Run = Record.beginRun(Id, "i-2", Now);
+//   Record.endRun(Id, Run, SoakRun::End::Whole, Now);
+//   Record.isDisrupted("entry-1", From, To);
+//
+// Thread-safe: endpoints report from their own threads.
+
+#ifndef HAWTHORNROAD_TESTS_SOAK_SOAKRECORD_H
+#define HAWTHORNROAD_TESTS_SOAK_SOAKRECORD_H
+
+#include "hawthornroad/base/Types.h"
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hawthornroad {
+
+// One arrival of a request at an endpoint.
+struct SoakRun {
+  enum class End {
+    AtWork,
+    Whole,
+    // By the endpoint, midway.
+    BrokenOff,
+    // By the process that had sent it.
+    Cut,
+    // Rejected, and not run.
+    Rejected
+  };
+  std::string Endpoint_;
+  TimePoint From_;
+  TimePoint To_ = TimePoint::max();
+  End End_ = End::AtWork;
+};
+
+class SoakRecord {
+public:
+  // A target has one disruption at a time: a second begin changes nothing.
+  void beginDisruption(const std::string &Target, TimePoint At);
+  void endDisruption(const std::string &Target, TimePoint At);
+  bool isDisrupted(const std::string &Target, TimePoint From,
+                   TimePoint To) const;
+
+  // The first signal to a process, "entry-2#4".
+  void stopSignal(const std::string &Process, TimePoint At);
+  std::optional<TimePoint> stopSignalOf(const std::string &Process) const;
+
+  // Returns the run's number among those of this request.
+  std::size_t beginRun(const std::string &Request, const std::string &Endpoint,
+                       TimePoint At);
+  // Only a run's first end counts.
+  void endRun(const std::string &Request, std::size_t Run, SoakRun::End End,
+              TimePoint At);
+  // Ends the runs of an endpoint that ends.
+  void endpointEnds(const std::string &Endpoint, TimePoint At);
+  std::vector<SoakRun> runs(const std::string &Request) const;
+  // How often the request ran, without rejections.
+  int countRuns(const std::string &Request) const;
+
+private:
+  struct Span {
+    TimePoint From_;
+    TimePoint To_ = TimePoint::max();
+  };
+
+  mutable std::mutex Mutex_;
+  std::map<std::string, std::vector<Span>> Disruptions_;
+  std::map<std::string, TimePoint> StopSignals_;
+  std::map<std::string, std::vector<SoakRun>> Runs_;
+};
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_TESTS_SOAK_SOAKRECORD_H
--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -1,7 +1,7 @@
 #include "tests/soak/SoakWorld.h"
 
 #include <algorithm>
-#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <csignal>
 #include <iostream>
@@ -11,62 +11,32 @@
 namespace json = boost::json;
 
 namespace {
-constexpr std::size_t Endpoints = 3;
-// The operator-set bound that the entries are started with.
-constexpr Duration RevokeBound = Milliseconds(5000);
+// How long callers wait.
+constexpr Duration PlainDeadline = Milliseconds(3000);
+constexpr Duration StreamDeadline = Milliseconds(9000);
 // Longest time between sending a request and its run.
-constexpr Duration RunSlack = SoakCaller::RequestTimeout;
-constexpr Duration ExitTimeout = Seconds(10);
+constexpr Duration RunSlack = PlainDeadline;
 constexpr auto SteadyKey = "steady";
 constexpr Duration CallerPause = Milliseconds(5);
+constexpr std::size_t CallersPerEntry = 5;
+constexpr std::size_t MaxCallers = 96;
+constexpr Duration TickPeriod = Milliseconds(20);
+// From a stop signal to the next signal to that process.
+constexpr Duration SecondSignalDelay = Milliseconds(700);
+constexpr unsigned Ok = 200;
 
-TimePoint now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
-json::object route(const std::string &Prefix, const std::string &Kind) {
-  return {{"name", "r-" + Prefix},
-          {"host", "127.0.0.1"},
-          {"prefix", "/" + Prefix + "/"},
-          {"kind", Kind},
-          {"timeout_ms", 2500},
-          {"latency_goal_ms", 1000},
-          {"gap_goal_ms", 1000},
-          {"priority", 1},
-          {"service", "api"},
-          {"max_attempts", 2},
-          {"public", false},
-          {"resumable", Kind == "streaming"}};
-}
+TimePoint now() { return std::chrono::steady_clock::now(); }
 } // namespace
 
 SoakWorld::SoakWorld(Options O)
-    : Options_(O), Checks_(RevokeBound), Entries_(O.Entries_),
-      Addresses_(O.Entries_) {
-  for (std::size_t I = 0; I < Endpoints; ++I) {
-    Api A;
-    A.Endpoint_ =
-        std::make_unique<EndpointStandIn>("i-" + std::to_string(I), "api");
-    A.Path_.Proxy_ = std::make_unique<Proxy>(Folder_, A.Endpoint_->address());
-    A.Endpoint_->setListedAt(A.Path_.Proxy_->address());
-    A.Endpoint_->setDelay(Milliseconds(10));
-    Store_.put("servers", A.Endpoint_->id(), A.Endpoint_->row());
-    Apis_.push_back(std::move(A));
-  }
+    : Options_(std::move(O)),
+      Checks_(Record_, {.RevokeBound_ = SoakLayout::RevokeBound,
+                        .StopBound_ = SoakLayout::StopBound}),
+      Layout_(Options_.Layout_, Record_, Folder_) {
+  if (Options_.Layout_.Agents_ > 0)
+    Config_.Origin_ = Layout_.origin();
   configure();
-  for (std::size_t I = 0; I < Entries_.size(); ++I) {
-    Entry &E = Entries_[I];
-    E.Name_ = "entry-" + std::to_string(I + 1);
-    E.StorePath_.Proxy_ = std::make_unique<Proxy>(Folder_, Store_.address());
-    json::object S = {{"process", E.Name_},
-                      {"zone", "z"},
-                      {"store", E.StorePath_.Proxy_->address()},
-                      {"peer_listen", "127.0.0.1:0"},
-                      {"metrics_listen", "127.0.0.1:0"}};
-    E.Settings_ = Folder_.write(E.Name_ + ".jsonc", json::serialize(S));
-    start(E);
-  }
+  Layout_.start();
 }
 
 SoakWorld::~SoakWorld() {
@@ -75,153 +45,141 @@
     Each.join();
 }
 
-void SoakWorld::start(Entry &E) {
-  E.Process_.reset();
-  E.Process_ = std::make_unique<Process>(
-      Launch{.Name_ = E.Name_,
-             .Program_ = "hawthornroad-store-entry",
-             .Arguments_ = {"--settings", E.Settings_}},
-      Folder_);
-  E.Process_->ready();
-  E.Frozen_ = 0;
-  ++E.Starts_;
-  auto Index = static_cast<std::size_t>(&E - Entries_.data());
-  std::lock_guard Lock(Mutex_);
-  Addresses_[Index] = {E.Process_->readyText("callers"),
-                       E.Name_ + "#" + std::to_string(E.Starts_)};
-}
-
 // Routes are only ever added, so a process that has served a route must never
 // answer afterwards that it does not exist.
 void SoakWorld::configure() {
-  json::array Routes = {route("once", "non_idempotent"),
-                        route("safe", "idempotent"),
-                        route("stream", "streaming")};
-  for (std::uint64_t I = 1; I <= Routes_; ++I)
-    Routes.push_back(route("new" + std::to_string(I), "idempotent"));
-  json::object Config = {
-      {"version", ++Config_},
-      {"routes", std::move(Routes)},
-      {"services",
-       json::array{json::object{
-           {"name", "api"}, {"health_path", "/health"}, {"max_conns", 200}}}},
-      {"limits", json::object{{"max_header_bytes", 16384},
-                              {"max_body_bytes", 65536},
-                              {"header_timeout_ms", 3000},
-                              {"idle_timeout_ms", 15000}}},
-      {"tenants",
-       json::array{json::object{
-           {"name", "zet"},
-           {"api_keys", json::array{SteadyKey, json::string(RotatingKey_)}}}}}};
-  Store_.put("op", "config", json::serialize(Config));
+  ++Config_.Version_;
+  Config_.Keys_ = {SteadyKey, RotatingKey_};
+  Layout_.store().put("op", "config", Config_.text());
+  std::lock_guard Lock(Mutex_);
+  NewestRoute_ = Config_.AddedRoutes_;
 }
 
-// ---- Faults -----------------------------------------------------------------
+// ---- Faults and planned work ------------------------------------------------
 
-void SoakWorld::Path::begin(const std::string &Fault) {
-  Faults_.push_back(Fault);
-  Proxy_->setFaults(Fault);
+void SoakWorld::removeKey() {
+  std::string Old = RotatingKey_;
+  {
+    std::lock_guard Lock(Mutex_);
+    RotatingKey_ = "rotating-" + std::to_string(Config_.Version_ + 1);
+    OldKey_ = Old;
+  }
+  configure();
+  Checks_.keyRemoved(Old, now());
 }
 
-void SoakWorld::Path::end(const std::string &Fault) {
-  auto Found = std::find(Faults_.begin(), Faults_.end(), Fault);
-  if (Found != Faults_.end())
-    Faults_.erase(Found);
-  Proxy_->setFaults(Faults_.empty() ? "{}" : Faults_.back());
+void SoakWorld::declareVersion() {
+  json::object Row = {{"model", "m"}, {"version", ++WeightVersion_}};
+  Layout_.store().put("op", "version/m", json::serialize(Row));
 }
 
-void SoakWorld::begin(const SoakFault &F) {
-  Entry &E = Entries_[F.Target_ % Entries_.size()];
-  Api &A = Apis_[F.Target_ % Apis_.size()];
+void SoakWorld::begin(const SoakFault &F, TimePoint EndsAt) {
+  StoreStandIn &Store = Layout_.store();
+  auto &Entries = Layout_.entries();
+  auto &Endpoints = Layout_.endpoints();
+  SoakLayout::Entry &E = Entries[F.Target_ % Entries.size()];
+  SoakLayout::Endpoint &A = Endpoints[F.Target_ % Endpoints.size()];
   switch (F.Kind_) {
   case SoakFaultKind::StorePath:
-    return E.StorePath_.begin(F.Path_);
+    return SoakLayout::beginFault(E, F.Path_);
   case SoakFaultKind::EndpointPath:
-    return A.Path_.begin(F.Path_);
+    return Layout_.beginFault(A, F.Path_);
   case SoakFaultKind::Freeze:
-    ++E.Frozen_;
-    return E.Process_->freeze();
+    return Layout_.freeze(E);
   case SoakFaultKind::Kill:
-    return E.Process_->kill();
+    return Layout_.kill(E, EndsAt);
   case SoakFaultKind::Stop:
+    return Layout_.stop(E, EndsAt);
+  case SoakFaultKind::StopTwice:
+    Layout_.stop(E, EndsAt);
+    tickUntil(now() + SecondSignalDelay);
     return E.Process_->terminate();
+  case SoakFaultKind::StopAndReload:
+    Layout_.stop(E, EndsAt);
+    tickUntil(now() + SecondSignalDelay);
+    [[fallthrough]];
   case SoakFaultKind::Reload:
-    ::kill(E.Process_->pid(), SIGHUP);
+    if (E.Process_->running())
+      ::kill(E.Process_->pid(), SIGHUP);
     return;
+  case SoakFaultKind::AgentStop:
+    return Layout_.stop(Layout_.agents()[F.Target_], EndsAt);
   case SoakFaultKind::StoreRefuses:
-    return Store_.setMode(StoreStandIn::Mode::Refuse);
+    return Store.setMode(StoreStandIn::Mode::Refuse);
   case SoakFaultKind::StoreSilent:
-    return Store_.setMode(StoreStandIn::Mode::Silent);
+    return Store.setMode(StoreStandIn::Mode::Silent);
   case SoakFaultKind::HistoryLost:
-    return Store_.dropHistory();
+    return Store.dropHistory();
   case SoakFaultKind::AnswersLost:
-    return A.Endpoint_->setMode(EndpointStandIn::Mode::LoseAnswer);
+    return A.Server_->setMode(SoakEndpoint::Mode::LoseAnswer);
   case SoakFaultKind::NotRun:
-    return A.Endpoint_->setMode(EndpointStandIn::Mode::NotRun);
+    return A.Server_->setMode(SoakEndpoint::Mode::NotRun);
   case SoakFaultKind::StreamsBroken:
-    return A.Endpoint_->setMode(EndpointStandIn::Mode::BreakStream);
-  case SoakFaultKind::KeyRemoved: {
-    std::string Old = RotatingKey_;
-    {
-      std::lock_guard Lock(Mutex_);
-      RotatingKey_ = "rotating-" + std::to_string(Config_ + 1);
-      OldKey_ = Old;
-    }
-    configure();
-    return Checks_.keyRemoved(Old, now());
-  }
+    return A.Server_->setMode(SoakEndpoint::Mode::BreakStream);
+  case SoakFaultKind::Pauses:
+    return A.Server_->setPausing(true);
+  case SoakFaultKind::Leaves:
+    return Layout_.replace(A);
+  case SoakFaultKind::KeyRemoved:
+    return removeKey();
   case SoakFaultKind::RouteAdded:
-    ++Routes_;
-    configure();
-    std::lock_guard Lock(Mutex_);
-    NewestRoute_ = Routes_;
-    return;
+    ++Config_.AddedRoutes_;
+    return configure();
+  case SoakFaultKind::Configured:
+    Config_.IsMoved_ = !Config_.IsMoved_;
+    Config_.AddedRoutes_ += Config_.Version_ % 2;
+    Config_.UnusedRoutes_ =
+        SoakConfig::FewestUnusedRoutes +
+        F.Path_.size() * Config_.Version_ %
+            (SoakConfig::MostUnusedRoutes - SoakConfig::FewestUnusedRoutes);
+    return configure();
+  case SoakFaultKind::VersionDeclared:
+    return declareVersion();
   }
 }
 
 void SoakWorld::end(const SoakFault &F) {
-  Entry &E = Entries_[F.Target_ % Entries_.size()];
-  Api &A = Apis_[F.Target_ % Apis_.size()];
+  auto &Entries = Layout_.entries();
+  auto &Endpoints = Layout_.endpoints();
+  SoakLayout::Entry &E = Entries[F.Target_ % Entries.size()];
+  SoakLayout::Endpoint &A = Endpoints[F.Target_ % Endpoints.size()];
   switch (F.Kind_) {
   case SoakFaultKind::StorePath:
-    return E.StorePath_.end(F.Path_);
+    return SoakLayout::endFault(E, F.Path_);
   case SoakFaultKind::EndpointPath:
-    return A.Path_.end(F.Path_);
+    return Layout_.endFault(A, F.Path_);
   case SoakFaultKind::Freeze:
-    if (E.Frozen_ > 0 && --E.Frozen_ == 0)
-      E.Process_->resume();
-    return;
-  case SoakFaultKind::Kill:
-  case SoakFaultKind::Stop:
-    return restart(E);
+    return Layout_.resume(E);
   case SoakFaultKind::StoreRefuses:
   case SoakFaultKind::StoreSilent:
-    return Store_.setMode(StoreStandIn::Mode::Normal);
+    return Layout_.store().setMode(StoreStandIn::Mode::Normal);
   case SoakFaultKind::AnswersLost:
   case SoakFaultKind::NotRun:
   case SoakFaultKind::StreamsBroken:
-    return A.Endpoint_->setMode(EndpointStandIn::Mode::Normal);
-  case SoakFaultKind::Reload:
-  case SoakFaultKind::HistoryLost:
-  case SoakFaultKind::KeyRemoved:
-  case SoakFaultKind::RouteAdded:
+    return A.Server_->setMode(SoakEndpoint::Mode::Normal);
+  case SoakFaultKind::Pauses:
+    return A.Server_->setPausing(false);
+  // The layout restarts processes.
+  default:
     return;
   }
 }
 
-// Restarts a process that was killed or that is still shutting down.
-void SoakWorld::restart(Entry &E) {
-  if (E.Process_->running())
-    E.Process_->kill();
-  E.Process_->waitExit(ExitTimeout);
-  start(E);
+void SoakWorld::tickUntil(TimePoint End) {
+  for (TimePoint Now = now(); Now < End; Now = now()) {
+    Layout_.tick(Now);
+    std::this_thread::sleep_until(std::min(End, now() + TickPeriod));
+  }
 }
 
-void SoakWorld::run() {
-  for (std::size_t I = 0; I < Options_.Callers_; ++I)
-    Callers_.emplace_back([this, I] { callerLoop(I); });
+void SoakWorld::runPlan() {
   std::vector<SoakFault> Plan =
-      planFaults(Options_.Seed_, Options_.Length_, Entries_.size(), Endpoints);
+      planFaults({.Seed_ = Options_.Layout_.Seed_,
+                  .Length_ = Options_.Length_,
+                  .Entries_ = Layout_.entries().size(),
+                  .Agents_ = Layout_.agents().size(),
+                  .Endpoints_ = Layout_.endpoints().size(),
+                  .IsPlannedOnly_ = Options_.IsPlannedOnly_});
   struct Step {
     Duration At_{};
     bool IsEnd_ = false;
@@ -236,64 +194,76 @@
                    [](const Step &A, const Step &B) { return A.At_ < B.At_; });
   TimePoint StartedAt = now();
   for (const Step &S : Steps) {
-    std::this_thread::sleep_until(StartedAt + S.At_);
+    tickUntil(StartedAt + S.At_);
     if (!S.IsEnd_)
       std::cout << "  " << describe(*S.Fault_) << std::endl;
-    S.IsEnd_ ? end(*S.Fault_) : begin(*S.Fault_);
+    S.IsEnd_ ? end(*S.Fault_) : begin(*S.Fault_, StartedAt + S.Fault_->To_);
   }
+}
+
+void SoakWorld::run() {
+  std::size_t Callers =
+      std::min(MaxCallers, CallersPerEntry * Layout_.entries().size());
+  for (std::size_t I = 0; I < Callers; ++I)
+    Callers_.emplace_back([this, I] { callerLoop(I); });
+  runPlan();
   checkRecovery();
   Stopping_ = true;
   for (std::thread &Each : Callers_)
     Each.join();
   Callers_.clear();
   std::this_thread::sleep_for(RunSlack);
-  Checks_.finish([this](const std::string &Id) { return runs(Id); });
+  checkWeights();
+  Checks_.finish();
 }
 
 // ---- Recovery ---------------------------------------------------------------
 
 void SoakWorld::checkRecovery() {
-  Store_.setMode(StoreStandIn::Mode::Normal);
-  for (Api &Each : Apis_) {
-    Each.Path_.Proxy_->setFaults("{}");
-    Each.Endpoint_->setMode(EndpointStandIn::Mode::Normal);
-  }
-  for (Entry &Each : Entries_) {
-    Each.StorePath_.Proxy_->setFaults("{}");
-    if (!Each.Process_->running())
-      restart(Each);
-    Each.Process_->resume();
-  }
-  ++Routes_;
+  Layout_.clearFaults();
+  ++Config_.AddedRoutes_;
   configure();
   TimePoint Since = now();
+  std::vector<std::thread> Threads;
+  for (std::size_t I = 0; I < Layout_.entries().size(); ++I)
+    Threads.emplace_back([this, I, Since] { checkRecovery(I, Since); });
+  for (std::thread &Each : Threads)
+    Each.join();
+}
+
+void SoakWorld::checkRecovery(std::size_t Entry, TimePoint Since) {
   SoakCaller Caller;
-  for (Entry &Each : Entries_) {
-    while (!hasRecovered(Each, Caller) && now() - Since < RecoverBound)
-      std::this_thread::sleep_for(Milliseconds(100));
-    if (now() - Since >= RecoverBound)
-      Checks_.violation(Each.Name_ + " is not well again " +
-                        std::to_string(RecoverBound / Seconds(1)) +
-                        " s after all faults");
+  SoakLayout::Address To = Layout_.address(Entry);
+  Process &P = *Layout_.entries()[Entry].Process_;
+  for (int N = 0; now() - Since < RecoverBound; ++N) {
+    SoakRequest R{.Id_ =
+                      "calm-" + std::to_string(Entry) + "-" + std::to_string(N),
+                  .Kind_ = SoakKind::Safe,
+                  .Key_ = SteadyKey,
+                  .SentAt_ = now(),
+                  .Process_ = To.Process_,
+                  .Deadline_ = PlainDeadline,
+                  .Timeout_ = SoakConfig::PlainTimeout};
+    Checks_.sent(R);
+    SoakOutcome O = Caller.call(
+        To.Callers_, "/new" + std::to_string(Config_.AddedRoutes_) + "/x", R);
+    Checks_.ended(R.Id_, O);
+    bool IsServed =
+        O.End_ == SoakOutcome::End::Whole && O.Answer_.Status_ == Ok;
+    if (IsServed && PlatformFixture::isReady(P) && now() - Since < RecoverBound)
+      return;
+    std::this_thread::sleep_for(Milliseconds(100));
   }
+  Checks_.violation(To.Process_ + " is not well again " +
+                    std::to_string(RecoverBound / Seconds(1)) +
+                    " s after all faults");
 }
 
-bool SoakWorld::hasRecovered(const Entry &E, SoakCaller &Caller) {
-  static std::atomic<int> Number{0};
-  auto Index = static_cast<std::size_t>(&E - Entries_.data());
-  SoakRequest R{"calm-" + std::to_string(++Number),
-                SoakKind::Safe,
-                SteadyKey,
-                now(),
-                Addresses_[Index].Process_,
-                0};
-  Checks_.sent(R);
-  auto A = Caller.call(Addresses_[Index].Callers_,
-                       "/new" + std::to_string(Routes_) + "/x", R);
-  if (A)
-    Checks_.answered(R.Id_, *A);
-  constexpr unsigned Ok = 200;
-  return A && A->Status_ == Ok && PlatformFixture::isReady(*E.Process_);
+void SoakWorld::checkWeights() {
+  for (const SoakLayout::Agent &Each : Layout_.agents())
+    if (!Each.Engine_->wasAlwaysWhole())
+      Checks_.violation(Each.Engine_->id() +
+                        " has loaded weights that were not whole");
 }
 
 // ---- Callers ----------------------------------------------------------------
@@ -308,7 +278,8 @@
   constexpr std::uint64_t Keys = 5;
   std::uint64_t Key = R.below(Keys);
   Q.Key_ = Key == 0 ? OldKey_ : Key == 1 ? RotatingKey_ : SteadyKey;
-  constexpr std::uint64_t Targets = 4;
+  bool HasEngines = Options_.Layout_.Agents_ > 0;
+  constexpr std::uint64_t Targets = 7;
   switch (R.below(Targets)) {
   case 0:
     Q.Kind_ = SoakKind::Once;
@@ -324,38 +295,44 @@
     Target = NewestRoute_ == 0 ? "/safe/x"
                                : "/new" + std::to_string(NewestRoute_) + "/x";
     break;
+  case 3:
+    Q.Kind_ = SoakKind::UniqueStream;
+    Target = "/streamonce/x";
+    break;
+  case 4:
+    Q.Kind_ = SoakKind::Stream;
+    Q.Model_ = HasEngines ? "m" : "";
+    Target = HasEngines ? "/stream-lm/x" : "/stream/x";
+    break;
+  case 5:
+    Q.Kind_ = HasEngines ? SoakKind::UniqueStream : SoakKind::Safe;
+    Q.Model_ = HasEngines ? "m" : "";
+    Target = HasEngines ? "/streamonce-lm/x" : "/safe/x";
+    break;
   default:
     Q.Kind_ = SoakKind::Safe;
-    Target = "/safe/x";
+    Target = "/moved/x";
   }
+  Q.Deadline_ = isStream(Q.Kind_) ? StreamDeadline : PlainDeadline;
+  Q.Timeout_ =
+      isStream(Q.Kind_) ? SoakConfig::StreamTimeout : SoakConfig::PlainTimeout;
   return Q;
 }
 
 void SoakWorld::callerLoop(std::size_t Number) {
-  Random R(Options_.Seed_ * Options_.Callers_ + Number);
+  std::size_t Entries = Layout_.entries().size();
+  Random R(Options_.Layout_.Seed_ * MaxCallers + Number);
   SoakCaller Caller;
   for (std::uint64_t N = 0; !Stopping_; ++N) {
     std::string Target;
     SoakRequest Q = makeRequest(R, Number, N, Target);
-    Address To;
-    {
-      std::lock_guard Lock(Mutex_);
-      To = Addresses_[R.below(Addresses_.size())];
-    }
+    SoakLayout::Address To = Layout_.address(R.below(Entries));
     Q.Process_ = To.Process_;
     Q.SentAt_ = now();
     Checks_.sent(Q);
-    if (auto A = Caller.call(To.Callers_, Target, Q))
-      Checks_.answered(Q.Id_, *A);
+    Checks_.ended(Q.Id_, Caller.call(To.Callers_, Target, Q));
     std::this_thread::sleep_for(CallerPause);
   }
 }
 
-int SoakWorld::runs(const std::string &Id) const {
-  int Sum = 0;
-  for (const Api &Each : Apis_)
-    Sum += Each.Endpoint_->runs(Id);
-  return Sum;
-}
-
 } // namespace hawthornroad
--- a/tests/soak/SoakWorld.h
+++ b/tests/soak/SoakWorld.h
@@ -1,8 +1,8 @@
-// The soak's environment: real entry processes, stand-ins and proxies around
-// them, and callers that send requests continuously.
+// One seed of the soak: its layout, its plan of faults and planned work, and
+// callers that send requests continuously.
 //
 //   SoakWorld W(Options);
-//   W.run();               // runs the seed's faults, then checks recovery
+//   W.run();               // runs the seed's plan, then checks recovery
 //   W.checks().violations();
 //
 // Faults are injected only from outside: signals to processes, proxies in front
@@ -14,13 +14,13 @@
 #ifndef HAWTHORNROAD_TESTS_SOAK_SOAKWORLD_H
 #define HAWTHORNROAD_TESTS_SOAK_SOAKWORLD_H
 
-#include "hawthornroad/base/Random.h"
-#include "tests/integration/PlatformFixture.h"
 #include "tests/soak/SoakCaller.h"
+#include "tests/soak/SoakChecks.h"
+#include "tests/soak/SoakConfig.h"
 #include "tests/soak/SoakFaults.h"
+#include "tests/soak/SoakLayout.h"
 
 #include <atomic>
-#include <memory>
 #include <thread>
 
 namespace hawthornroad {
@@ -28,10 +28,10 @@
 class SoakWorld {
 public:
   struct Options {
-    std::uint64_t Seed_ = 1;
     Duration Length_ = Seconds(30);
-    std::size_t Entries_ = 4;
-    std::size_t Callers_ = 6;
+    // Without faults.
+    bool IsPlannedOnly_ = false;
+    SoakLayout::Options Layout_;
   };
   // The longest freeze may end just before. After it, an entry selects a source
   // and reads the store (0.5 to 1.5 s), and its stored key lease must be
@@ -46,55 +46,30 @@
   const std::filesystem::path &logs() const { return Folder_.path(); }
 
 private:
-  // A path and its active faults; the one added last is in force.
-  struct Path {
-    std::unique_ptr<Proxy> Proxy_;
-    std::vector<std::string> Faults_;
-
-    void begin(const std::string &Fault);
-    void end(const std::string &Fault);
-  };
-  struct Entry {
-    std::string Name_;
-    Path StorePath_;
-    std::unique_ptr<Process> Process_;
-    std::string Settings_;
-    int Starts_ = 0;
-    // Number of active freeze faults; reset to 0 when the process is restarted.
-    int Frozen_ = 0;
-  };
-  struct Api {
-    std::unique_ptr<EndpointStandIn> Endpoint_;
-    Path Path_;
-  };
-  // Copy that callers may read while entries are restarted.
-  struct Address {
-    std::string Callers_;
-    std::string Process_;
-  };
-
-  void start(Entry &E);
   void configure();
-  void begin(const SoakFault &F);
+  void begin(const SoakFault &F, TimePoint EndsAt);
   void end(const SoakFault &F);
-  void restart(Entry &E);
+  void removeKey();
+  void declareVersion();
+  void runPlan();
+  // Runs the layout's own work until then.
+  void tickUntil(TimePoint End);
   void checkRecovery();
-  bool hasRecovered(const Entry &E, SoakCaller &Caller);
+  void checkRecovery(std::size_t Entry, TimePoint Since);
+  void checkWeights();
   void callerLoop(std::size_t Number);
   SoakRequest makeRequest(Random &R, std::size_t Caller, std::uint64_t N,
                           std::string &Target);
-  int runs(const std::string &Id) const;
 
   Options Options_;
   TemporaryFolder Folder_;
+  SoakRecord Record_;
   SoakChecks Checks_;
-  StoreStandIn Store_;
-  std::vector<Api> Apis_;
-  std::vector<Entry> Entries_;
-  std::uint64_t Config_ = 0;
-  std::uint64_t Routes_ = 0;
+  SoakLayout Layout_;
+  SoakConfig Config_;
+  int WeightVersion_ = 1;
+  // Guards what callers read.
   mutable std::mutex Mutex_;
-  std::vector<Address> Addresses_;
   std::string RotatingKey_ = "rotating-1";
   std::string OldKey_ = "rotating-1";
   std::uint64_t NewestRoute_ = 0;
