A pause of the entry does not use up the time in which a stream may be resumed

A stream that its endpoint had broken off waits up to 1.2 s for a place. The wait was measured over pauses of the entry too: after one the first tick cut all such streams, before what had come free meanwhile was read. The test cut its stream before.

--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -401,6 +401,8 @@
     if (R->Silent_)
       Shift(R->Silent_->LastReceivedAt_);
     Shift(R->AskedAt_);
+    if (R->IsStreaming_ && R->QueuedAt_)
+      Shift(*R->QueuedAt_);
     TimePoint LastByteAt = R->FirstByteAt_ ? R->LastByteAt_ : R->ArrivedAt_;
     R->PausedSinceByte_ += std::min(Gap, Now - LastByteAt);
   }
--- a/tests/unit/TrafficSilenceTest.cpp
+++ b/tests/unit/TrafficSilenceTest.cpp
@@ -335,3 +335,25 @@
     REQUIRE(Core_.open() == 0);
   }
 }
+
+// Guards against streams cut by a pause of this process: the time for which one
+// waits to be resumed ran on before anything that had come free was read.
+TEST_CASE_METHOD(SilenceFixture,
+                 "traffic core, after a pause of its own, keeps a stream that "
+                 "waits to be resumed",
+                 "[traffic]") {
+  CallNumber N = startStream();
+  AttemptNumber First = Port_.last().Attempt_;
+  auto SetAway = [&](bool IsAway) {
+    for (const char *Address : {"10.0.1.0:80", "10.0.1.1:80"})
+      Core_.engineUpdated(Address, IsAway, 1, std::nullopt, Now_);
+  };
+  SetAway(true);
+  Core_.onFail(First, false, "reset", Now_);
+  passTime(Milliseconds(100));
+  Now_ += Milliseconds(1300);
+  Core_.tick(Now_);
+  REQUIRE_FALSE(answerOf(N).Aborted_);
+  SetAway(false);
+  REQUIRE(Port_.Begun_.size() == 2);
+}
