Random runs of TrafficCore: a second attempt only after that request's time of silence

The bound was the shortest of all requests; it is each request's own now. Place queries stay pending for longer, so that more happens meanwhile.

--- a/tests/unit/TrafficChecks.h
+++ b/tests/unit/TrafficChecks.h
@@ -19,8 +19,9 @@
 inline constexpr unsigned LastPiece = 8;
 inline constexpr double RepeatRatio = 0.2;
 inline constexpr double RepeatShare = 0.85;
-// No time of silence after which another endpoint is looked for is shorter.
-inline constexpr Duration MinSilence = Milliseconds(170);
+// As TrafficCore has them.
+inline constexpr Duration EventSilence = Milliseconds(900);
+inline constexpr double SilenceShare = 0.35;
 
 inline void check(bool Holds, const char *What) {
   if (!Holds)
@@ -62,6 +63,7 @@
   bool IsStream_ = false;
   unsigned MaxAttempts_ = 0;
   std::uint64_t LastEvent_ = 0;
+  TimePoint ArrivedAt_;
   TimePoint Deadline_;
   TimePoint LastByteAt_;
   std::vector<AttemptNumber> Runs_;
@@ -72,6 +74,13 @@
   unsigned Reports_ = 0;
   unsigned Cuts_ = 0;
   bool HasLeft_ = false;
+
+  // After how long another endpoint is looked for.
+  Duration silence() const {
+    return IsStream_ ? EventSilence
+                     : std::chrono::duration_cast<Duration>(
+                           (Deadline_ - ArrivedAt_) * SilenceShare);
+  }
 };
 
 class TrafficChecks : public TrafficPort {
@@ -93,7 +102,7 @@
     for (AttemptNumber Each : R.Runs_) {
       const Run &T = Runs_.at(Each);
       Running += T.IsOver_ ? 0 : 1;
-      check(T.IsOver_ || Now_ - R.LastByteAt_ >= MinSilence,
+      check(T.IsOver_ || Now_ - R.LastByteAt_ >= R.silence(),
             "a second attempt begins beside a silent one only");
       check(T.IsOver_ || T.Endpoint_ != O.Endpoint_,
             "attempts side by side are at different endpoints");
@@ -212,6 +221,8 @@
   static TrafficCore::Options options(unsigned AlwaysAllowed) {
     TrafficCore::Options O;
     O.Placement_.Zone_ = AvailabilityZone("z");
+    // Long enough for much to happen while a query is pending.
+    O.AskTimeout_ = Milliseconds(150);
     O.Budget_.Ratio_ = RepeatRatio;
     O.Budget_.Share_ = RepeatShare;
     O.Budget_.AlwaysAllowed_ = AlwaysAllowed;
--- a/tests/unit/TrafficRandomTest.cpp
+++ b/tests/unit/TrafficRandomTest.cpp
@@ -80,7 +80,7 @@
       C.TimeLeft_ = Milliseconds(500 + Random_.below(8000));
     R.Deadline_ =
         Now_ + std::min(Found->Timeout_, C.TimeLeft_.value_or(Found->Timeout_));
-    R.LastByteAt_ = Now_;
+    R.ArrivedAt_ = R.LastByteAt_ = Now_;
     Requests_[N] = R;
     Core_.arrive(N, std::move(C), Now_);
   }
