A repeated SIGTERM does not cut the answers of a store-based daemon's stop

Seen by callers: every answer under way at an entry reset at the same moment, when its platform sends the signal of a planned stop again, or SIGINT and SIGTERM. In the log: a line `stopping`, nothing after it. Cause: the second signal ends a daemon at once (_exit in runtime/Daemon). The product's own daemons document that for their operators; a platform that ends a process by SIGKILL has no use for it, and its planned stops come in series and overlap. Why it works: a daemon may name what to do at a repeated signal; the store-based ones log it and go on with their stop, which is bounded by stop_bound_ms. EntryDrainTest "told to stop twice, ends at once" stays as it is. Process::restOfOutput and a bound for the stop of PlatformFixture's entry are for the tests.

--- a/daemons/hawthornroad-store-agent.cpp
+++ b/daemons/hawthornroad-store-agent.cpp
@@ -19,6 +19,10 @@
 void reload(const std::string &File) {
   Running.use([&](StoreAgent &Agent) { Agent.reload(File); });
 }
+
+void noteRepeatedStop() {
+  Running.use([](StoreAgent &Agent) { Agent.noteRepeatedStop(); });
+}
 } // namespace
 
 int main(int Argc, char **Argv) {
@@ -29,5 +33,6 @@
        .Check_ =
            [](const std::string &File) { StoreAgentSettings::load(File); },
        .Reload_ = reload,
+       .StopRepeated_ = noteRepeatedStop,
        .Run_ = run});
 }
--- a/daemons/hawthornroad-store-entry.cpp
+++ b/daemons/hawthornroad-store-entry.cpp
@@ -20,6 +20,10 @@
 void reload(const std::string &File) {
   Running.use([&](DirectEntry &Entry) { Entry.reload(File); });
 }
+
+void noteRepeatedStop() {
+  Running.use([](DirectEntry &Entry) { Entry.noteRepeatedStop(); });
+}
 } // namespace
 
 int main(int Argc, char **Argv) {
@@ -30,5 +34,6 @@
        .Check_ =
            [](const std::string &File) { StoreEntrySettings::load(File); },
        .Reload_ = reload,
+       .StopRepeated_ = noteRepeatedStop,
        .Run_ = run});
 }
--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -275,4 +275,8 @@
   }
 }
 
+void StoreAgent::noteRepeatedStop() {
+  State_->Log_.write(LogLine("stop_repeated"), true);
+}
+
 } // namespace hawthornroad
--- a/hawthornroad/agent/StoreAgent.h
+++ b/hawthornroad/agent/StoreAgent.h
@@ -30,6 +30,8 @@
 
   boost::json::object readyLine() const;
   void reload(const std::string &File);
+  // Logs that a stop was requested again; thread-safe.
+  void noteRepeatedStop();
 
 private:
   struct State;
--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -298,6 +298,10 @@
   }
 }
 
+void DirectEntry::noteRepeatedStop() {
+  State_->Log_.write(LogLine("stop_repeated"), true);
+}
+
 void DirectEntry::drain() {
   State &S = *State_;
   TimePoint Begun = bootNow();
--- a/hawthornroad/entry/DirectEntry.h
+++ b/hawthornroad/entry/DirectEntry.h
@@ -33,6 +33,8 @@
   // Reads the settings file again and logs whether it differs from the settings
   // in force or is refused. The settings in force stay.
   void reload(const std::string &File);
+  // Logs that a stop was requested again; thread-safe.
+  void noteRepeatedStop();
   // Planned stop; blocks. Readiness is withdrawn at once. The listener and
   // keep-alive connections stay open until the balancer has detected that; then
   // the listener closes and each connection ends after its current request.
--- a/hawthornroad/runtime/Daemon.cpp
+++ b/hawthornroad/runtime/Daemon.cpp
@@ -34,7 +34,8 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
-void watchSignals(StopSignal &Stop, const std::function<void()> &Reload) {
+void watchSignals(StopSignal &Stop, const std::function<void()> &Reload,
+                  const std::function<void()> &StopRepeated) {
   sigset_t Set = stopSignals();
   for (;;) {
     int Number = 0;
@@ -45,8 +46,11 @@
         Reload();
       continue;
     }
-    if (!Stop.request())
+    if (Stop.request())
+      continue;
+    if (!StopRepeated)
       ::_exit(ExitKilled);
+    StopRepeated();
   }
 }
 
@@ -73,7 +77,8 @@
   if (Values.count("help") != 0) {
     std::cout << Program.Name_ << ": " << Program.Purpose_ << "\n\n"
               << Options << "\nexit codes: 0 planned stop, 1 failure, "
-              << "2 bad usage, settings or charts, 143 second signal\n";
+              << "2 bad usage, settings or charts"
+              << (Program.StopRepeated_ ? "\n" : ", 143 second signal\n");
     return std::nullopt;
   }
   if (Values.count("version") != 0) {
@@ -131,7 +136,9 @@
     Reload = [Action = Program.Reload_, File = Line->Settings_] {
       Action(File);
     };
-  std::thread(watchSignals, std::ref(Stop), std::move(Reload)).detach();
+  std::thread(watchSignals, std::ref(Stop), std::move(Reload),
+              Program.StopRepeated_)
+      .detach();
   try {
     Program.Run_(Line->Settings_, Stop);
   } catch (const std::exception &E) {
--- a/hawthornroad/runtime/Daemon.h
+++ b/hawthornroad/runtime/Daemon.h
@@ -16,8 +16,8 @@
 //
 // SIGTERM, SIGINT and SIGHUP are blocked in every thread and received by a
 // dedicated one, so no signal handler interrupts other code. The first SIGTERM
-// or SIGINT makes Stop.wait() return; a second ends the process at once. SIGHUP
-// runs Reload_.
+// or SIGINT makes Stop.wait() return; a further one ends the process at once,
+// or runs StopRepeated_ if there is one. SIGHUP runs Reload_.
 
 #ifndef HAWTHORNROAD_RUNTIME_DAEMON_H
 #define HAWTHORNROAD_RUNTIME_DAEMON_H
@@ -57,6 +57,10 @@
   // Runs on the signal thread at SIGHUP, when the settings file may have
   // changed. When empty, SIGHUP is ignored.
   std::function<void(const std::string &File)> Reload_;
+  // Runs on the signal thread at each SIGTERM or SIGINT after the first, and
+  // the planned stop goes on: for a platform that ends a process by SIGKILL.
+  // When empty, a second signal ends the process at once.
+  std::function<void()> StopRepeated_;
   // Runs the process until Stop is requested and the planned stop is complete.
   std::function<void(const std::string &File, StopSignal &Stop)> Run_;
 };
--- a/tests/integration/PlatformFixture.cpp
+++ b/tests/integration/PlatformFixture.cpp
@@ -417,9 +417,10 @@
   return Made;
 }
 
-Process &PlatformFixture::startEntry(Duration RevokeBound) {
-  auto Bound = std::chrono::duration_cast<Milliseconds>(RevokeBound).count();
-  Entry_ = launch("entry-1", {{"revoke_bound_ms", Bound}});
+Process &PlatformFixture::startEntry(Duration RevokeBound, Duration StopBound) {
+  Entry_ =
+      launch("entry-1", {{"revoke_bound_ms", RevokeBound / Milliseconds(1)},
+                         {"stop_bound_ms", StopBound / Milliseconds(1)}});
   return *Entry_;
 }
 
--- a/tests/integration/PlatformFixture.h
+++ b/tests/integration/PlatformFixture.h
@@ -158,7 +158,8 @@
 
   // Writes the current configuration with the next version.
   void configure();
-  Process &startEntry(Duration RevokeBound = Milliseconds(2000));
+  Process &startEntry(Duration RevokeBound = Milliseconds(2000),
+                      Duration StopBound = Seconds(8));
   // An entry of zone z that serves reads to its peers and reads from them.
   std::unique_ptr<Process> startZoneEntry(const std::string &Name);
   // An entry that connects to the agents on this port.
--- a/tests/integration/Process.cpp
+++ b/tests/integration/Process.cpp
@@ -169,6 +169,20 @@
   return WIFSIGNALED(Status) ? -WTERMSIG(Status) : WEXITSTATUS(Status);
 }
 
+std::string Process::restOfOutput() {
+  std::string &Text = State_->Unread_;
+  std::array<char, 4096> Buffer;
+  for (;;) {
+    pollfd Wait{State_->Output_.native_source(), POLLIN, 0};
+    ssize_t Got = ::poll(&Wait, 1, 0) > 0
+                      ? ::read(Wait.fd, Buffer.data(), Buffer.size())
+                      : 0;
+    if (Got <= 0)
+      return std::exchange(Text, {});
+    Text.append(Buffer.data(), static_cast<std::size_t>(Got));
+  }
+}
+
 std::string Process::readLine() {
   auto End = std::chrono::steady_clock::now() + AwaitTimeout;
   std::string &Text = State_->Unread_;
--- a/tests/integration/Process.h
+++ b/tests/integration/Process.h
@@ -77,6 +77,8 @@
   // The exit code once the process has ended, minus the signal when one ended
   // it; throws after Bound.
   int waitExit(Duration Bound = AwaitTimeout);
+  // All that it printed and that was not read yet. Call after waitExit().
+  std::string restOfOutput();
 
 private:
   struct State;
--- /dev/null
+++ b/tests/integration/StoreStopTest.cpp
@@ -0,0 +1,60 @@
+// The end of an entry on a platform with a store while requests are open.
+
+#include "tests/integration/PlatformFixture.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+
+using namespace hawthornroad;
+
+namespace {
+// The entry waits for answers for a little less.
+constexpr Duration StopBound = Seconds(3);
+
+struct StoreStopFixture : PlatformFixture {
+  Process &Entry_;
+
+  StoreStopFixture() : Entry_(startConfigured()) {}
+
+  Process &startConfigured() {
+    configure();
+    Process &Entry = startEntry(Milliseconds(2000), StopBound);
+    eventually([&] { return isReady(); }, "the entry is ready");
+    return Entry;
+  }
+  void delayAnswers(Duration D) {
+    A_.setDelay(D);
+    B_.setDelay(D);
+  }
+  std::unique_ptr<StreamCall> begin(const std::string &Target,
+                                    const std::string &Id) {
+    int Before = A_.runs() + B_.runs();
+    auto Call =
+        std::make_unique<StreamCall>(callers(), request(Target, "key1", Id));
+    eventually([&] { return A_.runs() + B_.runs() > Before; }, Id + " runs");
+    return Call;
+  }
+  void stop() {
+    Entry_.terminate();
+    eventually([&] { return !isReady(); }, "the signal is taken");
+  }
+};
+} // namespace
+
+// Guards against cutting all answers under way when a platform repeats the
+// signal of a planned stop.
+TEST_CASE_METHOD(StoreStopFixture,
+                 "store entry, told to stop twice, finishes its requests and "
+                 "logs the repeated signal") {
+  delayAnswers(Milliseconds(1500));
+  auto Call = begin("/stream/1", "s");
+  stop();
+  Entry_.terminate();
+  ::kill(Entry_.pid(), SIGINT);
+  StreamResult R = Call->wait();
+  REQUIRE(R.Whole_);
+  REQUIRE(R.Events_.size() == Events);
+  REQUIRE(Entry_.waitExit() == 0);
+  REQUIRE(Entry_.restOfOutput().find("\"event\":\"stop_repeated\"") !=
+          std::string::npos);
+}
