Requests that are open at the end of a planned stop get an answer or a log line

Seen by callers: a connection that ends without an answer when an entry's stop is over; the log has only their number, in the line `stop`. Cause: DirectEntry::drain() waited until stop_bound_ms less 600 ms and then let the process end, with whatever was open: requests that had no answer yet, streams, and bytes that were not written. Evidence: with hawthornroad-store-entry of StoreStopTest "at the end of its stop with requests open" fails, REQUIRE(Answer.Status_ == 502) with 0 == 502; it passes with this one, and the log has a line answer_cut with the stream's id, endpoint and age. Why it works: at that time the core ends all open requests. What has no answer yet gets one, 502 if it may have run and 503 if not, so that its caller knows; a stream that has begun is cut as before, and reported like every other cut. Then callers have up to 400 ms to take the last bytes, of the margin that was there already. The former wait of 20 ms after the last session is dropped: a session is gone only after its bytes were written and its caller or the linger time ended it.

--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -50,8 +50,10 @@
 // second failed check.
 constexpr Duration BalancerDetectionTime = Milliseconds(2600);
 constexpr Duration DrainPollPeriod = Milliseconds(20);
-// Reserved at the end of a planned stop for writing the last answers.
+// Reserved at the end of a planned stop for the last answers, and how much of
+// it callers have to take them.
 constexpr Duration DrainMargin = Milliseconds(600);
+constexpr Duration LastAnswersTime = Milliseconds(400);
 // One entry's share of the operators' slack for repeats. Entries do not know
 // how many they are, so the share is that of the largest expected number of
 // entries.
@@ -201,8 +203,9 @@
     return;
   LongestPause_ = std::max(LongestPause_, Gap);
   PausedAt_ = Now;
-  Log_.write(LogLine("paused").millis("gap_ms", Gap).count("open_requests",
-                                                           Core_.open()),
+  Log_.write(LogLine("paused")
+                 .millis("gap_ms", Gap)
+                 .count("open_requests", Core_.open()),
              true);
   Metrics_.observe("hawthornroad_pause_seconds",
                    std::chrono::duration<double>(Gap).count());
@@ -316,18 +319,23 @@
     S.Callers_->stopAccepting();
     S.Core_.stop();
   });
+  S.drainUntil(Last);
+  S.Io_.submit([&S] { S.Core_.endAll(bootNow()); });
+  S.drainUntil(Last + LastAnswersTime);
+}
+
+void DirectEntry::State::drainUntil(TimePoint Last) {
   for (;;) {
     std::promise<bool> Done;
     auto Answer = Done.get_future();
-    S.Io_.submit([&] {
-      S.Callers_->drainAll();
-      Done.set_value(S.Callers_->sessions() == 0);
+    Io_.submit([&] {
+      Callers_->drainAll();
+      Done.set_value(Callers_->sessions() == 0);
     });
     if (Answer.get() || bootNow() >= Last)
       break;
     std::this_thread::sleep_for(DrainPollPeriod);
   }
-  std::this_thread::sleep_for(DrainPollPeriod);
 }
 
 } // namespace hawthornroad
--- a/hawthornroad/entry/DirectEntryState.h
+++ b/hawthornroad/entry/DirectEntryState.h
@@ -89,6 +89,9 @@
   void onEngineUpdate(const EngineUpdate &T);
   void updateWatchedEngines(TimePoint Now);
   bool isReady(TimePoint Now) const;
+  // Ends idle connections until none is left or Last; blocks, called on the
+  // main thread.
+  void drainUntil(TimePoint Last);
   void answerReady(ServerSession &S);
   void answerMetrics(ServerSession &S);
   // Counts statements of an endpoint that could not be read, and logs each
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -271,6 +271,20 @@
   dispatchFreed(Now);
 }
 
+void TrafficCore::endAll(TimePoint Now) {
+  std::vector<Record *> Open;
+  Open.reserve(Calls_.size());
+  for (const auto &[N, R] : Calls_)
+    Open.push_back(R.get());
+  for (Record *R : Open) {
+    if (R->IsDone_)
+      continue;
+    cancelAttempts(*R, "the process ends", Now);
+    giveUp(*R, Cause::Stopping, "the process ends", Now);
+  }
+  dispatchFreed(Now);
+}
+
 void TrafficCore::noteCompletion(const ServiceName &Service, TimePoint Now) {
   std::deque<TimePoint> &Ends = ServiceQueues_[Service].Ends_;
   Ends.push_back(Now);
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -378,6 +378,9 @@
   void tick(TimePoint Now);
   // Refuses new requests from now on.
   void stop() { Stopping_ = true; }
+  // Ends every open request, since the process is about to end: with an answer
+  // unless one has begun.
+  void endAll(TimePoint Now);
   std::size_t open() const { return Calls_.size(); }
 
 private:
--- a/tests/integration/StoreStopTest.cpp
+++ b/tests/integration/StoreStopTest.cpp
@@ -10,6 +10,10 @@
 namespace {
 // The entry waits for answers for a little less.
 constexpr Duration StopBound = Seconds(3);
+// An answer that takes longer than that and less than its route allows.
+constexpr Duration AnswerDelay = Milliseconds(3800);
+// A stream of six events takes longer than that, too, and none is late.
+constexpr Duration EventPause = Milliseconds(850);
 
 struct StoreStopFixture : PlatformFixture {
   Process &Entry_;
@@ -58,3 +62,30 @@
   REQUIRE(Entry_.restOfOutput().find("\"event\":\"stop_repeated\"") !=
           std::string::npos);
 }
+
+// Guards against requests that end without an answer and without a log line
+// when the time of a planned stop is over.
+TEST_CASE_METHOD(StoreStopFixture,
+                 "store entry, at the end of its stop with requests open, "
+                 "answers those that have no answer yet and logs the others") {
+  A_.setEventPause(EventPause);
+  B_.setEventPause(EventPause);
+  auto Stream = begin("/stream/1", "cut-stream");
+  eventually([&] { return !Stream->resultSoFar().Events_.empty(); },
+             "the stream has begun");
+  delayAnswers(AnswerDelay);
+  auto Plain = begin("/safe/1", "late-answer");
+  stop();
+  StreamResult Answer = Plain->wait();
+  REQUIRE(Answer.Status_ == 502);
+  REQUIRE(Answer.Whole_);
+  REQUIRE_FALSE(Stream->wait().Whole_);
+  REQUIRE(Entry_.waitExit() == 0);
+  std::string Log = Entry_.restOfOutput();
+  std::size_t Cut = Log.find("\"event\":\"answer_cut\"");
+  REQUIRE(Cut != std::string::npos);
+  std::string Line = Log.substr(Cut, Log.find('\n', Cut) - Cut);
+  REQUIRE(Line.find("\"request\":\"cut-stream\"") != std::string::npos);
+  REQUIRE(Line.find("\"endpoint\":\"i-") != std::string::npos);
+  REQUIRE(Line.find("\"whole_ms\":") != std::string::npos);
+}
