Each caller's connection that ends within a request has a log line with the reason

What could not be told: who ended a caller's connection. A 408, a malformed request, a stream that its caller does not read, a failed write, and a connection open at the end of the process had no line; the backlog showed as a caller that left. ServerSession reports each end that no answer announced, once, with the reason, what was under way and for how long. The entry counts all by reason and writes connection_ended for those within a request: with the id where it is known, and as an important line unless the caller's side had ended before. SessionCloseTest "reports once why" covers nine reasons.

--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -322,6 +322,16 @@
   S.drainUntil(Last);
   S.Io_.submit([&S] { S.Core_.endAll(bootNow()); });
   S.drainUntil(Last + LastAnswersTime);
+  S.closeConnections();
+}
+
+void DirectEntry::State::closeConnections() {
+  std::promise<void> Done;
+  Io_.submit([&] {
+    Callers_->closeAll();
+    Done.set_value();
+  });
+  Done.get_future().wait();
 }
 
 void DirectEntry::State::drainUntil(TimePoint Last) {
--- a/hawthornroad/entry/DirectEntryState.h
+++ b/hawthornroad/entry/DirectEntryState.h
@@ -41,6 +41,7 @@
   void onRequest(const std::shared_ptr<ServerSession> &S,
                  InboundRequest R) override;
   void onCallerDisconnected(ServerSession &S) override;
+  void onEnd(ServerSession &S, const SessionEndReport &R) override;
 
   // ---- TrafficPort
   void beginAttempt(AttemptNumber A, const Call &C,
@@ -92,6 +93,7 @@
   // Ends idle connections until none is left or Last; blocks, called on the
   // main thread.
   void drainUntil(TimePoint Last);
+  void closeConnections();
   void answerReady(ServerSession &S);
   void answerMetrics(ServerSession &S);
   // Counts statements of an endpoint that could not be read, and logs each
--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -32,6 +32,27 @@
   Core_.callerGone(N, bootNow());
 }
 
+// Idle connections are only counted.
+void DirectEntry::State::onEnd(ServerSession &S, const SessionEndReport &R) {
+  Metrics_.count("hawthornroad_caller_connections_ended_total",
+                 {{"why", std::string(toString(R.Why_))}});
+  if (!R.IsAnswering_ && !R.IsReceiving_)
+    return;
+  const std::string *Received = platform::requestIdOf(R.Headers_);
+  std::string Id = Received != nullptr ? *Received : std::string();
+  if (R.IsAnswering_)
+    Id = Core_.requestId(S.tag());
+  LogLine L("connection_ended");
+  L.text("request", Id)
+      .text("why", toString(R.Why_))
+      .text("detail", R.Detail_)
+      .flag("answering", R.IsAnswering_)
+      .millis("age_ms", R.Age_)
+      .count("unsent_bytes", R.UnsentBytes_)
+      .millis("paused_ms", LongestPause_);
+  Log_.write(L, !isCallersEnd(R.Why_));
+}
+
 ServerSession *DirectEntry::State::session(CallNumber N) const {
   auto Found = Sessions_.find(N);
   return Found == Sessions_.end() ? nullptr : Found->second.get();
--- a/hawthornroad/http/HttpListener.cpp
+++ b/hawthornroad/http/HttpListener.cpp
@@ -98,7 +98,7 @@
     if (auto Held = Each->weak_from_this().lock())
       Live.push_back(std::move(Held));
   for (const auto &Each : Live)
-    Each->close();
+    Each->stop();
 }
 
 std::size_t HttpListener::inRequest() const {
--- a/hawthornroad/http/ServerSession.cpp
+++ b/hawthornroad/http/ServerSession.cpp
@@ -31,6 +31,14 @@
 constexpr unsigned HeadersTooLarge = 431;
 } // namespace status
 
+template <typename Message> HeaderFields fieldsOf(const Message &M) {
+  HeaderFields Out;
+  for (const auto &Field : M)
+    Out.push_back(
+        {std::string(Field.name_string()), std::string(Field.value())});
+  return Out;
+}
+
 unsigned statusOf(boost::system::error_code Code) {
   if (Code == http::error::body_limit)
     return status::TooLarge;
@@ -40,6 +48,37 @@
 }
 } // namespace
 
+std::string_view toString(SessionEnd E) {
+  switch (E) {
+  case SessionEnd::Idle:
+    return "idle";
+  case SessionEnd::Drained:
+    return "drained";
+  case SessionEnd::HeaderTimeout:
+    return "header_timeout";
+  case SessionEnd::BodyTimeout:
+    return "body_timeout";
+  case SessionEnd::Malformed:
+    return "malformed";
+  case SessionEnd::Backlog:
+    return "backlog";
+  case SessionEnd::SendFailed:
+    return "send_failed";
+  case SessionEnd::CallerClosed:
+    return "caller_closed";
+  case SessionEnd::ReceiveFailed:
+    return "receive_failed";
+  case SessionEnd::Stopped:
+    return "stopped";
+  }
+  return "unknown";
+}
+
+bool isCallersEnd(SessionEnd E) {
+  return E == SessionEnd::SendFailed || E == SessionEnd::CallerClosed ||
+         E == SessionEnd::ReceiveFailed;
+}
+
 ServerSession::ServerSession(Socket S, std::shared_ptr<HttpListener> Owner)
     : Socket_(std::move(S)), Owner_(std::move(Owner)),
       StateSince_(Owner_->now()) {
@@ -70,8 +109,10 @@
   Reading_ = false;
   if (Closed_)
     return;
+  if (Code == asio::error::eof)
+    return onDisconnect(SessionEnd::CallerClosed, "");
   if (Code)
-    return onDisconnect();
+    return onDisconnect(SessionEnd::ReceiveFailed, Code.message());
   if (ArrivedInTime_)
     *ArrivedInTime_ -= std::min(*ArrivedInTime_, Bytes);
   // After the shutdown, input is only discarded until the caller closes.
@@ -84,12 +125,29 @@
 
 // The caller closed its side or the connection failed. A half-closed caller
 // counts as disconnected, even if it still reads: no caller does that.
-void ServerSession::onDisconnect() {
+void ServerSession::onDisconnect(SessionEnd Why, const std::string &Detail) {
+  reportEnd(Why, Detail);
   if (InRequest_)
     Owner_->Handler_.onCallerDisconnected(*this);
   close();
 }
 
+void ServerSession::reportEnd(SessionEnd Why, const std::string &Detail) {
+  // The end of a connection after its last answer is no event.
+  if (SendShutdown_ || std::exchange(IsEndReported_, true))
+    return;
+  SessionEndReport R;
+  R.Why_ = Why;
+  R.IsReceiving_ = hasPartial();
+  R.IsAnswering_ = InRequest_;
+  if (R.IsReceiving_)
+    R.Headers_ = fieldsOf(Parser_->get());
+  R.Age_ = Owner_->now() - StateSince_;
+  R.UnsentBytes_ = Out_.size() + Writing_.size();
+  R.Detail_ = Detail;
+  Owner_->Handler_.onEnd(*this, R);
+}
+
 void ServerSession::parse() {
   if (In_.size() == 0)
     return;
@@ -107,7 +165,7 @@
   std::size_t Used = Parser_->put(In_.data(), Code);
   In_.consume(Used);
   if (Code && Code != http::error::need_more)
-    return refuse(statusOf(Code));
+    return refuse(statusOf(Code), SessionEnd::Malformed, Code.message());
   if (Parser_->is_done())
     return deliver();
   if (Parser_->is_header_done() && !ContinueSent_) {
@@ -129,14 +187,14 @@
   InboundRequest R;
   R.Method_ = std::string(Message.method_string());
   R.Target_ = std::string(Message.target());
-  for (const auto &Field : Message)
-    R.Headers_.push_back(
-        {std::string(Field.name_string()), std::string(Field.value())});
+  R.Headers_ = fieldsOf(Message);
   R.Body_ = std::move(Message.body());
   Owner_->Handler_.onRequest(shared_from_this(), std::move(R));
 }
 
-void ServerSession::refuse(unsigned Status) {
+void ServerSession::refuse(unsigned Status, SessionEnd Why,
+                           const std::string &Detail) {
+  reportEnd(Why, Detail);
   KeepOpen_ = false;
   InRequest_ = true;
   respond(Status, {}, "");
@@ -219,7 +277,7 @@
   else
     Out_ += Text;
   if (Out_.size() > Owner_->Limits_.MaxBacklog_ && Streaming_)
-    return endLater(true);
+    return endLater(SessionEnd::Backlog, "");
   flush();
 }
 
@@ -237,7 +295,7 @@
   Socket_.non_blocking(true, Code);
   std::size_t Sent = Socket_.write_some(asio::buffer(Out_), Code);
   if (Code && Code != asio::error::would_block)
-    return endLater(false);
+    return endLater(SessionEnd::SendFailed, Code.message());
   if (!Code && Sent == Out_.size()) {
     Out_.clear();
     if (EndAfterFlush_)
@@ -253,24 +311,23 @@
                       Self->Writing_.clear();
                       if (Self->Closed_)
                         return;
-                      if (Error) {
-                        if (Self->InRequest_)
-                          Self->Owner_->Handler_.onCallerDisconnected(*Self);
-                        return Self->close();
-                      }
+                      if (Error)
+                        return Self->onDisconnect(SessionEnd::SendFailed,
+                                                  Error.message());
                       Self->flush();
                     });
 }
 
-void ServerSession::endLater(bool WithReset) {
+void ServerSession::endLater(SessionEnd Why, const std::string &Detail) {
   Ending_ = true;
   Out_.clear();
-  asio::post(Socket_.get_executor(), [Self = shared_from_this(), WithReset] {
+  asio::post(Socket_.get_executor(), [Self = shared_from_this(), Why, Detail] {
     if (Self->Closed_)
       return;
+    Self->reportEnd(Why, Detail);
     if (Self->InRequest_)
       Self->Owner_->Handler_.onCallerDisconnected(*Self);
-    WithReset ? Self->abort() : Self->close();
+    Why == SessionEnd::Backlog ? Self->abort() : Self->close();
   });
 }
 
@@ -293,8 +350,15 @@
   if (Closed_ || InRequest_ || SendShutdown_ || hasPartial() || In_.size() > 0)
     return;
   if (Out_.empty() && Writing_.empty() && unread() == 0 &&
-      Owner_->now() - StateSince_ > LingerTime)
+      Owner_->now() - StateSince_ > LingerTime) {
+    reportEnd(SessionEnd::Drained, "");
     close();
+  }
+}
+
+void ServerSession::stop() {
+  reportEnd(SessionEnd::Stopped, "");
+  close();
 }
 
 std::size_t ServerSession::unread() const {
@@ -335,11 +399,15 @@
   if (hasPartial()) {
     bool HeaderDone = Parser_->is_header_done();
     if (isOver(Age, HeaderDone ? L.BodyTimeout_ : L.HeaderTimeout_))
-      refuse(status::Timeout);
+      refuse(status::Timeout,
+             HeaderDone ? SessionEnd::BodyTimeout : SessionEnd::HeaderTimeout,
+             "");
     return;
   }
-  if (Age >= L.IdleTimeout_ && unread() == 0)
+  if (Age >= L.IdleTimeout_ && unread() == 0) {
+    reportEnd(SessionEnd::Idle, "");
     close();
+  }
 }
 
 } // namespace hawthornroad
--- a/hawthornroad/http/ServerSession.h
+++ b/hawthornroad/http/ServerSession.h
@@ -57,6 +57,40 @@
 
 class ServerSession;
 
+// Why a session ends its connection.
+enum class SessionEnd {
+  Idle,
+  // Idle in a planned stop.
+  Drained,
+  HeaderTimeout,
+  BodyTimeout,
+  Malformed,
+  // The caller does not read its stream.
+  Backlog,
+  SendFailed,
+  CallerClosed,
+  ReceiveFailed,
+  // The process ends.
+  Stopped
+};
+std::string_view toString(SessionEnd E);
+// Whether the connection had ended or failed before.
+bool isCallersEnd(SessionEnd E);
+
+struct SessionEndReport {
+  SessionEnd Why_ = SessionEnd::Idle;
+  // A request was being answered.
+  bool IsAnswering_ = false;
+  // A request was being received: what has arrived of its headers.
+  bool IsReceiving_ = false;
+  HeaderFields Headers_;
+  // Since the request's first byte, or since the last answer.
+  Duration Age_ = Duration::zero();
+  std::size_t UnsentBytes_ = 0;
+  // The error, if any.
+  std::string Detail_;
+};
+
 class SessionHandler {
 public:
   virtual ~SessionHandler() = default;
@@ -64,6 +98,9 @@
                          InboundRequest R) = 0;
   // The caller of the request in progress has disconnected.
   virtual void onCallerDisconnected(ServerSession &S) = 0;
+  // The connection is about to end, other than after an answer that says so.
+  // Comes before onCallerDisconnected(), once for each connection.
+  virtual void onEnd(ServerSession &S, const SessionEndReport &R) {}
 };
 
 struct SessionLimits {
@@ -110,6 +147,8 @@
   // after its answer.
   void closeIfIdle();
   void close();
+  // Closes the connection because the process ends.
+  void stop();
   // Enforces the timeouts; called by the listener.
   void check(TimePoint Now);
 
@@ -125,14 +164,15 @@
   void read();
   void onRead(boost::system::error_code Code, std::size_t Bytes);
   void parse();
-  void onDisconnect();
-  void refuse(unsigned Status);
+  void onDisconnect(SessionEnd Why, const std::string &Detail);
+  void reportEnd(SessionEnd Why, const std::string &Detail);
+  void refuse(unsigned Status, SessionEnd Why, const std::string &Detail);
   void deliver();
   void send(std::string Text);
   void flush();
   void onAnswerSent();
   // Ends the connection after the current call.
-  void endLater(bool WithReset);
+  void endLater(SessionEnd Why, const std::string &Detail);
   void shutdownSending();
 
   Socket Socket_;
@@ -154,6 +194,7 @@
   bool IsHead_ = false;
   bool EndAfterFlush_ = false;
   bool SendShutdown_ = false;
+  bool IsEndReported_ = false;
   bool Ending_ = false;
   bool Closed_ = false;
   bool ContinueSent_ = false;
--- a/tests/unit/ListenerFixture.h
+++ b/tests/unit/ListenerFixture.h
@@ -17,6 +17,7 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace hawthornroad {
 
@@ -46,6 +47,11 @@
     S->respond(200, {{"X-Target", R.Target_}}, R.Body_);
   }
   void onCallerDisconnected(ServerSession &) override { ++Disconnects_; }
+  // Used on the I/O thread.
+  std::vector<SessionEndReport> Ends_;
+  void onEnd(ServerSession &, const SessionEndReport &R) override {
+    Ends_.push_back(R);
+  }
 };
 
 struct ListenerFixture {
--- a/tests/unit/SessionCloseTest.cpp
+++ b/tests/unit/SessionCloseTest.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <functional>
 #include <optional>
 #include <thread>
 #include <vector>
@@ -174,3 +175,68 @@
   // The partial answer does not look complete.
   REQUIRE(Caller_.readUntil("").find("0\r\n\r\n") == std::string::npos);
 }
+
+// Guards against connections that end without a trace of who ended them.
+TEST_CASE_METHOD(SessionCloseFixture,
+                 "server session, ending a connection, reports once why and "
+                 "what was under way",
+                 "[http]") {
+  const std::string Get = "GET /hold HTTP/1.1\r\nX-Id: r1\r\n\r\n";
+  struct Row {
+    SessionEnd Why_;
+    std::string Sent_;
+    bool IsAnswering_, IsReceiving_;
+    std::function<void(SessionCloseFixture &)> Act_;
+  };
+  auto Late = [](SessionCloseFixture &F) { F.run([&] { F.checkLate(); }); };
+  auto Drain = [](SessionCloseFixture &F) {
+    std::this_thread::sleep_for(IdleTime);
+    F.run([&] { F.Listener_->drainAll(); });
+  };
+  auto Stop = [](SessionCloseFixture &F) {
+    F.run([&] { F.Listener_->closeAll(); });
+  };
+  auto Leave = [](SessionCloseFixture &F) { F.Caller_.close(); };
+  auto Reset = [](SessionCloseFixture &F) { F.Caller_.reset(); };
+  auto Flood = [](SessionCloseFixture &F) {
+    F.run([&] {
+      auto S = F.Handler_.Last_.lock();
+      S->begin(200, {});
+      S->write(std::string(16 * 1024 * 1024, 'x'));
+      S->write("x");
+    });
+  };
+  auto Nothing = [](SessionCloseFixture &) {};
+  const std::vector<Row> Rows = {
+      {SessionEnd::Idle, "", false, false, Late},
+      {SessionEnd::Drained, "", false, false, Drain},
+      {SessionEnd::HeaderTimeout, "GET /b HTTP/1.1\r\nX-Id: r1\r\nHo", false,
+       true, Late},
+      {SessionEnd::BodyTimeout,
+       "POST /b HTTP/1.1\r\nX-Id: r1\r\nContent-Length: 9\r\n\r\n", false, true,
+       Late},
+      {SessionEnd::Malformed, "GET /b HTTP/1.1\r\nX-Id: r1\r\nno field\r\n",
+       false, true, Nothing},
+      {SessionEnd::Backlog, Get, true, false, Flood},
+      {SessionEnd::CallerClosed, Get, true, false, Leave},
+      {SessionEnd::ReceiveFailed, Get, true, false, Reset},
+      {SessionEnd::Stopped, Get, true, false, Stop}};
+  const Row &R = GENERATE_REF(from_range(Rows));
+  CAPTURE(toString(R.Why_));
+  ask("/a");
+  if (!R.Sent_.empty()) {
+    Caller_.send(R.Sent_);
+    waitUntilPartial();
+  }
+  R.Act_(*this);
+  std::vector<SessionEndReport> Ends;
+  auto Until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  while (Ends.empty() && std::chrono::steady_clock::now() < Until)
+    run([&] { Ends = Handler_.Ends_; });
+  REQUIRE(Ends.size() == 1);
+  REQUIRE(Ends[0].Why_ == R.Why_);
+  REQUIRE(Ends[0].IsAnswering_ == R.IsAnswering_);
+  REQUIRE(Ends[0].IsReceiving_ == R.IsReceiving_);
+  if (R.IsReceiving_)
+    REQUIRE(findField(Ends[0].Headers_, "X-Id") != nullptr);
+}
