Logs: lines that name an abnormal end are not dropped for volume

Seen: an entry that writes more than 200 KB/s drops lines, also those of the requests that failed just then. Fix: the line 'request' of a request whose answer was cut, that failed here other than by a 503, or whose caller left after an attempt, and the line 'attempt' of a failed or cancelled attempt use the quota of important lines.

There is no test of its own: the two predicates choose a quota, which EventLogTest covers.

--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -14,6 +14,23 @@
   int Length = std::snprintf(Text.data(), Text.size(), "%.2f", Value);
   return {Text.data(), static_cast<std::size_t>(Length)};
 }
+
+// Whether a request ended in a way that on-call looks for by its id: its answer
+// was cut, it failed here other than by a refusal, or its caller left midway.
+bool isAbnormal(const CallReport &R) {
+  constexpr unsigned BadRequest = 400;
+  constexpr unsigned ServerError = 500;
+  constexpr unsigned Unavailable = 503;
+  if (R.CallerGone_)
+    return R.Attempts_ > 0;
+  if (R.Cause_ == Cause::None || R.Status_ == Unavailable)
+    return false;
+  return R.Status_ < BadRequest || R.Status_ >= ServerError;
+}
+
+bool isAbnormal(const AttemptReport &R) {
+  return R.Event_ == "failed" || R.Event_ == "cancelled";
+}
 } // namespace
 
 void DirectEntry::State::onRequest(const std::shared_ptr<ServerSession> &S,
@@ -185,7 +202,7 @@
     Metrics_.count("hawthornroad_attempts_total",
                    {{"end", std::string(R.Event_)}});
   }
-  Log_.write(L);
+  Log_.write(L, isAbnormal(R));
 }
 
 void DirectEntry::State::report(const CutReport &R) {
@@ -260,7 +277,7 @@
     L.millis("config_age_ms", *R.ConfigAge_);
   if (R.FirstByte_)
     L.millis("first_ms", *R.FirstByte_).millis("gap_ms", R.LongestGap_);
-  Log_.write(L);
+  Log_.write(L, isAbnormal(R));
   Metrics_.count("hawthornroad_requests_total",
                  {{"status", std::to_string(R.Status_)},
                   {"cause", std::string(toString(R.Cause_))}});
