hawthornroadctl: trace tells who ended a request; new command cuts

Seen: the story of a request that was lost ended with its last attempt. That its process had paused meanwhile, or had ended before it, stood in lines that trace does not show, and a silent attempt and its replacement could not be told apart from two in a row.

trace now also prints the pauses of the process while the request was open, and where the line 'request' is missing the process's 'stopping', 'stop' and next 'start'; then one line for each attempt with its span, the age of the last byte and whether another one ran beside it; and who ended the request: answered, cut here with the reason, its process ended before it (by a planned stop, or without a line 'stopping'), or unknown.

--- a/hawthornroad/ctl/Ctl.cpp
+++ b/hawthornroad/ctl/Ctl.cpp
@@ -36,7 +36,7 @@
   CtlExit (*Run_)(const CtlOptions &, CtlPrinter &);
 };
 
-constexpr std::array<Command, 11> Commands = {{{"validate", ctlValidate},
+constexpr std::array<Command, 12> Commands = {{{"validate", ctlValidate},
                                                {"diff", ctlDiff},
                                                {"apply", ctlApply},
                                                {"rollback", ctlRollback},
@@ -46,7 +46,8 @@
                                                {"drain", ctlDrain},
                                                {"manifest", ctlManifest},
                                                {"trace", ctlTrace},
-                                               {"logs", ctlLogs}}};
+                                               {"logs", ctlLogs},
+                                               {"cuts", ctlCuts}}};
 
 CtlExit runCommand(const CtlOptions &O, CtlPrinter &P) {
   for (const Command &Each : Commands)
--- a/hawthornroad/ctl/CtlLogs.cpp
+++ b/hawthornroad/ctl/CtlLogs.cpp
@@ -1,6 +1,8 @@
 #include "hawthornroad/base/Error.h"
 #include "hawthornroad/ctl/CtlCommands.h"
+#include "hawthornroad/ctl/CutTable.h"
 #include "hawthornroad/ctl/LogReader.h"
+#include "hawthornroad/ctl/RequestStory.h"
 
 #include <boost/json/array.hpp>
 #include <fstream>
@@ -33,6 +35,70 @@
     P.line(std::to_string(Timeline.droppedLines()) +
            " lines were dropped by the processes that wrote them");
 }
+
+std::string_view endName(RequestEnd E) {
+  switch (E) {
+  case RequestEnd::Answered:
+    return "answered";
+  case RequestEnd::Cut:
+    return "cut";
+  case RequestEnd::ProcessStopped:
+    return "process_stopped";
+  case RequestEnd::ProcessEnded:
+    return "process_ended";
+  case RequestEnd::Unknown:
+    break;
+  }
+  return "unknown";
+}
+
+json::object toJson(const AttemptSpan &A) {
+  json::object Out{
+      {"ordinal", A.Ordinal_},  {"endpoint", A.Endpoint_},
+      {"begun_ms", A.BegunMs_}, {"end", A.End_},
+      {"why", A.Why_},          {"beside_other", A.IsBesideOther_}};
+  if (A.EndedMs_)
+    Out["ended_ms"] = *A.EndedMs_;
+  if (A.SilentMs_)
+    Out["silent_ms"] = *A.SilentMs_;
+  return Out;
+}
+
+json::array reportStories(const std::vector<RequestStory> &Stories,
+                          CtlPrinter &P) {
+  json::array Out;
+  for (const RequestStory &S : Stories) {
+    json::array Attempts;
+    for (const AttemptSpan &A : S.Attempts_) {
+      P.line(describe(A));
+      Attempts.push_back(toJson(A));
+    }
+    P.line(describeEnd(S));
+    Out.push_back(json::object{{"process", S.Process_},
+                               {"attempts", std::move(Attempts)},
+                               {"end", endName(S.End_)},
+                               {"detail", S.Detail_}});
+  }
+  return Out;
+}
+
+json::object reportCuts(const std::map<std::string, CutCount> &ByReason,
+                        CtlPrinter &P) {
+  json::object Out;
+  for (const auto &[Reason, C] : ByReason) {
+    P.line("  " + describe(Reason, C));
+    json::object Row{{"count", C.Count_},
+                     {"paused", C.Paused_},
+                     {"longest_pause_ms", C.LongestPauseMs_},
+                     {"one", C.Example_}};
+    if (C.MedianSilentMs_) {
+      Row["median_silent_ms"] = *C.MedianSilentMs_;
+      Row["max_silent_ms"] = *C.MaxSilentMs_;
+    }
+    Out[Reason] = std::move(Row);
+  }
+  return Out;
+}
 } // namespace
 
 CtlExit ctlTrace(const CtlOptions &O, CtlPrinter &P) {
@@ -48,6 +114,7 @@
   }
   Result["request"] = Id;
   Result["events"] = std::move(Out);
+  Result["stories"] = reportStories(storiesOf(Timeline, Id), P);
   reportLineCounts(Timeline, P, Result);
   if (Events.empty())
     P.line("no line names request " + Id);
@@ -72,4 +139,17 @@
   return CtlExit::Done;
 }
 
+CtlExit ctlCuts(const CtlOptions &O, CtlPrinter &P) {
+  LogTimeline Timeline = readFiles(O.Operands_);
+  CutTable Table = cutTableOf(Timeline);
+  json::object Result;
+  P.line(std::to_string(Table.answers()) + " answers cut");
+  Result["answers_cut"] = reportCuts(Table.Answers_, P);
+  P.line(std::to_string(Table.attempts()) + " attempts ended by the process");
+  Result["attempts_ended"] = reportCuts(Table.Attempts_, P);
+  reportLineCounts(Timeline, P, Result);
+  P.result(Result);
+  return CtlExit::Done;
+}
+
 } // namespace hawthornroad
--- a/hawthornroad/ctl/CtlOptions.cpp
+++ b/hawthornroad/ctl/CtlOptions.cpp
@@ -81,6 +81,13 @@
        {},
        false,
        true},
+      {"cuts",
+       "FILE...",
+       "answers cut and attempts ended by their process, by reason",
+       {},
+       {},
+       false,
+       true},
   };
   return Forms;
 }
--- a/hawthornroad/ctl/LogReader.cpp
+++ b/hawthornroad/ctl/LogReader.cpp
@@ -49,6 +49,10 @@
   return json::serialize(*V);
 }
 
+double LogEvent::number(std::string_view Key) const {
+  return numberOf(Fields_, Key);
+}
+
 void LogTimeline::read(std::istream &In) {
   for (std::string Line; std::getline(In, Line);) {
     // Log collectors may prefix a line.
@@ -108,20 +112,78 @@
     Out.push_back(*E);
 }
 
-std::vector<LogEvent>
-LogTimeline::eventsOfRequest(const std::string &Id) const {
-  std::map<std::string, std::vector<LogEvent>> ByProcess;
+std::vector<std::vector<LogEvent>>
+LogTimeline::linesOfRequest(const std::string &Id) const {
+  std::map<std::pair<std::string, unsigned>, std::vector<LogEvent>> ByRun;
   for (const LogEvent &E : Events_)
     if (E.text("request") == Id)
-      ByProcess[E.Process_].push_back(E);
-  std::vector<LogEvent> Out;
-  for (auto &[Process, RequestEvents] : ByProcess) {
-    std::stable_sort(RequestEvents.begin(), RequestEvents.end(),
+      ByRun[{E.Process_, E.Run_}].push_back(E);
+  std::vector<std::vector<LogEvent>> Out;
+  for (auto &[Run, Lines] : ByRun) {
+    std::stable_sort(Lines.begin(), Lines.end(),
                      [](const LogEvent &A, const LogEvent &B) {
                        return A.MonotonicTime_ < B.MonotonicTime_;
                      });
-    addPrecedingState(RequestEvents.front(), RequestEvents, Out);
-    Out.insert(Out.end(), RequestEvents.begin(), RequestEvents.end());
+    Out.push_back(std::move(Lines));
+  }
+  return Out;
+}
+
+std::vector<const LogEvent *>
+LogTimeline::endOfRun(const LogEvent &From) const {
+  std::vector<const LogEvent *> Out;
+  const LogEvent *NextStart = nullptr;
+  for (const LogEvent &E : Events_) {
+    if (E.Process_ != From.Process_)
+      continue;
+    std::string Kind = E.kind();
+    bool IsEnd = Kind == "stopping" || Kind == "stop";
+    if (IsEnd && E.Run_ == From.Run_ && E.MonotonicTime_ >= From.MonotonicTime_)
+      Out.push_back(&E);
+    // Files may be read in any order, so runs are compared by time.
+    if (Kind != "start" || E.Run_ == From.Run_ || E.WallTime_ < From.WallTime_)
+      continue;
+    if (NextStart == nullptr || E.WallTime_ < NextStart->WallTime_)
+      NextStart = &E;
+  }
+  if (NextStart != nullptr)
+    Out.push_back(NextStart);
+  return Out;
+}
+
+void LogTimeline::addLaterState(const std::vector<LogEvent> &RequestEvents,
+                                std::vector<LogEvent> &Out) const {
+  const LogEvent &First = RequestEvents.front();
+  double Begin = First.MonotonicTime_;
+  double End = RequestEvents.back().MonotonicTime_;
+  bool HasEnded = false;
+  for (const LogEvent &E : RequestEvents)
+    if (E.kind() == "request") {
+      HasEnded = true;
+      Begin = std::min(Begin, E.MonotonicTime_ -
+                                  E.number("whole_ms") / MillisPerSecond);
+    }
+  for (const LogEvent &E : Events_) {
+    if (E.Process_ != First.Process_ || E.Run_ != First.Run_ ||
+        E.kind() != "paused")
+      continue;
+    double PausedAt = E.MonotonicTime_ - E.number("gap_ms") / MillisPerSecond;
+    if (E.MonotonicTime_ >= Begin && (!HasEnded || PausedAt <= End))
+      Out.push_back(E);
+  }
+  if (HasEnded)
+    return;
+  for (const LogEvent *E : endOfRun(RequestEvents.back()))
+    Out.push_back(*E);
+}
+
+std::vector<LogEvent>
+LogTimeline::eventsOfRequest(const std::string &Id) const {
+  std::vector<LogEvent> Out;
+  for (const std::vector<LogEvent> &Lines : linesOfRequest(Id)) {
+    addPrecedingState(Lines.front(), Lines, Out);
+    Out.insert(Out.end(), Lines.begin(), Lines.end());
+    addLaterState(Lines, Out);
   }
   std::stable_sort(Out.begin(), Out.end(),
                    [](const LogEvent &A, const LogEvent &B) {
--- a/hawthornroad/ctl/LogReader.h
+++ b/hawthornroad/ctl/LogReader.h
@@ -38,6 +38,11 @@
   boost::json::object Fields_;
 
   std::string text(std::string_view Key) const;
+  bool has(std::string_view Key) const {
+    return Fields_.contains({Key.data(), Key.size()});
+  }
+  // 0 when the field is missing or no number.
+  double number(std::string_view Key) const;
   std::string kind() const { return text("event"); }
 };
 
@@ -50,10 +55,19 @@
   // Lines that processes reported as dropped.
   std::uint64_t droppedLines() const { return Dropped_; }
 
-  // All events that name the request, in order, preceded by the state of each
-  // process involved when the request arrived: configuration, store, readiness,
-  // and the endpoints that the request was sent to.
+  const std::vector<LogEvent> &events() const { return Events_; }
+
+  // All events that name the request, in order, with the state of each process
+  // involved when the request arrived: configuration, store, readiness, and the
+  // endpoints that the request was sent to; the pauses of these processes while
+  // it was open; and, where its end line is missing, the end of the process.
   std::vector<LogEvent> eventsOfRequest(const std::string &Id) const;
+  // The events that name the request, in order, for each run of a process.
+  std::vector<std::vector<LogEvent>>
+  linesOfRequest(const std::string &Id) const;
+  // The events "stopping" and "stop" of that run from the given event on, and
+  // the process's next "start".
+  std::vector<const LogEvent *> endOfRun(const LogEvent &From) const;
 
   struct CauseCount {
     std::size_t Count_ = 0;
@@ -68,6 +82,8 @@
   void addPrecedingState(const LogEvent &First,
                          const std::vector<LogEvent> &RequestEvents,
                          std::vector<LogEvent> &Out) const;
+  void addLaterState(const std::vector<LogEvent> &RequestEvents,
+                     std::vector<LogEvent> &Out) const;
 
   std::vector<LogEvent> Events_;
   // The latest start of each process: its number, and the offset of the wall
--- a/tests/unit/CtlTest.cpp
+++ b/tests/unit/CtlTest.cpp
@@ -180,3 +180,37 @@
   REQUIRE(parseProcessReport("x", "[]").Failure_ ==
           "its /status is no JSON object");
 }
+
+TEST_CASE_METHOD(CtlFixture, "ctl cuts, given logs, prints a table or JSON",
+                 "[ctl]") {
+  std::string File = file(
+      "e1.log",
+      R"({"t":1.0,"process":"e1","event":"answer_cut","request":"r1","why":"no place in time","silent_ms":80.0,"paused_ms":1200.0}
+{"t":2.0,"process":"e1","event":"attempt","request":"r2","what":"cancelled","why":"deadline"}
+)");
+  struct Case {
+    std::vector<std::string> Arguments_;
+    int Exit_;
+    std::vector<std::string> Expected_;
+  };
+  const std::vector<Case> Cases = {
+      {{"cuts", File},
+       0,
+       {"1 answers cut\n",
+        "1  no place in time  last byte 80 ms before (median), 80 ms (highest)"
+        "  1 after a pause of the process (1200 ms at most)  (one: r1)",
+        "1 attempts ended by the process\n", "1  deadline  (one: r2)"}},
+      {{"cuts", "--json", File},
+       0,
+       {R"("answers_cut":{"no place in time":{"count":1,"paused":1,)",
+        R"("attempts_ended":{"deadline":{"count":1,"paused":0,)",
+        R"("bad_lines":0)"}},
+      {{"cuts"}, 2, {}},
+      {{"cuts", "/nowhere/log"}, 1, {}}};
+  for (const Case &C : Cases) {
+    CAPTURE(C.Arguments_);
+    REQUIRE(run(C.Arguments_) == C.Exit_);
+    for (const std::string &Each : C.Expected_)
+      REQUIRE_THAT(Out_.str(), Contains(Each));
+  }
+}
