Agents: the line order says what an order to load cuts

Seen: an order to load ends what still runs at the engine, and the line 'order' did not say how much that was. Fix: fields running and waiting of the engine's last report, and report_age_ms, the age of that report when the order was sent. The line uses the quota of important lines.

--- a/hawthornroad/agent/AgentEngine.cpp
+++ b/hawthornroad/agent/AgentEngine.cpp
@@ -228,6 +228,7 @@
                      .count("running", S.Running_)
                      .count("waiting", S.Waiting_));
     LastLoggedReport_ = S;
+    LastReportAskedAt_ = AskedAt;
     Places_.onReport(S.Running_, S.Waiting_, AskedAt);
     Updater_.onReport(std::move(S), Now);
     notifyEntries();
@@ -371,11 +372,12 @@
 
 void StoreAgent::State::orderLoad() {
   auto P = Current_;
-  std::uint64_t Orders = Updater_.state()->Orders_;
+  const EngineReport Last = *Updater_.state();
+  Duration ReportAge = bootNow() - LastReportAskedAt_;
   Updater_.onOrderSent();
   Engine_.call(
-      platform::loadCall(P->Version_, Orders), OrderTimeout,
-      [this, P](const HttpCalls::Result &R) {
+      platform::loadCall(P->Version_, Last.Orders_), OrderTimeout,
+      [this, P, Last, ReportAge](const HttpCalls::Result &R) {
         auto End = EngineUpdater::OrderResult::Unknown;
         unsigned Status = 0;
         if (const auto *Answer = std::get_if<HttpAnswer>(&R)) {
@@ -385,7 +387,11 @@
         Log_.write(LogLine("order")
                        .count("version", P->Version_.Version_)
                        .count("status", Status)
-                       .millis("since_wanted_ms", bootNow() - P->HeardAt_));
+                       .millis("since_wanted_ms", bootNow() - P->HeardAt_)
+                       .count("running", Last.Running_)
+                       .count("waiting", Last.Waiting_)
+                       .millis("report_age_ms", ReportAge),
+                   true);
         Updater_.onOrderAnswered(End, bootNow());
         if (End == EngineUpdater::OrderResult::Begun && Current_ == P) {
           OrderBegun_ = true;
--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -206,6 +206,8 @@
   TimePoint PeersAt_{};
   std::optional<TimePoint> LoadedAt_;
   std::optional<EngineReport> LastLoggedReport_;
+  // When the engine was asked for its latest report.
+  TimePoint LastReportAskedAt_{};
   // The newest version that other processes have reported; the store is read at
   // once if it has not shown that version yet.
   WeightVersion HeardVersion_ = 0;
