Entries: each loss of an agent and its return is in the log

Seen: entries lose the connections to agents beside cut answers, and no line said which agent, when and why. Fix: EngineNotices reports a loss of an agent that had reported, or that does not report within ConnectTime, once, and its return; the entry logs agent_lost (agent, why, losses) and agent_back (agent, lost_ms). Failures to connect again are no further losses, and an agent has at most one line of a loss in five seconds; 'losses' counts those since the line before.

--- a/hawthornroad/entry/DirectEntryState.h
+++ b/hawthornroad/entry/DirectEntryState.h
@@ -88,6 +88,7 @@
   void onEndpointCall(bool Ok);
   void applyConfig(const std::string &Text);
   void onEngineUpdate(const EngineUpdate &T);
+  void onAgentConnection(const AgentConnection &C);
   void updateWatchedEngines(TimePoint Now);
   bool isReady(TimePoint Now) const;
   // Ends idle connections until none is left or Last; blocks, called on the
--- a/hawthornroad/entry/EngineNotices.cpp
+++ b/hawthornroad/entry/EngineNotices.cpp
@@ -5,6 +5,7 @@
 #include "hawthornroad/runtime/BootClock.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hawthornroad {
 
@@ -50,19 +51,60 @@
     else if (Frame.body_type() == wire::Body::RowsAsk)
       onQuery(From, Frame);
   };
-  C.OnLost_ = [this](const PeerContext &From, const Error &) {
-    auto Found = Agents_.find(From.Address_.str());
-    if (Found == Agents_.end())
-      return;
-    Agent &A = Found->second;
-    A.SubscribeAt_ = bootNow() + A.ResubscribeDelay_;
-    A.ResubscribeDelay_ =
-        std::min(2 * A.ResubscribeDelay_, Duration(MaxResubscribeDelay));
-    A.HasReported_ = false;
+  C.OnLost_ = [this](const PeerContext &From, const Error &Why) {
+    onLost(From, Why);
   };
   Net_ = std::make_unique<PeerNet>(Io, std::move(Self), limits(), std::move(C));
 }
 
+void EngineNotices::onLost(const PeerContext &From, const Error &Why) {
+  auto Found = Agents_.find(From.Address_.str());
+  if (Found == Agents_.end())
+    return;
+  Agent &A = Found->second;
+  TimePoint Now = bootNow();
+  A.SubscribeAt_ = Now + A.ResubscribeDelay_;
+  A.ResubscribeDelay_ =
+      std::min(2 * A.ResubscribeDelay_, Duration(MaxResubscribeDelay));
+  A.HasReported_ = false;
+  reportLoss(Found->first, A, Why, Now);
+}
+
+void EngineNotices::reportLoss(const std::string &Address, Agent &A,
+                               const Error &Why, TimePoint Now) {
+  // Further failures to connect are no further losses.
+  if (!A.LostAt_) {
+    A.LostAt_ = Now;
+    A.IsLossReported_ = false;
+    ++A.UnreportedLosses_;
+  }
+  bool IsStarting = !A.WasSeen_ && Now - A.AddedAt_ < ConnectTime;
+  bool IsTooSoon =
+      A.LossReportedAt_ && Now - *A.LossReportedAt_ < LossReportInterval;
+  if (A.IsLossReported_ || IsStarting || IsTooSoon)
+    return;
+  A.IsLossReported_ = true;
+  A.LossReportedAt_ = Now;
+  AgentConnection Report;
+  Report.Agent_ = Address;
+  Report.IsLost_ = true;
+  Report.Reason_ = Why.what();
+  Report.Losses_ = std::exchange(A.UnreportedLosses_, 0);
+  if (ConnectionHandler_)
+    ConnectionHandler_(Report);
+}
+
+void EngineNotices::reportReturn(const std::string &Address, Agent &A,
+                                 TimePoint Now) {
+  if (!A.LostAt_)
+    return;
+  AgentConnection Report;
+  Report.Agent_ = Address;
+  Report.LostFor_ = Now - *std::exchange(A.LostAt_, std::nullopt);
+  if (std::exchange(A.IsLossReported_, false) && ConnectionHandler_)
+    ConnectionHandler_(Report);
+}
+
 void EngineNotices::onNotice(const PeerContext &From,
                              const wire::EngineNotice &N) {
   EngineUpdate T;
@@ -73,6 +115,7 @@
   if (Found != Agents_.end()) {
     Found->second.HasReported_ = Found->second.WasSeen_ = true;
     Found->second.ResubscribeDelay_ = MinResubscribeDelay;
+    reportReturn(Found->first, Found->second, bootNow());
   }
   if (Found != Agents_.end() && Found->second.IncludesLoad_)
     T.Load_ = EndpointLoad{N.running(), N.waiting()};
--- a/hawthornroad/entry/EngineNotices.h
+++ b/hawthornroad/entry/EngineNotices.h
@@ -46,6 +46,18 @@
   std::optional<EndpointLoad> Load_;
 };
 
+// A connection to an agent was lost, or the agent reported again.
+struct AgentConnection {
+  std::string Agent_;
+  bool IsLost_ = false;
+  // Of a loss.
+  std::string Reason_;
+  // Losses since the last report of one, this one included.
+  unsigned Losses_ = 0;
+  // How long it was lost, of an agent that reported again.
+  Duration LostFor_ = Duration::zero();
+};
+
 class EngineNotices {
 public:
   using UpdateHandler = std::function<void(const EngineUpdate &)>;
@@ -57,6 +69,15 @@
   EngineNotices(IoThread &Io, PeerNet::Self Self, std::string AgentPort,
                 UpdateHandler H, QueryHandler A, PlaceHandler P);
 
+  // Reports each loss of an agent that had reported, or that does not within
+  // ConnectTime, and its return; at most one loss of an agent within
+  // LossReportInterval.
+  using ConnectionHandler = std::function<void(const AgentConnection &)>;
+  void setConnectionHandler(ConnectionHandler H) {
+    ConnectionHandler_ = std::move(H);
+  }
+  static constexpr Duration LossReportInterval = Seconds(5);
+
   // Requests a place from an engine's agent. Nothing is sent to an agent that
   // has not reported on its current connection: Connecting during the first
   // ConnectTime if it has not reported before, NoAgent otherwise.
@@ -93,6 +114,12 @@
     // Whether a notice has ever arrived.
     bool WasSeen_ = false;
     TimePoint AddedAt_{};
+    // Since when it is lost; unset when it has reported since.
+    std::optional<TimePoint> LostAt_;
+    // Whether that loss was reported, and when one was reported last.
+    bool IsLossReported_ = false;
+    std::optional<TimePoint> LossReportedAt_;
+    unsigned UnreportedLosses_ = 0;
   };
   static constexpr Duration MinResubscribeDelay = Milliseconds(100);
   static constexpr Duration MaxResubscribeDelay = Milliseconds(1000);
@@ -109,6 +136,10 @@
   std::string agentOf(const std::string &Engine) const {
     return Engine.substr(0, Engine.rfind(':')) + ":" + Port_;
   }
+  void onLost(const PeerContext &From, const Error &Why);
+  void reportLoss(const std::string &Address, Agent &A, const Error &Why,
+                  TimePoint Now);
+  void reportReturn(const std::string &Address, Agent &A, TimePoint Now);
   void onNotice(const PeerContext &From, const wire::EngineNotice &N);
   void onQuery(const PeerContext &From, const wire::Frame &Frame);
 
@@ -116,6 +147,7 @@
   UpdateHandler UpdateHandler_;
   QueryHandler QueryHandler_;
   PlaceHandler PlaceHandler_;
+  ConnectionHandler ConnectionHandler_;
   // By model.
   std::map<std::string, std::uint64_t> NewestVersions_;
   std::map<std::string, Agent> Agents_;
--- a/hawthornroad/entry/EntryTables.cpp
+++ b/hawthornroad/entry/EntryTables.cpp
@@ -134,9 +134,21 @@
     if (Each.Endpoint_.HasModel_)
       Engines[Each.Endpoint_.Address_] =
           Each.Endpoint_.Zone_ == Settings_.Common_.Zone_;
+  Notices_->setConnectionHandler(
+      [this](const AgentConnection &C) { onAgentConnection(C); });
   Notices_->setEngines(Engines, Now);
 }
 
+void DirectEntry::State::onAgentConnection(const AgentConnection &C) {
+  LogLine L(C.IsLost_ ? "agent_lost" : "agent_back");
+  L.text("agent", C.Agent_);
+  if (C.IsLost_)
+    L.text("why", C.Reason_).count("losses", C.Losses_);
+  else
+    L.millis("lost_ms", C.LostFor_);
+  Log_.write(L);
+}
+
 void DirectEntry::State::onEngineUpdate(const EngineUpdate &T) {
   EngineUpdate &Last = LastUpdates_[T.Address_];
   bool IsAway = T.Phase_ != EnginePhase::Serving;
