--- a/tests/integration/Process.cpp
+++ b/tests/integration/Process.cpp
@@ -3,6 +3,7 @@
 #include "hawthornroad/base/Error.h"
 #include "hawthornroad/config/JsonText.h"
 
+#include <atomic>
 #include <boost/json/parse.hpp>
 #include <boost/process/args.hpp>
 #include <boost/process/child.hpp>
@@ -111,8 +112,34 @@
   process::pipe Output_;
   process::child Child_;
   std::string Unread_;
+  // All that was read.
+  std::string Printed_;
+  std::thread Copier_;
+  std::atomic<bool> HasEnded_{false};
+
+  void copyOutput(const std::filesystem::path &File);
 };
 
+void Process::State::copyOutput(const std::filesystem::path &File) {
+  std::ofstream Out(File, std::ios::binary);
+  Out << Printed_;
+  std::array<char, 16 * 1024> Buffer;
+  for (;;) {
+    // Read first: what the process printed last is still in the pipe.
+    bool IsLast = HasEnded_;
+    pollfd Wait{Output_.native_source(), POLLIN, 0};
+    int Ready = ::poll(&Wait, 1, IsLast ? 0 : 100);
+    ssize_t Got = 0;
+    if (Ready > 0)
+      Got = ::read(Wait.fd, Buffer.data(), Buffer.size());
+    if (Got > 0)
+      Out.write(Buffer.data(), Got);
+    else if (Ready > 0 || IsLast)
+      return;
+    Out.flush();
+  }
+}
+
 Process::Process(Launch L, TemporaryFolder &Folder)
     : Launch_(std::move(L)), State_(std::make_unique<State>()) {
   std::string Log = Folder.newLog(Launch_.Name_);
@@ -132,6 +159,16 @@
   kill();
   std::error_code Ignored;
   State_->Child_.wait(Ignored);
+  State_->HasEnded_ = true;
+  if (State_->Copier_.joinable())
+    State_->Copier_.join();
+}
+
+void Process::logOutput(TemporaryFolder &Folder) {
+  State_->Copier_ = std::thread(
+      [S = State_.get(), File = Folder.newLog(Launch_.Name_ + "-out")] {
+        S->copyOutput(File);
+      });
 }
 
 int Process::pid() const { return State_->Child_.id(); }
@@ -195,6 +232,7 @@
       if (Got <= 0)
         throw std::runtime_error(name() + " ended before its ready line");
       Text.append(Buffer.data(), static_cast<std::size_t>(Got));
+      State_->Printed_.append(Buffer.data(), static_cast<std::size_t>(Got));
     }
     if (std::chrono::steady_clock::now() >= End)
       throw std::runtime_error(name() + " printed no ready line");
--- a/tests/integration/Process.h
+++ b/tests/integration/Process.h
@@ -66,6 +66,9 @@
   // printing it or does not print it in time.
   const boost::json::object &ready();
   std::string readyText(const std::string &Key);
+  // From now on its standard output, what was printed so far included, is
+  // copied to a log of its own. Call after ready().
+  void logOutput(TemporaryFolder &Folder);
 
   int pid() const;
   bool running();
--- a/tests/soak/SoakFate.cpp
+++ b/tests/soak/SoakFate.cpp
@@ -14,13 +14,14 @@
 bool isStopBoundReached(const SoakRequest &R, const SoakOutcome &O,
                         const SoakRecord &Record,
                         const std::vector<SoakRun> &Runs, Duration StopBound) {
-  auto Signal = Record.stopSignalOf(R.Process_);
-  if (!Signal || R.SentAt_ > *Signal + AcceptedAfterStop)
+  std::vector<TimePoint> Signals = Record.stopSignals(R.Process_);
+  if (Signals.empty() || R.SentAt_ > Signals[0] + AcceptedAfterStop)
     return false;
-  TimePoint LastPartFrom = *Signal + StopBound - StopBound / LastPart;
+  TimePoint LastPartFrom = Signals[0] + StopBound - StopBound / LastPart;
   return O.EndedAt_ >= LastPartFrom &&
          std::any_of(Runs.begin(), Runs.end(), [&](const SoakRun &Each) {
-           return Each.From_ <= *Signal + StopBound && Each.To_ >= LastPartFrom;
+           return Each.From_ <= Signals[0] + StopBound &&
+                  Each.To_ >= LastPartFrom;
          });
 }
 
@@ -86,8 +87,8 @@
     Out << "; at " << Each.Endpoint_ << " from " << At(Each.From_) << " to "
         << (Each.End_ == SoakRun::End::AtWork ? "the end" : At(Each.To_))
         << ", " << endName(Each.End_);
-  if (auto Signal = Record.stopSignalOf(R.Process_))
-    Out << "; stop signal at " << At(*Signal);
+  for (TimePoint Each : Record.stopSignals(R.Process_))
+    Out << "; stop signal at " << At(Each);
   return Out.str();
 }
 
--- a/tests/soak/SoakLayout.cpp
+++ b/tests/soak/SoakLayout.cpp
@@ -170,6 +170,7 @@
              .Arguments_ = {"--settings", E.Settings_}},
       Folder_);
   E.Process_->ready();
+  E.Process_->logOutput(Folder_);
   E.Frozen_ = 0;
   E.RestartAt_.reset();
   ++E.Starts_;
@@ -190,17 +191,18 @@
              .Arguments_ = {"--settings", A.Settings_}},
       Folder_);
   A.Process_->ready();
+  A.Process_->logOutput(Folder_);
   A.RestartAt_.reset();
 }
 
 void SoakLayout::stop(Entry &E, TimePoint RestartAt) {
   TimePoint Now = now();
+  Record_.stopSignal(E.process(), Now);
+  E.Process_->terminate();
   if (E.RestartAt_)
-    return E.Process_->terminate();
+    return;
   E.RestartAt_ = RestartAt;
   E.KillAt_ = Now + StopBound;
-  Record_.stopSignal(E.process(), Now);
-  E.Process_->terminate();
 }
 
 void SoakLayout::kill(Entry &E, TimePoint RestartAt) {
@@ -247,6 +249,8 @@
   std::erase_if(Leaving_, [&](const Endpoint &Each) {
     if (Now < Each.ExitAt_)
       return false;
+    // Before its proxy ends, which would look like a close by the entries.
+    Record_.endpointEnds(Each.Server_->id(), Now);
     Store_.remove("servers", Each.Server_->id());
     return true;
   });
--- a/tests/soak/SoakRecord.cpp
+++ b/tests/soak/SoakRecord.cpp
@@ -31,16 +31,14 @@
 
 void SoakRecord::stopSignal(const std::string &Process, TimePoint At) {
   std::lock_guard Lock(Mutex_);
-  StopSignals_.try_emplace(Process, At);
+  StopSignals_[Process].push_back(At);
 }
 
-std::optional<TimePoint>
-SoakRecord::stopSignalOf(const std::string &Process) const {
+std::vector<TimePoint>
+SoakRecord::stopSignals(const std::string &Process) const {
   std::lock_guard Lock(Mutex_);
   auto Found = StopSignals_.find(Process);
-  if (Found == StopSignals_.end())
-    return std::nullopt;
-  return Found->second;
+  return Found == StopSignals_.end() ? std::vector<TimePoint>() : Found->second;
 }
 
 std::size_t SoakRecord::beginRun(const std::string &Request,
--- a/tests/soak/SoakRecord.h
+++ b/tests/soak/SoakRecord.h
@@ -17,7 +17,6 @@
 
 #include <map>
 #include <mutex>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,9 +48,9 @@
   bool isDisrupted(const std::string &Target, TimePoint From,
                    TimePoint To) const;
 
-  // The first signal to a process, "entry-2#4".
+  // Signals to a process, "entry-2#4".
   void stopSignal(const std::string &Process, TimePoint At);
-  std::optional<TimePoint> stopSignalOf(const std::string &Process) const;
+  std::vector<TimePoint> stopSignals(const std::string &Process) const;
 
   // Returns the run's number among those of this request.
   std::size_t beginRun(const std::string &Request, const std::string &Endpoint,
@@ -73,7 +72,7 @@
 
   mutable std::mutex Mutex_;
   std::map<std::string, std::vector<Span>> Disruptions_;
-  std::map<std::string, TimePoint> StopSignals_;
+  std::map<std::string, std::vector<TimePoint>> StopSignals_;
   std::map<std::string, std::vector<SoakRun>> Runs_;
 };
 
--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -93,7 +93,7 @@
   case SoakFaultKind::StopTwice:
     Layout_.stop(E, EndsAt);
     tickUntil(now() + SecondSignalDelay);
-    return E.Process_->terminate();
+    return Layout_.stop(E, EndsAt);
   case SoakFaultKind::StopAndReload:
     Layout_.stop(E, EndsAt);
     tickUntil(now() + SecondSignalDelay);
