Two attempts that were never sent charge no repeat

Of two attempts side by side (a silent one and its replacement) that both never reached their endpoints, the second stayed charged to the repeat budget: the first gave the repeat back, and the next attempt counted as a repeat again. When the first attempt was never sent, the other one is the first that was.

--- a/hawthornroad/traffic/TrafficAttempts.cpp
+++ b/hawthornroad/traffic/TrafficAttempts.cpp
@@ -303,6 +303,9 @@
     Budget_.giveBack(R->Service_, Now);
   else if (NeverSent)
     R->HasArrived_ = false;
+  // The other attempt is then the first that was sent.
+  if (NeverSent && !TookRepeat && HasOther)
+    R->Current_.TookRepeat_ = false;
   if (!HasOther)
     NotRun ? afterTurnedAway(*R, Now) : afterFailure(*R, Now);
   dispatchFreed(Now);
--- a/tests/unit/TrafficSilenceTest.cpp
+++ b/tests/unit/TrafficSilenceTest.cpp
@@ -357,3 +357,35 @@
   SetAway(false);
   REQUIRE(Port_.Begun_.size() == 2);
 }
+
+// Guards against a budget spent on nothing: of two attempts that ran side by
+// side and were both never sent, one stayed charged as a repeat.
+TEST_CASE("traffic core, with two attempts that were never sent, charges no "
+          "repeat",
+          "[traffic]") {
+  auto CountRepeats = [](bool HasTwoAttempts) {
+    SilenceFixture F;
+    CallNumber N = F.send("/safe/1", F.Now_);
+    AttemptNumber First = F.Port_.last().Attempt_;
+    F.passTime(Milliseconds(600));
+    AttemptNumber Second = F.Port_.last().Attempt_;
+    REQUIRE(Second != First);
+    if (HasTwoAttempts) {
+      F.Core_.onFail(First, true, "refused", F.Now_);
+      F.Core_.onFail(Second, true, "refused", F.Now_);
+    } else {
+      F.Core_.onFail(Second, true, "refused", F.Now_);
+    }
+    F.Core_.callerGone(N, F.Now_);
+    std::size_t Repeats = 0;
+    for (int I = 0; I < 10; ++I) {
+      CallNumber Each = F.send("/safe/1", F.Now_);
+      std::size_t Before = F.Port_.Begun_.size();
+      F.Core_.onFail(F.Port_.last().Attempt_, false, "reset", F.Now_);
+      Repeats += F.Port_.Begun_.size() - Before;
+      F.Core_.callerGone(Each, F.Now_);
+    }
+    return Repeats;
+  };
+  REQUIRE(CountRepeats(true) == CountRepeats(false));
+}
