Requests are erased only when the outermost event of TrafficCore ends

A session that cannot write since its caller has reset the connection reports the caller's leaving from within the write. The same holds for an attempt that fails while it is begun. Such a request could also be queued again and then be marked as not queued.

--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -33,6 +33,7 @@
 } // namespace
 
 void TrafficCore::arrive(CallNumber N, Call C, TimePoint Now) {
+  Event Scope(*this);
   auto Owned = std::make_unique<Record>();
   Record &R = *Owned;
   R.Number_ = N;
@@ -222,11 +223,13 @@
     if (At == Calls_.end())
       continue;
     Record &R = *At->second;
+    // It may be queued again from within.
+    R.IsQueued_ = false;
     if (!tryBegin(R, Now) && !R.IsDone_) {
+      R.IsQueued_ = true;
       Queue.unpop(*Next, 1.0);
       return;
     }
-    R.IsQueued_ = false;
   }
 }
 
@@ -240,8 +243,6 @@
     dispatchQueue(Service, Now);
   }
   Dispatching_ = false;
-  for (CallNumber N : std::exchange(Closed_, {}))
-    Calls_.erase(N);
 }
 
 std::optional<EndpointId> TrafficCore::chooseFor(Record &R, TimePoint Now) {
@@ -407,6 +408,7 @@
 
 void TrafficCore::onPlaceReply(AttemptNumber A, const PlaceReply &W,
                                TimePoint Now) {
+  Event Scope(*this);
   if (auto Late = Unanswered_.extract(A)) {
     onLateReply(Late.mapped(), W, Now);
     return dispatchFreed(Now);
--- a/hawthornroad/traffic/TrafficAttempts.cpp
+++ b/hawthornroad/traffic/TrafficAttempts.cpp
@@ -86,6 +86,7 @@
 }
 
 void TrafficCore::onHead(AttemptNumber A, EndpointHead H, TimePoint Now) {
+  Event Scope(*this);
   Record *R = find(A);
   if (R == nullptr)
     return;
@@ -180,6 +181,7 @@
 }
 
 void TrafficCore::onBody(AttemptNumber A, std::string Bytes, TimePoint Now) {
+  Event Scope(*this);
   Record *R = find(A);
   if (R == nullptr)
     return;
@@ -211,10 +213,13 @@
     R.Status_ = Head.Status_;
     Port_.beginStream(R.Number_, Head.Status_, Head.Headers_);
   }
-  Port_.writeStream(R.Number_, Events);
+  // The caller may have been found gone meanwhile.
+  if (!R.IsDone_)
+    Port_.writeStream(R.Number_, Events);
 }
 
 void TrafficCore::onEnd(AttemptNumber A, TimePoint Now) {
+  Event Scope(*this);
   Record *R = find(A);
   if (R == nullptr)
     return;
@@ -285,6 +290,7 @@
 
 void TrafficCore::onFail(AttemptNumber A, bool NeverSent,
                          const std::string &Why, TimePoint Now) {
+  Event Scope(*this);
   Record *R = find(A);
   if (R == nullptr)
     return;
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -74,6 +74,7 @@
 }
 
 void TrafficCore::endpointsChanged(TimePoint Now) {
+  Event Scope(*this);
   if (!Config_)
     return;
   Placement_.setEndpoints(Endpoints_, *Config_);
@@ -114,6 +115,7 @@
                                 WeightVersion V,
                                 std::optional<EndpointLoad> Load,
                                 TimePoint Now) {
+  Event Scope(*this);
   for (const auto &[Id, Each] : Endpoints_.all()) {
     if (Each.Endpoint_.Address_ != Address)
       continue;
@@ -265,7 +267,13 @@
   Port_.report(Report);
 }
 
+void TrafficCore::eraseClosed() {
+  for (CallNumber N : std::exchange(Closed_, {}))
+    Calls_.erase(N);
+}
+
 void TrafficCore::callerGone(CallNumber N, TimePoint Now) {
+  Event Scope(*this);
   auto Found = Calls_.find(N);
   if (Found == Calls_.end() || Found->second->IsDone_)
     return;
@@ -428,6 +436,7 @@
 }
 
 void TrafficCore::tick(TimePoint Now) {
+  Event Scope(*this);
   Duration Gap = TickedAt_ ? Now - *TickedAt_ : Duration::zero();
   TickedAt_ = Now;
   if (Gap >= Options_.MinPause_)
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -389,6 +389,21 @@
   struct Attempt;
   struct Record;
   struct ServiceQueue;
+  // Held by each event. The port may report an event from within an action, so
+  // closed requests are erased only when the outermost event ends.
+  class Event {
+  public:
+    explicit Event(TrafficCore &C) : Core_(C) { ++Core_.Events_; }
+    ~Event() {
+      if (--Core_.Events_ == 0)
+        Core_.eraseClosed();
+    }
+    Event(const Event &) = delete;
+    Event &operator=(const Event &) = delete;
+
+  private:
+    TrafficCore &Core_;
+  };
   // A query for a place or a grant.
   struct Ask {
     EndpointStart Endpoint_;
@@ -429,6 +444,7 @@
   void unqueue(Record &R);
   void dispatchQueue(const ServiceName &Service, TimePoint Now);
   void dispatchFreed(TimePoint Now);
+  void eraseClosed();
   void startAttempt(Record &R, const Endpoint &E, TimePoint Now);
   static Attempt &attemptOf(Record &R, AttemptNumber A);
   static std::optional<EventRelay> &relayOf(Record &R, Attempt &T);
@@ -520,6 +536,8 @@
   // Services at which a place may have become free.
   std::set<ServiceName> Freed_;
   std::vector<CallNumber> Closed_;
+  // Events in progress, one within the other.
+  unsigned Events_ = 0;
   AttemptNumber NextAttempt_ = 1;
   std::optional<TimePoint> TickedAt_;
   bool Stopping_ = false;
--- a/tests/unit/TrafficFixture.h
+++ b/tests/unit/TrafficFixture.h
@@ -10,6 +10,7 @@
 
 #include "hawthornroad/traffic/TrafficCore.h"
 #include <catch2/catch.hpp>
+#include <functional>
 
 namespace hawthornroad::traffic_test {
 
@@ -35,10 +36,21 @@
   std::vector<AttemptNumber> Cancelled_;
   std::map<CallNumber, Answer> Answers_;
   std::vector<CallReport> Reports_;
+  // Called within each part of an answer: a caller that left may be noticed
+  // there.
+  std::function<void(CallNumber)> OnAnswer_;
+  // Called within the begin of each attempt: it may fail there.
+  std::function<void(AttemptNumber)> OnBegin_;
 
+  void answering(CallNumber N) {
+    if (OnAnswer_)
+      OnAnswer_(N);
+  }
   void beginAttempt(AttemptNumber A, const Call &,
                     const AttemptParams &O) override {
     Begun_.push_back({A, O});
+    if (OnBegin_)
+      OnBegin_(A);
   }
   void cancelAttempt(AttemptNumber A) override { Cancelled_.push_back(A); }
   struct PlaceAsked {
@@ -74,21 +86,28 @@
                std::string Body) override {
     REQUIRE(Answers_.count(N) == 0);
     Answers_[N] = {.Status_ = Status, .Body_ = std::move(Body)};
+    answering(N);
   }
   void refuse(CallNumber N, const Call &, unsigned Status, Cause Why,
               Duration RetryAfter) override {
     REQUIRE(Answers_.count(N) == 0);
     Answers_[N] = {.Status_ = Status, .Cause_ = Why, .RetryAfter_ = RetryAfter};
+    answering(N);
   }
   void beginStream(CallNumber N, unsigned Status,
                    const HeaderFields &) override {
     REQUIRE(Answers_.count(N) == 0);
     Answers_[N] = {.Status_ = Status, .Streamed_ = true};
+    answering(N);
   }
   void writeStream(CallNumber N, std::string_view Bytes) override {
     Answers_.at(N).Body_ += Bytes;
+    answering(N);
+  }
+  void finishStream(CallNumber N) override {
+    Answers_.at(N).Finished_ = true;
+    answering(N);
   }
-  void finishStream(CallNumber N) override { Answers_.at(N).Finished_ = true; }
   void abortStream(CallNumber N) override { Answers_.at(N).Aborted_ = true; }
   void report(const CallReport &R) override { Reports_.push_back(R); }
   void report(const AttemptReport &) override {}
--- a/tests/unit/TrafficStreamTest.cpp
+++ b/tests/unit/TrafficStreamTest.cpp
@@ -111,3 +111,48 @@
   REQUIRE(Now - Start <= CallerGap + LongestWork - TimeToCancel);
   REQUIRE(F.Port_.Cancelled_.size() == F.Port_.Begun_.size());
 }
+
+// Guards against memory that is used after its request was erased: a session
+// that finds its caller gone while it writes says so from within the write.
+TEST_CASE_METHOD(CoreFixture,
+                 "traffic core, whose caller is found gone while it is "
+                 "answered, ends the request once",
+                 "[traffic]") {
+  std::string Target = GENERATE("/stream/1", "/safe/1", "/refused/1");
+  unsigned Parts = GENERATE(1U, 2U, 3U);
+  CAPTURE(Target, Parts);
+  unsigned Seen = 0;
+  Port_.OnAnswer_ = [&](CallNumber N) {
+    if (++Seen == Parts)
+      Core_.callerGone(N, Start);
+  };
+  CallNumber N = send(Target);
+  if (!Port_.Begun_.empty()) {
+    AttemptNumber A = Port_.last().Attempt_;
+    Core_.onHead(A, head(N, 200, Target == "/stream/1"), Start);
+    Core_.onBody(A, "id: 1\ndata: a\n\n", Start);
+    Core_.onEnd(A, Start);
+  }
+  REQUIRE(Seen <= Parts);
+  REQUIRE(Port_.Reports_.size() == 1);
+  REQUIRE(Core_.open() == 0);
+}
+
+// Guards against the same where an attempt fails while it is begun: a kept
+// connection may turn out to be reset by its first write.
+TEST_CASE_METHOD(CoreFixture,
+                 "traffic core, with attempts that fail while they are begun, "
+                 "answers each request once",
+                 "[traffic]") {
+  std::string Target = GENERATE("/stream/1", "/safe/1", "/once/1");
+  CAPTURE(Target);
+  Port_.OnBegin_ = [&](AttemptNumber A) {
+    Core_.onFail(A, false, "reset", Start);
+  };
+  constexpr std::size_t Requests = 12;
+  for (std::size_t I = 0; I < Requests; ++I)
+    send(Target);
+  Core_.tick(Start + Seconds(10));
+  REQUIRE(Port_.Answers_.size() == Requests);
+  REQUIRE(Core_.open() == 0);
+}
