After a pause of the entry, what has begun is read before versions are enforced

A request that waits at an engine with an old version is withdrawn at the version's hard limit if it has no head yet. In the first tick after a pause the head may stand unread in the socket: an answer that had begun was then given up, and where it could not be repeated its caller got a 502. The next tick withdraws what has still not begun.

--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -356,7 +356,8 @@
 }
 
 void TrafficCore::checkTime(Record &R, TimePoint Now) {
-  if (endAtOldVersion(R, Now))
+  // After a pause it may have begun: its head is read before the next tick.
+  if (!IsAfterPause_ && endAtOldVersion(R, Now))
     return afterFailure(R, Now);
   bool IsOver = Now >= R.Deadline_;
   if (IsOver || Now >= callerLeavesAt(R) + Options_.CallerCloseMargin_) {
@@ -439,7 +440,8 @@
   Event Scope(*this);
   Duration Gap = TickedAt_ ? Now - *TickedAt_ : Duration::zero();
   TickedAt_ = Now;
-  if (Gap >= Options_.MinPause_)
+  IsAfterPause_ = Gap > Options_.MinPause_;
+  if (IsAfterPause_)
     notePause(Gap, Now);
   if (Endpoints_.tick(Now))
     endpointsChanged(Now);
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -540,6 +540,8 @@
   unsigned Events_ = 0;
   AttemptNumber NextAttempt_ = 1;
   std::optional<TimePoint> TickedAt_;
+  // The tick in progress is the first one after a pause.
+  bool IsAfterPause_ = false;
   bool Stopping_ = false;
   bool Dispatching_ = false;
 };
--- a/tests/unit/TrafficSilenceTest.cpp
+++ b/tests/unit/TrafficSilenceTest.cpp
@@ -388,4 +388,28 @@
     return Repeats;
   };
   REQUIRE(CountRepeats(true) == CountRepeats(false));
-}
+
+  // Guards against answers ended by a timer that ran before what was received:
+  // a request that had begun in a pause was taken to wait still.
+  TEST_CASE_METHOD(
+      SilenceFixture,
+      "traffic core, after a pause of its own, reads what has begun "
+      "before it withdraws what waits at an old version",
+      "[traffic]") {
+    CallNumber N = send("/stream/1", Now_);
+    AttemptNumber A = Port_.last().Attempt_;
+    Core_.requireVersion("m", 2, Now_ + Milliseconds(300),
+                         Now_ + Milliseconds(600));
+    passTime(Milliseconds(100));
+    Now_ += Milliseconds(700);
+    Core_.tick(Now_);
+    REQUIRE_FALSE(isCancelled(A));
+    bool HasBegun = GENERATE(true, false);
+    CAPTURE(HasBegun);
+    if (HasBegun) {
+      Core_.onHead(A, head(N, 200, true), Now_);
+      sendEvent(A, 1);
+    }
+    passTime(Milliseconds(20));
+    REQUIRE(isCancelled(A) == !HasBegun);
+  }
