--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -285,6 +285,7 @@
 }
 
 void TrafficCore::endAll(TimePoint Now) {
+  Event Scope(*this);
   std::vector<Record *> Open;
   Open.reserve(Calls_.size());
   for (const auto &[N, R] : Calls_)
