--- /dev/null
+++ b/hawthornroad/traffic/TrafficPlaces.cpp
@@ -0,0 +1,147 @@
+#include "hawthornroad/traffic/LimitGrants.h"
+#include "hawthornroad/traffic/TrafficState.h"
+
+namespace hawthornroad {
+
+bool TrafficCore::takeShare(const Endpoint &E, double PerSecond,
+                            TimePoint Now) {
+  TimePoint Next = Share_.nextAt(startOf(E), PerSecond, Now);
+  if (Next > Now) {
+    Placement_.hold(E.Id_, std::min(Next, Now + Options_.MaxShareHold_));
+    HeldByShare_.insert(E.Id_);
+    return false;
+  }
+  Share_.take(startOf(E), PerSecond, Now);
+  return true;
+}
+
+PlaceDemand TrafficCore::placeDemand(const Record &R, const Endpoint &E) const {
+  PlaceDemand D;
+  D.Endpoint_ = startOf(E);
+  if (const LimitStatement *Limit = Limits_.last(D.Endpoint_))
+    D.Limit_ = *Limit;
+  D.Kind_ = R.IsLate_ ? PlaceKind::Late : PlaceKind::First;
+  if (R.IsStreaming_)
+    D.Kind_ = PlaceKind::Resumed;
+  const ServiceConfig *Service = R.Config_->findService(R.Service_);
+  if (Service == nullptr || !Service->Engine_)
+    return D;
+  const EngineProfile &Engine = *Service->Engine_;
+  D.Places_ = Engine.Slots_;
+  D.Reading_ = promptCost(R.Call_.Tokens_, Engine).Reading_;
+  D.UsualReading_ = promptCost({}, Engine).Reading_;
+  return D;
+}
+
+AskResult TrafficCore::ask(Record &R, const Endpoint &E, bool IsOnlyLimit,
+                           TimePoint Now) {
+  AttemptNumber A = NextAttempt_++;
+  R.Asking_ = A;
+  R.AskedOf_ = E.Id_;
+  R.AskedAt_ = Now;
+  R.AsksOnlyLimit_ = IsOnlyLimit;
+  ++R.Asks_;
+  Asks_[A] = R.Number_;
+  // Counted as sent, so that the next request goes to another endpoint.
+  Placement_.attemptBegun(E.Id_, Now);
+  PlaceDemand D = placeDemand(R, E);
+  AskResult Result = IsOnlyLimit ? Port_.askLimit(A, E.Address_, D)
+                                 : Port_.askPlace(A, E.Address_, D);
+  if (Result != AskResult::Sent) {
+    --R.Asks_;
+    endAsk(R, Now);
+  }
+  return Result;
+}
+
+void TrafficCore::endAsk(Record &R, TimePoint Now) {
+  if (R.Asking_ == 0)
+    return;
+  Asks_.erase(R.Asking_);
+  R.Asking_ = 0;
+  Placement_.attemptEnded(R.AskedOf_, Placement::End::Cancelled, false, Now);
+}
+
+void TrafficCore::abandonAsk(Record &R, TimePoint Now) {
+  const Endpoint *E = Placement_.find(R.AskedOf_);
+  if (R.Asking_ != 0 && E != nullptr)
+    Unanswered_[R.Asking_] = {startOf(*E), R.AskedAt_, R.AsksOnlyLimit_};
+  endAsk(R, Now);
+}
+
+void TrafficCore::onLateReply(const Ask &Asked, const PlaceReply &W,
+                              TimePoint Now) {
+  const EndpointStart &At = Asked.Endpoint_;
+  if (!Asked.IsOnlyLimit_) {
+    Placement_.askAnswered(At.Id_, Now - Asked.AskedAt_);
+    Placement_.updateLoad(At.Id_, W.Load_.Running_, W.Load_.Waiting_, Now);
+  }
+  if (W.Limit_)
+    noteLimit(At, *W.Limit_, GranterSource, Now);
+  const Endpoint *E = Placement_.find(At.Id_);
+  if (!W.IsGranted_ || E == nullptr || Limits_.find(At) == nullptr)
+    return;
+  Placement_.keepGrant(At.Id_, Asked.AskedAt_ + LimitGrants::MaxGrantAge);
+  Freed_.insert(E->Service_);
+}
+
+void TrafficCore::askElsewhere(Record &R, TimePoint Now) {
+  if (tryBegin(R, Now) || R.IsDone_)
+    return;
+  R.Asks_ = 0;
+  if (R.Current_.isRunning())
+    return;
+  if (!R.QueuedAt_)
+    return queue(R, Now);
+  // It was at the front of the queue and returns there.
+  R.IsQueued_ = true;
+  ServiceQueues_[R.Service_].Queue_.unpop(R.Item_, 1.0);
+}
+
+void TrafficCore::onPlaceReply(AttemptNumber A, const PlaceReply &W,
+                               TimePoint Now) {
+  Event Scope(*this);
+  if (auto Late = Unanswered_.extract(A)) {
+    onLateReply(Late.mapped(), W, Now);
+    return dispatchFreed(Now);
+  }
+  auto Found = Asks_.find(A);
+  if (Found == Asks_.end())
+    return;
+  Record &R = *Calls_.at(Found->second);
+  endAsk(R, Now);
+  const Endpoint *E = Placement_.find(R.AskedOf_);
+  if (W.Limit_ && E != nullptr)
+    noteLimit(startOf(*E), *W.Limit_, GranterSource, Now);
+  if (!R.AsksOnlyLimit_) {
+    Placement_.askAnswered(R.AskedOf_, Now - R.AskedAt_);
+    Placement_.updateLoad(R.AskedOf_, W.Load_.Running_, W.Load_.Waiting_, Now);
+    if (W.IsAway_)
+      Placement_.setAway(R.AskedOf_, true, Now);
+    if (W.Version_ != 0)
+      Placement_.updateVersion(R.AskedOf_, W.Version_);
+  }
+  if (!W.IsGranted_)
+    onDenied(R, W, Now);
+  bool IsNewEnough =
+      R.AsksOnlyLimit_ || W.Version_ >= minVersion(R.Service_, Now);
+  bool IsUsable = W.IsGranted_ && E != nullptr && !E->IsDraining_ &&
+                  IsNewEnough && !Placement_.restsOrLeaves(R.AskedOf_, Now);
+  if (!IsUsable || !begin(R, *E, Now))
+    if (!R.IsDone_)
+      askElsewhere(R, Now);
+  dispatchFreed(Now);
+}
+
+// A limit that is used up says nothing about places elsewhere, so the query
+// does not count as one of the few that a request may make.
+void TrafficCore::onDenied(Record &R, const PlaceReply &W, TimePoint Now) {
+  if (W.LimitWait_ <= Duration::zero())
+    return Placement_.placeDenied(R.AskedOf_, Now);
+  Placement_.hold(R.AskedOf_,
+                  Now + Random_.jitter(W.LimitWait_, RetryAfterSpread));
+  if (R.Asks_ > 0)
+    --R.Asks_;
+}
+
+} // namespace hawthornroad
--- /dev/null
+++ b/hawthornroad/traffic/TrafficPort.h
@@ -0,0 +1,219 @@
+// What TrafficCore asks of its process, and what it reports for the log.
+//
+//   struct Port : TrafficPort {
+//     void beginAttempt(AttemptNumber A, const Call &C, const AttemptParams &O)
+//     override;
+//     ...
+//   };
+//
+// An action may report an event to the core from within: a caller found gone
+// while it is answered, an attempt that fails while it is begun.
+
+#ifndef HAWTHORNROAD_TRAFFIC_TRAFFICPORT_H
+#define HAWTHORNROAD_TRAFFIC_TRAFFICPORT_H
+
+#include "hawthornroad/staging/PlaceGrants.h"
+#include "hawthornroad/traffic/Call.h"
+#include "hawthornroad/traffic/Placement.h"
+#include "hawthornroad/traffic/StatedLimits.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hawthornroad {
+
+using AttemptNumber = std::uint64_t;
+
+// Why a request was refused or failed, as named in the log and the metrics.
+enum class Cause {
+  None,
+  NoConfiguration,
+  ConfigBehind,
+  NoRoute,
+  NoKey,
+  KeyLeaseOver,
+  NoEndpoint,
+  EndpointsHeld,
+  LineFull,
+  WaitedTooLong,
+  DeadlinePassed,
+  TurnedAway,
+  AttemptLost,
+  ProcessFull,
+  Stopping
+};
+std::string_view toString(Cause C);
+
+// Outcome of one request, for the log and the metrics.
+struct CallReport {
+  CallNumber Number_ = 0;
+  std::string Id_;
+  std::string Route_;
+  Customer Customer_;
+  unsigned Status_ = 0;
+  Cause Cause_ = Cause::None;
+  bool MayHaveRun_ = false;
+  bool CallerGone_ = false;
+  unsigned Attempts_ = 0;
+  EndpointId LastEndpoint_;
+  std::uint64_t ConfigVersion_ = 0;
+  // Age of the last proof of the configuration when the request arrived.
+  std::optional<Duration> ConfigAge_;
+  std::uint64_t Events_ = 0;
+  Duration Waited_ = Duration::zero();
+  // Estimated time the caller had spent before the request arrived, see
+  // CallerAge.
+  Duration ElapsedBefore_ = Duration::zero();
+  std::optional<Duration> FirstByte_;
+  // The longest gap between two writes of a stream.
+  Duration LongestGap_ = Duration::zero();
+  Duration Total_ = Duration::zero();
+};
+
+// Beginning or end of an attempt, for the log.
+struct AttemptReport {
+  CallNumber Number_ = 0;
+  std::string Id_;
+  EndpointId Endpoint_;
+  std::string Address_;
+  // "begun", "turned_away", "failed", "cancelled", "ended"
+  std::string_view Event_;
+  std::string Reason_;
+  bool MayHaveRun_ = false;
+  unsigned Ordinal_ = 0;
+  // Estimated state of the endpoint when it was chosen.
+  Placement::View EndpointView_;
+  Duration Took_ = Duration::zero();
+  // Time since the endpoint's last byte, or since the attempt began.
+  Duration SilentFor_ = Duration::zero();
+};
+
+// This process ends an answer that its caller has received in part.
+struct CutReport {
+  CallNumber Number_ = 0;
+  std::string Id_;
+  Cause Cause_ = Cause::None;
+  // The step that could not be taken, for example "no place in time".
+  std::string_view Reason_;
+  EndpointId LastEndpoint_;
+  // What was last known of that endpoint, if it is still known.
+  std::optional<Placement::View> EndpointView_;
+  // Time since its last byte.
+  Duration SilentFor_ = Duration::zero();
+  std::uint64_t Events_ = 0;
+  unsigned Attempts_ = 0;
+  Duration Total_ = Duration::zero();
+  Duration TimeLeft_ = Duration::zero();
+};
+
+// Where a process knows a rate limit from.
+inline constexpr std::string_view AnswerSource = "answer";
+inline constexpr std::string_view GranterSource = "granter";
+
+// A change of the rate limit that an endpoint states, for the log.
+struct LimitReport {
+  EndpointId Endpoint_;
+  std::optional<double> Previous_;
+  std::optional<double> PerSecond_;
+  // AnswerSource or GranterSource.
+  std::string_view Source_;
+  // Time since the statement was received first.
+  Duration Age_ = Duration::zero();
+};
+
+// An endpoint asked this process to send it nothing, or its rest ended.
+struct HoldReport {
+  enum class Kind { Rests, RestEnded, Leaves };
+  EndpointId Endpoint_;
+  Kind Kind_ = Kind::Rests;
+  Duration Rest_ = Duration::zero();
+};
+
+// What a request needs of an engine, see PlaceGrants.
+struct PlaceDemand {
+  PlaceKind Kind_ = PlaceKind::First;
+  // Time to process its prompt, and a typical one of its service.
+  Duration Reading_ = Duration::zero();
+  Duration UsualReading_ = Duration::zero();
+  // The engine's batch size as configured; 0: unknown.
+  unsigned Places_ = 0;
+  EndpointStart Endpoint_;
+  // The endpoint's last statement of a rate limit, if any.
+  std::optional<LimitStatement> Limit_;
+  bool operator==(const PlaceDemand &) const = default;
+};
+
+enum class AskResult {
+  Sent,
+  // This process has just started and has not heard from the agent yet, so it
+  // does not know whether the engine serves.
+  Connecting,
+  NoAgent
+};
+
+// Actions and reports of TrafficCore.
+class TrafficPort {
+public:
+  virtual ~TrafficPort() = default;
+  virtual void beginAttempt(AttemptNumber A, const Call &C,
+                            const AttemptParams &O) = 0;
+  // Asks the agent beside the endpoint for a place for an attempt that would
+  // begin next. The reply is onPlaceReply().
+  virtual AskResult askPlace(AttemptNumber A, const std::string &Address,
+                             const PlaceDemand &D) {
+    return AskResult::NoAgent;
+  }
+  // Asks for one request under the endpoint's rate limit, where its own agent
+  // cannot be asked. The reply is onPlaceReply().
+  virtual AskResult askLimit(AttemptNumber A, const std::string &Address,
+                             const PlaceDemand &D) {
+    return AskResult::NoAgent;
+  }
+  // The known limit of an endpoint changed; tells who grants under it.
+  virtual void shareLimit(const std::string &Address, const EndpointStart &E,
+                          const LimitStatement &S) {}
+  // No further events of the attempt are wanted.
+  virtual void cancelAttempt(AttemptNumber A) = 0;
+  virtual void respond(CallNumber N, unsigned Status,
+                       const HeaderFields &Fields, std::string Body) = 0;
+  // A refusal or failure by this process; RetryAfter zero: no retry delay is
+  // sent.
+  virtual void refuse(CallNumber N, const Call &C, unsigned Status, Cause Why,
+                      Duration RetryAfter) = 0;
+  virtual void beginStream(CallNumber N, unsigned Status,
+                           const HeaderFields &Fields) = 0;
+  virtual void writeStream(CallNumber N, std::string_view Bytes) = 0;
+  virtual void finishStream(CallNumber N) = 0;
+  // The answer cannot be completed, and the caller must be able to see that.
+  virtual void abortStream(CallNumber N) = 0;
+  virtual void report(const CallReport &R) = 0;
+  virtual void report(const AttemptReport &R) = 0;
+  virtual void report(const CutReport &R) {}
+  virtual void report(const LimitReport &R) {}
+  virtual void report(const HoldReport &R) {}
+};
+
+// Requests at an engine, as reported by its agent.
+struct EndpointLoad {
+  unsigned Running_ = 0;
+  unsigned Waiting_ = 0;
+};
+
+// An agent's reply to askPlace().
+struct PlaceReply {
+  bool IsGranted_ = false;
+  // The engine takes no new requests now.
+  bool IsAway_ = false;
+  EndpointLoad Load_;
+  WeightVersion Version_ = 0;
+  // Denied by the endpoint's rate limit: when to ask again; else zero.
+  Duration LimitWait_ = Duration::zero();
+  // What the granter knows of the limit, if it was ever stated.
+  std::optional<LimitStatement> Limit_;
+};
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_TRAFFIC_TRAFFICPORT_H
--- a/hawthornroad/traffic/TrafficState.h
+++ b/hawthornroad/traffic/TrafficState.h
@@ -2,6 +2,7 @@
 //
 //   TrafficCore.cpp      configuration and endpoints, completion, timers
 //   TrafficArrival.cpp   admission, queues, the choice of an endpoint
+//   TrafficPlaces.cpp    queries for places and for grants under rate limits
 //   TrafficAttempts.cpp  endpoints' answers and how they are handled
 
 #ifndef HAWTHORNROAD_TRAFFIC_TRAFFICSTATE_H
@@ -17,6 +18,9 @@
 
 namespace hawthornroad {
 
+// Jitter of retry delays, so that refused callers do not return all at once.
+inline constexpr double RetryAfterSpread = 0.35;
+
 namespace status {
 inline constexpr unsigned Ok = 200;
 inline constexpr unsigned FirstRedirect = 300;
