An answer that is not written whole counts as under way at the end of its connection

Part of a request's story was missing: a session is done with a request as soon as its answer is handed over, while bytes of it may still wait for the caller. A connection that ended then, as at the end of the process, was only counted, and no log line had the request's id. The session now keeps the id of its latest request, which the core no longer knows by then.

--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -40,7 +40,9 @@
   CallNumber N = NextCall_++;
   S->setTag(N);
   Sessions_[N] = S;
-  Core_.arrive(N, platform::decodeCall(std::move(R)), bootNow());
+  Call C = platform::decodeCall(std::move(R));
+  S->setRequestId(C.Id_);
+  Core_.arrive(N, std::move(C), bootNow());
 }
 
 void DirectEntry::State::onCallerDisconnected(ServerSession &S) {
@@ -57,10 +59,8 @@
     return;
   const std::string *Received = platform::requestIdOf(R.Headers_);
   std::string Id = Received != nullptr ? *Received : std::string();
-  if (R.IsAnswering_)
-    Id = Core_.requestId(S.tag());
   LogLine L("connection_ended");
-  L.text("request", Id)
+  L.text("request", R.IsAnswering_ ? S.requestId() : Id)
       .text("why", toString(R.Why_))
       .text("detail", R.Detail_)
       .flag("answering", R.IsAnswering_)
--- a/hawthornroad/http/ServerSession.cpp
+++ b/hawthornroad/http/ServerSession.cpp
@@ -139,11 +139,11 @@
   SessionEndReport R;
   R.Why_ = Why;
   R.IsReceiving_ = hasPartial();
-  R.IsAnswering_ = InRequest_;
+  R.UnsentBytes_ = Out_.size() + Writing_.size();
+  R.IsAnswering_ = InRequest_ || R.UnsentBytes_ > 0;
   if (R.IsReceiving_)
     R.Headers_ = fieldsOf(Parser_->get());
   R.Age_ = Owner_->now() - StateSince_;
-  R.UnsentBytes_ = Out_.size() + Writing_.size();
   R.Detail_ = Detail;
   Owner_->Handler_.onEnd(*this, R);
 }
--- a/hawthornroad/http/ServerSession.h
+++ b/hawthornroad/http/ServerSession.h
@@ -79,7 +79,7 @@
 
 struct SessionEndReport {
   SessionEnd Why_ = SessionEnd::Idle;
-  // A request was being answered.
+  // A request was being answered, or its answer is not written whole yet.
   bool IsAnswering_ = false;
   // A request was being received: what has arrived of its headers.
   bool IsReceiving_ = false;
@@ -143,6 +143,9 @@
   std::uint64_t tag() const { return Tag_; }
   void setTag(std::uint64_t T) { Tag_ = T; }
   bool inRequest() const { return InRequest_; }
+  // The id of the latest request, for reports of the handler.
+  const std::string &requestId() const { return RequestId_; }
+  void setRequestId(std::string Id) { RequestId_ = std::move(Id); }
   // Closes a connection that has been idle for LingerTime; one in use closes
   // after its answer.
   void closeIfIdle();
@@ -182,6 +185,7 @@
   std::string Out_;
   std::string Writing_;
   std::uint64_t Tag_ = 0;
+  std::string RequestId_;
   TimePoint StateSince_;
   // Set once a time limit has passed: how many of the bytes that had arrived by
   // then are still unread.
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -175,11 +175,6 @@
   return Calls_.at(Found->second).get();
 }
 
-std::string TrafficCore::requestId(CallNumber N) const {
-  auto Found = Calls_.find(N);
-  return Found == Calls_.end() ? std::string() : Found->second->Call_.Id_;
-}
-
 // ---- Completion -------------------------------------------------------------
 
 void TrafficCore::refuse(Record &R, unsigned Status, Cause Why,
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -193,8 +193,6 @@
   // unless one has begun.
   void endAll(TimePoint Now);
   std::size_t open() const { return Calls_.size(); }
-  // The id of an open request; empty for another one.
-  std::string requestId(CallNumber N) const;
 
 private:
   struct Attempt;
--- a/tests/unit/SessionCloseTest.cpp
+++ b/tests/unit/SessionCloseTest.cpp
@@ -206,6 +206,13 @@
       S->write("x");
     });
   };
+  auto StopUnsent = [](SessionCloseFixture &F) {
+    F.run([&] {
+      F.Handler_.Last_.lock()->respond(200, {},
+                                       std::string(16 * 1024 * 1024, 'x'));
+      F.Listener_->closeAll();
+    });
+  };
   auto Nothing = [](SessionCloseFixture &) {};
   const std::vector<Row> Rows = {
       {SessionEnd::Idle, "", false, false, Late},
@@ -220,7 +227,8 @@
       {SessionEnd::Backlog, Get, true, false, Flood},
       {SessionEnd::CallerClosed, Get, true, false, Leave},
       {SessionEnd::ReceiveFailed, Get, true, false, Reset},
-      {SessionEnd::Stopped, Get, true, false, Stop}};
+      {SessionEnd::Stopped, Get, true, false, Stop},
+      {SessionEnd::Stopped, Get, true, false, StopUnsent}};
   const Row &R = GENERATE_REF(from_range(Rows));
   CAPTURE(toString(R.Why_));
   ask("/a");
