--- a/tests/integration/Process.cpp
+++ b/tests/integration/Process.cpp
@@ -217,9 +217,15 @@
     if (Got <= 0)
       return std::exchange(Text, {});
     Text.append(Buffer.data(), static_cast<std::size_t>(Got));
+    State_->Printed_.append(Buffer.data(), static_cast<std::size_t>(Got));
   }
 }
 
+const std::string &Process::printed() {
+  restOfOutput();
+  return State_->Printed_;
+}
+
 std::string Process::readLine() {
   auto End = std::chrono::steady_clock::now() + AwaitTimeout;
   std::string &Text = State_->Unread_;
--- a/tests/integration/Process.h
+++ b/tests/integration/Process.h
@@ -82,6 +82,8 @@
   int waitExit(Duration Bound = AwaitTimeout);
   // All that it printed and that was not read yet. Call after waitExit().
   std::string restOfOutput();
+  // All that it has printed so far, also after its end; without logOutput().
+  const std::string &printed();
 
 private:
   struct State;
