--- a/tests/soak/SoakLayout.cpp
+++ b/tests/soak/SoakLayout.cpp
@@ -130,6 +130,8 @@
                     {"drain_bound_ms", milliseconds(DrainBound)},
                     {"version_bound_ms", milliseconds(VersionBound)},
                     {"stop_bound_s", StopBound / Seconds(1)},
+                    {"repeat_ratio", RepeatRatio},
+                    {"repeat_slack", RepeatSlack},
                     {"metrics_listen", "127.0.0.1:0"}};
   if (Options_.Agents_ > 0)
     S["agent_port"] = AgentPort_;
--- a/tests/soak/SoakLayout.h
+++ b/tests/soak/SoakLayout.h
@@ -27,6 +27,9 @@
   static constexpr Duration DrainBound = Milliseconds(2000);
   static constexpr Duration StopBound = Seconds(6);
   static constexpr Duration VersionBound = Seconds(8);
+  // Repeats are scarce when many endpoints pause.
+  static constexpr double RepeatRatio = 0.1;
+  static constexpr double RepeatSlack = 12;
 
   struct Options {
     std::uint64_t Seed_ = 1;
--- a/tests/soak/SoakRecord.cpp
+++ b/tests/soak/SoakRecord.cpp
@@ -61,6 +61,7 @@
 
 void SoakRecord::endpointEnds(const std::string &Endpoint, TimePoint At) {
   std::lock_guard Lock(Mutex_);
+  Ended_.try_emplace(Endpoint, At);
   for (auto &[Id, Runs] : Runs_)
     for (SoakRun &Each : Runs)
       if (Each.Endpoint_ == Endpoint && Each.End_ == SoakRun::End::AtWork) {
@@ -83,4 +84,16 @@
       }));
 }
 
+int SoakRecord::countRunsAtLiving(const std::string &Request) const {
+  std::vector<SoakRun> Runs = runs(Request);
+  std::lock_guard Lock(Mutex_);
+  return static_cast<int>(
+      std::count_if(Runs.begin(), Runs.end(), [&](const SoakRun &Each) {
+        auto Found = Ended_.find(Each.Endpoint_);
+        bool HadEnded =
+            Found != Ended_.end() && Found->second <= Runs.back().From_;
+        return Each.End_ != SoakRun::End::Rejected && !HadEnded;
+      }));
+}
+
 } // namespace hawthornroad
--- a/tests/soak/SoakRecord.h
+++ b/tests/soak/SoakRecord.h
@@ -63,6 +63,8 @@
   std::vector<SoakRun> runs(const std::string &Request) const;
   // How often the request ran, without rejections.
   int countRuns(const std::string &Request) const;
+  // The same without runs at endpoints that had ended before the last run.
+  int countRunsAtLiving(const std::string &Request) const;
 
 private:
   struct Span {
@@ -74,6 +76,8 @@
   std::map<std::string, std::vector<Span>> Disruptions_;
   std::map<std::string, std::vector<TimePoint>> StopSignals_;
   std::map<std::string, std::vector<SoakRun>> Runs_;
+  // By endpoint.
+  std::map<std::string, TimePoint> Ended_;
 };
 
 } // namespace hawthornroad
