A grant that has become too old in a pause of the entry is not used

Since pauses do not count as time for which an agent is late, a grant that was read after one was used whatever its age, as before it already was when it was read before the first tick. Its granter counts a grant for MaxGrantAge only, so an endpoint in need got more requests than it accepts. The request asks again; a late grant is kept by its real age.

--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -216,6 +216,8 @@
   // A query for a place or a grant.
   struct Ask {
     EndpointStart Endpoint_;
+    TimePoint SentAt_;
+    // The same, not counting pauses of this process.
     TimePoint AskedAt_;
     bool IsOnlyLimit_ = false;
   };
--- a/hawthornroad/traffic/TrafficPlaces.cpp
+++ b/hawthornroad/traffic/TrafficPlaces.cpp
@@ -38,7 +38,7 @@
   AttemptNumber A = NextAttempt_++;
   R.Asking_ = A;
   R.AskedOf_ = E.Id_;
-  R.AskedAt_ = Now;
+  R.AskSentAt_ = R.AskedAt_ = Now;
   R.AsksOnlyLimit_ = IsOnlyLimit;
   ++R.Asks_;
   Asks_[A] = R.Number_;
@@ -65,7 +65,8 @@
 void TrafficCore::abandonAsk(Record &R, TimePoint Now) {
   const Endpoint *E = Placement_.find(R.AskedOf_);
   if (R.Asking_ != 0 && E != nullptr)
-    Unanswered_[R.Asking_] = {startOf(*E), R.AskedAt_, R.AsksOnlyLimit_};
+    Unanswered_[R.Asking_] = {startOf(*E), R.AskSentAt_, R.AskedAt_,
+                              R.AsksOnlyLimit_};
   endAsk(R, Now);
 }
 
@@ -81,7 +82,7 @@
   const Endpoint *E = Placement_.find(At.Id_);
   if (!W.IsGranted_ || E == nullptr || Limits_.find(At) == nullptr)
     return;
-  Placement_.keepGrant(At.Id_, Asked.AskedAt_ + LimitGrants::MaxGrantAge);
+  Placement_.keepGrant(At.Id_, Asked.SentAt_ + LimitGrants::MaxGrantAge);
   Freed_.insert(E->Service_);
 }
 
@@ -125,7 +126,10 @@
     onDenied(R, W, Now);
   bool IsNewEnough =
       R.AsksOnlyLimit_ || W.Version_ >= minVersion(R.Service_, Now);
-  bool IsUsable = W.IsGranted_ && E != nullptr && !E->IsDraining_ &&
+  // After a pause of this process, its granter may not count it any more.
+  bool IsOld = E != nullptr && Limits_.find(startOf(*E)) != nullptr &&
+               Now - R.AskSentAt_ >= LimitGrants::MaxGrantAge;
+  bool IsUsable = W.IsGranted_ && !IsOld && E != nullptr && !E->IsDraining_ &&
                   IsNewEnough && !Placement_.restsOrLeaves(R.AskedOf_, Now);
   if (!IsUsable || !begin(R, *E, Now))
     if (!R.IsDone_)
--- a/hawthornroad/traffic/TrafficState.h
+++ b/hawthornroad/traffic/TrafficState.h
@@ -88,6 +88,8 @@
   // The pending place query; 0: none.
   AttemptNumber Asking_ = 0;
   EndpointId AskedOf_;
+  TimePoint AskSentAt_;
+  // The same, not counting pauses of this process.
   TimePoint AskedAt_;
   // It asks for a request under a rate limit, not for a place.
   bool AsksOnlyLimit_ = false;
--- a/tests/unit/TrafficSilenceTest.cpp
+++ b/tests/unit/TrafficSilenceTest.cpp
@@ -1,6 +1,7 @@
 // Answers that stall while their endpoint may be sound: when another attempt
 // is begun, and when the stalled one is given up.
 
+#include "hawthornroad/traffic/LimitGrants.h"
 #include "tests/unit/TrafficFixture.h"
 
 #include <algorithm>
@@ -358,6 +359,37 @@
   REQUIRE(Port_.Begun_.size() == 2);
 }
 
+// Guards against more requests than an endpoint in need accepts: after a pause
+// of the entry, grants that no longer counted at their granter were used.
+TEST_CASE_METHOD(
+    CoreFixture,
+    "traffic core, after a pause of its own, uses no grant that is "
+    "older than grants may be",
+    "[traffic]") {
+  for (int I = 0; I < 2; ++I) {
+    CallNumber N = send("/safe/1");
+    EndpointHead H = head(N);
+    H.RateLimit_ = 1.0;
+    Core_.onHead(Port_.last().Attempt_, H, Start);
+    Core_.onEnd(Port_.last().Attempt_, Start);
+  }
+  Port_.HasGranters_ = true;
+  TimePoint Asked = Start + Milliseconds(10);
+  Core_.tick(Asked);
+  send("/safe/1", Asked);
+  REQUIRE(Port_.Asked_.size() == 1);
+  std::size_t Begun = Port_.Begun_.size();
+  Duration Pause = GENERATE(Milliseconds(300), Milliseconds(700));
+  bool TicksFirst = GENERATE(true, false);
+  CAPTURE(Pause / Milliseconds(1), TicksFirst);
+  TimePoint Now = Asked + Pause;
+  if (TicksFirst)
+    Core_.tick(Now);
+  Core_.onPlaceReply(Port_.Asked_.front().Attempt_, {.IsGranted_ = true}, Now);
+  REQUIRE(Port_.Begun_.size() - Begun ==
+          (Pause < LimitGrants::MaxGrantAge ? 1 : 0));
+}
+
 // Guards against a budget spent on nothing: of two attempts that ran side by
 // side and were both never sent, one stayed charged as a repeat.
 TEST_CASE("traffic core, with two attempts that were never sent, charges no "
