--- a/tests/unit/TrafficSilenceTest.cpp
+++ b/tests/unit/TrafficSilenceTest.cpp
@@ -359,37 +359,6 @@
   REQUIRE(Port_.Begun_.size() == 2);
 }
 
-// Guards against more requests than an endpoint in need accepts: after a pause
-// of the entry, grants that no longer counted at their granter were used.
-TEST_CASE_METHOD(
-    CoreFixture,
-    "traffic core, after a pause of its own, uses no grant that is "
-    "older than grants may be",
-    "[traffic]") {
-  for (int I = 0; I < 2; ++I) {
-    CallNumber N = send("/safe/1");
-    EndpointHead H = head(N);
-    H.RateLimit_ = 1.0;
-    Core_.onHead(Port_.last().Attempt_, H, Start);
-    Core_.onEnd(Port_.last().Attempt_, Start);
-  }
-  Port_.HasGranters_ = true;
-  TimePoint Asked = Start + Milliseconds(10);
-  Core_.tick(Asked);
-  send("/safe/1", Asked);
-  REQUIRE(Port_.Asked_.size() == 1);
-  std::size_t Begun = Port_.Begun_.size();
-  Duration Pause = GENERATE(Milliseconds(300), Milliseconds(700));
-  bool TicksFirst = GENERATE(true, false);
-  CAPTURE(Pause / Milliseconds(1), TicksFirst);
-  TimePoint Now = Asked + Pause;
-  if (TicksFirst)
-    Core_.tick(Now);
-  Core_.onPlaceReply(Port_.Asked_.front().Attempt_, {.IsGranted_ = true}, Now);
-  REQUIRE(Port_.Begun_.size() - Begun ==
-          (Pause < LimitGrants::MaxGrantAge ? 1 : 0));
-}
-
 // Guards against a budget spent on nothing: of two attempts that ran side by
 // side and were both never sent, one stayed charged as a repeat.
 TEST_CASE("traffic core, with two attempts that were never sent, charges no "
@@ -420,28 +389,60 @@
     return Repeats;
   };
   REQUIRE(CountRepeats(true) == CountRepeats(false));
+}
 
-  // Guards against answers ended by a timer that ran before what was received:
-  // a request that had begun in a pause was taken to wait still.
-  TEST_CASE_METHOD(
-      SilenceFixture,
-      "traffic core, after a pause of its own, reads what has begun "
-      "before it withdraws what waits at an old version",
-      "[traffic]") {
-    CallNumber N = send("/stream/1", Now_);
-    AttemptNumber A = Port_.last().Attempt_;
-    Core_.requireVersion("m", 2, Now_ + Milliseconds(300),
-                         Now_ + Milliseconds(600));
-    passTime(Milliseconds(100));
-    Now_ += Milliseconds(700);
-    Core_.tick(Now_);
-    REQUIRE_FALSE(isCancelled(A));
-    bool HasBegun = GENERATE(true, false);
-    CAPTURE(HasBegun);
-    if (HasBegun) {
-      Core_.onHead(A, head(N, 200, true), Now_);
-      sendEvent(A, 1);
-    }
-    passTime(Milliseconds(20));
-    REQUIRE(isCancelled(A) == !HasBegun);
+// Guards against answers ended by a timer that ran before what was received:
+// a request that had begun in a pause was taken to wait still.
+TEST_CASE_METHOD(SilenceFixture,
+                 "traffic core, after a pause of its own, reads what has begun "
+                 "before it withdraws what waits at an old version",
+                 "[traffic]") {
+  CallNumber N = send("/stream/1", Now_);
+  AttemptNumber A = Port_.last().Attempt_;
+  Core_.requireVersion("m", 2, Now_ + Milliseconds(300),
+                       Now_ + Milliseconds(600));
+  passTime(Milliseconds(100));
+  Now_ += Milliseconds(700);
+  Core_.tick(Now_);
+  REQUIRE_FALSE(isCancelled(A));
+  bool HasBegun = GENERATE(true, false);
+  CAPTURE(HasBegun);
+  if (HasBegun) {
+    Core_.onHead(A, head(N, 200, true), Now_);
+    sendEvent(A, 1);
   }
+  passTime(Milliseconds(20));
+  REQUIRE(isCancelled(A) == !HasBegun);
+}
+
+// Guards against more requests than an endpoint in need accepts: after a
+// pause of the entry, grants that no longer counted at their granter were
+// used.
+TEST_CASE_METHOD(
+    CoreFixture,
+    "traffic core, after a pause of its own, uses no grant that is "
+    "older than grants may be",
+    "[traffic]") {
+  for (int I = 0; I < 2; ++I) {
+    CallNumber N = send("/safe/1");
+    EndpointHead H = head(N);
+    H.RateLimit_ = 1.0;
+    Core_.onHead(Port_.last().Attempt_, H, Start);
+    Core_.onEnd(Port_.last().Attempt_, Start);
+  }
+  Port_.HasGranters_ = true;
+  TimePoint Asked = Start + Milliseconds(10);
+  Core_.tick(Asked);
+  send("/safe/1", Asked);
+  REQUIRE(Port_.Asked_.size() == 1);
+  std::size_t Begun = Port_.Begun_.size();
+  Duration Pause = GENERATE(Milliseconds(300), Milliseconds(700));
+  bool TicksFirst = GENERATE(true, false);
+  CAPTURE(Pause / Milliseconds(1), TicksFirst);
+  TimePoint Now = Asked + Pause;
+  if (TicksFirst)
+    Core_.tick(Now);
+  Core_.onPlaceReply(Port_.Asked_.front().Attempt_, {.IsGranted_ = true}, Now);
+  REQUIRE(Port_.Begun_.size() - Begun ==
+          (Pause < LimitGrants::MaxGrantAge ? 1 : 0));
+}
