A connection whose answer is still being taken is not idle

Seen by callers: a connection that ends in the middle of a long answer, after as long as an idle connection is kept, although they read on. Cause: a session is idle as soon as its answer is handed over, and the idle timeout did not ask whether it was written. A configuration may shorten that timeout at any time. The close drops what waits in the process. Evidence: SessionCloseTest "takes its answer slowly" fails on the parent commit, REQUIRE(Got > AnswerBytes): of bytes arrived. Why it works: each part of the answer that the kernel takes restarts the idle time. Ruled out: no limit while an answer waits (a caller that stops reading would stay); the time of the whole answer (it has no bound that suits all links).

--- a/hawthornroad/http/ServerSession.cpp
+++ b/hawthornroad/http/ServerSession.cpp
@@ -3,6 +3,7 @@
 #include "hawthornroad/http/HttpListener.h"
 
 #include <algorithm>
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -305,7 +306,14 @@
   Writing_.swap(Out_);
   Writing_.erase(0, Code ? 0 : Sent);
   Out_.clear();
-  asio::async_write(Socket_, asio::buffer(Writing_),
+  // A caller that takes its answer slowly is not idle.
+  auto NoteProgress = [Self = shared_from_this()](
+                          boost::system::error_code Error, std::size_t Bytes) {
+    if (!Self->InRequest_ && !Self->hasPartial())
+      Self->StateSince_ = Self->Owner_->now();
+    return asio::transfer_all()(Error, Bytes);
+  };
+  asio::async_write(Socket_, asio::buffer(Writing_), NoteProgress,
                     [Self = shared_from_this()](boost::system::error_code Error,
                                                 std::size_t) {
                       Self->Writing_.clear();
--- a/tests/unit/RawSocket.h
+++ b/tests/unit/RawSocket.h
@@ -82,6 +82,12 @@
     }
     return Got;
   }
+  // Reads what has arrived, at most Max bytes; 0 at the end or on an error.
+  std::size_t readSome(std::size_t Max) const {
+    std::string Buffer(Max, '\0');
+    ssize_t N = ::recv(Handle_, Buffer.data(), Max, 0);
+    return N > 0 ? static_cast<std::size_t>(N) : 0;
+  }
   // Closes with a reset.
   void reset() {
     linger L{1, 0};
--- a/tests/unit/SessionCloseTest.cpp
+++ b/tests/unit/SessionCloseTest.cpp
@@ -144,6 +144,31 @@
   REQUIRE(Got.find("Connection: close") != std::string::npos);
 }
 
+// Guards against cutting an answer whose caller takes it for longer than an
+// idle connection is kept.
+TEST_CASE("server session, whose caller takes its answer slowly, is not idle "
+          "before the answer is written",
+          "[http]") {
+  constexpr std::size_t AnswerBytes = 16 * 1024 * 1024;
+  constexpr std::size_t ReadBytes = 256 * 1024;
+  SessionLimits L;
+  L.IdleTimeout_ = Milliseconds(300);
+  ListenerFixture F(L);
+  RawSocket Caller = RawSocket::connectTo(F.Port_);
+  Caller.send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+  while (F.Handler_.Requests_ == 0)
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  F.run([&] {
+    F.Handler_.Last_.lock()->respond(200, {}, std::string(AnswerBytes, 'x'));
+  });
+  std::size_t Got = 0;
+  while (std::size_t Read = Caller.readSome(ReadBytes)) {
+    Got += Read;
+    std::this_thread::sleep_for(std::chrono::milliseconds(15));
+  }
+  REQUIRE(Got > AnswerBytes);
+}
+
 // Guards against a handler that is called while it gives an answer: the record
 // of the request would be destroyed during its use.
 TEST_CASE_METHOD(SessionCloseFixture,
