Logs: the ready line stays before the first line of the log

Seen in the played log: a process prints its ready line first and 'start' 0.2 s later. Since important lines are written at once, 'start' came first; a starter that takes the first line for the ready line would read another.

--- a/hawthornroad/runtime/EventLog.cpp
+++ b/hawthornroad/runtime/EventLog.cpp
@@ -214,6 +214,11 @@
 }
 
 void EventLog::run() {
+  {
+    std::unique_lock Lock(Mutex_);
+    Changed_.wait_for(Lock, Options_.QuietStart_,
+                      [&] { return StopBy_.has_value(); });
+  }
   std::string Out;
   bool IsLast = false;
   while (!IsLast) {
--- a/hawthornroad/runtime/EventLog.h
+++ b/hawthornroad/runtime/EventLog.h
@@ -73,6 +73,9 @@
     double ImportantBytesPerSecond_ = 200 * 1024;
     // How long lines are buffered before they are written together.
     Duration FlushDelay_ = Milliseconds(200);
+    // Nothing is written for this long after the start: the process prints its
+    // ready line to the same descriptor, and that line comes first.
+    Duration QuietStart_ = Milliseconds(200);
     // How long the destructor waits for a slow reader.
     Duration StopTimeout_ = Seconds(2);
   };
--- a/tests/unit/EventLogTest.cpp
+++ b/tests/unit/EventLogTest.cpp
@@ -160,6 +160,20 @@
   REQUIRE(Received.find("answer_cut") != std::string::npos);
 }
 
+// A starter that takes the first line for the ready line would read another.
+TEST_CASE("event log, important line at the start, leaves room for the ready "
+          "line before it",
+          "[log]") {
+  constexpr Duration QuietStart = Milliseconds(300);
+  Pipe P;
+  auto StartedAt = std::chrono::steady_clock::now();
+  EventLog Log(
+      {.Process_ = "p", .Descriptor_ = P.Write_, .QuietStart_ = QuietStart});
+  Log.write(LogLine("start"), true);
+  REQUIRE_FALSE(available(P.Read_, Seconds(5)).empty());
+  REQUIRE(std::chrono::steady_clock::now() - StartedAt >= QuietStart);
+}
+
 // A planned stop lost the lines that its collector had not read yet.
 TEST_CASE("event log, destroyed while its reader is slow, writes all lines",
           "[log]") {
