Fault soak: only the last run of a request excuses its end

A run that its endpoint broke off, or a cut path to it, excused the end of a request also where another run had followed at a sound endpoint and was cut by the entry.

--- a/tests/soak/SoakFate.cpp
+++ b/tests/soak/SoakFate.cpp
@@ -25,6 +25,16 @@
          });
 }
 
+// What happened to earlier runs does not excuse the end of a later one. Null
+// without a run.
+const SoakRun *lastRun(const std::vector<SoakRun> &Runs) {
+  auto Found =
+      std::find_if(Runs.rbegin(), Runs.rend(), [](const SoakRun &Each) {
+        return Each.End_ != SoakRun::End::Rejected;
+      });
+  return Found == Runs.rend() ? nullptr : &*Found;
+}
+
 long milliseconds(Duration D) { return D / Milliseconds(1); }
 
 const char *endName(SoakRun::End E) {
@@ -58,12 +68,12 @@
   TimePoint From = R.SentAt_ - ContactTime;
   if (Record.isDisrupted(R.entry(), From, O.EndedAt_))
     return SoakFate::ProcessDisrupted;
-  for (const SoakRun &Each : Runs)
-    if (Each.End_ == SoakRun::End::BrokenOff && Each.To_ <= O.EndedAt_)
-      return SoakFate::EndpointBrokeOff;
-  for (const SoakRun &Each : Runs)
-    if (Record.isDisrupted(Each.Endpoint_, From, O.EndedAt_))
-      return SoakFate::PathCut;
+  const SoakRun *Last = lastRun(Runs);
+  if (Last != nullptr && Last->End_ == SoakRun::End::BrokenOff &&
+      Last->To_ <= O.EndedAt_)
+    return SoakFate::EndpointBrokeOff;
+  if (Last != nullptr && Record.isDisrupted(Last->Endpoint_, From, O.EndedAt_))
+    return SoakFate::PathCut;
   if (isStopBoundReached(R, O, Record, Runs, StopBound))
     return SoakFate::StopBoundReached;
   if (O.EndedAt_ >= R.SentAt_ + std::min(R.Deadline_, R.Timeout_))
