--- a/tests/unit/TrafficRandomTest.cpp
+++ b/tests/unit/TrafficRandomTest.cpp
@@ -327,9 +327,8 @@
 }
 } // namespace
 
-// Guards against answers lost, doubled, mixed or left open by events that
-// happen in an order that nobody thought of. HAWTHORNROAD_TRAFFIC_SEEDS sets
-// the number of runs.
+// Guards against answers lost, doubled, mixed or left open by events in an
+// unexpected order. HAWTHORNROAD_TRAFFIC_SEEDS sets the number of runs.
 TEST_CASE("traffic core, with random events, keeps what must hold",
           "[traffic]") {
   const char *Text = std::getenv("HAWTHORNROAD_TRAFFIC_SEEDS");
