Late ticks do not hide silent endpoints and agents

The whole time between two late ticks was taken for a pause of the entry. On a machine where every tick comes later than MinPause_, no time counted at all: a silent endpoint was never replaced, a query to a silent agent never timed out, and their callers waited until the deadline. Of each gap, MinPause_ counts now, and half of AskTimeout_ for queries, so one long pause still blames nobody.

--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -419,16 +419,19 @@
 // not run: what they sent meanwhile is read only now. What was read before this
 // tick is not moved into the future.
 void TrafficCore::notePause(Duration Gap, TimePoint Now) {
-  auto Shift = [&](TimePoint &At) { At = std::min(At + Gap, Now); };
+  // Part of the gap counts: ticks may always be late.
+  auto Shift = [&](TimePoint &At, Duration Counted) {
+    At = std::min(At + Gap - Counted, Now);
+  };
   for (const auto &[N, R] : Calls_) {
-    Shift(R->Current_.LastReceivedAt_);
+    Shift(R->Current_.LastReceivedAt_, Options_.MinPause_);
     if (R->Silent_)
-      Shift(R->Silent_->LastReceivedAt_);
-    Shift(R->AskedAt_);
+      Shift(R->Silent_->LastReceivedAt_, Options_.MinPause_);
+    Shift(R->AskedAt_, Options_.AskTimeout_ / 2);
     if (R->IsStreaming_ && R->QueuedAt_)
-      Shift(*R->QueuedAt_);
+      Shift(*R->QueuedAt_, Options_.MinPause_);
     TimePoint LastByteAt = R->FirstByteAt_ ? R->LastByteAt_ : R->ArrivedAt_;
-    R->PausedSinceByte_ += std::min(Gap, Now - LastByteAt);
+    R->PausedSinceByte_ += std::min(Gap - Options_.MinPause_, Now - LastByteAt);
   }
 }
 
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -131,7 +131,8 @@
     Duration NextEventSilence_ = Milliseconds(900);
     // How often a replacement is looked for while an attempt is silent.
     Duration ReplacementRetry_ = Milliseconds(200);
-    // A longer time without a tick is a pause of this process.
+    // A longer time without a tick is a pause of this process; what is beyond
+    // does not count as time in which others are silent.
     Duration MinPause_ = Milliseconds(100);
     // Callers leave a stream after a gap of the longest of this, four times the
     // goal and eight times the longest allowed gap. Some leave undetectably, so
--- a/tests/unit/TrafficSilenceTest.cpp
+++ b/tests/unit/TrafficSilenceTest.cpp
@@ -446,3 +446,27 @@
   REQUIRE(Port_.Begun_.size() - Begun ==
           (Pause < LimitGrants::MaxGrantAge ? 1 : 0));
 }
+
+// Guards against dead endpoints that are never found: on a machine short of
+// processors every tick came late, and no time counted at all.
+TEST_CASE_METHOD(SilenceFixture,
+                 "traffic core, with ticks that are always late, replaces a "
+                 "silent endpoint",
+                 "[traffic]") {
+  startStream();
+  for (int I = 0; I < 10; ++I)
+    Core_.tick(Now_ += Milliseconds(120));
+  REQUIRE(Port_.Begun_.size() == 2);
+}
+
+// Guards against the same with agents that do not answer.
+TEST_CASE_METHOD(SilenceFixture,
+                 "traffic core, with ticks that are always late, holds no "
+                 "request for silent agents",
+                 "[traffic]") {
+  Port_.HasAgents_ = true;
+  CallNumber N = send("/stream/1", Now_);
+  for (int I = 0; I < 10; ++I)
+    Core_.tick(Now_ += Milliseconds(120));
+  REQUIRE(Port_.Begun_.size() + Port_.Answers_.count(N) > 0);
+}
