--- a/tests/soak/Main.cpp
+++ b/tests/soak/Main.cpp
@@ -48,6 +48,7 @@
   std::uint64_t Seeds = 1;
   int Length = 20;
   bool PlannedOnly = false;
+  std::size_t Callers = 5;
   SoakLayout::Options Layout;
   std::string Logs = "soak-logs";
   Description.add_options()("help", "this text")(
@@ -63,6 +64,8 @@
       "agent processes, each with an engine")(
       "entry-program", po::value(&Layout.EntryProgram_),
       "full path of a program to run as the entries")(
+      "callers", po::value(&Callers)->default_value(Callers),
+      "callers for each entry, at most 96 in all")(
       "planned-only", po::bool_switch(&PlannedOnly),
       "planned work only, without faults")(
       "logs", po::value(&Logs)->default_value(Logs),
@@ -83,6 +86,7 @@
     SoakWorld::Options O;
     O.Length_ = Seconds(Length);
     O.IsPlannedOnly_ = PlannedOnly;
+    O.CallersPerEntry_ = Callers;
     O.Layout_ = Layout;
     O.Layout_.Seed_ = S;
     Failed |= !runSeed(O, Logs);
--- a/tests/soak/SoakFate.h
+++ b/tests/soak/SoakFate.h
@@ -28,9 +28,9 @@
   // Excused: the process was killed or frozen, from ContactTime before the
   // request to its end.
   ProcessDisrupted,
-  // Excused: the last endpoint that ran it broke it off.
+  // Excused: the run that ended last was broken off by its endpoint.
   EndpointBrokeOff,
-  // Excused: the path to the last endpoint that ran it was cut or narrowed.
+  // Excused: the path to that endpoint was cut or narrowed.
   PathCut,
   // Excused: the end of the stop bound, with the endpoint still at work.
   StopBoundReached,
--- a/tests/soak/SoakWorld.h
+++ b/tests/soak/SoakWorld.h
@@ -31,6 +31,7 @@
     Duration Length_ = Seconds(30);
     // Without faults.
     bool IsPlannedOnly_ = false;
+    std::size_t CallersPerEntry_ = 5;
     SoakLayout::Options Layout_;
   };
   // The longest freeze may end just before. After it, an entry selects a source
