Fault soak: what an endpoint has sent before its exit still arrives

An endpoint that left took its proxy with it, and with a delayed path the last bytes of whole answers. The proxy now outlives its endpoint by 2 s.

--- a/tests/soak/SoakLayout.cpp
+++ b/tests/soak/SoakLayout.cpp
@@ -19,6 +19,9 @@
 constexpr Duration ServeAfterLeaving =
     SoakLayout::DrainBound + Milliseconds(1000);
 
+// What an endpoint has sent before its exit still arrives.
+constexpr Duration PathLingers = Seconds(2);
+
 TimePoint now() { return std::chrono::steady_clock::now(); }
 
 long milliseconds(Duration D) { return D / Milliseconds(1); }
@@ -248,13 +251,13 @@
     if (Each.Engine_->hasNewRow())
       list(*Each.Engine_);
   }
+  for (Endpoint &Each : Leaving_)
+    if (Each.Server_ && Now >= Each.ExitAt_) {
+      Store_.remove("servers", Each.Server_->id());
+      Each.Server_.reset();
+    }
   std::erase_if(Leaving_, [&](const Endpoint &Each) {
-    if (Now < Each.ExitAt_)
-      return false;
-    // Before its proxy ends, which would look like a close by the entries.
-    Record_.endpointEnds(Each.Server_->id(), Now);
-    Store_.remove("servers", Each.Server_->id());
-    return true;
+    return Now >= Each.ExitAt_ + PathLingers;
   });
 }
 
