--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -89,7 +89,8 @@
     return false;
   }
   O.End_ = SoakOutcome::End::Whole;
-  return Answer.keep_alive();
+  bool StaysOpen = Answer.keep_alive();
+  return StaysOpen;
 }
 
 } // namespace hawthornroad
