Interfaces for allowed regions, evacuation, priorities, cold endpoints and slowdowns

Cause: two further kinds of deployment state regions, priorities, cold times and the speed of endpoints, which nothing decodes yet. Nothing decides by them yet.

--- a/hawthornroad/base/Types.h
+++ b/hawthornroad/base/Types.h
@@ -41,6 +41,8 @@
 };
 
 using AvailabilityZone = Name<struct AvailabilityZoneTag>;
+// A part of the platform that contains availability zones.
+using Region = Name<struct RegionTag>;
 using Customer = Name<struct CustomerTag>;
 using Vm = Name<struct VmTag>;
 using ServiceName = Name<struct ServiceNameTag>;
--- a/hawthornroad/config/RoutingConfig.cpp
+++ b/hawthornroad/config/RoutingConfig.cpp
@@ -16,6 +16,31 @@
   });
   return Lower;
 }
+
+// The priorities that requests on a route may have.
+std::set<int> ranksOf(const Route &R,
+                      const std::vector<CustomerConfig> &Customers) {
+  std::set<int> Out;
+  for (const CustomerConfig &Each : Customers)
+    Out.insert(Each.Rank_.value_or(R.Rank_));
+  if (R.IsPublic_ || Customers.empty())
+    Out.insert(R.Rank_);
+  return Out;
+}
+
+std::set<ServiceName>
+prioritizedServices(const std::vector<Route> &Routes,
+                    const std::vector<CustomerConfig> &Customers) {
+  std::map<ServiceName, std::set<int>> Ranks;
+  for (const Route &Each : Routes)
+    for (const WeightedService &S : Each.Services_)
+      Ranks[S.Service_].merge(ranksOf(Each, Customers));
+  std::set<ServiceName> Out;
+  for (const auto &[Name, Found] : Ranks)
+    if (Found.size() > 1)
+      Out.insert(Name);
+  return Out;
+}
 } // namespace
 
 std::shared_ptr<const RoutingConfig> RoutingConfig::build(Parts P) {
@@ -38,6 +63,7 @@
   for (std::size_t I = 0; I < Source.Customers_.size(); ++I)
     for (const std::string &Key : Source.Customers_[I].Keys_)
       Built->Keys_[Key] = I;
+  Built->Prioritized_ = prioritizedServices(Source.Routes_, Source.Customers_);
   return Built;
 }
 
--- a/hawthornroad/config/RoutingConfig.h
+++ b/hawthornroad/config/RoutingConfig.h
@@ -22,6 +22,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -62,6 +63,8 @@
   unsigned MaxAttempts_ = 1;
   // Whether requests are accepted without a key.
   bool IsPublic_ = false;
+  // Regions in which requests may be served; empty: all of them.
+  std::vector<Region> AllowedRegions_;
   std::vector<WeightedService> Services_;
   bool operator==(const Route &) const = default;
 };
@@ -101,6 +104,11 @@
   std::string HealthPath_;
   // Maximum number of connections to one endpoint, over all callers.
   std::size_t MaxConnections_ = 16;
+  // How long an endpoint is cold after its start, and how many requests a
+  // second it then accepts from all processes together; 0: endpoints are never
+  // cold.
+  Duration ColdFor_ = Duration::zero();
+  double ColdPerSecond_ = 0;
   // Set for model services.
   std::optional<EngineProfile> Engine_;
   // Set for the origin service, which serves weights: its "IP:port" and zone.
@@ -116,6 +124,9 @@
   std::vector<std::string> Keys_;
   // Overrides the priority of the route.
   std::optional<int> Rank_;
+  // Regions in which requests may be served, besides the limits of the route;
+  // empty: all of them.
+  std::vector<Region> AllowedRegions_;
   bool operator==(const CustomerConfig &) const = default;
 };
 
@@ -150,6 +161,10 @@
   const CustomerConfig *customerOf(const std::string &Key) const;
   // Whether any customer is declared; only then do routes require keys.
   bool hasCustomers() const { return !Parts_.Customers_.empty(); }
+  // Whether requests to a service may have different priorities.
+  bool prioritiesDiffer(const ServiceName &Name) const {
+    return Prioritized_.contains(Name);
+  }
   const RequestLimits &limits() const { return Parts_.Limits_; }
   const Parts &parts() const { return Parts_; }
 
@@ -164,6 +179,8 @@
   std::unordered_map<std::string, HostRoutes> Hosts_;
   std::map<ServiceName, std::size_t> Services_;
   std::unordered_map<std::string, std::size_t> Keys_;
+  // Services whose requests may have different priorities.
+  std::set<ServiceName> Prioritized_;
 };
 
 using SharedConfig = std::shared_ptr<const RoutingConfig>;
--- a/hawthornroad/config/Settings.cpp
+++ b/hawthornroad/config/Settings.cpp
@@ -156,6 +156,21 @@
   return S;
 }
 
+// The region of each zone, by the zone's name.
+void readRegions(ObjectReader &R, std::map<AvailabilityZone, Region> &Regions) {
+  const JsonNode *Found = R.take("regions", false);
+  if (Found == nullptr)
+    return;
+  if (!Found->isObject())
+    return R.fault("regions", "expected an object");
+  for (const JsonMember &Each : Found->Members_) {
+    if (Each.Value_.Kind_ != JsonNode::Kind::String)
+      R.fault("regions." + Each.Key_, "expected the name of a region");
+    else
+      Regions[AvailabilityZone(Each.Key_)] = Region(Each.Value_.String_);
+  }
+}
+
 StoreProcessSettings readStoreProcess(ObjectReader &R) {
   StoreProcessSettings S;
   S.Process_ = ProcessName(readName(R, "process"));
@@ -173,7 +188,12 @@
   readBound(R, "version_bound", MinBound, S.VersionBound_);
   readBound(R, "drain_bound", MinNotifiedBound, S.DrainBound_);
   readBound(R, "apply_bound", MinNotifiedBound, S.ApplyBound_);
+  readBound(R, "evacuate_bound", MinNotifiedBound, S.EvacuateBound_);
   readBound(R, "stop_bound", MinBound, S.StopBound_);
+  readAllowance(R, "cold_factor", S.ColdFactor_);
+  readAllowance(R, "cold_slack", S.ColdSlack_);
+  readRegions(R, S.Regions_);
+  readAllowance(R, "memory_mb", S.MemoryMb_);
   return S;
 }
 
--- a/hawthornroad/config/Settings.h
+++ b/hawthornroad/config/Settings.h
@@ -11,6 +11,7 @@
 
 #include "hawthornroad/base/Types.h"
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -141,8 +142,19 @@
   Duration DrainBound_ = Milliseconds(2000);
   // From the store reporting a configuration until it is in force.
   Duration ApplyBound_ = Milliseconds(2000);
+  // From the store reporting that a zone is evacuated until no request is sent
+  // to its endpoints.
+  Duration EvacuateBound_ = Milliseconds(5000);
   // From the stop signal until the process has exited.
   Duration StopBound_ = Seconds(8);
+  // Most requests that may reach a cold endpoint in one second, over all
+  // entries: a factor of the rate that it bears, plus a constant allowance.
+  double ColdFactor_ = 1.5;
+  double ColdSlack_ = 5;
+  // The region of each zone; empty when the platform does not say.
+  std::map<AvailabilityZone, Region> Regions_;
+  // Memory of this VM in MB; 0: not known.
+  double MemoryMb_ = 0;
   bool operator==(const StoreProcessSettings &) const = default;
 };
 
--- a/hawthornroad/entry/EngineNotices.cpp
+++ b/hawthornroad/entry/EngineNotices.cpp
@@ -11,6 +11,9 @@
 namespace hawthornroad {
 
 namespace {
+// The least urgent priority that a request for a place can state.
+constexpr int MaxRank = 9;
+
 std::uint32_t toMicroseconds(Duration D) {
   return static_cast<std::uint32_t>(D / std::chrono::microseconds(1));
 }
@@ -27,6 +30,12 @@
     Answer.limit()->UnPackTo(&Limit);
     R.Limit_ = decodeLimit(Limit, bootNow());
   }
+  if (Answer.cold() != nullptr) {
+    wire::ColdStateT Cold;
+    Answer.cold()->UnPackTo(&Cold);
+    R.Cold_ = decodeCold(&Cold);
+  }
+  R.Slowdown_ = decodeSlowdown(Answer.slowdown());
   return R;
 }
 
@@ -122,7 +131,8 @@
     reportReturn(Found->first, Found->second, bootNow());
   }
   if (Found != Agents_.end() && Found->second.IncludesLoad_)
-    T.Load_ = EndpointLoad{N.running(), N.waiting()};
+    T.Load_ =
+        EndpointLoad{N.running(), N.waiting(), decodeSlowdown(N.slowdown())};
   UpdateHandler_(T);
 }
 
@@ -244,6 +254,10 @@
   Ask.substitute = Role == GranterRole::Substitute;
   if (D.Limit_)
     Ask.limit = encodeLimit(*D.Limit_, bootNow());
+  if (D.Rank_)
+    Ask.rank = static_cast<std::uint8_t>(std::clamp(*D.Rank_, 0, MaxRank) + 1);
+  Ask.owed = D.IsOwed_;
+  Ask.cold = encodeCold(D.Cold_);
   return Net_->send(PeerAddress(Agent), Lane::Requests,
                     makeFrame(std::move(Ask)));
 }
--- a/hawthornroad/peers/LimitCodec.cpp
+++ b/hawthornroad/peers/LimitCodec.cpp
@@ -2,6 +2,9 @@
 
 #include "hawthornroad/peers/Ages.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace hawthornroad {
 
 std::unique_ptr<wire::StatedLimitT> encodeLimit(const LimitStatement &S,
@@ -29,4 +32,35 @@
   return Out;
 }
 
+std::unique_ptr<wire::ColdStateT>
+encodeCold(const std::optional<ColdLimit> &L) {
+  if (!L)
+    return nullptr;
+  auto Out = std::make_unique<wire::ColdStateT>();
+  Out->per_second = L->PerSecond_;
+  Out->arrivals = L->Arrivals_;
+  Out->left_us = static_cast<std::uint64_t>(
+      std::max<Duration>(L->Left_, Duration::zero()) /
+      std::chrono::microseconds(1));
+  return Out;
+}
+
+// A value that is no number counts as the tightest limit.
+std::optional<ColdLimit> decodeCold(const wire::ColdStateT *S) {
+  constexpr std::uint64_t MaxLeftUs = 3'600'000'000;
+  if (S == nullptr)
+    return std::nullopt;
+  ColdLimit Out;
+  Out.PerSecond_ = S->per_second >= 0 ? S->per_second : 0;
+  Out.Arrivals_ = S->arrivals >= 0 ? S->arrivals : 0;
+  Out.Left_ = std::chrono::microseconds(std::min(S->left_us, MaxLeftUs));
+  return Out;
+}
+
+std::optional<double> decodeSlowdown(float Value) {
+  if (!(Value > 0) || !std::isfinite(Value))
+    return std::nullopt;
+  return Value;
+}
+
 } // namespace hawthornroad
--- a/hawthornroad/traffic/Call.h
+++ b/hawthornroad/traffic/Call.h
@@ -45,6 +45,8 @@
   // Id of the last event the caller received; it wants the events after it.
   std::string LastEvent_;
   TokenCount Tokens_;
+  // The caller's estimate of the answer's length in tokens; 0: none.
+  std::uint32_t AnswerHint_ = 0;
   // The parts of its prompt that other requests may share, in order. The last
   // part, its own, is left out.
   std::vector<PromptPart> Parts_;
@@ -90,6 +92,11 @@
   bool HasLoad_ = false;
   unsigned Running_ = 0;
   unsigned Waiting_ = 0;
+  // How long work takes at the endpoint at this moment, relative to its usual
+  // time; 1 is as usual. Unset when it is not stated.
+  std::optional<double> Slowdown_;
+  // How long the endpoint stays cold; unset when it is not stated.
+  std::optional<Duration> ColdLeft_;
   WeightVersion Version_ = 0;
   // Requests a second that the endpoint accepts from all processes together.
   std::optional<double> RateLimit_;
--- a/hawthornroad/traffic/Endpoint.h
+++ b/hawthornroad/traffic/Endpoint.h
@@ -50,6 +50,9 @@
   std::uint64_t Born_ = 0;
   // Requests served concurrently; 0 when not stated.
   unsigned Slots_ = 0;
+  // How long it stays cold, as of the time at which its row was written; zero
+  // when it is not, or when that is not stated.
+  Duration ColdLeft_ = Duration::zero();
   // Shutting down gracefully; takes no new requests.
   bool IsDraining_ = false;
   // Whether it serves a model; Version_ is then the loaded version.
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -43,6 +43,7 @@
 #include "hawthornroad/config/RoutingConfig.h"
 #include "hawthornroad/traffic/Endpoint.h"
 #include "hawthornroad/traffic/EndpointHolds.h"
+#include "hawthornroad/traffic/RegionScope.h"
 
 #include <algorithm>
 #include <map>
@@ -138,6 +139,8 @@
     bool MayAsk_ = false;
     // Leaves KeptFromLate_ of an endpoint's places to other requests.
     bool IsLate_ = false;
+    // Regions in which the request may be served; null: all of them.
+    const RegionScope *Regions_ = nullptr;
     // Time until the caller leaves. With less than PromptFirstByte_, endpoints
     // whose agent has left a query unanswered are excluded.
     Duration TimeLeft_ = Duration::max();
--- a/hawthornroad/traffic/TrafficPort.h
+++ b/hawthornroad/traffic/TrafficPort.h
@@ -14,6 +14,7 @@
 
 #include "hawthornroad/staging/PlaceGrants.h"
 #include "hawthornroad/traffic/Call.h"
+#include "hawthornroad/traffic/ColdLimit.h"
 #include "hawthornroad/traffic/CrashingParts.h"
 #include "hawthornroad/traffic/Placement.h"
 #include "hawthornroad/traffic/StatedLimits.h"
@@ -146,6 +147,14 @@
   EndpointStart Endpoint_;
   // The endpoint's last statement of a rate limit, if any.
   std::optional<LimitStatement> Limit_;
+  // Priority of the request, 0 is the most urgent; unset where all requests of
+  // the service have the same one.
+  std::optional<int> Rank_;
+  // Its route or customer has been served less than its guaranteed share, so
+  // the request is not held back for more urgent ones.
+  bool IsOwed_ = false;
+  // Limit while the endpoint is cold, if it is or may be.
+  std::optional<ColdLimit> Cold_;
   bool operator==(const PlaceDemand &) const = default;
 };
 
@@ -206,6 +215,8 @@
 struct EndpointLoad {
   unsigned Running_ = 0;
   unsigned Waiting_ = 0;
+  // See EndpointHead::Slowdown_.
+  std::optional<double> Slowdown_;
 };
 
 // An agent's reply to askPlace().
@@ -219,6 +230,10 @@
   Duration LimitWait_ = Duration::zero();
   // What the granter knows of the limit, if it was ever stated.
   std::optional<LimitStatement> Limit_;
+  // Limit while the endpoint is cold, as the granter knows it.
+  std::optional<ColdLimit> Cold_;
+  // See EndpointHead::Slowdown_.
+  std::optional<double> Slowdown_;
 };
 
 } // namespace hawthornroad
--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -138,6 +138,10 @@
 struct NamedVersionBuilder;
 struct NamedVersionT;
 
+struct ColdState;
+struct ColdStateBuilder;
+struct ColdStateT;
+
 struct EngineNotice;
 struct EngineNoticeBuilder;
 struct EngineNoticeT;
@@ -264,6 +268,8 @@
 bool operator!=(const EngineWatchT &lhs, const EngineWatchT &rhs);
 bool operator==(const NamedVersionT &lhs, const NamedVersionT &rhs);
 bool operator!=(const NamedVersionT &lhs, const NamedVersionT &rhs);
+bool operator==(const ColdStateT &lhs, const ColdStateT &rhs);
+bool operator!=(const ColdStateT &lhs, const ColdStateT &rhs);
 bool operator==(const EngineNoticeT &lhs, const EngineNoticeT &rhs);
 bool operator!=(const EngineNoticeT &lhs, const EngineNoticeT &rhs);
 bool operator==(const StatedLimitT &lhs, const StatedLimitT &rhs);
@@ -4500,6 +4506,80 @@
 
 flatbuffers::Offset<NamedVersion> CreateNamedVersion(flatbuffers::FlatBufferBuilder &_fbb, const NamedVersionT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ColdStateT : public flatbuffers::NativeTable {
+  typedef ColdState TableType;
+  double per_second = 0.0;
+  double arrivals = 0.0;
+  uint64_t left_us = 0;
+};
+
+struct ColdState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ColdStateT NativeTableType;
+  typedef ColdStateBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PER_SECOND = 4,
+    VT_ARRIVALS = 6,
+    VT_LEFT_US = 8
+  };
+  double per_second() const {
+    return GetField<double>(VT_PER_SECOND, 0.0);
+  }
+  double arrivals() const {
+    return GetField<double>(VT_ARRIVALS, 0.0);
+  }
+  uint64_t left_us() const {
+    return GetField<uint64_t>(VT_LEFT_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
+           VerifyField<double>(verifier, VT_ARRIVALS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LEFT_US, 8) &&
+           verifier.EndTable();
+  }
+  ColdStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ColdStateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ColdState> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ColdStateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ColdStateBuilder {
+  typedef ColdState Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_per_second(double per_second) {
+    fbb_.AddElement<double>(ColdState::VT_PER_SECOND, per_second, 0.0);
+  }
+  void add_arrivals(double arrivals) {
+    fbb_.AddElement<double>(ColdState::VT_ARRIVALS, arrivals, 0.0);
+  }
+  void add_left_us(uint64_t left_us) {
+    fbb_.AddElement<uint64_t>(ColdState::VT_LEFT_US, left_us, 0);
+  }
+  explicit ColdStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ColdState> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ColdState>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ColdState> CreateColdState(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    double per_second = 0.0,
+    double arrivals = 0.0,
+    uint64_t left_us = 0) {
+  ColdStateBuilder builder_(_fbb);
+  builder_.add_left_us(left_us);
+  builder_.add_arrivals(arrivals);
+  builder_.add_per_second(per_second);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<ColdState> CreateColdState(flatbuffers::FlatBufferBuilder &_fbb, const ColdStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EngineNoticeT : public flatbuffers::NativeTable {
   typedef EngineNotice TableType;
   std::string address{};
@@ -4508,6 +4588,7 @@
   uint32_t running = 0;
   uint32_t waiting = 0;
   uint32_t entries = 0;
+  float slowdown = 0.0f;
 };
 
 struct EngineNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4519,7 +4600,8 @@
     VT_VERSION = 8,
     VT_RUNNING = 10,
     VT_WAITING = 12,
-    VT_ENTRIES = 14
+    VT_ENTRIES = 14,
+    VT_SLOWDOWN = 16
   };
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
@@ -4539,6 +4621,9 @@
   uint32_t entries() const {
     return GetField<uint32_t>(VT_ENTRIES, 0);
   }
+  float slowdown() const {
+    return GetField<float>(VT_SLOWDOWN, 0.0f);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ADDRESS) &&
@@ -4548,6 +4633,7 @@
            VerifyField<uint32_t>(verifier, VT_RUNNING, 4) &&
            VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
            VerifyField<uint32_t>(verifier, VT_ENTRIES, 4) &&
+           VerifyField<float>(verifier, VT_SLOWDOWN, 4) &&
            verifier.EndTable();
   }
   EngineNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4577,6 +4663,9 @@
   void add_entries(uint32_t entries) {
     fbb_.AddElement<uint32_t>(EngineNotice::VT_ENTRIES, entries, 0);
   }
+  void add_slowdown(float slowdown) {
+    fbb_.AddElement<float>(EngineNotice::VT_SLOWDOWN, slowdown, 0.0f);
+  }
   explicit EngineNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4596,9 +4685,11 @@
     uint64_t version = 0,
     uint32_t running = 0,
     uint32_t waiting = 0,
-    uint32_t entries = 0) {
+    uint32_t entries = 0,
+    float slowdown = 0.0f) {
   EngineNoticeBuilder builder_(_fbb);
   builder_.add_version(version);
+  builder_.add_slowdown(slowdown);
   builder_.add_entries(entries);
   builder_.add_waiting(waiting);
   builder_.add_running(running);
@@ -4614,7 +4705,8 @@
     uint64_t version = 0,
     uint32_t running = 0,
     uint32_t waiting = 0,
-    uint32_t entries = 0) {
+    uint32_t entries = 0,
+    float slowdown = 0.0f) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   return hawthornroad::wire::CreateEngineNotice(
       _fbb,
@@ -4623,7 +4715,8 @@
       version,
       running,
       waiting,
-      entries);
+      entries,
+      slowdown);
 }
 
 flatbuffers::Offset<EngineNotice> CreateEngineNotice(flatbuffers::FlatBufferBuilder &_fbb, const EngineNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4726,6 +4819,10 @@
   bool only_limit = false;
   std::unique_ptr<hawthornroad::wire::StatedLimitT> limit{};
   bool substitute = false;
+  uint8_t rank = 0;
+  bool owed = false;
+  std::unique_ptr<hawthornroad::wire::ColdStateT> cold{};
+  uint32_t answer_tokens = 0;
   PlaceAskT() = default;
   PlaceAskT(const PlaceAskT &o);
   PlaceAskT(PlaceAskT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4746,7 +4843,11 @@
     VT_BORN = 18,
     VT_ONLY_LIMIT = 20,
     VT_LIMIT = 22,
-    VT_SUBSTITUTE = 24
+    VT_SUBSTITUTE = 24,
+    VT_RANK = 26,
+    VT_OWED = 28,
+    VT_COLD = 30,
+    VT_ANSWER_TOKENS = 32
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -4781,6 +4882,18 @@
   bool substitute() const {
     return GetField<uint8_t>(VT_SUBSTITUTE, 0) != 0;
   }
+  uint8_t rank() const {
+    return GetField<uint8_t>(VT_RANK, 0);
+  }
+  bool owed() const {
+    return GetField<uint8_t>(VT_OWED, 0) != 0;
+  }
+  const hawthornroad::wire::ColdState *cold() const {
+    return GetPointer<const hawthornroad::wire::ColdState *>(VT_COLD);
+  }
+  uint32_t answer_tokens() const {
+    return GetField<uint32_t>(VT_ANSWER_TOKENS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -4796,6 +4909,11 @@
            VerifyOffset(verifier, VT_LIMIT) &&
            verifier.VerifyTable(limit()) &&
            VerifyField<uint8_t>(verifier, VT_SUBSTITUTE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RANK, 1) &&
+           VerifyField<uint8_t>(verifier, VT_OWED, 1) &&
+           VerifyOffset(verifier, VT_COLD) &&
+           verifier.VerifyTable(cold()) &&
+           VerifyField<uint32_t>(verifier, VT_ANSWER_TOKENS, 4) &&
            verifier.EndTable();
   }
   PlaceAskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4840,6 +4958,18 @@
   void add_substitute(bool substitute) {
     fbb_.AddElement<uint8_t>(PlaceAsk::VT_SUBSTITUTE, static_cast<uint8_t>(substitute), 0);
   }
+  void add_rank(uint8_t rank) {
+    fbb_.AddElement<uint8_t>(PlaceAsk::VT_RANK, rank, 0);
+  }
+  void add_owed(bool owed) {
+    fbb_.AddElement<uint8_t>(PlaceAsk::VT_OWED, static_cast<uint8_t>(owed), 0);
+  }
+  void add_cold(flatbuffers::Offset<hawthornroad::wire::ColdState> cold) {
+    fbb_.AddOffset(PlaceAsk::VT_COLD, cold);
+  }
+  void add_answer_tokens(uint32_t answer_tokens) {
+    fbb_.AddElement<uint32_t>(PlaceAsk::VT_ANSWER_TOKENS, answer_tokens, 0);
+  }
   explicit PlaceAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4863,15 +4993,23 @@
     uint64_t born = 0,
     bool only_limit = false,
     flatbuffers::Offset<hawthornroad::wire::StatedLimit> limit = 0,
-    bool substitute = false) {
+    bool substitute = false,
+    uint8_t rank = 0,
+    bool owed = false,
+    flatbuffers::Offset<hawthornroad::wire::ColdState> cold = 0,
+    uint32_t answer_tokens = 0) {
   PlaceAskBuilder builder_(_fbb);
   builder_.add_born(born);
   builder_.add_number(number);
+  builder_.add_answer_tokens(answer_tokens);
+  builder_.add_cold(cold);
   builder_.add_limit(limit);
   builder_.add_endpoint(endpoint);
   builder_.add_places(places);
   builder_.add_usual_reading_us(usual_reading_us);
   builder_.add_reading_us(reading_us);
+  builder_.add_owed(owed);
+  builder_.add_rank(rank);
   builder_.add_substitute(substitute);
   builder_.add_only_limit(only_limit);
   builder_.add_resumes(resumes);
@@ -4891,7 +5029,11 @@
     uint64_t born = 0,
     bool only_limit = false,
     flatbuffers::Offset<hawthornroad::wire::StatedLimit> limit = 0,
-    bool substitute = false) {
+    bool substitute = false,
+    uint8_t rank = 0,
+    bool owed = false,
+    flatbuffers::Offset<hawthornroad::wire::ColdState> cold = 0,
+    uint32_t answer_tokens = 0) {
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   return hawthornroad::wire::CreatePlaceAsk(
       _fbb,
@@ -4905,7 +5047,11 @@
       born,
       only_limit,
       limit,
-      substitute);
+      substitute,
+      rank,
+      owed,
+      cold,
+      answer_tokens);
 }
 
 flatbuffers::Offset<PlaceAsk> CreatePlaceAsk(flatbuffers::FlatBufferBuilder &_fbb, const PlaceAskT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4920,6 +5066,8 @@
   uint64_t version = 0;
   uint64_t limit_wait_us = 0;
   std::unique_ptr<hawthornroad::wire::StatedLimitT> limit{};
+  std::unique_ptr<hawthornroad::wire::ColdStateT> cold{};
+  float slowdown = 0.0f;
   PlaceAnswerT() = default;
   PlaceAnswerT(const PlaceAnswerT &o);
   PlaceAnswerT(PlaceAnswerT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4937,7 +5085,9 @@
     VT_WAITING = 12,
     VT_VERSION = 14,
     VT_LIMIT_WAIT_US = 16,
-    VT_LIMIT = 18
+    VT_LIMIT = 18,
+    VT_COLD = 20,
+    VT_SLOWDOWN = 22
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -4963,6 +5113,12 @@
   const hawthornroad::wire::StatedLimit *limit() const {
     return GetPointer<const hawthornroad::wire::StatedLimit *>(VT_LIMIT);
   }
+  const hawthornroad::wire::ColdState *cold() const {
+    return GetPointer<const hawthornroad::wire::ColdState *>(VT_COLD);
+  }
+  float slowdown() const {
+    return GetField<float>(VT_SLOWDOWN, 0.0f);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -4974,6 +5130,9 @@
            VerifyField<uint64_t>(verifier, VT_LIMIT_WAIT_US, 8) &&
            VerifyOffset(verifier, VT_LIMIT) &&
            verifier.VerifyTable(limit()) &&
+           VerifyOffset(verifier, VT_COLD) &&
+           verifier.VerifyTable(cold()) &&
+           VerifyField<float>(verifier, VT_SLOWDOWN, 4) &&
            verifier.EndTable();
   }
   PlaceAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5009,6 +5168,12 @@
   void add_limit(flatbuffers::Offset<hawthornroad::wire::StatedLimit> limit) {
     fbb_.AddOffset(PlaceAnswer::VT_LIMIT, limit);
   }
+  void add_cold(flatbuffers::Offset<hawthornroad::wire::ColdState> cold) {
+    fbb_.AddOffset(PlaceAnswer::VT_COLD, cold);
+  }
+  void add_slowdown(float slowdown) {
+    fbb_.AddElement<float>(PlaceAnswer::VT_SLOWDOWN, slowdown, 0.0f);
+  }
   explicit PlaceAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5029,11 +5194,15 @@
     uint32_t waiting = 0,
     uint64_t version = 0,
     uint64_t limit_wait_us = 0,
-    flatbuffers::Offset<hawthornroad::wire::StatedLimit> limit = 0) {
+    flatbuffers::Offset<hawthornroad::wire::StatedLimit> limit = 0,
+    flatbuffers::Offset<hawthornroad::wire::ColdState> cold = 0,
+    float slowdown = 0.0f) {
   PlaceAnswerBuilder builder_(_fbb);
   builder_.add_limit_wait_us(limit_wait_us);
   builder_.add_version(version);
   builder_.add_number(number);
+  builder_.add_slowdown(slowdown);
+  builder_.add_cold(cold);
   builder_.add_limit(limit);
   builder_.add_waiting(waiting);
   builder_.add_running(running);
@@ -8282,6 +8451,51 @@
 }
 
 
+inline bool operator==(const ColdStateT &lhs, const ColdStateT &rhs) {
+  return
+      (lhs.per_second == rhs.per_second) &&
+      (lhs.arrivals == rhs.arrivals) &&
+      (lhs.left_us == rhs.left_us);
+}
+
+inline bool operator!=(const ColdStateT &lhs, const ColdStateT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline ColdStateT *ColdState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<ColdStateT>(new ColdStateT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ColdState::UnPackTo(ColdStateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = per_second(); _o->per_second = _e; }
+  { auto _e = arrivals(); _o->arrivals = _e; }
+  { auto _e = left_us(); _o->left_us = _e; }
+}
+
+inline flatbuffers::Offset<ColdState> ColdState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ColdStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateColdState(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ColdState> CreateColdState(flatbuffers::FlatBufferBuilder &_fbb, const ColdStateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ColdStateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _per_second = _o->per_second;
+  auto _arrivals = _o->arrivals;
+  auto _left_us = _o->left_us;
+  return hawthornroad::wire::CreateColdState(
+      _fbb,
+      _per_second,
+      _arrivals,
+      _left_us);
+}
+
+
 inline bool operator==(const EngineNoticeT &lhs, const EngineNoticeT &rhs) {
   return
       (lhs.address == rhs.address) &&
@@ -8289,7 +8503,8 @@
       (lhs.version == rhs.version) &&
       (lhs.running == rhs.running) &&
       (lhs.waiting == rhs.waiting) &&
-      (lhs.entries == rhs.entries);
+      (lhs.entries == rhs.entries) &&
+      (lhs.slowdown == rhs.slowdown);
 }
 
 inline bool operator!=(const EngineNoticeT &lhs, const EngineNoticeT &rhs) {
@@ -8312,6 +8527,7 @@
   { auto _e = running(); _o->running = _e; }
   { auto _e = waiting(); _o->waiting = _e; }
   { auto _e = entries(); _o->entries = _e; }
+  { auto _e = slowdown(); _o->slowdown = _e; }
 }
 
 inline flatbuffers::Offset<EngineNotice> EngineNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8328,6 +8544,7 @@
   auto _running = _o->running;
   auto _waiting = _o->waiting;
   auto _entries = _o->entries;
+  auto _slowdown = _o->slowdown;
   return hawthornroad::wire::CreateEngineNotice(
       _fbb,
       _address,
@@ -8335,7 +8552,8 @@
       _version,
       _running,
       _waiting,
-      _entries);
+      _entries,
+      _slowdown);
 }
 
 
@@ -8400,7 +8618,11 @@
       (lhs.born == rhs.born) &&
       (lhs.only_limit == rhs.only_limit) &&
       ((lhs.limit == rhs.limit) || (lhs.limit && rhs.limit && *lhs.limit == *rhs.limit)) &&
-      (lhs.substitute == rhs.substitute);
+      (lhs.substitute == rhs.substitute) &&
+      (lhs.rank == rhs.rank) &&
+      (lhs.owed == rhs.owed) &&
+      ((lhs.cold == rhs.cold) || (lhs.cold && rhs.cold && *lhs.cold == *rhs.cold)) &&
+      (lhs.answer_tokens == rhs.answer_tokens);
 }
 
 inline bool operator!=(const PlaceAskT &lhs, const PlaceAskT &rhs) {
@@ -8419,7 +8641,11 @@
         born(o.born),
         only_limit(o.only_limit),
         limit((o.limit) ? new hawthornroad::wire::StatedLimitT(*o.limit) : nullptr),
-        substitute(o.substitute) {
+        substitute(o.substitute),
+        rank(o.rank),
+        owed(o.owed),
+        cold((o.cold) ? new hawthornroad::wire::ColdStateT(*o.cold) : nullptr),
+        answer_tokens(o.answer_tokens) {
 }
 
 inline PlaceAskT &PlaceAskT::operator=(PlaceAskT o) FLATBUFFERS_NOEXCEPT {
@@ -8434,6 +8660,10 @@
   std::swap(only_limit, o.only_limit);
   std::swap(limit, o.limit);
   std::swap(substitute, o.substitute);
+  std::swap(rank, o.rank);
+  std::swap(owed, o.owed);
+  std::swap(cold, o.cold);
+  std::swap(answer_tokens, o.answer_tokens);
   return *this;
 }
 
@@ -8457,6 +8687,10 @@
   { auto _e = only_limit(); _o->only_limit = _e; }
   { auto _e = limit(); if (_e) _o->limit = std::unique_ptr<hawthornroad::wire::StatedLimitT>(_e->UnPack(_resolver)); }
   { auto _e = substitute(); _o->substitute = _e; }
+  { auto _e = rank(); _o->rank = _e; }
+  { auto _e = owed(); _o->owed = _e; }
+  { auto _e = cold(); if (_e) _o->cold = std::unique_ptr<hawthornroad::wire::ColdStateT>(_e->UnPack(_resolver)); }
+  { auto _e = answer_tokens(); _o->answer_tokens = _e; }
 }
 
 inline flatbuffers::Offset<PlaceAsk> PlaceAsk::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceAskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8478,6 +8712,10 @@
   auto _only_limit = _o->only_limit;
   auto _limit = _o->limit ? CreateStatedLimit(_fbb, _o->limit.get(), _rehasher) : 0;
   auto _substitute = _o->substitute;
+  auto _rank = _o->rank;
+  auto _owed = _o->owed;
+  auto _cold = _o->cold ? CreateColdState(_fbb, _o->cold.get(), _rehasher) : 0;
+  auto _answer_tokens = _o->answer_tokens;
   return hawthornroad::wire::CreatePlaceAsk(
       _fbb,
       _number,
@@ -8490,7 +8728,11 @@
       _born,
       _only_limit,
       _limit,
-      _substitute);
+      _substitute,
+      _rank,
+      _owed,
+      _cold,
+      _answer_tokens);
 }
 
 
@@ -8503,7 +8745,9 @@
       (lhs.waiting == rhs.waiting) &&
       (lhs.version == rhs.version) &&
       (lhs.limit_wait_us == rhs.limit_wait_us) &&
-      ((lhs.limit == rhs.limit) || (lhs.limit && rhs.limit && *lhs.limit == *rhs.limit));
+      ((lhs.limit == rhs.limit) || (lhs.limit && rhs.limit && *lhs.limit == *rhs.limit)) &&
+      ((lhs.cold == rhs.cold) || (lhs.cold && rhs.cold && *lhs.cold == *rhs.cold)) &&
+      (lhs.slowdown == rhs.slowdown);
 }
 
 inline bool operator!=(const PlaceAnswerT &lhs, const PlaceAnswerT &rhs) {
@@ -8519,7 +8763,9 @@
         waiting(o.waiting),
         version(o.version),
         limit_wait_us(o.limit_wait_us),
-        limit((o.limit) ? new hawthornroad::wire::StatedLimitT(*o.limit) : nullptr) {
+        limit((o.limit) ? new hawthornroad::wire::StatedLimitT(*o.limit) : nullptr),
+        cold((o.cold) ? new hawthornroad::wire::ColdStateT(*o.cold) : nullptr),
+        slowdown(o.slowdown) {
 }
 
 inline PlaceAnswerT &PlaceAnswerT::operator=(PlaceAnswerT o) FLATBUFFERS_NOEXCEPT {
@@ -8531,6 +8777,8 @@
   std::swap(version, o.version);
   std::swap(limit_wait_us, o.limit_wait_us);
   std::swap(limit, o.limit);
+  std::swap(cold, o.cold);
+  std::swap(slowdown, o.slowdown);
   return *this;
 }
 
@@ -8551,6 +8799,8 @@
   { auto _e = version(); _o->version = _e; }
   { auto _e = limit_wait_us(); _o->limit_wait_us = _e; }
   { auto _e = limit(); if (_e) _o->limit = std::unique_ptr<hawthornroad::wire::StatedLimitT>(_e->UnPack(_resolver)); }
+  { auto _e = cold(); if (_e) _o->cold = std::unique_ptr<hawthornroad::wire::ColdStateT>(_e->UnPack(_resolver)); }
+  { auto _e = slowdown(); _o->slowdown = _e; }
 }
 
 inline flatbuffers::Offset<PlaceAnswer> PlaceAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8569,6 +8819,8 @@
   auto _version = _o->version;
   auto _limit_wait_us = _o->limit_wait_us;
   auto _limit = _o->limit ? CreateStatedLimit(_fbb, _o->limit.get(), _rehasher) : 0;
+  auto _cold = _o->cold ? CreateColdState(_fbb, _o->cold.get(), _rehasher) : 0;
+  auto _slowdown = _o->slowdown;
   return hawthornroad::wire::CreatePlaceAnswer(
       _fbb,
       _number,
@@ -8578,7 +8830,9 @@
       _waiting,
       _version,
       _limit_wait_us,
-      _limit);
+      _limit,
+      _cold,
+      _slowdown);
 }
 
 
--- a/tests/unit/StoreSettingsTest.cpp
+++ b/tests/unit/StoreSettingsTest.cpp
@@ -30,8 +30,10 @@
     "internal_ports": [7700, 7715],
     "listen": {"front": "10.1.0.9:8005", "ready": "10.1.0.9:8002"},
     "platform": {"address": "10.200.1.7:8007"},
-    "limits": {"link_mbps": 7.3},
-    "bounds": {"config_apply_ms": 2000, "drain_ms": 2000, "version_ms": 8000,
+    "limits": {"link_mbps": 7.3, "memory_mb": 160},
+    "zones": {"zg": "zagreb", "st": "split"},
+    "bounds": {"evacuate_ms": 4000, "cold_over": 1.25, "cold_slack": 7,
+               "config_apply_ms": 2000, "drain_ms": 2000, "version_ms": 8000,
                "grace_s": 8, "revoke_ms": 5000, "retry_ratio": 0.2,
                "retry_window_s": 10, "retry_slack": 102}
   })")
@@ -62,6 +64,28 @@
   return V->is_string() ? std::string(V->as_string()) : json::serialize(*V);
 }
 
+std::string replaceAll(std::string Text, std::string_view What,
+                       const std::string &With) {
+  for (auto At = Text.find(What); At != std::string::npos;
+       At = Text.find(What, At + With.size()))
+    Text.replace(At, What.size(), With);
+  return Text;
+}
+
+// A section over an object: once for each member, with {{@}} its key, {{.}} its
+// value and {{,}} a comma except after the last one.
+std::string renderEach(const std::string &Inner, const json::object &Members) {
+  std::string Out;
+  std::size_t Left = Members.size();
+  for (const auto &Each : Members) {
+    std::string Item =
+        replaceAll(Inner, "{{@}}", std::string(std::string_view(Each.key())));
+    Item = replaceAll(Item, "{{.}}", toText(&Each.value()));
+    Out += replaceAll(Item, "{{,}}", --Left == 0 ? "" : ",");
+  }
+  return Out;
+}
+
 // Renders a template as the platform does: {{a.b}} is replaced with a value,
 // and a section {{#a}} .. {{/a}} is omitted when a is absent, null or false.
 std::string render(std::string Text, const json::object &Fields) {
@@ -80,6 +104,8 @@
     bool IsOmitted =
         V == nullptr || V->is_null() || (V->is_bool() && !V->as_bool());
     std::string Inner = Text.substr(End + 2, Close - End - 2);
+    if (!IsOmitted && V->is_object())
+      Inner = renderEach(Inner, V->as_object());
     Text.replace(At, Close + Closing.size() - At, IsOmitted ? "" : Inner);
   }
   return Text;
@@ -124,6 +150,14 @@
   CHECK(Entry.RepeatWindow_ == Seconds(10));
   CHECK(Entry.RepeatSlack_ == 102);
   CHECK(Entry.LinkMbps_ == 7.3);
+  CHECK(Entry.Common_.EvacuateBound_ == Milliseconds(4000));
+  CHECK(Entry.Common_.ColdFactor_ == 1.25);
+  CHECK(Entry.Common_.ColdSlack_ == 7);
+  CHECK(Entry.Common_.MemoryMb_ == 160);
+  CHECK(Entry.Common_.Regions_ ==
+        std::map<AvailabilityZone, Region>{
+            {AvailabilityZone("zg"), Region("zagreb")},
+            {AvailabilityZone("st"), Region("split")}});
   StoreAgentSettings Agent = agentOf(platformFields());
   CHECK(Agent.Common_.StopBound_ == Seconds(8));
   CHECK(Agent.Common_.VersionBound_ == Milliseconds(8000));
@@ -196,6 +230,8 @@
   json::object Fields = platformFields();
   Fields["bounds"].as_object().clear();
   Fields["limits"].as_object().clear();
+  Fields.erase("zones");
+  CHECK(entryOf(Fields).Common_.Regions_.empty());
   CHECK(entryOf(Fields).Common_.StopBound_ ==
         StoreProcessSettings{}.StopBound_);
   CHECK(agentOf(Fields).LinkMbps_ == StoreAgentSettings{}.LinkMbps_);
