Version that lacks a few pieces at its bound is completed before the next one

Change: staging/VersionOrder compares the time without a usable version of both orders; a version whose pieces still arrive is completed if that is shorter.

--- a/hawthornroad/agent/AgentEngine.cpp
+++ b/hawthornroad/agent/AgentEngine.cpp
@@ -70,17 +70,8 @@
   LoadSchedule::Options O;
   O.Bound_ = Settings_.Common_.VersionBound_ - BoundMargin;
   const EngineProfile *Pace = pace();
-  double Bits = Pace != nullptr
-                    ? static_cast<double>(Pace->Pieces_ * Pace->PieceBytes_) * 8
-                    : 0;
-  const ServiceConfig *Origin = Config_ ? Config_->origin() : nullptr;
-  double Mbps = Settings_.LinkMbps_;
-  if (Origin != nullptr && Origin->LinkMbps_ > 0)
-    Mbps = std::min(Mbps, Origin->LinkMbps_);
-  constexpr double BitsPerMegabit = 1e6;
   O.Transfer_ =
-      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-          Bits / (Mbps * BitsPerMegabit) * TransferOverhead));
+      transferTime(Pace == nullptr ? 0 : static_cast<double>(Pace->Pieces_));
   return LoadSchedule(O);
 }
 
@@ -184,16 +175,44 @@
   startNextUpdate();
 }
 
+Duration StoreAgent::State::transferTime(double Pieces) const {
+  const EngineProfile *Pace = pace();
+  if (Pace == nullptr)
+    return Duration::zero();
+  double Bits = Pieces * static_cast<double>(Pace->PieceBytes_) * 8;
+  const ServiceConfig *Origin = Config_ ? Config_->origin() : nullptr;
+  double Mbps = Settings_.LinkMbps_;
+  if (Origin != nullptr && Origin->LinkMbps_ > 0)
+    Mbps = std::min(Mbps, Origin->LinkMbps_);
+  constexpr double BitsPerMegabit = 1e6;
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      Bits / (Mbps * BitsPerMegabit) * TransferOverhead));
+}
+
+PendingVersion StoreAgent::State::pendingVersion(const VersionUpdate &P) const {
+  double Missing = pace() == nullptr ? 0 : static_cast<double>(pace()->Pieces_);
+  if (P.Transfer_)
+    Missing = static_cast<double>(P.Transfer_->digests().size() -
+                                  P.Transfer_->held());
+  return {.NeededBy_ =
+              P.HeardAt_ + Settings_.Common_.VersionBound_ - BoundMargin,
+          .Remaining_ = transferTime(Missing)};
+}
+
 // The next version replaces one whose pieces do not arrive: when the next one
-// is complete, or when the earlier one is too late to be of use.
+// is complete, or when the earlier one is late and not worth completing.
 void StoreAgent::State::supersedeStalled(TimePoint Now) {
   if (!Next_ || OrderBegun_ || !Current_)
     return;
   if (Current_->Transfer_ && Current_->Transfer_->isComplete())
     return;
   bool IsNextComplete = Next_->Transfer_ && Next_->Transfer_->isComplete();
+  PendingVersion Current = pendingVersion(*Current_);
+  bool IsStalled = !Current_->Transfer_ ||
+                   Now - Current_->Transfer_->lastPieceAt() >= StallTimeout;
   bool IsTooLate =
-      Now >= Current_->HeardAt_ + Settings_.Common_.VersionBound_ - BoundMargin;
+      Now >= Current.NeededBy_ &&
+      (IsStalled || overtakes(pendingVersion(*Next_), Current, Now));
   if (!IsNextComplete && !IsTooLate)
     return;
   Log_.write(LogLine("version_overtaken")
--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -22,6 +22,7 @@
 #include "hawthornroad/runtime/Metrics.h"
 #include "hawthornroad/staging/LoadSchedule.h"
 #include "hawthornroad/staging/PlaceGrants.h"
+#include "hawthornroad/staging/VersionOrder.h"
 #include "hawthornroad/store/StoreClient.h"
 #include "hawthornroad/traffic/CrashingParts.h"
 #include "hawthornroad/traffic/LimitGrants.h"
@@ -158,6 +159,9 @@
   std::vector<std::shared_ptr<PieceTransfer>> transfers() const;
   TimePoint scheduledLoadAt() const;
   LoadSchedule loadSchedule() const;
+  // Expected time to bring this many pieces over the narrowest link.
+  Duration transferTime(double Pieces) const;
+  PendingVersion pendingVersion(const VersionUpdate &P) const;
   // When all pieces of the wanted version are expected to be held.
   TimePoint expectedCompleteAt(TimePoint Now) const;
   // Load position of the zone's engine on the VM with this address.
