Allowed regions and zone evacuation

Cause: routes and customers may limit the regions of their requests, and operators evacuate zones; entries decoded both and did not follow them. Change: Placement leaves out endpoints of regions that the request's current scope does not permit and of evacuated zones; a granted place is checked again. EvacuatedZones follows the rows evacuate/ZONE of listings and changes. The fence and the reading intervals of the operators' table use the shorter of the two bounds. The load of remaining endpoints counts the evacuated zone's entries. Requests that wait for a full region do not hold back others.

--- a/hawthornroad/config/Settings.h
+++ b/hawthornroad/config/Settings.h
@@ -155,6 +155,11 @@
   std::map<AvailabilityZone, Region> Regions_;
   // Memory of this VM in MB; 0: not known.
   double MemoryMb_ = 0;
+  // The bound on every change of the operators' table that entries follow: the
+  // shorter of those for configurations and evacuations.
+  Duration operatorBound() const {
+    return ApplyBound_ < EvacuateBound_ ? ApplyBound_ : EvacuateBound_;
+  }
   bool operator==(const StoreProcessSettings &) const = default;
 };
 
--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -61,12 +61,13 @@
 TrafficCore::Options coreOptions(const StoreEntrySettings &S) {
   TrafficCore::Options O;
   O.Placement_.Zone_ = S.Common_.Zone_;
+  O.Placement_.Regions_ = S.Common_.Regions_;
   O.Budget_.Ratio_ = S.RepeatRatio_;
   O.Budget_.Window_ = S.RepeatWindow_;
   O.Budget_.Slack_ = S.RepeatSlack_;
   O.Budget_.StartedAt_ = bootNow();
   O.RevokeBound_ = S.Common_.RevokeBound_;
-  O.Fence_ = ConfigFence::optionsFor(S.Common_.ApplyBound_);
+  O.Fence_ = ConfigFence::optionsFor(S.Common_.operatorBound());
   const EntryPolicy &P = S.Policy_;
   O.FairByCustomer_ = P.FairByCustomer_;
   O.LateGoBehind_ = P.LateGoBehind_;
@@ -144,15 +145,14 @@
 
 TableSource::Setup DirectEntry::State::sourceSetup() const {
   const StoreProcessSettings &Common = Settings_.Common_;
+  Duration Bound = Common.operatorBound();
   TableSource::TableSetup Operators;
   Operators.Name_ = platform::OperatorTable;
-  Operators.Wait_ = fractionOf(Common.ApplyBound_, OperatorWaitShare);
-  Operators.WaitWhenServing_ =
-      fractionOf(Common.ApplyBound_, ServingConfigWaitShare);
-  Operators.PaceWhenServing_ =
-      fractionOf(Common.ApplyBound_, ServingConfigPaceShare);
+  Operators.Wait_ = fractionOf(Bound, OperatorWaitShare);
+  Operators.WaitWhenServing_ = fractionOf(Bound, ServingConfigWaitShare);
+  Operators.PaceWhenServing_ = fractionOf(Bound, ServingConfigPaceShare);
   Operators.ListsWhenBehind_ = true;
-  Operators.MaxAge_ = fractionOf(Common.ApplyBound_, ConfigAgeShare);
+  Operators.MaxAge_ = fractionOf(Bound, ConfigAgeShare);
   TableSource::TableSetup Endpoints;
   Endpoints.Name_ = platform::EndpointTable;
   Endpoints.Wait_ = EndpointWait;
--- a/hawthornroad/entry/DirectEntryState.h
+++ b/hawthornroad/entry/DirectEntryState.h
@@ -79,12 +79,16 @@
   void report(const LimitReport &R) override;
   void report(const HoldReport &R) override;
   void report(const PartEvent &E) override;
+  void report(const ZoneReport &R) override;
 
   void start();
   void tick();
   // Logs that this thread did not run for a while.
   void notePause(TimePoint Now);
   void onOperatorRows(const TableWatch::Update &U);
+  // Configurations and weight versions.
+  void applyOperatorRows(const TableWatch::Update &U, TimePoint Now);
+  void noteUnreadableEvacuation(const std::string &Key);
   void onEndpointRows(const TableWatch::Update &U);
   TableSource::Setup sourceSetup() const;
   TableSource::Callbacks sourceCallbacks();
--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -295,6 +295,18 @@
                static_cast<double>(Core_.parts().blocked()));
 }
 
+void DirectEntry::State::report(const ZoneReport &R) {
+  LogLine L(R.IsEvacuated_ ? "zone_evacuated" : "zone_restored");
+  L.text("zone", R.Zone_.str()).count("endpoints", R.Endpoints_);
+  if (R.IsEvacuated_)
+    L.count("since_wall_ms", EventLog::wallMilliseconds());
+  else
+    L.millis("evacuated_ms", R.Lasted_);
+  Log_.write(L, true);
+  Metrics_.set("hawthornroad_zones_evacuated", R.IsEvacuated_ ? 1 : 0,
+               {{"zone", R.Zone_.str()}});
+}
+
 void DirectEntry::State::report(const CallReport &R) {
   LogLine L("request");
   L.text("request", R.Id_)
@@ -319,6 +331,9 @@
   Metrics_.count("hawthornroad_requests_total",
                  {{"status", std::to_string(R.Status_)},
                   {"cause", std::string(toString(R.Cause_))}});
+  if (R.Cause_ == Cause::NoAllowedRegion)
+    Metrics_.count("hawthornroad_requests_refused_for_regions_total",
+                   {{"route", R.Route_}, {"customer", R.Customer_.str()}});
   if (R.ConfigAge_)
     Metrics_.observe("hawthornroad_config_age_seconds",
                      std::chrono::duration<double>(*R.ConfigAge_).count());
--- a/hawthornroad/entry/EntryTables.cpp
+++ b/hawthornroad/entry/EntryTables.cpp
@@ -1,4 +1,5 @@
 #include "hawthornroad/entry/DirectEntryState.h"
+#include "hawthornroad/entry/EvacuationRows.h"
 #include "platform/Names.h"
 
 #include <algorithm>
@@ -17,8 +18,22 @@
 constexpr Duration MaxVersionAge = Milliseconds(1000);
 } // namespace
 
+// Of the changes of one update, evacuations come first and restorations last:
+// taking a configuration begins attempts of queued requests.
 void DirectEntry::State::onOperatorRows(const TableWatch::Update &U) {
   TimePoint Now = bootNow();
+  EvacuationRows Evacuations = readEvacuationRows(U);
+  for (const std::string &Key : Evacuations.Unreadable_)
+    noteUnreadableEvacuation(Key);
+  EvacuatedZones::Change Zones =
+      Core_.evacuations().changeBy(Evacuations.Update_);
+  Core_.evacuateZones(Zones.Evacuated_, Now);
+  applyOperatorRows(U, Now);
+  Core_.restoreZones(Zones.Restored_, Now);
+}
+
+void DirectEntry::State::applyOperatorRows(const TableWatch::Update &U,
+                                           TimePoint Now) {
   for (const StoreRow &Row : U.Rows_) {
     if (Row.IsRemoved_)
       continue;
@@ -50,6 +65,14 @@
   }
 }
 
+void DirectEntry::State::noteUnreadableEvacuation(const std::string &Key) {
+  Metrics_.count("hawthornroad_evacuation_rows_unreadable_total");
+  Log_.write(LogLine("evacuation_unreadable")
+                 .text("key", Key)
+                 .text("detail", "expected evacuate/ZONE, received no zone"),
+             true);
+}
+
 void DirectEntry::State::applyConfig(const std::string &Text) {
   SharedConfig Config = RoutingConfig::build(platform::decodeConfig(Text));
   bool Taken = Core_.configure(Config, bootNow());
--- a/hawthornroad/routing/FairQueue.cpp
+++ b/hawthornroad/routing/FairQueue.cpp
@@ -74,10 +74,15 @@
   for (auto &[Name, F] : C.Flows_)
     if (!F.Waiting_.empty() && (!First || F.Start_ < First->Start_))
       First = &F;
-  Item Out = std::move(First->Waiting_.front());
-  First->Waiting_.pop_front();
-  C.VirtualTime_ = std::max(C.VirtualTime_, First->Start_);
-  First->Start_ += 1.0 / First->Weight_;
+  return take(C, *First, First->Waiting_.begin());
+}
+
+FairQueue::Item FairQueue::take(Class &C, Flow &F,
+                                std::deque<Item>::iterator At) {
+  Item Out = std::move(*At);
+  F.Waiting_.erase(At);
+  C.VirtualTime_ = std::max(C.VirtualTime_, F.Start_);
+  F.Start_ += 1.0 / F.Weight_;
   --C.Size_;
   --Size_;
   if (C.Size_ == 0)
@@ -85,6 +90,26 @@
   return Out;
 }
 
+std::optional<FairQueue::Item>
+FairQueue::popIf(const std::function<bool(const Item &)> &IsWanted) {
+  for (Class &C : Classes_) {
+    Flow *First = nullptr;
+    std::deque<Item>::iterator At;
+    for (auto &[Name, F] : C.Flows_) {
+      if (First != nullptr && F.Start_ >= First->Start_)
+        continue;
+      auto Found = std::find_if(F.Waiting_.begin(), F.Waiting_.end(), IsWanted);
+      if (Found == F.Waiting_.end())
+        continue;
+      First = &F;
+      At = Found;
+    }
+    if (First != nullptr)
+      return take(C, *First, At);
+  }
+  return std::nullopt;
+}
+
 bool FairQueue::remove(const Item &I) {
   Class &C = Classes_[indexOf(I.Priority_)];
   auto Found = C.Flows_.find(I.Customer_);
--- a/hawthornroad/routing/FairQueue.h
+++ b/hawthornroad/routing/FairQueue.h
@@ -27,6 +27,7 @@
 
 #include <array>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -46,6 +47,8 @@
   // Weight is the customer's, above 0.
   void push(Item I, double Weight);
   std::optional<Item> pop();
+  // The first request that IsWanted accepts; the others keep their places.
+  std::optional<Item> popIf(const std::function<bool(const Item &)> &IsWanted);
   // Undoes a pop(): I becomes its customer's next request again.
   void unpop(Item I, double Weight);
   // Removes a request; returns false when it is not queued.
@@ -79,6 +82,7 @@
   };
 
   std::size_t nextClass();
+  Item take(Class &C, Flow &F, std::deque<Item>::iterator At);
   void forgetIdle(Class &C);
 
   std::array<Class, ClassCount> Classes_;
--- a/hawthornroad/traffic/Placement.cpp
+++ b/hawthornroad/traffic/Placement.cpp
@@ -55,6 +55,7 @@
   std::erase_if(States_, [](const auto &Each) {
     return !Each.second.IsListed_ && Each.second.Own_ == 0;
   });
+  updateZones();
 }
 
 bool Placement::isReportFresh(const State &S, TimePoint Now) const {
@@ -109,7 +110,7 @@
 
 bool Placement::isUsable(const State &S, const Query &Q) const {
   if (!S.IsListed_ || S.IsReplaced_ || S.Endpoint_.IsDraining_ ||
-      Holds_.isLeaving(startOf(S.Endpoint_)))
+      Holds_.isLeaving(startOf(S.Endpoint_)) || !permits(S, Q.Regions_))
     return false;
   if (Q.Tried_ != nullptr && Q.Tried_->contains(S.Endpoint_.Id_))
     return false;
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -34,6 +34,13 @@
 // report makes such an endpoint look empty). Prompt answers of the endpoint
 // itself count too, since an agent may be stopped beside a healthy endpoint.
 //
+// Endpoints of evacuated zones are not usable, nor, for a request whose regions
+// are limited, those of other or unknown regions. The entries of an evacuated
+// zone go on sending, now to the remaining zones, so the number of senders
+// assumed for an endpoint grows by the ratio of all zones to the remaining
+// ones. Without that, every entry finds the remaining endpoints less loaded
+// than they are until their reports show it, and fills them.
+//
 // Cost: one pass over the service's endpoints per choice.
 
 #ifndef HAWTHORNROAD_TRAFFIC_PLACEMENT_H
@@ -58,6 +65,9 @@
 public:
   struct Options {
     AvailabilityZone Zone_;
+    // The region of each zone; requests with limits use no endpoint of another
+    // zone.
+    std::map<AvailabilityZone, Region> Regions_;
     // An endpoint in this zone is preferred unless one in another zone is
     // faster by more than this, ms.
     double CrossZoneCost_ = 120;
@@ -150,6 +160,12 @@
 
   void setEndpoints(const EndpointSet &Set, const RoutingConfig &Config);
 
+  // No endpoint in these zones is usable. They replace the previous ones.
+  void setEvacuated(std::set<AvailabilityZone> Zones);
+  // Whether the endpoint's zone is not evacuated, and its region one of these;
+  // null: any.
+  bool permits(const EndpointId &Id, const RegionScope *Regions) const;
+
   std::optional<EndpointId> choose(const Query &Q, TimePoint Now);
   // Number of the service's endpoints that could run a request at all.
   std::size_t usable(const Query &Q) const;
@@ -234,6 +250,11 @@
     Endpoint Endpoint_;
     bool IsListed_ = true;
     bool IsReplaced_ = false;
+    // Empty: not known.
+    Region Region_;
+    bool IsEvacuated_ = false;
+    // How many times more senders than usual it has while zones are evacuated.
+    double SenderFactor_ = 1;
     unsigned Places_ = 1;
     unsigned Connections_ = 1;
     unsigned Own_ = 0;
@@ -267,9 +288,13 @@
   };
 
   double senders(const State &S) const {
-    return S.Endpoint_.Zone_ == Options_.Zone_ ? Options_.SameZoneSenders_
-                                               : Options_.CrossZoneSenders_;
+    return S.SenderFactor_ * (S.Endpoint_.Zone_ == Options_.Zone_
+                                  ? Options_.SameZoneSenders_
+                                  : Options_.CrossZoneSenders_);
   }
+  // Sets what follows from the endpoints' zones.
+  void updateZones();
+  static bool permits(const State &S, const RegionScope *Regions);
   bool isReportFresh(const State &S, TimePoint Now) const;
   double load(const State &S, TimePoint Now) const;
   double unread(const State &S, TimePoint Now) const;
@@ -299,6 +324,7 @@
   EndpointHolds Holds_;
   std::map<EndpointId, State> States_;
   std::map<ServiceName, std::vector<EndpointId>> ByService_;
+  std::set<AvailabilityZone> Evacuated_;
 };
 
 } // namespace hawthornroad
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -140,11 +140,11 @@
   return std::chrono::duration_cast<Duration>(PerEnd * (Ahead + 1));
 }
 
-// Endpoints that hold back by their own statement do not make the service count
-// as overloaded.
-Duration TrafficCore::retryAfter(const Record &R, Cause Why, TimePoint Now) {
+// Endpoints that hold back by their own statement, and limits on regions, do
+// not make the service count as overloaded.
+Duration TrafficCore::retryAfter(Record &R, Cause Why, TimePoint Now) {
   Overload &O = ServiceQueues_[R.Service_].Overload_;
-  if (Why != Cause::EndpointsHeld)
+  if (Why != Cause::EndpointsHeld && Why != Cause::NoAllowedRegion)
     O.refused(Now);
   Duration Base =
       std::clamp<Duration>(O.elapsed(Now), 2 * MinRetryAfter, MaxRetryAfter);
@@ -159,18 +159,15 @@
   return Delay;
 }
 
-TimePoint TrafficCore::heldUntil(const Record &R, TimePoint Now) const {
-  Placement::Query Q;
-  Q.Service_ = R.Service_;
-  Q.MinVersion_ = minVersion(R.Service_, Now);
-  return Placement_.heldUntil(Q);
+TimePoint TrafficCore::heldUntil(Record &R, TimePoint Now) const {
+  return Placement_.heldUntil(queryFor(R, Now));
 }
 
 void TrafficCore::place(Record &R, TimePoint Now) {
   auto Found = ServiceQueues_.find(R.Service_);
   bool OthersWait =
       Found != ServiceQueues_.end() && !Found->second.Queue_.empty();
-  if (!OthersWait && tryBegin(R, Now))
+  if ((!OthersWait || hasOwnRegions(R)) && tryBegin(R, Now))
     return;
   queue(R, Now);
 }
@@ -179,11 +176,8 @@
   if (R.IsDone_)
     return;
   if (!R.IsStreaming_) {
-    Placement::Query Q;
-    Q.Service_ = R.Service_;
-    Q.MinVersion_ = minVersion(R.Service_, Now);
-    if (Placement_.usable(Q) == 0)
-      return giveUp(R, Cause::NoEndpoint, "no usable endpoint", Now);
+    if (refuseUnplaceable(R, Now))
+      return;
     Duration Limit =
         std::max(Options_.LineLeast_,
                  std::chrono::duration_cast<Duration>(R.Route_->FirstByteGoal_ *
@@ -215,8 +209,17 @@
   if (Found == ServiceQueues_.end())
     return;
   FairQueue &Queue = Found->second.Queue_;
+  // Limits of requests that found no place. Requests with other limits may
+  // still find one.
+  std::vector<RegionScope> Full;
+  auto MayFit = [&](const FairQueue::Item &Each) {
+    auto At = Calls_.find(Each.Id_.Lo_);
+    return At == Calls_.end() || std::find(Full.begin(), Full.end(),
+                                           scopeOf(*At->second)) == Full.end();
+  };
   while (!Queue.empty()) {
-    std::optional<FairQueue::Item> Next = Queue.pop();
+    std::optional<FairQueue::Item> Next =
+        Full.empty() ? Queue.pop() : Queue.popIf(MayFit);
     if (!Next)
       return;
     auto At = Calls_.find(Next->Id_.Lo_);
@@ -225,10 +228,14 @@
     Record &R = *At->second;
     // It may be queued again from within.
     R.IsQueued_ = false;
+    if (mayBecomeUnplaceable(R) && refuseUnplaceable(R, Now))
+      continue;
     if (!tryBegin(R, Now) && !R.IsDone_) {
       R.IsQueued_ = true;
       Queue.unpop(*Next, 1.0);
-      return;
+      if (!scopeOf(R).isLimited())
+        return;
+      Full.push_back(scopeOf(R));
     }
   }
 }
@@ -246,13 +253,8 @@
 }
 
 std::optional<EndpointId> TrafficCore::chooseFor(Record &R, TimePoint Now) {
-  Placement::Query Q;
-  Q.Service_ = R.Service_;
+  Placement::Query Q = queryFor(R, Now);
   Q.Tried_ = &R.Tried_;
-  Q.MinVersion_ = minVersion(R.Service_, Now);
-  Q.IsLate_ = R.IsLate_;
-  Q.MayAsk_ = Options_.AsksForPlaces_;
-  Q.TimeLeft_ = callerLeavesAt(R) - Now;
   // When all endpoints were tried, each may be tried again.
   if (!R.Tried_.empty() && Placement_.usable(Q) == 0) {
     if (R.Current_.isRunning())
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -1,3 +1,4 @@
+#include "hawthornroad/traffic/RequestScope.h"
 #include "hawthornroad/traffic/TrafficState.h"
 
 #include <algorithm>
@@ -32,6 +33,8 @@
     return "key_lease_over";
   case Cause::NoEndpoint:
     return "no_endpoint";
+  case Cause::NoAllowedRegion:
+    return "no_allowed_region";
   case Cause::EndpointsHeld:
     return "endpoints_held";
   case Cause::LineFull:
@@ -66,6 +69,8 @@
   if (Config_ && C->version() < Config_->version())
     return false;
   Config_ = std::move(C);
+  ++ConfigChanges_;
+  LimitsRegions_ = limitsRegions(*Config_);
   endpointsChanged(Now);
   return true;
 }
@@ -405,10 +410,8 @@
     return;
   R.RanAt_.insert(R.Current_.At_);
   R.Tried_.insert(R.Current_.At_);
-  Placement::Query Q;
-  Q.Service_ = R.Service_;
+  Placement::Query Q = queryFor(R, Now);
   Q.Tried_ = &R.Tried_;
-  Q.MinVersion_ = minVersion(R.Service_, Now);
   if (!mayGoElsewhere(R) || Placement_.usable(Q) == 0)
     return;
   R.NextReplacementAt_ = Now + Options_.ReplacementRetry_;
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -55,6 +55,11 @@
 // of the goal, or when its goal has already passed and no place is to spare.
 // The retry delay grows with the time the service has been refusing (Overload).
 //
+// Regions and zones. No attempt begins in a region that the request's route or
+// customer does not allow by the current configuration (RequestScope), or in an
+// evacuated zone (EvacuatedZones). Both are checked at each choice of an
+// endpoint and again when a place is granted. Attempts in progress go on.
+//
 // No I/O, no clock, no threads. At most MaxCalls open requests. Cost: an event
 // looks up one request; a tick visits all of them.
 
@@ -67,6 +72,7 @@
 #include "hawthornroad/traffic/Call.h"
 #include "hawthornroad/traffic/CallerAge.h"
 #include "hawthornroad/traffic/ConfigFence.h"
+#include "hawthornroad/traffic/EvacuatedZones.h"
 #include "hawthornroad/traffic/EventRelay.h"
 #include "hawthornroad/traffic/KeyLease.h"
 #include "hawthornroad/traffic/LimitShare.h"
@@ -173,6 +179,11 @@
   // An agent's report on its engine.
   void engineUpdated(const std::string &Address, bool IsAway, WeightVersion V,
                      std::optional<EndpointLoad> Load, TimePoint Now);
+  // Nothing is sent to endpoints of these zones until they are restored.
+  // Attempts in progress there go on.
+  void evacuateZones(const std::set<AvailabilityZone> &Zones, TimePoint Now);
+  void restoreZones(const std::set<AvailabilityZone> &Zones, TimePoint Now);
+  const EvacuatedZones &evacuations() const { return Evacuated_; }
   // At least this many entries take requests.
   void noteEntries(unsigned Count) { Budget_.noteProcesses(Count); }
   // Everything that the store had accepted as of AsOf is known.
@@ -253,6 +264,20 @@
   void place(Record &R, TimePoint Now);
   // Begins an attempt or asks for its place; false when no endpoint has one.
   bool tryBegin(Record &R, TimePoint Now);
+  // The regions in which attempts of R may begin now.
+  const RegionScope &scopeOf(Record &R) const;
+  // The endpoints that R may be sent to now, those included that were tried.
+  // Valid until R or the configuration changes.
+  Placement::Query queryFor(Record &R, TimePoint Now) const;
+  // Refuses R when no endpoint may run it.
+  bool refuseUnplaceable(Record &R, TimePoint Now);
+  // Whether R may have to be refused while it is queued.
+  bool mayBecomeUnplaceable(Record &R) const;
+  // Whether no request that waits for R's service says that R finds no place.
+  bool hasOwnRegions(Record &R);
+  // Called before anything is sent to endpoints of these zones again.
+  void zonesRestored(const std::set<AvailabilityZone> &Zones, TimePoint Now);
+  std::size_t endpointsIn(const AvailabilityZone &Zone) const;
   // The endpoint that R would be sent to now.
   std::optional<EndpointId> chooseFor(Record &R, TimePoint Now);
   bool begin(Record &R, const Endpoint &E, TimePoint Now);
@@ -329,10 +354,10 @@
   // Ends the attempts at endpoints that have restarted since.
   void endLostAttempts(TimePoint Now);
   Duration estimatedWait(const ServiceName &Service, const Record &R) const;
-  Duration retryAfter(const Record &R, Cause Why, TimePoint Now);
+  Duration retryAfter(Record &R, Cause Why, TimePoint Now);
   // When the first endpoint that R may use is no longer held back by its limit;
   // not after Now when one is not.
-  TimePoint heldUntil(const Record &R, TimePoint Now) const;
+  TimePoint heldUntil(Record &R, TimePoint Now) const;
   WeightVersion minVersion(const ServiceName &Service, TimePoint Now,
                            bool IsHard = false) const;
   Duration queueWaitLimit(const Route &R) const;
@@ -357,7 +382,12 @@
   TrafficPort &Port_;
   Random Random_;
   SharedConfig Config_;
+  // Number of configurations taken.
+  std::uint64_t ConfigChanges_ = 0;
+  // Whether Config_ limits regions.
+  bool LimitsRegions_ = false;
   EndpointSet Endpoints_;
+  EvacuatedZones Evacuated_;
   Placement Placement_;
   RepeatBudget Budget_;
   AbandonedRepeats Abandoned_;
--- a/hawthornroad/traffic/TrafficPlaces.cpp
+++ b/hawthornroad/traffic/TrafficPlaces.cpp
@@ -94,6 +94,8 @@
     return;
   if (!R.QueuedAt_)
     return queue(R, Now);
+  if (mayBecomeUnplaceable(R) && refuseUnplaceable(R, Now))
+    return;
   // It was at the front of the queue and returns there.
   R.IsQueued_ = true;
   ServiceQueues_[R.Service_].Queue_.unpop(R.Item_, 1.0);
@@ -130,7 +132,8 @@
   bool IsOld = E != nullptr && Limits_.find(startOf(*E)) != nullptr &&
                Now - R.AskSentAt_ >= LimitGrants::MaxGrantAge;
   bool IsUsable = W.IsGranted_ && !IsOld && E != nullptr && !E->IsDraining_ &&
-                  IsNewEnough && !Placement_.restsOrLeaves(R.AskedOf_, Now);
+                  IsNewEnough && !Placement_.restsOrLeaves(R.AskedOf_, Now) &&
+                  Placement_.permits(R.AskedOf_, &scopeOf(R));
   if (!IsUsable || !begin(R, *E, Now))
     if (!R.IsDone_)
       askElsewhere(R, Now);
--- a/hawthornroad/traffic/TrafficPort.h
+++ b/hawthornroad/traffic/TrafficPort.h
@@ -37,6 +37,7 @@
   NoKey,
   KeyLeaseOver,
   NoEndpoint,
+  NoAllowedRegion,
   EndpointsHeld,
   LineFull,
   WaitedTooLong,
@@ -136,6 +137,16 @@
   Duration Rest_ = Duration::zero();
 };
 
+// The operators evacuated a zone, or ended its evacuation.
+struct ZoneReport {
+  AvailabilityZone Zone_;
+  bool IsEvacuated_ = false;
+  // How long it was evacuated.
+  Duration Lasted_ = Duration::zero();
+  // Endpoints listed there.
+  std::size_t Endpoints_ = 0;
+};
+
 // What a request needs of an engine, see PlaceGrants.
 struct PlaceDemand {
   PlaceKind Kind_ = PlaceKind::First;
@@ -209,6 +220,7 @@
   virtual void report(const LimitReport &R) {}
   virtual void report(const HoldReport &R) {}
   virtual void report(const PartEvent &E) {}
+  virtual void report(const ZoneReport &R) {}
 };
 
 // Requests at an engine, as reported by its agent.
--- a/hawthornroad/traffic/TrafficState.h
+++ b/hawthornroad/traffic/TrafficState.h
@@ -3,6 +3,7 @@
 //   TrafficCore.cpp      configuration and endpoints, completion, timers
 //   TrafficArrival.cpp   admission, queues, the choice of an endpoint
 //   TrafficPlaces.cpp    queries for places and for grants under rate limits
+//   TrafficZones.cpp     allowed regions, evacuated zones
 //   TrafficAttempts.cpp  endpoints' answers and how they are handled
 //   TrafficCrashes.cpp   endpoints that crash, and prompt parts that crash them
 
@@ -80,6 +81,9 @@
   ServiceName Service_;
   Customer Customer_;
   int Rank_ = 1;
+  // The regions allowed by the configuration that was the ScopedAt_-th.
+  RegionScope Scope_;
+  std::uint64_t ScopedAt_ = 0;
   TimePoint ArrivedAt_;
   TimePoint Deadline_;
 
