--- a/tests/unit/FairQueueTest.cpp
+++ b/tests/unit/FairQueueTest.cpp
@@ -122,3 +122,31 @@
   REQUIRE_FALSE(Q_.pop());
   REQUIRE(Q_.empty());
 }
+
+// Guards against requests that lose their turn while others, which can be
+// served elsewhere, pass them.
+TEST_CASE_METHOD(FairQueueFixture,
+                 "fair queue, asked for some requests only, pops the first of "
+                 "them and keeps the order of the others",
+                 "[fairqueue]") {
+  push(Large, 1, 3);                        // 1 to 3
+  push(Small, 1, 2);                        // 4 and 5
+  push(Small, 1, 1, Priority::Batch);       // 6
+  push(Large, 1, 1, Priority::Interactive); // 7
+  auto PopIf = [&](std::uint64_t A, std::uint64_t B) {
+    auto Item = Q_.popIf([&](const FairQueue::Item &I) {
+      return I.Id_.Lo_ == A || I.Id_.Lo_ == B;
+    });
+    return Item ? Item->Id_.Lo_ : 0;
+  };
+  CHECK(PopIf(9, 9) == 0);
+  CHECK(Q_.size() == 7);
+  CHECK(PopIf(6, 7) == 7);
+  CHECK(PopIf(6, 2) == 2);
+  CHECK(PopIf(6, 6) == 6);
+  // Large has been served once more, so Small is next.
+  std::vector<std::uint64_t> Rest;
+  while (auto Item = Q_.pop())
+    Rest.push_back(Item->Id_.Lo_);
+  CHECK(Rest == std::vector<std::uint64_t>{4, 1, 5, 3});
+}
--- a/tests/unit/ZoneFixture.h
+++ b/tests/unit/ZoneFixture.h
@@ -114,6 +114,7 @@
   void passTime(Duration D) {
     for (TimePoint End = Now_ + D; Now_ < End;) {
       Now_ += Milliseconds(20);
+      Core_.prove(Now_, Now_);
       Core_.tick(Now_);
     }
   }
