--- a/tests/unit/TrafficChecks.h
+++ b/tests/unit/TrafficChecks.h
@@ -85,9 +85,11 @@
 
 class TrafficChecks : public TrafficPort {
 public:
-  explicit TrafficChecks(std::uint64_t Seed)
+  explicit TrafficChecks(std::uint64_t Seed,
+                         std::map<AvailabilityZone, Region> Regions = {})
       : Random_(Seed), AlwaysAllowed_(1 + Random_.below(20)),
-        Core_(options(AlwaysAllowed_), *this, Random(Seed + 1)) {}
+        Core_(options(AlwaysAllowed_, std::move(Regions)), *this,
+              Random(Seed + 1)) {}
 
   void beginAttempt(AttemptNumber A, const Call &,
                     const AttemptParams &O) override {
@@ -226,9 +228,11 @@
   }
 
 protected:
-  static TrafficCore::Options options(unsigned AlwaysAllowed) {
+  static TrafficCore::Options
+  options(unsigned AlwaysAllowed, std::map<AvailabilityZone, Region> Regions) {
     TrafficCore::Options O;
     O.Placement_.Zone_ = AvailabilityZone("z");
+    O.Placement_.Regions_ = std::move(Regions);
     // Long enough for much to happen while a query is pending.
     O.AskTimeout_ = Milliseconds(150);
     O.Budget_.Ratio_ = RepeatRatio;
--- a/tests/unit/TrafficRandomTest.cpp
+++ b/tests/unit/TrafficRandomTest.cpp
@@ -3,6 +3,7 @@
 
 #include "tests/unit/TrafficChecks.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdlib>
 
@@ -14,9 +15,20 @@
 constexpr unsigned Steps = 300;
 constexpr unsigned EndpointsPerService = 3;
 
+const std::map<AvailabilityZone, Region> Regions = {
+    {AvailabilityZone("z"), Region("east")},
+    {AvailabilityZone("y"), Region("west")}};
+const std::vector<std::vector<Region>> Limits = {
+    {}, {Region("east")}, {Region("west")}, {Region("east"), Region("west")}};
+
 class World final : public TrafficChecks {
 public:
-  explicit World(std::uint64_t Seed) : TrafficChecks(Seed) {
+  // HasZones: endpoints are in three zones, one of them of unknown region;
+  // zones are evacuated, and regions are limited.
+  explicit World(std::uint64_t Seed, bool HasZones = false)
+      : TrafficChecks(Seed, HasZones ? Regions
+                                     : std::map<AvailabilityZone, Region>{}),
+        HasZones_(HasZones) {
     for (unsigned I = 0; I < EndpointsPerService; ++I) {
       addEndpoint(Api, I);
       addEndpoint(Model, I);
@@ -35,8 +47,27 @@
     finish();
   }
 
+  void beginAttempt(AttemptNumber A, const Call &C,
+                    const AttemptParams &O) override {
+    const AvailabilityZone &Zone = Endpoints_.at(O.Endpoint_).Zone_;
+    check(!Evacuated_.contains(Zone), "none begins in an evacuated zone");
+    auto Found = Regions.find(Zone);
+    auto IsAllowed = [&](const std::vector<Region> &Limit) {
+      return Limit.empty() || (Found != Regions.end() &&
+                               std::find(Limit.begin(), Limit.end(),
+                                         Found->second) != Limit.end());
+    };
+    const Route *Matched = Config_->match(C.Host_, C.path());
+    check(IsAllowed(Matched->AllowedRegions_) &&
+              IsAllowed(Config_->customerOf(C.Key_)->AllowedRegions_),
+          "attempts begin in regions that the current configuration allows");
+    TrafficChecks::beginAttempt(A, C, O);
+  }
+
 private:
   void step() {
+    if (HasZones_ && chance(4))
+      return changeZones();
     std::uint64_t Draw = Random_.below(200);
     if (Draw < 16)
       arrive();
@@ -222,7 +253,8 @@
     E.Id_ = EndpointId((HasModel ? "m" : "a") + std::to_string(I));
     E.Service_ = S;
     E.Address_ = (HasModel ? "10.0.1." : "10.0.0.") + std::to_string(I) + ":80";
-    E.Zone_ = AvailabilityZone("z");
+    constexpr const char *Zones[] = {"z", "y", "x"};
+    E.Zone_ = AvailabilityZone(Zones[HasZones_ ? I : 0]);
     E.Slots_ = 4;
     E.Born_ = 1;
     E.HasModel_ = HasModel;
@@ -292,7 +324,24 @@
       if (chance(15))
         R.Timeout_ = Milliseconds(500 + Random_.below(6000));
     }
-    Core_.configure(RoutingConfig::build(P), Now_);
+    if (HasZones_) {
+      for (Route &R : P.Routes_)
+        if (chance(30))
+          R.AllowedRegions_ = Limits[Random_.below(Limits.size())];
+      if (chance(30))
+        P.Customers_[0].AllowedRegions_ = Limits[Random_.below(Limits.size())];
+    }
+    Config_ = RoutingConfig::build(P);
+    Core_.configure(Config_, Now_);
+  }
+
+  void changeZones() {
+    constexpr const char *Zones[] = {"z", "y", "x"};
+    AvailabilityZone Zone(Zones[Random_.below(std::size(Zones))]);
+    if (Evacuated_.erase(Zone) != 0)
+      return Core_.restoreZones({Zone}, Now_);
+    Evacuated_.insert(Zone);
+    Core_.evacuateZones({Zone}, Now_);
   }
 
   // All that is open ends by itself within the longest deadline.
@@ -310,6 +359,10 @@
     }
   }
 
+  bool HasZones_;
+  std::set<AvailabilityZone> Evacuated_;
+  // Set before the core takes it.
+  SharedConfig Config_;
   std::map<EndpointId, Endpoint> Endpoints_;
   std::set<EndpointId> Listed_;
   WeightVersion Version_ = 1;
@@ -317,9 +370,9 @@
   CallNumber NextCall_ = 0;
 };
 
-std::string failureOf(std::uint64_t Seed) {
+std::string failureOf(std::uint64_t Seed, bool HasZones = false) {
   try {
-    World(Seed).run();
+    World(Seed, HasZones).run();
   } catch (const std::exception &E) {
     return E.what();
   }
@@ -341,3 +394,17 @@
     FAIL_CHECK("a random run broke what must hold");
   }
 }
+
+// Guards against attempts that begin in an evacuated zone or a region that is
+// no longer allowed, whatever arrives between a choice and its attempt.
+TEST_CASE("traffic core, with random events, limits and evacuations, begins no "
+          "attempt where none may begin",
+          "[traffic][regions][evacuation]") {
+  for (std::uint64_t Seed = 1; Seed <= DefaultSeeds; ++Seed) {
+    std::string Failure = failureOf(Seed, true);
+    if (Failure.empty())
+      continue;
+    CAPTURE(Seed, Failure);
+    FAIL_CHECK("a random run broke what must hold");
+  }
+}
