Priorities: agents hold places back for urgent requests, entries order, refuse and count by priority

Cause: each entry orders only its own queue, and agents granted a free place to whichever entry asked first, so the least urgent kind, which may wait longest, got most places.

--- a/hawthornroad/agent/AgentEngine.cpp
+++ b/hawthornroad/agent/AgentEngine.cpp
@@ -34,6 +34,18 @@
 // need on the narrowest link.
 constexpr double TransferOverhead = 1.6;
 
+PriorityGate::Query queryIn(const wire::PlaceAskT &Ask) {
+  PriorityGate::Query Q;
+  if (Ask.late)
+    Q.Kind_ = PlaceKind::Late;
+  if (Ask.resumes)
+    Q.Kind_ = PlaceKind::Resumed;
+  if (Ask.rank != 0)
+    Q.Rank_ = Ask.rank - 1;
+  Q.IsOwed_ = Ask.owed;
+  return Q;
+}
+
 EndpointStart startIn(const wire::PlaceAskT &Ask) {
   return {EndpointId(Ask.endpoint), Ask.born};
 }
@@ -310,28 +322,54 @@
   return P;
 }
 
+bool StoreAgent::State::grantPlace(const wire::PlaceAskT &Ask,
+                                   const PlaceGrants::Pace &P, TimePoint Now) {
+  PriorityGate::Query Q = queryIn(Ask);
+  std::optional<Duration> Reading;
+  if (Ask.reading_us != 0)
+    Reading = std::chrono::microseconds(Ask.reading_us);
+  bool IsPermitted = Gate_.permits(Q, Now);
+  if (IsPermitted && Places_.ask(Q.Kind_, P, Now, Reading))
+    return true;
+  Gate_.refused(Q, Now);
+  if (!IsPermitted)
+    Metrics_.count("hawthornroad_places_withheld_total",
+                   {{"priority", std::to_string(*Q.Rank_)}});
+  return false;
+}
+
+void StoreAgent::State::reportGate(TimePoint Now) {
+  for (const PriorityGate::Change &Each : Gate_.takeChanges(Now)) {
+    LogLine L("priority_gate");
+    L.count("priority", static_cast<std::uint64_t>(Each.Rank_))
+        .flag("closed", Each.IsClosed_)
+        .count("withheld", Each.Withheld_);
+    if (Each.Behind_)
+      L.count("behind", static_cast<std::uint64_t>(*Each.Behind_));
+    Log_.write(L);
+  }
+}
+
 void StoreAgent::State::answerPlaceRequests(TimePoint Now) {
   bool IsAway = !Updater_.state() || Updater_.isAway() || Updater_.isEmpty();
-  for (const PlaceRequest &Q : std::exchange(PlaceRequests_, {})) {
-    PlaceKind Kind = PlaceKind::First;
-    if (Q.Ask_.late)
-      Kind = PlaceKind::Late;
-    if (Q.Ask_.resumes)
-      Kind = PlaceKind::Resumed;
+  std::vector<PlaceRequest> Pending = std::exchange(PlaceRequests_, {});
+  std::stable_sort(Pending.begin(), Pending.end(),
+                   [](const PlaceRequest &A, const PlaceRequest &B) {
+                     return PriorityGate::order(queryIn(A.Ask_)) <
+                            PriorityGate::order(queryIn(B.Ask_));
+                   });
+  for (const PlaceRequest &Q : Pending) {
     wire::PlaceAnswerT Answer;
     Answer.number = Q.Ask_.number;
     Answer.away = IsAway;
     PlaceGrants::Pace P = placePace(Q.Ask_);
-    std::optional<Duration> Reading;
-    if (Q.Ask_.reading_us != 0)
-      Reading = std::chrono::microseconds(Q.Ask_.reading_us);
     EndpointStart E = startIn(Q.Ask_);
     LimitGrants::Verdict V =
         Limits_.check(E, Q.Process_, GranterRole::Beside, Now);
     Answer.limit_wait_us = inMicroseconds(V.Wait_);
     Answer.limit = encodeLimit(Limits_.limits().last(E), Now);
-    Answer.granted = !IsAway && V.IsGranted_ && P.Places_ != 0 &&
-                     Places_.ask(Kind, P, Now, Reading);
+    Answer.granted =
+        !IsAway && V.IsGranted_ && P.Places_ != 0 && grantPlace(Q.Ask_, P, Now);
     if (Answer.granted)
       Limits_.take(E);
     Answer.running = Places_.running();
@@ -339,6 +377,7 @@
     Answer.version = Updater_.state() ? Updater_.state()->Loaded_.Version_ : 0;
     Net_->reply(Q.From_, makeFrame(std::move(Answer)));
   }
+  reportGate(Now);
 }
 
 void StoreAgent::State::stageAndVerify() {
--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -124,6 +124,7 @@
   step(Now);
   fetchDigestsForPeers(Now);
   relayParts(Now);
+  reportGate(Now);
   Io_.after(isBusy() || isFetching() ? BusyTick : IdleTick, [this] { tick(); });
 }
 
--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -22,6 +22,7 @@
 #include "hawthornroad/runtime/Metrics.h"
 #include "hawthornroad/staging/LoadSchedule.h"
 #include "hawthornroad/staging/PlaceGrants.h"
+#include "hawthornroad/staging/PriorityGate.h"
 #include "hawthornroad/store/StoreClient.h"
 #include "hawthornroad/traffic/CrashingParts.h"
 #include "hawthornroad/traffic/LimitGrants.h"
@@ -148,6 +149,12 @@
   // engine's next report.
   void onPlaceAsk(const PeerContext &From, const wire::PlaceAskT &Ask);
   void answerPlaceRequests(TimePoint Now);
+  // Whether the engine has a place for the request and no more urgent request
+  // lacks one.
+  bool grantPlace(const wire::PlaceAskT &Ask, const PlaceGrants::Pace &P,
+                  TimePoint Now);
+  // Logs for which priorities places are held back.
+  void reportGate(TimePoint Now);
   // Grants a request under the rate limit of any endpoint.
   void answerLimitRequest(const PeerContext &From, const wire::PlaceAskT &Ask);
   void noteLimit(const EndpointStart &E, const wire::StatedLimitT &Limit,
@@ -228,6 +235,7 @@
   };
   std::map<ProcessName, Watcher> Watchers_;
   PlaceGrants Places_;
+  PriorityGate Gate_;
   LimitGrants Limits_;
   CrashingParts Parts_{relayOptions()};
   struct PlaceRequest {
--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -41,6 +41,18 @@
   return R.Status_ < BadRequest || R.Status_ >= ServerError;
 }
 
+// How a request ended for its caller.
+std::string_view outcomeOf(const CallReport &R) {
+  constexpr unsigned BadRequest = 400;
+  constexpr unsigned Unavailable = 503;
+  if (R.CallerGone_)
+    return "caller_gone";
+  if (R.Status_ == Unavailable)
+    return "refused";
+  return R.Cause_ == Cause::None && R.Status_ < BadRequest ? "served"
+                                                           : "failed";
+}
+
 bool isAbnormal(const AttemptReport &R) {
   return R.Event_ == "failed" || R.Event_ == "cancelled";
 }
@@ -311,6 +323,8 @@
       .millis("gone_ms", R.ElapsedBefore_)
       .millis("waited_ms", R.Waited_)
       .millis("whole_ms", R.Total_);
+  if (R.Rank_)
+    L.text("priority", std::to_string(*R.Rank_)).flag("owed", R.IsOwed_);
   if (R.ConfigAge_)
     L.millis("config_age_ms", *R.ConfigAge_);
   if (R.FirstByte_)
@@ -319,6 +333,10 @@
   Metrics_.count("hawthornroad_requests_total",
                  {{"status", std::to_string(R.Status_)},
                   {"cause", std::string(toString(R.Cause_))}});
+  if (R.Rank_)
+    Metrics_.count("hawthornroad_requests_by_priority_total",
+                   {{"priority", std::to_string(*R.Rank_)},
+                    {"outcome", std::string(outcomeOf(R))}});
   if (R.ConfigAge_)
     Metrics_.observe("hawthornroad_config_age_seconds",
                      std::chrono::duration<double>(*R.ConfigAge_).count());
--- a/hawthornroad/routing/FairQueue.cpp
+++ b/hawthornroad/routing/FairQueue.cpp
@@ -159,6 +159,13 @@
   return *Largest->Latest_;
 }
 
+bool FairQueue::hasAsUrgent(Priority P) const {
+  for (std::size_t K = 0; K <= indexOf(P); ++K)
+    if (Classes_[K].Size_ > 0)
+      return true;
+  return false;
+}
+
 std::vector<FairQueue::Item> FairQueue::items() const {
   std::vector<Item> Out;
   Out.reserve(Size_);
--- a/hawthornroad/routing/FairQueue.h
+++ b/hawthornroad/routing/FairQueue.h
@@ -58,6 +58,8 @@
   // backlog. Returns nullopt when that request is Newcomer itself.
   std::optional<Item> victimFor(const Item &Newcomer, double Weight) const;
 
+  // Whether a request of class P or a higher one is queued.
+  bool hasAsUrgent(Priority P) const;
   std::vector<Item> items() const;
   std::size_t size() const { return Size_; }
   bool empty() const { return Size_ == 0; }
--- a/hawthornroad/traffic/Placement.cpp
+++ b/hawthornroad/traffic/Placement.cpp
@@ -143,7 +143,8 @@
 }
 
 bool Placement::isFull(const State &S, const Query &Q, TimePoint Now) const {
-  if (Now < S.FullUntil_ || Now < S.AwayUntil_ || Now < S.DeniedUntil_ ||
+  bool IsDenied = Now < S.DeniedUntil_ && Q.Rank_ >= S.DeniedRank_;
+  if (Now < S.FullUntil_ || Now < S.AwayUntil_ || IsDenied ||
       Now < S.RefusedUntil_)
     return true;
   if (Q.MayAsk_ && mayAsk(S, Now))
@@ -237,13 +238,14 @@
     S.FullUntil_ = TimePoint();
 }
 
-void Placement::placeDenied(const EndpointId &Id, TimePoint Now) {
+void Placement::placeDenied(const EndpointId &Id, TimePoint Now, int Rank) {
   auto Found = States_.find(Id);
   if (Found == States_.end())
     return;
   State &S = Found->second;
   auto Engines =
       static_cast<Duration::rep>(ByService_[S.Endpoint_.Service_].size());
+  S.DeniedRank_ = Now < S.DeniedUntil_ ? std::min(S.DeniedRank_, Rank) : Rank;
   S.DeniedUntil_ = Now + std::max<Duration>(Options_.DeniedFor_,
                                             Engines * Options_.DeniedForEach_);
 }
@@ -323,8 +325,10 @@
 
 void Placement::awaitReport(const EndpointId &Id, TimePoint Now) {
   auto Found = States_.find(Id);
-  if (Found != States_.end())
-    Found->second.DeniedUntil_ = Now + Options_.ReportWait_;
+  if (Found == States_.end())
+    return;
+  Found->second.DeniedUntil_ = Now + Options_.ReportWait_;
+  Found->second.DeniedRank_ = 0;
 }
 
 void Placement::pauseAsking(const EndpointId &Id, TimePoint Now) {
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -141,6 +141,8 @@
     bool IsLate_ = false;
     // Regions in which the request may be served; null: all of them.
     const RegionScope *Regions_ = nullptr;
+    // Priority, 0 is the most urgent; 0 for all where they do not differ.
+    int Rank_ = 0;
     // Time until the caller leaves. With less than PromptFirstByte_, endpoints
     // whose agent has left a query unanswered are excluded.
     Duration TimeLeft_ = Duration::max();
@@ -166,8 +168,9 @@
   // The agent reports that its engine takes no new requests (a load is pending
   // or in progress), or that it serves again.
   void setAway(const EndpointId &Id, bool IsAway, TimePoint Now);
-  // The agent had no place for a request.
-  void placeDenied(const EndpointId &Id, TimePoint Now);
+  // The agent had no place for a request of this priority. More urgent requests
+  // may still be granted one, so the endpoint stays eligible for them.
+  void placeDenied(const EndpointId &Id, TimePoint Now, int Rank = 0);
   // No connection to it could be established.
   void connectFailed(const EndpointId &Id, TimePoint Now);
   // Nothing is sent there before Until, whatever its load: it has said so
@@ -255,6 +258,8 @@
     TimePoint FullUntil_;
     TimePoint AwayUntil_;
     TimePoint DeniedUntil_;
+    // The most urgent priority that was denied.
+    int DeniedRank_ = 0;
     TimePoint RefusedUntil_;
     std::optional<TimePoint> HeldUntil_;
     // When the kept grants under its rate limit expire.
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -16,17 +16,8 @@
 // The wait in a shorter queue is not estimated, since its rate is too
 // uncertain.
 constexpr std::size_t MinEstimatedQueue = 3;
-// Urgency sent to the endpoint: of a first attempt (the field's default), and
-// of one that resumes a started stream.
-constexpr int DefaultUrgency = 5;
-constexpr int ResumeUrgency = 1;
-constexpr int MaxUrgency = 9;
-
-Priority priorityOf(int Rank) {
-  if (Rank <= 0)
-    return Priority::Interactive;
-  return Rank == 1 ? Priority::Normal : Priority::Batch;
-}
+// Requests that cannot be answered in time only take places that others leave.
+constexpr int LateRank = 9;
 } // namespace
 
 void TrafficCore::arrive(CallNumber N, Call C, TimePoint Now) {
@@ -46,6 +37,7 @@
            Now);
   else if (classify(R, Now)) {
     R.IsLate_ = isLate(R, Now);
+    notePriority(R, Now);
     if (auto Until = Parts_.blockedUntil(R.Call_.Parts_, Now))
       refuseBlocked(R, *Until, Now);
     else
@@ -124,6 +116,41 @@
          R.ElapsedBefore_ >= R.Route_->FirstByteGoal_ * Options_.LateShare_;
 }
 
+void TrafficCore::notePriority(Record &R, TimePoint Now) {
+  R.IsPrioritized_ = R.Config_->prioritiesDiffer(R.Service_);
+  if (!R.IsPrioritized_)
+    return;
+  ServedShare &Shares = ServiceQueues_[R.Service_].Shares_;
+  Shares.arrived(R.Route_->Name_, R.Customer_, Now);
+  R.IsOwed_ = Shares.isOwed(R.Route_->Name_, R.Customer_, Now);
+}
+
+int TrafficCore::askRank(const Record &R) {
+  if (!R.IsPrioritized_ || R.IsStreaming_)
+    return 0;
+  if (R.IsLate_)
+    return LateRank;
+  return R.IsOwed_ ? 0 : R.Rank_;
+}
+
+bool TrafficCore::mustYield(const Record &R, TimePoint Now) const {
+  auto Found = ServiceQueues_.find(R.Service_);
+  return R.IsPrioritized_ && !R.IsOwed_ && !R.IsStreaming_ &&
+         Found != ServiceQueues_.end() &&
+         Found->second.RankOverload_.moreUrgentRefused(R.Rank_, Now);
+}
+
+// Where priorities differ, a request does not wait behind less urgent ones.
+bool TrafficCore::othersWait(const Record &R) const {
+  auto Found = ServiceQueues_.find(R.Service_);
+  if (Found == ServiceQueues_.end())
+    return false;
+  const FairQueue &Queue = Found->second.Queue_;
+  if (!R.IsPrioritized_)
+    return !Queue.empty();
+  return Queue.hasAsUrgent(queueClass(R.IsStreaming_, R.IsOwed_, R.Rank_));
+}
+
 Duration TrafficCore::estimatedWait(const ServiceName &Service,
                                     const Record &R) const {
   auto Found = ServiceQueues_.find(Service);
@@ -134,7 +161,7 @@
     return Duration::zero();
   double Ahead =
       L.Queue_.aheadOf(Options_.FairByCustomer_ ? R.Customer_ : Customer(),
-                       priorityOf(R.Rank_), 1.0);
+                       queueClass(false, R.IsOwed_, R.Rank_), 1.0);
   Duration PerEnd = (L.Ends_.back() - L.Ends_.front()) /
                     static_cast<Duration::rep>(L.Ends_.size() - 1);
   return std::chrono::duration_cast<Duration>(PerEnd * (Ahead + 1));
@@ -143,11 +170,17 @@
 // Endpoints that hold back by their own statement do not make the service count
 // as overloaded.
 Duration TrafficCore::retryAfter(const Record &R, Cause Why, TimePoint Now) {
-  Overload &O = ServiceQueues_[R.Service_].Overload_;
-  if (Why != Cause::EndpointsHeld)
-    O.refused(Now);
+  ServiceQueue &L = ServiceQueues_[R.Service_];
+  if (Why != Cause::EndpointsHeld) {
+    L.Overload_.refused(Now);
+    bool LacksPlace = Why == Cause::LineFull || Why == Cause::WaitedTooLong;
+    if (R.IsPrioritized_)
+      L.RankOverload_.refused(R.Rank_, LacksPlace && !R.IsLate_, Now);
+  }
+  Duration Elapsed = R.IsPrioritized_ ? L.RankOverload_.elapsed(R.Rank_, Now)
+                                      : L.Overload_.elapsed(Now);
   Duration Base =
-      std::clamp<Duration>(O.elapsed(Now), 2 * MinRetryAfter, MaxRetryAfter);
+      std::clamp<Duration>(Elapsed, 2 * MinRetryAfter, MaxRetryAfter);
   Duration Delay =
       std::max<Duration>(MinRetryAfter, Random_.jitter(Base, RetryAfterSpread));
   // Later only: before this time none of the endpoints accepts a request.
@@ -167,10 +200,7 @@
 }
 
 void TrafficCore::place(Record &R, TimePoint Now) {
-  auto Found = ServiceQueues_.find(R.Service_);
-  bool OthersWait =
-      Found != ServiceQueues_.end() && !Found->second.Queue_.empty();
-  if (!OthersWait && tryBegin(R, Now))
+  if (!othersWait(R) && tryBegin(R, Now))
     return;
   queue(R, Now);
 }
@@ -190,7 +220,7 @@
                                                       Options_.LineShare_));
     if (heldUntil(R, Now) > Now + Limit)
       return giveUp(R, Cause::EndpointsHeld, "all endpoints hold back", Now);
-    if (R.IsLate_ || estimatedWait(R.Service_, R) > Limit)
+    if (R.IsLate_ || mustYield(R, Now) || estimatedWait(R.Service_, R) > Limit)
       return giveUp(R, Cause::LineFull, "no place in time", Now);
   }
   R.IsQueued_ = true;
@@ -198,8 +228,7 @@
   R.QueuedAt_ = Now;
   R.Item_ = {RequestId{0, R.Number_},
              Options_.FairByCustomer_ ? R.Customer_ : Customer(),
-             R.IsStreaming_ ? Priority::Interactive : priorityOf(R.Rank_),
-             R.Deadline_};
+             queueClass(R.IsStreaming_, R.IsOwed_, R.Rank_), R.Deadline_};
   ServiceQueues_[R.Service_].Queue_.push(R.Item_, 1.0);
 }
 
@@ -251,6 +280,7 @@
   Q.Tried_ = &R.Tried_;
   Q.MinVersion_ = minVersion(R.Service_, Now);
   Q.IsLate_ = R.IsLate_;
+  Q.Rank_ = askRank(R);
   Q.MayAsk_ = Options_.AsksForPlaces_;
   Q.TimeLeft_ = callerLeavesAt(R) - Now;
   // When all endpoints were tried, each may be tried again.
@@ -321,6 +351,8 @@
   R.Outstanding_ += R.HasArrived_ ? 1 : 0;
   if (!R.IsNoted_)
     Budget_.noteRequest(R.Service_, Now);
+  if (!R.IsNoted_ && R.IsPrioritized_)
+    ServiceQueues_[R.Service_].Shares_.begun(R.Route_->Name_, R.Customer_, Now);
   R.IsNoted_ = true;
   R.IsLate_ = false;
   R.Asks_ = 0;
@@ -338,9 +370,7 @@
   O.Address_ = E.Address_;
   O.Customer_ = R.Customer_;
   O.TimeLeft_ = R.Deadline_ - Now;
-  O.Urgency_ = R.IsStreaming_
-                   ? ResumeUrgency
-                   : std::clamp(DefaultUrgency + R.Rank_ - 1, 0, MaxUrgency);
+  O.Urgency_ = engineUrgency(R.IsStreaming_, R.Rank_);
   O.LastEvent_ = R.Relay_ ? R.Relay_->lastEvent() : R.Call_.LastEvent_;
   const Attempt &T = R.Current_;
   Port_.report(AttemptReport{R.Number_, R.Call_.Id_, T.At_, T.Address_, "begun",
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -247,6 +247,9 @@
   if (R.Route_ != nullptr)
     Report.Route_ = R.Route_->Name_;
   Report.Customer_ = R.Customer_;
+  if (R.IsPrioritized_)
+    Report.Rank_ = R.Rank_;
+  Report.IsOwed_ = R.IsOwed_;
   Report.Status_ = R.Status_;
   Report.Cause_ = R.Cause_;
   Report.MayHaveRun_ = R.MayHaveRun_;
@@ -368,7 +371,7 @@
   }
   if (R.IsQueued_) {
     Duration Limit = R.IsStreaming_ ? ResumeWait : queueWaitLimit(*R.Route_);
-    if (Now - *R.QueuedAt_ >= Limit)
+    if (Now - *R.QueuedAt_ >= Limit || mustYield(R, Now))
       giveUp(R, Cause::WaitedTooLong, "no place in time", Now);
     return;
   }
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -55,6 +55,12 @@
 // of the goal, or when its goal has already passed and no place is to spare.
 // The retry delay grows with the time the service has been refusing (Overload).
 //
+// Priorities. Where requests of a service may have different priorities, agents
+// grant places to the more urgent first (PriorityGate), and requests of routes
+// and customers that are served too little count as the most urgent
+// (ServedShare). A less urgent request does not wait while more urgent ones are
+// being refused here.
+//
 // No I/O, no clock, no threads. At most MaxCalls open requests. Cost: an event
 // looks up one request; a tick visits all of them.
 
@@ -248,6 +254,14 @@
   bool classify(Record &R, TimePoint Now);
   // Refuses what is not declared, or reports that the configuration is behind.
   void deny(Record &R, unsigned Status, Cause Why, TimePoint Now);
+  // Counts a request whose priority may differ from others' of its service.
+  void notePriority(Record &R, TimePoint Now);
+  // Its priority among queries for places; 0 where priorities do not differ.
+  static int askRank(const Record &R);
+  // Whether R must not wait because more urgent requests are being refused.
+  bool mustYield(const Record &R, TimePoint Now) const;
+  // Whether queued requests come before R.
+  bool othersWait(const Record &R) const;
   // Whether the caller's goal can no longer be met.
   bool isLate(Record &R, TimePoint Now);
   void place(Record &R, TimePoint Now);
--- a/hawthornroad/traffic/TrafficPlaces.cpp
+++ b/hawthornroad/traffic/TrafficPlaces.cpp
@@ -23,6 +23,9 @@
   D.Kind_ = R.IsLate_ ? PlaceKind::Late : PlaceKind::First;
   if (R.IsStreaming_)
     D.Kind_ = PlaceKind::Resumed;
+  if (R.IsPrioritized_)
+    D.Rank_ = R.Rank_;
+  D.IsOwed_ = R.IsOwed_;
   const ServiceConfig *Service = R.Config_->findService(R.Service_);
   if (Service == nullptr || !Service->Engine_)
     return D;
@@ -141,7 +144,7 @@
 // does not count as one of the few that a request may make.
 void TrafficCore::onDenied(Record &R, const PlaceReply &W, TimePoint Now) {
   if (W.LimitWait_ <= Duration::zero())
-    return Placement_.placeDenied(R.AskedOf_, Now);
+    return Placement_.placeDenied(R.AskedOf_, Now, askRank(R));
   Placement_.hold(R.AskedOf_,
                   Now + Random_.jitter(W.LimitWait_, RetryAfterSpread));
   if (R.Asks_ > 0)
--- a/hawthornroad/traffic/TrafficPort.h
+++ b/hawthornroad/traffic/TrafficPort.h
@@ -55,6 +55,11 @@
   std::string Id_;
   std::string Route_;
   Customer Customer_;
+  // Priority, 0 is the most urgent; unset where all requests of the service
+  // have the same one.
+  std::optional<int> Rank_;
+  // Treated as the most urgent, see ServedShare.
+  bool IsOwed_ = false;
   unsigned Status_ = 0;
   Cause Cause_ = Cause::None;
   bool MayHaveRun_ = false;
--- a/hawthornroad/traffic/TrafficState.h
+++ b/hawthornroad/traffic/TrafficState.h
@@ -10,6 +10,8 @@
 #define HAWTHORNROAD_TRAFFIC_TRAFFICSTATE_H
 
 #include "hawthornroad/traffic/Overload.h"
+#include "hawthornroad/traffic/RequestPriority.h"
+#include "hawthornroad/traffic/ServedShare.h"
 #include "hawthornroad/traffic/TrafficCore.h"
 
 #include <deque>
@@ -80,6 +82,10 @@
   ServiceName Service_;
   Customer Customer_;
   int Rank_ = 1;
+  // Requests of its service may have different priorities.
+  bool IsPrioritized_ = false;
+  // Treated as the most urgent, see ServedShare.
+  bool IsOwed_ = false;
   TimePoint ArrivedAt_;
   TimePoint Deadline_;
 
@@ -154,6 +160,9 @@
 struct TrafficCore::ServiceQueue {
   FairQueue Queue_;
   Overload Overload_;
+  // Used where priorities differ.
+  RankOverload RankOverload_;
+  ServedShare Shares_;
   // Completion times of the last requests, oldest first.
   std::deque<TimePoint> Ends_;
 };
