--- a/tests/unit/PriorityLoadTest.cpp
+++ b/tests/unit/PriorityLoadTest.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdio>
 #include <memory>
 #include <set>
 #include <string>
@@ -39,6 +40,8 @@
   struct Options {
     unsigned Entries_ = 6;
     unsigned Engines_ = 6;
+    // Requests a second relative to the usual load of six engines.
+    double LoadFactor_ = 1;
     bool UsesGate_ = true;
     bool PrioritiesDiffer_ = true;
     // Entries of an older release state no priority.
@@ -110,11 +113,12 @@
     return Usual.at(Kind);
   }
   void nextRequest(std::size_t Kind) {
-    after(nextGap(Random_, perSecond(Kind)), [this, Kind] {
-      Requests_.push_back({Kind, drawCustomer(), Now_, std::nullopt});
-      arrive(Requests_.size() - 1);
-      nextRequest(Kind);
-    });
+    after(nextGap(Random_, Options_.LoadFactor_ * perSecond(Kind)),
+          [this, Kind] {
+            Requests_.push_back({Kind, drawCustomer(), Now_, std::nullopt});
+            arrive(Requests_.size() - 1);
+            nextRequest(Kind);
+          });
   }
   // The first customer sends 24 times as much as the last one.
   unsigned drawCustomer() {
@@ -432,3 +436,27 @@
   REQUIRE(F.share(2, Jump, End - CallerTime) >=
           F.share(std::nullopt, Jump, End - CallerTime) / 4);
 }
+
+// Prints the figures of docs/design/priorities.md.
+TEST_CASE("priorities under load, compared with and without the gate",
+          "[.][priority-table]") {
+  for (unsigned Size : {6U, 45U})
+    for (int Mode = 0; Mode < 3; ++Mode) {
+      PriorityFleet F({.Entries_ = Size,
+                       .Engines_ = Size,
+                       .LoadFactor_ = Size / 6.0,
+                       .UsesGate_ = Mode == 2,
+                       .PrioritiesDiffer_ = Mode > 0});
+      F.run(End - Start);
+      std::printf(
+          "%u entries and engines, %s:", Size,
+          std::array{"no priorities", "entries only", "with the gate"}.at(
+              static_cast<std::size_t>(Mode)));
+      for (std::size_t Kind = 0; Kind < Kinds; ++Kind)
+        std::printf(" %.2f",
+                    F.share(Kind, Jump + Settled, End - CallerTime, InTime));
+      std::printf(", all %.2f\n",
+                  F.share(std::nullopt, Jump, End - CallerTime));
+      REQUIRE(F.cancelled() == 0);
+    }
+}
