--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -23,6 +23,7 @@
 #include "hawthornroad/staging/LoadSchedule.h"
 #include "hawthornroad/staging/PlaceGrants.h"
 #include "hawthornroad/staging/VersionOrder.h"
+#include "hawthornroad/staging/PriorityGate.h"
 #include "hawthornroad/store/StoreClient.h"
 #include "hawthornroad/traffic/CrashingParts.h"
 #include "hawthornroad/traffic/LimitGrants.h"
@@ -149,6 +150,12 @@
   // engine's next report.
   void onPlaceAsk(const PeerContext &From, const wire::PlaceAskT &Ask);
   void answerPlaceRequests(TimePoint Now);
+  // Whether the engine has a place for the request and no more urgent request
+  // lacks one.
+  bool grantPlace(const wire::PlaceAskT &Ask, const PlaceGrants::Pace &P,
+                  TimePoint Now);
+  // Logs for which priorities places are held back.
+  void reportGate(TimePoint Now);
   // Grants a request under the rate limit of any endpoint.
   void answerLimitRequest(const PeerContext &From, const wire::PlaceAskT &Ask);
   void noteLimit(const EndpointStart &E, const wire::StatedLimitT &Limit,
@@ -232,6 +239,7 @@
   };
   std::map<ProcessName, Watcher> Watchers_;
   PlaceGrants Places_;
+  PriorityGate Gate_;
   LimitGrants Limits_;
   CrashingParts Parts_{relayOptions()};
   struct PlaceRequest {
--- a/hawthornroad/traffic/TrafficState.h
+++ b/hawthornroad/traffic/TrafficState.h
@@ -11,6 +11,8 @@
 #define HAWTHORNROAD_TRAFFIC_TRAFFICSTATE_H
 
 #include "hawthornroad/traffic/Overload.h"
+#include "hawthornroad/traffic/RequestPriority.h"
+#include "hawthornroad/traffic/ServedShare.h"
 #include "hawthornroad/traffic/TrafficCore.h"
 
 #include <deque>
@@ -84,6 +86,10 @@
   // The regions allowed by the configuration that was the ScopedAt_-th.
   RegionScope Scope_;
   std::uint64_t ScopedAt_ = 0;
+  // Requests of its service may have different priorities.
+  bool IsPrioritized_ = false;
+  // Treated as the most urgent, see ServedShare.
+  bool IsOwed_ = false;
   TimePoint ArrivedAt_;
   TimePoint Deadline_;
 
@@ -158,6 +164,9 @@
 struct TrafficCore::ServiceQueue {
   FairQueue Queue_;
   Overload Overload_;
+  // Used where priorities differ.
+  RankOverload RankOverload_;
+  ServedShare Shares_;
   // Completion times of the last requests, oldest first.
   std::deque<TimePoint> Ends_;
 };
--- a/hawthornroad/traffic/TrafficZones.cpp
+++ b/hawthornroad/traffic/TrafficZones.cpp
@@ -18,6 +18,7 @@
   Q.Service_ = R.Service_;
   Q.MinVersion_ = minVersion(R.Service_, Now);
   Q.IsLate_ = R.IsLate_;
+  Q.Rank_ = askRank(R);
   Q.MayAsk_ = Options_.AsksForPlaces_;
   if (R.Route_ != nullptr)
     Q.TimeLeft_ = callerLeavesAt(R) - Now;
