Endpoint speed: stated slowdowns count at agents and entries while recent

Cause: some endpoints take 2.5 times their usual time for some 600 ms at a time, and requests went on to them as before. Unreadable figures are counted.

--- a/hawthornroad/agent/AgentEngine.cpp
+++ b/hawthornroad/agent/AgentEngine.cpp
@@ -4,6 +4,7 @@
 #include "hawthornroad/traffic/PromptCost.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hawthornroad {
 
@@ -15,6 +16,9 @@
 // often: entries only rank engines by load, and ask for a place before they
 // send.
 constexpr Duration MinLoadNoticeInterval = Milliseconds(120);
+// Step in which entries are told how fast the engine works. Smaller changes do
+// not alter their choice and would cause a notice after every report.
+constexpr double SlowdownStep = 0.1;
 // Most place requests that wait for the engine's report. Beyond it the oldest
 // is dropped without an answer: its entry has tried another engine by then.
 constexpr std::size_t MaxPlaceRequests = 256;
@@ -37,6 +41,18 @@
 EndpointStart startIn(const wire::PlaceAskT &Ask) {
   return {EndpointId(Ask.endpoint), Ask.born};
 }
+
+// 0: nothing was stated recently.
+float wireSlowdown(const EndpointSpeed &S, TimePoint Now) {
+  return static_cast<float>(S.stated(Now).value_or(0));
+}
+
+float roundedSlowdown(const EndpointSpeed &S, TimePoint Now) {
+  if (!S.stated(Now))
+    return 0;
+  return static_cast<float>(std::round(S.factor(Now) / SlowdownStep) *
+                            SlowdownStep);
+}
 } // namespace
 
 TimePoint StoreAgent::State::scheduledLoadAt() const {
@@ -105,6 +121,7 @@
   Notice.running = Updater_.state()->Running_;
   Notice.waiting = Updater_.state()->Waiting_;
   TimePoint Now = bootNow();
+  Notice.slowdown = roundedSlowdown(Places_.speed(), Now);
   bool IsAway = Notice.phase != 0;
   if (LastNotice_ == Notice &&
       !(IsAway && Now - LastNoticeAt_ >= AwayNoticeInterval))
@@ -220,7 +237,10 @@
   if (Answer == nullptr || Answer->Status_ != Ok)
     return Updater_.onReportFailed(Now);
   try {
-    EngineReport S = platform::decodeReport(Answer->Body_);
+    EngineReport S = platform::decodeReport(Answer->Body_, Answer->Headers_);
+    if (S.IsSlowdownUnreadable_)
+      Metrics_.count("hawthornroad_endpoint_statements_unreadable_total",
+                     {{"field", "slowdown"}});
     bool IsNews = !LastLoggedReport_ ||
                   LastLoggedReport_->Loaded_ != S.Loaded_ ||
                   LastLoggedReport_->IsBusy_ != S.IsBusy_ ||
@@ -234,7 +254,7 @@
                      .count("waiting", S.Waiting_));
     LastLoggedReport_ = S;
     LastReportAskedAt_ = AskedAt;
-    Places_.onReport(S.Running_, S.Waiting_, AskedAt);
+    Places_.onReport(S.Running_, S.Waiting_, AskedAt, S.Slowdown_);
     Updater_.onReport(std::move(S), Now);
     notifyEntries();
     answerPlaceRequests(Now);
@@ -336,6 +356,7 @@
       Limits_.take(E);
     Answer.running = Places_.running();
     Answer.waiting = Places_.waiting();
+    Answer.slowdown = wireSlowdown(Places_.speed(), Now);
     Answer.version = Updater_.state() ? Updater_.state()->Loaded_.Version_ : 0;
     Net_->reply(Q.From_, makeFrame(std::move(Answer)));
   }
--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -267,6 +267,9 @@
   if (Updater_.state())
     Metrics_.set("hawthornroad_loaded_version",
                  static_cast<double>(Updater_.state()->Loaded_.Version_));
+  if (Places_.speed().wasStated())
+    Metrics_.set("hawthornroad_endpoint_slowdown",
+                 Places_.speed().factor(bootNow()));
   S->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
              Metrics_.render());
 }
--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -185,7 +185,10 @@
 
 void DirectEntry::State::noteUnreadable(const std::string &Endpoint,
                                         const EndpointHead &H) {
-  for (std::string_view Field : H.Unreadable_) {
+  std::vector<std::string_view> Fields = H.Unreadable_;
+  if (H.IsSlowdownUnreadable_)
+    Fields.emplace_back("slowdown");
+  for (std::string_view Field : Fields) {
     Metrics_.count("hawthornroad_endpoint_statements_unreadable_total",
                    {{"field", std::string(Field)}});
     if (LoggedUnreadable_.size() < MaxLoggedUnreadable &&
@@ -213,6 +216,8 @@
         .count("version", R.EndpointView_.Version_);
     if (R.EndpointView_.ReportAge_)
       L.millis("load_age_ms", *R.EndpointView_.ReportAge_);
+    if (R.EndpointView_.Slowdown_)
+      L.number("slowdown", *R.EndpointView_.Slowdown_);
   } else {
     L.text("why", R.Reason_).flag("may_have_run", R.MayHaveRun_);
     L.millis("took_ms", R.Took_).millis("silent_ms", R.SilentFor_);
--- a/hawthornroad/http/HttpCalls.cpp
+++ b/hawthornroad/http/HttpCalls.cpp
@@ -153,8 +153,9 @@
     ++Counters_.Calls_;
     Counters_.BytesSent_ += Text.size();
     ClientLink::Events E;
-    E.OnHead_ = [C](unsigned Status, const HeaderFields &) {
+    E.OnHead_ = [C](unsigned Status, HeaderFields Fields) {
       C->Answer_.Status_ = Status;
+      C->Answer_.Headers_ = std::move(Fields);
     };
     E.OnBody_ = [Self, C](const std::string &Bytes) {
       Self->Counters_.BytesReceived_ += Bytes.size();
--- a/hawthornroad/http/HttpCalls.h
+++ b/hawthornroad/http/HttpCalls.h
@@ -33,6 +33,7 @@
 struct HttpAnswer {
   unsigned Status_ = 0;
   std::string Body_;
+  HeaderFields Headers_ = {};
 };
 
 class HttpCalls {
--- a/hawthornroad/staging/EngineUpdater.h
+++ b/hawthornroad/staging/EngineUpdater.h
@@ -48,6 +48,10 @@
   std::uint64_t Orders_ = 0;
   unsigned Running_ = 0;
   unsigned Waiting_ = 0;
+  // See EndpointHead::Slowdown_.
+  std::optional<double> Slowdown_ = std::nullopt;
+  // A slowdown was stated, but not as a usable number.
+  bool IsSlowdownUnreadable_ = false;
   bool operator==(const EngineReport &) const = default;
 };
 
--- a/hawthornroad/staging/PlaceGrants.cpp
+++ b/hawthornroad/staging/PlaceGrants.cpp
@@ -5,9 +5,10 @@
 namespace hawthornroad {
 
 void PlaceGrants::onReport(unsigned Running, unsigned Waiting,
-                           TimePoint AskedAt) {
+                           TimePoint AskedAt, std::optional<double> Slowdown) {
   Running_ = Running;
   Waiting_ = Waiting;
+  Speed_.note(Slowdown, AskedAt);
   ReportedAt_ = AskedAt;
   while (!Granted_.empty() &&
          Granted_.front().At_ + Options_.Transit_ <= AskedAt) {
@@ -37,7 +38,7 @@
     Places += Options_.ExtraForResumed_;
   if (Running_ + waiting() >= Places)
     return false;
-  if (queuedReading(P) >= Options_.MostReading_)
+  if (queuedReading(P) * Speed_.factor(Now) >= Options_.MostReading_)
     return false;
   Granted_.push_back({Now, Reading.value_or(P.Reading_)});
   return true;
--- a/hawthornroad/staging/PlaceGrants.h
+++ b/hawthornroad/staging/PlaceGrants.h
@@ -19,7 +19,9 @@
 // Load pattern: many entries see one idle engine at once, and prompts have very
 // different lengths. What queues at the engine is counted by the time to read
 // it. Prompts are read in the order of their arrival, so the requests that the
-// engine reports as waiting are the last ones granted.
+// engine reports as waiting are the last ones granted. An engine may state that
+// it works slower than usual now; what queues then takes longer to read
+// (traffic/EndpointSpeed).
 //
 // No I/O, no clock, no threads. Memory: the grants of the last Transit and of
 // the time between two reports.
@@ -28,6 +30,7 @@
 #define HAWTHORNROAD_STAGING_PLACEGRANTS_H
 
 #include "hawthornroad/base/Types.h"
+#include "hawthornroad/traffic/EndpointSpeed.h"
 
 #include <deque>
 #include <optional>
@@ -73,8 +76,10 @@
   PlaceGrants() = default;
   explicit PlaceGrants(Options O) : Options_(O) {}
 
-  // AskedAt: when the engine was asked.
-  void onReport(unsigned Running, unsigned Waiting, TimePoint AskedAt);
+  // AskedAt: when the engine was asked. Slowdown: how long work takes there
+  // now, relative to the usual time; unset when it is not stated.
+  void onReport(unsigned Running, unsigned Waiting, TimePoint AskedAt,
+                std::optional<double> Slowdown = std::nullopt);
   bool isFresh(TimePoint Now) const {
     return ReportedAt_ && Now - *ReportedAt_ <= Options_.MaxReportAge_;
   }
@@ -82,9 +87,10 @@
   // Reading: the time to process this request's prompt, if known.
   bool ask(PlaceKind Kind, const Pace &P, TimePoint Now,
            std::optional<Duration> Reading = std::nullopt);
-  // Time to process the prompts queued before the next request.
+  // Time to process the prompts queued before the next request, at usual speed.
   Duration queuedReading(const Pace &P) const;
   unsigned running() const { return Running_; }
+  const EndpointSpeed &speed() const { return Speed_; }
   // Requests reported as waiting, and grants not yet in a report.
   unsigned waiting() const {
     return Waiting_ + static_cast<unsigned>(Granted_.size());
@@ -101,6 +107,7 @@
   Options Options_;
   unsigned Running_ = 0;
   unsigned Waiting_ = 0;
+  EndpointSpeed Speed_;
   std::optional<TimePoint> ReportedAt_;
   std::deque<Grant> Granted_;
   // Prompts of the requests that have arrived at the engine, newest last.
--- a/hawthornroad/traffic/Call.h
+++ b/hawthornroad/traffic/Call.h
@@ -95,6 +95,8 @@
   // How long work takes at the endpoint at this moment, relative to its usual
   // time; 1 is as usual. Unset when it is not stated.
   std::optional<double> Slowdown_;
+  // It was stated, but not as a usable number, and is ignored.
+  bool IsSlowdownUnreadable_ = false;
   // How long the endpoint stays cold; unset when it is not stated.
   std::optional<Duration> ColdLeft_;
   WeightVersion Version_ = 0;
--- a/hawthornroad/traffic/Placement.cpp
+++ b/hawthornroad/traffic/Placement.cpp
@@ -12,8 +12,6 @@
 // An endpoint is ejected when its share of failures exceeds this value and
 // twice the service's mean.
 constexpr double FailureFloor = 0.3;
-// Caps the first-byte time of a slow endpoint, as a multiple of the mean.
-constexpr double MaxSlowFactor = 3.0;
 } // namespace
 
 void Placement::setEndpoints(const EndpointSet &Set,
@@ -57,56 +55,6 @@
   });
 }
 
-bool Placement::isReportFresh(const State &S, TimePoint Now) const {
-  return S.ReportedAt_ && Now - *S.ReportedAt_ <= Options_.ReportFresh_;
-}
-
-namespace {
-// Estimated requests at an endpoint: the report, plus what this process and, by
-// estimate, its peers have sent since. All see the same report and choose
-// alike.
-double estimateRequests(unsigned Reported, unsigned OwnAtReport, unsigned Own,
-                        double Senders) {
-  double Change = static_cast<double>(Own) - static_cast<double>(OwnAtReport);
-  if (Change > 0)
-    Change *= Senders;
-  return std::max(static_cast<double>(Reported) + Change,
-                  static_cast<double>(Own));
-}
-} // namespace
-
-double Placement::load(const State &S, TimePoint Now) const {
-  if (!isReportFresh(S, Now))
-    return S.Own_ * senders(S);
-  return estimateRequests(S.Reported_, S.OwnAtReport_, S.Own_, senders(S));
-}
-
-double Placement::unread(const State &S, TimePoint Now) const {
-  if (!isReportFresh(S, Now))
-    return S.OwnUnread_ * senders(S);
-  return estimateRequests(S.ReportedWaiting_, S.OwnUnreadAtReport_,
-                          S.OwnUnread_, senders(S));
-}
-
-double Placement::cost(const State &S, double MeanFirstByte,
-                       TimePoint Now) const {
-  // Below all others: a grant that is not used soon is lost.
-  constexpr double GrantedCost = -1;
-  if (hasGrant(S, Now))
-    return GrantedCost;
-  double Cost =
-      unread(S, Now) * S.ReadMs_ + load(S, Now) * Options_.RunningCost_;
-  // Plain services: the cost grows with utilization.
-  if (S.ReadMs_ <= 0)
-    Cost += load(S, Now) / S.Places_ * Options_.CrossZoneCost_;
-  if (MeanFirstByte > 0 && S.FirstByteMs_ > MeanFirstByte)
-    Cost +=
-        std::min(S.FirstByteMs_, MaxSlowFactor * MeanFirstByte) - MeanFirstByte;
-  if (S.Endpoint_.Zone_ != Options_.Zone_)
-    Cost += Options_.CrossZoneCost_;
-  return Cost;
-}
-
 bool Placement::isUsable(const State &S, const Query &Q) const {
   if (!S.IsListed_ || S.IsReplaced_ || S.Endpoint_.IsDraining_ ||
       Holds_.isLeaving(startOf(S.Endpoint_)))
@@ -129,19 +77,6 @@
       [&](const EndpointId &Id) { return isUsable(States_.at(Id), Q); }));
 }
 
-double Placement::meanFirstByte(const ServiceName &Service) const {
-  double Sum = 0;
-  unsigned Count = 0;
-  for (const EndpointId &Id : ByService_.at(Service)) {
-    double Ms = States_.at(Id).FirstByteMs_;
-    if (Ms <= 0)
-      continue;
-    Sum += Ms;
-    ++Count;
-  }
-  return Count == 0 ? 0 : Sum / Count;
-}
-
 bool Placement::isFull(const State &S, const Query &Q, TimePoint Now) const {
   if (Now < S.FullUntil_ || Now < S.AwayUntil_ || Now < S.DeniedUntil_ ||
       Now < S.RefusedUntil_)
@@ -183,9 +118,11 @@
   const State *Best = nullptr;
   double BestScore = 0;
   unsigned Ties = 0;
+  std::vector<const State *> Open;
   for (const State *S : Candidates) {
     if (S->Own_ >= S->Connections_ || (!Q.MayQueue_ && isFull(*S, Q, Now)))
       continue;
+    Open.push_back(S);
     double Score = cost(*S, Mean, Now);
     if (Best == nullptr || Score < BestScore) {
       Best = S;
@@ -197,7 +134,7 @@
   }
   if (Best == nullptr)
     return std::nullopt;
-  return Best->Endpoint_.Id_;
+  return shareBySpeed(*Best, Open, Mean, Now).Endpoint_.Id_;
 }
 
 void Placement::attemptBegun(const EndpointId &Id, TimePoint Now) {
@@ -368,7 +305,8 @@
   return Found != States_.end() && mayAsk(Found->second, Now);
 }
 
-void Placement::firstByte(const EndpointId &Id, Duration Took) {
+void Placement::firstByte(const EndpointId &Id, Duration Took,
+                          std::optional<double> Slowdown) {
   auto Found = States_.find(Id);
   if (Found == States_.end())
     return;
@@ -376,7 +314,8 @@
     --Found->second.OwnUnread_;
   if (Took < Options_.PromptFirstByte_)
     Found->second.UnansweredSince_.reset();
-  double Ms = std::chrono::duration<double, std::milli>(Took).count();
+  double Ms = std::chrono::duration<double, std::milli>(Took).count() /
+              EndpointSpeed::factorOf(Slowdown);
   double &Mean = Found->second.FirstByteMs_;
   Mean = Mean <= 0 ? Ms : Mean + SampleWeight * (Ms - Mean);
 }
@@ -475,6 +414,7 @@
   if (S.ReportedAt_)
     V.ReportAge_ = Now - *S.ReportedAt_;
   V.Version_ = S.Version_;
+  V.Slowdown_ = S.Speed_.stated(Now);
   V.IsEjected_ = Now < S.EjectedUntil_;
   V.IsAway_ = Now < S.AwayUntil_;
   return V;
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -23,6 +23,10 @@
 // since its bytes cross the narrow links between zones. An endpoint whose
 // answers take longer than the service's mean costs more.
 //
+// An endpoint may state how fast it works now (EndpointSpeed). While that is
+// recent, its expected times are multiplied by it. Between plain endpoints that
+// state it, the choice is drawn in proportion to their speeds.
+//
 // Failing endpoints are ejected for a time: after FailuresInRow_ failures, or
 // when their share of failures is well above the service's mean. At most half
 // of a service's endpoints are ejected, since a wider failure has its cause
@@ -43,6 +47,7 @@
 #include "hawthornroad/config/RoutingConfig.h"
 #include "hawthornroad/traffic/Endpoint.h"
 #include "hawthornroad/traffic/EndpointHolds.h"
+#include "hawthornroad/traffic/EndpointSpeed.h"
 #include "hawthornroad/traffic/RegionScope.h"
 
 #include <algorithm>
@@ -162,6 +167,10 @@
   // Running and waiting requests at the endpoint, as reported at Now.
   void updateLoad(const EndpointId &Id, unsigned Running, unsigned Waiting,
                   TimePoint Now);
+  // How long work takes at the endpoint, as it stated at At; see
+  // EndpointHead::Slowdown_. Unset: nothing was stated.
+  void noteSlowdown(const EndpointId &Id, std::optional<double> Slowdown,
+                    TimePoint At);
   void updateVersion(const EndpointId &Id, WeightVersion V);
   // The agent reports that its engine takes no new requests (a load is pending
   // or in progress), or that it serves again.
@@ -208,10 +217,12 @@
   void askAnswered(const EndpointId &Id, Duration Took);
   // Whether the endpoint's agent is asked for places.
   bool mayAsk(const EndpointId &Id, TimePoint Now) const;
-  // The head of an answer arrived, Took after the attempt began.
-  void firstByte(const EndpointId &Id, Duration Took);
-  // Mean time from the beginning of an attempt to the head of its answer; zero
-  // without samples.
+  // The head of an answer arrived, Took after the attempt began. Slowdown: as
+  // stated in it.
+  void firstByte(const EndpointId &Id, Duration Took,
+                 std::optional<double> Slowdown = std::nullopt);
+  // Mean time from the beginning of an attempt to the head of its answer, at
+  // usual speed; zero without samples.
   Duration usualFirstByte(const EndpointId &Id) const;
 
   struct View {
@@ -222,6 +233,8 @@
     unsigned Places_ = 0;
     std::optional<Duration> ReportAge_;
     WeightVersion Version_ = 0;
+    // As stated recently.
+    std::optional<double> Slowdown_ = std::nullopt;
     bool IsEjected_ = false;
     bool IsAway_ = false;
   };
@@ -249,7 +262,9 @@
     WeightVersion Version_ = 0;
     unsigned FailuresInRow_ = 0;
     double FailureShare_ = 0;
+    // At usual speed.
     double FirstByteMs_ = 0;
+    EndpointSpeed Speed_;
     Duration EjectFor_ = Duration::zero();
     TimePoint EjectedUntil_;
     TimePoint FullUntil_;
@@ -276,6 +291,10 @@
   // Expected time to the first byte, ms, relative to what all endpoints have in
   // common.
   double cost(const State &S, double MeanFirstByte, TimePoint Now) const;
+  double usualMs(const State &S, double MeanFirstByte) const;
+  const State &shareBySpeed(const State &Cheapest,
+                            const std::vector<const State *> &Open,
+                            double MeanFirstByte, TimePoint Now);
   bool isUsable(const State &S, const Query &Q) const;
   bool mayAsk(const State &S, TimePoint Now) const {
     return S.Endpoint_.HasModel_ && Now >= S.AskPausedUntil_;
--- a/hawthornroad/traffic/TrafficAttempts.cpp
+++ b/hawthornroad/traffic/TrafficAttempts.cpp
@@ -163,12 +163,14 @@
   }
   if (Head.HasLoad_)
     Placement_.updateLoad(T.At_, Head.Running_, Head.Waiting_, Now);
+  if (!Head.IsOtherEndpoint_)
+    Placement_.noteSlowdown(T.At_, Head.Slowdown_, Now);
   if (Head.NotRun_)
     return;
   T.HeadAt_ = Now;
   Crashes_.noteAlive({T.At_, T.Born_}, T.BegunAt_);
   Abandoned_.noteAnswer({T.At_, T.Born_}, T.BegunAt_);
-  Placement_.firstByte(T.At_, Now - T.BegunAt_);
+  Placement_.firstByte(T.At_, Now - T.BegunAt_, Head.Slowdown_);
   T.FirstByteReported_ = true;
   if (Head.Version_ != 0)
     Placement_.updateVersion(T.At_, Head.Version_);
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -125,8 +125,10 @@
     Placement_.setAway(Id, IsAway, Now);
     if (V != 0)
       Placement_.updateVersion(Id, V);
-    if (Load)
+    if (Load) {
       Placement_.updateLoad(Id, Load->Running_, Load->Waiting_, Now);
+      Placement_.noteSlowdown(Id, Load->Slowdown_, Now);
+    }
     Freed_.insert(Each.Endpoint_.Service_);
   }
   releaseShares();
--- a/hawthornroad/traffic/TrafficPlaces.cpp
+++ b/hawthornroad/traffic/TrafficPlaces.cpp
@@ -76,6 +76,8 @@
   if (!Asked.IsOnlyLimit_) {
     Placement_.askAnswered(At.Id_, Now - Asked.AskedAt_);
     Placement_.updateLoad(At.Id_, W.Load_.Running_, W.Load_.Waiting_, Now);
+    // A late reply may have been written at any time since the query.
+    Placement_.noteSlowdown(At.Id_, W.Slowdown_, Asked.AskedAt_);
   }
   if (W.Limit_)
     noteLimit(At, *W.Limit_, GranterSource, Now);
@@ -117,6 +119,7 @@
   if (!R.AsksOnlyLimit_) {
     Placement_.askAnswered(R.AskedOf_, Now - R.AskedAt_);
     Placement_.updateLoad(R.AskedOf_, W.Load_.Running_, W.Load_.Waiting_, Now);
+    Placement_.noteSlowdown(R.AskedOf_, W.Slowdown_, Now);
     if (W.IsAway_)
       Placement_.setAway(R.AskedOf_, true, Now);
     if (W.Version_ != 0)
--- a/tests/unit/HttpCallsTest.cpp
+++ b/tests/unit/HttpCallsTest.cpp
@@ -47,8 +47,8 @@
     std::thread Server([&] {
       RawSocket S = Listener.accept();
       S.readUntil("\r\n\r\n");
-      S.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Pieces) +
-             "\r\n\r\n");
+      S.send("HTTP/1.1 200 OK\r\nX-Stated: 7\r\nContent-Length: " +
+             std::to_string(Pieces) + "\r\n\r\n");
       for (int I = 0; I < R.Sent_; ++I) {
         std::this_thread::sleep_for(Gap);
         S.trySend("x");
@@ -72,8 +72,12 @@
     Io.stop();
     const auto *Complete = std::get_if<HttpAnswer>(&Answer);
     REQUIRE((Complete != nullptr) == R.IsComplete_);
-    if (Complete != nullptr)
-      REQUIRE(Complete->Body_ == std::string(Pieces, 'x'));
+    if (Complete == nullptr)
+      continue;
+    REQUIRE(Complete->Body_ == std::string(Pieces, 'x'));
+    const std::string *Stated = findField(Complete->Headers_, "X-Stated");
+    REQUIRE(Stated != nullptr);
+    REQUIRE(*Stated == "7");
   }
 }
 
--- a/tests/unit/PlaceGrantsTest.cpp
+++ b/tests/unit/PlaceGrantsTest.cpp
@@ -100,6 +100,53 @@
   REQUIRE_FALSE(Grants_.isFresh(Start + Milliseconds(30)));
 }
 
+// A queue that is usually read in 60 ms takes 150 ms at a slow engine. A figure
+// of an engine that no longer answers must not keep it out.
+TEST_CASE_METHOD(GrantsFixture,
+                 "place grants, with an engine that states to be slow, count "
+                 "the time that its queue takes now",
+                 "[staging][speed]") {
+  auto Ask = [&](TimePoint Now) {
+    return Grants_.ask(PlaceKind::First, Pace_, Now, Milliseconds(60));
+  };
+  SECTION("slow now") {
+    Grants_.onReport(4, 0, Start, 2.5);
+    REQUIRE(Ask(Start));
+    REQUIRE_FALSE(Ask(Start));
+  }
+  SECTION("usual, faster or not stated") {
+    for (std::optional<double> Stated :
+         {std::optional<double>(1), std::optional<double>(0.2),
+          std::optional<double>()}) {
+      PlaceGrants Each;
+      Each.onReport(4, 0, Start, Stated);
+      for (bool IsGranted : {true, true, false})
+        REQUIRE(Each.ask(PlaceKind::First, Pace_, Start, Milliseconds(60)) ==
+                IsGranted);
+    }
+  }
+  SECTION("slow when it last answered") {
+    Grants_.onReport(4, 0, Start, 2.5);
+    TimePoint Later = Start + EndpointSpeed::FreshFor + Milliseconds(1);
+    REQUIRE(Ask(Later));
+    REQUIRE(Ask(Later));
+  }
+  SECTION("slow in every report, for seconds, and idle") {
+    unsigned Granted = 0;
+    for (int Ms = 0; Ms < 5000; Ms += 100) {
+      TimePoint Now = Start + Milliseconds(Ms);
+      Grants_.onReport(4, 0, Now, 2.5);
+      Granted += Ask(Now) ? 1 : 0;
+    }
+    REQUIRE(Granted == 50);
+  }
+  SECTION("absurdly slow") {
+    Grants_.onReport(4, 0, Start, 1e6);
+    REQUIRE(Ask(Start));
+    REQUIRE_FALSE(Ask(Start));
+  }
+}
+
 // Guards against requests that wait behind two long prompts taken for typical
 // ones, and against an engine that stays idle behind two short ones.
 TEST_CASE_METHOD(GrantsFixture,
--- a/tests/unit/PlatformWireTest.cpp
+++ b/tests/unit/PlatformWireTest.cpp
@@ -249,6 +249,50 @@
   REQUIRE(findField(H.Headers_, "Keep-Alive") == nullptr);
 }
 
+// Guards against a figure that keeps an endpoint out, or that costs its load
+// report, because it makes no sense.
+TEST_CASE("platform load header, with a fourth number, tells the slowdown",
+          "[platform][speed]") {
+  struct Row {
+    std::string Text_;
+    std::optional<double> Slowdown_;
+    bool IsUnreadable_ = false;
+    bool HasLoad_ = true;
+  };
+  for (const Row &R :
+       std::vector<Row>{{"3,1,16", {}},
+                        {"3,1,16,", {}},
+                        {"3,1,16 , ", {}},
+                        {"3,1,16,100", 1.0},
+                        {"3, 1, 16, 250", 2.5},
+                        {"3,1,16,250,7", 2.5},
+                        {"3,1,16,97.5", 0.975},
+                        {"3,1,16,10000", 100.0},
+                        {"3,1,16,10001", {}, true},
+                        {"3,1,16,0", {}, true},
+                        {"3,1,16,-250", {}, true},
+                        {"3,1,16,250x", {}, true},
+                        {"3,1,16,2e2", {}, true},
+                        {"3,1,16,nan", {}, true},
+                        {"3,1,16,inf", {}, true},
+                        {"3,1,16,99999999999999999999999", {}, true},
+                        {"3,1", {}, false, false},
+                        {"250", {}, false, false},
+                        {"", {}, false, false}}) {
+    CAPTURE(R.Text_);
+    EndpointHead H =
+        platform::decodeAnswer(200, {{"X-Hawthornroad-Server-Load", R.Text_}});
+    REQUIRE(H.HasLoad_ == R.HasLoad_);
+    REQUIRE(H.Running_ == (R.HasLoad_ ? 3 : 0));
+    REQUIRE(H.Slowdown_.has_value() == R.Slowdown_.has_value());
+    if (R.Slowdown_)
+      REQUIRE(*H.Slowdown_ == Approx(*R.Slowdown_));
+    REQUIRE(H.IsSlowdownUnreadable_ == R.IsUnreadable_);
+    // Such a figure does not prolong a rate limit.
+    REQUIRE(H.Unreadable_.empty());
+  }
+}
+
 TEST_CASE("platform store, its answers read, tells failures apart",
           "[platform]") {
   platform::StoreWire W;
@@ -324,6 +368,40 @@
   REQUIRE_THROWS_AS(platform::decodeReport("nothing"), Error);
 }
 
+TEST_CASE("platform engine report, with a slowdown in its header or its body, "
+          "tells it",
+          "[platform][speed]") {
+  struct Row {
+    std::string Body_;
+    std::string Load_;
+    std::optional<double> Slowdown_;
+    bool IsUnreadable_ = false;
+  };
+  for (const Row &R :
+       std::vector<Row>{{R"({"running":3})", "", {}},
+                        {R"({"running":3})", "3,0,16,250", 2.5},
+                        {R"({"running":3,"pace":1.5})", "", 1.5},
+                        {R"({"running":3,"pace":2})", "3,0,16", 2.0},
+                        {R"({"running":3,"pace":1.5})", "3,0,16,250", 2.5},
+                        {R"({"running":3,"pace":1.5})", "3,0,16,x", 1.5, true},
+                        {R"({"running":3,"pace":null})", "", {}},
+                        {R"({"running":3,"pace":"2"})", "", {}, true},
+                        {R"({"running":3,"pace":0})", "", {}, true},
+                        {R"({"running":3,"pace":-2})", "", {}, true},
+                        {R"({"running":3,"pace":101})", "", {}, true},
+                        {R"({"running":3,"pace":1e308})", "", {}, true},
+                        {R"({"running":3,"pace":[2]})", "", {}, true}}) {
+    CAPTURE(R.Body_, R.Load_);
+    HeaderFields Fields;
+    if (!R.Load_.empty())
+      Fields.push_back({"X-Hawthornroad-Server-Load", R.Load_});
+    EngineReport S = platform::decodeReport(R.Body_, Fields);
+    REQUIRE(S.Running_ == 3);
+    REQUIRE(S.Slowdown_ == R.Slowdown_);
+    REQUIRE(S.IsSlowdownUnreadable_ == R.IsUnreadable_);
+  }
+}
+
 // Guards against a header of prompt parts that makes a request fail, or whose
 // last part, the request's own, is taken for one that others share.
 TEST_CASE("call decoding, given a header of prompt parts, keeps the shared "
