Placement: plain endpoints that cost far more are not drawn

Cause: with three endpoints, one whose answers take much longer for a reason that it does not state would be drawn twice for a ninth of the requests. Change: only endpoints within the cost of another zone above the cheapest one are drawn.

--- a/hawthornroad/traffic/PlacementCost.cpp
+++ b/hawthornroad/traffic/PlacementCost.cpp
@@ -83,23 +83,27 @@
 // is asked. Plain endpoints are drawn where any of the zone states its speed,
 // also while none is slow: at the begin of a slow period most processes have
 // not heard of it yet, and would all send to the endpoint that then looks
-// cheapest.
+// cheapest. One that costs more by what would justify another zone is not
+// drawn.
 const Placement::State &
 Placement::shareBySpeed(const State &Cheapest,
                         const std::vector<const State *> &Open,
                         double MeanFirstByte, TimePoint Now) {
   if (Cheapest.Endpoint_.HasModel_ || hasGrant(Cheapest, Now))
     return Cheapest;
+  double MaxCost = cost(Cheapest, MeanFirstByte, Now) + Options_.CrossZoneCost_;
   std::vector<const State *> Near;
   std::vector<SpeedCandidate> Candidates;
   bool IsAnyStated = false;
   for (const State *S : Open) {
     if (S->Endpoint_.Zone_ != Cheapest.Endpoint_.Zone_)
       continue;
-    double Slowdown = S->Speed_.factor(Now);
     IsAnyStated |= S->Speed_.wasStated();
+    double Cost = cost(*S, MeanFirstByte, Now);
+    if (Cost > MaxCost)
+      continue;
     Near.push_back(S);
-    Candidates.push_back({cost(*S, MeanFirstByte, Now), S->Places_ / Slowdown});
+    Candidates.push_back({Cost, S->Places_ / S->Speed_.factor(Now)});
   }
   if (!IsAnyStated)
     return Cheapest;
--- a/tests/unit/EndpointSpeedTest.cpp
+++ b/tests/unit/EndpointSpeedTest.cpp
@@ -288,6 +288,21 @@
   REQUIRE(Count[plain(2)] > Draws / 4);
 }
 
+// With few endpoints, one whose answers take much longer for another reason
+// would be drawn twice, and so chosen, for a ninth of the requests.
+TEST_CASE_METHOD(SpeedFixture,
+                 "placement, drawing by speed, leaves out an endpoint that "
+                 "costs far more",
+                 "[speed]") {
+  Placement P = placement(1);
+  for (unsigned I = 0; I < Each; ++I) {
+    P.noteSlowdown(plain(I), 1, Start);
+    P.firstByte(plain(I), Milliseconds(I == 1 ? 500 : 20));
+  }
+  for (unsigned I = 0; I < 200; ++I)
+    REQUIRE(P.choose(query(Api), Start) != plain(1));
+}
+
 TEST_CASE_METHOD(CoreFixture,
                  "traffic core, told by an agent that its engine is slow, asks "
                  "the other engine while that is recent",
