--- a/tests/unit/StoreSettingsTest.cpp
+++ b/tests/unit/StoreSettingsTest.cpp
@@ -104,7 +104,8 @@
     bool IsOmitted =
         V == nullptr || V->is_null() || (V->is_bool() && !V->as_bool());
     std::string Inner = Text.substr(End + 2, Close - End - 2);
-    if (!IsOmitted && V->is_object())
+    bool NamesMembers = Inner.find("{{@}}") != std::string::npos;
+    if (!IsOmitted && NamesMembers)
       Inner = renderEach(Inner, V->as_object());
     Text.replace(At, Close + Closing.size() - At, IsOmitted ? "" : Inner);
   }
