--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -176,9 +176,12 @@
       if (Ip != Self_)
         Peers_.push_back({{Vm(Ip), E.Zone_}, PeerAddress(Ip + ":" + Port)});
     } catch (const Error &E) {
-      Log_.write(LogLine("endpoint_unreadable")
-                     .text("endpoint", Row.Key_)
-                     .text("detail", E.what()));
+      Metrics_.count("hawthornroad_endpoint_rows_unreadable_total");
+      if (RowFaults_.note(Row.Key_, E.message()))
+        Log_.write(LogLine("endpoint_unreadable")
+                       .text("endpoint", RowFaults::shortened(Row.Key_))
+                       .text("detail", RowFaults::shortened(E.message())),
+                   true);
     }
   }
   for (const auto &T : transfers())
--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -15,6 +15,7 @@
 #include "hawthornroad/agent/RowReader.h"
 #include "hawthornroad/agent/StagedPieces.h"
 #include "hawthornroad/agent/StoreAgent.h"
+#include "hawthornroad/entry/RowFaults.h"
 #include "hawthornroad/http/HttpListener.h"
 #include "hawthornroad/peers/PeerPace.h"
 #include "hawthornroad/runtime/BootClock.h"
@@ -178,6 +179,7 @@
   StoreAgentSettings Settings_;
   Random Random_;
   EventLog Log_;
+  RowFaults RowFaults_;
   Metrics Metrics_;
   PieceCounters PieceCounters_;
   IoThread Io_;
--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -96,7 +96,8 @@
       Ready_(std::make_shared<HttpListener>(Io_.context(), SessionLimits{},
                                             StatusHandler_)),
       MetricsServer_(std::make_shared<HttpListener>(
-          Io_.context(), SessionLimits{}, StatusHandler_)) {
+          Io_.context(), SessionLimits{}, StatusHandler_)),
+      Buffers_(BufferBudget::limitFor(Settings_.Common_.MemoryMb_)) {
   Log_.write(LogLine("start")
                  .text("role", "entry")
                  .text("zone", Settings_.Common_.Zone_.str())
@@ -214,6 +215,7 @@
   TimePoint Now = bootNow();
   notePause(Now);
   Core_.tick(Now);
+  checkBuffers(Now);
   Source_->tick(Now);
   if (Now - SweptAt_ >= SweepPeriod) {
     SweptAt_ = Now;
--- a/hawthornroad/entry/DirectEntryState.h
+++ b/hawthornroad/entry/DirectEntryState.h
@@ -3,6 +3,7 @@
 //   DirectEntry.cpp      start, stop, readiness, metrics
 //   EntryTables.cpp      updates from the store and from agents
 //   EntryCalls.cpp       callers' connections, attempts, their log lines
+//   EntryBuffers.cpp     slow callers and endpoints, bytes held for them
 //
 // Everything runs on the thread of Io_.
 
@@ -11,7 +12,9 @@
 
 #include "hawthornroad/entry/DirectEntry.h"
 #include "hawthornroad/entry/EngineNotices.h"
+#include "hawthornroad/entry/RowFaults.h"
 #include "hawthornroad/entry/TableSource.h"
+#include "hawthornroad/http/BufferBudget.h"
 #include "hawthornroad/http/HttpListener.h"
 #include "hawthornroad/http/LinkPool.h"
 #include "hawthornroad/runtime/BootClock.h"
@@ -43,6 +46,10 @@
   void onCallerDisconnected(ServerSession &S) override;
   void onEnd(ServerSession &S, const SessionEndReport &R) override;
 
+  void onDrained(ServerSession &S) override;
+  bool refusesBodies() const override { return Buffers_.isFull(); }
+  void onBodyRefused(ServerSession &S, const RefusedRequest &R) override;
+
   // ---- TrafficPort
   void beginAttempt(AttemptNumber A, const Call &C,
                     const AttemptParams &O) override;
@@ -106,12 +113,25 @@
   // Counts statements of an endpoint that could not be read, and logs each
   // once.
   void noteUnreadable(const std::string &Endpoint, const EndpointHead &H);
+  // Stops reading an attempt's answer while its caller is held back.
+  void followCaller(AttemptNumber A);
+  void setPaused(AttemptNumber A, bool ByCaller, bool ByBudget);
+  // Keeps what is held within Buffers_.
+  void checkBuffers(TimePoint Now);
+  void applyBudget(TimePoint Now);
+  void endHolder(const std::shared_ptr<ServerSession> &S, std::size_t Bytes,
+                 TimePoint Now);
+  std::size_t heldByAttempts() const;
   ServerSession *session(CallNumber N) const;
   std::shared_ptr<ServerSession> takeSession(CallNumber N);
 
   struct Attempt {
     std::shared_ptr<ClientLink> Link_;
     std::string Endpoint_;
+    CallNumber Call_ = 0;
+    // Why its answer is not read.
+    bool PausedByCaller_ = false;
+    bool PausedByBudget_ = false;
   };
   // Answers requests on the readiness and metrics addresses.
   struct StatusHandler final : SessionHandler {
@@ -144,10 +164,14 @@
   std::unique_ptr<TableSource> Source_;
   std::unique_ptr<EngineNotices> Notices_;
   std::map<std::string, EngineUpdate> LastUpdates_;
+  RowFaults RowFaults_;
   // Endpoint and field.
   std::set<std::pair<std::string, std::string>> LoggedUnreadable_;
   std::unordered_map<CallNumber, std::shared_ptr<ServerSession>> Sessions_;
   std::unordered_map<AttemptNumber, Attempt> Attempts_;
+  BufferBudget Buffers_;
+  // Some attempt may be paused by the budget.
+  bool IsBudgetApplied_ = false;
   CallNumber NextCall_ = 1;
   TimePoint SweptAt_{};
   std::optional<TimePoint> TickedAt_;
--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -144,7 +144,7 @@
 void DirectEntry::State::beginAttempt(AttemptNumber A, const Call &C,
                                       const AttemptParams &O) {
   auto Link = Links_.take(O.Endpoint_.str(), O.Address_);
-  Attempts_[A] = {Link, O.Endpoint_.str()};
+  Attempts_[A] = {Link, O.Endpoint_.str(), O.Call_};
   ClientLink::Events E;
   E.OnHead_ = [this, A](unsigned Status, HeaderFields Fields) {
     EndpointHead H = platform::decodeAnswer(Status, std::move(Fields));
@@ -154,6 +154,7 @@
   };
   E.OnBody_ = [this, A](std::string Bytes) {
     Core_.onBody(A, std::move(Bytes), bootNow());
+    followCaller(A);
   };
   E.OnEnd_ = [this, A](bool IsFramed) {
     auto Found = Attempts_.find(A);
--- a/hawthornroad/entry/EntryTables.cpp
+++ b/hawthornroad/entry/EntryTables.cpp
@@ -109,9 +109,11 @@
       // The row no longer describes an endpoint, so a known one is removed.
       Removed.push_back(Id);
       Metrics_.count("hawthornroad_endpoint_rows_unreadable_total", {});
-      Log_.write(LogLine("endpoint_unreadable")
-                     .text("endpoint", Row.Key_)
-                     .text("detail", E.what()));
+      if (RowFaults_.note(Row.Key_, E.message()))
+        Log_.write(LogLine("endpoint_unreadable")
+                       .text("endpoint", RowFaults::shortened(Row.Key_))
+                       .text("detail", RowFaults::shortened(E.message())),
+                   true);
     }
   }
   if (U.IsWhole_)
--- a/hawthornroad/http/ClientLink.cpp
+++ b/hawthornroad/http/ClientLink.cpp
@@ -23,6 +23,11 @@
 // Kept small, since every open connection has such a buffer.
 constexpr std::size_t ReadSize = 4 * 1024;
 
+// Framing that a chunked body may have: a chunk of one byte has six bytes of
+// it, and a server may pad sizes and send short extensions.
+constexpr std::size_t FramingBase = 64 * 1024;
+constexpr std::size_t FramingPerBodyByte = 16;
+
 // Parses a Keep-Alive value such as "timeout=5, max=100": how long the server
 // keeps an idle connection open.
 std::optional<Duration> parseKeepAliveTimeout(std::string_view Value) {
@@ -51,15 +56,21 @@
   HeadRequest_ = Text.starts_with("HEAD ");
   Out_ = std::move(Text);
   Events_ = std::move(E);
+  Paused_ = false;
+  InterimBytes_ = WireBytes_ = BodyBytes_ = 0;
+  startParser();
+  if (Connected_)
+    write();
+  else
+    connect();
+}
+
+void ClientLink::startParser() {
   Parser_.emplace();
   Parser_->header_limit(static_cast<std::uint32_t>(Options_.MaxHeader_));
   Parser_->body_limit(Options_.MaxBody_);
   Parser_->eager(true);
   Parser_->skip(HeadRequest_);
-  if (Connected_)
-    write();
-  else
-    connect();
 }
 
 void ClientLink::connect() {
@@ -142,13 +153,21 @@
                         return;
                       // The answer may still arrive: the read reports the
                       // outcome.
-                      if (!Error)
-                        Self->Written_ = true;
+                      if (Error)
+                        return;
+                      Self->Written_ = true;
+                      Self->Out_ = {};
                     });
 }
 
+void ClientLink::resume() {
+  // Before the request is written, nothing is read anyway.
+  if (std::exchange(Paused_, false) && WriteStarted_)
+    read();
+}
+
 void ClientLink::read() {
-  if (Reading_ || Closed_)
+  if (Reading_ || Closed_ || Paused_)
     return;
   Reading_ = true;
   Socket_.async_read_some(
@@ -197,18 +216,20 @@
     if (Parser_->is_header_done() && !HeadDelivered_) {
       // An interim (1xx) answer precedes the final one.
       if (Parser_->get().result_int() < 200 && Parser_->is_done()) {
-        Parser_.emplace();
-        Parser_->header_limit(static_cast<std::uint32_t>(Options_.MaxHeader_));
-        Parser_->body_limit(Options_.MaxBody_);
-        Parser_->eager(true);
+        InterimBytes_ += Used;
+        if (InterimBytes_ > Options_.MaxHeader_)
+          return fail(Step::Receive, "too many interim answers");
+        startParser();
         continue;
       }
       processHead();
+    } else if (HeadDelivered_) {
+      WireBytes_ += Used;
     }
     if (Closed_ || !Busy_)
       return;
     deliverBody();
-    if (Closed_ || !Busy_)
+    if (Closed_ || !Busy_ || failsByFraming())
       return;
     if (Parser_->is_done())
       return finishAnswer(true);
@@ -217,6 +238,17 @@
   }
 }
 
+// The parser consumes bytes of a body as they arrive, so what it leaves is an
+// incomplete chunk header or the trailers.
+bool ClientLink::failsByFraming() {
+  bool IsLong =
+      HeadDelivered_ && !Parser_->is_done() && In_.size() > Options_.MaxHeader_;
+  bool IsMost = WireBytes_ > FramingBase + FramingPerBodyByte * BodyBytes_;
+  if (IsLong || IsMost)
+    fail(Step::Receive, "too many bytes of framing in the answer's body");
+  return IsLong || IsMost;
+}
+
 void ClientLink::processHead() {
   HeadDelivered_ = true;
   HeaderFields Fields;
@@ -225,8 +257,9 @@
         {std::string(Field.name_string()), std::string(Field.value())});
   if (const std::string *Value = findField(Fields, "Keep-Alive"))
     ServerIdleTimeout_ = parseKeepAliveTimeout(*Value);
-  if (Events_.OnHead_)
-    Events_.OnHead_(Parser_->get().result_int(), std::move(Fields));
+  // The link may be abandoned within the call, which clears Events_.
+  if (auto OnHead = Events_.OnHead_)
+    OnHead(Parser_->get().result_int(), std::move(Fields));
 }
 
 void ClientLink::deliverBody() {
@@ -235,14 +268,15 @@
     return;
   std::string Bytes;
   Bytes.swap(Body);
-  if (Events_.OnBody_)
-    Events_.OnBody_(std::move(Bytes));
+  BodyBytes_ += Bytes.size();
+  if (auto OnBody = Events_.OnBody_)
+    OnBody(std::move(Bytes));
 }
 
 void ClientLink::finishAnswer(bool IsFramed) {
   bool KeepsOpen =
       IsFramed && Parser_->get().keep_alive() && Written_ && In_.size() == 0;
-  Busy_ = false;
+  Busy_ = Paused_ = false;
   IdleSince_ = bootNow();
   if (!KeepsOpen)
     close();
--- a/hawthornroad/http/ClientLink.h
+++ b/hawthornroad/http/ClientLink.h
@@ -14,6 +14,11 @@
 // was followed by no further byte. Bytes that arrive while no request is in
 // progress belong to no request and close the connection.
 //
+// Limits: MaxHeader_ bytes of a head, of all interim (1xx) heads together, and
+// of one chunk header or the trailers; MaxBody_ bytes of a body; and of a
+// chunked body's framing a multiple of its bytes. An answer beyond one of them
+// fails, and the connection is closed.
+//
 // Failures: LinkFailure::NeverSent_ means that no byte of the request was
 // handed to the kernel on an established connection, so the server cannot have
 // run it.
@@ -75,6 +80,14 @@
   // Closes the connection and drops a request in progress, without callbacks.
   // What the server has not received of the request is not sent any more.
   void abandon();
+  // Stops reading the answer in progress, so that the server is slowed down by
+  // its connection; what has already been received is still delivered. The end
+  // of the connection is noticed after resume(). An ended answer ends the
+  // pause.
+  void pause() { Paused_ = Busy_; }
+  void resume();
+  // Bytes of the request not yet sent, and bytes received and not delivered.
+  std::size_t heldBytes() const { return In_.size() + Out_.size(); }
   // Called once if the connection ends while no request is in progress.
   void onIdleEnd(std::function<void()> Handler) {
     IdleEnd_ = std::move(Handler);
@@ -101,6 +114,9 @@
   void read();
   void onRead(boost::system::error_code Code, std::size_t Bytes);
   void parse();
+  void startParser();
+  // Fails the answer when its framing exceeds the limits; true if so.
+  bool failsByFraming();
   void processHead();
   void deliverBody();
   void finishAnswer(bool IsFramed);
@@ -119,6 +135,11 @@
   boost::beast::flat_buffer In_;
   std::optional<Parser> Parser_;
   std::string Out_;
+  // Received bytes of interim heads, of the body with its framing, and of the
+  // body alone.
+  std::size_t InterimBytes_ = 0;
+  std::size_t WireBytes_ = 0;
+  std::size_t BodyBytes_ = 0;
   TimePoint IdleSince_;
   std::optional<Duration> ServerIdleTimeout_;
   bool Connected_ = false;
@@ -129,6 +150,7 @@
   bool Written_ = false;
   bool HeadDelivered_ = false;
   bool Reading_ = false;
+  bool Paused_ = false;
   bool HeadRequest_ = false;
 };
 
--- a/hawthornroad/http/HttpListener.cpp
+++ b/hawthornroad/http/HttpListener.cpp
@@ -3,7 +3,6 @@
 #include "hawthornroad/runtime/Address.h"
 
 #include <boost/asio/post.hpp>
-#include <vector>
 
 namespace hawthornroad {
 
@@ -56,12 +55,7 @@
     if (C)
       return;
     TimePoint Now = Self->now();
-    std::vector<std::shared_ptr<ServerSession>> Live;
-    Live.reserve(Self->Sessions_.size());
-    for (ServerSession *Each : Self->Sessions_)
-      if (auto Held = Each->weak_from_this().lock())
-        Live.push_back(std::move(Held));
-    for (const auto &Each : Live)
+    for (const auto &Each : Self->live())
       Each->check(Now);
     Self->sweep();
   });
@@ -84,21 +78,30 @@
 
 void HttpListener::drainAll() {
   Draining_ = true;
-  std::vector<std::shared_ptr<ServerSession>> Live;
-  for (ServerSession *Each : Sessions_)
-    if (auto Held = Each->weak_from_this().lock())
-      Live.push_back(std::move(Held));
-  for (const auto &Each : Live)
+  for (const auto &Each : live())
     Each->closeIfIdle();
 }
 
 void HttpListener::closeAll() {
+  for (const auto &Each : live())
+    Each->stop();
+}
+
+// A session may end while the result is used, so it is kept alive.
+std::vector<std::shared_ptr<ServerSession>> HttpListener::live() const {
   std::vector<std::shared_ptr<ServerSession>> Live;
+  Live.reserve(Sessions_.size());
   for (ServerSession *Each : Sessions_)
     if (auto Held = Each->weak_from_this().lock())
       Live.push_back(std::move(Held));
-  for (const auto &Each : Live)
-    Each->stop();
+  return Live;
+}
+
+std::size_t HttpListener::heldBytes() const {
+  std::size_t Sum = 0;
+  for (const ServerSession *Each : Sessions_)
+    Sum += Each->heldBytes();
+  return Sum;
 }
 
 std::size_t HttpListener::inRequest() const {
--- a/hawthornroad/http/HttpListener.h
+++ b/hawthornroad/http/HttpListener.h
@@ -16,6 +16,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <unordered_set>
+#include <vector>
 
 namespace hawthornroad {
 
@@ -37,6 +38,9 @@
   void closeAll();
   std::size_t sessions() const { return Sessions_.size(); }
   std::size_t inRequest() const;
+  // Bytes held for all callers, see ServerSession::heldBytes().
+  std::size_t heldBytes() const;
+  std::vector<std::shared_ptr<ServerSession>> live() const;
   TimePoint now() const { return bootNow(); }
 
 private:
--- a/hawthornroad/http/ServerSession.cpp
+++ b/hawthornroad/http/ServerSession.cpp
@@ -30,6 +30,7 @@
 constexpr unsigned Timeout = 408;
 constexpr unsigned TooLarge = 413;
 constexpr unsigned HeadersTooLarge = 431;
+constexpr unsigned Unavailable = 503;
 } // namespace status
 
 template <typename Message> HeaderFields fieldsOf(const Message &M) {
@@ -49,40 +50,9 @@
 }
 } // namespace
 
-std::string_view toString(SessionEnd E) {
-  switch (E) {
-  case SessionEnd::Idle:
-    return "idle";
-  case SessionEnd::Drained:
-    return "drained";
-  case SessionEnd::HeaderTimeout:
-    return "header_timeout";
-  case SessionEnd::BodyTimeout:
-    return "body_timeout";
-  case SessionEnd::Malformed:
-    return "malformed";
-  case SessionEnd::Backlog:
-    return "backlog";
-  case SessionEnd::SendFailed:
-    return "send_failed";
-  case SessionEnd::CallerClosed:
-    return "caller_closed";
-  case SessionEnd::ReceiveFailed:
-    return "receive_failed";
-  case SessionEnd::Stopped:
-    return "stopped";
-  }
-  return "unknown";
-}
-
-bool isCallersEnd(SessionEnd E) {
-  return E == SessionEnd::SendFailed || E == SessionEnd::CallerClosed ||
-         E == SessionEnd::ReceiveFailed;
-}
-
 ServerSession::ServerSession(Socket S, std::shared_ptr<HttpListener> Owner)
     : Socket_(std::move(S)), Owner_(std::move(Owner)),
-      StateSince_(Owner_->now()) {
+      StateSince_(Owner_->now()), SentAt_(StateSince_) {
   Owner_->Sessions_.insert(this);
 }
 
@@ -95,7 +65,8 @@
 }
 
 void ServerSession::read() {
-  if (Reading_ || Closed_ || (InRequest_ && In_.size() >= MaxReadAhead))
+  bool IsFull = !mayParse() && In_.size() >= MaxReadAhead;
+  if (Reading_ || Closed_ || (IsFull && !SendShutdown_))
     return;
   Reading_ = true;
   Socket_.async_read_some(
@@ -119,11 +90,21 @@
   // After the shutdown, input is only discarded until the caller closes.
   if (!SendShutdown_)
     In_.commit(Bytes);
-  if (!InRequest_ && !SendShutdown_ && !EndAfterFlush_ && !Ending_)
+  if (mayParse())
     parse();
   read();
 }
 
+bool ServerSession::mayParse() const {
+  return !InRequest_ && !SendShutdown_ && !EndAfterFlush_ && !Ending_ &&
+         !HeldBack_;
+}
+
+std::size_t ServerSession::heldBytes() const {
+  std::size_t Body = Parser_ ? Parser_->get().body().size() : 0;
+  return unsentBytes() + In_.size() + Body;
+}
+
 // The caller closed its side or the connection failed. A half-closed caller
 // counts as disconnected, even if it still reads: no caller does that.
 void ServerSession::onDisconnect(SessionEnd Why, const std::string &Detail) {
@@ -140,7 +121,7 @@
   SessionEndReport R;
   R.Why_ = Why;
   R.IsReceiving_ = hasPartial();
-  R.UnsentBytes_ = Out_.size() + Writing_.size();
+  R.UnsentBytes_ = unsentBytes();
   R.IsAnswering_ = InRequest_ || R.UnsentBytes_ > 0;
   if (R.IsReceiving_)
     R.Headers_ = fieldsOf(Parser_->get());
@@ -169,6 +150,8 @@
     return refuse(statusOf(Code), SessionEnd::Malformed, Code.message());
   if (Parser_->is_done())
     return deliver();
+  if (!acceptsPartial())
+    return;
   if (Parser_->is_header_done() && !ContinueSent_) {
     ContinueSent_ = true;
     if (sameHeader(std::string(Parser_->get()[http::field::expect]),
@@ -177,6 +160,31 @@
   }
 }
 
+// The parser consumes a body as it arrives, so what it leaves after the headers
+// is an incomplete chunk header or the trailers.
+bool ServerSession::acceptsPartial() {
+  if (!Parser_->is_header_done())
+    return true;
+  if (In_.size() > Owner_->Limits_.HeaderBytes_) {
+    refuse(status::BadRequest, SessionEnd::Malformed,
+           "too many bytes of framing in the body");
+    return false;
+  }
+  if (!Owner_->Handler_.refusesBodies())
+    return true;
+  const auto &Message = Parser_->get();
+  RefusedRequest R{std::string(Message.method_string()),
+                   std::string(Message.target()), fieldsOf(Message)};
+  reportEnd(SessionEnd::BuffersFull, "");
+  Parser_.reset();
+  KeepOpen_ = false;
+  InRequest_ = true;
+  Owner_->Handler_.onBodyRefused(*this, R);
+  if (InRequest_)
+    respond(status::Unavailable, {}, "");
+  return false;
+}
+
 void ServerSession::deliver() {
   auto Message = Parser_->release();
   Parser_.reset();
@@ -262,17 +270,23 @@
     flush();
     return;
   }
-  // A following request may have arrived meanwhile; it is parsed from the event
-  // loop, not from within the answer to the previous one.
+  parseNext();
+}
+
+// A following request may have arrived meanwhile; it is parsed from the event
+// loop, not from within the answer to the previous one.
+void ServerSession::parseNext() {
   if (In_.size() > 0)
     asio::post(Socket_.get_executor(), [Self = shared_from_this()] {
-      if (!Self->Closed_ && !Self->InRequest_ && !Self->EndAfterFlush_)
+      if (!Self->Closed_ && Self->mayParse())
         Self->parse();
       Self->read();
     });
 }
 
 void ServerSession::send(std::string Text) {
+  if (unsentBytes() == 0)
+    SentAt_ = Owner_->now();
   if (Out_.empty())
     Out_ = std::move(Text);
   else
@@ -280,6 +294,14 @@
   if (Out_.size() > Owner_->Limits_.MaxBacklog_ && Streaming_)
     return endLater(SessionEnd::Backlog, "");
   flush();
+  if (unsentBytes() >= Owner_->Limits_.HoldBackAt_)
+    HeldBack_ = true;
+}
+
+// The caller has taken bytes.
+void ServerSession::noteSent() {
+  SentAt_ = Owner_->now();
+  IsStalled_ = false;
 }
 
 // Most answers fit into the socket's buffer: they are written directly, which
@@ -309,6 +331,8 @@
   // A caller that takes its answer slowly is not idle.
   auto NoteProgress = [Self = shared_from_this()](
                           boost::system::error_code Error, std::size_t Bytes) {
+    if (Bytes > 0)
+      Self->noteSent();
     if (!Self->InRequest_ && !Self->hasPartial())
       Self->StateSince_ = Self->Owner_->now();
     return asio::transfer_all()(Error, Bytes);
@@ -323,9 +347,20 @@
                         return Self->onDisconnect(SessionEnd::SendFailed,
                                                   Error.message());
                       Self->flush();
+                      Self->release();
                     });
 }
 
+void ServerSession::release() {
+  if (Closed_ || !HeldBack_ || unsentBytes() > Owner_->Limits_.ResumeAt_)
+    return;
+  HeldBack_ = false;
+  if (InRequest_)
+    return Owner_->Handler_.onDrained(*this);
+  parseNext();
+  read();
+}
+
 void ServerSession::endLater(SessionEnd Why, const std::string &Detail) {
   Ending_ = true;
   Out_.clear();
@@ -335,7 +370,7 @@
     Self->reportEnd(Why, Detail);
     if (Self->InRequest_)
       Self->Owner_->Handler_.onCallerDisconnected(*Self);
-    Why == SessionEnd::Backlog ? Self->abort() : Self->close();
+    Why == SessionEnd::SendFailed ? Self->close() : Self->abort();
   });
 }
 
@@ -394,9 +429,24 @@
   Socket_.close(Ignored);
 }
 
+// After a pause of this process the bytes that the caller took meanwhile are
+// noted between two checks, so the limit must have passed at both.
+void ServerSession::checkStall(TimePoint Now) {
+  bool IsOver = !Ending_ && unsentBytes() > 0 &&
+                Now - SentAt_ >= Owner_->Limits_.StallLimit_;
+  if (!IsOver) {
+    IsStalled_ = false;
+    return;
+  }
+  if (std::exchange(IsStalled_, true))
+    endLater(SessionEnd::Stalled, "");
+}
+
 void ServerSession::check(TimePoint Now) {
-  if (Closed_ || InRequest_)
+  if (Closed_)
     return;
+  if (InRequest_)
+    return checkStall(Now);
   Duration Age = Now - StateSince_;
   if (SendShutdown_) {
     if (isOver(Age, LingerTime))
--- a/hawthornroad/http/ServerSession.h
+++ b/hawthornroad/http/ServerSession.h
@@ -25,10 +25,14 @@
 // connection with unread bytes does not count as idle, and a limit takes effect
 // after the bytes that had arrived by then have been read.
 //
+// Slow callers: the handler reads less from its source while heldBack() is
+// true, and onDrained() tells it when to go on. A caller that takes nothing of
+// its answer for StallLimit_ is disconnected, and so is one that leaves more
+// than MaxBacklog_ bytes of a stream unread. A following request is not parsed
+// while too much of the answers before it is unread.
+//
 // Single-threaded. Limits: SessionLimits; at most MaxReadAhead bytes of
-// following requests are buffered; a caller that leaves more than MaxBacklog_
-// bytes of a stream unread is disconnected, since the engine that produces an
-// event stream cannot be slowed down.
+// following requests are buffered, and HeaderBytes_ of a request's framing.
 
 #ifndef HAWTHORNROAD_HTTP_SERVERSESSION_H
 #define HAWTHORNROAD_HTTP_SERVERSESSION_H
@@ -67,6 +71,10 @@
   Malformed,
   // The caller does not read its stream.
   Backlog,
+  // The caller takes nothing of its answer.
+  Stalled,
+  // This process holds too many bytes for its callers and endpoints.
+  BuffersFull,
   SendFailed,
   CallerClosed,
   ReceiveFailed,
@@ -91,6 +99,13 @@
   std::string Detail_;
 };
 
+// A request whose body is not read, since refusesBodies().
+struct RefusedRequest {
+  std::string Method_;
+  std::string Target_;
+  HeaderFields Headers_;
+};
+
 class SessionHandler {
 public:
   virtual ~SessionHandler() = default;
@@ -98,6 +113,13 @@
                          InboundRequest R) = 0;
   // The caller of the request in progress has disconnected.
   virtual void onCallerDisconnected(ServerSession &S) = 0;
+  // The caller has taken most of what was unread when heldBack() became true.
+  virtual void onDrained(ServerSession &S) {}
+  // Whether requests are refused whose bodies have not arrived whole.
+  virtual bool refusesBodies() const { return false; }
+  // Answers such a request; the connection closes after the answer. Without an
+  // answer the request is refused without fields.
+  virtual void onBodyRefused(ServerSession &S, const RefusedRequest &R) {}
   // The connection is about to end, other than after an answer that says so.
   // Comes before onCallerDisconnected(), once for each connection.
   virtual void onEnd(ServerSession &S, const SessionEndReport &R) {}
@@ -114,6 +136,14 @@
   std::size_t Connections_ = 3000;
   // A stream is aborted when more than this many bytes are unread.
   std::size_t MaxBacklog_ = 1024 * 1024;
+  // A stream is held back from this many unread bytes on, until the second
+  // number is left. An event has a few hundred bytes, so this is several
+  // seconds of a stream; connections that keep up have none.
+  std::size_t HoldBackAt_ = 128 * 1024;
+  std::size_t ResumeAt_ = 32 * 1024;
+  // Longer than callers wait for the next event of a stream, and than several
+  // retransmissions on a lossy link take.
+  Duration StallLimit_ = Seconds(5);
   bool operator==(const SessionLimits &) const = default;
 };
 
@@ -138,6 +168,13 @@
   void finish();
   void abort();
 
+  std::size_t unsentBytes() const { return Out_.size() + Writing_.size(); }
+  bool heldBack() const { return HeldBack_; }
+  // Unsent bytes and those of requests that are not delivered yet.
+  std::size_t heldBytes() const;
+  // Disconnects the caller because this process holds too many bytes.
+  void endForBuffers() { endLater(SessionEnd::BuffersFull, ""); }
+
   bool isIdle() const { return !InRequest_ && !hasPartial(); }
   // For the handler: the tag of its request, and whether one is in progress.
   std::uint64_t tag() const { return Tag_; }
@@ -161,6 +198,16 @@
 
   bool isOpen() const { return !Closed_ && !Ending_; }
   bool hasPartial() const { return Parser_ && Parser_->got_some(); }
+  // Whether the next request may be parsed.
+  bool mayParse() const;
+  // A request in parts: its framing is within the limits, and its body is
+  // wanted; else answers it.
+  bool acceptsPartial();
+  void parseNext();
+  void noteSent();
+  // Ends the hold when enough has been sent.
+  void release();
+  void checkStall(TimePoint Now);
   // Bytes that have arrived and are not read yet.
   std::size_t unread() const;
   bool isOver(Duration Age, Duration Limit);
@@ -187,6 +234,11 @@
   std::uint64_t Tag_ = 0;
   std::string RequestId_;
   TimePoint StateSince_;
+  // When the caller last took bytes of its answers, or there were none.
+  TimePoint SentAt_;
+  // The limit of StallLimit_ had passed at the last check.
+  bool IsStalled_ = false;
+  bool HeldBack_ = false;
   // Set once a time limit has passed: how many of the bytes that had arrived by
   // then are still unread.
   std::optional<std::size_t> ArrivedInTime_;
--- a/hawthornroad/traffic/EventRelay.h
+++ b/hawthornroad/traffic/EventRelay.h
@@ -10,6 +10,9 @@
 // partial event is dropped, since the next endpoint sends that event again.
 // Events that do not come after the last forwarded one are dropped too: an
 // endpoint that ignores the resume position would duplicate them.
+//
+// Limit: an attempt whose incomplete event has more than MaxEvent bytes is to
+// be ended, see isOverlong().
 
 #ifndef HAWTHORNROAD_TRAFFIC_EVENTRELAY_H
 #define HAWTHORNROAD_TRAFFIC_EVENTRELAY_H
@@ -25,6 +28,10 @@
 
 class EventRelay {
 public:
+  // Events have a few hundred bytes; this leaves room for any that carries a
+  // whole answer.
+  static constexpr std::size_t MaxEvent = 256 * 1024;
+
   explicit EventRelay(const std::string &CallersLastEvent);
 
   void startAttempt();
@@ -36,6 +43,9 @@
   std::uint64_t passed() const { return Passed_; }
   // Whether the attempt's bytes end on an event boundary.
   bool isWhole() const { return Splitter_.rest().empty(); }
+  bool isOverlong() const { return heldBytes() > MaxEvent; }
+  // Bytes of the incomplete event.
+  std::size_t heldBytes() const { return Splitter_.rest().size(); }
 
 private:
   void note(std::string_view Event, std::string &Out);
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -39,7 +39,8 @@
   R.ConfigAge_ = Fence_.age(Now);
   R.ArrivedAt_ = Now;
   R.Deadline_ = Now + R.Call_.TimeLeft_.value_or(Options_.DefaultTimeLeft_);
-  bool IsFull = Calls_.size() >= Options_.MaxCalls_;
+  bool IsFull = Calls_.size() >= Options_.MaxCalls_ ||
+                (RefusesBodies_ && !R.Call_.Body_.empty());
   Calls_.emplace(N, std::move(Owned));
   if (IsFull)
     refuse(R, status::Unavailable, Cause::ProcessFull, RetryElsewhereAfter,
--- a/hawthornroad/traffic/TrafficAttempts.cpp
+++ b/hawthornroad/traffic/TrafficAttempts.cpp
@@ -26,6 +26,7 @@
   // later.
   if (E == Placement::End::Cancelled && !T.HasHead_)
     R.Abandoned_.push_back({{T.At_, T.Born_}, Now});
+  onPaused(T.Number_, false, Now);
   ByAttempt_.erase(T.Number_);
   T.Number_ = 0;
   settleRepeats(R, Now);
@@ -244,16 +245,20 @@
   T.LastReceivedAt_ = Now;
   T.WrittenFor_ = Now - T.HeadAt_;
   T.HasBody_ = true;
-  if (!T.IsEvents_) {
-    T.Body_ += Bytes;
-    return;
+  if (!T.IsEvents_)
+    return onPlainBody(*R, T, Bytes, Now);
+  EventRelay &Relay = *relayOf(*R, T);
+  std::string Out = Relay.feed(Bytes);
+  bool IsOverlong = Relay.isOverlong();
+  if (!Out.empty()) {
+    keepOnly(*R, T, Now);
+    forward(*R, Out, Now);
   }
-  std::string Out = relayOf(*R, T)->feed(Bytes);
-  if (Out.empty())
-    return;
-  keepOnly(*R, T, Now);
-  forward(*R, Out, Now);
-  dispatchFreed(Now);
+  // The attempt may have ended within the forwarding.
+  if (IsOverlong && find(A) == R)
+    return failOverlong(*R, attemptOf(*R, A), "an event without an end", Now);
+  if (!Out.empty())
+    dispatchFreed(Now);
 }
 
 // Sends events of the current attempt to the caller.
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -347,7 +347,7 @@
 }
 
 TimePoint TrafficCore::callerLeavesAt(const Record &R) const {
-  if (!R.Route_->IsStream_)
+  if (!R.Route_->IsStream_ || R.Current_.PausedAt_)
     return R.Deadline_;
   TimePoint LastByteAt = R.FirstByteAt_ ? R.LastByteAt_ : R.ArrivedAt_;
   return std::min(R.Deadline_,
@@ -387,7 +387,8 @@
 }
 
 bool TrafficCore::isSilent(const Record &R, TimePoint Now) const {
-  if (!R.Current_.isRunning() || R.Route_->Repeat_ == Repeat::Never)
+  if (!R.Current_.isRunning() || R.Current_.PausedAt_ ||
+      R.Route_->Repeat_ == Repeat::Never)
     return false;
   Duration Limit = Options_.NextEventSilence_;
   if (!R.IsStreaming_ && R.Route_->IsStream_)
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -154,6 +154,14 @@
     // time to the first byte, capped at this value: it would reach the endpoint
     // after its caller has left.
     Duration MaxFirstByteAllowance_ = Milliseconds(300);
+    // Largest answer that is not a stream, in bytes. Such an answer is held
+    // whole, and while it is handed to its caller up to three times, which this
+    // keeps to a sixth of a VM of 160 MB. Answers of plain services have a few
+    // KB.
+    std::size_t MaxAnswer_ = 8 * 1024 * 1024;
+    // A refusal's body is only read so that the connection can be used again,
+    // which is not worth more bytes than this.
+    std::size_t MaxRefusal_ = 64 * 1024;
     CrashingParts::Options Parts_;
     // A request whose answer has been written for this long does not crash its
     // engine.
@@ -204,6 +212,17 @@
               TimePoint Now);
   // The endpoint refuses connections.
   void endpointRefused(const EndpointId &Id, TimePoint Now);
+  // The port stopped reading the attempt's answer, or goes on: meanwhile its
+  // endpoint does not count as silent, and its caller has not left.
+  void onPaused(AttemptNumber A, bool IsPaused, TimePoint Now);
+  // Refuses new requests that have a body.
+  void refuseBodies(bool Refuse) { RefusesBodies_ = Refuse; }
+  // Ends a request for which too much is held: its caller gets an answer
+  // unless one has begun.
+  void endForBuffers(CallNumber N, TimePoint Now);
+  // Bytes of requests and answers held for one request, and for all.
+  std::size_t heldBytes(CallNumber N) const;
+  std::size_t heldBytes() const;
   // What other processes know of prompt parts.
   void mergeParts(const std::vector<PartEvidence> &Parts, TimePoint Now);
   const CrashingParts &parts() const { return Parts_; }
@@ -291,6 +310,13 @@
   void failAttempt(Record &R, Attempt &T, const std::string &Why,
                    TimePoint Now);
   void onTurnedAway(Record &R, Attempt &T, TimePoint Now);
+  // Ends T, whose endpoint sends more than may be held.
+  void failOverlong(Record &R, Attempt &T, const std::string &Why,
+                    TimePoint Now);
+  // Bytes of an answer that is not a stream.
+  void onPlainBody(Record &R, Attempt &T, std::string_view Bytes,
+                   TimePoint Now);
+  static std::size_t heldBy(const Record &R);
   // T never left this process, so one attempt less counts as a repeat.
   void returnRepeat(Record &R, Attempt &T);
   // T's connection was lost, or its answer ended without framing.
@@ -394,6 +420,7 @@
   // The tick in progress is the first one after a pause.
   bool IsAfterPause_ = false;
   bool Stopping_ = false;
+  bool RefusesBodies_ = false;
   bool Dispatching_ = false;
 };
 
--- a/hawthornroad/traffic/TrafficState.h
+++ b/hawthornroad/traffic/TrafficState.h
@@ -4,6 +4,7 @@
 //   TrafficArrival.cpp   admission, queues, the choice of an endpoint
 //   TrafficPlaces.cpp    queries for places and for grants under rate limits
 //   TrafficAttempts.cpp  endpoints' answers and how they are handled
+//   TrafficBuffers.cpp   what is held for requests, and its limits
 //   TrafficCrashes.cpp   endpoints that crash, and prompt parts that crash them
 
 #ifndef HAWTHORNROAD_TRAFFIC_TRAFFICSTATE_H
@@ -58,6 +59,10 @@
   bool FirstByteReported_ = false;
   EndpointHead Head_;
   std::string Body_;
+  // Bytes of a refusal's body, which is not kept.
+  std::size_t Discarded_ = 0;
+  // Since when the port does not read its answer.
+  std::optional<TimePoint> PausedAt_;
   bool IsEvents_ = false;
   // The endpoint's silence was reported to Placement.
   bool IsSilenceNoted_ = false;
--- a/tests/unit/RawSocket.h
+++ b/tests/unit/RawSocket.h
@@ -65,6 +65,11 @@
     REQUIRE(::send(Handle_, Text.data(), Text.size(), MSG_NOSIGNAL) ==
             static_cast<ssize_t>(Text.size()));
   }
+  int handle() const { return Handle_; }
+  // Limits what the kernel receives without a read.
+  void setReceiveBuffer(int Bytes) const {
+    ::setsockopt(Handle_, SOL_SOCKET, SO_RCVBUF, &Bytes, sizeof(Bytes));
+  }
   // Waits until the peer's kernel has received all that was sent.
   void waitDelivered() const {
     for (int Unacknowledged = 1; Unacknowledged > 0;)
@@ -85,7 +90,11 @@
   // Reads what has arrived, at most Max bytes; 0 at the end or on an error.
   std::size_t readSome(std::size_t Max) const {
     std::string Buffer(Max, '\0');
-    ssize_t N = ::recv(Handle_, Buffer.data(), Max, 0);
+    return readSome(Buffer);
+  }
+  // The same, into Buffer.
+  std::size_t readSome(std::string &Buffer) const {
+    ssize_t N = ::recv(Handle_, Buffer.data(), Buffer.size(), 0);
     return N > 0 ? static_cast<std::size_t>(N) : 0;
   }
   // Waits for the peer's end; whether it was no reset.
