--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -156,7 +156,7 @@
 void DirectEntry::State::beginAttempt(AttemptNumber A, const Call &C,
                                       const AttemptParams &O) {
   auto Link = Links_.take(O.Endpoint_.str(), O.Address_);
-  Attempts_[A] = {Link, O.Endpoint_.str()};
+  Attempts_[A] = {Link, O.Endpoint_.str(), O.Call_};
   ClientLink::Events E;
   E.OnHead_ = [this, A](unsigned Status, HeaderFields Fields) {
     EndpointHead H = platform::decodeAnswer(Status, std::move(Fields));
@@ -165,7 +165,10 @@
     Core_.onHead(A, std::move(H), bootNow());
   };
   E.OnBody_ = [this, A](std::string Bytes) {
+    std::size_t Count = Bytes.size();
     Core_.onBody(A, std::move(Bytes), bootNow());
+    followCaller(A);
+    noteReceived(Count);
   };
   E.OnEnd_ = [this, A](bool IsFramed) {
     auto Found = Attempts_.find(A);
