Cold endpoints receive requests only by grants of one process

Cause: an endpoint that has just started, or has become cold again, crashes when more than cold_per_s x cold_factor + cold_slack requests arrive in one second. Change: ColdEndpoints keeps at each entry until when an endpoint counts as cold; ColdGrants at the agents grants requests to it, with the rates and bursts of ColdFigures. Engines that end fewer requests than they bear while cold are limited at all times.

--- a/hawthornroad/agent/AgentEngine.cpp
+++ b/hawthornroad/agent/AgentEngine.cpp
@@ -280,20 +280,36 @@
   Log_.write(L, true);
 }
 
+void StoreAgent::State::noteCold(const wire::PlaceAskT &Ask,
+                                 const ProcessName &From) {
+  std::optional<ColdLimit> L = decodeCold(Ask.cold.get());
+  if (!L || !Cold_.note(startIn(Ask), *L, bootNow()))
+    return;
+  Log_.write(LogLine("endpoint_cold")
+                 .text("endpoint", Ask.endpoint)
+                 .text("source", From.str())
+                 .millis("left_ms", L->Left_));
+}
+
 void StoreAgent::State::answerLimitRequest(const PeerContext &From,
                                            const wire::PlaceAskT &Ask) {
   TimePoint Now = bootNow();
   EndpointStart E = startIn(Ask);
-  LimitGrants::Verdict V = Limits_.check(
-      E, From.Process_,
-      Ask.substitute ? GranterRole::Substitute : GranterRole::Chosen, Now);
-  if (V.IsGranted_)
-    Limits_.take(E);
+  GranterRole Role =
+      Ask.substitute ? GranterRole::Substitute : GranterRole::Chosen;
+  LimitGrants::Verdict V = Limits_.check(E, From.Process_, Role, Now);
+  LimitGrants::Verdict C =
+      Cold_.check(E, Ask.cold != nullptr, From.Process_, Role, Now);
   wire::PlaceAnswerT Answer;
   Answer.number = Ask.number;
-  Answer.granted = V.IsGranted_;
-  Answer.limit_wait_us = inMicroseconds(V.Wait_);
+  Answer.granted = V.IsGranted_ && C.IsGranted_;
+  if (Answer.granted) {
+    Limits_.take(E);
+    Cold_.take(E);
+  }
+  Answer.limit_wait_us = inMicroseconds(std::max(V.Wait_, C.Wait_));
   Answer.limit = encodeLimit(Limits_.limits().last(E), Now);
+  Answer.cold = encodeCold(Cold_.find(E, Now));
   Net_->reply(From.Connection_, makeFrame(std::move(Answer)));
 }
 
@@ -302,6 +318,7 @@
   TimePoint Now = bootNow();
   if (Ask.limit)
     noteLimit(startIn(Ask), *Ask.limit, From.Process_);
+  noteCold(Ask, From.Process_);
   if (Ask.only_limit)
     return answerLimitRequest(From, Ask);
   if (PlaceRequests_.size() >= MaxPlaceRequests)
@@ -347,12 +364,17 @@
     EndpointStart E = startIn(Q.Ask_);
     LimitGrants::Verdict V =
         Limits_.check(E, Q.Process_, GranterRole::Beside, Now);
-    Answer.limit_wait_us = inMicroseconds(V.Wait_);
+    LimitGrants::Verdict C = Cold_.check(E, Q.Ask_.cold != nullptr, Q.Process_,
+                                         GranterRole::Beside, Now);
+    Answer.limit_wait_us = inMicroseconds(std::max(V.Wait_, C.Wait_));
     Answer.limit = encodeLimit(Limits_.limits().last(E), Now);
-    Answer.granted = !IsAway && V.IsGranted_ && P.Places_ != 0 &&
-                     Places_.ask(Kind, P, Now, Reading);
-    if (Answer.granted)
+    Answer.cold = encodeCold(Cold_.find(E, Now));
+    Answer.granted = !IsAway && V.IsGranted_ && C.IsGranted_ &&
+                     P.Places_ != 0 && Places_.ask(Kind, P, Now, Reading);
+    if (Answer.granted) {
       Limits_.take(E);
+      Cold_.take(E);
+    }
     Answer.running = Places_.running();
     Answer.waiting = Places_.waiting();
     Answer.version = Updater_.state() ? Updater_.state()->Loaded_.Version_ : 0;
--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -264,6 +264,8 @@
                static_cast<double>(PieceCounters_.SentBytes_));
   Metrics_.set("hawthornroad_weights_chunks_refused_total",
                static_cast<double>(PieceCounters_.Mismatches_));
+  Metrics_.set("hawthornroad_cold_grants_denied_total",
+               static_cast<double>(Cold_.denied()));
   if (Updater_.state())
     Metrics_.set("hawthornroad_loaded_version",
                  static_cast<double>(Updater_.state()->Loaded_.Version_));
--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -24,6 +24,7 @@
 #include "hawthornroad/staging/PlaceGrants.h"
 #include "hawthornroad/staging/VersionOrder.h"
 #include "hawthornroad/store/StoreClient.h"
+#include "hawthornroad/traffic/ColdGrants.h"
 #include "hawthornroad/traffic/CrashingParts.h"
 #include "hawthornroad/traffic/LimitGrants.h"
 #include "hawthornroad/weights/DigestTree.h"
@@ -151,6 +152,7 @@
   void answerPlaceRequests(TimePoint Now);
   // Grants a request under the rate limit of any endpoint.
   void answerLimitRequest(const PeerContext &From, const wire::PlaceAskT &Ask);
+  void noteCold(const wire::PlaceAskT &Ask, const ProcessName &From);
   void noteLimit(const EndpointStart &E, const wire::StatedLimitT &Limit,
                  const ProcessName &From);
   // Capacity of the engine, as the entry that asks or this agent knows it.
@@ -233,6 +235,7 @@
   std::map<ProcessName, Watcher> Watchers_;
   PlaceGrants Places_;
   LimitGrants Limits_;
+  ColdGrants Cold_{bootNow()};
   CrashingParts Parts_{relayOptions()};
   struct PlaceRequest {
     ConnectionId From_ = 0;
--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -72,6 +72,8 @@
   O.LateGoBehind_ = P.LateGoBehind_;
   O.AsksForPlaces_ = P.AsksForPlaces_;
   O.MaxRest_ = P.MaxRest_;
+  O.Cold_.Factor_ = S.Common_.ColdFactor_;
+  O.Cold_.Slack_ = S.Common_.ColdSlack_;
   O.LineShare_ = P.LineShare_;
   O.LineLeast_ = P.LineLeast_;
   O.Placement_.MostReading_ =
--- a/hawthornroad/entry/DirectEntryState.h
+++ b/hawthornroad/entry/DirectEntryState.h
@@ -78,6 +78,7 @@
   void report(const CutReport &R) override;
   void report(const LimitReport &R) override;
   void report(const HoldReport &R) override;
+  void report(const ColdReport &R) override;
   void report(const PartEvent &E) override;
 
   void start();
--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -276,6 +276,16 @@
   Metrics_.count("hawthornroad_endpoint_holds_total", {{"event", Name}});
 }
 
+void DirectEntry::State::report(const ColdReport &R) {
+  LogLine L(R.IsCold_ ? "endpoint_cold" : "endpoint_warm");
+  L.text("endpoint", R.Endpoint_.str())
+      .text("source", R.Source_)
+      .millis(R.IsCold_ ? "left_ms" : "cold_ms", R.For_);
+  Log_.write(L);
+  Metrics_.set("hawthornroad_endpoints_cold",
+               static_cast<double>(Core_.coldEndpoints().cold(bootNow())));
+}
+
 void DirectEntry::State::report(const PartEvent &E) {
   constexpr std::array<const char *, 4> Names = {
       "prompt_part_suspected", "prompt_part_blocked", "prompt_part_cleared",
--- a/hawthornroad/traffic/Endpoint.cpp
+++ b/hawthornroad/traffic/Endpoint.cpp
@@ -30,7 +30,7 @@
     return Each.first != E.Id_ && Each.second.IsLapsed_ &&
            Each.second.Endpoint_.Address_ == E.Address_;
   });
-  Entries_[E.Id_] = {E};
+  Entries_[E.Id_] = {E, false, Now};
 }
 
 void EndpointSet::removed(const std::vector<EndpointId> &Ids, TimePoint Now) {
--- a/hawthornroad/traffic/Endpoint.h
+++ b/hawthornroad/traffic/Endpoint.h
@@ -72,6 +72,8 @@
     Endpoint Endpoint_;
     // The entry lapsed because the store was down.
     bool IsLapsed_ = false;
+    // When its row was read last.
+    TimePoint SeenAt_ = {};
   };
 
   // Replaces all entries. Missing ones are removed, unless the store was down.
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -291,11 +291,11 @@
       giveUp(R, Cause::DeadlinePassed, "no time for another attempt", Now);
       return false;
     }
-    const LimitStatement *Limit = Limits_.find(startOf(*E));
-    if (Limit != nullptr && Placement_.takeGrant(E->Id_, Now))
+    bool NeedsGrant = needsGrant(*E, Now);
+    if (NeedsGrant && Placement_.takeGrant(E->Id_, Now))
       return begin(R, *E, Now);
     bool AsksAgent = Options_.AsksForPlaces_ && Placement_.mayAsk(E->Id_, Now);
-    if (!AsksAgent && Limit == nullptr)
+    if (!AsksAgent && !NeedsGrant)
       return begin(R, *E, Now);
     if (R.Asks_ >= Options_.MaxAsks_)
       return false;
@@ -306,7 +306,7 @@
       Placement_.awaitReport(E->Id_, Now);
     else if (AsksAgent)
       Placement_.pauseAsking(E->Id_, Now);
-    else if (takeShare(*E, *Limit->PerSecond_, Now))
+    else if (takeShare(*E, Now))
       return begin(R, *E, Now);
   }
 }
--- a/hawthornroad/traffic/TrafficAttempts.cpp
+++ b/hawthornroad/traffic/TrafficAttempts.cpp
@@ -160,6 +160,7 @@
   if (!Head.IsOtherEndpoint_) {
     noteLimit(T, Now);
     noteHolds(T, Now);
+    Cold_.noteAnswer({T.At_, T.Born_}, Head.ColdLeft_, Now);
   }
   if (Head.HasLoad_)
     Placement_.updateLoad(T.At_, Head.Running_, Head.Waiting_, Now);
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -14,6 +14,11 @@
 // Late replies of agents are ignored after this time.
 constexpr Duration MaxLateReply = Seconds(5);
 
+ColdEndpoints::Options coldOptions(const TrafficCore::Options &O) {
+  ColdEndpoints::Options Out = O.Cold_;
+  Out.HasPlaceGrants_ = O.AsksForPlaces_;
+  return Out;
+}
 } // namespace
 
 std::string_view toString(Cause C) {
@@ -58,7 +63,8 @@
     : Options_(O), Port_(Port), Random_(R),
       Placement_(O.Placement_, Random(Random_.next())), Budget_(O.Budget_),
       Parts_(O.Parts_), Share_(O.Share_, Random(Random_.next())),
-      Lease_(O.RevokeBound_, O.RevokeMargin_), Fence_(O.Fence_) {}
+      Cold_(coldOptions(O), R), Lease_(O.RevokeBound_, O.RevokeMargin_),
+      Fence_(O.Fence_) {}
 
 TrafficCore::~TrafficCore() = default;
 
@@ -80,6 +86,7 @@
   if (!Config_)
     return;
   Placement_.setEndpoints(Endpoints_, *Config_);
+  Cold_.listed(Endpoints_, *Config_, Now);
   endLostAttempts(Now);
   for (const auto &[Name, L] : ServiceQueues_)
     Freed_.insert(Name);
@@ -458,6 +465,8 @@
   settleAbandoned(Now);
   for (const EndpointStart &E : Placement_.takeEndedRests(Now))
     Port_.report(HoldReport{E.Id_, HoldReport::Kind::RestEnded});
+  for (const ColdReport &Each : Cold_.takeReports(Now))
+    Port_.report(Each);
   for (const auto &[Name, L] : ServiceQueues_)
     if (!L.Queue_.empty())
       Freed_.insert(Name);
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -45,6 +45,10 @@
 // request that is denied goes to another endpoint, or is refused at once; a
 // grant that arrives after that is used by another request (Placement).
 //
+// Cold endpoints. Until they are warm, endpoints bear few requests a second, of
+// all entries together. Each request to one that counts as cold
+// (ColdEndpoints) needs a grant as well, of the same process (ColdGrants).
+//
 // Crashing prompts. A part of a prompt may crash each engine that begins to
 // answer it. Entries find it together (CrashingParts), from the requests that
 // were being answered when an engine ended (EndpointCrashes), and then refuse
@@ -66,6 +70,7 @@
 #include "hawthornroad/traffic/AbandonedRepeats.h"
 #include "hawthornroad/traffic/Call.h"
 #include "hawthornroad/traffic/CallerAge.h"
+#include "hawthornroad/traffic/ColdEndpoints.h"
 #include "hawthornroad/traffic/ConfigFence.h"
 #include "hawthornroad/traffic/EventRelay.h"
 #include "hawthornroad/traffic/KeyLease.h"
@@ -122,6 +127,7 @@
     // not answer within AskTimeout_.
     Duration LimitRetry_ = Milliseconds(500);
     LimitShare::Options Share_;
+    ColdEndpoints::Options Cold_;
     // How long an endpoint is left out for this entry's own share of its limit
     // before a granter is looked for again.
     Duration MaxShareHold_ = Seconds(5);
@@ -183,6 +189,11 @@
   const ConfigFence &fence() const { return Fence_; }
   const Placement &placement() const { return Placement_; }
   const StatedLimits &limits() const { return Limits_; }
+  const ColdEndpoints &coldEndpoints() const { return Cold_; }
+  // Requests are sent to these zones again after a time in which none were.
+  void zonesRestored(const std::set<AvailabilityZone> &Zones, TimePoint Now) {
+    Cold_.zonesRestored(Zones, Endpoints_, Now);
+  }
   const RepeatBudget &repeats() const { return Budget_; }
   // From At on, no request is sent to an engine with a version of Model below
   // V; a request that waits at such an engine at Hard is withdrawn. True when V
@@ -259,9 +270,13 @@
   // Asks the endpoint's agent for a place, or its granter for a request under
   // its limit.
   AskResult ask(Record &R, const Endpoint &E, bool IsOnlyLimit, TimePoint Now);
-  PlaceDemand placeDemand(const Record &R, const Endpoint &E) const;
-  // Takes this entry's own share of the limit; false when it is used up.
-  bool takeShare(const Endpoint &E, double PerSecond, TimePoint Now);
+  PlaceDemand placeDemand(const Record &R, const Endpoint &E,
+                          TimePoint Now) const;
+  // Whether a request to the endpoint needs a grant: by its stated rate limit,
+  // or since it counts as cold.
+  bool needsGrant(const Endpoint &E, TimePoint Now) const;
+  // Takes this entry's own share of the limits; false when it is used up.
+  bool takeShare(const Endpoint &E, TimePoint Now);
   // An agent was heard, which may grant more than this entry's own shares.
   void releaseShares();
   // Handles a denied place or request.
@@ -365,6 +380,7 @@
   CrashingParts Parts_;
   StatedLimits Limits_;
   LimitShare Share_;
+  ColdEndpoints Cold_;
   // Endpoints left out until this entry's own share permits a request.
   std::set<EndpointId> HeldByShare_;
   KeyLease Lease_;
--- a/hawthornroad/traffic/TrafficPlaces.cpp
+++ b/hawthornroad/traffic/TrafficPlaces.cpp
@@ -3,23 +3,33 @@
 
 namespace hawthornroad {
 
-bool TrafficCore::takeShare(const Endpoint &E, double PerSecond,
-                            TimePoint Now) {
-  TimePoint Next = Share_.nextAt(startOf(E), PerSecond, Now);
+bool TrafficCore::needsGrant(const Endpoint &E, TimePoint Now) const {
+  return Limits_.find(startOf(E)) != nullptr || Cold_.find(E, Now).has_value();
+}
+
+bool TrafficCore::takeShare(const Endpoint &E, TimePoint Now) {
+  const LimitStatement *Limit = Limits_.find(startOf(E));
+  TimePoint Next = Cold_.shareAt(E, Now);
+  if (Limit != nullptr)
+    Next = std::max(Next, Share_.nextAt(startOf(E), *Limit->PerSecond_, Now));
   if (Next > Now) {
     Placement_.hold(E.Id_, std::min(Next, Now + Options_.MaxShareHold_));
     HeldByShare_.insert(E.Id_);
     return false;
   }
-  Share_.take(startOf(E), PerSecond, Now);
+  if (Limit != nullptr)
+    Share_.take(startOf(E), *Limit->PerSecond_, Now);
+  Cold_.takeShare(E, Now);
   return true;
 }
 
-PlaceDemand TrafficCore::placeDemand(const Record &R, const Endpoint &E) const {
+PlaceDemand TrafficCore::placeDemand(const Record &R, const Endpoint &E,
+                                     TimePoint Now) const {
   PlaceDemand D;
   D.Endpoint_ = startOf(E);
   if (const LimitStatement *Limit = Limits_.last(D.Endpoint_))
     D.Limit_ = *Limit;
+  D.Cold_ = Cold_.find(E, Now);
   D.Kind_ = R.IsLate_ ? PlaceKind::Late : PlaceKind::First;
   if (R.IsStreaming_)
     D.Kind_ = PlaceKind::Resumed;
@@ -44,7 +54,7 @@
   Asks_[A] = R.Number_;
   // Counted as sent, so that the next request goes to another endpoint.
   Placement_.attemptBegun(E.Id_, Now);
-  PlaceDemand D = placeDemand(R, E);
+  PlaceDemand D = placeDemand(R, E, Now);
   AskResult Result = IsOnlyLimit ? Port_.askLimit(A, E.Address_, D)
                                  : Port_.askPlace(A, E.Address_, D);
   if (Result != AskResult::Sent) {
@@ -79,8 +89,9 @@
   }
   if (W.Limit_)
     noteLimit(At, *W.Limit_, GranterSource, Now);
+  Cold_.noteGranter(At, W.Cold_, Asked.SentAt_, Now);
   const Endpoint *E = Placement_.find(At.Id_);
-  if (!W.IsGranted_ || E == nullptr || Limits_.find(At) == nullptr)
+  if (!W.IsGranted_ || E == nullptr || !needsGrant(*E, Now))
     return;
   Placement_.keepGrant(At.Id_, Asked.SentAt_ + LimitGrants::MaxGrantAge);
   Freed_.insert(E->Service_);
@@ -114,6 +125,8 @@
   const Endpoint *E = Placement_.find(R.AskedOf_);
   if (W.Limit_ && E != nullptr)
     noteLimit(startOf(*E), *W.Limit_, GranterSource, Now);
+  if (E != nullptr)
+    Cold_.noteGranter(startOf(*E), W.Cold_, R.AskSentAt_, Now);
   if (!R.AsksOnlyLimit_) {
     Placement_.askAnswered(R.AskedOf_, Now - R.AskedAt_);
     Placement_.updateLoad(R.AskedOf_, W.Load_.Running_, W.Load_.Waiting_, Now);
@@ -127,7 +140,7 @@
   bool IsNewEnough =
       R.AsksOnlyLimit_ || W.Version_ >= minVersion(R.Service_, Now);
   // After a pause of this process, its granter may not count it any more.
-  bool IsOld = E != nullptr && Limits_.find(startOf(*E)) != nullptr &&
+  bool IsOld = E != nullptr && needsGrant(*E, Now) &&
                Now - R.AskSentAt_ >= LimitGrants::MaxGrantAge;
   bool IsUsable = W.IsGranted_ && !IsOld && E != nullptr && !E->IsDraining_ &&
                   IsNewEnough && !Placement_.restsOrLeaves(R.AskedOf_, Now);
--- a/hawthornroad/traffic/TrafficPort.h
+++ b/hawthornroad/traffic/TrafficPort.h
@@ -14,6 +14,7 @@
 
 #include "hawthornroad/staging/PlaceGrants.h"
 #include "hawthornroad/traffic/Call.h"
+#include "hawthornroad/traffic/ColdEndpoints.h"
 #include "hawthornroad/traffic/ColdLimit.h"
 #include "hawthornroad/traffic/CrashingParts.h"
 #include "hawthornroad/traffic/Placement.h"
@@ -208,6 +209,7 @@
   virtual void report(const CutReport &R) {}
   virtual void report(const LimitReport &R) {}
   virtual void report(const HoldReport &R) {}
+  virtual void report(const ColdReport &R) {}
   virtual void report(const PartEvent &E) {}
 };
 
