--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -26,6 +26,7 @@
 #include "hawthornroad/staging/VersionOrder.h"
 #include "hawthornroad/staging/PriorityGate.h"
 #include "hawthornroad/store/StoreClient.h"
+#include "hawthornroad/traffic/ColdGrants.h"
 #include "hawthornroad/traffic/CrashingParts.h"
 #include "hawthornroad/traffic/LimitGrants.h"
 #include "hawthornroad/weights/DigestTree.h"
@@ -159,6 +160,7 @@
   void reportGate(TimePoint Now);
   // Grants a request under the rate limit of any endpoint.
   void answerLimitRequest(const PeerContext &From, const wire::PlaceAskT &Ask);
+  void noteCold(const wire::PlaceAskT &Ask, const ProcessName &From);
   void noteLimit(const EndpointStart &E, const wire::StatedLimitT &Limit,
                  const ProcessName &From);
   // Capacity of the engine, as the entry that asks or this agent knows it.
@@ -243,6 +245,7 @@
   PlaceGrants Places_;
   PriorityGate Gate_;
   LimitGrants Limits_;
+  ColdGrants Cold_{bootNow()};
   CrashingParts Parts_{relayOptions()};
   struct PlaceRequest {
     ConnectionId From_ = 0;
--- a/hawthornroad/traffic/TrafficZones.cpp
+++ b/hawthornroad/traffic/TrafficZones.cpp
@@ -94,6 +94,7 @@
     Port_.report(ZoneReport{Each, false,
                             Now - Evacuated_.since(Each).value_or(Now),
                             endpointsIn(Each)});
+  Cold_.zonesRestored(Zones, Endpoints_, Now);
 }
 
 std::size_t TrafficCore::endpointsIn(const AvailabilityZone &Zone) const {
