--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -3,6 +3,7 @@
 //   StoreAgent.cpp       life cycle, peers, frames, metrics
 //   AgentVersions.cpp    the wanted version, as read from the store
 //   AgentEngine.cpp      the update steps of the engine: report, verify, order
+//   AgentPlaces.cpp      places and limits that entries ask for
 //   AgentDigests.cpp     where a version's digests are read from
 //   AgentPieces.cpp      from the digests to a complete set of pieces
 //
--- a/tests/unit/ColdFleet.cpp
+++ b/tests/unit/ColdFleet.cpp
@@ -301,6 +301,7 @@
       if (S->Row_.Zone_ == OtherZone)
         Ids.push_back(S->Row_.Id_);
     for (const auto &E : Entries_) {
+      E->Core_->evacuateZones({OtherZone}, Now_);
       E->Core_->endpoints().removed(Ids, Now_);
       E->Core_->endpointsChanged(Now_);
     }
@@ -309,8 +310,7 @@
     for (const auto &E : Entries_) {
       for (const auto &S : Servers_)
         E->Core_->endpoints().changed(S->Row_, Now_);
-      E->Core_->zonesRestored({OtherZone}, Now_);
-      E->Core_->endpointsChanged(Now_);
+      E->Core_->restoreZones({OtherZone}, Now_);
     }
   });
 }
