--- a/hawthornroad/agent/AgentEngine.cpp
+++ b/hawthornroad/agent/AgentEngine.cpp
@@ -1,4 +1,5 @@
 #include "hawthornroad/agent/StoreAgentState.h"
+#include "hawthornroad/peers/Ages.h"
 
 #include <algorithm>
 #include <cmath>
@@ -76,11 +77,21 @@
   return LoadSchedule(O);
 }
 
-// The number of entries alone is no reason for a notice: when all of them
-// start, each would be notified of each other.
+// Neither the number of entries nor the ages of versions are a reason for a
+// notice: when all entries start, each would be notified of each other.
 wire::EngineNoticeT
-StoreAgent::State::withEntries(wire::EngineNoticeT Notice) const {
+StoreAgent::State::withDetails(wire::EngineNoticeT Notice) const {
+  TimePoint Now = bootNow();
   Notice.entries = static_cast<std::uint32_t>(Watchers_.size());
+  for (const auto &P : {Current_, Next_}) {
+    if (!P)
+      continue;
+    auto Heard = std::make_unique<wire::HeardVersionT>();
+    Heard->model = P->Version_.Model_;
+    Heard->version = P->Version_.Version_;
+    Heard->age_us = ageInMicroseconds(P->HeardAt_, Now);
+    Notice.heard.push_back(std::move(Heard));
+  }
   return Notice;
 }
 
@@ -109,7 +120,7 @@
     return;
   LastNoticeAt_ = Now;
   LastNotice_ = Notice;
-  FrameBuffer Frame = makeFrame(withEntries(Notice));
+  FrameBuffer Frame = makeFrame(withDetails(Notice));
   for (const auto &[Process, W] : Watchers_)
     if (!IsLoadOnly || W.WantsLoads_)
       Net_->reply(W.Connection_, Frame);
--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -202,7 +202,7 @@
     if (auto Parts = Parts_.all(); !Parts.empty())
       Net_->reply(From.Connection_, makeFrame(encodeParts(Parts, bootNow())));
     if (LastNotice_)
-      Net_->reply(From.Connection_, makeFrame(withEntries(*LastNotice_)));
+      Net_->reply(From.Connection_, makeFrame(withDetails(*LastNotice_)));
     for (const auto &Each : Watch->versions)
       onVersionHeard({Each->model, Each->version});
     return;
--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -180,7 +180,8 @@
   void notifyEntries();
   // Passes on to all entries what has changed of prompt parts.
   void relayParts(TimePoint Now);
-  wire::EngineNoticeT withEntries(wire::EngineNoticeT Notice) const;
+  // Adds what changes without a notice.
+  wire::EngineNoticeT withDetails(wire::EngineNoticeT Notice) const;
   // Bytes per second.
   std::int64_t uploadRate() const {
     constexpr double BytesPerMegabit = 1e6 / 8;
--- a/hawthornroad/entry/EngineNotices.cpp
+++ b/hawthornroad/entry/EngineNotices.cpp
@@ -1,6 +1,7 @@
 #include "hawthornroad/entry/EngineNotices.h"
 
 #include "hawthornroad/base/Hash.h"
+#include "hawthornroad/peers/Ages.h"
 #include "hawthornroad/peers/LimitCodec.h"
 #include "hawthornroad/peers/PartCodec.h"
 #include "hawthornroad/runtime/BootClock.h"
@@ -124,6 +125,10 @@
   T.Phase_ = static_cast<EnginePhase>(N.phase());
   T.Version_ = N.version();
   T.Entries_ = N.entries();
+  if (N.heard() != nullptr)
+    for (const wire::HeardVersion *Each : *N.heard())
+      T.Heard_.push_back({Each->model()->str(), Each->version(),
+                          timeOfAge(Each->age_us(), bootNow())});
   auto Found = Agents_.find(From.Address_.str());
   if (Found != Agents_.end()) {
     Found->second.HasReported_ = Found->second.WasSeen_ = true;
--- a/hawthornroad/entry/EngineNotices.h
+++ b/hawthornroad/entry/EngineNotices.h
@@ -35,6 +35,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace hawthornroad {
 
@@ -46,6 +47,13 @@
   std::optional<EndpointLoad> Load_;
   // Entries that are subscribed to the agent; 0: not stated.
   unsigned Entries_ = 0;
+  // Versions that the agent knows, and when it heard of each.
+  struct Heard {
+    std::string Model_;
+    std::uint64_t Version_ = 0;
+    TimePoint At_;
+  };
+  std::vector<Heard> Heard_;
 };
 
 // A connection to an agent was lost, or the agent reported again.
--- a/hawthornroad/entry/EntryTables.cpp
+++ b/hawthornroad/entry/EntryTables.cpp
@@ -184,6 +184,18 @@
                    .count("version", T.Version_));
   Last = T;
   Core_.noteEntries(T.Entries_);
+  for (const EngineUpdate::Heard &Each : T.Heard_) {
+    TimePoint Bound =
+        Each.At_ - MaxVersionAge + Settings_.Common_.VersionBound_;
+    if (Core_.correctVersion(Each.Model_, Each.Version_, Bound - VersionMargin,
+                             Bound - VersionHardMargin))
+      Log_.write(LogLine("version_corrected")
+                     .text("model", Each.Model_)
+                     .count("version", Each.Version_)
+                     .text("address", T.Address_)
+                     .millis("heard_ms", bootNow() - Each.At_),
+                 true);
+  }
   Core_.engineUpdated(T.Address_, IsAway, T.Version_, T.Load_, bootNow());
 }
 
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -155,36 +155,6 @@
   }
 }
 
-bool TrafficCore::requireVersion(const std::string &Model, WeightVersion V,
-                                 TimePoint At, TimePoint Hard) {
-  // Each version's limit counts from its own announcement: a later version does
-  // not postpone the requirement of an earlier one.
-  return Requirements_[Model]
-      .try_emplace(V, VersionRequirement{At, Hard})
-      .second;
-}
-
-WeightVersion TrafficCore::minVersion(const ServiceName &Service, TimePoint Now,
-                                      bool IsHard) const {
-  WeightVersion Out = 0;
-  for (const Endpoint *E : Endpoints_.of(Service)) {
-    if (!E->HasModel_ || E->Model_.empty())
-      continue;
-    auto Found = Requirements_.find(E->Model_);
-    if (Found != Requirements_.end())
-      for (const auto &[Version, Duty] : Found->second)
-        if (Now >= (IsHard ? Duty.Hard_ : Duty.At_))
-          Out = std::max(Out, Version);
-    // All endpoints of a service serve one model.
-    break;
-  }
-  return Out;
-}
-
-WeightVersion TrafficCore::newestRequired(const ServiceName &Service) const {
-  return minVersion(Service, TimePoint::max());
-}
-
 TrafficCore::Record *TrafficCore::find(AttemptNumber A) {
   auto Found = ByAttempt_.find(A);
   if (Found == ByAttempt_.end())
@@ -323,32 +293,6 @@
 
 // ---- Time -------------------------------------------------------------------
 
-// A request that an engine with an old version has not begun by the version's
-// hard limit would run on weights that may no longer serve anybody.
-bool TrafficCore::waitsAtOldVersion(const Record &R, const Attempt &T,
-                                    TimePoint Now) const {
-  if (!T.isRunning() || T.HasHead_ || Requirements_.empty())
-    return false;
-  auto V = Placement_.view(T.At_, Now);
-  return V && V->Version_ != 0 &&
-         V->Version_ < minVersion(R.Service_, Now, true);
-}
-
-// True when R has no attempt left because of that.
-bool TrafficCore::endAtOldVersion(Record &R, TimePoint Now) {
-  bool HasEnded = false;
-  auto End = [&](Attempt &T) {
-    if (!waitsAtOldVersion(R, T, Now))
-      return;
-    cancelAttempt(R, T, "queued at an engine with an old version", Now);
-    HasEnded = true;
-  };
-  End(R.Current_);
-  if (R.Silent_)
-    End(*R.Silent_);
-  return HasEnded && !continueWithOther(R, Now);
-}
-
 // Longest wait in the queue that leaves an engine's usual time within the goal.
 Duration TrafficCore::queueWaitLimit(const Route &R) const {
   Duration Share = std::chrono::duration_cast<Duration>(R.FirstByteGoal_ *
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -222,6 +222,12 @@
   bool requireVersion(const std::string &Model, WeightVersion V, TimePoint At,
                       TimePoint Hard);
 
+  // The same for a version that is known already, when another process heard of
+  // it earlier: a process that has just started cannot tell when a version was
+  // published. False when the times are not earlier by MinCorrection.
+  bool correctVersion(const std::string &Model, WeightVersion V, TimePoint At,
+                      TimePoint Hard);
+
   // N is chosen by the caller, and unique: answers may arrive before this
   // returns.
   void arrive(CallNumber N, Call C, TimePoint Now);
--- a/hawthornroad/traffic/TrafficState.h
+++ b/hawthornroad/traffic/TrafficState.h
@@ -6,6 +6,7 @@
 //   TrafficZones.cpp     allowed regions, evacuated zones
 //   TrafficAttempts.cpp  endpoints' answers and how they are handled
 //   TrafficBuffers.cpp   what is held for requests, and its limits
+//   TrafficVersions.cpp  weight versions that requests require
 //   TrafficCrashes.cpp   endpoints that crash, and prompt parts that crash them
 
 #ifndef HAWTHORNROAD_TRAFFIC_TRAFFICSTATE_H
--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -142,6 +142,10 @@
 struct ColdStateBuilder;
 struct ColdStateT;
 
+struct HeardVersion;
+struct HeardVersionBuilder;
+struct HeardVersionT;
+
 struct EngineNotice;
 struct EngineNoticeBuilder;
 struct EngineNoticeT;
@@ -270,6 +274,8 @@
 bool operator!=(const NamedVersionT &lhs, const NamedVersionT &rhs);
 bool operator==(const ColdStateT &lhs, const ColdStateT &rhs);
 bool operator!=(const ColdStateT &lhs, const ColdStateT &rhs);
+bool operator==(const HeardVersionT &lhs, const HeardVersionT &rhs);
+bool operator!=(const HeardVersionT &lhs, const HeardVersionT &rhs);
 bool operator==(const EngineNoticeT &lhs, const EngineNoticeT &rhs);
 bool operator!=(const EngineNoticeT &lhs, const EngineNoticeT &rhs);
 bool operator==(const StatedLimitT &lhs, const StatedLimitT &rhs);
@@ -4580,6 +4586,95 @@
 
 flatbuffers::Offset<ColdState> CreateColdState(flatbuffers::FlatBufferBuilder &_fbb, const ColdStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct HeardVersionT : public flatbuffers::NativeTable {
+  typedef HeardVersion TableType;
+  std::string model{};
+  uint64_t version = 0;
+  uint64_t age_us = 0;
+};
+
+struct HeardVersion FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HeardVersionT NativeTableType;
+  typedef HeardVersionBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_MODEL = 4,
+    VT_VERSION = 6,
+    VT_AGE_US = 8
+  };
+  const flatbuffers::String *model() const {
+    return GetPointer<const flatbuffers::String *>(VT_MODEL);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  uint64_t age_us() const {
+    return GetField<uint64_t>(VT_AGE_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_MODEL) &&
+           verifier.VerifyString(model()) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_AGE_US, 8) &&
+           verifier.EndTable();
+  }
+  HeardVersionT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(HeardVersionT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<HeardVersion> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeardVersionT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct HeardVersionBuilder {
+  typedef HeardVersion Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_model(flatbuffers::Offset<flatbuffers::String> model) {
+    fbb_.AddOffset(HeardVersion::VT_MODEL, model);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(HeardVersion::VT_VERSION, version, 0);
+  }
+  void add_age_us(uint64_t age_us) {
+    fbb_.AddElement<uint64_t>(HeardVersion::VT_AGE_US, age_us, 0);
+  }
+  explicit HeardVersionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<HeardVersion> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<HeardVersion>(end);
+    fbb_.Required(o, HeardVersion::VT_MODEL);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<HeardVersion> CreateHeardVersion(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> model = 0,
+    uint64_t version = 0,
+    uint64_t age_us = 0) {
+  HeardVersionBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
+  builder_.add_version(version);
+  builder_.add_model(model);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<HeardVersion> CreateHeardVersionDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *model = nullptr,
+    uint64_t version = 0,
+    uint64_t age_us = 0) {
+  auto model__ = model ? _fbb.CreateString(model) : 0;
+  return hawthornroad::wire::CreateHeardVersion(
+      _fbb,
+      model__,
+      version,
+      age_us);
+}
+
+flatbuffers::Offset<HeardVersion> CreateHeardVersion(flatbuffers::FlatBufferBuilder &_fbb, const HeardVersionT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EngineNoticeT : public flatbuffers::NativeTable {
   typedef EngineNotice TableType;
   std::string address{};
@@ -4589,6 +4684,11 @@
   uint32_t waiting = 0;
   uint32_t entries = 0;
   float slowdown = 0.0f;
+  std::vector<std::unique_ptr<hawthornroad::wire::HeardVersionT>> heard{};
+  EngineNoticeT() = default;
+  EngineNoticeT(const EngineNoticeT &o);
+  EngineNoticeT(EngineNoticeT&&) FLATBUFFERS_NOEXCEPT = default;
+  EngineNoticeT &operator=(EngineNoticeT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct EngineNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4601,7 +4701,8 @@
     VT_RUNNING = 10,
     VT_WAITING = 12,
     VT_ENTRIES = 14,
-    VT_SLOWDOWN = 16
+    VT_SLOWDOWN = 16,
+    VT_HEARD = 18
   };
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
@@ -4624,6 +4725,9 @@
   float slowdown() const {
     return GetField<float>(VT_SLOWDOWN, 0.0f);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::HeardVersion>> *heard() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::HeardVersion>> *>(VT_HEARD);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ADDRESS) &&
@@ -4634,6 +4738,9 @@
            VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
            VerifyField<uint32_t>(verifier, VT_ENTRIES, 4) &&
            VerifyField<float>(verifier, VT_SLOWDOWN, 4) &&
+           VerifyOffset(verifier, VT_HEARD) &&
+           verifier.VerifyVector(heard()) &&
+           verifier.VerifyVectorOfTables(heard()) &&
            verifier.EndTable();
   }
   EngineNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4666,6 +4773,9 @@
   void add_slowdown(float slowdown) {
     fbb_.AddElement<float>(EngineNotice::VT_SLOWDOWN, slowdown, 0.0f);
   }
+  void add_heard(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::HeardVersion>>> heard) {
+    fbb_.AddOffset(EngineNotice::VT_HEARD, heard);
+  }
   explicit EngineNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4686,9 +4796,11 @@
     uint32_t running = 0,
     uint32_t waiting = 0,
     uint32_t entries = 0,
-    float slowdown = 0.0f) {
+    float slowdown = 0.0f,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::HeardVersion>>> heard = 0) {
   EngineNoticeBuilder builder_(_fbb);
   builder_.add_version(version);
+  builder_.add_heard(heard);
   builder_.add_slowdown(slowdown);
   builder_.add_entries(entries);
   builder_.add_waiting(waiting);
@@ -4706,8 +4818,10 @@
     uint32_t running = 0,
     uint32_t waiting = 0,
     uint32_t entries = 0,
-    float slowdown = 0.0f) {
+    float slowdown = 0.0f,
+    const std::vector<flatbuffers::Offset<hawthornroad::wire::HeardVersion>> *heard = nullptr) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto heard__ = heard ? _fbb.CreateVector<flatbuffers::Offset<hawthornroad::wire::HeardVersion>>(*heard) : 0;
   return hawthornroad::wire::CreateEngineNotice(
       _fbb,
       address__,
@@ -4716,7 +4830,8 @@
       running,
       waiting,
       entries,
-      slowdown);
+      slowdown,
+      heard__);
 }
 
 flatbuffers::Offset<EngineNotice> CreateEngineNotice(flatbuffers::FlatBufferBuilder &_fbb, const EngineNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8496,6 +8611,51 @@
 }
 
 
+inline bool operator==(const HeardVersionT &lhs, const HeardVersionT &rhs) {
+  return
+      (lhs.model == rhs.model) &&
+      (lhs.version == rhs.version) &&
+      (lhs.age_us == rhs.age_us);
+}
+
+inline bool operator!=(const HeardVersionT &lhs, const HeardVersionT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline HeardVersionT *HeardVersion::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<HeardVersionT>(new HeardVersionT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void HeardVersion::UnPackTo(HeardVersionT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = model(); if (_e) _o->model = _e->str(); }
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = age_us(); _o->age_us = _e; }
+}
+
+inline flatbuffers::Offset<HeardVersion> HeardVersion::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeardVersionT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateHeardVersion(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<HeardVersion> CreateHeardVersion(flatbuffers::FlatBufferBuilder &_fbb, const HeardVersionT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HeardVersionT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _model = _fbb.CreateString(_o->model);
+  auto _version = _o->version;
+  auto _age_us = _o->age_us;
+  return hawthornroad::wire::CreateHeardVersion(
+      _fbb,
+      _model,
+      _version,
+      _age_us);
+}
+
+
 inline bool operator==(const EngineNoticeT &lhs, const EngineNoticeT &rhs) {
   return
       (lhs.address == rhs.address) &&
@@ -8504,7 +8664,8 @@
       (lhs.running == rhs.running) &&
       (lhs.waiting == rhs.waiting) &&
       (lhs.entries == rhs.entries) &&
-      (lhs.slowdown == rhs.slowdown);
+      (lhs.slowdown == rhs.slowdown) &&
+      (lhs.heard.size() == rhs.heard.size() && std::equal(lhs.heard.cbegin(), lhs.heard.cend(), rhs.heard.cbegin(), [](std::unique_ptr<hawthornroad::wire::HeardVersionT> const &a, std::unique_ptr<hawthornroad::wire::HeardVersionT> const &b) { return (a == b) || (a && b && *a == *b); }));
 }
 
 inline bool operator!=(const EngineNoticeT &lhs, const EngineNoticeT &rhs) {
@@ -8512,6 +8673,30 @@
 }
 
 
+inline EngineNoticeT::EngineNoticeT(const EngineNoticeT &o)
+      : address(o.address),
+        phase(o.phase),
+        version(o.version),
+        running(o.running),
+        waiting(o.waiting),
+        entries(o.entries),
+        slowdown(o.slowdown) {
+  heard.reserve(o.heard.size());
+  for (const auto &heard_ : o.heard) { heard.emplace_back((heard_) ? new hawthornroad::wire::HeardVersionT(*heard_) : nullptr); }
+}
+
+inline EngineNoticeT &EngineNoticeT::operator=(EngineNoticeT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(address, o.address);
+  std::swap(phase, o.phase);
+  std::swap(version, o.version);
+  std::swap(running, o.running);
+  std::swap(waiting, o.waiting);
+  std::swap(entries, o.entries);
+  std::swap(slowdown, o.slowdown);
+  std::swap(heard, o.heard);
+  return *this;
+}
+
 inline EngineNoticeT *EngineNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<EngineNoticeT>(new EngineNoticeT());
   UnPackTo(_o.get(), _resolver);
@@ -8528,6 +8713,7 @@
   { auto _e = waiting(); _o->waiting = _e; }
   { auto _e = entries(); _o->entries = _e; }
   { auto _e = slowdown(); _o->slowdown = _e; }
+  { auto _e = heard(); if (_e) { _o->heard.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->heard[_i] = std::unique_ptr<hawthornroad::wire::HeardVersionT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<EngineNotice> EngineNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8545,6 +8731,7 @@
   auto _waiting = _o->waiting;
   auto _entries = _o->entries;
   auto _slowdown = _o->slowdown;
+  auto _heard = _o->heard.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornroad::wire::HeardVersion>> (_o->heard.size(), [](size_t i, _VectorArgs *__va) { return CreateHeardVersion(*__va->__fbb, __va->__o->heard[i].get(), __va->__rehasher); }, &_va ) : 0;
   return hawthornroad::wire::CreateEngineNotice(
       _fbb,
       _address,
@@ -8553,7 +8740,8 @@
       _running,
       _waiting,
       _entries,
-      _slowdown);
+      _slowdown,
+      _heard);
 }
 
 
--- a/tests/unit/TrafficCoreTest.cpp
+++ b/tests/unit/TrafficCoreTest.cpp
@@ -164,6 +164,26 @@
   REQUIRE(F.Port_.last().Params_.Endpoint_ == EndpointId("m1"));
 }
 
+// Guards against requests that begin on a version long past its successor's
+// limit: an entry that had restarted counted the limit from its own start.
+TEST_CASE(
+    "traffic core, of a version that others heard of earlier, takes their "
+    "limit",
+    "[traffic]") {
+  CoreFixture F;
+  F.Core_.requireVersion("m", 2, Start + Seconds(9), Start + Seconds(10));
+  // Not known yet, and not earlier by more than processes usually differ.
+  REQUIRE_FALSE(F.Core_.correctVersion("m", 3, Start, Start + Seconds(1)));
+  REQUIRE_FALSE(F.Core_.correctVersion("m", 2, Start + Milliseconds(8000),
+                                       Start + Milliseconds(9000)));
+  CallNumber Before = F.send("/stream/1", Start + Seconds(1));
+  REQUIRE(F.Port_.last().Params_.Endpoint_ == EndpointId("m1"));
+  F.Core_.callerGone(Before, Start + Seconds(1));
+  REQUIRE(F.Core_.correctVersion("m", 2, Start - Seconds(1), Start));
+  CallNumber After = F.send("/stream/1", Start + Seconds(1));
+  REQUIRE(F.answerOf(After).Cause_ == Cause::NoEndpoint);
+}
+
 TEST_CASE(
     "traffic core, with two versions announced, enforces each at its own limit",
     "[traffic]") {
