--- a/tests/unit/EntrySlowPeersTest.cpp
+++ b/tests/unit/EntrySlowPeersTest.cpp
@@ -272,12 +272,25 @@
       std::this_thread::sleep_for(std::chrono::milliseconds(5));
     }
   });
+  std::string Refusal;
   for (int I = 0; I < 100; ++I) {
-    Most = std::max(Most, F.metric("hawthornroad_held_bytes"));
+    double Held = F.metric("hawthornroad_held_bytes");
+    Most = std::max(Most, Held);
+    if (Held > 40e6 && Refusal.empty()) {
+      // Refused before its body has arrived.
+      RawSocket Late = RawSocket::connectTo(F.Callers_);
+      Late.send("POST /once/2 HTTP/1.1\r\nHost: h\r\n"
+                "X-Hawthornroad-Request-Id: r2\r\n"
+                "Content-Length: 1000000\r\n\r\nx");
+      Refusal = Late.readUntil("\r\n\r\n");
+    }
     std::this_thread::sleep_for(std::chrono::milliseconds(20));
   }
-  CHECK(Most > 30e6);
+  CHECK(Most > 40e6);
   CHECK(Most < 70e6);
+  CHECK(Refusal.find(" 503 ") != std::string::npos);
+  CHECK(Refusal.find("Retry-After: 0.3") != std::string::npos);
+  CHECK(Refusal.find("X-Hawthornroad-Request-Id: r2") != std::string::npos);
   IsOver = true;
   Accepting.join();
   Asked.clear();
