Priorities: the customer's first, then the route's; only where routes differ

Change: RoutingConfig::priorityLevel orders by the customer's priority and then by the route's; the part is on only where routes to a service differ.

--- a/hawthornroad/config/RoutingConfig.cpp
+++ b/hawthornroad/config/RoutingConfig.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cctype>
+#include <optional>
+#include <set>
 
 namespace hawthornroad {
 
@@ -17,28 +19,42 @@
   return Lower;
 }
 
-// The priorities that requests on a route may have.
-std::set<int> ranksOf(const Route &R,
-                      const std::vector<CustomerConfig> &Customers) {
-  std::set<int> Out;
+using RankPairs = std::set<std::pair<int, int>>;
+
+// The priorities that requests on a route may have: of the customer, or else of
+// the route, and of the route.
+RankPairs ranksOf(const Route &R,
+                  const std::vector<CustomerConfig> &Customers) {
+  RankPairs Out;
   for (const CustomerConfig &Each : Customers)
-    Out.insert(Each.Rank_.value_or(R.Rank_));
+    Out.insert({Each.Rank_.value_or(R.Rank_), R.Rank_});
   if (R.IsPublic_ || Customers.empty())
-    Out.insert(R.Rank_);
+    Out.insert({R.Rank_, R.Rank_});
   return Out;
 }
 
-std::set<ServiceName>
-prioritizedServices(const std::vector<Route> &Routes,
-                    const std::vector<CustomerConfig> &Customers) {
-  std::map<ServiceName, std::set<int>> Ranks;
+std::map<ServiceName, std::vector<std::pair<int, int>>>
+prioritiesOf(const std::vector<Route> &Routes,
+             const std::vector<CustomerConfig> &Customers) {
+  std::set<std::optional<int>> OfCustomers;
+  for (const CustomerConfig &Each : Customers)
+    OfCustomers.insert(Each.Rank_);
+  std::map<ServiceName, RankPairs> Pairs;
+  std::map<ServiceName, std::set<int>> OfRoutes;
   for (const Route &Each : Routes)
-    for (const WeightedService &S : Each.Services_)
-      Ranks[S.Service_].merge(ranksOf(Each, Customers));
-  std::set<ServiceName> Out;
-  for (const auto &[Name, Found] : Ranks)
-    if (Found.size() > 1)
-      Out.insert(Name);
+    for (const WeightedService &S : Each.Services_) {
+      Pairs[S.Service_].merge(ranksOf(Each, Customers));
+      OfRoutes[S.Service_].insert(Each.Rank_);
+    }
+  std::map<ServiceName, std::vector<std::pair<int, int>>> Out;
+  for (const auto &[Name, Ranks] : OfRoutes) {
+    if (Ranks.size() < 2)
+      continue;
+    const RankPairs &Found = Pairs[Name];
+    Out[Name];
+    if (OfCustomers.size() > 1)
+      Out[Name].assign(Found.begin(), Found.end());
+  }
   return Out;
 }
 } // namespace
@@ -63,7 +79,7 @@
   for (std::size_t I = 0; I < Source.Customers_.size(); ++I)
     for (const std::string &Key : Source.Customers_[I].Keys_)
       Built->Keys_[Key] = I;
-  Built->Prioritized_ = prioritizedServices(Source.Routes_, Source.Customers_);
+  Built->Priorities_ = prioritiesOf(Source.Routes_, Source.Customers_);
   return Built;
 }
 
@@ -88,6 +104,23 @@
   return Found == Services_.end() ? nullptr : &Parts_.Services_[Found->second];
 }
 
+RoutingConfig::PriorityLevel
+RoutingConfig::priorityLevel(const ServiceName &Name, int Rank,
+                             int RouteRank) const {
+  constexpr int QueueClasses = 3;
+  auto Found = Priorities_.find(Name);
+  if (Found == Priorities_.end())
+    return {Rank, Rank};
+  const auto &Pairs = Found->second;
+  if (Pairs.empty())
+    return {RouteRank, RouteRank};
+  auto At =
+      std::lower_bound(Pairs.begin(), Pairs.end(), std::pair(Rank, RouteRank));
+  int Level = static_cast<int>(At - Pairs.begin());
+  int Levels = static_cast<int>(Pairs.size());
+  return {Level, std::min(Level * QueueClasses / Levels, QueueClasses - 1)};
+}
+
 const ServiceConfig *RoutingConfig::origin() const {
   for (const ServiceConfig &Each : Parts_.Services_)
     if (!Each.OriginAddress_.empty())
--- a/hawthornroad/config/RoutingConfig.h
+++ b/hawthornroad/config/RoutingConfig.h
@@ -22,10 +22,10 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace hawthornroad {
@@ -161,10 +161,21 @@
   const CustomerConfig *customerOf(const std::string &Key) const;
   // Whether any customer is declared; only then do routes require keys.
   bool hasCustomers() const { return !Parts_.Customers_.empty(); }
-  // Whether requests to a service may have different priorities.
+  // Whether routes to a service have different priorities.
   bool prioritiesDiffer(const ServiceName &Name) const {
-    return Prioritized_.contains(Name);
+    return Priorities_.contains(Name);
   }
+  // The place of a request among the priorities of its service, lowest first.
+  struct PriorityLevel {
+    int Level_ = 0;
+    // Class in a queue with three of them.
+    int QueueRank_ = 0;
+  };
+  // Rank is the customer's priority, or the route's where the customer has
+  // none. It comes first; among requests of equal Rank the route's priority
+  // decides. Both are as they are where customers have no different ones.
+  PriorityLevel priorityLevel(const ServiceName &Name, int Rank,
+                              int RouteRank) const;
   const RequestLimits &limits() const { return Parts_.Limits_; }
   const Parts &parts() const { return Parts_; }
 
@@ -179,8 +190,9 @@
   std::unordered_map<std::string, HostRoutes> Hosts_;
   std::map<ServiceName, std::size_t> Services_;
   std::unordered_map<std::string, std::size_t> Keys_;
-  // Services whose requests may have different priorities.
-  std::set<ServiceName> Prioritized_;
+  // The pairs of Rank and RouteRank of services whose routes have different
+  // priorities, in order; empty where customers have no different ones.
+  std::map<ServiceName, std::vector<std::pair<int, int>>> Priorities_;
 };
 
 using SharedConfig = std::shared_ptr<const RoutingConfig>;
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -119,6 +119,9 @@
 
 void TrafficCore::notePriority(Record &R, TimePoint Now) {
   R.IsPrioritized_ = R.Config_->prioritiesDiffer(R.Service_);
+  auto Level = R.Config_->priorityLevel(R.Service_, R.Rank_, R.Route_->Rank_);
+  R.Rank_ = Level.Level_;
+  R.QueueRank_ = Level.QueueRank_;
   if (!R.IsPrioritized_)
     return;
   ServedShare &Shares = ServiceQueues_[R.Service_].Shares_;
@@ -149,7 +152,7 @@
   const FairQueue &Queue = Found->second.Queue_;
   if (!R.IsPrioritized_)
     return !Queue.empty();
-  return Queue.hasAsUrgent(queueClass(R.IsStreaming_, R.IsOwed_, R.Rank_));
+  return Queue.hasAsUrgent(queueClass(R.IsStreaming_, R.IsOwed_, R.QueueRank_));
 }
 
 Duration TrafficCore::estimatedWait(const ServiceName &Service,
@@ -162,7 +165,7 @@
     return Duration::zero();
   double Ahead =
       L.Queue_.aheadOf(Options_.FairByCustomer_ ? R.Customer_ : Customer(),
-                       queueClass(false, R.IsOwed_, R.Rank_), 1.0);
+                       queueClass(false, R.IsOwed_, R.QueueRank_), 1.0);
   Duration PerEnd = (L.Ends_.back() - L.Ends_.front()) /
                     static_cast<Duration::rep>(L.Ends_.size() - 1);
   return std::chrono::duration_cast<Duration>(PerEnd * (Ahead + 1));
@@ -227,7 +230,7 @@
   R.QueuedAt_ = Now;
   R.Item_ = {RequestId{0, R.Number_},
              Options_.FairByCustomer_ ? R.Customer_ : Customer(),
-             queueClass(R.IsStreaming_, R.IsOwed_, R.Rank_), R.Deadline_};
+             queueClass(R.IsStreaming_, R.IsOwed_, R.QueueRank_), R.Deadline_};
   ServiceQueues_[R.Service_].Queue_.push(R.Item_, 1.0);
 }
 
--- a/hawthornroad/traffic/TrafficState.h
+++ b/hawthornroad/traffic/TrafficState.h
@@ -88,7 +88,10 @@
   const Route *Route_ = nullptr;
   ServiceName Service_;
   Customer Customer_;
+  // Priority among requests of its service, and the one that decides its class
+  // in the queue; see RoutingConfig::priorityLevel().
   int Rank_ = 1;
+  int QueueRank_ = 1;
   // The regions allowed by the configuration that was the ScopedAt_-th.
   RegionScope Scope_;
   std::uint64_t ScopedAt_ = 0;
