HttpCalls: a call no longer owns its connection

The connection's events own the call, so the two kept each other alive when an io_context was destroyed with a call in progress, such as a feed of the store. A call now refers to its connection weakly; pending operations of the connection keep both.

--- a/hawthornroad/http/HttpCalls.cpp
+++ b/hawthornroad/http/HttpCalls.cpp
@@ -24,8 +24,10 @@
     HttpMessage Message_;
     Duration Limit_;
     TimePoint TotalDeadline_;
-    // Null while the call is queued.
-    std::shared_ptr<ClientLink> Link_;
+    // Null while the call is queued. Not owned, since the link's events own
+    // the call: the link's pending operations keep both, until they end or the
+    // io_context is destroyed.
+    std::weak_ptr<ClientLink> Link_;
     // Empty once the call has ended.
     Done Done_;
     HttpAnswer Answer_;
@@ -96,10 +98,11 @@
   }
 
   void cancel(const std::shared_ptr<Call> &C) {
-    if (!std::exchange(C->Done_, nullptr) || !C->Link_)
+    auto Link = C->Link_.lock();
+    if (!std::exchange(C->Done_, nullptr) || !Link)
       return;
     C->Timer_.cancel();
-    C->Link_->abandon();
+    Link->abandon();
     --InProgress_;
     startNext();
   }
@@ -137,7 +140,8 @@
       bool IsRenewed = C->Timer_.expiry() > std::chrono::steady_clock::now();
       if (Code || IsRenewed || !C->Done_)
         return;
-      C->Link_->abandon();
+      if (auto Link = C->Link_.lock())
+        Link->abandon();
       Self->finish(C, LinkFailure{false, Step::Receive,
                                   "no answer within the time limit"});
     });
@@ -145,7 +149,8 @@
 
   void start(const std::shared_ptr<Call> &C) {
     ++InProgress_;
-    C->Link_ = take();
+    std::shared_ptr<ClientLink> Link = take();
+    C->Link_ = Link;
     auto Self = shared_from_this();
     C->TotalDeadline_ = bootNow() + std::max(C->Limit_, Options_.TotalLimit_);
     restartTimer(C);
@@ -166,11 +171,12 @@
         Self->restartTimer(C);
     };
     E.OnEnd_ = [Self, C](bool) {
-      Self->putBack(C->Link_);
+      if (auto Used = C->Link_.lock())
+        Self->putBack(Used);
       Self->finish(C, std::move(C->Answer_));
     };
     E.OnFail_ = [Self, C](const LinkFailure &F) { Self->finish(C, F); };
-    C->Link_->send(std::move(Text), std::move(E));
+    Link->send(std::move(Text), std::move(E));
   }
 
   asio::io_context &Context_;
--- a/tests/unit/HttpCallsTest.cpp
+++ b/tests/unit/HttpCallsTest.cpp
@@ -6,7 +6,9 @@
 
 #include <atomic>
 #include <future>
+#include <memory>
 #include <thread>
+#include <utility>
 
 using namespace hawthornroad;
 
@@ -124,3 +126,30 @@
   Io.stop();
   REQUIRE_FALSE(HasResult);
 }
+
+// Guards against a call that owns its connection while the connection's events
+// own the call: neither was released when a process ended with a call in
+// progress, such as a feed of the store.
+TEST_CASE("calls to one server, when their thread ends with a call in "
+          "progress, release the call and its callback",
+          "[http]") {
+  auto Token = std::make_shared<int>(0);
+  std::weak_ptr<int> Held = Token;
+  {
+    std::uint16_t Port = 0;
+    RawSocket Listener = RawSocket::listenAt(Port);
+    IoThread Io("test", 64);
+    HttpCalls Calls(Io.context(), "127.0.0.1:" + std::to_string(Port), {});
+    Io.submit([&Calls, Token = std::exchange(Token, nullptr)] {
+      HttpMessage M;
+      M.Method_ = "GET";
+      M.Target_ = "/";
+      Calls.call(M, WaitLimit, [Token](const HttpCalls::Result &) {});
+    });
+    RawSocket Server = Listener.accept();
+    Server.readUntil("\r\n\r\n");
+    Io.stop();
+    CHECK_FALSE(Held.expired());
+  }
+  CHECK(Held.expired());
+}
