Versions: an entry learns of versions superseded before its start

Played again with logs: version 2 was published at 19.94 s and version 3 at 28.94 s; the entry started at 29.20 s, read version 3 alone from the operators' table, which keeps the newest one only, and sent requests to engines with version 1 until after version 2's bound at 33.35 s. Agents state when they heard of both, but the entry took corrections only of versions that it knew.

It takes superseded ones too, and a correction whenever an agent heard of a version before the time that the entry assumes (by 2 s or more until now, which left up to a second past the bound; by reading, no play shows it).

Both tests fail on the code before.

--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -222,9 +222,9 @@
   bool requireVersion(const std::string &Model, WeightVersion V, TimePoint At,
                       TimePoint Hard);
 
-  // The same for a version that is known already, when another process heard of
-  // it earlier: a process that has just started cannot tell when a version was
-  // published. False when the times are not earlier by MinCorrection.
+  // The same when another process heard of V before the times assumed here, or
+  // when V was superseded before this process started: a process that has just
+  // started cannot tell. False for V newer than those known, and if unchanged.
   bool correctVersion(const std::string &Model, WeightVersion V, TimePoint At,
                       TimePoint Hard);
 
--- a/hawthornroad/traffic/TrafficVersions.cpp
+++ b/hawthornroad/traffic/TrafficVersions.cpp
@@ -5,9 +5,9 @@
 namespace hawthornroad {
 
 namespace {
-// Processes hear of a version within two seconds of each other. A smaller
-// difference is no sign that this process has started since.
-constexpr Duration MinCorrection = Seconds(2);
+// The other process's times allow for the longest delay with which it may have
+// heard of the version; only earlier ones contradict the times assumed here.
+constexpr Duration MinCorrection = Seconds(1);
 } // namespace
 
 bool TrafficCore::requireVersion(const std::string &Model, WeightVersion V,
@@ -25,9 +25,14 @@
   if (Versions == Requirements_.end())
     return false;
   auto Found = Versions->second.find(V);
-  if (Found == Versions->second.end() || At + MinCorrection > Found->second.At_)
+  // A newer version than those known is taken from the operators' table.
+  bool IsSuperseded = Found == Versions->second.end() &&
+                      Versions->second.upper_bound(V) != Versions->second.end();
+  bool IsEarlier =
+      Found != Versions->second.end() && At + MinCorrection < Found->second.At_;
+  if (!IsSuperseded && !IsEarlier)
     return false;
-  Found->second = {At, Hard};
+  Versions->second.insert_or_assign(V, VersionRequirement{At, Hard});
   return true;
 }
 
--- a/tests/unit/TrafficCoreTest.cpp
+++ b/tests/unit/TrafficCoreTest.cpp
@@ -184,6 +184,37 @@
   REQUIRE(F.answerOf(After).Cause_ == Cause::NoEndpoint);
 }
 
+// Guards against an entry that starts 1.5 s after a version was published and
+// sends requests to engines with an older one for a second past its limit.
+TEST_CASE("traffic core, of a version that others heard of before the time "
+          "assumed at a start, takes their limit",
+          "[traffic]") {
+  CoreFixture F;
+  F.Core_.requireVersion("m", 2, Start + Seconds(2), Start + Seconds(3));
+  REQUIRE(F.Core_.correctVersion("m", 2, Start + Milliseconds(999),
+                                 Start + Milliseconds(1999)));
+  CallNumber N = F.send("/stream/1", Start + Seconds(1));
+  REQUIRE(F.answerOf(N).Cause_ == Cause::NoEndpoint);
+}
+
+// Guards against requests on a version whose successor's limit is over: an
+// entry that starts after the successor was itself replaced reads only the
+// newest one, whose limit is later.
+TEST_CASE("traffic core, that hears of a version superseded before its start, "
+          "enforces it at its own limit",
+          "[traffic]") {
+  CoreFixture F;
+  // Nothing is enforced for a model of which no version is known.
+  REQUIRE_FALSE(F.Core_.correctVersion("m", 2, Start, Start));
+  F.Core_.requireVersion("m", 3, Start + Seconds(9), Start + Seconds(10));
+  CallNumber Before = F.send("/stream/1", Start + Seconds(1));
+  REQUIRE(F.Port_.last().Params_.Call_ == Before);
+  F.Core_.callerGone(Before, Start + Seconds(1));
+  REQUIRE(F.Core_.correctVersion("m", 2, Start, Start + Seconds(1)));
+  CallNumber After = F.send("/stream/1", Start + Seconds(1));
+  REQUIRE(F.answerOf(After).Cause_ == Cause::NoEndpoint);
+}
+
 TEST_CASE(
     "traffic core, with two versions announced, enforces each at its own limit",
     "[traffic]") {
