Soak: endpoints become cold, and their arrivals are checked

The soak knew no endpoint with a cold time, so nothing tested the bound over all entries beside faults. Services state cold_start_s and cold_per_s, rows and answers state the rest of the cold time, endpoints become cold at their start and at drawn moments, and surges of short requests exceed the bound. Callers move to SoakCallers. The check covers what cold-endpoints.md limits.

--- a/tests/soak/SoakChecks.cpp
+++ b/tests/soak/SoakChecks.cpp
@@ -1,5 +1,6 @@
 #include "tests/soak/SoakChecks.h"
 
+#include "tests/soak/SoakCold.h"
 #include "tests/soak/SoakEndpoint.h"
 
 #include <sstream>
@@ -134,6 +135,8 @@
     checkRuns(R);
     checkFate(R);
   }
+  for (std::string &Each : findColdExcess(Record_, Requests_))
+    Violations_.push_back(std::move(Each));
 }
 
 std::vector<std::pair<std::string, std::string>> SoakChecks::lost() const {
--- a/tests/soak/SoakConfig.cpp
+++ b/tests/soak/SoakConfig.cpp
@@ -29,13 +29,23 @@
 }
 
 json::object service(const std::string &Name) {
-  return {{"name", Name}, {"health_path", "/health"}, {"max_conns", 400}};
+  return {{"name", Name},
+          {"health_path", "/health"},
+          {"max_conns", 400},
+          {"cold_start_s", SoakConfig::ColdFor / Seconds(1)},
+          {"cold_per_s", SoakConfig::ColdPerSecond}};
 }
 
+// An event's mean pause. By it an engine ends 4.8 requests a second, below
+// ColdPerSecond, so engines are limited at all times.
+constexpr int EngineStepMs = 140;
+
 json::object engineService() {
   json::object Out = service("lm");
   Out["engine"] =
       json::object{{"slots", SoakEndpoint::Slots},
+                   {"step_ms", EngineStepMs},
+                   {"usual", json::object{{"answer", SoakEndpoint::Events}}},
                    {"chunks", SoakWeights::Pieces},
                    {"chunk_bytes", SoakWeights::PieceBytes},
                    {"models", json::array{json::object{{"name", "m"}}}}};
--- a/tests/soak/SoakConfig.h
+++ b/tests/soak/SoakConfig.h
@@ -22,6 +22,15 @@
   static constexpr std::size_t FewestUnusedRoutes = 1050;
   static constexpr std::size_t MostUnusedRoutes = 1350;
 
+  // Cold endpoints. A chosen granter and a substitute grant nothing when the
+  // arrivals in a second are below 8.4 (ColdFigures.h).
+  static constexpr Duration ColdFor = Seconds(3);
+  static constexpr double ColdPerSecond = 8;
+  static constexpr double ColdFactor = 1.5;
+  static constexpr double ColdSlack = 3;
+  static constexpr double MaxColdArrivals =
+      ColdPerSecond * ColdFactor + ColdSlack;
+
   std::uint64_t Version_ = 0;
   // "/new1/" and on; a route is never removed.
   std::uint64_t AddedRoutes_ = 0;
--- a/tests/soak/SoakEndpoint.cpp
+++ b/tests/soak/SoakEndpoint.cpp
@@ -1,5 +1,7 @@
 #include "tests/soak/SoakEndpoint.h"
 
+#include "tests/soak/SoakConfig.h"
+
 #include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
@@ -16,6 +18,7 @@
 constexpr int LongestAnswerMs = 1500;
 // One plain answer in so many is a long one.
 constexpr std::uint64_t LongAnswers = 2;
+constexpr Duration ShortDelay = Milliseconds(5);
 constexpr int ShortestPauseMs = 20;
 constexpr int LongestPauseMs = 200;
 constexpr int ShortestLongPauseMs = 500;
@@ -27,6 +30,10 @@
 constexpr Duration BreakDelay = Milliseconds(50);
 constexpr Duration LoadDuration = Milliseconds(300);
 constexpr std::size_t BrokenEventBytes = 7;
+// An endpoint's row states up to so much later that it became cold, and until
+// then entries need not know: docs/design/cold-endpoints.md, "What is open".
+constexpr Duration MaxUntold = Seconds(3);
+constexpr unsigned Misdirected = 421;
 
 TimePoint now() { return std::chrono::steady_clock::now(); }
 
@@ -38,11 +45,6 @@
 std::string header(const HttpRequest &R, std::string_view Name) {
   return findHeader(R.Headers_, Name).value_or("");
 }
-
-HttpResponse notExecuted(unsigned Status) {
-  return {.Status_ = Status,
-          .Headers_ = {{"X-Hawthornroad-Not-Executed", "1"}}};
-}
 } // namespace
 
 SoakEndpoint::SoakEndpoint(Options O, SoakRecord &Record)
@@ -52,6 +54,8 @@
       [this](HttpRequest R, std::shared_ptr<HttpExchange> X) { handle(R, X); });
   Address_ =
       Options_.Ip_ + ":" + std::to_string(Server_->listen(Options_.Ip_, 0));
+  ColdUntil_ = now() + SoakConfig::ColdFor;
+  Record_.becomesCold(id(), {.From_ = now(), .To_ = ColdUntil_});
 }
 
 SoakEndpoint::~SoakEndpoint() {
@@ -74,6 +78,7 @@
                    {"version", "v1"},
                    {"slots", Slots},
                    {"state", IsDraining_ ? "draining" : "ready"},
+                   {"cold_remaining_ms", coldLeft() / Milliseconds(1)},
                    {"seq", 1}};
   if (!Options_.Model_.empty()) {
     json::array Models;
@@ -91,6 +96,32 @@
   IsDraining_ = true;
 }
 
+// Engines are limited at all times, so nobody has to know of it first.
+void SoakEndpoint::becomeCold(Duration For) {
+  std::lock_guard Lock(Mutex_);
+  TimePoint Now = now();
+  bool IsEngine = !Options_.Model_.empty();
+  ColdUntil_ = std::max(ColdUntil_, Now + For);
+  Record_.becomesCold(id(),
+                      {.From_ = Now,
+                       .To_ = ColdUntil_,
+                       .HoldsAfter_ = IsEngine ? Duration::zero() : MaxUntold,
+                       .NeedsAgents_ = IsEngine});
+  constexpr int MaxDelayMs = MaxRowDelay / Milliseconds(1);
+  Io_.after(between(0, MaxDelayMs), [this] { IsRowNew_ = true; });
+  Io_.after(For, [this] { IsRowNew_ = true; });
+}
+
+Duration SoakEndpoint::coldLeft() const {
+  return std::max<Duration>(ColdUntil_ - now(), Duration::zero());
+}
+
+HttpHeaders SoakEndpoint::statements() const {
+  return {
+      {"X-Hawthornroad-Instance-Id", id()},
+      {"X-Hawthornroad-Cold-Ms", std::to_string(coldLeft() / Milliseconds(1))}};
+}
+
 unsigned SoakEndpoint::running() const {
   std::lock_guard Lock(Mutex_);
   return static_cast<unsigned>(AtWork_.size());
@@ -121,19 +152,29 @@
   if (Rejected == 0)
     return begin(R, X);
   std::string Id = header(R, "X-Hawthornroad-Request-Id");
-  Record_.endRun(Id, Record_.beginRun(Id, id(), now()), SoakRun::End::Rejected,
-                 now());
-  HttpResponse Out = notExecuted(Rejected);
-  Out.Headers_.push_back({"X-Hawthornroad-Instance-Id", id()});
-  Out.Headers_.push_back({"X-Hawthornroad-Request-Id", Id});
-  X->respond(std::move(Out));
+  SoakRun Run = newRun(R);
+  Run.IsMisdirected_ = Rejected == Misdirected;
+  Record_.endRun(Id, Record_.beginRun(Id, std::move(Run)),
+                 SoakRun::End::Rejected, now());
+  HttpHeaders Headers = statements();
+  Headers.push_back({"X-Hawthornroad-Not-Executed", "1"});
+  Headers.push_back({"X-Hawthornroad-Request-Id", Id});
+  X->respond({.Status_ = Rejected, .Headers_ = std::move(Headers)});
+}
+
+SoakRun SoakEndpoint::newRun(const HttpRequest &R) const {
+  SoakRun Out{.Endpoint_ = id(), .From_ = now()};
+  std::string Left = header(R, "X-Hawthornroad-Deadline-Ms");
+  if (!Left.empty())
+    Out.Left_ = Milliseconds(std::stoi(Left));
+  return Out;
 }
 
 bool SoakEndpoint::isControl(const HttpRequest &R,
                              const std::shared_ptr<HttpExchange> &X) {
   if (R.Target_ == "/health") {
-    X->respond({.Status_ = IsDraining_ ? 503U : 200U,
-                .Headers_ = {{"X-Hawthornroad-Instance-Id", id()}}});
+    X->respond(
+        {.Status_ = IsDraining_ ? 503U : 200U, .Headers_ = statements()});
     return true;
   }
   if (Options_.Model_.empty())
@@ -151,9 +192,9 @@
   std::string Instance = header(R, "X-Hawthornroad-Expect-Instance");
   std::string Version = header(R, "X-Hawthornroad-Expect-Version");
   if (!Instance.empty() && Instance != id())
-    return 421;
+    return Misdirected;
   if (!Version.empty() && Version != std::to_string(Weights_.loaded()))
-    return 421;
+    return Misdirected;
   bool IsEmptyEngine = !Options_.Model_.empty() && Weights_.loaded() == 0;
   bool IsFull = AtWork_.size() >= std::size_t{2} * Slots;
   if (Mode_ == Mode::NotRun || IsLoading_ || IsEmptyEngine || IsFull)
@@ -165,8 +206,9 @@
                          const std::shared_ptr<HttpExchange> &X) {
   auto Self = std::make_shared<Run>();
   Self->Request_ = header(R, "X-Hawthornroad-Request-Id");
-  Self->Number_ = Record_.beginRun(Self->Request_, id(), now());
+  Self->Number_ = Record_.beginRun(Self->Request_, newRun(R));
   Self->Exchange_ = X;
+  Self->IsShort_ = R.Target_.ends_with(ShortTarget);
   Self->Headers_ = {{"X-Hawthornroad-Server-Stamp", "stamp-" + id()},
                     {"X-Hawthornroad-Request-Id", Self->Request_}};
   if (Weights_.loaded() > 0)
@@ -182,8 +224,9 @@
     return X->abort();
   }
   bool IsLong = Random_.below(LongAnswers) == 0;
-  Duration Delay = IsLong ? between(LongAnswerMs, LongestAnswerMs)
-                          : between(ShortestAnswerMs, ShortAnswerMs);
+  Duration Delay = Self->IsShort_ ? ShortDelay
+                   : IsLong       ? between(LongAnswerMs, LongestAnswerMs)
+                                  : between(ShortestAnswerMs, ShortAnswerMs);
   if (!R.Target_.starts_with("/stream"))
     return Io_.after(Delay, [this, Self] {
       std::lock_guard Lock(Mutex_);
@@ -191,24 +234,32 @@
         return;
       end(Self, SoakRun::End::Whole);
       Self->Exchange_->respond({.Status_ = 200,
-                                .Headers_ = Self->Headers_,
+                                .Headers_ = headersOf(*Self),
                                 .Body_ = "from " + id()});
     });
   std::string Last = header(R, "Last-Event-Id");
   Self->NextEvent_ = Last.empty() ? 1 : std::stoi(Last) + 1;
   Self->BreakAt_ = Self->NextEvent_ + EventsBeforeBreak;
-  Self->EventPause_ = between(ShortestPauseMs, LongestPauseMs);
+  if (!Self->IsShort_)
+    Self->EventPause_ = between(ShortestPauseMs, LongestPauseMs);
   Io_.after(Delay, [this, Self] {
     std::lock_guard Lock(Mutex_);
     if (Self->HasEnded_)
       return;
-    HttpHeaders Headers = Self->Headers_;
+    HttpHeaders Headers = headersOf(*Self);
     Headers.push_back({"Content-Type", "text/event-stream"});
     Self->Exchange_->head(200, std::move(Headers));
     sendEvents(Self);
   });
 }
 
+HttpHeaders SoakEndpoint::headersOf(const Run &R) const {
+  HttpHeaders Out = R.Headers_;
+  for (HttpHeader &Each : statements())
+    Out.push_back(std::move(Each));
+  return Out;
+}
+
 // Sends one event and schedules the next.
 void SoakEndpoint::sendEvents(const RunPtr &R) {
   if (R->HasEnded_)
@@ -227,7 +278,8 @@
   ++R->NextEvent_;
   std::uint64_t Every =
       IsPausing_ ? EventsPerLongPauseWhilePausing : EventsPerLongPause;
-  bool IsLong = R->NextEvent_ <= Events && Random_.below(Every) == 0;
+  bool IsLong =
+      !R->IsShort_ && R->NextEvent_ <= Events && Random_.below(Every) == 0;
   Duration Pause = IsLong ? between(ShortestLongPauseMs, LongestLongPauseMs)
                           : R->EventPause_;
   Io_.after(Pause, [this, R] {
--- a/tests/soak/SoakEndpoint.h
+++ b/tests/soak/SoakEndpoint.h
@@ -6,8 +6,12 @@
 //   E.setMode(SoakEndpoint::Mode::BreakStream);
 //
 // A plain answer takes up to 1.5 s, a stream a few seconds, with rare pauses of
-// 0.5 to 2 s between events. With a model it is an engine that its agent stages
-// and loads weights at.
+// 0.5 to 2 s between events. Requests for ShortTarget take some milliseconds.
+// With a model it is an engine that its agent stages and loads weights at.
+//
+// It is cold for SoakConfig::ColdFor after its start, and when it is made cold
+// again. All its answers state for how long; its row follows up to MaxRowDelay
+// later.
 
 #ifndef HAWTHORNROAD_TESTS_SOAK_SOAKENDPOINT_H
 #define HAWTHORNROAD_TESTS_SOAK_SOAKENDPOINT_H
@@ -37,6 +41,11 @@
   };
   static constexpr int Events = 24;
   static constexpr unsigned Slots = 16;
+  // The last part of the path of requests that take some milliseconds.
+  static constexpr auto ShortTarget = "short";
+  // Longer than an endpoint may be cold before all entries have to know.
+  static constexpr Duration ColdAgainFor = Seconds(6);
+  static constexpr Duration MaxRowDelay = Seconds(2);
 
   SoakEndpoint(Options O, SoakRecord &Record);
   ~SoakEndpoint();
@@ -54,6 +63,7 @@
   // Lists it under another address, that of a proxy in front of it.
   void setListedAt(const std::string &Address) { ListedAt_ = Address; }
   void setDraining();
+  void becomeCold(Duration For);
   void setMode(Mode M) { Mode_ = M; }
   // While set, most streams pause for long, though nothing is wrong.
   void setPausing(bool Pausing) { IsPausing_ = Pausing; }
@@ -78,6 +88,7 @@
     int NextEvent_ = 1;
     int BreakAt_ = 0;
     Duration EventPause_{};
+    bool IsShort_ = false;
   };
   using RunPtr = std::shared_ptr<Run>;
 
@@ -85,6 +96,12 @@
   // Whether it was answered as a control call or as rejected.
   bool isControl(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
   unsigned rejection(const HttpRequest &R) const;
+  SoakRun newRun(const HttpRequest &R) const;
+  // For how long it is cold; zero when it is not.
+  Duration coldLeft() const;
+  // What all its answers state.
+  HttpHeaders statements() const;
+  HttpHeaders headersOf(const Run &R) const;
   void begin(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
   void sendEvents(const RunPtr &R);
   // Breaks off everything at work.
@@ -92,7 +109,6 @@
   void end(const RunPtr &R, SoakRun::End How);
   void report(const std::shared_ptr<HttpExchange> &X) const;
   void order(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
-  void load();
   Duration between(int FromMs, int ToMs);
 
   Options Options_;
@@ -104,6 +120,7 @@
   SoakWeights Weights_;
   bool IsLoading_ = false;
   bool IsDraining_ = false;
+  TimePoint ColdUntil_;
   std::atomic<bool> IsRowNew_{true};
   std::atomic<bool> IsPausing_{false};
   std::atomic<Mode> Mode_{Mode::Normal};
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -54,6 +54,12 @@
     KindRow{SoakFaultKind::Configured, "configured", Target::Entry, 1}};
 constexpr std::array Versions = {KindRow{SoakFaultKind::VersionDeclared,
                                          "version declared", Target::Agent, 1}};
+constexpr std::array Surges = {
+    KindRow{SoakFaultKind::Surge, "surge", Target::Entry, 1}};
+constexpr std::array ColdMoments = {
+    KindRow{SoakFaultKind::BecomesCold, "becomes cold", Target::Endpoint, 1},
+    KindRow{SoakFaultKind::EngineBecomesCold, "engine becomes cold",
+            Target::Agent, 1}};
 
 constexpr std::uint64_t MaxSeries = 4;
 
@@ -70,7 +76,9 @@
 constexpr std::array PlannedSeries = {
     Series{PlannedWork, 2, 300, 3000, 0, 1500},
     Series{Configurations, 1, 0, 1, 1000, 2000},
-    Series{Versions, 1, 0, 1, 4000, 8000}};
+    Series{Versions, 1, 0, 1, 4000, 8000},
+    Series{Surges, 1, 600, 1500, 800, 2000},
+    Series{ColdMoments, 1, 0, 1, 1000, 2500}};
 
 // A link of 50 KB/s carries about 50 stand-in answers per second.
 constexpr std::array PathFaultTexts = {
@@ -150,7 +158,8 @@
   for (std::span<const KindRow> Kinds :
        {std::span<const KindRow>(Faults), std::span<const KindRow>(PlannedWork),
         std::span<const KindRow>(Configurations),
-        std::span<const KindRow>(Versions)})
+        std::span<const KindRow>(Versions), std::span<const KindRow>(Surges),
+        std::span<const KindRow>(ColdMoments)})
     for (const KindRow &Each : Kinds)
       if (Each.Kind_ == F.Kind_)
         Name = Each.Name_;
--- a/tests/soak/SoakFaults.h
+++ b/tests/soak/SoakFaults.h
@@ -7,7 +7,8 @@
 // Faults overlap: several series run in parallel, each a sequence of faults
 // with pauses between them, so that one fault often begins while another is
 // active. Planned work has series of its own: signals to entries and agents,
-// endpoints that leave, configurations, and versions of weights.
+// endpoints that leave, configurations, and versions of weights, as have surges
+// of requests and endpoints that become cold.
 //
 // Every plan holds one fixed combination that random draws rarely produce: the
 // entry that reads the store for the others loses the store for longer than the
@@ -52,7 +53,12 @@
   KeyRemoved,
   RouteAdded,
   Configured,
-  VersionDeclared
+  VersionDeclared,
+  // Many short requests.
+  Surge,
+  // Without a statement but in its answers, until its row follows.
+  BecomesCold,
+  EngineBecomesCold
 };
 
 struct SoakFault {
--- a/tests/soak/SoakLayout.cpp
+++ b/tests/soak/SoakLayout.cpp
@@ -1,5 +1,7 @@
 #include "tests/soak/SoakLayout.h"
 
+#include "tests/soak/SoakConfig.h"
+
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -50,7 +52,6 @@
   auto Found = std::find(P.Faults_.begin(), P.Faults_.end(), Fault);
   if (Found != P.Faults_.end())
     P.Faults_.erase(Found);
-  putInForce(P);
 }
 
 // A path that only delays is slow, not disrupted.
@@ -112,6 +113,8 @@
       {"peer_listen", A.Engine_->ip() + ":" + std::to_string(AgentPort_)},
       {"metrics_listen", "127.0.0.1:0"},
       {"version_bound_ms", milliseconds(VersionBound)},
+      {"cold_factor", SoakConfig::ColdFactor},
+      {"cold_slack", SoakConfig::ColdSlack},
       {"first_start", true}};
   A.Settings_ = Folder_.write(Name + ".jsonc", json::serialize(S));
   list(*A.Engine_);
@@ -133,6 +136,8 @@
                     {"drain_bound_ms", milliseconds(DrainBound)},
                     {"version_bound_ms", milliseconds(VersionBound)},
                     {"stop_bound_s", StopBound / Seconds(1)},
+                    {"cold_factor", SoakConfig::ColdFactor},
+                    {"cold_slack", SoakConfig::ColdSlack},
                     {"repeat_ratio", RepeatRatio},
                     {"repeat_slack", RepeatSlack},
                     {"metrics_listen", "127.0.0.1:0"}};
@@ -198,6 +203,7 @@
   A.Process_->ready();
   A.Process_->logOutput(Folder_);
   A.RestartAt_.reset();
+  Record_.endDisruption(SoakRecord::Agents, now());
 }
 
 void SoakLayout::stop(Entry &E, TimePoint RestartAt) {
@@ -233,6 +239,9 @@
 
 void SoakLayout::stop(Agent &A, TimePoint RestartAt) {
   A.RestartAt_ = RestartAt;
+  if (std::all_of(Agents_.begin(), Agents_.end(),
+                  [](const Agent &Each) { return Each.RestartAt_; }))
+    Record_.beginDisruption(SoakRecord::Agents, now());
   A.Process_->terminate();
 }
 
@@ -251,6 +260,9 @@
     if (Each.Engine_->hasNewRow())
       list(*Each.Engine_);
   }
+  for (Endpoint &Each : Endpoints_)
+    if (Each.Server_->hasNewRow())
+      list(*Each.Server_);
   for (Endpoint &Each : Leaving_)
     if (Each.Server_ && Now >= Each.ExitAt_) {
       Store_.remove("servers", Each.Server_->id());
@@ -300,17 +312,36 @@
   setDisruption(E);
 }
 
+void SoakLayout::setDisruption(Entry &E) {
+  std::string Target = SoakRecord::storePath(E.Name_);
+  if (isCut(E.StorePath_))
+    Record_.beginDisruption(Target, now());
+  putInForce(E.StorePath_);
+  if (!isCut(E.StorePath_))
+    Record_.endDisruption(Target, now());
+}
+
 void SoakLayout::beginFault(Entry &E, const std::string &Fault) {
   E.StorePath_.Faults_.push_back(Fault);
-  putInForce(E.StorePath_);
+  setDisruption(E);
 }
 
 void SoakLayout::endFault(Entry &E, const std::string &Fault) {
   removeFault(E.StorePath_, Fault);
+  setDisruption(E);
+}
+
+void SoakLayout::setStoreMode(StoreStandIn::Mode M) {
+  bool IsNormal = M == StoreStandIn::Mode::Normal;
+  if (!IsNormal)
+    Record_.beginDisruption(SoakRecord::Store, now());
+  Store_.setMode(M);
+  if (IsNormal)
+    Record_.endDisruption(SoakRecord::Store, now());
 }
 
 void SoakLayout::clearFaults() {
-  Store_.setMode(StoreStandIn::Mode::Normal);
+  setStoreMode(StoreStandIn::Mode::Normal);
   for (Endpoint &Each : Endpoints_) {
     Each.Path_.Faults_.clear();
     setDisruption(Each);
@@ -319,7 +350,7 @@
   }
   for (Entry &Each : Entries_) {
     Each.StorePath_.Faults_.clear();
-    putInForce(Each.StorePath_);
+    setDisruption(Each);
     while (Each.Frozen_ > 0)
       resume(Each);
     if (!Each.RestartAt_)
--- a/tests/soak/SoakLayout.h
+++ b/tests/soak/SoakLayout.h
@@ -91,7 +91,7 @@
   Address address(std::size_t Entry) const;
 
   // Restarts ended processes in time, ends endpoints that have left, and lists
-  // engines with new weights.
+  // endpoints whose rows have changed.
   void tick(TimePoint Now);
   void stop(Entry &E, TimePoint RestartAt);
   void kill(Entry &E, TimePoint RestartAt);
@@ -102,8 +102,9 @@
   void replace(Endpoint &E);
   void beginFault(Endpoint &E, const std::string &Fault);
   void endFault(Endpoint &E, const std::string &Fault);
-  static void beginFault(Entry &E, const std::string &Fault);
-  static void endFault(Entry &E, const std::string &Fault);
+  void beginFault(Entry &E, const std::string &Fault);
+  void endFault(Entry &E, const std::string &Fault);
+  void setStoreMode(StoreStandIn::Mode M);
   // Ends all faults and restarts what does not run.
   void clearFaults();
 
@@ -116,6 +117,7 @@
   void start(Agent &A);
   void list(const SoakEndpoint &E);
   void setDisruption(Endpoint &E);
+  void setDisruption(Entry &E);
 
   Options Options_;
   SoakRecord &Record_;
--- a/tests/soak/SoakRecord.cpp
+++ b/tests/soak/SoakRecord.cpp
@@ -29,6 +29,23 @@
                      });
 }
 
+bool SoakRecord::hadContact(const std::string &Entry, TimePoint From,
+                            TimePoint To) const {
+  return !isDisrupted(Entry, From, To) && !isDisrupted(Store, From, To) &&
+         !isDisrupted(storePath(Entry), From, To);
+}
+
+void SoakRecord::becomesCold(const std::string &Endpoint,
+                             const SoakColdSpan &S) {
+  std::lock_guard Lock(Mutex_);
+  ColdSpans_[Endpoint].push_back(S);
+}
+
+std::map<std::string, std::vector<SoakColdSpan>> SoakRecord::coldSpans() const {
+  std::lock_guard Lock(Mutex_);
+  return ColdSpans_;
+}
+
 void SoakRecord::stopSignal(const std::string &Process, TimePoint At) {
   std::lock_guard Lock(Mutex_);
   StopSignals_[Process].push_back(At);
@@ -43,9 +60,13 @@
 
 std::size_t SoakRecord::beginRun(const std::string &Request,
                                  const std::string &Endpoint, TimePoint At) {
+  return beginRun(Request, {.Endpoint_ = Endpoint, .From_ = At});
+}
+
+std::size_t SoakRecord::beginRun(const std::string &Request, SoakRun R) {
   std::lock_guard Lock(Mutex_);
   auto &Runs = Runs_[Request];
-  Runs.push_back({.Endpoint_ = Endpoint, .From_ = At});
+  Runs.push_back(std::move(R));
   return Runs.size() - 1;
 }
 
--- a/tests/soak/SoakRecord.h
+++ b/tests/soak/SoakRecord.h
@@ -17,6 +17,7 @@
 
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,20 @@
   TimePoint From_;
   TimePoint To_ = TimePoint::max();
   End End_ = End::AtWork;
+  // How long its sender still waited, as it stated.
+  std::optional<Duration> Left_;
+  // It was sent to another endpoint's address: answered with 421.
+  bool IsMisdirected_ = false;
+};
+
+// A time for which an endpoint is cold.
+struct SoakColdSpan {
+  TimePoint From_;
+  TimePoint To_;
+  // How long after From_ entries need not know of it.
+  Duration HoldsAfter_{};
+  // Entries are told that it is limited by agents only.
+  bool NeedsAgents_ = false;
 };
 
 class SoakRecord {
@@ -48,6 +63,19 @@
   bool isDisrupted(const std::string &Target, TimePoint From,
                    TimePoint To) const;
 
+  // Whether nothing that the soak did kept the entry from the store, or from
+  // work, in this time.
+  bool hadContact(const std::string &Entry, TimePoint From, TimePoint To) const;
+  // Targets of disruptions: the store itself, the path to it, and all agents.
+  static constexpr auto Store = "store";
+  static constexpr auto Agents = "agents";
+  static std::string storePath(const std::string &Entry) {
+    return "store path " + Entry;
+  }
+
+  void becomesCold(const std::string &Endpoint, const SoakColdSpan &S);
+  std::map<std::string, std::vector<SoakColdSpan>> coldSpans() const;
+
   // Signals to a process, "entry-2#4".
   void stopSignal(const std::string &Process, TimePoint At);
   std::vector<TimePoint> stopSignals(const std::string &Process) const;
@@ -55,6 +83,7 @@
   // Returns the run's number among those of this request.
   std::size_t beginRun(const std::string &Request, const std::string &Endpoint,
                        TimePoint At);
+  std::size_t beginRun(const std::string &Request, SoakRun R);
   // Only a run's first end counts.
   void endRun(const std::string &Request, std::size_t Run, SoakRun::End End,
               TimePoint At);
@@ -76,6 +105,7 @@
   std::map<std::string, std::vector<Span>> Disruptions_;
   std::map<std::string, std::vector<TimePoint>> StopSignals_;
   std::map<std::string, std::vector<SoakRun>> Runs_;
+  std::map<std::string, std::vector<SoakColdSpan>> ColdSpans_;
   // By endpoint.
   std::map<std::string, TimePoint> Ended_;
 };
--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -11,14 +11,8 @@
 namespace json = boost::json;
 
 namespace {
-// How long callers wait.
-constexpr Duration PlainDeadline = Milliseconds(3000);
-constexpr Duration StreamDeadline = Milliseconds(9000);
 // Longest time between sending a request and its run.
-constexpr Duration RunSlack = PlainDeadline;
-constexpr auto SteadyKey = "steady";
-constexpr Duration CallerPause = Milliseconds(5);
-constexpr std::size_t MaxCallers = 96;
+constexpr Duration RunSlack = SoakCallers::PlainDeadline;
 constexpr Duration TickPeriod = Milliseconds(20);
 // From a stop signal to the next signal to that process.
 constexpr Duration SecondSignalDelay = Milliseconds(700);
@@ -31,38 +25,34 @@
     : Options_(std::move(O)),
       Checks_(Record_, {.RevokeBound_ = SoakLayout::RevokeBound,
                         .StopBound_ = SoakLayout::StopBound}),
-      Layout_(Options_.Layout_, Record_, Folder_) {
+      Layout_(Options_.Layout_, Record_, Folder_),
+      Callers_(
+          {.Seed_ = Options_.Layout_.Seed_,
+           .Callers_ = Options_.CallersPerEntry_ * Layout_.entries().size(),
+           .HasEngines_ = Options_.Layout_.Agents_ > 0},
+          Layout_, Checks_) {
+  Callers_.setKeys(RotatingKey_, RotatingKey_);
   if (Options_.Layout_.Agents_ > 0)
     Config_.Origin_ = Layout_.origin();
   configure();
   Layout_.start();
 }
 
-SoakWorld::~SoakWorld() {
-  Stopping_ = true;
-  for (std::thread &Each : Callers_)
-    Each.join();
-}
-
 // Routes are only ever added, so a process that has served a route must never
 // answer afterwards that it does not exist.
 void SoakWorld::configure() {
   ++Config_.Version_;
-  Config_.Keys_ = {SteadyKey, RotatingKey_};
+  Config_.Keys_ = {SoakCallers::SteadyKey, RotatingKey_};
   Layout_.store().put("op", "config", Config_.text());
-  std::lock_guard Lock(Mutex_);
-  NewestRoute_ = Config_.AddedRoutes_;
+  Callers_.setNewestRoute(Config_.AddedRoutes_);
 }
 
 // ---- Faults and planned work ------------------------------------------------
 
 void SoakWorld::removeKey() {
   std::string Old = RotatingKey_;
-  {
-    std::lock_guard Lock(Mutex_);
-    RotatingKey_ = "rotating-" + std::to_string(Config_.Version_ + 1);
-    OldKey_ = Old;
-  }
+  RotatingKey_ = "rotating-" + std::to_string(Config_.Version_ + 1);
+  Callers_.setKeys(Old, RotatingKey_);
   configure();
   Checks_.keyRemoved(Old, now());
 }
@@ -73,14 +63,13 @@
 }
 
 void SoakWorld::begin(const SoakFault &F, TimePoint EndsAt) {
-  StoreStandIn &Store = Layout_.store();
   auto &Entries = Layout_.entries();
   auto &Endpoints = Layout_.endpoints();
   SoakLayout::Entry &E = Entries[F.Target_ % Entries.size()];
   SoakLayout::Endpoint &A = Endpoints[F.Target_ % Endpoints.size()];
   switch (F.Kind_) {
   case SoakFaultKind::StorePath:
-    return SoakLayout::beginFault(E, F.Path_);
+    return Layout_.beginFault(E, F.Path_);
   case SoakFaultKind::EndpointPath:
     return Layout_.beginFault(A, F.Path_);
   case SoakFaultKind::Freeze:
@@ -104,11 +93,11 @@
   case SoakFaultKind::AgentStop:
     return Layout_.stop(Layout_.agents()[F.Target_], EndsAt);
   case SoakFaultKind::StoreRefuses:
-    return Store.setMode(StoreStandIn::Mode::Refuse);
+    return Layout_.setStoreMode(StoreStandIn::Mode::Refuse);
   case SoakFaultKind::StoreSilent:
-    return Store.setMode(StoreStandIn::Mode::Silent);
+    return Layout_.setStoreMode(StoreStandIn::Mode::Silent);
   case SoakFaultKind::HistoryLost:
-    return Store.dropHistory();
+    return Layout_.store().dropHistory();
   case SoakFaultKind::AnswersLost:
     return A.Server_->setMode(SoakEndpoint::Mode::LoseAnswer);
   case SoakFaultKind::NotRun:
@@ -134,6 +123,13 @@
     return configure();
   case SoakFaultKind::VersionDeclared:
     return declareVersion();
+  case SoakFaultKind::Surge:
+    return Callers_.setSurging(true);
+  case SoakFaultKind::BecomesCold:
+    return A.Server_->becomeCold(SoakEndpoint::ColdAgainFor);
+  case SoakFaultKind::EngineBecomesCold:
+    return Layout_.agents()[F.Target_].Engine_->becomeCold(
+        SoakEndpoint::ColdAgainFor);
   }
 }
 
@@ -144,20 +140,22 @@
   SoakLayout::Endpoint &A = Endpoints[F.Target_ % Endpoints.size()];
   switch (F.Kind_) {
   case SoakFaultKind::StorePath:
-    return SoakLayout::endFault(E, F.Path_);
+    return Layout_.endFault(E, F.Path_);
   case SoakFaultKind::EndpointPath:
     return Layout_.endFault(A, F.Path_);
   case SoakFaultKind::Freeze:
     return Layout_.resume(E);
   case SoakFaultKind::StoreRefuses:
   case SoakFaultKind::StoreSilent:
-    return Layout_.store().setMode(StoreStandIn::Mode::Normal);
+    return Layout_.setStoreMode(StoreStandIn::Mode::Normal);
   case SoakFaultKind::AnswersLost:
   case SoakFaultKind::NotRun:
   case SoakFaultKind::StreamsBroken:
     return A.Server_->setMode(SoakEndpoint::Mode::Normal);
   case SoakFaultKind::Pauses:
     return A.Server_->setPausing(false);
+  case SoakFaultKind::Surge:
+    return Callers_.setSurging(false);
   // The layout restarts processes.
   default:
     return;
@@ -201,16 +199,11 @@
 }
 
 void SoakWorld::run() {
-  std::size_t Callers = std::min(MaxCallers, Options_.CallersPerEntry_ *
-                                                 Layout_.entries().size());
-  for (std::size_t I = 0; I < Callers; ++I)
-    Callers_.emplace_back([this, I] { callerLoop(I); });
+  Callers_.start();
   runPlan();
+  Callers_.setSurging(false);
   checkRecovery();
-  Stopping_ = true;
-  for (std::thread &Each : Callers_)
-    Each.join();
-  Callers_.clear();
+  Callers_.stop();
   std::this_thread::sleep_for(RunSlack);
   checkWeights();
   Checks_.finish();
@@ -238,10 +231,10 @@
     SoakRequest R{.Id_ =
                       "calm-" + std::to_string(Entry) + "-" + std::to_string(N),
                   .Kind_ = SoakKind::Safe,
-                  .Key_ = SteadyKey,
+                  .Key_ = SoakCallers::SteadyKey,
                   .SentAt_ = now(),
                   .Process_ = To.Process_,
-                  .Deadline_ = PlainDeadline,
+                  .Deadline_ = SoakCallers::PlainDeadline,
                   .Timeout_ = SoakConfig::PlainTimeout};
     Checks_.sent(R);
     SoakOutcome O = Caller.call(
@@ -265,73 +258,4 @@
                         " has loaded weights that were not whole");
 }
 
-// ---- Callers ----------------------------------------------------------------
-
-SoakRequest SoakWorld::makeRequest(Random &R, std::size_t Caller,
-                                   std::uint64_t N, std::string &Target) {
-  SoakRequest Q;
-  Q.Id_ = "c" + std::to_string(Caller) + "-" + std::to_string(N);
-  std::lock_guard Lock(Mutex_);
-  // One request in five uses the most recently removed key, and one in five the
-  // key that will be removed next.
-  constexpr std::uint64_t Keys = 5;
-  std::uint64_t Key = R.below(Keys);
-  Q.Key_ = Key == 0 ? OldKey_ : Key == 1 ? RotatingKey_ : SteadyKey;
-  bool HasEngines = Options_.Layout_.Agents_ > 0;
-  constexpr std::uint64_t Targets = 7;
-  switch (R.below(Targets)) {
-  case 0:
-    Q.Kind_ = SoakKind::Once;
-    Target = "/once/x";
-    break;
-  case 1:
-    Q.Kind_ = SoakKind::Stream;
-    Target = "/stream/x";
-    break;
-  case 2:
-    Q.Kind_ = SoakKind::Safe;
-    Q.RouteSince_ = NewestRoute_;
-    Target = NewestRoute_ == 0 ? "/safe/x"
-                               : "/new" + std::to_string(NewestRoute_) + "/x";
-    break;
-  case 3:
-    Q.Kind_ = SoakKind::UniqueStream;
-    Target = "/streamonce/x";
-    break;
-  case 4:
-    Q.Kind_ = SoakKind::Stream;
-    Q.Model_ = HasEngines ? "m" : "";
-    Target = HasEngines ? "/stream-lm/x" : "/stream/x";
-    break;
-  case 5:
-    Q.Kind_ = HasEngines ? SoakKind::UniqueStream : SoakKind::Safe;
-    Q.Model_ = HasEngines ? "m" : "";
-    Target = HasEngines ? "/streamonce-lm/x" : "/safe/x";
-    break;
-  default:
-    Q.Kind_ = SoakKind::Safe;
-    Target = "/moved/x";
-  }
-  Q.Deadline_ = isStream(Q.Kind_) ? StreamDeadline : PlainDeadline;
-  Q.Timeout_ =
-      isStream(Q.Kind_) ? SoakConfig::StreamTimeout : SoakConfig::PlainTimeout;
-  return Q;
-}
-
-void SoakWorld::callerLoop(std::size_t Number) {
-  std::size_t Entries = Layout_.entries().size();
-  Random R(Options_.Layout_.Seed_ * MaxCallers + Number);
-  SoakCaller Caller;
-  for (std::uint64_t N = 0; !Stopping_; ++N) {
-    std::string Target;
-    SoakRequest Q = makeRequest(R, Number, N, Target);
-    SoakLayout::Address To = Layout_.address(R.below(Entries));
-    Q.Process_ = To.Process_;
-    Q.SentAt_ = now();
-    Checks_.sent(Q);
-    Checks_.ended(Q.Id_, Caller.call(To.Callers_, Target, Q));
-    std::this_thread::sleep_for(CallerPause);
-  }
-}
-
 } // namespace hawthornroad
--- a/tests/soak/SoakWorld.h
+++ b/tests/soak/SoakWorld.h
@@ -14,15 +14,12 @@
 #ifndef HAWTHORNROAD_TESTS_SOAK_SOAKWORLD_H
 #define HAWTHORNROAD_TESTS_SOAK_SOAKWORLD_H
 
-#include "tests/soak/SoakCaller.h"
+#include "tests/soak/SoakCallers.h"
 #include "tests/soak/SoakChecks.h"
 #include "tests/soak/SoakConfig.h"
 #include "tests/soak/SoakFaults.h"
 #include "tests/soak/SoakLayout.h"
 
-#include <atomic>
-#include <thread>
-
 namespace hawthornroad {
 
 class SoakWorld {
@@ -40,7 +37,6 @@
   static constexpr Duration RecoverBound = Seconds(8);
 
   explicit SoakWorld(Options O);
-  ~SoakWorld();
 
   void run();
   SoakChecks &checks() { return Checks_; }
@@ -58,9 +54,6 @@
   void checkRecovery();
   void checkRecovery(std::size_t Entry, TimePoint Since);
   void checkWeights();
-  void callerLoop(std::size_t Number);
-  SoakRequest makeRequest(Random &R, std::size_t Caller, std::uint64_t N,
-                          std::string &Target);
 
   Options Options_;
   TemporaryFolder Folder_;
@@ -69,13 +62,8 @@
   SoakLayout Layout_;
   SoakConfig Config_;
   int WeightVersion_ = 1;
-  // Guards what callers read.
-  mutable std::mutex Mutex_;
   std::string RotatingKey_ = "rotating-1";
-  std::string OldKey_ = "rotating-1";
-  std::uint64_t NewestRoute_ = 0;
-  std::atomic<bool> Stopping_{false};
-  std::vector<std::thread> Callers_;
+  SoakCallers Callers_;
 };
 
 } // namespace hawthornroad
