Soak: zones are evacuated, and what is sent to them is checked

Rows evacuate/ZONE are put and removed at drawn moments beside configurations. No request may be sent to the zone later than evacuate_bound_ms (3 s) after the acknowledgement. The path faults of the layout move to SoakLayoutPaths.

--- a/tests/soak/SoakChecks.cpp
+++ b/tests/soak/SoakChecks.cpp
@@ -2,6 +2,7 @@
 
 #include "tests/soak/SoakCold.h"
 #include "tests/soak/SoakEndpoint.h"
+#include "tests/soak/SoakZones.h"
 
 #include <sstream>
 
@@ -137,6 +138,9 @@
   }
   for (std::string &Each : findColdExcess(Record_, Requests_))
     Violations_.push_back(std::move(Each));
+  for (std::string &Each :
+       findZoneFaults(Record_, Requests_, Bounds_.EvacuateBound_))
+    Violations_.push_back(std::move(Each));
 }
 
 std::vector<std::pair<std::string, std::string>> SoakChecks::lost() const {
--- a/tests/soak/SoakChecks.h
+++ b/tests/soak/SoakChecks.h
@@ -26,6 +26,8 @@
   struct Bounds {
     // A request must not run if its key was removed longer before it was sent.
     Duration RevokeBound_{};
+    // From the acknowledgement of an evacuation until nothing is sent there.
+    Duration EvacuateBound_{};
     // From the stop signal until the process has ended.
     Duration StopBound_{};
   };
--- a/tests/soak/SoakEndpoint.cpp
+++ b/tests/soak/SoakEndpoint.cpp
@@ -163,7 +163,7 @@
 }
 
 SoakRun SoakEndpoint::newRun(const HttpRequest &R) const {
-  SoakRun Out{.Endpoint_ = id(), .From_ = now()};
+  SoakRun Out{.Endpoint_ = id(), .Zone_ = Options_.Zone_, .From_ = now()};
   std::string Left = header(R, "X-Hawthornroad-Deadline-Ms");
   if (!Left.empty())
     Out.Left_ = Milliseconds(std::stoi(Left));
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -17,7 +17,7 @@
 constexpr Duration StoreLossFor = Milliseconds(9000);
 constexpr Duration KeyRemovedAfter = Milliseconds(500);
 
-enum class Target { Entry, Agent, Endpoint };
+enum class Target { Entry, Agent, Endpoint, Zone };
 
 struct KindRow {
   SoakFaultKind Kind_;
@@ -60,6 +60,8 @@
     KindRow{SoakFaultKind::BecomesCold, "becomes cold", Target::Endpoint, 1},
     KindRow{SoakFaultKind::EngineBecomesCold, "engine becomes cold",
             Target::Agent, 1}};
+constexpr std::array Evacuations = {
+    KindRow{SoakFaultKind::Evacuated, "evacuated", Target::Zone, 1}};
 
 constexpr std::uint64_t MaxSeries = 4;
 
@@ -78,7 +80,8 @@
     Series{Configurations, 1, 0, 1, 1000, 2000},
     Series{Versions, 1, 0, 1, 4000, 8000},
     Series{Surges, 1, 600, 1500, 800, 2000},
-    Series{ColdMoments, 1, 0, 1, 1000, 2500}};
+    Series{ColdMoments, 1, 0, 1, 1000, 2500},
+    Series{Evacuations, 1, 3000, 8000, 500, 2500}};
 
 // A link of 50 KB/s carries about 50 stand-in answers per second.
 constexpr std::array PathFaultTexts = {
@@ -107,6 +110,7 @@
 std::size_t targets(const SoakPlan &P, Target T) {
   return T == Target::Entry   ? P.Entries_
          : T == Target::Agent ? P.Agents_
+         : T == Target::Zone  ? P.Zones_
                               : P.Endpoints_;
 }
 
@@ -159,7 +163,8 @@
        {std::span<const KindRow>(Faults), std::span<const KindRow>(PlannedWork),
         std::span<const KindRow>(Configurations),
         std::span<const KindRow>(Versions), std::span<const KindRow>(Surges),
-        std::span<const KindRow>(ColdMoments)})
+        std::span<const KindRow>(ColdMoments),
+        std::span<const KindRow>(Evacuations)})
     for (const KindRow &Each : Kinds)
       if (Each.Kind_ == F.Kind_)
         Name = Each.Name_;
--- a/tests/soak/SoakFaults.h
+++ b/tests/soak/SoakFaults.h
@@ -8,7 +8,7 @@
 // with pauses between them, so that one fault often begins while another is
 // active. Planned work has series of its own: signals to entries and agents,
 // endpoints that leave, configurations, and versions of weights, as have surges
-// of requests and endpoints that become cold.
+// of requests, endpoints that become cold, and evacuations.
 //
 // Every plan holds one fixed combination that random draws rarely produce: the
 // entry that reads the store for the others loses the store for longer than the
@@ -49,7 +49,8 @@
   // On an endpoint: it pauses between events, or another one replaces it.
   Pauses,
   Leaves,
-  // Operator actions.
+  // Operator actions; an evacuation ends with the removal of its row.
+  Evacuated,
   KeyRemoved,
   RouteAdded,
   Configured,
@@ -63,7 +64,7 @@
 
 struct SoakFault {
   SoakFaultKind Kind_ = SoakFaultKind::Freeze;
-  // Index of the entry, agent or endpoint.
+  // Index of the entry, agent, endpoint or zone.
   std::size_t Target_ = 0;
   // For path faults: the proxy's fault settings, as JSON.
   std::string Path_;
@@ -77,6 +78,7 @@
   std::size_t Entries_ = 1;
   std::size_t Agents_ = 0;
   std::size_t Endpoints_ = 1;
+  std::size_t Zones_ = 1;
   // Without the series of faults.
   bool IsPlannedOnly_ = false;
 };
--- a/tests/soak/SoakLayout.cpp
+++ b/tests/soak/SoakLayout.cpp
@@ -43,22 +43,6 @@
          std::to_string(1 + Index % HostsPerNet);
 }
 
-void putInForce(const SoakLayout::Path &P) {
-  if (P.Proxy_)
-    P.Proxy_->setFaults(P.Faults_.empty() ? "{}" : P.Faults_.back());
-}
-
-void removeFault(SoakLayout::Path &P, const std::string &Fault) {
-  auto Found = std::find(P.Faults_.begin(), P.Faults_.end(), Fault);
-  if (Found != P.Faults_.end())
-    P.Faults_.erase(Found);
-}
-
-// A path that only delays is slow, not disrupted.
-bool isCut(const SoakLayout::Path &P) {
-  return !P.Faults_.empty() &&
-         P.Faults_.back().find("delay_ms") == std::string::npos;
-}
 } // namespace
 
 SoakLayout::SoakLayout(Options O, SoakRecord &Record, TemporaryFolder &Folder)
@@ -133,6 +117,7 @@
                                   : Store_.address()},
                     {"peer_listen", "127.0.0.1:0"},
                     {"revoke_bound_ms", milliseconds(RevokeBound)},
+                    {"evacuate_bound_ms", milliseconds(EvacuateBound)},
                     {"drain_bound_ms", milliseconds(DrainBound)},
                     {"version_bound_ms", milliseconds(VersionBound)},
                     {"stop_bound_s", StopBound / Seconds(1)},
@@ -294,52 +279,6 @@
   Leaving_.push_back(std::move(Old));
 }
 
-void SoakLayout::setDisruption(Endpoint &E) {
-  if (isCut(E.Path_))
-    Record_.beginDisruption(E.Server_->id(), now());
-  putInForce(E.Path_);
-  if (!isCut(E.Path_))
-    Record_.endDisruption(E.Server_->id(), now());
-}
-
-void SoakLayout::beginFault(Endpoint &E, const std::string &Fault) {
-  E.Path_.Faults_.push_back(Fault);
-  setDisruption(E);
-}
-
-void SoakLayout::endFault(Endpoint &E, const std::string &Fault) {
-  removeFault(E.Path_, Fault);
-  setDisruption(E);
-}
-
-void SoakLayout::setDisruption(Entry &E) {
-  std::string Target = SoakRecord::storePath(E.Name_);
-  if (isCut(E.StorePath_))
-    Record_.beginDisruption(Target, now());
-  putInForce(E.StorePath_);
-  if (!isCut(E.StorePath_))
-    Record_.endDisruption(Target, now());
-}
-
-void SoakLayout::beginFault(Entry &E, const std::string &Fault) {
-  E.StorePath_.Faults_.push_back(Fault);
-  setDisruption(E);
-}
-
-void SoakLayout::endFault(Entry &E, const std::string &Fault) {
-  removeFault(E.StorePath_, Fault);
-  setDisruption(E);
-}
-
-void SoakLayout::setStoreMode(StoreStandIn::Mode M) {
-  bool IsNormal = M == StoreStandIn::Mode::Normal;
-  if (!IsNormal)
-    Record_.beginDisruption(SoakRecord::Store, now());
-  Store_.setMode(M);
-  if (IsNormal)
-    Record_.endDisruption(SoakRecord::Store, now());
-}
-
 void SoakLayout::clearFaults() {
   setStoreMode(StoreStandIn::Mode::Normal);
   for (Endpoint &Each : Endpoints_) {
--- a/tests/soak/SoakLayout.h
+++ b/tests/soak/SoakLayout.h
@@ -24,6 +24,7 @@
 public:
   // The operator's bounds that entries and agents are started with.
   static constexpr Duration RevokeBound = Milliseconds(5000);
+  static constexpr Duration EvacuateBound = Milliseconds(3000);
   static constexpr Duration DrainBound = Milliseconds(2000);
   static constexpr Duration StopBound = Seconds(6);
   static constexpr Duration VersionBound = Seconds(8);
@@ -87,6 +88,8 @@
   std::deque<Entry> &entries() { return Entries_; }
   std::deque<Endpoint> &endpoints() { return Endpoints_; }
   std::deque<Agent> &agents() { return Agents_; }
+  // The zone of the entry, agent or engine with this index.
+  std::string zone(std::size_t Index) const;
   // Of an entry's newest start. Thread-safe.
   Address address(std::size_t Entry) const;
 
@@ -109,7 +112,6 @@
   void clearFaults();
 
 private:
-  std::string zone(std::size_t Index) const;
   Endpoint makeEndpoint(const std::string &Service, std::size_t Index);
   void addEntry(std::size_t Index);
   void addAgent(std::size_t Index);
--- a/tests/soak/SoakRecord.cpp
+++ b/tests/soak/SoakRecord.cpp
@@ -24,11 +24,17 @@
   auto Found = Disruptions_.find(Target);
   return Found != Disruptions_.end() &&
          std::any_of(Found->second.begin(), Found->second.end(),
-                     [&](const Span &Each) {
+                     [&](const SoakSpan &Each) {
                        return Each.From_ <= To && Each.To_ >= From;
                      });
 }
 
+std::vector<SoakSpan> SoakRecord::disruptions(const std::string &Target) const {
+  std::lock_guard Lock(Mutex_);
+  auto Found = Disruptions_.find(Target);
+  return Found == Disruptions_.end() ? std::vector<SoakSpan>() : Found->second;
+}
+
 bool SoakRecord::hadContact(const std::string &Entry, TimePoint From,
                             TimePoint To) const {
   return !isDisrupted(Entry, From, To) && !isDisrupted(Store, From, To) &&
--- a/tests/soak/SoakRecord.h
+++ b/tests/soak/SoakRecord.h
@@ -23,6 +23,11 @@
 
 namespace hawthornroad {
 
+struct SoakSpan {
+  TimePoint From_;
+  TimePoint To_ = TimePoint::max();
+};
+
 // One arrival of a request at an endpoint.
 struct SoakRun {
   enum class End {
@@ -36,6 +41,7 @@
     Rejected
   };
   std::string Endpoint_;
+  std::string Zone_;
   TimePoint From_;
   TimePoint To_ = TimePoint::max();
   End End_ = End::AtWork;
@@ -66,12 +72,17 @@
   // Whether nothing that the soak did kept the entry from the store, or from
   // work, in this time.
   bool hadContact(const std::string &Entry, TimePoint From, TimePoint To) const;
-  // Targets of disruptions: the store itself, the path to it, and all agents.
+  std::vector<SoakSpan> disruptions(const std::string &Target) const;
+  // Targets of disruptions: the store itself, the path to it, all agents, and
+  // a zone while it is evacuated.
   static constexpr auto Store = "store";
   static constexpr auto Agents = "agents";
   static std::string storePath(const std::string &Entry) {
     return "store path " + Entry;
   }
+  static std::string evacuation(const std::string &Zone) {
+    return "evacuation " + Zone;
+  }
 
   void becomesCold(const std::string &Endpoint, const SoakColdSpan &S);
   std::map<std::string, std::vector<SoakColdSpan>> coldSpans() const;
@@ -96,13 +107,8 @@
   int countRunsAtLiving(const std::string &Request) const;
 
 private:
-  struct Span {
-    TimePoint From_;
-    TimePoint To_ = TimePoint::max();
-  };
-
   mutable std::mutex Mutex_;
-  std::map<std::string, std::vector<Span>> Disruptions_;
+  std::map<std::string, std::vector<SoakSpan>> Disruptions_;
   std::map<std::string, std::vector<TimePoint>> StopSignals_;
   std::map<std::string, std::vector<SoakRun>> Runs_;
   std::map<std::string, std::vector<SoakColdSpan>> ColdSpans_;
--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -24,8 +24,10 @@
 SoakWorld::SoakWorld(Options O)
     : Options_(std::move(O)),
       Checks_(Record_, {.RevokeBound_ = SoakLayout::RevokeBound,
+                        .EvacuateBound_ = SoakLayout::EvacuateBound,
                         .StopBound_ = SoakLayout::StopBound}),
       Layout_(Options_.Layout_, Record_, Folder_),
+      Operators_(Layout_.store(), Record_),
       Callers_(
           {.Seed_ = Options_.Layout_.Seed_,
            .Callers_ = Options_.CallersPerEntry_ * Layout_.entries().size(),
@@ -123,6 +125,8 @@
     return configure();
   case SoakFaultKind::VersionDeclared:
     return declareVersion();
+  case SoakFaultKind::Evacuated:
+    return Operators_.evacuate(Layout_.zone(F.Target_));
   case SoakFaultKind::Surge:
     return Callers_.setSurging(true);
   case SoakFaultKind::BecomesCold:
@@ -154,6 +158,8 @@
     return A.Server_->setMode(SoakEndpoint::Mode::Normal);
   case SoakFaultKind::Pauses:
     return A.Server_->setPausing(false);
+  case SoakFaultKind::Evacuated:
+    return Operators_.restore(Layout_.zone(F.Target_));
   case SoakFaultKind::Surge:
     return Callers_.setSurging(false);
   // The layout restarts processes.
@@ -176,6 +182,7 @@
                   .Entries_ = Layout_.entries().size(),
                   .Agents_ = Layout_.agents().size(),
                   .Endpoints_ = Layout_.endpoints().size(),
+                  .Zones_ = Options_.Layout_.Zones_,
                   .IsPlannedOnly_ = Options_.IsPlannedOnly_});
   struct Step {
     Duration At_{};
--- a/tests/soak/SoakWorld.h
+++ b/tests/soak/SoakWorld.h
@@ -19,6 +19,7 @@
 #include "tests/soak/SoakConfig.h"
 #include "tests/soak/SoakFaults.h"
 #include "tests/soak/SoakLayout.h"
+#include "tests/soak/SoakOperators.h"
 
 namespace hawthornroad {
 
@@ -60,6 +61,7 @@
   SoakRecord Record_;
   SoakChecks Checks_;
   SoakLayout Layout_;
+  SoakOperators Operators_;
   SoakConfig Config_;
   int WeightVersion_ = 1;
   std::string RotatingKey_ = "rotating-1";
--- /dev/null
+++ b/tests/soak/SoakZones.h
@@ -0,0 +1,29 @@
+// Checks that no request is sent to an endpoint of an evacuated zone.
+//
+//   for (const std::string &Each : findZoneFaults(Record, Requests, Bound)) ...
+//
+// A request may be sent to the zone until Bound after the store acknowledged
+// the row, and again once the row is removed. The bound begins anew when the
+// entry that sent it had no contact to the store, or did not work, by what the
+// soak did: EvacuateBound is for entries in contact with the store.
+
+#ifndef HAWTHORNROAD_TESTS_SOAK_SOAKZONES_H
+#define HAWTHORNROAD_TESTS_SOAK_SOAKZONES_H
+
+#include "tests/soak/SoakRecord.h"
+#include "tests/soak/SoakRequest.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hawthornroad {
+
+std::vector<std::string>
+findZoneFaults(const SoakRecord &Record,
+               const std::map<std::string, SoakRequest> &Requests,
+               Duration EvacuateBound);
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_TESTS_SOAK_SOAKZONES_H
