Soak: a route and a customer with allowed regions

Route /home/ allows r0, customer yon r1, the settings state the zones' regions. No request may be sent to another region; nothing excuses one.

--- a/tests/soak/SoakCallers.cpp
+++ b/tests/soak/SoakCallers.cpp
@@ -51,12 +51,17 @@
   NewestRoute_ = Route;
 }
 
-// One request in five uses the most recently removed key, and one in five the
-// key that will be removed next.
+// One request in six uses the most recently removed key, one the key that will
+// be removed next, and one that of the customer with an allowed region.
 void SoakCallers::drawKey(Random &R, SoakRequest &Q) {
-  constexpr std::uint64_t Keys = 5;
+  constexpr std::uint64_t Keys = 6;
   std::uint64_t Key = R.below(Keys);
-  Q.Key_ = Key == 0 ? RemovedKey_ : Key == 1 ? NextKey_ : SteadyKey;
+  Q.Key_ = Key == 0   ? RemovedKey_
+           : Key == 1 ? NextKey_
+           : Key == 2 ? SoakConfig::RegionalKey
+                      : SteadyKey;
+  if (Q.Key_ == SoakConfig::RegionalKey)
+    Q.CustomerRegion_ = SoakConfig::SecondRegion;
 }
 
 SoakRequest SoakCallers::makeRequest(Random &R, const std::string &Id,
@@ -66,7 +71,7 @@
   std::lock_guard Lock(Mutex_);
   drawKey(R, Q);
   bool HasEngines = Options_.HasEngines_;
-  constexpr std::uint64_t Targets = 7;
+  constexpr std::uint64_t Targets = 8;
   switch (R.below(Targets)) {
   case 0:
     Q.Kind_ = SoakKind::Once;
@@ -96,6 +101,11 @@
     Q.Model_ = HasEngines ? "m" : "";
     Target = HasEngines ? "/streamonce-lm/x" : "/safe/x";
     break;
+  case 6:
+    Q.Kind_ = SoakKind::Safe;
+    Q.RouteRegion_ = SoakConfig::FirstRegion;
+    Target = "/home/x";
+    break;
   default:
     Q.Kind_ = SoakKind::Safe;
     Target = "/moved/x";
--- a/tests/soak/SoakChecks.cpp
+++ b/tests/soak/SoakChecks.cpp
@@ -141,6 +141,8 @@
   for (std::string &Each :
        findZoneFaults(Record_, Requests_, Bounds_.EvacuateBound_))
     Violations_.push_back(std::move(Each));
+  for (std::string &Each : findRegionFaults(Record_, Requests_))
+    Violations_.push_back(std::move(Each));
 }
 
 std::vector<std::pair<std::string, std::string>> SoakChecks::lost() const {
--- a/tests/soak/SoakConfig.cpp
+++ b/tests/soak/SoakConfig.cpp
@@ -53,12 +53,18 @@
 }
 } // namespace
 
+std::string SoakConfig::regionOf(const std::string &Zone) {
+  return std::stoul(Zone.substr(1)) % 2 == 0 ? FirstRegion : SecondRegion;
+}
+
 std::string SoakConfig::text() const {
   json::array Routes = {route("once", "non_idempotent", "api"),
                         route("safe", "idempotent", "api"),
                         route("stream", "streaming", "api", true),
                         route("streamonce", "streaming", "api"),
                         route("moved", "idempotent", IsMoved_ ? "aux" : "api")};
+  Routes.push_back(route("home", "idempotent", "api"));
+  Routes.back().as_object()["allowed_regions"] = json::array{FirstRegion};
   json::array Services = {service("api"), service("aux")};
   if (!Origin_.empty()) {
     Routes.push_back(route("stream-lm", "streaming", "lm", true));
@@ -84,8 +90,12 @@
                               {"max_body_bytes", 65536},
                               {"header_timeout_ms", 3000},
                               {"idle_timeout_ms", 15000}}},
-      {"tenants", json::array{json::object{{"name", "zet"},
-                                           {"api_keys", std::move(Keys)}}}}});
+      {"tenants",
+       json::array{
+           json::object{{"name", "zet"}, {"api_keys", std::move(Keys)}},
+           json::object{{"name", "yon"},
+                        {"api_keys", json::array{RegionalKey}},
+                        {"allowed_regions", json::array{SecondRegion}}}}}});
 }
 
 } // namespace hawthornroad
--- a/tests/soak/SoakConfig.h
+++ b/tests/soak/SoakConfig.h
@@ -31,6 +31,13 @@
   static constexpr double MaxColdArrivals =
       ColdPerSecond * ColdFactor + ColdSlack;
 
+  // Zones "z0", "z2" and so on are in region "r0", the others in "r1".
+  static std::string regionOf(const std::string &Zone);
+  static constexpr auto FirstRegion = "r0";
+  static constexpr auto SecondRegion = "r1";
+  // Of the customer that is served in the second region only.
+  static constexpr auto RegionalKey = "regional";
+
   std::uint64_t Version_ = 0;
   // "/new1/" and on; a route is never removed.
   std::uint64_t AddedRoutes_ = 0;
--- a/tests/soak/SoakLayout.cpp
+++ b/tests/soak/SoakLayout.cpp
@@ -77,6 +77,13 @@
   return Out;
 }
 
+json::object SoakLayout::regions() const {
+  json::object Out;
+  for (std::size_t I = 0; I < Options_.Zones_; ++I)
+    Out[zone(I)] = SoakConfig::regionOf(zone(I));
+  return Out;
+}
+
 void SoakLayout::addAgent(std::size_t Index) {
   Agent A;
   std::string Name = "agent-" + std::to_string(Index + 1);
@@ -99,6 +106,7 @@
       {"version_bound_ms", milliseconds(VersionBound)},
       {"cold_factor", SoakConfig::ColdFactor},
       {"cold_slack", SoakConfig::ColdSlack},
+      {"regions", regions()},
       {"first_start", true}};
   A.Settings_ = Folder_.write(Name + ".jsonc", json::serialize(S));
   list(*A.Engine_);
@@ -123,6 +131,7 @@
                     {"stop_bound_s", StopBound / Seconds(1)},
                     {"cold_factor", SoakConfig::ColdFactor},
                     {"cold_slack", SoakConfig::ColdSlack},
+                    {"regions", regions()},
                     {"repeat_ratio", RepeatRatio},
                     {"repeat_slack", RepeatSlack},
                     {"metrics_listen", "127.0.0.1:0"}};
--- a/tests/soak/SoakLayout.h
+++ b/tests/soak/SoakLayout.h
@@ -112,6 +112,8 @@
   void clearFaults();
 
 private:
+  // The region of each zone, for the settings.
+  boost::json::object regions() const;
   Endpoint makeEndpoint(const std::string &Service, std::size_t Index);
   void addEntry(std::size_t Index);
   void addAgent(std::size_t Index);
--- a/tests/soak/SoakRequest.h
+++ b/tests/soak/SoakRequest.h
@@ -33,6 +33,9 @@
   std::uint64_t RouteSince_ = 0;
   // How long its caller waits; sent to the entry as the request's deadline.
   Duration Deadline_{};
+  // The only region that its route allows, and its customer; empty for all.
+  std::string RouteRegion_;
+  std::string CustomerRegion_;
   // Its route's timeout.
   Duration Timeout_{};
 
--- a/tests/soak/SoakZones.cpp
+++ b/tests/soak/SoakZones.cpp
@@ -1,6 +1,7 @@
 #include "tests/soak/SoakZones.h"
 
 #include "tests/soak/SoakCold.h"
+#include "tests/soak/SoakConfig.h"
 
 namespace hawthornroad {
 
@@ -39,4 +40,22 @@
   return Out;
 }
 
+std::vector<std::string>
+findRegionFaults(const SoakRecord &Record,
+                 const std::map<std::string, SoakRequest> &Requests) {
+  std::vector<std::string> Out;
+  for (const auto &[Id, R] : Requests)
+    for (const SoakRun &Each : Record.runs(Id)) {
+      std::string Region = SoakConfig::regionOf(Each.Zone_);
+      bool IsAllowed =
+          (R.RouteRegion_.empty() || R.RouteRegion_ == Region) &&
+          (R.CustomerRegion_.empty() || R.CustomerRegion_ == Region);
+      if (!IsAllowed)
+        Out.push_back(Id + " at " + R.Process_ + ": sent to " + Each.Endpoint_ +
+                      " in " + Region + ", allowed \"" + R.RouteRegion_ +
+                      "\" and \"" + R.CustomerRegion_ + "\"");
+    }
+  return Out;
+}
+
 } // namespace hawthornroad
--- a/tests/soak/SoakZones.h
+++ b/tests/soak/SoakZones.h
@@ -1,6 +1,8 @@
-// Checks that no request is sent to an endpoint of an evacuated zone.
+// Checks that no request is sent to an endpoint of an evacuated zone, or of a
+// region that its route or its customer does not allow.
 //
 //   for (const std::string &Each : findZoneFaults(Record, Requests, Bound)) ...
+//   for (const std::string &Each : findRegionFaults(Record, Requests)) ...
 //
 // A request may be sent to the zone until Bound after the store acknowledged
 // the row, and again once the row is removed. The bound begins anew when the
@@ -24,6 +26,11 @@
                const std::map<std::string, SoakRequest> &Requests,
                Duration EvacuateBound);
 
+// The limits do not change, so nothing excuses a request in another region.
+std::vector<std::string>
+findRegionFaults(const SoakRecord &Record,
+                 const std::map<std::string, SoakRequest> &Requests);
+
 } // namespace hawthornroad
 
 #endif // HAWTHORNROAD_TESTS_SOAK_SOAKZONES_H
