Soak: rows of another writer, figures of speed, answers without end

Rows in servers that name no endpoint come and go; those with an address name one at which nothing may arrive. Answers state a fourth figure of X-Hawthornroad-Server-Load, valid, absent or unreadable. Rarely an endpoint sends bytes without end in a head or a body.

--- a/tests/soak/SoakEndpoint.cpp
+++ b/tests/soak/SoakEndpoint.cpp
@@ -34,6 +34,10 @@
 // then entries need not know: docs/design/cold-endpoints.md, "What is open".
 constexpr Duration MaxUntold = Seconds(3);
 constexpr unsigned Misdirected = 421;
+// Valid, absent and unreadable ones.
+constexpr std::array SpeedFigures = {
+    ",100", ",100",  ",250", ",250", ",60",  ",100000", "",
+    ",",    ",fast", ",-5",  ",0",   ",1e9", ",nan",    ",100 200"};
 
 TimePoint now() { return std::chrono::steady_clock::now(); }
 
@@ -116,9 +120,12 @@
   return std::max<Duration>(ColdUntil_ - now(), Duration::zero());
 }
 
-HttpHeaders SoakEndpoint::statements() const {
+HttpHeaders SoakEndpoint::statements() {
   return {
       {"X-Hawthornroad-Instance-Id", id()},
+      {"X-Hawthornroad-Server-Load",
+       std::to_string(AtWork_.size()) + ",0," + std::to_string(Slots) +
+           SpeedFigures[Random_.below(SpeedFigures.size())]},
       {"X-Hawthornroad-Cold-Ms", std::to_string(coldLeft() / Milliseconds(1))}};
 }
 
@@ -253,7 +260,7 @@
   });
 }
 
-HttpHeaders SoakEndpoint::headersOf(const Run &R) const {
+HttpHeaders SoakEndpoint::headersOf(const Run &R) {
   HttpHeaders Out = R.Headers_;
   for (HttpHeader &Each : statements())
     Out.push_back(std::move(Each));
--- a/tests/soak/SoakEndpoint.h
+++ b/tests/soak/SoakEndpoint.h
@@ -11,7 +11,7 @@
 //
 // It is cold for SoakConfig::ColdFor after its start, and when it is made cold
 // again. All its answers state for how long; its row follows up to MaxRowDelay
-// later.
+// later. They also state its load, with a drawn figure for its speed.
 
 #ifndef HAWTHORNROAD_TESTS_SOAK_SOAKENDPOINT_H
 #define HAWTHORNROAD_TESTS_SOAK_SOAKENDPOINT_H
@@ -100,8 +100,8 @@
   // For how long it is cold; zero when it is not.
   Duration coldLeft() const;
   // What all its answers state.
-  HttpHeaders statements() const;
-  HttpHeaders headersOf(const Run &R) const;
+  HttpHeaders statements();
+  HttpHeaders headersOf(const Run &R);
   void begin(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
   void sendEvents(const RunPtr &R);
   // Breaks off everything at work.
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -62,6 +62,10 @@
             Target::Agent, 1}};
 constexpr std::array Evacuations = {
     KindRow{SoakFaultKind::Evacuated, "evacuated", Target::Zone, 1}};
+constexpr std::array ForeignRows = {
+    KindRow{SoakFaultKind::ForeignRow, "foreign row", Target::Entry, 1}};
+constexpr std::array EndlessAnswers = {
+    KindRow{SoakFaultKind::Endless, "endless answers", Target::Zone, 1}};
 
 constexpr std::uint64_t MaxSeries = 4;
 
@@ -81,7 +85,9 @@
     Series{Versions, 1, 0, 1, 4000, 8000},
     Series{Surges, 1, 600, 1500, 800, 2000},
     Series{ColdMoments, 1, 0, 1, 1000, 2500},
-    Series{Evacuations, 1, 3000, 8000, 500, 2500}};
+    Series{Evacuations, 1, 3000, 8000, 500, 2500},
+    Series{ForeignRows, 1, 200, 1500, 0, 500},
+    Series{EndlessAnswers, 1, 500, 1500, 3000, 8000}};
 
 // A link of 50 KB/s carries about 50 stand-in answers per second.
 constexpr std::array PathFaultTexts = {
@@ -164,7 +170,9 @@
         std::span<const KindRow>(Configurations),
         std::span<const KindRow>(Versions), std::span<const KindRow>(Surges),
         std::span<const KindRow>(ColdMoments),
-        std::span<const KindRow>(Evacuations)})
+        std::span<const KindRow>(Evacuations),
+        std::span<const KindRow>(ForeignRows),
+        std::span<const KindRow>(EndlessAnswers)})
     for (const KindRow &Each : Kinds)
       if (Each.Kind_ == F.Kind_)
         Name = Each.Name_;
--- a/tests/soak/SoakFaults.h
+++ b/tests/soak/SoakFaults.h
@@ -8,7 +8,8 @@
 // with pauses between them, so that one fault often begins while another is
 // active. Planned work has series of its own: signals to entries and agents,
 // endpoints that leave, configurations, and versions of weights, as have surges
-// of requests, endpoints that become cold, and evacuations.
+// of requests, endpoints that become cold, evacuations, rows of another writer,
+// and endpoints that answer without end.
 //
 // Every plan holds one fixed combination that random draws rarely produce: the
 // entry that reads the store for the others loses the store for longer than the
@@ -49,6 +50,10 @@
   // On an endpoint: it pauses between events, or another one replaces it.
   Pauses,
   Leaves,
+  // Another endpoint that answers without end.
+  Endless,
+  // A row that names no endpoint, by another writer.
+  ForeignRow,
   // Operator actions; an evacuation ends with the removal of its row.
   Evacuated,
   KeyRemoved,
--- a/tests/soak/SoakOperators.cpp
+++ b/tests/soak/SoakOperators.cpp
@@ -4,8 +4,96 @@
 
 namespace {
 TimePoint now() { return std::chrono::steady_clock::now(); }
+
+// A row that differs in one field; an empty Value removes the field.
+std::string rowWith(const std::string &Address, const std::string &Field,
+                    const std::string &Value) {
+  std::string Out = "{";
+  for (const auto &[Name, Sound] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"service", R"("api")"},
+           {"address", Address},
+           {"zone", R"("z0")"},
+           {"state", R"("ready")"},
+           {"slots", "16"},
+           {"cold_remaining_ms", "0"},
+           {"models", "[]"}}) {
+    std::string Text = Name == Field ? Value : Sound;
+    if (!Text.empty())
+      Out += (Out.size() > 1 ? ",\"" : "\"") + Name + "\":" + Text;
+  }
+  return Out + "}";
+}
+
+std::vector<std::string> foreignRows(const std::string &TrapAddress) {
+  std::string Address = '"' + TrapAddress + '"';
+  std::string Sound = rowWith(Address, "", "");
+  return {"",
+          "\xff{",
+          "[]",
+          "null",
+          Sound + Sound,
+          "[" + Sound + "]",
+          Sound.substr(0, Sound.size() - 1) + R"(,"service":"aux"})",
+          Sound.substr(0, Sound.size() - 1) + R"(,"x":")" +
+              std::string(100'000, 'x') + "\"}",
+          rowWith(Address, "service", ""),
+          rowWith(Address, "service", "7"),
+          rowWith(Address, "zone", ""),
+          rowWith(Address, "zone", "[]"),
+          rowWith(Address, "state", R"("asleep")"),
+          rowWith(Address, "state", ""),
+          rowWith(Address, "slots", R"("16")"),
+          rowWith(Address, "slots", "-1"),
+          rowWith(Address, "cold_remaining_ms", R"("0")"),
+          rowWith(Address, "models", R"("m")"),
+          rowWith(Address, "address", ""),
+          rowWith(Address, "address", R"("127.0.0.1:0")")};
+}
+
+std::string foreignKey(std::uint64_t Number) {
+  return "foreign-" + std::to_string(Number);
+}
 } // namespace
 
+SoakOperators::SoakOperators(StoreStandIn &Store, SoakRecord &Record)
+    : Store_(Store), Record_(Record) {
+  Trap_ = std::make_unique<HttpServer>(
+      Io_, HttpServer::Limits{},
+      [this](const HttpRequest &, const std::shared_ptr<HttpExchange> &X) {
+        ++Trapped_;
+        X->respond({.Status_ = 200});
+      });
+  TrapAddress_ = "127.0.0.1:" + std::to_string(Trap_->listen("127.0.0.1", 0));
+}
+
+SoakOperators::~SoakOperators() { Io_.stop(); }
+
+void SoakOperators::putForeignRow() {
+  std::vector<std::string> Rows = foreignRows(TrapAddress_);
+  ++ForeignRows_;
+  Store_.put("servers", foreignKey(ForeignRows_),
+             Rows[ForeignRows_ % Rows.size()]);
+}
+
+void SoakOperators::removeForeignRow() {
+  Store_.remove("servers", foreignKey(ForeignRows_));
+}
+
+void SoakOperators::beginEndless(const std::string &Zone) {
+  std::size_t Number = Endless_.size();
+  Endless_.push_back(std::make_unique<SoakEndless>(
+      SoakEndless::Options{.Id_ = "endless-" + std::to_string(Number),
+                           .Zone_ = Zone,
+                           .Seed_ = Number},
+      Record_));
+  Store_.put("servers", Endless_.back()->id(), Endless_.back()->row());
+}
+
+void SoakOperators::endEndless() {
+  Store_.remove("servers", Endless_.back()->id());
+}
+
 // The store has acknowledged the row when put() returns.
 void SoakOperators::evacuate(const std::string &Zone) {
   Store_.put("op", "evacuate/" + Zone, "{}");
--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -125,6 +125,10 @@
     return configure();
   case SoakFaultKind::VersionDeclared:
     return declareVersion();
+  case SoakFaultKind::Endless:
+    return Operators_.beginEndless(Layout_.zone(F.Target_));
+  case SoakFaultKind::ForeignRow:
+    return Operators_.putForeignRow();
   case SoakFaultKind::Evacuated:
     return Operators_.evacuate(Layout_.zone(F.Target_));
   case SoakFaultKind::Surge:
@@ -158,6 +162,10 @@
     return A.Server_->setMode(SoakEndpoint::Mode::Normal);
   case SoakFaultKind::Pauses:
     return A.Server_->setPausing(false);
+  case SoakFaultKind::Endless:
+    return Operators_.endEndless();
+  case SoakFaultKind::ForeignRow:
+    return Operators_.removeForeignRow();
   case SoakFaultKind::Evacuated:
     return Operators_.restore(Layout_.zone(F.Target_));
   case SoakFaultKind::Surge:
@@ -213,6 +221,10 @@
   Callers_.stop();
   std::this_thread::sleep_for(RunSlack);
   checkWeights();
+  if (Operators_.trapped() > 0)
+    Checks_.violation(std::to_string(Operators_.trapped()) +
+                      " requests at an address that only rows of another "
+                      "writer name");
   Checks_.finish();
 }
 
