--- a/tests/soak/SoakCallers.cpp
+++ b/tests/soak/SoakCallers.cpp
@@ -11,8 +11,10 @@
 constexpr Duration RejectedPause = Milliseconds(100);
 constexpr std::size_t MaxCallers = 96;
 // Half of them send to engines.
-constexpr std::size_t SurgeCallers = 8;
+constexpr std::size_t SurgeCallers = 16;
 constexpr Duration SurgePause = Milliseconds(10);
+// Callers that wait longer at frozen entries send too little.
+constexpr Duration SurgeDeadline = Milliseconds(800);
 constexpr unsigned TooMany = 429;
 constexpr unsigned Unavailable = 503;
 
@@ -110,6 +112,7 @@
     Q.Kind_ = SoakKind::Safe;
     Target = "/moved/x";
   }
+  Q.Deadline_ = isStream(Q.Kind_) ? StreamDeadline : PlainDeadline;
   return Q;
 }
 
@@ -126,6 +129,7 @@
     Target = IsRepeatable ? "/safe/" : "/once/";
   }
   Target += SoakEndpoint::ShortTarget;
+  Q.Deadline_ = SurgeDeadline;
   Q.Key_ = SteadyKey;
   return Q;
 }
@@ -133,7 +137,6 @@
 unsigned SoakCallers::send(SoakCaller &Caller, Random &R, SoakRequest Q,
                            const std::string &Target) {
   SoakLayout::Address To = Layout_.address(R.below(Layout_.entries().size()));
-  Q.Deadline_ = isStream(Q.Kind_) ? StreamDeadline : PlainDeadline;
   Q.Timeout_ =
       isStream(Q.Kind_) ? SoakConfig::StreamTimeout : SoakConfig::PlainTimeout;
   Q.Process_ = To.Process_;
--- a/tests/soak/SoakConfig.h
+++ b/tests/soak/SoakConfig.h
@@ -25,9 +25,9 @@
   // Cold endpoints. A chosen granter and a substitute grant nothing when the
   // arrivals in a second are below 8.4 (ColdFigures.h).
   static constexpr Duration ColdFor = Seconds(3);
-  static constexpr double ColdPerSecond = 8;
+  static constexpr double ColdPerSecond = 6;
   static constexpr double ColdFactor = 1.5;
-  static constexpr double ColdSlack = 3;
+  static constexpr double ColdSlack = 1;
   static constexpr double MaxColdArrivals =
       ColdPerSecond * ColdFactor + ColdSlack;
 
