--- a/tests/soak/SoakChecks.cpp
+++ b/tests/soak/SoakChecks.cpp
@@ -1,6 +1,8 @@
 #include "tests/soak/SoakChecks.h"
 
+#include "tests/soak/SoakCold.h"
 #include "tests/soak/SoakEndpoint.h"
+#include "tests/soak/SoakZones.h"
 
 #include <sstream>
 
@@ -134,6 +136,15 @@
     checkRuns(R);
     checkFate(R);
   }
+  SoakColdArrivals Cold = checkColdArrivals(Record_, Requests_);
+  MostColdArrivals_ = Cold.Most_;
+  for (std::string &Each : Cold.Faults_)
+    Violations_.push_back(std::move(Each));
+  for (std::string &Each :
+       findZoneFaults(Record_, Requests_, Bounds_.EvacuateBound_))
+    Violations_.push_back(std::move(Each));
+  for (std::string &Each : findRegionFaults(Record_, Requests_))
+    Violations_.push_back(std::move(Each));
 }
 
 std::vector<std::pair<std::string, std::string>> SoakChecks::lost() const {
@@ -158,7 +169,8 @@
   Out << "; answers";
   for (const auto &[Status, Count] : Statuses_)
     Out << ' ' << Status << ':' << Count;
-  Out << "; " << Violations_.size() << " violations";
+  Out << "; at most " << MostColdArrivals_ << " arrivals a second while cold; "
+      << Violations_.size() << " violations";
   return Out.str();
 }
 
--- a/tests/soak/SoakChecks.h
+++ b/tests/soak/SoakChecks.h
@@ -26,6 +26,8 @@
   struct Bounds {
     // A request must not run if its key was removed longer before it was sent.
     Duration RevokeBound_{};
+    // From the acknowledgement of an evacuation until nothing is sent there.
+    Duration EvacuateBound_{};
     // From the stop signal until the process has ended.
     Duration StopBound_{};
   };
@@ -64,6 +66,7 @@
   std::vector<std::pair<std::string, std::string>> Lost_;
   std::map<unsigned, int> Statuses_;
   std::map<SoakFate, int> Fates_;
+  std::size_t MostColdArrivals_ = 0;
 };
 
 } // namespace hawthornroad
--- a/tests/soak/SoakConfig.cpp
+++ b/tests/soak/SoakConfig.cpp
@@ -29,13 +29,23 @@
 }
 
 json::object service(const std::string &Name) {
-  return {{"name", Name}, {"health_path", "/health"}, {"max_conns", 400}};
+  return {{"name", Name},
+          {"health_path", "/health"},
+          {"max_conns", 400},
+          {"cold_start_s", SoakConfig::ColdFor / Seconds(1)},
+          {"cold_per_s", SoakConfig::ColdPerSecond}};
 }
 
+// An event's mean pause. By it an engine ends 4.8 requests a second, below
+// ColdPerSecond, so engines are limited at all times.
+constexpr int EngineStepMs = 140;
+
 json::object engineService() {
   json::object Out = service("lm");
   Out["engine"] =
       json::object{{"slots", SoakEndpoint::Slots},
+                   {"step_ms", EngineStepMs},
+                   {"usual", json::object{{"answer", SoakEndpoint::Events}}},
                    {"chunks", SoakWeights::Pieces},
                    {"chunk_bytes", SoakWeights::PieceBytes},
                    {"models", json::array{json::object{{"name", "m"}}}}};
@@ -43,12 +53,18 @@
 }
 } // namespace
 
+std::string SoakConfig::regionOf(const std::string &Zone) {
+  return std::stoul(Zone.substr(1)) % 2 == 0 ? FirstRegion : SecondRegion;
+}
+
 std::string SoakConfig::text() const {
   json::array Routes = {route("once", "non_idempotent", "api"),
                         route("safe", "idempotent", "api"),
                         route("stream", "streaming", "api", true),
                         route("streamonce", "streaming", "api"),
                         route("moved", "idempotent", IsMoved_ ? "aux" : "api")};
+  Routes.push_back(route("home", "idempotent", "api"));
+  Routes.back().as_object()["allowed_regions"] = json::array{FirstRegion};
   json::array Services = {service("api"), service("aux")};
   if (!Origin_.empty()) {
     Routes.push_back(route("stream-lm", "streaming", "lm", true));
@@ -74,8 +90,12 @@
                               {"max_body_bytes", 65536},
                               {"header_timeout_ms", 3000},
                               {"idle_timeout_ms", 15000}}},
-      {"tenants", json::array{json::object{{"name", "zet"},
-                                           {"api_keys", std::move(Keys)}}}}});
+      {"tenants",
+       json::array{
+           json::object{{"name", "zet"}, {"api_keys", std::move(Keys)}},
+           json::object{{"name", "yon"},
+                        {"api_keys", json::array{RegionalKey}},
+                        {"allowed_regions", json::array{SecondRegion}}}}}});
 }
 
 } // namespace hawthornroad
--- a/tests/soak/SoakConfig.h
+++ b/tests/soak/SoakConfig.h
@@ -22,6 +22,22 @@
   static constexpr std::size_t FewestUnusedRoutes = 1050;
   static constexpr std::size_t MostUnusedRoutes = 1350;
 
+  // Cold endpoints. A chosen granter and a substitute grant nothing when the
+  // arrivals in a second are below 8.4 (ColdFigures.h).
+  static constexpr Duration ColdFor = Seconds(3);
+  static constexpr double ColdPerSecond = 6;
+  static constexpr double ColdFactor = 1.5;
+  static constexpr double ColdSlack = 1;
+  static constexpr double MaxColdArrivals =
+      ColdPerSecond * ColdFactor + ColdSlack;
+
+  // Zones "z0", "z2" and so on are in region "r0", the others in "r1".
+  static std::string regionOf(const std::string &Zone);
+  static constexpr auto FirstRegion = "r0";
+  static constexpr auto SecondRegion = "r1";
+  // Of the customer that is served in the second region only.
+  static constexpr auto RegionalKey = "regional";
+
   std::uint64_t Version_ = 0;
   // "/new1/" and on; a route is never removed.
   std::uint64_t AddedRoutes_ = 0;
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -17,7 +17,7 @@
 constexpr Duration StoreLossFor = Milliseconds(9000);
 constexpr Duration KeyRemovedAfter = Milliseconds(500);
 
-enum class Target { Entry, Agent, Endpoint };
+enum class Target { Entry, Agent, Endpoint, Zone };
 
 struct KindRow {
   SoakFaultKind Kind_;
@@ -54,6 +54,18 @@
     KindRow{SoakFaultKind::Configured, "configured", Target::Entry, 1}};
 constexpr std::array Versions = {KindRow{SoakFaultKind::VersionDeclared,
                                          "version declared", Target::Agent, 1}};
+constexpr std::array Surges = {
+    KindRow{SoakFaultKind::Surge, "surge", Target::Entry, 1}};
+constexpr std::array ColdMoments = {
+    KindRow{SoakFaultKind::BecomesCold, "becomes cold", Target::Endpoint, 1},
+    KindRow{SoakFaultKind::EngineBecomesCold, "engine becomes cold",
+            Target::Agent, 1}};
+constexpr std::array Evacuations = {
+    KindRow{SoakFaultKind::Evacuated, "evacuated", Target::Zone, 1}};
+constexpr std::array ForeignRows = {
+    KindRow{SoakFaultKind::ForeignRow, "foreign row", Target::Entry, 1}};
+constexpr std::array EndlessAnswers = {
+    KindRow{SoakFaultKind::Endless, "endless answers", Target::Zone, 1}};
 
 constexpr std::uint64_t MaxSeries = 4;
 
@@ -70,7 +82,12 @@
 constexpr std::array PlannedSeries = {
     Series{PlannedWork, 2, 300, 3000, 0, 1500},
     Series{Configurations, 1, 0, 1, 1000, 2000},
-    Series{Versions, 1, 0, 1, 4000, 8000}};
+    Series{Versions, 1, 0, 1, 4000, 8000},
+    Series{Surges, 1, 600, 1500, 800, 2000},
+    Series{ColdMoments, 1, 0, 1, 1000, 2500},
+    Series{Evacuations, 1, 3000, 8000, 500, 2500},
+    Series{ForeignRows, 1, 500, 2500, 0, 500},
+    Series{EndlessAnswers, 1, 500, 1500, 3000, 8000}};
 
 // A link of 50 KB/s carries about 50 stand-in answers per second.
 constexpr std::array PathFaultTexts = {
@@ -99,6 +116,7 @@
 std::size_t targets(const SoakPlan &P, Target T) {
   return T == Target::Entry   ? P.Entries_
          : T == Target::Agent ? P.Agents_
+         : T == Target::Zone  ? P.Zones_
                               : P.Endpoints_;
 }
 
@@ -150,7 +168,11 @@
   for (std::span<const KindRow> Kinds :
        {std::span<const KindRow>(Faults), std::span<const KindRow>(PlannedWork),
         std::span<const KindRow>(Configurations),
-        std::span<const KindRow>(Versions)})
+        std::span<const KindRow>(Versions), std::span<const KindRow>(Surges),
+        std::span<const KindRow>(ColdMoments),
+        std::span<const KindRow>(Evacuations),
+        std::span<const KindRow>(ForeignRows),
+        std::span<const KindRow>(EndlessAnswers)})
     for (const KindRow &Each : Kinds)
       if (Each.Kind_ == F.Kind_)
         Name = Each.Name_;
--- a/tests/soak/SoakFaults.h
+++ b/tests/soak/SoakFaults.h
@@ -7,7 +7,9 @@
 // Faults overlap: several series run in parallel, each a sequence of faults
 // with pauses between them, so that one fault often begins while another is
 // active. Planned work has series of its own: signals to entries and agents,
-// endpoints that leave, configurations, and versions of weights.
+// endpoints that leave, configurations, and versions of weights, as have surges
+// of requests, endpoints that become cold, evacuations, rows of another writer,
+// and endpoints that answer without end.
 //
 // Every plan holds one fixed combination that random draws rarely produce: the
 // entry that reads the store for the others loses the store for longer than the
@@ -48,16 +50,26 @@
   // On an endpoint: it pauses between events, or another one replaces it.
   Pauses,
   Leaves,
-  // Operator actions.
+  // Another endpoint that answers without end.
+  Endless,
+  // A row that names no endpoint, by another writer.
+  ForeignRow,
+  // Operator actions; an evacuation ends with the removal of its row.
+  Evacuated,
   KeyRemoved,
   RouteAdded,
   Configured,
-  VersionDeclared
+  VersionDeclared,
+  // Many short requests.
+  Surge,
+  // Without a statement but in its answers, until its row follows.
+  BecomesCold,
+  EngineBecomesCold
 };
 
 struct SoakFault {
   SoakFaultKind Kind_ = SoakFaultKind::Freeze;
-  // Index of the entry, agent or endpoint.
+  // Index of the entry, agent, endpoint or zone.
   std::size_t Target_ = 0;
   // For path faults: the proxy's fault settings, as JSON.
   std::string Path_;
@@ -71,6 +83,7 @@
   std::size_t Entries_ = 1;
   std::size_t Agents_ = 0;
   std::size_t Endpoints_ = 1;
+  std::size_t Zones_ = 1;
   // Without the series of faults.
   bool IsPlannedOnly_ = false;
 };
--- a/tests/soak/SoakLayout.cpp
+++ b/tests/soak/SoakLayout.cpp
@@ -1,5 +1,7 @@
 #include "tests/soak/SoakLayout.h"
 
+#include "tests/soak/SoakConfig.h"
+
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -41,23 +43,6 @@
          std::to_string(1 + Index % HostsPerNet);
 }
 
-void putInForce(const SoakLayout::Path &P) {
-  if (P.Proxy_)
-    P.Proxy_->setFaults(P.Faults_.empty() ? "{}" : P.Faults_.back());
-}
-
-void removeFault(SoakLayout::Path &P, const std::string &Fault) {
-  auto Found = std::find(P.Faults_.begin(), P.Faults_.end(), Fault);
-  if (Found != P.Faults_.end())
-    P.Faults_.erase(Found);
-  putInForce(P);
-}
-
-// A path that only delays is slow, not disrupted.
-bool isCut(const SoakLayout::Path &P) {
-  return !P.Faults_.empty() &&
-         P.Faults_.back().find("delay_ms") == std::string::npos;
-}
 } // namespace
 
 SoakLayout::SoakLayout(Options O, SoakRecord &Record, TemporaryFolder &Folder)
@@ -92,6 +77,13 @@
   return Out;
 }
 
+json::object SoakLayout::regions() const {
+  json::object Out;
+  for (std::size_t I = 0; I < Options_.Zones_; ++I)
+    Out[zone(I)] = SoakConfig::regionOf(zone(I));
+  return Out;
+}
+
 void SoakLayout::addAgent(std::size_t Index) {
   Agent A;
   std::string Name = "agent-" + std::to_string(Index + 1);
@@ -112,6 +104,9 @@
       {"peer_listen", A.Engine_->ip() + ":" + std::to_string(AgentPort_)},
       {"metrics_listen", "127.0.0.1:0"},
       {"version_bound_ms", milliseconds(VersionBound)},
+      {"cold_factor", SoakConfig::ColdFactor},
+      {"cold_slack", SoakConfig::ColdSlack},
+      {"regions", regions()},
       {"first_start", true}};
   A.Settings_ = Folder_.write(Name + ".jsonc", json::serialize(S));
   list(*A.Engine_);
@@ -130,9 +125,13 @@
                                   : Store_.address()},
                     {"peer_listen", "127.0.0.1:0"},
                     {"revoke_bound_ms", milliseconds(RevokeBound)},
+                    {"evacuate_bound_ms", milliseconds(EvacuateBound)},
                     {"drain_bound_ms", milliseconds(DrainBound)},
                     {"version_bound_ms", milliseconds(VersionBound)},
                     {"stop_bound_s", StopBound / Seconds(1)},
+                    {"cold_factor", SoakConfig::ColdFactor},
+                    {"cold_slack", SoakConfig::ColdSlack},
+                    {"regions", regions()},
                     {"repeat_ratio", RepeatRatio},
                     {"repeat_slack", RepeatSlack},
                     {"metrics_listen", "127.0.0.1:0"}};
@@ -198,6 +197,7 @@
   A.Process_->ready();
   A.Process_->logOutput(Folder_);
   A.RestartAt_.reset();
+  Record_.endDisruption(SoakRecord::Agents, now());
 }
 
 void SoakLayout::stop(Entry &E, TimePoint RestartAt) {
@@ -233,6 +233,9 @@
 
 void SoakLayout::stop(Agent &A, TimePoint RestartAt) {
   A.RestartAt_ = RestartAt;
+  if (std::all_of(Agents_.begin(), Agents_.end(),
+                  [](const Agent &Each) { return Each.RestartAt_; }))
+    Record_.beginDisruption(SoakRecord::Agents, now());
   A.Process_->terminate();
 }
 
@@ -251,6 +254,9 @@
     if (Each.Engine_->hasNewRow())
       list(*Each.Engine_);
   }
+  for (Endpoint &Each : Endpoints_)
+    if (Each.Server_->hasNewRow())
+      list(*Each.Server_);
   for (Endpoint &Each : Leaving_)
     if (Each.Server_ && Now >= Each.ExitAt_) {
       Store_.remove("servers", Each.Server_->id());
@@ -282,35 +288,8 @@
   Leaving_.push_back(std::move(Old));
 }
 
-void SoakLayout::setDisruption(Endpoint &E) {
-  if (isCut(E.Path_))
-    Record_.beginDisruption(E.Server_->id(), now());
-  putInForce(E.Path_);
-  if (!isCut(E.Path_))
-    Record_.endDisruption(E.Server_->id(), now());
-}
-
-void SoakLayout::beginFault(Endpoint &E, const std::string &Fault) {
-  E.Path_.Faults_.push_back(Fault);
-  setDisruption(E);
-}
-
-void SoakLayout::endFault(Endpoint &E, const std::string &Fault) {
-  removeFault(E.Path_, Fault);
-  setDisruption(E);
-}
-
-void SoakLayout::beginFault(Entry &E, const std::string &Fault) {
-  E.StorePath_.Faults_.push_back(Fault);
-  putInForce(E.StorePath_);
-}
-
-void SoakLayout::endFault(Entry &E, const std::string &Fault) {
-  removeFault(E.StorePath_, Fault);
-}
-
 void SoakLayout::clearFaults() {
-  Store_.setMode(StoreStandIn::Mode::Normal);
+  setStoreMode(StoreStandIn::Mode::Normal);
   for (Endpoint &Each : Endpoints_) {
     Each.Path_.Faults_.clear();
     setDisruption(Each);
@@ -319,7 +298,7 @@
   }
   for (Entry &Each : Entries_) {
     Each.StorePath_.Faults_.clear();
-    putInForce(Each.StorePath_);
+    setDisruption(Each);
     while (Each.Frozen_ > 0)
       resume(Each);
     if (!Each.RestartAt_)
--- a/tests/soak/SoakLayout.h
+++ b/tests/soak/SoakLayout.h
@@ -24,6 +24,7 @@
 public:
   // The operator's bounds that entries and agents are started with.
   static constexpr Duration RevokeBound = Milliseconds(5000);
+  static constexpr Duration EvacuateBound = Milliseconds(3000);
   static constexpr Duration DrainBound = Milliseconds(2000);
   static constexpr Duration StopBound = Seconds(6);
   static constexpr Duration VersionBound = Seconds(8);
@@ -87,11 +88,13 @@
   std::deque<Entry> &entries() { return Entries_; }
   std::deque<Endpoint> &endpoints() { return Endpoints_; }
   std::deque<Agent> &agents() { return Agents_; }
+  // The zone of the entry, agent or engine with this index.
+  std::string zone(std::size_t Index) const;
   // Of an entry's newest start. Thread-safe.
   Address address(std::size_t Entry) const;
 
   // Restarts ended processes in time, ends endpoints that have left, and lists
-  // engines with new weights.
+  // endpoints whose rows have changed.
   void tick(TimePoint Now);
   void stop(Entry &E, TimePoint RestartAt);
   void kill(Entry &E, TimePoint RestartAt);
@@ -102,13 +105,15 @@
   void replace(Endpoint &E);
   void beginFault(Endpoint &E, const std::string &Fault);
   void endFault(Endpoint &E, const std::string &Fault);
-  static void beginFault(Entry &E, const std::string &Fault);
-  static void endFault(Entry &E, const std::string &Fault);
+  void beginFault(Entry &E, const std::string &Fault);
+  void endFault(Entry &E, const std::string &Fault);
+  void setStoreMode(StoreStandIn::Mode M);
   // Ends all faults and restarts what does not run.
   void clearFaults();
 
 private:
-  std::string zone(std::size_t Index) const;
+  // The region of each zone, for the settings.
+  boost::json::object regions() const;
   Endpoint makeEndpoint(const std::string &Service, std::size_t Index);
   void addEntry(std::size_t Index);
   void addAgent(std::size_t Index);
@@ -116,6 +121,7 @@
   void start(Agent &A);
   void list(const SoakEndpoint &E);
   void setDisruption(Endpoint &E);
+  void setDisruption(Entry &E);
 
   Options Options_;
   SoakRecord &Record_;
--- a/tests/soak/SoakRecord.cpp
+++ b/tests/soak/SoakRecord.cpp
@@ -24,11 +24,47 @@
   auto Found = Disruptions_.find(Target);
   return Found != Disruptions_.end() &&
          std::any_of(Found->second.begin(), Found->second.end(),
-                     [&](const Span &Each) {
+                     [&](const SoakSpan &Each) {
                        return Each.From_ <= To && Each.To_ >= From;
                      });
 }
 
+std::vector<SoakSpan> SoakRecord::disruptions(const std::string &Target) const {
+  std::lock_guard Lock(Mutex_);
+  auto Found = Disruptions_.find(Target);
+  return Found == Disruptions_.end() ? std::vector<SoakSpan>() : Found->second;
+}
+
+bool SoakRecord::hadContact(const std::string &Entry, Duration For,
+                            TimePoint From, TimePoint To) const {
+  std::vector<SoakSpan> All;
+  for (const std::string &Target :
+       {Entry, std::string(Store), storePath(Entry)})
+    for (const SoakSpan &Each : disruptions(Target))
+      All.push_back(Each);
+  std::sort(All.begin(), All.end(), [](const SoakSpan &A, const SoakSpan &B) {
+    return A.From_ < B.From_;
+  });
+  TimePoint Since = From;
+  for (const SoakSpan &Each : All) {
+    if (std::min(Each.From_, To) >= Since + For)
+      return true;
+    Since = std::max(Since, Each.To_);
+  }
+  return Since <= To && To - Since >= For;
+}
+
+void SoakRecord::becomesCold(const std::string &Endpoint,
+                             const SoakColdSpan &S) {
+  std::lock_guard Lock(Mutex_);
+  ColdSpans_[Endpoint].push_back(S);
+}
+
+std::map<std::string, std::vector<SoakColdSpan>> SoakRecord::coldSpans() const {
+  std::lock_guard Lock(Mutex_);
+  return ColdSpans_;
+}
+
 void SoakRecord::stopSignal(const std::string &Process, TimePoint At) {
   std::lock_guard Lock(Mutex_);
   StopSignals_[Process].push_back(At);
@@ -43,9 +79,13 @@
 
 std::size_t SoakRecord::beginRun(const std::string &Request,
                                  const std::string &Endpoint, TimePoint At) {
+  return beginRun(Request, {.Endpoint_ = Endpoint, .From_ = At});
+}
+
+std::size_t SoakRecord::beginRun(const std::string &Request, SoakRun R) {
   std::lock_guard Lock(Mutex_);
   auto &Runs = Runs_[Request];
-  Runs.push_back({.Endpoint_ = Endpoint, .From_ = At});
+  Runs.push_back(std::move(R));
   return Runs.size() - 1;
 }
 
--- a/tests/soak/SoakRecord.h
+++ b/tests/soak/SoakRecord.h
@@ -17,11 +17,17 @@
 
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace hawthornroad {
 
+struct SoakSpan {
+  TimePoint From_;
+  TimePoint To_ = TimePoint::max();
+};
+
 // One arrival of a request at an endpoint.
 struct SoakRun {
   enum class End {
@@ -35,9 +41,24 @@
     Rejected
   };
   std::string Endpoint_;
+  std::string Zone_;
   TimePoint From_;
   TimePoint To_ = TimePoint::max();
   End End_ = End::AtWork;
+  // How long its sender still waited, as it stated.
+  std::optional<Duration> Left_;
+  // It was sent to another endpoint's address: answered with 421.
+  bool IsMisdirected_ = false;
+};
+
+// A time for which an endpoint is cold.
+struct SoakColdSpan {
+  TimePoint From_;
+  TimePoint To_;
+  // How long after From_ entries need not know of it.
+  Duration HoldsAfter_{};
+  // Entries are told that it is limited by agents only.
+  bool NeedsAgents_ = false;
 };
 
 class SoakRecord {
@@ -48,6 +69,25 @@
   bool isDisrupted(const std::string &Target, TimePoint From,
                    TimePoint To) const;
 
+  // Whether there was a time of this length within which nothing that the soak
+  // did kept the entry from the store, or from work.
+  bool hadContact(const std::string &Entry, Duration For, TimePoint From,
+                  TimePoint To) const;
+  std::vector<SoakSpan> disruptions(const std::string &Target) const;
+  // Targets of disruptions: the store itself, the path to it, all agents, and
+  // a zone while it is evacuated.
+  static constexpr auto Store = "store";
+  static constexpr auto Agents = "agents";
+  static std::string storePath(const std::string &Entry) {
+    return "store path " + Entry;
+  }
+  static std::string evacuation(const std::string &Zone) {
+    return "evacuation " + Zone;
+  }
+
+  void becomesCold(const std::string &Endpoint, const SoakColdSpan &S);
+  std::map<std::string, std::vector<SoakColdSpan>> coldSpans() const;
+
   // Signals to a process, "entry-2#4".
   void stopSignal(const std::string &Process, TimePoint At);
   std::vector<TimePoint> stopSignals(const std::string &Process) const;
@@ -55,6 +95,7 @@
   // Returns the run's number among those of this request.
   std::size_t beginRun(const std::string &Request, const std::string &Endpoint,
                        TimePoint At);
+  std::size_t beginRun(const std::string &Request, SoakRun R);
   // Only a run's first end counts.
   void endRun(const std::string &Request, std::size_t Run, SoakRun::End End,
               TimePoint At);
@@ -67,15 +108,11 @@
   int countRunsAtLiving(const std::string &Request) const;
 
 private:
-  struct Span {
-    TimePoint From_;
-    TimePoint To_ = TimePoint::max();
-  };
-
   mutable std::mutex Mutex_;
-  std::map<std::string, std::vector<Span>> Disruptions_;
+  std::map<std::string, std::vector<SoakSpan>> Disruptions_;
   std::map<std::string, std::vector<TimePoint>> StopSignals_;
   std::map<std::string, std::vector<SoakRun>> Runs_;
+  std::map<std::string, std::vector<SoakColdSpan>> ColdSpans_;
   // By endpoint.
   std::map<std::string, TimePoint> Ended_;
 };
