Attempts: repeats at the only endpoint left count against the route's maximum

Endpoints at which a request may have run were kept as a set, so several attempts at one endpoint counted once. Each attempt counts now.

--- a/hawthornroad/traffic/TrafficAttempts.cpp
+++ b/hawthornroad/traffic/TrafficAttempts.cpp
@@ -35,7 +35,7 @@
   Freed_.insert(R.Service_);
   if (MayHaveRun) {
     R.MayHaveRun_ = true;
-    R.RanAt_.insert(T.At_);
+    R.countRun(T);
   }
   Port_.report(AttemptReport{R.Number_, R.Call_.Id_, T.At_, T.Address_, What,
                              Why, MayHaveRun, T.Ordinal_, T.EndpointView_,
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -365,7 +365,7 @@
 void TrafficCore::replaceSilent(Record &R, TimePoint Now) {
   if (R.Silent_ || R.Asking_ != 0 || Now < R.NextReplacementAt_)
     return;
-  R.RanAt_.insert(R.Current_.At_);
+  R.countRun(R.Current_);
   R.Tried_.insert(R.Current_.At_);
   Placement::Query Q = queryFor(R, Now);
   Q.Tried_ = &R.Tried_;
--- a/hawthornroad/traffic/TrafficState.h
+++ b/hawthornroad/traffic/TrafficState.h
@@ -21,6 +21,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace hawthornroad {
@@ -70,6 +71,8 @@
   bool IsEvents_ = false;
   // The endpoint's silence was reported to Placement.
   bool IsSilenceNoted_ = false;
+  // Counted in RanAt_.
+  bool IsRunCounted_ = false;
   // Of a silent attempt: its own copy, since its replacement uses the
   // request's.
   std::optional<EventRelay> Relay_;
@@ -140,8 +143,9 @@
 
   unsigned Attempts_ = 0;
   std::set<EndpointId> Tried_;
-  // Endpoints at which it may have run.
-  std::set<EndpointId> RanAt_;
+  // Endpoints at which it may have run, once for each attempt: repeats at the
+  // only endpoint left would have no limit but the repeat budget otherwise.
+  std::multiset<EndpointId> RanAt_;
   bool MayHaveRun_ = false;
   // IsNoted_: counted by the repeat budget. HasArrived_: an attempt has been
   // sent.
@@ -170,6 +174,10 @@
   bool CallerGone_ = false;
   bool IsDone_ = false;
 
+  void countRun(Attempt &T) {
+    if (!std::exchange(T.IsRunCounted_, true))
+      RanAt_.insert(T.At_);
+  }
   bool mayRepeat() const {
     return !MayHaveRun_ || Route_->Repeat_ != Repeat::Never;
   }
--- a/tests/unit/TrafficCoreTest.cpp
+++ b/tests/unit/TrafficCoreTest.cpp
@@ -296,3 +296,18 @@
   F.send("/stream/3");
   REQUIRE(F.Port_.last().Params_.Endpoint_ == First);
 }
+
+// Guards against a request that is repeated at the only endpoint left until the
+// repeat budget is spent: five times within two milliseconds.
+TEST_CASE("traffic core, with one endpoint left that breaks off each answer, "
+          "sends a request no more often than its route allows",
+          "[traffic]") {
+  CoreFixture F;
+  F.Core_.endpoints().removed({EndpointId("a1")}, Start);
+  F.Core_.endpointsChanged(Start);
+  CallNumber N = F.send("/safe/1");
+  for (std::size_t I = 0; I < F.Port_.Begun_.size() && I < 10; ++I)
+    F.Core_.onFail(F.Port_.Begun_[I].Attempt_, false, "receive: reset", Start);
+  CHECK(F.Port_.Begun_.size() == 2);
+  CHECK(F.answerOf(N).Status_ == 502);
+}
