--- a/hawthornroad/routing/FairQueue.cpp
+++ b/hawthornroad/routing/FairQueue.cpp
@@ -23,6 +23,7 @@
   F.Weight_ = Weight;
   if (F.Waiting_.empty())
     F.Start_ = std::max(F.Start_, C.VirtualTime_);
+  I.Order_ = ++Pushed_;
   F.Waiting_.push_back(std::move(I));
   ++C.Size_;
   ++Size_;
@@ -33,7 +34,10 @@
   Flow &F = C.Flows_[I.Customer_];
   F.Weight_ = Weight;
   F.Start_ = std::max(0.0, F.Start_ - 1.0 / Weight);
-  F.Waiting_.push_front(std::move(I));
+  auto After =
+      std::find_if(F.Waiting_.begin(), F.Waiting_.end(),
+                   [&](const Item &Each) { return Each.Order_ > I.Order_; });
+  F.Waiting_.insert(After, std::move(I));
   ++C.Size_;
   ++Size_;
 }
@@ -191,6 +195,14 @@
   return false;
 }
 
+bool FairQueue::allOf(const std::function<bool(const Item &)> &Is) const {
+  for (const Class &C : Classes_)
+    for (const auto &[Name, F] : C.Flows_)
+      if (!std::all_of(F.Waiting_.begin(), F.Waiting_.end(), Is))
+        return false;
+  return true;
+}
+
 std::vector<FairQueue::Item> FairQueue::items() const {
   std::vector<Item> Out;
   Out.reserve(Size_);
--- a/hawthornroad/routing/FairQueue.h
+++ b/hawthornroad/routing/FairQueue.h
@@ -26,6 +26,7 @@
 #include "hawthornroad/base/Types.h"
 
 #include <array>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -41,6 +42,8 @@
     Customer Customer_;
     Priority Priority_ = Priority::Normal;
     TimePoint Deadline_;
+    // Set by push(): the order of arrival, from 1 on.
+    std::uint64_t Order_ = 0;
     bool operator==(const Item &) const = default;
   };
 
@@ -49,7 +52,8 @@
   std::optional<Item> pop();
   // The first request that IsWanted accepts; the others keep their places.
   std::optional<Item> popIf(const std::function<bool(const Item &)> &IsWanted);
-  // Undoes a pop(): I becomes its customer's next request again.
+  // Undoes a pop() or popIf(): I returns to its place among its customer's
+  // requests.
   void unpop(Item I, double Weight);
   // Removes a request; returns false when it is not queued.
   bool remove(const Item &I);
@@ -63,6 +67,7 @@
 
   // Whether a request of class P or a higher one is queued.
   bool hasAsUrgent(Priority P) const;
+  bool allOf(const std::function<bool(const Item &)> &Is) const;
   std::vector<Item> items() const;
   std::size_t size() const { return Size_; }
   bool empty() const { return Size_ == 0; }
@@ -89,6 +94,7 @@
 
   std::array<Class, ClassCount> Classes_;
   std::size_t Size_ = 0;
+  std::uint64_t Pushed_ = 0;
 };
 
 } // namespace hawthornroad
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -265,6 +265,7 @@
     Record &R = *At->second;
     // It may be queued again from within.
     R.IsQueued_ = false;
+    R.Item_ = *Next;
     if (mayBecomeUnplaceable(R) && refuseUnplaceable(R, Now))
       continue;
     if (!tryBegin(R, Now) && !R.IsDone_) {
--- a/hawthornroad/traffic/TrafficPlaces.cpp
+++ b/hawthornroad/traffic/TrafficPlaces.cpp
@@ -123,7 +123,7 @@
     return queue(R, Now);
   if (mayBecomeUnplaceable(R) && refuseUnplaceable(R, Now))
     return;
-  // It was at the front of the queue and returns there.
+  // It returns to its place in the queue.
   R.IsQueued_ = true;
   ServiceQueues_[R.Service_].Queue_.unpop(R.Item_, 1.0);
 }
--- a/hawthornroad/traffic/TrafficZones.cpp
+++ b/hawthornroad/traffic/TrafficZones.cpp
@@ -51,16 +51,14 @@
   if (!LimitsRegions_)
     return false;
   const RegionScope &Own = scopeOf(R);
-  std::vector<FairQueue::Item> Waiting =
-      ServiceQueues_[R.Service_].Queue_.items();
-  return std::all_of(Waiting.begin(), Waiting.end(),
-                     [&](const FairQueue::Item &Each) {
-                       auto Found = Calls_.find(Each.Id_.Lo_);
-                       if (Found == Calls_.end())
-                         return true;
-                       const RegionScope &Other = scopeOf(*Found->second);
-                       return Other.isLimited() && Other != Own;
-                     });
+  return ServiceQueues_[R.Service_].Queue_.allOf(
+      [&](const FairQueue::Item &Each) {
+        auto Found = Calls_.find(Each.Id_.Lo_);
+        if (Found == Calls_.end())
+          return true;
+        const RegionScope &Other = scopeOf(*Found->second);
+        return Other.isLimited() && Other != Own;
+      });
 }
 
 void TrafficCore::evacuateZones(const std::set<AvailabilityZone> &Zones,
--- a/tests/unit/FairQueueTest.cpp
+++ b/tests/unit/FairQueueTest.cpp
@@ -150,3 +150,24 @@
     Rest.push_back(Item->Id_.Lo_);
   CHECK(Rest == std::vector<std::uint64_t>{4, 1, 5, 3});
 }
+
+// Guards against requests that are overtaken by later ones of their customer:
+// a later one that can be served elsewhere finds no place there either, and
+// returned to the front of the queue.
+TEST_CASE_METHOD(FairQueueFixture,
+                 "fair queue, given back a request that was not its customer's "
+                 "first, keeps the order of arrival",
+                 "[fairqueue]") {
+  push(Large, 1, 4);
+  auto First = Q_.pop();
+  auto Third =
+      Q_.popIf([](const FairQueue::Item &I) { return I.Id_.Lo_ == 3; });
+  REQUIRE(First);
+  REQUIRE(Third);
+  Q_.unpop(*Third, 1);
+  Q_.unpop(*First, 1);
+  std::vector<std::uint64_t> Order;
+  while (auto Item = Q_.pop())
+    Order.push_back(Item->Id_.Lo_);
+  CHECK(Order == std::vector<std::uint64_t>{1, 2, 3, 4});
+}
