--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -138,9 +138,10 @@
 }
 
 bool TrafficCore::mustYield(const Record &R, TimePoint Now) const {
+  if (!R.IsPrioritized_ || R.IsOwed_ || R.IsStreaming_ || R.MayHaveRun_)
+    return false;
   auto Found = ServiceQueues_.find(R.Service_);
-  return R.IsPrioritized_ && !R.IsOwed_ && !R.IsStreaming_ && !R.MayHaveRun_ &&
-         Found != ServiceQueues_.end() &&
+  return Found != ServiceQueues_.end() &&
          Found->second.RankOverload_.moreUrgentRefused(R.Rank_, Now);
 }
 
