Versions: agents state superseded versions too

By reading: an agent stated only the version that it was bringing to its engine and the next one, so with a newer version wanted it no longer said when it had heard of the superseded one. Agents keep the last eight versions with their times (staging/HeardVersions).

Test: tests/unit/HeardVersionsTest.cpp.

--- a/hawthornroad/agent/AgentEngine.cpp
+++ b/hawthornroad/agent/AgentEngine.cpp
@@ -85,13 +85,11 @@
 StoreAgent::State::withDetails(wire::EngineNoticeT Notice) const {
   TimePoint Now = bootNow();
   Notice.entries = static_cast<std::uint32_t>(Watchers_.size());
-  for (const auto &P : {Current_, Next_}) {
-    if (!P)
-      continue;
+  for (const HeardVersions::Entry &Each : Heard_.all()) {
     auto Heard = std::make_unique<wire::HeardVersionT>();
-    Heard->model = P->Version_.Model_;
-    Heard->version = P->Version_.Version_;
-    Heard->age_us = ageInMicroseconds(P->HeardAt_, Now);
+    Heard->model = Each.Version_.Model_;
+    Heard->version = Each.Version_.Version_;
+    Heard->age_us = ageInMicroseconds(Each.At_, Now);
     Notice.heard.push_back(std::move(Heard));
   }
   return Notice;
--- a/hawthornroad/agent/AgentVersions.cpp
+++ b/hawthornroad/agent/AgentVersions.cpp
@@ -143,6 +143,7 @@
   auto P = std::make_shared<VersionUpdate>();
   P->Version_ = V;
   P->HeardAt_ = Now;
+  Heard_.note(V, Now);
   Log_.write(LogLine("version_wanted")
                  .text("model", V.Model_)
                  .count("version", V.Version_),
--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -22,6 +22,7 @@
 #include "hawthornroad/runtime/BootClock.h"
 #include "hawthornroad/runtime/Io.h"
 #include "hawthornroad/runtime/Metrics.h"
+#include "hawthornroad/staging/HeardVersions.h"
 #include "hawthornroad/staging/LoadSchedule.h"
 #include "hawthornroad/staging/PlaceGrants.h"
 #include "hawthornroad/staging/PriorityGate.h"
@@ -238,6 +239,7 @@
   // The newest version that other processes have reported; the store is read at
   // once if it has not shown that version yet.
   WeightVersion HeardVersion_ = 0;
+  HeardVersions Heard_;
   // Entries that subscribed to engine notices, by process.
   struct Watcher {
     ConnectionId Connection_ = 0;
