Event log's test: no refill of the allowance while it counts dropped lines

Important lines may have 200 kB a second, so where the writer has taken the buffer, a pause of the test's thread of some milliseconds makes room for one more line. The checks are the same.

--- a/tests/unit/EventLogTest.cpp
+++ b/tests/unit/EventLogTest.cpp
@@ -254,7 +254,10 @@
   Pipe P;
   std::string Received;
   {
-    EventLog Log({.Process_ = "p", .Descriptor_ = P.Write_});
+    // Without a refill, or a pause of this thread makes room for a line.
+    EventLog Log({.Process_ = "p",
+                  .Descriptor_ = P.Write_,
+                  .ImportantBytesPerSecond_ = 0});
     std::string Detail(1000, 'x');
     for (int N = 0; N < 5000; ++N)
       Log.write(LogLine("answer_cut").text("detail", Detail), true);
