--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -159,6 +159,9 @@
         text = base64.b64encode(json.dumps(value).encode()).decode()
         self.apply([{"table": table, "key": key, "value": text}])
 
+    def remove(self, table, key):
+        self.apply([], [{"table": table, "key": key}])
+
     def meta(self):
         return {"ver": self.version, "now_ms": int(time.monotonic() * 1000)}
 
@@ -252,15 +255,20 @@
         self.running = 0
         self.beats = 0
         self.runs = []
+        self.calls = {}
+        self.writers = set()
+        self.is_dead = False
 
     def beat(self):
+        if self.is_dead:
+            return
         self.beats += 1
+        models = [{"name": MODEL, "version": self.version, "adapters": []}]
         self.store.put("servers", self.name, {
             "service": self.service, "address": self.address,
             "zone": self.zone, "version": "v1", "slots": 16, "state": "ready",
             "cold_remaining_ms": 0, "stage": "both", "seq": self.beats,
-            "models": [{"name": MODEL, "version": self.version,
-                        "adapters": []}]})
+            "models": models if self.version else []})
 
     def check_staged(self, version, accepted):
         """The layers that this order takes from a piece that is bad."""
@@ -282,6 +290,32 @@
         self.record.write("%s: version %d is loaded" % (self.name, version))
         self.beat()
 
+    def rot(self, number):
+        data = bytearray(self.staged[number])
+        data[100] ^= 1
+        self.staged[number] = bytes(data)
+        self.turned_bad[number] = time.monotonic()
+        self.record.write("%s: staged piece %d turns bad" % (self.name, number))
+
+    def crash(self):
+        """Ends; a later start holds no layers, but what was staged."""
+        self.record.write("%s: crashes" % self.name)
+        self.is_dead = True
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def restart(self):
+        self.name += "x"
+        self.version = 0
+        self.spoilt = set()
+        self.busy = False
+        self.seq = self.beats = self.running = 0
+        await self.start()
+        self.is_dead = False
+        self.record.write("%s: starts, holds no layers" % self.name)
+        self.beat()
+
     def order(self, request):
         call = json.loads(request.body)
         if "expected" in call and call["expected"] != self.seq:
@@ -304,6 +338,8 @@
         expected = request.headers.get("x-hawthornroad-expect-instance")
         if expected not in (None, self.name):
             return answer(421, b"", [("X-Hawthornroad-Instance-Id", self.name)])
+        if self.version == 0:
+            return answer(421, b"", [("X-Hawthornroad-Instance-Id", self.name)])
         if self.busy:
             return answer(503, b"", [("X-Hawthornroad-Not-Executed", "1"),
                                      ("X-Hawthornroad-Request-Id", sent)])
@@ -334,11 +370,15 @@
         return None
 
     async def handle(self, request, writer):
+        self.writers.add(writer)
+        if self.is_dead:
+            raise ConnectionResetError
+        self.calls[request.path] = self.calls.get(request.path, 0) + 1
         if request.path == "/-/report":
             return answer(200, {
                 "stage": "both", "busy": self.busy, "seq": self.seq,
                 "models": [{"name": MODEL, "version": self.version,
-                            "adapters": []}],
+                            "adapters": []}] if self.version else [],
                 "queued": 0, "running": self.running, "kv_used": 0,
                 "kv_total": 1640000, "handles": 0})
         if request.path == "/-/order":
