--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -228,7 +228,8 @@
         .number("unread", R.EndpointView_.Unread_)
         .count("own", R.EndpointView_.Own_)
         .count("places", R.EndpointView_.Places_)
-        .count("version", R.EndpointView_.Version_);
+        .count("version", R.EndpointView_.Version_)
+        .flag("repeat", R.IsRepeat_);
     if (R.EndpointView_.ReportAge_)
       L.millis("load_age_ms", *R.EndpointView_.ReportAge_);
     if (R.EndpointView_.Slowdown_)
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -384,8 +384,11 @@
   O.Urgency_ = engineUrgency(R.IsStreaming_, R.Rank_);
   O.LastEvent_ = R.Relay_ ? R.Relay_->lastEvent() : R.Call_.LastEvent_;
   const Attempt &T = R.Current_;
-  Port_.report(AttemptReport{R.Number_, R.Call_.Id_, T.At_, T.Address_, "begun",
-                             "", false, T.Ordinal_, T.EndpointView_});
+  AttemptReport Begun{R.Number_,  R.Call_.Id_, T.At_,
+                      T.Address_, "begun",     "",
+                      false,      T.Ordinal_,  T.EndpointView_};
+  Begun.IsRepeat_ = T.TookRepeat_;
+  Port_.report(Begun);
   Port_.beginAttempt(T.Number_, R.Call_, O);
   return true;
 }
--- a/hawthornroad/traffic/TrafficAttempts.cpp
+++ b/hawthornroad/traffic/TrafficAttempts.cpp
@@ -40,7 +40,7 @@
   Port_.report(AttemptReport{R.Number_, R.Call_.Id_, T.At_, T.Address_, What,
                              Why, MayHaveRun, T.Ordinal_, T.EndpointView_,
                              Now - T.BegunAt_, Now - T.LastReceivedAt_,
-                             R.Call_.Parts_});
+                             R.Call_.Parts_, T.TookRepeat_});
 }
 
 // Which of the attempts counts as the first is decided by their arrivals, so
--- a/hawthornroad/traffic/TrafficPort.h
+++ b/hawthornroad/traffic/TrafficPort.h
@@ -100,6 +100,8 @@
   Duration SilentFor_ = Duration::zero();
   // Parts of the request's prompt that others may share.
   std::vector<PromptPart> Parts_ = {};
+  // It was charged to the repeat budget.
+  bool IsRepeat_ = false;
 };
 
 // This process ends an answer that its caller has received in part.
