--- a/tests/unit/RepeatArrivalsTest.cpp
+++ b/tests/unit/RepeatArrivalsTest.cpp
@@ -276,3 +276,21 @@
   F.run(FirstTrouble + Seconds(25) - Start);
   CHECK(F.excess() <= 0);
 }
+
+// Guards against entries that were paused and repeat for all requests of the
+// pause at once, beside those of the window that begins then.
+TEST_CASE("fleet of entries, all of which are frozen while answers are lost, "
+          "keeps the repeats that arrive within the budget",
+          "[repeats]") {
+  auto Size = GENERATE(from_range(std::begin(Loaded), std::end(Loaded)));
+  auto Frozen = GENERATE(Seconds(2), Seconds(4), Seconds(8));
+  CAPTURE(Size.Entries_, Size.Load_, Frozen.count());
+  RepeatFleet::Options O = calmUntilTrouble(Size);
+  O.ServiceTime_ = Milliseconds(1);
+  O.ReadTime_ = Milliseconds(1);
+  RepeatFleet F(O);
+  for (unsigned I = 0; I < Size.Entries_; ++I)
+    F.freeze(I, FirstTrouble + Seconds(1), FirstTrouble + Seconds(1) + Frozen);
+  F.run(FirstTrouble + Seconds(20) - Start);
+  CHECK(F.excess() <= 0);
+}
--- a/tests/unit/RepeatFleet.cpp
+++ b/tests/unit/RepeatFleet.cpp
@@ -38,6 +38,8 @@
   CallNumber NextCall_ = 1;
   CallNumber NextArrival_ = 1;
   std::map<AttemptNumber, EndpointId> Open_;
+  // When it can read its next request.
+  TimePoint ReadsAt_ = TimePoint::min();
 
   Entry(RepeatFleet &F, unsigned Index) : Fleet_(F), Index_(Index) {}
 
@@ -161,7 +163,9 @@
 
 void RepeatFleet::arriveAtEntry(Entry &E, Call C) {
   afterFor(E, Duration::zero(), [this, &E, C = std::move(C)] {
-    E.Core_->arrive(E.NextArrival_++, C, Now_);
+    E.ReadsAt_ = std::max(Now_, E.ReadsAt_ + Options_.ReadTime_);
+    after(E.ReadsAt_ - Now_,
+          [this, &E, C] { E.Core_->arrive(E.NextArrival_++, C, Now_); });
   });
 }
 
--- a/tests/unit/RepeatFleet.h
+++ b/tests/unit/RepeatFleet.h
@@ -38,6 +38,9 @@
     TimePoint LostFrom_ = TimePoint::min();
     // From an arrival at an endpoint to its answer.
     Duration ServiceTime_ = Milliseconds(60);
+    // How long an entry takes to read one request. What has come while it was
+    // frozen is read at this pace, and answers in between.
+    Duration ReadTime_ = Duration::zero();
     // The operators' limit.
     double Ratio_ = 0.2;
     double Slack_ = 106;
