Repeat budget: requests of a pause earn no repeats when they are read after it

Callers saw more failures turned into load than the operators allow: entries that were paused while answers were lost repeated for the requests of the whole pause at once, beside those of the window that began then.

Cause: the budget counts a request when it is read, the limit when it was sent. The cap on saved tokens bounds a backlog that is read at one instant, not one that is read while answers come back.

For as long as the pause took, a service earns no more than its usual rate; what is read beyond it counts for the time of the pause, when the limit counted it.

--- a/hawthornroad/traffic/RepeatBudget.cpp
+++ b/hawthornroad/traffic/RepeatBudget.cpp
@@ -81,8 +81,39 @@
   return A;
 }
 
+void RepeatBudget::noteRun(TimePoint Now) {
+  if (RanAt_ && Now - *RanAt_ > Options_.MinPause_)
+    beginCatchUp(*RanAt_, Now);
+  RanAt_ = Now;
+}
+
+void RepeatBudget::beginCatchUp(TimePoint PausedAt, TimePoint Now) {
+  CatchUp_ = {Now, std::min(Now - PausedAt, Options_.Window_)};
+  for (auto &[Service, A] : Accounts_) {
+    A.UsualRequests_ = sums(A, PausedAt).RecentRequests_;
+    A.EarnedAfterPause_ = 0;
+  }
+}
+
+bool RepeatBudget::isOfPause(const Account &A, TimePoint Now) const {
+  if (!CatchUp_.contains(Now))
+    return false;
+  using FloatDuration = std::chrono::duration<double>;
+  double Windows =
+      FloatDuration(Now - CatchUp_.From_) / FloatDuration(Options_.Window_);
+  return A.EarnedAfterPause_ + 1 > A.UsualRequests_ * Windows;
+}
+
 void RepeatBudget::noteRequest(const ServiceName &Service, TimePoint Now) {
+  // The first event after a pause may be a request.
+  if (RanAt_)
+    noteRun(Now);
   Account &A = updated(Service, Now);
+  if (isOfPause(A, Now)) {
+    ++slotAt(A, Now - CatchUp_.Length_).Requests_;
+    return;
+  }
+  ++A.EarnedAfterPause_;
   ++slotAt(A, Now).Requests_;
   A.Tokens_ += Options_.Ratio_ * Options_.Share_;
 }
--- a/hawthornroad/traffic/RepeatBudget.h
+++ b/hawthornroad/traffic/RepeatBudget.h
@@ -3,6 +3,7 @@
 //
 //   RepeatBudget B({.Ratio_ = 0.2, .Window_ = Seconds(10)});
 //   B.noteProcesses(9);                    // known from others
+//   B.noteRun(Now);                        // at each tick
 //   B.noteRequest(Service, Now);
 //   if (B.take(Service, Now)) sendAgain();
 //   B.settle(Service, 1, Now);   // it has arrived
@@ -49,6 +50,13 @@
 // most Share * Ratio repeats per request of the last Window, and the fixed
 // parts. This count is lost with the process.
 //
+// Pauses: the requests of a pause of this process are read together after it,
+// although they were sent before. If they earned tokens then, a pause of all
+// processes would add Ratio * Share * its requests to the sum above. So after a
+// pause, for as long as it took, a service earns no more tokens than its usual
+// rate of requests does; what is read beyond it counts for the time of the
+// pause. Pauses are known to a budget whose noteRun() is called at all times.
+//
 // Memory: Slots counters per service.
 
 #ifndef HAWTHORNROAD_TRAFFIC_REPEATBUDGET_H
@@ -78,6 +86,8 @@
     std::optional<double> Slack_;
     // Start of this process.
     TimePoint StartedAt_ = TimePoint::min();
+    // A longer time between two calls of noteRun() is a pause of this process.
+    Duration MinPause_ = Milliseconds(100);
   };
 
   explicit RepeatBudget(Options O) : Options_(O) {}
@@ -86,6 +96,8 @@
   void noteProcesses(unsigned Count) {
     Processes_ = std::max(Processes_, Count);
   }
+  // This process runs.
+  void noteRun(TimePoint Now);
   void noteRequest(const ServiceName &Service, TimePoint Now);
   // Whether one more repeat may be sent.
   bool permits(const ServiceName &Service, TimePoint Now);
@@ -145,6 +157,16 @@
     unsigned Abandoned_ = 0;
     double Tokens_ = 0;
     std::optional<TimePoint> UpdatedAt_;
+    // Before the last pause: requests in a Window. Since it: those that have
+    // earned tokens while CatchUp_ lasts.
+    unsigned UsualRequests_ = 0;
+    unsigned EarnedAfterPause_ = 0;
+  };
+  // The time after a pause in which its requests may be read.
+  struct CatchUp {
+    TimePoint From_;
+    Duration Length_ = Duration::zero();
+    bool contains(TimePoint T) const { return T - From_ < Length_; }
   };
 
   // Requests and repeats of the last Slots slots, and outstanding repeats.
@@ -169,6 +191,9 @@
   double tokens(const Account &A, TimePoint Now) const;
   // The account with its tokens at Now.
   Account &updated(const ServiceName &Service, TimePoint Now);
+  void beginCatchUp(TimePoint PausedAt, TimePoint Now);
+  // Whether a request that is read now is one of the pause.
+  bool isOfPause(const Account &A, TimePoint Now) const;
   // Count outstanding repeats have arrived.
   void addArrived(Account &A, unsigned Count, TimePoint Now);
 
@@ -177,6 +202,8 @@
 
   Options Options_;
   unsigned Processes_ = 0;
+  std::optional<TimePoint> RanAt_;
+  CatchUp CatchUp_;
   std::map<ServiceName, Account> Accounts_;
   std::map<ServiceName, Usage> Usage_;
 };
--- a/tests/unit/TrafficPartsTest.cpp
+++ b/tests/unit/TrafficPartsTest.cpp
@@ -122,6 +122,40 @@
   CHECK(Taken == 50);
 }
 
+// Guards against requests of a pause that earn repeats when they are read, and
+// against those sent after it that earn none.
+TEST_CASE("repeat budget, after a pause of its process, earns by the usual "
+          "rate of requests for as long, and by all of them after it",
+          "[traffic]") {
+  constexpr Duration Gap = Milliseconds(20);
+  constexpr Duration Paused = Seconds(4);
+  RepeatBudget B(
+      {.Ratio_ = 2, .Window_ = Seconds(10), .Share_ = 0.5, .AlwaysAllowed_ = 0});
+  TimePoint Now = Start;
+  auto SendAll = [&](TimePoint Until) {
+    int Taken = 0;
+    for (; Now < Until; Now += Gap) {
+      B.noteRun(Now);
+      B.noteRequest(S, Now);
+      for (; B.take(S, Now); ++Taken)
+        B.settle(S, 1, Now);
+    }
+    return Taken;
+  };
+  SendAll(Start + Seconds(20));
+  Now += Paused;
+  int TakenOfPause = 0;
+  for (int I = 0; I < Paused / Gap; ++I) {
+    B.noteRequest(S, Now);
+    for (; B.take(S, Now); ++TakenOfPause)
+      B.settle(S, 1, Now);
+  }
+  CHECK(TakenOfPause == 0);
+  int Usual = Paused / Gap;
+  CHECK(SendAll(Now + Paused) == Approx(Usual).margin(2));
+  CHECK(SendAll(Now + Paused) == Approx(Usual).margin(2));
+}
+
 // Guards against dropping running endpoints after a store outage, during which
 // they could not renew their entries; they are back soon after it.
 TEST_CASE("endpoint set, when most entries of a service lapse in a store "
