HTTP client: an interim answer is not the final one

Looked for with the operators' report of heads that were cut short: callers got a 200 with an empty body, framed as whole. ClientLink fails such a request at every byte, on new and kept connections, by an orderly end and by a reset (6,000 cuts). HttpClient, which the product's own agents call engines with, took the head of a 100 for the answer: a server that sent one and closed within the next head seemed to have answered whole, with an empty body (76 of 76 cuts before, none now). It reads on to the final head now, past at most 16.

--- a/hawthornroad/runtime/HttpClient.cpp
+++ b/hawthornroad/runtime/HttpClient.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <future>
+#include <optional>
 
 namespace hawthornroad {
 
@@ -21,6 +22,8 @@
 namespace {
 
 constexpr std::size_t ReadBuffer = 64 * 1024;
+constexpr unsigned FirstFinalStatus = 200;
+constexpr int MaxInterimAnswers = 16;
 
 http::request<http::string_body> makeMessage(const std::string &Address,
                                              HttpRequest R) {
@@ -154,17 +157,28 @@
   asio::awaitable<void> readResponse(bool HeadOnly) {
     boost::system::error_code Code;
     beast::flat_buffer Buffer;
-    http::response_parser<http::buffer_body> Parser;
-    Parser.body_limit(Options_.MaxBody_);
-    Parser.skip(HeadOnly);
-    Stream_.expires_after(Options_.IdleTimeout_);
-    co_await http::async_read_header(
-        Stream_, Buffer, Parser,
-        asio::redirect_error(asio::use_awaitable, Code));
-    if (Code || Cancelled_) {
-      fail(Step::Receive, Code.message());
-      co_return;
+    std::optional<http::response_parser<http::buffer_body>> FinalParser;
+    // Interim (1xx) answers precede the final one.
+    for (int Interim = 0;; ++Interim) {
+      auto &Next = FinalParser.emplace();
+      Next.body_limit(Options_.MaxBody_);
+      Next.skip(HeadOnly);
+      Stream_.expires_after(Options_.IdleTimeout_);
+      co_await http::async_read_header(
+          Stream_, Buffer, Next,
+          asio::redirect_error(asio::use_awaitable, Code));
+      if (Code || Cancelled_) {
+        fail(Step::Receive, Code.message());
+        co_return;
+      }
+      if (Next.get().result_int() >= FirstFinalStatus)
+        break;
+      if (Interim == MaxInterimAnswers) {
+        fail(Step::Receive, "too many interim answers");
+        co_return;
+      }
     }
+    auto &Parser = *FinalParser;
     HttpResponse Response;
     Response.Status_ = Parser.get().result_int();
     for (const auto &Field : Parser.get())
