Soak: rows of another writer that are deeply nested, hold too large numbers or ports; agents that end

Here the row's reader refuses each (unit tests had them already); the soak now writes them to the list that its entries and agents read, from another place for each seed, and fails when an agent ends by itself.

--- a/tests/soak/SoakOperators.cpp
+++ b/tests/soak/SoakOperators.cpp
@@ -47,16 +47,31 @@
           rowWith(Address, "cold_remaining_ms", R"("0")"),
           Sound.substr(0, Sound.size() - 1) + R"(,"models":"m"})",
           rowWith(Address, "address", ""),
-          rowWith(Address, "address", R"("127.0.0.1:0")")};
+          rowWith(Address, "address", R"("127.0.0.1:0")"),
+          Sound.substr(0, Sound.size() - 1) + R"(,"x":)" +
+              std::string(30'000, '['),
+          Sound.substr(0, Sound.size() - 1) + R"(,"x":)" +
+              std::string(10'000, '[') + std::string(10'000, ']') + "}",
+          rowWith(Address, "slots", "1e999"),
+          rowWith(Address, "slots", "18446744073709551616"),
+          Sound.substr(0, Sound.size() - 1) +
+              R"(,"models":[{"name":"m","version":1e400}]})",
+          rowWith(Address, "address", R"("127.0.0.1:65536")"),
+          rowWith(Address, "address", R"("127.0.0.1:-1")"),
+          rowWith(Address, "address", R"("127.0.0.1:99999999999999999999")")};
 }
 
+// More than are written in a run of 15 s.
+constexpr std::uint64_t RowsOfASeed = 9;
+
 std::string foreignKey(std::uint64_t Number) {
   return "foreign-" + std::to_string(Number);
 }
 } // namespace
 
-SoakOperators::SoakOperators(StoreStandIn &Store, SoakRecord &Record)
-    : Store_(Store), Record_(Record) {
+SoakOperators::SoakOperators(StoreStandIn &Store, SoakRecord &Record,
+                             std::uint64_t Seed)
+    : Store_(Store), Record_(Record), FirstForeignRow_(Seed * RowsOfASeed) {
   Trap_ = std::make_unique<HttpServer>(
       Io_, HttpServer::Limits{},
       [this](const HttpRequest &, const std::shared_ptr<HttpExchange> &X) {
@@ -72,7 +87,7 @@
   std::vector<std::string> Rows = foreignRows(TrapAddress_);
   ++ForeignRows_;
   Store_.put("servers", foreignKey(ForeignRows_),
-             Rows[ForeignRows_ % Rows.size()]);
+             Rows[(FirstForeignRow_ + ForeignRows_) % Rows.size()]);
 }
 
 void SoakOperators::removeForeignRow() {
--- a/tests/soak/SoakOperators.h
+++ b/tests/soak/SoakOperators.h
@@ -20,7 +20,7 @@
 
 class SoakOperators {
 public:
-  SoakOperators(StoreStandIn &Store, SoakRecord &Record);
+  SoakOperators(StoreStandIn &Store, SoakRecord &Record, std::uint64_t Seed);
   ~SoakOperators();
   SoakOperators(const SoakOperators &) = delete;
   SoakOperators &operator=(const SoakOperators &) = delete;
@@ -40,6 +40,8 @@
   StoreStandIn &Store_;
   SoakRecord &Record_;
   std::uint64_t ForeignRows_ = 0;
+  // Differs from seed to seed, since a run has time for few of them.
+  std::uint64_t FirstForeignRow_ = 0;
   std::atomic<int> Trapped_{0};
   IoThread Io_{"trap", 64};
   std::unique_ptr<HttpServer> Trap_;
--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -30,7 +30,7 @@
                                      .Slack_ = Options_.Layout_.RepeatSlack_},
                         .LimitsCold_ = !isStrain()}),
       Layout_(Options_.Layout_, Record_, Folder_),
-      Operators_(Layout_.store(), Record_),
+      Operators_(Layout_.store(), Record_, Options_.Layout_.Seed_),
       Callers_(
           {.Seed_ = Options_.Layout_.Seed_,
            .Callers_ = Options_.CallersPerEntry_ * Layout_.entries().size(),
@@ -282,6 +282,7 @@
   Load_.stop();
   std::this_thread::sleep_for(RunSlack);
   checkWeights();
+  checkAgents();
   if (Operators_.trapped() > 0)
     Checks_.violation(std::to_string(Operators_.trapped()) +
                       " requests at an address that only rows of another "
@@ -332,6 +333,13 @@
                     " s after all faults");
 }
 
+void SoakWorld::checkAgents() {
+  for (const SoakLayout::Agent &Each : Layout_.agents())
+    if (!Each.Process_->running())
+      Checks_.violation("the agent of " + Each.Engine_->id() +
+                        " has ended by itself");
+}
+
 void SoakWorld::checkWeights() {
   for (const SoakLayout::Agent &Each : Layout_.agents())
     if (!Each.Engine_->wasAlwaysWhole())
--- a/tests/soak/SoakWorld.h
+++ b/tests/soak/SoakWorld.h
@@ -66,6 +66,7 @@
   void checkRecovery();
   void checkRecovery(std::size_t Entry, TimePoint Since);
   void checkWeights();
+  void checkAgents();
 
   Options Options_;
   TemporaryFolder Folder_;
