Agent: a bad staged piece is fetched again once the copies are freed

Cause: 'the transfer is complete' was read as 'I hold its pieces', and a failed verification was repeated at once. The class: a state that says it holds what it no longer holds, and a step that repeats without progress or pause.

StagedCheck says what a verification shows and what is done: staged again from the copies if these are all there, read again where the engine did not answer, or only what is wrong is fetched again, from peers, then the origin. Further failures are spaced by 0.1 s, doubled up to 4 s. Log (pieces_verified: spoilt, repair) and hawthornroad_staged_pieces_spoilt_total tell an operator.

--- a/hawthornroad/agent/AgentEngine.cpp
+++ b/hawthornroad/agent/AgentEngine.cpp
@@ -292,32 +292,66 @@
   std::vector<ChunkIndex> All;
   for (ChunkIndex I = 0; I < P->Transfer_->digests().size(); ++I)
     All.push_back(I);
-  StagedPieceWriter::run(
-      Engine_, P->Version_.Model_, P->Transfer_->pieces(),
-      [this, P, All](bool) {
-        StagedPieceReader::run(
-            Engine_, P->Version_.Model_, All, P->Transfer_->digests(),
-            [this, P](const StagedPieceReader::Result &Matching) {
-              onVerified(P, Matching);
-            });
-      });
+  StagedPieceWriter::run(Engine_, P->Version_.Model_, P->Transfer_->pieces(),
+                         [this, P, All](bool) {
+                           StagedPieceReader::run(
+                               Engine_, P->Version_.Model_, All,
+                               P->Transfer_->digests(),
+                               [this, P](StagedPieceReader::Result R) {
+                                 onVerified(P, std::move(R));
+                               });
+                         });
 }
 
 void StoreAgent::State::onVerified(const std::shared_ptr<VersionUpdate> &P,
-                                   const StagedPieceReader::Result &Matching) {
-  std::size_t Pieces = P->Transfer_->digests().size();
-  bool IsIntact = Matching.size() == Pieces && Current_ == P;
-  Log_.write(LogLine("pieces_verified")
-                 .count("version", P->Version_.Version_)
-                 .count("right", Matching.size())
-                 .count("pieces", Pieces));
-  Updater_.onVerified(IsIntact, bootNow());
-  // The copy in memory is correct: the next attempt stages all of it again.
-  if (!IsIntact && Current_ == P)
-    Updater_.setStaged(true);
+                                   StagedPieceReader::Result R) {
+  StagedCheck C{.Pieces_ = P->Transfer_->digests().size(),
+                .Right_ = R.Matching_.size(),
+                .Unread_ = R.Unread_,
+                .HoldsCopy_ = P->Transfer_->holdsCopy()};
+  reportVerified(P->Version_, C);
+  if (Current_ != P) {
+    Updater_.onVerifyAbandoned();
+    return step(bootNow());
+  }
+  Updater_.onVerified(C, bootNow());
+  if (C.repair() == PieceRepair::FetchMissing)
+    fetchAgain(P, std::move(R.Matching_));
   step(bootNow());
 }
 
+void StoreAgent::State::reportVerified(const ModelVersion &V,
+                                       const StagedCheck &C) {
+  std::string Repair(toString(C.repair()));
+  bool IsIntact = C.repair() == PieceRepair::None;
+  Log_.write(LogLine("pieces_verified")
+                 .count("version", V.Version_)
+                 .count("right", C.Right_)
+                 .count("pieces", C.Pieces_)
+                 .count("spoilt", C.spoilt())
+                 .count("unread", C.Unread_)
+                 .text("repair", Repair),
+             !IsIntact);
+  if (IsIntact)
+    return;
+  Metrics_.count("hawthornroad_staged_pieces_spoilt_total", {},
+                 static_cast<double>(C.spoilt()));
+  Metrics_.count("hawthornroad_staged_pieces_repairs_total",
+                 {{"repair", Repair}});
+}
+
+void StoreAgent::State::fetchAgain(const std::shared_ptr<VersionUpdate> &P,
+                                   std::map<ChunkIndex, std::string> Held) {
+  platform::PieceDigests D;
+  D.Digests_ = P->Transfer_->digests();
+  D.PieceBytes_ = P->Transfer_->pieceBytes();
+  // Frames of a version are for one transfer, and the new one serves it too.
+  if (Offer_ == P->Transfer_)
+    Offer_.reset();
+  LoadedAt_.reset();
+  beginTransfer(P, D, std::move(Held));
+}
+
 void StoreAgent::State::orderLoad() {
   auto P = Current_;
   const EngineReport Last = *Updater_.state();
--- a/hawthornroad/agent/AgentPieces.cpp
+++ b/hawthornroad/agent/AgentPieces.cpp
@@ -21,12 +21,12 @@
                  StagedPieceReader::run(
                      Engine_, P->Version_.Model_, First, D.Digests_,
                      [this, P, D, Held](const StagedPieceReader::Result &One) {
-                       if (One.empty())
+                       if (One.Matching_.empty())
                          return beginTransfer(P, D, {});
                        StagedPieceReader::run(
                            Engine_, P->Version_.Model_, Held, D.Digests_,
-                           [this, P, D](StagedPieceReader::Result Matching) {
-                             beginTransfer(P, D, std::move(Matching));
+                           [this, P, D](StagedPieceReader::Result R) {
+                             beginTransfer(P, D, std::move(R.Matching_));
                            });
                      });
                });
--- a/hawthornroad/agent/PieceTransfer.h
+++ b/hawthornroad/agent/PieceTransfer.h
@@ -101,7 +101,12 @@
   // False while another version has precedence at the origin.
   void setReadsOrigin(bool Reads) { ReadsOrigin_ = Reads; }
   void forgetPieces() { Pieces_.clear(); }
+  // The pieces in memory, and whether these are all.
   const std::map<ChunkIndex, std::string> &pieces() const { return Pieces_; }
+  bool holdsCopy() const {
+    return !Digests_.empty() && Pieces_.size() == Digests_.size();
+  }
+  std::size_t pieceBytes() const { return Setup_.PieceBytes_; }
   const std::vector<std::string> &digests() const { return Digests_; }
 
   bool isComplete() const { return Swarm_ && Swarm_->isDone(); }
--- a/hawthornroad/agent/StagedPieces.cpp
+++ b/hawthornroad/agent/StagedPieces.cpp
@@ -21,7 +21,7 @@
 
 void StagedPieceReader::next() {
   if (NextIndex_ >= Pieces_.size())
-    return std::exchange(Done_, nullptr)(std::move(Matching_));
+    return std::exchange(Done_, nullptr)(std::move(Result_));
   ChunkIndex Index = Pieces_[NextIndex_++];
   Engine_.call(platform::stagedReadCall(Model_, Index), EngineTimeout,
                [Self = shared_from_this(), Index](const HttpCalls::Result &R) {
@@ -32,7 +32,8 @@
                      sha256(Answer->Body_).substr(DigestPrefixLength) ==
                          Self->Digests_[Index];
                  if (Matching)
-                   Self->Matching_[Index] = Answer->Body_;
+                   Self->Result_.Matching_[Index] = Answer->Body_;
+                 Self->Result_.Unread_ += Answer == nullptr ? 1 : 0;
                  Self->next();
                });
 }
--- a/hawthornroad/agent/StagedPieces.h
+++ b/hawthornroad/agent/StagedPieces.h
@@ -28,8 +28,12 @@
 class StagedPieceReader
     : public std::enable_shared_from_this<StagedPieceReader> {
 public:
-  // Contents of the pieces that match their digests.
-  using Result = std::map<ChunkIndex, std::string>;
+  struct Result {
+    // Contents of the pieces that match their digests.
+    std::map<ChunkIndex, std::string> Matching_;
+    // Pieces for which the engine did not answer.
+    std::size_t Unread_ = 0;
+  };
   using Done = std::function<void(Result)>;
 
   static void run(HttpCalls &Engine, const std::string &Model,
@@ -50,7 +54,7 @@
   std::vector<std::string> Digests_;
   Done Done_;
   std::size_t NextIndex_ = 0;
-  Result Matching_;
+  Result Result_;
 };
 
 class StagedPieceWriter
--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -143,7 +143,11 @@
   // Stages the pieces at the engine and reads them back.
   void stageAndVerify();
   void onVerified(const std::shared_ptr<VersionUpdate> &P,
-                  const StagedPieceReader::Result &Matching);
+                  StagedPieceReader::Result R);
+  void reportVerified(const ModelVersion &V, const StagedCheck &C);
+  // Fetches the pieces that are not among Held again.
+  void fetchAgain(const std::shared_ptr<VersionUpdate> &P,
+                  std::map<ChunkIndex, std::string> Held);
   void orderLoad();
   void listPeers(TimePoint Now);
   void onPeers(const StoreRows &Rows);
--- a/hawthornroad/staging/EngineUpdater.cpp
+++ b/hawthornroad/staging/EngineUpdater.cpp
@@ -1,5 +1,7 @@
 #include "hawthornroad/staging/EngineUpdater.h"
 
+#include <algorithm>
+
 namespace hawthornroad {
 
 std::string_view toString(EngineStep S) {
@@ -26,6 +28,8 @@
   Wanted_ = std::move(V);
   Staged_ = false;
   VerifiedAt_.reset();
+  FailedVerifications_ = 0;
+  VerifyNotBefore_ = TimePoint();
   ClosedAt_.reset();
   ObsoleteAt_ = TimePoint::max();
   ForecastFailed_ = false;
@@ -58,12 +62,30 @@
     VerifiedAt_.reset();
 }
 
-void EngineUpdater::onVerified(bool AllMatch, TimePoint Now) {
+void EngineUpdater::onVerified(const StagedCheck &C, TimePoint Now) {
   Verifying_ = false;
-  if (AllMatch)
+  PieceRepair Repair = C.repair();
+  if (Repair == PieceRepair::None) {
     VerifiedAt_ = Now;
-  else
+    FailedVerifications_ = 0;
+    return;
+  }
+  VerifiedAt_.reset();
+  if (Repair == PieceRepair::FetchMissing)
     setStaged(false);
+  ++FailedVerifications_;
+  VerifyNotBefore_ = Now + verifyRetryDelay();
+}
+
+Duration EngineUpdater::verifyRetryDelay() const {
+  constexpr unsigned RetriesAtOnce = 1;
+  constexpr unsigned MaxDoublings = 8;
+  if (FailedVerifications_ <= RetriesAtOnce)
+    return Duration::zero();
+  unsigned Doublings =
+      std::min(FailedVerifications_ - RetriesAtOnce - 1, MaxDoublings);
+  return std::min<Duration>(Options_.VerifyRetryDelay_ * (1 << Doublings),
+                            Options_.MaxVerifyRetryDelay_);
 }
 
 void EngineUpdater::onOrderAnswered(OrderResult E, TimePoint Now) {
@@ -130,7 +152,7 @@
   bool IsVerified =
       VerifiedAt_ && Now - *VerifiedAt_ <= Options_.VerificationLifetime_;
   if (Left <= Options_.VerifyTime_ && !IsVerified)
-    return EngineStep::Verify;
+    return Now >= VerifyNotBefore_ ? EngineStep::Verify : EngineStep::Nothing;
   return Left <= Duration::zero() ? EngineStep::Order : EngineStep::Nothing;
 }
 
--- a/hawthornroad/staging/EngineUpdater.h
+++ b/hawthornroad/staging/EngineUpdater.h
@@ -21,6 +21,7 @@
 #ifndef HAWTHORNROAD_STAGING_ENGINEUPDATER_H
 #define HAWTHORNROAD_STAGING_ENGINEUPDATER_H
 
+#include "hawthornroad/staging/StagedCheck.h"
 #include "hawthornroad/traffic/Endpoint.h"
 
 #include <cstdint>
@@ -84,6 +85,10 @@
     Duration MaxCloseOverrun_ = Milliseconds(700);
     // Time that reading back all pieces takes.
     Duration VerifyTime_ = Milliseconds(150);
+    // Before the third verification in a row that finds pieces wrong; doubled
+    // for each further one.
+    Duration VerifyRetryDelay_ = Milliseconds(100);
+    Duration MaxVerifyRetryDelay_ = Seconds(4);
   };
   enum class OrderResult {
     Begun,   // accepted
@@ -103,9 +108,11 @@
   void onReportFailed(TimePoint Now);
   // Whether all pieces of the wanted version are staged at the engine.
   void setStaged(bool IsStaged);
-  // All pieces were read back; AllMatch: all matched their digests.
-  void onVerified(bool AllMatch, TimePoint Now);
   void onVerifyStarted() { Verifying_ = true; }
+  // The staged pieces were read back.
+  void onVerified(const StagedCheck &C, TimePoint Now);
+  // Another version was wanted before its pieces were read back.
+  void onVerifyAbandoned() { Verifying_ = false; }
   void onOrderSent() { Ordering_ = true; }
   // The entries were told that the engine closes.
   void onClosed(TimePoint Now) { ClosedAt_ = Now; }
@@ -139,12 +146,17 @@
   const std::optional<EngineReport> &state() const { return State_; }
 
 private:
+  Duration verifyRetryDelay() const;
+
   Options Options_;
   std::optional<ModelVersion> Wanted_;
   std::optional<EngineReport> State_;
   TimePoint ReportedAt_{};
   TimePoint OrderNotBefore_{};
   std::optional<TimePoint> VerifiedAt_;
+  // Verifications in a row that found pieces wrong.
+  unsigned FailedVerifications_ = 0;
+  TimePoint VerifyNotBefore_{};
   std::optional<TimePoint> ClosedAt_;
   TimePoint ObsoleteAt_ = TimePoint::max();
   // The engine was closed for pieces that did not arrive. The forecast cannot
--- a/tests/integration/StoreAgentTest.cpp
+++ b/tests/integration/StoreAgentTest.cpp
@@ -67,6 +67,16 @@
   void corruptOrigin(int Count) { CorruptOrigin_ = Count; }
   void loseOrderAnswers(int Count) { LoseOrderAnswers_ = Count; }
   void corruptStagedOnce() { CorruptStaged_ = true; }
+  // A staged piece turns bad where it lies.
+  void corruptStaged(int Index) {
+    std::lock_guard Lock(Mutex_);
+    Staged_[Index] = "rotten";
+  }
+  // Staged pieces that were read back.
+  int stagedReads() {
+    std::lock_guard Lock(Mutex_);
+    return StagedReads_;
+  }
   // The engine restarts: it holds no weights and has counted no orders.
   void restart() {
     std::lock_guard Lock(Mutex_);
@@ -136,6 +146,7 @@
       return X->respond(jsonResponse(
           200, json::serialize(json::object{{"held", std::move(Held)}})));
     }
+    ++StagedReads_;
     auto Found = Staged_.find(Index);
     if (Found == Staged_.end())
       return X->respond({.Status_ = 404});
@@ -162,6 +173,7 @@
   int Loaded_ = 0;
   int Orders_ = 0;
   int PieceReads_ = 0;
+  int StagedReads_ = 0;
   bool AlwaysComplete_ = true;
   std::atomic<int> CorruptOrigin_{0};
   std::atomic<int> LoseOrderAnswers_{0};
@@ -283,6 +295,25 @@
   REQUIRE(Engine_.pieceReads() == Reads);
 }
 
+// Guards against an agent that has freed its copy of the pieces, takes them for
+// staged, and reads them back for ever without replacing the bad one.
+TEST_CASE_METHOD(AgentFixture,
+                 "store agent, whose engine restarts with a bad staged piece "
+                 "after the copies were freed, fetches that piece alone",
+                 "[store-agent]") {
+  start();
+  awaitLoaded(1);
+  // Copies are kept for 5 s after a load.
+  std::this_thread::sleep_for(Milliseconds(5500));
+  int Reads = Engine_.pieceReads();
+  int StagedReads = Engine_.stagedReads();
+  Engine_.corruptStaged(3);
+  Engine_.restart();
+  awaitLoaded(1);
+  REQUIRE(Engine_.pieceReads() == Reads + 1);
+  REQUIRE(Engine_.stagedReads() <= StagedReads + 4 * Pieces);
+}
+
 TEST_CASE_METHOD(AgentFixture,
                  "store agent, when it restarts itself, uses the staged "
                  "pieces after checking them",
--- a/tests/unit/StagingTest.cpp
+++ b/tests/unit/StagingTest.cpp
@@ -13,6 +13,8 @@
 namespace {
 constexpr TimePoint Start{Seconds(1000)};
 constexpr TimePoint Never = TimePoint::max();
+constexpr StagedCheck Whole{.Pieces_ = 4, .Right_ = 4};
+constexpr StagedCheck Spoilt{.Pieces_ = 4, .Right_ = 3};
 
 EngineUpdater::Options options() {
   EngineUpdater::Options O;
@@ -53,7 +55,7 @@
   REQUIRE(F.next(Never) == EngineStep::Verify);
   F.D_.onVerifyStarted();
   REQUIRE(F.next(Never) == EngineStep::Nothing);
-  F.D_.onVerified(true, F.Now_);
+  F.D_.onVerified(Whole, F.Now_);
   REQUIRE(F.next(Never) == EngineStep::Order);
   F.D_.onOrderSent();
   F.D_.onOrderAnswered(EngineUpdater::OrderResult::Begun, F.Now_);
@@ -129,7 +131,7 @@
   F.D_.setWanted({"m", 2});
   F.D_.setStaged(true);
   F.report(F.state(0));
-  F.D_.onVerified(true, F.Now_);
+  F.D_.onVerified(Whole, F.Now_);
   F.D_.onOrderSent();
   F.D_.onOrderAnswered(EngineUpdater::OrderResult::Begun, F.Now_);
   EngineReport Restarted = F.state(0);
@@ -167,7 +169,7 @@
   REQUIRE(F.next(Never) == EngineStep::Fetch);
   F.D_.setStaged(true);
   REQUIRE(F.next(Never) == EngineStep::Verify);
-  F.D_.onVerified(true, F.Now_);
+  F.D_.onVerified(Whole, F.Now_);
   REQUIRE(F.next(Never) == EngineStep::Order);
   SECTION("a later version has a bound of its own") {
     F.D_.setWanted({"m", 3});
@@ -185,7 +187,7 @@
   F.D_.setWanted({"m", 2});
   F.D_.setStaged(true);
   F.report(F.state(0));
-  F.D_.onVerified(true, F.Now_);
+  F.D_.onVerified(Whole, F.Now_);
   REQUIRE(F.next() == EngineStep::Order);
   F.D_.onOrderSent();
   F.D_.onOrderAnswered(EngineUpdater::OrderResult::Unknown, F.Now_);
@@ -205,11 +207,11 @@
   F.D_.setStaged(true);
   F.report(F.state(0));
   F.D_.onVerifyStarted();
-  F.D_.onVerified(false, F.Now_);
+  F.D_.onVerified(Spoilt, F.Now_);
   REQUIRE(F.next() == EngineStep::Fetch);
   // A verification that is half a second old is repeated.
   F.D_.setStaged(true);
-  F.D_.onVerified(true, F.Now_);
+  F.D_.onVerified(Whole, F.Now_);
   F.Now_ += Milliseconds(500);
   F.report(F.state(0));
   REQUIRE(F.next() == EngineStep::Verify);
