--- a/hawthornroad/runtime/HttpClient.cpp
+++ b/hawthornroad/runtime/HttpClient.cpp
@@ -154,30 +154,37 @@
     co_await readResponse(HeadOnly);
   }
 
-  asio::awaitable<void> readResponse(bool HeadOnly) {
+  using Parser = http::response_parser<http::buffer_body>;
+
+  // Reads past interim (1xx) answers; false when the call has failed.
+  asio::awaitable<bool> readFinalHead(bool HeadOnly, beast::flat_buffer &Buffer,
+                                      std::optional<Parser> &Out) {
     boost::system::error_code Code;
-    beast::flat_buffer Buffer;
-    std::optional<http::response_parser<http::buffer_body>> FinalParser;
-    // Interim (1xx) answers precede the final one.
-    for (int Interim = 0;; ++Interim) {
-      auto &Next = FinalParser.emplace();
-      Next.body_limit(Options_.MaxBody_);
-      Next.skip(HeadOnly);
+    for (int Interim = 0; Interim <= MaxInterimAnswers; ++Interim) {
+      Out.emplace();
+      Out->body_limit(Options_.MaxBody_);
+      Out->skip(HeadOnly);
       Stream_.expires_after(Options_.IdleTimeout_);
       co_await http::async_read_header(
-          Stream_, Buffer, Next,
+          Stream_, Buffer, *Out,
           asio::redirect_error(asio::use_awaitable, Code));
       if (Code || Cancelled_) {
         fail(Step::Receive, Code.message());
-        co_return;
-      }
-      if (Next.get().result_int() >= FirstFinalStatus)
-        break;
-      if (Interim == MaxInterimAnswers) {
-        fail(Step::Receive, "too many interim answers");
-        co_return;
+        co_return false;
       }
+      if (Out->get().result_int() >= FirstFinalStatus)
+        co_return true;
     }
+    fail(Step::Receive, "too many interim answers");
+    co_return false;
+  }
+
+  asio::awaitable<void> readResponse(bool HeadOnly) {
+    boost::system::error_code Code;
+    beast::flat_buffer Buffer;
+    std::optional<Parser> FinalParser;
+    if (!co_await readFinalHead(HeadOnly, Buffer, FinalParser))
+      co_return;
     auto &Parser = *FinalParser;
     HttpResponse Response;
     Response.Status_ = Parser.get().result_int();
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <span>
 #include <sstream>
 
@@ -176,47 +177,59 @@
   return Out;
 }
 
-std::vector<SoakFault> planRepeatStrain(const SoakPlan &P) {
-  constexpr Series Services{ServiceFailures, 1, 3000, 9000, 0, 2000};
-  constexpr Series Entries{EntrySeries, 1, 300, 4000, 300, 3000};
-  // Long enough for the repeats of a whole window after the entries' pause.
-  constexpr Duration LossFor = Seconds(18);
-  constexpr Duration LossUntilEntries = Milliseconds(1800);
-  constexpr Duration FrozenFor = Seconds(6);
-  std::vector<SoakFault> Out;
-  auto AddSeriesAfter = [&](Duration From, const Series &S, Random R) {
-    SoakPlan After = P;
-    After.Length_ = P.Length_ - From;
-    std::size_t First = Out.size();
-    addSeries(After, S, R, Out);
-    for (std::size_t I = First; I < Out.size(); ++I) {
-      Out[I].From_ += From;
-      Out[I].To_ += From;
-    }
-    return First;
-  };
-  std::size_t Count = targets(P, Target::Service);
-  // What is held arrives while the next starts lose answers.
-  constexpr Duration HoldFor = Seconds(8);
-  bool IsHeld = P.Seed_ % 3 == 0;
+namespace {
+// Longer than the window in which repeats are limited.
+constexpr Duration FailureFor = Seconds(18);
+constexpr Duration HoldFor = Seconds(8);
+constexpr Duration FrozenFor = Seconds(6);
+// How long answers have been lost when the entries are killed or frozen.
+constexpr Duration LostBefore = Milliseconds(1800);
+constexpr std::uint64_t StrainKinds = 3;
+
+// Like addSeries(), from From on; for one target if it is given.
+void addSeriesFrom(Duration From, SoakPlan P, const Series &S, Random R,
+                   std::optional<std::size_t> Target,
+                   std::vector<SoakFault> &Out) {
+  P.Length_ -= From;
+  std::size_t First = Out.size();
+  addSeries(P, S, R, Out);
+  for (std::size_t I = First; I < Out.size(); ++I) {
+    Out[I].From_ += From;
+    Out[I].To_ += From;
+    Out[I].Target_ = Target.value_or(Out[I].Target_);
+  }
+}
+
+// The failure of all services at once, and what happens to all entries in it.
+void addCommonFailure(const SoakPlan &P, std::size_t Services,
+                      std::vector<SoakFault> &Out) {
+  bool IsHeld = P.Seed_ % StrainKinds == 0;
+  bool IsKill = P.Seed_ % StrainKinds != 2;
   Duration LossAt = IsHeld ? CalmFor + HoldFor : CalmFor;
-  for (std::size_t I = 0; I < Count; ++I) {
+  for (std::size_t I = 0; I < Services; ++I) {
     if (IsHeld)
-      Out.push_back(
-          {SoakFaultKind::ServiceHolds, I, "", CalmFor, CalmFor + HoldFor});
-    Out.push_back(
-        {SoakFaultKind::ServiceLosesAnswers, I, "", LossAt, CalmFor + LossFor});
-    std::size_t First = AddSeriesAfter(CalmFor + LossFor, Services,
-                                       Random(P.Seed_ * MaxSeries + I));
-    for (std::size_t J = First; J < Out.size(); ++J)
-      Out[J].Target_ = I;
+      Out.push_back({SoakFaultKind::ServiceHolds, I, "", CalmFor, LossAt});
+    Out.push_back({SoakFaultKind::ServiceLosesAnswers, I, "", LossAt,
+                   CalmFor + FailureFor});
   }
-  bool IsKill = P.Seed_ % 3 != 2;
-  Duration EntriesAt = IsHeld ? LossAt : CalmFor + LossUntilEntries;
+  Duration EntriesAt = IsHeld ? LossAt : LossAt + LostBefore;
   Out.push_back(
       {IsKill ? SoakFaultKind::EntriesKilled : SoakFaultKind::EntriesFrozen, 0,
        "", EntriesAt, EntriesAt + FrozenFor});
-  AddSeriesAfter(CalmFor + LossFor, Entries, Random(~P.Seed_));
+}
+} // namespace
+
+std::vector<SoakFault> planRepeatStrain(const SoakPlan &P) {
+  constexpr Series Services{ServiceFailures, 1, 3000, 9000, 0, 2000};
+  constexpr Series Entries{EntrySeries, 1, 300, 4000, 300, 3000};
+  constexpr Duration SeriesFrom = CalmFor + FailureFor;
+  std::vector<SoakFault> Out;
+  std::size_t Count = targets(P, Target::Service);
+  addCommonFailure(P, Count, Out);
+  for (std::size_t I = 0; I < Count; ++I)
+    addSeriesFrom(SeriesFrom, P, Services, Random(P.Seed_ * MaxSeries + I), I,
+                  Out);
+  addSeriesFrom(SeriesFrom, P, Entries, Random(~P.Seed_), std::nullopt, Out);
   std::sort(Out.begin(), Out.end(), [](const SoakFault &A, const SoakFault &B) {
     return A.From_ < B.From_;
   });
