--- a/tests/unit/TrafficPartsTest.cpp
+++ b/tests/unit/TrafficPartsTest.cpp
@@ -129,8 +129,10 @@
           "[traffic]") {
   constexpr Duration Gap = Milliseconds(20);
   constexpr Duration Paused = Seconds(4);
-  RepeatBudget B(
-      {.Ratio_ = 2, .Window_ = Seconds(10), .Share_ = 0.5, .AlwaysAllowed_ = 0});
+  RepeatBudget B({.Ratio_ = 2,
+                  .Window_ = Seconds(10),
+                  .Share_ = 0.5,
+                  .AlwaysAllowed_ = 0});
   TimePoint Now = Start;
   auto SendAll = [&](TimePoint Until) {
     int Taken = 0;
