Entry: plain endpoints that may become cold receive requests on the strength of health answers

Cause: an entry learnt of it from the endpoint's row, up to 3 s late. The class: a limit that holds only once every sender has heard of it.

Only the health check states it at once. An entry sends at most max(1, 0.35 x arrivals / entries) requests for one health answer, so what all of them send after the endpoint has become cold is bounded whatever their rates are. An endpoint that stops answering counts as cold for half a second; one that never answers, and services without cold figures, are used as before.

--- a/hawthornroad/entry/DirectEntryState.h
+++ b/hawthornroad/entry/DirectEntryState.h
@@ -62,6 +62,8 @@
                      const PlaceDemand &D) override {
     return Notices_ ? Notices_->askLimit(A, Address, D) : AskResult::NoAgent;
   }
+  bool readHealth(AttemptNumber A, const Endpoint &E,
+                  const std::string &Path) override;
   void shareLimit(const std::string &Address, const EndpointStart &E,
                   const LimitStatement &S) override {
     if (Notices_)
@@ -115,6 +117,7 @@
   void answerReady(ServerSession &S);
   void answerMetrics(ServerSession &S);
   void setRepeatMetrics();
+  void countHealthCheck(std::string_view End);
   // Counts statements of an endpoint that could not be read, and logs each
   // once.
   void noteUnreadable(const std::string &Endpoint, const EndpointHead &H);
--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -191,6 +191,38 @@
              std::move(E));
 }
 
+bool DirectEntry::State::readHealth(AttemptNumber A, const Endpoint &E,
+                                    const std::string &Path) {
+  std::string Id = E.Id_.str();
+  auto Link = Links_.take(Id, E.Address_, {});
+  Attempts_[A] = {Link, Id, 0};
+  auto Head = std::make_shared<EndpointHead>();
+  ClientLink::Events On;
+  On.OnHead_ = [Head](unsigned Status, HeaderFields Fields) {
+    *Head = platform::decodeAnswer(Status, std::move(Fields));
+  };
+  On.OnBody_ = [](const std::string &) {};
+  On.OnEnd_ = [this, A, Head](bool) {
+    if (auto Found = Attempts_.extract(A))
+      Links_.putBack(Found.mapped().Endpoint_, Found.mapped().Link_);
+    countHealthCheck("answered");
+    Core_.onHealth(A, *Head, bootNow());
+  };
+  On.OnFail_ = [this, A](const LinkFailure &) {
+    Attempts_.erase(A);
+    countHealthCheck("failed");
+    Core_.onHealthFailed(A, bootNow());
+  };
+  Link->send(requestText(platform::encodeHealthCheck(Path), E.Address_),
+             std::move(On));
+  return true;
+}
+
+void DirectEntry::State::countHealthCheck(std::string_view End) {
+  Metrics_.count("hawthornroad_health_checks_total",
+                 {{"end", std::string(End)}});
+}
+
 void DirectEntry::State::cancelAttempt(AttemptNumber A) {
   auto Found = Attempts_.find(A);
   if (Found == Attempts_.end())
--- a/hawthornroad/traffic/ColdEndpoints.cpp
+++ b/hawthornroad/traffic/ColdEndpoints.cpp
@@ -14,6 +14,7 @@
 constexpr std::string_view Answer = "answer";
 constexpr std::string_view Granter = "granter";
 constexpr std::string_view ZoneRestored = "zone_restored";
+constexpr std::string_view Silent = "silent";
 
 // Requests a second that an engine ends, all with empty prompts: the most that
 // it can use.
@@ -44,6 +45,8 @@
   auto Capacity = S.Engine_ ? capacityOf(*S.Engine_) : std::nullopt;
   L.IsPermanent_ =
       Options_.HasPlaceGrants_ && Capacity && *Capacity <= S.ColdPerSecond_;
+  if (!S.Engine_)
+    L.HealthPath_ = S.HealthPath_;
   return L;
 }
 
@@ -138,6 +141,20 @@
   }
 }
 
+std::optional<ColdEndpoints::Watched>
+ColdEndpoints::watched(const Endpoint &E, TimePoint Now) const {
+  auto Service = Services_.find(E.Service_);
+  if (Service == Services_.end() || Service->second.HealthPath_.empty() ||
+      coldUntil(E) > Now)
+    return std::nullopt;
+  return Watched{Service->second.HealthPath_, Service->second.Arrivals_};
+}
+
+void ColdEndpoints::noteSilent(const EndpointStart &E, TimePoint Now) {
+  if (State *S = stateOf(E))
+    extend(*S, S->UnknownUntil_, Now + Options_.SilentFor_, Silent);
+}
+
 TimePoint ColdEndpoints::coldUntil(const Endpoint &E) const {
   auto Found = States_.find(startOf(E));
   return Found == States_.end() ? TimePoint() : Found->second.until();
--- a/hawthornroad/traffic/ColdEndpoints.h
+++ b/hawthornroad/traffic/ColdEndpoints.h
@@ -19,7 +19,8 @@
 // cold time ends the time of an unknown state early.
 //
 // A row is up to three seconds old, and an endpoint may become cold again at
-// any moment. Where an engine ends no more requests than it bears while it is
+// any moment. Requests to plain endpoints rest on health answers therefore
+// (WarmProofs). Where an engine ends no more requests than it bears while it is
 // cold, its requests need a grant at all times: that costs only sharp bursts.
 // While no agent at all answers, such an engine is used without grants unless
 // it counts as cold: all engines would stand idle otherwise.
@@ -46,8 +47,8 @@
 struct ColdReport {
   EndpointId Endpoint_;
   bool IsCold_ = false;
-  // By what it counts as cold: "first_seen", "row", "answer", "granter" or
-  // "zone_restored".
+  // By what it counts as cold: "first_seen", "row", "answer", "granter",
+  // "zone_restored" or "silent".
   std::string_view Source_;
   // How long it will count as cold, or has.
   Duration For_ = Duration::zero();
@@ -66,6 +67,9 @@
     unsigned Entries_ = 300;
     // How long a start that is no longer listed is remembered.
     Duration Memory_ = Seconds(60);
+    // For how long an endpoint counts as cold that does not answer its health
+    // check.
+    Duration SilentFor_ = Milliseconds(500);
   };
 
   ColdEndpoints(Options O, Random R);
@@ -87,6 +91,18 @@
   // zero when it does not count as cold, and is limited at all times.
   std::optional<ColdLimit> find(const Endpoint &E, TimePoint Now) const;
   bool isCold(const Endpoint &E, TimePoint Now) const;
+  // An endpoint that receives requests without a grant and may become cold at
+  // any moment: a plain one of a service that has a cold time.
+  struct Watched {
+    // Of its health check.
+    std::string Path_;
+    // Requests that may arrive in any one second while it is cold.
+    double Arrivals_ = 0;
+  };
+  // Unset for other endpoints, and while it counts as cold.
+  std::optional<Watched> watched(const Endpoint &E, TimePoint Now) const;
+  // Its state is unknown for a time: it does not answer its health check.
+  void noteSilent(const EndpointStart &E, TimePoint Now);
   // Until when it counts as cold; not after Now when it does not.
   TimePoint coldUntil(const Endpoint &E) const;
   // Without a granter: when this entry may send its next request to a cold
@@ -106,6 +122,8 @@
     double Arrivals_ = 0;
     // Requests need a grant at all times.
     bool IsPermanent_ = false;
+    // Of plain services.
+    std::string HealthPath_;
     bool operator==(const Limit &) const = default;
   };
   struct State {
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -92,6 +92,7 @@
 #include "hawthornroad/traffic/RepeatBudget.h"
 #include "hawthornroad/traffic/StatedLimits.h"
 #include "hawthornroad/traffic/TrafficPort.h"
+#include "hawthornroad/traffic/WarmProofs.h"
 
 #include <functional>
 #include <list>
@@ -138,6 +139,12 @@
     // How long an endpoint with a rate limit is left out when its granter does
     // not answer within AskTimeout_.
     Duration LimitRetry_ = Milliseconds(500);
+    WarmProofs::Options Proofs_;
+    // An endpoint's health check answers at once unless its machine is
+    // suspended.
+    Duration HealthTimeout_ = Milliseconds(100);
+    // Requests that may wait for one health answer.
+    std::size_t MaxHealthWaiters_ = 4;
     LimitShare::Options Share_;
     ColdEndpoints::Options Cold_;
     // How long an endpoint is left out for this entry's own share of its limit
@@ -205,7 +212,10 @@
   void restoreZones(const std::set<AvailabilityZone> &Zones, TimePoint Now);
   const EvacuatedZones &evacuations() const { return Evacuated_; }
   // At least this many entries take requests.
-  void noteEntries(unsigned Count) { Budget_.noteProcesses(Count); }
+  void noteEntries(unsigned Count) {
+    Budget_.noteProcesses(Count);
+    Proofs_.noteEntries(Count);
+  }
   // Everything that the store had accepted as of AsOf is known.
   void prove(TimePoint AsOf, TimePoint Now);
   // The store answered this process, or the one it follows, at that time.
@@ -233,6 +243,9 @@
   void arrive(CallNumber N, Call C, TimePoint Now);
   void callerGone(CallNumber N, TimePoint Now);
   void onPlaceReply(AttemptNumber A, const PlaceReply &W, TimePoint Now);
+  // The answer to TrafficPort::readHealth(), or that none arrived.
+  void onHealth(AttemptNumber A, const EndpointHead &H, TimePoint Now);
+  void onHealthFailed(AttemptNumber A, TimePoint Now);
   void onHead(AttemptNumber A, EndpointHead H, TimePoint Now);
   void onBody(AttemptNumber A, std::string Bytes, TimePoint Now);
   // IsFramed: a length or a last chunk marked the answer's end, not the end of
@@ -294,6 +307,15 @@
     bool StatesCold_ = false;
   };
 
+  // A health check in progress, and the asks of the requests that wait for it.
+  struct HealthRead {
+    AttemptNumber Number_ = 0;
+    EndpointStart Endpoint_;
+    double Arrivals_ = 0;
+    TimePoint SentAt_;
+    std::vector<AttemptNumber> Waiters_;
+  };
+
   Record *find(AttemptNumber A);
   // Sets route and customer; false when the call was refused instead.
   bool classify(Record &R, TimePoint Now);
@@ -337,6 +359,24 @@
   // Whether a request to the endpoint needs a grant: by its stated rate limit,
   // or since it counts as cold.
   bool needsGrant(const Endpoint &E, TimePoint Now) const;
+  // Whether the endpoint may have become cold unnoticed: nothing is sent to it
+  // until a health answer says otherwise.
+  bool needsProof(const Endpoint &E, TimePoint Now) const;
+  // NoAnswers: the endpoint gives none, and requests are sent without.
+  enum class ProofWait { Waits, Full, NoAnswers };
+  // Has R wait for a health answer of the endpoint.
+  ProofWait awaitProof(Record &R, const Endpoint &E, TimePoint Now);
+  // The read in progress, or a new one; null when there is none.
+  HealthRead *readHealth(const Endpoint &E, TimePoint Now);
+  // Reads the next answer before requests have to wait for it.
+  void renewProof(const Endpoint &E, TimePoint Now);
+  std::optional<HealthRead> takeHealthRead(AttemptNumber A);
+  // Silent: it did not answer, or another process did.
+  enum class HealthState { Warm, Cold, Silent };
+  void endHealthRead(const HealthRead &H, HealthState State, TimePoint Now);
+  // Goes on with a request whose endpoint was found warm, or was not.
+  void resume(Record &R, bool IsWarm, TimePoint Now);
+  void endSilentReads(TimePoint Now);
   // Takes this entry's own share of the limits; false when it is used up.
   bool takeShare(const Endpoint &E, TimePoint Now);
   // An agent was heard, which may grant more than this entry's own shares.
@@ -457,6 +497,8 @@
   StatedLimits Limits_;
   LimitShare Share_;
   ColdEndpoints Cold_;
+  WarmProofs Proofs_;
+  std::map<EndpointId, HealthRead> HealthReads_;
   // Endpoints left out until this entry's own share permits a request.
   std::set<EndpointId> HeldByShare_;
   KeyLease Lease_;
--- a/hawthornroad/traffic/TrafficPort.h
+++ b/hawthornroad/traffic/TrafficPort.h
@@ -203,6 +203,12 @@
                              const PlaceDemand &D) {
     return AskResult::NoAgent;
   }
+  // Reads the endpoint's health check; the answer is onHealth(), none is
+  // onHealthFailed(). False when this process cannot.
+  virtual bool readHealth(AttemptNumber A, const Endpoint &E,
+                          const std::string &Path) {
+    return false;
+  }
   // The known limit of an endpoint changed; tells who grants under it.
   virtual void shareLimit(const std::string &Address, const EndpointStart &E,
                           const LimitStatement &S) {}
--- a/hawthornroad/traffic/TrafficState.h
+++ b/hawthornroad/traffic/TrafficState.h
@@ -3,6 +3,7 @@
 //   TrafficCore.cpp      configuration and endpoints, completion, timers
 //   TrafficArrival.cpp   admission, queues, the choice of an endpoint
 //   TrafficPlaces.cpp    queries for places and for grants under rate limits
+//   TrafficHealth.cpp    health checks of endpoints that may become cold
 //   TrafficZones.cpp     allowed regions, evacuated zones
 //   TrafficAttempts.cpp  endpoints' answers and how they are handled
 //   TrafficBuffers.cpp   what is held for requests, and its limits
@@ -126,6 +127,8 @@
   bool AsksOnlyLimit_ = false;
   // See Ask::StatesCold_.
   bool AsksCold_ = false;
+  // It waits for a health answer, not for a reply of an agent.
+  bool AwaitsProof_ = false;
   // Place queries that were denied because the endpoint is cold, since it was
   // last queued.
   unsigned ColdDenials_ = 0;
--- /dev/null
+++ b/hawthornroad/traffic/WarmProofs.h
@@ -0,0 +1,88 @@
+// Which endpoints a health answer has shown to be warm, and how many requests
+// may still be sent on the strength of it.
+//
+//   WarmProofs W({});
+//   if (!W.permits(Start, Now)) readHealth();     // one more request
+//   W.prove(Start, Arrivals, ReadAt);             // the answer says: warm
+//   W.take(Start);                                // a request was sent
+//
+// Handles endpoints that become cold without a statement: their row follows
+// seconds later, and the entries together exceed what a cold endpoint bears
+// within a fraction of a second.
+//
+// An entry sends at most quota() requests for one health answer, so after an
+// endpoint has become cold all entries together send at most Share_ of Arrivals
+// without a grant, whatever their rates, besides what was on its way at that
+// moment. With many entries the quota is one request, sent as soon as the
+// answer arrives.
+//
+// No I/O, no clock, no threads. Memory: the listed endpoints that were read.
+
+#ifndef HAWTHORNROAD_TRAFFIC_WARMPROOFS_H
+#define HAWTHORNROAD_TRAFFIC_WARMPROOFS_H
+
+#include "hawthornroad/traffic/Endpoint.h"
+#include "hawthornroad/traffic/StatedLimits.h"
+
+#include <algorithm>
+#include <map>
+
+namespace hawthornroad {
+
+class WarmProofs {
+public:
+  struct Options {
+    // Share of the allowed arrivals that all entries together may send for
+    // health answers from before the endpoint became cold.
+    double Share_ = 0.35;
+    // Number of entries where none is known.
+    unsigned Entries_ = 300;
+    // How long an answer is used.
+    Duration MaxAge_ = Seconds(1);
+    // When an endpoint that gave no answer is read again.
+    Duration Retry_ = Milliseconds(500);
+  };
+
+  explicit WarmProofs(Options O) : Options_(O) {}
+
+  // At least this many entries send requests.
+  void noteEntries(unsigned Count) { Known_ = std::max(Known_, Count); }
+  // Requests that one entry may send for one answer.
+  unsigned quota(double Arrivals) const;
+
+  // Whether one more request may be sent now.
+  bool permits(const EndpointStart &E, TimePoint Now) const;
+  // Whether the next answer should be read before it is needed.
+  bool isLow(const EndpointStart &E) const;
+  // A health answer that was asked for at ReadAt shows that Arrivals requests
+  // may arrive in any one second once the endpoint is cold; 0: it is cold now.
+  void prove(const EndpointStart &E, double Arrivals, TimePoint ReadAt);
+  // It did not answer.
+  void noteSilent(const EndpointStart &E, TimePoint Now);
+  void take(const EndpointStart &E);
+  // Whether it may be read again after an answer that was missing.
+  bool mayRead(const EndpointStart &E, TimePoint Now) const;
+  // Whether it has ever answered.
+  bool hasAnswered(const EndpointStart &E) const;
+  // Forgets what is not listed any more.
+  void listed(const EndpointSet &Set);
+
+private:
+  struct State {
+    // Requests left, of Quota_, until then.
+    unsigned Left_ = 0;
+    unsigned Quota_ = 0;
+    TimePoint Until_;
+    TimePoint RetryAt_;
+    bool HasAnswered_ = false;
+  };
+  const State *find(const EndpointStart &E) const;
+
+  Options Options_;
+  unsigned Known_ = 0;
+  std::map<EndpointStart, State> States_;
+};
+
+} // namespace hawthornroad
+
+#endif // HAWTHORNROAD_TRAFFIC_WARMPROOFS_H
--- a/tests/unit/ColdFleet.cpp
+++ b/tests/unit/ColdFleet.cpp
@@ -36,6 +36,9 @@
   ColdGrants Grants_{Start};
   TimePoint SilentFrom_ = TimePoint::max();
   TimePoint SilentTo_ = TimePoint::max();
+  // When it answers no health check.
+  TimePoint HealthSilentFrom_ = TimePoint::max();
+  TimePoint HealthSilentTo_ = TimePoint::max();
 
   bool isCold(TimePoint T) const {
     return std::any_of(Cold_.begin(), Cold_.end(), [&](const auto &Each) {
@@ -84,6 +87,13 @@
                        static_cast<unsigned>(Fleet_.Servers_.size());
     return Fleet_.send(*this, A, Granter, D, true);
   }
+  bool readHealth(AttemptNumber A, const Endpoint &E,
+                  const std::string &) override {
+    if (!Fleet_.Options_.AnswersHealth_)
+      return false;
+    Fleet_.checkHealth(*this, A, Fleet_.indexOf(E.Address_));
+    return true;
+  }
   void respond(CallNumber, unsigned, const HeaderFields &,
                std::string) override {
     Fleet_.Served_.push_back(Fleet_.Now_);
@@ -118,6 +128,7 @@
   for (ServiceConfig &S : P.Services_) {
     S.ColdFor_ = O.ColdFor_;
     S.ColdPerSecond_ = O.KnowsCold_ ? O.ColdPerSecond_ : 0;
+    S.HealthPath_ = "/health";
   }
   Config_ = RoutingConfig::build(std::move(P));
   for (unsigned I = 0; I < O.Entries_; ++I) {
@@ -138,6 +149,8 @@
   E.Open_.clear();
   ++E.Starts_;
   E.Core_ = std::make_unique<TrafficCore>(O, E, Random(Random_.next()));
+  if (Options_.KnowsEntries_)
+    E.Core_->noteEntries(Options_.Entries_);
   std::vector<Endpoint> Listed;
   for (unsigned I = 0; I < Servers_.size(); ++I)
     if (!isEvacuated(I))
@@ -172,6 +185,26 @@
   });
 }
 
+void ColdFleet::checkHealth(Entry &From, AttemptNumber A, unsigned Endpoint) {
+  after(Hop, [this, &From, A, Endpoint, Starts = From.Starts_] {
+    const Server &S = *Servers_[Endpoint];
+    if (Now_ >= S.HealthSilentFrom_ && Now_ < S.HealthSilentTo_)
+      return;
+    ++HealthChecks_;
+    EndpointHead H;
+    H.Status_ = 200;
+    H.EndpointId_ = S.Row_.Id_.str();
+    if (Options_.SendsCopies_)
+      H.RequestId_ = "of a request";
+    else if (S.isCold(Now_))
+      H.ColdLeft_ = Options_.ColdFor_;
+    after(Hop, [this, &From, A, H, Starts] {
+      if (From.Starts_ == Starts)
+        From.Core_->onHealth(A, H, Now_);
+    });
+  });
+}
+
 void ColdFleet::arriveAt(unsigned Endpoint, Entry &From, AttemptNumber A,
                          const std::string &RequestId) {
   Server &S = *Servers_[Endpoint];
@@ -289,6 +322,11 @@
   Servers_[Agent]->SilentTo_ = To;
 }
 
+void ColdFleet::silenceHealth(unsigned Endpoint, TimePoint From, TimePoint To) {
+  Servers_[Endpoint]->HealthSilentFrom_ = From;
+  Servers_[Endpoint]->HealthSilentTo_ = To;
+}
+
 void ColdFleet::evacuate(TimePoint From, TimePoint To) {
   EvacuatedFrom_ = From;
   EvacuatedTo_ = To;
@@ -342,6 +380,13 @@
   return Servers_[Endpoint]->Arrivals_;
 }
 
+std::size_t ColdFleet::allArrivals() const {
+  std::size_t Out = 0;
+  for (const auto &S : Servers_)
+    Out += S->Arrivals_.size();
+  return Out;
+}
+
 std::size_t ColdFleet::arrivals(unsigned Endpoint, TimePoint From,
                                 TimePoint To) const {
   const auto &All = Servers_[Endpoint]->Arrivals_;
--- a/tests/unit/ColdFleet.h
+++ b/tests/unit/ColdFleet.h
@@ -38,6 +38,12 @@
     Duration AgentDelay_ = Duration::zero();
     // For comparison: entries and agents do not know that endpoints are cold.
     bool KnowsCold_ = true;
+    // Endpoints answer health checks.
+    bool AnswersHealth_ = true;
+    // The health answers are late copies of answers to requests.
+    bool SendsCopies_ = false;
+    // Entries know how many they are.
+    bool KnowsEntries_ = true;
     // Endpoints may become cold; without, no rule holds.
     double ColdPerSecond_ = 15;
     Duration ColdFor_ = Seconds(3);
@@ -69,6 +75,8 @@
   void restartAgent(unsigned Agent, TimePoint At);
   // The agent answers no query in this span.
   void silence(unsigned Agent, TimePoint From, TimePoint To);
+  // The endpoint answers no health check in this span.
+  void silenceHealth(unsigned Endpoint, TimePoint From, TimePoint To);
   // In this span nothing is sent to the second half of the endpoints, which are
   // cold when it ends.
   void evacuate(TimePoint From, TimePoint To);
@@ -82,6 +90,9 @@
   const std::vector<Arrival> &arrivals(unsigned Endpoint) const;
   const std::vector<Refusal> &refusals() const { return Refusals_; }
   std::size_t served(TimePoint From, TimePoint To) const;
+  // Health checks answered, and requests that arrived at endpoints.
+  std::size_t healthChecks() const { return HealthChecks_; }
+  std::size_t allArrivals() const;
 
 private:
   struct Entry;
@@ -89,6 +100,7 @@
   void start(Entry &E);
   void tick(Entry &E);
   void nextRequest(Entry &E);
+  void checkHealth(Entry &From, AttemptNumber A, unsigned Endpoint);
   void arriveAt(unsigned Endpoint, Entry &From, AttemptNumber A,
                 const std::string &RequestId);
   PlaceReply decide(Server &Granter, Entry &From, const PlaceDemand &D,
@@ -108,6 +120,7 @@
   std::vector<std::unique_ptr<Server>> Servers_;
   std::vector<Refusal> Refusals_;
   std::vector<TimePoint> Served_;
+  std::size_t HealthChecks_ = 0;
   TimePoint EvacuatedFrom_ = TimePoint::max();
   TimePoint EvacuatedTo_ = TimePoint::max();
   TimePoint JumpAt_ = TimePoint::max();
--- a/tests/unit/ColdFleetTest.cpp
+++ b/tests/unit/ColdFleetTest.cpp
@@ -68,6 +68,81 @@
   CHECK(F.arrivals(0, Start, Start + ColdFor) >= 9);
 }
 
+// Guards against a load that plain endpoints go on receiving after they have
+// become cold, until their rows say so.
+TEST_CASE("fleet of entries, before plain endpoints that become cold without "
+          "a statement, stays within what these bear and serves as much as "
+          "before while all are warm",
+          "[cold-fleet]") {
+  auto Entries = GENERATE(2U, 9U, 45U, 100U, 300U);
+  auto KnowsEntries = GENERATE(true, false);
+  auto Seed = GENERATE(1U, 2U, 3U);
+  auto Run = [&](bool AnswersHealth) {
+    auto F = std::make_unique<ColdFleet>(
+        ColdFleet::Options{.Entries_ = Entries,
+                           .IsEngine_ = false,
+                           .AnswersHealth_ = AnswersHealth,
+                           .KnowsEntries_ = KnowsEntries,
+                           .RequestsPerSecond_ = 480,
+                           .Seed_ = Seed});
+    F->cool(0, Start + Seconds(8));
+    F->cool(3, Start + Milliseconds(8500));
+    F->run(Seconds(14));
+    return F;
+  };
+  auto Unchecked = Run(false);
+  auto F = Run(true);
+  CAPTURE(Entries, KnowsEntries, Seed);
+  INFO(describe(*F));
+  CHECK(Unchecked->excess() > 0);
+  CHECK(F->excess() <= 0);
+  auto WhileWarm = [](const ColdFleet &Of) {
+    return static_cast<double>(
+        Of.served(Start + Seconds(5), Start + Seconds(8)));
+  };
+  constexpr double Tolerance = 0.95;
+  CHECK(WhileWarm(*F) >= Tolerance * WhileWarm(*Unchecked));
+  // Four of six are warm then.
+  CHECK(F->served(Start + Seconds(9), Start + Seconds(12)) >=
+        Tolerance * 4 / 6 * WhileWarm(*Unchecked));
+}
+
+// Guards against an endpoint that becomes cold while nobody can ask it.
+TEST_CASE("fleet of entries, before a plain endpoint that becomes cold and "
+          "answers no health check, stays within what it bears and uses it "
+          "again",
+          "[cold-fleet]") {
+  auto Entries = GENERATE(2U, 9U, 100U);
+  auto HasAgents = GENERATE(true, false);
+  ColdFleet F(
+      {.Entries_ = Entries, .IsEngine_ = false, .HasAgents_ = HasAgents});
+  constexpr TimePoint Cold = Start + Seconds(8);
+  F.silenceHealth(0, Cold - Milliseconds(200), Cold + Seconds(4));
+  F.cool(0, Cold);
+  F.run(Seconds(18));
+  CAPTURE(Entries, HasAgents);
+  INFO(describe(F));
+  CHECK(F.excess() <= 0);
+  CHECK(F.arrivals(0, Cold + Seconds(6), Cold + Seconds(9)) >= 90);
+}
+
+// Guards against a late copy of another answer that counts as a health answer.
+TEST_CASE("fleet of entries, given copies of other answers to their health "
+          "checks, sends as if there were none",
+          "[cold-fleet]") {
+  auto Run = [](bool AnswersHealth, bool SendsCopies) {
+    auto F = std::make_unique<ColdFleet>(
+        ColdFleet::Options{.IsEngine_ = false,
+                           .AnswersHealth_ = AnswersHealth,
+                           .SendsCopies_ = SendsCopies});
+    F->run(Seconds(8));
+    return static_cast<double>(
+        F->served(Start + Seconds(4), Start + Seconds(8)));
+  };
+  constexpr double Tolerance = 0.95;
+  CHECK(Run(true, true) >= Tolerance * Run(false, false));
+}
+
 TEST_CASE(
     "fleet of entries, whose granters are silent for a time, stays within "
     "what cold engines bear",
@@ -222,18 +297,28 @@
   CHECK(Never->refusals().size() == Stated->refusals().size());
 }
 
-// For the documentation, what stays open: build/tests/unit-tests "[cold-open]"
+// For the documentation: build/tests/unit-tests "[cold-open]"
 TEST_CASE("table of endpoints that become cold before their rows say so",
           "[.cold-open]") {
-  std::puts("entries engine: above the bound in the worst second");
-  for (unsigned Entries : {9U, 45U, 100U, 300U})
-    for (bool IsEngine : {true, false}) {
-      ColdFleet F(
-          {.Entries_ = Entries, .IsEngine_ = IsEngine, .IsSlowEngine_ = false});
-      F.cool(0, Start + Seconds(8));
-      F.run(Seconds(12));
-      std::printf("%4u %d: %6.1f\n", Entries, IsEngine, F.excess());
-    }
+  std::puts("entries engine checks: above the bound in the worst second, "
+            "served a second while all are warm, checks a request");
+  for (unsigned Entries : {2U, 9U, 45U, 100U, 300U})
+    for (bool IsEngine : {true, false})
+      for (bool AnswersHealth : {false, true}) {
+        ColdFleet F({.Entries_ = Entries,
+                     .IsEngine_ = IsEngine,
+                     .IsSlowEngine_ = false,
+                     .AnswersHealth_ = AnswersHealth,
+                     .RequestsPerSecond_ = 480});
+        F.cool(0, Start + Seconds(8));
+        F.run(Seconds(12));
+        double Served = static_cast<double>(
+            F.served(Start + Seconds(4), Start + Seconds(8)));
+        std::printf("%4u %d %d: %6.1f %6.1f %5.2f\n", Entries, IsEngine,
+                    AnswersHealth, F.excess(), Served / 4,
+                    static_cast<double>(F.healthChecks()) /
+                        static_cast<double>(F.allArrivals()));
+      }
 }
 
 // For the documentation: build/tests/unit-tests "[cold-table]"
