Soak: plain endpoints that become cold without a word are checked at once

The soak left out what a plain endpoint receives in the first 3 s after it became cold. The bound holds there now.

--- a/tests/soak/SoakCold.cpp
+++ b/tests/soak/SoakCold.cpp
@@ -12,7 +12,6 @@
 struct Arrival {
   TimePoint SentAt_;
   TimePoint At_;
-  std::string Entry_;
 };
 
 std::map<std::string, std::vector<Arrival>>
@@ -22,20 +21,14 @@
   for (const auto &[Id, R] : Requests)
     for (const SoakRun &Each : Record.runs(Id))
       if (!Each.IsMisdirected_)
-        Out[Each.Endpoint_].push_back({sentAt(R, Each), Each.From_, R.entry()});
+        Out[Each.Endpoint_].push_back({sentAt(R, Each), Each.From_});
   return Out;
 }
 
-// Endpoints that become cold without a statement are limited from HoldsAfter_
-// on, by entries that were in contact with the store, and at work, for that
-// long at a time: others need not have read the row that states it. Engines are
-// limited at once, unless no agent answers an entry.
+// Engines are limited by their agents, so not while none answers an entry.
 bool isCounted(const SoakRecord &Record, const SoakColdSpan &S,
                const Arrival &A) {
-  if (A.SentAt_ < S.From_ + S.HoldsAfter_ || A.At_ > S.To_)
-    return false;
-  if (S.HoldsAfter_ > Duration::zero() &&
-      !Record.hadContact(A.Entry_, S.HoldsAfter_, S.From_, A.SentAt_))
+  if (A.SentAt_ < S.From_ || A.At_ > S.To_)
     return false;
   return !S.NeedsAgents_ ||
          !Record.isDisrupted(SoakRecord::Agents, A.SentAt_ - Window, A.SentAt_);
--- a/tests/soak/SoakEndpoint.cpp
+++ b/tests/soak/SoakEndpoint.cpp
@@ -30,9 +30,6 @@
 constexpr Duration BreakDelay = Milliseconds(50);
 constexpr Duration LoadDuration = Milliseconds(300);
 constexpr std::size_t BrokenEventBytes = 7;
-// An endpoint's row states up to so much later that it became cold, and until
-// then entries need not know: docs/design/cold-endpoints.md, "What is open".
-constexpr Duration MaxUntold = Seconds(3);
 constexpr unsigned Misdirected = 421;
 // Valid, absent and unreadable ones.
 constexpr std::array SpeedFigures = {
@@ -101,17 +98,13 @@
   IsDraining_ = true;
 }
 
-// Engines are limited at all times, so nobody has to know of it first.
 void SoakEndpoint::becomeCold(Duration For) {
   std::lock_guard Lock(Mutex_);
   TimePoint Now = now();
   bool IsEngine = !Options_.Model_.empty();
   ColdUntil_ = std::max(ColdUntil_, Now + For);
-  Record_.becomesCold(id(),
-                      {.From_ = Now,
-                       .To_ = ColdUntil_,
-                       .HoldsAfter_ = IsEngine ? Duration::zero() : MaxUntold,
-                       .NeedsAgents_ = IsEngine});
+  Record_.becomesCold(
+      id(), {.From_ = Now, .To_ = ColdUntil_, .NeedsAgents_ = IsEngine});
   constexpr int MaxDelayMs = MaxRowDelay / Milliseconds(1);
   Io_.after(between(0, MaxDelayMs), [this] { IsRowNew_ = true; });
   Io_.after(For, [this] { IsRowNew_ = true; });
--- a/tests/soak/SoakRecord.h
+++ b/tests/soak/SoakRecord.h
@@ -56,8 +56,6 @@
 struct SoakColdSpan {
   TimePoint From_;
   TimePoint To_;
-  // How long after From_ entries need not know of it.
-  Duration HoldsAfter_{};
   // Entries are told that it is limited by agents only.
   bool NeedsAgents_ = false;
 };
