--- a/hawthornroad/entry/DirectEntryState.h
+++ b/hawthornroad/entry/DirectEntryState.h
@@ -62,8 +62,8 @@
                      const PlaceDemand &D) override {
     return Notices_ ? Notices_->askLimit(A, Address, D) : AskResult::NoAgent;
   }
-  bool readHealth(AttemptNumber A, const Endpoint &E,
-                  const std::string &Path) override;
+  bool checkHealth(AttemptNumber A, const Endpoint &E,
+                   const std::string &Path) override;
   void shareLimit(const std::string &Address, const EndpointStart &E,
                   const LimitStatement &S) override {
     if (Notices_)
@@ -138,6 +138,7 @@
   struct Attempt {
     std::shared_ptr<ClientLink> Link_;
     std::string Endpoint_;
+    // 0: a health check.
     CallNumber Call_ = 0;
     // Why its answer is not read.
     bool PausedByCaller_ = false;
--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -191,8 +191,8 @@
              std::move(E));
 }
 
-bool DirectEntry::State::readHealth(AttemptNumber A, const Endpoint &E,
-                                    const std::string &Path) {
+bool DirectEntry::State::checkHealth(AttemptNumber A, const Endpoint &E,
+                                     const std::string &Path) {
   std::string Id = E.Id_.str();
   auto Link = Links_.take(Id, E.Address_, {});
   Attempts_[A] = {Link, Id, 0};
--- a/hawthornroad/traffic/ColdEndpoints.h
+++ b/hawthornroad/traffic/ColdEndpoints.h
@@ -20,10 +20,10 @@
 //
 // A row is up to three seconds old, and an endpoint may become cold again at
 // any moment. Requests to plain endpoints rest on health answers therefore
-// (WarmProofs). Where an engine ends no more requests than it bears while it is
-// cold, its requests need a grant at all times: that costs only sharp bursts.
-// While no agent at all answers, such an engine is used without grants unless
-// it counts as cold: all engines would stand idle otherwise.
+// (HealthCredits). Where an engine ends no more requests than it bears while it
+// is cold, its requests need a grant at all times: that costs only sharp
+// bursts. While no agent at all answers, such an engine is used without grants
+// unless it counts as cold: all engines would stand idle otherwise.
 //
 // No I/O, no clock, no threads. Cost: find() looks up a service and a start.
 // Memory: the endpoints listed within Memory_, of services with a cold time.
--- a/hawthornroad/traffic/WarmProofs.h
+++ b/hawthornroad/traffic/HealthCredits.h
@@ -1,10 +1,10 @@
-// Which endpoints a health answer has shown to be warm, and how many requests
-// may still be sent on the strength of it.
+// How many requests may still be sent to an endpoint on the strength of its
+// last health answer, which showed that it was warm.
 //
-//   WarmProofs W({});
-//   if (!W.permits(Start, Now)) readHealth();     // one more request
-//   W.prove(Start, Arrivals, ReadAt);             // the answer says: warm
-//   W.take(Start);                                // a request was sent
+//   HealthCredits C({});
+//   if (!C.has(Start, Now)) checkHealth();
+//   C.noteAnswer(Start, Arrivals, AskedAt);   // it states no cold time
+//   C.spend(Start);                           // a request was sent
 //
 // Handles endpoints that become cold without a statement: their row follows
 // seconds later, and the entries together exceed what a cold endpoint bears
@@ -16,10 +16,10 @@
 // moment. With many entries the quota is one request, sent as soon as the
 // answer arrives.
 //
-// No I/O, no clock, no threads. Memory: the listed endpoints that were read.
+// No I/O, no clock, no threads. Memory: the listed endpoints that were asked.
 
-#ifndef HAWTHORNROAD_TRAFFIC_WARMPROOFS_H
-#define HAWTHORNROAD_TRAFFIC_WARMPROOFS_H
+#ifndef HAWTHORNROAD_TRAFFIC_HEALTHCREDITS_H
+#define HAWTHORNROAD_TRAFFIC_HEALTHCREDITS_H
 
 #include "hawthornroad/traffic/Endpoint.h"
 #include "hawthornroad/traffic/StatedLimits.h"
@@ -29,7 +29,7 @@
 
 namespace hawthornroad {
 
-class WarmProofs {
+class HealthCredits {
 public:
   struct Options {
     // Share of the allowed arrivals that all entries together may send for
@@ -39,11 +39,11 @@
     unsigned Entries_ = 300;
     // How long an answer is used.
     Duration MaxAge_ = Seconds(1);
-    // When an endpoint that gave no answer is read again.
+    // When an endpoint that gave no answer is asked again.
     Duration Retry_ = Milliseconds(500);
   };
 
-  explicit WarmProofs(Options O) : Options_(O) {}
+  explicit HealthCredits(Options O) : Options_(O) {}
 
   // At least this many entries send requests.
   void noteEntries(unsigned Count) { Known_ = std::max(Known_, Count); }
@@ -51,17 +51,17 @@
   unsigned quota(double Arrivals) const;
 
   // Whether one more request may be sent now.
-  bool permits(const EndpointStart &E, TimePoint Now) const;
-  // Whether the next answer should be read before it is needed.
+  bool has(const EndpointStart &E, TimePoint Now) const;
+  // Whether the next answer should be asked for before it is needed.
   bool isLow(const EndpointStart &E) const;
-  // A health answer that was asked for at ReadAt shows that Arrivals requests
-  // may arrive in any one second once the endpoint is cold; 0: it is cold now.
-  void prove(const EndpointStart &E, double Arrivals, TimePoint ReadAt);
+  // A health answer, asked for at AskedAt. Arrivals: requests that may arrive
+  // in any one second once the endpoint is cold; 0: it is cold now.
+  void noteAnswer(const EndpointStart &E, double Arrivals, TimePoint AskedAt);
   // It did not answer.
   void noteSilent(const EndpointStart &E, TimePoint Now);
-  void take(const EndpointStart &E);
-  // Whether it may be read again after an answer that was missing.
-  bool mayRead(const EndpointStart &E, TimePoint Now) const;
+  void spend(const EndpointStart &E);
+  // Whether it may be asked again after it did not answer.
+  bool mayCheck(const EndpointStart &E, TimePoint Now) const;
   // Whether it has ever answered.
   bool hasAnswered(const EndpointStart &E) const;
   // Forgets what is not listed any more.
@@ -85,4 +85,4 @@
 
 } // namespace hawthornroad
 
-#endif // HAWTHORNROAD_TRAFFIC_WARMPROOFS_H
+#endif // HAWTHORNROAD_TRAFFIC_HEALTHCREDITS_H
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -332,10 +332,10 @@
       giveUp(R, Cause::DeadlinePassed, "no time for another attempt", Now);
       return false;
     }
-    if (needsProof(*E, Now)) {
-      ProofWait Wait = awaitProof(R, *E, Now);
-      if (Wait != ProofWait::NoAnswers)
-        return Wait == ProofWait::Waits;
+    if (needsHealthCheck(*E, Now)) {
+      HealthWait Wait = awaitHealthCheck(R, *E, Now);
+      if (Wait != HealthWait::NoAnswers)
+        return Wait == HealthWait::Waits;
     }
     bool NeedsGrant = needsGrant(*E, Now);
     if (NeedsGrant && Placement_.takeGrant(E->Id_, Now))
@@ -413,8 +413,8 @@
   if (R.Relay_)
     R.Relay_->startAttempt();
   Placement_.attemptBegun(E.Id_, Now);
-  Proofs_.take(startOf(E));
-  renewProof(E, Now);
+  Credits_.spend(startOf(E));
+  renewCredits(E, Now);
 }
 
 } // namespace hawthornroad
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -66,7 +66,7 @@
     : Options_(O), Port_(Port), Random_(R),
       Placement_(O.Placement_, Random(Random_.next())), Budget_(O.Budget_),
       Parts_(O.Parts_), Share_(O.Share_, Random(Random_.next())),
-      Cold_(coldOptions(O), R), Proofs_(O.Proofs_),
+      Cold_(coldOptions(O), R), Credits_(O.Credits_),
       Lease_(O.RevokeBound_, O.RevokeMargin_), Fence_(O.Fence_) {}
 
 TrafficCore::~TrafficCore() = default;
@@ -92,7 +92,7 @@
     return;
   Placement_.setEndpoints(Endpoints_, *Config_);
   Cold_.listed(Endpoints_, *Config_, Now);
-  Proofs_.listed(Endpoints_);
+  Credits_.listed(Endpoints_);
   endLostAttempts(Now);
   for (const auto &[Name, L] : ServiceQueues_)
     Freed_.insert(Name);
@@ -334,7 +334,7 @@
       giveUp(R, Cause::WaitedTooLong, "no place in time", Now);
     return;
   }
-  if (!R.AwaitsProof_ && R.Asking_ != 0 &&
+  if (!R.AwaitsHealthCheck_ && R.Asking_ != 0 &&
       Now - R.AskedAt_ >= Options_.AskTimeout_) {
     if (R.AsksOnlyLimit_) {
       Placement_.hold(R.AskedOf_, Now + Options_.LimitRetry_);
@@ -388,8 +388,8 @@
   auto Shift = [&](TimePoint &At, Duration Counted) {
     At = std::min(At + Gap - Counted, Now);
   };
-  for (auto &[Id, Read] : HealthReads_)
-    Shift(Read.SentAt_, Options_.HealthTimeout_ / 2);
+  for (auto &[Id, Check] : HealthChecks_)
+    Shift(Check.SentAt_, Options_.HealthTimeout_ / 2);
   for (const auto &[N, R] : Calls_) {
     Shift(R->Current_.LastReceivedAt_, Options_.MinPause_);
     if (R->Silent_)
@@ -412,7 +412,7 @@
     notePause(Gap, Now);
   if (Endpoints_.tick(Now))
     endpointsChanged(Now);
-  endSilentReads(Now);
+  endSilentChecks(Now);
   std::vector<Record *> Open;
   Open.reserve(Calls_.size());
   for (const auto &[N, R] : Calls_)
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -85,6 +85,7 @@
 #include "hawthornroad/traffic/ConfigFence.h"
 #include "hawthornroad/traffic/EvacuatedZones.h"
 #include "hawthornroad/traffic/EventRelay.h"
+#include "hawthornroad/traffic/HealthCredits.h"
 #include "hawthornroad/traffic/KeyLease.h"
 #include "hawthornroad/traffic/LimitShare.h"
 #include "hawthornroad/traffic/Placement.h"
@@ -92,7 +93,6 @@
 #include "hawthornroad/traffic/RepeatBudget.h"
 #include "hawthornroad/traffic/StatedLimits.h"
 #include "hawthornroad/traffic/TrafficPort.h"
-#include "hawthornroad/traffic/WarmProofs.h"
 
 #include <functional>
 #include <list>
@@ -139,7 +139,7 @@
     // How long an endpoint with a rate limit is left out when its granter does
     // not answer within AskTimeout_.
     Duration LimitRetry_ = Milliseconds(500);
-    WarmProofs::Options Proofs_;
+    HealthCredits::Options Credits_;
     // An endpoint's health check answers at once unless its machine is
     // suspended.
     Duration HealthTimeout_ = Milliseconds(100);
@@ -214,7 +214,7 @@
   // At least this many entries take requests.
   void noteEntries(unsigned Count) {
     Budget_.noteProcesses(Count);
-    Proofs_.noteEntries(Count);
+    Credits_.noteEntries(Count);
   }
   // Everything that the store had accepted as of AsOf is known.
   void prove(TimePoint AsOf, TimePoint Now);
@@ -243,7 +243,7 @@
   void arrive(CallNumber N, Call C, TimePoint Now);
   void callerGone(CallNumber N, TimePoint Now);
   void onPlaceReply(AttemptNumber A, const PlaceReply &W, TimePoint Now);
-  // The answer to TrafficPort::readHealth(), or that none arrived.
+  // The answer to TrafficPort::checkHealth(), or that none arrived.
   void onHealth(AttemptNumber A, const EndpointHead &H, TimePoint Now);
   void onHealthFailed(AttemptNumber A, TimePoint Now);
   void onHead(AttemptNumber A, EndpointHead H, TimePoint Now);
@@ -308,7 +308,7 @@
   };
 
   // A health check in progress, and the asks of the requests that wait for it.
-  struct HealthRead {
+  struct HealthCheck {
     AttemptNumber Number_ = 0;
     EndpointStart Endpoint_;
     double Arrivals_ = 0;
@@ -361,22 +361,22 @@
   bool needsGrant(const Endpoint &E, TimePoint Now) const;
   // Whether the endpoint may have become cold unnoticed: nothing is sent to it
   // until a health answer says otherwise.
-  bool needsProof(const Endpoint &E, TimePoint Now) const;
+  bool needsHealthCheck(const Endpoint &E, TimePoint Now) const;
   // NoAnswers: the endpoint gives none, and requests are sent without.
-  enum class ProofWait { Waits, Full, NoAnswers };
+  enum class HealthWait { Waits, Full, NoAnswers };
   // Has R wait for a health answer of the endpoint.
-  ProofWait awaitProof(Record &R, const Endpoint &E, TimePoint Now);
-  // The read in progress, or a new one; null when there is none.
-  HealthRead *readHealth(const Endpoint &E, TimePoint Now);
-  // Reads the next answer before requests have to wait for it.
-  void renewProof(const Endpoint &E, TimePoint Now);
-  std::optional<HealthRead> takeHealthRead(AttemptNumber A);
+  HealthWait awaitHealthCheck(Record &R, const Endpoint &E, TimePoint Now);
+  // The check in progress, or a new one; null when there is none.
+  HealthCheck *checkHealth(const Endpoint &E, TimePoint Now);
+  // Asks for the next answer before requests have to wait for it.
+  void renewCredits(const Endpoint &E, TimePoint Now);
+  std::optional<HealthCheck> takeHealthCheck(AttemptNumber A);
   // Silent: it did not answer, or another process did.
   enum class HealthState { Warm, Cold, Silent };
-  void endHealthRead(const HealthRead &H, HealthState State, TimePoint Now);
+  void endHealthCheck(const HealthCheck &H, HealthState State, TimePoint Now);
   // Goes on with a request whose endpoint was found warm, or was not.
   void resume(Record &R, bool IsWarm, TimePoint Now);
-  void endSilentReads(TimePoint Now);
+  void endSilentChecks(TimePoint Now);
   // Takes this entry's own share of the limits; false when it is used up.
   bool takeShare(const Endpoint &E, TimePoint Now);
   // An agent was heard, which may grant more than this entry's own shares.
@@ -497,8 +497,8 @@
   StatedLimits Limits_;
   LimitShare Share_;
   ColdEndpoints Cold_;
-  WarmProofs Proofs_;
-  std::map<EndpointId, HealthRead> HealthReads_;
+  HealthCredits Credits_;
+  std::map<EndpointId, HealthCheck> HealthChecks_;
   // Endpoints left out until this entry's own share permits a request.
   std::set<EndpointId> HeldByShare_;
   KeyLease Lease_;
--- a/hawthornroad/traffic/TrafficHealth.cpp
+++ b/hawthornroad/traffic/TrafficHealth.cpp
@@ -4,64 +4,64 @@
 
 namespace hawthornroad {
 
-bool TrafficCore::needsProof(const Endpoint &E, TimePoint Now) const {
-  return Cold_.watched(E, Now).has_value() && !Proofs_.permits(startOf(E), Now);
+bool TrafficCore::needsHealthCheck(const Endpoint &E, TimePoint Now) const {
+  return Cold_.watched(E, Now).has_value() && !Credits_.has(startOf(E), Now);
 }
 
-TrafficCore::HealthRead *TrafficCore::readHealth(const Endpoint &E,
-                                                 TimePoint Now) {
-  if (auto Found = HealthReads_.find(E.Id_); Found != HealthReads_.end())
+TrafficCore::HealthCheck *TrafficCore::checkHealth(const Endpoint &E,
+                                                   TimePoint Now) {
+  if (auto Found = HealthChecks_.find(E.Id_); Found != HealthChecks_.end())
     return Found->second.Endpoint_ == startOf(E) ? &Found->second : nullptr;
   auto Watched = Cold_.watched(E, Now);
-  if (!Watched || !Proofs_.mayRead(startOf(E), Now))
+  if (!Watched || !Credits_.mayCheck(startOf(E), Now))
     return nullptr;
   AttemptNumber A = NextAttempt_++;
-  if (!Port_.readHealth(A, E, Watched->Path_))
+  if (!Port_.checkHealth(A, E, Watched->Path_))
     return nullptr;
-  return &HealthReads_
+  return &HealthChecks_
               .insert_or_assign(E.Id_,
-                                HealthRead{.Number_ = A,
-                                           .Endpoint_ = startOf(E),
-                                           .Arrivals_ = Watched->Arrivals_,
-                                           .SentAt_ = Now})
+                                HealthCheck{.Number_ = A,
+                                            .Endpoint_ = startOf(E),
+                                            .Arrivals_ = Watched->Arrivals_,
+                                            .SentAt_ = Now})
               .first->second;
 }
 
-TrafficCore::ProofWait TrafficCore::awaitProof(Record &R, const Endpoint &E,
-                                               TimePoint Now) {
-  HealthRead *Read = readHealth(E, Now);
-  if (Read == nullptr)
-    return ProofWait::NoAnswers;
+TrafficCore::HealthWait
+TrafficCore::awaitHealthCheck(Record &R, const Endpoint &E, TimePoint Now) {
+  HealthCheck *Check = checkHealth(E, Now);
+  if (Check == nullptr)
+    return HealthWait::NoAnswers;
   if (R.Asks_ >= Options_.MaxAsks_ ||
-      Read->Waiters_.size() >= Options_.MaxHealthWaiters_)
-    return ProofWait::Full;
+      Check->Waiters_.size() >= Options_.MaxHealthWaiters_)
+    return HealthWait::Full;
   AttemptNumber A = NextAttempt_++;
-  Read->Waiters_.push_back(A);
+  Check->Waiters_.push_back(A);
   R.Asking_ = A;
-  R.AwaitsProof_ = true;
+  R.AwaitsHealthCheck_ = true;
   R.AskedOf_ = E.Id_;
   R.AskSentAt_ = R.AskedAt_ = Now;
   ++R.Asks_;
   Asks_[A] = R.Number_;
   // Counted as sent, so that the next request goes to another endpoint.
   Placement_.attemptBegun(E.Id_, Now);
-  return ProofWait::Waits;
+  return HealthWait::Waits;
 }
 
-void TrafficCore::renewProof(const Endpoint &E, TimePoint Now) {
-  if (Proofs_.isLow(startOf(E)))
-    readHealth(E, Now);
+void TrafficCore::renewCredits(const Endpoint &E, TimePoint Now) {
+  if (Credits_.isLow(startOf(E)))
+    checkHealth(E, Now);
 }
 
-std::optional<TrafficCore::HealthRead>
-TrafficCore::takeHealthRead(AttemptNumber A) {
+std::optional<TrafficCore::HealthCheck>
+TrafficCore::takeHealthCheck(AttemptNumber A) {
   auto Found =
-      std::find_if(HealthReads_.begin(), HealthReads_.end(),
+      std::find_if(HealthChecks_.begin(), HealthChecks_.end(),
                    [&](const auto &Each) { return Each.second.Number_ == A; });
-  if (Found == HealthReads_.end())
+  if (Found == HealthChecks_.end())
     return std::nullopt;
-  HealthRead Out = std::move(Found->second);
-  HealthReads_.erase(Found);
+  HealthCheck Out = std::move(Found->second);
+  HealthChecks_.erase(Found);
   return Out;
 }
 
@@ -70,33 +70,34 @@
 void TrafficCore::onHealth(AttemptNumber A, const EndpointHead &H,
                            TimePoint Now) {
   Event Scope(*this);
-  std::optional<HealthRead> Read = takeHealthRead(A);
-  if (!Read)
+  std::optional<HealthCheck> Check = takeHealthCheck(A);
+  if (!Check)
     return;
   bool IsIts =
-      H.RequestId_.empty() && H.EndpointId_ == Read->Endpoint_.Id_.str();
+      H.RequestId_.empty() && H.EndpointId_ == Check->Endpoint_.Id_.str();
   bool IsCold = H.ColdLeft_ && *H.ColdLeft_ > Duration::zero();
   if (!IsIts)
-    return endHealthRead(*Read, HealthState::Silent, Now);
-  Proofs_.prove(Read->Endpoint_, IsCold ? 0 : Read->Arrivals_, Read->SentAt_);
+    return endHealthCheck(*Check, HealthState::Silent, Now);
+  Credits_.noteAnswer(Check->Endpoint_, IsCold ? 0 : Check->Arrivals_,
+                      Check->SentAt_);
   if (IsCold)
-    Cold_.noteAnswer(Read->Endpoint_, H.ColdLeft_, Now);
-  endHealthRead(*Read, IsCold ? HealthState::Cold : HealthState::Warm, Now);
+    Cold_.noteAnswer(Check->Endpoint_, H.ColdLeft_, Now);
+  endHealthCheck(*Check, IsCold ? HealthState::Cold : HealthState::Warm, Now);
 }
 
 void TrafficCore::onHealthFailed(AttemptNumber A, TimePoint Now) {
   Event Scope(*this);
-  if (std::optional<HealthRead> Read = takeHealthRead(A))
-    endHealthRead(*Read, HealthState::Silent, Now);
+  if (std::optional<HealthCheck> Check = takeHealthCheck(A))
+    endHealthCheck(*Check, HealthState::Silent, Now);
 }
 
 // An endpoint that has answered before and does not now may be in any state.
 // One that never answers has no health check, and is used without.
-void TrafficCore::endHealthRead(const HealthRead &H, HealthState State,
-                                TimePoint Now) {
+void TrafficCore::endHealthCheck(const HealthCheck &H, HealthState State,
+                                 TimePoint Now) {
   if (State == HealthState::Silent) {
-    Proofs_.noteSilent(H.Endpoint_, Now);
-    if (Proofs_.hasAnswered(H.Endpoint_))
+    Credits_.noteSilent(H.Endpoint_, Now);
+    if (Credits_.hasAnswered(H.Endpoint_))
       Cold_.noteSilent(H.Endpoint_, Now);
   }
   bool IsWarm = State == HealthState::Warm;
@@ -122,11 +123,11 @@
       askElsewhere(R, Now);
 }
 
-void TrafficCore::endSilentReads(TimePoint Now) {
+void TrafficCore::endSilentChecks(TimePoint Now) {
   std::vector<AttemptNumber> Silent;
-  for (const auto &[Id, Read] : HealthReads_)
-    if (Now - Read.SentAt_ >= Options_.HealthTimeout_)
-      Silent.push_back(Read.Number_);
+  for (const auto &[Id, Check] : HealthChecks_)
+    if (Now - Check.SentAt_ >= Options_.HealthTimeout_)
+      Silent.push_back(Check.Number_);
   for (AttemptNumber A : Silent) {
     Port_.cancelAttempt(A);
     onHealthFailed(A, Now);
--- a/hawthornroad/traffic/TrafficPlaces.cpp
+++ b/hawthornroad/traffic/TrafficPlaces.cpp
@@ -79,13 +79,13 @@
     return;
   Asks_.erase(R.Asking_);
   R.Asking_ = 0;
-  R.AwaitsProof_ = false;
+  R.AwaitsHealthCheck_ = false;
   Placement_.attemptEnded(R.AskedOf_, Placement::End::Cancelled, false, Now);
 }
 
 void TrafficCore::abandonAsk(Record &R, TimePoint Now) {
   const Endpoint *E = Placement_.find(R.AskedOf_);
-  if (R.Asking_ != 0 && !R.AwaitsProof_ && E != nullptr)
+  if (R.Asking_ != 0 && !R.AwaitsHealthCheck_ && E != nullptr)
     Unanswered_[R.Asking_] = {startOf(*E), R.AskSentAt_, R.AskedAt_,
                               R.AsksOnlyLimit_, R.AsksCold_};
   endAsk(R, Now);
--- a/hawthornroad/traffic/TrafficPort.h
+++ b/hawthornroad/traffic/TrafficPort.h
@@ -203,10 +203,10 @@
                              const PlaceDemand &D) {
     return AskResult::NoAgent;
   }
-  // Reads the endpoint's health check; the answer is onHealth(), none is
-  // onHealthFailed(). False when this process cannot.
-  virtual bool readHealth(AttemptNumber A, const Endpoint &E,
-                          const std::string &Path) {
+  // Asks the endpoint for its health at Path. The answer is onHealth(), none is
+  // onHealthFailed(); cancelAttempt() ends it. False when this process cannot.
+  virtual bool checkHealth(AttemptNumber A, const Endpoint &E,
+                           const std::string &Path) {
     return false;
   }
   // The known limit of an endpoint changed; tells who grants under it.
--- a/hawthornroad/traffic/TrafficState.h
+++ b/hawthornroad/traffic/TrafficState.h
@@ -128,7 +128,7 @@
   // See Ask::StatesCold_.
   bool AsksCold_ = false;
   // It waits for a health answer, not for a reply of an agent.
-  bool AwaitsProof_ = false;
+  bool AwaitsHealthCheck_ = false;
   // Place queries that were denied because the endpoint is cold, since it was
   // last queued.
   unsigned ColdDenials_ = 0;
--- a/tests/unit/ColdFleet.cpp
+++ b/tests/unit/ColdFleet.cpp
@@ -87,8 +87,8 @@
                        static_cast<unsigned>(Fleet_.Servers_.size());
     return Fleet_.send(*this, A, Granter, D, true);
   }
-  bool readHealth(AttemptNumber A, const Endpoint &E,
-                  const std::string &) override {
+  bool checkHealth(AttemptNumber A, const Endpoint &E,
+                   const std::string &) override {
     if (!Fleet_.Options_.AnswersHealth_)
       return false;
     Fleet_.checkHealth(*this, A, Fleet_.indexOf(E.Address_));
