--- a/tests/soak/SoakEndpoint.cpp
+++ b/tests/soak/SoakEndpoint.cpp
@@ -110,6 +110,15 @@
   Io_.after(For, [this] { IsRowNew_ = true; });
 }
 
+void SoakEndpoint::restartSpoilt() {
+  std::lock_guard Lock(Mutex_);
+  truncate();
+  ++Restarts_;
+  IsLoading_ = false;
+  Weights_.restartSpoilt();
+  IsRowNew_ = true;
+}
+
 Duration SoakEndpoint::coldLeft() const {
   return std::max<Duration>(ColdUntil_ - now(), Duration::zero());
 }
@@ -348,8 +357,10 @@
   Weights_.countOrder();
   IsLoading_ = true;
   truncate();
-  Io_.after(LoadDuration, [this, Version] {
+  Io_.after(LoadDuration, [this, Version, Restarts = Restarts_] {
     std::lock_guard Lock(Mutex_);
+    if (Restarts != Restarts_)
+      return;
     Weights_.load(Version);
     IsLoading_ = false;
     IsRowNew_ = true;
--- a/tests/soak/SoakEndpoint.h
+++ b/tests/soak/SoakEndpoint.h
@@ -65,6 +65,8 @@
   void setListedAt(const std::string &Address) { ListedAt_ = Address; }
   void setDraining();
   void becomeCold(Duration For);
+  // An engine restarts after one of its staged pieces has turned bad.
+  void restartSpoilt();
   void setMode(Mode M) { Mode_ = M; }
   // While set, most streams pause for long, though nothing is wrong.
   void setPausing(bool Pausing) { IsPausing_ = Pausing; }
@@ -123,6 +125,8 @@
   std::vector<RunPtr> AtWork_;
   SoakWeights Weights_;
   bool IsLoading_ = false;
+  // Restarts; a load that was under way ends with one.
+  unsigned Restarts_ = 0;
   bool IsDraining_ = false;
   TimePoint ColdUntil_;
   std::atomic<bool> IsRowNew_{true};
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -61,6 +61,9 @@
     KindRow{SoakFaultKind::BecomesCold, "becomes cold", Target::Endpoint, 1},
     KindRow{SoakFaultKind::EngineBecomesCold, "engine becomes cold",
             Target::Agent, 1}};
+constexpr std::array EngineRestarts = {
+    KindRow{SoakFaultKind::EngineRestarts, "engine restarts, a piece spoilt",
+            Target::Agent, 1}};
 constexpr std::array Evacuations = {
     KindRow{SoakFaultKind::Evacuated, "evacuated", Target::Zone, 1}};
 constexpr std::array ForeignRows = {
@@ -100,7 +103,8 @@
     Series{ColdMoments, 1, 0, 1, 1000, 2500},
     Series{Evacuations, 1, 3000, 8000, 500, 2500},
     Series{ForeignRows, 1, 500, 2500, 0, 500},
-    Series{EndlessAnswers, 1, 500, 1500, 3000, 8000}};
+    Series{EndlessAnswers, 1, 500, 1500, 3000, 8000},
+    Series{EngineRestarts, 1, 0, 1, 4000, 9000}};
 
 // A link of 50 KB/s carries about 50 stand-in answers per second.
 constexpr std::array PathFaultTexts = {
@@ -246,6 +250,7 @@
         std::span<const KindRow>(Evacuations),
         std::span<const KindRow>(ForeignRows),
         std::span<const KindRow>(EndlessAnswers),
+        std::span<const KindRow>(EngineRestarts),
         std::span<const KindRow>(ServiceFailures),
         std::span<const KindRow>(EntrySeries)})
     for (const KindRow &Each : Kinds)
--- a/tests/soak/SoakFaults.h
+++ b/tests/soak/SoakFaults.h
@@ -66,6 +66,8 @@
   // Without a statement but in its answers, until its row follows.
   BecomesCold,
   EngineBecomesCold,
+  // After one of its staged pieces has turned bad.
+  EngineRestarts,
   // All endpoints of a service lose answers, reject, or read nothing.
   ServiceLosesAnswers,
   ServiceRejects,
--- a/tests/soak/SoakWeights.cpp
+++ b/tests/soak/SoakWeights.cpp
@@ -73,6 +73,13 @@
   Loaded_ = Version;
 }
 
+void SoakWeights::restartSpoilt() {
+  Loaded_ = 0;
+  Orders_ = 0;
+  if (!Staged_.empty())
+    Staged_.begin()->second.front() ^= 1;
+}
+
 SoakOrigin::SoakOrigin() {
   Server_ = std::make_unique<HttpServer>(
       Io_, HttpServer::Limits{},
--- a/tests/soak/SoakWeights.h
+++ b/tests/soak/SoakWeights.h
@@ -31,7 +31,10 @@
   int loaded() const { return Loaded_; }
   // Whether every load had all pieces of its version.
   bool wasAlwaysWhole() const { return WasAlwaysWhole_; }
-  // Orders accepted so far.
+  // The engine restarts: nothing is loaded, and one of the staged pieces has
+  // turned bad in place.
+  void restartSpoilt();
+  // Orders accepted since the start.
   int orders() const { return Orders_; }
   void countOrder() { ++Orders_; }
 
--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -146,6 +146,8 @@
   case SoakFaultKind::EngineBecomesCold:
     return Layout_.agents()[F.Target_].Engine_->becomeCold(
         SoakEndpoint::ColdAgainFor);
+  case SoakFaultKind::EngineRestarts:
+    return Layout_.agents()[F.Target_].Engine_->restartSpoilt();
   case SoakFaultKind::ServiceLosesAnswers:
     return forEachEndpoint(F.Target_, [](SoakEndpoint &Each) {
       Each.setMode(SoakEndpoint::Mode::LoseAnswer);
@@ -277,11 +279,12 @@
   isStrain() ? Load_.start() : Callers_.start();
   runPlan();
   Callers_.setSurging(false);
+  TimePoint CalmSince = now();
   checkRecovery();
   Callers_.stop();
   Load_.stop();
   std::this_thread::sleep_for(RunSlack);
-  checkWeights();
+  checkWeights(CalmSince);
   checkAgents();
   if (Operators_.trapped() > 0)
     Checks_.violation(std::to_string(Operators_.trapped()) +
@@ -340,11 +343,22 @@
                         " has ended by itself");
 }
 
-void SoakWorld::checkWeights() {
-  for (const SoakLayout::Agent &Each : Layout_.agents())
-    if (!Each.Engine_->wasAlwaysWhole())
-      Checks_.violation(Each.Engine_->id() +
+void SoakWorld::checkWeights(TimePoint Since) {
+  for (const SoakLayout::Agent &Each : Layout_.agents()) {
+    const SoakEndpoint &Engine = *Each.Engine_;
+    while (Engine.loadedVersion() != WeightVersion_ &&
+           now() - Since < RecoverBound)
+      std::this_thread::sleep_for(Milliseconds(50));
+    if (Engine.loadedVersion() != WeightVersion_)
+      Checks_.violation(Engine.id() + " has version " +
+                        std::to_string(Engine.loadedVersion()) + ", not " +
+                        std::to_string(WeightVersion_) + ", " +
+                        std::to_string(RecoverBound / Seconds(1)) +
+                        " s after all faults");
+    if (!Engine.wasAlwaysWhole())
+      Checks_.violation(Engine.id() +
                         " has loaded weights that were not whole");
+  }
 }
 
 } // namespace hawthornroad
--- a/tests/soak/SoakWorld.h
+++ b/tests/soak/SoakWorld.h
@@ -65,7 +65,9 @@
   void tickUntil(TimePoint End);
   void checkRecovery();
   void checkRecovery(std::size_t Entry, TimePoint Since);
-  void checkWeights();
+  // Each engine has the newest version RecoverBound after Since, and has loaded
+  // none in part.
+  void checkWeights(TimePoint Since);
   void checkAgents();
 
   Options Options_;
