--- a/tests/soak/Main.cpp
+++ b/tests/soak/Main.cpp
@@ -56,6 +56,7 @@
   std::size_t Callers = 5;
   double Strain = 0;
   double EntryRepeatRatio = 0;
+  std::string Failure;
   SoakLayout::Options Layout;
   std::string Logs = "soak-logs";
   Description.add_options()("help", "this text")(
@@ -77,6 +78,10 @@
       "planned work only, without faults")(
       "repeat-strain", po::value(&Strain)->implicit_value(StrainPerSecond),
       "put a strain on the limit of repeats, with this many requests a second")(
+      "strain-failure", po::value(&Failure),
+      "how the strain begins, in place of the seed's choice: loss-and-kill, "
+      "loss-and-freeze, hold-and-kill, loss-and-slowness, "
+      "loss-and-callers-held, engine-loss")(
       "entry-repeat-ratio", po::value(&EntryRepeatRatio),
       "the ratio that entries keep, in place of the operators'")(
       "logs", po::value(&Logs)->default_value(Logs),
@@ -93,6 +98,10 @@
     std::cout << Description;
     return 0;
   }
+  if (!Failure.empty() && !parseStrainFailure(Failure)) {
+    std::cerr << "no such failure: " << Failure << '\n' << Description;
+    return 2;
+  }
   if (Strain > 0) {
     Layout.RepeatRatio_ = StrainRepeatRatio;
     Layout.RepeatSlack_ = StrainRepeatSlack;
@@ -104,6 +113,7 @@
     O.Length_ = Seconds(Length);
     O.IsPlannedOnly_ = PlannedOnly;
     O.StrainPerSecond_ = Strain;
+    O.StrainFailure_ = parseStrainFailure(Failure);
     O.CallersPerEntry_ = Callers;
     O.Layout_ = Layout;
     O.Layout_.Seed_ = S;
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <span>
 #include <sstream>
+#include <utility>
 
 namespace hawthornroad {
 
@@ -82,6 +83,10 @@
     KindRow{SoakFaultKind::EntriesFrozen, "entries frozen", Target::Entry, 3},
     KindRow{SoakFaultKind::EntriesStopped, "entries stopped", Target::Entry, 1},
     KindRow{SoakFaultKind::EntryAdded, "entry added", Target::Entry, 1}};
+// Not drawn.
+constexpr std::array LateRequests = {
+    KindRow{SoakFaultKind::EntriesSlowed, "entries slowed", Target::Entry, 1},
+    KindRow{SoakFaultKind::CallersHeld, "callers held", Target::Entry, 1}};
 
 constexpr std::uint64_t MaxSeries = 4;
 
@@ -188,7 +193,42 @@
 constexpr Duration FrozenFor = Seconds(6);
 // How long answers have been lost when the entries are killed or frozen.
 constexpr Duration LostBefore = Milliseconds(1800);
-constexpr std::uint64_t StrainKinds = 3;
+// In which requests reach the entries late.
+constexpr Duration LateFor = Seconds(7);
+constexpr std::array StrainFailureNames = {
+    std::pair{"loss-and-kill", StrainFailure::LossAndKill},
+    std::pair{"loss-and-freeze", StrainFailure::LossAndFreeze},
+    std::pair{"hold-and-kill", StrainFailure::HoldAndKill},
+    std::pair{"loss-and-slowness", StrainFailure::LossAndSlowness},
+    std::pair{"loss-and-callers-held", StrainFailure::LossAndCallersHeld},
+    std::pair{"engine-loss", StrainFailure::EngineLoss}};
+
+StrainFailure failureOf(const SoakPlan &P) {
+  constexpr std::array BySeed = {StrainFailure::HoldAndKill,
+                                 StrainFailure::LossAndKill,
+                                 StrainFailure::LossAndFreeze};
+  return P.Failure_.value_or(BySeed[P.Seed_ % BySeed.size()]);
+}
+
+// What happens to all entries, or to their callers, in the failure.
+SoakFault commonFault(StrainFailure F) {
+  Duration At = CalmFor + LostBefore;
+  switch (F) {
+  case StrainFailure::LossAndFreeze:
+    return {SoakFaultKind::EntriesFrozen, 0, "", At, At + FrozenFor};
+  case StrainFailure::LossAndSlowness:
+    return {SoakFaultKind::EntriesSlowed, 0, "", At, At + LateFor};
+  case StrainFailure::LossAndCallersHeld:
+    return {SoakFaultKind::CallersHeld, 0, "", At, At + LateFor};
+  case StrainFailure::HoldAndKill:
+    return {SoakFaultKind::EntriesKilled, 0, "", CalmFor + HoldFor,
+            CalmFor + HoldFor};
+  case StrainFailure::LossAndKill:
+  case StrainFailure::EngineLoss:
+    break;
+  }
+  return {SoakFaultKind::EntriesKilled, 0, "", At, At};
+}
 
 // Like addSeries(), from From on; for one target if it is given.
 void addSeriesFrom(Duration From, SoakPlan P, const Series &S, Random R,
@@ -207,22 +247,28 @@
 // The failure of all services at once, and what happens to all entries in it.
 void addCommonFailure(const SoakPlan &P, std::size_t Services,
                       std::vector<SoakFault> &Out) {
-  bool IsHeld = P.Seed_ % StrainKinds == 0;
-  bool IsKill = P.Seed_ % StrainKinds != 2;
+  StrainFailure Failure = failureOf(P);
+  bool IsHeld = Failure == StrainFailure::HoldAndKill;
   Duration LossAt = IsHeld ? CalmFor + HoldFor : CalmFor;
-  for (std::size_t I = 0; I < Services; ++I) {
+  // Engines are the last service.
+  std::size_t First = Failure == StrainFailure::EngineLoss ? Services - 1 : 0;
+  for (std::size_t I = First; I < Services; ++I) {
     if (IsHeld)
       Out.push_back({SoakFaultKind::ServiceHolds, I, "", CalmFor, LossAt});
     Out.push_back({SoakFaultKind::ServiceLosesAnswers, I, "", LossAt,
                    CalmFor + FailureFor});
   }
-  Duration EntriesAt = IsHeld ? LossAt : LossAt + LostBefore;
-  Out.push_back(
-      {IsKill ? SoakFaultKind::EntriesKilled : SoakFaultKind::EntriesFrozen, 0,
-       "", EntriesAt, EntriesAt + FrozenFor});
+  Out.push_back(commonFault(Failure));
 }
 } // namespace
 
+std::optional<StrainFailure> parseStrainFailure(const std::string &Name) {
+  for (const auto &[Text, Failure] : StrainFailureNames)
+    if (Name == Text)
+      return Failure;
+  return std::nullopt;
+}
+
 std::vector<SoakFault> planRepeatStrain(const SoakPlan &P) {
   constexpr Series Services{ServiceFailures, 1, 3000, 9000, 0, 2000};
   constexpr Series Entries{EntrySeries, 1, 300, 4000, 300, 3000};
@@ -252,7 +298,8 @@
         std::span<const KindRow>(EndlessAnswers),
         std::span<const KindRow>(EngineRestarts),
         std::span<const KindRow>(ServiceFailures),
-        std::span<const KindRow>(EntrySeries)})
+        std::span<const KindRow>(EntrySeries),
+        std::span<const KindRow>(LateRequests)})
     for (const KindRow &Each : Kinds)
       if (Each.Kind_ == F.Kind_)
         Name = Each.Name_;
--- a/tests/soak/SoakFaults.h
+++ b/tests/soak/SoakFaults.h
@@ -22,6 +22,7 @@
 #include "hawthornroad/base/Types.h"
 
 #include <array>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -75,6 +76,10 @@
   // On all entries at once.
   EntriesKilled,
   EntriesFrozen,
+  // They lack processor time: they run for short moments only.
+  EntriesSlowed,
+  // What callers send reaches no entry until the end.
+  CallersHeld,
   // Planned work on every other entry; an entry more.
   EntriesStopped,
   EntryAdded
@@ -90,6 +95,21 @@
   Duration To_{};
 };
 
+// How a repeat strain begins, see planRepeatStrain().
+enum class StrainFailure {
+  LossAndKill,
+  LossAndFreeze,
+  HoldAndKill,
+  // Entries lack processor time, or what callers send is held back, in the
+  // middle of the loss.
+  LossAndSlowness,
+  LossAndCallersHeld,
+  // Only engines lose answers.
+  EngineLoss
+};
+// By name: "loss-and-kill", ..., "engine-loss".
+std::optional<StrainFailure> parseStrainFailure(const std::string &Name);
+
 struct SoakPlan {
   std::uint64_t Seed_ = 1;
   Duration Length_{};
@@ -99,15 +119,17 @@
   std::size_t Zones_ = 1;
   // Without the series of faults.
   bool IsPlannedOnly_ = false;
+  // Of a repeat strain; unset: by the seed.
+  std::optional<StrainFailure> Failure_;
 };
 
 std::vector<SoakFault> planFaults(const SoakPlan &P);
 // Puts a strain on the limit of repeats: after CalmFor, all services fail for
-// longer than a window, in one of three ways by the seed. They lose answers
-// while all entries are killed (1, 4, ...) or frozen (2, 5, ...), or hold
-// requests back until all entries are killed (3, 6, ...). Then the endpoints of
-// each service fail in series, and the entries are killed, frozen, stopped and
-// added in a series of its own.
+// longer than a window, as Failure_ says or in one of three ways by the seed.
+// They lose answers while all entries are killed (1, 4, ...) or frozen (2, 5,
+// ...), or hold requests back until all entries are killed (3, 6, ...). Then
+// the endpoints of each service fail in series, and the entries are killed,
+// frozen, stopped and added in a series of its own.
 std::vector<SoakFault> planRepeatStrain(const SoakPlan &P);
 // Longer than the window in which repeats are limited.
 inline constexpr Duration CalmFor = Seconds(12);
--- a/tests/soak/SoakLayout.cpp
+++ b/tests/soak/SoakLayout.cpp
@@ -243,6 +243,25 @@
     Record_.endDisruption(E.Name_, now());
 }
 
+void SoakLayout::slowEntries() {
+  std::vector<pid_t> Processes;
+  for (Entry &Each : Entries_)
+    if (Each.Process_->running()) {
+      Record_.beginDisruption(Each.Name_, now());
+      Processes.push_back(Each.Process_->pid());
+    }
+  Slowdown_.emplace(std::move(Processes));
+}
+
+void SoakLayout::endSlowness() {
+  if (!Slowdown_)
+    return;
+  Slowdown_.reset();
+  for (Entry &Each : Entries_)
+    if (Each.Process_->running())
+      Record_.endDisruption(Each.Name_, now());
+}
+
 void SoakLayout::stop(Agent &A, TimePoint RestartAt) {
   A.RestartAt_ = RestartAt;
   if (std::all_of(Agents_.begin(), Agents_.end(),
--- a/tests/soak/SoakLayout.h
+++ b/tests/soak/SoakLayout.h
@@ -14,6 +14,7 @@
 
 #include "tests/integration/PlatformFixture.h"
 #include "tests/soak/SoakEndpoint.h"
+#include "tests/soak/SoakSlowdown.h"
 
 #include <deque>
 #include <memory>
@@ -105,6 +106,10 @@
   void kill(Entry &E, TimePoint RestartAt);
   void freeze(Entry &E);
   void resume(Entry &E);
+  // Lets all entries run for short moments only, until endSlowness(). They must
+  // not be killed or frozen meanwhile.
+  void slowEntries();
+  void endSlowness();
   // Starts one more entry.
   void addEntry();
   void stop(Agent &A, TimePoint RestartAt);
@@ -141,6 +146,7 @@
   std::deque<Endpoint> Leaving_;
   std::deque<Agent> Agents_;
   std::deque<Entry> Entries_;
+  std::optional<SoakSlowdown> Slowdown_;
   mutable std::mutex Mutex_;
   std::vector<Address> Addresses_;
 };
--- a/tests/soak/SoakLoad.cpp
+++ b/tests/soak/SoakLoad.cpp
@@ -89,8 +89,20 @@
   SoakOutcome O;
   R.SentAt_ = now();
   Checks_.sent(R);
+  if (IsHeld_) {
+    // Its caller has sent it, whenever it arrives.
+    O.WrittenAt_ = R.SentAt_;
+    if (!co_await awaitPath(R.SentAt_ + R.Deadline_)) {
+      O.End_ = SoakOutcome::End::TimedOut;
+      O.EndedAt_ = now();
+      Checks_.ended(R.Id_, O);
+      --Open_;
+      co_return;
+    }
+  }
   auto &Idle = Idle_[Address];
-  O.IsKept_ = !Idle.empty();
+  // Behind a cut path the entry's close of a kept connection waits as well.
+  O.IsKept_ = !Idle.empty() && !O.WrittenAt_;
   std::unique_ptr<Stream> S;
   if (O.IsKept_) {
     S = std::move(Idle.back());
@@ -105,6 +117,17 @@
   --Open_;
 }
 
+asio::awaitable<bool> SoakLoad::awaitPath(TimePoint LeavesAt) {
+  asio::steady_timer Timer(Io_.context());
+  while (IsHeld_ && now() < LeavesAt) {
+    boost::system::error_code Ignored;
+    Timer.expires_after(PollPeriod);
+    co_await Timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, Ignored));
+  }
+  co_return now() < LeavesAt;
+}
+
 asio::awaitable<std::unique_ptr<SoakLoad::Stream>>
 SoakLoad::connect(const std::string &Address, const SoakRequest &R,
                   SoakOutcome &O) {
@@ -131,7 +154,8 @@
   co_await http::async_write(S, Request,
                              asio::redirect_error(asio::use_awaitable, Code));
   if (!Code) {
-    O.WrittenAt_ = now();
+    if (!O.WrittenAt_)
+      O.WrittenAt_ = now();
     co_await http::async_read(S, Buffer, Parser,
                               asio::redirect_error(asio::use_awaitable, Code));
   }
--- a/tests/soak/SoakLoad.h
+++ b/tests/soak/SoakLoad.h
@@ -5,7 +5,9 @@
 //
 // Half of the requests go to engines, if there are any. Each is sent once, to
 // an entry drawn for it, on a kept connection if one is free there. A caller
-// leaves when its deadline has passed.
+// leaves when its deadline has passed. While it is held, what callers send
+// reaches no entry, as behind a path that is cut; it arrives when the hold
+// ends, unless its caller has left.
 
 #ifndef HAWTHORNROAD_TESTS_SOAK_SOAKLOAD_H
 #define HAWTHORNROAD_TESTS_SOAK_SOAKLOAD_H
@@ -45,6 +47,8 @@
   void start();
   // Blocks until all requests have ended.
   void stop();
+  // Thread-safe.
+  void setHeld(bool IsHeld) { IsHeld_ = IsHeld; }
 
 private:
   using Stream = boost::beast::tcp_stream;
@@ -56,6 +60,8 @@
   connect(const std::string &Address, const SoakRequest &R, SoakOutcome &O);
   boost::asio::awaitable<bool> exchange(Stream &S, const std::string &Target,
                                         const SoakRequest &R, SoakOutcome &O);
+  // Ends with the hold, or when the caller leaves; false then.
+  boost::asio::awaitable<bool> awaitPath(TimePoint LeavesAt);
   SoakRequest makeRequest(std::string &Target);
 
   Options Options_;
@@ -66,6 +72,7 @@
   // Idle connections by address.
   std::map<std::string, std::vector<std::unique_ptr<Stream>>> Idle_;
   std::atomic<bool> Stopping_{false};
+  std::atomic<bool> IsHeld_{false};
   std::atomic<int> Open_{0};
   IoThread Io_{"load", 16};
 };
--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -167,6 +167,10 @@
     for (SoakLayout::Entry &Each : Entries)
       Layout_.freeze(Each);
     return;
+  case SoakFaultKind::EntriesSlowed:
+    return Layout_.slowEntries();
+  case SoakFaultKind::CallersHeld:
+    return Load_.setHeld(true);
   case SoakFaultKind::EntriesStopped:
     for (std::size_t I = 0; I < Entries.size(); I += 2)
       Layout_.stop(Entries[I], EndsAt);
@@ -228,6 +232,10 @@
     for (SoakLayout::Entry &Each : Entries)
       Layout_.resume(Each);
     return;
+  case SoakFaultKind::EntriesSlowed:
+    return Layout_.endSlowness();
+  case SoakFaultKind::CallersHeld:
+    return Load_.setHeld(false);
   // The layout restarts processes.
   default:
     return;
@@ -248,7 +256,8 @@
              .Agents_ = Layout_.agents().size(),
              .Endpoints_ = Layout_.endpoints().size(),
              .Zones_ = Options_.Layout_.Zones_,
-             .IsPlannedOnly_ = Options_.IsPlannedOnly_};
+             .IsPlannedOnly_ = Options_.IsPlannedOnly_,
+             .Failure_ = Options_.StrainFailure_};
   return isStrain() ? planRepeatStrain(P) : planFaults(P);
 }
 
