Repeat budget: requests that are read late earn no repeats, whatever held them back

What callers saw: BUDGET on real processes, more arrivals beyond the first of their request than the operators allow.

Cause: a request earned repeats when it was read. Only what is read after a pause of the whole process of over 100 ms was left out. So requests earned twice the window's repeats when a cut path before the entries delivered them together with those sent by then, when entries read slowly without pausing, and when a second, short pause replaced the account of a long one whose backlog was still unread.

Now a service expects requests at its usual rate. Those that do not come are missing; those beyond the usual rate count for missing ones, in their place, and earn nothing. It needs no pause, so one mechanism replaces the account of pauses.

Tried and dropped: taking what tolerated late requests may earn out of the fixed parts.

--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -288,6 +288,9 @@
     Set(Service, "fixed", U.TakenFromFixed_);
     Set(Service, "denied", U.Denied_);
     Set(Service, "given_back", U.GivenBack_);
+    Metrics_.set("hawthornroad_requests_late_total",
+                 static_cast<double>(U.LateRequests_),
+                 {{"service", Service.str()}});
   }
   auto SetWindow = [this](const ServiceName &Service, const char *What,
                           double Count) {
@@ -299,6 +302,7 @@
     SetWindow(Service, "repeats", W.Repeats_);
     SetWindow(Service, "outstanding", W.Outstanding_);
     SetWindow(Service, "tokens", W.Tokens_);
+    SetWindow(Service, "missing", W.Missing_);
   }
 }
 
--- a/hawthornroad/traffic/RepeatBudget.cpp
+++ b/hawthornroad/traffic/RepeatBudget.cpp
@@ -2,6 +2,14 @@
 
 namespace hawthornroad {
 
+namespace {
+using FloatDuration = std::chrono::duration<double>;
+
+double ratio(Duration Part, Duration Whole) {
+  return FloatDuration(Part) / FloatDuration(Whole);
+}
+} // namespace
+
 std::int64_t RepeatBudget::slotNumber(TimePoint Now) const {
   // Repeats are counted over one slot more than the window, which covers the
   // window of any outside observer.
@@ -13,7 +21,7 @@
   std::int64_t Number = slotNumber(Now);
   Slot &S = A.Slots_[static_cast<std::size_t>(Number) % A.Slots_.size()];
   if (S.Number_ != Number)
-    S = {Number, 0, 0};
+    S = {.Number_ = Number};
   return S;
 }
 
@@ -60,7 +68,6 @@
   // A service that was never used has accrued since the start. Both times are
   // converted before they are subtracted, since StartedAt_ may be the earliest
   // time there is.
-  using FloatDuration = std::chrono::duration<double>;
   TimePoint Since = A.UpdatedAt_.value_or(Options_.StartedAt_);
   FloatDuration Elapsed = FloatDuration(Now.time_since_epoch()) -
                           FloatDuration(Since.time_since_epoch());
@@ -77,43 +84,96 @@
                                              TimePoint Now) {
   Account &A = Accounts_[Service];
   A.Tokens_ = tokens(A, Now);
+  expect(A, A.UpdatedAt_.value_or(Now), Now);
   A.UpdatedAt_ = Now;
   return A;
 }
 
-void RepeatBudget::noteRun(TimePoint Now) {
-  if (RanAt_ && Now - *RanAt_ > Options_.MinPause_)
-    beginCatchUp(*RanAt_, Now);
-  RanAt_ = Now;
+double RepeatBudget::usualRequests(const Account &A, TimePoint Now) const {
+  constexpr auto InWindow = static_cast<std::int64_t>(Slots) - 1;
+  std::int64_t Last = slotNumber(Now);
+  unsigned Recent = 0;
+  unsigned Before = 0;
+  for (const Slot &Each : A.Slots_) {
+    if (Each.Number_ > Last - InWindow)
+      Recent += Each.Requests_;
+    else if (Each.Number_ > Last - 2 * InWindow)
+      Before += Each.Requests_;
+  }
+  return std::max(Recent, Before);
+}
+
+void RepeatBudget::expect(Account &A, TimePoint From, TimePoint Now) const {
+  double Usual = usualRequests(A, From);
+  A.Expected_ += Usual * ratio(Now - From, Options_.Window_);
+  double Most =
+      std::max(MinTolerance, Usual * ratio(Tolerance, Options_.Window_));
+  if (A.Expected_ <= Most)
+    return;
+  addMissing(A, A.Expected_ - Most, From, Now);
+  A.Expected_ = Most;
 }
 
-void RepeatBudget::beginCatchUp(TimePoint PausedAt, TimePoint Now) {
-  CatchUp_ = {Now, std::min(Now - PausedAt, Options_.Window_)};
-  for (auto &[Service, A] : Accounts_) {
-    A.UsualRequests_ = sums(A, PausedAt).RecentRequests_;
-    A.EarnedAfterPause_ = 0;
+void RepeatBudget::addMissing(Account &A, double Count, TimePoint From,
+                              TimePoint Now) const {
+  Duration Whole = Now - From;
+  TimePoint At = std::max(From, Now - Options_.Window_);
+  Duration Length = Options_.Window_ / (Slots - 1);
+  while (At < Now) {
+    TimePoint End = std::min(Now, TimePoint(Length * (slotNumber(At) + 1)));
+    slotAt(A, At).Missing_ += Count * ratio(End - At, Whole);
+    At = End;
   }
 }
 
-bool RepeatBudget::isOfPause(const Account &A, TimePoint Now) const {
-  if (!CatchUp_.contains(Now))
-    return false;
-  using FloatDuration = std::chrono::duration<double>;
-  double Windows =
-      FloatDuration(Now - CatchUp_.From_) / FloatDuration(Options_.Window_);
-  return A.EarnedAfterPause_ + 1 > A.UsualRequests_ * Windows;
+double RepeatBudget::missing(const Account &A, TimePoint Now) const {
+  std::int64_t Oldest = slotNumber(Now - Options_.Window_);
+  double Out = 0;
+  for (const Slot &Each : A.Slots_)
+    if (Each.Number_ >= Oldest)
+      Out += Each.Missing_;
+  return Out;
+}
+
+void RepeatBudget::endTolerance(Account &A, TimePoint Now) const {
+  TimePoint Last = A.RequestedAt_.value_or(Now);
+  double InSilence =
+      usualRequests(A, Last) * ratio(Now - Last, Options_.Window_);
+  if (InSilence < MinSilence)
+    return;
+  addMissing(A, A.Expected_, Last, Now);
+  A.Expected_ = 0;
+}
+
+RepeatBudget::Slot *RepeatBudget::takeMissing(Account &A, TimePoint Now) const {
+  if (A.Expected_ >= 1 || missing(A, Now) < 1)
+    return nullptr;
+  double Left = 1;
+  Slot *Last = nullptr;
+  std::int64_t Newest = slotNumber(Now);
+  for (std::int64_t N = slotNumber(Now - Options_.Window_);
+       N <= Newest && Left > 0; ++N) {
+    Slot &Each = A.Slots_[static_cast<std::size_t>(N) % A.Slots_.size()];
+    if (Each.Number_ != N || Each.Missing_ <= 0)
+      continue;
+    double Taken = std::min(Left, Each.Missing_);
+    Each.Missing_ -= Taken;
+    Left -= Taken;
+    Last = &Each;
+  }
+  return Last;
 }
 
 void RepeatBudget::noteRequest(const ServiceName &Service, TimePoint Now) {
-  // The first event after a pause may be a request.
-  if (RanAt_)
-    noteRun(Now);
   Account &A = updated(Service, Now);
-  if (isOfPause(A, Now)) {
-    ++slotAt(A, Now - CatchUp_.Length_).Requests_;
+  endTolerance(A, Now);
+  A.RequestedAt_ = Now;
+  if (Slot *Missing = takeMissing(A, Now)) {
+    ++Missing->Requests_;
+    ++Usage_[Service].LateRequests_;
     return;
   }
-  ++A.EarnedAfterPause_;
+  A.Expected_ = std::max(0.0, A.Expected_ - 1);
   ++slotAt(A, Now).Requests_;
   A.Tokens_ += Options_.Ratio_ * Options_.Share_;
 }
@@ -181,7 +241,8 @@
   std::map<ServiceName, Window> Out;
   for (const auto &[Service, A] : Accounts_) {
     Sums S = sums(A, Now);
-    Out[Service] = {S.Requests_, S.Repeats_, A.Outstanding_, tokens(A, Now)};
+    Out[Service] = {S.Requests_, S.Repeats_, A.Outstanding_, tokens(A, Now),
+                    missing(A, Now)};
   }
   return Out;
 }
--- a/hawthornroad/traffic/RepeatBudget.h
+++ b/hawthornroad/traffic/RepeatBudget.h
@@ -3,7 +3,6 @@
 //
 //   RepeatBudget B({.Ratio_ = 0.2, .Window_ = Seconds(10)});
 //   B.noteProcesses(9);                    // known from others
-//   B.noteRun(Now);                        // at each tick
 //   B.noteRequest(Service, Now);
 //   if (B.take(Service, Now)) sendAgain();
 //   B.settle(Service, 1, Now);   // it has arrived
@@ -50,14 +49,21 @@
 // most Share * Ratio repeats per request of the last Window, and the fixed
 // parts. This count is lost with the process.
 //
-// Pauses: the requests of a pause of this process are read together after it,
-// although they were sent before. If they earned tokens then, a pause of all
-// processes would add Ratio * Share * its requests to the sum above. So after a
-// pause, for as long as it took, a service earns no more tokens than its usual
-// rate of requests does; what is read beyond it counts for the time of the
-// pause. Pauses are known to a budget whose noteRun() is called at all times.
+// Late requests: this process counts a request when it reads it, an observer
+// when its caller sends it. What a pause of this process, a lack of processor
+// time or the network before it has held back is read together with what is
+// sent by then. If it earned tokens then, it would add Ratio * Share * its
+// number to the sum above. So requests are expected at the usual rate, the
+// higher one of the last two Windows. Those that do not come are missing from
+// the time at which they were expected; those beyond the usual rate count for
+// missing ones of the last Window, the oldest first, and earn nothing. A
+// burst, requests beyond the usual rate that none are missing for, earns
+// tokens. As many as come at the usual rate in Tolerance, and at least
+// MinTolerance, may come early or late, unless none came at all for so long
+// that this is no chance. What these earn late, at the end of a delay, is not
+// in the sum above.
 //
-// Memory: Slots counters per service.
+// Memory: the counters of two Windows per service.
 
 #ifndef HAWTHORNROAD_TRAFFIC_REPEATBUDGET_H
 #define HAWTHORNROAD_TRAFFIC_REPEATBUDGET_H
@@ -86,8 +92,6 @@
     std::optional<double> Slack_;
     // Start of this process.
     TimePoint StartedAt_ = TimePoint::min();
-    // A longer time between two calls of noteRun() is a pause of this process.
-    Duration MinPause_ = Milliseconds(100);
   };
 
   explicit RepeatBudget(Options O) : Options_(O) {}
@@ -96,8 +100,6 @@
   void noteProcesses(unsigned Count) {
     Processes_ = std::max(Processes_, Count);
   }
-  // This process runs.
-  void noteRun(TimePoint Now);
   void noteRequest(const ServiceName &Service, TimePoint Now);
   // Whether one more repeat may be sent.
   bool permits(const ServiceName &Service, TimePoint Now);
@@ -122,6 +124,8 @@
     std::uint64_t TakenFromFixed_ = 0;
     std::uint64_t Denied_ = 0;
     std::uint64_t GivenBack_ = 0;
+    // Requests that were read late and earned no tokens.
+    std::uint64_t LateRequests_ = 0;
   };
   const std::map<ServiceName, Usage> &usage() const { return Usage_; }
 
@@ -133,12 +137,21 @@
     unsigned Outstanding_ = 0;
     // Repeats that may be sent at once.
     double Tokens_ = 0;
+    // Expected requests that have not come.
+    double Missing_ = 0;
     bool operator==(const Window &) const = default;
   };
   std::map<ServiceName, Window> windows(TimePoint Now) const;
 
 private:
+  // Of a Window and the slot that it begins in, and of two Windows.
   static constexpr std::size_t Slots = 20;
+  static constexpr std::size_t KeptSlots = 2 * Slots;
+  // Deviations from the usual rate that are no lateness: as a time, in
+  // requests, and in requests that are expected while none come.
+  static constexpr Duration Tolerance = Milliseconds(250);
+  static constexpr double MinTolerance = 10;
+  static constexpr double MinSilence = 8;
   // Parts of the slack of a process, see above.
   static constexpr double SavedShare = 0.4;
   static constexpr double AccruedShare = 0.2;
@@ -149,24 +162,18 @@
     std::int64_t Number_ = -1;
     unsigned Requests_ = 0;
     unsigned Repeats_ = 0;
+    double Missing_ = 0;
   };
   struct Account {
-    std::array<Slot, Slots> Slots_;
+    std::array<Slot, KeptSlots> Slots_;
     // Includes abandoned ones.
     unsigned Outstanding_ = 0;
     unsigned Abandoned_ = 0;
     double Tokens_ = 0;
     std::optional<TimePoint> UpdatedAt_;
-    // Before the last pause: requests in a Window. Since it: those that have
-    // earned tokens while CatchUp_ lasts.
-    unsigned UsualRequests_ = 0;
-    unsigned EarnedAfterPause_ = 0;
-  };
-  // The time after a pause in which its requests may be read.
-  struct CatchUp {
-    TimePoint From_;
-    Duration Length_ = Duration::zero();
-    bool contains(TimePoint T) const { return T - From_ < Length_; }
+    // Requests that may come now without being beyond the usual rate.
+    double Expected_ = 0;
+    std::optional<TimePoint> RequestedAt_;
   };
 
   // Requests and repeats of the last Slots slots, and outstanding repeats.
@@ -191,9 +198,19 @@
   double tokens(const Account &A, TimePoint Now) const;
   // The account with its tokens at Now.
   Account &updated(const ServiceName &Service, TimePoint Now);
-  void beginCatchUp(TimePoint PausedAt, TimePoint Now);
-  // Whether a request that is read now is one of the pause.
-  bool isOfPause(const Account &A, TimePoint Now) const;
+  // Requests in a Window.
+  double usualRequests(const Account &A, TimePoint Now) const;
+  // Expects requests from From until Now.
+  void expect(Account &A, TimePoint From, TimePoint Now) const;
+  void addMissing(Account &A, double Count, TimePoint From,
+                  TimePoint Now) const;
+  double missing(const Account &A, TimePoint Now) const;
+  // No requests came for so long that those that may come early or late are
+  // missing, too.
+  void endTolerance(Account &A, TimePoint Now) const;
+  // The slot of a missing request that the one that is read now counts for;
+  // null if it is not late.
+  Slot *takeMissing(Account &A, TimePoint Now) const;
   // Count outstanding repeats have arrived.
   void addArrived(Account &A, unsigned Count, TimePoint Now);
 
@@ -202,8 +219,6 @@
 
   Options Options_;
   unsigned Processes_ = 0;
-  std::optional<TimePoint> RanAt_;
-  CatchUp CatchUp_;
   std::map<ServiceName, Account> Accounts_;
   std::map<ServiceName, Usage> Usage_;
 };
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -406,7 +406,6 @@
   Event Scope(*this);
   Duration Gap = TickedAt_ ? Now - *TickedAt_ : Duration::zero();
   TickedAt_ = Now;
-  Budget_.noteRun(Now);
   IsAfterPause_ = Gap > Options_.MinPause_;
   if (IsAfterPause_)
     notePause(Gap, Now);
--- a/tests/unit/RepeatArrivalsTest.cpp
+++ b/tests/unit/RepeatArrivalsTest.cpp
@@ -294,3 +294,78 @@
   F.run(FirstTrouble + Seconds(20) - Start);
   CHECK(F.excess() <= 0);
 }
+
+// Guards against entries that lack processor time, read ever later without a
+// pause, and repeat for their whole backlog once they catch up.
+TEST_CASE("fleet of entries, all of which read slowly while answers are lost, "
+          "keeps the repeats that arrive within the budget",
+          "[repeats]") {
+  auto Size = GENERATE(from_range(std::begin(Loaded), std::end(Loaded)));
+  auto SlowFor = GENERATE(Seconds(3), Seconds(6));
+  // Of the requests that arrive, how many are read.
+  auto ReadShare = GENERATE(0.2, 0.5);
+  CAPTURE(Size.Entries_, Size.Load_, SlowFor.count(), ReadShare);
+  RepeatFleet::Options O = calmUntilTrouble(Size);
+  O.ServiceTime_ = Milliseconds(1);
+  O.ReadTime_ = Milliseconds(1);
+  RepeatFleet F(O);
+  TimePoint From = FirstTrouble + Seconds(1);
+  std::chrono::duration<double> ReadTime(1 / (ReadShare * Size.Load_));
+  F.slowDown(From, From + SlowFor,
+             std::chrono::duration_cast<Duration>(ReadTime));
+  F.run(FirstTrouble + Seconds(20) - Start);
+  CHECK(F.excess() <= 0);
+}
+
+// Guards against a short pause that ends the account of a long one before its
+// requests are read.
+TEST_CASE("fleet of entries, paused for a moment just after a long pause, "
+          "keeps the repeats that arrive within the budget",
+          "[repeats]") {
+  auto Size = GENERATE(from_range(std::begin(Loaded), std::end(Loaded)));
+  auto Frozen = GENERATE(Seconds(4), Seconds(8));
+  CAPTURE(Size.Entries_, Size.Load_, Frozen.count());
+  RepeatFleet::Options O = calmUntilTrouble(Size);
+  O.ServiceTime_ = Milliseconds(1);
+  O.ReadTime_ = Milliseconds(4);
+  RepeatFleet F(O);
+  TimePoint From = FirstTrouble + Seconds(1);
+  TimePoint To = From + Frozen;
+  for (unsigned I = 0; I < Size.Entries_; ++I) {
+    F.freeze(I, From, To);
+    F.freeze(I, To + Milliseconds(5), To + Milliseconds(155));
+  }
+  F.run(FirstTrouble + Seconds(20) - Start);
+  CHECK(F.excess() <= 0);
+}
+
+// Guards against requests that a cut path before the entries holds back and
+// that earn repeats when they arrive, beside those sent by then.
+TEST_CASE("fleet of entries, whose callers are cut off while answers are lost, "
+          "keeps the repeats that arrive within the budget",
+          "[repeats]") {
+  auto Size = GENERATE(from_range(std::begin(Loaded), std::end(Loaded)));
+  auto Held = GENERATE(Seconds(2), Seconds(4), Seconds(8));
+  CAPTURE(Size.Entries_, Size.Load_, Held.count());
+  RepeatFleet::Options O = calmUntilTrouble(Size);
+  O.ServiceTime_ = Milliseconds(1);
+  O.ReadTime_ = Milliseconds(1);
+  RepeatFleet F(O);
+  F.holdCallers(FirstTrouble + Seconds(1), FirstTrouble + Seconds(1) + Held);
+  F.run(FirstTrouble + Seconds(20) - Start);
+  CHECK(F.excess() <= 0);
+}
+
+// Guards against a budget that takes a burst of callers for late requests, and
+// denies the repeats that the operators allow for it.
+TEST_CASE("fleet of entries, whose load doubles as answers are lost, uses "
+          "four fifths of the allowed repeats or more",
+          "[repeats]") {
+  auto Size = GENERATE(from_range(std::begin(Loaded), std::end(Loaded)));
+  CAPTURE(Size.Entries_, Size.Load_);
+  RepeatFleet F(calmUntilTrouble(Size));
+  F.setLoad(2 * Size.Load_, FirstTrouble);
+  F.run(FirstTrouble + Seconds(15) - Start);
+  CHECK(F.excess() <= 0);
+  CHECK(F.repeatedShare(FirstTrouble, FirstTrouble + Seconds(10)) >= 0.8 * 0.2);
+}
