HTTP calls: each call states the longest answer that it accepts

What was reported: a faulty server sent bytes without end, and the machine that had called it kept them all and ran out of memory. Seen here: an agent beside an engine whose answers have no end had used 230 MB within seconds; its machine has 128 MB, and the agent is the only way to that engine.

Cause: an answer was bounded by its connection alone, 64 MB by default, and up to three calls to the engine collect theirs at once. The bound belongs to the call: a report or the answer to an order has some KB, a piece its exact size, a manifest its digests, a page of the store a few rows.

--- a/hawthornroad/agent/AgentDigests.cpp
+++ b/hawthornroad/agent/AgentDigests.cpp
@@ -62,7 +62,8 @@
 
 void StoreAgent::State::readManifest(const std::shared_ptr<VersionUpdate> &P) {
   P->ManifestPending_ = true;
-  Origin_->call(platform::manifestCall(P->Version_), ManifestTimeout,
+  Origin_->call(platform::manifestCall(P->Version_),
+                {ManifestTimeout, PieceTransfer::MaxManifest},
                 [this, P](const HttpCalls::Result &R) { onManifest(P, R); });
 }
 
--- a/hawthornroad/agent/AgentEngine.cpp
+++ b/hawthornroad/agent/AgentEngine.cpp
@@ -243,7 +243,7 @@
   TimePoint Now = bootNow();
   Updater_.onReportFailed(Now);
   ReportPending_ = true;
-  Engine_.call(platform::reportCall(), AgentEngineTimeout,
+  Engine_.call(platform::reportCall(), {AgentEngineTimeout, MaxEngineAnswer},
                [this, Now](const HttpCalls::Result &R) { onReport(R, Now); });
 }
 
@@ -292,15 +292,15 @@
   std::vector<ChunkIndex> All;
   for (ChunkIndex I = 0; I < P->Transfer_->digests().size(); ++I)
     All.push_back(I);
-  StagedPieceWriter::run(Engine_, P->Version_.Model_, P->Transfer_->pieces(),
-                         [this, P, All](bool) {
-                           StagedPieceReader::run(
-                               Engine_, P->Version_.Model_, All,
-                               P->Transfer_->digests(),
-                               [this, P](StagedPieceReader::Result R) {
-                                 onVerified(P, std::move(R));
-                               });
-                         });
+  StagedPieceWriter::run(
+      Engine_, P->Version_.Model_, P->Transfer_->pieces(),
+      [this, P, All](bool) {
+        StagedPieceReader::run(
+            Engine_, P->Version_.Model_, All, P->Transfer_->digests(),
+            P->Transfer_->pieceBytes(), [this, P](StagedPieceReader::Result R) {
+              onVerified(P, std::move(R));
+            });
+      });
 }
 
 void StoreAgent::State::onVerified(const std::shared_ptr<VersionUpdate> &P,
@@ -358,7 +358,8 @@
   Duration ReportAge = bootNow() - LastReportAskedAt_;
   Updater_.onOrderSent();
   Engine_.call(
-      platform::loadCall(P->Version_, Last.Orders_), OrderTimeout,
+      platform::loadCall(P->Version_, Last.Orders_),
+      {OrderTimeout, MaxEngineAnswer},
       [this, P, Last, ReportAge](const HttpCalls::Result &R) {
         auto End = EngineUpdater::OrderResult::Unknown;
         unsigned Status = 0;
--- a/hawthornroad/agent/AgentPieces.cpp
+++ b/hawthornroad/agent/AgentPieces.cpp
@@ -1,6 +1,8 @@
 #include "hawthornroad/agent/StoreAgentState.h"
 #include "hawthornroad/runtime/Seed.h"
 
+#include <algorithm>
+
 namespace hawthornroad {
 
 // After a restart of this agent the pieces may already be staged at the engine.
@@ -9,27 +11,28 @@
 void StoreAgent::State::checkStaged(const std::shared_ptr<VersionUpdate> &P,
                                     const platform::PieceDigests &D) {
   const std::string &Model = P->Version_.Model_;
-  Engine_.call(platform::stagedListCall(Model), AgentEngineTimeout,
-               [this, P, D](const HttpCalls::Result &R) {
-                 const auto *Answer = std::get_if<HttpAnswer>(&R);
-                 std::vector<std::uint32_t> Held;
-                 if (Answer != nullptr)
-                   Held = platform::decodeStagedList(Answer->Body_);
-                 std::vector<ChunkIndex> First;
-                 if (!Held.empty())
-                   First.push_back(Held.front());
-                 StagedPieceReader::run(
-                     Engine_, P->Version_.Model_, First, D.Digests_,
-                     [this, P, D, Held](const StagedPieceReader::Result &One) {
-                       if (One.Matching_.empty())
-                         return beginTransfer(P, D, {});
-                       StagedPieceReader::run(
-                           Engine_, P->Version_.Model_, Held, D.Digests_,
-                           [this, P, D](StagedPieceReader::Result R) {
-                             beginTransfer(P, D, std::move(R.Matching_));
-                           });
-                     });
-               });
+  Engine_.call(
+      platform::stagedListCall(Model), {AgentEngineTimeout, MaxStagedList},
+      [this, P, D](const HttpCalls::Result &R) {
+        const auto *Answer = std::get_if<HttpAnswer>(&R);
+        std::vector<std::uint32_t> Held;
+        if (Answer != nullptr)
+          Held = platform::decodeStagedList(Answer->Body_);
+        std::vector<ChunkIndex> First;
+        if (!Held.empty())
+          First.push_back(Held.front());
+        StagedPieceReader::run(
+            Engine_, P->Version_.Model_, First, D.Digests_, D.PieceBytes_,
+            [this, P, D, Held](const StagedPieceReader::Result &One) {
+              if (One.Matching_.empty())
+                return beginTransfer(P, D, {});
+              StagedPieceReader::run(
+                  Engine_, P->Version_.Model_, Held, D.Digests_, D.PieceBytes_,
+                  [this, P, D](StagedPieceReader::Result R) {
+                    beginTransfer(P, D, std::move(R.Matching_));
+                  });
+            });
+      });
 }
 
 PieceTransfer::Setup
@@ -44,14 +47,17 @@
 }
 
 void StoreAgent::State::readStaged(const std::string &Model, ChunkIndex Index,
+                                   std::size_t PieceBytes,
                                    std::function<void(std::string)> Then) {
-  Engine_.call(platform::stagedReadCall(Model, Index), AgentEngineTimeout,
-               [Then = std::move(Then)](HttpCalls::Result R) {
-                 auto *Answer = std::get_if<HttpAnswer>(&R);
-                 constexpr unsigned Ok = 200;
-                 bool Has = Answer != nullptr && Answer->Status_ == Ok;
-                 Then(Has ? std::move(Answer->Body_) : std::string());
-               });
+  Engine_.call(
+      platform::stagedReadCall(Model, Index),
+      {AgentEngineTimeout, std::max(PieceBytes, HttpCalls::MaxFailureText)},
+      [Then = std::move(Then)](HttpCalls::Result R) {
+        auto *Answer = std::get_if<HttpAnswer>(&R);
+        constexpr unsigned Ok = 200;
+        bool Has = Answer != nullptr && Answer->Status_ == Ok;
+        Then(Has ? std::move(Answer->Body_) : std::string());
+      });
 }
 
 void StoreAgent::State::beginTransfer(const std::shared_ptr<VersionUpdate> &P,
@@ -80,15 +86,16 @@
       return;
     Held->ManifestPending_ = true;
     Origin_->call(
-        platform::manifestCall(Held->Version_), ManifestTimeout,
+        platform::manifestCall(Held->Version_),
+        {ManifestTimeout, PieceTransfer::MaxManifest},
         [this, Held](const HttpCalls::Result &R) { onManifest(Held, R); });
   };
   C.Urgency_ = [this, V = P->Version_](const Vm &Peer) {
     return static_cast<unsigned>(loadPosition(Peer.str(), V).Index_);
   };
-  C.ReadStaged_ = [this, Model = P->Version_.Model_](ChunkIndex Index,
-                                                     auto Then) {
-    readStaged(Model, Index, std::move(Then));
+  C.ReadStaged_ = [this, Model = P->Version_.Model_,
+                   Bytes = D.PieceBytes_](ChunkIndex Index, auto Then) {
+    readStaged(Model, Index, Bytes, std::move(Then));
   };
   P->Transfer_ =
       std::make_shared<PieceTransfer>(std::move(S), Io_, Origin_.get(), *Net_,
@@ -116,7 +123,7 @@
   OfferChecked_ = true;
   ModelVersion V = *Updater_.wanted();
   Engine_.call(
-      platform::stagedListCall(V.Model_), AgentEngineTimeout,
+      platform::stagedListCall(V.Model_), {AgentEngineTimeout, MaxStagedList},
       [this, V, Count = Pace->Pieces_,
        Bytes = Pace->PieceBytes_](const HttpCalls::Result &R) {
         const auto *Answer = std::get_if<HttpAnswer>(&R);
@@ -128,8 +135,9 @@
         S.Pieces_ = Count;
         S.PieceBytes_ = Bytes;
         PieceTransfer::Callbacks C;
-        C.ReadStaged_ = [this, Model = V.Model_](ChunkIndex Index, auto Then) {
-          readStaged(Model, Index, std::move(Then));
+        C.ReadStaged_ = [this, Model = V.Model_, Bytes](ChunkIndex Index,
+                                                        auto Then) {
+          readStaged(Model, Index, Bytes, std::move(Then));
         };
         Offer_ =
             std::make_shared<PieceTransfer>(std::move(S), Io_, nullptr, *Net_,
--- a/hawthornroad/agent/PieceTransfer.cpp
+++ b/hawthornroad/agent/PieceTransfer.cpp
@@ -173,7 +173,9 @@
     Self->pump(bootNow());
   };
   Origin_->call(platform::pieceCall(Setup_.Version_, A.Chunk_),
-                OriginIdleTimeout, OnDone);
+                {OriginIdleTimeout,
+                 std::max(Setup_.PieceBytes_, HttpCalls::MaxFailureText)},
+                OnDone);
 }
 
 // Logs once when the origin stops answering, and once when it answers again.
@@ -199,7 +201,8 @@
 void PieceTransfer::run(const CheckOrigin &, TimePoint Now) {
   if (Origin_ == nullptr)
     return Swarm_->onOriginChecked(false, Now);
-  Origin_->call(platform::manifestCall(Setup_.Version_), OriginCheckTimeout,
+  Origin_->call(platform::manifestCall(Setup_.Version_),
+                {OriginCheckTimeout, MaxManifest},
                 [Weak = weak_from_this()](const HttpCalls::Result &R) {
                   auto Self = Weak.lock();
                   if (!Self)
--- a/hawthornroad/agent/PieceTransfer.h
+++ b/hawthornroad/agent/PieceTransfer.h
@@ -81,6 +81,9 @@
   };
 
   // Origin may be null when this VM only serves pieces.
+  // Bytes of an origin's answer with the digests of a version.
+  static constexpr std::size_t MaxManifest = 8 * 1024 * 1024;
+
   PieceTransfer(Setup S, IoThread &Io, HttpCalls *Origin, PeerNet &Net,
                 EventLog &Log, PieceCounters &Counters, Callbacks C);
 
--- a/hawthornroad/agent/StagedPieces.cpp
+++ b/hawthornroad/agent/StagedPieces.cpp
@@ -3,6 +3,8 @@
 #include "hawthornroad/base/Hash.h"
 #include "platform/EngineWire.h"
 
+#include <algorithm>
+
 namespace hawthornroad {
 
 namespace {
@@ -13,9 +15,11 @@
 
 void StagedPieceReader::run(HttpCalls &Engine, const std::string &Model,
                             std::vector<ChunkIndex> Pieces,
-                            std::vector<std::string> Digests, Done D) {
-  std::shared_ptr<StagedPieceReader> Started(new StagedPieceReader(
-      Engine, Model, std::move(Pieces), std::move(Digests), std::move(D)));
+                            std::vector<std::string> Digests,
+                            std::size_t PieceBytes, Done D) {
+  std::shared_ptr<StagedPieceReader> Started(
+      new StagedPieceReader(Engine, Model, std::move(Pieces),
+                            std::move(Digests), PieceBytes, std::move(D)));
   Started->next();
 }
 
@@ -23,19 +27,20 @@
   if (NextIndex_ >= Pieces_.size())
     return std::exchange(Done_, nullptr)(std::move(Result_));
   ChunkIndex Index = Pieces_[NextIndex_++];
-  Engine_.call(platform::stagedReadCall(Model_, Index), EngineTimeout,
-               [Self = shared_from_this(), Index](const HttpCalls::Result &R) {
-                 const auto *Answer = std::get_if<HttpAnswer>(&R);
-                 bool Matching =
-                     Answer != nullptr && Answer->Status_ == Ok &&
-                     Index < Self->Digests_.size() &&
-                     sha256(Answer->Body_).substr(DigestPrefixLength) ==
-                         Self->Digests_[Index];
-                 if (Matching)
-                   Self->Result_.Matching_[Index] = Answer->Body_;
-                 Self->Result_.Unread_ += Answer == nullptr ? 1 : 0;
-                 Self->next();
-               });
+  Engine_.call(
+      platform::stagedReadCall(Model_, Index),
+      {EngineTimeout, std::max(PieceBytes_, HttpCalls::MaxFailureText)},
+      [Self = shared_from_this(), Index](const HttpCalls::Result &R) {
+        const auto *Answer = std::get_if<HttpAnswer>(&R);
+        bool Matching = Answer != nullptr && Answer->Status_ == Ok &&
+                        Index < Self->Digests_.size() &&
+                        sha256(Answer->Body_).substr(DigestPrefixLength) ==
+                            Self->Digests_[Index];
+        if (Matching)
+          Self->Result_.Matching_[Index] = Answer->Body_;
+        Self->Result_.Unread_ += Answer == nullptr ? 1 : 0;
+        Self->next();
+      });
 }
 
 void StagedPieceWriter::run(HttpCalls &Engine, const std::string &Model,
@@ -51,7 +56,8 @@
   auto Piece = Pieces_.extract(Pieces_.begin());
   Engine_.call(
       platform::stagePutCall(Model_, Piece.key(), std::move(Piece.mapped())),
-      EngineTimeout, [Self = shared_from_this()](const HttpCalls::Result &R) {
+      {EngineTimeout, HttpCalls::MaxFailureText},
+      [Self = shared_from_this()](const HttpCalls::Result &R) {
         const auto *Answer = std::get_if<HttpAnswer>(&R);
         constexpr unsigned FirstRedirect = 300;
         if (Answer == nullptr || Answer->Status_ >= FirstRedirect)
--- a/hawthornroad/agent/StagedPieces.h
+++ b/hawthornroad/agent/StagedPieces.h
@@ -1,7 +1,7 @@
 // Access to the pieces that are staged at an engine. StagedPieceReader reads
 // them back and checks their digests:
 //
-//   StagedPieceReader::run(Engine, Model, Pieces, Digests,
+//   StagedPieceReader::run(Engine, Model, Pieces, Digests, PieceBytes,
 //                          [](StagedPieceReader::Result R) {...});
 //
 // StagedPieceWriter stages pieces, one call each:
@@ -36,22 +36,27 @@
   };
   using Done = std::function<void(Result)>;
 
+  // PieceBytes: of the largest piece; a longer answer counts as none.
   static void run(HttpCalls &Engine, const std::string &Model,
                   std::vector<ChunkIndex> Pieces,
-                  std::vector<std::string> Digests, Done D);
+                  std::vector<std::string> Digests, std::size_t PieceBytes,
+                  Done D);
 
 private:
   StagedPieceReader(HttpCalls &Engine, std::string Model,
                     std::vector<ChunkIndex> Pieces,
-                    std::vector<std::string> Digests, Done D)
+                    std::vector<std::string> Digests, std::size_t PieceBytes,
+                    Done D)
       : Engine_(Engine), Model_(std::move(Model)), Pieces_(std::move(Pieces)),
-        Digests_(std::move(Digests)), Done_(std::move(D)) {}
+        Digests_(std::move(Digests)), PieceBytes_(PieceBytes),
+        Done_(std::move(D)) {}
   void next();
 
   HttpCalls &Engine_;
   std::string Model_;
   std::vector<ChunkIndex> Pieces_;
   std::vector<std::string> Digests_;
+  std::size_t PieceBytes_;
   Done Done_;
   std::size_t NextIndex_ = 0;
   Result Result_;
--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -47,6 +47,10 @@
 inline constexpr Duration AgentEngineTimeout = Seconds(1);
 // Longest silence while a version's digests are read from the origin.
 inline constexpr Duration ManifestTimeout = Milliseconds(1200);
+// Bytes of an engine's answer that holds neither weights nor a list of pieces.
+inline constexpr std::size_t MaxEngineAnswer = 256 * 1024;
+// Bytes of the list of the pieces that are staged.
+inline constexpr std::size_t MaxStagedList = 1024 * 1024;
 // Time limit of any read from the origin, which has a narrow link and many
 // readers.
 inline constexpr Duration OriginReadLimit = Seconds(4);
@@ -139,6 +143,7 @@
   // engine.
   void offerLoaded();
   void readStaged(const std::string &Model, ChunkIndex Index,
+                  std::size_t PieceBytes,
                   std::function<void(std::string)> Then);
   // Stages the pieces at the engine and reads them back.
   void stageAndVerify();
--- a/hawthornroad/http/ClientLink.cpp
+++ b/hawthornroad/http/ClientLink.cpp
@@ -50,8 +50,10 @@
     : Socket_(Context), ConnectTimer_(Context), Address_(std::move(Address)),
       Options_(O) {}
 
-void ClientLink::send(std::string Text, Events E) {
+void ClientLink::send(std::string Text, Events E,
+                      std::optional<std::size_t> MaxBody) {
   Busy_ = true;
+  MaxBody_ = MaxBody.value_or(Options_.MaxBody_);
   WriteStarted_ = Written_ = HeadDelivered_ = false;
   HeadRequest_ = Text.starts_with("HEAD ");
   Out_ = std::move(Text);
@@ -68,7 +70,7 @@
 void ClientLink::startParser() {
   Parser_.emplace();
   Parser_->header_limit(static_cast<std::uint32_t>(Options_.MaxHeader_));
-  Parser_->body_limit(Options_.MaxBody_);
+  Parser_->body_limit(MaxBody_);
   Parser_->eager(true);
   Parser_->skip(HeadRequest_);
 }
--- a/hawthornroad/http/ClientLink.h
+++ b/hawthornroad/http/ClientLink.h
@@ -15,9 +15,9 @@
 // progress belong to no request and close the connection.
 //
 // Limits: MaxHeader_ bytes of a head, of all interim (1xx) heads together, and
-// of one chunk header or the trailers; MaxBody_ bytes of a body; and of a
-// chunked body's framing a multiple of its bytes. An answer beyond one of them
-// fails, and the connection is closed.
+// of one chunk header or the trailers; MaxBody_ bytes of a body, or what is
+// given for the one answer; and of a chunked body's framing a multiple of its
+// bytes. An answer beyond one of them fails, and the connection is closed.
 //
 // Failures: LinkFailure::NeverSent_ means that no byte of the request was
 // handed to the kernel on an established connection, so the server cannot have
@@ -77,8 +77,10 @@
 
   ClientLink(boost::asio::io_context &Context, std::string Address, Options O);
 
-  // Requires isFree(). Connects first if necessary.
-  void send(std::string Text, Events E);
+  // Requires isFree(). Connects first if necessary. MaxBody: of this answer, in
+  // bytes; unset: Options::MaxBody_.
+  void send(std::string Text, Events E,
+            std::optional<std::size_t> MaxBody = std::nullopt);
   // Closes the connection and drops a request in progress, without callbacks.
   // What the server has not received of the request is not sent any more.
   void abandon();
@@ -138,6 +140,7 @@
   boost::beast::flat_buffer In_;
   std::optional<Parser> Parser_;
   std::string Out_;
+  std::size_t MaxBody_ = 0;
   // Received bytes of interim heads, of the body with its framing, and of the
   // body alone.
   std::size_t InterimBytes_ = 0;
--- a/hawthornroad/http/HttpCalls.cpp
+++ b/hawthornroad/http/HttpCalls.cpp
@@ -17,12 +17,12 @@
 struct HttpCalls::State : std::enable_shared_from_this<HttpCalls::State> {
   // One call, queued or in progress.
   struct Call {
-    Call(asio::io_context &Context, HttpMessage M, Duration Limit, Done D)
-        : Timer_(Context), Message_(std::move(M)), Limit_(Limit),
+    Call(asio::io_context &Context, HttpMessage M, Limits L, Done D)
+        : Timer_(Context), Message_(std::move(M)), Limits_(L),
           Done_(std::move(D)) {}
     asio::steady_timer Timer_;
     HttpMessage Message_;
-    Duration Limit_;
+    Limits Limits_;
     TimePoint TotalDeadline_;
     // Null while the call is queued. Not owned, since the link's events own
     // the call: the link's pending operations keep both, until they end or the
@@ -132,7 +132,8 @@
   void restartTimer(const std::shared_ptr<Call> &C) {
     if (!C->Done_)
       return;
-    C->Timer_.expires_after(std::min(C->Limit_, C->TotalDeadline_ - bootNow()));
+    C->Timer_.expires_after(
+        std::min(C->Limits_.Time_, C->TotalDeadline_ - bootNow()));
     C->Timer_.async_wait([Self = shared_from_this(),
                           C](boost::system::error_code Code) {
       // A timer that expired just before it was restarted still runs its
@@ -152,7 +153,8 @@
     std::shared_ptr<ClientLink> Link = take();
     C->Link_ = Link;
     auto Self = shared_from_this();
-    C->TotalDeadline_ = bootNow() + std::max(C->Limit_, Options_.TotalLimit_);
+    C->TotalDeadline_ =
+        bootNow() + std::max(C->Limits_.Time_, Options_.TotalLimit_);
     restartTimer(C);
     std::string Text = requestText(C->Message_, Address_);
     ++Counters_.Calls_;
@@ -176,7 +178,7 @@
       Self->finish(C, std::move(C->Answer_));
     };
     E.OnFail_ = [Self, C](const LinkFailure &F) { Self->finish(C, F); };
-    Link->send(std::move(Text), std::move(E));
+    Link->send(std::move(Text), std::move(E), C->Limits_.MaxBody_);
   }
 
   asio::io_context &Context_;
@@ -200,10 +202,8 @@
     Each->abandon();
 }
 
-HttpCalls::Cancel HttpCalls::call(const HttpMessage &M, Duration Limit,
-                                  Done D) {
-  auto C =
-      std::make_shared<State::Call>(State_->Context_, M, Limit, std::move(D));
+HttpCalls::Cancel HttpCalls::call(const HttpMessage &M, Limits L, Done D) {
+  auto C = std::make_shared<State::Call>(State_->Context_, M, L, std::move(D));
   State_->admit(C);
   return [WeakState = std::weak_ptr(State_), WeakCall = std::weak_ptr(C)] {
     auto Owner = WeakState.lock();
--- a/hawthornroad/http/HttpCalls.h
+++ b/hawthornroad/http/HttpCalls.h
@@ -1,7 +1,7 @@
 // HTTP calls to one server over pooled connections, each with a time limit.
 //
 //   HttpCalls Calls(Context, "10.0.0.7:80", {});
-//   Calls.call(Message, Seconds(1), [](HttpCalls::Result R) {
+//   Calls.call(Message, {Seconds(1), 64 * 1024}, [](HttpCalls::Result R) {
 //     if (auto *A = std::get_if<HttpAnswer>(&R)) use(A->Status_, A->Body_);
 //   });
 //
@@ -15,6 +15,9 @@
 // aborts reads before they complete; they restart, and the link carries the
 // same bytes again.
 //
+// Answers are collected in memory, so each call states the longest body that it
+// accepts; a longer one fails the call and closes its connection.
+//
 // Limits: at most MaxIdle_ idle connections are kept, each for MaxIdleTime_.
 
 #ifndef HAWTHORNROAD_HTTP_HTTPCALLS_H
@@ -60,6 +63,16 @@
     // Received body bytes of answers with status 200.
     std::uint64_t AnswerBytes_ = 0;
   };
+  // Bytes that the text of a failure may have.
+  static constexpr std::size_t MaxFailureText = 64 * 1024;
+  // Of one call.
+  struct Limits {
+    // Of the whole call, or of each gap without bytes, see TotalLimit_.
+    Duration Time_;
+    // Bytes of the answer's body. An answer that states a failure counts, too.
+    std::size_t MaxBody_ = 0;
+    bool operator==(const Limits &) const = default;
+  };
   using Result = std::variant<HttpAnswer, LinkFailure>;
   using Done = std::function<void(Result)>;
   // Cancels a call without a result; no effect once it has ended. Closes its
@@ -71,7 +84,7 @@
   HttpCalls(const HttpCalls &) = delete;
   HttpCalls &operator=(const HttpCalls &) = delete;
 
-  Cancel call(const HttpMessage &M, Duration Limit, Done D);
+  Cancel call(const HttpMessage &M, Limits L, Done D);
   const std::string &address() const;
   const Counters &counters() const;
 
--- a/hawthornroad/store/StoreClient.cpp
+++ b/hawthornroad/store/StoreClient.cpp
@@ -13,6 +13,8 @@
 // Longer than for reads, since a write without an answer cannot be repeated
 // safely.
 constexpr Duration WriteTimeout = Milliseconds(1500);
+// A page of rows, in which a single row may be a long configuration.
+constexpr std::size_t MaxAnswer = 32 * 1024 * 1024;
 
 HttpCalls::Options callOptions() {
   HttpCalls::Options O;
@@ -29,7 +31,7 @@
 
 HttpCalls::Cancel StoreClient::call(const HttpMessage &M, Duration Limit,
                                     Done D) {
-  return Calls_.call(M, Limit,
+  return Calls_.call(M, {Limit, MaxAnswer},
                      [&Codec = Codec_, Failures = Failures_,
                       D = std::move(D)](HttpCalls::Result R) {
                        StoreReply Reply = StoreFailure::Silent;
--- a/tests/unit/HttpCallsTest.cpp
+++ b/tests/unit/HttpCallsTest.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 constexpr auto WaitLimit = std::chrono::seconds(5);
+constexpr std::size_t MaxBody = 1024;
 } // namespace
 
 // Guards against reads that never complete: thirty entries read one long
@@ -62,7 +63,7 @@
       HttpMessage M;
       M.Method_ = "GET";
       M.Target_ = "/";
-      Calls.call(M, Limit, [&](HttpCalls::Result Answer) {
+      Calls.call(M, {Limit, MaxBody}, [&](HttpCalls::Result Answer) {
         Got.set_value(std::move(Answer));
       });
     });
@@ -107,7 +108,7 @@
     HttpMessage M;
     M.Method_ = "GET";
     M.Target_ = "/";
-    Cancel = Calls.call(M, WaitLimit,
+    Cancel = Calls.call(M, {WaitLimit, MaxBody},
                         [&](const HttpCalls::Result &) { HasResult = true; });
   });
   Begun.get_future().wait();
@@ -144,7 +145,8 @@
       HttpMessage M;
       M.Method_ = "GET";
       M.Target_ = "/";
-      Calls.call(M, WaitLimit, [Token](const HttpCalls::Result &) {});
+      Calls.call(M, {WaitLimit, MaxBody},
+                 [Token](const HttpCalls::Result &) {});
     });
     RawSocket Server = Listener.accept();
     Server.readUntil("\r\n\r\n");
@@ -153,3 +155,64 @@
   }
   CHECK(Held.expired());
 }
+
+// Guards against a faulty server that sends without end: answers are collected
+// in memory, and that of the whole process was used up.
+TEST_CASE("calls to one server, given an answer longer than the call accepts, "
+          "fail and close the connection at the limit",
+          "[http]") {
+  struct Row {
+    std::string Name_;
+    std::string Head_;
+    // Each sent over and over, up to Times_ times.
+    std::string Part_;
+    std::size_t Times_ = 0;
+    bool IsComplete_ = false;
+  };
+  const std::string Kilobyte(1024, 'x');
+  constexpr std::size_t Endless = 64 * 1024;
+  for (const Row &R : std::vector<Row>{
+           {"as long as accepted", "Content-Length: 1024\r\n\r\n", Kilobyte, 1,
+            true},
+           {"a length beyond it", "Content-Length: 1025\r\n\r\n", "", 0, false},
+           {"ends with the connection", "\r\n", Kilobyte, Endless, false},
+           {"in chunks", "Transfer-Encoding: chunked\r\n\r\n",
+            "400\r\n" + Kilobyte + "\r\n", Endless, false},
+           {"an endless head", "X-A: ", Kilobyte, Endless, false}}) {
+    INFO(R.Name_);
+    std::uint16_t Port = 0;
+    RawSocket Listener = RawSocket::listenAt(Port);
+    IoThread Io("test", 64);
+    HttpCalls Calls(Io.context(), "127.0.0.1:" + std::to_string(Port), {});
+    std::atomic<std::size_t> Sent{0};
+    std::thread Server([&] {
+      RawSocket S = Listener.accept();
+      S.readUntil("\r\n\r\n");
+      S.trySend("HTTP/1.1 200 OK\r\n" + R.Head_);
+      while (Sent < R.Times_ && S.trySend(R.Part_))
+        ++Sent;
+      // Waits for the end of the connection.
+      if (!R.IsComplete_)
+        S.readUntil("");
+    });
+    std::promise<HttpCalls::Result> Got;
+    Io.submit([&] {
+      HttpMessage M;
+      M.Method_ = "GET";
+      M.Target_ = "/";
+      Calls.call(M, {WaitLimit, MaxBody}, [&](HttpCalls::Result Answer) {
+        Got.set_value(std::move(Answer));
+      });
+    });
+    auto Future = Got.get_future();
+    REQUIRE(Future.wait_for(WaitLimit) == std::future_status::ready);
+    Server.join();
+    std::promise<HttpCalls::Counters> Counted;
+    Io.submit([&] { Counted.set_value(Calls.counters()); });
+    HttpCalls::Counters C = Counted.get_future().get();
+    Io.stop();
+    CHECK(std::holds_alternative<HttpAnswer>(Future.get()) == R.IsComplete_);
+    CHECK(C.BytesReceived_ <= MaxBody);
+    CHECK(Sent <= (R.IsComplete_ ? R.Times_ : Endless - 1));
+  }
+}
