HTTP client: an answer has at most 1 MiB unless its call states another limit

As for the calls of agents on a platform with a store: up to 256 MB of any answer were collected in memory, of the platform's table, an engine's health or an origin alike, so a faulty server could fill the memory of the agent or entry that had called it.

The new test fails with the former limit (over 16 MiB taken of a chunked body) and holds with the present one.

--- a/hawthornroad/runtime/EndpointClient.cpp
+++ b/hawthornroad/runtime/EndpointClient.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr Duration CancelTimeout = Seconds(2);
+// Bytes of an answer to a caller, which is passed on as it arrives.
+constexpr std::size_t MaxAnswer = 256 * 1024 * 1024;
 constexpr Duration PostRetryDelay = Milliseconds(2);
 
 // Hop-by-hop header fields (RFC 9110, 7.6.1) and framing fields.
@@ -88,6 +90,7 @@
   void begin() {
     HttpClient::Options Options;
     Options.IdleTimeout_ = Owner_.Setup_.IdleTimeout_;
+    Options.MaxBody_ = MaxAnswer;
     HttpClient::Callbacks C;
     C.OnHead_ = [Self = shared_from_this()](const HttpResponse &R) {
       Self->onHead(R);
--- a/hawthornroad/runtime/Http.h
+++ b/hawthornroad/runtime/Http.h
@@ -148,7 +148,9 @@
     Duration IdleTimeout_ = Seconds(30);
     // Maximum duration of the call; zero means no limit.
     Duration Timeout_ = Duration::zero();
-    std::size_t MaxBody_ = 256 * 1024 * 1024;
+    // Of the response, in bytes; a longer one fails the call. Bodies are
+    // collected in memory unless OnData_ is given.
+    std::size_t MaxBody_ = 1024 * 1024;
   };
   struct Callbacks {
     // Status and headers, before any data. May be empty.
--- a/hawthornroad/runtime/HttpClient.cpp
+++ b/hawthornroad/runtime/HttpClient.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t ReadBuffer = 64 * 1024;
 constexpr unsigned FirstFinalStatus = 200;
 constexpr int MaxInterimAnswers = 16;
+// Of a call by a command-line program, which has no other clients' requests.
+constexpr std::size_t MaxFetched = 256 * 1024 * 1024;
 
 http::request<http::string_body> makeMessage(const std::string &Address,
                                              HttpRequest R) {
@@ -282,6 +284,7 @@
   HttpClient::Options Options;
   Options.Timeout_ = Timeout;
   Options.IdleTimeout_ = Timeout;
+  Options.MaxBody_ = MaxFetched;
   HttpClient::Callbacks Callbacks;
   Callbacks.OnDone_ = [&](HttpResult Result) {
     Promise.set_value(std::move(Result));
--- a/hawthornroad/runtime/TableClient.cpp
+++ b/hawthornroad/runtime/TableClient.cpp
@@ -14,6 +14,8 @@
 namespace {
 constexpr int MaxReadAttempts = 3;
 constexpr Duration ReadRetryDelay = Milliseconds(200);
+// Bytes of an answer to the command line, which lists the whole fleet.
+constexpr std::size_t MaxAnswer = 256 * 1024 * 1024;
 constexpr unsigned Ok = 200;
 constexpr unsigned NotFound = 404;
 constexpr unsigned PreconditionFailed = 412;
@@ -57,6 +59,7 @@
   Options.ConnectTimeout_ = Timeout_;
   Options.IdleTimeout_ = Timeout_;
   Options.Timeout_ = Timeout_;
+  Options.MaxBody_ = MaxAnswer;
   HttpClient::Callbacks Callbacks;
   Callbacks.OnDone_ = [&](HttpResult Result) {
     Promise.set_value(std::move(Result));
--- a/hawthornroad/transfer/OriginClient.cpp
+++ b/hawthornroad/transfer/OriginClient.cpp
@@ -8,6 +8,10 @@
 constexpr unsigned PreconditionFailed = 412;
 // A call to an origin or table that sends nothing for this long has stalled.
 constexpr auto IdleTimeout = Seconds(5);
+// Bytes of answers.
+constexpr std::size_t MaxFailureText = 64 * 1024;
+constexpr std::size_t MaxTableAnswer = 64 * 1024;
+constexpr std::size_t MaxManifest = 32 * 1024 * 1024;
 
 std::string rangeOf(ChunkSpan Span) {
   return "bytes=" + std::to_string(Span.Offset_) + "-" +
@@ -31,23 +35,23 @@
 }
 } // namespace
 
-void OriginClient::call(const std::string &Address, HttpRequest R, Owner O,
-                        OnResult OnDone) {
-  Client_.call(Address, std::move(R), {.IdleTimeout_ = IdleTimeout},
-               {.OnDone_ = [&Loop = Loop_, O = std::move(O),
-                            OnDone = std::move(OnDone)](HttpResult Result) {
-                 if (O.expired())
-                   return;
-                 Loop.post(
-                     [O, OnDone, Result = std::move(Result)](TimePoint Now) {
-                       if (auto Alive = O.lock())
-                         OnDone(Result, Now);
-                     });
-               }});
+void OriginClient::call(const std::string &Address, HttpRequest R,
+                        std::size_t MaxBody, Owner O, OnResult OnDone) {
+  Client_.call(
+      Address, std::move(R), {.IdleTimeout_ = IdleTimeout, .MaxBody_ = MaxBody},
+      {.OnDone_ = [&Loop = Loop_, O = std::move(O),
+                   OnDone = std::move(OnDone)](HttpResult Result) {
+        if (O.expired())
+          return;
+        Loop.post([O, OnDone, Result = std::move(Result)](TimePoint Now) {
+          if (auto Alive = O.lock())
+            OnDone(Result, Now);
+        });
+      }});
 }
 
 void OriginClient::readFile(const std::string &Path, Owner O, OnAnswer OnDone) {
-  call(Origin_, {.Target_ = Path}, std::move(O),
+  call(Origin_, {.Target_ = Path}, MaxManifest, std::move(O),
        [Origin = Origin_, OnDone = std::move(OnDone)](const HttpResult &R,
                                                       TimePoint Now) {
          OnDone(toAnswer(R, Origin, Ok), Now);
@@ -57,7 +61,7 @@
 void OriginClient::readChunk(const std::string &Blob, ChunkSpan Span, Owner O,
                              OnAnswer OnDone) {
   call(Origin_, {.Target_ = Blob, .Headers_ = {{"Range", rangeOf(Span)}}},
-       std::move(O),
+       Span.Length_ + MaxFailureText, std::move(O),
        [Origin = Origin_, OnDone = std::move(OnDone)](const HttpResult &R,
                                                       TimePoint Now) {
          OnDone(toAnswer(R, Origin, PartialContent), Now);
@@ -73,7 +77,7 @@
       return OnDone(ClaimResult::Won, Now);
     if (!R.Response_ || R.Response_->Status_ != PreconditionFailed)
       return OnDone(ClaimResult::Unknown, Now);
-    call(Table_, {.Target_ = Target}, O,
+    call(Table_, {.Target_ = Target}, MaxTableAnswer, O,
          [Token, OnDone](const HttpResult &Held, TimePoint Later) {
            if (!Held.Response_ || Held.Response_->Status_ != Ok)
              return OnDone(ClaimResult::Unknown, Later);
@@ -86,7 +90,7 @@
         .Target_ = Target,
         .Headers_ = {{"If-None-Match", "*"}},
         .Body_ = Token},
-       O, std::move(ReadBack));
+       MaxTableAnswer, O, std::move(ReadBack));
 }
 
 } // namespace hawthornroad
--- a/hawthornroad/transfer/OriginClient.h
+++ b/hawthornroad/transfer/OriginClient.h
@@ -54,8 +54,8 @@
 
 private:
   using OnResult = std::function<void(HttpResult, TimePoint)>;
-  void call(const std::string &Address, HttpRequest R, Owner O,
-            OnResult OnDone);
+  void call(const std::string &Address, HttpRequest R, std::size_t MaxBody,
+            Owner O, OnResult OnDone);
 
   HttpClient &Client_;
   DecisionLoop &Loop_;
--- a/tests/unit/CutHeadTest.cpp
+++ b/tests/unit/CutHeadTest.cpp
@@ -139,3 +139,30 @@
     CHECK(Out.Error_);
   }
 }
+
+// Guards against a faulty server that sends without end and fills the memory of
+// the process that called it.
+TEST_CASE_METHOD(CutFixture,
+                 "http client, given an answer without an end, fails the call "
+                 "at its limit",
+                 "[http]") {
+  constexpr std::size_t Limit = 1024 * 1024;
+  const std::string Part = "10000\r\n" + std::string(64 * 1024, 'x') + "\r\n";
+  std::string Head =
+      GENERATE(as<std::string>(), "Content-Length: 99999999999\r\n\r\n",
+               "Transfer-Encoding: chunked\r\n\r\n", "X-A: ");
+  CAPTURE(Head);
+  std::size_t Sent = 0;
+  std::thread Server([&] {
+    RawSocket S = Listener_.accept();
+    S.readUntil("hi");
+    S.trySend("HTTP/1.1 200 OK\r\n" + Head);
+    while (Sent < 64 * Limit && S.trySend(Part))
+      Sent += Part.size();
+  });
+  HttpResult R = call();
+  Server.join();
+  CHECK_FALSE(R.Response_.has_value());
+  // With what the kernel takes for the client.
+  CHECK(Sent <= 16 * Limit);
+}
