HTTP framing: a parser is not continued with less than a whole last chunk

Beast notes that it has seen the last chunk's size, and expects the shortest last chunk when it is called again; it was called again with the same bytes, or with one more. Deployments build without assertions; there the parser goes on correctly.

What a parser has left is kept until five bytes are there, for answers and for requests.

--- a/hawthornroad/http/ClientLink.cpp
+++ b/hawthornroad/http/ClientLink.cpp
@@ -59,7 +59,7 @@
   Out_ = std::move(Text);
   Events_ = std::move(E);
   Paused_ = false;
-  InterimBytes_ = HeadBytes_ = WireBytes_ = BodyBytes_ = 0;
+  InterimBytes_ = HeadBytes_ = WireBytes_ = BodyBytes_ = LeftBytes_ = 0;
   startParser();
   if (Connected_)
     write();
@@ -209,7 +209,7 @@
 
 void ClientLink::parse() {
   auto Self = shared_from_this();
-  while (Busy_ && !Closed_ && In_.size() > 0) {
+  while (Busy_ && !Closed_ && canContinue(LeftBytes_, In_.size())) {
     boost::system::error_code Code;
     std::size_t Used = Parser_->put(In_.data(), Code);
     In_.consume(Used);
@@ -232,6 +232,7 @@
     }
     if (Closed_ || !Busy_)
       return;
+    LeftBytes_ = HeadDelivered_ ? In_.size() : 0;
     deliverBody();
     if (Closed_ || !Busy_ || failsByFraming())
       return;
--- a/hawthornroad/http/ClientLink.h
+++ b/hawthornroad/http/ClientLink.h
@@ -144,6 +144,8 @@
   // Received bytes of interim heads, of the body with its framing, and of the
   // body alone.
   std::size_t InterimBytes_ = 0;
+  // Bytes of a body's framing that the parser has left for more to follow.
+  std::size_t LeftBytes_ = 0;
   // Of the head that is being received.
   std::size_t HeadBytes_ = 0;
   std::size_t WireBytes_ = 0;
--- a/hawthornroad/http/Framing.h
+++ b/hawthornroad/http/Framing.h
@@ -31,6 +31,14 @@
 
 inline constexpr std::string_view LastChunk = "0\r\n\r\n";
 
+// Whether a parser of a body can use what has been received. Left: bytes of
+// which its last call has used none; they begin a chunk header. Boost.Beast
+// requires that a last chunk is not continued with less than the whole of the
+// shortest one.
+inline bool canContinue(std::size_t Left, std::size_t Received) {
+  return Received > Left && (Left == 0 || Received >= LastChunk.size());
+}
+
 // Whether Name is a hop-by-hop header, which is never forwarded.
 bool isConnectionHeader(std::string_view Name);
 bool sameHeader(std::string_view A, std::string_view B);
--- a/hawthornroad/http/ServerSession.cpp
+++ b/hawthornroad/http/ServerSession.cpp
@@ -138,6 +138,7 @@
     return;
   if (!Parser_) {
     Parser_.emplace();
+    LeftBytes_ = 0;
     Parser_->header_limit(
         static_cast<std::uint32_t>(Owner_->Limits_.HeaderBytes_));
     Parser_->body_limit(Owner_->Limits_.BodyBytes_);
@@ -146,9 +147,12 @@
     ArrivedInTime_.reset();
     ContinueSent_ = false;
   }
+  if (!canContinue(LeftBytes_, In_.size()))
+    return;
   boost::system::error_code Code;
   std::size_t Used = Parser_->put(In_.data(), Code);
   In_.consume(Used);
+  LeftBytes_ = Parser_->is_header_done() ? In_.size() : 0;
   if (Code && Code != http::error::need_more)
     return refuse(statusOf(Code), SessionEnd::Malformed, Code.message());
   if (Parser_->is_done())
--- a/hawthornroad/http/ServerSession.h
+++ b/hawthornroad/http/ServerSession.h
@@ -229,6 +229,8 @@
   std::shared_ptr<HttpListener> Owner_;
   boost::beast::flat_buffer In_;
   std::optional<Parser> Parser_;
+  // Bytes of a body's framing that the parser has left for more to follow.
+  std::size_t LeftBytes_ = 0;
   std::string Out_;
   std::string Writing_;
   std::uint64_t Tag_ = 0;
--- a/tests/unit/HttpLinkTest.cpp
+++ b/tests/unit/HttpLinkTest.cpp
@@ -130,6 +130,44 @@
   }
 }
 
+// Guards against a parser that is continued with less of a last chunk than it
+// requires: builds with assertions ended.
+TEST_CASE("client link, given the last chunk in any pieces, completes the "
+          "answer",
+          "[http]") {
+  const std::string Start = "HTTP/1.1 200 OK\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string Body = GENERATE(as<std::string>(), "", "2\r\nhi\r\n");
+  const std::string End = "0\r\n\r\n";
+  auto First = GENERATE(range<std::size_t>(0, 5));
+  auto Second = GENERATE(range<std::size_t>(1, 5));
+  CAPTURE(Body, First, Second);
+  std::vector<std::string> Parts = {Start + Body + End.substr(0, First),
+                                    End.substr(First, Second)};
+  if (First + Second < End.size())
+    Parts.push_back(End.substr(First + Second));
+  std::uint16_t Port = 0;
+  RawSocket Listener = RawSocket::listenAt(Port);
+  IoThread Io("test", 64);
+  auto L = std::make_shared<ClientLink>(
+      Io.context(), "127.0.0.1:" + std::to_string(Port), ClientLink::Options{});
+  std::thread Server([&] {
+    RawSocket S = Listener.accept();
+    S.readUntil("hi");
+    for (const std::string &Each : Parts) {
+      S.trySend(Each);
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    S.readUntil("never");
+  });
+  LinkOutcome Out = sendOver(Io, L);
+  CHECK(Out.IsComplete_);
+  CHECK(Out.Reusable_);
+  CHECK(Out.Body_ == (Body.empty() ? "" : "hi"));
+  abandonAndWait(Io, L);
+  Server.join();
+}
+
 TEST_CASE("client link, when nobody listens, says that nothing was sent",
           "[http]") {
   std::uint16_t Port = 0;
@@ -272,6 +310,27 @@
   }
 }
 
+// The same, for a request.
+TEST_CASE("server session, given the last chunk in any pieces, answers the "
+          "request",
+          "[http]") {
+  const std::string End = "0\r\n\r\n";
+  auto First = GENERATE(range<std::size_t>(0, 5));
+  auto Second = GENERATE(range<std::size_t>(1, 5));
+  CAPTURE(First, Second);
+  ListenerFixture F;
+  RawSocket S = RawSocket::connectTo(F.Port_);
+  S.send("POST /echo HTTP/1.1\r\nHost: h\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n" +
+         End.substr(0, First));
+  std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  S.send(End.substr(First, Second));
+  std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  if (First + Second < End.size())
+    S.send(End.substr(First + Second));
+  CHECK(S.readUntil("\r\n\r\n").starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("server session, given requests in any framing, answers each on the "
           "same connection",
           "[http]") {
