Entry: a planned stop refuses late requests by their time, and begins no attempt that it would cut

What was reported: requests that came late in the grace of a planned stop were passed on and cut at its end with no answer. By reading, two ways were open: the step that refuses new requests was given to the decisions 2.6 s after the signal, so a process that was held up took what it read before that step; and an attempt could begin, after a wait or as a second one, at an endpoint that usually takes longer to answer than the stop has left, and be cut while it runs.

The decisions get the times of the stop at once: requests read after the first are refused, and an attempt that its endpoint could not answer before the second does not begin; its request is refused as not run.

--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -344,14 +344,14 @@
   TimePoint Last = Begun + S.Settings_.Common_.StopBound_ - DrainMargin;
   S.Stopping_.store(true);
   S.Log_.write(LogLine("stopping"), true);
+  S.Io_.submit([&S, Begun, Last] {
+    S.Core_.stop({Begun + BalancerDetectionTime, Last});
+  });
   std::this_thread::sleep_for(BalancerDetectionTime);
   // New connections meet a closed port, which their callers see at once. A
-  // request on a keep-alive connection is refused, since it might not end in
-  // time.
-  S.Io_.submit([&S] {
-    S.Callers_->stopAccepting();
-    S.Core_.stop();
-  });
+  // request on a keep-alive connection is refused by now, since it might not
+  // end in time.
+  S.Io_.submit([&S] { S.Callers_->stopAccepting(); });
   S.drainUntil(Last);
   S.Io_.submit([&S] { S.Core_.endAll(bootNow()); });
   S.drainUntil(Last + LastAnswersTime);
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -48,7 +48,7 @@
 }
 
 bool TrafficCore::classify(Record &R, TimePoint Now) {
-  if (Stopping_) {
+  if (Stop_ && Now >= Stop_->RefusesFrom_) {
     refuse(R, status::Unavailable, Cause::Stopping, RetryElsewhereAfter, Now);
     return false;
   }
@@ -314,7 +314,10 @@
                            TimePoint Now) const {
   Duration Least = std::min(Placement_.usualFirstByte(E.Id_),
                             Options_.MaxFirstByteAllowance_);
-  return callerLeavesAt(R) - Now >= Least;
+  TimePoint End = callerLeavesAt(R);
+  if (Stop_)
+    End = std::min(End, Stop_->EndsAt_);
+  return End - Now >= Least;
 }
 
 // A request whose repeat is denied, or that is out of time, is closed on
@@ -329,7 +332,8 @@
     if (!isInTime(R, *E, Now)) {
       if (R.Current_.isRunning())
         return false;
-      giveUp(R, Cause::DeadlinePassed, "no time for another attempt", Now);
+      giveUp(R, Stop_ ? Cause::Stopping : Cause::DeadlinePassed,
+             "no time for another attempt", Now);
       return false;
     }
     if (needsHealthCheck(*E, Now)) {
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -270,8 +270,16 @@
   void mergeParts(const std::vector<PartEvidence> &Parts, TimePoint Now);
   const CrashingParts &parts() const { return Parts_; }
   void tick(TimePoint Now);
-  // Refuses new requests from now on.
-  void stop() { Stopping_ = true; }
+  // A planned stop of the process.
+  struct StopTimes {
+    // New requests are refused from then on.
+    TimePoint RefusesFrom_;
+    // What is open then gets endAll(); attempts that could not be answered
+    // before it do not begin.
+    TimePoint EndsAt_;
+    bool operator==(const StopTimes &) const = default;
+  };
+  void stop(StopTimes S) { Stop_ = S; }
   // Ends every open request, since the process is about to end: with an answer
   // unless one has begun.
   void endAll(TimePoint Now);
@@ -465,7 +473,8 @@
   Duration callerTimeout(const Route &R) const;
   // When R's caller leaves if it receives nothing more.
   TimePoint callerLeavesAt(const Record &R) const;
-  // Whether an attempt that begins at E now could still reach its caller.
+  // Whether an attempt that begins at E now could still reach its caller, and
+  // before the end of this process.
   bool isInTime(const Record &R, const Endpoint &E, TimePoint Now) const;
   bool waitsAtOldVersion(const Record &R, const Attempt &T,
                          TimePoint Now) const;
@@ -527,7 +536,7 @@
   std::optional<TimePoint> TickedAt_;
   // The tick in progress is the first one after a pause.
   bool IsAfterPause_ = false;
-  bool Stopping_ = false;
+  std::optional<StopTimes> Stop_;
   bool RefusesBodies_ = false;
   bool Dispatching_ = false;
 };
--- a/tests/unit/TrafficRandomTest.cpp
+++ b/tests/unit/TrafficRandomTest.cpp
@@ -346,7 +346,7 @@
 
   // All that is open ends by itself within the longest deadline.
   void finish() {
-    Core_.stop();
+    Core_.stop({Now_, TimePoint::max()});
     for (TimePoint End = Now_ + Seconds(7); Now_ < End;) {
       Core_.tick(Now_ += Milliseconds(20));
       deliver();
