Max attempts: a run counts until its endpoint is known to have ended

Callers' requests ran at more endpoints than their route's max_attempts wherever answers were lost or silent while endpoints left the list.

Cause: mayGoElsewhere() took a missing entry for the end of the endpoint. One that leaves, or whose entry lapses, works on, so each entry that went gave a request one more run. Class: the absence of an entry is taken for an event.

Change: EndpointSet::hasEnded() says what shows an end: a later start under the id, or another endpoint listed at the address since. All other runs count. A restarted endpoint, which counted while it was listed, counts no more. The line 'request' has the runs, a metric those that ran more than once.

--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -53,6 +53,13 @@
                                                            : "failed";
 }
 
+// Runs of a request, compared with what its route allows.
+std::string runsText(const CallReport &R) {
+  if (R.Runs_ == R.MaxRuns_)
+    return "last_allowed";
+  return R.Runs_ < R.MaxRuns_ ? "fewer" : "more";
+}
+
 bool isAbnormal(const AttemptReport &R) {
   return R.Event_ == "failed" || R.Event_ == "cancelled";
 }
@@ -383,6 +390,7 @@
       .flag("may_have_run", R.MayHaveRun_)
       .flag("caller_gone", R.CallerGone_)
       .count("attempts", R.Attempts_)
+      .count("runs", R.Runs_)
       .text("endpoint", R.LastEndpoint_.str())
       .count("config", R.ConfigVersion_)
       .count("events", R.Events_)
@@ -399,6 +407,9 @@
   Metrics_.count("hawthornroad_requests_total",
                  {{"status", std::to_string(R.Status_)},
                   {"cause", std::string(toString(R.Cause_))}});
+  if (R.Runs_ > 1)
+    Metrics_.count("hawthornroad_requests_run_again_total",
+                   {{"route", R.Route_}, {"runs", runsText(R)}});
   if (R.Cause_ == Cause::NoAllowedRegion)
     Metrics_.count("hawthornroad_requests_refused_for_regions_total",
                    {{"route", R.Route_}, {"customer", R.Customer_.str()}});
--- a/hawthornroad/traffic/Endpoint.cpp
+++ b/hawthornroad/traffic/Endpoint.cpp
@@ -1,5 +1,6 @@
 #include "hawthornroad/traffic/Endpoint.h"
 
+#include <algorithm>
 #include <set>
 
 namespace hawthornroad {
@@ -30,7 +31,8 @@
     return Each.first != E.Id_ && Each.second.IsLapsed_ &&
            Each.second.Endpoint_.Address_ == E.Address_;
   });
-  Entries_[E.Id_] = {E, false, Now};
+  TimePoint ListedAt = Known != Entries_.end() ? Known->second.ListedAt_ : Now;
+  Entries_[E.Id_] = {E, false, Now, ListedAt};
 }
 
 void EndpointSet::removed(const std::vector<EndpointId> &Ids, TimePoint Now) {
@@ -92,6 +94,15 @@
   return Out;
 }
 
+bool EndpointSet::hasEnded(const EndpointUse &U) const {
+  if (const Endpoint *E = find(U.Id_))
+    return E->Born_ > U.Born_;
+  return std::any_of(Entries_.begin(), Entries_.end(), [&](const auto &Each) {
+    return Each.second.Endpoint_.Address_ == U.Address_ &&
+           Each.second.ListedAt_ > U.At_;
+  });
+}
+
 const Endpoint *EndpointSet::find(const EndpointId &Id) const {
   auto Found = Entries_.find(Id);
   return Found == Entries_.end() ? nullptr : &Found->second.Endpoint_;
--- a/hawthornroad/traffic/Endpoint.h
+++ b/hawthornroad/traffic/Endpoint.h
@@ -62,6 +62,16 @@
   bool operator==(const Endpoint &) const = default;
 };
 
+// Where and when a request was sent.
+struct EndpointUse {
+  EndpointId Id_;
+  // See Endpoint::Born_.
+  std::uint64_t Born_ = 0;
+  std::string Address_;
+  TimePoint At_;
+  bool operator==(const EndpointUse &) const = default;
+};
+
 class EndpointSet {
 public:
   // Running endpoints renew within about two seconds of the store's return; the
@@ -74,6 +84,8 @@
     bool IsLapsed_ = false;
     // When its row was read last.
     TimePoint SeenAt_ = {};
+    // Since when it has been listed without a break.
+    TimePoint ListedAt_ = {};
   };
 
   // Replaces all entries. Missing ones are removed, unless the store was down.
@@ -96,6 +108,10 @@
   std::vector<const Endpoint *> of(const ServiceName &Service) const;
   // Null when the entry was removed.
   const Endpoint *find(const EndpointId &Id) const;
+  // Whether the endpoint is known to have ended since: it has started again, or
+  // another one has been listed at its address. A missing entry does not show
+  // it, since endpoints that leave, or whose entries lapse, work on.
+  bool hasEnded(const EndpointUse &U) const;
   const std::map<EndpointId, Entry> &all() const { return Entries_; }
 
 private:
--- a/hawthornroad/traffic/TrafficAttempts.cpp
+++ b/hawthornroad/traffic/TrafficAttempts.cpp
@@ -399,11 +399,11 @@
     return false;
   if (R.IsStreaming_ && R.Route_->Repeat_ != Repeat::FromLastEvent)
     return false;
-  // Endpoints that have since been removed do not count.
-  unsigned Ran = 0;
-  for (const EndpointId &Id : R.RanAt_)
-    Ran += Endpoints_.find(Id) != nullptr ? 1 : 0;
-  return Ran < R.Route_->MaxAttempts_;
+  // Runs at endpoints that have ended do not count.
+  auto Counted = std::count_if(
+      R.Runs_.begin(), R.Runs_.end(),
+      [&](const EndpointUse &Each) { return !Endpoints_.hasEnded(Each); });
+  return static_cast<unsigned>(Counted) < R.Route_->MaxAttempts_;
 }
 
 void TrafficCore::afterFailure(Record &R, TimePoint Now) {
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -229,8 +229,11 @@
   CallReport Report;
   Report.Number_ = R.Number_;
   Report.Id_ = R.Call_.Id_;
-  if (R.Route_ != nullptr)
+  if (R.Route_ != nullptr) {
     Report.Route_ = R.Route_->Name_;
+    Report.MaxRuns_ = R.Route_->MaxAttempts_;
+  }
+  Report.Runs_ = static_cast<unsigned>(R.Runs_.size());
   Report.Customer_ = R.Customer_;
   if (R.IsPrioritized_)
     Report.Rank_ = R.Rank_;
--- a/hawthornroad/traffic/TrafficPort.h
+++ b/hawthornroad/traffic/TrafficPort.h
@@ -67,6 +67,9 @@
   bool MayHaveRun_ = false;
   bool CallerGone_ = false;
   unsigned Attempts_ = 0;
+  // Attempts that may have run, and as many as the route allows.
+  unsigned Runs_ = 0;
+  unsigned MaxRuns_ = 0;
   EndpointId LastEndpoint_;
   std::uint64_t ConfigVersion_ = 0;
   // Age of the last proof of the configuration when the request arrived.
@@ -189,6 +192,7 @@
 class TrafficPort {
 public:
   virtual ~TrafficPort() = default;
+  // C lives until the attempt has ended or is cancelled.
   virtual void beginAttempt(AttemptNumber A, const Call &C,
                             const AttemptParams &O) = 0;
   // Asks the agent beside the endpoint for a place for an attempt that would
--- a/hawthornroad/traffic/TrafficState.h
+++ b/hawthornroad/traffic/TrafficState.h
@@ -72,7 +72,7 @@
   bool IsEvents_ = false;
   // The endpoint's silence was reported to Placement.
   bool IsSilenceNoted_ = false;
-  // Counted in RanAt_.
+  // Counted in Record::Runs_.
   bool IsRunCounted_ = false;
   // Of a silent attempt: its own copy, since its replacement uses the
   // request's.
@@ -146,9 +146,9 @@
 
   unsigned Attempts_ = 0;
   std::set<EndpointId> Tried_;
-  // Endpoints at which it may have run, once for each attempt: repeats at the
-  // only endpoint left would have no limit but the repeat budget otherwise.
-  std::multiset<EndpointId> RanAt_;
+  // Where it may have run, once for each attempt: repeats at the only endpoint
+  // left would have no limit but the repeat budget otherwise.
+  std::vector<EndpointUse> Runs_;
   bool MayHaveRun_ = false;
   // IsNoted_: counted by the repeat budget. HasArrived_: an attempt has been
   // sent.
@@ -179,7 +179,7 @@
 
   void countRun(Attempt &T) {
     if (!std::exchange(T.IsRunCounted_, true))
-      RanAt_.insert(T.At_);
+      Runs_.push_back({T.At_, T.Born_, T.Address_, T.BegunAt_});
   }
   bool mayRepeat() const {
     return !MayHaveRun_ || Route_->Repeat_ != Repeat::Never;
--- a/tests/unit/TrafficChecks.h
+++ b/tests/unit/TrafficChecks.h
@@ -48,8 +48,9 @@
   bool HasHead_ = false;
   bool HasBadHead_ = false;
   bool HasEnded_ = false;
-  // Its endpoint left the list meanwhile and does not count any more.
-  bool WasRemoved_ = false;
+  // Its endpoint was listed with a later start meanwhile and does not count any
+  // more. One that leaves the list counts: it works on.
+  bool HasRestarted_ = false;
   unsigned Status_ = 200;
   std::string Body_;
   std::size_t Sent_ = 0;
@@ -110,8 +111,7 @@
             "attempts side by side are at different endpoints");
       check(R.Repeat_ != Repeat::Never || (T.IsOver_ && T.NotRun_),
             "what may run once is repeated only if it did not run");
-      if (!T.NotRun_ && !T.WasRemoved_ &&
-          Core_.endpoints().find(T.Endpoint_) != nullptr)
+      if (!T.NotRun_ && !T.HasRestarted_)
         RanAt.insert(T.Endpoint_);
     }
     check(Running < 2, "at most two attempts run side by side");
--- a/tests/unit/TrafficRandomTest.cpp
+++ b/tests/unit/TrafficRandomTest.cpp
@@ -296,9 +296,10 @@
     for (const EndpointId &Id : Listed_)
       All.push_back(Endpoints_.at(Id));
     Core_.endpoints().listed(All, Now_);
-    for (auto &[A, T] : Runs_)
-      T.WasRemoved_ |= Core_.endpoints().find(T.Endpoint_) == nullptr ||
-                       !Listed_.contains(T.Endpoint_);
+    for (auto &[A, T] : Runs_) {
+      const Endpoint *E = Core_.endpoints().find(T.Endpoint_);
+      T.HasRestarted_ |= E != nullptr && E->Born_ > T.Born_;
+    }
     Core_.endpointsChanged(Now_);
   }
 
