Soak: endpoints that leave, partial kills and a missing store in a loss; memory

Three more beginnings of the strain on repeats; endpoints that lose answers after they have worked, and are replaced by others in the same mode. Each seed prints how many requests came to their last allowed run, and which process came nearest to the memory of its VM; one above it is a violation.

--- a/tests/integration/Process.cpp
+++ b/tests/integration/Process.cpp
@@ -178,6 +178,17 @@
   return State_->Child_.running(Ignored);
 }
 
+std::size_t Process::peakMegabytes() {
+  if (!running())
+    return 0;
+  std::ifstream Status("/proc/" + std::to_string(pid()) + "/status");
+  std::string Name;
+  for (std::size_t Kilobytes = 0; Status >> Name;)
+    if (Name == "VmHWM:" && Status >> Kilobytes)
+      return Kilobytes / 1024;
+  return 0;
+}
+
 // Signals are sent by pid only while the child has not been waited for: until
 // then the kernel cannot reuse its pid.
 void Process::terminate() {
--- a/tests/integration/Process.h
+++ b/tests/integration/Process.h
@@ -72,6 +72,8 @@
 
   int pid() const;
   bool running();
+  // The most memory that it has used so far; 0 once it has ended.
+  std::size_t peakMegabytes();
   void terminate();
   void kill();
   // SIGSTOP and SIGCONT: a pause that the process cannot detect while stopped.
--- a/tests/integration/StoreAgentTest.cpp
+++ b/tests/integration/StoreAgentTest.cpp
@@ -2,16 +2,14 @@
 // an origin of weights.
 
 #include "hawthornroad/base/Hash.h"
+#include "tests/integration/EndlessServer.h"
 #include "tests/integration/PlatformFixture.h"
-#include "tests/unit/RawSocket.h"
 
 #include <atomic>
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <catch2/catch.hpp>
-#include <fstream>
-#include <thread>
 
 using namespace hawthornroad;
 
@@ -185,63 +183,6 @@
   std::string Address_;
 };
 
-// An engine whose answers have no end, until it is destroyed.
-class EndlessEngine {
-public:
-  explicit EndlessEngine(std::string Head)
-      : Head_(std::move(Head)), Listener_(RawSocket::listenAt(Port_)),
-        Accepting_([this] { acceptAll(); }) {}
-  ~EndlessEngine() {
-    IsEnding_ = true;
-    ::shutdown(Listener_.handle(), SHUT_RDWR);
-    Accepting_.join();
-    for (std::thread &Each : Answering_)
-      Each.join();
-  }
-  EndlessEngine(const EndlessEngine &) = delete;
-  EndlessEngine &operator=(const EndlessEngine &) = delete;
-
-  std::string address() const { return "127.0.0.1:" + std::to_string(Port_); }
-  int answers() const { return Answers_; }
-
-private:
-  void acceptAll() {
-    for (;;) {
-      RawSocket S = Listener_.accept();
-      if (IsEnding_ || S.handle() < 0)
-        return;
-      Answering_.emplace_back(
-          [this, Connection = std::move(S)] { answer(Connection); });
-    }
-  }
-  void answer(const RawSocket &S) {
-    const std::string Part = "10000\r\n" + std::string(0x10000, 'x') + "\r\n";
-    S.readUntil("\r\n\r\n");
-    ++Answers_;
-    S.trySend(Head_);
-    while (!IsEnding_ && S.trySend(Part))
-      continue;
-  }
-
-  std::string Head_;
-  std::uint16_t Port_ = 0;
-  RawSocket Listener_;
-  std::atomic<bool> IsEnding_{false};
-  std::atomic<int> Answers_{0};
-  std::vector<std::thread> Answering_;
-  std::thread Accepting_;
-};
-
-// The most memory that the process has used so far.
-std::size_t peakMegabytes(const Process &P) {
-  std::ifstream Status("/proc/" + std::to_string(P.pid()) + "/status");
-  std::string Name;
-  for (std::size_t Kilobytes = 0; Status >> Name;)
-    if (Name == "VmHWM:" && Status >> Kilobytes)
-      return Kilobytes / 1024;
-  return 0;
-}
-
 struct AgentFixture {
   TemporaryFolder Folder_;
   StoreStandIn Store_;
@@ -403,11 +344,11 @@
                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
                        "HTTP/1.1 200 OK\r\nX-A: ");
   CAPTURE(Head);
-  EndlessEngine Endless(Head);
+  EndlessServer Endless(Head);
   start(Endless.address());
   name(2);
   eventually([&] { return Endless.answers() >= 12; },
              "the agent has called its engine many times");
   REQUIRE(Agent_->running());
-  CHECK(peakMegabytes(*Agent_) < MachineMegabytes);
+  CHECK(Agent_->peakMegabytes() < MachineMegabytes);
 }
--- a/tests/soak/Main.cpp
+++ b/tests/soak/Main.cpp
@@ -23,7 +23,8 @@
   std::cout << "seed " << Seed << std::endl;
   SoakWorld W(O);
   W.run();
-  std::cout << "seed " << Seed << ": " << W.checks().summary() << std::endl;
+  std::cout << "seed " << Seed << ": " << W.checks().summary() << "; "
+            << W.memory().summary() << std::endl;
   for (const std::string &Each : W.checks().violations())
     std::cout << "  BROKEN " << Each << std::endl;
   if (W.checks().violations().empty())
@@ -81,7 +82,8 @@
       "strain-failure", po::value(&Failure),
       "how the strain begins, in place of the seed's choice: loss-and-kill, "
       "loss-and-freeze, hold-and-kill, loss-and-slowness, "
-      "loss-and-callers-held, engine-loss")(
+      "loss-and-callers-held, engine-loss, loss-and-leaves, "
+      "loss-and-partial-kills, loss-without-store")(
       "entry-repeat-ratio", po::value(&EntryRepeatRatio),
       "the ratio that entries keep, in place of the operators'")(
       "logs", po::value(&Logs)->default_value(Logs),
--- a/tests/soak/SoakChecks.cpp
+++ b/tests/soak/SoakChecks.cpp
@@ -96,9 +96,10 @@
 void SoakChecks::checkRuns(const SoakRequest &R) {
   int Runs = Record_.countRuns(R.Id_);
   // Endpoints that have ended do not count as attempts.
-  bool IsOften = mayRepeat(R.Kind_)
-                     ? Record_.countRunsAtLiving(R.Id_) > MaxAttempts
-                     : Runs > 1;
+  int Counted = mayRepeat(R.Kind_) ? Record_.countRunsAtLiving(R.Id_) : Runs;
+  int Allowed = mayRepeat(R.Kind_) ? MaxAttempts : 1;
+  LastRuns_ += mayRepeat(R.Kind_) && Counted == Allowed ? 1 : 0;
+  bool IsOften = Counted > Allowed;
   if (IsOften)
     add(R, "ran " + std::to_string(Runs) + " times");
   auto Found = Outcomes_.find(R.Id_);
@@ -198,6 +199,7 @@
   for (const SoakRepeats::Use &Each : MostRepeats_)
     Out << "; repeats " << Each.Service_ << ' ' << Each.Repeats_ << " of "
         << static_cast<long>(Each.Allowed_) << " allowed";
+  Out << "; at their last run " << LastRuns_;
   Out << "; too much time left " << TimeLeft_.Excess_ << "; "
       << Violations_.size() << " violations";
   return Out.str();
--- a/tests/soak/SoakChecks.h
+++ b/tests/soak/SoakChecks.h
@@ -73,6 +73,8 @@
   std::map<unsigned, int> Statuses_;
   std::map<SoakFate, int> Fates_;
   std::size_t MostColdArrivals_ = 0;
+  // Repeatable requests that ran as often as they may.
+  long LastRuns_ = 0;
   std::vector<SoakRepeats::Use> MostRepeats_;
   SoakTimeLeft TimeLeft_;
 };
--- a/tests/soak/SoakEndpoint.cpp
+++ b/tests/soak/SoakEndpoint.cpp
@@ -28,6 +28,9 @@
 constexpr std::uint64_t EventsPerLongPauseWhilePausing = 12;
 constexpr int EventsBeforeBreak = 3;
 constexpr Duration BreakDelay = Milliseconds(50);
+// For how long LoseLate works on a request.
+constexpr int ShortestLossMs = 200;
+constexpr int LongestLossMs = 500;
 constexpr Duration LoadDuration = Milliseconds(300);
 constexpr std::size_t BrokenEventBytes = 7;
 constexpr unsigned Misdirected = 421;
@@ -253,6 +256,12 @@
     end(Self, SoakRun::End::BrokenOff);
     return X->abort();
   }
+  if (Mode_ == Mode::LoseLate)
+    return Io_.after(between(ShortestLossMs, LongestLossMs), [this, Self] {
+      std::lock_guard Lock(Mutex_);
+      end(Self, SoakRun::End::BrokenOff);
+      Self->Exchange_->abort();
+    });
   bool IsLong = Random_.below(LongAnswers) == 0;
   Duration Delay = Self->IsShort_ ? ShortDelay
                    : IsLong       ? between(LongAnswerMs, LongestAnswerMs)
--- a/tests/soak/SoakEndpoint.h
+++ b/tests/soak/SoakEndpoint.h
@@ -30,7 +30,8 @@
 
 class SoakEndpoint {
 public:
-  enum class Mode { Normal, NotRun, LoseAnswer, BreakStream };
+  // LoseLate: it works on a request before it breaks off the connection.
+  enum class Mode { Normal, NotRun, LoseAnswer, LoseLate, BreakStream };
   struct Options {
     std::string Id_;
     std::string Service_;
@@ -68,6 +69,7 @@
   // An engine restarts after one of its staged pieces has turned bad.
   void restartSpoilt();
   void setMode(Mode M) { Mode_ = M; }
+  Mode mode() const { return Mode_; }
   // While set, most streams pause for long, though nothing is wrong.
   void setPausing(bool Pausing) { IsPausing_ = Pausing; }
   // While held it reads nothing, as a frozen machine does; what arrives
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -83,8 +83,11 @@
     KindRow{SoakFaultKind::EntriesFrozen, "entries frozen", Target::Entry, 3},
     KindRow{SoakFaultKind::EntriesStopped, "entries stopped", Target::Entry, 1},
     KindRow{SoakFaultKind::EntryAdded, "entry added", Target::Entry, 1}};
-// Not drawn.
-constexpr std::array LateRequests = {
+constexpr std::array NotDrawn = {
+    KindRow{SoakFaultKind::HalfKilled, "half of the entries killed",
+            Target::Entry, 1},
+    KindRow{SoakFaultKind::ServiceLosesLate, "service loses answers late",
+            Target::Service, 1},
     KindRow{SoakFaultKind::EntriesSlowed, "entries slowed", Target::Entry, 1},
     KindRow{SoakFaultKind::CallersHeld, "callers held", Target::Entry, 1}};
 
@@ -193,6 +196,11 @@
 constexpr Duration FrozenFor = Seconds(6);
 // How long answers have been lost when the entries are killed or frozen.
 constexpr Duration LostBefore = Milliseconds(1800);
+// Shorter than two attempts whose answers are lost late, for each endpoint.
+constexpr Duration LeaveEvery = Milliseconds(200);
+constexpr Duration PartialKillEvery = Milliseconds(1500);
+constexpr std::size_t PartialKills = 10;
+constexpr Duration StoreAwayFor = Seconds(6);
 // In which requests reach the entries late.
 constexpr Duration LateFor = Seconds(7);
 constexpr std::array StrainFailureNames = {
@@ -201,7 +209,10 @@
     std::pair{"hold-and-kill", StrainFailure::HoldAndKill},
     std::pair{"loss-and-slowness", StrainFailure::LossAndSlowness},
     std::pair{"loss-and-callers-held", StrainFailure::LossAndCallersHeld},
-    std::pair{"engine-loss", StrainFailure::EngineLoss}};
+    std::pair{"engine-loss", StrainFailure::EngineLoss},
+    std::pair{"loss-and-leaves", StrainFailure::LossAndLeaves},
+    std::pair{"loss-and-partial-kills", StrainFailure::LossAndPartialKills},
+    std::pair{"loss-without-store", StrainFailure::LossWithoutStore}};
 
 StrainFailure failureOf(const SoakPlan &P) {
   constexpr std::array BySeed = {StrainFailure::HoldAndKill,
@@ -210,24 +221,35 @@
   return P.Failure_.value_or(BySeed[P.Seed_ % BySeed.size()]);
 }
 
-// What happens to all entries, or to their callers, in the failure.
-SoakFault commonFault(StrainFailure F) {
-  Duration At = CalmFor + LostBefore;
+// What happens to the entries, their callers or the store in the failure.
+void addCommonFaults(StrainFailure F, std::vector<SoakFault> &Out) {
+  constexpr Duration At = CalmFor + LostBefore;
+  auto Add = [&Out](SoakFaultKind Kind, Duration From, Duration For,
+                    std::size_t Target = 0) {
+    Out.push_back({Kind, Target, "", From, From + For});
+  };
   switch (F) {
+  case StrainFailure::LossAndLeaves:
+    return;
   case StrainFailure::LossAndFreeze:
-    return {SoakFaultKind::EntriesFrozen, 0, "", At, At + FrozenFor};
+    return Add(SoakFaultKind::EntriesFrozen, At, FrozenFor);
   case StrainFailure::LossAndSlowness:
-    return {SoakFaultKind::EntriesSlowed, 0, "", At, At + LateFor};
+    return Add(SoakFaultKind::EntriesSlowed, At, LateFor);
   case StrainFailure::LossAndCallersHeld:
-    return {SoakFaultKind::CallersHeld, 0, "", At, At + LateFor};
+    return Add(SoakFaultKind::CallersHeld, At, LateFor);
   case StrainFailure::HoldAndKill:
-    return {SoakFaultKind::EntriesKilled, 0, "", CalmFor + HoldFor,
-            CalmFor + HoldFor};
+    return Add(SoakFaultKind::EntriesKilled, CalmFor + HoldFor, {});
+  case StrainFailure::LossAndPartialKills:
+    for (std::size_t I = 0; I < PartialKills; ++I)
+      Add(SoakFaultKind::HalfKilled, At + I * PartialKillEvery, {}, I % 2);
+    return;
+  case StrainFailure::LossWithoutStore:
+    Add(SoakFaultKind::StoreRefuses, At, StoreAwayFor);
+    [[fallthrough]];
   case StrainFailure::LossAndKill:
   case StrainFailure::EngineLoss:
-    break;
+    return Add(SoakFaultKind::EntriesKilled, At, {});
   }
-  return {SoakFaultKind::EntriesKilled, 0, "", At, At};
 }
 
 // Like addSeries(), from From on; for one target if it is given.
@@ -244,10 +266,22 @@
   }
 }
 
+// Plain endpoints leave one after the other while their answers are lost.
+void addLeaves(const SoakPlan &P, std::vector<SoakFault> &Out) {
+  Out.push_back(
+      {SoakFaultKind::ServiceLosesLate, 0, "", CalmFor, CalmFor + FailureFor});
+  std::size_t Next = 0;
+  for (Duration At = CalmFor + LeaveEvery; At < CalmFor + FailureFor;
+       At += LeaveEvery)
+    Out.push_back({SoakFaultKind::Leaves, Next++ % P.Endpoints_, "", At, At});
+}
+
 // The failure of all services at once, and what happens to all entries in it.
 void addCommonFailure(const SoakPlan &P, std::size_t Services,
                       std::vector<SoakFault> &Out) {
   StrainFailure Failure = failureOf(P);
+  if (Failure == StrainFailure::LossAndLeaves)
+    return addLeaves(P, Out);
   bool IsHeld = Failure == StrainFailure::HoldAndKill;
   Duration LossAt = IsHeld ? CalmFor + HoldFor : CalmFor;
   // Engines are the last service.
@@ -258,7 +292,7 @@
     Out.push_back({SoakFaultKind::ServiceLosesAnswers, I, "", LossAt,
                    CalmFor + FailureFor});
   }
-  Out.push_back(commonFault(Failure));
+  addCommonFaults(Failure, Out);
 }
 } // namespace
 
@@ -299,7 +333,7 @@
         std::span<const KindRow>(EngineRestarts),
         std::span<const KindRow>(ServiceFailures),
         std::span<const KindRow>(EntrySeries),
-        std::span<const KindRow>(LateRequests)})
+        std::span<const KindRow>(NotDrawn)})
     for (const KindRow &Each : Kinds)
       if (Each.Kind_ == F.Kind_)
         Name = Each.Name_;
--- a/tests/soak/SoakFaults.h
+++ b/tests/soak/SoakFaults.h
@@ -69,10 +69,14 @@
   EngineBecomesCold,
   // After one of its staged pieces has turned bad.
   EngineRestarts,
-  // All endpoints of a service lose answers, reject, or read nothing.
+  // All endpoints of a service lose answers, at once or late, reject, or read
+  // nothing.
   ServiceLosesAnswers,
+  ServiceLosesLate,
   ServiceRejects,
   ServiceHolds,
+  // Every other entry.
+  HalfKilled,
   // On all entries at once.
   EntriesKilled,
   EntriesFrozen,
@@ -105,9 +109,15 @@
   LossAndSlowness,
   LossAndCallersHeld,
   // Only engines lose answers.
-  EngineLoss
+  EngineLoss,
+  // Answers are lost late, and endpoints leave and are replaced meanwhile.
+  LossAndLeaves,
+  // Every other entry is killed, again and again.
+  LossAndPartialKills,
+  // The store refuses while all entries are killed and after it.
+  LossWithoutStore
 };
-// By name: "loss-and-kill", ..., "engine-loss".
+// By name: "loss-and-kill", ..., "loss-without-store".
 std::optional<StrainFailure> parseStrainFailure(const std::string &Name);
 
 struct SoakPlan {
--- a/tests/soak/SoakLayout.cpp
+++ b/tests/soak/SoakLayout.cpp
@@ -21,6 +21,7 @@
 constexpr Duration ServeAfterLeaving =
     SoakLayout::DrainBound + Milliseconds(1000);
 
+constexpr Duration MemorySamplePeriod = Milliseconds(200);
 // What an endpoint has sent before its exit still arrives.
 constexpr Duration PathLingers = Seconds(2);
 
@@ -107,6 +108,7 @@
       {"cold_factor", SoakConfig::ColdFactor},
       {"cold_slack", SoakConfig::ColdSlack},
       {"regions", regions()},
+      {"memory_mb", AgentMegabytes},
       {"first_start", true}};
   A.Settings_ = Folder_.write(Name + ".jsonc", json::serialize(S));
   list(*A.Engine_);
@@ -135,6 +137,7 @@
       {"repeat_ratio",
        Options_.EntryRepeatRatio_.value_or(Options_.RepeatRatio_)},
       {"repeat_slack", Options_.RepeatSlack_},
+      {"memory_mb", EntryMegabytes},
       {"metrics_listen", "127.0.0.1:0"}};
   if (Options_.Agents_ > 0)
     S["agent_port"] = AgentPort_;
@@ -296,6 +299,18 @@
   std::erase_if(Leaving_, [&](const Endpoint &Each) {
     return Now >= Each.ExitAt_ + PathLingers;
   });
+  sampleMemory(Now);
+}
+
+void SoakLayout::sampleMemory(TimePoint Now) {
+  if (Now < MemorySampledAt_ + MemorySamplePeriod)
+    return;
+  MemorySampledAt_ = Now;
+  for (const Entry &Each : Entries_)
+    Memory_.sample(Each.Name_, *Each.Process_, EntryMegabytes);
+  for (const Agent &Each : Agents_)
+    Memory_.sample("agent-" + Each.Engine_->id(), *Each.Process_,
+                   AgentMegabytes);
 }
 
 // ---- Endpoints --------------------------------------------------------------
@@ -307,6 +322,7 @@
       Endpoints_.begin());
   Endpoint Old = std::move(E);
   E = makeEndpoint(Old.Server_->service(), Index);
+  E.Server_->setMode(Old.Server_->mode());
   list(*E.Server_);
   // Half of them leave the list without having been listed as draining.
   if (NextEndpoint_ % 2 == 0) {
--- a/tests/soak/SoakLayout.h
+++ b/tests/soak/SoakLayout.h
@@ -14,6 +14,7 @@
 
 #include "tests/integration/PlatformFixture.h"
 #include "tests/soak/SoakEndpoint.h"
+#include "tests/soak/SoakMemory.h"
 #include "tests/soak/SoakSlowdown.h"
 
 #include <deque>
@@ -29,6 +30,9 @@
   static constexpr Duration DrainBound = Milliseconds(2000);
   static constexpr Duration StopBound = Seconds(6);
   static constexpr Duration VersionBound = Seconds(8);
+  // Memory of their VMs.
+  static constexpr std::size_t EntryMegabytes = 260;
+  static constexpr std::size_t AgentMegabytes = 128;
 
   struct Options {
     std::uint64_t Seed_ = 1;
@@ -113,7 +117,8 @@
   // Starts one more entry.
   void addEntry();
   void stop(Agent &A, TimePoint RestartAt);
-  // Another endpoint replaces this one, which drains and then exits.
+  // Another endpoint in the same mode replaces this one, which drains and then
+  // exits.
   void replace(Endpoint &E);
   void beginFault(Endpoint &E, const std::string &Fault);
   void endFault(Endpoint &E, const std::string &Fault);
@@ -122,6 +127,7 @@
   void setStoreMode(StoreStandIn::Mode M);
   // Ends all faults and restarts what does not run.
   void clearFaults();
+  const SoakMemory &memory() const { return Memory_; }
 
 private:
   // The region of each zone, for the settings.
@@ -134,6 +140,7 @@
   void list(const SoakEndpoint &E);
   void setDisruption(Endpoint &E);
   void setDisruption(Entry &E);
+  void sampleMemory(TimePoint Now);
 
   Options Options_;
   SoakRecord &Record_;
@@ -147,6 +154,8 @@
   std::deque<Agent> Agents_;
   std::deque<Entry> Entries_;
   std::optional<SoakSlowdown> Slowdown_;
+  SoakMemory Memory_;
+  TimePoint MemorySampledAt_;
   mutable std::mutex Mutex_;
   std::vector<Address> Addresses_;
 };
--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -152,6 +152,10 @@
     return forEachEndpoint(F.Target_, [](SoakEndpoint &Each) {
       Each.setMode(SoakEndpoint::Mode::LoseAnswer);
     });
+  case SoakFaultKind::ServiceLosesLate:
+    return forEachEndpoint(F.Target_, [](SoakEndpoint &Each) {
+      Each.setMode(SoakEndpoint::Mode::LoseLate);
+    });
   case SoakFaultKind::ServiceRejects:
     return forEachEndpoint(F.Target_, [](SoakEndpoint &Each) {
       Each.setMode(SoakEndpoint::Mode::NotRun);
@@ -159,6 +163,10 @@
   case SoakFaultKind::ServiceHolds:
     return forEachEndpoint(F.Target_,
                            [](SoakEndpoint &Each) { Each.setHeld(true); });
+  case SoakFaultKind::HalfKilled:
+    for (std::size_t I = F.Target_; I < Entries.size(); I += 2)
+      Layout_.kill(Entries[I], now());
+    return;
   case SoakFaultKind::EntriesKilled:
     for (SoakLayout::Entry &Each : Entries)
       Layout_.kill(Each, now());
@@ -221,6 +229,7 @@
   case SoakFaultKind::Surge:
     return Callers_.setSurging(false);
   case SoakFaultKind::ServiceLosesAnswers:
+  case SoakFaultKind::ServiceLosesLate:
   case SoakFaultKind::ServiceRejects:
     return forEachEndpoint(F.Target_, [](SoakEndpoint &Each) {
       Each.setMode(SoakEndpoint::Mode::Normal);
@@ -295,6 +304,8 @@
   std::this_thread::sleep_for(RunSlack);
   checkWeights(CalmSince);
   checkAgents();
+  for (const std::string &Each : Layout_.memory().excesses())
+    Checks_.violation(Each);
   if (Operators_.trapped() > 0)
     Checks_.violation(std::to_string(Operators_.trapped()) +
                       " requests at an address that only rows of another "
--- a/tests/soak/SoakWorld.h
+++ b/tests/soak/SoakWorld.h
@@ -49,6 +49,7 @@
 
   void run();
   SoakChecks &checks() { return Checks_; }
+  const SoakMemory &memory() const { return Layout_.memory(); }
   const std::filesystem::path &logs() const { return Folder_.path(); }
 
 private:
