Attempts: the time that is left is stated when the request is written

The deadline of an attempt was written into its request when the attempt was decided. Connecting takes up to a second, so on a slow path a second attempt on a new connection told its endpoint more time than was left, by the time of connecting.

ClientLink::sendLate() makes the text once the connection is up.

--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -1,5 +1,6 @@
 #include "hawthornroad/entry/DirectEntryState.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
@@ -194,8 +195,13 @@
     Core_.onFail(A, F.NeverSent_,
                  std::string(toString(F.Step_)) + ": " + F.Message_, bootNow());
   };
-  Link->send(requestText(platform::encodeAttempt(C, O), O.Address_),
-             std::move(E));
+  // Connecting takes some of the time that is left.
+  auto Make = [&C, Params = O, Until = bootNow() + O.TimeLeft_] {
+    AttemptParams Current = Params;
+    Current.TimeLeft_ = std::max<Duration>(Until - bootNow(), Duration::zero());
+    return requestText(platform::encodeAttempt(C, Current), Current.Address_);
+  };
+  Link->sendLate(std::move(Make), std::move(E));
 }
 
 bool DirectEntry::State::checkHealth(AttemptNumber A, const Endpoint &E,
--- a/hawthornroad/http/ClientLink.cpp
+++ b/hawthornroad/http/ClientLink.cpp
@@ -52,15 +52,25 @@
 
 void ClientLink::send(std::string Text, Events E,
                       std::optional<std::size_t> MaxBody) {
+  MakeOut_ = nullptr;
+  Out_ = std::move(Text);
+  begin(std::move(E), MaxBody);
+}
+
+void ClientLink::sendLate(MakeText Make, Events E,
+                          std::optional<std::size_t> MaxBody) {
+  MakeOut_ = std::move(Make);
+  Out_.clear();
+  begin(std::move(E), MaxBody);
+}
+
+void ClientLink::begin(Events E, std::optional<std::size_t> MaxBody) {
   Busy_ = true;
   MaxBody_ = MaxBody.value_or(Options_.MaxBody_);
   WriteStarted_ = Written_ = HeadDelivered_ = false;
-  HeadRequest_ = Text.starts_with("HEAD ");
-  Out_ = std::move(Text);
   Events_ = std::move(E);
   Paused_ = false;
   InterimBytes_ = HeadBytes_ = WireBytes_ = BodyBytes_ = LeftBytes_ = 0;
-  startParser();
   if (Connected_)
     write();
   else
@@ -136,6 +146,10 @@
   // Set before the first write: a write that fails half-way may still have
   // delivered bytes.
   WriteStarted_ = true;
+  if (MakeText Make = std::exchange(MakeOut_, nullptr))
+    Out_ = Make();
+  HeadRequest_ = Out_.starts_with("HEAD ");
+  startParser();
   boost::system::error_code Code;
   Socket_.non_blocking(true, Code);
   std::size_t Done = Socket_.write_some(asio::buffer(Out_), Code);
@@ -326,6 +340,7 @@
   if (Closed_)
     return;
   Closed_ = true;
+  MakeOut_ = nullptr;
   Connected_ = Connecting_ = false;
   ConnectTimer_.cancel();
   boost::system::error_code Ignored;
--- a/hawthornroad/http/ClientLink.h
+++ b/hawthornroad/http/ClientLink.h
@@ -81,6 +81,11 @@
   // bytes; unset: Options::MaxBody_.
   void send(std::string Text, Events E,
             std::optional<std::size_t> MaxBody = std::nullopt);
+  // The same with a text that is made once the connection is up, since it
+  // states how much time is left. Not called after abandon() or a failure.
+  using MakeText = std::function<std::string()>;
+  void sendLate(MakeText Make, Events E,
+                std::optional<std::size_t> MaxBody = std::nullopt);
   // Closes the connection and drops a request in progress, without callbacks.
   // What the server has not received of the request is not sent any more.
   void abandon();
@@ -113,6 +118,7 @@
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+  void begin(Events E, std::optional<std::size_t> MaxBody);
   void connect();
   void probe();
   void write();
@@ -139,6 +145,8 @@
   std::function<void()> IdleEnd_;
   boost::beast::flat_buffer In_;
   std::optional<Parser> Parser_;
+  // Out_ once the connection is up.
+  MakeText MakeOut_;
   std::string Out_;
   std::size_t MaxBody_ = 0;
   // Received bytes of interim heads, of the body with its framing, and of the
--- a/tests/unit/HttpLinkTest.cpp
+++ b/tests/unit/HttpLinkTest.cpp
@@ -182,6 +182,50 @@
 
 // Guards against a request that was given up and whose rest is still sent: its
 // endpoint would run it later, beside the attempt that replaced it.
+// Guards against a deadline that is stated before the connection is up, and so
+// ends too late.
+TEST_CASE("client link, given a text to be made late, makes it once the "
+          "connection is up",
+          "[http]") {
+  std::uint16_t Port = 0;
+  RawSocket Listener = RawSocket::listenAt(Port);
+  IoThread Io("test", 64);
+  auto L = std::make_shared<ClientLink>(
+      Io.context(), "127.0.0.1:" + std::to_string(Port), ClientLink::Options{});
+  auto Exchange = [&](std::string Target, const std::function<void()> &Answer) {
+    std::promise<bool> MadeAtOnce;
+    auto Ended = std::make_shared<std::promise<void>>();
+    auto Made = std::make_shared<bool>(false);
+    Io.submit([&] {
+      ClientLink::Events E;
+      E.OnEnd_ = [Ended](bool) { Ended->set_value(); };
+      L->sendLate(
+          [Made, Target] {
+            *Made = true;
+            return "GET " + Target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+          },
+          E);
+      MadeAtOnce.set_value(*Made);
+    });
+    bool Result = MadeAtOnce.get_future().get();
+    Answer();
+    REQUIRE(Ended->get_future().wait_for(WaitLimit) ==
+            std::future_status::ready);
+    CHECK(*Made);
+    return Result;
+  };
+  RawSocket S = RawSocket();
+  CHECK_FALSE(Exchange("/new", [&] {
+    S = Listener.accept();
+    CHECK(S.readUntil("\r\n\r\n").starts_with("GET /new "));
+    S.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  }));
+  CHECK(Exchange("/kept", [&] {
+    CHECK(S.readUntil("\r\n\r\n").starts_with("GET /kept "));
+    S.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  }));
+}
+
 TEST_CASE(
     "client link, abandoned while its peer reads slowly, sends nothing of "
     "the request any more",
