--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 constexpr std::size_t MaxLoggedUnreadable = 1000;
+// Of a health answer, in bytes: its head states all that is used.
+constexpr std::size_t MaxHealthBody = 16 * 1024;
 
 std::string secondsText(Duration D) {
   std::array<char, 32> Text;
@@ -227,7 +229,7 @@
     Core_.onHealthFailed(A, bootNow());
   };
   Link->send(requestText(platform::encodeHealthCheck(Path), E.Address_),
-             std::move(On));
+             std::move(On), MaxHealthBody);
   return true;
 }
 
