Tests: endless health answers; requests that come late in a planned stop

Late in the grace, both entry programs: requests on kept connections, and calls on new ones, from the stop signal until the process has ended. Each was answered and ran once, or was refused or not taken and did not run.

--- a/tests/integration/EntryDrainTest.cpp
+++ b/tests/integration/EntryDrainTest.cpp
@@ -1,6 +1,8 @@
 #include "tests/integration/RequestFixture.h"
 
 #include <catch2/catch.hpp>
+#include <map>
+#include <thread>
 
 using namespace hawthornroad;
 
@@ -43,3 +45,29 @@
   REQUIRE(F->entry(0).Process_->waitExit() == 143);
   REQUIRE(Lost.get().Status_ == 0);
 }
+
+// Guards against calls that are taken late in the grace of a planned stop,
+// passed on, and cut at its end.
+TEST_CASE(
+    "entry, sent calls until it has stopped, answers each that it takes") {
+  auto F = slowDesk();
+  FleetProcess &Entry = F->entry(0);
+  std::map<std::string, std::future<HttpResponse>> Answers;
+  auto Send = [&](const std::string &Key) {
+    Answers[Key] = invoiceLater(Entry, Key);
+  };
+  Send("before");
+  eventually([&] { return runs(*F, "before") == 1; }, "the call runs");
+  Entry.Process_->terminate();
+  for (int I = 0; Entry.Process_->running(); ++I) {
+    Send("late-" + std::to_string(I));
+    std::this_thread::sleep_for(Milliseconds(30));
+  }
+  REQUIRE(Entry.Process_->waitExit() == 0);
+  for (auto &[Key, Each] : Answers) {
+    HttpResponse R = Each.get();
+    requireConsistentOutcome(*F, Key, R);
+    CAPTURE(Key, R.Status_);
+    CHECK(runs(*F, Key) == (outcome(R) == "answered" ? 1 : 0));
+  }
+}
--- a/tests/integration/PlatformFixture.cpp
+++ b/tests/integration/PlatformFixture.cpp
@@ -406,8 +406,11 @@
       {"version", ConfigVersion_++},
       {"routes", std::move(Routes)},
       {"services",
-       json::array{json::object{
-           {"name", "api"}, {"health_path", "/health"}, {"max_conns", 100}}}},
+       json::array{json::object{{"name", "api"},
+                                {"health_path", "/health"},
+                                {"max_conns", 100},
+                                {"cold_start_s", ColdPerSecond_ > 0 ? 1 : 0},
+                                {"cold_per_s", ColdPerSecond_}}}},
       {"limits", json::object{{"max_header_bytes", 16384},
                               {"max_body_bytes", 65536},
                               {"header_timeout_ms", 3000},
--- a/tests/integration/PlatformFixture.h
+++ b/tests/integration/PlatformFixture.h
@@ -164,6 +164,8 @@
   // and repeats by its requests alone, may repeat its first request.
   static constexpr double RatioForFirstRequest = 20;
   double RepeatRatio_ = 0.2;
+  // Requests a second that a cold endpoint bears; 0: not limited.
+  int ColdPerSecond_ = 0;
 
   PlatformFixture();
 
--- a/tests/integration/StoreEntryTest.cpp
+++ b/tests/integration/StoreEntryTest.cpp
@@ -1,5 +1,6 @@
 // The entry process on a platform with a store.
 
+#include "tests/integration/EndlessServer.h"
 #include "tests/integration/PlatformFixture.h"
 
 #include <algorithm>
@@ -7,6 +8,7 @@
 #include <catch2/catch.hpp>
 #include <thread>
 
+namespace json = boost::json;
 using namespace hawthornroad;
 
 namespace {
@@ -307,3 +309,37 @@
   REQUIRE(M.at("hawthornroad_store_calls_total") >= 2);
   REQUIRE(M.at("hawthornroad_config_version") == 1);
 }
+
+// Guards against health checks that read an answer for as long as it is sent:
+// it fills the entry's link.
+TEST_CASE_METHOD(PlatformFixture,
+                 "store entry, beside an endpoint whose health answers have no "
+                 "end, reads a small part of each",
+                 "[store-entry]") {
+  // What the kernels of both sides buffer, and much less than a link's limit.
+  constexpr std::size_t MostBytes = 8 * 1024 * 1024;
+  constexpr std::size_t Checks = 3;
+  auto Head = GENERATE(as<std::string>(), "HTTP/1.1 200 OK\r\n\r\n",
+                       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  EndlessServer Endless(Head);
+  Store_.put("servers", "i-endless",
+             json::serialize(json::object{{"service", "api"},
+                                          {"address", Endless.address()},
+                                          {"zone", "z"},
+                                          {"state", "ready"},
+                                          {"slots", 16}}));
+  Store_.remove("servers", A_.id());
+  Store_.remove("servers", B_.id());
+  ColdPerSecond_ = 50;
+  configure();
+  startEntry();
+  eventually([&] { return isReady(); }, "the entry is ready");
+  eventually(
+      [&] {
+        call("/safe/1");
+        return Endless.bytesSent("GET /health ").size() >= Checks;
+      },
+      "the endpoint's health was checked");
+  std::vector<std::size_t> Sent = Endless.bytesSent("GET /health ");
+  CHECK(*std::max_element(Sent.begin(), Sent.end()) < MostBytes);
+}
--- a/tests/integration/StoreStopTest.cpp
+++ b/tests/integration/StoreStopTest.cpp
@@ -1,9 +1,12 @@
 // The end of an entry on a platform with a store while requests are open.
 
 #include "tests/integration/PlatformFixture.h"
+#include "tests/unit/RawSocket.h"
 
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <future>
+#include <thread>
 
 using namespace hawthornroad;
 
@@ -89,3 +92,48 @@
   REQUIRE(Line.find("\"endpoint\":\"i-") != std::string::npos);
   REQUIRE(Line.find("\"whole_ms\":") != std::string::npos);
 }
+
+// Guards against requests that are taken late in the grace of a planned stop,
+// passed on, and cut at its end.
+TEST_CASE_METHOD(PlatformFixture,
+                 "store entry, sent requests on kept connections until it has "
+                 "stopped, answers each that it passes on") {
+  constexpr int Callers = 100;
+  constexpr Duration Pause = Milliseconds(50);
+  configure();
+  Process &Entry = startEntry(Milliseconds(2000), Seconds(5));
+  eventually([&] { return isReady(); }, "the entry is ready");
+  A_.setDelay(Milliseconds(600));
+  B_.setDelay(Milliseconds(600));
+  auto Port = static_cast<std::uint16_t>(
+      std::stoi(callers().substr(callers().rfind(':') + 1)));
+  std::vector<RawSocket> Kept;
+  for (int I = 0; I < Callers; ++I)
+    Kept.push_back(RawSocket::connectTo(Port));
+  TimePoint StopsAt = std::chrono::steady_clock::now();
+  Entry.terminate();
+  std::vector<std::future<std::string>> Answers;
+  for (int I = 0; I < Callers; ++I)
+    Answers.push_back(std::async(std::launch::async, [&, I] {
+      std::this_thread::sleep_until(StopsAt + I * Pause);
+      Kept[I].trySend("POST /once/x HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+                      "Authorization: Token key1\r\n"
+                      "X-Hawthornroad-Deadline-Ms: 4000\r\n"
+                      "X-Hawthornroad-Request-Id: late-" +
+                      std::to_string(I) + "\r\nContent-Length: 0\r\n\r\n");
+      return Kept[I].readUntil("\r\n\r\n").substr(0, 12);
+    }));
+  int Passed = 0;
+  for (int I = 0; I < Callers; ++I) {
+    std::string Id = "late-" + std::to_string(I);
+    std::string Head = Answers[I].get();
+    int Runs = A_.runs(Id) + B_.runs(Id);
+    CAPTURE(Id, Head, Runs);
+    CHECK((Head == "HTTP/1.1 200" || Head == "HTTP/1.1 503" || Head.empty()));
+    CHECK(Runs == (Head == "HTTP/1.1 200" ? 1 : 0));
+    Passed += Runs;
+  }
+  CHECK(Passed > 1);
+  CHECK(Passed < Callers);
+  CHECK(Entry.waitExit() == 0);
+}
