--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -203,7 +203,7 @@
     Current.TimeLeft_ = std::max<Duration>(Until - bootNow(), Duration::zero());
     return requestText(platform::encodeAttempt(C, Current), Current.Address_);
   };
-  Link->sendLate(std::move(Make), std::move(E));
+  Link->sendOnceConnected(std::move(Make), std::move(E));
 }
 
 bool DirectEntry::State::checkHealth(AttemptNumber A, const Endpoint &E,
--- a/hawthornroad/http/ClientLink.cpp
+++ b/hawthornroad/http/ClientLink.cpp
@@ -57,8 +57,8 @@
   begin(std::move(E), MaxBody);
 }
 
-void ClientLink::sendLate(MakeText Make, Events E,
-                          std::optional<std::size_t> MaxBody) {
+void ClientLink::sendOnceConnected(MakeText Make, Events E,
+                                   std::optional<std::size_t> MaxBody) {
   MakeOut_ = std::move(Make);
   Out_.clear();
   begin(std::move(E), MaxBody);
--- a/hawthornroad/http/ClientLink.h
+++ b/hawthornroad/http/ClientLink.h
@@ -81,11 +81,12 @@
   // bytes; unset: Options::MaxBody_.
   void send(std::string Text, Events E,
             std::optional<std::size_t> MaxBody = std::nullopt);
-  // The same with a text that is made once the connection is up, since it
-  // states how much time is left. Not called after abandon() or a failure.
+  // The same with a text that is made when the connection is up, so that it can
+  // state how much time is left then. Make is not called after abandon() or a
+  // failure.
   using MakeText = std::function<std::string()>;
-  void sendLate(MakeText Make, Events E,
-                std::optional<std::size_t> MaxBody = std::nullopt);
+  void sendOnceConnected(MakeText Make, Events E,
+                         std::optional<std::size_t> MaxBody = std::nullopt);
   // Closes the connection and drops a request in progress, without callbacks.
   // What the server has not received of the request is not sent any more.
   void abandon();
--- a/tests/unit/HttpLinkTest.cpp
+++ b/tests/unit/HttpLinkTest.cpp
@@ -199,7 +199,7 @@
     Io.submit([&] {
       ClientLink::Events E;
       E.OnEnd_ = [Ended](bool) { Ended->set_value(); };
-      L->sendLate(
+      L->sendOnceConnected(
           [Made, Target] {
             *Made = true;
             return "GET " + Target + " HTTP/1.1\r\nHost: h\r\n\r\n";
