Repeat fleet: no sum with the earliest time there is

The address sanitizer's build reported a signed overflow in each process, in a header of the library: readNext() added to the time of a first read that had not been.

--- a/tests/unit/RepeatFleet.cpp
+++ b/tests/unit/RepeatFleet.cpp
@@ -194,9 +194,9 @@
 }
 
 void RepeatFleet::readNext(Entry &E) {
-  Duration Wait = std::max(Duration::zero(), E.ReadAt_ + readTime() - Now_);
-  if (E.ReadAt_ == TimePoint::min())
-    Wait = Duration::zero();
+  Duration Wait = Duration::zero();
+  if (E.ReadAt_ != TimePoint::min())
+    Wait = std::max(Wait, E.ReadAt_ + readTime() - Now_);
   if (Slow_.contains(Now_))
     Wait = std::min<Duration>(Wait, Slow_.To_ - Now_);
   afterFor(E, Wait, [this, &E] {
