--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -212,7 +212,8 @@
     std::pair{"engine-loss", StrainFailure::EngineLoss},
     std::pair{"loss-and-leaves", StrainFailure::LossAndLeaves},
     std::pair{"loss-and-partial-kills", StrainFailure::LossAndPartialKills},
-    std::pair{"loss-without-store", StrainFailure::LossWithoutStore}};
+    std::pair{"loss-without-store", StrainFailure::LossWithoutStore},
+    std::pair{"loss-on-narrow-paths", StrainFailure::LossOnNarrowPaths}};
 
 StrainFailure failureOf(const SoakPlan &P) {
   constexpr std::array BySeed = {StrainFailure::HoldAndKill,
@@ -230,6 +231,7 @@
   };
   switch (F) {
   case StrainFailure::LossAndLeaves:
+  case StrainFailure::LossOnNarrowPaths:
     return;
   case StrainFailure::LossAndFreeze:
     return Add(SoakFaultKind::EntriesFrozen, At, FrozenFor);
@@ -276,12 +278,21 @@
     Out.push_back({SoakFaultKind::Leaves, Next++ % P.Endpoints_, "", At, At});
 }
 
+// Less than is sent to a plain endpoint, in bytes a second.
+void addNarrowPaths(const SoakPlan &P, std::vector<SoakFault> &Out) {
+  for (std::size_t I = 0; I < P.Endpoints_; ++I)
+    Out.push_back({SoakFaultKind::EndpointPath, I, R"({"rate":10000})", CalmFor,
+                   CalmFor + HoldFor});
+}
+
 // The failure of all services at once, and what happens to all entries in it.
 void addCommonFailure(const SoakPlan &P, std::size_t Services,
                       std::vector<SoakFault> &Out) {
   StrainFailure Failure = failureOf(P);
   if (Failure == StrainFailure::LossAndLeaves)
     return addLeaves(P, Out);
+  if (Failure == StrainFailure::LossOnNarrowPaths)
+    addNarrowPaths(P, Out);
   bool IsHeld = Failure == StrainFailure::HoldAndKill;
   Duration LossAt = IsHeld ? CalmFor + HoldFor : CalmFor;
   // Engines are the last service.
--- a/tests/soak/SoakFaults.h
+++ b/tests/soak/SoakFaults.h
@@ -115,9 +115,11 @@
   // Every other entry is killed, again and again.
   LossAndPartialKills,
   // The store refuses while all entries are killed and after it.
-  LossWithoutStore
+  LossWithoutStore,
+  // The paths to plain endpoints are narrow, so what is sent arrives late.
+  LossOnNarrowPaths
 };
-// By name: "loss-and-kill", ..., "loss-without-store".
+// By name: "loss-and-kill", ..., "loss-on-narrow-paths".
 std::optional<StrainFailure> parseStrainFailure(const std::string &Name);
 
 struct SoakPlan {
