Answers: one without an id is not taken for a later attempt's own

What callers saw: a request that may run once is answered 503, which promises that it has not run, and it runs; sent again, it runs twice.

Cause: health checks and requests shared their connections. A health answer names no request, and an answer without an id was taken for the request's own, so the late second copy of a rejected check ended the attempt that was sent next on its connection.

Why it works: an answer without an id belongs for certain only to the first request of its connection. Health checks and requests without an id get a connection of their own, a connection is closed after an answer without an id, and on a used connection such an answer ends the attempt as one that may have run.

Ruled out: an id for health checks, since endpoints may count it as a request that no caller sent.

--- a/hawthornroad/entry/DirectEntryState.h
+++ b/hawthornroad/entry/DirectEntryState.h
@@ -140,6 +140,8 @@
     std::string Endpoint_;
     // 0: a health check.
     CallNumber Call_ = 0;
+    // Its answer names no request.
+    bool IsUnnamed_ = false;
     // Why its answer is not read.
     bool PausedByCaller_ = false;
     bool PausedByBudget_ = false;
--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -166,14 +166,19 @@
 void DirectEntry::State::beginAttempt(AttemptNumber A, const Call &C,
                                       const AttemptParams &O) {
   LinkPool::Numbers &Used = UsedLinks_[O.Call_];
-  auto Link = Links_.take(O.Endpoint_.str(), O.Address_, Used);
+  // The answer to a request without an id names none either.
+  auto Link = C.Id_.empty() ? Links_.open(O.Address_)
+                            : Links_.take(O.Endpoint_.str(), O.Address_, Used);
   Used.insert(Link->number());
   Attempts_[A] = {Link, O.Endpoint_.str(), O.Call_};
   ClientLink::Events E;
   E.OnHead_ = [this, A](unsigned Status, HeaderFields Fields) {
     EndpointHead H = platform::decodeAnswer(Status, std::move(Fields));
-    if (auto Found = Attempts_.find(A); Found != Attempts_.end())
+    if (auto Found = Attempts_.find(A); Found != Attempts_.end()) {
+      H.MayBeCopy_ = Found->second.Link_->isReused();
+      Found->second.IsUnnamed_ = H.RequestId_.empty();
       noteUnreadable(Found->second.Endpoint_, H);
+    }
     Core_.onHead(A, std::move(H), bootNow());
   };
   E.OnBody_ = [this, A](std::string Bytes) {
@@ -185,7 +190,11 @@
   E.OnEnd_ = [this, A](bool IsFramed) {
     auto Found = Attempts_.find(A);
     if (Found != Attempts_.end()) {
-      Links_.putBack(Found->second.Endpoint_, Found->second.Link_);
+      // A late copy of an answer without an id could not be recognized.
+      if (Found->second.IsUnnamed_)
+        Found->second.Link_->abandon();
+      else
+        Links_.putBack(Found->second.Endpoint_, Found->second.Link_);
       Attempts_.erase(Found);
     }
     Core_.onEnd(A, bootNow(), IsFramed);
@@ -209,7 +218,9 @@
 bool DirectEntry::State::checkHealth(AttemptNumber A, const Endpoint &E,
                                      const std::string &Path) {
   std::string Id = E.Id_.str();
-  auto Link = Links_.take(Id, E.Address_, {});
+  // A health answer names no request, so it can be matched to its check only on
+  // a connection that has carried nothing else.
+  auto Link = Links_.open(E.Address_);
   Attempts_[A] = {Link, Id, 0};
   auto Head = std::make_shared<EndpointHead>();
   ClientLink::Events On;
@@ -219,7 +230,7 @@
   On.OnBody_ = [](const std::string &) {};
   On.OnEnd_ = [this, A, Head](bool) {
     if (auto Found = Attempts_.extract(A))
-      Links_.putBack(Found.mapped().Endpoint_, Found.mapped().Link_);
+      Found.mapped().Link_->abandon();
     countHealthCheck("answered");
     Core_.onHealth(A, *Head, bootNow());
   };
--- a/hawthornroad/http/ClientLink.cpp
+++ b/hawthornroad/http/ClientLink.cpp
@@ -146,6 +146,7 @@
   // Set before the first write: a write that fails half-way may still have
   // delivered bytes.
   WriteStarted_ = true;
+  ++Sent_;
   if (MakeText Make = std::exchange(MakeOut_, nullptr))
     Out_ = Make();
   HeadRequest_ = Out_.starts_with("HEAD ");
--- a/hawthornroad/http/ClientLink.h
+++ b/hawthornroad/http/ClientLink.h
@@ -108,6 +108,9 @@
   bool isConnected() const { return Connected_ && !Closed_; }
   const std::string &address() const { return Address_; }
   std::uint64_t number() const { return Options_.Number_; }
+  // Whether an earlier request was sent on this connection, so that what
+  // arrives may be a late copy of that one's answer.
+  bool isReused() const { return Sent_ > 1; }
   // When the last answer ended, and how long the server keeps an idle
   // connection open, if its Keep-Alive header says so.
   TimePoint idleSince() const { return IdleSince_; }
@@ -165,6 +168,8 @@
   bool Connecting_ = false;
   bool Busy_ = false;
   bool Closed_ = false;
+  // Requests sent, the one in progress included.
+  std::uint64_t Sent_ = 0;
   bool WriteStarted_ = false;
   bool Written_ = false;
   bool HeadDelivered_ = false;
--- a/hawthornroad/http/LinkPool.cpp
+++ b/hawthornroad/http/LinkPool.cpp
@@ -36,6 +36,10 @@
       Link->abandon();
     }
   }
+  return open(Address);
+}
+
+std::shared_ptr<ClientLink> LinkPool::open(const std::string &Address) {
   ClientLink::Options O = Options_.Link_;
   O.Number_ = ++Opened_;
   return std::make_shared<ClientLink>(Context_, Address, O);
--- a/hawthornroad/http/LinkPool.h
+++ b/hawthornroad/http/LinkPool.h
@@ -5,6 +5,7 @@
 //   L->send(...);
 //   Pool.putBack(Id, L);               // after a complete answer
 //   L = Pool.take(Id, Address, {L->number()});   // not this one again
+//   L = Pool.open("10.0.0.7:80");      // one that has carried nothing
 //   Pool.retainOnly(Ids);                 // endpoints that still exist
 //
 // New connections are expensive, so one is reused while the endpoint keeps it
@@ -18,7 +19,8 @@
 // An endpoint may send an answer twice, the second copy late: where the next
 // answer on that connection is expected. Answers name their request, but not
 // which attempt of it, so a further attempt must not use a connection that has
-// carried an earlier one.
+// carried an earlier one. An answer that names no request can only be matched
+// on a connection that has carried nothing before, see ClientLink::isReused().
 
 #ifndef HAWTHORNROAD_HTTP_LINKPOOL_H
 #define HAWTHORNROAD_HTTP_LINKPOOL_H
@@ -53,6 +55,8 @@
   std::shared_ptr<ClientLink> take(const std::string &Endpoint,
                                    const std::string &Address,
                                    const Numbers &Excluded = {});
+  // A new connection.
+  std::shared_ptr<ClientLink> open(const std::string &Address);
   void putBack(const std::string &Endpoint,
                const std::shared_ptr<ClientLink> &Link);
   // Closes the idle connections of all other endpoints.
--- a/hawthornroad/traffic/Call.h
+++ b/hawthornroad/traffic/Call.h
@@ -84,6 +84,9 @@
   bool IsEncoded_ = false;
   // The request id echoed by the endpoint; empty when absent.
   std::string RequestId_;
+  // It arrived on a connection that has carried an earlier request, and may be
+  // a late copy of that one's answer.
+  bool MayBeCopy_ = false;
   // The answer is from another endpoint than expected, or lacks what was
   // expected.
   bool IsOtherEndpoint_ = false;
--- a/hawthornroad/traffic/TrafficAttempts.cpp
+++ b/hawthornroad/traffic/TrafficAttempts.cpp
@@ -11,6 +11,22 @@
       return true;
   return false;
 }
+
+// Whether the answer names another request.
+bool isForeign(const EndpointHead &H, const Call &C) {
+  return !H.RequestId_.empty() && H.RequestId_ != C.Id_;
+}
+
+// Why the answer is not taken for that of this request; empty when it is.
+// Endpoints echo the request's id; what stands before them may not. An answer
+// without an id is its own for certain only where nothing came before it.
+std::string_view mismatch(const EndpointHead &H, const Call &C) {
+  if (isForeign(H, C))
+    return "an answer to another request";
+  if (H.RequestId_.empty() && H.MayBeCopy_)
+    return "an answer to no request on a used connection";
+  return "";
+}
 } // namespace
 
 TrafficCore::Attempt &TrafficCore::attemptOf(Record &R, AttemptNumber A) {
@@ -149,14 +165,15 @@
   T.Head_ = std::move(H);
   settleRepeats(*R, Now);
   const EndpointHead &Head = T.Head_;
-  bool IsForeign = !Head.RequestId_.empty() && Head.RequestId_ != R->Call_.Id_;
+  std::string_view Mismatch = mismatch(Head, R->Call_);
   bool IsUnsigned = !Head.NotRun_ && !Head.IsSigned_;
-  if (IsForeign || Head.IsEncoded_ || IsUnsigned) {
+  if (!Mismatch.empty() || Head.IsEncoded_ || IsUnsigned) {
     // The answer belongs to another request or does not come from an endpoint.
     Port_.cancelAttempt(A);
     return failAttempt(*R, T,
-                       IsForeign ? "an answer to another request"
-                                 : "an answer without the endpoint's signature",
+                       Mismatch.empty()
+                           ? "an answer without the endpoint's signature"
+                           : std::string(Mismatch),
                        Now);
   }
   if (!Head.IsOtherEndpoint_) {
--- a/tests/integration/SecondCopiesTest.cpp
+++ b/tests/integration/SecondCopiesTest.cpp
@@ -1,10 +1,12 @@
-// An endpoint that sends rejections twice, the second copy late.
+// Endpoints that send answers twice, the second copy late: where the next
+// answer on the connection is expected.
 
 #include "tests/integration/PlatformFixture.h"
-#include "tests/unit/RawSocket.h"
+#include "tests/integration/RawEndpoint.h"
 
 #include <boost/json/serialize.hpp>
 #include <catch2/catch.hpp>
+#include <map>
 #include <set>
 #include <thread>
 
@@ -14,100 +16,127 @@
 
 namespace {
 constexpr Duration SplitPause = Milliseconds(5);
-constexpr auto EndOfHead = "\r\n\r\n";
 
-// Rejects each request once. If it is sent again on the same connection, a
-// second copy of the rejection comes before the answer, in two parts.
-class CopyingEndpoint {
+void sendInParts(const RawSocket &S, const std::string &Text,
+                 std::size_t SplitAt) {
+  std::size_t At = std::min(SplitAt, Text.size());
+  S.trySend(Text.substr(0, At));
+  std::this_thread::sleep_for(SplitPause);
+  S.trySend(Text.substr(At));
+}
+
+// Runs by request.
+class RunCounts {
 public:
-  explicit CopyingEndpoint(std::size_t SplitAt)
-      : SplitAt_(SplitAt), Listener_(RawSocket::listenAt(Port_)),
-        Acceptor_([this] { acceptAll(); }) {}
-  ~CopyingEndpoint() {
-    ::shutdown(Listener_.handle(), SHUT_RDWR);
-    Acceptor_.join();
-    for (std::thread &Each : Connections_)
-      Each.join();
-  }
-  CopyingEndpoint(const CopyingEndpoint &) = delete;
-  CopyingEndpoint &operator=(const CopyingEndpoint &) = delete;
-
-  std::string row() const {
-    return json::serialize(
-        json::object{{"service", "api"},
-                     {"address", "127.0.0.1:" + std::to_string(Port_)},
-                     {"zone", "z"},
-                     {"slots", 8},
-                     {"state", "ready"}});
+  void add(const std::string &Id) {
+    std::lock_guard Lock(Mutex_);
+    ++Runs_[Id];
   }
-  int runs(const std::string &Id) {
+  int of(const std::string &Id) const {
     std::lock_guard Lock(Mutex_);
-    return Runs_[Id];
+    auto Found = Runs_.find(Id);
+    return Found == Runs_.end() ? 0 : Found->second;
   }
 
 private:
-  static std::string answer(unsigned Status, const std::string &Id) {
-    std::string Statement = Status == 200 ? "X-Hawthornroad-Server-Stamp: s"
-                                          : "X-Hawthornroad-Not-Executed: 1";
-    return "HTTP/1.1 " + std::to_string(Status) +
-           " -\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n" +
-           "X-Hawthornroad-Request-Id: " + Id + "\r\n" + Statement + EndOfHead +
-           "ok";
-  }
-  static std::string idIn(const std::string &Request) {
-    const std::string Name = "X-Hawthornroad-Request-Id: ";
-    std::size_t At = Request.find(Name) + Name.size();
-    return Request.substr(At, Request.find('\r', At) - At);
-  }
-  void acceptAll() {
-    for (;;) {
-      RawSocket S = Listener_.accept();
-      if (S.handle() < 0)
-        return;
-      Connections_.emplace_back(
-          [this, S = std::move(S)]() mutable { serve(S); });
-    }
-  }
+  mutable std::mutex Mutex_;
+  std::map<std::string, int> Runs_;
+};
+
+// Rejects each request once. If it is sent again on the same connection, a
+// second copy of the rejection comes before the answer, in two parts.
+class RejectionCopies {
+public:
+  explicit RejectionCopies(std::size_t SplitAt) : SplitAt_(SplitAt) {}
+
+  std::string row() const { return Server_.row(); }
+  int runs(const std::string &Id) const { return Runs_.of(Id); }
+
+private:
   void serve(const RawSocket &S) {
     std::string Rejected;
     for (;;) {
-      std::string Request = S.readUntil(EndOfHead);
-      if (Request.find(EndOfHead) == std::string::npos)
+      std::string Request = RawEndpoint::readRequest(S);
+      if (Request.empty())
         return;
-      std::string Id = idIn(Request);
+      std::string Id = RawEndpoint::requestId(Request);
       if (Id == Rejected)
-        sendInParts(S, answer(503, Id));
+        sendInParts(S, RawEndpoint::answerTo(503, Id), SplitAt_);
       bool IsFirst = isFirst(Id);
       Rejected = IsFirst ? Id : "";
-      S.trySend(answer(IsFirst ? 503 : 200, Id));
+      S.trySend(RawEndpoint::answerTo(IsFirst ? 503 : 200, Id));
     }
   }
-  void sendInParts(const RawSocket &S, const std::string &Text) const {
-    std::size_t At = std::min(SplitAt_, Text.size());
-    S.trySend(Text.substr(0, At));
-    std::this_thread::sleep_for(SplitPause);
-    S.trySend(Text.substr(At));
-  }
   bool isFirst(const std::string &Id) {
-    std::lock_guard Lock(Mutex_);
-    if (Seen_.insert(Id).second)
-      return true;
-    ++Runs_[Id];
+    {
+      std::lock_guard Lock(Mutex_);
+      if (Seen_.insert(Id).second)
+        return true;
+    }
+    Runs_.add(Id);
     return false;
   }
 
   std::size_t SplitAt_;
-  std::uint16_t Port_ = 0;
-  RawSocket Listener_;
   std::mutex Mutex_;
   std::set<std::string> Seen_;
-  std::map<std::string, int> Runs_;
-  std::vector<std::thread> Connections_;
-  std::thread Acceptor_;
+  RunCounts Runs_;
+  RawEndpoint Server_{"i-copies", "api",
+                      [this](const RawSocket &S) { serve(S); }};
 };
 
-// With time for a second attempt at the same endpoint.
-std::string slowGoalConfig() {
+// Answers health checks, rejecting every other one where RejectsChecks is set,
+// and runs all requests. A second copy of a health answer, or of each answer
+// where CopiesAll is set, follows on its connection.
+class HealthCopies {
+public:
+  struct Options {
+    bool RejectsChecks_ = false;
+    bool CopiesAll_ = false;
+  };
+  explicit HealthCopies(Options O) : Options_(O) {}
+
+  std::string row() const { return Server_.row(); }
+  int runs(const std::string &Id) const { return Runs_.of(Id); }
+
+private:
+  void serve(const RawSocket &S) {
+    std::string Copy;
+    for (;;) {
+      std::string Request = RawEndpoint::readRequest(S);
+      if (Request.empty())
+        return;
+      S.trySend(std::exchange(Copy, ""));
+      bool IsCheck = Request.starts_with("GET /health ");
+      std::string Text = IsCheck ? healthAnswer() : run(Request);
+      S.trySend(Text);
+      if (IsCheck || Options_.CopiesAll_)
+        Copy = Text;
+    }
+  }
+  std::string run(const std::string &Request) {
+    std::string Id = RawEndpoint::requestId(Request);
+    Runs_.add(Id);
+    return RawEndpoint::answerTo(200, Id);
+  }
+  std::string healthAnswer() {
+    std::string Fields = "X-Hawthornroad-Instance-Id: i-copies\r\n";
+    if (!Options_.RejectsChecks_ || Checks_++ % 2 != 0)
+      return RawEndpoint::answer(200, Fields);
+    return RawEndpoint::answer(503,
+                               Fields + "X-Hawthornroad-Not-Executed: 1\r\n");
+  }
+
+  Options Options_;
+  std::atomic<int> Checks_{0};
+  RunCounts Runs_;
+  RawEndpoint Server_{"i-copies", "api",
+                      [this](const RawSocket &S) { serve(S); }};
+};
+
+// With time for a second attempt at the same endpoint. ColdPerSecond: requests
+// that a cold endpoint bears; 0: not limited.
+std::string slowGoalConfig(int ColdPerSecond = 0) {
   return json::serialize(json::object{
       {"version", 1},
       {"routes", json::array{json::object{{"name", "r-once"},
@@ -120,27 +149,44 @@
                                           {"max_attempts", 1},
                                           {"public", true}}}},
       {"services",
-       json::array{json::object{
-           {"name", "api"}, {"health_path", "/health"}, {"max_conns", 100}}}}});
+       json::array{json::object{{"name", "api"},
+                                {"health_path", "/health"},
+                                {"max_conns", 100},
+                                {"cold_start_s", ColdPerSecond > 0 ? 1 : 0},
+                                {"cold_per_s", ColdPerSecond}}}}});
 }
+
+// The only endpoint is one that sends copies.
+struct CopiesFixture : PlatformFixture {
+  static constexpr Duration ColdFor = Seconds(1);
+  static constexpr int ColdPerSecond = 50;
+  static constexpr Duration BetweenCalls = Milliseconds(20);
+
+  void startEntryBefore(const std::string &Row, int ColdPerSecond) {
+    RepeatRatio_ = RatioForFirstRequest;
+    Store_.remove("servers", A_.id());
+    Store_.remove("servers", B_.id());
+    Store_.put("servers", "i-copies", Row);
+    Store_.put("op", "config", slowGoalConfig(ColdPerSecond));
+    startEntry();
+    eventually([&] { return isReady(); }, "the entry is ready");
+    // Endpoints count as cold after the start of an entry.
+    if (ColdPerSecond > 0)
+      std::this_thread::sleep_for(ColdFor + BetweenCalls);
+  }
+};
 } // namespace
 
 // Guards against a late second copy of a rejection that is taken for the answer
 // of a later attempt, which runs: its caller would be told that it has not.
-TEST_CASE_METHOD(PlatformFixture,
+TEST_CASE_METHOD(CopiesFixture,
                  "store entry, whose endpoint sends a rejection twice, never "
                  "says of a request that ran that it has not",
                  "[store-entry]") {
   auto SplitAt = GENERATE(0U, 1U, 40U, 1000U);
   CAPTURE(SplitAt);
-  CopyingEndpoint E(SplitAt);
-  RepeatRatio_ = RatioForFirstRequest;
-  Store_.remove("servers", A_.id());
-  Store_.remove("servers", B_.id());
-  Store_.put("servers", "i-copies", E.row());
-  Store_.put("op", "config", slowGoalConfig());
-  startEntry();
-  eventually([&] { return isReady(); }, "the entry is ready");
+  RejectionCopies E(SplitAt);
+  startEntryBefore(E.row(), 0);
   for (int I = 0; I < 5; ++I) {
     std::string Id = "q" + std::to_string(I);
     HttpResponse R = call("/once/1", "", Id);
@@ -149,3 +195,40 @@
     CHECK(E.runs(Id) == 1);
   }
 }
+
+// Guards against a late second copy of a rejected health check, which names no
+// request, that is taken for a request's own rejection.
+TEST_CASE_METHOD(CopiesFixture,
+                 "store entry, whose endpoint sends rejected health checks "
+                 "twice, never says of a request that ran that it has not",
+                 "[store-entry]") {
+  HealthCopies E({.RejectsChecks_ = true});
+  startEntryBefore(E.row(), ColdPerSecond);
+  int Served = 0;
+  for (int I = 0; I < 60; ++I) {
+    std::string Id = "q" + std::to_string(I);
+    HttpResponse R = call("/once/1", "", Id);
+    CAPTURE(I, R.Status_, E.runs(Id));
+    CHECK(E.runs(Id) == (R.Status_ == 200 ? 1 : 0));
+    Served += R.Status_ == 200 ? 1 : 0;
+    std::this_thread::sleep_for(BetweenCalls);
+  }
+  CHECK(Served >= 5);
+}
+
+// Guards against requests that are lost to the second copy of a health answer
+// on their connection.
+TEST_CASE_METHOD(CopiesFixture,
+                 "store entry, whose endpoint sends health answers twice, "
+                 "answers each request",
+                 "[store-entry]") {
+  HealthCopies E({});
+  startEntryBefore(E.row(), ColdPerSecond);
+  for (int I = 0; I < 20; ++I) {
+    std::string Id = "q" + std::to_string(I);
+    HttpResponse R = call("/once/1", "", Id);
+    CAPTURE(I, R.Status_, E.runs(Id));
+    CHECK(R.Status_ == 200);
+    CHECK(E.runs(Id) == 1);
+  }
+}
