Attempts: a late copy of another answer is skipped

What callers saw: 502 for a request that may not be repeated, or a second attempt, whenever an endpoint sends the answer before theirs a second time.

Cause: an answer that names another request ended the attempt as one that may have run, though the attempt's own answer followed on the connection.

Change: on a used connection such an answer is read to its end and dropped, at most twice an attempt, and the connection is not used again. One that ends its connection fails the attempt as before.

Why it works: endpoints echo the id, and a connection carries each request once, so an answer with another id is never the attempt's own.

--- a/hawthornroad/entry/DirectEntryState.h
+++ b/hawthornroad/entry/DirectEntryState.h
@@ -54,6 +54,7 @@
   void beginAttempt(AttemptNumber A, const Call &C,
                     const AttemptParams &O) override;
   void cancelAttempt(AttemptNumber A) override;
+  void skipAnswer(AttemptNumber A) override;
   AskResult askPlace(AttemptNumber A, const std::string &Address,
                      const PlaceDemand &D) override {
     return Notices_ ? Notices_->askPlace(A, Address, D) : AskResult::NoAgent;
--- a/hawthornroad/entry/EntryCalls.cpp
+++ b/hawthornroad/entry/EntryCalls.cpp
@@ -258,6 +258,17 @@
   Link->abandon();
 }
 
+void DirectEntry::State::skipAnswer(AttemptNumber A) {
+  auto Found = Attempts_.find(A);
+  if (Found == Attempts_.end())
+    return;
+  Found->second.Link_->skipAnswer();
+  Metrics_.count("hawthornroad_answers_skipped_total");
+  Log_.write(LogLine("answer_skipped")
+                 .text("endpoint", Found->second.Endpoint_)
+                 .text("why", "a late copy of another answer"));
+}
+
 void DirectEntry::State::noteUnreadable(const std::string &Endpoint,
                                         const EndpointHead &H) {
   std::vector<std::string_view> Fields = H.Unreadable_;
--- a/hawthornroad/http/ClientLink.cpp
+++ b/hawthornroad/http/ClientLink.cpp
@@ -69,14 +69,18 @@
   MaxBody_ = MaxBody.value_or(Options_.MaxBody_);
   WriteStarted_ = Written_ = HeadDelivered_ = false;
   Events_ = std::move(E);
-  Paused_ = false;
-  InterimBytes_ = HeadBytes_ = WireBytes_ = BodyBytes_ = LeftBytes_ = 0;
+  Paused_ = Skipping_ = IsSkipUsed_ = false;
+  resetCounts();
   if (Connected_)
     write();
   else
     connect();
 }
 
+void ClientLink::resetCounts() {
+  InterimBytes_ = HeadBytes_ = WireBytes_ = BodyBytes_ = LeftBytes_ = 0;
+}
+
 void ClientLink::startParser() {
   Parser_.emplace();
   Parser_->header_limit(static_cast<std::uint32_t>(Options_.MaxHeader_));
@@ -209,7 +213,7 @@
   if (Code == asio::error::eof) {
     boost::system::error_code EofError;
     bool NeedsEof = Parser_->is_header_done() && Parser_->need_eof();
-    if (!NeedsEof)
+    if (!NeedsEof || Skipping_)
       return fail(Step::Receive, "the connection ended within the answer");
     Parser_->put_eof(EofError);
     return finishAnswer(false);
@@ -251,8 +255,10 @@
     deliverBody();
     if (Closed_ || !Busy_ || failsByFraming())
       return;
-    if (Parser_->is_done())
+    if (Parser_->is_done() && !Skipping_)
       return finishAnswer(true);
+    if (Parser_->is_done() && !expectNextAnswer())
+      return fail(Step::Receive, "the connection ends after a skipped answer");
     if (Used == 0)
       return;
   }
@@ -289,13 +295,22 @@
   std::string Bytes;
   Bytes.swap(Body);
   BodyBytes_ += Bytes.size();
-  if (auto OnBody = Events_.OnBody_)
+  if (auto OnBody = Events_.OnBody_; OnBody && !Skipping_)
     OnBody(std::move(Bytes));
 }
 
+bool ClientLink::expectNextAnswer() {
+  if (!Parser_->get().keep_alive())
+    return false;
+  Skipping_ = HeadDelivered_ = false;
+  resetCounts();
+  startParser();
+  return true;
+}
+
 void ClientLink::finishAnswer(bool IsFramed) {
-  bool KeepsOpen =
-      IsFramed && Parser_->get().keep_alive() && Written_ && In_.size() == 0;
+  bool KeepsOpen = IsFramed && Parser_->get().keep_alive() && Written_ &&
+                   In_.size() == 0 && !IsSkipUsed_;
   Busy_ = Paused_ = false;
   IdleSince_ = bootNow();
   if (!KeepsOpen)
--- a/hawthornroad/http/ClientLink.h
+++ b/hawthornroad/http/ClientLink.h
@@ -14,6 +14,11 @@
 // was followed by no further byte. Bytes that arrive while no request is in
 // progress belong to no request and close the connection.
 //
+// A server may send an answer twice, the second copy where the next answer is
+// expected. A caller that recognizes such a copy by its head calls skipAnswer()
+// within OnHead_; the answer after it is then delivered as the request's own,
+// and the connection is not reused.
+//
 // Limits: MaxHeader_ bytes of a head, of all interim (1xx) heads together, and
 // of one chunk header or the trailers; MaxBody_ bytes of a body, or what is
 // given for the one answer; and of a chunked body's framing a multiple of its
@@ -90,6 +95,9 @@
   // Closes the connection and drops a request in progress, without callbacks.
   // What the server has not received of the request is not sent any more.
   void abandon();
+  // Within OnHead_: drops this answer and waits for the next one. Fails when
+  // the connection cannot carry another.
+  void skipAnswer() { Skipping_ = IsSkipUsed_ = true; }
   // Stops reading the answer in progress, so that the server is slowed down by
   // its connection; what has already been received is still delivered. The end
   // of the connection is noticed after resume(). An ended answer ends the
@@ -135,6 +143,9 @@
   void processHead();
   void deliverBody();
   void finishAnswer(bool IsFramed);
+  // After a skipped answer; false when the connection cannot carry another.
+  bool expectNextAnswer();
+  void resetCounts();
   void fail(Step Where, const std::string &Message, bool IsRefused = false);
   // Whether the kernel holds bytes that the server has not acknowledged.
   bool isUnacknowledged();
@@ -176,6 +187,10 @@
   bool Reading_ = false;
   bool Paused_ = false;
   bool HeadRequest_ = false;
+  // The answer in progress is dropped, or an earlier one to the same request
+  // was.
+  bool Skipping_ = false;
+  bool IsSkipUsed_ = false;
 };
 
 } // namespace hawthornroad
--- a/hawthornroad/traffic/TrafficAttempts.cpp
+++ b/hawthornroad/traffic/TrafficAttempts.cpp
@@ -5,6 +5,10 @@
 namespace hawthornroad {
 
 namespace {
+// Late copies that one attempt waits out. An endpoint that sends more answers
+// to other requests is faulty otherwise.
+constexpr unsigned MaxSkippedAnswers = 2;
+
 bool isEventStream(const HeaderFields &Fields) {
   for (const HeaderField &Each : Fields)
     if (Each.Value_.starts_with("text/event-stream"))
@@ -160,6 +164,11 @@
   if (R == nullptr)
     return;
   Attempt &T = attemptOf(*R, A);
+  if (isForeign(H, R->Call_) && H.MayBeCopy_ &&
+      T.Skipped_ < MaxSkippedAnswers) {
+    ++T.Skipped_;
+    return Port_.skipAnswer(A);
+  }
   T.LastReceivedAt_ = Now;
   T.HasHead_ = true;
   T.Head_ = std::move(H);
--- a/hawthornroad/traffic/TrafficPort.h
+++ b/hawthornroad/traffic/TrafficPort.h
@@ -220,6 +220,9 @@
   virtual void shareParts(const std::vector<PartEvidence> &Parts) {}
   // No further events of the attempt are wanted.
   virtual void cancelAttempt(AttemptNumber A) = 0;
+  // Called within onHead(): this answer is a late copy of an earlier one. Drops
+  // it; the attempt goes on, and its own answer begins with another onHead().
+  virtual void skipAnswer(AttemptNumber A) {}
   virtual void respond(CallNumber N, unsigned Status,
                        const HeaderFields &Fields, std::string Body) = 0;
   // A refusal or failure by this process; RetryAfter zero: no retry delay is
--- a/hawthornroad/traffic/TrafficState.h
+++ b/hawthornroad/traffic/TrafficState.h
@@ -56,6 +56,8 @@
   Placement::View EndpointView_;
   // It was charged as a repeat.
   bool TookRepeat_ = false;
+  // Late copies of other answers that were skipped.
+  unsigned Skipped_ = 0;
   bool HasHead_ = false;
   TimePoint HeadAt_;
   // From the head to the last byte of its answer.
--- a/tests/integration/SecondCopiesTest.cpp
+++ b/tests/integration/SecondCopiesTest.cpp
@@ -232,3 +232,20 @@
     CHECK(E.runs(Id) == 1);
   }
 }
+
+// Guards against requests that are lost to the second copy of the answer before
+// theirs.
+TEST_CASE_METHOD(CopiesFixture,
+                 "store entry, whose endpoint sends each answer twice, answers "
+                 "each request with its own",
+                 "[store-entry]") {
+  HealthCopies E({.CopiesAll_ = true});
+  startEntryBefore(E.row(), 0);
+  for (int I = 0; I < 20; ++I) {
+    std::string Id = "q" + std::to_string(I);
+    HttpResponse R = call("/once/1", "", Id);
+    CAPTURE(I, R.Status_, E.runs(Id));
+    CHECK(R.Status_ == 200);
+    CHECK(E.runs(Id) == 1);
+  }
+}
--- a/tests/unit/TrafficFixture.h
+++ b/tests/unit/TrafficFixture.h
@@ -53,6 +53,8 @@
       OnBegin_(A);
   }
   void cancelAttempt(AttemptNumber A) override { Cancelled_.push_back(A); }
+  std::vector<AttemptNumber> Skipped_;
+  void skipAnswer(AttemptNumber A) override { Skipped_.push_back(A); }
   struct PlaceAsked {
     AttemptNumber Attempt_ = 0;
     std::string Address_;
