Health checks: a rejection does not show that an endpoint is warm

What callers saw: work lost with a plain endpoint that became cold while it was full, and crashed under the load that went on.

Cause: a health answer was read for the endpoint's id and its cold time, not for its status. A full endpoint rejects checks as it rejects requests, with its id and without a word of being cold, and that gave credits. One that had rejected all of its checks without an id counted as one without a health check.

Change: only a success that names the endpoint gives credits. After a rejection the endpoint is full for 30 ms, doubled by each further one, and then asked again; from 0.5 s on it counts as cold in between.

Ruled out: counting it as cold from the first rejection on.

--- a/hawthornroad/traffic/ColdEndpoints.cpp
+++ b/hawthornroad/traffic/ColdEndpoints.cpp
@@ -15,6 +15,7 @@
 constexpr std::string_view Granter = "granter";
 constexpr std::string_view ZoneRestored = "zone_restored";
 constexpr std::string_view Silent = "silent";
+constexpr std::string_view CheckRejected = "check_rejected";
 
 // Requests a second that an engine ends, all with empty prompts: the most that
 // it can use.
@@ -155,6 +156,12 @@
     extend(*S, S->UnknownUntil_, Now + Options_.SilentFor_, Silent);
 }
 
+void ColdEndpoints::noteRejected(const EndpointStart &E, Duration For,
+                                 TimePoint Now) {
+  if (State *S = stateOf(E))
+    extend(*S, S->UnknownUntil_, Now + For, CheckRejected);
+}
+
 TimePoint ColdEndpoints::coldUntil(const Endpoint &E) const {
   auto Found = States_.find(startOf(E));
   return Found == States_.end() ? TimePoint() : Found->second.until();
--- a/hawthornroad/traffic/ColdEndpoints.h
+++ b/hawthornroad/traffic/ColdEndpoints.h
@@ -48,7 +48,7 @@
   EndpointId Endpoint_;
   bool IsCold_ = false;
   // By what it counts as cold: "first_seen", "row", "answer", "granter",
-  // "zone_restored" or "silent".
+  // "zone_restored", "silent" or "check_rejected".
   std::string_view Source_;
   // How long it will count as cold, or has.
   Duration For_ = Duration::zero();
@@ -103,6 +103,8 @@
   std::optional<Watched> watched(const Endpoint &E, TimePoint Now) const;
   // Its state is unknown for a time: it does not answer its health check.
   void noteSilent(const EndpointStart &E, TimePoint Now);
+  // The same, since it rejects its health check.
+  void noteRejected(const EndpointStart &E, Duration For, TimePoint Now);
   // Until when it counts as cold; not after Now when it does not.
   TimePoint coldUntil(const Endpoint &E) const;
   // Without a granter: when this entry may send its next request to a cold
--- a/hawthornroad/traffic/HealthCredits.cpp
+++ b/hawthornroad/traffic/HealthCredits.cpp
@@ -28,6 +28,7 @@
   State &S = States_[E];
   S.Left_ = S.Quota_ = Arrivals > 0 ? quota(Arrivals) : 0;
   S.Until_ = AskedAt + Options_.MaxAge_;
+  S.RejectedRetry_ = Duration::zero();
   S.HasAnswered_ = true;
 }
 
@@ -37,6 +38,16 @@
   S.RetryAt_ = Now + Options_.Retry_;
 }
 
+Duration HealthCredits::noteRejected(const EndpointStart &E, TimePoint Now) {
+  State &S = States_[E];
+  S.Left_ = 0;
+  S.HasAnswered_ = true;
+  S.RejectedRetry_ = std::clamp(2 * S.RejectedRetry_, Options_.RejectedRetry_,
+                                Options_.Retry_);
+  S.RetryAt_ = Now + S.RejectedRetry_;
+  return S.RejectedRetry_;
+}
+
 void HealthCredits::spend(const EndpointStart &E) {
   auto Found = States_.find(E);
   if (Found != States_.end() && Found->second.Left_ > 0)
@@ -48,6 +59,11 @@
   return S == nullptr || Now >= S->RetryAt_;
 }
 
+bool HealthCredits::isRejecting(const EndpointStart &E) const {
+  const State *S = find(E);
+  return S != nullptr && S->RejectedRetry_ > Duration::zero();
+}
+
 bool HealthCredits::hasAnswered(const EndpointStart &E) const {
   const State *S = find(E);
   return S != nullptr && S->HasAnswered_;
--- a/hawthornroad/traffic/HealthCredits.h
+++ b/hawthornroad/traffic/HealthCredits.h
@@ -5,6 +5,8 @@
 //   if (!C.has(Start, Now)) checkHealth();
 //   C.noteAnswer(Start, Arrivals, AskedAt);   // it states no cold time
 //   C.spend(Start);                           // a request was sent
+//   Duration Pause = C.noteRejected(Start, Now);   // it had no room for a
+//   check
 //
 // Handles endpoints that become cold without a statement: their row follows
 // seconds later, and the entries together exceed what a cold endpoint bears
@@ -41,6 +43,9 @@
     Duration MaxAge_ = Seconds(1);
     // When an endpoint that gave no answer is asked again.
     Duration Retry_ = Milliseconds(500);
+    // When one that rejected the check is asked again; doubles up to Retry_ on
+    // each further rejection.
+    Duration RejectedRetry_ = Milliseconds(30);
   };
 
   explicit HealthCredits(Options O) : Options_(O) {}
@@ -59,7 +64,12 @@
   void noteAnswer(const EndpointStart &E, double Arrivals, TimePoint AskedAt);
   // It did not answer.
   void noteSilent(const EndpointStart &E, TimePoint Now);
+  // It rejected the check, as a full endpoint does whether it is cold or not.
+  // Returns for how long it is not asked again.
+  Duration noteRejected(const EndpointStart &E, TimePoint Now);
   void spend(const EndpointStart &E);
+  // Whether its last answer was a rejection.
+  bool isRejecting(const EndpointStart &E) const;
   // Whether it may be asked again after it did not answer.
   bool mayCheck(const EndpointStart &E, TimePoint Now) const;
   // Whether it has ever answered.
@@ -74,6 +84,8 @@
     unsigned Quota_ = 0;
     TimePoint Until_;
     TimePoint RetryAt_;
+    // Zero unless its last answer was a rejection.
+    Duration RejectedRetry_ = Duration::zero();
     bool HasAnswered_ = false;
   };
   const State *find(const EndpointStart &E) const;
--- a/hawthornroad/traffic/Placement.cpp
+++ b/hawthornroad/traffic/Placement.cpp
@@ -352,6 +352,12 @@
   S.FailureShare_ = FailureFloor / 2;
 }
 
+void Placement::setFull(const EndpointId &Id, TimePoint Until) {
+  auto Found = States_.find(Id);
+  if (Found != States_.end())
+    Found->second.FullUntil_ = std::max(Found->second.FullUntil_, Until);
+}
+
 void Placement::attemptEnded(const EndpointId &Id, End E, bool HadHead,
                              TimePoint Now) {
   auto Found = States_.find(Id);
--- a/hawthornroad/traffic/Placement.h
+++ b/hawthornroad/traffic/Placement.h
@@ -180,6 +180,9 @@
   void attemptBegun(const EndpointId &Id, TimePoint Now);
   // HadHead: firstByte() was called for the attempt.
   void attemptEnded(const EndpointId &Id, End E, bool HadHead, TimePoint Now);
+  // The endpoint has reported that it is full, and is not asked again before
+  // Until.
+  void setFull(const EndpointId &Id, TimePoint Until);
   // An attempt that goes on counts as failed for now: its endpoint is silent.
   void noteFailure(const EndpointId &Id, TimePoint Now);
   // Running and waiting requests at the endpoint, as reported at Now.
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -379,8 +379,10 @@
   // Asks for the next answer before requests have to wait for it.
   void renewCredits(const Endpoint &E, TimePoint Now);
   std::optional<HealthCheck> takeHealthCheck(AttemptNumber A);
-  // Silent: it did not answer, or another process did.
-  enum class HealthState { Warm, Cold, Silent };
+  // Silent: it did not answer, or another process did. Rejected: it had no room
+  // for the check, which says nothing of it being warm.
+  enum class HealthState { Warm, Cold, Rejected, Silent };
+  static HealthState healthState(const EndpointHead &H, const EndpointId &Of);
   void endHealthCheck(const HealthCheck &H, HealthState State, TimePoint Now);
   // Goes on with a request whose endpoint was found warm, or was not.
   void resume(Record &R, bool IsWarm, TimePoint Now);
--- a/hawthornroad/traffic/TrafficHealth.cpp
+++ b/hawthornroad/traffic/TrafficHealth.cpp
@@ -31,7 +31,8 @@
 TrafficCore::awaitHealthCheck(Record &R, const Endpoint &E, TimePoint Now) {
   HealthCheck *Check = checkHealth(E, Now);
   if (Check == nullptr)
-    return HealthWait::NoAnswers;
+    return Credits_.isRejecting(startOf(E)) ? HealthWait::Full
+                                            : HealthWait::NoAnswers;
   if (R.Asks_ >= Options_.MaxAsks_ ||
       Check->Waiters_.size() >= Options_.MaxHealthWaiters_)
     return HealthWait::Full;
@@ -66,23 +67,38 @@
 }
 
 // A health answer echoes no request's id; one that does is the late copy of
-// another answer.
+// another answer. Only a success is given by an endpoint that had room for the
+// check: what stands before a full one answers for it, and may not name it.
+TrafficCore::HealthState TrafficCore::healthState(const EndpointHead &H,
+                                                  const EndpointId &Of) {
+  bool NamesOther = !H.EndpointId_.empty() && H.EndpointId_ != Of.str();
+  if (!H.RequestId_.empty() || NamesOther)
+    return HealthState::Silent;
+  bool IsNamed = !H.EndpointId_.empty();
+  if (IsNamed && H.ColdLeft_ && *H.ColdLeft_ > Duration::zero())
+    return HealthState::Cold;
+  bool IsRejected = H.NotRun_ || H.Status_ == status::TooManyRequests ||
+                    H.Status_ >= status::FirstServerError;
+  if (IsRejected)
+    return HealthState::Rejected;
+  return IsNamed && H.Status_ == status::Ok ? HealthState::Warm
+                                            : HealthState::Silent;
+}
+
 void TrafficCore::onHealth(AttemptNumber A, const EndpointHead &H,
                            TimePoint Now) {
   Event Scope(*this);
   std::optional<HealthCheck> Check = takeHealthCheck(A);
   if (!Check)
     return;
-  bool IsIts =
-      H.RequestId_.empty() && H.EndpointId_ == Check->Endpoint_.Id_.str();
-  bool IsCold = H.ColdLeft_ && *H.ColdLeft_ > Duration::zero();
-  if (!IsIts)
-    return endHealthCheck(*Check, HealthState::Silent, Now);
-  Credits_.noteAnswer(Check->Endpoint_, IsCold ? 0 : Check->Arrivals_,
-                      Check->SentAt_);
-  if (IsCold)
+  HealthState State = healthState(H, Check->Endpoint_.Id_);
+  if (State == HealthState::Warm)
+    Credits_.noteAnswer(Check->Endpoint_, Check->Arrivals_, Check->SentAt_);
+  if (State == HealthState::Cold) {
+    Credits_.noteAnswer(Check->Endpoint_, 0, Check->SentAt_);
     Cold_.noteAnswer(Check->Endpoint_, H.ColdLeft_, Now);
-  endHealthCheck(*Check, IsCold ? HealthState::Cold : HealthState::Warm, Now);
+  }
+  endHealthCheck(*Check, State, Now);
 }
 
 void TrafficCore::onHealthFailed(AttemptNumber A, TimePoint Now) {
@@ -100,6 +116,14 @@
     if (Credits_.hasAnswered(H.Endpoint_))
       Cold_.noteSilent(H.Endpoint_, Now);
   }
+  if (State == HealthState::Rejected) {
+    Duration Pause = Credits_.noteRejected(H.Endpoint_, Now);
+    // It may reject nothing but its checks, and is then used as a cold one.
+    if (Pause >= Options_.Credits_.Retry_)
+      Cold_.noteRejected(H.Endpoint_, Pause, Now);
+    else
+      Placement_.setFull(H.Endpoint_.Id_, Now + Pause);
+  }
   bool IsWarm = State == HealthState::Warm;
   for (AttemptNumber A : H.Waiters_) {
     auto Found = Asks_.find(A);
--- a/hawthornroad/traffic/TrafficState.h
+++ b/hawthornroad/traffic/TrafficState.h
@@ -35,6 +35,7 @@
 inline constexpr unsigned FirstRedirect = 300;
 inline constexpr unsigned Unauthorized = 401;
 inline constexpr unsigned NotFound = 404;
+inline constexpr unsigned TooManyRequests = 429;
 inline constexpr unsigned FirstServerError = 500;
 inline constexpr unsigned BadGateway = 502;
 inline constexpr unsigned Unavailable = 503;
--- a/tests/unit/ColdFleet.cpp
+++ b/tests/unit/ColdFleet.cpp
@@ -194,7 +194,13 @@
     EndpointHead H;
     H.Status_ = 200;
     H.EndpointId_ = S.Row_.Id_.str();
-    if (Options_.SendsCopies_)
+    bool IsRejected = S.isCold(Now_)
+                          ? Options_.RejectsHealthWhileCold_
+                          : Random_.unit() < Options_.RejectedHealth_;
+    if (IsRejected) {
+      H.Status_ = 503;
+      H.NotRun_ = true;
+    } else if (Options_.SendsCopies_)
       H.RequestId_ = "of a request";
     else if (S.isCold(Now_))
       H.ColdLeft_ = Options_.ColdFor_;
--- a/tests/unit/ColdFleet.h
+++ b/tests/unit/ColdFleet.h
@@ -42,6 +42,10 @@
     bool AnswersHealth_ = true;
     // The health answers are late copies of answers to requests.
     bool SendsCopies_ = false;
+    // Endpoints reject health checks while they are cold, and this share of the
+    // others, without a word of being cold.
+    bool RejectsHealthWhileCold_ = false;
+    double RejectedHealth_ = 0;
     // Entries know how many they are.
     bool KnowsEntries_ = true;
     // Endpoints may become cold; without, no rule holds.
--- a/tests/unit/ColdFleetTest.cpp
+++ b/tests/unit/ColdFleetTest.cpp
@@ -126,6 +126,55 @@
   CHECK(F.arrivals(0, Cold + Seconds(6), Cold + Seconds(9)) >= 90);
 }
 
+// Guards against a rejected health check that counts as one that shows a warm
+// endpoint: full endpoints reject them as they reject requests.
+TEST_CASE(
+    "fleet of entries, before plain endpoints that become cold and reject "
+    "their health checks, stays within what these bear and uses them "
+    "again",
+    "[cold-fleet]") {
+  auto Entries = GENERATE(2U, 9U, 45U, 100U, 300U);
+  // Of the checks while they are warm.
+  auto Rejected = GENERATE(0.0, 0.5, 1.0);
+  auto Seed = GENERATE(1U, 2U, 3U);
+  ColdFleet F({.Entries_ = Entries,
+               .IsEngine_ = false,
+               .RejectsHealthWhileCold_ = true,
+               .RejectedHealth_ = Rejected,
+               .RequestsPerSecond_ = 480,
+               .Seed_ = Seed});
+  constexpr TimePoint Cold = Start + Seconds(8);
+  F.cool(0, Cold);
+  F.cool(3, Cold + Milliseconds(500));
+  F.run(Seconds(16));
+  CAPTURE(Entries, Rejected, Seed);
+  INFO(describe(F));
+  CHECK(F.excess() <= 0);
+  if (Rejected == 0)
+    CHECK(F.arrivals(0, Cold + Seconds(5), Cold + Seconds(8)) >= 90);
+}
+
+// Guards against endpoints that are unused since a part of their health checks
+// is rejected.
+TEST_CASE("fleet of entries, before warm endpoints that reject a part of their "
+          "health checks, serves most of what it serves without",
+          "[cold-fleet]") {
+  auto Entries = GENERATE(2U, 9U, 45U, 100U);
+  auto Served = [&](double Rejected) {
+    ColdFleet F({.Entries_ = Entries,
+                 .IsEngine_ = false,
+                 .RejectedHealth_ = Rejected,
+                 .RequestsPerSecond_ = 480});
+    F.run(Seconds(10));
+    return static_cast<double>(
+        F.served(Start + Seconds(5), Start + Seconds(10)));
+  };
+  CAPTURE(Entries, Served(0), Served(0.4));
+  // The share of the checks that are answered.
+  constexpr double Answered = 0.6;
+  CHECK(Served(0.4) >= Answered * Served(0));
+}
+
 // Guards against a late copy of another answer that counts as a health answer.
 TEST_CASE("fleet of entries, given copies of other answers to their health "
           "checks, sends as if there were none",
--- a/tests/unit/TrafficFixture.h
+++ b/tests/unit/TrafficFixture.h
@@ -55,6 +55,17 @@
   void cancelAttempt(AttemptNumber A) override { Cancelled_.push_back(A); }
   std::vector<AttemptNumber> Skipped_;
   void skipAnswer(AttemptNumber A) override { Skipped_.push_back(A); }
+  // Health checks in the order in which they were sent.
+  struct HealthChecked {
+    AttemptNumber Attempt_ = 0;
+    EndpointId Endpoint_;
+  };
+  std::vector<HealthChecked> HealthChecks_;
+  bool checkHealth(AttemptNumber A, const Endpoint &E,
+                   const std::string &) override {
+    HealthChecks_.push_back({A, E.Id_});
+    return true;
+  }
   struct PlaceAsked {
     AttemptNumber Attempt_ = 0;
     std::string Address_;
