Calls: orders and manifests use a new connection

Cause: an answer was matched to a call by its connection alone, so a late copy of a 202 would be taken for the acceptance of the next order, and the digests of one version for those of another.

Change: a call may ask for a connection that has carried nothing, which is closed after its answer. Orders to engines and manifests from the origin do. The new test sends each answer twice; it needs the new option, so it does not compile on the code before.

--- a/hawthornroad/agent/AgentDigests.cpp
+++ b/hawthornroad/agent/AgentDigests.cpp
@@ -63,7 +63,9 @@
 void StoreAgent::State::readManifest(const std::shared_ptr<VersionUpdate> &P) {
   P->ManifestPending_ = true;
   Origin_->call(platform::manifestCall(P->Version_),
-                {ManifestTimeout, PieceTransfer::MaxManifest},
+                {.Time_ = ManifestTimeout,
+                 .MaxBody_ = PieceTransfer::MaxManifest,
+                 .NeedsNewConnection_ = true},
                 [this, P](const HttpCalls::Result &R) { onManifest(P, R); });
 }
 
--- a/hawthornroad/agent/AgentEngine.cpp
+++ b/hawthornroad/agent/AgentEngine.cpp
@@ -359,7 +359,9 @@
   Updater_.onOrderSent();
   Engine_.call(
       platform::loadCall(P->Version_, Last.Orders_),
-      {OrderTimeout, MaxEngineAnswer},
+      {.Time_ = OrderTimeout,
+       .MaxBody_ = MaxEngineAnswer,
+       .NeedsNewConnection_ = true},
       [this, P, Last, ReportAge](const HttpCalls::Result &R) {
         auto End = EngineUpdater::OrderResult::Unknown;
         unsigned Status = 0;
--- a/hawthornroad/agent/AgentPieces.cpp
+++ b/hawthornroad/agent/AgentPieces.cpp
@@ -87,7 +87,9 @@
     Held->ManifestPending_ = true;
     Origin_->call(
         platform::manifestCall(Held->Version_),
-        {ManifestTimeout, PieceTransfer::MaxManifest},
+        {.Time_ = ManifestTimeout,
+         .MaxBody_ = PieceTransfer::MaxManifest,
+         .NeedsNewConnection_ = true},
         [this, Held](const HttpCalls::Result &R) { onManifest(Held, R); });
   };
   C.Urgency_ = [this, V = P->Version_](const Vm &Peer) {
--- a/hawthornroad/http/HttpCalls.cpp
+++ b/hawthornroad/http/HttpCalls.cpp
@@ -47,6 +47,10 @@
         return Link;
       Link->abandon();
     }
+    return open();
+  }
+
+  std::shared_ptr<ClientLink> open() {
     ClientLink::Options Link = Options_.Link_;
     if (Options_.ReconnectTimeout_ > Duration::zero() &&
         ++Connects_ % FullTimeoutEvery != 0)
@@ -150,7 +154,8 @@
 
   void start(const std::shared_ptr<Call> &C) {
     ++InProgress_;
-    std::shared_ptr<ClientLink> Link = take();
+    std::shared_ptr<ClientLink> Link =
+        C->Limits_.NeedsNewConnection_ ? open() : take();
     C->Link_ = Link;
     auto Self = shared_from_this();
     C->TotalDeadline_ =
@@ -174,7 +179,7 @@
     };
     E.OnEnd_ = [Self, C](bool) {
       if (auto Used = C->Link_.lock())
-        Self->putBack(Used);
+        C->Limits_.NeedsNewConnection_ ? Used->abandon() : Self->putBack(Used);
       Self->finish(C, std::move(C->Answer_));
     };
     E.OnFail_ = [Self, C](const LinkFailure &F) { Self->finish(C, F); };
--- a/hawthornroad/http/HttpCalls.h
+++ b/hawthornroad/http/HttpCalls.h
@@ -71,6 +71,10 @@
     Duration Time_;
     // Bytes of the answer's body. An answer that states a failure counts, too.
     std::size_t MaxBody_ = 0;
+    // A server may send an answer twice, the second copy late, where the answer
+    // to the next call is expected. A call whose answer does not say what it
+    // answers, and that must not be mistaken, needs a new connection.
+    bool NeedsNewConnection_ = false;
     bool operator==(const Limits &) const = default;
   };
   using Result = std::variant<HttpAnswer, LinkFailure>;
--- a/tests/unit/HttpCallsTest.cpp
+++ b/tests/unit/HttpCallsTest.cpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <thread>
 #include <utility>
+#include <vector>
 
 using namespace hawthornroad;
 
@@ -216,3 +217,56 @@
     CHECK(Sent <= (R.IsComplete_ ? R.Times_ : Endless - 1));
   }
 }
+
+// Guards against an order that is taken for accepted by a late second copy of
+// the answer to another call.
+TEST_CASE("calls to one server, that sends each answer twice, get their own "
+          "answer on a new connection",
+          "[http]") {
+  std::uint16_t Port = 0;
+  RawSocket Listener = RawSocket::listenAt(Port);
+  IoThread Io("test", 64);
+  HttpCalls Calls(Io.context(), "127.0.0.1:" + std::to_string(Port), {});
+  auto AnswerNumber = [](int Number) {
+    return "HTTP/1.1 " + std::to_string(200 + Number) +
+           " -\r\nContent-Length: 0\r\n\r\n";
+  };
+  std::atomic<int> Received{0};
+  // Each connection: the copy of the answer before comes first.
+  auto Serve = [&](const RawSocket &S) {
+    std::string Copy;
+    while (!S.readUntil("\r\n\r\n").empty()) {
+      std::string Own = AnswerNumber(Received++);
+      S.trySend(Copy + Own);
+      Copy = Own;
+    }
+  };
+  std::vector<std::thread> Connections;
+  std::thread Server([&] {
+    for (RawSocket S = Listener.accept(); S.handle() >= 0;
+         S = Listener.accept())
+      Connections.emplace_back([&Serve, S = std::move(S)] { Serve(S); });
+  });
+  auto StatusOf = [&](bool NeedsNewConnection) {
+    std::promise<unsigned> Status;
+    Io.submit([&] {
+      Calls.call({}, {WaitLimit, MaxBody, NeedsNewConnection},
+                 [&](HttpCalls::Result R) {
+                   const auto *A = std::get_if<HttpAnswer>(&R);
+                   Status.set_value(A != nullptr ? A->Status_ : 0);
+                 });
+    });
+    return Status.get_future().get();
+  };
+  CHECK(StatusOf(false) == 200);
+  // On the connection of the first call it would be that one's.
+  CHECK(StatusOf(true) == 201);
+  CHECK(StatusOf(true) == 202);
+  // Its connection is not used again.
+  CHECK(StatusOf(false) == 200);
+  Io.stop();
+  ::shutdown(Listener.handle(), SHUT_RDWR);
+  Server.join();
+  for (std::thread &Each : Connections)
+    Each.join();
+}
