Soak: late second copies of answers, and rejected health checks

The proxy before a plain endpoint sends three answers in ten a second time, late: answers, rejections and health answers alike. Endpoints reject a health check when they have no room, and one in five others, with nothing but their id.

--- a/fakes/ProxyFake.cpp
+++ b/fakes/ProxyFake.cpp
@@ -63,6 +63,7 @@
   P.Delay_ = Milliseconds(Set.integer("delay_ms", 0));
   P.Jitter_ = Milliseconds(Set.integer("jitter_ms", 0));
   P.JitterSeed_ = static_cast<std::uint64_t>(Set.integer("jitter_seed", 1));
+  P.AnswerCopies_ = Set.number("answer_copies", 0);
   P.Rate_ = Set.number("rate", 0);
   auto &Frames = P.Frames_;
   forEachDirection(Set, "cut_after_frames", [&](Direction D, const auto &F) {
@@ -151,10 +152,11 @@
 
 json::object ProxyFake::counters() const {
   const PathTotals &T = State_->Totals_;
-  return {{"accepted", T.Accepted_},    {"open", State_->Sessions_.size()},
-          {"refused", T.Refused_},      {"resets", T.Resets_},
-          {"bytes_up", T.Bytes_[Up]},   {"bytes_down", T.Bytes_[Down]},
-          {"frames_up", T.Frames_[Up]}, {"frames_down", T.Frames_[Down]}};
+  return {{"accepted", T.Accepted_},         {"open", State_->Sessions_.size()},
+          {"refused", T.Refused_},           {"resets", T.Resets_},
+          {"bytes_up", T.Bytes_[Up]},        {"bytes_down", T.Bytes_[Down]},
+          {"frames_up", T.Frames_[Up]},      {"frames_down", T.Frames_[Down]},
+          {"answer_copies", T.AnswerCopies_}};
 }
 
 } // namespace hawthornroad
--- a/fakes/ProxyPath.h
+++ b/fakes/ProxyPath.h
@@ -30,6 +30,9 @@
   Duration Delay_{};
   Duration Jitter_{};
   std::uint64_t JitterSeed_ = 1;
+  // Share of the answers that are sent a second time, late: where the answer to
+  // the connection's next request is expected. For HTTP without pipelining.
+  double AnswerCopies_ = 0;
   // Bytes per second in each direction; 0 means no limit.
   double Rate_ = 0;
   std::array<FrameFaults, Directions> Frames_;
@@ -39,6 +42,7 @@
   std::uint64_t Accepted_ = 0;
   std::uint64_t Refused_ = 0;
   std::uint64_t Resets_ = 0;
+  std::uint64_t AnswerCopies_ = 0;
   std::array<std::uint64_t, Directions> Bytes_{};
   std::array<std::uint64_t, Directions> Frames_{};
 };
--- a/fakes/ProxySession.cpp
+++ b/fakes/ProxySession.cpp
@@ -28,6 +28,8 @@
 // that gets the reset while it writes never reads the bytes before it.
 constexpr Duration ResetDelay = Milliseconds(20);
 constexpr std::size_t LengthBytes = 4;
+// A longer answer is sent once only.
+constexpr std::size_t MaxCopiedAnswer = 16 * 1024;
 // A Hello is far smaller; a longer first frame is not a Hello.
 constexpr std::size_t MaxHello = 4096;
 
@@ -153,6 +155,7 @@
 bool ProxySession::processInput(Direction D, std::string_view Bytes) {
   if (D == Up)
     readCallerZone(Bytes);
+  copyAnswers(D, Bytes);
   FrameFilter &Filter = Flows_[D].Filter_;
   std::uint64_t FramesBefore = Filter.frames();
   auto Out = Filter.pass(Bytes, Path_->Faults_.Frames_[D]);
@@ -184,6 +187,19 @@
   FirstBytes_.clear();
 }
 
+void ProxySession::copyAnswers(Direction D, std::string_view Bytes) {
+  if (D == Down) {
+    Answer_ += Bytes.substr(0, MaxCopiedAnswer + 1 - Answer_.size());
+    return;
+  }
+  std::string Last = std::exchange(Answer_, {});
+  bool IsWhole = !Last.empty() && Last.size() <= MaxCopiedAnswer;
+  if (!IsWhole || Path_->Jitter_.unit() >= Path_->Faults_.AnswerCopies_)
+    return;
+  ++Path_->Totals_.AnswerCopies_;
+  enqueue(Down, {.Bytes_ = std::move(Last)});
+}
+
 void ProxySession::enqueue(Direction D, QueueItem Item) {
   Flow &F = Flows_[D];
   const PathFaults &Faults = Path_->Faults_;
--- a/fakes/ProxySession.h
+++ b/fakes/ProxySession.h
@@ -60,6 +60,8 @@
   Awaitable<void> waitForLink(Direction D, std::size_t Bytes);
   bool processInput(Direction D, std::string_view Bytes);
   void readCallerZone(std::string_view Bytes);
+  // Keeps the answer in progress, and repeats it when the next request comes.
+  void copyAnswers(Direction D, std::string_view Bytes);
   void enqueue(Direction D, QueueItem Item);
   void endFlow(Direction D);
   void unregister();
@@ -73,6 +75,8 @@
   // zone is empty for a caller that does not send a Hello.
   std::string FirstBytes_;
   std::optional<std::string> CallerZone_;
+  // What the target has sent since the caller's last bytes.
+  std::string Answer_;
   bool Silent_ = false;
   bool Closed_ = false;
 };
--- a/tests/soak/Main.cpp
+++ b/tests/soak/Main.cpp
@@ -24,7 +24,7 @@
   SoakWorld W(O);
   W.run();
   std::cout << "seed " << Seed << ": " << W.checks().summary() << "; "
-            << W.memory().summary() << std::endl;
+            << W.memory().summary() << "; " << W.copiesSummary() << std::endl;
   for (const std::string &Each : W.checks().violations())
     std::cout << "  BROKEN " << Each << std::endl;
   if (W.checks().violations().empty())
--- a/tests/soak/SoakEndpoint.cpp
+++ b/tests/soak/SoakEndpoint.cpp
@@ -34,6 +34,11 @@
 constexpr Duration LoadDuration = Milliseconds(300);
 constexpr std::size_t BrokenEventBytes = 7;
 constexpr unsigned Misdirected = 421;
+// What RejectPart rejects.
+constexpr std::uint64_t RejectedPart = 2;
+constexpr std::uint64_t PartOfAll = 5;
+// One health check in so many is rejected without a reason.
+constexpr std::uint64_t ChecksPerRejection = 5;
 // Valid, absent and unreadable ones.
 constexpr std::array SpeedFigures = {
     ",100", ",100",  ",250", ",250", ",60",  ",100000", "",
@@ -206,8 +211,7 @@
 bool SoakEndpoint::isControl(const HttpRequest &R,
                              const std::shared_ptr<HttpExchange> &X) {
   if (R.Target_ == "/health") {
-    X->respond(
-        {.Status_ = IsDraining_ ? 503U : 200U, .Headers_ = statements()});
+    answerHealth(X);
     return true;
   }
   if (Options_.Model_.empty())
@@ -221,7 +225,25 @@
   return true;
 }
 
-unsigned SoakEndpoint::rejection(const HttpRequest &R) const {
+void SoakEndpoint::answerHealth(const std::shared_ptr<HttpExchange> &X) {
+  if (IsDraining_)
+    return X->respond({.Status_ = 503, .Headers_ = statements()});
+  if (!hasNoRoom() && Random_.below(ChecksPerRejection) != 0)
+    return X->respond({.Status_ = 200, .Headers_ = statements()});
+  ++RejectedChecks_;
+  X->respond({.Status_ = 503,
+              .Headers_ = {{"X-Hawthornroad-Instance-Id", id()},
+                           {"X-Hawthornroad-Not-Executed", "1"}}});
+}
+
+bool SoakEndpoint::hasNoRoom() {
+  bool IsFull = AtWork_.size() >= std::size_t{2} * Slots;
+  if (Mode_ == Mode::RejectPart)
+    IsFull |= Random_.below(PartOfAll) < RejectedPart;
+  return Mode_ == Mode::NotRun || IsLoading_ || IsFull;
+}
+
+unsigned SoakEndpoint::rejection(const HttpRequest &R) {
   std::string Instance = header(R, "X-Hawthornroad-Expect-Instance");
   std::string Version = header(R, "X-Hawthornroad-Expect-Version");
   if (!Instance.empty() && Instance != id())
@@ -229,8 +251,7 @@
   if (!Version.empty() && Version != std::to_string(Weights_.loaded()))
     return Misdirected;
   bool IsEmptyEngine = !Options_.Model_.empty() && Weights_.loaded() == 0;
-  bool IsFull = AtWork_.size() >= std::size_t{2} * Slots;
-  if (Mode_ == Mode::NotRun || IsLoading_ || IsEmptyEngine || IsFull)
+  if (IsEmptyEngine || hasNoRoom())
     return 503;
   return 0;
 }
--- a/tests/soak/SoakEndpoint.h
+++ b/tests/soak/SoakEndpoint.h
@@ -11,7 +11,9 @@
 //
 // It is cold for SoakConfig::ColdFor after its start, and when it is made cold
 // again. All its answers state for how long; its row follows up to MaxRowDelay
-// later. They also state its load, with a drawn figure for its speed.
+// later. They also state its load, with a drawn figure for its speed. It
+// rejects health checks as it rejects requests, and some others; such an answer
+// states nothing but its id.
 
 #ifndef HAWTHORNROAD_TESTS_SOAK_SOAKENDPOINT_H
 #define HAWTHORNROAD_TESTS_SOAK_SOAKENDPOINT_H
@@ -31,7 +33,15 @@
 class SoakEndpoint {
 public:
   // LoseLate: it works on a request before it breaks off the connection.
-  enum class Mode { Normal, NotRun, LoseAnswer, LoseLate, BreakStream };
+  // RejectPart: it has no room for two of five requests, whatever its load.
+  enum class Mode {
+    Normal,
+    NotRun,
+    RejectPart,
+    LoseAnswer,
+    LoseLate,
+    BreakStream
+  };
   struct Options {
     std::string Id_;
     std::string Service_;
@@ -75,6 +85,8 @@
   // While held it reads nothing, as a frozen machine does; what arrives
   // meanwhile is read at the end.
   void setHeld(bool IsHeld);
+  // Health checks that it has rejected.
+  unsigned rejectedChecks() const { return RejectedChecks_; }
   // Requests at work.
   unsigned running() const;
   // 0: none.
@@ -103,7 +115,9 @@
   void handle(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
   // Whether it was answered as a control call or as rejected.
   bool isControl(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
-  unsigned rejection(const HttpRequest &R) const;
+  bool hasNoRoom();
+  unsigned rejection(const HttpRequest &R);
+  void answerHealth(const std::shared_ptr<HttpExchange> &X);
   SoakRun newRun(const HttpRequest &R) const;
   // For how long it is cold; zero when it is not.
   Duration coldLeft() const;
@@ -133,6 +147,7 @@
   TimePoint ColdUntil_;
   std::atomic<bool> IsRowNew_{true};
   std::atomic<bool> IsPausing_{false};
+  std::atomic<unsigned> RejectedChecks_{0};
   std::atomic<Mode> Mode_{Mode::Normal};
   std::mutex HoldMutex_;
   std::condition_variable Released_;
--- a/tests/soak/SoakLayout.cpp
+++ b/tests/soak/SoakLayout.cpp
@@ -22,6 +22,8 @@
     SoakLayout::DrainBound + Milliseconds(1000);
 
 constexpr Duration MemorySamplePeriod = Milliseconds(200);
+// Three answers in ten come twice.
+constexpr auto SecondCopies = R"({"answer_copies":0.3})";
 // What an endpoint has sent before its exit still arrives.
 constexpr Duration PathLingers = Seconds(2);
 
@@ -74,6 +76,8 @@
                             .Seed_ = Options_.Seed_ + Number},
       Record_);
   Out.Path_.Proxy_ = std::make_unique<Proxy>(Folder_, Out.Server_->address());
+  Out.Path_.StandingFault_ = SecondCopies;
+  Out.Path_.Proxy_->setFaults(SecondCopies);
   Out.Server_->setListedAt(Out.Path_.Proxy_->address());
   return Out;
 }
--- a/tests/soak/SoakLayout.h
+++ b/tests/soak/SoakLayout.h
@@ -52,6 +52,8 @@
   struct Path {
     std::unique_ptr<Proxy> Proxy_;
     std::vector<std::string> Faults_;
+    // In force while there is no other.
+    std::string StandingFault_ = "{}";
   };
   struct Entry {
     std::string Name_;
@@ -125,6 +127,10 @@
   void beginFault(Entry &E, const std::string &Fault);
   void endFault(Entry &E, const std::string &Fault);
   void setStoreMode(StoreStandIn::Mode M);
+  // Late second copies of answers that were sent by the endpoints listed now.
+  std::uint64_t answerCopies() const;
+  // Health checks that they have rejected.
+  unsigned rejectedChecks() const;
   // Ends all faults and restarts what does not run.
   void clearFaults();
   const SoakMemory &memory() const { return Memory_; }
--- a/tests/soak/SoakLayoutPaths.cpp
+++ b/tests/soak/SoakLayoutPaths.cpp
@@ -11,7 +11,8 @@
 
 void putInForce(const SoakLayout::Path &P) {
   if (P.Proxy_)
-    P.Proxy_->setFaults(P.Faults_.empty() ? "{}" : P.Faults_.back());
+    P.Proxy_->setFaults(P.Faults_.empty() ? P.StandingFault_
+                                          : P.Faults_.back());
 }
 
 void removeFault(SoakLayout::Path &P, const std::string &Fault) {
@@ -64,6 +65,22 @@
   setDisruption(E);
 }
 
+std::uint64_t SoakLayout::answerCopies() const {
+  std::uint64_t Out = 0;
+  for (const Endpoint &Each : Endpoints_)
+    Out += Each.Path_.Proxy_->counters()
+               .at("answer_copies")
+               .to_number<std::uint64_t>();
+  return Out;
+}
+
+unsigned SoakLayout::rejectedChecks() const {
+  unsigned Out = 0;
+  for (const Endpoint &Each : Endpoints_)
+    Out += Each.Server_->rejectedChecks();
+  return Out;
+}
+
 void SoakLayout::setStoreMode(StoreStandIn::Mode M) {
   bool IsNormal = M == StoreStandIn::Mode::Normal;
   if (!IsNormal)
--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -313,6 +313,11 @@
   Checks_.finish();
 }
 
+std::string SoakWorld::copiesSummary() const {
+  return std::to_string(Layout_.answerCopies()) + " second copies, " +
+         std::to_string(Layout_.rejectedChecks()) + " health checks rejected";
+}
+
 // ---- Recovery ---------------------------------------------------------------
 
 void SoakWorld::checkRecovery() {
--- a/tests/soak/SoakWorld.h
+++ b/tests/soak/SoakWorld.h
@@ -50,6 +50,8 @@
   void run();
   SoakChecks &checks() { return Checks_; }
   const SoakMemory &memory() const { return Layout_.memory(); }
+  // Second copies of answers and rejected health checks.
+  std::string copiesSummary() const;
   const std::filesystem::path &logs() const { return Folder_.path(); }
 
 private:
