--- a/tests/soak/Main.cpp
+++ b/tests/soak/Main.cpp
@@ -83,7 +83,8 @@
       "how the strain begins, in place of the seed's choice: loss-and-kill, "
       "loss-and-freeze, hold-and-kill, loss-and-slowness, "
       "loss-and-callers-held, engine-loss, loss-and-leaves, "
-      "loss-and-partial-kills, loss-without-store, loss-on-narrow-paths")(
+      "loss-and-partial-kills, loss-without-store, loss-on-narrow-paths, "
+      "loss-behind-narrow-path, loss-and-returns, rejections-and-returns")(
       "entry-repeat-ratio", po::value(&EntryRepeatRatio),
       "the ratio that entries keep, in place of the operators'")(
       "logs", po::value(&Logs)->default_value(Logs),
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -89,7 +89,13 @@
     KindRow{SoakFaultKind::ServiceLosesLate, "service loses answers late",
             Target::Service, 1},
     KindRow{SoakFaultKind::EntriesSlowed, "entries slowed", Target::Entry, 1},
-    KindRow{SoakFaultKind::CallersHeld, "callers held", Target::Entry, 1}};
+    KindRow{SoakFaultKind::ServiceRejectsPart, "service rejects a part",
+            Target::Service, 1},
+    KindRow{SoakFaultKind::CallersHeld, "callers held", Target::Entry, 1},
+    KindRow{SoakFaultKind::CallersNarrowed, "callers' path narrowed",
+            Target::Entry, 1},
+    KindRow{SoakFaultKind::CallersImpatient, "callers leave early",
+            Target::Entry, 1}};
 
 constexpr std::uint64_t MaxSeries = 4;
 
@@ -213,7 +219,10 @@
     std::pair{"loss-and-leaves", StrainFailure::LossAndLeaves},
     std::pair{"loss-and-partial-kills", StrainFailure::LossAndPartialKills},
     std::pair{"loss-without-store", StrainFailure::LossWithoutStore},
-    std::pair{"loss-on-narrow-paths", StrainFailure::LossOnNarrowPaths}};
+    std::pair{"loss-on-narrow-paths", StrainFailure::LossOnNarrowPaths},
+    std::pair{"loss-behind-narrow-path", StrainFailure::LossBehindNarrowPath},
+    std::pair{"loss-and-returns", StrainFailure::LossAndReturns},
+    std::pair{"rejections-and-returns", StrainFailure::RejectionsAndReturns}};
 
 StrainFailure failureOf(const SoakPlan &P) {
   constexpr std::array BySeed = {StrainFailure::HoldAndKill,
@@ -241,6 +250,13 @@
     return Add(SoakFaultKind::CallersHeld, At, LateFor);
   case StrainFailure::HoldAndKill:
     return Add(SoakFaultKind::EntriesKilled, CalmFor + HoldFor, {});
+  case StrainFailure::LossBehindNarrowPath:
+    Add(SoakFaultKind::CallersNarrowed, CalmFor, HoldFor);
+    return Add(SoakFaultKind::EntriesKilled, CalmFor + HoldFor, {});
+  case StrainFailure::LossAndReturns:
+  case StrainFailure::RejectionsAndReturns:
+    Add(SoakFaultKind::CallersImpatient, CalmFor, FailureFor);
+    [[fallthrough]];
   case StrainFailure::LossAndPartialKills:
     for (std::size_t I = 0; I < PartialKills; ++I)
       Add(SoakFaultKind::HalfKilled, At + I * PartialKillEvery, {}, I % 2);
@@ -295,13 +311,15 @@
     addNarrowPaths(P, Out);
   bool IsHeld = Failure == StrainFailure::HoldAndKill;
   Duration LossAt = IsHeld ? CalmFor + HoldFor : CalmFor;
+  SoakFaultKind Kind = Failure == StrainFailure::RejectionsAndReturns
+                           ? SoakFaultKind::ServiceRejectsPart
+                           : SoakFaultKind::ServiceLosesAnswers;
   // Engines are the last service.
   std::size_t First = Failure == StrainFailure::EngineLoss ? Services - 1 : 0;
   for (std::size_t I = First; I < Services; ++I) {
     if (IsHeld)
       Out.push_back({SoakFaultKind::ServiceHolds, I, "", CalmFor, LossAt});
-    Out.push_back({SoakFaultKind::ServiceLosesAnswers, I, "", LossAt,
-                   CalmFor + FailureFor});
+    Out.push_back({Kind, I, "", LossAt, CalmFor + FailureFor});
   }
   addCommonFaults(Failure, Out);
 }
--- a/tests/soak/SoakFaults.h
+++ b/tests/soak/SoakFaults.h
@@ -69,11 +69,12 @@
   EngineBecomesCold,
   // After one of its staged pieces has turned bad.
   EngineRestarts,
-  // All endpoints of a service lose answers, at once or late, reject, or read
-  // nothing.
+  // All endpoints of a service lose answers, at once or late, reject all or a
+  // part, or read nothing.
   ServiceLosesAnswers,
   ServiceLosesLate,
   ServiceRejects,
+  ServiceRejectsPart,
   ServiceHolds,
   // Every other entry.
   HalfKilled,
@@ -84,6 +85,10 @@
   EntriesSlowed,
   // What callers send reaches no entry until the end.
   CallersHeld,
+  // It arrives slowly, one request after the other.
+  CallersNarrowed,
+  // Callers leave early and come again at once.
+  CallersImpatient,
   // Planned work on every other entry; an entry more.
   EntriesStopped,
   EntryAdded
@@ -117,9 +122,16 @@
   // The store refuses while all entries are killed and after it.
   LossWithoutStore,
   // The paths to plain endpoints are narrow, so what is sent arrives late.
-  LossOnNarrowPaths
+  LossOnNarrowPaths,
+  // The path from callers to entries is narrow, and entries are killed as it
+  // widens.
+  LossBehindNarrowPath,
+  // Callers leave early and come again, while half of the entries are killed
+  // again and again. In the second one endpoints reject a part of the requests.
+  LossAndReturns,
+  RejectionsAndReturns
 };
-// By name: "loss-and-kill", ..., "loss-on-narrow-paths".
+// By name: "loss-and-kill", ..., "rejections-and-returns".
 std::optional<StrainFailure> parseStrainFailure(const std::string &Name);
 
 struct SoakPlan {
--- a/tests/soak/SoakLoad.cpp
+++ b/tests/soak/SoakLoad.cpp
@@ -47,13 +47,14 @@
 }
 
 SoakRequest SoakLoad::makeRequest(std::string &Target) {
-  SoakRequest R;
-  R.Id_ = "l" + std::to_string(Next_++);
+  SoakRequest R = withNewId({});
   R.Key_ = SoakCallers::SteadyKey;
   bool IsForEngine = Options_.HasEngines_ && Random_.below(2) == 0;
   R.Kind_ = IsForEngine ? SoakKind::Stream : SoakKind::Safe;
   R.Model_ = IsForEngine ? "m" : "";
-  R.Deadline_ = IsForEngine ? StreamDeadline : PlainDeadline;
+  R.Deadline_ = IsImpatient_  ? ImpatientDeadline
+                : IsForEngine ? StreamDeadline
+                              : PlainDeadline;
   R.Timeout_ =
       IsForEngine ? SoakConfig::StreamTimeout : SoakConfig::PlainTimeout;
   Target = IsForEngine ? "/stream-lm/" : "/safe/";
@@ -62,6 +63,20 @@
   return R;
 }
 
+SoakRequest SoakLoad::withNewId(SoakRequest R) {
+  R.Id_ = "l" + std::to_string(Next_++);
+  return R;
+}
+
+void SoakLoad::spawnCall(SoakRequest R, std::string Target, unsigned Returns) {
+  SoakLayout::Address To = Layout_.address(Random_.below(Layout_.running()));
+  R.Process_ = To.Process_;
+  ++Open_;
+  asio::co_spawn(Io_.context(),
+                 call(std::move(R), std::move(Target), To.Callers_, Returns),
+                 asio::detached);
+}
+
 asio::awaitable<void> SoakLoad::sendAll() {
   asio::steady_timer Timer(Io_.context());
   TimePoint Next = now();
@@ -74,25 +89,20 @@
         asio::redirect_error(asio::use_awaitable, Ignored));
     std::string Target;
     SoakRequest R = makeRequest(Target);
-    SoakLayout::Address To = Layout_.address(Random_.below(Layout_.running()));
-    R.Process_ = To.Process_;
-    ++Open_;
-    asio::co_spawn(Io_.context(),
-                   call(std::move(R), std::move(Target), To.Callers_),
-                   asio::detached);
+    spawnCall(std::move(R), std::move(Target), MaxReturns);
   }
   --Open_;
 }
 
 asio::awaitable<void> SoakLoad::call(SoakRequest R, std::string Target,
-                                     std::string Address) {
+                                     std::string Address, unsigned Returns) {
   SoakOutcome O;
   R.SentAt_ = now();
   Checks_.sent(R);
-  if (IsHeld_) {
+  if (IsHeld_ || IsNarrowed_) {
     // Its caller has sent it, whenever it arrives.
     O.WrittenAt_ = R.SentAt_;
-    if (!co_await awaitPath(R.SentAt_ + R.Deadline_)) {
+    if (!co_await passPath(R)) {
       O.End_ = SoakOutcome::End::TimedOut;
       O.EndedAt_ = now();
       Checks_.ended(R.Id_, O);
@@ -114,9 +124,29 @@
     Idle_[Address].push_back(std::move(S));
   O.EndedAt_ = O.Answer_.At_ = now();
   Checks_.ended(R.Id_, O);
+  constexpr unsigned Unavailable = 503;
+  bool IsServed =
+      O.End_ == SoakOutcome::End::Whole && O.Answer_.Status_ != Unavailable;
+  if (IsImpatient_ && !IsServed && Returns > 0 && !Stopping_)
+    spawnCall(withNewId(std::move(R)), std::move(Target), Returns - 1);
   --Open_;
 }
 
+asio::awaitable<bool> SoakLoad::passPath(SoakRequest R) {
+  TimePoint LeavesAt = R.SentAt_ + R.Deadline_;
+  if (IsNarrowed_) {
+    PathFreeAt_ =
+        std::max(PathFreeAt_, R.SentAt_) +
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+            1 / (NarrowedShare * Options_.PerSecond_)));
+    asio::steady_timer Timer(Io_.context(), std::min(PathFreeAt_, LeavesAt));
+    boost::system::error_code Ignored;
+    co_await Timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, Ignored));
+  }
+  co_return co_await awaitPath(LeavesAt);
+}
+
 asio::awaitable<bool> SoakLoad::awaitPath(TimePoint LeavesAt) {
   asio::steady_timer Timer(Io_.context());
   while (IsHeld_ && now() < LeavesAt) {
--- a/tests/soak/SoakLoad.h
+++ b/tests/soak/SoakLoad.h
@@ -7,7 +7,9 @@
 // an entry drawn for it, on a kept connection if one is free there. A caller
 // leaves when its deadline has passed. While it is held, what callers send
 // reaches no entry, as behind a path that is cut; it arrives when the hold
-// ends, unless its caller has left.
+// ends, unless its caller has left. While it is narrowed, requests arrive at
+// NarrowedShare of its rate, one after the other. Impatient callers leave after
+// ImpatientDeadline and come again at once, as they do when they are refused.
 
 #ifndef HAWTHORNROAD_TESTS_SOAK_SOAKLOAD_H
 #define HAWTHORNROAD_TESTS_SOAK_SOAKLOAD_H
@@ -38,6 +40,9 @@
   // How long callers wait.
   static constexpr Duration PlainDeadline = Milliseconds(8000);
   static constexpr Duration StreamDeadline = Milliseconds(8000);
+  static constexpr Duration ImpatientDeadline = Milliseconds(200);
+  static constexpr unsigned MaxReturns = 3;
+  static constexpr double NarrowedShare = 0.6;
 
   SoakLoad(Options O, SoakLayout &Layout, SoakChecks &Checks);
   ~SoakLoad();
@@ -49,13 +54,19 @@
   void stop();
   // Thread-safe.
   void setHeld(bool IsHeld) { IsHeld_ = IsHeld; }
+  void setNarrowed(bool IsNarrowed) { IsNarrowed_ = IsNarrowed; }
+  void setImpatient(bool IsImpatient) { IsImpatient_ = IsImpatient; }
 
 private:
   using Stream = boost::beast::tcp_stream;
 
   boost::asio::awaitable<void> sendAll();
+  // Returns: how often its caller may come again.
+  void spawnCall(SoakRequest R, std::string Target, unsigned Returns);
   boost::asio::awaitable<void> call(SoakRequest R, std::string Target,
-                                    std::string Address);
+                                    std::string Address, unsigned Returns);
+  // Waits until the path lets R through; false when its caller leaves before.
+  boost::asio::awaitable<bool> passPath(SoakRequest R);
   boost::asio::awaitable<std::unique_ptr<Stream>>
   connect(const std::string &Address, const SoakRequest &R, SoakOutcome &O);
   boost::asio::awaitable<bool> exchange(Stream &S, const std::string &Target,
@@ -63,6 +74,7 @@
   // Ends with the hold, or when the caller leaves; false then.
   boost::asio::awaitable<bool> awaitPath(TimePoint LeavesAt);
   SoakRequest makeRequest(std::string &Target);
+  SoakRequest withNewId(SoakRequest R);
 
   Options Options_;
   SoakLayout &Layout_;
@@ -73,6 +85,10 @@
   std::map<std::string, std::vector<std::unique_ptr<Stream>>> Idle_;
   std::atomic<bool> Stopping_{false};
   std::atomic<bool> IsHeld_{false};
+  std::atomic<bool> IsNarrowed_{false};
+  std::atomic<bool> IsImpatient_{false};
+  // When the narrowed path has passed all that was sent so far.
+  TimePoint PathFreeAt_;
   std::atomic<int> Open_{0};
   IoThread Io_{"load", 16};
 };
--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -160,6 +160,10 @@
     return forEachEndpoint(F.Target_, [](SoakEndpoint &Each) {
       Each.setMode(SoakEndpoint::Mode::NotRun);
     });
+  case SoakFaultKind::ServiceRejectsPart:
+    return forEachEndpoint(F.Target_, [](SoakEndpoint &Each) {
+      Each.setMode(SoakEndpoint::Mode::RejectPart);
+    });
   case SoakFaultKind::ServiceHolds:
     return forEachEndpoint(F.Target_,
                            [](SoakEndpoint &Each) { Each.setHeld(true); });
@@ -179,6 +183,10 @@
     return Layout_.slowEntries();
   case SoakFaultKind::CallersHeld:
     return Load_.setHeld(true);
+  case SoakFaultKind::CallersNarrowed:
+    return Load_.setNarrowed(true);
+  case SoakFaultKind::CallersImpatient:
+    return Load_.setImpatient(true);
   case SoakFaultKind::EntriesStopped:
     for (std::size_t I = 0; I < Entries.size(); I += 2)
       Layout_.stop(Entries[I], EndsAt);
@@ -231,6 +239,7 @@
   case SoakFaultKind::ServiceLosesAnswers:
   case SoakFaultKind::ServiceLosesLate:
   case SoakFaultKind::ServiceRejects:
+  case SoakFaultKind::ServiceRejectsPart:
     return forEachEndpoint(F.Target_, [](SoakEndpoint &Each) {
       Each.setMode(SoakEndpoint::Mode::Normal);
     });
@@ -245,6 +254,10 @@
     return Layout_.endSlowness();
   case SoakFaultKind::CallersHeld:
     return Load_.setHeld(false);
+  case SoakFaultKind::CallersNarrowed:
+    return Load_.setNarrowed(false);
+  case SoakFaultKind::CallersImpatient:
+    return Load_.setImpatient(false);
   // The layout restarts processes.
   default:
     return;
