--- a/hawthornroad/traffic/HealthCredits.h
+++ b/hawthornroad/traffic/HealthCredits.h
@@ -5,8 +5,7 @@
 //   if (!C.has(Start, Now)) checkHealth();
 //   C.noteAnswer(Start, Arrivals, AskedAt);   // it states no cold time
 //   C.spend(Start);                           // a request was sent
-//   Duration Pause = C.noteRejected(Start, Now);   // it had no room for a
-//   check
+//   Duration Pause = C.noteRejected(Start, Now);   // it had no room to answer
 //
 // Handles endpoints that become cold without a statement: their row follows
 // seconds later, and the entries together exceed what a cold endpoint bears
--- a/tests/unit/HealthCheckTest.cpp
+++ b/tests/unit/HealthCheckTest.cpp
@@ -12,7 +12,7 @@
 
 // A core with one plain endpoint that may become cold at any moment.
 struct WatchedCore : CoreFixture {
-  const EndpointId Id_{"a0"};
+  EndpointId Id_{"a0"};
 
   WatchedCore() : CoreFixture(false) {
     RoutingConfig::Parts P = parts();
