--- a/tests/integration/SecondCopiesTest.cpp
+++ b/tests/integration/SecondCopiesTest.cpp
@@ -174,6 +174,16 @@
     if (ColdPerSecond > 0)
       std::this_thread::sleep_for(ColdFor + BetweenCalls);
   }
+  // Each of Count requests is answered, and has run once at E.
+  template <class Endpoint> void checkAllServed(const Endpoint &E, int Count) {
+    for (int I = 0; I < Count; ++I) {
+      std::string Id = "q" + std::to_string(I);
+      HttpResponse R = call("/once/1", "", Id);
+      CAPTURE(I, R.Status_, E.runs(Id));
+      CHECK(R.Status_ == 200);
+      CHECK(E.runs(Id) == 1);
+    }
+  }
 };
 } // namespace
 
@@ -187,13 +197,7 @@
   CAPTURE(SplitAt);
   RejectionCopies E(SplitAt);
   startEntryBefore(E.row(), 0);
-  for (int I = 0; I < 5; ++I) {
-    std::string Id = "q" + std::to_string(I);
-    HttpResponse R = call("/once/1", "", Id);
-    CAPTURE(I, R.Status_, E.runs(Id));
-    CHECK(R.Status_ == 200);
-    CHECK(E.runs(Id) == 1);
-  }
+  checkAllServed(E, 5);
 }
 
 // Guards against a late second copy of a rejected health check, which names no
@@ -224,13 +228,7 @@
                  "[store-entry]") {
   HealthCopies E({});
   startEntryBefore(E.row(), ColdPerSecond);
-  for (int I = 0; I < 20; ++I) {
-    std::string Id = "q" + std::to_string(I);
-    HttpResponse R = call("/once/1", "", Id);
-    CAPTURE(I, R.Status_, E.runs(Id));
-    CHECK(R.Status_ == 200);
-    CHECK(E.runs(Id) == 1);
-  }
+  checkAllServed(E, 20);
 }
 
 // Guards against requests that are lost to the second copy of the answer before
@@ -241,11 +239,5 @@
                  "[store-entry]") {
   HealthCopies E({.CopiesAll_ = true});
   startEntryBefore(E.row(), 0);
-  for (int I = 0; I < 20; ++I) {
-    std::string Id = "q" + std::to_string(I);
-    HttpResponse R = call("/once/1", "", Id);
-    CAPTURE(I, R.Status_, E.runs(Id));
-    CHECK(R.Status_ == 200);
-    CHECK(E.runs(Id) == 1);
-  }
+  checkAllServed(E, 20);
 }
