Soak: connections of the strain's callers end before their loop

Cause: SoakLoad declared Idle_, its kept connections, before Io_, their loop. Members are destroyed in reverse, so sockets and timers were released into a loop that had been freed. Idle_ now stands after Io_.

The class, owners that outlive what they own: all 20 other classes and 21 functions that own an IoThread or an io_context were read, in the product, fakes, benches and tests. Each declares its loop before its sockets, servers and timers; IoThread itself declares its ring after the context.

--- a/tests/soak/SoakLoad.h
+++ b/tests/soak/SoakLoad.h
@@ -81,8 +81,6 @@
   SoakChecks &Checks_;
   Random Random_;
   std::uint64_t Next_ = 0;
-  // Idle connections by address.
-  std::map<std::string, std::vector<std::unique_ptr<Stream>>> Idle_;
   std::atomic<bool> Stopping_{false};
   std::atomic<bool> IsHeld_{false};
   std::atomic<bool> IsNarrowed_{false};
@@ -91,6 +89,8 @@
   TimePoint PathFreeAt_;
   std::atomic<int> Open_{0};
   IoThread Io_{"load", 16};
+  // Idle connections by address. They belong to Io_.
+  std::map<std::string, std::vector<std::unique_ptr<Stream>>> Idle_;
 };
 
 } // namespace hawthornroad
