--- a/tests/soak/Main.cpp
+++ b/tests/soak/Main.cpp
@@ -84,7 +84,9 @@
       "loss-and-freeze, hold-and-kill, loss-and-slowness, "
       "loss-and-callers-held, engine-loss, loss-and-leaves, "
       "loss-and-partial-kills, loss-without-store, loss-on-narrow-paths, "
-      "loss-behind-narrow-path, loss-and-returns, rejections-and-returns")(
+      "loss-behind-narrow-path, loss-and-returns, rejections-and-returns, "
+      "callers-held-and-kill, callers-held-and-partial-kills, "
+      "all-held-and-kill")(
       "entry-repeat-ratio", po::value(&EntryRepeatRatio),
       "the ratio that entries keep, in place of the operators'")(
       "logs", po::value(&Logs)->default_value(Logs),
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -209,6 +209,9 @@
 constexpr Duration StoreAwayFor = Seconds(6);
 // In which requests reach the entries late.
 constexpr Duration LateFor = Seconds(7);
+// How long callers have been held back when entries are killed.
+constexpr Duration KilledAfterCut = Milliseconds(200);
+constexpr Duration HalfKilledAfterCut = Milliseconds(500);
 constexpr std::array StrainFailureNames = {
     std::pair{"loss-and-kill", StrainFailure::LossAndKill},
     std::pair{"loss-and-freeze", StrainFailure::LossAndFreeze},
@@ -222,7 +225,11 @@
     std::pair{"loss-on-narrow-paths", StrainFailure::LossOnNarrowPaths},
     std::pair{"loss-behind-narrow-path", StrainFailure::LossBehindNarrowPath},
     std::pair{"loss-and-returns", StrainFailure::LossAndReturns},
-    std::pair{"rejections-and-returns", StrainFailure::RejectionsAndReturns}};
+    std::pair{"rejections-and-returns", StrainFailure::RejectionsAndReturns},
+    std::pair{"callers-held-and-kill", StrainFailure::HeldAndKill},
+    std::pair{"callers-held-and-partial-kills",
+              StrainFailure::HeldAndPartialKills},
+    std::pair{"all-held-and-kill", StrainFailure::AllHeldAndKill}};
 
 StrainFailure failureOf(const SoakPlan &P) {
   constexpr std::array BySeed = {StrainFailure::HoldAndKill,
@@ -248,6 +255,16 @@
     return Add(SoakFaultKind::EntriesSlowed, At, LateFor);
   case StrainFailure::LossAndCallersHeld:
     return Add(SoakFaultKind::CallersHeld, At, LateFor);
+  case StrainFailure::HeldAndKill:
+    Add(SoakFaultKind::CallersHeld, At, LateFor);
+    return Add(SoakFaultKind::EntriesKilled, At + KilledAfterCut, {});
+  case StrainFailure::HeldAndPartialKills:
+    Add(SoakFaultKind::CallersHeld, At, LateFor);
+    Add(SoakFaultKind::HalfKilled, At + HalfKilledAfterCut, {}, 0);
+    return Add(SoakFaultKind::HalfKilled, At + 3 * HalfKilledAfterCut, {}, 1);
+  case StrainFailure::AllHeldAndKill:
+    Add(SoakFaultKind::CallersHeld, At, LateFor);
+    [[fallthrough]];
   case StrainFailure::HoldAndKill:
     return Add(SoakFaultKind::EntriesKilled, CalmFor + HoldFor, {});
   case StrainFailure::LossBehindNarrowPath:
@@ -309,7 +326,8 @@
     return addLeaves(P, Out);
   if (Failure == StrainFailure::LossOnNarrowPaths)
     addNarrowPaths(P, Out);
-  bool IsHeld = Failure == StrainFailure::HoldAndKill;
+  bool IsHeld = Failure == StrainFailure::HoldAndKill ||
+                Failure == StrainFailure::AllHeldAndKill;
   Duration LossAt = IsHeld ? CalmFor + HoldFor : CalmFor;
   SoakFaultKind Kind = Failure == StrainFailure::RejectionsAndReturns
                            ? SoakFaultKind::ServiceRejectsPart
--- a/tests/soak/SoakFaults.h
+++ b/tests/soak/SoakFaults.h
@@ -129,9 +129,15 @@
   // Callers leave early and come again, while half of the entries are killed
   // again and again. In the second one endpoints reject a part of the requests.
   LossAndReturns,
-  RejectionsAndReturns
+  RejectionsAndReturns,
+  // Entries are killed while what callers send is held back: all at once, or
+  // one half after the other.
+  HeldAndKill,
+  HeldAndPartialKills,
+  // Endpoints hold requests back as well; entries are killed as they go on.
+  AllHeldAndKill
 };
-// By name: "loss-and-kill", ..., "rejections-and-returns".
+// By name: "loss-and-kill", ..., "all-held-and-kill".
 std::optional<StrainFailure> parseStrainFailure(const std::string &Name);
 
 struct SoakPlan {
--- a/tests/unit/RepeatArrivalsTest.cpp
+++ b/tests/unit/RepeatArrivalsTest.cpp
@@ -9,6 +9,10 @@
 constexpr TimePoint FirstTrouble = Start + Seconds(15);
 constexpr Duration Length = Seconds(45);
 
+// Callers are cut off while answers are lost.
+constexpr TimePoint CutFrom = FirstTrouble + Milliseconds(1800);
+constexpr Duration CutFor = Seconds(7);
+
 struct Fleet {
   unsigned Entries_;
   // Requests a second at each entry.
@@ -31,6 +35,15 @@
           .LostFrom_ = FirstTrouble,
           .Slack_ = F.Slack_};
 }
+
+// The same; answers to the first requests of a backlog come while the others
+// are still read.
+RepeatFleet::Options readsOneByOne(const LoadedFleet &F) {
+  RepeatFleet::Options O = calmUntilTrouble(F);
+  O.ServiceTime_ = Milliseconds(1);
+  O.ReadTime_ = Milliseconds(1);
+  return O;
+}
 } // namespace
 
 // Guards against repeats that a process saved in calm and spent before it
@@ -356,6 +369,38 @@
   CHECK(F.excess() <= 0);
 }
 
+// Guards against starts that take the backlog of their callers for a burst,
+// since they do not know how many requests are usual.
+TEST_CASE("fleet of entries, killed while their callers are cut off, keeps the "
+          "repeats that arrive within the budget",
+          "[repeats][restarts]") {
+  auto Size = GENERATE(from_range(std::begin(Loaded), std::end(Loaded)));
+  auto KilledAfter = GENERATE(Milliseconds(200), Milliseconds(3000));
+  CAPTURE(Size.Entries_, Size.Load_, KilledAfter.count());
+  RepeatFleet F(readsOneByOne(Size));
+  F.holdCallers(CutFrom, CutFrom + CutFor);
+  F.restartAll(CutFrom + KilledAfter);
+  F.run(FirstTrouble + Seconds(25) - Start);
+  CHECK(F.excess() <= 0);
+}
+
+// Guards against repeats that stand in the buffers of frozen endpoints and
+// arrive beside those that a backlog of requests earns.
+TEST_CASE("fleet of entries, killed when both their callers and the endpoints "
+          "that held their requests back go on, keeps the repeats that arrive "
+          "within the budget",
+          "[repeats][restarts]") {
+  auto Size = GENERATE(from_range(std::begin(Loaded), std::end(Loaded)));
+  auto KilledBefore = GENERATE(Milliseconds(-100), Milliseconds(800));
+  CAPTURE(Size.Entries_, Size.Load_, KilledBefore.count());
+  RepeatFleet F(readsOneByOne(Size));
+  F.hold(FirstTrouble, CutFrom + CutFor);
+  F.holdCallers(CutFrom, CutFrom + CutFor);
+  F.restartAll(CutFrom + CutFor - KilledBefore);
+  F.run(FirstTrouble + Seconds(25) - Start);
+  CHECK(F.excess() <= 0);
+}
+
 // Guards against a budget that takes a burst of callers for late requests, and
 // denies the repeats that the operators allow for it.
 TEST_CASE("fleet of entries, whose load doubles as answers are lost, uses "
