Limit grants: a granter that restarts grants no burst anew

What callers saw: an endpoint that states a rate limit received more than it accepts while the agent that grants for it restarted again and again, and turned requests away.

A granter's bucket began full, so each start granted a whole burst beside what the start before it had granted; the sum in the header allows for two bursts.

Change: a bucket has been filling since the granter's start, as that of ColdGrants has.

Failing before: fleet of entries, while the agent that grants for an endpoint restarts again and again, stays within a limit: 6 of 12 cases, 0.8 to 7 requests above the rule, engines and other endpoints. None now; all of [limit], [limit-table], [cold] and [cold-fleet] pass. Tests of granters that have run for long state a start ten minutes before; their bounds are as they were.

What callers lose: up to Burst_ + BurstShare_ * limit requests of the first moments after an agent's start wait for as long as the limit's rate takes.

--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -257,7 +257,7 @@
   std::map<ProcessName, Watcher> Watchers_;
   PlaceGrants Places_;
   PriorityGate Gate_;
-  LimitGrants Limits_;
+  LimitGrants Limits_{bootNow()};
   ColdGrants Cold_{bootNow()};
   CrashingParts Parts_{relayOptions()};
   struct PlaceRequest {
--- a/hawthornroad/traffic/LimitGrants.cpp
+++ b/hawthornroad/traffic/LimitGrants.cpp
@@ -47,7 +47,7 @@
   auto [Found, IsNew] = Buckets_.try_emplace(E);
   Bucket &B = Found->second;
   if (IsNew)
-    B = {.Tokens_ = burst(Limit), .FilledAt_ = Now};
+    B.FilledAt_ = StartedAt_;
   double Rate = rate(Limit, Role);
   fill(B, Limit, Rate, Now);
   B.Askers_[Asker] = Now;
--- a/hawthornroad/traffic/LimitGrants.h
+++ b/hawthornroad/traffic/LimitGrants.h
@@ -1,7 +1,7 @@
 // Grants the requests that an endpoint with a stated rate limit accepts, to the
 // entries that ask for them.
 //
-//   LimitGrants G;
+//   LimitGrants G(Now);                    // when the process starts
 //   G.note(Start, Statement);              // as an entry reports it
 //   LimitGrants::Verdict V = G.check(Start, Asker, Role, Now);
 //   if (V.IsGranted_) { G.take(Start); send(); } else waitFor(V.Wait_);
@@ -19,7 +19,8 @@
 // seconds. A grant is used up to MaxGrantAge after it was given:
 //   T * (Beside + Substitute) * L + 2 * (Burst_ + BurstShare_ * L) <= 6 * L + 5
 //   T * 2 * Chosen * L            + 2 * (Burst_ + BurstShare_ * L) <= 6 * L + 5
-// with T = 4 + MaxGrantAge.
+// with T = 4 + MaxGrantAge. A bucket has been filling since this process
+// started, so a restart of the granter grants nothing anew.
 //
 // An entry that is refused asks again after a time in which twice the requests
 // become free that all entries ask for, so granted rates are used and the
@@ -74,8 +75,9 @@
     Duration Wait_ = Duration::zero();
   };
 
-  LimitGrants() = default;
-  explicit LimitGrants(Options O) : Options_(O) {}
+  explicit LimitGrants(TimePoint StartedAt) : StartedAt_(StartedAt) {}
+  LimitGrants(TimePoint StartedAt, Options O)
+      : Options_(O), StartedAt_(StartedAt) {}
 
   // True when the limit in force changed.
   bool note(const EndpointStart &E, const LimitStatement &S);
@@ -100,6 +102,7 @@
   void fill(Bucket &B, double Limit, double Rate, TimePoint Now) const;
 
   Options Options_;
+  TimePoint StartedAt_;
   StatedLimits Limits_;
   std::map<EndpointStart, Bucket> Buckets_;
 };
--- a/tests/unit/EndpointLimitTest.cpp
+++ b/tests/unit/EndpointLimitTest.cpp
@@ -156,6 +156,26 @@
   CHECK(F.excess() <= 0);
 }
 
+// Guards against granters each of whose starts grants a whole burst anew.
+TEST_CASE("fleet of entries, while the agent that grants for an endpoint "
+          "restarts again and again, stays within a limit",
+          "[limit][restarts]") {
+  auto IsEngine = GENERATE(true, false);
+  auto PerSecond = GENERATE(0.5, 1.7, 10.0);
+  auto Gap = GENERATE(Milliseconds(300), Milliseconds(700));
+  CAPTURE(IsEngine, PerSecond, Gap.count());
+  LimitFleet F({.Entries_ = 9,
+                .Endpoints_ = 6,
+                .IsEngine_ = IsEngine,
+                .RequestsPerSecond_ = 6.0});
+  F.limit(0, PerSecond, LimitedAt);
+  for (unsigned Agent = 0; Agent < 6; ++Agent)
+    for (int I = 0; I < 12; ++I)
+      F.restartAgent(Agent, Start + Seconds(12) + I * Gap);
+  F.run(Seconds(30));
+  CHECK(F.excess() <= 0);
+}
+
 // Guards against entries that each fall back to the whole limit.
 TEST_CASE("fleet of entries, without any agent, stays within a limit",
           "[limit]") {
--- a/tests/unit/LimitFleet.cpp
+++ b/tests/unit/LimitFleet.cpp
@@ -45,7 +45,7 @@
   std::map<std::pair<unsigned, unsigned>, TimePoint> LeavingKnownAt_;
   // The agent beside it.
   PlaceGrants Places_;
-  LimitGrants Grants_;
+  LimitGrants Grants_{Start};
 
   std::optional<double> limitAt(TimePoint T) const {
     auto After = Limits_.upper_bound(T);
@@ -58,7 +58,7 @@
   unsigned Index_;
   unsigned Starts_ = 0;
   ProcessName Name_;
-  LimitGrants Own_;
+  LimitGrants Own_{Start};
   std::unique_ptr<TrafficCore> Core_;
   CallNumber NextCall_ = 1;
   std::vector<TimePoint> Served_;
@@ -169,7 +169,7 @@
 void LimitFleet::restartAgent(unsigned Endpoint, TimePoint At) {
   after(At - Now_, [this, Endpoint] {
     Servers_[Endpoint]->Places_ = PlaceGrants();
-    Servers_[Endpoint]->Grants_ = LimitGrants();
+    Servers_[Endpoint]->Grants_ = LimitGrants(Now_);
   });
 }
 
--- a/tests/unit/LimitGrantsTest.cpp
+++ b/tests/unit/LimitGrantsTest.cpp
@@ -13,6 +13,8 @@
 constexpr TimePoint Start{Seconds(1000)};
 // Grants of this span may be used within the rule's four seconds.
 constexpr Duration Window = Seconds(4) + LimitGrants::MaxGrantAge;
+// Start of a granter that has run for long.
+constexpr TimePoint LongBefore = Start - Seconds(600);
 const EndpointStart E{EndpointId("i-1"), 7};
 
 double allowed(double PerSecond) { return 1.5 * 4 * PerSecond + 5; }
@@ -52,7 +54,8 @@
   auto PerSecond = GENERATE(0.0, 0.5, 1.0, 1.7, 10.0, 100.0);
   auto IsEngine = GENERATE(true, false);
   CAPTURE(PerSecond, IsEngine);
-  std::vector<Granter> Granters(2, Granter{GranterRole::Chosen, {}});
+  std::vector<Granter> Granters(
+      2, Granter{GranterRole::Chosen, LimitGrants(LongBefore)});
   if (IsEngine) {
     Granters[0].Role_ = GranterRole::Beside;
     Granters[1].Role_ = GranterRole::Substitute;
@@ -67,7 +70,7 @@
 TEST_CASE("limit grants, at a limit of zero, still grant a request now and "
           "then",
           "[limit]") {
-  LimitGrants G;
+  LimitGrants G(LongBefore);
   G.note(E, statement(0, Start));
   std::size_t Granted = 0;
   for (TimePoint Now = Start; Now < Start + Seconds(60); Now += Seconds(1))
@@ -81,7 +84,7 @@
 // Guards against hundreds of entries that ask without pause.
 TEST_CASE("limit grants, asked by many entries, tell each to wait longer",
           "[limit]") {
-  LimitGrants G;
+  LimitGrants G(LongBefore);
   G.note(E, statement(1, Start));
   Duration Longest = Duration::zero();
   for (int I = 0; I < 300; ++I) {
@@ -98,7 +101,7 @@
 
 TEST_CASE("limit grants, once the limit has ended, grant everything",
           "[limit]") {
-  LimitGrants G;
+  LimitGrants G(LongBefore);
   G.note(E, statement(1, Start));
   CHECK(G.note(E, statement(std::nullopt, Start + Seconds(1))));
   for (int I = 0; I < 100; ++I)
@@ -139,7 +142,7 @@
 // Guards against memory that grows with each endpoint that ever had a limit.
 TEST_CASE("limit grants, of more endpoints than are remembered, do not grow",
           "[limit]") {
-  LimitGrants G;
+  LimitGrants G(LongBefore);
   constexpr std::size_t More = 64;
   for (std::size_t I = 0; I < StatedLimits::MaxKnown + More; ++I) {
     EndpointStart Each{EndpointId("i-" + std::to_string(I)), 0};
