--- a/tests/soak/Main.cpp
+++ b/tests/soak/Main.cpp
@@ -86,7 +86,7 @@
       "loss-and-partial-kills, loss-without-store, loss-on-narrow-paths, "
       "loss-behind-narrow-path, loss-and-returns, rejections-and-returns, "
       "callers-held-and-kill, callers-held-and-partial-kills, "
-      "all-held-and-kill")(
+      "all-held-and-kill, late-paths-and-kill")(
       "entry-repeat-ratio", po::value(&EntryRepeatRatio),
       "the ratio that entries keep, in place of the operators'")(
       "logs", po::value(&Logs)->default_value(Logs),
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -212,6 +212,11 @@
 // How long callers have been held back when entries are killed.
 constexpr Duration KilledAfterCut = Milliseconds(200);
 constexpr Duration HalfKilledAfterCut = Milliseconds(500);
+// Less than the delay of LatePath.
+constexpr Duration KilledAfterSending = Milliseconds(4600);
+// Less than is sent to a plain endpoint, in bytes a second.
+constexpr const char *NarrowPath = R"({"rate":10000})";
+constexpr const char *LatePath = R"({"delay_ms":5000})";
 constexpr std::array StrainFailureNames = {
     std::pair{"loss-and-kill", StrainFailure::LossAndKill},
     std::pair{"loss-and-freeze", StrainFailure::LossAndFreeze},
@@ -229,7 +234,8 @@
     std::pair{"callers-held-and-kill", StrainFailure::HeldAndKill},
     std::pair{"callers-held-and-partial-kills",
               StrainFailure::HeldAndPartialKills},
-    std::pair{"all-held-and-kill", StrainFailure::AllHeldAndKill}};
+    std::pair{"all-held-and-kill", StrainFailure::AllHeldAndKill},
+    std::pair{"late-paths-and-kill", StrainFailure::LatePathsAndKill}};
 
 StrainFailure failureOf(const SoakPlan &P) {
   constexpr std::array BySeed = {StrainFailure::HoldAndKill,
@@ -267,6 +273,8 @@
     [[fallthrough]];
   case StrainFailure::HoldAndKill:
     return Add(SoakFaultKind::EntriesKilled, CalmFor + HoldFor, {});
+  case StrainFailure::LatePathsAndKill:
+    return Add(SoakFaultKind::EntriesKilled, CalmFor + KilledAfterSending, {});
   case StrainFailure::LossBehindNarrowPath:
     Add(SoakFaultKind::CallersNarrowed, CalmFor, HoldFor);
     return Add(SoakFaultKind::EntriesKilled, CalmFor + HoldFor, {});
@@ -311,11 +319,12 @@
     Out.push_back({SoakFaultKind::Leaves, Next++ % P.Endpoints_, "", At, At});
 }
 
-// Less than is sent to a plain endpoint, in bytes a second.
-void addNarrowPaths(const SoakPlan &P, std::vector<SoakFault> &Out) {
+// On the paths to all plain endpoints.
+void addPathFault(const SoakPlan &P, const char *Path,
+                  std::vector<SoakFault> &Out) {
   for (std::size_t I = 0; I < P.Endpoints_; ++I)
-    Out.push_back({SoakFaultKind::EndpointPath, I, R"({"rate":10000})", CalmFor,
-                   CalmFor + HoldFor});
+    Out.push_back(
+        {SoakFaultKind::EndpointPath, I, Path, CalmFor, CalmFor + HoldFor});
 }
 
 // The failure of all services at once, and what happens to all entries in it.
@@ -325,7 +334,9 @@
   if (Failure == StrainFailure::LossAndLeaves)
     return addLeaves(P, Out);
   if (Failure == StrainFailure::LossOnNarrowPaths)
-    addNarrowPaths(P, Out);
+    addPathFault(P, NarrowPath, Out);
+  if (Failure == StrainFailure::LatePathsAndKill)
+    addPathFault(P, LatePath, Out);
   bool IsHeld = Failure == StrainFailure::HoldAndKill ||
                 Failure == StrainFailure::AllHeldAndKill;
   Duration LossAt = IsHeld ? CalmFor + HoldFor : CalmFor;
--- a/tests/soak/SoakFaults.h
+++ b/tests/soak/SoakFaults.h
@@ -135,9 +135,12 @@
   HeldAndKill,
   HeldAndPartialKills,
   // Endpoints hold requests back as well; entries are killed as they go on.
-  AllHeldAndKill
+  AllHeldAndKill,
+  // What is sent to plain endpoints arrives seconds later, most of it after its
+  // entry was killed.
+  LatePathsAndKill
 };
-// By name: "loss-and-kill", ..., "all-held-and-kill".
+// By name: "loss-and-kill", ..., "late-paths-and-kill".
 std::optional<StrainFailure> parseStrainFailure(const std::string &Name);
 
 struct SoakPlan {
