--- a/tests/soak/Main.cpp
+++ b/tests/soak/Main.cpp
@@ -57,6 +57,7 @@
   std::size_t Callers = 5;
   double Strain = 0;
   double EntryRepeatRatio = 0;
+  double Crashing = 4;
   std::string Failure;
   SoakLayout::Options Layout;
   std::string Logs = "soak-logs";
@@ -86,7 +87,11 @@
       "loss-and-partial-kills, loss-without-store, loss-on-narrow-paths, "
       "loss-behind-narrow-path, loss-and-returns, rejections-and-returns, "
       "callers-held-and-kill, callers-held-and-partial-kills, "
-      "all-held-and-kill, late-paths-and-kill")(
+      "all-held-and-kill, late-paths-and-kill, crashes, "
+      "crashes-and-restarts, crashes-before-head, crashes-of-sound")(
+      "crashing", po::value(&Crashing),
+      "requests a second with a part of prompts that crashes engines, of those "
+      "of a strain named crashes-...")(
       "entry-repeat-ratio", po::value(&EntryRepeatRatio),
       "the ratio that entries keep, in place of the operators'")(
       "logs", po::value(&Logs)->default_value(Logs),
@@ -119,6 +124,8 @@
     O.IsPlannedOnly_ = PlannedOnly;
     O.StrainPerSecond_ = Strain;
     O.StrainFailure_ = parseStrainFailure(Failure);
+    if (O.StrainFailure_ && isOfCrashes(*O.StrainFailure_))
+      O.CrashingPerSecond_ = Crashing;
     O.CallersPerEntry_ = Callers;
     O.Layout_ = Layout;
     O.Layout_.Seed_ = S;
--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -31,6 +31,8 @@
     Out.set("X-Hawthornroad-Model", R.Model_);
     Out.set("X-Hawthornroad-Token-Usage", "200,24");
   }
+  if (!R.Parts_.empty())
+    Out.set("X-Hawthornroad-Prompt-Prefix", R.Parts_);
   Out.body() = "{}";
   Out.prepare_payload();
   return Out;
--- a/tests/soak/SoakChecks.cpp
+++ b/tests/soak/SoakChecks.cpp
@@ -153,6 +153,15 @@
                           " attempts were told more time than is left");
 }
 
+void SoakChecks::checkCrashes() {
+  Crashes_ = SoakCrashes(Record_);
+  for (const auto &[Id, R] : Requests_)
+    if (auto Found = Outcomes_.find(Id); Found != Outcomes_.end())
+      Crashes_.add(R, Found->second, Record_);
+  if (Crashes_.isBroken())
+    Violations_.push_back(Crashes_.summary());
+}
+
 void SoakChecks::finish() {
   std::lock_guard Lock(Mutex_);
   for (const auto &[Id, R] : Requests_) {
@@ -160,6 +169,7 @@
     checkFate(R);
   }
   checkRepeats();
+  checkCrashes();
   if (Bounds_.LimitsCold_) {
     SoakColdArrivals Cold = checkColdArrivals(Record_, Requests_);
     MostColdArrivals_ = Cold.Most_;
@@ -200,6 +210,8 @@
     Out << "; repeats " << Each.Service_ << ' ' << Each.Repeats_ << " of "
         << static_cast<long>(Each.Allowed_) << " allowed";
   Out << "; at their last run " << LastRuns_;
+  if (Crashes_.hasCrashes())
+    Out << "; " << Crashes_.summary();
   Out << "; too much time left " << TimeLeft_.Excess_ << "; "
       << Violations_.size() << " violations";
   return Out.str();
--- a/tests/soak/SoakChecks.h
+++ b/tests/soak/SoakChecks.h
@@ -11,6 +11,7 @@
 #ifndef HAWTHORNROAD_TESTS_SOAK_SOAKCHECKS_H
 #define HAWTHORNROAD_TESTS_SOAK_SOAKCHECKS_H
 
+#include "tests/soak/SoakCrashes.h"
 #include "tests/soak/SoakFate.h"
 #include "tests/soak/SoakRepeats.h"
 
@@ -58,6 +59,7 @@
   void checkRuns(const SoakRequest &R);
   void checkFate(const SoakRequest &R);
   void checkRepeats();
+  void checkCrashes();
   void add(const SoakRequest &R, const std::string &What);
 
   const SoakRecord &Record_;
@@ -77,6 +79,7 @@
   long LastRuns_ = 0;
   std::vector<SoakRepeats::Use> MostRepeats_;
   SoakTimeLeft TimeLeft_;
+  SoakCrashes Crashes_;
 };
 
 } // namespace hawthornroad
--- a/tests/soak/SoakEndpoint.cpp
+++ b/tests/soak/SoakEndpoint.cpp
@@ -1,6 +1,8 @@
 #include "tests/soak/SoakEndpoint.h"
 
+#include "hawthornroad/runtime/Address.h"
 #include "tests/soak/SoakConfig.h"
+#include "tests/soak/SoakCrashes.h"
 
 #include <algorithm>
 #include <boost/json/array.hpp>
@@ -34,6 +36,9 @@
 constexpr Duration LoadDuration = Milliseconds(300);
 constexpr std::size_t BrokenEventBytes = 7;
 constexpr unsigned Misdirected = 421;
+// From a crashing request to the head of its answer, and on to the crash.
+constexpr Duration CrashHeadDelay = Milliseconds(5);
+constexpr Duration CrashDelay = Milliseconds(60);
 // What RejectPart rejects.
 constexpr std::uint64_t RejectedPart = 2;
 constexpr std::uint64_t PartOfAll = 5;
@@ -58,11 +63,7 @@
 
 SoakEndpoint::SoakEndpoint(Options O, SoakRecord &Record)
     : Options_(std::move(O)), Record_(Record), Random_(Options_.Seed_) {
-  Server_ = std::make_unique<HttpServer>(
-      Io_, HttpServer::Limits{},
-      [this](HttpRequest R, std::shared_ptr<HttpExchange> X) { handle(R, X); });
-  Address_ =
-      Options_.Ip_ + ":" + std::to_string(Server_->listen(Options_.Ip_, 0));
+  listen(0);
   ColdUntil_ = now() + SoakConfig::ColdFor;
   Record_.becomesCold(id(), {.From_ = now(), .To_ = ColdUntil_});
 }
@@ -73,6 +74,14 @@
   Io_.stop();
 }
 
+void SoakEndpoint::listen(std::uint16_t Port) {
+  Server_ = std::make_unique<HttpServer>(
+      Io_, HttpServer::Limits{},
+      [this](HttpRequest R, std::shared_ptr<HttpExchange> X) { handle(R, X); });
+  Address_ =
+      Options_.Ip_ + ":" + std::to_string(Server_->listen(Options_.Ip_, Port));
+}
+
 std::string SoakEndpoint::wholeStream() {
   std::string Out;
   for (int I = 1; I <= Events; ++I)
@@ -97,6 +106,8 @@
                                     {"version", Weights_.loaded()}});
     Row["models"] = std::move(Models);
     Row["stage"] = "both";
+    if (Born_ != 0)
+      Row["born"] = Born_;
   }
   return json::serialize(Row);
 }
@@ -273,6 +284,11 @@
     std::lock_guard Lock(Mutex_);
     end(Self, SoakRun::End::Cut);
   });
+  if (hasCrashingPart(header(R, "X-Hawthornroad-Prompt-Prefix"))) {
+    Record_.crashingPartBegins(now());
+    if (Crashes_ != Crashes::Never)
+      return beginCrash(Self);
+  }
   if (Mode_ == Mode::LoseAnswer) {
     end(Self, SoakRun::End::BrokenOff);
     return X->abort();
@@ -363,6 +379,42 @@
   }
 }
 
+// ---- Crashes ----------------------------------------------------------------
+
+void SoakEndpoint::beginCrash(const RunPtr &R) {
+  Io_.after(CrashHeadDelay, [this, R, Restarts = Restarts_] {
+    std::lock_guard Lock(Mutex_);
+    if (R->HasEnded_)
+      return;
+    if (Crashes_ == Crashes::AfterHead) {
+      HttpHeaders Headers = headersOf(*R);
+      Headers.push_back({"Content-Type", "text/event-stream"});
+      R->Exchange_->head(200, std::move(Headers));
+    }
+    Io_.after(CrashDelay, [this, Restarts] {
+      std::lock_guard Lock(Mutex_);
+      if (Restarts == Restarts_)
+        crash();
+    });
+  });
+}
+
+void SoakEndpoint::crash() {
+  ++Restarts_;
+  IsLoading_ = false;
+  Record_.engineCrashes(id(), now());
+  truncate();
+  Server_.reset();
+  Io_.after(DownFor, [this] {
+    std::lock_guard Lock(Mutex_);
+    listen(portOf(Address_));
+    Born_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::system_clock::now().time_since_epoch())
+                .count();
+    IsRowNew_ = true;
+  });
+}
+
 // ---- Weights ----------------------------------------------------------------
 
 void SoakEndpoint::report(const std::shared_ptr<HttpExchange> &X) const {
@@ -370,12 +422,14 @@
   if (Weights_.loaded() > 0)
     Models.push_back(json::object{{"name", Options_.Model_},
                                   {"version", Weights_.loaded()}});
-  X->respond(jsonResponse(
-      200, json::serialize(json::object{{"models", std::move(Models)},
-                                        {"busy", IsLoading_},
-                                        {"seq", Weights_.orders()},
-                                        {"running", AtWork_.size()},
-                                        {"queued", 0}})));
+  json::object Report{{"models", std::move(Models)},
+                      {"busy", IsLoading_},
+                      {"seq", Weights_.orders()},
+                      {"running", AtWork_.size()},
+                      {"queued", 0}};
+  if (Born_ != 0)
+    Report["born"] = Born_;
+  X->respond(jsonResponse(200, json::serialize(Report)));
 }
 
 void SoakEndpoint::order(const HttpRequest &R,
--- a/tests/soak/SoakEndpoint.h
+++ b/tests/soak/SoakEndpoint.h
@@ -14,6 +14,9 @@
 // later. They also state its load, with a drawn figure for its speed. It
 // rejects health checks as it rejects requests, and some others; such an answer
 // states nothing but its id.
+//
+// An engine that crashes at SoakCrashes::CrashingPart breaks off all that it
+// runs, refuses connections for DownFor, and starts again under its id.
 
 #ifndef HAWTHORNROAD_TESTS_SOAK_SOAKENDPOINT_H
 #define HAWTHORNROAD_TESTS_SOAK_SOAKENDPOINT_H
@@ -42,6 +45,9 @@
     LoseLate,
     BreakStream
   };
+  // When an engine crashes that has begun to answer a request with the crashing
+  // part: before or after the head of its answer has left it.
+  enum class Crashes { Never, BeforeHead, AfterHead };
   struct Options {
     std::string Id_;
     std::string Service_;
@@ -58,6 +64,8 @@
   // Longer than an endpoint may be cold before all entries have to know.
   static constexpr Duration ColdAgainFor = Seconds(6);
   static constexpr Duration MaxRowDelay = Seconds(2);
+  // How long an engine that has crashed refuses connections.
+  static constexpr Duration DownFor = Milliseconds(2500);
 
   SoakEndpoint(Options O, SoakRecord &Record);
   ~SoakEndpoint();
@@ -80,6 +88,7 @@
   void restartSpoilt();
   void setMode(Mode M) { Mode_ = M; }
   Mode mode() const { return Mode_; }
+  void setCrashing(Crashes C) { Crashes_ = C; }
   // While set, most streams pause for long, though nothing is wrong.
   void setPausing(bool Pausing) { IsPausing_ = Pausing; }
   // While held it reads nothing, as a frozen machine does; what arrives
@@ -126,6 +135,10 @@
   HttpHeaders headersOf(const Run &R);
   void begin(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
   void sendEvents(const RunPtr &R);
+  // Runs a request with the crashing part.
+  void beginCrash(const RunPtr &R);
+  void crash();
+  void listen(std::uint16_t Port);
   // Breaks off everything at work.
   void truncate();
   void end(const RunPtr &R, SoakRun::End How);
@@ -143,12 +156,15 @@
   bool IsLoading_ = false;
   // Restarts; a load that was under way ends with one.
   unsigned Restarts_ = 0;
+  // Unix milliseconds of its last start; 0 until it has crashed.
+  std::int64_t Born_ = 0;
   bool IsDraining_ = false;
   TimePoint ColdUntil_;
   std::atomic<bool> IsRowNew_{true};
   std::atomic<bool> IsPausing_{false};
   std::atomic<unsigned> RejectedChecks_{0};
   std::atomic<Mode> Mode_{Mode::Normal};
+  std::atomic<Crashes> Crashes_{Crashes::Never};
   std::mutex HoldMutex_;
   std::condition_variable Released_;
   bool IsHeld_ = false;
--- a/tests/soak/SoakFate.cpp
+++ b/tests/soak/SoakFate.cpp
@@ -1,5 +1,7 @@
 #include "tests/soak/SoakFate.h"
 
+#include "tests/soak/SoakCrashes.h"
+
 #include <algorithm>
 #include <sstream>
 
@@ -73,6 +75,8 @@
   if (Last != nullptr && Last->End_ == SoakRun::End::BrokenOff &&
       Last->To_ <= O.EndedAt_)
     return SoakFate::EndpointBrokeOff;
+  if (hasCrashingPart(R.Parts_) && !Record.engineCrashes().empty())
+    return SoakFate::CrashingPart;
   if (Last != nullptr && Record.isDisrupted(Last->Endpoint_, From, O.EndedAt_))
     return SoakFate::PathCut;
   if (isStopBoundReached(R, O, Record, Runs, StopBound))
--- a/tests/soak/SoakFate.h
+++ b/tests/soak/SoakFate.h
@@ -30,6 +30,8 @@
   ProcessDisrupted,
   // Excused: the run that ended last was broken off by its endpoint.
   EndpointBrokeOff,
+  // Excused: its prompt has the crashing part.
+  CrashingPart,
   // Excused: the path to that endpoint was cut or narrowed.
   PathCut,
   // Excused: the end of the stop bound, with the endpoint still at work.
@@ -43,6 +45,7 @@
                                              "not taken",
                                              "process disrupted",
                                              "endpoint broke off",
+                                             "crashing part",
                                              "path cut",
                                              "stop bound",
                                              "deadline",
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -95,7 +95,11 @@
     KindRow{SoakFaultKind::CallersNarrowed, "callers' path narrowed",
             Target::Entry, 1},
     KindRow{SoakFaultKind::CallersImpatient, "callers leave early",
-            Target::Entry, 1}};
+            Target::Entry, 1},
+    KindRow{SoakFaultKind::CrashingPartSent, "crashing part sent",
+            Target::Entry, 1},
+    KindRow{SoakFaultKind::EnginesCrash, "engines crash", Target::Entry, 1},
+    KindRow{SoakFaultKind::AgentsStopped, "agents stopped", Target::Agent, 1}};
 
 constexpr std::uint64_t MaxSeries = 4;
 
@@ -235,7 +239,11 @@
     std::pair{"callers-held-and-partial-kills",
               StrainFailure::HeldAndPartialKills},
     std::pair{"all-held-and-kill", StrainFailure::AllHeldAndKill},
-    std::pair{"late-paths-and-kill", StrainFailure::LatePathsAndKill}};
+    std::pair{"late-paths-and-kill", StrainFailure::LatePathsAndKill},
+    std::pair{"crashes", StrainFailure::Crashes},
+    std::pair{"crashes-and-restarts", StrainFailure::CrashesAndRestarts},
+    std::pair{"crashes-before-head", StrainFailure::CrashesBeforeHead},
+    std::pair{"crashes-of-sound", StrainFailure::CrashesOfSound}};
 
 StrainFailure failureOf(const SoakPlan &P) {
   constexpr std::array BySeed = {StrainFailure::HoldAndKill,
@@ -254,6 +262,10 @@
   switch (F) {
   case StrainFailure::LossAndLeaves:
   case StrainFailure::LossOnNarrowPaths:
+  case StrainFailure::Crashes:
+  case StrainFailure::CrashesAndRestarts:
+  case StrainFailure::CrashesBeforeHead:
+  case StrainFailure::CrashesOfSound:
     return;
   case StrainFailure::LossAndFreeze:
     return Add(SoakFaultKind::EntriesFrozen, At, FrozenFor);
@@ -378,6 +390,32 @@
   return Out;
 }
 
+bool isOfCrashes(StrainFailure F) {
+  return F == StrainFailure::Crashes ||
+         F == StrainFailure::CrashesAndRestarts ||
+         F == StrainFailure::CrashesBeforeHead ||
+         F == StrainFailure::CrashesOfSound;
+}
+
+std::vector<SoakFault> planCrashes(const SoakPlan &P) {
+  constexpr Duration RestartsAt = CrashesFrom + Seconds(16);
+  constexpr Duration KillAfterStop = Milliseconds(200);
+  StrainFailure Failure = P.Failure_.value_or(StrainFailure::Crashes);
+  bool IsSentBefore = Failure == StrainFailure::CrashesOfSound;
+  bool HasHead = Failure != StrainFailure::CrashesBeforeHead;
+  std::vector<SoakFault> Out = {{SoakFaultKind::CrashingPartSent, 0, "",
+                                 IsSentBefore ? Duration::zero() : CrashesFrom,
+                                 P.Length_},
+                                {SoakFaultKind::EnginesCrash, HasHead ? 1U : 0U,
+                                 "", CrashesFrom, P.Length_}};
+  if (Failure != StrainFailure::CrashesAndRestarts)
+    return Out;
+  Out.push_back({SoakFaultKind::AgentsStopped, 0, "", RestartsAt, RestartsAt});
+  Out.push_back({SoakFaultKind::EntriesKilled, 0, "",
+                 RestartsAt + KillAfterStop, RestartsAt + KillAfterStop});
+  return Out;
+}
+
 std::string describe(const SoakFault &F) {
   const char *Name = "";
   for (std::span<const KindRow> Kinds :
--- a/tests/soak/SoakFaults.h
+++ b/tests/soak/SoakFaults.h
@@ -89,6 +89,12 @@
   CallersNarrowed,
   // Callers leave early and come again at once.
   CallersImpatient,
+  // Callers send requests with the crashing part; engines crash at it, before
+  // (target 0) or after (1) the head of their answer has left them.
+  CrashingPartSent,
+  EnginesCrash,
+  // Planned work on all agents at once.
+  AgentsStopped,
   // Planned work on every other entry; an entry more.
   EntriesStopped,
   EntryAdded
@@ -138,9 +144,14 @@
   AllHeldAndKill,
   // What is sent to plain endpoints arrives seconds later, most of it after its
   // entry was killed.
-  LatePathsAndKill
+  LatePathsAndKill,
+  // See planCrashes().
+  Crashes,
+  CrashesAndRestarts,
+  CrashesBeforeHead,
+  CrashesOfSound
 };
-// By name: "loss-and-kill", ..., "late-paths-and-kill".
+// By name: "loss-and-kill", ..., "crashes-of-sound".
 std::optional<StrainFailure> parseStrainFailure(const std::string &Name);
 
 struct SoakPlan {
@@ -164,6 +175,13 @@
 // the endpoints of each service fail in series, and the entries are killed,
 // frozen, stopped and added in a series of its own.
 std::vector<SoakFault> planRepeatStrain(const SoakPlan &P);
+// Engines crash at a part of prompts from CrashesFrom on, and nothing else
+// fails; all agents and entries restart long after the fifth crash; they crash
+// before the head of their answer has left them; or the part was sound until
+// then.
+std::vector<SoakFault> planCrashes(const SoakPlan &P);
+bool isOfCrashes(StrainFailure F);
+inline constexpr Duration CrashesFrom = Seconds(4);
 // Longer than the window in which repeats are limited.
 inline constexpr Duration CalmFor = Seconds(12);
 // The services of a repeat strain, by index.
--- a/tests/soak/SoakLoad.cpp
+++ b/tests/soak/SoakLoad.cpp
@@ -4,6 +4,7 @@
 #include "tests/soak/SoakCaller.h"
 #include "tests/soak/SoakCallers.h"
 #include "tests/soak/SoakConfig.h"
+#include "tests/soak/SoakCrashes.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -50,6 +51,14 @@
   SoakRequest R = withNewId({});
   R.Key_ = SoakCallers::SteadyKey;
   bool IsForEngine = Options_.HasEngines_ && Random_.below(2) == 0;
+  if (Options_.CrashingPerSecond_ > 0) {
+    bool IsCrashing =
+        IsCrashingPartSent_ &&
+        Random_.unit() < Options_.CrashingPerSecond_ / Options_.PerSecond_;
+    IsForEngine |= IsCrashing;
+    if (IsForEngine)
+      R.Parts_ = drawParts(Random_, IsCrashing);
+  }
   R.Kind_ = IsForEngine ? SoakKind::Stream : SoakKind::Safe;
   R.Model_ = IsForEngine ? "m" : "";
   R.Deadline_ = IsImpatient_  ? ImpatientDeadline
--- a/tests/soak/SoakLoad.h
+++ b/tests/soak/SoakLoad.h
@@ -36,6 +36,9 @@
     std::uint64_t Seed_ = 1;
     double PerSecond_ = 400;
     bool HasEngines_ = true;
+    // Requests a second with the crashing part, while it is sent. The prompts
+    // of all requests to engines then have parts.
+    double CrashingPerSecond_ = 0;
   };
   // How long callers wait.
   static constexpr Duration PlainDeadline = Milliseconds(8000);
@@ -56,6 +59,7 @@
   void setHeld(bool IsHeld) { IsHeld_ = IsHeld; }
   void setNarrowed(bool IsNarrowed) { IsNarrowed_ = IsNarrowed; }
   void setImpatient(bool IsImpatient) { IsImpatient_ = IsImpatient; }
+  void setSendingCrashingPart(bool IsSent) { IsCrashingPartSent_ = IsSent; }
 
 private:
   using Stream = boost::beast::tcp_stream;
@@ -85,6 +89,7 @@
   std::atomic<bool> IsHeld_{false};
   std::atomic<bool> IsNarrowed_{false};
   std::atomic<bool> IsImpatient_{false};
+  std::atomic<bool> IsCrashingPartSent_{false};
   // When the narrowed path has passed all that was sent so far.
   TimePoint PathFreeAt_;
   std::atomic<int> Open_{0};
--- a/tests/soak/SoakRecord.cpp
+++ b/tests/soak/SoakRecord.cpp
@@ -54,6 +54,30 @@
   return Since <= To && To - Since >= For;
 }
 
+void SoakRecord::engineCrashes(const std::string &Endpoint, TimePoint At) {
+  std::lock_guard Lock(Mutex_);
+  Crashes_[Endpoint].push_back(At);
+}
+
+std::vector<TimePoint> SoakRecord::engineCrashes() const {
+  std::lock_guard Lock(Mutex_);
+  std::vector<TimePoint> Out;
+  for (const auto &[Endpoint, Times] : Crashes_)
+    Out.insert(Out.end(), Times.begin(), Times.end());
+  std::sort(Out.begin(), Out.end());
+  return Out;
+}
+
+void SoakRecord::crashingPartBegins(TimePoint At) {
+  std::lock_guard Lock(Mutex_);
+  CrashingPartBegins_.push_back(At);
+}
+
+std::vector<TimePoint> SoakRecord::crashingPartBegins() const {
+  std::lock_guard Lock(Mutex_);
+  return CrashingPartBegins_;
+}
+
 void SoakRecord::becomesCold(const std::string &Endpoint,
                              const SoakColdSpan &S) {
   std::lock_guard Lock(Mutex_);
@@ -132,6 +156,13 @@
         auto Found = Ended_.find(Each.Endpoint_);
         bool HadEnded =
             Found != Ended_.end() && Found->second <= Runs.back().From_;
+        auto Crashed = Crashes_.find(Each.Endpoint_);
+        if (Crashed != Crashes_.end())
+          HadEnded |=
+              std::any_of(Crashed->second.begin(), Crashed->second.end(),
+                          [&](TimePoint At) {
+                            return At >= Each.From_ && At <= Runs.back().From_;
+                          });
         return Each.End_ != SoakRun::End::Rejected && !HadEnded;
       }));
 }
--- a/tests/soak/SoakRecord.h
+++ b/tests/soak/SoakRecord.h
@@ -84,6 +84,14 @@
     return "evacuation " + Zone;
   }
 
+  // An engine crashes at the crashing part, and starts again later.
+  void engineCrashes(const std::string &Endpoint, TimePoint At);
+  // In order of time.
+  std::vector<TimePoint> engineCrashes() const;
+  // An engine begins to work on a request with the crashing part.
+  void crashingPartBegins(TimePoint At);
+  std::vector<TimePoint> crashingPartBegins() const;
+
   void becomesCold(const std::string &Endpoint, const SoakColdSpan &S);
   std::map<std::string, std::vector<SoakColdSpan>> coldSpans() const;
 
@@ -103,7 +111,8 @@
   std::vector<SoakRun> runs(const std::string &Request) const;
   // How often the request ran, without rejections.
   int countRuns(const std::string &Request) const;
-  // The same without runs at endpoints that had ended before the last run.
+  // The same without runs at endpoints that had ended or crashed before the
+  // last run.
   int countRunsAtLiving(const std::string &Request) const;
 
 private:
@@ -114,6 +123,8 @@
   std::map<std::string, std::vector<SoakColdSpan>> ColdSpans_;
   // By endpoint.
   std::map<std::string, TimePoint> Ended_;
+  std::map<std::string, std::vector<TimePoint>> Crashes_;
+  std::vector<TimePoint> CrashingPartBegins_;
 };
 
 } // namespace hawthornroad
--- a/tests/soak/SoakRequest.h
+++ b/tests/soak/SoakRequest.h
@@ -27,6 +27,9 @@
   std::string Key_;
   // The model that it asks for; empty for none.
   std::string Model_;
+  // The parts of its prompt with their tokens, as the header states them; empty
+  // for none.
+  std::string Parts_;
   // The services that its route may lead to while it is sent.
   std::vector<std::string> Services_;
   TimePoint SentAt_;
--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -38,7 +38,8 @@
           Layout_, Checks_),
       Load_({.Seed_ = Options_.Layout_.Seed_,
              .PerSecond_ = Options_.StrainPerSecond_,
-             .HasEngines_ = Options_.Layout_.Agents_ > 0},
+             .HasEngines_ = Options_.Layout_.Agents_ > 0,
+             .CrashingPerSecond_ = Options_.CrashingPerSecond_},
             Layout_, Checks_) {
   Config_.LimitsCold_ = !isStrain();
   Callers_.setKeys(RotatingKey_, RotatingKey_);
@@ -187,6 +188,18 @@
     return Load_.setNarrowed(true);
   case SoakFaultKind::CallersImpatient:
     return Load_.setImpatient(true);
+  case SoakFaultKind::CrashingPartSent:
+    return Load_.setSendingCrashingPart(true);
+  case SoakFaultKind::EnginesCrash:
+    for (SoakLayout::Agent &Each : Layout_.agents())
+      Each.Engine_->setCrashing(F.Target_ == 0
+                                    ? SoakEndpoint::Crashes::BeforeHead
+                                    : SoakEndpoint::Crashes::AfterHead);
+    return;
+  case SoakFaultKind::AgentsStopped:
+    for (SoakLayout::Agent &Each : Layout_.agents())
+      Layout_.stop(Each, now());
+    return;
   case SoakFaultKind::EntriesStopped:
     for (std::size_t I = 0; I < Entries.size(); I += 2)
       Layout_.stop(Entries[I], EndsAt);
@@ -280,6 +293,8 @@
              .Zones_ = Options_.Layout_.Zones_,
              .IsPlannedOnly_ = Options_.IsPlannedOnly_,
              .Failure_ = Options_.StrainFailure_};
+  if (P.Failure_ && isOfCrashes(*P.Failure_))
+    return planCrashes(P);
   return isStrain() ? planRepeatStrain(P) : planFaults(P);
 }
 
--- a/tests/soak/SoakWorld.h
+++ b/tests/soak/SoakWorld.h
@@ -35,6 +35,8 @@
     // Runs planRepeatStrain() with callers that send this many requests a
     // second, whatever becomes of them; 0: the usual plan and callers.
     double StrainPerSecond_ = 0;
+    // Of them, with the crashing part; see planCrashes().
+    double CrashingPerSecond_ = 0;
     // How it begins; unset: by the seed.
     std::optional<StrainFailure> StrainFailure_;
     std::size_t CallersPerEntry_ = 5;
