Metric: answers lost before and after their head

Whether crashes of engines are not seen, or seen and not counted, could not be told apart: a connection lost before the head of its answer left nothing but the line of a failed attempt.

--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -272,6 +272,11 @@
   Metrics_.set("hawthornroad_log_dropped_lines_total",
                static_cast<double>(Log_.dropped()));
   Metrics_.set("hawthornroad_requests_open", static_cast<double>(Core_.open()));
+  TrafficCore::LostAnswers Lost = Core_.lostAnswers();
+  Metrics_.set("hawthornroad_answers_lost_total",
+               static_cast<double>(Lost.BeforeHead_), {{"head", "unsent"}});
+  Metrics_.set("hawthornroad_answers_lost_total",
+               static_cast<double>(Lost.AfterHead_), {{"head", "sent"}});
   setRepeatMetrics();
   S.respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
             Metrics_.render());
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -266,6 +266,13 @@
   // Bytes of requests and answers held for one request, and for all.
   std::size_t heldBytes(CallNumber N) const;
   std::size_t heldBytes() const;
+  // Answers whose connections were lost.
+  struct LostAnswers {
+    std::uint64_t BeforeHead_ = 0;
+    std::uint64_t AfterHead_ = 0;
+    bool operator==(const LostAnswers &) const = default;
+  };
+  const LostAnswers &lostAnswers() const { return LostAnswers_; }
   // What other processes know of prompt parts.
   void mergeParts(const std::vector<PartEvidence> &Parts, TimePoint Now);
   const CrashingParts &parts() const { return Parts_; }
@@ -505,6 +512,7 @@
   AbandonedRepeats Abandoned_;
   EndpointCrashes Crashes_;
   CrashingParts Parts_;
+  LostAnswers LostAnswers_;
   StatedLimits Limits_;
   LimitShare Share_;
   ColdEndpoints Cold_;
--- a/hawthornroad/traffic/TrafficCrashes.cpp
+++ b/hawthornroad/traffic/TrafficCrashes.cpp
@@ -3,6 +3,7 @@
 namespace hawthornroad {
 
 void TrafficCore::noteLost(const Record &R, const Attempt &T, TimePoint Now) {
+  ++(T.HasHead_ ? LostAnswers_.AfterHead_ : LostAnswers_.BeforeHead_);
   const Endpoint *E = Endpoints_.find(T.At_);
   bool IsLeaving = E != nullptr && E->IsDraining_;
   // A request that was queued or being read has caused nothing.
