Crashes of engines: a connection lost before the head counts as well

A real process that dies takes the head with it that it has not sent; noteLost dropped such a loss, since a queued request has caused nothing.

Change: a loss without a head is evidence, too, but a weaker one: the endpoint must be known to have ended (it refuses connections, has started again, or another one is listed at its address), while a missing row suffices where the answer had just begun. Losses of long answers are of that weaker kind now; they counted as sound, so an engine that stalls for a second and then dies cleared its part.

Which requests of a crash are the cause is told as before, by distinct starts and whole answers since.

The test of EndpointCrashes uses the new names and keeps its cases; a table of which proof each loss needs is added.

--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -188,9 +188,8 @@
     // which is not worth more bytes than this.
     std::size_t MaxRefusal_ = 64 * 1024;
     CrashingParts::Options Parts_;
-    // A request whose answer has been written for this long does not crash its
-    // engine.
-    Duration SoundAfter_ = Seconds(1);
+    // An answer that has been written for this long hardly crashes its engine.
+    Duration LongAnswer_ = Seconds(1);
   };
 
   TrafficCore(Options O, TrafficPort &Port, Random R);
--- a/hawthornroad/traffic/TrafficCrashes.cpp
+++ b/hawthornroad/traffic/TrafficCrashes.cpp
@@ -6,13 +6,15 @@
   ++(T.HasHead_ ? LostAnswers_.AfterHead_ : LostAnswers_.BeforeHead_);
   const Endpoint *E = Endpoints_.find(T.At_);
   bool IsLeaving = E != nullptr && E->IsDraining_;
-  // A request that was queued or being read has caused nothing.
-  if (!T.HasHead_ || T.Head_.NotRun_ || IsLeaving)
+  bool IsRejected = T.HasHead_ && T.Head_.NotRun_;
+  if (IsRejected || IsLeaving)
     return;
-  // Its end may be found late: the endpoint went dark, or this process paused.
-  if (T.WrittenFor_ >= Options_.SoundAfter_)
-    return Parts_.noteSound(R.Call_.Parts_, Now);
-  Crashes_.noteLost({T.At_, T.Born_}, R.Call_.Parts_, Now);
+  // By its last byte, since its end may be found late: the endpoint went dark,
+  // or this process paused.
+  bool HasJustBegun = T.HasHead_ && T.WrittenFor_ < Options_.LongAnswer_;
+  Crashes_.noteLost({T.At_, T.Born_, T.Address_, T.BegunAt_}, R.Call_.Parts_,
+                    HasJustBegun ? LossEvidence::Strong : LossEvidence::Weak,
+                    Now);
 }
 
 // An answer without framing may have been cut between two events.
@@ -26,7 +28,7 @@
 
 void TrafficCore::endpointRefused(const EndpointId &Id, TimePoint Now) {
   if (const Endpoint *E = Endpoints_.find(Id))
-    Crashes_.noteGone(startOf(*E), Now);
+    Crashes_.noteEnd(startOf(*E), EndProof::Refuses, Now);
 }
 
 void TrafficCore::mergeParts(const std::vector<PartEvidence> &Parts,
@@ -38,10 +40,12 @@
 }
 
 void TrafficCore::updateParts(TimePoint Now) {
-  for (const EndpointStart &Each : Crashes_.unconfirmed()) {
-    const Endpoint *E = Endpoints_.find(Each.Id_);
-    if (E == nullptr || E->Born_ > Each.Born_)
-      Crashes_.noteGone(Each, Now);
+  for (const EndpointUse &Each : Crashes_.unconfirmed()) {
+    EndpointStart E{Each.Id_, Each.Born_};
+    if (Endpoints_.hasEnded(Each))
+      Crashes_.noteEnd(E, EndProof::Restarted, Now);
+    else if (Endpoints_.find(Each.Id_) == nullptr)
+      Crashes_.noteEnd(E, EndProof::Unlisted, Now);
   }
   for (const EndpointCrash &Each : Crashes_.take(Now))
     Parts_.noteCrash(Each, Now);
--- a/tests/unit/CrashFleet.cpp
+++ b/tests/unit/CrashFleet.cpp
@@ -171,6 +171,14 @@
   after(At - Now_, [this, Index] { start(*Entries_[Index]); });
 }
 
+void CrashFleet::restartAll(TimePoint At) {
+  after(At - Now_, [this] {
+    Relay_ = CrashingParts(relayOptions());
+    for (const auto &Each : Entries_)
+      start(*Each);
+  });
+}
+
 void CrashFleet::cut(unsigned Index, TimePoint From, TimePoint To) {
   Entry &E = *Entries_[Index];
   E.CutFrom_ = From;
@@ -284,6 +292,14 @@
   }
   Sent &S = Sent_.at(R.RequestId_);
   S.HasBegunAtFirst_ = S.Arrivals_ == 1;
+  bool IsCrashing = S.CrashingPart_ != 0 && Now_ >= Options_.SoundUntil_;
+  if (IsCrashing)
+    after(CrashesAfter, [this, &At, Id = At.Id_, Part = S.CrashingPart_] {
+      if (At.Id_ == Id && At.IsUp_)
+        crash(At, Part);
+    });
+  if (IsCrashing && !Options_.SendsHead_)
+    return;
   R.HasHead_ = true;
   EndpointHead H;
   H.Status_ = 200;
@@ -292,13 +308,8 @@
   H.Headers_ = {{"Content-Type", "text/event-stream"}};
   E.Core_->onHead(R.Attempt_, std::move(H), Now_);
   EndpointId Id = At.Id_;
-  if (std::uint64_t Part = S.CrashingPart_) {
-    after(CrashesAfter, [this, &At, Id, Part] {
-      if (At.Id_ == Id && At.IsUp_)
-        crash(At, Part);
-    });
+  if (IsCrashing)
     return;
-  }
   E.Core_->onBody(R.Attempt_, "id: 1\ndata: x\n\n", Now_);
   bool IsLost = Random_.unit() < Options_.LostShare_;
   after(Random_.jitter(Writing, 0.8), [this, &At, Id, Number, IsLost] {
--- a/tests/unit/CrashFleet.h
+++ b/tests/unit/CrashFleet.h
@@ -43,6 +43,10 @@
     double RepeatSlack_ = 102;
     // Whether entries reach the agents.
     bool HasAgents_ = true;
+    // Whether an engine sends the head of the answer at which it crashes.
+    bool SendsHead_ = true;
+    // Until then, requests with a crashing part are answered like others.
+    TimePoint SoundUntil_ = Start;
     std::uint64_t Seed_ = 1;
   };
   // The operators' bounds.
@@ -57,6 +61,8 @@
   void sendCrashing(std::uint64_t Part, double PerSecond, TimePoint At);
   // The entry restarts and knows nothing.
   void restart(unsigned Entry, TimePoint At);
+  // All agents and entries restart.
+  void restartAll(TimePoint At);
   // In this span the entry reaches neither agents nor engines.
   void cut(unsigned Entry, TimePoint From, TimePoint To);
 
--- a/tests/unit/CrashingPartsTest.cpp
+++ b/tests/unit/CrashingPartsTest.cpp
@@ -178,26 +178,71 @@
           "that are found gone in time",
           "[crash]") {
   EndpointCrashes C;
-  EndpointStart Gone{EndpointId("i-gone"), 1};
-  EndpointStart Alive{EndpointId("i-alive"), 1};
-  C.noteLost(Gone, {Bad}, Start);
-  C.noteLost(Gone, {}, Start);
-  C.noteLost(Alive, {Shared}, Start);
+  EndpointUse Gone{EndpointId("i-gone"), 1};
+  EndpointUse Alive{EndpointId("i-alive"), 1};
+  EndpointStart GoneStart{Gone.Id_, 1};
+  EndpointStart AliveStart{Alive.Id_, 1};
+  C.noteLost(Gone, {Bad}, LossEvidence::Strong, Start);
+  C.noteLost(Gone, {}, LossEvidence::Strong, Start);
+  C.noteLost(Alive, {Shared}, LossEvidence::Strong, Start);
   REQUIRE(C.take(Start).empty());
   REQUIRE(C.unconfirmed().size() == 2);
-  C.noteAlive(Alive, Start + Milliseconds(1));
-  C.noteGone(Alive, Start + Seconds(1));
-  C.noteGone(Gone, Start + Seconds(1));
+  C.noteAlive(AliveStart, Start + Milliseconds(1));
+  C.noteEnd(AliveStart, EndProof::Refuses, Start + Seconds(1));
+  C.noteEnd(GoneStart, EndProof::Unlisted, Start + Seconds(1));
   REQUIRE(C.take(Start + Seconds(1)) ==
-          std::vector<EndpointCrash>{{Gone, Start, {Bad}}});
+          std::vector<EndpointCrash>{{GoneStart, Start, {Bad}}});
   // What is lost after that belongs to the same crash.
-  C.noteLost(Gone, {Shared}, Start + Seconds(2));
+  C.noteLost(Gone, {Shared}, LossEvidence::Strong, Start + Seconds(2));
   REQUIRE(C.take(Start + Seconds(2)).size() == 1);
   REQUIRE(C.take(Start + Seconds(2)).empty());
   // Found gone too late.
-  EndpointStart Late{EndpointId("i-late"), 1};
-  C.noteLost(Late, {Bad}, Start);
+  EndpointUse Late{EndpointId("i-late"), 1};
+  C.noteLost(Late, {Bad}, LossEvidence::Strong, Start);
   REQUIRE(C.take(Start + EndpointCrashes::ConfirmWithin).empty());
-  C.noteGone(Late, Start + EndpointCrashes::ConfirmWithin);
+  C.noteEnd({Late.Id_, 1}, EndProof::Refuses,
+            Start + EndpointCrashes::ConfirmWithin);
   REQUIRE(C.take(Start + EndpointCrashes::ConfirmWithin).empty());
 }
+
+// Guards against sound requests of a queue that count for a crash because their
+// endpoint left, and against a crash that is missed since the endpoint answers
+// again before its row shows the new start.
+TEST_CASE("endpoint crashes, given losses of each kind, need the proof that "
+          "belongs to it",
+          "[crash]") {
+  struct Row {
+    std::string Name_;
+    LossEvidence Loss_;
+    bool AnswersSince_;
+    EndProof Proof_;
+    Duration ProvedAfter_;
+    bool IsCrash_;
+  };
+  static constexpr Duration Soon = Seconds(1);
+  static constexpr Duration Late = EndpointCrashes::ListedWithin;
+  auto R = GENERATE(values<Row>({
+      {"begun", LossEvidence::Strong, false, EndProof::Unlisted, Soon, true},
+      {"no head, row missing", LossEvidence::Weak, false, EndProof::Unlisted,
+       Soon, false},
+      {"no head, refuses", LossEvidence::Weak, false, EndProof::Refuses, Soon,
+       true},
+      {"no head, restarted", LossEvidence::Weak, false, EndProof::Restarted,
+       Late, true},
+      {"answers, refuses", LossEvidence::Strong, true, EndProof::Refuses, Soon,
+       false},
+      {"answers, restarted", LossEvidence::Strong, true, EndProof::Restarted,
+       Soon, true},
+      {"answers, restarted later", LossEvidence::Strong, true,
+       EndProof::Restarted, Late, false},
+  }));
+  CAPTURE(R.Name_);
+  EndpointCrashes C;
+  EndpointUse U{EndpointId("i-1"), 1};
+  EndpointStart E{U.Id_, 1};
+  C.noteLost(U, {Bad}, R.Loss_, Start);
+  if (R.AnswersSince_)
+    C.noteAlive(E, Start + Milliseconds(200));
+  C.noteEnd(E, R.Proof_, Start + R.ProvedAfter_);
+  CHECK(C.take(Start + R.ProvedAfter_).size() == (R.IsCrash_ ? 1U : 0U));
+}
--- a/tests/unit/PromptCrashTest.cpp
+++ b/tests/unit/PromptCrashTest.cpp
@@ -107,6 +107,26 @@
   CHECK(F.blockedSoundParts() == 0);
 }
 
+// Guards against crashes that are not counted: the head of the answer is lost
+// with the process that had not sent it.
+TEST_CASE("fleet of entries, given a part that crashes engines before their "
+          "head is sent, sends three or fewer of its requests",
+          "[crash]") {
+  auto [PerSecond, Seed] =
+      GENERATE(table<double, int>({{8, 1}, {8, 2}, {8, 3}, {1, 1}, {1, 2}}));
+  CAPTURE(PerSecond, Seed);
+  CrashFleet F(
+      {.SendsHead_ = false, .Seed_ = static_cast<std::uint64_t>(Seed)});
+  F.sendCrashing(BadPart, PerSecond, FirstBad);
+  F.run(Length);
+  CAPTURE(F.crashes());
+  REQUIRE(F.crashes() >= CrashFleet::CrashesToKnow);
+  CHECK(F.arrivedAfterBound() <= CrashFleet::ArrivalsAllowed);
+  CHECK(F.soundShare() >= 0.5);
+  CHECK(F.soundShareOfAll() >= 0.8);
+  CHECK(F.blockedSoundParts() == 0);
+}
+
 // Guards against entries that know nothing of the part: one that returns from a
 // cut, those that start one after the other, and all of them at once.
 TEST_CASE("fleet of entries, some of which start or return from a cut after "
