Crashes of engines: an end that one entry has seen counts at all

Each entry that had lost a request at an engine had to find by itself that it had ended, by its next request there; until then its parts were not counted, or never.

Change: the starts in other processes' evidence of crashes prove the end of those endpoints here.

--- a/hawthornroad/traffic/TrafficCrashes.cpp
+++ b/hawthornroad/traffic/TrafficCrashes.cpp
@@ -34,8 +34,12 @@
 void TrafficCore::mergeParts(const std::vector<PartEvidence> &Parts,
                              TimePoint Now) {
   Event Scope(*this);
-  for (const PartEvidence &Each : Parts)
+  for (const PartEvidence &Each : Parts) {
     Parts_.merge(Each, Now);
+    // Their end may not be known here, where another request was lost by it.
+    for (const PartEvidence::Crash &Crash : Each.Crashes_)
+      Crashes_.noteEnd(Crash.Endpoint_, EndProof::Refuses, Now);
+  }
   updateParts(Now);
 }
 
