Crashing parts: a part that turns bad is blocked by its fifth crash

Cause: whole answers before the first crash were taken for whole answers between crashes. Those between crashes clear a part anyway.

Change: five crashes suffice for every part; one that was answered whole in the last minute is waited for longer (1.5 s in place of 0.3 s, the bound is 3 s), since a popular part beside the culprit is answered whole again by then. Its crashes at which a blocked part was there, too, do not count, and of parts that are due together the one with most crashes, then the one answered whole longest ago, goes first. Its requests are not repeated from the third crash on.

The test that a part which was sound lately needs ten crashes stated the fault; in its place: blocked by five, not before its longer wait is over, and not if it is answered whole meanwhile; and a test of explained crashes.

--- a/hawthornroad/traffic/CrashingParts.cpp
+++ b/hawthornroad/traffic/CrashingParts.cpp
@@ -34,11 +34,26 @@
   Order_.erase(Oldest);
 }
 
-bool CrashingParts::isSound(const Record &R, TimePoint Now) const {
+bool CrashingParts::wasSoundLately(const Record &R, TimePoint Now) const {
   const auto &At = R.Evidence_.SoundAt_;
   return At && Now - *At < Options_.SoundMemory_;
 }
 
+std::size_t CrashingParts::unexplained(const Record &R) const {
+  std::set<EndpointStart> Explained;
+  for (PromptPart Part : Active_) {
+    const PartEvidence &Other = Known_.at(Part).Evidence_;
+    if (Part != R.Evidence_.Part_ && Other.Block_)
+      for (const PartEvidence::Crash &Each : Other.Crashes_)
+        Explained.insert(Each.Endpoint_);
+  }
+  const auto &Own = R.Evidence_.Crashes_;
+  return static_cast<std::size_t>(
+      std::count_if(Own.begin(), Own.end(), [&](const auto &Each) {
+        return !Explained.contains(Each.Endpoint_);
+      }));
+}
+
 void CrashingParts::report(PartEvent::Kind K, const Record &R) {
   Events_.push_back({K, R.Evidence_});
 }
@@ -152,14 +167,12 @@
 // Decides whether the crashes suffice.
 void CrashingParts::judge(Record &R, TimePoint Now) {
   const PartEvidence &E = R.Evidence_;
-  std::size_t Needed =
-      isSound(R, Now) ? Options_.CrashesOfSound_ : Options_.Crashes_;
-  if (E.Blocks_ > 0)
-    Needed = 1;
+  std::size_t Needed = E.Blocks_ > 0 ? 1 : Options_.Crashes_;
   if (E.Block_ || E.Crashes_.size() < Needed)
     R.BlockAt_.reset();
   else if (!R.BlockAt_)
-    R.BlockAt_ = Now + Options_.Objection_;
+    R.BlockAt_ = Now + (wasSoundLately(R, Now) ? Options_.SoundObjection_
+                                               : Options_.Objection_);
   if (R.BlockAt_)
     Active_.insert(E.Part_);
 }
@@ -183,11 +196,33 @@
   report(PartEvent::Kind::Lifted, R);
 }
 
+// Those with most crashes first, then those that were answered whole longest
+// ago: with them blocked, the crashes of the others may be explained.
+std::vector<PromptPart> CrashingParts::due(TimePoint Now) const {
+  std::vector<PromptPart> Out;
+  for (PromptPart Part : Active_)
+    if (const auto &At = Known_.at(Part).BlockAt_; At && Now >= *At)
+      Out.push_back(Part);
+  std::sort(Out.begin(), Out.end(), [&](PromptPart A, PromptPart B) {
+    const PartEvidence &First = Known_.at(A).Evidence_;
+    const PartEvidence &Second = Known_.at(B).Evidence_;
+    if (First.Crashes_.size() != Second.Crashes_.size())
+      return First.Crashes_.size() > Second.Crashes_.size();
+    return First.SoundAt_ < Second.SoundAt_;
+  });
+  return Out;
+}
+
 void CrashingParts::tick(TimePoint Now) {
-  std::erase_if(Active_, [&](PromptPart Part) {
+  for (PromptPart Part : due(Now)) {
     Record &R = Known_.at(Part);
-    if (!Options_.IsRelay_ && R.BlockAt_ && Now >= *R.BlockAt_)
+    bool IsExplained =
+        wasSoundLately(R, Now) && unexplained(R) < Options_.Crashes_;
+    if (!Options_.IsRelay_ && !IsExplained)
       block(R, Now);
+  }
+  std::erase_if(Active_, [&](PromptPart Part) {
+    Record &R = Known_.at(Part);
     const auto &Block = R.Evidence_.Block_;
     if (Block && Now >= Block->Until_)
       lift(R, Now);
@@ -216,8 +251,9 @@
     if (Found == Known_.end())
       return false;
     const PartEvidence &E = Found->second.Evidence_;
-    return E.Block_ ||
-           (!E.SoundAt_ && E.Crashes_.size() >= Options_.SuspectCrashes_);
+    std::size_t Needed =
+        E.SoundAt_ ? Options_.SoundSuspectCrashes_ : Options_.SuspectCrashes_;
+    return E.Block_ || E.Crashes_.size() >= Needed;
   });
 }
 
--- a/hawthornroad/traffic/CrashingParts.h
+++ b/hawthornroad/traffic/CrashingParts.h
@@ -16,10 +16,15 @@
 // several of them is one.
 //
 // Errors of both kinds cost. A sound part that is blocked denies its callers;
-// so parts that were answered whole lately need CrashesOfSound_, and a part is
-// blocked only Objection_ after its last crash was learned, within which other
-// processes can object by a whole answer that they have seen. A culprit that is
-// found late costs an endpoint with its batch each time.
+// so a part is blocked only Objection_ after its crashes sufficed, within which
+// other processes can object by a whole answer that they have seen. A culprit
+// that is found late costs an endpoint with its batch each time.
+//
+// A part that was answered whole shortly before its first crash is either a
+// culprit since, or a popular part that was beside one. The popular one is
+// answered whole again soon, so it is waited for longer (SoundObjection_), and
+// the crashes of such a part do not count at which a blocked one was there,
+// too.
 //
 // A block ends after a while, which doubles from one to the next; a part that
 // was blocked before is blocked again by its first crash. A whole answer ends
@@ -79,13 +84,15 @@
   struct Options {
     // Starts of endpoints that crash under a part before it is blocked.
     unsigned Crashes_ = 5;
-    // The same for a part that was answered whole in the last SoundMemory_.
-    unsigned CrashesOfSound_ = 10;
-    Duration SoundMemory_ = Seconds(60);
-    // Requests with a part of as many crashes, never answered whole, are not
-    // repeated.
+    // Requests with a part of as many crashes are not repeated: one that was
+    // never answered whole, and one that was in the last SoundMemory_.
     unsigned SuspectCrashes_ = 2;
+    unsigned SoundSuspectCrashes_ = 3;
+    Duration SoundMemory_ = Seconds(60);
+    // From the crash that suffices until the part is blocked; the second one if
+    // it was answered whole in the last SoundMemory_.
     Duration Objection_ = Milliseconds(300);
+    Duration SoundObjection_ = Milliseconds(1500);
     // Crashes further apart do not count together.
     Duration CrashMemory_ = Seconds(3600);
     Duration FirstBlock_ = Seconds(600);
@@ -136,8 +143,12 @@
   void mergeSound(Record &R, const PartEvidence &E);
   bool mergeBlock(Record &R, const PartEvidence &E, TimePoint Now);
   void judge(Record &R, TimePoint Now);
+  // Parts whose time to object is over.
+  std::vector<PromptPart> due(TimePoint Now) const;
   void block(Record &R, TimePoint Now);
-  bool isSound(const Record &R, TimePoint Now) const;
+  bool wasSoundLately(const Record &R, TimePoint Now) const;
+  // Its crashes at which no blocked part was there as well.
+  std::size_t unexplained(const Record &R) const;
   void report(PartEvent::Kind K, const Record &R);
 
   Options Options_;
--- a/tests/unit/CrashingPartsTest.cpp
+++ b/tests/unit/CrashingPartsTest.cpp
@@ -36,6 +36,7 @@
   }
 };
 constexpr Duration Objection = CrashingParts::Options().Objection_;
+constexpr Duration SoundObjection = CrashingParts::Options().SoundObjection_;
 constexpr Duration FirstBlock = CrashingParts::Options().FirstBlock_;
 } // namespace
 
@@ -75,19 +76,46 @@
   REQUIRE_FALSE(Parts_.isSuspect({Shared}));
 }
 
-// Guards against a part that was sound before and crashes engines now: it is
-// blocked too, by more crashes.
+// Guards against a part that was sound before and crashes engines now, and is
+// blocked by twice as many crashes as others.
 TEST_CASE_METHOD(PartsFixture,
                  "crashing parts, given a part that was sound lately, block it "
-                 "by the tenth crash",
+                 "by the fifth crash unless it is answered whole soon",
                  "[crash]") {
-  Parts_.noteSound({Bad}, Now_);
-  crashTimes(9, {Bad});
-  wait(Objection);
+  Parts_.noteSound({Bad, Shared}, Now_);
+  crashTimes(2, {Bad, Shared});
+  REQUIRE_FALSE(Parts_.isSuspect({Bad}));
+  crashTimes(2, {Bad, Shared});
+  REQUIRE(Parts_.isSuspect({Bad}));
+  wait(SoundObjection);
   REQUIRE_FALSE(isBlocked(Bad));
-  crashTimes(1, {Bad});
+  crashTimes(1, {Bad, Shared});
   wait(Objection);
+  REQUIRE_FALSE(isBlocked(Bad));
+  Now_ += Milliseconds(1);
+  Parts_.noteSound({Shared}, Now_);
+  wait(SoundObjection - Objection);
   REQUIRE(isBlocked(Bad));
+  REQUIRE_FALSE(isBlocked(Shared));
+}
+
+// Guards against a sound part that is blocked as well since it was beside the
+// culprit at each crash.
+TEST_CASE_METHOD(PartsFixture,
+                 "crashing parts, given a part that was sound lately beside a "
+                 "blocked one, block it by crashes of its own alone",
+                 "[crash]") {
+  Parts_.noteSound({Shared}, Now_);
+  crashTimes(6, {Bad, Shared});
+  wait(SoundObjection);
+  REQUIRE(isBlocked(Bad));
+  REQUIRE_FALSE(isBlocked(Shared));
+  crashTimes(4, {Shared});
+  wait(SoundObjection);
+  REQUIRE_FALSE(isBlocked(Shared));
+  crashTimes(1, {Shared});
+  wait(SoundObjection);
+  REQUIRE(isBlocked(Shared));
 }
 
 // Guards against a block that is kept for ever, and against five further
--- a/tests/unit/PromptCrashTest.cpp
+++ b/tests/unit/PromptCrashTest.cpp
@@ -127,6 +127,25 @@
   CHECK(F.blockedSoundParts() == 0);
 }
 
+// Guards against a part that turns bad: its whole answers of the time before
+// say nothing of it, and at a low rate twice as many crashes take long.
+TEST_CASE("fleet of entries, given a part that was sound until it crashes "
+          "engines, sends three or fewer of its requests",
+          "[crash]") {
+  auto [PerSecond, Seed] = GENERATE(table<double, int>(
+      {{0.3, 1}, {0.3, 2}, {0.3, 3}, {1, 1}, {1, 2}, {8, 1}, {8, 2}}));
+  CAPTURE(PerSecond, Seed);
+  CrashFleet F({.SoundUntil_ = FirstBad + Seconds(8),
+                .Seed_ = static_cast<std::uint64_t>(Seed)});
+  F.sendCrashing(BadPart, PerSecond, FirstBad);
+  F.run(2 * Length);
+  CAPTURE(F.crashes());
+  REQUIRE(F.crashes() >= CrashFleet::CrashesToKnow);
+  CHECK(F.arrivedAfterBound() <= CrashFleet::ArrivalsAllowed);
+  CHECK(F.soundShareOfAll() >= 0.8);
+  CHECK(F.blockedSoundParts() == 0);
+}
+
 // Guards against entries that know nothing of the part: one that returns from a
 // cut, those that start one after the other, and all of them at once.
 TEST_CASE("fleet of entries, some of which start or return from a cut after "
