Crashing parts: an endpoint that crashes again before its row shows its new start

Change: ends of one listed start count apart if they are at least 2 s apart and the later one is certain, not a missing row alone. Entries notice one end at different times, by less than that unless they pause.

The new test needs EndpointCrash::IsCertain_ and does not build before; by the old rule its last two counts are 1.

--- a/hawthornroad/traffic/CrashingParts.cpp
+++ b/hawthornroad/traffic/CrashingParts.cpp
@@ -58,8 +58,8 @@
   Events_.push_back({K, R.Evidence_});
 }
 
-// True when it is news.
-bool CrashingParts::addCrash(Record &R, const PartEvidence::Crash &C) {
+bool CrashingParts::addCrash(Record &R, const PartEvidence::Crash &C,
+                             bool MayRepeat) {
   PartEvidence &E = R.Evidence_;
   if ((E.SoundAt_ && C.At_ <= *E.SoundAt_) || C.At_ <= R.LiftedAt_)
     return false;
@@ -68,7 +68,9 @@
   });
   bool IsKnown =
       std::any_of(E.Crashes_.begin(), E.Crashes_.end(), [&](const auto &Each) {
-        return Each.Endpoint_ == C.Endpoint_;
+        bool IsSame = !MayRepeat ||
+                      std::chrono::abs(C.At_ - Each.At_) < Options_.SameCrash_;
+        return Each.Endpoint_ == C.Endpoint_ && IsSame;
       });
   if (IsKnown || E.Crashes_.size() >= MaxCrashes)
     return false;
@@ -81,7 +83,7 @@
 void CrashingParts::noteCrash(const EndpointCrash &C, TimePoint Now) {
   for (PromptPart Part : C.Parts_) {
     Record &R = use(Part);
-    if (addCrash(R, {C.Endpoint_, C.At_}))
+    if (addCrash(R, {C.Endpoint_, C.At_}, C.IsCertain_))
       changed(R);
     judge(R, Now);
   }
@@ -157,7 +159,7 @@
   mergeSound(R, E);
   bool IsNews = false;
   for (const PartEvidence::Crash &Each : E.Crashes_)
-    IsNews |= addCrash(R, Each);
+    IsNews |= addCrash(R, Each, true);
   IsNews |= mergeBlock(R, E, Now);
   if (IsNews && Options_.IsRelay_)
     changed(R);
--- a/hawthornroad/traffic/CrashingParts.h
+++ b/hawthornroad/traffic/CrashingParts.h
@@ -2,11 +2,12 @@
 // have seen, and says which requests are refused for it.
 //
 //   CrashingParts P({});
-//   P.noteCrash(Crash);                     // an endpoint ended under a
-//   request P.noteSound(Call.Parts_, Now);          // a request was answered
-//   whole P.merge(Evidence, Now);                 // what another process has
-//   seen P.tick(Now); if (auto Until = P.blockedUntil(Call.Parts_, Now))
-//   refuse(); for (const PartEvidence &E : P.takeChanged()) send(E);
+//   P.noteCrash(Crash);               // an endpoint ended under a request
+//   P.noteSound(Call.Parts_, Now);    // a request was answered whole
+//   P.merge(Evidence, Now);           // what another process has seen
+//   P.tick(Now);
+//   if (auto Until = P.blockedUntil(Call.Parts_, Now)) refuse();
+//   for (const PartEvidence &E : P.takeChanged()) send(E);
 //
 // An endpoint that crashes ends all that it runs: one culprit and up to a batch
 // of sound requests, which share callers and parts with many others. A part is
@@ -93,6 +94,9 @@
     // it was answered whole in the last SoundMemory_.
     Duration Objection_ = Milliseconds(300);
     Duration SoundObjection_ = Milliseconds(1500);
+    // An endpoint may crash again before its row shows the new start. Ends of
+    // one listed start that are closer together are the same one.
+    Duration SameCrash_ = Seconds(2);
     // Crashes further apart do not count together.
     Duration CrashMemory_ = Seconds(3600);
     Duration FirstBlock_ = Seconds(600);
@@ -137,7 +141,9 @@
   Record &use(PromptPart Part);
   void evictOldest();
   void lift(Record &R, TimePoint Now);
-  bool addCrash(Record &R, const PartEvidence::Crash &C);
+  // MayRepeat: its endpoint may be known to have crashed before under the same
+  // listed start. True when it is new.
+  bool addCrash(Record &R, const PartEvidence::Crash &C, bool MayRepeat);
   void changed(const Record &R) { Changed_.insert(R.Evidence_.Part_); }
   void clear(Record &R);
   void mergeSound(Record &R, const PartEvidence &E);
--- a/hawthornroad/traffic/EndpointCrashes.cpp
+++ b/hawthornroad/traffic/EndpointCrashes.cpp
@@ -64,8 +64,10 @@
       bool IsLate = Each.Needed_ == EndProof::Restarted &&
                     Now - Each.Crash_.At_ >= ListedWithin;
       bool IsProved = !IsLate && Proof && *Proof >= Each.Needed_;
-      if (IsProved)
+      if (IsProved) {
+        Each.Crash_.IsCertain_ = *Proof >= EndProof::Refuses;
         Out.push_back(std::move(Each.Crash_));
+      }
       return IsLate || IsProved;
     });
   }
--- a/hawthornroad/traffic/EndpointCrashes.h
+++ b/hawthornroad/traffic/EndpointCrashes.h
@@ -49,6 +49,8 @@
   // When its connection was lost.
   TimePoint At_;
   std::vector<PromptPart> Parts_;
+  // The endpoint has ended for certain; otherwise its row is missing.
+  bool IsCertain_ = false;
   bool operator==(const EndpointCrash &) const = default;
 };
 
--- a/tests/unit/CrashingPartsTest.cpp
+++ b/tests/unit/CrashingPartsTest.cpp
@@ -36,6 +36,7 @@
   }
 };
 constexpr Duration Objection = CrashingParts::Options().Objection_;
+constexpr Duration SameCrash = CrashingParts::Options().SameCrash_;
 constexpr Duration SoundObjection = CrashingParts::Options().SoundObjection_;
 constexpr Duration FirstBlock = CrashingParts::Options().FirstBlock_;
 } // namespace
@@ -60,6 +61,31 @@
   REQUIRE_FALSE(isBlocked(Shared));
 }
 
+// Guards against crashes that are not counted since the endpoint's row shows
+// its new start later than it crashes again.
+TEST_CASE_METHOD(PartsFixture,
+                 "crashing parts, given ends of one listed start, count those "
+                 "apart that are certain and far apart",
+                 "[crash]") {
+  EndpointCrash C{{EndpointId("i-1"), 0}, Now_, {Bad}, true};
+  auto Counted = [&] { return Parts_.all().front().Crashes_.size(); };
+  Parts_.noteCrash(C, Now_);
+  // Another process noticed it later.
+  C.At_ += Milliseconds(900);
+  Parts_.noteCrash(C, Now_);
+  CHECK(Counted() == 1);
+  C.At_ = Now_ + SameCrash;
+  C.IsCertain_ = false;
+  Parts_.noteCrash(C, Now_);
+  CHECK(Counted() == 1);
+  C.IsCertain_ = true;
+  Parts_.noteCrash(C, Now_);
+  CHECK(Counted() == 2);
+  CrashingParts Other({});
+  Other.merge(Parts_.all().front(), Now_);
+  CHECK(Other.all().front().Crashes_.size() == 2);
+}
+
 // Guards against a popular part that is blocked for its neighbour.
 TEST_CASE_METHOD(PartsFixture,
                  "crashing parts, given whole answers between crashes, block "
