Prompt parts: what is known of them outlives all processes, in the store

Cause: what is known of a part lived in entries and in the two agents that relay it.

Change: a table of the platform's store, one row a part with two crashes or a block, written by the agents that relay it (by an entry that reaches none), under the condition that nobody has written since it was listed, so that writers who know different things do not undo each other's rows. Ages are on the store's clock. An entry lists it once at its start, beside the other tables. Until then, and for at most 1.5 s after its first configuration, it refuses prompts with parts (503, parts_unknown) and is not ready: an entry that cannot reach the store serves after that with what agents and other entries tell.

Calls: one at each start of an entry; for a crash under a suspected part two to four, by two agents.

The stand-in of the store heeds conditions and states its clock.

--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -50,7 +50,9 @@
       MetricsServer_(std::make_shared<HttpListener>(Io_.context(),
                                                     SessionLimits{}, *this)),
       Self_(ipOf(Settings_.EngineAddress_)),
-      Places_(placeOptions(Settings_.Policy_)) {
+      Places_(placeOptions(Settings_.Policy_)),
+      PartTable_(partTransport(Store_, bootNow), partOwner(),
+                 Random(Random_.next())) {
   Log_.write(LogLine("start")
                  .text("role", "agent")
                  .text("zone", Settings_.Common_.Zone_.str())
@@ -214,6 +216,8 @@
                      *Notice->limit, From.Process_);
   if (const auto *Parts = Unpacked.body.AsPartReport()) {
     TimePoint Now = bootNow();
+    // Only agents that relay parts need what the store has of them.
+    PartTable_.read(Now);
     for (const PartEvidence &Each : decodeParts(*Parts, Now))
       Parts_.merge(Each, Now);
     return;
@@ -227,11 +231,30 @@
       return;
 }
 
+PartTable::Owner StoreAgent::State::partOwner() {
+  PartTable::Owner O;
+  O.Merge_ = [this](const std::vector<PartEvidence> &Parts) {
+    for (const PartEvidence &Each : Parts)
+      Parts_.merge(Each, bootNow());
+  };
+  O.Find_ = [this](PromptPart Part) { return Parts_.find(Part); };
+  O.OnUnreadable_ = [this](const std::string &Key, const std::string &Why) {
+    if (RowFaults_.note(Key, Why))
+      Log_.write(LogLine("prompt_part_unreadable")
+                     .text("key", RowFaults::shortened(Key))
+                     .text("detail", RowFaults::shortened(Why)),
+                 true);
+  };
+  return O;
+}
+
 void StoreAgent::State::relayParts(TimePoint Now) {
   Parts_.tick(Now);
   // The entries log them.
   Parts_.takeEvents();
   std::vector<PartEvidence> Changed = Parts_.takeChanged();
+  PartTable_.changed(Changed, Now);
+  PartTable_.tick(Now);
   if (Changed.empty())
     return;
   FrameBuffer Frame = makeFrame(encodeParts(Changed, Now));
--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -16,6 +16,7 @@
 #include "hawthornroad/agent/RowReader.h"
 #include "hawthornroad/agent/StagedPieces.h"
 #include "hawthornroad/agent/StoreAgent.h"
+#include "hawthornroad/entry/PartTable.h"
 #include "hawthornroad/entry/RowFaults.h"
 #include "hawthornroad/http/HttpListener.h"
 #include "hawthornroad/peers/PeerPace.h"
@@ -188,7 +189,8 @@
   // Load position of the zone's engine on the VM with this address.
   LoadPosition loadPosition(const std::string &Ip, const ModelVersion &V) const;
   void notifyEntries();
-  // Passes on to all entries what has changed of prompt parts.
+  PartTable::Owner partOwner();
+  // Passes on to all entries and to the store what has changed of prompt parts.
   void relayParts(TimePoint Now);
   // Adds what changes without a notice.
   wire::EngineNoticeT withDetails(wire::EngineNoticeT Notice) const;
@@ -260,6 +262,7 @@
   LimitGrants Limits_{bootNow()};
   ColdGrants Cold_{bootNow()};
   CrashingParts Parts_{relayOptions()};
+  PartTable PartTable_;
   struct PlaceRequest {
     ConnectionId From_ = 0;
     ProcessName Process_;
--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -94,6 +94,8 @@
       StatusHandler_(*this), Links_(Io_.context(), {}),
       Core_(coreOptions(Settings_), *this,
             Random(seedOr(Settings_.Common_.RandomSeed_))),
+      PartTable_(partTransport(Store_, bootNow), partOwner(),
+                 Random(seedOr(Settings_.Common_.RandomSeed_))),
       Callers_(std::make_shared<HttpListener>(Io_.context(), SessionLimits{},
                                               *this)),
       Ready_(std::make_shared<HttpListener>(Io_.context(), SessionLimits{},
@@ -189,10 +191,39 @@
   return C;
 }
 
+PartTable::Owner DirectEntry::State::partOwner() {
+  PartTable::Owner O;
+  O.Merge_ = [this](const std::vector<PartEvidence> &Parts) {
+    Core_.mergeParts(Parts, bootNow());
+  };
+  O.Find_ = [this](PromptPart Part) { return Core_.parts().find(Part); };
+  O.OnUnreadable_ = [this](const std::string &Key, const std::string &Why) {
+    if (RowFaults_.note(Key, Why))
+      Log_.write(LogLine("prompt_part_unreadable")
+                     .text("key", RowFaults::shortened(Key))
+                     .text("detail", RowFaults::shortened(Why)),
+                 true);
+  };
+  return O;
+}
+
+void DirectEntry::State::updatePartTable(TimePoint Now) {
+  PartTable_.tick(Now);
+  if (ArePartsRead_ || !PartTable_.isRead())
+    return;
+  ArePartsRead_ = true;
+  Core_.partsRead();
+  Log_.write(LogLine("prompt_parts_read")
+                 .count("blocked", Core_.parts().blocked())
+                 .count("known", Core_.parts().all().size()));
+}
+
 void DirectEntry::State::start() {
   Source_ = std::make_unique<TableSource>(Io_, sourceSetup(), Store_, Log_,
                                           sourceCallbacks());
   Source_->start();
+  Core_.awaitParts();
+  PartTable_.read(bootNow());
   tick();
 }
 
@@ -216,6 +247,7 @@
 void DirectEntry::State::tick() {
   TimePoint Now = bootNow();
   notePause(Now);
+  updatePartTable(Now);
   Core_.tick(Now);
   checkBuffers(Now);
   Source_->tick(Now);
@@ -243,7 +275,8 @@
 // ---- Readiness and metrics --------------------------------------------------
 
 bool DirectEntry::State::isReady(TimePoint Now) const {
-  if (Stopping_.load() || !Core_.config() || !EndpointsListed_)
+  if (Stopping_.load() || !Core_.config() || !EndpointsListed_ ||
+      Core_.awaitsParts(Now))
     return false;
   auto Age = Core_.fence().age(Now);
   return Age && Core_.fence().permits(Now) &&
--- a/hawthornroad/entry/DirectEntryState.h
+++ b/hawthornroad/entry/DirectEntryState.h
@@ -12,6 +12,7 @@
 
 #include "hawthornroad/entry/DirectEntry.h"
 #include "hawthornroad/entry/EngineNotices.h"
+#include "hawthornroad/entry/PartTable.h"
 #include "hawthornroad/entry/RowFaults.h"
 #include "hawthornroad/entry/TableSource.h"
 #include "hawthornroad/http/BufferBudget.h"
@@ -71,8 +72,9 @@
       Notices_->noteLimit(Address, E, S);
   }
   void shareParts(const std::vector<PartEvidence> &Parts) override {
-    if (Notices_)
-      Notices_->shareParts(Parts);
+    // The agents that relay them write them to the store.
+    if (!Notices_ || !Notices_->shareParts(Parts))
+      PartTable_.changed(Parts, bootNow());
   }
   void respond(CallNumber N, unsigned Status, const HeaderFields &Fields,
                std::string Body) override;
@@ -103,6 +105,10 @@
   void onEndpointRows(const TableWatch::Update &U);
   TableSource::Setup sourceSetup() const;
   TableSource::Callbacks sourceCallbacks();
+  PartTable::Owner partOwner();
+  // Takes what the store has of prompt parts, once, and writes what has
+  // changed.
+  void updatePartTable(TimePoint Now);
   PeerNet::Self peerSelf() const;
   void onOperatorCall(bool Ok);
   void onEndpointCall(bool Ok);
@@ -172,6 +178,7 @@
   StatusHandler StatusHandler_;
   LinkPool Links_;
   TrafficCore Core_;
+  PartTable PartTable_;
   std::shared_ptr<HttpListener> Callers_;
   std::shared_ptr<HttpListener> Ready_;
   std::shared_ptr<HttpListener> MetricsServer_;
@@ -196,6 +203,7 @@
   Duration LongestPause_ = Duration::zero();
   TimePoint PausedAt_{};
   bool EndpointsListed_ = false;
+  bool ArePartsRead_ = false;
   bool IsOperatorTableLost_ = false;
   bool IsEndpointTableLost_ = false;
   bool WasReady_ = false;
--- a/hawthornroad/entry/EngineNotices.cpp
+++ b/hawthornroad/entry/EngineNotices.cpp
@@ -222,9 +222,11 @@
              makeFrame(encodeParts(Parts, bootNow())));
 }
 
-void EngineNotices::shareParts(const std::vector<PartEvidence> &Parts) {
-  for (const auto &[Address, Subscriptions] : relays())
+bool EngineNotices::shareParts(const std::vector<PartEvidence> &Parts) {
+  std::map<std::string, unsigned> To = relays();
+  for (const auto &[Address, Subscriptions] : To)
     sendParts(Address, Parts);
+  return !To.empty();
 }
 
 AskResult EngineNotices::askPlace(AttemptNumber A, const std::string &Engine,
--- a/hawthornroad/entry/EngineNotices.h
+++ b/hawthornroad/entry/EngineNotices.h
@@ -106,8 +106,8 @@
 
   // Sends what is known of prompt parts to the agents that relay it to all
   // entries. All entries that are connected to the same agents choose the same
-  // RelayCount of them, so that one may be lost.
-  void shareParts(const std::vector<PartEvidence> &Parts);
+  // RelayCount of them, so that one may be lost. False: none is connected.
+  bool shareParts(const std::vector<PartEvidence> &Parts);
   // Called with what such an agent sends.
   using PartsHandler = std::function<void(const std::vector<PartEvidence> &)>;
   // Returns all that is known, which a newly chosen relay is sent.
--- a/hawthornroad/peers/PartCodec.cpp
+++ b/hawthornroad/peers/PartCodec.cpp
@@ -1,6 +1,10 @@
 #include "hawthornroad/peers/PartCodec.h"
 
+#include "hawthornroad/base/Error.h"
 #include "hawthornroad/peers/Ages.h"
+#include "hawthornroad/peers/PeerNet.h"
+
+#include <algorithm>
 
 namespace hawthornroad {
 
@@ -58,6 +62,34 @@
   return Out;
 }
 
+std::string encodePartRow(const PartEvidence &E, Milliseconds WrittenAt,
+                          TimePoint Now) {
+  wire::PartRowT Row;
+  Row.written_ms = WrittenAt.count();
+  Row.part = encodePart(E, Now);
+  FrameBuffer Frame = makeFrame(std::move(Row));
+  return {reinterpret_cast<const char *>(Frame->data()), Frame->size()};
+}
+
+PartEvidence decodePartRow(const std::string &Value, Milliseconds StoreNow,
+                           TimePoint Now) {
+  const Error Unreadable(Step::Table, "", "value is not a prompt part's row");
+  flatbuffers::Verifier Verifier(
+      reinterpret_cast<const std::uint8_t *>(Value.data()), Value.size());
+  if (!wire::VerifyFrameBuffer(Verifier))
+    throw Unreadable;
+  const auto *Row = wire::GetFrame(Value.data())->body_as_PartRow();
+  if (Row == nullptr)
+    throw Unreadable;
+  wire::PartRowT Unpacked;
+  Row->UnPackTo(&Unpacked);
+  // Compared before they are subtracted: the row may state any number.
+  Milliseconds Written(
+      std::clamp<std::int64_t>(Unpacked.written_ms, 0, StoreNow.count()));
+  Duration Age = std::min<Duration>(StoreNow - Written, MaxBlockLeft);
+  return decodePart(*Unpacked.part, Now - Age);
+}
+
 std::vector<PartEvidence> decodeParts(const wire::PartReportT &Report,
                                       TimePoint Now) {
   std::vector<PartEvidence> Out;
--- a/hawthornroad/store/StoreTypes.h
+++ b/hawthornroad/store/StoreTypes.h
@@ -11,6 +11,7 @@
 #include "hawthornroad/base/Types.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,8 @@
   StoreVersion Version_ = 0;
   // More rows follow after the last one.
   bool HasMore_ = false;
+  // Of the store, which steps never set back; unset when not stated.
+  std::optional<Milliseconds> Clock_;
 };
 
 // The version a row must have for a transaction to be applied; 0: the row must
--- a/hawthornroad/traffic/CrashingParts.cpp
+++ b/hawthornroad/traffic/CrashingParts.cpp
@@ -280,6 +280,11 @@
   return Out;
 }
 
+const PartEvidence *CrashingParts::find(PromptPart Part) const {
+  auto Found = Known_.find(Part);
+  return Found == Known_.end() ? nullptr : &Found->second.Evidence_;
+}
+
 std::vector<PartEvidence> CrashingParts::all() const {
   std::vector<PartEvidence> Out;
   for (const auto &[Part, R] : Known_)
--- a/hawthornroad/traffic/CrashingParts.h
+++ b/hawthornroad/traffic/CrashingParts.h
@@ -123,6 +123,8 @@
 
   // Evidence that has changed here since the last call, for other processes.
   std::vector<PartEvidence> takeChanged();
+  // Null when nothing is known of it.
+  const PartEvidence *find(PromptPart Part) const;
   // All evidence of crashes and blocks.
   std::vector<PartEvidence> all() const;
   std::vector<PartEvent> takeEvents() { return std::exchange(Events_, {}); }
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -39,7 +39,10 @@
   else if (classify(R, Now)) {
     R.IsLate_ = isLate(R, Now);
     notePriority(R, Now);
-    if (auto Until = Parts_.blockedUntil(R.Call_.Parts_, Now))
+    if (!R.Call_.Parts_.empty() && awaitsParts(Now))
+      refuse(R, status::Unavailable, Cause::PartsUnknown, RetryElsewhereAfter,
+             Now);
+    else if (auto Until = Parts_.blockedUntil(R.Call_.Parts_, Now))
       refuseBlocked(R, *Until, Now);
     else
       place(R, Now);
--- a/hawthornroad/traffic/TrafficCore.cpp
+++ b/hawthornroad/traffic/TrafficCore.cpp
@@ -54,6 +54,8 @@
     return "attempt_lost";
   case Cause::PromptBlocked:
     return "prompt_blocked";
+  case Cause::PartsUnknown:
+    return "parts_unknown";
   case Cause::ProcessFull:
     return "process_full";
   case Cause::Stopping:
@@ -76,6 +78,8 @@
     return false;
   Config_ = std::move(C);
   ++ConfigChanges_;
+  if (!ConfiguredAt_)
+    ConfiguredAt_ = Now;
   LimitsRegions_ = limitsRegions(*Config_);
   endpointsChanged(Now);
   return true;
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -188,6 +188,9 @@
     // which is not worth more bytes than this.
     std::size_t MaxRefusal_ = 64 * 1024;
     CrashingParts::Options Parts_;
+    // How long after its first configuration a process refuses prompts while it
+    // awaits what others know of their parts.
+    Duration PartsWait_ = Milliseconds(1500);
     // An answer that has been written for this long hardly crashes its engine.
     Duration LongAnswer_ = Seconds(1);
   };
@@ -275,6 +278,15 @@
   // What other processes know of prompt parts.
   void mergeParts(const std::vector<PartEvidence> &Parts, TimePoint Now);
   const CrashingParts &parts() const { return Parts_; }
+  // What others know of prompt parts has yet to be read. Until partsRead(), or
+  // PartsWait_ after the first configuration, requests with such parts are
+  // refused.
+  void awaitParts() { AwaitsParts_ = true; }
+  void partsRead() { AwaitsParts_ = false; }
+  bool awaitsParts(TimePoint Now) const {
+    return AwaitsParts_ &&
+           (!ConfiguredAt_ || Now < *ConfiguredAt_ + Options_.PartsWait_);
+  }
   void tick(TimePoint Now);
   // A planned stop of the process.
   struct StopTimes {
@@ -511,6 +523,8 @@
   AbandonedRepeats Abandoned_;
   EndpointCrashes Crashes_;
   CrashingParts Parts_;
+  bool AwaitsParts_ = false;
+  std::optional<TimePoint> ConfiguredAt_;
   LostAnswers LostAnswers_;
   StatedLimits Limits_;
   LimitShare Share_;
--- a/hawthornroad/traffic/TrafficPort.h
+++ b/hawthornroad/traffic/TrafficPort.h
@@ -46,6 +46,7 @@
   TurnedAway,
   AttemptLost,
   PromptBlocked,
+  PartsUnknown,
   ProcessFull,
   Stopping
 };
--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -206,6 +206,10 @@
 struct EntryPresenceBuilder;
 struct EntryPresenceT;
 
+struct PartRow;
+struct PartRowBuilder;
+struct PartRowT;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -306,6 +310,8 @@
 bool operator!=(const RowsAnswerT &lhs, const RowsAnswerT &rhs);
 bool operator==(const EntryPresenceT &lhs, const EntryPresenceT &rhs);
 bool operator!=(const EntryPresenceT &lhs, const EntryPresenceT &rhs);
+bool operator==(const PartRowT &lhs, const PartRowT &rhs);
+bool operator!=(const PartRowT &lhs, const PartRowT &rhs);
 bool operator==(const FrameT &lhs, const FrameT &rhs);
 bool operator!=(const FrameT &lhs, const FrameT &rhs);
 
@@ -492,11 +498,12 @@
   PlaceAnswer = 32,
   LimitNotice = 33,
   PartReport = 34,
+  PartRow = 35,
   MIN = NONE,
-  MAX = PartReport
+  MAX = PartRow
 };
 
-inline const Body (&EnumValuesBody())[35] {
+inline const Body (&EnumValuesBody())[36] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -532,13 +539,14 @@
     Body::PlaceAsk,
     Body::PlaceAnswer,
     Body::LimitNotice,
-    Body::PartReport
+    Body::PartReport,
+    Body::PartRow
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[36] = {
+  static const char * const names[37] = {
     "NONE",
     "Hello",
     "Ping",
@@ -574,13 +582,14 @@
     "PlaceAnswer",
     "LimitNotice",
     "PartReport",
+    "PartRow",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::PartReport)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::PartRow)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -725,6 +734,10 @@
   static const Body enum_value = Body::PartReport;
 };
 
+template<> struct BodyTraits<hawthornroad::wire::PartRow> {
+  static const Body enum_value = Body::PartRow;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -865,6 +878,10 @@
   static const Body enum_value = Body::PartReport;
 };
 
+template<> struct BodyUnionTraits<hawthornroad::wire::PartRowT> {
+  static const Body enum_value = Body::PartRow;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -1167,6 +1184,14 @@
     return type == Body::PartReport ?
       reinterpret_cast<const hawthornroad::wire::PartReportT *>(value) : nullptr;
   }
+  hawthornroad::wire::PartRowT *AsPartRow() {
+    return type == Body::PartRow ?
+      reinterpret_cast<hawthornroad::wire::PartRowT *>(value) : nullptr;
+  }
+  const hawthornroad::wire::PartRowT *AsPartRow() const {
+    return type == Body::PartRow ?
+      reinterpret_cast<const hawthornroad::wire::PartRowT *>(value) : nullptr;
+  }
 };
 
 
@@ -1312,6 +1337,10 @@
       return *(reinterpret_cast<const hawthornroad::wire::PartReportT *>(lhs.value)) ==
              *(reinterpret_cast<const hawthornroad::wire::PartReportT *>(rhs.value));
     }
+    case Body::PartRow: {
+      return *(reinterpret_cast<const hawthornroad::wire::PartRowT *>(lhs.value)) ==
+             *(reinterpret_cast<const hawthornroad::wire::PartRowT *>(rhs.value));
+    }
     default: {
       return false;
     }
@@ -6515,6 +6544,75 @@
 
 flatbuffers::Offset<EntryPresence> CreateEntryPresence(flatbuffers::FlatBufferBuilder &_fbb, const EntryPresenceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct PartRowT : public flatbuffers::NativeTable {
+  typedef PartRow TableType;
+  int64_t written_ms = 0;
+  std::unique_ptr<hawthornroad::wire::PromptPartT> part{};
+  PartRowT() = default;
+  PartRowT(const PartRowT &o);
+  PartRowT(PartRowT&&) FLATBUFFERS_NOEXCEPT = default;
+  PartRowT &operator=(PartRowT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct PartRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PartRowT NativeTableType;
+  typedef PartRowBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WRITTEN_MS = 4,
+    VT_PART = 6
+  };
+  int64_t written_ms() const {
+    return GetField<int64_t>(VT_WRITTEN_MS, 0);
+  }
+  const hawthornroad::wire::PromptPart *part() const {
+    return GetPointer<const hawthornroad::wire::PromptPart *>(VT_PART);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int64_t>(verifier, VT_WRITTEN_MS, 8) &&
+           VerifyOffsetRequired(verifier, VT_PART) &&
+           verifier.VerifyTable(part()) &&
+           verifier.EndTable();
+  }
+  PartRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PartRowT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PartRow> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PartRowT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PartRowBuilder {
+  typedef PartRow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_written_ms(int64_t written_ms) {
+    fbb_.AddElement<int64_t>(PartRow::VT_WRITTEN_MS, written_ms, 0);
+  }
+  void add_part(flatbuffers::Offset<hawthornroad::wire::PromptPart> part) {
+    fbb_.AddOffset(PartRow::VT_PART, part);
+  }
+  explicit PartRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PartRow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PartRow>(end);
+    fbb_.Required(o, PartRow::VT_PART);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PartRow> CreatePartRow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int64_t written_ms = 0,
+    flatbuffers::Offset<hawthornroad::wire::PromptPart> part = 0) {
+  PartRowBuilder builder_(_fbb);
+  builder_.add_written_ms(written_ms);
+  builder_.add_part(part);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<PartRow> CreatePartRow(flatbuffers::FlatBufferBuilder &_fbb, const PartRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
   hawthornroad::wire::BodyUnion body{};
@@ -6636,6 +6734,9 @@
   const hawthornroad::wire::PartReport *body_as_PartReport() const {
     return body_type() == hawthornroad::wire::Body::PartReport ? static_cast<const hawthornroad::wire::PartReport *>(body()) : nullptr;
   }
+  const hawthornroad::wire::PartRow *body_as_PartRow() const {
+    return body_type() == hawthornroad::wire::Body::PartRow ? static_cast<const hawthornroad::wire::PartRow *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -6784,6 +6885,10 @@
   return body_as_PartReport();
 }
 
+template<> inline const hawthornroad::wire::PartRow *Frame::body_as<hawthornroad::wire::PartRow>() const {
+  return body_as_PartRow();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -9684,6 +9789,58 @@
 }
 
 
+inline bool operator==(const PartRowT &lhs, const PartRowT &rhs) {
+  return
+      (lhs.written_ms == rhs.written_ms) &&
+      ((lhs.part == rhs.part) || (lhs.part && rhs.part && *lhs.part == *rhs.part));
+}
+
+inline bool operator!=(const PartRowT &lhs, const PartRowT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline PartRowT::PartRowT(const PartRowT &o)
+      : written_ms(o.written_ms),
+        part((o.part) ? new hawthornroad::wire::PromptPartT(*o.part) : nullptr) {
+}
+
+inline PartRowT &PartRowT::operator=(PartRowT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(written_ms, o.written_ms);
+  std::swap(part, o.part);
+  return *this;
+}
+
+inline PartRowT *PartRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<PartRowT>(new PartRowT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PartRow::UnPackTo(PartRowT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = written_ms(); _o->written_ms = _e; }
+  { auto _e = part(); if (_e) _o->part = std::unique_ptr<hawthornroad::wire::PromptPartT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<PartRow> PartRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PartRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePartRow(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PartRow> CreatePartRow(flatbuffers::FlatBufferBuilder &_fbb, const PartRowT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PartRowT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _written_ms = _o->written_ms;
+  auto _part = _o->part ? CreatePromptPart(_fbb, _o->part.get(), _rehasher) : 0;
+  return hawthornroad::wire::CreatePartRow(
+      _fbb,
+      _written_ms,
+      _part);
+}
+
+
 inline bool operator==(const FrameT &lhs, const FrameT &rhs) {
   return
       (lhs.body == rhs.body);
@@ -9864,6 +10021,10 @@
       auto ptr = reinterpret_cast<const hawthornroad::wire::PartReport *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::PartRow: {
+      auto ptr = reinterpret_cast<const hawthornroad::wire::PartRow *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -10019,6 +10180,10 @@
       auto ptr = reinterpret_cast<const hawthornroad::wire::PartReport *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::PartRow: {
+      auto ptr = reinterpret_cast<const hawthornroad::wire::PartRow *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -10162,6 +10327,10 @@
       auto ptr = reinterpret_cast<const hawthornroad::wire::PartReportT *>(value);
       return CreatePartReport(_fbb, ptr, _rehasher).Union();
     }
+    case Body::PartRow: {
+      auto ptr = reinterpret_cast<const hawthornroad::wire::PartRowT *>(value);
+      return CreatePartRow(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -10304,6 +10473,10 @@
       value = new hawthornroad::wire::PartReportT(*reinterpret_cast<hawthornroad::wire::PartReportT *>(u.value));
       break;
     }
+    case Body::PartRow: {
+      value = new hawthornroad::wire::PartRowT(*reinterpret_cast<hawthornroad::wire::PartRowT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -10481,6 +10654,11 @@
       delete ptr;
       break;
     }
+    case Body::PartRow: {
+      auto ptr = reinterpret_cast<hawthornroad::wire::PartRowT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/tests/integration/PlatformFixture.cpp
+++ b/tests/integration/PlatformFixture.cpp
@@ -71,7 +71,11 @@
     Out.push_back(std::move(O));
   }
   return json::serialize(json::object{
-      {"rows", std::move(Out)}, {"ver", Version_}, {"has_more", false}});
+      {"rows", std::move(Out)},
+      {"ver", Version_},
+      {"now_ms",
+       std::chrono::steady_clock::now().time_since_epoch() / Milliseconds(1)},
+      {"has_more", false}});
 }
 
 void StoreStandIn::handle(const HttpRequest &R,
@@ -105,10 +109,26 @@
   X->respond(jsonResponse(200, text(Out)));
 }
 
-// Ignores conditions: the entry's only write has none.
+std::uint64_t StoreStandIn::versionOf(const std::string &Table,
+                                      const std::string &Key) const {
+  std::lock_guard Lock(Mutex_);
+  auto Found = Rows_.find({Table, Key});
+  bool IsThere = Found != Rows_.end() && !Found->second.IsRemoved_;
+  return IsThere ? Found->second.Version_ : 0;
+}
+
+// The server has one thread, so nobody writes between the check and the puts
+// but the test itself.
 void StoreStandIn::write(const HttpRequest &R,
                          const std::shared_ptr<HttpExchange> &X) {
   json::object Call = json::parse(R.Body_).as_object();
+  for (const json::value &Each : Call.at("expected").as_array()) {
+    const json::object &O = Each.as_object();
+    if (versionOf(O.at("table").as_string().c_str(),
+                  O.at("key").as_string().c_str()) !=
+        O.at("ver").to_number<std::uint64_t>())
+      return X->respond(jsonResponse(412, "{\"rows\":[]}"));
+  }
   for (const json::value &Each : Call.at("puts").as_array()) {
     const json::object &O = Each.as_object();
     put(O.at("table").as_string().c_str(), O.at("key").as_string().c_str(),
--- a/tests/integration/PlatformFixture.h
+++ b/tests/integration/PlatformFixture.h
@@ -61,6 +61,9 @@
   void write(const HttpRequest &R, const std::shared_ptr<HttpExchange> &X);
   void feed(const std::string &Table, std::uint64_t After, int WaitMs,
             const std::shared_ptr<HttpExchange> &X);
+  // 0: no such row.
+  std::uint64_t versionOf(const std::string &Table,
+                          const std::string &Key) const;
   bool answerFeed(const Held &H, bool AtOnce);
   void change(Row R);
   std::string text(const std::vector<Row> &Rows) const;
--- a/tests/unit/CrashFleet.cpp
+++ b/tests/unit/CrashFleet.cpp
@@ -20,6 +20,7 @@
 constexpr Duration TickPeriod = Milliseconds(40);
 constexpr Duration SubscribedAfter = Milliseconds(100);
 constexpr Duration RelayPeriod = Milliseconds(150);
+constexpr Duration StoreCall = Milliseconds(8);
 constexpr Duration ProofPeriod = Milliseconds(500);
 constexpr unsigned Slots = 16;
 // The crashing requests share this part with sound ones.
@@ -53,6 +54,7 @@
   unsigned Index_;
   unsigned Starts_ = 0;
   std::unique_ptr<TrafficCore> Core_;
+  std::unique_ptr<PartTable> Table_;
   CallNumber NextCall_ = 1;
   std::set<AttemptNumber> Open_;
   std::set<PromptPart> Blocked_;
@@ -110,8 +112,10 @@
   }
   if (O.OrdinaryCrashes_ > 0)
     nextOrdinaryCrash();
-  if (O.HasAgents_)
-    after(RelayPeriod, [this] { relayParts(); });
+  if (!O.HasAgents_)
+    return;
+  startRelay();
+  after(RelayPeriod, [this] { relayParts(); });
 }
 
 CrashFleet::~CrashFleet() = default;
@@ -122,13 +126,65 @@
   return O;
 }
 
+PartTable::Transport CrashFleet::storeTransport() {
+  PartTable::Transport T;
+  T.Clock_ = [this] { return Now_; };
+  T.List_ = [this](const std::string &, const std::string &FromKey,
+                   PartTable::Transport::Done D) {
+    after(StoreCall, [this, FromKey, D = std::move(D)] {
+      if (!Options_.HasStore_)
+        return D(StoreFailure::Silent);
+      StoreRows Out;
+      Out.Clock_ = std::chrono::duration_cast<Milliseconds>(Now_ - Start);
+      Out.Version_ = StoreVersion_;
+      for (const auto &[Key, Row] : Rows_)
+        if (Key >= FromKey)
+          Out.Rows_.push_back(Row);
+      D(Out);
+    });
+  };
+  T.Write_ = [this](const StoreTransaction &W, PartTable::Transport::Done D) {
+    after(StoreCall, [this, W, D = std::move(D)] {
+      if (!Options_.HasStore_)
+        return D(StoreFailure::Silent);
+      for (const StoreCondition &Each : W.Conditions_)
+        if (auto Found = Rows_.find(Each.Key_);
+            Each.Version_ !=
+            (Found == Rows_.end() ? 0 : Found->second.Version_))
+          return D(StoreFailure::Conflict);
+      ++StoreVersion_;
+      for (StoreRow Each : W.Puts_) {
+        Each.Version_ = StoreVersion_;
+        Rows_[Each.Key_] = Each;
+      }
+      D(StoreRows());
+    });
+  };
+  return T;
+}
+
+void CrashFleet::startRelay() {
+  Relay_ = CrashingParts(relayOptions());
+  PartTable::Owner O;
+  O.Merge_ = [this](const std::vector<PartEvidence> &Parts) {
+    for (const PartEvidence &Each : Parts)
+      Relay_.merge(Each, Now_);
+  };
+  O.Find_ = [this](PromptPart Part) { return Relay_.find(Part); };
+  RelayTable_ = std::make_unique<PartTable>(storeTransport(), std::move(O),
+                                            Random(Random_.next()));
+}
+
 void CrashFleet::receiveParts(const std::vector<PartEvidence> &Parts) {
+  RelayTable_->read(Now_);
   for (const PartEvidence &Each : Parts)
     Relay_.merge(Each, Now_);
 }
 
 void CrashFleet::relayParts() {
   std::vector<PartEvidence> Changed = Relay_.takeChanged();
+  RelayTable_->changed(Changed, Now_);
+  RelayTable_->tick(Now_);
   for (const auto &Each : Entries_)
     if (!Each->isCut() && !Changed.empty())
       after(Hop, [this, &E = *Each, Changed] {
@@ -159,6 +215,15 @@
   E.Core_->endpoints().listed(All, Now_);
   E.Core_->configure(Config_, Now_);
   E.Core_->prove(Now_, Now_);
+  PartTable::Owner Owner;
+  Owner.Merge_ = [this, &E](const std::vector<PartEvidence> &Parts) {
+    E.Core_->mergeParts(Parts, Now_);
+  };
+  Owner.Find_ = [&E](PromptPart Part) { return E.Core_->parts().find(Part); };
+  E.Table_ = std::make_unique<PartTable>(storeTransport(), std::move(Owner),
+                                         Random(Random_.next()));
+  E.Core_->awaitParts();
+  E.Table_->read(Now_);
   // The relay answers a new subscription with all that it knows.
   if (Options_.HasAgents_)
     after(SubscribedAfter, [this, &E] {
@@ -173,7 +238,7 @@
 
 void CrashFleet::restartAll(TimePoint At) {
   after(At - Now_, [this] {
-    Relay_ = CrashingParts(relayOptions());
+    startRelay();
     for (const auto &Each : Entries_)
       start(*Each);
   });
@@ -193,6 +258,9 @@
 void CrashFleet::tick(Entry &E) {
   if (Now_.time_since_epoch() % ProofPeriod < TickPeriod)
     E.Core_->prove(Now_, Now_);
+  E.Table_->tick(Now_);
+  if (E.Table_->isRead())
+    E.Core_->partsRead();
   E.Core_->tick(Now_);
   after(TickPeriod, [this, &E] { tick(E); });
 }
--- a/tests/unit/CrashFleet.h
+++ b/tests/unit/CrashFleet.h
@@ -15,6 +15,7 @@
 #ifndef HAWTHORNROAD_TESTS_UNIT_CRASHFLEET_H
 #define HAWTHORNROAD_TESTS_UNIT_CRASHFLEET_H
 
+#include "hawthornroad/entry/PartTable.h"
 #include "hawthornroad/traffic/TrafficCore.h"
 #include "tests/unit/SimulatedFleet.h"
 
@@ -45,6 +46,8 @@
     bool HasAgents_ = true;
     // Whether an engine sends the head of the answer at which it crashes.
     bool SendsHead_ = true;
+    // Whether processes reach the store.
+    bool HasStore_ = true;
     // Until then, requests with a crashing part are answered like others.
     TimePoint SoundUntil_ = Start;
     std::uint64_t Seed_ = 1;
@@ -103,6 +106,8 @@
   // The agent that relays what entries know of prompt parts.
   void receiveParts(const std::vector<PartEvidence> &Parts);
   void relayParts();
+  PartTable::Transport storeTransport();
+  void startRelay();
   void send(Entry &E, std::uint64_t FirstPart, std::uint64_t CrashingPart);
   void arriveAt(const EndpointId &Id, const std::string &Address, Entry &E,
                 AttemptNumber A, const std::string &RequestId);
@@ -125,7 +130,11 @@
   std::multimap<std::uint64_t, TimePoint> Arrivals_;
   // By part, 0 for ordinary crashes.
   std::multimap<std::uint64_t, TimePoint> CrashedAt_;
+  // The store's rows of prompt parts, by key.
+  std::map<std::string, StoreRow> Rows_;
+  StoreVersion StoreVersion_ = 1;
   CrashingParts Relay_{relayOptions()};
+  std::unique_ptr<PartTable> RelayTable_;
   std::uint64_t NextRequest_ = 1;
   unsigned NextEngineId_ = 1;
 };
--- a/tests/unit/PromptCrashTest.cpp
+++ b/tests/unit/PromptCrashTest.cpp
@@ -146,6 +146,29 @@
   CHECK(F.blockedSoundParts() == 0);
 }
 
+// Guards against a block that ends with the processes that know of it.
+TEST_CASE("fleet of entries, all of which restart with their agents after the "
+          "part was found, sends three or fewer of its requests",
+          "[crash]") {
+  auto [PerSecond, After, Seed] =
+      GENERATE(table<double, int, int>({{8, 14, 1},
+                                        {8, 14, 2},
+                                        {1, 14, 1},
+                                        {1, 14, 2},
+                                        {1, 3, 1},
+                                        {0.3, 12, 1}}));
+  CAPTURE(PerSecond, After, Seed);
+  CrashFleet F({.Seed_ = static_cast<std::uint64_t>(Seed)});
+  F.sendCrashing(BadPart, PerSecond, FirstBad);
+  F.restartAll(FirstBad + Seconds(After));
+  F.restartAll(FirstBad + Seconds(After) + Seconds(6));
+  F.run(2 * Length);
+  CAPTURE(F.crashes());
+  REQUIRE(F.crashes() >= CrashFleet::CrashesToKnow);
+  CHECK(F.arrivedAfterBound() <= CrashFleet::ArrivalsAllowed);
+  CHECK(F.blockedSoundParts() == 0);
+}
+
 // Guards against entries that know nothing of the part: one that returns from a
 // cut, those that start one after the other, and all of them at once.
 TEST_CASE("fleet of entries, some of which start or return from a cut after "
