Crashes of engines: agents pass on which endpoints have ended

An entry that had lost a request at an engine learned of its end by a later request there, or from evidence of a part; an agent passes that on from the second crash of a part on.

Change: agents pass on the ends of endpoints from the first report on, without parts.

--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -255,9 +255,12 @@
   std::vector<PartEvidence> Changed = Parts_.takeChanged();
   PartTable_.changed(Changed, Now);
   PartTable_.tick(Now);
-  if (Changed.empty())
+  std::vector<EndpointStart> Ended = Parts_.takeEnded();
+  if (Changed.empty() && Ended.empty())
     return;
-  FrameBuffer Frame = makeFrame(encodeParts(Changed, Now));
+  wire::PartReportT Report = encodeParts(Changed, Now);
+  encodeEnded(Ended, Report);
+  FrameBuffer Frame = makeFrame(std::move(Report));
   for (const auto &[Process, W] : Watchers_)
     Net_->reply(W.Connection_, Frame);
 }
--- a/hawthornroad/entry/DirectEntry.cpp
+++ b/hawthornroad/entry/DirectEntry.cpp
@@ -126,8 +126,10 @@
         });
   if (Notices_)
     Notices_->setPartsHandler(
-        [this](const std::vector<PartEvidence> &Parts) {
+        [this](const std::vector<PartEvidence> &Parts,
+               const std::vector<EndpointStart> &Ended) {
           Core_.mergeParts(Parts, bootNow());
+          Core_.noteEnded(Ended, bootNow());
         },
         [this] { return Core_.parts().all(); });
   Io_.submit([this] { start(); });
--- a/hawthornroad/entry/EngineNotices.cpp
+++ b/hawthornroad/entry/EngineNotices.cpp
@@ -179,7 +179,7 @@
   wire::PartReportT Unpacked;
   Report.UnPackTo(&Unpacked);
   if (PartsHandler_)
-    PartsHandler_(decodeParts(Unpacked, bootNow()));
+    PartsHandler_(decodeParts(Unpacked, bootNow()), decodeEnded(Unpacked));
 }
 
 std::map<std::string, unsigned> EngineNotices::relays() const {
--- a/hawthornroad/entry/EngineNotices.h
+++ b/hawthornroad/entry/EngineNotices.h
@@ -108,8 +108,10 @@
   // entries. All entries that are connected to the same agents choose the same
   // RelayCount of them, so that one may be lost. False: none is connected.
   bool shareParts(const std::vector<PartEvidence> &Parts);
-  // Called with what such an agent sends.
-  using PartsHandler = std::function<void(const std::vector<PartEvidence> &)>;
+  // Called with what such an agent sends: parts, and endpoints that have ended.
+  using PartsHandler =
+      std::function<void(const std::vector<PartEvidence> &,
+                         const std::vector<EndpointStart> &Ended)>;
   // Returns all that is known, which a newly chosen relay is sent.
   using PartsSource = std::function<std::vector<PartEvidence>()>;
   void setPartsHandler(PartsHandler H, PartsSource S) {
--- a/hawthornroad/peers/PartCodec.cpp
+++ b/hawthornroad/peers/PartCodec.cpp
@@ -62,6 +62,24 @@
   return Out;
 }
 
+void encodeEnded(const std::vector<EndpointStart> &Ended,
+                 wire::PartReportT &Report) {
+  for (const EndpointStart &Each : Ended) {
+    auto Out = std::make_unique<wire::PartCrashT>();
+    Out->endpoint = Each.Id_.str();
+    Out->born = Each.Born_;
+    Report.ended.push_back(std::move(Out));
+  }
+}
+
+std::vector<EndpointStart> decodeEnded(const wire::PartReportT &Report) {
+  std::vector<EndpointStart> Out;
+  for (const auto &Each : Report.ended)
+    if (Each && Out.size() < EndpointCrashes::MaxPending)
+      Out.push_back({EndpointId(Each->endpoint), Each->born});
+  return Out;
+}
+
 std::string encodePartRow(const PartEvidence &E, Milliseconds WrittenAt,
                           TimePoint Now) {
   wire::PartRowT Row;
--- a/hawthornroad/peers/PartCodec.h
+++ b/hawthornroad/peers/PartCodec.h
@@ -19,6 +19,10 @@
 
 wire::PartReportT encodeParts(const std::vector<PartEvidence> &Parts,
                               TimePoint Now);
+// Adds endpoints that have ended.
+void encodeEnded(const std::vector<EndpointStart> &Ended,
+                 wire::PartReportT &Report);
+std::vector<EndpointStart> decodeEnded(const wire::PartReportT &Report);
 std::vector<PartEvidence> decodeParts(const wire::PartReportT &Report,
                                       TimePoint Now);
 
--- a/hawthornroad/traffic/CrashingParts.cpp
+++ b/hawthornroad/traffic/CrashingParts.cpp
@@ -276,10 +276,18 @@
                    E.Crashes_.size() >= Options_.SuspectCrashes_;
     if (R.IsShared_)
       Out.push_back(E);
+    else
+      for (const PartEvidence::Crash &Each : E.Crashes_)
+        Ended_.insert(Each.Endpoint_);
   }
   return Out;
 }
 
+std::vector<EndpointStart> CrashingParts::takeEnded() {
+  std::set<EndpointStart> Out = std::exchange(Ended_, {});
+  return {Out.begin(), Out.end()};
+}
+
 const PartEvidence *CrashingParts::find(PromptPart Part) const {
   auto Found = Known_.find(Part);
   return Found == Known_.end() ? nullptr : &Found->second.Evidence_;
--- a/hawthornroad/traffic/CrashingParts.h
+++ b/hawthornroad/traffic/CrashingParts.h
@@ -123,6 +123,10 @@
 
   // Evidence that has changed here since the last call, for other processes.
   std::vector<PartEvidence> takeChanged();
+  // Of a relay: endpoints that have ended, by crashes of which takeChanged()
+  // has passed on none. Another process may have lost a request there and not
+  // know.
+  std::vector<EndpointStart> takeEnded();
   // Null when nothing is known of it.
   const PartEvidence *find(PromptPart Part) const;
   // All evidence of crashes and blocks.
@@ -164,6 +168,7 @@
   // Parts that tick() looks at: blocked, or to be blocked.
   std::set<PromptPart> Active_;
   std::set<PromptPart> Changed_;
+  std::set<EndpointStart> Ended_;
   // Least recently used first.
   std::list<PromptPart> Order_;
   std::vector<PartEvent> Events_;
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -277,6 +277,8 @@
   const LostAnswers &lostAnswers() const { return LostAnswers_; }
   // What other processes know of prompt parts.
   void mergeParts(const std::vector<PartEvidence> &Parts, TimePoint Now);
+  // Another process has found that these endpoints have ended.
+  void noteEnded(const std::vector<EndpointStart> &Ended, TimePoint Now);
   const CrashingParts &parts() const { return Parts_; }
   // What others know of prompt parts has yet to be read. Until partsRead(), or
   // PartsWait_ after the first configuration, requests with such parts are
--- a/hawthornroad/traffic/TrafficCrashes.cpp
+++ b/hawthornroad/traffic/TrafficCrashes.cpp
@@ -43,6 +43,14 @@
   updateParts(Now);
 }
 
+void TrafficCore::noteEnded(const std::vector<EndpointStart> &Ended,
+                            TimePoint Now) {
+  Event Scope(*this);
+  for (const EndpointStart &Each : Ended)
+    Crashes_.noteEnd(Each, EndProof::Refuses, Now);
+  updateParts(Now);
+}
+
 void TrafficCore::updateParts(TimePoint Now) {
   for (const EndpointUse &Each : Crashes_.unconfirmed()) {
     EndpointStart E{Each.Id_, Each.Born_};
--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -5701,6 +5701,7 @@
 struct PartReportT : public flatbuffers::NativeTable {
   typedef PartReport TableType;
   std::vector<std::unique_ptr<hawthornroad::wire::PromptPartT>> parts{};
+  std::vector<std::unique_ptr<hawthornroad::wire::PartCrashT>> ended{};
   PartReportT() = default;
   PartReportT(const PartReportT &o);
   PartReportT(PartReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -5711,16 +5712,23 @@
   typedef PartReportT NativeTableType;
   typedef PartReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_PARTS = 4
+    VT_PARTS = 4,
+    VT_ENDED = 6
   };
   const flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::PromptPart>> *parts() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::PromptPart>> *>(VT_PARTS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::PartCrash>> *ended() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::PartCrash>> *>(VT_ENDED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_PARTS) &&
            verifier.VerifyVector(parts()) &&
            verifier.VerifyVectorOfTables(parts()) &&
+           VerifyOffset(verifier, VT_ENDED) &&
+           verifier.VerifyVector(ended()) &&
+           verifier.VerifyVectorOfTables(ended()) &&
            verifier.EndTable();
   }
   PartReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5735,6 +5743,9 @@
   void add_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::PromptPart>>> parts) {
     fbb_.AddOffset(PartReport::VT_PARTS, parts);
   }
+  void add_ended(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::PartCrash>>> ended) {
+    fbb_.AddOffset(PartReport::VT_ENDED, ended);
+  }
   explicit PartReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5748,19 +5759,24 @@
 
 inline flatbuffers::Offset<PartReport> CreatePartReport(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::PromptPart>>> parts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::PromptPart>>> parts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornroad::wire::PartCrash>>> ended = 0) {
   PartReportBuilder builder_(_fbb);
+  builder_.add_ended(ended);
   builder_.add_parts(parts);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<PartReport> CreatePartReportDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<hawthornroad::wire::PromptPart>> *parts = nullptr) {
+    const std::vector<flatbuffers::Offset<hawthornroad::wire::PromptPart>> *parts = nullptr,
+    const std::vector<flatbuffers::Offset<hawthornroad::wire::PartCrash>> *ended = nullptr) {
   auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<hawthornroad::wire::PromptPart>>(*parts) : 0;
+  auto ended__ = ended ? _fbb.CreateVector<flatbuffers::Offset<hawthornroad::wire::PartCrash>>(*ended) : 0;
   return hawthornroad::wire::CreatePartReport(
       _fbb,
-      parts__);
+      parts__,
+      ended__);
 }
 
 flatbuffers::Offset<PartReport> CreatePartReport(flatbuffers::FlatBufferBuilder &_fbb, const PartReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -9323,7 +9339,8 @@
 
 inline bool operator==(const PartReportT &lhs, const PartReportT &rhs) {
   return
-      (lhs.parts.size() == rhs.parts.size() && std::equal(lhs.parts.cbegin(), lhs.parts.cend(), rhs.parts.cbegin(), [](std::unique_ptr<hawthornroad::wire::PromptPartT> const &a, std::unique_ptr<hawthornroad::wire::PromptPartT> const &b) { return (a == b) || (a && b && *a == *b); }));
+      (lhs.parts.size() == rhs.parts.size() && std::equal(lhs.parts.cbegin(), lhs.parts.cend(), rhs.parts.cbegin(), [](std::unique_ptr<hawthornroad::wire::PromptPartT> const &a, std::unique_ptr<hawthornroad::wire::PromptPartT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.ended.size() == rhs.ended.size() && std::equal(lhs.ended.cbegin(), lhs.ended.cend(), rhs.ended.cbegin(), [](std::unique_ptr<hawthornroad::wire::PartCrashT> const &a, std::unique_ptr<hawthornroad::wire::PartCrashT> const &b) { return (a == b) || (a && b && *a == *b); }));
 }
 
 inline bool operator!=(const PartReportT &lhs, const PartReportT &rhs) {
@@ -9334,10 +9351,13 @@
 inline PartReportT::PartReportT(const PartReportT &o) {
   parts.reserve(o.parts.size());
   for (const auto &parts_ : o.parts) { parts.emplace_back((parts_) ? new hawthornroad::wire::PromptPartT(*parts_) : nullptr); }
+  ended.reserve(o.ended.size());
+  for (const auto &ended_ : o.ended) { ended.emplace_back((ended_) ? new hawthornroad::wire::PartCrashT(*ended_) : nullptr); }
 }
 
 inline PartReportT &PartReportT::operator=(PartReportT o) FLATBUFFERS_NOEXCEPT {
   std::swap(parts, o.parts);
+  std::swap(ended, o.ended);
   return *this;
 }
 
@@ -9351,6 +9371,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = std::unique_ptr<hawthornroad::wire::PromptPartT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = ended(); if (_e) { _o->ended.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ended[_i] = std::unique_ptr<hawthornroad::wire::PartCrashT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<PartReport> PartReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PartReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9362,9 +9383,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PartReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _parts = _o->parts.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornroad::wire::PromptPart>> (_o->parts.size(), [](size_t i, _VectorArgs *__va) { return CreatePromptPart(*__va->__fbb, __va->__o->parts[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _ended = _o->ended.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornroad::wire::PartCrash>> (_o->ended.size(), [](size_t i, _VectorArgs *__va) { return CreatePartCrash(*__va->__fbb, __va->__o->ended[i].get(), __va->__rehasher); }, &_va ) : 0;
   return hawthornroad::wire::CreatePartReport(
       _fbb,
-      _parts);
+      _parts,
+      _ended);
 }
 
 
--- a/tests/unit/CrashFleet.cpp
+++ b/tests/unit/CrashFleet.cpp
@@ -185,10 +185,12 @@
   std::vector<PartEvidence> Changed = Relay_.takeChanged();
   RelayTable_->changed(Changed, Now_);
   RelayTable_->tick(Now_);
+  std::vector<EndpointStart> Ended = Relay_.takeEnded();
   for (const auto &Each : Entries_)
-    if (!Each->isCut() && !Changed.empty())
-      after(Hop, [this, &E = *Each, Changed] {
+    if (!Each->isCut() && !(Changed.empty() && Ended.empty()))
+      after(Hop, [this, &E = *Each, Changed, Ended] {
         E.Core_->mergeParts(Changed, Now_);
+        E.Core_->noteEnded(Ended, Now_);
       });
   after(RelayPeriod, [this] { relayParts(); });
 }
