Crashing parts: a whole answer says nothing of what came after its begin

Cause: an answer that was begun before a part turned bad and ended after its first crashes cleared these.

Change: a whole answer clears crashes up to 0.3 s after its head; an engine that a request crashes ends that soon after it begins to answer.

--- a/hawthornroad/traffic/CrashingParts.cpp
+++ b/hawthornroad/traffic/CrashingParts.cpp
@@ -103,18 +103,34 @@
 }
 
 void CrashingParts::noteSound(const std::vector<PromptPart> &Parts,
-                              TimePoint Now) {
+                              TimePoint At) {
   for (PromptPart Part : Parts) {
     Record &R = use(Part);
     PartEvidence &E = R.Evidence_;
-    E.SoundAt_ = Now;
+    if (E.SoundAt_ && At <= *E.SoundAt_)
+      continue;
+    E.SoundAt_ = At;
     if (E.Crashes_.empty() && E.Blocks_ == 0)
       continue;
     changed(R);
-    clear(R);
+    clearUntilSound(R);
   }
 }
 
+// Forgets what was before the last whole answer.
+void CrashingParts::clearUntilSound(Record &R) {
+  PartEvidence &E = R.Evidence_;
+  auto IsBefore = [&](TimePoint At) { return At <= *E.SoundAt_; };
+  bool HasLater =
+      std::any_of(E.Crashes_.begin(), E.Crashes_.end(),
+                  [&](const auto &Each) { return !IsBefore(Each.At_); });
+  bool HasLaterBlock = E.Block_ && !IsBefore(E.Block_->At_);
+  if (!HasLater && !HasLaterBlock)
+    return clear(R);
+  std::erase_if(E.Crashes_,
+                [&](const auto &Each) { return IsBefore(Each.At_); });
+}
+
 void CrashingParts::mergeSound(Record &R, const PartEvidence &E) {
   PartEvidence &Own = R.Evidence_;
   if (Own.SoundAt_ && (!E.SoundAt_ || *E.SoundAt_ < *Own.SoundAt_))
@@ -125,15 +141,7 @@
   Own.SoundAt_ = E.SoundAt_;
   if (Options_.IsRelay_)
     changed(R);
-  auto IsBefore = [&](TimePoint At) { return At <= *Own.SoundAt_; };
-  bool HasLater =
-      std::any_of(Own.Crashes_.begin(), Own.Crashes_.end(),
-                  [&](const auto &Each) { return !IsBefore(Each.At_); });
-  bool HasLaterBlock = Own.Block_ && !IsBefore(Own.Block_->At_);
-  if (!HasLater && !HasLaterBlock)
-    return clear(R);
-  std::erase_if(Own.Crashes_,
-                [&](const auto &Each) { return IsBefore(Each.At_); });
+  clearUntilSound(R);
 }
 
 // True when it is news.
--- a/hawthornroad/traffic/CrashingParts.h
+++ b/hawthornroad/traffic/CrashingParts.h
@@ -3,7 +3,7 @@
 //
 //   CrashingParts P({});
 //   P.noteCrash(Crash);               // an endpoint ended under a request
-//   P.noteSound(Call.Parts_, Now);    // a request was answered whole
+//   P.noteSound(Call.Parts_, At);     // a request was answered whole
 //   P.merge(Evidence, Now);           // what another process has seen
 //   P.tick(Now);
 //   if (auto Until = P.blockedUntil(Call.Parts_, Now)) refuse();
@@ -60,7 +60,7 @@
   PromptPart Part_ = 0;
   // Since SoundAt_, oldest first.
   std::vector<Crash> Crashes_;
-  // When a request with it was last answered whole.
+  // As of when it is known to be sound, by the last whole answer.
   std::optional<TimePoint> SoundAt_;
   struct Block {
     TimePoint At_;
@@ -110,7 +110,9 @@
   explicit CrashingParts(Options O) : Options_(O) {}
 
   void noteCrash(const EndpointCrash &C, TimePoint Now);
-  void noteSound(const std::vector<PromptPart> &Parts, TimePoint Now);
+  // A request with these parts was answered whole, which shows that they were
+  // sound at At. It says nothing of crashes after that.
+  void noteSound(const std::vector<PromptPart> &Parts, TimePoint At);
   void merge(const PartEvidence &E, TimePoint Now);
   // Blocks parts and lifts blocks.
   void tick(TimePoint Now);
@@ -152,6 +154,7 @@
   bool addCrash(Record &R, const PartEvidence::Crash &C, bool MayRepeat);
   void changed(const Record &R) { Changed_.insert(R.Evidence_.Part_); }
   void clear(Record &R);
+  void clearUntilSound(Record &R);
   void mergeSound(Record &R, const PartEvidence &E);
   bool mergeBlock(Record &R, const PartEvidence &E, TimePoint Now);
   void judge(Record &R, TimePoint Now);
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -191,6 +191,9 @@
     // How long after its first configuration a process refuses prompts while it
     // awaits what others know of their parts.
     Duration PartsWait_ = Milliseconds(1500);
+    // An endpoint that a request crashes ends this soon after the head of its
+    // answer; what ends later does not show when it became sound.
+    Duration CrashDelay_ = Milliseconds(300);
     // An answer that has been written for this long hardly crashes its engine.
     Duration LongAnswer_ = Seconds(1);
   };
--- a/hawthornroad/traffic/TrafficCrashes.cpp
+++ b/hawthornroad/traffic/TrafficCrashes.cpp
@@ -1,5 +1,7 @@
 #include "hawthornroad/traffic/TrafficState.h"
 
+#include <algorithm>
+
 namespace hawthornroad {
 
 void TrafficCore::noteLost(const Record &R, const Attempt &T, TimePoint Now) {
@@ -23,7 +25,9 @@
   if (!IsFramed)
     return noteLost(R, T, Now);
   if (T.Head_.Status_ == status::Ok)
-    Parts_.noteSound(R.Call_.Parts_, Now);
+    Parts_.noteSound(
+        R.Call_.Parts_,
+        std::min<TimePoint>(Now, T.HeadAt_ + Options_.CrashDelay_));
 }
 
 void TrafficCore::endpointRefused(const EndpointId &Id, TimePoint Now) {
