Answers whose status is no final one fail at once

Callers saw (MIXED, on other systems of this kind): an answer with status 000. Here: 000, 042 and 099 without a length were passed on as "HTTP/1.1 0" and the like, with one the caller waited for the route's timeout; 101 was waited out; 600 to 999 were passed on.

Cause: a parser takes any three digits; below 200 counted as interim, anything else as final.

Change: one definition (base/HttpStatus.h). Interim is 100 to 199 but 101, final 200 to 599; anything else fails the attempt at once, as one that may have run, on entries' and agents' links (store, health checks and engines included) and in the product's own client. At most 16 interim answers. Writers of a head put 502 in place of what is no final status.

--- a/hawthornroad/http/ClientLink.cpp
+++ b/hawthornroad/http/ClientLink.cpp
@@ -1,5 +1,6 @@
 #include "hawthornroad/http/ClientLink.h"
 
+#include "hawthornroad/base/HttpStatus.h"
 #include "hawthornroad/runtime/Address.h"
 #include "hawthornroad/runtime/BootClock.h"
 
@@ -78,6 +79,7 @@
 }
 
 void ClientLink::resetCounts() {
+  Interims_ = 0;
   InterimBytes_ = HeadBytes_ = WireBytes_ = BodyBytes_ = LeftBytes_ = 0;
 }
 
@@ -237,14 +239,18 @@
     if (!HeadDelivered_)
       HeadBytes_ += Used;
     if (Parser_->is_header_done() && !HeadDelivered_) {
-      // An interim (1xx) answer precedes the final one.
-      if (Parser_->get().result_int() < 200 && Parser_->is_done()) {
+      unsigned Status = Parser_->get().result_int();
+      if (isInterimStatus(Status)) {
         InterimBytes_ += std::exchange(HeadBytes_, 0);
-        if (InterimBytes_ > Options_.MaxHeader_)
+        if (++Interims_ > MaxInterimAnswers ||
+            InterimBytes_ > Options_.MaxHeader_)
           return fail(Step::Receive, "too many interim answers");
         startParser();
         continue;
       }
+      if (!isFinalStatus(Status))
+        return fail(Step::Receive,
+                    "status " + std::to_string(Status) + " is no final one");
       processHead();
     } else if (HeadDelivered_) {
       WireBytes_ += Used;
--- a/hawthornroad/http/ClientLink.h
+++ b/hawthornroad/http/ClientLink.h
@@ -164,6 +164,7 @@
   MakeText MakeOut_;
   std::string Out_;
   std::size_t MaxBody_ = 0;
+  unsigned Interims_ = 0;
   // Received bytes of interim heads, of the body with its framing, and of the
   // body alone.
   std::size_t InterimBytes_ = 0;
--- a/hawthornroad/http/Framing.cpp
+++ b/hawthornroad/http/Framing.cpp
@@ -1,5 +1,7 @@
 #include "hawthornroad/http/Framing.h"
 
+#include "hawthornroad/base/HttpStatus.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
@@ -84,6 +86,7 @@
 std::string responseHead(unsigned Status, const HeaderFields &Fields,
                          BodyFraming Framing, std::size_t Length,
                          bool KeepOpen) {
+  Status = writableStatus(Status);
   std::string Text = "HTTP/1.1 " + std::to_string(Status) + " ";
   auto Reason =
       beast::http::obsolete_reason(beast::http::int_to_status(Status));
--- a/hawthornroad/http/ServerSession.cpp
+++ b/hawthornroad/http/ServerSession.cpp
@@ -1,5 +1,6 @@
 #include "hawthornroad/http/ServerSession.h"
 
+#include "hawthornroad/base/HttpStatus.h"
 #include "hawthornroad/http/HttpListener.h"
 
 #include <algorithm>
@@ -239,7 +240,8 @@
     return send(
         responseHead(Status, Fields, BodyFraming::Chunked, 0, KeepOpen_));
   // HTTP/1.0 has no chunked encoding: the end of the connection ends the body.
-  std::string Text = "HTTP/1.1 " + std::to_string(Status) + " \r\n";
+  std::string Text =
+      "HTTP/1.1 " + std::to_string(writableStatus(Status)) + " \r\n";
   for (const HeaderField &Each : Fields)
     Text += Each.Name_ + ": " + Each.Value_ + "\r\n";
   send(Text + "Connection: close\r\n\r\n");
--- a/hawthornroad/runtime/HttpClient.cpp
+++ b/hawthornroad/runtime/HttpClient.cpp
@@ -1,3 +1,4 @@
+#include "hawthornroad/base/HttpStatus.h"
 #include "hawthornroad/runtime/Address.h"
 #include "hawthornroad/runtime/Http.h"
 
@@ -22,8 +23,6 @@
 namespace {
 
 constexpr std::size_t ReadBuffer = 64 * 1024;
-constexpr unsigned FirstFinalStatus = 200;
-constexpr int MaxInterimAnswers = 16;
 // Of a call by a command-line program, which has no other clients' requests.
 constexpr std::size_t MaxFetched = 256 * 1024 * 1024;
 
@@ -162,7 +161,7 @@
   asio::awaitable<bool> readFinalHead(bool HeadOnly, beast::flat_buffer &Buffer,
                                       std::optional<Parser> &Out) {
     boost::system::error_code Code;
-    for (int Interim = 0; Interim <= MaxInterimAnswers; ++Interim) {
+    for (unsigned Interim = 0; Interim <= MaxInterimAnswers; ++Interim) {
       Out.emplace();
       Out->body_limit(Options_.MaxBody_);
       Out->skip(HeadOnly);
@@ -174,8 +173,14 @@
         fail(Step::Receive, Code.message());
         co_return false;
       }
-      if (Out->get().result_int() >= FirstFinalStatus)
+      unsigned Status = Out->get().result_int();
+      if (isFinalStatus(Status))
         co_return true;
+      if (!isInterimStatus(Status)) {
+        fail(Step::Receive,
+             "status " + std::to_string(Status) + " is no final one");
+        co_return false;
+      }
     }
     fail(Step::Receive, "too many interim answers");
     co_return false;
--- a/hawthornroad/runtime/HttpServer.cpp
+++ b/hawthornroad/runtime/HttpServer.cpp
@@ -1,3 +1,4 @@
+#include "hawthornroad/base/HttpStatus.h"
 #include "hawthornroad/runtime/Address.h"
 #include "hawthornroad/runtime/Http.h"
 
@@ -50,6 +51,7 @@
 }
 
 std::string responseHead(unsigned Status, const HttpHeaders &Headers) {
+  Status = writableStatus(Status);
   std::string Text = "HTTP/1.1 " + std::to_string(Status) + " ";
   auto Reason = http::obsolete_reason(http::int_to_status(Status));
   Text.append(Reason.data(), Reason.size());
