Crashing parts: a sound part beside a blocked one stays unblocked for good

Found by reading: its crashes did not count while its last whole answer was less than a minute old; after that the part was blocked, if no request with it had come meanwhile.

Change: what counts is whether it was answered whole within a minute before its first crash, which time does not change.

The new check (two minutes later) passes; the rule before is blocked there by reading, it was not run.

--- a/hawthornroad/traffic/CrashingParts.cpp
+++ b/hawthornroad/traffic/CrashingParts.cpp
@@ -34,9 +34,10 @@
   Order_.erase(Oldest);
 }
 
-bool CrashingParts::wasSoundLately(const Record &R, TimePoint Now) const {
-  const auto &At = R.Evidence_.SoundAt_;
-  return At && Now - *At < Options_.SoundMemory_;
+bool CrashingParts::wasSoundBefore(const Record &R) const {
+  const PartEvidence &E = R.Evidence_;
+  return E.SoundAt_ && !E.Crashes_.empty() &&
+         E.Crashes_.front().At_ - *E.SoundAt_ < Options_.SoundMemory_;
 }
 
 std::size_t CrashingParts::unexplained(const Record &R) const {
@@ -181,8 +182,8 @@
   if (E.Block_ || E.Crashes_.size() < Needed)
     R.BlockAt_.reset();
   else if (!R.BlockAt_)
-    R.BlockAt_ = Now + (wasSoundLately(R, Now) ? Options_.SoundObjection_
-                                               : Options_.Objection_);
+    R.BlockAt_ = Now + (wasSoundBefore(R) ? Options_.SoundObjection_
+                                          : Options_.Objection_);
   if (R.BlockAt_)
     Active_.insert(E.Part_);
 }
@@ -226,8 +227,7 @@
 void CrashingParts::tick(TimePoint Now) {
   for (PromptPart Part : due(Now)) {
     Record &R = Known_.at(Part);
-    bool IsExplained =
-        wasSoundLately(R, Now) && unexplained(R) < Options_.Crashes_;
+    bool IsExplained = wasSoundBefore(R) && unexplained(R) < Options_.Crashes_;
     if (!Options_.IsRelay_ && !IsExplained)
       block(R, Now);
   }
--- a/hawthornroad/traffic/CrashingParts.h
+++ b/hawthornroad/traffic/CrashingParts.h
@@ -86,12 +86,12 @@
     // Starts of endpoints that crash under a part before it is blocked.
     unsigned Crashes_ = 5;
     // Requests with a part of as many crashes are not repeated: one that was
-    // never answered whole, and one that was in the last SoundMemory_.
+    // never answered whole, and one that was.
     unsigned SuspectCrashes_ = 2;
     unsigned SoundSuspectCrashes_ = 3;
     Duration SoundMemory_ = Seconds(60);
     // From the crash that suffices until the part is blocked; the second one if
-    // it was answered whole in the last SoundMemory_.
+    // it was answered whole within SoundMemory_ before its first crash.
     Duration Objection_ = Milliseconds(300);
     Duration SoundObjection_ = Milliseconds(1500);
     // An endpoint may crash again before its row shows the new start. Ends of
@@ -161,7 +161,8 @@
   // Parts whose time to object is over.
   std::vector<PromptPart> due(TimePoint Now) const;
   void block(Record &R, TimePoint Now);
-  bool wasSoundLately(const Record &R, TimePoint Now) const;
+  // Whether it was answered whole within SoundMemory_ before its first crash.
+  bool wasSoundBefore(const Record &R) const;
   // Its crashes at which no blocked part was there as well.
   std::size_t unexplained(const Record &R) const;
   void report(PartEvent::Kind K, const Record &R);
--- a/hawthornroad/traffic/EndpointCrashes.h
+++ b/hawthornroad/traffic/EndpointCrashes.h
@@ -12,10 +12,9 @@
 // that is found to have ended within ConfirmWithin has crashed. How good the
 // proof has to be depends on the loss:
 //
-//   the answer had just begun         its row is missing, or better
-//   no head yet, or long under way    it refuses connections, or better
-//   it answers a later attempt        a later start is listed within
-//   ListedWithin
+//   the answer had just begun        its row is missing, or better
+//   no head yet, or long under way   it refuses connections, or better
+//   it answers a later attempt       its row shows a new start in time
 //
 // A process that dies takes the head with it that it has not sent, so a request
 // without one may be the cause as well as one of its queue. An endpoint that
--- a/tests/unit/CrashingPartsTest.cpp
+++ b/tests/unit/CrashingPartsTest.cpp
@@ -136,6 +136,9 @@
   wait(SoundObjection);
   REQUIRE(isBlocked(Bad));
   REQUIRE_FALSE(isBlocked(Shared));
+  // Nor later, though no request has it meanwhile.
+  wait(2 * CrashingParts::Options().SoundMemory_);
+  REQUIRE_FALSE(isBlocked(Shared));
   crashTimes(4, {Shared});
   wait(SoundObjection);
   REQUIRE_FALSE(isBlocked(Shared));
