Prompt parts in the store: a stale row is corrected by who reads it

Found by reading: an agent that learned of a whole answer before it had read the table, or while the store refused, did not correct the row, so entries that started later took a block over that had been cleared.

Change: a reader that knows more than a row writes it, and rows are forgotten by the next listing that succeeds, not when it begins.

Failing before: unit 'part table, read by a process that knows of a later whole answer, is corrected', in both cases (5 crashes and a block).

--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -238,13 +238,7 @@
       Parts_.merge(Each, bootNow());
   };
   O.Find_ = [this](PromptPart Part) { return Parts_.find(Part); };
-  O.OnUnreadable_ = [this](const std::string &Key, const std::string &Why) {
-    if (RowFaults_.note(Key, Why))
-      Log_.write(LogLine("prompt_part_unreadable")
-                     .text("key", RowFaults::shortened(Key))
-                     .text("detail", RowFaults::shortened(Why)),
-                 true);
-  };
+  O.OnUnreadable_ = logUnreadableParts(Log_, RowFaults_);
   return O;
 }
 
--- a/hawthornroad/entry/PartTable.cpp
+++ b/hawthornroad/entry/PartTable.cpp
@@ -50,7 +50,7 @@
   if (IsBusy_ || !ListAt_ || Now < *ListAt_)
     return;
   ListAt_.reset();
-  Rows_.clear();
+  IsFirstPage_ = true;
   list("");
 }
 
@@ -61,7 +61,6 @@
 
 void PartTable::list(const std::string &FromKey) {
   IsBusy_ = true;
-  ++Calls_;
   Transport_.List_(std::string(Table), FromKey,
                    [this, Alive = Alive_](const StoreReply &R) {
                      if (*Alive)
@@ -87,9 +86,23 @@
 }
 
 void PartTable::take(const StoreRows &Rows, TimePoint Now) {
+  if (std::exchange(IsFirstPage_, false))
+    Rows_.clear();
   StoreClock_ = Rows.Clock_;
   ListedAt_ = Now;
-  std::vector<PartEvidence> Read;
+  std::vector<PartEvidence> Read = decode(Rows, Now);
+  if (Read.empty())
+    return;
+  Owner_.Merge_(Read);
+  for (const PartEvidence &Each : Read)
+    if (const PartEvidence *Known = Owner_.Find_(Each.Part_);
+        Known != nullptr && !isUpToDate(*Known))
+      Changed_.insert(Each.Part_);
+}
+
+std::vector<PartEvidence> PartTable::decode(const StoreRows &Rows,
+                                            TimePoint Now) {
+  std::vector<PartEvidence> Out;
   for (const StoreRow &Each : Rows.Rows_) {
     try {
       PartEvidence E = decodePartRow(
@@ -98,14 +111,13 @@
       if (keyOf(E.Part_) != Each.Key_)
         throw Error(Step::Table, Each.Key_, "the row is of another part");
       Rows_[E.Part_] = {Each.Version_, E};
-      Read.push_back(std::move(E));
+      Out.push_back(std::move(E));
     } catch (const Error &E) {
       if (Owner_.OnUnreadable_)
         Owner_.OnUnreadable_(Each.Key_, E.message());
     }
   }
-  if (!Read.empty())
-    Owner_.Merge_(Read);
+  return Out;
 }
 
 // What the row has is known here, too, unless a whole answer came after it.
@@ -144,7 +156,6 @@
   if (Parts.empty())
     return;
   IsBusy_ = true;
-  ++Calls_;
   Transport_.Write_(
       T, [this, Alive = Alive_, Parts = std::move(Parts)](const StoreReply &R) {
         if (*Alive)
@@ -169,6 +180,17 @@
   retryLater(Now);
 }
 
+std::function<void(const std::string &Key, const std::string &Why)>
+logUnreadableParts(EventLog &Log, RowFaults &Faults) {
+  return [&Log, &Faults](const std::string &Key, const std::string &Why) {
+    if (Faults.note(Key, Why))
+      Log.write(LogLine("prompt_part_unreadable")
+                    .text("key", RowFaults::shortened(Key))
+                    .text("detail", RowFaults::shortened(Why)),
+                true);
+  };
+}
+
 PartTable::Transport partTransport(StoreClient &Store,
                                    std::function<TimePoint()> Clock) {
   PartTable::Transport T;
--- a/hawthornroad/entry/PartTable.h
+++ b/hawthornroad/entry/PartTable.h
@@ -13,7 +13,8 @@
 // A row is written in three steps: the table is listed, what it has is merged
 // into the owner's knowledge, and a row that lacks some of that is replaced
 // unless somebody else has written it meanwhile; then all is done again. So
-// processes that know different things never undo each other's rows.
+// processes that know different things never undo each other's rows, and one
+// that knows of a later whole answer corrects a row by reading it.
 //
 // Calls: one at a read, two for a change, which waits for WriteDelay for
 // others to come with it. A call that fails is repeated after RetryDelay,
@@ -25,6 +26,8 @@
 #define HAWTHORNROAD_ENTRY_PARTTABLE_H
 
 #include "hawthornroad/base/Random.h"
+#include "hawthornroad/entry/RowFaults.h"
+#include "hawthornroad/runtime/EventLog.h"
 #include "hawthornroad/store/StoreClient.h"
 #include "hawthornroad/traffic/CrashingParts.h"
 
@@ -74,13 +77,12 @@
   bool isRead() const { return IsRead_; }
   void changed(const std::vector<PartEvidence> &Parts, TimePoint Now);
   void tick(TimePoint Now);
-  // Calls to the store so far.
-  std::uint64_t calls() const { return Calls_; }
 
 private:
   void list(const std::string &FromKey);
   void onList(const StoreReply &R);
   void take(const StoreRows &Rows, TimePoint Now);
+  std::vector<PartEvidence> decode(const StoreRows &Rows, TimePoint Now);
   void write(TimePoint Now);
   void onWritten(const StoreReply &R, const std::set<PromptPart> &Parts);
   void retryLater(TimePoint Now);
@@ -100,17 +102,22 @@
   // When the table is listed next; unset when there is no reason to.
   std::optional<TimePoint> ListAt_;
   Duration RetryDelay_ = RetryDelay;
+  // The next page is the first of a listing.
+  bool IsFirstPage_ = true;
   // As of the last listing, and empty ones for those written since.
   std::map<PromptPart, Row> Rows_;
   std::optional<Milliseconds> StoreClock_;
   TimePoint ListedAt_;
   // Parts whose rows may lack something.
   std::set<PromptPart> Changed_;
-  std::uint64_t Calls_ = 0;
   // Lets answers that arrive after this object's destruction detect it.
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
 };
 
+// Logs each unreadable row and fault once.
+std::function<void(const std::string &Key, const std::string &Why)>
+logUnreadableParts(EventLog &Log, RowFaults &Faults);
+
 // The transport of a process: calls by Store.
 PartTable::Transport partTransport(StoreClient &Store,
                                    std::function<TimePoint()> Clock);
--- a/tests/unit/FinalStatusTest.cpp
+++ b/tests/unit/FinalStatusTest.cpp
@@ -25,6 +25,10 @@
     Body{"chunked", "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
     Body{"end of the connection", "X-A: 1\r\n\r\nok"}};
 
+std::string answerOf(const char *Status, const Body &B) {
+  return "HTTP/1.1 " + std::string(Status) + " -\r\n" + B.Rest_;
+}
+
 // A server that answers one request and keeps its connection open until the
 // client has ended it.
 class StatusFixture {
@@ -96,8 +100,7 @@
   const char *Status = GENERATE(from_range(NotFinal));
   Body B = GENERATE(from_range(Bodies));
   CAPTURE(Status, B.Name_);
-  std::thread Server =
-      serve("HTTP/1.1 " + std::string(Status) + " -\r\n" + B.Rest_);
+  std::thread Server = serve(answerOf(Status, B));
   auto L = std::make_shared<ClientLink>(Io_.context(), address(),
                                         ClientLink::Options{});
   std::optional<unsigned> Out = sendOver(L);
@@ -115,8 +118,7 @@
   const char *Status = GENERATE(from_range(NotFinal));
   Body B = GENERATE(from_range(Bodies));
   CAPTURE(Status, B.Name_);
-  std::thread Server =
-      serve("HTTP/1.1 " + std::string(Status) + " -\r\n" + B.Rest_);
+  std::thread Server = serve(answerOf(Status, B));
   std::optional<HttpResult> Out = call();
   Server.join();
   REQUIRE(Out);
--- a/tests/unit/PartTableTest.cpp
+++ b/tests/unit/PartTableTest.cpp
@@ -198,6 +198,35 @@
   CHECK(crashesKnown(After) == 0);
 }
 
+// Guards against a row that stays blocked since the process which learns of a
+// whole answer has not read the table yet, or could not.
+TEST_CASE_METHOD(TableFixture,
+                 "part table, read by a process that knows of a later whole "
+                 "answer, is corrected",
+                 "[crash][part-table]") {
+  Process Before(*this);
+  crash(Before, 5);
+  Now_ += Objection;
+  Before.Parts_.tick(Now_);
+  Before.Table_.changed(Before.Parts_.takeChanged(), Now_);
+  run({&Before});
+  bool IsRefused = GENERATE(false, true);
+  CAPTURE(IsRefused);
+  Process Later(*this);
+  IsRefusing_ = IsRefused;
+  Later.Table_.read(Now_);
+  Later.Parts_.noteSound({Bad}, Now_);
+  Later.Table_.changed(Later.Parts_.takeChanged(), Now_);
+  run({&Later}, Seconds(1));
+  IsRefusing_ = false;
+  run({&Later}, 2 * PartTable::MaxRetryDelay);
+  Process After(*this);
+  After.Table_.read(Now_);
+  run({&After}, Milliseconds(20));
+  CHECK(crashesKnown(After) == 0);
+  CHECK_FALSE(After.Parts_.blockedUntil({Bad}, Now_));
+}
+
 // Guards against evidence that is dropped since the store was away, and against
 // a call for each tick meanwhile.
 TEST_CASE_METHOD(TableFixture,
