--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -80,7 +80,8 @@
     if (head.get("Transfer-Encoding") or "").lower() == "chunked":
         out = b""
         while True:
-            size = int((await reader.readline()).split(b";")[0], 16)
+            line = await reader.readuntil(b"\r\n")
+            size = int(line.split(b";")[0], 16)
             if size == 0:
                 await reader.readline()
                 return out
