--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -9,6 +9,7 @@
 import hashlib
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -41,14 +42,21 @@
         self.file.flush()
 
 
+# Each run has loopback addresses of its own, so that runs beside it share no port.
+NET = f"127.{random.SystemRandom().randint(2, 250)}"
 TAKEN = set()
 
 
+def ip(group, number):
+    """A loopback address of this run."""
+    return f"{NET}.{group}.{number}"
+
+
 def free_port():
     """A free port; each call gives another one, so that no two processes share one."""
     while True:
         with socket.socket() as s:
-            s.bind(("127.0.0.1", 0))
+            s.bind((ip(1, 1), 0))
             port = s.getsockname()[1]
         if port not in TAKEN:
             TAKEN.add(port)
@@ -104,8 +112,8 @@
 class HttpServer:
     """Serves one request at a time on each connection."""
 
-    def __init__(self, ip="127.0.0.1", port=0):
-        self.ip, self.port, self.server, self.writers = ip, port, None, set()
+    def __init__(self, at=None, port=0):
+        self.ip, self.port, self.server, self.writers = at or ip(4, 1), port, None, set()
 
     @property
     def address(self):
@@ -231,8 +239,8 @@
 class Server(HttpServer):
     """A server of a plain service. It runs a request and answers 200."""
 
-    def __init__(self, record, store, service, zone, name, ip="127.0.0.1", slots=6, work_s=0.03):
-        super().__init__(ip)
+    def __init__(self, record, store, service, zone, name, at=None, slots=6, work_s=0.03):
+        super().__init__(at)
         self.record, self.store, self.service, self.zone = record, store, service, zone
         self.id, self.slots, self.work_s, self.running = name, slots, work_s, 0
         self.state = "ready"
@@ -293,8 +301,8 @@
 class Origin(HttpServer):
     """The origin of weights: digests and pieces, over one narrow link."""
 
-    def __init__(self, record, model, pieces=96, size=24576, mbps=7.3, ip="127.0.0.1"):
-        super().__init__(ip)
+    def __init__(self, record, model, at, pieces=96, size=24576, mbps=7.3):
+        super().__init__(at)
         self.record, self.model, self.pieces, self.size = record, model, pieces, size
         self.bytes_per_s, self.free_at = mbps * 1e6 / 8, 0.0
 
@@ -326,8 +334,8 @@
 class Engine(Server):
     """A model server: staged pieces, load orders, event streams."""
 
-    def __init__(self, record, store, service, zone, name, model, ip, pieces=96, size=24576):
-        super().__init__(record, store, service, zone, name, ip, slots=16)
+    def __init__(self, record, store, service, zone, name, model, at, pieces=96, size=24576):
+        super().__init__(record, store, service, zone, name, at, slots=16)
         self.model, self.pieces, self.size = model, pieces, size
         self.version, self.busy, self.seq, self.events = 1, False, 0, 12
         self.staged = {n: piece_bytes(model, 1, n, size) for n in range(pieces)}
@@ -468,29 +476,29 @@
 
     REGIONS = {"zone-a": "region-a", "zone-b": "region-b", "zone-c": "region-c"}
 
-    async def entry(self, name, zone, ip, agent_port, **more):
+    async def entry(self, name, zone, at, agent_port, **more):
         ports = [free_port() for _ in range(3)]
         settings = {"process": name, "zone": zone, "store": self.store.address,
-                    "caller_listen": f"{ip}:{ports[0]}", "ready_listen": f"{ip}:{ports[1]}",
-                    "agent_port": agent_port, "peer_listen": f"{ip}:{agent_port}",
+                    "caller_listen": f"{at}:{ports[0]}", "ready_listen": f"{at}:{ports[1]}",
+                    "agent_port": agent_port, "peer_listen": f"{at}:{agent_port}",
                     "link_mbps": 1000.0, "revoke_bound_ms": 5000, "apply_bound_ms": 2000,
                     "drain_bound_ms": 2000, "version_bound_ms": 8000, "memory_mb": 260,
                     "regions": self.REGIONS, "stop_bound_s": 8, "repeat_ratio": 0.2,
                     "repeat_window_s": 10, "repeat_slack": 102,
-                    "metrics_listen": f"{ip}:{ports[2]}", **more}
+                    "metrics_listen": f"{at}:{ports[2]}", **more}
         process = Process(self, name, ENTRY, settings)
         process.front, process.ready = settings["caller_listen"], settings["ready_listen"]
         self.processes.append(await process.start())
         return process
 
     async def agent(self, name, zone, engine, agent_port, **more):
-        ip = engine.ip
+        at = engine.ip
         settings = {"process": name, "zone": zone, "store": self.store.address,
                     "engine_address": engine.address, "service": engine.service,
-                    "peer_listen": f"{ip}:{agent_port}", "link_mbps": 7.3,
+                    "peer_listen": f"{at}:{agent_port}", "link_mbps": 7.3,
                     "apply_bound_ms": 2000, "drain_bound_ms": 2000, "version_bound_ms": 8000,
                     "memory_mb": 128, "regions": self.REGIONS, "stop_bound_s": 8,
-                    "first_start": True, "metrics_listen": f"{ip}:{free_port()}", **more}
+                    "first_start": True, "metrics_listen": f"{at}:{free_port()}", **more}
         process = Process(self, name, AGENT, settings)
         self.processes.append(await process.start())
         return process
