Keys: an empty list of customers leaves no key valid

Cause: an empty list counted as none, and without a list routes are open. Keys and the key lease were not looked at. Nothing that a process remembers can be the answer: entries started after the change did the same.

Fix: the decoded configuration says whether it lists customers. Without a list, requests run without a key, and one that carries a key is denied like any unknown key, so a list that is left out revokes its keys as well.

StoreEntryTest has a restart of the entry.

--- a/hawthornroad/config/RoutingConfig.h
+++ b/hawthornroad/config/RoutingConfig.h
@@ -146,6 +146,9 @@
     std::vector<Route> Routes_;
     std::vector<ServiceConfig> Services_;
     std::vector<CustomerConfig> Customers_;
+    // Whether the operators' text lists customers. The list may be empty: then
+    // no key is valid, and only public routes are served.
+    bool ListsCustomers_ = false;
     RequestLimits Limits_;
   };
 
@@ -159,8 +162,11 @@
   // The service that serves weights; null when there is none.
   const ServiceConfig *origin() const;
   const CustomerConfig *customerOf(const std::string &Key) const;
-  // Whether any customer is declared; only then do routes require keys.
-  bool hasCustomers() const { return !Parts_.Customers_.empty(); }
+  // Whether routes that are not public require the key of a customer. Without
+  // a list of customers they are served without a key, and no key is valid.
+  bool requiresKeys() const {
+    return Parts_.ListsCustomers_ || !Parts_.Customers_.empty();
+  }
   // Whether routes to a service have different priorities.
   bool prioritiesDiffer(const ServiceName &Name) const {
     return Priorities_.contains(Name);
--- a/hawthornroad/traffic/TrafficArrival.cpp
+++ b/hawthornroad/traffic/TrafficArrival.cpp
@@ -73,24 +73,8 @@
   }
   R.Rank_ = R.Route_->Rank_;
   R.Deadline_ = std::min(R.Deadline_, Now + R.Route_->Timeout_);
-  if (Config.hasCustomers()) {
-    bool Holds = Lease_.holds(Now);
-    const CustomerConfig *Who =
-        Holds ? Config.customerOf(R.Call_.Key_) : nullptr;
-    if (!R.Route_->IsPublic_ && !Holds) {
-      refuse(R, status::Unavailable, Cause::KeyLeaseOver, RetryElsewhereAfter,
-             Now);
-      return false;
-    }
-    if (!R.Route_->IsPublic_ && Who == nullptr) {
-      deny(R, status::Unauthorized, Cause::NoKey, Now);
-      return false;
-    }
-    if (Who != nullptr) {
-      R.Customer_ = Who->Name_;
-      R.Rank_ = Who->Rank_.value_or(R.Rank_);
-    }
-  }
+  if (!identifyCustomer(R, Now))
+    return false;
   unsigned Total = 0;
   for (const WeightedService &S : R.Route_->Services_)
     Total += S.Weight_;
@@ -104,6 +88,30 @@
   return true;
 }
 
+bool TrafficCore::identifyCustomer(Record &R, TimePoint Now) {
+  const RoutingConfig &Config = *R.Config_;
+  // Without a list of customers, a key is unknown like any that the list does
+  // not hold: it may have been revoked together with the list.
+  if (!Config.requiresKeys() && R.Call_.Key_.empty())
+    return true;
+  bool Holds = Lease_.holds(Now);
+  const CustomerConfig *Who = Holds ? Config.customerOf(R.Call_.Key_) : nullptr;
+  if (!R.Route_->IsPublic_ && !Holds) {
+    refuse(R, status::Unavailable, Cause::KeyLeaseOver, RetryElsewhereAfter,
+           Now);
+    return false;
+  }
+  if (!R.Route_->IsPublic_ && Who == nullptr) {
+    deny(R, status::Unauthorized, Cause::NoKey, Now);
+    return false;
+  }
+  if (Who != nullptr) {
+    R.Customer_ = Who->Name_;
+    R.Rank_ = Who->Rank_.value_or(R.Rank_);
+  }
+  return true;
+}
+
 void TrafficCore::deny(Record &R, unsigned Status, Cause Why, TimePoint Now) {
   if (Fence_.permitsDenial(Now))
     return refuse(R, Status, Why, Duration::zero(), Now);
--- a/hawthornroad/traffic/TrafficCore.h
+++ b/hawthornroad/traffic/TrafficCore.h
@@ -350,6 +350,9 @@
   Record *find(AttemptNumber A);
   // Sets route and customer; false when the call was refused instead.
   bool classify(Record &R, TimePoint Now);
+  // Sets the customer whose key the request carries; false if it was refused
+  // for lack of a valid key, or of proof that keys are current.
+  bool identifyCustomer(Record &R, TimePoint Now);
   // Refuses what is not declared, or reports that the configuration is behind.
   void deny(Record &R, unsigned Status, Cause Why, TimePoint Now);
   // Counts a request whose priority may differ from others' of its service.
--- a/tests/integration/PlatformFixture.cpp
+++ b/tests/integration/PlatformFixture.cpp
@@ -422,6 +422,10 @@
   json::array Keys;
   for (const std::string &Each : Keys_)
     Keys.push_back(json::string(Each));
+  json::array Customers;
+  if (HasCustomer_)
+    Customers.push_back(
+        json::object{{"name", "zet"}, {"api_keys", std::move(Keys)}});
   json::object Config = {
       {"version", ConfigVersion_++},
       {"routes", std::move(Routes)},
@@ -435,8 +439,7 @@
                               {"max_body_bytes", 65536},
                               {"header_timeout_ms", 3000},
                               {"idle_timeout_ms", 15000}}},
-      {"tenants", json::array{json::object{{"name", "zet"},
-                                           {"api_keys", std::move(Keys)}}}}};
+      {"tenants", std::move(Customers)}};
   Store_.put("op", "config", json::serialize(Config));
 }
 
--- a/tests/integration/PlatformFixture.h
+++ b/tests/integration/PlatformFixture.h
@@ -162,6 +162,8 @@
   EndpointStandIn B_{"i-b", "api"};
   std::uint64_t ConfigVersion_ = 1;
   std::vector<std::string> Keys_ = {"key1", "key2"};
+  // Whether the list of customers has its only member.
+  bool HasCustomer_ = true;
   bool HasSafeRoute_ = true;
   // The operators' ratio, and one with which an entry that has just started,
   // and repeats by its requests alone, may repeat its first request.
--- a/tests/integration/StoreEntryTest.cpp
+++ b/tests/integration/StoreEntryTest.cpp
@@ -73,6 +73,28 @@
              "the route is back", Milliseconds(2500));
 }
 
+// Guards against keys that are valid again once no customer is left, in an entry
+// that has seen them and in one that has not.
+TEST_CASE_METHOD(PlatformFixture,
+                 "store entry, when the last customer is removed, runs nothing "
+                 "with its keys, also after a restart",
+                 "[store-entry]") {
+  configure();
+  startEntry();
+  eventually([&] { return isReady(); }, "the entry is ready");
+  REQUIRE(call("/once/1", "key1").Status_ == 200);
+  HasCustomer_ = false;
+  configure();
+  eventually([&] { return call("/once/1", "key1").Status_ == 401; },
+             "the key is refused", Milliseconds(1500));
+  startEntry();
+  eventually([&] { return isReady(); }, "the new entry is ready");
+  int Runs = A_.runs() + B_.runs();
+  for (const char *Key : {"key1", "key2", ""})
+    REQUIRE(call("/once/1", Key).Status_ == 401);
+  REQUIRE(A_.runs() + B_.runs() == Runs);
+}
+
 // While the store does not answer, a key may be revoked without this entry
 // learning of it. After the bound no request with a key may run; the entry
 // reports not ready to the balancer before that.
