Agent: a transfer follows the origin of weights when it moves

What callers saw: the origin was lost in a transfer and the configuration named another address. With no further version named, the version stayed incomplete, and requests waited or ended as 503 after its bound.

Cause: a transfer was bound to the connections of the address that it began with, by a raw pointer to an object that the next configuration replaced; and the configuration was read again only after failed reads of a manifest, not of pieces.

Fix: OriginReader owns the connections. A move ends each read in progress once, at once; the transfer goes on with the pieces that it holds, owners chosen by the new zone and its reads refunded.

Keeping the old object alive alone would leave the stall.

--- a/hawthornroad/agent/AgentDigests.cpp
+++ b/hawthornroad/agent/AgentDigests.cpp
@@ -6,8 +6,6 @@
 namespace hawthornroad {
 
 namespace {
-// Consecutive failures of the origin after which its address may have changed.
-constexpr unsigned OriginFailuresBeforeRelist = 4;
 // Chunk index that stands for the manifest in frames.
 constexpr std::uint32_t ManifestIndex = 0xffffffff;
 // Most connections that wait for the digests: more than the children and the
@@ -41,7 +39,7 @@
 
 void StoreAgent::State::fetchDigests(const std::shared_ptr<VersionUpdate> &P,
                                      TimePoint Now) {
-  if (P->ManifestPending_ || !Origin_ || PeersAt_ == TimePoint() ||
+  if (P->ManifestPending_ || !Origin_.isKnown() || PeersAt_ == TimePoint() ||
       PeersPending_)
     return;
   if (!P->Tree_) {
@@ -62,11 +60,12 @@
 
 void StoreAgent::State::readManifest(const std::shared_ptr<VersionUpdate> &P) {
   P->ManifestPending_ = true;
-  Origin_->call(platform::manifestCall(P->Version_),
-                {.Time_ = ManifestTimeout,
-                 .MaxBody_ = PieceTransfer::MaxManifest,
-                 .NeedsNewConnection_ = true},
-                [this, P](const HttpCalls::Result &R) { onManifest(P, R); });
+  Origin_.read(
+      platform::manifestCall(P->Version_),
+      {.Time_ = ManifestTimeout,
+       .MaxBody_ = PieceTransfer::MaxManifest,
+       .NeedsNewConnection_ = true},
+      [this, P](const OriginReader::Result &R) { return onManifest(P, R); });
 }
 
 void StoreAgent::State::requestManifest(const VersionUpdate &P, const Vm &To) {
@@ -82,14 +81,16 @@
   Net_->send(Found->Address_, Lane::Weights, makeFrame(Request));
 }
 
-void StoreAgent::State::onManifest(const std::shared_ptr<VersionUpdate> &P,
-                                   const HttpCalls::Result &R) {
+bool StoreAgent::State::onManifest(const std::shared_ptr<VersionUpdate> &P,
+                                   const OriginReader::Result &R) {
   P->ManifestPending_ = false;
+  if (std::holds_alternative<OriginMoved>(R))
+    return false;
   const auto *Answer = std::get_if<HttpAnswer>(&R);
   constexpr unsigned Ok = 200;
   if (Answer == nullptr || Answer->Status_ != Ok) {
     LogLine L("manifest_failed");
-    L.count("version", P->Version_.Version_).text("origin", Origin_->address());
+    L.count("version", P->Version_.Version_).text("origin", Origin_.address());
     if (Answer != nullptr)
       L.count("status", Answer->Status_);
     else
@@ -97,37 +98,36 @@
     Log_.write(L);
     if (P->Tree_)
       P->Tree_->onReadFailed(bootNow());
-    if (++OriginFailures_ % OriginFailuresBeforeRelist == 0) {
-      MustListOperators_ = true;
-      OperatorNotBefore_ = TimePoint();
-    }
-    return;
+    return false;
   }
   PieceCounters_.OriginBytes_ += Answer->Body_.size();
-  takeManifest(P, Answer->Body_);
+  return takeManifest(P, Answer->Body_);
 }
 
-void StoreAgent::State::takeManifest(const std::shared_ptr<VersionUpdate> &P,
+bool StoreAgent::State::takeManifest(const std::shared_ptr<VersionUpdate> &P,
                                      const std::string &Text) {
-  if (P != Current_ && P != Next_)
-    return;
   auto Digests = platform::decodeManifest(Text, P->Version_);
+  if (P != Current_ && P != Next_)
+    return Digests.has_value();
   if (!Digests) {
     Log_.write(
         LogLine("manifest_spoilt").count("version", P->Version_.Version_));
     if (P->Tree_)
       P->Tree_->onReadFailed(bootNow());
-    return;
+    return false;
   }
   P->Manifest_ = Text;
   answerManifestWaiters(*P);
-  if (P->Transfer_)
-    return P->Transfer_->setDigests(Digests->Digests_);
+  if (P->Transfer_) {
+    P->Transfer_->setDigests(Digests->Digests_);
+    return true;
+  }
   bool IsLoaded = P == Current_ && Updater_.isDone();
   if (P->ManifestPending_ || IsLoaded)
-    return;
+    return true;
   P->ManifestPending_ = true;
   checkStaged(P, *Digests);
+  return true;
 }
 
 void StoreAgent::State::answerManifestWaiters(VersionUpdate &P) {
--- a/hawthornroad/agent/AgentPieces.cpp
+++ b/hawthornroad/agent/AgentPieces.cpp
@@ -82,15 +82,8 @@
   };
   C.OnDigestsSuspect_ = [this, Weak] {
     auto Held = Weak.lock();
-    if (!Held || Held->ManifestPending_ || !Origin_)
-      return;
-    Held->ManifestPending_ = true;
-    Origin_->call(
-        platform::manifestCall(Held->Version_),
-        {.Time_ = ManifestTimeout,
-         .MaxBody_ = PieceTransfer::MaxManifest,
-         .NeedsNewConnection_ = true},
-        [this, Held](const HttpCalls::Result &R) { onManifest(Held, R); });
+    if (Held && !Held->ManifestPending_ && Origin_.isKnown())
+      readManifest(Held);
   };
   C.Urgency_ = [this, V = P->Version_](const Vm &Peer) {
     return static_cast<unsigned>(loadPosition(Peer.str(), V).Index_);
@@ -99,9 +92,8 @@
                    Bytes = D.PieceBytes_](ChunkIndex Index, auto Then) {
     readStaged(Model, Index, Bytes, std::move(Then));
   };
-  P->Transfer_ =
-      std::make_shared<PieceTransfer>(std::move(S), Io_, Origin_.get(), *Net_,
-                                      Log_, PieceCounters_, std::move(C));
+  P->Transfer_ = std::make_shared<PieceTransfer>(
+      std::move(S), Io_, &Origin_, *Net_, Log_, PieceCounters_, std::move(C));
   P->Transfer_->start(D.Digests_, std::move(Held), Now);
   P->Transfer_->setPeers(Peers_, Now);
   if (Peers_.empty())
--- a/hawthornroad/agent/AgentVersions.cpp
+++ b/hawthornroad/agent/AgentVersions.cpp
@@ -18,22 +18,6 @@
 constexpr double OperatorJitter = 0.4;
 // A version published this long after the one in progress waits for it.
 constexpr Duration SwitchWindow = Milliseconds(1200);
-
-// The origin accepts few connections from all VMs together, and connections of
-// a VM that lost its power count for a long time: none is kept open while
-// unused.
-//
-// When the origin becomes unreachable, its callers wait; when it is back, the
-// next dial finds it. A dial that is not answered within a few round trips is
-// replaced by a new one, long before the operating system would retransmit the
-// lost packet (one second).
-HttpCalls::Options originOptions() {
-  HttpCalls::Options O;
-  O.MaxIdleTime_ = Milliseconds(400);
-  O.TotalLimit_ = OriginReadLimit;
-  O.ReconnectTimeout_ = Milliseconds(200);
-  return O;
-}
 } // namespace
 
 // The configuration is large and changes often, and an agent needs little of
@@ -98,14 +82,8 @@
     try {
       if (Row.Key_ == platform::ConfigKey) {
         Config_ = RoutingConfig::build(platform::decodeConfig(Row.Value_));
-        const ServiceConfig *Origin = Config_->origin();
-        if (Origin != nullptr &&
-            (!Origin_ || Origin_->address() != Origin->OriginAddress_)) {
-          Origin_ = std::make_unique<HttpCalls>(
-              Io_.context(), Origin->OriginAddress_, originOptions());
-          OriginZone_ = Origin->OriginZone_;
-          Log_.write(LogLine("origin").text("address", Origin->OriginAddress_));
-        }
+        if (const ServiceConfig *Origin = Config_->origin())
+          takeOrigin(*Origin);
       } else if (auto V = platform::decodeVersionRow(Row.Key_, Row.Value_)) {
         takeVersion({V->Model_, V->Version_}, Now);
       }
@@ -119,6 +97,31 @@
   takeFirstVersion(Now);
 }
 
+void StoreAgent::State::lookUpOrigin() {
+  MustListOperators_ = true;
+  OperatorNotBefore_ = TimePoint();
+}
+
+// A transfer goes on with the new origin and the pieces that it holds.
+void StoreAgent::State::takeOrigin(const ServiceConfig &Origin) {
+  if (Origin_.address() == Origin.OriginAddress_ &&
+      OriginZone_ == Origin.OriginZone_)
+    return;
+  Log_.write(LogLine("origin")
+                 .text("address", Origin.OriginAddress_)
+                 .text("zone", Origin.OriginZone_.str())
+                 .text("before", Origin_.address()));
+  OriginZone_ = Origin.OriginZone_;
+  Origin_.setAddress(Origin.OriginAddress_);
+  TimePoint Now = bootNow();
+  for (const auto &T : transfers())
+    T->onOriginMoved(OriginZone_, Now);
+  // Where the digests come from depends on the origin's zone.
+  for (const auto &P : {Current_, Next_})
+    if (P)
+      P->Tree_.reset();
+}
+
 // Until operators publish a version, the first one counts as wanted: an added
 // engine would otherwise stay empty.
 void StoreAgent::State::takeFirstVersion(TimePoint Now) {
--- a/hawthornroad/agent/PieceTransfer.cpp
+++ b/hawthornroad/agent/PieceTransfer.cpp
@@ -11,6 +11,7 @@
 namespace hawthornroad {
 
 namespace {
+constexpr unsigned StatusOk = 200;
 constexpr const char *ReplyBusy = "busy";
 constexpr const char *ReplyMissing = "missing";
 constexpr std::size_t DigestPrefixLength = 7; // "sha256:"
@@ -34,7 +35,7 @@
 constexpr unsigned MismatchesBeforeSuspicion = 2;
 } // namespace
 
-PieceTransfer::PieceTransfer(Setup S, IoThread &Io, HttpCalls *Origin,
+PieceTransfer::PieceTransfer(Setup S, IoThread &Io, OriginReader *Origin,
                              PeerNet &Net, EventLog &Log,
                              PieceCounters &Counters, Callbacks C)
     : Setup_(std::move(S)), Origin_(Origin), Net_(Net), Log_(Log),
@@ -146,36 +147,43 @@
 void PieceTransfer::run(const ReadOrigin &A, TimePoint Now) {
   if (Origin_ == nullptr || !ReadsOrigin_)
     return Swarm_->onOrigin(A.Chunk_, OriginReadResult::Nothing, Now);
-  auto OnDone = [Weak = weak_from_this(),
-                 Index = A.Chunk_](HttpCalls::Result R) {
-    auto Self = Weak.lock();
-    if (!Self)
-      return;
-    auto *Answer = std::get_if<HttpAnswer>(&R);
-    constexpr unsigned Ok = 200;
-    Self->logOriginState(Answer != nullptr && Answer->Status_ == Ok);
-    if (Answer == nullptr || Answer->Status_ != Ok) {
-      bool NothingReceived =
-          Answer != nullptr || std::get<LinkFailure>(R).NeverSent_;
-      Self->Swarm_->onOrigin(Index,
-                             NothingReceived ? OriginReadResult::Nothing
-                                             : OriginReadResult::Wasted,
-                             bootNow());
-      return;
-    }
-    Self->Counters_.OriginBytes_ += Answer->Body_.size();
-    if (!Self->matchesDigest(Index, Answer->Body_)) {
-      Self->Swarm_->onOrigin(Index, OriginReadResult::Wasted, bootNow());
-      return;
-    }
-    Self->Pieces_[Index] = std::move(Answer->Body_);
-    Self->Swarm_->onOrigin(Index, OriginReadResult::Good, bootNow());
-    Self->pump(bootNow());
-  };
-  Origin_->call(platform::pieceCall(Setup_.Version_, A.Chunk_),
-                {OriginIdleTimeout,
-                 std::max(Setup_.PieceBytes_, HttpCalls::MaxFailureText)},
-                OnDone);
+  Origin_->read(
+      platform::pieceCall(Setup_.Version_, A.Chunk_),
+      {OriginIdleTimeout,
+       std::max(Setup_.PieceBytes_, HttpCalls::MaxFailureText)},
+      [Weak = weak_from_this(), Index = A.Chunk_](OriginReader::Result R) {
+        auto Self = Weak.lock();
+        return Self && Self->onPieceRead(Index, std::move(R));
+      });
+}
+
+bool PieceTransfer::onPieceRead(ChunkIndex Index, OriginReader::Result R) {
+  TimePoint Now = bootNow();
+  if (std::holds_alternative<OriginMoved>(R)) {
+    Swarm_->onOrigin(Index, OriginReadResult::Nothing, Now);
+    return false;
+  }
+  auto *Answer = std::get_if<HttpAnswer>(&R);
+  bool IsAnswered = Answer != nullptr && Answer->Status_ == StatusOk;
+  logOriginState(IsAnswered);
+  if (!IsAnswered) {
+    bool NothingReceived =
+        Answer != nullptr || std::get<LinkFailure>(R).NeverSent_;
+    Swarm_->onOrigin(Index,
+                     NothingReceived ? OriginReadResult::Nothing
+                                     : OriginReadResult::Wasted,
+                     Now);
+    return false;
+  }
+  Counters_.OriginBytes_ += Answer->Body_.size();
+  if (!matchesDigest(Index, Answer->Body_)) {
+    Swarm_->onOrigin(Index, OriginReadResult::Wasted, Now);
+    return false;
+  }
+  Pieces_[Index] = std::move(Answer->Body_);
+  Swarm_->onOrigin(Index, OriginReadResult::Good, Now);
+  pump(Now);
+  return true;
 }
 
 // Logs once when the origin stops answering, and once when it answers again.
@@ -201,21 +209,30 @@
 void PieceTransfer::run(const CheckOrigin &, TimePoint Now) {
   if (Origin_ == nullptr)
     return Swarm_->onOriginChecked(false, Now);
-  Origin_->call(platform::manifestCall(Setup_.Version_),
+  Origin_->read(platform::manifestCall(Setup_.Version_),
                 {OriginCheckTimeout, MaxManifest},
-                [Weak = weak_from_this()](const HttpCalls::Result &R) {
+                [Weak = weak_from_this()](const OriginReader::Result &R) {
                   auto Self = Weak.lock();
-                  if (!Self)
-                    return;
                   const auto *Answer = std::get_if<HttpAnswer>(&R);
-                  constexpr unsigned Ok = 200;
-                  Self->logOriginState(Answer != nullptr &&
-                                       Answer->Status_ == Ok);
-                  Self->Swarm_->onOriginChecked(
-                      Answer != nullptr && Answer->Status_ == Ok, bootNow());
+                  bool Answers =
+                      Answer != nullptr && Answer->Status_ == StatusOk;
+                  if (Self)
+                    Self->onOriginChecked(Answers);
+                  return Answers;
                 });
 }
 
+void PieceTransfer::onOriginChecked(bool Answers) {
+  logOriginState(Answers);
+  Swarm_->onOriginChecked(Answers, bootNow());
+}
+
+void PieceTransfer::onOriginMoved(const AvailabilityZone &Zone, TimePoint Now) {
+  Setup_.OriginZone_ = Zone;
+  if (Swarm_ && Origin_ != nullptr)
+    Swarm_->onOriginMoved(Zone, Now);
+}
+
 void PieceTransfer::run(const AskHave &A, TimePoint) {
   wire::ChunkAskT Ask;
   Ask.manifest = frameName(Setup_.Version_);
--- a/hawthornroad/agent/PieceTransfer.h
+++ b/hawthornroad/agent/PieceTransfer.h
@@ -23,7 +23,7 @@
 #ifndef HAWTHORNROAD_AGENT_PIECETRANSFER_H
 #define HAWTHORNROAD_AGENT_PIECETRANSFER_H
 
-#include "hawthornroad/http/HttpCalls.h"
+#include "hawthornroad/agent/OriginReader.h"
 #include "hawthornroad/peers/PeerNet.h"
 #include "hawthornroad/runtime/EventLog.h"
 #include "hawthornroad/staging/EngineUpdater.h"
@@ -80,11 +80,11 @@
     std::function<void()> OnDigestsSuspect_;
   };
 
-  // Origin may be null when this VM only serves pieces.
   // Bytes of an origin's answer with the digests of a version.
   static constexpr std::size_t MaxManifest = 8 * 1024 * 1024;
 
-  PieceTransfer(Setup S, IoThread &Io, HttpCalls *Origin, PeerNet &Net,
+  // Origin may be null when this VM only serves pieces; it outlives this.
+  PieceTransfer(Setup S, IoThread &Io, OriginReader *Origin, PeerNet &Net,
                 EventLog &Log, PieceCounters &Counters, Callbacks C);
 
   // Held: pieces that are known to match their digests.
@@ -100,6 +100,8 @@
   bool onFrame(const PeerContext &From, const wire::FrameT &Frame,
                TimePoint Now);
   void onPeerLost(const PeerAddress &Address, TimePoint Now);
+  // The origin has another address, in this zone; its reads have ended.
+  void onOriginMoved(const AvailabilityZone &Zone, TimePoint Now);
   void tick(TimePoint Now);
   // False while another version has precedence at the origin.
   void setReadsOrigin(bool Reads) { ReadsOrigin_ = Reads; }
@@ -133,6 +135,9 @@
   void run(const CheckOrigin &A, TimePoint Now);
   void run(const AskHave &A, TimePoint Now);
   void run(const TellHave &A, TimePoint Now);
+  // Returns whether the piece is held now.
+  bool onPieceRead(ChunkIndex Index, OriginReader::Result R);
+  void onOriginChecked(bool Answers);
   bool sendTo(const Vm &To, FrameBuffer Frame);
   void onRequest(const PeerContext &From, const wire::ChunkRequestT &R,
                  TimePoint Now);
@@ -152,7 +157,7 @@
   void logOriginState(bool Answers);
 
   Setup Setup_;
-  HttpCalls *Origin_;
+  OriginReader *Origin_;
   PeerNet &Net_;
   EventLog &Log_;
   PieceCounters &Counters_;
--- a/hawthornroad/agent/StoreAgent.cpp
+++ b/hawthornroad/agent/StoreAgent.cpp
@@ -44,6 +44,7 @@
       Io_("agent", WorkRing),
       Store_(Io_.context(), Settings_.Common_.Store_, Codec_),
       Engine_(Io_.context(), Settings_.EngineAddress_, engineOptions()),
+      Origin_(Io_.context(), [this] { lookUpOrigin(); }),
       Reader_(readerTransport(), Random_.next(),
               Settings_.IsFirstStart_ ? RowReader::FirstEntryWait
                                       : RowReader::EntryWait),
--- a/hawthornroad/agent/StoreAgentState.h
+++ b/hawthornroad/agent/StoreAgentState.h
@@ -12,6 +12,7 @@
 #ifndef HAWTHORNROAD_AGENT_STOREAGENTSTATE_H
 #define HAWTHORNROAD_AGENT_STOREAGENTSTATE_H
 
+#include "hawthornroad/agent/OriginReader.h"
 #include "hawthornroad/agent/PieceTransfer.h"
 #include "hawthornroad/agent/RowReader.h"
 #include "hawthornroad/agent/StagedPieces.h"
@@ -52,9 +53,6 @@
 inline constexpr std::size_t MaxEngineAnswer = 256 * 1024;
 // Bytes of the list of the pieces that are staged.
 inline constexpr std::size_t MaxStagedList = 1024 * 1024;
-// Time limit of any read from the origin, which has a narrow link and many
-// readers.
-inline constexpr Duration OriginReadLimit = Seconds(4);
 // Loads finish this long before the bound: by then entries no longer use
 // engines with older versions.
 inline constexpr Duration BoundMargin = Milliseconds(600);
@@ -105,6 +103,10 @@
   bool hasWatchers() const { return !Watchers_.empty(); }
   void onOperatorReply(bool IsFullTable, const StoreReply &R);
   void onOperatorRows(const StoreRows &Rows);
+  // Reads the whole operators' table at the next tick, since the origin's
+  // address may have changed.
+  void lookUpOrigin();
+  void takeOrigin(const ServiceConfig &Origin);
   void refreshOperatorTable(TimePoint Now);
   void takeVersion(const ModelVersion &V, TimePoint Now);
   void takeFirstVersion(TimePoint Now);
@@ -127,9 +129,11 @@
   void learnVersionFrom(const std::string &FrameName);
   void onManifestRequest(const PeerContext &From, const std::string &FrameName);
   void onManifestReply(const wire::ChunkReplyT &Reply);
-  void onManifest(const std::shared_ptr<VersionUpdate> &P,
-                  const HttpCalls::Result &R);
-  void takeManifest(const std::shared_ptr<VersionUpdate> &P,
+  // Returns whether the origin's answer could be read.
+  bool onManifest(const std::shared_ptr<VersionUpdate> &P,
+                  const OriginReader::Result &R);
+  // Returns whether the text is a manifest of the version.
+  bool takeManifest(const std::shared_ptr<VersionUpdate> &P,
                     const std::string &Text);
   bool onManifestFrame(const PeerContext &From, const wire::FrameT &Frame);
   std::shared_ptr<VersionUpdate> findUpdate(const std::string &FrameName) const;
@@ -213,7 +217,8 @@
   platform::StoreWire Codec_;
   StoreClient Store_;
   HttpCalls Engine_;
-  std::unique_ptr<HttpCalls> Origin_;
+  // Transfers refer to it.
+  OriginReader Origin_;
   std::unique_ptr<PeerNet> Net_;
   RowReader Reader_;
   std::shared_ptr<HttpListener> MetricsServer_;
@@ -225,7 +230,6 @@
   bool MustListOperators_ = true;
   // Consecutive failed reads of the operators' table.
   unsigned OperatorFailures_ = 0;
-  unsigned OriginFailures_ = 0;
   SharedConfig Config_;
   EngineUpdater Updater_;
   std::string Self_;
--- a/hawthornroad/weights/OriginBudget.cpp
+++ b/hawthornroad/weights/OriginBudget.cpp
@@ -67,6 +67,14 @@
     Charged_.remove(Index);
 }
 
+void OriginBudget::restart() {
+  Charged_ = ChunkSet(Chunks_);
+  PaidBySpare_.clear();
+  TriedSpares_.clear();
+  SpareReads_ = 0;
+  Misses_ = 0;
+}
+
 std::optional<Grant> OriginBudget::nextClaim(ChunkIndex Index, bool MaySpare,
                                              Random &R) {
   if (PendingClaim_)
--- a/hawthornroad/weights/OriginBudget.h
+++ b/hawthornroad/weights/OriginBudget.h
@@ -91,6 +91,12 @@
   // Refunds a charged read for which the origin sent no byte.
   void refund(ChunkIndex Index);
 
+  // The origin was replaced by another, which has sent nothing yet: what was
+  // charged for the former one is refunded. For owners without a ledger only,
+  // since won grants are kept nowhere else. Requires that no read is in
+  // progress.
+  void restart();
+
   // The next grant to claim so that Index may be read: the slice's grant while
   // its state is unknown, else a spare grant when MaySpare. Nullopt while a
   // claim of this VM is in progress, or when no grant is left.
--- a/hawthornroad/weights/Owners.cpp
+++ b/hawthornroad/weights/Owners.cpp
@@ -47,6 +47,15 @@
     else
       OtherZones_ = true;
   }
+  rankAll();
+}
+
+void Owners::setOriginZone(AvailabilityZone NearOrigin) {
+  NearOrigin_ = std::move(NearOrigin);
+  rankAll();
+}
+
+void Owners::rankAll() {
   assignTurns();
   for (SliceIndex S = 0; S < Rank_.size(); ++S)
     rankSlice(S);
--- a/hawthornroad/weights/Owners.h
+++ b/hawthornroad/weights/Owners.h
@@ -65,6 +65,8 @@
 
   // All live VMs that need the version; Self may be omitted.
   void setPeers(std::vector<SwarmPeer> Peers);
+  // The origin has moved to another zone; empty when unknown.
+  void setOriginZone(AvailabilityZone NearOrigin);
 
   std::size_t rank(SliceIndex S) const { return Rank_[S]; }
   std::size_t zoneRank(SliceIndex S) const { return ZoneRank_[S]; }
@@ -88,6 +90,7 @@
   bool isBefore(SliceIndex S, std::size_t A, std::size_t B) const;
 
   void assignTurns();
+  void rankAll();
 
   VersionDigest Version_;
   AvailabilityZone NearOrigin_;
--- a/hawthornroad/weights/Swarm.cpp
+++ b/hawthornroad/weights/Swarm.cpp
@@ -195,6 +195,21 @@
     OriginPausedUntil_ = Now + Random_.jitter(Setup_.OriginRetry_, 0.5);
 }
 
+void Swarm::onOriginMoved(const AvailabilityZone &Zone, TimePoint Now) {
+  Owners_.setOriginZone(Zone);
+  Budget_.restart();
+  WastedReads_ = ChunkSet(held().size());
+  OriginSeen_.reset();
+  OwnerNewChunkAt_.clear();
+  OriginRestoredAt_ = LastNewChunkAt_ = Now;
+  std::fill(SliceNewChunkAt_.begin(), SliceNewChunkAt_.end(), Now);
+  std::fill(SeenCountAt_.begin(), SeenCountAt_.end(), SeenCount_);
+  if (!HasNoPeers_)
+    OriginPausedUntil_ = Now;
+  updateCrossZoneSlices(Now);
+  updateWatched();
+}
+
 void Swarm::onLost(const Vm &Peer, TimePoint Now) {
   Plan_.onLost(Peer, Now);
   Exchange_.onLost(Peer);
--- a/hawthornroad/weights/Swarm.h
+++ b/hawthornroad/weights/Swarm.h
@@ -168,6 +168,11 @@
   void onOrigin(ChunkIndex Index, OriginReadResult Result, TimePoint Now);
   void onClaim(const Grant &G, ClaimResult Result, TimePoint Now);
   void onOriginChecked(bool Answers, TimePoint Now);
+  // The origin was replaced by another, in this zone. Chunks that are held stay
+  // held. Every slice's owner gets its time anew, as nothing that was seen of
+  // the former origin says how fast this one is. Only without a ledger, and
+  // after the reads in progress have ended.
+  void onOriginMoved(const AvailabilityZone &Zone, TimePoint Now);
   void onLost(const Vm &Peer, TimePoint Now);
 
   // Returns the actions that an event made possible. Cheap; call after each
--- a/tests/unit/SwarmWithoutLedgerTest.cpp
+++ b/tests/unit/SwarmWithoutLedgerTest.cpp
@@ -194,3 +194,57 @@
   REQUIRE(R.Swarm_.isDone());
   REQUIRE(R.Reads_.size() == Chunks);
 }
+
+// Guards against a budget that a lost origin has used up: nothing was read from
+// the origin that replaces it.
+TEST_CASE("swarm without a ledger, whose reads were spent on a lost origin, "
+          "reads what it lacks from the one that replaces it",
+          "[swarm]") {
+  SingleReader R({});
+  R.Ends_.assign(4 * Chunks, OriginReadResult::Wasted);
+  R.Ends_[0] = OriginReadResult::Good;
+  R.runUntil(Seconds(60));
+  std::size_t Spent = R.Reads_.size();
+  REQUIRE(Spent == 2 * Chunks);
+  REQUIRE_FALSE(R.Swarm_.isDone());
+  R.Ends_.clear();
+  R.Swarm_.onOriginMoved(Zone, R.Now_);
+  R.runUntil(Seconds(62));
+  CHECK(R.Swarm_.isDone());
+  CHECK(R.Reads_.size() == Spent + Chunks - 1);
+}
+
+// Guards against slices that stay with VMs near the former origin, or that all
+// VMs take over at once because the former origin was silent.
+TEST_CASE("swarm without a ledger, when the origin moves to another zone, "
+          "leaves the slices to the VMs there at first",
+          "[swarm]") {
+  Swarm::Setup S = setup("self", Duration::zero());
+  S.OriginZone_ = Zone;
+  const AvailabilityZone Other("other");
+  Swarm W(S, shape(), ChunkSet(Chunks), Start);
+  W.setPeers({{Vm("a"), Other}, {Vm("b"), Other}}, Start);
+  auto ReadsAt = [&](TimePoint Now) {
+    std::size_t Reads = 0;
+    for (const SwarmAction &A : W.tick(Now)) {
+      if (const auto *Claim = std::get_if<ClaimGrant>(&A))
+        W.onClaim(Claim->Grant_, ClaimResult::Won, Now);
+      else if (const auto *Read = std::get_if<ReadOrigin>(&A)) {
+        ++Reads;
+        W.onOrigin(Read->Chunk_, OriginReadResult::Nothing, Now);
+      }
+    }
+    return Reads;
+  };
+  TimePoint Now = Start;
+  std::size_t Before = 0;
+  for (; Now < Start + Seconds(5); Now += Milliseconds(30))
+    Before += ReadsAt(Now);
+  CHECK(Before > 0);
+  W.onOriginMoved(Other, Now);
+  std::size_t After = 0;
+  for (TimePoint End = Now + Milliseconds(800); Now < End;
+       Now += Milliseconds(30))
+    After += ReadsAt(Now);
+  CHECK(After == 0);
+}
