Client link: an end after a failed write is not taken for an orderly one

What callers saw: a server answered a long upload at once, without a length, sent part of its body and reset the connection while the upload was being written. The client got the part as a whole answer.

Cause: the kernel gives a connection's error once. The write of the upload received it, the link dropped it, and the read saw an end like that of an orderly close.

Fix: the link keeps the error. An end after it completes an answer only if it was a broken pipe, which the kernel gives for a reset that follows the server's own end. So an early answer that ends in order stays whole, before and after the failing write.

--- a/hawthornroad/http/ClientLink.cpp
+++ b/hawthornroad/http/ClientLink.cpp
@@ -69,6 +69,7 @@
   Busy_ = true;
   MaxBody_ = MaxBody.value_or(Options_.MaxBody_);
   WriteStarted_ = Written_ = HeadDelivered_ = false;
+  WriteError_ = {};
   Events_ = std::move(E);
   Paused_ = Skipping_ = IsSkipUsed_ = false;
   resetCounts();
@@ -174,11 +175,9 @@
                                                 std::size_t) {
                       if (Self->Closed_)
                         return;
-                      // The answer may still arrive: the read reports the
-                      // outcome.
-                      if (Error)
-                        return;
-                      Self->Written_ = true;
+                      // The answer may still arrive, or have arrived.
+                      Self->WriteError_ = Error;
+                      Self->Written_ = !Error;
                       Self->Out_ = {};
                     });
 }
@@ -217,6 +216,9 @@
     bool NeedsEof = Parser_->is_header_done() && Parser_->need_eof();
     if (!NeedsEof || Skipping_)
       return fail(Step::Receive, "the connection ended within the answer");
+    if (!isOrderlyEnd())
+      return fail(Step::Receive, "the connection failed within the answer: " +
+                                     WriteError_.message());
     Parser_->put_eof(EofError);
     return finishAnswer(false);
   }
@@ -228,6 +230,14 @@
     read();
 }
 
+// The kernel reports a connection's error once: after a write has received it,
+// a read sees an end like that of an orderly close. What a write receives tells
+// the two apart: a reset that follows the server's own end is a broken pipe,
+// and any other error came before such an end.
+bool ClientLink::isOrderlyEnd() const {
+  return !WriteError_ || WriteError_ == asio::error::broken_pipe;
+}
+
 void ClientLink::parse() {
   auto Self = shared_from_this();
   while (Busy_ && !Closed_ && canContinue(LeftBytes_, In_.size())) {
--- a/hawthornroad/http/ClientLink.h
+++ b/hawthornroad/http/ClientLink.h
@@ -8,11 +8,12 @@
 //   L->abandon();                            // closes; no further callback
 //
 // An answer is complete when its length is reached, its last chunk has arrived
-// or, with neither, the server closes the connection in order; a reset never
-// completes an answer. A connection is reused only if its answer was complete,
-// did not ask to close, arrived after the request had been written in full, and
-// was followed by no further byte. Bytes that arrive while no request is in
-// progress belong to no request and close the connection.
+// or, with neither, the server closes the connection in order, even if the
+// request is still being written; a reset never completes an answer. A
+// connection is reused only if its answer was complete, did not ask to close,
+// arrived after the request had been written in full, and was followed by no
+// further byte. Bytes that arrive while no request is in progress belong to no
+// request and close the connection.
 //
 // A server may send an answer twice, the second copy where the next answer is
 // expected. A caller that recognizes such a copy by its head calls skipAnswer()
@@ -136,6 +137,9 @@
   void write();
   void read();
   void onRead(boost::system::error_code Code, std::size_t Bytes);
+  // Whether the end that was read is the server's, not that of a connection
+  // whose error a write has received. Linux only.
+  bool isOrderlyEnd() const;
   void parse();
   void startParser();
   // Fails the answer when its framing exceeds the limits; true if so.
@@ -184,6 +188,8 @@
   std::uint64_t Sent_ = 0;
   bool WriteStarted_ = false;
   bool Written_ = false;
+  // Of the request in progress, whose rest is not sent any more.
+  boost::system::error_code WriteError_;
   bool HeadDelivered_ = false;
   bool Reading_ = false;
   bool Paused_ = false;
