--- a/tests/integration/StoreEntryTest.cpp
+++ b/tests/integration/StoreEntryTest.cpp
@@ -73,8 +73,8 @@
              "the route is back", Milliseconds(2500));
 }
 
-// Guards against keys that are valid again once no customer is left, in an entry
-// that has seen them and in one that has not.
+// Guards against keys that are valid again once no customer is left, in an
+// entry that has seen them and in one that has not.
 TEST_CASE_METHOD(PlatformFixture,
                  "store entry, when the last customer is removed, runs nothing "
                  "with its keys, also after a restart",
