Agent: a silent origin is doubted after two reads that fail a second apart

What callers saw: a version named while the origin was silent and then moved was loaded up to 13 s after the move. Cause: the address was looked up after four failed reads in a row. A manifest is read one request at a time, each with a limit of 1.2 s and with doubling pauses between them, so a silent origin took 5 to 8 s to be doubted. Two failures with a second between them are enough now; four that come at once, as from pieces read in parallel, still are. The pauses between look-ups stay.

--- a/hawthornroad/agent/OriginReader.cpp
+++ b/hawthornroad/agent/OriginReader.cpp
@@ -82,7 +82,11 @@
 
 void OriginReader::noteFailure() {
   TimePoint Now = bootNow();
-  if (++Failures_ < FailuresBeforeDoubt || Now < LookupNotBefore_)
+  if (Failures_++ == 0)
+    FailingSince_ = Now;
+  bool IsDoubted =
+      Failures_ >= FailuresBeforeDoubt || Now - FailingSince_ >= DoubtAfter;
+  if (!IsDoubted || Now < LookupNotBefore_)
     return;
   LookupNotBefore_ = Now + LookupPause_;
   LookupPause_ = std::min(LookupPause_ * 2, MaxLookupPause);
--- a/hawthornroad/agent/OriginReader.h
+++ b/hawthornroad/agent/OriginReader.h
@@ -12,7 +12,9 @@
 //
 // Reads that bring nothing usable, one after another, suggest that the
 // address is outdated: then OnDoubt is called, and again while they go on
-// failing, each time after twice the pause, up to MaxLookupPause.
+// failing, each time after twice the pause, up to MaxLookupPause. A few
+// failures suffice if they are spread over DoubtAfter, since a silent origin
+// fails a reader that waits for each answer only slowly.
 //
 // Runs on one thread.
 
@@ -43,6 +45,8 @@
 
   // Consecutive failed reads after which the address is doubted.
   static constexpr unsigned FailuresBeforeDoubt = 4;
+  // Two are enough if this much time lies between them.
+  static constexpr Duration DoubtAfter = Seconds(1);
   static constexpr Duration MinLookupPause = Milliseconds(500);
   static constexpr Duration MaxLookupPause = Seconds(4);
 
@@ -73,8 +77,9 @@
   };
   std::map<std::uint64_t, Read> Reads_;
   std::uint64_t NextRead_ = 0;
-  // Consecutive.
+  // Consecutive failures, and the end of the first of them.
   unsigned Failures_ = 0;
+  TimePoint FailingSince_{};
   TimePoint LookupNotBefore_{};
   Duration LookupPause_ = MinLookupPause;
 };
--- a/tests/unit/OriginReaderTest.cpp
+++ b/tests/unit/OriginReaderTest.cpp
@@ -154,3 +154,20 @@
   onThread([] {});
   CHECK(Doubts_ == 1);
 }
+
+// Guards against an address that is looked up late because reads of a silent
+// origin fail one at a time, each after its whole time limit.
+TEST_CASE_METHOD(OriginReaderFixture,
+                 "origin reader, when reads fail far apart, doubts the address "
+                 "at the second failure",
+                 "[origin]") {
+  onThread([&] { Reader_->setAddress(local(SilentPort_)); });
+  auto First = read(false);
+  CHECK(std::holds_alternative<LinkFailure>(resultOf(First)));
+  onThread([] {});
+  CHECK(Doubts_ == 0);
+  auto Second = read(false);
+  CHECK(std::holds_alternative<LinkFailure>(resultOf(Second)));
+  onThread([] {});
+  CHECK(Doubts_ == 1);
+}
