HTTP servers: a request in an unsupported transfer coding is refused

Cause: the parser ends such a request after its head, the session took what followed for the next request, and the field is not forwarded. The codings are read from the fields before the body: other than one chunked gets 501 and the end of the connection (RFC 9112, 6.1), so nothing that follows is parsed; from HTTP/1.0 it is 400.

--- a/hawthornroad/http/ServerSession.cpp
+++ b/hawthornroad/http/ServerSession.cpp
@@ -1,6 +1,7 @@
 #include "hawthornroad/http/ServerSession.h"
 
 #include "hawthornroad/base/HttpStatus.h"
+#include "hawthornroad/base/TransferCoding.h"
 #include "hawthornroad/http/HttpListener.h"
 
 #include <algorithm>
@@ -34,6 +35,7 @@
 constexpr unsigned Timeout = 408;
 constexpr unsigned TooLarge = 413;
 constexpr unsigned HeadersTooLarge = 431;
+constexpr unsigned NotImplemented = 501;
 constexpr unsigned Unavailable = 503;
 } // namespace status
 
@@ -154,6 +156,8 @@
   std::size_t Used = Parser_->put(In_.data(), Code);
   In_.consume(Used);
   LeftBytes_ = Parser_->is_header_done() ? In_.size() : 0;
+  if (Parser_->is_header_done() && !acceptsCoding())
+    return;
   if (Code && Code != http::error::need_more)
     return refuse(statusOf(Code), SessionEnd::Malformed, Code.message());
   if (Parser_->is_done())
@@ -168,6 +172,21 @@
   }
 }
 
+// The connection ends with the answer: what follows the head is no request.
+bool ServerSession::acceptsCoding() {
+  const auto &Message = Parser_->get();
+  constexpr unsigned FirstWithCodings = 11;
+  TransferCoding Coding = transferCodingOf(Message);
+  bool IsKnown =
+      Coding == TransferCoding::None || (Coding == TransferCoding::Chunked &&
+                                         Message.version() >= FirstWithCodings);
+  if (!IsKnown)
+    refuse(Coding == TransferCoding::Unsupported ? status::NotImplemented
+                                                 : status::BadRequest,
+           SessionEnd::Malformed, "unsupported transfer coding");
+  return IsKnown;
+}
+
 // The parser consumes a body as it arrives, so what it leaves after the headers
 // is an incomplete chunk header or the trailers.
 bool ServerSession::acceptsPartial() {
--- a/hawthornroad/http/ServerSession.h
+++ b/hawthornroad/http/ServerSession.h
@@ -203,6 +203,8 @@
   // A request in parts: its framing is within the limits, and its body is
   // wanted; else answers it.
   bool acceptsPartial();
+  // The body of the request can be delimited; else answers it.
+  bool acceptsCoding();
   void parseNext();
   void noteSent();
   // Ends the hold when enough has been sent.
--- a/hawthornroad/runtime/HttpServer.cpp
+++ b/hawthornroad/runtime/HttpServer.cpp
@@ -1,4 +1,5 @@
 #include "hawthornroad/base/HttpStatus.h"
+#include "hawthornroad/base/TransferCoding.h"
 #include "hawthornroad/runtime/Address.h"
 #include "hawthornroad/runtime/Http.h"
 
@@ -40,6 +41,7 @@
 }
 
 namespace {
+constexpr unsigned NotImplemented = 501;
 
 // Hop-by-hop headers, which this server sets itself.
 bool isHopHeader(const std::string &Name) {
@@ -184,6 +186,8 @@
                                     std::shared_ptr<Exchange> X);
   asio::awaitable<void> refuse(beast::tcp_stream &Stream,
                                boost::system::error_code Code);
+  asio::awaitable<void> refuse(beast::tcp_stream &Stream, unsigned Status,
+                               const std::string &Detail);
   void watchDisconnect(beast::tcp_stream &Stream, std::shared_ptr<Exchange> X);
 
   IoThread &Io_;
@@ -245,9 +249,15 @@
     Status = 431;
   else if (Code == beast::error::timeout)
     Status = 408;
+  co_await refuse(Stream, Status, Code.message());
+}
+
+asio::awaitable<void> HttpServer::State::refuse(beast::tcp_stream &Stream,
+                                                unsigned Status,
+                                                const std::string &Detail) {
   std::string Body = "{\"title\":\"request not readable\",\"step\":\"receive\","
                      "\"detail\":\"" +
-                     Code.message() + "\"}";
+                     Detail + "\"}";
   HttpHeaders Headers = {{"Content-Type", "application/problem+json"},
                          {"Hawthornroad-Outcome", "not-run"}};
   std::string Text =
@@ -360,6 +370,12 @@
         Stream, Buffer, Parser,
         asio::redirect_error(asio::use_awaitable, Code));
     Idle_.erase(&Stream);
+    bool IsUnsupported =
+        !Code && transferCodingOf(Parser.get()) == TransferCoding::Unsupported;
+    if (IsUnsupported) {
+      co_await refuse(Stream, NotImplemented, "unsupported transfer coding");
+      co_return;
+    }
     if (!Code &&
         beast::iequals(Parser.get()[http::field::expect], "100-continue")) {
       static constexpr std::string_view Continue =
