Soak: origins that move, customers that are all removed, early answers to long uploads

- OriginLost: a version is declared, its origin is lost after five pieces, silent or refusing connections, and is then configured at another address.
- CustomersRemoved: after all else the list of customers is empty for 6.5 s, and two halves of the entries are killed meanwhile.
- An agent that ended by itself is found before it is stopped, too: a restart hid it.

--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -33,7 +33,7 @@
   }
   if (!R.Parts_.empty())
     Out.set("X-Hawthornroad-Prompt-Prefix", R.Parts_);
-  Out.body() = "{}";
+  Out.body() = "{}" + std::string(R.BodyBytes_ - 2, ' ');
   Out.prepare_payload();
   return Out;
 }
--- a/tests/soak/SoakCallers.cpp
+++ b/tests/soak/SoakCallers.cpp
@@ -15,6 +15,9 @@
 constexpr Duration SurgePause = Milliseconds(10);
 // Callers that wait longer at frozen entries send too little.
 constexpr Duration SurgeDeadline = Milliseconds(800);
+constexpr std::size_t UploadCallers = 2;
+constexpr Duration UploadPause = Milliseconds(200);
+constexpr unsigned Unauthorized = 401;
 constexpr unsigned TooMany = 429;
 constexpr unsigned Unavailable = 503;
 
@@ -28,11 +31,17 @@
 
 SoakCallers::~SoakCallers() { stop(); }
 
+std::vector<std::string> SoakCallers::keys(const std::string &Rotating) {
+  return {SteadyKey, Rotating, SoakConfig::RegionalKey};
+}
+
 void SoakCallers::start() {
   for (std::size_t I = 0; I < Options_.Callers_; ++I)
     Threads_.emplace_back([this, I] { callerLoop(I); });
   for (std::size_t I = 0; I < SurgeCallers; ++I)
     Threads_.emplace_back([this, I] { surgeLoop(I); });
+  for (std::size_t I = 0; I < UploadCallers; ++I)
+    Threads_.emplace_back([this, I] { uploadLoop(I); });
 }
 
 void SoakCallers::stop() {
@@ -156,7 +165,8 @@
     SoakRequest Q = makeRequest(
         R, "c" + std::to_string(Number) + "-" + std::to_string(N), Target);
     unsigned Status = send(Caller, R, Q, Target);
-    bool IsRejected = Status == TooMany || Status == Unavailable;
+    bool IsRejected =
+        Status == Unauthorized || Status == TooMany || Status == Unavailable;
     std::this_thread::sleep_for(IsRejected ? RejectedPause : CallerPause);
   }
 }
@@ -176,4 +186,19 @@
   }
 }
 
+void SoakCallers::uploadLoop(std::size_t Number) {
+  constexpr std::uint64_t UploadSeed = 0x9E3779B97F4A7C15;
+  Random R(Options_.Seed_ * UploadSeed + Number);
+  SoakCaller Caller;
+  for (std::uint64_t N = 0; !Stopping_; ++N) {
+    SoakRequest Q;
+    Q.Id_ = "u" + std::to_string(Number) + "-" + std::to_string(N);
+    Q.Key_ = SteadyKey;
+    Q.BodyBytes_ = SoakEarly::UploadBytes;
+    Q.Deadline_ = PlainDeadline;
+    send(Caller, R, Q, "/early/x");
+    std::this_thread::sleep_for(UploadPause);
+  }
+}
+
 } // namespace hawthornroad
--- a/tests/soak/SoakCallers.h
+++ b/tests/soak/SoakCallers.h
@@ -1,5 +1,6 @@
 // The callers of a soak: threads that send requests until they are stopped, and
-// more threads that send short ones during surges.
+// more threads that send short ones during surges, and long uploads to a server
+// that does not read them.
 //
 //   SoakCallers C({.Seed_ = 1, .Callers_ = 30}, Layout, Checks);
 //   C.setKeys("rotating-1", "rotating-2");
@@ -26,8 +27,10 @@
   // How long callers wait.
   static constexpr Duration PlainDeadline = Milliseconds(3000);
   static constexpr Duration StreamDeadline = Milliseconds(9000);
-  // A key that is never removed.
+  // A key that is removed only with all customers.
   static constexpr auto SteadyKey = "steady";
+  // All that are valid while there are customers, with the rotating one.
+  static std::vector<std::string> keys(const std::string &Rotating);
 
   struct Options {
     std::uint64_t Seed_ = 1;
@@ -51,6 +54,7 @@
 private:
   void callerLoop(std::size_t Number);
   void surgeLoop(std::size_t Number);
+  void uploadLoop(std::size_t Number);
   // Returns the answer's status; 0 without an answer.
   unsigned send(SoakCaller &Caller, Random &R, SoakRequest Q,
                 const std::string &Target);
--- a/tests/soak/SoakChecks.cpp
+++ b/tests/soak/SoakChecks.cpp
@@ -4,6 +4,7 @@
 #include "tests/soak/SoakEndpoint.h"
 #include "tests/soak/SoakZones.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace hawthornroad {
@@ -38,7 +39,12 @@
 
 void SoakChecks::keyRemoved(const std::string &Key, TimePoint At) {
   std::lock_guard Lock(Mutex_);
-  Removed_[Key] = At;
+  Removed_[Key].push_back({At});
+}
+
+void SoakChecks::keyAdded(const std::string &Key, TimePoint At) {
+  std::lock_guard Lock(Mutex_);
+  Removed_.at(Key).back().To_ = At;
 }
 
 void SoakChecks::ended(const std::string &Id, const SoakOutcome &O) {
@@ -111,12 +117,26 @@
     if (Status == Ok && Runs == 0)
       add(R, "was answered 200 and never ran");
   }
+  checkKey(R);
+}
+
+// A request that was sent without a valid key may run once the key is valid.
+void SoakChecks::checkKey(const SoakRequest &R) {
   auto Removed = Removed_.find(R.Key_);
-  if (Removed != Removed_.end() && Runs > 0 &&
-      R.SentAt_ > Removed->second + Bounds_.RevokeBound_)
-    add(R, "ran with a key removed " +
-               std::to_string((R.SentAt_ - Removed->second) / Milliseconds(1)) +
-               " ms before it was sent");
+  if (Removed == Removed_.end())
+    return;
+  std::vector<SoakRun> Runs = Record_.runs(R.Id_);
+  for (const SoakSpan &Each : Removed->second) {
+    bool HasRun =
+        R.SentAt_ > Each.From_ + Bounds_.RevokeBound_ &&
+        std::any_of(Runs.begin(), Runs.end(), [&](const SoakRun &Run) {
+          return Run.End_ != SoakRun::End::Rejected && Run.From_ < Each.To_;
+        });
+    if (HasRun)
+      add(R, "ran with a key removed " +
+                 std::to_string((R.SentAt_ - Each.From_) / Milliseconds(1)) +
+                 " ms before it was sent");
+  }
 }
 
 void SoakChecks::checkFate(const SoakRequest &R) {
--- a/tests/soak/SoakChecks.h
+++ b/tests/soak/SoakChecks.h
@@ -42,7 +42,10 @@
 
   void sent(const SoakRequest &R);
   void ended(const std::string &Id, const SoakOutcome &O);
+  // After a configuration without the key was stored.
   void keyRemoved(const std::string &Key, TimePoint At);
+  // Before one with the key is stored again.
+  void keyAdded(const std::string &Key, TimePoint At);
   // Call once all runs have ended.
   void finish();
 
@@ -57,6 +60,7 @@
   void checkStream(const SoakRequest &R, const SoakOutcome &O);
   void checkNoRollback(const SoakRequest &R, const SoakAnswer &A);
   void checkRuns(const SoakRequest &R);
+  void checkKey(const SoakRequest &R);
   void checkFate(const SoakRequest &R);
   void checkRepeats();
   void checkCrashes();
@@ -67,7 +71,8 @@
   mutable std::mutex Mutex_;
   std::map<std::string, SoakRequest> Requests_;
   std::map<std::string, SoakOutcome> Outcomes_;
-  std::map<std::string, TimePoint> Removed_;
+  // By key, in order of time.
+  std::map<std::string, std::vector<SoakSpan>> Removed_;
   // By process: the newest route it has served, and since when.
   std::map<std::string, std::pair<std::uint64_t, TimePoint>> NewestRoutes_;
   std::vector<std::string> Violations_;
--- a/tests/soak/SoakConfig.cpp
+++ b/tests/soak/SoakConfig.cpp
@@ -1,5 +1,6 @@
 #include "tests/soak/SoakConfig.h"
 
+#include "tests/soak/SoakEarly.h"
 #include "tests/soak/SoakEndpoint.h"
 
 #include <boost/json/array.hpp>
@@ -38,6 +39,8 @@
   return Out;
 }
 
+constexpr std::size_t MaxBodyBytes = 2 * SoakEarly::UploadBytes;
+
 // An event's mean pause. By it an engine ends 4.8 requests a second, below
 // ColdPerSecond, so engines are limited at all times.
 constexpr int LimitedStepMs = 140;
@@ -65,6 +68,8 @@
 std::vector<std::string> SoakConfig::servicesOf(const std::string &Target) {
   if (Target.starts_with("/moved/"))
     return {"api", "aux"};
+  if (Target.starts_with("/early/"))
+    return {SoakEarly::Service};
   bool IsForEngine = Target.starts_with("/stream-lm/") ||
                      Target.starts_with("/streamonce-lm/");
   return {IsForEngine ? "lm" : "api"};
@@ -76,10 +81,12 @@
                         route("stream", "streaming", "api", true),
                         route("streamonce", "streaming", "api"),
                         route("moved", "idempotent", IsMoved_ ? "aux" : "api")};
+  Routes.push_back(route("early", "non_idempotent", SoakEarly::Service));
   Routes.push_back(route("home", "idempotent", "api"));
   Routes.back().as_object()["allowed_regions"] = json::array{FirstRegion};
   json::array Services = {service("api", LimitsCold_),
-                          service("aux", LimitsCold_)};
+                          service("aux", LimitsCold_),
+                          service(SoakEarly::Service, false)};
   if (!Origin_.empty()) {
     Routes.push_back(route("stream-lm", "streaming", "lm", true));
     Routes.push_back(route("streamonce-lm", "streaming", "lm"));
@@ -96,20 +103,21 @@
   json::array Keys;
   for (const std::string &Each : Keys_)
     Keys.push_back(json::string(Each));
-  return json::serialize(json::object{
-      {"version", Version_},
-      {"routes", std::move(Routes)},
-      {"services", std::move(Services)},
-      {"limits", json::object{{"max_header_bytes", 16384},
-                              {"max_body_bytes", 65536},
-                              {"header_timeout_ms", 3000},
-                              {"idle_timeout_ms", 15000}}},
-      {"tenants",
-       json::array{
-           json::object{{"name", "zet"}, {"api_keys", std::move(Keys)}},
-           json::object{{"name", "yon"},
-                        {"api_keys", json::array{RegionalKey}},
-                        {"allowed_regions", json::array{SecondRegion}}}}}});
+  json::array Customers;
+  if (HasCustomers_)
+    Customers = {json::object{{"name", "zet"}, {"api_keys", std::move(Keys)}},
+                 json::object{{"name", "yon"},
+                              {"api_keys", json::array{RegionalKey}},
+                              {"allowed_regions", json::array{SecondRegion}}}};
+  return json::serialize(
+      json::object{{"version", Version_},
+                   {"routes", std::move(Routes)},
+                   {"services", std::move(Services)},
+                   {"limits", json::object{{"max_header_bytes", 16384},
+                                           {"max_body_bytes", MaxBodyBytes},
+                                           {"header_timeout_ms", 3000},
+                                           {"idle_timeout_ms", 15000}}},
+                   {"tenants", std::move(Customers)}});
 }
 
 } // namespace hawthornroad
--- a/tests/soak/SoakConfig.h
+++ b/tests/soak/SoakConfig.h
@@ -46,6 +46,8 @@
   // Whether "/moved/" is served by "aux", or else by "api".
   bool IsMoved_ = false;
   std::vector<std::string> Keys_;
+  // Otherwise the list of customers is there and empty.
+  bool HasCustomers_ = true;
   // Empty without engines.
   std::string Origin_;
   // Whether services limit what their cold endpoints receive.
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -18,8 +18,14 @@
 constexpr Duration StoreLossFrom = Milliseconds(2000);
 constexpr Duration StoreLossFor = Milliseconds(9000);
 constexpr Duration KeyRemovedAfter = Milliseconds(500);
+// Longer than the bound on revoked keys.
+constexpr Duration NoCustomersFor = Milliseconds(6500);
+constexpr std::array KilledWithoutCustomers = {Milliseconds(1000),
+                                               Milliseconds(2500)};
 
-enum class Target { Entry, Agent, Endpoint, Zone, Service };
+enum class Target { Entry, Agent, Endpoint, Zone, Service, OriginLoss };
+// Silent, or refusing connections.
+constexpr std::size_t OriginLosses = 2;
 
 struct KindRow {
   SoakFaultKind Kind_;
@@ -72,6 +78,10 @@
 constexpr std::array EndlessAnswers = {
     KindRow{SoakFaultKind::Endless, "endless answers", Target::Zone, 1}};
 
+constexpr std::array OriginMoves = {KindRow{SoakFaultKind::OriginLost,
+                                            "origin lost, then moved",
+                                            Target::OriginLoss, 1}};
+
 constexpr std::array ServiceFailures = {
     KindRow{SoakFaultKind::ServiceLosesAnswers, "service loses answers",
             Target::Service, 3},
@@ -99,7 +109,9 @@
     KindRow{SoakFaultKind::CrashingPartSent, "crashing part sent",
             Target::Entry, 1},
     KindRow{SoakFaultKind::EnginesCrash, "engines crash", Target::Entry, 1},
-    KindRow{SoakFaultKind::AgentsStopped, "agents stopped", Target::Agent, 1}};
+    KindRow{SoakFaultKind::AgentsStopped, "agents stopped", Target::Agent, 1},
+    KindRow{SoakFaultKind::CustomersRemoved, "all customers removed",
+            Target::Entry, 1}};
 
 constexpr std::uint64_t MaxSeries = 4;
 
@@ -122,7 +134,8 @@
     Series{Evacuations, 1, 3000, 8000, 500, 2500},
     Series{ForeignRows, 1, 500, 2500, 0, 500},
     Series{EndlessAnswers, 1, 500, 1500, 3000, 8000},
-    Series{EngineRestarts, 1, 0, 1, 4000, 9000}};
+    Series{EngineRestarts, 1, 0, 1, 4000, 9000},
+    Series{OriginMoves, 1, 400, 1500, 2000, 5000}};
 
 // A link of 50 KB/s carries about 50 stand-in answers per second.
 constexpr std::array PathFaultTexts = {
@@ -153,7 +166,8 @@
          : T == Target::Agent   ? P.Agents_
          : T == Target::Zone    ? P.Zones_
          : T == Target::Service ? (P.Agents_ > 0 ? StrainedServices.size() : 1)
-                                : P.Endpoints_;
+         : T == Target::OriginLoss ? (P.Agents_ > 0 ? OriginLosses : 0)
+                                   : P.Endpoints_;
 }
 
 void addSeries(const SoakPlan &P, const Series &S, Random R,
@@ -171,6 +185,18 @@
       Out.push_back(std::move(F));
   }
 }
+
+// At the end of the plan, since no request is served meanwhile.
+void addCustomerRemoval(const SoakPlan &P, std::vector<SoakFault> &Out) {
+  Out.push_back({SoakFaultKind::CustomersRemoved, 0, "", P.Length_,
+                 P.Length_ + NoCustomersFor});
+  if (P.IsPlannedOnly_)
+    return;
+  for (std::size_t I = 0; I < KilledWithoutCustomers.size(); ++I) {
+    Duration At = P.Length_ + KilledWithoutCustomers.at(I);
+    Out.push_back({SoakFaultKind::HalfKilled, I, "", At, At});
+  }
+}
 } // namespace
 
 std::vector<SoakFault> planFaults(const SoakPlan &P) {
@@ -193,6 +219,7 @@
   Out.push_back({SoakFaultKind::KeyRemoved, StoreLossEntry, "",
                  StoreLossFrom + KeyRemovedAfter,
                  StoreLossFrom + StoreLossFor});
+  addCustomerRemoval(P, Out);
   std::sort(Out.begin(), Out.end(), [](const SoakFault &A, const SoakFault &B) {
     return A.From_ < B.From_;
   });
@@ -427,6 +454,7 @@
         std::span<const KindRow>(ForeignRows),
         std::span<const KindRow>(EndlessAnswers),
         std::span<const KindRow>(EngineRestarts),
+        std::span<const KindRow>(OriginMoves),
         std::span<const KindRow>(ServiceFailures),
         std::span<const KindRow>(EntrySeries),
         std::span<const KindRow>(NotDrawn)})
--- a/tests/soak/SoakFaults.h
+++ b/tests/soak/SoakFaults.h
@@ -14,7 +14,9 @@
 // Every plan holds one fixed combination that random draws rarely produce: the
 // entry that reads the store for the others loses the store for longer than the
 // bound on revoked keys, and a key is removed in the meantime. Without it,
-// seeds 1 to 4 did not detect a key lease that never expires.
+// seeds 1 to 4 did not detect a key lease that never expires. After all else
+// the list of customers is empty for longer than that bound, and in the
+// meantime entries are killed, so some have never seen a customer.
 
 #ifndef HAWTHORNROAD_TESTS_SOAK_SOAKFAULTS_H
 #define HAWTHORNROAD_TESTS_SOAK_SOAKFAULTS_H
@@ -62,6 +64,12 @@
   RouteAdded,
   Configured,
   VersionDeclared,
+  // A version is declared, and while it is transferred the origin of weights is
+  // lost, silent (target 0) or refusing connections (1). At the end it is
+  // configured at another address.
+  OriginLost,
+  // The configuration lists no customer until the end.
+  CustomersRemoved,
   // Many short requests.
   Surge,
   // Without a statement but in its answers, until its row follows.
@@ -102,7 +110,7 @@
 
 struct SoakFault {
   SoakFaultKind Kind_ = SoakFaultKind::Freeze;
-  // Index of the entry, agent, endpoint, zone or service.
+  // Index of the entry, agent, endpoint, zone or service, or another choice.
   std::size_t Target_ = 0;
   // For path faults: the proxy's fault settings, as JSON.
   std::string Path_;
--- a/tests/soak/SoakLayout.cpp
+++ b/tests/soak/SoakLayout.cpp
@@ -50,7 +50,10 @@
 
 SoakLayout::SoakLayout(Options O, SoakRecord &Record, TemporaryFolder &Folder)
     : Options_(std::move(O)), Record_(Record), Folder_(Folder),
+      Early_({.Id_ = "early-0", .Zone_ = zone(0), .Seed_ = Options_.Seed_},
+             Record_),
       AgentPort_(unusedPort()) {
+  Store_.put("servers", Early_.id(), Early_.row());
   for (std::size_t I = 0; I < EndpointServices.size(); ++I) {
     Endpoints_.push_back(makeEndpoint(EndpointServices[I], I));
     list(*Endpoints_.back().Server_);
--- a/tests/soak/SoakLayout.h
+++ b/tests/soak/SoakLayout.h
@@ -13,6 +13,7 @@
 #define HAWTHORNROAD_TESTS_SOAK_SOAKLAYOUT_H
 
 #include "tests/integration/PlatformFixture.h"
+#include "tests/soak/SoakEarly.h"
 #include "tests/soak/SoakEndpoint.h"
 #include "tests/soak/SoakMemory.h"
 #include "tests/soak/SoakSlowdown.h"
@@ -94,7 +95,7 @@
   // Starts all; the configuration must be in the store.
   void start();
   StoreStandIn &store() { return Store_; }
-  const std::string &origin() const { return Origin_.address(); }
+  SoakOrigin &origin() { return Origin_; }
   std::deque<Entry> &entries() { return Entries_; }
   std::deque<Endpoint> &endpoints() { return Endpoints_; }
   std::deque<Agent> &agents() { return Agents_; }
@@ -153,6 +154,7 @@
   TemporaryFolder &Folder_;
   StoreStandIn Store_;
   SoakOrigin Origin_;
+  SoakEarly Early_;
   std::uint16_t AgentPort_;
   std::uint64_t NextEndpoint_ = 0;
   std::deque<Endpoint> Endpoints_;
--- a/tests/soak/SoakRequest.h
+++ b/tests/soak/SoakRequest.h
@@ -30,6 +30,8 @@
   // The parts of its prompt with their tokens, as the header states them; empty
   // for none.
   std::string Parts_;
+  // Of its body.
+  std::size_t BodyBytes_ = 2;
   // The services that its route may lead to while it is sent.
   std::vector<std::string> Services_;
   TimePoint SentAt_;
--- a/tests/soak/SoakWeights.cpp
+++ b/tests/soak/SoakWeights.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 constexpr std::size_t DigestPrefixLength = 7; // "sha256:"
+// Of the origin.
+constexpr Duration AnswerDelay = Milliseconds(30);
 
 // Padded, so that all pieces have PieceBytes.
 std::string piece(int Version, int Index) {
@@ -80,23 +82,58 @@
     Staged_.begin()->second.front() ^= 1;
 }
 
-SoakOrigin::SoakOrigin() {
-  Server_ = std::make_unique<HttpServer>(
+SoakOrigin::SoakOrigin() { listen(); }
+
+SoakOrigin::~SoakOrigin() { Io_.stop(); }
+
+void SoakOrigin::listen() {
+  std::size_t Place = Servers_.size();
+  Servers_.push_back(std::make_unique<HttpServer>(
       Io_, HttpServer::Limits{},
-      [](const HttpRequest &R, const std::shared_ptr<HttpExchange> &X) {
-        // Without a version: the first one, which is not published.
-        int Version = std::max(1, queryNumber(R.Target_, "version"));
-        if (R.Target_.starts_with("/-/manifest/"))
-          return X->respond(manifest(Version));
-        if (R.Target_.starts_with("/-/piece/"))
-          return X->respond(
-              {.Status_ = 200,
-               .Body_ = piece(Version, queryNumber(R.Target_, "num"))});
-        X->respond({.Status_ = 404});
-      });
-  Address_ = "127.0.0.1:" + std::to_string(Server_->listen("127.0.0.1", 0));
+      [this, Place](const HttpRequest &R,
+                    const std::shared_ptr<HttpExchange> &X) {
+        handle(Place, R, X);
+      }));
+  std::uint16_t Port = Servers_.back()->listen("127.0.0.1", 0);
+  Address_ = "127.0.0.1:" + std::to_string(Port);
 }
 
-SoakOrigin::~SoakOrigin() { Io_.stop(); }
+std::string SoakOrigin::address() const {
+  std::lock_guard Lock(Mutex_);
+  return Address_;
+}
+
+void SoakOrigin::loseAfter(int Pieces, bool Refuses) {
+  std::lock_guard Lock(Mutex_);
+  PiecesLeft_ = Pieces;
+  Refuses_ = Refuses;
+}
+
+void SoakOrigin::move() {
+  std::lock_guard Lock(Mutex_);
+  PiecesLeft_.reset();
+  listen();
+}
+
+void SoakOrigin::handle(std::size_t Place, const HttpRequest &R,
+                        const std::shared_ptr<HttpExchange> &X) {
+  std::lock_guard Lock(Mutex_);
+  bool IsNewest = Place + 1 == Servers_.size();
+  if (!IsNewest || (PiecesLeft_ && *PiecesLeft_ == 0))
+    return Unanswered_.push_back(X);
+  // Without a version: the first one, which is not published.
+  int Version = std::max(1, queryNumber(R.Target_, "version"));
+  HttpResponse Answer{.Status_ = 404};
+  if (R.Target_.starts_with("/-/manifest/"))
+    Answer = manifest(Version);
+  if (R.Target_.starts_with("/-/piece/")) {
+    Answer = {.Status_ = 200,
+              .Body_ = piece(Version, queryNumber(R.Target_, "num"))};
+    bool IsLast = PiecesLeft_ && --*PiecesLeft_ == 0;
+    if (IsLast && Refuses_)
+      Servers_.back()->closeListener();
+  }
+  Io_.after(AnswerDelay, [X, Answer] { X->respond(Answer); });
+}
 
 } // namespace hawthornroad
--- a/tests/soak/SoakWeights.h
+++ b/tests/soak/SoakWeights.h
@@ -4,7 +4,7 @@
 //   if (W.handle(Request, Exchange)) ...   // staged pieces
 //   W.load(2);
 //   SoakOrigin Origin;
-//   Origin.address();
+//   Origin.address(); Origin.loseAfter(5, true); ... Origin.move();
 
 #ifndef HAWTHORNROAD_TESTS_SOAK_SOAKWEIGHTS_H
 #define HAWTHORNROAD_TESTS_SOAK_SOAKWEIGHTS_H
@@ -13,7 +13,10 @@
 
 #include <map>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace hawthornroad {
 
@@ -45,16 +48,37 @@
   bool WasAlwaysWhole_ = true;
 };
 
+// Each answer takes some milliseconds, so that a transfer takes a while.
 class SoakOrigin {
 public:
   SoakOrigin();
   ~SoakOrigin();
-  const std::string &address() const { return Address_; }
+  SoakOrigin(const SoakOrigin &) = delete;
+  SoakOrigin &operator=(const SoakOrigin &) = delete;
+
+  // Where it is now.
+  std::string address() const;
+  // It is lost once it has sent so many more pieces: it answers nothing from
+  // then on, or refuses connections as well.
+  void loseAfter(int Pieces, bool Refuses);
+  // Another one replaces it, at another address.
+  void move();
 
 private:
+  void handle(std::size_t Place, const HttpRequest &R,
+              const std::shared_ptr<HttpExchange> &X);
+  void listen();
+
   IoThread Io_{"origin", 256};
-  std::unique_ptr<HttpServer> Server_;
+  mutable std::mutex Mutex_;
+  // One for each place so far.
+  std::vector<std::unique_ptr<HttpServer>> Servers_;
   std::string Address_;
+  // Pieces that the newest one still sends; unset: any number.
+  std::optional<int> PiecesLeft_;
+  bool Refuses_ = false;
+  // Kept, since their connections would be closed otherwise.
+  std::vector<std::shared_ptr<HttpExchange>> Unanswered_;
 };
 
 } // namespace hawthornroad
--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -16,6 +16,8 @@
 constexpr Duration TickPeriod = Milliseconds(20);
 // From a stop signal to the next signal to that process.
 constexpr Duration SecondSignalDelay = Milliseconds(700);
+// Of a version, before its origin is lost.
+constexpr int PiecesBeforeLoss = 5;
 constexpr unsigned Ok = 200;
 
 TimePoint now() { return std::chrono::steady_clock::now(); }
@@ -44,7 +46,7 @@
   Config_.LimitsCold_ = !isStrain();
   Callers_.setKeys(RotatingKey_, RotatingKey_);
   if (Options_.Layout_.Agents_ > 0)
-    Config_.Origin_ = Layout_.origin();
+    Config_.Origin_ = Layout_.origin().address();
   configure();
   Layout_.start();
 }
@@ -68,6 +70,26 @@
   Checks_.keyRemoved(Old, now());
 }
 
+void SoakWorld::removeCustomers() {
+  Config_.HasCustomers_ = false;
+  configure();
+  for (const std::string &Each : SoakCallers::keys(RotatingKey_))
+    Checks_.keyRemoved(Each, now());
+}
+
+void SoakWorld::addCustomers() {
+  for (const std::string &Each : SoakCallers::keys(RotatingKey_))
+    Checks_.keyAdded(Each, now());
+  Config_.HasCustomers_ = true;
+  configure();
+}
+
+void SoakWorld::moveOrigin() {
+  Layout_.origin().move();
+  Config_.Origin_ = Layout_.origin().address();
+  configure();
+}
+
 void SoakWorld::declareVersion() {
   json::object Row = {{"model", "m"}, {"version", ++WeightVersion_}};
   Layout_.store().put("op", "version/m", json::serialize(Row));
@@ -102,6 +124,7 @@
       ::kill(E.Process_->pid(), SIGHUP);
     return;
   case SoakFaultKind::AgentStop:
+    checkAgents();
     return Layout_.stop(Layout_.agents()[F.Target_], EndsAt);
   case SoakFaultKind::StoreRefuses:
     return Layout_.setStoreMode(StoreStandIn::Mode::Refuse);
@@ -134,6 +157,11 @@
     return configure();
   case SoakFaultKind::VersionDeclared:
     return declareVersion();
+  case SoakFaultKind::OriginLost:
+    Layout_.origin().loseAfter(PiecesBeforeLoss, F.Target_ == 1);
+    return declareVersion();
+  case SoakFaultKind::CustomersRemoved:
+    return removeCustomers();
   case SoakFaultKind::Endless:
     return Operators_.beginEndless(Layout_.zone(F.Target_));
   case SoakFaultKind::ForeignRow:
@@ -197,6 +225,7 @@
                                     : SoakEndpoint::Crashes::AfterHead);
     return;
   case SoakFaultKind::AgentsStopped:
+    checkAgents();
     for (SoakLayout::Agent &Each : Layout_.agents())
       Layout_.stop(Each, now());
     return;
@@ -241,6 +270,10 @@
     return A.Server_->setMode(SoakEndpoint::Mode::Normal);
   case SoakFaultKind::Pauses:
     return A.Server_->setPausing(false);
+  case SoakFaultKind::OriginLost:
+    return moveOrigin();
+  case SoakFaultKind::CustomersRemoved:
+    return addCustomers();
   case SoakFaultKind::Endless:
     return Operators_.endEndless();
   case SoakFaultKind::ForeignRow:
@@ -391,7 +424,7 @@
 
 void SoakWorld::checkAgents() {
   for (const SoakLayout::Agent &Each : Layout_.agents())
-    if (!Each.Process_->running())
+    if (!Each.RestartAt_ && !Each.Process_->running())
       Checks_.violation("the agent of " + Each.Engine_->id() +
                         " has ended by itself");
 }
--- a/tests/soak/SoakWorld.h
+++ b/tests/soak/SoakWorld.h
@@ -66,7 +66,10 @@
   void forEachEndpoint(std::size_t Service,
                        const std::function<void(SoakEndpoint &)> &F);
   void removeKey();
+  void removeCustomers();
+  void addCustomers();
   void declareVersion();
+  void moveOrigin();
   void runPlan();
   // Runs the layout's own work until then.
   void tickUntil(TimePoint End);
@@ -75,6 +78,7 @@
   // Each engine has the newest version RecoverBound after Since, and has loaded
   // none in part.
   void checkWeights(TimePoint Since);
+  // Those that are not being stopped run.
   void checkAgents();
 
   Options Options_;
