Agent: a transfer does not read an origin whose address is unknown

Since a transfer refers to the reader and no longer to its connections, a null pointer no longer says that there is no address yet. By reading, not seen: a peer's digests that no one asked for, before the configuration was read, would begin such a transfer.

--- a/hawthornroad/agent/PieceTransfer.cpp
+++ b/hawthornroad/agent/PieceTransfer.cpp
@@ -145,7 +145,7 @@
 }
 
 void PieceTransfer::run(const ReadOrigin &A, TimePoint Now) {
-  if (Origin_ == nullptr || !ReadsOrigin_)
+  if (!hasOrigin() || !ReadsOrigin_)
     return Swarm_->onOrigin(A.Chunk_, OriginReadResult::Nothing, Now);
   Origin_->read(
       platform::pieceCall(Setup_.Version_, A.Chunk_),
@@ -207,7 +207,7 @@
 
 // Reads the manifest again: it is small, and only a working origin answers.
 void PieceTransfer::run(const CheckOrigin &, TimePoint Now) {
-  if (Origin_ == nullptr)
+  if (!hasOrigin())
     return Swarm_->onOriginChecked(false, Now);
   Origin_->read(platform::manifestCall(Setup_.Version_),
                 {OriginCheckTimeout, MaxManifest},
--- a/hawthornroad/agent/PieceTransfer.h
+++ b/hawthornroad/agent/PieceTransfer.h
@@ -83,7 +83,8 @@
   // Bytes of an origin's answer with the digests of a version.
   static constexpr std::size_t MaxManifest = 8 * 1024 * 1024;
 
-  // Origin may be null when this VM only serves pieces; it outlives this.
+  // Origin may be null when this VM only serves pieces; it outlives this, and
+  // is not read while its address is unknown.
   PieceTransfer(Setup S, IoThread &Io, OriginReader *Origin, PeerNet &Net,
                 EventLog &Log, PieceCounters &Counters, Callbacks C);
 
@@ -135,6 +136,7 @@
   void run(const CheckOrigin &A, TimePoint Now);
   void run(const AskHave &A, TimePoint Now);
   void run(const TellHave &A, TimePoint Now);
+  bool hasOrigin() const { return Origin_ != nullptr && Origin_->isKnown(); }
   // Returns whether the piece is held now.
   bool onPieceRead(ChunkIndex Index, OriginReader::Result R);
   void onOriginChecked(bool Answers);
